feat(kernel): workspace, micro-kernel, typed channels and the design contract

Ruled out: one process with modules (no shared binary for operators), types spread over packages. Before: nothing. Conclusion: packages, one-way imports, core types, protocol and budget notes stand.

--- /dev/null
+++ b/eslint.config.mjs
@@ -0,0 +1,91 @@
+// lint rules: typescript-eslint strict and stylistic, and one-way imports between packages.
+import js from '@eslint/js';
+import prettier from 'eslint-config-prettier';
+import tseslint from 'typescript-eslint';
+
+/** Packages that each package may import; anything else is a layering fault. */
+const allowedImports = {
+  kernel: [],
+  core: [],
+  platform: ['kernel', 'core'],
+  mesh: ['kernel', 'core'],
+  router: ['kernel', 'core', 'platform', 'mesh'],
+  cli: ['kernel', 'core', 'platform'],
+  lab: ['kernel', 'core', 'platform', 'mesh', 'router', 'cli'],
+};
+
+const packageNames = Object.keys(allowedImports);
+
+const ioModules = ['node:*', 'http', 'net', 'fs', 'timers', 'js-csp', 'winston'];
+
+const layerRules = packageNames.map((name) => {
+  const forbidden = packageNames
+    .filter((other) => other !== name && !allowedImports[name].includes(other))
+    .map((other) => ({
+      group: [`@flamingocourse/${other}`, `**/packages/${other}/**`],
+      message: `${name} may import only: ${allowedImports[name].join(', ') || 'libraries'}.`,
+    }));
+  const pure =
+    name === 'core'
+      ? [{ group: ioModules, message: 'core decides only; I/O belongs to the services.' }]
+      : [];
+  return {
+    files: [`packages/${name}/src/**/*.ts`],
+    rules: { 'no-restricted-imports': ['error', { patterns: [...forbidden, ...pure] }] },
+  };
+});
+
+export default tseslint.config(
+  { ignores: ['**/dist/**', '**/node_modules/**', 'reports/**'] },
+  js.configs.recommended,
+  {
+    files: ['**/*.ts'],
+    extends: [...tseslint.configs.strictTypeChecked, ...tseslint.configs.stylisticTypeChecked],
+    languageOptions: {
+      parserOptions: { project: './tsconfig.test.json', tsconfigRootDir: import.meta.dirname },
+    },
+    rules: {
+      '@typescript-eslint/consistent-type-imports': [
+        'error',
+        { fixStyle: 'separate-type-imports' },
+      ],
+      '@typescript-eslint/restrict-template-expressions': [
+        'error',
+        { allowNumber: true, allowBoolean: true },
+      ],
+      '@typescript-eslint/switch-exhaustiveness-check': 'error',
+    },
+  },
+  {
+    // node:test returns promises from test() and describe() that the runner itself awaits.
+    files: ['test/**/*.ts'],
+    rules: {
+      '@typescript-eslint/no-floating-promises': [
+        'error',
+        {
+          allowForKnownSafeCalls: [
+            { from: 'package', package: 'node:test', name: ['test', 'describe', 'it', 'suite'] },
+          ],
+        },
+      ],
+    },
+  },
+  {
+    // decisions take the present time and randomness as arguments.
+    files: ['packages/core/src/**/*.ts'],
+    rules: {
+      'no-restricted-properties': [
+        'error',
+        { object: 'Date', property: 'now', message: 'pass `now` as an argument.' },
+        { object: 'Math', property: 'random', message: 'pass a seeded generator.' },
+      ],
+      'no-restricted-globals': ['error', 'setTimeout', 'setInterval', 'performance', 'process'],
+    },
+  },
+  {
+    files: ['**/*.mjs'],
+    languageOptions: { globals: { process: 'readonly', console: 'readonly', URL: 'readonly' } },
+  },
+  ...layerRules,
+  prettier,
+);
--- /dev/null
+++ b/packages/core/src/types/claim.ts
@@ -0,0 +1,17 @@
+/** Claims bind a caller's idempotency key to the one ticket that may be billed for it. */
+
+import type { EpochMs, TicketId } from './ids.js';
+
+/** Owner of a key: the ticket that may run (non-idempotent) or be billed (idempotent). */
+export interface Claim {
+  ticket: TicketId;
+  /** Digest of method, path and body; the same key with another digest is refused. */
+  bodyDigest: string;
+  at: EpochMs;
+}
+
+/** Value of the platform object `claims/{page}`, by digest of account and key. */
+export interface ClaimPage {
+  page: number;
+  claims: Record<string, Claim>;
+}
--- /dev/null
+++ b/packages/core/src/types/refusal.ts
@@ -0,0 +1,35 @@
+/** The closed set of refusals that a caller can receive. */
+
+/** Whether a refused request ran. `unknown` is said only where it cannot be known. */
+export type RunVerdict = 'not-run' | 'ran' | 'unknown';
+
+/** Why a request was refused. */
+export type RefusalReason =
+  | 'bad-request'
+  | 'unauthenticated'
+  | 'unknown-service'
+  | 'unknown-class'
+  | 'key-reused-with-other-body'
+  | 'too-large'
+  | 'budget-exhausted'
+  | 'class-share-exhausted'
+  | 'budget-unreachable'
+  | 'overloaded'
+  | 'deadline-unreachable'
+  | 'deadline-passed'
+  | 'no-backend-server'
+  | 'backend-failed'
+  | 'quarantined'
+  | 'stopping'
+  | 'not-ready'
+  | 'outcome-unknown';
+
+/** A final answer for a request that gets no result. */
+export interface Refusal {
+  reason: RefusalReason;
+  run: RunVerdict;
+  /** Human-readable sentence that says what the caller can do. */
+  detail: string;
+  /** Milliseconds after which a retry can help; absent where it cannot. */
+  retryAfterMs?: number;
+}
--- /dev/null
+++ b/packages/kernel/src/runtime/eventCatalogue.ts
@@ -0,0 +1,39 @@
+/** Numbered log events. docs/EVENTS.md lists the same events; a test compares both. */
+
+/** Level of an event, in winston's customary names. */
+export type EventLevel = 'error' | 'warn' | 'info' | 'debug';
+
+/** Definition of one event. */
+export interface EventDefinition {
+  /** Stable number, never reused. */
+  number: number;
+  level: EventLevel;
+  /** What happened, without values. */
+  text: string;
+  /** What an operator can do, for warnings and errors. */
+  action?: string;
+}
+
+/**
+ * Every event of the product, by name. Numbers: 1xx process, 2xx platform, 3xx mesh and membership,
+ * 4xx budget and bills, 5xx requests and routing, 6xx configuration, 7xx operators' command.
+ */
+export const eventCatalogue = {
+  'router-started': { number: 100, level: 'info', text: 'router is serving' },
+  'router-stopping': { number: 101, level: 'info', text: 'router is stopping gracefully' },
+  'router-stopped': { number: 102, level: 'info', text: 'router has stopped' },
+  'service-failed': {
+    number: 103,
+    level: 'error',
+    text: 'a service inside the router failed',
+    action: 'Report it with the log; the router keeps serving what it can.',
+  },
+  'settings-invalid': {
+    number: 104,
+    level: 'error',
+    text: 'the settings file was refused',
+    action: 'Mend the place that the message names.',
+  },
+} as const satisfies Record<string, EventDefinition>;
+
+export type EventName = keyof typeof eventCatalogue;
--- /dev/null
+++ b/packages/kernel/src/runtime/kernel.ts
@@ -0,0 +1,127 @@
+/** Micro-kernel: services register under a name, find each other by name, start and stop in order. */
+
+import { LayerError } from '../utils/layerError.js';
+
+export type KernelErrorCode = 'unknown-service' | 'duplicate-service' | 'cycle' | 'start-failed';
+
+/** Fault in the wiring of services. */
+export class KernelError extends LayerError<KernelErrorCode> {
+  override readonly layer = 'kernel';
+}
+
+/**
+ * A long-lived part of a process.
+ *
+ * @example
+ * class Ticker extends Service {
+ *   override readonly name = 'ticker';
+ *   override readonly dependsOn = ['clock'];
+ *   override async start(kernel: Kernel): Promise<void> {}
+ *   override async stop(): Promise<void> {}
+ * }
+ */
+export abstract class Service {
+  abstract readonly name: string;
+  /** Names of services that must be started before this one and stopped after it. */
+  readonly dependsOn: readonly string[] = [];
+
+  abstract start(kernel: Kernel): Promise<void> | void;
+  abstract stop(): Promise<void> | void;
+}
+
+/**
+ * Registry of the services of one process.
+ *
+ * @example
+ * const kernel = new Kernel();
+ * kernel.register(new Ticker());
+ * await kernel.start();
+ * kernel.get('ticker', Ticker);
+ * await kernel.stop();
+ */
+export class Kernel {
+  readonly #services = new Map<string, Service>();
+  #started: Service[] = [];
+  #onFailure: (err: unknown, service: string) => void = defaultOnFailure;
+
+  /** Adds a service. Throws `duplicate-service` when the name is taken. */
+  register(service: Service): this {
+    if (this.#services.has(service.name)) {
+      throw new KernelError('duplicate-service', `service "${service.name}" is registered twice`);
+    }
+    this.#services.set(service.name, service);
+    return this;
+  }
+
+  /** Finds a service by name and checks its class. Throws `unknown-service`. */
+  get<T extends Service>(name: string, type: abstract new (...args: never[]) => T): T {
+    const service = this.#services.get(name);
+    if (service instanceof type) return service;
+    throw new KernelError('unknown-service', `no service "${name}" of type ${type.name}`);
+  }
+
+  /** Sets what happens when a running service reports a failure of its own. */
+  onFailure(handler: (err: unknown, service: string) => void): void {
+    this.#onFailure = handler;
+  }
+
+  /** Called by services whose background work failed, so that a failure never vanishes. */
+  reportFailure(err: unknown, service: string): void {
+    this.#onFailure(err, service);
+  }
+
+  /** Starts all services, dependencies first. On a failure stops those already started. */
+  async start(): Promise<void> {
+    for (const service of this.#startOrder()) {
+      try {
+        await service.start(this);
+        this.#started.push(service);
+      } catch (err) {
+        await this.stop();
+        throw new KernelError('start-failed', `service "${service.name}" did not start`, {
+          cause: err,
+        });
+      }
+    }
+  }
+
+  /** Stops all started services in reverse order; a failing one does not keep the others running. */
+  async stop(): Promise<void> {
+    const started = this.#started.reverse();
+    this.#started = [];
+    for (const service of started) {
+      try {
+        await service.stop();
+      } catch (err) {
+        this.#onFailure(err, service.name);
+      }
+    }
+  }
+
+  #startOrder(): Service[] {
+    const order: Service[] = [];
+    const state = new Map<string, 'visiting' | 'done'>();
+    const visit = (name: string, wantedBy: string): void => {
+      if (state.get(name) === 'done') return;
+      if (state.get(name) === 'visiting') {
+        throw new KernelError('cycle', `services depend on each other in a cycle at "${name}"`);
+      }
+      const service = this.#services.get(name);
+      if (!service) {
+        throw new KernelError('unknown-service', `"${wantedBy}" depends on unknown "${name}"`);
+      }
+      state.set(name, 'visiting');
+      for (const dependency of service.dependsOn) visit(dependency, name);
+      state.set(name, 'done');
+      order.push(service);
+    };
+    for (const name of this.#services.keys()) visit(name, name);
+    return order;
+  }
+}
+
+function defaultOnFailure(err: unknown, service: string): void {
+  queueMicrotask(() => {
+    throw new KernelError('start-failed', `service "${service}" failed`, { cause: err });
+  });
+}
