feat(router): interfaces between the request path and the budget, configuration and fleet services

Cause: the parts of the router are built side by side and must meet. Ruled out: letting each part define its own callbacks. Conclusion: abstract services Money, Configuration and Fleet are the seams.

--- a/packages/router/src/index.ts
+++ b/packages/router/src/index.ts
@@ -1,1 +1,5 @@
-export {};
+export * from './types/configuration.js';
+export * from './types/fleet.js';
+export * from './types/money.js';
+export type * from './types/routerContext.js';
+export type * from './types/routerSettings.js';
