feat(router): answers, attempts and checked caller requests

Cause: the request path needs its parts before it can be wired. Ruled out: an answer that belongs to a connection, since a retry could then not get the whole of it; the export condition 'source', which eventsource-parser uses too (its sources do not compile here). Before: typecheck failed on that library. After: typecheck clean, 11 tests pass. Conclusion: our own condition name, @flamingocourse/source.

--- a/packages/core/src/types/refusal.ts
+++ b/packages/core/src/types/refusal.ts
@@ -22,7 +22,8 @@
   | 'quarantined'
   | 'stopping'
   | 'not-ready'
-  | 'outcome-unknown';
+  | 'outcome-unknown'
+  | 'answer-expired';
 
 /** A final answer for a request that gets no result. */
 export interface Refusal {
--- /dev/null
+++ b/packages/router/src/types/backends.ts
@@ -0,0 +1,52 @@
+/** What the request path asks of the backend servers. */
+
+import type {
+  BackendServer,
+  EpochMs,
+  Importance,
+  Refusal,
+  ServerId,
+  ServiceName,
+  WorkClassName,
+} from '@flamingocourse/core';
+import type { Result } from 'true-myth';
+import { Service } from '@flamingocourse/kernel';
+
+/** A wish to run one attempt. */
+export interface PlacementRequest {
+  service: ServiceName;
+  workClass: WorkClassName;
+  importance: Importance;
+  /** Latest useful time of the whole answer. */
+  deadline: EpochMs;
+  /** Requests with the same prefix key gain from the same server's prompt cache. */
+  prefixKey?: string;
+  /** Servers that this request has already tried. */
+  tried: ServerId[];
+  /** Digest of what runs, to find requests that crash their servers. */
+  fingerprint: string;
+  /** Aborted when nobody waits any more. */
+  signal: AbortSignal;
+}
+
+/** How an attempt ended, as far as the server's health is concerned. */
+export type AttemptEnd = 'ok' | 'failed' | 'crashed' | 'timed-out' | 'cancelled' | 'leaving';
+
+/** A place on a backend server for one attempt; ended exactly once. */
+export interface Placement {
+  server: BackendServer;
+  /** Value of the engine's `priority` field; lower runs first. */
+  priority: number;
+  end(how: AttemptEnd, firstTokenMs?: number): void;
+}
+
+/** Places attempts on backend servers. Registered as `backends`. */
+export abstract class Backends extends Service {
+  override readonly name = 'backends';
+
+  /** Waits in the service's queue for a place; refuses at once when that cannot succeed. */
+  abstract place(request: PlacementRequest): Promise<Result<Placement, Refusal>>;
+
+  /** Whether a further attempt is within the fleet's retry budget. */
+  abstract mayRetry(service: ServiceName): boolean;
+}
--- a/scripts/runTests.mjs
+++ b/scripts/runTests.mjs
@@ -16,7 +16,7 @@
 const result = spawnSync(
   process.execPath,
   [
-    '--conditions=source',
+    '--conditions=@flamingocourse/source',
     '--import=tsx',
     '--test',
     `--test-concurrency=${concurrency}`,
