feat(lab): stand-ins for model engine and plain service

Cause: routers cannot be tried without backend servers, and a wrong splice, a foreign chunk or a double run must be visible to whoever checks.

The engine's answer is a function of prompt and seed with numbered words, so a caller can compute it. A continuation of text that the engine would not have written differs from the right answer, so a wrong splice cannot pass unseen. Late chunks first carried the id of the running attempt itself, which no caller could have told apart; the test caught it, and now they come only from attempts that are over.

--- /dev/null
+++ b/packages/lab/src/node/engineStandIn/chatAttempt.ts
@@ -0,0 +1,77 @@
+/** One attempt at an answer, as the scheduler runs it token by token. */
+
+import type { ServerResponse } from 'node:http';
+import type { AnswerTask } from '../../runtime/answerText.js';
+import type { Sequence } from './batchScheduler.js';
+import type { ChatRequest, ChatUsage } from './chatRequest.js';
+import type { ChatWriter } from './chatWriter.js';
+import { createChatWriter, StreamWriter } from './chatWriter.js';
+
+/** What the engine has worked out about an attempt, and what it wants to hear of it. */
+export interface AttemptPlan {
+  task: AnswerTask;
+  prefillMs: number;
+  promptTokens: number;
+  cachedTokens: number;
+  /** Returns false when nothing may be written any more. */
+  beforeToken(): boolean;
+  afterToken(word: string): void;
+  onFinish(): void;
+}
+
+/** Writes the words of an answer from where the caller's copy ends. */
+export class ChatAttempt implements Sequence {
+  readonly priority: number;
+  readonly prefillMs: number;
+  readonly #plan: AttemptPlan;
+  readonly #writer: ChatWriter;
+  readonly #end: number;
+  #next: number;
+
+  constructor(res: ServerResponse, id: string, request: ChatRequest, plan: AttemptPlan) {
+    this.priority = request.priority;
+    this.prefillMs = plan.prefillMs;
+    this.#plan = plan;
+    this.#next = plan.task.delivered;
+    this.#end = Math.min(plan.task.words.length, plan.task.delivered + request.max_tokens);
+    this.#writer = createChatWriter(res, id, request);
+  }
+
+  writeToken(): boolean {
+    if (!this.#plan.beforeToken()) return true;
+    const word = this.#plan.task.words[this.#next];
+    if (word !== undefined && this.#next < this.#end) {
+      this.#writer.token(this.#next === 0 ? word : ` ${word}`);
+      this.#next += 1;
+      this.#plan.afterToken(word);
+    }
+    if (this.#next < this.#end) return false;
+    this.#writer.finish(this.#reason(), this.#usage());
+    this.#plan.onFinish();
+    return true;
+  }
+
+  /** Word written last, or an empty text. */
+  get lastWord(): string {
+    return this.#plan.task.words[this.#next - 1] ?? '';
+  }
+
+  /** Puts a chunk with another attempt's id into a stream; does nothing for a whole answer. */
+  writeForeignChunk(id: string, word: string): void {
+    if (this.#writer instanceof StreamWriter) this.#writer.writeTokenAs(id, ` ${word}`);
+  }
+
+  #reason(): 'stop' | 'length' {
+    return this.#end === this.#plan.task.words.length ? 'stop' : 'length';
+  }
+
+  #usage(): ChatUsage {
+    const written = this.#next - this.#plan.task.delivered;
+    return {
+      prompt_tokens: this.#plan.promptTokens,
+      completion_tokens: written,
+      total_tokens: this.#plan.promptTokens + written,
+      prompt_tokens_details: { cached_tokens: this.#plan.cachedTokens },
+    };
+  }
+}
--- /dev/null
+++ b/packages/lab/src/node/engineStandIn/chatWriter.ts
@@ -0,0 +1,92 @@
+/** Writes an answer to the caller: as a stream of chunks, or whole at its end. */
+
+import type { ServerResponse } from 'node:http';
+import type { ChatRequest, ChatUsage } from './chatRequest.js';
+import { sendJson } from '../httpStandIn.js';
+
+/** Why an answer ended. */
+export type FinishReason = 'stop' | 'length';
+
+/** Form in which one answer is sent. */
+export abstract class ChatWriter {
+  abstract token(text: string): void;
+  abstract finish(reason: FinishReason, usage: ChatUsage): void;
+}
+
+/** Creates the writer that the request asks for. */
+export function createChatWriter(
+  res: ServerResponse,
+  id: string,
+  request: ChatRequest,
+): ChatWriter {
+  return request.stream ? new StreamWriter(res, id, request) : new WholeWriter(res, id, request);
+}
+
+/** One server-sent event for each token. */
+export class StreamWriter extends ChatWriter {
+  readonly #res: ServerResponse;
+  readonly #id: string;
+  readonly #request: ChatRequest;
+
+  constructor(res: ServerResponse, id: string, request: ChatRequest) {
+    super();
+    this.#res = res;
+    this.#id = id;
+    this.#request = request;
+    res.writeHead(200, {
+      'content-type': 'text/event-stream',
+      'cache-control': 'no-cache',
+      'x-request-id': id,
+    });
+    res.flushHeaders();
+  }
+
+  override token(text: string): void {
+    this.writeTokenAs(this.#id, text);
+  }
+
+  /** Writes a chunk under the id of another attempt, which a careful caller drops. */
+  writeTokenAs(id: string, text: string): void {
+    this.#write(id, [{ index: 0, delta: { content: text }, finish_reason: null }]);
+  }
+
+  override finish(reason: FinishReason, usage: ChatUsage): void {
+    this.#write(this.#id, [{ index: 0, delta: {}, finish_reason: reason }]);
+    if (this.#request.stream_options?.include_usage) this.#write(this.#id, [], usage);
+    this.#res.end('data: [DONE]\n\n');
+  }
+
+  #write(id: string, choices: unknown[], usage?: ChatUsage): void {
+    if (this.#res.destroyed) return;
+    const model = this.#request.model;
+    const chunk = { id, object: 'chat.completion.chunk', created: 0, model, choices, usage };
+    this.#res.write(`data: ${JSON.stringify(chunk)}\n\n`);
+  }
+}
+
+/** One JSON body once the answer is complete. */
+class WholeWriter extends ChatWriter {
+  readonly #res: ServerResponse;
+  readonly #id: string;
+  readonly #request: ChatRequest;
+  #text = '';
+
+  constructor(res: ServerResponse, id: string, request: ChatRequest) {
+    super();
+    this.#res = res;
+    this.#id = id;
+    this.#request = request;
+  }
+
+  override token(text: string): void {
+    this.#text += text;
+  }
+
+  override finish(reason: FinishReason, usage: ChatUsage): void {
+    const message = { role: 'assistant', content: this.#text };
+    const choices = [{ index: 0, message, finish_reason: reason }];
+    const model = this.#request.model;
+    const body = { id: this.#id, object: 'chat.completion', created: 0, model, choices, usage };
+    sendJson(this.#res, 200, body, { 'x-request-id': this.#id });
+  }
+}
--- /dev/null
+++ b/packages/lab/src/node/engineStandIn/index.ts
@@ -0,0 +1,1 @@
+export * from './engineStandIn.js';
--- /dev/null
+++ b/packages/lab/src/node/httpStandIn.ts
@@ -0,0 +1,117 @@
+/** Base of the backend server stand-ins: an HTTP server that can crash and come back. */
+
+import type { IncomingMessage, Server, ServerResponse } from 'node:http';
+import type { AddressInfo, Socket } from 'node:net';
+import type { HttpStandInOptions } from '../types/httpStandIn.js';
+import { createServer } from 'node:http';
+
+const MAX_BODY_BYTES = 4 * 1024 * 1024;
+
+/** An HTTP server with the life of a backend server. */
+export abstract class HttpStandIn {
+  readonly #host: string;
+  readonly #onCrash: (() => void) | undefined;
+  readonly #sockets = new Set<Socket>();
+  #port: number;
+  #server: Server | undefined;
+
+  constructor(options: HttpStandInOptions) {
+    this.#host = options.host ?? '127.0.0.1';
+    this.#port = options.port ?? 0;
+    this.#onCrash = options.onCrash;
+  }
+
+  get url(): string {
+    return `http://${this.#host}:${this.#port}`;
+  }
+
+  get running(): boolean {
+    return this.#server !== undefined;
+  }
+
+  protected abstract handle(req: IncomingMessage, res: ServerResponse): Promise<void>;
+
+  /** Drops what the server held in memory. */
+  protected abstract reset(): void;
+
+  /** Listens; after a crash on the port from before. */
+  async start(): Promise<void> {
+    const server = createServer((req, res) => {
+      this.handle(req, res).catch((err: unknown) => {
+        failResponse(res, err);
+      });
+    });
+    server.on('connection', (socket) => {
+      this.#sockets.add(socket);
+      socket.on('close', () => this.#sockets.delete(socket));
+    });
+    await new Promise<void>((resolve, reject) => {
+      server.once('error', reject);
+      server.listen(this.#port, this.#host, resolve);
+    });
+    this.#port = (server.address() as AddressInfo).port;
+    this.#server = server;
+  }
+
+  /** Ends at once, with every request in progress, as a process that died. */
+  crash(): void {
+    this.#onCrash?.();
+    this.#server?.close();
+    this.#server = undefined;
+    for (const socket of this.#sockets) socket.destroy();
+    this.reset();
+  }
+
+  /** Ends for good. */
+  async stop(): Promise<void> {
+    const server = this.#server;
+    this.#server = undefined;
+    if (server) {
+      const closed = new Promise((resolve) => server.close(resolve));
+      for (const socket of this.#sockets) socket.destroy();
+      await closed;
+    }
+    this.reset();
+  }
+}
+
+/** Reads a request's body as text; rejects when it is larger than 4 MiB or cut off. */
+export async function readBody(req: IncomingMessage): Promise<string> {
+  const parts: Buffer[] = [];
+  let size = 0;
+  for await (const part of req as AsyncIterable<Buffer>) {
+    size += part.length;
+    if (size > MAX_BODY_BYTES) throw new RangeError(`body is larger than ${MAX_BODY_BYTES} bytes`);
+    parts.push(part);
+  }
+  return Buffer.concat(parts).toString('utf8');
+}
+
+/** Sends a JSON answer; does nothing when the caller has gone. */
+export function sendJson(
+  res: ServerResponse,
+  status: number,
+  body: unknown,
+  headers: Record<string, string> = {},
+): void {
+  if (res.destroyed || res.headersSent) return;
+  res.writeHead(status, { 'content-type': 'application/json', ...headers });
+  res.end(JSON.stringify(body));
+}
+
+/** Path and query of a request. */
+export function requestUrl(req: IncomingMessage): URL {
+  return new URL(req.url ?? '/', 'http://stand-in');
+}
+
+/** First value of a request header. */
+export function requestHeader(req: IncomingMessage, name: string): string | undefined {
+  const value = req.headers[name];
+  return Array.isArray(value) ? value[0] : value;
+}
+
+function failResponse(res: ServerResponse, err: unknown): void {
+  const message = err instanceof Error ? err.message : String(err);
+  sendJson(res, 400, { error: { message } });
+  if (!res.writableEnded) res.destroy();
+}
--- /dev/null
+++ b/packages/lab/src/node/plainServiceStandIn/index.ts
@@ -0,0 +1,1 @@
+export * from './plainServiceStandIn.js';
--- /dev/null
+++ b/test/lab/engineStandIn.test.ts
@@ -0,0 +1,165 @@
+import assert from 'node:assert/strict';
+import { after, test } from 'node:test';
+import {
+  countPromptTokens,
+  createEngineStandIn,
+  expectedAnswer,
+  type EngineStandInOptions,
+  type EngineStandIn,
+} from '@flamingocourse/lab';
+import { readStream, userPrompt, waitUntil } from './engineClient.js';
+
+const FAST = { decodeMs: 1, decodeMsPerRequest: 0, prefillMsPerToken: 0 };
+const engines: EngineStandIn[] = [];
+
+after(async () => {
+  await Promise.all(engines.map((engine) => engine.stop()));
+});
+
+async function startEngine(options: EngineStandInOptions = {}): Promise<EngineStandIn> {
+  const engine = await createEngineStandIn({ ...FAST, ...options });
+  engines.push(engine);
+  return engine;
+}
+
+test('a stream carries one token a chunk, its own id, the usage and an end', async () => {
+  const engine = await startEngine();
+  const messages = userPrompt('describe the oak wardrobe words=12');
+  const seen = await readStream(engine.url, messages, { requestId: 'nonce-7' });
+  assert.equal(seen.tokens.join(''), expectedAnswer(messages, 0, 512));
+  assert.equal(seen.tokens.length, 12);
+  assert.deepEqual(new Set(seen.ids), new Set(['nonce-7']));
+  assert.equal(seen.usage?.completion_tokens, 12);
+  assert.equal(seen.usage.prompt_tokens, countPromptTokens(messages));
+  assert.ok(seen.done);
+});
+
+for (const cut of [1, 5, 11]) {
+  test(`a stream cut after ${cut} tokens and resumed elsewhere equals the whole`, async () => {
+    const first = await startEngine();
+    const second = await startEngine({ seed: 2 });
+    const messages = userPrompt('season summary words=12');
+    const head = await readStream(first.url, messages, { stopAfter: cut });
+    const text = head.tokens.slice(0, cut).join('');
+    const tail = await readStream(second.url, [...messages, { role: 'assistant', content: text }], {
+      body: { continue_final_message: true, add_generation_prompt: false, max_tokens: 512 - cut },
+    });
+    assert.equal(text + tail.tokens.join(''), expectedAnswer(messages, 0, 512));
+  });
+}
+
+// a volunteer sees an answer with a word twice; a router resumed one token too early or with words
+// of another answer. The stand-in must not hide that by continuing as if nothing was wrong.
+test('a wrong splice is not continued with the words of the right answer', async () => {
+  const engine = await startEngine();
+  const messages = userPrompt('what is in stock words=12');
+  const wrong = { role: 'assistant', content: expectedAnswer(userPrompt('other'), 0, 3) };
+  const tail = await readStream(engine.url, [...messages, wrong], {
+    body: { continue_final_message: true },
+  });
+  const right = expectedAnswer(messages, 0, 512);
+  assert.ok(tail.tokens.every((token) => !right.includes(token.trim())));
+});
+
+// a pilot waits although the field is quiet: callers who hung up still hold all slots.
+test('a caller that hangs up frees its slot', async () => {
+  const engine = await startEngine({ slots: 1 });
+  await readStream(engine.url, userPrompt('words=4000'), { stopAfter: 2 });
+  await waitUntil(() => engine.runningRequests === 0);
+  assert.equal(engine.counters.cancelled, 1);
+  const next = await readStream(engine.url, userPrompt('words=5'));
+  assert.equal(next.tokens.length, 5);
+});
+
+test('a waiting request with a lower priority number runs first', async () => {
+  const engine = await startEngine({ slots: 1 });
+  const order: string[] = [];
+  const ask = async (name: string, priority: number): Promise<void> => {
+    await readStream(engine.url, userPrompt(`${name} words=20`), { body: { priority } });
+    order.push(name);
+  };
+  const blocker = ask('blocker', 0);
+  await waitUntil(() => engine.runningRequests === 1);
+  const background = ask('background', 9);
+  await waitUntil(() => engine.waitingRequests === 1);
+  const first = ask('first', 1);
+  await Promise.all([blocker, background, first]);
+  assert.deepEqual(order, ['blocker', 'first', 'background']);
+});
+
+test('a prompt seen before is cached in blocks and read faster', async () => {
+  const engine = await startEngine({ cacheEventLagMs: 0, cacheEventLoss: 0 });
+  const prompt = userPrompt(`${'shared '.repeat(64)} words=8`);
+  const cached: unknown[] = [];
+  for (let turn = 0; turn < 2; turn += 1) {
+    const seen = await readStream(engine.url, prompt);
+    cached.push((seen.usage as { prompt_tokens_details?: unknown }).prompt_tokens_details);
+  }
+  assert.deepEqual(cached, [{ cached_tokens: 0 }, { cached_tokens: 64 }]);
+  const res = await fetch(`${engine.url}/cache-events?after=0`);
+  const { events } = (await res.json()) as { events: { type: string }[] };
+  assert.equal(events.filter((event) => event.type === 'stored').length, 4);
+});
+
+// one caller's request kills each server that runs it; its neighbours lose their streams too.
+test('a marked request crashes the engine with its neighbours, and it comes back', async () => {
+  const engine = await startEngine({ restartAfterMs: 30 });
+  const neighbour = readStream(engine.url, userPrompt('words=2000'));
+  await waitUntil(() => engine.runningRequests === 1);
+  const poison = await readStream(engine.url, userPrompt('please crash-the-engine'));
+  assert.equal(poison.done, false);
+  assert.equal((await neighbour).done, false);
+  await waitUntil(() => engine.running);
+  assert.ok((await readStream(engine.url, userPrompt('again'))).done);
+});
+
+// late chunks of another attempt reach a stream; only their id tells them apart.
+const foreignChunkCases = [
+  { fault: { duplicateChunks: 1 }, foreignId: 'mine-earlier' },
+  { fault: { lateChunks: 1 }, foreignId: 'other' },
+];
+for (const { fault, foreignId } of foreignChunkCases) {
+  test(`${Object.keys(fault).join()} puts chunks of ${foreignId} into a stream`, async () => {
+    const engine = await startEngine();
+    await readStream(engine.url, userPrompt('other words=8'), { requestId: 'other' });
+    engine.setFaults(fault);
+    const messages = userPrompt('mine words=8');
+    const seen = await readStream(engine.url, messages, { requestId: 'mine' });
+    const own = seen.tokens.filter((_, index) => seen.ids[index] === 'mine');
+    assert.ok(seen.ids.includes(foreignId));
+    assert.equal(own.join(''), expectedAnswer(messages, 0, 512));
+  });
+}
+
+const statusCases = [
+  { name: 'leaving', faults: { leaving: true }, chat: 503, health: 503 },
+  { name: 'failing', faults: { errorRate: 1 }, chat: 500, health: 200 },
+];
+for (const { name, faults, chat, health } of statusCases) {
+  test(`a ${name} engine answers ${chat}, its health ${health}`, async () => {
+    const engine = await startEngine({ faults });
+    const body = JSON.stringify({ messages: userPrompt('hello') });
+    const res = await fetch(`${engine.url}/v1/chat/completions`, { method: 'POST', body });
+    assert.equal(res.status, chat);
+    assert.equal((await fetch(`${engine.url}/health`)).status, health);
+  });
+}
+
+for (const { checksFencing, status } of [
+  { checksFencing: true, status: 409 },
+  { checksFencing: false, status: 200 },
+]) {
+  test(`an old order gets ${status} where checksFencing is ${checksFencing}`, async () => {
+    const engine = await startEngine({ checksFencing });
+    const statuses = [];
+    for (const number of [5, 4]) {
+      const res = await fetch(`${engine.url}/v1/load_lora_adapter`, {
+        method: 'POST',
+        headers: { 'x-fencing-number': String(number) },
+        body: JSON.stringify({ lora_name: `a${number}` }),
+      });
+      statuses.push(res.status);
+    }
+    assert.deepEqual(statuses, [200, status]);
+  });
+}
