feat(lab): load generator that checks each answer word by word

Cause: a run must show whether a caller got a whole answer of its own, and the figures must include the waiting that retries cost.

Callers retry as an ordinary client does: under the same key, at the next router, when Retry-After says so. Engine events are numbered now, so that an event sent twice can be dropped.

--- a/packages/lab/src/index.ts
+++ b/packages/lab/src/index.ts
@@ -1,7 +1,12 @@
 export * from './node/engineStandIn/index.js';
+export * from './node/loadGenerator/index.js';
 export * from './node/plainServiceStandIn/index.js';
+export * from './runtime/answerCheck.js';
 export * from './runtime/answerText.js';
+export * from './runtime/entryAudit.js';
+export * from './runtime/loadPlan.js';
 export * from './runtime/random.js';
 export * from './types/engineStandIn.js';
 export type * from './types/httpStandIn.js';
+export type * from './types/load.js';
 export * from './types/plainServiceStandIn.js';
--- a/packages/lab/src/node/engineStandIn/chatAttempt.ts
+++ b/packages/lab/src/node/engineStandIn/chatAttempt.ts
@@ -15,7 +15,7 @@
   cachedTokens: number;
   /** Returns false when nothing may be written any more. */
   beforeToken(): boolean;
-  afterToken(word: string): void;
+  afterToken(): void;
   onFinish(): void;
 }
 
@@ -43,7 +43,7 @@
     if (word !== undefined && this.#next < this.#end) {
       this.#writer.token(this.#next === 0 ? word : ` ${word}`);
       this.#next += 1;
-      this.#plan.afterToken(word);
+      this.#plan.afterToken();
     }
     if (this.#next < this.#end) return false;
     this.#writer.finish(this.#reason(), this.#usage());
@@ -51,14 +51,14 @@
     return true;
   }
 
-  /** Word written last, or an empty text. */
-  get lastWord(): string {
-    return this.#plan.task.words[this.#next - 1] ?? '';
+  /** Last token event of a stream, as sent; empty where there is none. */
+  get lastEvent(): string {
+    return this.#writer instanceof StreamWriter ? this.#writer.lastToken : '';
   }
 
-  /** Puts a chunk with another attempt's id into a stream; does nothing for a whole answer. */
-  writeForeignChunk(id: string, word: string): void {
-    if (this.#writer instanceof StreamWriter) this.#writer.writeTokenAs(id, ` ${word}`);
+  /** Sends an event a second time; does nothing for an answer that is not a stream. */
+  writeAgain(event: string): void {
+    if (this.#writer instanceof StreamWriter) this.#writer.writeAgain(event);
   }
 
   #reason(): 'stop' | 'length' {
--- a/packages/lab/src/node/engineStandIn/chatWriter.ts
+++ b/packages/lab/src/node/engineStandIn/chatWriter.ts
@@ -22,11 +22,13 @@
   return request.stream ? new StreamWriter(res, id, request) : new WholeWriter(res, id, request);
 }
 
-/** One server-sent event for each token. */
+/** One server-sent event for each token, numbered so that a repeated event can be dropped. */
 export class StreamWriter extends ChatWriter {
   readonly #res: ServerResponse;
   readonly #id: string;
   readonly #request: ChatRequest;
+  #events = 0;
+  #lastToken = '';
 
   constructor(res: ServerResponse, id: string, request: ChatRequest) {
     super();
@@ -41,26 +43,40 @@
     res.flushHeaders();
   }
 
-  override token(text: string): void {
-    this.writeTokenAs(this.#id, text);
+  /** Last token event as sent, with its own number and id; empty before the first. */
+  get lastToken(): string {
+    return this.#lastToken;
   }
 
-  /** Writes a chunk under the id of another attempt, which a careful caller drops. */
-  writeTokenAs(id: string, text: string): void {
-    this.#write(id, [{ index: 0, delta: { content: text }, finish_reason: null }]);
+  override token(text: string): void {
+    this.#lastToken = this.#write([{ index: 0, delta: { content: text }, finish_reason: null }]);
   }
 
   override finish(reason: FinishReason, usage: ChatUsage): void {
-    this.#write(this.#id, [{ index: 0, delta: {}, finish_reason: reason }]);
-    if (this.#request.stream_options?.include_usage) this.#write(this.#id, [], usage);
+    this.#write([{ index: 0, delta: {}, finish_reason: reason }]);
+    if (this.#request.stream_options?.include_usage) this.#write([], usage);
     this.#res.end('data: [DONE]\n\n');
   }
 
-  #write(id: string, choices: unknown[], usage?: ChatUsage): void {
-    if (this.#res.destroyed) return;
+  /** Sends an event that was sent before, in this stream or in another. */
+  writeAgain(event: string): void {
+    if (!this.#res.destroyed) this.#res.write(event);
+  }
+
+  #write(choices: unknown[], usage?: ChatUsage): string {
     const model = this.#request.model;
-    const chunk = { id, object: 'chat.completion.chunk', created: 0, model, choices, usage };
-    this.#res.write(`data: ${JSON.stringify(chunk)}\n\n`);
+    const chunk = {
+      id: this.#id,
+      object: 'chat.completion.chunk',
+      created: 0,
+      model,
+      choices,
+      usage,
+    };
+    const event = `id: ${this.#events}\ndata: ${JSON.stringify(chunk)}\n\n`;
+    this.#events += 1;
+    if (!this.#res.destroyed) this.#res.write(event);
+    return event;
   }
 }
 
--- a/packages/lab/src/node/engineStandIn/engineStandIn.ts
+++ b/packages/lab/src/node/engineStandIn/engineStandIn.ts
@@ -14,7 +14,14 @@
 import { PrefixCache } from '../../runtime/prefixCache.js';
 import { createRandom } from '../../runtime/random.js';
 import { NO_ENGINE_FAULTS } from '../../types/engineStandIn.js';
-import { HttpStandIn, readBody, requestHeader, requestUrl, sendJson } from '../httpStandIn.js';
+import {
+  HttpStandIn,
+  parseSwitches,
+  readBody,
+  requestHeader,
+  requestUrl,
+  sendJson,
+} from '../httpStandIn.js';
 import { BatchScheduler } from './batchScheduler.js';
 import { ChatAttempt } from './chatAttempt.js';
 import { chatRequestSchema } from './chatRequest.js';
@@ -64,8 +71,8 @@
   #eventSeq = 0;
   #fencing = -1;
   #adapters: string[] = [];
-  /** Last word of an attempt that is over; its chunk may still come late. */
-  #overAttempt: { id: string; word: string } | undefined;
+  /** Last token event of an attempt that is over; it may still come late. */
+  #overEvent = '';
   #sampler: NodeJS.Timeout | undefined;
   #restart: NodeJS.Timeout | undefined;
 
@@ -138,7 +145,7 @@
         this.#order(req, res, await readBody(req));
         return;
       case 'POST /control/faults':
-        this.setFaults(JSON.parse(await readBody(req)) as Partial<EngineFaults>);
+        this.setFaults(parseSwitches(await readBody(req), this.#faults));
         sendJson(res, 200, this.#faults);
         return;
       case 'GET /load':
@@ -204,17 +211,18 @@
       promptTokens,
       cachedTokens,
       beforeToken: () => this.#beforeToken(poisoned),
-      afterToken: (word) => {
-        this.#disturb(attempt, id, word);
+      afterToken: () => {
+        this.#disturb(attempt);
       },
       onFinish: () => {
         this.counters.finished += 1;
+        this.#overEvent = attempt.lastEvent;
       },
     });
     const scheduler = this.#scheduler;
     scheduler.add(attempt);
     res.on('close', () => {
-      this.#overAttempt = { id, word: attempt.lastWord };
+      this.#overEvent = attempt.lastEvent;
       if (res.writableFinished) return;
       // the caller hung up: without this the slot would stay taken by an answer nobody reads.
       scheduler.cancel(attempt);
@@ -234,14 +242,10 @@
     return true;
   }
 
-  /** Adds chunks that belong to another attempt, as a confused connection would. */
-  #disturb(attempt: ChatAttempt, id: string, word: string): void {
-    if (this.#random.chance(this.#faults.duplicateChunks)) {
-      attempt.writeForeignChunk(`${id}-earlier`, word);
-    }
-    if (this.#overAttempt && this.#random.chance(this.#faults.lateChunks)) {
-      attempt.writeForeignChunk(this.#overAttempt.id, this.#overAttempt.word);
-    }
+  /** Sends events twice, or events of an attempt that is over, as a confused engine would. */
+  #disturb(attempt: ChatAttempt): void {
+    if (this.#random.chance(this.#faults.duplicateChunks)) attempt.writeAgain(attempt.lastEvent);
+    if (this.#random.chance(this.#faults.lateChunks)) attempt.writeAgain(this.#overEvent);
   }
 
   #order(req: IncomingMessage, res: ServerResponse, text: string): void {
--- a/packages/lab/src/node/httpStandIn.ts
+++ b/packages/lab/src/node/httpStandIn.ts
@@ -99,6 +99,14 @@
   res.end(JSON.stringify(body));
 }
 
+/** Reads fault switches; throws a sentence that names a switch which does not exist. */
+export function parseSwitches<T extends object>(text: string, known: T): Partial<T> {
+  const switches = JSON.parse(text) as Partial<T>;
+  const unknown = Object.keys(switches).find((name) => !(name in known));
+  if (unknown === undefined) return switches;
+  throw new RangeError(`no switch "${unknown}"; use one of ${Object.keys(known).join(', ')}`);
+}
+
 /** Path and query of a request. */
 export function requestUrl(req: IncomingMessage): URL {
   return new URL(req.url ?? '/', 'http://stand-in');
--- /dev/null
+++ b/packages/lab/src/node/loadGenerator/callerRequest.ts
@@ -0,0 +1,94 @@
+/** HTTP of the load generator's callers. */
+
+import type { IncomingMessage } from 'node:http';
+import type { CallEnd, PlannedRequest } from '../../types/load.js';
+import { Agent, request as httpRequest } from 'node:http';
+import { z } from 'zod';
+
+/** What is sent. */
+export interface OutgoingCall {
+  method: 'GET' | 'POST';
+  url: string;
+  headers: Record<string, string>;
+  body?: string;
+  signal: AbortSignal;
+}
+
+const MAX_SOCKETS_PER_ROUTER = 512;
+const MS_PER_SECOND = 1_000;
+
+const agent = new Agent({ keepAlive: true, maxSockets: MAX_SOCKETS_PER_ROUTER });
+
+const problemSchema = z.object({
+  reason: z.string(),
+  run: z.enum(['not-run', 'ran', 'unknown']).default('unknown'),
+  retryAfterMs: z.number().optional(),
+});
+
+/** A call that certainly reached no router. */
+class NotSentError extends Error {}
+
+/** Sends a call; resolves once the answer's head is there, rejects when there is none. */
+export function sendCall(call: OutgoingCall): Promise<IncomingMessage> {
+  return new Promise((resolve, reject) => {
+    const { method, headers, signal } = call;
+    const req = httpRequest(call.url, { method, headers, signal, agent }, resolve);
+    req.on('error', (err: NodeJS.ErrnoException) => {
+      // a kept connection that the router closed while idle resets the next call on it.
+      const idleReset = req.reusedSocket && err.code === 'ECONNRESET';
+      const notSent = idleReset || err.code === 'ECONNREFUSED';
+      reject(notSent ? new NotSentError(err.message, { cause: err }) : err);
+    });
+    req.end(call.body);
+  });
+}
+
+/** End of a call that threw: it reached no router, or its connection broke. */
+export function failedEnd(err: unknown): CallEnd {
+  if (err instanceof NotSentError) return { type: 'unreachable' };
+  return { type: 'broken', verdict: 'whole' };
+}
+
+/** Reads a whole body as text; rejects when the connection breaks first. */
+export async function readText(res: IncomingMessage): Promise<string> {
+  const parts: Buffer[] = [];
+  for await (const part of res as AsyncIterable<Buffer>) parts.push(part);
+  return Buffer.concat(parts).toString('utf8');
+}
+
+/** Headers that every call of an account carries. */
+export function callerHeaders(
+  request: PlannedRequest,
+  ticket: string | undefined,
+): Record<string, string> {
+  const headers: Record<string, string> = {
+    authorization: `Bearer ${request.account.apiKey}`,
+    'flamingocourse-class': request.item.workClass,
+    'content-type': 'application/json',
+  };
+  if (request.item.naming === 'key') headers['idempotency-key'] = request.key;
+  if (ticket !== undefined) headers['flamingocourse-ticket'] = ticket;
+  return headers;
+}
+
+/** Turns a refusal's body into an end; a body that is none counts by its status. */
+export function parseRefusal(text: string, res?: IncomingMessage): CallEnd {
+  const problem = problemSchema.safeParse(parseJson(text)).data;
+  const header = Number(res?.headers['retry-after'] ?? Number.NaN) * MS_PER_SECOND;
+  const retryAfterMs = problem?.retryAfterMs ?? (Number.isNaN(header) ? undefined : header);
+  return {
+    type: 'refused',
+    reason: problem?.reason ?? `status-${res?.statusCode ?? 0}`,
+    run: problem?.run ?? 'unknown',
+    ...(retryAfterMs === undefined ? {} : { retryAfterMs }),
+  };
+}
+
+/** Parses JSON; `undefined` where it is none. */
+export function parseJson(text: string): unknown {
+  try {
+    return JSON.parse(text) as unknown;
+  } catch {
+    return undefined;
+  }
+}
--- /dev/null
+++ b/packages/lab/src/node/loadGenerator/index.ts
@@ -0,0 +1,1 @@
+export * from './runLoad.js';
--- a/packages/lab/src/node/plainServiceStandIn/plainServiceStandIn.ts
+++ b/packages/lab/src/node/plainServiceStandIn/plainServiceStandIn.ts
@@ -12,7 +12,14 @@
 import { LateReport } from '../../runtime/lateReport.js';
 import { createRandom } from '../../runtime/random.js';
 import { NO_SERVICE_FAULTS } from '../../types/plainServiceStandIn.js';
-import { HttpStandIn, readBody, requestHeader, requestUrl, sendJson } from '../httpStandIn.js';
+import {
+  HttpStandIn,
+  parseSwitches,
+  readBody,
+  requestHeader,
+  requestUrl,
+  sendJson,
+} from '../httpStandIn.js';
 
 const DEFAULTS = { serviceMs: 5, loadLagMs: 1_000, seed: 1 };
 const LOAD_SAMPLE_MS = 100;
@@ -71,7 +78,7 @@
     const url = requestUrl(req);
     switch (`${req.method ?? ''} ${url.pathname}`) {
       case 'POST /control/faults':
-        this.setFaults(JSON.parse(await readBody(req)) as Partial<PlainServiceFaults>);
+        this.setFaults(parseSwitches(await readBody(req), this.#faults));
         sendJson(res, 200, this.#faults);
         return;
       case 'GET /control/runs':
--- a/packages/lab/src/types/engineStandIn.ts
+++ b/packages/lab/src/types/engineStandIn.ts
@@ -10,9 +10,9 @@
   crashAfterTokens: number | null;
   /** Requests are taken in and nothing is written. @default false */
   hang: boolean;
-  /** Part of the chunks that come a second time, under the id of an earlier attempt. @default 0 */
+  /** Part of the chunks that come a second time, with the same event number. @default 0 */
   duplicateChunks: number;
-  /** Part of the chunks followed by a late chunk of another, finished attempt. @default 0 */
+  /** Part of the chunks followed by a chunk of an attempt that is over, under its id. @default 0 */
   lateChunks: number;
   /** Part of the requests answered with status 500 before anything runs. @default 0 */
   errorRate: number;
--- a/test/lab/engineClient.ts
+++ b/test/lab/engineClient.ts
@@ -7,6 +7,7 @@
 export interface SeenStream {
   tokens: string[];
   ids: string[];
+  eventNumbers: (string | undefined)[];
   usage: { prompt_tokens: number; completion_tokens: number } | undefined;
   done: boolean;
 }
@@ -30,12 +31,12 @@
   messages: PromptMessage[],
   options: ReadOptions = {},
 ): Promise<SeenStream> {
-  const seen: SeenStream = { tokens: [], ids: [], usage: undefined, done: false };
+  const seen: SeenStream = { tokens: [], ids: [], eventNumbers: [], usage: undefined, done: false };
   const abort = new AbortController();
   const parser = createParser({
-    onEvent: ({ data }) => {
+    onEvent: ({ id, data }) => {
       if (data === '[DONE]') seen.done = true;
-      else collect(seen, JSON.parse(data) as Chunk);
+      else collect(seen, JSON.parse(data) as Chunk, id);
       if (seen.tokens.length === options.stopAfter) abort.abort();
     },
   });
@@ -74,11 +75,12 @@
   }
 }
 
-function collect(seen: SeenStream, chunk: Chunk): void {
+function collect(seen: SeenStream, chunk: Chunk, eventNumber: string | undefined): void {
   const content = chunk.choices[0]?.delta.content;
   if (content !== undefined) {
     seen.tokens.push(content);
     seen.ids.push(chunk.id);
+    seen.eventNumbers.push(eventNumber);
   }
   if (chunk.usage) seen.usage = chunk.usage;
 }
--- a/test/lab/engineStandIn.test.ts
+++ b/test/lab/engineStandIn.test.ts
@@ -113,21 +113,25 @@
   assert.ok((await readStream(engine.url, userPrompt('again'))).done);
 });
 
-// late chunks of another attempt reach a stream; only their id tells them apart.
-const foreignChunkCases = [
-  { fault: { duplicateChunks: 1 }, foreignId: 'mine-earlier' },
-  { fault: { lateChunks: 1 }, foreignId: 'other' },
+// a volunteer reads a word twice, or a word of another family's answer: the engine sent an event
+// again, or one of an attempt that is over. Only event number and id tell them apart.
+const disturbances = [
+  { fault: { duplicateChunks: 1 }, foreign: 0, repeated: 8 },
+  { fault: { lateChunks: 1 }, foreign: 8, repeated: 0 },
 ];
-for (const { fault, foreignId } of foreignChunkCases) {
-  test(`${Object.keys(fault).join()} puts chunks of ${foreignId} into a stream`, async () => {
+for (const { fault, foreign, repeated } of disturbances) {
+  test(`${Object.keys(fault).join()} leaves the answer recognisable by id and number`, async () => {
     const engine = await startEngine();
     await readStream(engine.url, userPrompt('other words=8'), { requestId: 'other' });
     engine.setFaults(fault);
     const messages = userPrompt('mine words=8');
     const seen = await readStream(engine.url, messages, { requestId: 'mine' });
-    const own = seen.tokens.filter((_, index) => seen.ids[index] === 'mine');
-    assert.ok(seen.ids.includes(foreignId));
-    assert.equal(own.join(''), expectedAnswer(messages, 0, 512));
+    const own = seen.tokens.map((_, at) => at).filter((at) => seen.ids[at] === 'mine');
+    const numbers = own.map((at) => seen.eventNumbers[at]);
+    const once = own.filter((_, at) => numbers.indexOf(numbers[at]) === at);
+    assert.equal(seen.tokens.length - own.length, foreign);
+    assert.equal(own.length - once.length, repeated);
+    assert.equal(once.map((at) => seen.tokens[at]).join(''), expectedAnswer(messages, 0, 512));
   });
 }
 
