feat(router): request runner, work of both kinds, callers' listener

Cause: the thin path needs identity, order of steps and answers that retries can join. Ruled out: billing after the final event (a death between the two gives an answer without a bill); deadlines on the execution (a retry with more time would lose the answer). Before: no listener. Conclusion: reserve, claim or intent, dispatch, bill, final event, in this order.

--- a/packages/router/src/node/entry/callerRequest.ts
+++ b/packages/router/src/node/entry/callerRequest.ts
@@ -269,7 +269,7 @@
 }
 
 function wantsUsage(body: ChatBody): boolean {
-  const options = body['stream_options'];
+  const options = body.stream_options;
   return (
     typeof options === 'object' &&
     options !== null &&
--- a/packages/router/src/node/entry/executionTable.ts
+++ b/packages/router/src/node/entry/executionTable.ts
@@ -16,6 +16,8 @@
   answer: LiveAnswer;
   /** Aborted when the request is given up on. */
   abort: AbortController;
+  /** Set just before the first byte may reach a backend server. */
+  dispatched: boolean;
   finishedAt?: EpochMs;
 }
 
--- /dev/null
+++ b/packages/router/src/node/entry/forward.ts
@@ -0,0 +1,78 @@
+/** Passing a retry on to the router that issued its ticket. */
+
+import type { IncomingMessage, ServerResponse } from 'node:http';
+import { request as httpRequest } from 'node:http';
+import { FORWARDED_HEADER } from './callerRequest.js';
+
+const CONFIRM_TIMEOUT_MS = 30_000;
+const DROPPED_HEADERS = new Set(['host', 'connection', 'content-length', 'idempotency-key']);
+
+/**
+ * Sends a request to the issuer and its answer back to the caller. Resolves to false, with nothing
+ * written to the caller, when the issuer could not be reached.
+ *
+ * @example
+ * if (!(await forwardRequest(entryUrl, ticket, req, body, res))) refuse('outcome-unknown');
+ */
+export function forwardRequest(
+  entryUrl: string,
+  ticket: string,
+  req: IncomingMessage,
+  body: Buffer,
+  res: ServerResponse,
+): Promise<boolean> {
+  return new Promise((resolve) => {
+    const upstream = httpRequest(`${entryUrl}${req.url ?? '/'}`, {
+      method: req.method,
+      headers: { ...passedHeaders(req), ...identityHeaders(ticket), 'content-length': body.length },
+    });
+    upstream.on('response', (answer) => {
+      res.writeHead(answer.statusCode ?? 502, answer.headers);
+      answer.pipe(res);
+      // a cut answer must look cut to the caller as well: without its final event it is none.
+      answer.on('close', () => {
+        if (!answer.complete) res.destroy();
+        resolve(true);
+      });
+    });
+    upstream.on('error', () => {
+      if (res.headersSent) res.destroy();
+      resolve(res.headersSent);
+    });
+    res.on('close', () => upstream.destroy());
+    upstream.end(body);
+  });
+}
+
+/**
+ * Waits until the issuer has ended a request; true when it gave a whole answer and hence billed it.
+ * A false answer says nothing about the request.
+ */
+export function confirmElsewhere(entryUrl: string, ticket: string): Promise<boolean> {
+  return new Promise((resolve) => {
+    const upstream = httpRequest(`${entryUrl}/v1/requests/${encodeURIComponent(ticket)}`, {
+      timeout: CONFIRM_TIMEOUT_MS,
+    });
+    upstream.on('response', (answer) => {
+      answer.resume();
+      resolve(answer.statusCode === 200);
+    });
+    upstream.on('timeout', () => upstream.destroy());
+    upstream.on('error', () => {
+      resolve(false);
+    });
+    upstream.end();
+  });
+}
+
+function passedHeaders(req: IncomingMessage): Record<string, string | string[]> {
+  const headers: Record<string, string | string[]> = {};
+  for (const [name, value] of Object.entries(req.headers)) {
+    if (value !== undefined && !DROPPED_HEADERS.has(name)) headers[name] = value;
+  }
+  return headers;
+}
+
+function identityHeaders(ticket: string): Record<string, string> {
+  return { 'flamingocourse-ticket': ticket, [FORWARDED_HEADER]: '1' };
+}
--- a/packages/router/src/node/entry/liveAnswer.ts
+++ b/packages/router/src/node/entry/liveAnswer.ts
@@ -38,6 +38,11 @@
     return this.#parts;
   }
 
+  /** Connections that wait for this answer. */
+  get readers(): number {
+    return this.#readers;
+  }
+
   get end(): AnswerEnd | undefined {
     return this.#end;
   }
