--- a/packages/router/src/types/routerSettings.ts
+++ b/packages/router/src/types/routerSettings.ts
@@ -64,6 +64,11 @@
     /** Attempts of one idempotent request, the first included. @default 3 */
     maxAttempts: number;
   };
+  /**
+   * Secret that all routers of a deployment share: signs tickets and authenticates peers.
+   * At least 16 characters.
+   */
+  fleetSecret: string;
   /** StatsD agent; metrics are dropped when absent. */
   statsd?: { host: string; port: number };
   /** @default 'info' */
