feat(routing): server pool, choosers, admission queue, retry budget and attempt plan

Cause: the router needs decisions about which backend server gets a request, which request waits and which is refused. All take the present time as an argument and do no I/O.

The pool corrects lagging load reports by the router's own attempts and keeps a leaving server out although the list still shows it. Aging was ruled out for background work: under lasting overload it ends as first come, first served; a minimum share of takes and places stands in its place.

Policies aren't yet measured against their baselines. Conclusion: the interfaces can be wired; defaults may change with the measurements.

--- a/packages/core/src/index.ts
+++ b/packages/core/src/index.ts
@@ -5,3 +5,6 @@
 export type * from './types/claim.js';
 export type * from './types/declaration.js';
 export type * from './types/member.js';
+export * from './runtime/admission/index.js';
+export * from './runtime/routing/index.js';
+export * from './utils/hash.js';
--- /dev/null
+++ b/packages/core/src/runtime/admission/index.ts
@@ -0,0 +1,3 @@
+export * from './admissionQueue.js';
+export * from './drainRate.js';
+export * from './queueDiscipline.js';
--- /dev/null
+++ b/packages/core/src/runtime/admission/queueDiscipline.ts
@@ -0,0 +1,203 @@
+/** Order in which waiting requests are served and shed. */
+
+import type { Importance } from '../../types/declaration.js';
+import type { EpochMs } from '../../types/ids.js';
+
+/** A request that waits for a backend server. */
+export interface QueueEntry {
+  id: number;
+  importance: Importance;
+  /** Latest time at which the whole answer is still of use. */
+  deadline: EpochMs;
+  /** Time at which the class's target for the first token is missed. @default deadline */
+  targetAt?: EpochMs;
+  /** Expected time of the work itself in milliseconds, once started. @default 0 */
+  serviceMs?: number;
+}
+
+export type QueueDisciplineName = 'fifo' | 'importance-deadline';
+
+/** An ordered set of waiting requests. */
+export abstract class QueueDiscipline {
+  abstract readonly name: QueueDisciplineName;
+  abstract get size(): number;
+  abstract add(entry: QueueEntry): void;
+  /** Removes and returns the request to be served next. */
+  abstract take(): QueueEntry | undefined;
+  abstract remove(id: number): QueueEntry | undefined;
+  /** The request to be given up when there is one too many. */
+  abstract leastValuable(): QueueEntry | undefined;
+  /** Requests that would be served before the given one, were it added now. */
+  abstract countAhead(entry: QueueEntry): number;
+  abstract entries(): QueueEntry[];
+}
+
+/** First come, first served; sheds the newcomer. The baseline. */
+export class FifoDiscipline extends QueueDiscipline {
+  override readonly name = 'fifo';
+  readonly #queue: QueueEntry[] = [];
+
+  override get size(): number {
+    return this.#queue.length;
+  }
+
+  override add(entry: QueueEntry): void {
+    this.#queue.push(entry);
+  }
+
+  override take(): QueueEntry | undefined {
+    return this.#queue.shift();
+  }
+
+  override remove(id: number): QueueEntry | undefined {
+    return removeById(this.#queue, id);
+  }
+
+  override leastValuable(): QueueEntry | undefined {
+    return this.#queue.at(-1);
+  }
+
+  override countAhead(): number {
+    return this.#queue.length;
+  }
+
+  override entries(): QueueEntry[] {
+    return [...this.#queue];
+  }
+}
+
+/** From most to least important. */
+const importanceOrder: readonly Importance[] = ['first', 'standard', 'background'];
+
+/** Part of takes and of places that a class of importance keeps while others press. */
+export type MinimumShares = Record<Importance, number>;
+
+export const defaultMinimumShares: MinimumShares = {
+  first: 0,
+  standard: 0.1,
+  background: 0.05,
+};
+
+/** Waiting requests of one importance. */
+interface Lane {
+  importance: Importance;
+  /** Sorted by order time, earliest first. */
+  queue: QueueEntry[];
+  /** Takes by others since this lane was served, while it had requests. */
+  passedOver: number;
+}
+
+/**
+ * More important requests first, the earliest due first among equals.
+ *
+ * Less important lanes keep a minimum share of takes and of places, so that they are slow under
+ * overload but never starve. Aging was not chosen: under lasting overload every request grows old,
+ * and the order ends as first come, first served, just when importance counts.
+ */
+export class ImportanceDeadlineDiscipline extends QueueDiscipline {
+  override readonly name = 'importance-deadline';
+  readonly #lanes: Lane[];
+  readonly #shares: MinimumShares;
+
+  constructor(shares: MinimumShares = defaultMinimumShares) {
+    super();
+    this.#shares = shares;
+    this.#lanes = importanceOrder.map((importance) => ({ importance, queue: [], passedOver: 0 }));
+  }
+
+  override get size(): number {
+    return this.#lanes.reduce((sum, lane) => sum + lane.queue.length, 0);
+  }
+
+  override add(entry: QueueEntry): void {
+    const { queue } = this.#lane(entry.importance);
+    queue.splice(insertionIndex(queue, entry), 0, entry);
+  }
+
+  override take(): QueueEntry | undefined {
+    const lane = this.#nextLane();
+    if (!lane) return undefined;
+    for (const other of this.#lanes) {
+      if (other !== lane && other.queue.length > 0) other.passedOver += 1;
+    }
+    lane.passedOver = 0;
+    return lane.queue.shift();
+  }
+
+  override remove(id: number): QueueEntry | undefined {
+    for (const lane of this.#lanes) {
+      const entry = removeById(lane.queue, id);
+      if (entry) return entry;
+    }
+    return undefined;
+  }
+
+  override leastValuable(): QueueEntry | undefined {
+    const size = this.size;
+    for (const lane of this.#lanes.toReversed()) {
+      const kept = Math.floor(size * this.#shares[lane.importance]);
+      if (lane.queue.length > kept) return lane.queue.at(-1);
+    }
+    return undefined;
+  }
+
+  override countAhead(entry: QueueEntry): number {
+    let ahead = 0;
+    for (const lane of this.#lanes) {
+      if (lane.importance === entry.importance) return ahead + insertionIndex(lane.queue, entry);
+      ahead += lane.queue.length;
+    }
+    return ahead;
+  }
+
+  override entries(): QueueEntry[] {
+    return this.#lanes.flatMap((lane) => lane.queue);
+  }
+
+  #nextLane(): Lane | undefined {
+    const waiting = this.#lanes.filter((lane) => lane.queue.length > 0);
+    const owed = waiting.findLast((lane) => {
+      const share = this.#shares[lane.importance];
+      return share > 0 && (lane.passedOver + 1) * share >= 1;
+    });
+    return owed ?? waiting[0];
+  }
+
+  #lane(importance: Importance): Lane {
+    const lane = this.#lanes.find((candidate) => candidate.importance === importance);
+    if (!lane) throw new RangeError(`unknown importance "${importance}"; use a declared one`);
+    return lane;
+  }
+}
+
+/**
+ * Creates a discipline by name.
+ *
+ * @example
+ * const discipline = createQueueDiscipline('importance-deadline');
+ */
+export function createQueueDiscipline(name: QueueDisciplineName): QueueDiscipline {
+  switch (name) {
+    case 'fifo':
+      return new FifoDiscipline();
+    case 'importance-deadline':
+      return new ImportanceDeadlineDiscipline();
+  }
+}
+
+function insertionIndex(queue: QueueEntry[], entry: QueueEntry): number {
+  let low = 0;
+  let high = queue.length;
+  while (low < high) {
+    const middle = (low + high) >>> 1;
+    const other = queue[middle];
+    if (other && other.deadline <= entry.deadline) low = middle + 1;
+    else high = middle;
+  }
+  return low;
+}
+
+function removeById(queue: QueueEntry[], id: number): QueueEntry | undefined {
+  const index = queue.findIndex((entry) => entry.id === id);
+  return index < 0 ? undefined : queue.splice(index, 1)[0];
+}
--- /dev/null
+++ b/packages/core/src/runtime/routing/loadEstimate.ts
@@ -0,0 +1,87 @@
+/** Present load of one backend server, from lagging reports and the router's own dispatches. */
+
+import type { EpochMs } from '../../types/ids.js';
+
+/** A load report of a backend server. */
+export interface LoadReport {
+  running: number;
+  waiting: number;
+  /** When the report was taken, by the server's clock. */
+  at: EpochMs;
+}
+
+interface Interval {
+  startedAt: EpochMs;
+  endedAt: EpochMs;
+}
+
+/** Own attempts kept after their end, to be subtracted from reports that still show them. */
+const MAX_ENDED = 512;
+/** A report older than this says nothing any more, in milliseconds. */
+const REPORT_STALE_MS = 10_000;
+
+/**
+ * Estimates load as: work of others at the time of the last report, plus own attempts in flight
+ * now. A report lags; taken as it is, every router would send its next requests to the server that
+ * was idle a second ago.
+ *
+ * @example
+ * const load = new LoadEstimate();
+ * load.start(1, now);
+ * load.report({ running: 4, waiting: 0, at: now - 800 }, now);
+ * load.total(now);
+ */
+export class LoadEstimate {
+  readonly #inFlight = new Map<number, EpochMs>();
+  #ended: Interval[] = [];
+  #others = 0;
+  #reportAt: EpochMs | undefined;
+
+  /** Attempts of this router in flight. */
+  get own(): number {
+    return this.#inFlight.size;
+  }
+
+  start(attempt: number, now: EpochMs): void {
+    this.#inFlight.set(attempt, now);
+  }
+
+  /** Ends an attempt; false if it had ended already. */
+  end(attempt: number, now: EpochMs): boolean {
+    const startedAt = this.#inFlight.get(attempt);
+    if (startedAt === undefined) return false;
+    this.#inFlight.delete(attempt);
+    this.#ended.push({ startedAt, endedAt: now });
+    if (this.#ended.length > MAX_ENDED) this.#ended.shift();
+    return true;
+  }
+
+  /** Takes in a report; one older than the last is ignored. */
+  report(report: LoadReport, now: EpochMs): void {
+    // clocks differ between instances: a report can't be from the future, nor older than the limit.
+    const at = Math.max(Math.min(report.at, now), now - REPORT_STALE_MS);
+    if (this.#reportAt !== undefined && at < this.#reportAt) return;
+    this.#reportAt = at;
+    this.#others = Math.max(0, report.running + report.waiting - this.#ownAt(at));
+    this.#ended = this.#ended.filter((interval) => interval.endedAt > at);
+  }
+
+  /** Work of other routers as of the last report. */
+  others(now: EpochMs): number {
+    const fresh = this.#reportAt !== undefined && now - this.#reportAt <= REPORT_STALE_MS;
+    return fresh ? this.#others : 0;
+  }
+
+  total(now: EpochMs): number {
+    return this.own + this.others(now);
+  }
+
+  #ownAt(at: EpochMs): number {
+    let count = 0;
+    for (const startedAt of this.#inFlight.values()) if (startedAt <= at) count += 1;
+    for (const interval of this.#ended) {
+      if (interval.startedAt <= at && interval.endedAt > at) count += 1;
+    }
+    return count;
+  }
+}
--- /dev/null
+++ b/packages/core/src/runtime/routing/serverChooser.ts
@@ -0,0 +1,177 @@
+/** Choice of one backend server among those with room. */
+
+import type { ServerId } from '../../types/ids.js';
+import type { CandidateQuery, ServerPool } from './serverPool.js';
+import { mix32 } from '../../utils/hash.js';
+
+/** A backend server that may get a request. */
+export interface Candidate {
+  id: ServerId;
+  idHash: number;
+  url: string;
+  /** Whether it stands in the router's own data centre. */
+  local: boolean;
+  /** Estimated requests running and waiting there now. */
+  load: number;
+  /** Requests that it takes at once. */
+  capacity: number;
+  hasRoom: boolean;
+}
+
+/** What is known about a request when its server is chosen. */
+export interface ChoiceRequest {
+  /** Hash of the first part of the prompt; requests with the same one share cached state. */
+  prefixHash?: number;
+}
+
+/** Returns a number from 0 (included) to 1 (excluded); seeded in tests. */
+export type RandomSource = () => number;
+
+export type ServerChooserName =
+  'random' | 'round-robin' | 'least-loaded' | 'power-of-two' | 'prefix-affinity';
+
+/** A way to pick a server; gets at least one candidate. */
+export abstract class ServerChooser {
+  abstract readonly name: ServerChooserName;
+  abstract pick(
+    candidates: readonly [Candidate, ...Candidate[]],
+    request: ChoiceRequest,
+    random: RandomSource,
+  ): Candidate;
+}
+
+/** Any server, with equal chance. */
+export class RandomChooser extends ServerChooser {
+  override readonly name = 'random';
+
+  override pick(
+    candidates: readonly [Candidate, ...Candidate[]],
+    _request: ChoiceRequest,
+    random: RandomSource,
+  ): Candidate {
+    return candidates[Math.floor(random() * candidates.length)] ?? candidates[0];
+  }
+}
+
+/** Each server in turn. */
+export class RoundRobinChooser extends ServerChooser {
+  override readonly name = 'round-robin';
+  #turn = 0;
+
+  override pick(candidates: readonly [Candidate, ...Candidate[]]): Candidate {
+    this.#turn += 1;
+    return candidates[this.#turn % candidates.length] ?? candidates[0];
+  }
+}
+
+/** The server with the least load for its capacity. */
+export class LeastLoadedChooser extends ServerChooser {
+  override readonly name = 'least-loaded';
+
+  override pick(candidates: readonly [Candidate, ...Candidate[]]): Candidate {
+    return candidates.reduce((best, next) => (utilisation(next) < utilisation(best) ? next : best));
+  }
+}
+
+/** The less loaded of two random servers; does not herd when reports lag. */
+export class PowerOfTwoChooser extends ServerChooser {
+  override readonly name = 'power-of-two';
+
+  override pick(
+    candidates: readonly [Candidate, ...Candidate[]],
+    _request: ChoiceRequest,
+    random: RandomSource,
+  ): Candidate {
+    const count = candidates.length;
+    const first = Math.floor(random() * count);
+    const step = 1 + Math.floor(random() * (count - 1));
+    const a = candidates[first] ?? candidates[0];
+    const b = candidates[(first + step) % count] ?? candidates[0];
+    return utilisation(b) < utilisation(a) ? b : a;
+  }
+}
+
+/** Load, as a multiple of the mean, up to which a prefix stays at its server. */
+const DEFAULT_LOAD_BOUND = 1.25;
+
+/**
+ * The server that owns the prompt's prefix by rendezvous hashing, so that its cache is used, while
+ * its load is at most `bound` times the mean; otherwise power of two.
+ */
+export class PrefixAffinityChooser extends ServerChooser {
+  override readonly name = 'prefix-affinity';
+  readonly #bound: number;
+  readonly #fallback = new PowerOfTwoChooser();
+
+  constructor(bound = DEFAULT_LOAD_BOUND) {
+    super();
+    this.#bound = bound;
+  }
+
+  override pick(
+    candidates: readonly [Candidate, ...Candidate[]],
+    request: ChoiceRequest,
+    random: RandomSource,
+  ): Candidate {
+    const { prefixHash } = request;
+    if (prefixHash === undefined) return this.#fallback.pick(candidates, request, random);
+    const owner = candidates.reduce((best, next) =>
+      affinity(prefixHash, next) > affinity(prefixHash, best) ? next : best,
+    );
+    const mean = candidates.reduce((sum, next) => sum + utilisation(next), 0) / candidates.length;
+    // one request more than the mean is always fine: else an idle fleet would ignore its caches.
+    const limit = Math.max(this.#bound * mean, mean + 1 / owner.capacity);
+    if (utilisation(owner) <= limit) return owner;
+    return this.#fallback.pick(candidates, request, random);
+  }
+}
+
+/**
+ * Chooses a server for a request: the own data centre first, others when it has no room.
+ * `undefined` when no server has room; the request then waits in the admission queue.
+ *
+ * @example
+ * const server = chooseServer(pool, chooser, { prefixHash }, { tried }, now, random);
+ */
+export function chooseServer(
+  pool: ServerPool,
+  chooser: ServerChooser,
+  request: ChoiceRequest,
+  query: CandidateQuery,
+  now: number,
+  random: RandomSource,
+): Candidate | undefined {
+  const candidates = pool.candidates(query, now);
+  const local = candidates.filter((candidate) => candidate.local);
+  const [first, ...rest] = local.length > 0 ? local : candidates;
+  return first && chooser.pick([first, ...rest], request, random);
+}
+
+/**
+ * Creates a chooser by name.
+ *
+ * @example
+ * const chooser = createServerChooser('prefix-affinity');
+ */
+export function createServerChooser(name: ServerChooserName): ServerChooser {
+  switch (name) {
+    case 'random':
+      return new RandomChooser();
+    case 'round-robin':
+      return new RoundRobinChooser();
+    case 'least-loaded':
+      return new LeastLoadedChooser();
+    case 'power-of-two':
+      return new PowerOfTwoChooser();
+    case 'prefix-affinity':
+      return new PrefixAffinityChooser();
+  }
+}
+
+function utilisation(candidate: Candidate): number {
+  return candidate.load / candidate.capacity;
+}
+
+function affinity(prefixHash: number, candidate: Candidate): number {
+  return mix32(prefixHash ^ candidate.idHash);
+}
--- /dev/null
+++ b/packages/core/src/runtime/routing/serverPool.ts
@@ -0,0 +1,284 @@
+/**
+ * Table of the backend servers of one service at one router. It decides which servers may get new
+ * work; a {@link ServerChooser} picks among them.
+ */
+
+import type { DataCentreId, EpochMs, ServerId } from '../../types/ids.js';
+import type { BackendServer } from '../../types/member.js';
+import type { ConcurrencyLimitKind } from './concurrencyLimit.js';
+import type { LoadReport } from './loadEstimate.js';
+import type { Candidate } from './serverChooser.js';
+import type { AttemptEnd, HealthSettings } from './serverHealth.js';
+import { hash32 } from '../../utils/hash.js';
+import { defaultHealthSettings } from './serverHealth.js';
+import { ServerEntry } from './serverEntry.js';
+
+/** Options of a pool. */
+export interface ServerPoolOptions {
+  /** Data centre of this router. */
+  dataCentre: DataCentreId;
+  /** Requests that one server takes at once, as declared. */
+  concurrencyPerServer: number;
+  /** @default 'aimd' */
+  limitKind?: ConcurrencyLimitKind;
+  /** Routers that share the servers of this data centre, self included. @default 1 */
+  sharers?: number;
+  health?: Partial<HealthSettings>;
+}
+
+/** What a caller of the pool says about one attempt. */
+export interface AttemptResult {
+  end: AttemptEnd;
+  /** First token, or for plain services the whole answer, in milliseconds. */
+  firstTokenMs?: number;
+  /** Target of the class, in milliseconds; adapts the concurrency limit. */
+  targetMs?: number;
+}
+
+/** Restrictions on the servers that may be chosen. */
+export interface CandidateQuery {
+  /** Servers that this request has tried already. */
+  tried?: ReadonlySet<ServerId>;
+  /** Whether the request has to run alone on its server (suspects of the quarantine). */
+  exclusive?: boolean;
+}
+
+/** Share of the pool that may be ejected at once. */
+const MAX_EJECTED_SHARE = 0.5;
+/** How long a server is kept free for a request that has to run alone, in milliseconds. */
+const HOLD_MS = 5_000;
+
+/**
+ * Backend servers of one service.
+ *
+ * @example
+ * const pool = new ServerPool({ dataCentre: 'dc-a', concurrencyPerServer: 8 });
+ * pool.applyList(servers, now);
+ * const candidates = pool.candidates({ tried }, now);
+ * const attempt = pool.dispatch(candidates[0].id, now);
+ * pool.settle(attempt, { end: 'ok', firstTokenMs: 120, targetMs: 500 }, now);
+ */
+export class ServerPool {
+  readonly #entries = new Map<ServerId, ServerEntry>();
+  readonly #attempts = new Map<number, ServerEntry>();
+  readonly #drained = new Set<ServerId>();
+  readonly #options: ServerPoolOptions;
+  readonly #health: HealthSettings;
+  #sharers: number;
+  #subset: ReadonlySet<ServerId> | undefined;
+  #nextAttempt = 1;
+  #heldServer: { entry: ServerEntry; until: EpochMs } | undefined;
+
+  constructor(options: ServerPoolOptions) {
+    this.#options = options;
+    this.#health = { ...defaultHealthSettings, ...options.health };
+    this.#sharers = options.sharers ?? 1;
+  }
+
+  /** Servers that are listed, or still have attempts in flight. */
+  get servers(): BackendServer[] {
+    return [...this.#entries.values()].map((entry) => entry.server);
+  }
+
+  /** Sets how many routers share the servers, self included. */
+  setSharers(count: number): void {
+    this.#sharers = Math.max(1, count);
+  }
+
+  /** Restricts new work to some of the servers; `undefined` lifts the restriction. */
+  setSubset(ids: ReadonlySet<ServerId> | undefined): void {
+    this.#subset = ids;
+  }
+
+  /**
+   * Takes in a state of the instance list.
+   *
+   * The list lags. A server that said itself that it leaves stays out while the list still shows it
+   * as live; otherwise each refresh would send new work to a server that refuses it. The mark falls
+   * only once the list has the server gone, or shows another instance (another URL) under its id.
+   */
+  applyList(servers: BackendServer[], now: EpochMs): void {
+    const listed = new Set<ServerId>();
+    for (const server of servers) {
+      listed.add(server.id);
+      const known = this.#entries.get(server.id);
+      if (known?.server.url === server.url) known.update(server, now);
+      else this.#entries.set(server.id, this.#createEntry(server, now));
+    }
+    for (const [id, entry] of this.#entries) {
+      if (listed.has(id)) continue;
+      // attempts in flight keep their own reference to the entry, so they still settle.
+      entry.listed = false;
+      this.#entries.delete(id);
+    }
+  }
+
+  /** Marks a server that said itself that it leaves. */
+  markLeaving(id: ServerId): void {
+    const entry = this.#entries.get(id);
+    if (entry) entry.saidLeaving = true;
+  }
+
+  /** Starts or ends an operator's drain of a server; holds whatever the list says. */
+  setDrained(id: ServerId, drained: boolean): void {
+    if (drained) this.#drained.add(id);
+    else this.#drained.delete(id);
+  }
+
+  /** Takes in a load report. */
+  reportLoad(id: ServerId, report: LoadReport, now: EpochMs): void {
+    this.#entries.get(id)?.load.report(report, now);
+  }
+
+  /** Servers with room for one more request, own data centre or not. */
+  candidates(query: CandidateQuery, now: EpochMs): Candidate[] {
+    this.#releaseExpiredHold(now);
+    const open = this.#openEntries(now).filter((entry) => !query.tried?.has(entry.server.id));
+    if (query.exclusive) return this.#exclusiveCandidates(open, now);
+    return open
+      .filter((entry) => !entry.exclusive && entry !== this.#heldServer?.entry)
+      .map((entry) => this.#toCandidate(entry, now))
+      .filter((candidate) => candidate.hasRoom);
+  }
+
+  /** Whether any server may get new work, with or without room; otherwise waiting is useless. */
+  hasOpenServer(tried: ReadonlySet<ServerId> | undefined, now: EpochMs): boolean {
+    return this.#openEntries(now).some((entry) => !tried?.has(entry.server.id));
+  }
+
+  /** Requests that the open servers take at once. */
+  capacity(now: EpochMs): number {
+    return this.#openEntries(now).reduce(
+      (sum, entry) => sum + entry.capacity(this.#health, now),
+      0,
+    );
+  }
+
+  /** Own attempts in flight at a server. */
+  inFlight(id: ServerId): number {
+    return this.#entries.get(id)?.load.own ?? 0;
+  }
+
+  /** Counts an attempt that is being sent; returns its number for {@link settle}. */
+  dispatch(id: ServerId, now: EpochMs, exclusive = false): number {
+    const attempt = this.#nextAttempt;
+    this.#nextAttempt += 1;
+    const entry = this.#entries.get(id);
+    if (!entry) return attempt;
+    entry.load.start(attempt, now);
+    this.#attempts.set(attempt, entry);
+    if (exclusive) {
+      entry.exclusive = true;
+      if (this.#heldServer?.entry === entry) this.#heldServer = undefined;
+    }
+    return attempt;
+  }
+
+  /** Takes in the end of an attempt; a second call for the same attempt does nothing. */
+  settle(attempt: number, result: AttemptResult, now: EpochMs): void {
+    const entry = this.#attempts.get(attempt);
+    if (!entry) return;
+    this.#attempts.delete(attempt);
+    entry.load.end(attempt, now);
+    if (entry.load.own === 0) entry.exclusive = false;
+    entry.record(result, this.#health, now);
+    if (this.#isSlow(entry)) entry.eject(this.#health, now);
+  }
+
+  #createEntry(server: BackendServer, now: EpochMs): ServerEntry {
+    const kind = this.#options.limitKind ?? 'aimd';
+    return new ServerEntry(server, kind, this.#options.concurrencyPerServer, now);
+  }
+
+  /** Servers that are not leaving, drained or ejected. */
+  #openEntries(now: EpochMs): ServerEntry[] {
+    const staying = [...this.#entries.values()].filter(
+      (entry) =>
+        !entry.leaving &&
+        !this.#drained.has(entry.server.id) &&
+        (this.#subset?.has(entry.server.id) ?? true),
+    );
+    const healthy = staying.filter((entry) => entry.share(this.#health, now) > 0);
+    // when most servers look bad the fault is more likely the network or the requests; ejecting
+    // them would put all load on the few that remain and bring these down too.
+    const tooFew = healthy.length < staying.length * (1 - MAX_EJECTED_SHARE);
+    return tooFew ? staying : healthy;
+  }
+
+  #exclusiveCandidates(open: ServerEntry[], now: EpochMs): Candidate[] {
+    const held = this.#heldServer?.entry;
+    const idle = open.filter((entry) => entry.load.own === 0);
+    const free = idle.filter((entry) => entry === held || entry.load.others(now) === 0);
+    if (free.length > 0) return free.map((entry) => this.#toCandidate(entry, now));
+    if (!held) this.#hold(open, now);
+    return [];
+  }
+
+  /** Keeps the least loaded server free of new work until the exclusive request can have it. */
+  #hold(open: ServerEntry[], now: EpochMs): void {
+    // never the only server: innocent requests would wait for a request that may crash it.
+    if (open.length < 2) return;
+    const local = open.filter((entry) => this.#isLocal(entry));
+    const among = local.length > 0 ? local : open;
+    const sorted = among.toSorted((a, b) => a.load.own - b.load.own);
+    const least = sorted[0];
+    if (least) this.#heldServer = { entry: least, until: now + HOLD_MS };
+  }
+
+  #releaseExpiredHold(now: EpochMs): void {
+    if (this.#heldServer && this.#heldServer.until <= now) this.#heldServer = undefined;
+  }
+
+  #toCandidate(entry: ServerEntry, now: EpochMs): Candidate {
+    const capacity = entry.capacity(this.#health, now);
+    const load = entry.load.total(now);
+    // reports lag, so a router that refills each free place at once would keep its neighbour, which
+    // sees the server as full in every report, waiting for ever. A fair part is always its own.
+    const fairPart = this.#isLocal(entry) ? Math.ceil(capacity / this.#sharers) : 0;
+    return {
+      id: entry.server.id,
+      idHash: entry.idHash,
+      url: entry.server.url,
+      local: this.#isLocal(entry),
+      load,
+      capacity,
+      hasRoom: load < capacity || entry.load.own < fairPart,
+    };
+  }
+
+  #isLocal(entry: ServerEntry): boolean {
+    return entry.server.dataCentre === this.#options.dataCentre;
+  }
+
+  #isSlow(entry: ServerEntry): boolean {
+    return entry.isSlowAmong([...this.#entries.values()], this.#health);
+  }
+}
+
+/**
+ * Picks the servers that one router uses when there are too many for each router to use all. Every
+ * router computes the same rounds, so that each server is used by almost equally many routers.
+ *
+ * @example
+ * pool.setSubset(chooseSubset({ routers, self, servers, size: 20 }));
+ */
+export function chooseSubset(options: {
+  /** Ids of all routers that share the servers, self included. */
+  routers: readonly string[];
+  self: string;
+  servers: readonly ServerId[];
+  /** Servers per router. */
+  size: number;
+}): ReadonlySet<ServerId> {
+  const { servers, size } = options;
+  if (servers.length <= size) return new Set(servers);
+  const index = Math.max(0, options.routers.toSorted().indexOf(options.self));
+  const subsetsPerRound = Math.floor(servers.length / size);
+  const round = Math.floor(index / subsetsPerRound);
+  const ranked = servers
+    .map((id) => ({ id, rank: hash32(`${round}/${id}`) }))
+    .sort((a, b) => a.rank - b.rank || (a.id < b.id ? -1 : 1))
+    .map((server) => server.id);
+  const start = (index % subsetsPerRound) * size;
+  return new Set(ranked.slice(start, start + size));
+}
--- /dev/null
+++ b/packages/core/src/utils/hash.ts
@@ -0,0 +1,47 @@
+/** Fast, stable, non-cryptographic hashes for placement. Equal on every instance and version. */
+
+const FNV_OFFSET = 0x811c9dc5;
+const FNV_PRIME = 0x01000193;
+
+/**
+ * Hashes text to an unsigned 32-bit number (FNV-1a with a final mix).
+ *
+ * @example
+ * hash32('dc-a/router-1');
+ */
+export function hash32(text: string): number {
+  let hash = FNV_OFFSET;
+  for (let i = 0; i < text.length; i += 1) {
+    hash = Math.imul(hash ^ text.charCodeAt(i), FNV_PRIME);
+  }
+  return mix32(hash);
+}
+
+/** Spreads the bits of a 32-bit number, so that neighbouring inputs give unrelated outputs. */
+export function mix32(value: number): number {
+  let hash = value;
+  hash = Math.imul(hash ^ (hash >>> 16), 0x85ebca6b);
+  hash = Math.imul(hash ^ (hash >>> 13), 0xc2b2ae35);
+  return (hash ^ (hash >>> 16)) >>> 0;
+}
+
+/**
+ * Rendezvous hashing: the id with the highest score owns the key. Adding or removing an id moves
+ * only the keys of that id.
+ *
+ * @example
+ * rendezvousOwner('journal', ['router-1', 'router-2']);
+ */
+export function rendezvousOwner(key: string, ids: Iterable<string>): string | undefined {
+  const keyHash = hash32(key);
+  let owner: string | undefined;
+  let best = -1;
+  for (const id of ids) {
+    const score = mix32(keyHash ^ hash32(id));
+    if (score > best || (score === best && owner !== undefined && id < owner)) {
+      owner = id;
+      best = score;
+    }
+  }
+  return owner;
+}
--- /dev/null
+++ b/test/routing/admissionQueue.test.ts
@@ -0,0 +1,127 @@
+import assert from 'node:assert/strict';
+import { describe, test } from 'node:test';
+import type { Importance, QueueEntry } from '@flamingocourse/core';
+import { AdmissionQueue, createQueueDiscipline } from '@flamingocourse/core';
+
+let nextId = 1;
+
+function entry(importance: Importance, deadline = 100_000): QueueEntry {
+  nextId += 1;
+  return { id: nextId, importance, deadline };
+}
+
+/** Offers and takes at a steady pace, so that the queue knows its drain rate. */
+function warmUp(queue: AdmissionQueue, takes: number, msPerTake: number): number {
+  let now = 0;
+  for (let i = 0; i < takes + 1; i += 1) queue.offer(entry('first'), now);
+  for (let i = 0; i < takes; i += 1) {
+    now += msPerTake;
+    queue.take(now);
+  }
+  return now;
+}
+
+describe('order', () => {
+  test('importance first, then the earliest deadline', () => {
+    const queue = new AdmissionQueue({ maxSize: 10 });
+    const late = entry('first', 9_000);
+    const early = entry('first', 5_000);
+    const standard = entry('standard', 2_000);
+    for (const waiting of [standard, late, early]) queue.offer(waiting, 0);
+    const order = [1, 2, 3].map(() => queue.take(0).entry?.id);
+    assert.deepEqual(order, [early.id, late.id, standard.id]);
+  });
+
+  // a season summary never comes: launch entries arrive faster than they can be served, and the
+  // background class waits behind them for as long as the rush lasts.
+  test('background work is served at its minimum share under lasting overload', () => {
+    const queue = new AdmissionQueue({ maxSize: 100 });
+    const served = { first: 0, standard: 0, background: 0 };
+    for (let i = 0; i < 400; i += 1) {
+      for (const importance of ['first', 'first', 'background'] as const) {
+        queue.offer(entry(importance), 0);
+      }
+      const next = queue.take(0).entry;
+      if (next) served[next.importance] += 1;
+    }
+    assert.equal(served.background, 20);
+  });
+});
+
+describe('shedding', () => {
+  const cases: { waiting: Importance[]; offered: Importance; shed: Importance }[] = [
+    { waiting: ['background', 'first'], offered: 'first', shed: 'background' },
+    { waiting: ['first', 'standard'], offered: 'standard', shed: 'standard' },
+    { waiting: ['first', 'first'], offered: 'background', shed: 'background' },
+  ];
+  for (const { waiting, offered, shed } of cases) {
+    test(`full of ${waiting.join(' and ')}, ${offered} comes: ${shed} is shed at once`, () => {
+      const queue = new AdmissionQueue({ maxSize: 2 });
+      for (const importance of waiting) queue.offer(entry(importance), 0);
+      const result = queue.offer(entry(offered), 0);
+      assert.deepEqual(
+        result.shed.map((item) => [item.entry.importance, item.reason]),
+        [[shed, 'overloaded']],
+      );
+      assert.equal(queue.size, 2);
+      assert.ok((result.shed[0]?.retryAfterMs ?? 0) > 0);
+    });
+  }
+
+  test('the retry time follows the measured drain rate', () => {
+    const queue = new AdmissionQueue({ maxSize: 100 });
+    const now = warmUp(queue, 20, 50);
+    for (let i = 0; i < 39; i += 1) queue.offer(entry('first'), now);
+    const ms = queue.retryAfterMs(now);
+    assert.ok(Math.abs(ms - 40 * 50) < 200, `${ms}`);
+  });
+});
+
+describe('deadlines', () => {
+  // a caller waits until its deadline and then is refused, though it was clear at once that its
+  // turn would come too late; it could have asked another router meanwhile.
+  test('a request whose turn comes after its deadline is refused when it comes', () => {
+    const queue = new AdmissionQueue({ maxSize: 100 });
+    const now = warmUp(queue, 20, 50);
+    for (let i = 0; i < 39; i += 1) queue.offer(entry('first'), now);
+    const { queued, shed } = queue.offer(entry('standard', now + 1_000), now);
+    assert.equal(queued, false);
+    assert.equal(shed[0]?.reason, 'deadline-unreachable');
+    assert.equal(queue.offer(entry('first', now + 1_000), now).queued, true);
+  });
+
+  test('expired requests are given up without waiting for their turn', () => {
+    const queue = new AdmissionQueue({ maxSize: 10 });
+    const waiting = entry('first', 500);
+    queue.offer(waiting, 0);
+    assert.equal(queue.nextDeadline(), 500);
+    assert.deepEqual(queue.expire(499), []);
+    assert.deepEqual(queue.expire(500), [{ entry: waiting, reason: 'deadline-passed' }]);
+    assert.equal(queue.size, 0);
+  });
+
+  test('take skips what can no longer be answered and says so', () => {
+    const queue = new AdmissionQueue({ maxSize: 10 });
+    const hopeless = { ...entry('first', 1_000), serviceMs: 800 };
+    const fine = entry('standard', 5_000);
+    queue.offer(hopeless, 0);
+    queue.offer(fine, 0);
+    const result = queue.take(300);
+    assert.equal(result.entry?.id, fine.id);
+    assert.deepEqual(
+      result.shed.map((item) => item.reason),
+      ['deadline-unreachable'],
+    );
+  });
+});
+
+for (const name of ['fifo', 'importance-deadline'] as const) {
+  test(`${name}: a caller that went away leaves its place`, () => {
+    const queue = new AdmissionQueue({ maxSize: 10, discipline: createQueueDiscipline(name) });
+    const gone = entry('first');
+    queue.offer(gone, 0);
+    assert.equal(queue.remove(gone.id), true);
+    assert.equal(queue.remove(gone.id), false);
+    assert.equal(queue.take(0).entry, undefined);
+  });
+}
--- /dev/null
+++ b/test/routing/serverPool.test.ts
@@ -0,0 +1,224 @@
+import assert from 'node:assert/strict';
+import { describe, test } from 'node:test';
+import type { BackendServer } from '@flamingocourse/core';
+import { chooseSubset, ServerPool } from '@flamingocourse/core';
+
+function server(id: string, fields: Partial<BackendServer> = {}): BackendServer {
+  const url = `http://${id}`;
+  return { service: 'llm', id, dataCentre: 'dc-a', url, state: 'live', ...fields };
+}
+
+function poolOf(ids: string[], concurrencyPerServer = 2): ServerPool {
+  const pool = new ServerPool({ dataCentre: 'dc-a', concurrencyPerServer });
+  pool.applyList(
+    ids.map((id) => server(id)),
+    0,
+  );
+  return pool;
+}
+
+function openIds(pool: ServerPool, now: number, exclusive = false): string[] {
+  return pool.candidates({ exclusive }, now).map((candidate) => candidate.id);
+}
+
+function failTimes(pool: ServerPool, id: string, times: number, now: number): void {
+  for (let i = 0; i < times; i += 1) pool.settle(pool.dispatch(id, now), { end: 'failed' }, now);
+}
+
+describe('leaving', () => {
+  // a caller sees refusals for seconds after a planned stop: the server answers 503 leaving, the
+  // next refresh of the lagging list shows it as live, and each refresh would send it new work.
+  test('a list that still shows a server as live does not bring it back', () => {
+    const pool = poolOf(['s1', 's2']);
+    pool.settle(pool.dispatch('s1', 1), { end: 'leaving' }, 1);
+    assert.deepEqual(openIds(pool, 2), ['s2']);
+    pool.applyList([server('s1'), server('s2')], 3);
+    assert.deepEqual(openIds(pool, 3), ['s2']);
+    pool.applyList([server('s2')], 4);
+    pool.applyList([server('s1'), server('s2')], 5);
+    assert.deepEqual(openIds(pool, 5), ['s2', 's1']);
+  });
+
+  const cases = [
+    {
+      by: 'the list',
+      leave: (pool: ServerPool) => {
+        pool.applyList([server('s1', { state: 'leaving' }), server('s2')], 1);
+      },
+    },
+    {
+      by: 'absence from the list',
+      leave: (pool: ServerPool) => {
+        pool.applyList([server('s2')], 1);
+      },
+    },
+    {
+      by: 'its own word',
+      leave: (pool: ServerPool) => {
+        pool.markLeaving('s1');
+      },
+    },
+    {
+      by: 'an operator',
+      leave: (pool: ServerPool) => {
+        pool.setDrained('s1', true);
+      },
+    },
+  ];
+  for (const { by, leave } of cases) {
+    test(`a server that leaves by ${by} gets no new work and keeps what runs`, () => {
+      const pool = poolOf(['s1', 's2']);
+      const running = pool.dispatch('s1', 0);
+      leave(pool);
+      assert.deepEqual(openIds(pool, 1), ['s2']);
+      pool.settle(running, { end: 'ok' }, 2);
+      assert.equal(pool.inFlight('s1'), 0);
+    });
+  }
+
+  test('another instance under the same id is a new server', () => {
+    const pool = poolOf(['s1']);
+    pool.markLeaving('s1');
+    pool.applyList([server('s1', { url: 'http://other' })], 1);
+    assert.deepEqual(openIds(pool, 1), ['s1']);
+  });
+});
+
+describe('load', () => {
+  // requests pile up on one server: the report says idle, but was taken before the last dispatches.
+  test('own dispatches after the report count on top of it', () => {
+    const pool = poolOf(['s1'], 8);
+    pool.dispatch('s1', 100);
+    pool.dispatch('s1', 900);
+    pool.reportLoad('s1', { running: 3, waiting: 0, at: 500 }, 1_000);
+    // two of the three reported are others', one is the first dispatch
+    assert.equal(pool.candidates({}, 1_000)[0]?.load, 4);
+  });
+
+  test('an own attempt that ended after the report is taken off', () => {
+    const pool = poolOf(['s1'], 8);
+    const attempt = pool.dispatch('s1', 100);
+    pool.settle(attempt, { end: 'ok' }, 600);
+    pool.reportLoad('s1', { running: 3, waiting: 0, at: 500 }, 1_000);
+    assert.equal(pool.candidates({}, 1_000)[0]?.load, 2);
+  });
+
+  test('reports older than the last are ignored and stale ones forgotten', () => {
+    const pool = poolOf(['s1'], 8);
+    pool.reportLoad('s1', { running: 1, waiting: 0, at: 900 }, 1_000);
+    pool.reportLoad('s1', { running: 7, waiting: 0, at: 500 }, 1_001);
+    assert.equal(pool.candidates({}, 1_001)[0]?.load, 1);
+    assert.equal(pool.candidates({}, 20_000)[0]?.load, 0);
+  });
+
+  // every request of one router waits until its deadline: its neighbour refills each free place
+  // before the next report, so that the server looks full in all of them.
+  test('a fair part of a full server stays open to each router', () => {
+    const pool = poolOf(['s1'], 4);
+    pool.reportLoad('s1', { running: 4, waiting: 2, at: 0 }, 0);
+    assert.deepEqual(openIds(pool, 1), ['s1']);
+    pool.setSharers(4);
+    pool.dispatch('s1', 1);
+    assert.deepEqual(openIds(pool, 1), []);
+  });
+});
+
+describe('health', () => {
+  const ejections = [
+    { failures: 2, at: 1, expected: ['s1', 's2', 's3'] },
+    { failures: 3, at: 1, expected: ['s2', 's3'] },
+    { failures: 3, at: 1_999, expected: ['s2', 's3'] },
+    { failures: 3, at: 2_001, expected: ['s1', 's2', 's3'] },
+  ];
+  for (const { failures, at, expected } of ejections) {
+    test(`after ${failures} failures in a row, at ${at} ms`, () => {
+      const pool = poolOf(['s1', 's2', 's3']);
+      failTimes(pool, 's1', failures, 0);
+      assert.deepEqual(openIds(pool, at), expected);
+    });
+  }
+
+  test('an ejected server returns slowly', () => {
+    const pool = poolOf(['s1', 's2', 's3'], 20);
+    failTimes(pool, 's1', 3, 0);
+    const capacityAt = (now: number) =>
+      pool.candidates({}, now).find((candidate) => candidate.id === 's1')?.capacity;
+    assert.deepEqual([2_000, 7_000, 12_000].map(capacityAt), [2, 11, 20]);
+  });
+
+  // all callers are refused although the servers are fine: the network dropped each connection for
+  // a moment, and every server was ejected.
+  test('most servers failing at once are not all taken out', () => {
+    const pool = poolOf(['s1', 's2', 's3']);
+    for (const id of ['s1', 's2', 's3']) failTimes(pool, id, 3, 0);
+    assert.deepEqual(openIds(pool, 1), ['s1', 's2', 's3']);
+  });
+
+  test('a server far slower than the median is ejected', () => {
+    const pool = poolOf(['s1', 's2', 's3'], 50);
+    for (let i = 0; i < 12; i += 1) {
+      for (const [id, firstTokenMs] of [
+        ['s2', 100],
+        ['s3', 110],
+        ['s1', 900],
+      ] as const) {
+        pool.settle(pool.dispatch(id, i), { end: 'ok', firstTokenMs }, i);
+      }
+    }
+    assert.deepEqual(openIds(pool, 12), ['s2', 's3']);
+  });
+
+  test('an attempt settles once', () => {
+    const pool = poolOf(['s1']);
+    const attempt = pool.dispatch('s1', 0);
+    for (let i = 0; i < 5; i += 1) pool.settle(attempt, { end: 'failed' }, 1);
+    assert.deepEqual(openIds(pool, 1), ['s1']);
+  });
+});
+
+describe('requests that run alone', () => {
+  test('get an idle server and keep others off it', () => {
+    const pool = poolOf(['s1', 's2']);
+    pool.dispatch('s1', 0);
+    assert.deepEqual(openIds(pool, 0, true), ['s2']);
+    const alone = pool.dispatch('s2', 0, true);
+    assert.deepEqual(openIds(pool, 1), ['s1']);
+    pool.settle(alone, { end: 'ok' }, 2);
+    assert.deepEqual(openIds(pool, 2), ['s1', 's2']);
+  });
+
+  // a suspect request waits for ever: under load no server is ever idle by itself.
+  test('in a busy pool one server is kept free of new work until it is idle', () => {
+    const pool = poolOf(['s1', 's2']);
+    const first = pool.dispatch('s1', 0);
+    pool.dispatch('s2', 0);
+    assert.deepEqual(openIds(pool, 1, true), []);
+    assert.deepEqual(openIds(pool, 1), ['s2']);
+    pool.settle(first, { end: 'ok' }, 2);
+    assert.deepEqual(openIds(pool, 2), ['s2']);
+    assert.deepEqual(openIds(pool, 2, true), ['s1']);
+  });
+
+  test('a held server comes back when nobody claims it', () => {
+    const pool = poolOf(['s1', 's2']);
+    for (const id of ['s1', 's2']) pool.dispatch(id, 0);
+    openIds(pool, 1, true);
+    assert.deepEqual(openIds(pool, 6_000), ['s1', 's2']);
+  });
+});
+
+test('subsets are stable and use every server almost equally', () => {
+  const servers = Array.from({ length: 100 }, (_, i) => `s${i}`);
+  const routers = Array.from({ length: 50 }, (_, i) => `r${i}`);
+  const uses = new Map(servers.map((id) => [id, 0]));
+  for (const self of routers) {
+    const subset = chooseSubset({ routers, self, servers, size: 20 });
+    assert.deepEqual(
+      subset,
+      chooseSubset({ routers, self, servers: servers.toReversed(), size: 20 }),
+    );
+    assert.equal(subset.size, 20);
+    for (const id of subset) uses.set(id, (uses.get(id) ?? 0) + 1);
+  }
+  assert.deepEqual([Math.min(...uses.values()), Math.max(...uses.values())], [10, 10]);
+});
