--- /dev/null
+++ b/packages/core/src/runtime/declaration/guards.ts
@@ -0,0 +1,173 @@
+/** Guard rails: changes that are well-formed and probably mistakes need an acknowledgement. */
+
+import type {
+  ClientAccountDeclaration,
+  Declaration,
+  ServiceDeclaration,
+  WorkClassDeclaration,
+} from '../../types/declaration.js';
+import type { AccountId, Tokens } from '../../types/ids.js';
+import { objectName } from './readDeclarations.js';
+
+/** All guard rails, as written after `--acknowledge`. */
+export const guardNames = [
+  'share-over-100',
+  'unreachable-target',
+  'refuses-whole-class',
+  'mass-removal',
+  'removes-account-with-budget',
+  'replaces-all-keys',
+  'allows-repeats',
+] as const;
+
+export type GuardName = (typeof guardNames)[number];
+
+/** A guard rail that a change meets. */
+export interface GuardFinding {
+  guard: GuardName;
+  /** What would happen, in a sentence. */
+  message: string;
+}
+
+/** A change as the guards see it. */
+export interface GuardedChange {
+  before?: Declaration;
+  after?: Declaration;
+}
+
+/** What the guards know besides the change. */
+export interface GuardWorld {
+  /** All objects as they would be in force after the plan. */
+  after: readonly Declaration[];
+  /** Number of objects in force before the plan. */
+  countBefore: number;
+  /** Number of objects that the plan removes. */
+  removals: number;
+  /** Unspent tokens by account; an account that is absent counts as unknown. */
+  budgets: ReadonlyMap<AccountId, Tokens>;
+}
+
+/** No engine reaches a first token faster than this, network included. */
+const fastestFirstTokenMs = 5;
+/** No engine gives further tokens faster than this. */
+const fastestTokenMs = 2;
+/** Removals up to this number are never a mass removal. */
+const fewRemovals = 2;
+/** Part of all objects above which removals count as a mass removal. */
+const massRemovalPart = 0.2;
+/** Tolerance for sums of decimal fractions. */
+const shareTolerance = 1e-9;
+
+/** Finds all guard rails that one change meets. */
+export function findGuards(change: GuardedChange, world: GuardWorld): GuardFinding[] {
+  const { before, after } = change;
+  if (!after) return before ? guardRemoval(before, world) : [];
+  switch (after.kind) {
+    case 'WorkClass':
+      return guardWorkClass(before?.kind === 'WorkClass' ? before : undefined, after, world);
+    case 'ClientAccount':
+      return before?.kind === 'ClientAccount' ? guardKeys(before, after) : [];
+    case 'Service':
+      return before?.kind === 'Service' ? guardModels(before, after) : [];
+    case 'Deployment':
+      return [];
+  }
+}
+
+function guardWorkClass(
+  before: WorkClassDeclaration | undefined,
+  after: WorkClassDeclaration,
+  world: GuardWorld,
+): GuardFinding[] {
+  const findings = [...guardShares(after, world), ...guardTarget(after, world)];
+  if (after.budgetShare === 0) {
+    const message = `a budget share of 0 refuses every request of "${after.name}"`;
+    findings.push({ guard: 'refuses-whole-class', message });
+  }
+  if (after.idempotent && isNonIdempotent(before, after, world)) {
+    const message = `a request of "${after.name}" could then run more than once, such as a second booking`;
+    findings.push({ guard: 'allows-repeats', message });
+  }
+  return findings;
+}
+
+function isNonIdempotent(
+  before: WorkClassDeclaration | undefined,
+  after: WorkClassDeclaration,
+  world: GuardWorld,
+): boolean {
+  if (before) return !before.idempotent;
+  return findService(after.service, world)?.type === 'plain';
+}
+
+// a class with the share 1 has no cap of its own, so only capped classes are added up
+function guardShares(after: WorkClassDeclaration, world: GuardWorld): GuardFinding[] {
+  if (after.budgetShare === 1) return [];
+  const capped = world.after
+    .filter((one) => one.kind === 'WorkClass')
+    .filter((one) => one.service === after.service && one.budgetShare < 1);
+  const sum = capped.reduce((total, one) => total + one.budgetShare, 0);
+  if (sum <= 1 + shareTolerance) return [];
+  const names = capped.map((one) => one.name).join(', ');
+  const message = `the shares of ${names} add up to ${Math.round(sum * 100)} % of the budget`;
+  return [{ guard: 'share-over-100', message }];
+}
+
+function guardTarget(after: WorkClassDeclaration, world: GuardWorld): GuardFinding[] {
+  if (findService(after.service, world)?.type !== 'model') return [];
+  const { firstTokenMs, completeMs } = after.target;
+  const findings: GuardFinding[] = [];
+  if (firstTokenMs < fastestFirstTokenMs) {
+    const message = `no engine gives a first token within ${firstTokenMs} ms`;
+    findings.push({ guard: 'unreachable-target', message });
+  }
+  const fastestMs = fastestFirstTokenMs + after.maxOutputTokens * fastestTokenMs;
+  if (completeMs < fastestMs) {
+    const message = `an answer of ${after.maxOutputTokens} tokens takes at least ${fastestMs} ms and completeMs is ${completeMs}`;
+    findings.push({ guard: 'unreachable-target', message });
+  }
+  return findings;
+}
+
+function guardKeys(
+  before: ClientAccountDeclaration,
+  after: ClientAccountDeclaration,
+): GuardFinding[] {
+  if (after.apiKeyDigests.some((digest) => before.apiKeyDigests.includes(digest))) return [];
+  const message = `all callers of "${after.name}" would be refused until they use the new keys; add a key first and remove the old ones later`;
+  return [{ guard: 'replaces-all-keys', message }];
+}
+
+function guardModels(before: ServiceDeclaration, after: ServiceDeclaration): GuardFinding[] {
+  const lost = before.models.filter((model) => !after.models.includes(model));
+  if (lost.length === 0) return [];
+  const message = `every request for ${lost.join(', ')} would be refused`;
+  return [{ guard: 'refuses-whole-class', message }];
+}
+
+function guardRemoval(before: Declaration, world: GuardWorld): GuardFinding[] {
+  const findings: GuardFinding[] = [];
+  const name = objectName(before);
+  if (world.removals > Math.max(fewRemovals, world.countBefore * massRemovalPart)) {
+    const message = `${world.removals} of ${world.countBefore} objects would be removed, ${name} among them`;
+    findings.push({ guard: 'mass-removal', message });
+  }
+  if (before.kind === 'WorkClass' || before.kind === 'Service') {
+    const message = `every request of "${before.name}" would be refused`;
+    findings.push({ guard: 'refuses-whole-class', message });
+  }
+  if (before.kind === 'ClientAccount') findings.push(...guardBudget(before, world));
+  return findings;
+}
+
+function guardBudget(before: ClientAccountDeclaration, world: GuardWorld): GuardFinding[] {
+  const left = world.budgets.get(before.name);
+  if (left !== undefined && left <= 0) return [];
+  const amount = left === undefined ? 'an unknown number of' : String(left);
+  const message = `"${before.name}" still has ${amount} prepaid tokens, which nobody could spend`;
+  return [{ guard: 'removes-account-with-budget', message }];
+}
+
+function findService(name: string, world: GuardWorld): ServiceDeclaration | undefined {
+  return world.after.filter((one) => one.kind === 'Service').find((one) => one.name === name);
+}
