feat(router): settings schema, defaults in one constant and resolveConfig

Every fault of a settings file names file, line, column and the change that mends it. Relations are checked too: a suspect time not above the heartbeat would have live peers sealed.

The test of misspelt inner keys showed that known keys were not found below a described default; the schema walk now takes such wrappers off.

--- a/packages/core/src/utils/jsoncCheck.ts
+++ b/packages/core/src/utils/jsoncCheck.ts
@@ -130,7 +130,8 @@
 }
 
 function knownKeys(schema: z.ZodType | undefined): string[] {
-  return schema instanceof z.ZodObject ? Object.keys(schema.shape) : [];
+  const inner = schema && unwrapSchema(schema);
+  return inner instanceof z.ZodObject ? Object.keys(inner.shape) : [];
 }
 
 /** Follows a path into a schema; wrappers without a description of their own are taken off. */
--- a/packages/router/src/index.ts
+++ b/packages/router/src/index.ts
@@ -3,3 +3,6 @@
 export * from './types/money.js';
 export type * from './types/routerContext.js';
 export type * from './types/routerSettings.js';
+export * from './node/resolveConfig.js';
+export * from './utils/settingsDefaults.js';
+export * from './utils/settingsSchema.js';
--- /dev/null
+++ b/packages/router/src/utils/settingsDefaults.ts
@@ -0,0 +1,32 @@
+/** Defaults of all router settings that have one. */
+
+/** The one place of the defaults; docs/SETTINGS.md lists them and a test compares both. */
+export const settingsDefaults = {
+  entry: {
+    host: '127.0.0.1',
+    port: 8_080,
+    maxBodyBytes: 1_048_576,
+    maxConnections: 2_048,
+    slowReaderMs: 10_000,
+  },
+  mesh: {
+    host: '127.0.0.1',
+    port: 8_081,
+    seeds: [] as string[],
+    heartbeatMs: 500,
+    suspectMs: 2_000,
+    goneMs: 4_000,
+  },
+  platform: { timeoutMs: 1_500 },
+  budget: {
+    ledgerPages: 1,
+    claimPages: 1,
+    groupCommitMs: 40,
+    witnessAfterMs: 60,
+    ledgerSyncMs: 1_000,
+    reserveWaitMs: 400,
+  },
+  routing: { maxQueue: 256, loadPollMs: 1_000, maxAttempts: 3 },
+  logLevel: 'info',
+  stopTimeoutMs: 120_000,
+} as const satisfies Record<string, unknown>;
--- /dev/null
+++ b/test/cli/resolveConfig.test.ts
@@ -0,0 +1,64 @@
+import {
+  parseSettings,
+  printSettings,
+  resolveConfig,
+  settingsDefaults,
+} from '@flamingocourse/router';
+import assert from 'node:assert/strict';
+import { test } from 'node:test';
+
+const least = `{
+  "instance": "router-1",
+  "dataCentre": "dc-a",
+  "platform": { "url": "http://127.0.0.1:9000" },
+`;
+
+test('defaults fill in what the file leaves out', () => {
+  const settings = parseSettings(`${least} "mesh": { "port": 9081 } }`, 'r.jsonc').unwrapOrElse(
+    (err) => assert.fail(err.message),
+  );
+  assert.equal(settings.entry.publicUrl, 'http://127.0.0.1:8080');
+  assert.equal(settings.mesh.publicUrl, 'http://127.0.0.1:9081');
+  assert.equal(settings.mesh.heartbeatMs, settingsDefaults.mesh.heartbeatMs);
+  assert.deepEqual(settings.budget, settingsDefaults.budget);
+  assert.equal(settings.statsd, undefined);
+  const printed = parseSettings(printSettings(settings), 'printed.json').unwrapOr(undefined);
+  assert.deepEqual(printed, settings);
+});
+
+const faults: [string, string, RegExp][] = [
+  [
+    'a missing key',
+    '{ "instance": "r", "dataCentre": "d" }',
+    /^r\.jsonc:1:1: platform: this key is missing/,
+  ],
+  ['a misspelt key', `${least} "mehs": {} }`, /^r\.jsonc:5:2: mehs: .* Did you mean "mesh"\?/],
+  [
+    'a misspelt inner key',
+    `${least} "mesh": { "heartBeat": 5 } }`,
+    /^r\.jsonc:5:12: .* Did you mean "heartbeatMs"\?/,
+  ],
+  ['text for a number', `${least} "stopTimeoutMs": "5s" }`, /5:19: .* Write whole milliseconds/],
+  [
+    'suspect before heartbeat',
+    `${least} "mesh": { "suspectMs": 100 } }`,
+    /suspectMs \(100\) is not above/,
+  ],
+  ['gone before suspect', `${least} "mesh": { "goneMs": 2000 } }`, /goneMs \(2000\) is not above/],
+  ['one port for both', `${least} "mesh": { "port": 8080 } }`, /both listen on 127\.0\.0\.1:8080/],
+];
+
+for (const [name, text, message] of faults) {
+  test(`${name} is refused with its place`, () => {
+    const settings = parseSettings(text, 'r.jsonc');
+    assert.ok(settings.isErr);
+    assert.equal(settings.error.code, 'invalid');
+    assert.match(settings.error.message, message);
+  });
+}
+
+test('a file that is not there is an error with a remedy', async () => {
+  const settings = await resolveConfig('no-such-file.jsonc');
+  assert.ok(settings.isErr);
+  assert.match(settings.error.message, /Give the path of a settings file/);
+});
