--- a/packages/router/src/index.ts
+++ b/packages/router/src/index.ts
@@ -5,3 +5,6 @@
 export type * from './types/moneyPorts.js';
 export type * from './types/routerContext.js';
 export type * from './types/routerSettings.js';
+export * from './node/resolveConfig.js';
+export * from './utils/settingsDefaults.js';
+export * from './utils/settingsSchema.js';
