feat(platform): client of the Object API, and a stand-in with fault switches

Cause: routers and the operators' command need versions, conditional updates and watches that stay honest about writes whose reply is lost. Ruled out: repeating a write blindly (a lost reply would double it); watches that wait for ever on a silent connection; a cap per call only, which lets every caller wait through an outage. Before: nothing. Conclusion: ObjectStore with HttpObjectStore and MemoryObjectStore; errors say whether a write can have taken effect; a circuit refuses at once during an outage. The stand-in has one entrance per data centre; links make partitions between data centres.

--- /dev/null
+++ b/packages/lab/src/node/link/index.ts
@@ -0,0 +1,1 @@
+export * from './link.js';
--- /dev/null
+++ b/packages/lab/src/node/platformStandIn/index.ts
@@ -0,0 +1,2 @@
+export type { EntranceFaults } from './entranceFaults.js';
+export * from './platformStandIn.js';
--- /dev/null
+++ b/packages/platform/src/node/httpTransport.ts
@@ -0,0 +1,79 @@
+/** One HTTP exchange with a timeout, a bounded answer and a kept-alive connection. */
+
+import type { Agent, IncomingHttpHeaders } from 'node:http';
+import { request } from 'node:http';
+import { Result } from 'true-myth';
+
+/** A request to send. */
+export interface HttpCall {
+  method: 'GET' | 'POST' | 'PUT' | 'DELETE';
+  url: URL;
+  body?: string;
+  timeoutMs: number;
+  maxAnswerBytes: number;
+  agent: Agent;
+  signal?: AbortSignal | undefined;
+}
+
+/** A whole answer. */
+export interface HttpAnswer {
+  status: number;
+  headers: IncomingHttpHeaders;
+  body: string;
+}
+
+/** Why no whole answer came. */
+export interface TransportFault {
+  reason: 'timeout' | 'aborted' | 'broken' | 'too-large';
+  cause?: unknown;
+}
+
+/**
+ * Sends a request and reads the whole answer.
+ *
+ * @example
+ * const answer = await exchange({ method: 'GET', url, timeoutMs: 1_500, maxAnswerBytes, agent });
+ */
+export function exchange(call: HttpCall): Promise<Result<HttpAnswer, TransportFault>> {
+  return new Promise((resolve) => {
+    const headers = call.body === undefined ? {} : jsonHeaders(call.body);
+    const { method, agent, signal } = call;
+    const req = request(call.url, { method, agent, headers, ...(signal ? { signal } : {}) });
+    const finish = (result: Result<HttpAnswer, TransportFault>): void => {
+      clearTimeout(timer);
+      resolve(result);
+    };
+    const fail = (reason: TransportFault['reason'], cause?: unknown): void => {
+      finish(Result.err({ reason, cause }));
+      req.destroy();
+    };
+    // one timer over the whole exchange: a peer that sends a byte now and then is also cut off.
+    const timer = setTimeout(() => {
+      fail('timeout');
+    }, call.timeoutMs);
+    req.on('error', (err) => {
+      fail(signal?.aborted ? 'aborted' : 'broken', err);
+    });
+    req.on('response', (res) => {
+      const chunks: Buffer[] = [];
+      let size = 0;
+      res.on('data', (chunk: Buffer) => {
+        size += chunk.length;
+        if (size > call.maxAnswerBytes) fail('too-large');
+        else chunks.push(chunk);
+      });
+      res.on('error', (err) => {
+        fail('broken', err);
+      });
+      res.on('end', () => {
+        const body = Buffer.concat(chunks).toString('utf8');
+        finish(Result.ok({ status: res.statusCode ?? 0, headers: res.headers, body }));
+      });
+    });
+    req.end(call.body);
+  });
+}
+
+function jsonHeaders(body: string): Record<string, string | number> {
+  return { 'content-type': 'application/json', 'content-length': Buffer.byteLength(body) };
+}
--- /dev/null
+++ b/packages/platform/src/node/objectWatch.ts
@@ -0,0 +1,115 @@
+/** A watch that goes on until it is stopped: resumes, backs off, and lists again when too old. */
+
+import type { Steps } from '@flamingocourse/kernel';
+import type { Agent } from 'node:http';
+import type { PlatformResult } from '../runtime/objectStore.js';
+import type { Collection, ObjectList, WatchOptions } from '../types/objects.js';
+import type { WatchEnd } from './watchConnection.js';
+import { awaitPromise, Channel, startProcess, takeWithin } from '@flamingocourse/kernel';
+import { backOffMs } from '../runtime/backOff.js';
+import { followWatch } from './watchConnection.js';
+import { checkObject, parseJson, wireWatchLineSchema } from './wireFormat.js';
+
+const backOff = { firstMs: 100, maxMs: 1_500 };
+const maxLineBytes = 4 * 1024 * 1024;
+
+/** What a watch needs from its store. */
+export interface WatchPorts<T> {
+  list: () => PlatformResult<ObjectList<T>>;
+  /** URL of the collection. */
+  url: URL;
+  agent: Agent;
+  idleMs: number;
+  random: () => number;
+  onOpen: () => void;
+  onBreak: () => void;
+  onFailure: (err: unknown) => void;
+}
+
+/** One running watch. */
+export class ObjectWatch<T> {
+  readonly #abort = new AbortController();
+  readonly #stopped = new Channel<true>(1);
+  #version: string | undefined;
+  #failures = 0;
+
+  constructor(
+    readonly collection: Collection<T>,
+    readonly options: WatchOptions<T>,
+    readonly ports: WatchPorts<T>,
+  ) {
+    this.#version = options.from;
+    void startProcess(() => this.#run(), ports.onFailure);
+  }
+
+  stop(): void {
+    this.#abort.abort();
+    this.#stopped.close();
+  }
+
+  *#run(): Steps<void> {
+    while (!this.#abort.signal.aborted) {
+      if (this.#version === undefined) yield* awaitPromise(this.#list());
+      if (this.#version !== undefined) yield* awaitPromise(this.#follow());
+      if (this.#failures === 0) continue;
+      yield* takeWithin(this.#stopped, backOffMs(this.#failures - 1, backOff, this.ports.random));
+    }
+  }
+
+  async #list(): Promise<void> {
+    const list = await this.ports.list();
+    if (this.#abort.signal.aborted) return;
+    if (list.isErr) {
+      this.#failures += 1;
+      this.options.onBreak?.(list.error.message);
+      return;
+    }
+    this.#version = list.value.version;
+    this.options.onEvent({ type: 'listed', list: list.value });
+  }
+
+  async #follow(): Promise<void> {
+    this.ports.onOpen();
+    const url = new URL(this.ports.url);
+    url.searchParams.set('watch', 'true');
+    url.searchParams.set('resourceVersion', this.#version ?? '0');
+    const end = await followWatch({
+      url,
+      agent: this.ports.agent,
+      signal: this.#abort.signal,
+      idleMs: this.ports.idleMs,
+      maxLineBytes,
+      onLine: (line) => {
+        this.#takeLine(line);
+      },
+    });
+    this.#settle(end);
+  }
+
+  #settle(end: WatchEnd): void {
+    if (end === 'stopped') return;
+    // the changes in between are gone from the platform's history; only a new list can tell them.
+    if (end === 'too-old') this.#version = undefined;
+    this.#failures += 1;
+    this.ports.onBreak();
+    this.options.onBreak?.(end);
+  }
+
+  #takeLine(text: string): void {
+    const line = parseJson(text, wireWatchLineSchema);
+    if (line.isErr) return;
+    const { type, object } = line.value;
+    const { name, resourceVersion: version } = object.metadata;
+    this.#failures = 0;
+    this.#version = version;
+    if (type === 'BOOKMARK' || name === undefined) return;
+    if (type === 'DELETED') {
+      this.options.onEvent({ type: 'removed', name, version });
+      return;
+    }
+    const wire = { metadata: { name, resourceVersion: version }, value: object.value };
+    const checked = checkObject(this.collection, wire);
+    if (checked.isOk) this.options.onEvent({ type: 'changed', object: checked.value });
+    else this.options.onEvent({ type: 'invalid', name, version });
+  }
+}
--- /dev/null
+++ b/packages/platform/src/runtime/objectStore.ts
@@ -0,0 +1,106 @@
+/** What the system asks of the platform's Object API and instance list. */
+
+import type { InstanceRecord } from '@flamingocourse/core';
+import type { Result } from 'true-myth';
+import type {
+  CallCounters,
+  CallKind,
+  CallOptions,
+  Collection,
+  ObjectList,
+  Subscription,
+  VersionedObject,
+  WatchOptions,
+} from '../types/objects.js';
+import type { PlatformError } from '../utils/platformError.js';
+
+/** Result of a call to the platform. */
+export type PlatformResult<T> = Promise<Result<T, PlatformError>>;
+
+/**
+ * Versioned objects with conditional updates. A failed write whose error has the effect `unknown`
+ * may have taken effect: read the object again before repeating it.
+ *
+ * @example
+ * const read = await store.get(ledgers, '0');
+ * if (read.isOk) await store.update(ledgers, '0', read.value.version, next(read.value.value));
+ */
+export abstract class ObjectStore {
+  readonly #counters = createCounters();
+
+  /** Reads one object. Errors: `not-found`, `unreachable`, `throttled`, `invalid`, `too-large`. */
+  abstract get<T>(
+    collection: Collection<T>,
+    name: string,
+    options?: CallOptions,
+  ): PlatformResult<VersionedObject<T>>;
+
+  /** Reads all objects of a collection. Errors as for {@link get}, without `not-found`. */
+  abstract list<T>(collection: Collection<T>, options?: CallOptions): PlatformResult<ObjectList<T>>;
+
+  /** Creates an object if the name is free. Errors: `exists`, and those of {@link update}. */
+  abstract create<T>(
+    collection: Collection<T>,
+    name: string,
+    value: T,
+    options?: CallOptions,
+  ): PlatformResult<VersionedObject<T>>;
+
+  /**
+   * Replaces a value if the version is still current. Errors: `conflict`, `not-found`, `too-large`,
+   * `throttled`, `invalid`, `unreachable` (see {@link PlatformError.effect}).
+   */
+  abstract update<T>(
+    collection: Collection<T>,
+    name: string,
+    version: string,
+    value: T,
+    options?: CallOptions,
+  ): PlatformResult<VersionedObject<T>>;
+
+  /** Removes an object if the version is still current. Errors as for {@link update}. */
+  abstract remove(
+    collection: Collection<unknown>,
+    name: string,
+    version: string,
+    options?: CallOptions,
+  ): PlatformResult<'removed'>;
+
+  /** Follows a collection until stopped; resumes after breaks and lists again when needed. */
+  abstract watch<T>(collection: Collection<T>, options: WatchOptions<T>): Subscription;
+
+  /** Reads the lagging list of a service's instances. */
+  abstract listInstances(service: string, options?: CallOptions): PlatformResult<InstanceRecord[]>;
+
+  /** Ends watches and open connections. */
+  abstract close(): void;
+
+  /** Whether the platform is taken to be there; false while calls are refused without being sent. */
+  abstract get reachable(): boolean;
+
+  /** Calls sent so far, by kind. A waiting watch counts once per connection. */
+  get counters(): CallCounters {
+    return structuredClone(this.#counters);
+  }
+
+  protected countSent(kind: CallKind): void {
+    this.#counters[kind].sent += 1;
+  }
+
+  protected countFailed(kind: CallKind): void {
+    this.#counters[kind].failed += 1;
+  }
+}
+
+function createCounters(): CallCounters {
+  const zero = (): CallCounters[CallKind] => ({ sent: 0, failed: 0 });
+  return {
+    get: zero(),
+    list: zero(),
+    create: zero(),
+    update: zero(),
+    remove: zero(),
+    watch: zero(),
+    instances: zero(),
+  };
+}
--- /dev/null
+++ b/test/platform/watch.test.ts
@@ -0,0 +1,99 @@
+import type { WatchEvent } from '@flamingocourse/platform';
+import type { Note } from './fixtures.js';
+import assert from 'node:assert/strict';
+import { test } from 'node:test';
+import { MemoryObjectStore } from '@flamingocourse/platform';
+import { connect, failTest, notes, startStandIn, until } from './fixtures.js';
+
+/** The collection as a watcher knows it after the events so far. */
+function replay(events: WatchEvent<Note>[]): Record<string, string> {
+  const known = new Map<string, string>();
+  for (const event of events) {
+    if (event.type === 'changed') known.set(event.object.name, event.object.value.text);
+    if (event.type === 'removed') known.delete(event.name);
+    if (event.type !== 'listed') continue;
+    known.clear();
+    for (const { name, value } of event.list.items) known.set(name, value.text);
+  }
+  return Object.fromEntries(known);
+}
+
+const knows = (events: WatchEvent<Note>[], expected: object): boolean =>
+  JSON.stringify(replay(events)) === JSON.stringify(expected);
+
+test('a watch lists first and then follows changes and removals', async (t) => {
+  const platform = await startStandIn(t);
+  platform.table.create('orders', 'a', '{"text":"1"}');
+  const store = connect(t, platform.urls['dc-a']);
+  const events: WatchEvent<Note>[] = [];
+  store.watch(notes, { onEvent: (event) => events.push(event) });
+  await until('listed', () => knows(events, { a: '1' }));
+  const created = platform.table.create('orders', 'b', '{"text":"2"}').unwrapOrElse(failTest);
+  platform.table.create('orders', 'bad', '{"text":5}');
+  platform.table.create('audits', 'c', '{"text":"other collection"}');
+  platform.table.remove('orders', 'b', created.version);
+  await until('removed', () => events.at(-1)?.type === 'removed');
+  assert.deepEqual(
+    events.map(({ type }) => type),
+    ['listed', 'changed', 'invalid', 'removed'],
+  );
+});
+
+// an operator applies a change while a data centre's watch is down and it never comes into force:
+// the watch broke, the change happened, the watch came back. It must resume where it was, and list
+// anew when the platform has forgotten that place.
+const breaks = [
+  { name: 'refused connections', faults: { outage: 'refuse' }, changes: 3, lists: 1 },
+  { name: 'a silent platform', faults: { outage: 'silent' }, changes: 3, lists: 1 },
+  { name: 'a frozen watch', faults: { freezeWatch: true }, changes: 3, lists: 1 },
+  { name: 'a forgotten version (410)', faults: { outage: 'refuse' }, changes: 30, lists: 2 },
+] as const;
+
+for (const { name, faults, changes, lists } of breaks) {
+  test(`a watch catches up after ${name}`, async (t) => {
+    const platform = await startStandIn(t, { historyLength: 10, bookmarkMs: 30 });
+    const store = connect(t, platform.urls['dc-a'], { watchIdleMs: 150, timeoutMs: 100 });
+    const events: WatchEvent<Note>[] = [];
+    store.watch(notes, { onEvent: (event) => events.push(event) });
+    await until('watching', () => platform.state().entrances['dc-a']?.openWatches === 1);
+    platform.setFaults('dc-a', faults);
+    await until('the watch broke', () => store.counters.watch.failed > 0);
+    for (let n = 1; n <= changes; n += 1) {
+      platform.table.create('orders', String(n), `{"text":"${String(n)}"}`);
+    }
+    assert.deepEqual(replay(events), {});
+    platform.setFaults('dc-a', { outage: 'none', freezeWatch: false });
+    await until('caught up', () => Object.keys(replay(events)).length === changes);
+    assert.equal(events.filter(({ type }) => type === 'listed').length, lists);
+  });
+}
+
+test('a stopped watch delivers nothing and leaves the platform', async (t) => {
+  const platform = await startStandIn(t);
+  const store = connect(t, platform.urls['dc-a']);
+  const events: WatchEvent<Note>[] = [];
+  const subscription = store.watch(notes, { onEvent: (event) => events.push(event) });
+  await until('watching', () => platform.state().entrances['dc-a']?.openWatches === 1);
+  subscription.stop();
+  platform.table.create('orders', 'a', '{"text":"1"}');
+  await until('gone', () => platform.state().entrances['dc-a']?.openWatches === 0);
+  assert.equal(events.length, 1);
+});
+
+test('the in-memory store has the same switches', async () => {
+  const store = new MemoryObjectStore();
+  const other = store.view();
+  const events: WatchEvent<Note>[] = [];
+  other.watch(notes, { onEvent: (event) => events.push(event) });
+  store.faults.lostReplies = 1;
+  const lost = await store.create(notes, 'a', { text: '1' });
+  assert.ok(lost.isErr && lost.error.effect === 'unknown');
+  other.faults.outage = true;
+  const read = (await store.get(notes, 'a')).unwrapOrElse(failTest);
+  assert.ok((await store.update(notes, 'a', read.version, { text: '2' })).isOk);
+  assert.ok((await other.get(notes, 'a')).isErr);
+  assert.deepEqual(replay(events), { a: '1' });
+  other.faults.outage = false;
+  await store.create(notes, 'b', { text: '3' });
+  assert.deepEqual(replay(events), { a: '2', b: '3' });
+});
