feat(fleet): quarantine, membership and configuration store as reducers

Cause: routers have to agree closely on who is alive, which request crashes servers and which configuration is in force, without a store of their own.

Membership takes only a higher beat as evidence of life and discounts its own pauses. The configuration merges by revision with tombstones and keeps the last good version of an object with a mistake.

Ruled out: ordering the lives of an instance by clock, and full infos in each heartbeat.

--- a/packages/core/src/index.ts
+++ b/packages/core/src/index.ts
@@ -8,3 +8,6 @@
 export * from './runtime/admission/index.js';
 export * from './runtime/routing/index.js';
 export * from './utils/hash.js';
+export * from './runtime/configStore/index.js';
+export * from './runtime/membership/index.js';
+export * from './runtime/quarantine/index.js';
--- /dev/null
+++ b/packages/core/src/runtime/configStore/index.ts
@@ -0,0 +1,2 @@
+export * from './configStore.js';
+export * from './effectiveConfig.js';
--- /dev/null
+++ b/packages/core/src/runtime/membership/index.ts
@@ -0,0 +1,2 @@
+export * from './memberHealth.js';
+export * from './membership.js';
--- /dev/null
+++ b/packages/core/src/runtime/quarantine/index.ts
@@ -0,0 +1,1 @@
+export * from './quarantine.js';
--- /dev/null
+++ b/test/fleet/configStore.test.ts
@@ -0,0 +1,161 @@
+import assert from 'node:assert/strict';
+import { describe, test } from 'node:test';
+import type { Declaration, DeclaredObject } from '@flamingocourse/core';
+import {
+  createConfigStore,
+  deltaFor,
+  digestConfig,
+  mergeObjects,
+  mergeSnapshot,
+  resolveEffectiveConfig,
+} from '@flamingocourse/core';
+import fc from 'fast-check';
+
+function declared(declaration: Declaration, revision: number): DeclaredObject {
+  return { kind: declaration.kind, name: declaration.name, revision, declaration };
+}
+
+function service(name: string, revision: number): DeclaredObject {
+  return declared(
+    {
+      kind: 'Service',
+      name,
+      type: 'model',
+      discovery: { instanceList: name },
+      models: [],
+      checksFencing: false,
+      tokensPerCall: 0,
+      concurrencyPerServer: 8,
+    },
+    revision,
+  );
+}
+
+function workClass(name: string, revision: number, serviceName = 'llm', budgetShare = 0.5) {
+  const target = { firstTokenMs: 500, completeMs: 5_000 };
+  return declared(
+    {
+      kind: 'WorkClass',
+      name,
+      service: serviceName,
+      target,
+      budgetShare,
+      importance: 'standard',
+      idempotent: true,
+      maxOutputTokens: 512,
+    },
+    revision,
+  );
+}
+
+function storeOf(...batches: DeclaredObject[][]) {
+  return batches.reduce((state, batch) => mergeObjects(state, batch).state, createConfigStore());
+}
+
+function shares(state: ReturnType<typeof storeOf>): Record<string, number> {
+  const { workClasses } = resolveEffectiveConfig(state);
+  return Object.fromEntries(workClasses.map((item) => [item.name, item.budgetShare]));
+}
+
+describe('never falls back', () => {
+  // a class answers by its old target again: a restarted relay read a stale copy of the platform and
+  // passed it on as news.
+  test('a stale read after a restart changes nothing', () => {
+    const state = storeOf([service('llm', 1), workClass('drafts', 5, 'llm', 0.8)]);
+    const { changed } = mergeObjects(state, [workClass('drafts', 4, 'llm', 0.1)]);
+    assert.deepEqual(changed, []);
+    assert.deepEqual(shares(state), { drafts: 0.8 });
+  });
+
+  test('a deleted object does not come back from an older list', () => {
+    const deletion: DeclaredObject = { kind: 'WorkClass', name: 'drafts', revision: 6 };
+    const state = storeOf([service('llm', 1), workClass('drafts', 5)], [deletion]);
+    assert.deepEqual(shares(mergeObjects(state, [workClass('drafts', 5)]).state), {});
+  });
+
+  test('any order and any repetition of messages ends in the same objects', () => {
+    const object = fc
+      .tuple(fc.constantFrom('a', 'b', 'c'), fc.integer({ min: 1, max: 30 }))
+      .map(([name, revision]) => service(name, revision));
+    fc.assert(
+      fc.property(fc.array(object), fc.array(object), (first, second) => {
+        const forward = storeOf(first, second);
+        const backward = storeOf(second, first, second);
+        assert.deepEqual(digestConfig(forward), digestConfig(backward));
+      }),
+      { seed: 11, numRuns: 200 },
+    );
+  });
+});
+
+describe('delta', () => {
+  const all = [service('llm', 1), workClass('drafts', 2), workClass('stock', 3)];
+
+  test('a peer that is behind gets only what is newer', () => {
+    const peer = digestConfig(storeOf(all.slice(0, 2)));
+    assert.deepEqual(deltaFor(storeOf(all), peer), [all[2]]);
+  });
+
+  // one router keeps an old target for ever: it learned revision 3 from a hint, missed revision 2,
+  // and asks only for what is above 3.
+  test('a peer that missed one in between gets it too', () => {
+    const peer = digestConfig(storeOf([all[0], all[2]].flatMap((object) => object ?? [])));
+    const merged = mergeObjects(storeOf([all[2] ?? []].flat()), deltaFor(storeOf(all), peer)).state;
+    assert.deepEqual(digestConfig(merged), digestConfig(storeOf(all)));
+  });
+});
+
+describe('contained mistakes', () => {
+  // volunteers get no answers at all: a seasonal operator mistyped the service of one class.
+  test('a class with an unknown service keeps its last good version', () => {
+    const good = [service('llm', 1), workClass('drafts', 2, 'llm', 0.3), workClass('stock', 3)];
+    const state = storeOf(good, [workClass('drafts', 4, 'lmm', 0.9)]);
+    assert.deepEqual(shares(state), { drafts: 0.3, stock: 0.5 });
+    const findings = resolveEffectiveConfig(state).findings.map((finding) => finding.object);
+    assert.deepEqual(findings, ['WorkClass.drafts']);
+  });
+
+  test('the mended class comes into force', () => {
+    const state = storeOf([service('llm', 1), workClass('drafts', 2, 'lmm')]);
+    assert.deepEqual(shares(state), {});
+    assert.deepEqual(shares(mergeObjects(state, [service('lmm', 3)]).state), { drafts: 0.5 });
+  });
+
+  test('a new router gets the last good version from a peer', () => {
+    const state = storeOf(
+      [service('llm', 1), workClass('drafts', 2)],
+      [workClass('drafts', 4, 'x')],
+    );
+    const copy = mergeSnapshot(createConfigStore(), structuredClone(state)).state;
+    assert.deepEqual(shares(copy), { drafts: 0.5 });
+    assert.deepEqual(copy, state);
+  });
+
+  test('a class whose service was deleted is out of force, others stay', () => {
+    const state = storeOf(
+      [service('llm', 1), service('app', 2), workClass('a', 3, 'llm'), workClass('b', 4, 'app')],
+      [{ kind: 'Service', name: 'app', revision: 5 }],
+    );
+    assert.deepEqual(shares(state), { a: 0.5 });
+  });
+
+  const shareCases = [
+    { given: [0.5, 0.5], expected: [0.5, 0.5], findings: 0 },
+    { given: [0.3, 0.3], expected: [0.3, 0.3], findings: 0 },
+    { given: [1, 1], expected: [0.5, 0.5], findings: 1 },
+    { given: [0.9, 0.6], expected: [0.6, 0.4], findings: 1 },
+  ];
+  for (const { given, expected, findings } of shareCases) {
+    test(`shares ${given.join(' and ')} are in force as ${expected.join(' and ')}`, () => {
+      const [a = 0, b = 0] = given;
+      const state = storeOf([
+        service('llm', 1),
+        workClass('a', 2, 'llm', a),
+        workClass('b', 3, 'llm', b),
+      ]);
+      const scaled = Object.values(shares(state)).map((share) => Number(share.toFixed(6)));
+      assert.deepEqual(scaled, expected);
+      assert.equal(resolveEffectiveConfig(state).findings.length, findings);
+    });
+  }
+});
--- /dev/null
+++ b/test/fleet/membership.test.ts
@@ -0,0 +1,221 @@
+import assert from 'node:assert/strict';
+import { describe, test } from 'node:test';
+import type { MemberInfo, MembershipState } from '@flamingocourse/core';
+import {
+  composeHeartbeat,
+  createMembership,
+  heartbeatTargets,
+  judgeMember,
+  judgeMembers,
+  observeHeartbeat,
+  observeInstanceList,
+  observeMember,
+  resolveLocalOwner,
+  tickMembership,
+  updateSelf,
+} from '@flamingocourse/core';
+
+const settings = { suspectMs: 2_000, goneMs: 4_000 };
+
+function member(instance: string, beat = 1, fields: Partial<MemberInfo> = {}): MemberInfo {
+  const dataCentre = fields.dataCentre ?? 'dc-a';
+  return {
+    incarnation: `${dataCentre}/${instance}/018f3c2a9b7e`,
+    dataCentre,
+    instance,
+    meshUrl: `http://10.0.0.1/${dataCentre}/${instance}`,
+    entryUrl: `http://10.0.0.2/${dataCentre}/${instance}`,
+    state: 'serving',
+    beat,
+    revision: 0,
+    ...fields,
+  };
+}
+
+function membershipOf(peers: MemberInfo[], now = 0): MembershipState {
+  const empty = createMembership(member('self'), settings);
+  return peers.reduce((state, peer) => observeMember(state, peer, now), empty);
+}
+
+describe('silence', () => {
+  const cases = [
+    { at: 1_999, local: 'alive', remote: 'alive' },
+    { at: 2_000, local: 'suspect', remote: 'alive' },
+    { at: 4_000, local: 'gone', remote: 'alive' },
+    { at: 10_000, local: 'gone', remote: 'suspect' },
+    { at: 20_000, local: 'gone', remote: 'gone' },
+  ];
+  for (const { at, local, remote } of cases) {
+    test(`after ${at} ms a local peer is ${local}, a remote one ${remote}`, () => {
+      const [near, far] = [member('r1'), member('r2', 1, { dataCentre: 'dc-b' })];
+      const state = membershipOf([near, far]);
+      assert.equal(judgeMember(state, near.incarnation, at), local);
+      assert.equal(judgeMember(state, far.incarnation, at), remote);
+    });
+  }
+
+  // requests wait for a dead router: its last heartbeat hung in the network, or a peer passed its
+  // old beat on, and arrived after it was taken as gone.
+  test('an old beat does not revive a peer, a newer one does', () => {
+    const state = membershipOf([member('r1', 7)]);
+    const stale = observeMember(state, member('r1', 7), 5_000);
+    assert.equal(judgeMember(stale, member('r1').incarnation, 5_000), 'gone');
+    const fresh = observeMember(state, member('r1', 8), 5_000);
+    assert.equal(judgeMember(fresh, member('r1').incarnation, 5_000), 'alive');
+  });
+
+  // after a pause of some seconds a router takes all its peers as gone and starts to seal them,
+  // although only it was away.
+  test('a paused router does not blame its peers', () => {
+    let state = tickMembership(membershipOf([member('r1')]), 0);
+    state = tickMembership(state, 30_000);
+    assert.equal(judgeMember(state, member('r1').incarnation, 30_000), 'alive');
+    for (let now = 30_500; now <= 34_000; now += 500) state = tickMembership(state, now);
+    assert.equal(judgeMember(state, member('r1').incarnation, 34_000), 'gone');
+  });
+});
+
+describe('restart', () => {
+  const old = member('r1', 50, { incarnation: 'dc-a/r1/old' });
+  const renewed = (beat: number) => member('r1', beat, { incarnation: 'dc-a/r1/new' });
+
+  test('the new life ends the old one once it was heard twice', () => {
+    let state = observeMember(membershipOf([old]), renewed(1), 1_000);
+    assert.equal(judgeMember(state, old.incarnation, 1_000), 'alive');
+    state = observeMember(state, renewed(2), 1_500);
+    assert.equal(judgeMember(state, old.incarnation, 1_500), 'gone');
+    assert.equal(judgeMember(state, renewed(2).incarnation, 1_500), 'alive');
+  });
+
+  // after a restart the peers send to nobody: one late heartbeat of the old life arrived after the
+  // first of the new, and was taken as the newer.
+  test('a late first heartbeat of the old life does not end the new one', () => {
+    let state = observeMember(membershipOf([renewed(1)]), renewed(2), 500);
+    state = observeMember(state, old, 600);
+    state = observeMember(state, renewed(3), 1_000);
+    assert.equal(judgeMember(state, renewed(3).incarnation, 1_000), 'alive');
+    assert.equal(judgeMember(state, old.incarnation, 1_000), 'alive');
+    for (let beat = 4; beat < 14; beat += 1) {
+      state = observeMember(state, renewed(beat), 1_000 + beat * 400);
+    }
+    assert.equal(judgeMember(state, old.incarnation, 6_200), 'gone');
+  });
+
+  test('an earlier life of this router itself is gone', () => {
+    const state = membershipOf([member('self', 9, { incarnation: 'dc-a/self/old' })]);
+    assert.equal(judgeMember(state, 'dc-a/self/old', 1), 'gone');
+  });
+});
+
+describe('instance list', () => {
+  test('a peer that answers stays although the list has it leaving or not at all', () => {
+    const state = observeInstanceList(membershipOf([member('r1')]), []);
+    assert.equal(judgeMember(state, member('r1').incarnation, 100), 'alive');
+  });
+
+  test('listed addresses at which nobody answers are tried, a few at each beat', () => {
+    const records = [1, 2, 3, 4, 5].map((n) => ({
+      service: 'flamingocourse-router',
+      id: `r${n}`,
+      dataCentre: 'dc-a',
+      url: `http://new/${n}`,
+      state: 'live' as const,
+    }));
+    let state = observeInstanceList(membershipOf([]), records);
+    const tried = new Set<string>();
+    for (let now = 0; now < 2_000; now += 500) {
+      state = tickMembership(state, now);
+      const targets = heartbeatTargets(state, now);
+      assert.ok(targets.length <= 2);
+      for (const url of targets) tried.add(url);
+    }
+    assert.equal(tried.size, 5);
+  });
+
+  // after a partition has healed the two sides never find each other, as each has given up the other.
+  test('a peer that is gone is still tried', () => {
+    const state = membershipOf([member('r1')]);
+    assert.deepEqual(heartbeatTargets(state, 60_000), [member('r1').meshUrl]);
+  });
+});
+
+describe('gossip', () => {
+  const far = (beat: number) => member('far', beat, { dataCentre: 'dc-b' });
+
+  test('a digest carries evidence with its age', () => {
+    const message = {
+      info: member('r1'),
+      digest: [{ incarnation: far(1).incarnation, beat: 5, ageMs: 3_000 }],
+      members: [],
+    };
+    const state = observeHeartbeat(membershipOf([far(4)], 0), message, 10_000);
+    assert.equal(state.members[far(1).incarnation]?.heardAt, 7_000);
+    assert.equal(state.members[far(1).incarnation]?.info.beat, 5);
+  });
+
+  test('an introduction without evidence of life is ignored', () => {
+    const message = { info: member('r1'), digest: [], members: [far(4)] };
+    const state = observeHeartbeat(membershipOf([]), message, 0);
+    assert.equal(state.members[far(1).incarnation], undefined);
+  });
+
+  test('routers that only hear each other through a third come to know each other', () => {
+    let [a, b] = [member('a'), member('b')].map((self) => createMembership(self, settings));
+    assert.ok(a && b);
+    for (let now = 0; now < 5_000; now += 500) {
+      a = tickMembership(a, now);
+      b = tickMembership(observeMember(b, far(now), now), now);
+      a = observeHeartbeat(a, composeHeartbeat(b, now), now);
+    }
+    assert.equal(judgeMember(a, far(1).incarnation, 5_000), 'alive');
+  });
+});
+
+describe('bounds', () => {
+  const sizes = [
+    { local: 2, remote: 6, targets: 5 },
+    { local: 127, remote: 21 * 127, targets: 16 },
+  ];
+  for (const { local, remote, targets } of sizes) {
+    test(`${local} local and ${remote} other peers: heartbeats stay few and small`, () => {
+      const peers = Array.from({ length: local }, (_, i) => member(`r${i}`));
+      const others = Array.from({ length: remote }, (_, i) =>
+        member(`r${i}`, 1, { dataCentre: `dc-${i % 22}x` }),
+      );
+      let state = membershipOf([...peers, ...others]);
+      for (let now = 0; now < 1_500; now += 500) {
+        state = tickMembership(state, now);
+        assert.ok(heartbeatTargets(state, now).length <= targets);
+        const bytes = JSON.stringify(composeHeartbeat(state, now)).length;
+        assert.ok(bytes <= 1_024, `${bytes} bytes`);
+      }
+    });
+  }
+
+  test('in a large data centre a router watches only its ring predecessors closely', () => {
+    const state = membershipOf(Array.from({ length: 40 }, (_, i) => member(`r${i}`)));
+    const suspects = judgeMembers(state, 3_000).filter((peer) => peer.health === 'suspect');
+    assert.equal(suspects.length, 4);
+  });
+});
+
+describe('local owner', () => {
+  test('all members agree, and a key moves only when its owner goes', () => {
+    const infos = ['r1', 'r2', 'r3'].map((name) => member(name));
+    const owners = infos.map((self) => {
+      const others = infos.filter((info) => info !== self);
+      const empty = createMembership(self, settings);
+      const state = others.reduce((next, info) => observeMember(next, info, 0), empty);
+      return resolveLocalOwner(state, 'journal', 1).incarnation;
+    });
+    assert.equal(new Set(owners).size, 1);
+  });
+
+  test('a leaving router gives its keys to those that serve', () => {
+    const state = updateSelf(membershipOf([member('r1')]), { state: 'leaving' });
+    for (const key of ['a', 'b', 'c', 'd']) {
+      assert.equal(resolveLocalOwner(state, key, 1).instance, 'r1');
+    }
+    assert.equal(resolveLocalOwner(state, 'a', 9_000).instance, 'self');
+  });
+});
