feat(lab): demo of a whole deployment, fleet runner and report

FleetRunner gives each router a settings file and fixed addresses, so that a restart comes back in the same place. The demo derives accounts and mix from the declarations in force, compares what callers were told with what really ran, and spend with budgets, and lists each broken promise.

--- /dev/null
+++ b/packages/lab/src/node/demo/index.ts
@@ -0,0 +1,3 @@
+export * from './applyExamples.js';
+export * from './runDemo.js';
+export * from './startBackends.js';
--- /dev/null
+++ b/packages/lab/src/node/fleetRunner/fleetRunner.ts
@@ -0,0 +1,171 @@
+/** Starts a fleet of router processes on loopback and lets tests and measurements disturb it. */
+
+import type { InstanceRecord } from '@flamingocourse/core';
+import type { FleetRunnerOptions, RouterCommand } from '../../types/fleetRunner.js';
+import type { ProcessEnd } from './routerProcess.js';
+import { randomBytes } from 'node:crypto';
+import { writeFile } from 'node:fs/promises';
+import { join } from 'node:path';
+import { fileURLToPath } from 'node:url';
+import { findFreePorts } from '../freePorts.js';
+import { RouterProcess } from './routerProcess.js';
+
+const HOST = '127.0.0.1';
+const READY_TIMEOUT_MS = 15_000;
+const STOP_TIMEOUT_MS = 20_000;
+const SECRET_BYTES = 16;
+const PORTS_PER_ROUTER = 2;
+const ROUTER_SERVICE = 'flamingocourse-router';
+
+const routerBinary = fileURLToPath(
+  new URL('../../../../router/bin/flamingocourseRouter.mjs', import.meta.url),
+);
+
+/**
+ * A fleet of router processes, addressed by index.
+ *
+ * @example
+ * const fleet = await FleetRunner.create({ slots, platformUrls, directory });
+ * await fleet.start();
+ * await fleet.kill(0);
+ * await fleet.restart(0);
+ * await fleet.stop();
+ */
+export class FleetRunner {
+  readonly routers: RouterProcess[];
+  readonly #onInstances: (records: InstanceRecord[]) => void;
+
+  private constructor(routers: RouterProcess[], options: FleetRunnerOptions) {
+    this.routers = routers;
+    this.#onInstances = options.onInstances ?? (() => undefined);
+  }
+
+  /** Writes a settings file for each router; starts nothing yet. */
+  static async create(options: FleetRunnerOptions): Promise<FleetRunner> {
+    const ports = await findFreePorts(options.slots.length * PORTS_PER_ROUTER);
+    const addresses = options.slots.map((_, index) => ({
+      entry: ports[PORTS_PER_ROUTER * index] ?? 0,
+      mesh: ports[PORTS_PER_ROUTER * index + 1] ?? 0,
+    }));
+    const fleetSecret = randomBytes(SECRET_BYTES).toString('hex');
+    const seeds = addresses.map(({ mesh }) => urlOf(mesh));
+    const command = options.command ?? runRouterBinary;
+    const routers: RouterProcess[] = [];
+    for (const [index, slot] of options.slots.entries()) {
+      const { entry, mesh } = addresses[index] ?? { entry: 0, mesh: 0 };
+      const base = {
+        ...slot,
+        fleetSecret,
+        entry: { host: HOST, port: entry },
+        mesh: { host: HOST, port: mesh, seeds: seeds.filter((seed) => seed !== urlOf(mesh)) },
+        platform: { url: options.platformUrls[slot.dataCentre] },
+      };
+      const settings = mergeSections(base, options.settings?.(slot, index) ?? {});
+      const name = join(options.directory, `${slot.dataCentre}-${slot.instance}`);
+      await writeFile(`${name}.jsonc`, JSON.stringify(settings, null, 2));
+      const router = new RouterProcess({
+        slot,
+        entryUrl: urlOf(entry),
+        meshUrl: urlOf(mesh),
+        command: command(`${name}.jsonc`),
+        logFile: `${name}.log`,
+        readyTimeoutMs: options.readyTimeoutMs ?? READY_TIMEOUT_MS,
+        stopTimeoutMs: options.stopTimeoutMs ?? STOP_TIMEOUT_MS,
+      });
+      routers.push(router);
+    }
+    return new FleetRunner(routers, options);
+  }
+
+  get entryUrls(): string[] {
+    return this.routers.map((router) => router.entryUrl);
+  }
+
+  /** Starts all routers and waits until all are ready. */
+  async start(): Promise<void> {
+    for (const router of this.routers) router.start();
+    this.#announce();
+    await Promise.all(this.routers.map((router) => router.ready()));
+  }
+
+  /** Ends a router at once. */
+  async kill(index: number): Promise<ProcessEnd> {
+    const end = await this.#router(index).kill();
+    this.#announce();
+    return end;
+  }
+
+  /** Stops a router gracefully. */
+  async terminate(index: number): Promise<ProcessEnd> {
+    const end = await this.#router(index).terminate();
+    this.#announce();
+    return end;
+  }
+
+  /** Starts an ended router again on its old addresses and waits until it is ready. */
+  async restart(index: number): Promise<void> {
+    const router = this.#router(index);
+    router.start();
+    this.#announce();
+    await router.ready();
+  }
+
+  /** Lets a router stand still; the instance list goes on showing it. */
+  freeze(index: number): void {
+    this.#router(index).freeze();
+  }
+
+  thaw(index: number): void {
+    this.#router(index).thaw();
+  }
+
+  /** Stops all routers gracefully, and only those. */
+  async stop(): Promise<ProcessEnd[]> {
+    const running = this.routers.filter((router) => router.state !== 'stopped');
+    return Promise.all(running.map((router) => router.terminate()));
+  }
+
+  #router(index: number): RouterProcess {
+    const router = this.routers[index];
+    if (router) return router;
+    throw new RangeError(`no router ${index}; there are ${this.routers.length}`);
+  }
+
+  #announce(): void {
+    const live = this.routers.filter((router) => router.state !== 'stopped');
+    this.#onInstances(
+      live.map(({ slot, meshUrl }) => ({
+        service: ROUTER_SERVICE,
+        id: `${slot.dataCentre}/${slot.instance}`,
+        dataCentre: slot.dataCentre,
+        url: meshUrl,
+        state: 'live',
+      })),
+    );
+  }
+}
+
+function runRouterBinary(settingsFile: string): RouterCommand {
+  return { file: process.execPath, args: [routerBinary, '--settings', settingsFile] };
+}
+
+function urlOf(port: number): string {
+  return `http://${HOST}:${port}`;
+}
+
+/** Puts the members of each section of `changes` over those of `base`. */
+function mergeSections(
+  base: Record<string, unknown>,
+  changes: Record<string, unknown>,
+): Record<string, unknown> {
+  const merged = { ...base };
+  for (const [name, value] of Object.entries(changes)) {
+    const old = merged[name];
+    merged[name] = isSection(old) && isSection(value) ? { ...old, ...value } : value;
+  }
+  return merged;
+}
+
+function isSection(value: unknown): value is Record<string, unknown> {
+  return typeof value === 'object' && value !== null && !Array.isArray(value);
+}
--- /dev/null
+++ b/packages/lab/src/node/fleetRunner/index.ts
@@ -0,0 +1,2 @@
+export * from './fleetRunner.js';
+export * from './routerProcess.js';
--- /dev/null
+++ b/packages/lab/src/node/labCommand/main.ts
@@ -0,0 +1,82 @@
+/** The lab's command: demo, measure, prove, mutants, report. */
+
+import type { Measure } from './measures.js';
+import { describeError } from '@flamingocourse/kernel';
+import {
+  binary,
+  command,
+  number,
+  option,
+  optional,
+  positional,
+  run,
+  string,
+  subcommands,
+} from 'cmd-ts';
+import { demoCommand } from './demoCommand.js';
+import { measures, mutants, prove } from './measures.js';
+import { reportCommand } from './reportCommand.js';
+
+const EXIT_NOT_AVAILABLE = 2;
+const EXIT_FAILED = 1;
+
+const commonArgs = {
+  seed: option({ type: number, long: 'seed', defaultValue: () => 1 }),
+  json: option({ type: optional(string), long: 'json' }),
+};
+
+interface CommonArgs {
+  seed: number;
+  json: string | undefined;
+}
+
+const measureCommand = command({
+  name: 'measure',
+  description: 'runs a measurement by name',
+  args: { name: positional({ type: string, displayName: 'name' }), ...commonArgs },
+  handler: ({ name, ...args }) => runMeasure(`measure ${name}`, measures[name], args),
+});
+
+const proveCommand = command({
+  name: 'prove',
+  description: 'checks the specification against the real reducers',
+  args: commonArgs,
+  handler: (args) => runMeasure('prove', prove, args),
+});
+
+const mutantsCommand = command({
+  name: 'mutants',
+  description: 'checks that each broken rule is caught',
+  args: commonArgs,
+  handler: (args) => runMeasure('mutants', mutants, args),
+});
+
+const labCommand = subcommands({
+  name: 'lab',
+  cmds: {
+    demo: demoCommand,
+    measure: measureCommand,
+    prove: proveCommand,
+    mutants: mutantsCommand,
+    report: reportCommand,
+  },
+});
+
+async function runMeasure(
+  name: string,
+  measure: Measure | undefined,
+  { seed, json }: CommonArgs,
+): Promise<number> {
+  if (measure) return measure({ seed, ...(json === undefined ? {} : { json }) });
+  const known = Object.keys(measures).join(', ') || 'none yet';
+  process.stderr.write(`${name}: not available yet (measurements: ${known})\n`);
+  return EXIT_NOT_AVAILABLE;
+}
+
+try {
+  const { value } = await run(binary(labCommand), process.argv);
+  process.exitCode = await value;
+} catch (err) {
+  process.stderr.write(`${describeError(err)}\n`);
+  process.exitCode = EXIT_FAILED;
+}
--- /dev/null
+++ b/packages/lab/src/node/report/index.ts
@@ -0,0 +1,1 @@
+export * from './renderReport.js';
--- /dev/null
+++ b/packages/lab/src/runtime/spend.ts
@@ -0,0 +1,41 @@
+/** Reads what accounts have spent from the platform's ledgers and journals. */
+
+import type { JournalState, LedgerPage } from '@flamingocourse/core';
+
+/** Spend of one account against its budget, in tokens. */
+export interface SpendRow {
+  account: string;
+  limit: number;
+  /** Sum of all bills, from the journals. */
+  spent: number;
+  /** Handed out to data centres, spent or not, from the ledger. */
+  committed: number;
+  /** Either the spend or what is committed passes the budget. */
+  over: boolean;
+}
+
+/**
+ * Adds up the spend of every account.
+ *
+ * @example
+ * const over = readSpend(ledgers, journals).filter((row) => row.over);
+ */
+export function readSpend(
+  ledgers: readonly LedgerPage[],
+  journals: readonly JournalState[],
+): SpendRow[] {
+  const accounts = ledgers.flatMap((page) => Object.entries(page.accounts));
+  return accounts
+    .map(([account, { limit, shares }]) => {
+      const spent = journals.reduce(
+        (sum, journal) => sum + (journal.accounts[account]?.spent ?? 0),
+        0,
+      );
+      const committed = Object.values(shares).reduce(
+        (sum, share) => sum + share.grantedIn - share.returnedOut,
+        0,
+      );
+      return { account, limit, spent, committed, over: spent > limit || committed > limit };
+    })
+    .sort((one, other) => other.limit - one.limit);
+}
--- /dev/null
+++ b/packages/lab/src/types/demo.ts
@@ -0,0 +1,34 @@
+/** Options and result of the demo. */
+
+import type { DeploymentName } from '../runtime/deployments.js';
+import type { EntryAudit } from '../runtime/entryAudit.js';
+import type { SpendRow } from '../runtime/spend.js';
+import type { LoadResult } from './load.js';
+import type { ReportDocument } from './report.js';
+
+/** Options of {@link runDemo}. */
+export interface DemoOptions {
+  deployment: DeploymentName;
+  /** Time over which requests arrive. */
+  seconds: number;
+  ratePerSecond: number;
+  seed: number;
+  /** Keeps everything running after the load until the signal is aborted. */
+  keep: boolean;
+  /** Where settings and logs of the routers go. */
+  directory: string;
+  /** Ends the demo early. */
+  signal: AbortSignal;
+  onProgress: (line: string) => void;
+}
+
+/** Outcome of a demo. */
+export interface DemoResult {
+  deployment: DeploymentName;
+  load: LoadResult;
+  spend: SpendRow[];
+  entries: EntryAudit;
+  /** Broken promises in words; empty when all held. */
+  violations: string[];
+  report: ReportDocument;
+}
--- /dev/null
+++ b/packages/lab/src/utils/labError.ts
@@ -0,0 +1,10 @@
+/** Errors of the lab. */
+
+import { LayerError } from '@flamingocourse/kernel';
+
+export type LabErrorCode = 'not-ready' | 'ended-early' | 'apply-failed' | 'bad-report';
+
+/** A run of the lab that cannot go on; the message says what to look at. */
+export class LabError extends LayerError<LabErrorCode> {
+  override readonly layer = 'lab';
+}
