--- a/packages/core/src/runtime/configStore/configStore.ts
+++ b/packages/core/src/runtime/configStore/configStore.ts
@@ -7,16 +7,16 @@
 import { hash32 } from '../../utils/hash.js';
 
 /** Key of an object, as in the platform's collection: `{kind}.{name}`. */
-export type ObjectKey = `${DeclarationKind}.${string}`;
+export type ConfigKey = `${DeclarationKind}.${string}`;
 
 /** Newest known state of all objects. Serialisable; also the snapshot for a new router. */
 export interface ConfigStoreState {
-  objects: Record<ObjectKey, DeclaredObject>;
+  objects: Record<ConfigKey, DeclaredObject>;
   /**
    * Last version of each object that could be in force. Differs from `objects` where the newest
    * version is a mistake that is contained.
    */
-  lastGood: Record<ObjectKey, DeclaredObject>;
+  lastGood: Record<ConfigKey, DeclaredObject>;
 }
 
 /** Short description of a state, for comparison between peers. */
@@ -48,7 +48,7 @@
 }
 
 /** Builds the key of an object. */
-export function objectKey(object: { kind: DeclarationKind; name: string }): ObjectKey {
+export function objectKey(object: { kind: DeclarationKind; name: string }): ConfigKey {
   return `${object.kind}.${object.name}`;
 }
 
@@ -126,11 +126,11 @@
  * depend on them.
  */
 function updateLastGood(
-  objects: Record<ObjectKey, DeclaredObject>,
-  before: Record<ObjectKey, DeclaredObject>,
-): Record<ObjectKey, DeclaredObject> {
-  const lastGood: Record<ObjectKey, DeclaredObject> = {};
-  for (const [key, object] of Object.entries(objects) as [ObjectKey, DeclaredObject][]) {
+  objects: Record<ConfigKey, DeclaredObject>,
+  before: Record<ConfigKey, DeclaredObject>,
+): Record<ConfigKey, DeclaredObject> {
+  const lastGood: Record<ConfigKey, DeclaredObject> = {};
+  for (const [key, object] of Object.entries(objects) as [ConfigKey, DeclaredObject][]) {
     if (!object.declaration) continue;
     const good = namesKnownService(object, objects) ? object : before[key];
     if (good) lastGood[key] = good;
@@ -141,7 +141,7 @@
 /** Whether the service that a class names is declared; true for other kinds. */
 export function namesKnownService(
   object: DeclaredObject,
-  objects: Record<ObjectKey, DeclaredObject>,
+  objects: Record<ConfigKey, DeclaredObject>,
 ): boolean {
   if (object.declaration?.kind !== 'WorkClass') return true;
   return objects[`Service.${object.declaration.service}`]?.declaration !== undefined;
--- a/packages/kernel/src/runtime/eventCatalogue.ts
+++ b/packages/kernel/src/runtime/eventCatalogue.ts
@@ -34,6 +34,18 @@
     text: 'the settings file was refused',
     action: 'Mend the place that the message names.',
   },
+  'backend-crashed': {
+    number: 500,
+    level: 'warn',
+    text: 'a backend server broke off the requests that it ran',
+    action: 'Look at that server; the requests are run elsewhere, alone at first.',
+  },
+  'request-quarantined': {
+    number: 501,
+    level: 'error',
+    text: 'a request crashed the servers that ran it and is refused from now on',
+    action: 'Find the caller by the fingerprint and have the request changed.',
+  },
 } as const satisfies Record<string, EventDefinition>;
 
 export type EventName = keyof typeof eventCatalogue;
--- /dev/null
+++ b/packages/router/src/types/backendPorts.ts
@@ -0,0 +1,17 @@
+/** Seams between placement and the outside. */
+
+import type { InstanceRecord, QuarantineState, ServiceName } from '@flamingocourse/core';
+
+/** The platform's lagging instance list. */
+export interface InstanceSource {
+  /** Gives undefined when the list cannot be read; the last known one then stays in force. */
+  list(instanceList: ServiceName): Promise<InstanceRecord[] | undefined>;
+}
+
+/** Hints about requests that crash their servers, to and from peers. */
+export interface QuarantineExchange {
+  /** Sends news to the peers of the data centre; a lost hint only delays them. */
+  publish(state: QuarantineState): void;
+  /** Calls back with what peers have sent. */
+  onHint(listener: (state: QuarantineState) => void): void;
+}
--- a/packages/router/src/utils/settingsSchema.ts
+++ b/packages/router/src/utils/settingsSchema.ts
@@ -103,6 +103,10 @@
       .string()
       .regex(/^[a-z0-9-]{1,63}$/)
       .describe('the name of the data centre: small letters, digits and hyphens'),
+    fleetSecret: z
+      .string()
+      .min(16)
+      .describe('a secret of 16 or more characters that all routers of the deployment share'),
     entry: entrySchema.prefault({}).describe('an object: listener for callers'),
     mesh: meshSchema.prefault({}).describe('an object: listener for peers'),
     platform: platformSchema.describe('an object with the url of the platform'),
--- a/test/cli/resolveConfig.test.ts
+++ b/test/cli/resolveConfig.test.ts
@@ -10,7 +10,7 @@
 const least = `{
   "instance": "router-1",
   "dataCentre": "dc-a",
-  "platform": { "url": "http://127.0.0.1:9000" },
+  "fleetSecret": "0123456789abcdef", "platform": { "url": "http://127.0.0.1:9000" },
 `;
 
 test('defaults fill in what the file leaves out', () => {
@@ -29,7 +29,7 @@
 const faults: [string, string, RegExp][] = [
   [
     'a missing key',
-    '{ "instance": "r", "dataCentre": "d" }',
+    '{ "instance": "r", "dataCentre": "d", "fleetSecret": "0123456789abcdef" }',
     /^r\.jsonc:1:1: platform: this key is missing/,
   ],
   ['a misspelt key', `${least} "mehs": {} }`, /^r\.jsonc:5:2: mehs: .* Did you mean "mesh"\?/],
