--- /dev/null
+++ b/packages/mesh/src/node/meshClient.ts
@@ -0,0 +1,178 @@
+/** Calls to the procedures of peers. */
+
+import type { IncarnationId } from '@flamingocourse/core';
+import type { TRPCUntypedClient } from '@trpc/client';
+import type { MeshRouter } from '../runtime/meshRouter.js';
+import type { ProcedureInput, ProcedureName, ProcedureOutput } from '../types/procedures.js';
+import { Agent } from 'node:http';
+import { createTRPCUntypedClient, httpLink, TRPCClientError } from '@trpc/client';
+import { Result } from 'true-myth';
+import { MeshError } from '../utils/meshError.js';
+import { incarnationHeader, secretHeader } from './meshHeaders.js';
+import { createNodeFetch, TransportError } from './nodeFetch.js';
+
+const defaultTimeoutMs = 1_000;
+const defaultMaxPerPeer = 64;
+const socketsPerPeer = 8;
+const maxAnswerBytes = 16 * 1024 * 1024;
+/** Clients kept by address; far above the peers that one router talks to. */
+const maxClients = 512;
+
+/** Options of the client. */
+export interface MeshClientOptions {
+  secret?: string | undefined;
+  /** Milliseconds for a whole call. @default 1000 */
+  timeoutMs?: number;
+  /** Calls under way to one peer; more are refused without being sent. @default 64 */
+  maxPerPeer?: number;
+}
+
+/** Where a call goes. */
+export interface MeshTarget {
+  /** `http://host:port` of the peer's mesh listener. */
+  meshUrl: string;
+  /** Life of the peer that the call is meant for; only heartbeats may leave it out. */
+  incarnation?: IncarnationId;
+}
+
+/** Options of one call. */
+export interface MeshCallOptions {
+  signal?: AbortSignal;
+  timeoutMs?: number;
+}
+
+interface PeerClient {
+  client: TRPCUntypedClient<MeshRouter>;
+  running: number;
+}
+
+/**
+ * Client side of the mesh.
+ *
+ * @example
+ * const mesh = new MeshClient({ timeoutMs: 500 });
+ * const kept = await mesh.call(peer.info, 'keepLines', { lines });
+ * if (kept.isErr && kept.error.code === 'refused') chooseAnotherWitness();
+ */
+export class MeshClient {
+  readonly #options: MeshClientOptions;
+  readonly #agent = new Agent({ keepAlive: true, maxSockets: socketsPerPeer });
+  readonly #clients = new Map<string, PeerClient>();
+
+  constructor(options: MeshClientOptions = {}) {
+    this.#options = options;
+  }
+
+  /** Calls a procedure of a peer. For errors see {@link MeshErrorCode}. */
+  async call<P extends ProcedureName>(
+    target: MeshTarget,
+    procedure: P,
+    input: ProcedureInput<P>,
+    options: MeshCallOptions = {},
+  ): Promise<Result<ProcedureOutput<P>, MeshError>> {
+    const peer = this.#peerClient(target.meshUrl);
+    if (peer.running >= (this.#options.maxPerPeer ?? defaultMaxPerPeer)) {
+      return Result.err(new MeshError('refused', `too many calls to ${target.meshUrl}; not sent`));
+    }
+    const timeoutMs = options.timeoutMs ?? this.#options.timeoutMs ?? defaultTimeoutMs;
+    const limit = startTimeLimit(timeoutMs, options.signal);
+    peer.running += 1;
+    try {
+      const output: unknown = await peer.client.mutation(procedure, input, {
+        context: { to: target.incarnation },
+        signal: limit.signal,
+      });
+      return Result.ok(output as ProcedureOutput<P>);
+    } catch (err) {
+      if (!limit.expired()) return Result.err(toMeshError(err, procedure));
+      const message = `${procedure}: no answer within ${String(timeoutMs)} ms`;
+      return Result.err(new MeshError('timeout', message, { cause: err }));
+    } finally {
+      peer.running -= 1;
+      limit.end();
+    }
+  }
+
+  /** Ends all connections. */
+  close(): void {
+    this.#agent.destroy();
+    this.#clients.clear();
+  }
+
+  #peerClient(meshUrl: string): PeerClient {
+    const known = this.#clients.get(meshUrl);
+    if (known) return known;
+    if (this.#clients.size >= maxClients) this.#dropIdleClients();
+    const created = { client: this.#createClient(meshUrl), running: 0 };
+    this.#clients.set(meshUrl, created);
+    return created;
+  }
+
+  #createClient(meshUrl: string): TRPCUntypedClient<MeshRouter> {
+    const { secret } = this.#options;
+    const link = httpLink<MeshRouter>({
+      url: meshUrl,
+      fetch: createNodeFetch({ agent: this.#agent, maxAnswerBytes }),
+      headers: ({ op }) => {
+        const { to } = op.context as { to?: string };
+        return {
+          ...(secret === undefined ? {} : { [secretHeader]: secret }),
+          ...(to === undefined ? {} : { [incarnationHeader]: encodeURIComponent(to) }),
+        };
+      },
+    });
+    return createTRPCUntypedClient<MeshRouter>({ links: [link] });
+  }
+
+  #dropIdleClients(): void {
+    for (const [url, { running }] of this.#clients) if (running === 0) this.#clients.delete(url);
+  }
+}
+
+interface TimeLimit {
+  signal: AbortSignal;
+  expired: () => boolean;
+  end: () => void;
+}
+
+/** One timer over the whole call, joined with the caller's own signal. */
+function startTimeLimit(timeoutMs: number, callerSignal: AbortSignal | undefined): TimeLimit {
+  const timeLimit = new AbortController();
+  const timer = setTimeout(() => {
+    timeLimit.abort();
+  }, timeoutMs);
+  const signals = callerSignal ? [timeLimit.signal, callerSignal] : [timeLimit.signal];
+  return {
+    signal: AbortSignal.any(signals),
+    expired: () => timeLimit.signal.aborted,
+    end: () => {
+      clearTimeout(timer);
+    },
+  };
+}
+
+const refusedCodes = ['UNAUTHORIZED', 'PRECONDITION_FAILED'];
+const invalidCodes = ['BAD_REQUEST', 'PAYLOAD_TOO_LARGE', 'NOT_FOUND', 'PARSE_ERROR'];
+
+function toMeshError(err: unknown, procedure: ProcedureName): MeshError {
+  const cause = err instanceof TRPCClientError ? err.cause : err;
+  if (cause instanceof TransportError) return transportToMeshError(cause, procedure);
+  const code = err instanceof TRPCClientError ? readCode(err as { data?: unknown }) : '';
+  const message = `${procedure}: ${err instanceof Error ? err.message : String(err)}`;
+  if (refusedCodes.includes(code)) return new MeshError('refused', message, { cause: err });
+  if (invalidCodes.includes(code)) return new MeshError('invalid', message, { cause: err });
+  // a handler that threw may have done part of its work: nothing is known about the effect.
+  return new MeshError('unreachable', message, { cause: err });
+}
+
+function transportToMeshError(cause: TransportError, procedure: ProcedureName): MeshError {
+  const code = cause.reason === 'refused' ? 'refused' : 'unreachable';
+  return new MeshError(code, `${procedure}: ${cause.message}`, { cause });
+}
+
+/** Code of the error that the peer's tRPC server sent; empty when the answer was something else. */
+function readCode(err: { data?: unknown }): string {
+  const { data } = err;
+  if (typeof data !== 'object' || data === null || !('code' in data)) return '';
+  return String(data.code);
+}
--- /dev/null
+++ b/packages/mesh/src/runtime/schemas.ts
@@ -0,0 +1,87 @@
+/** Schemas of the inputs that peers send. All lists and texts are bounded. */
+
+import type { Bill, JournalChange, JournalLine, MemberInfo, Outcome } from '@flamingocourse/core';
+import type { ZodType } from 'zod';
+import type { ProcedureInput, ProcedureName } from '../types/procedures.js';
+import { z } from 'zod';
+
+const maxIdLength = 300;
+const maxLines = 5_000;
+const maxBeats = 64;
+const maxHints = 32;
+const maxHintLength = 65_536;
+/** Base64 of a kept answer; the body limit of the whole call is tighter still. */
+const maxKeptAnswerLength = 2 * 1024 * 1024;
+
+const id = z.string().min(1).max(maxIdLength);
+const count = z.number().int().min(0);
+const tokens = z.number().int();
+
+export const memberInfoSchema: ZodType<MemberInfo> = z.object({
+  incarnation: id,
+  dataCentre: id,
+  instance: id,
+  meshUrl: z.url().max(maxIdLength),
+  entryUrl: z.url().max(maxIdLength),
+  state: z.enum(['starting', 'serving', 'leaving']),
+  beat: count,
+  revision: count,
+});
+
+const billSchema: ZodType<Bill> = z.object({
+  holder: id,
+  ticket: count,
+  account: id,
+  workClass: id,
+  service: id,
+  cost: tokens,
+  promptTokens: tokens,
+  completionTokens: tokens,
+  keyDigest: id.exactOptional(),
+  at: z.number(),
+});
+
+const outcomeSchema: ZodType<Outcome> = z.object({
+  holder: id,
+  ticket: count,
+  status: count,
+  contentType: z.string().max(maxIdLength),
+  body: z.string().max(maxKeptAnswerLength).exactOptional(),
+  at: z.number(),
+});
+
+const changeSchema: ZodType<JournalChange> = z.discriminatedUnion('type', [
+  z.object({ type: z.literal('take'), account: id, amount: tokens }),
+  z.object({ type: z.literal('give'), account: id, amount: tokens }),
+  z.object({ type: z.literal('transfer'), to: id, account: id, amount: tokens }),
+  z.object({ type: z.literal('intent'), ticket: count }),
+  z.object({ type: z.literal('bill'), bill: billSchema }),
+  z.object({ type: z.literal('outcome'), outcome: outcomeSchema }),
+  z.object({ type: z.literal('not-run'), ticket: count }),
+  z.object({ type: z.literal('witnesses'), witnesses: z.array(id).max(maxBeats) }),
+  z.object({ type: z.literal('close') }),
+]);
+
+export const journalLineSchema: ZodType<JournalLine> = z.object({
+  holder: id,
+  seq: count,
+  change: changeSchema,
+});
+
+const linesSchema = z.object({ lines: z.array(journalLineSchema).max(maxLines) });
+
+/** Input schema of each procedure. */
+export const inputSchemas: { [P in ProcedureName]: ZodType<ProcedureInput<P>> } = {
+  heartbeat: z.object({
+    from: memberInfoSchema,
+    beats: z.array(z.object({ incarnation: id, beat: count })).max(maxBeats),
+  }),
+  appendLines: linesSchema,
+  keepLines: linesSchema,
+  fenceHolder: z.object({ holder: id }),
+  recall: z.object({ account: id, amount: tokens.min(0) }),
+  pullConfiguration: z.object({ since: count }),
+  shareHints: z.object({
+    hints: z.array(z.object({ topic: id, body: z.string().max(maxHintLength) })).max(maxHints),
+  }),
+};
