--- /dev/null
+++ b/packages/router/src/node/meshAdapters.ts
@@ -0,0 +1,158 @@
+/** Carries the questions of the budget services and the quarantine's hints over the mesh. */
+
+import type {
+  AccountId,
+  IncarnationId,
+  JournalLine,
+  QuarantineState,
+  Tokens,
+} from '@flamingocourse/core';
+import type {
+  MeshClient,
+  MeshError,
+  MeshServer,
+  ProcedureInput,
+  ProcedureName,
+  ProcedureOutput,
+} from '@flamingocourse/mesh';
+import type { QuarantineExchange } from '../types/backendPorts.js';
+import type { AppendAnswer, MoneyPeerHandler, MoneyPeers, PeerFault } from '../types/moneyPorts.js';
+import type { Fleet } from '../types/fleet.js';
+import { Result } from 'true-myth';
+import { z } from 'zod';
+
+const QUARANTINE_TOPIC = 'quarantine';
+
+/** Finds a peer by incarnation and calls it. */
+export class MeshMoneyPeers implements MoneyPeers {
+  readonly #client: MeshClient;
+  readonly #fleet: () => Fleet;
+
+  /** @param fleet looked up late, because the fleet starts after this object is made. */
+  constructor(client: MeshClient, fleet: () => Fleet) {
+    this.#client = client;
+    this.#fleet = fleet;
+  }
+
+  appendLines(peer: IncarnationId, lines: JournalLine[]): Promise<Result<AppendAnswer, PeerFault>> {
+    return this.#call(peer, 'appendLines', { lines });
+  }
+
+  keepLines(witness: IncarnationId, lines: JournalLine[]): Promise<Result<'kept', PeerFault>> {
+    return this.#call(witness, 'keepLines', { lines });
+  }
+
+  async fenceHolder(
+    witness: IncarnationId,
+    holder: IncarnationId,
+  ): Promise<Result<JournalLine[], PeerFault>> {
+    const fenced = await this.#call(witness, 'fenceHolder', { holder });
+    return fenced.map(({ lines }) => lines);
+  }
+
+  async recall(
+    peer: IncarnationId,
+    account: AccountId,
+    amount: Tokens,
+  ): Promise<Result<Tokens, PeerFault>> {
+    const given = await this.#call(peer, 'recall', { account, amount });
+    return given.map((answer) => answer.amount);
+  }
+
+  async #call<P extends ProcedureName>(
+    incarnation: IncarnationId,
+    procedure: P,
+    input: ProcedureInput<P>,
+  ): Promise<Result<ProcedureOutput<P>, PeerFault>> {
+    const peer = this.#fleet().find(incarnation);
+    if (!peer) return Result.err('unreachable');
+    const { meshUrl } = peer.info;
+    const answer = await this.#client.call({ meshUrl, incarnation }, procedure, input);
+    return answer.mapErr(toPeerFault);
+  }
+}
+
+/** Serves the budget services' procedures to peers. */
+export function serveMoney(mesh: MeshServer, money: MoneyPeerHandler): void {
+  mesh.handle('appendLines', async ({ lines }) => {
+    const appended = await money.handleAppendLines(lines);
+    return appended.mapErr(describeFault);
+  });
+  mesh.handle('keepLines', ({ lines }) => money.handleKeepLines(lines).mapErr(describeFault));
+  mesh.handle('fenceHolder', ({ holder }) =>
+    money
+      .handleFenceHolder(holder)
+      .map((lines) => ({ lines }))
+      .mapErr(describeFault),
+  );
+  mesh.handle('recall', async ({ account, amount }) => {
+    const given = await money.handleRecall(account, amount);
+    return given.map((tokens) => ({ amount: tokens })).mapErr(describeFault);
+  });
+}
+
+/** Sends the quarantine's news to the peers of the own data centre. */
+export class MeshQuarantineExchange implements QuarantineExchange {
+  readonly #client: MeshClient;
+  readonly #fleet: () => Fleet;
+  readonly #listeners: ((state: QuarantineState) => void)[] = [];
+
+  constructor(client: MeshClient, fleet: () => Fleet) {
+    this.#client = client;
+    this.#fleet = fleet;
+  }
+
+  publish(state: QuarantineState): void {
+    const hints = [{ topic: QUARANTINE_TOPIC, body: JSON.stringify(state) }];
+    for (const { info } of this.#fleet().localPeers()) {
+      const { meshUrl, incarnation } = info;
+      // a lost hint is made good by the next one, which carries the whole state.
+      void this.#client.call({ meshUrl, incarnation }, 'shareHints', { hints });
+    }
+  }
+
+  onHint(listener: (state: QuarantineState) => void): void {
+    this.#listeners.push(listener);
+  }
+
+  /** Takes hints from peers; those of other topics or of a wrong shape are passed over. */
+  serve(mesh: MeshServer): void {
+    mesh.handle('shareHints', ({ hints }) => {
+      for (const { topic, body } of hints) {
+        const state = topic === QUARANTINE_TOPIC ? parseQuarantine(body) : undefined;
+        if (state) for (const listener of this.#listeners) listener(state);
+      }
+      return Result.ok('taken');
+    });
+  }
+}
+
+const quarantineSchema = z.object({
+  entries: z.record(
+    z.string(),
+    z.object({
+      crashes: z.array(z.object({ server: z.string(), at: z.number() })),
+      clearedAt: z.number().optional(),
+      quarantinedAt: z.number().optional(),
+      releasedAt: z.number().optional(),
+    }),
+  ),
+});
+
+function parseQuarantine(body: string): QuarantineState | undefined {
+  try {
+    const { entries } = quarantineSchema.parse(JSON.parse(body));
+    // zod types an absent key as `undefined`; JSON has no such value, so the shapes agree.
+    return { entries: entries as QuarantineState['entries'] };
+  } catch {
+    return undefined;
+  }
+}
+
+function toPeerFault(err: MeshError): PeerFault {
+  return err.code === 'refused' ? 'refused' : 'unreachable';
+}
+
+function describeFault(fault: PeerFault): string {
+  return `the budget service answered "${fault}"`;
+}
