feat(router): fleet membership and configuration services

Cause: routers need to know which peers live, who owns a duty of the data centre, and the newest configuration, without each of them watching the platform. Ruled out: every router watching (calls would grow with the fleet); judging a peer by any message (a delayed heartbeat revives a dead router); trusting a list alone (it shows no deletions, and after a restart it may be stale); judging by the clock after a pause (a router that wakes would seal all).

--- a/packages/kernel/src/runtime/eventCatalogue.ts
+++ b/packages/kernel/src/runtime/eventCatalogue.ts
@@ -34,6 +34,33 @@
     text: 'the settings file was refused',
     action: 'Mend the place that the message names.',
   },
+  'peer-health-changed': {
+    number: 300,
+    level: 'info',
+    text: 'the judgement of a peer router changed',
+  },
+  'incarnation-renewed': {
+    number: 301,
+    level: 'warn',
+    text: 'this router was sealed by its peers and goes on under a new incarnation',
+    action: 'Look for pauses of the process or a partition just before; no action is needed.',
+  },
+  'configuration-applied': {
+    number: 600,
+    level: 'info',
+    text: 'a newer configuration is in force',
+  },
+  'declaration-unreadable': {
+    number: 601,
+    level: 'warn',
+    text: 'a declared object cannot be read; its last good version stays in force',
+    action: 'Apply the object again with the operators command.',
+  },
+  'configuration-relay': {
+    number: 602,
+    level: 'debug',
+    text: 'this router began or ended to relay configuration to its data centre',
+  },
 } as const satisfies Record<string, EventDefinition>;
 
 export type EventName = keyof typeof eventCatalogue;
--- a/packages/lab/src/node/link/link.ts
+++ b/packages/lab/src/node/link/link.ts
@@ -6,10 +6,16 @@
 /** How a cut shows to both ends. */
 export type CutMode = 'none' | 'silent' | 'reset';
 
+/** Where a link leads. */
+export interface LinkTarget {
+  host: string;
+  port: number;
+}
+
 /** Options of a link. */
 export interface LinkOptions {
-  /** Address that the link leads to. */
-  target: { host: string; port: number };
+  /** Address that the link leads to; a function when it is not known yet. */
+  target: LinkTarget | (() => LinkTarget);
   /** Port to listen on; 0 takes a free one. @default 0 */
   port?: number;
   /** @default '127.0.0.1' */
@@ -23,8 +29,12 @@
   /** `http://host:port` of the near end. */
   url: string;
   port: number;
-  /** `silent` drops all bytes; `reset` breaks connections and refuses new ones. */
-  setCut(mode: CutMode): void;
+  /**
+   * `silent` drops all bytes; `reset` breaks connections and refuses new ones. With `from`, only for
+   * connections from that IP address, so that a link in front of one instance can be cut for one
+   * data centre, where each data centre has a loopback address of its own.
+   */
+  setCut(mode: CutMode, from?: string): void;
   setLatency(latencyMs: number): void;
   close(): Promise<void>;
 }
@@ -32,10 +42,15 @@
 /** Most bytes under way in one direction of a connection before the sender is paused. */
 const maxBytesUnderWay = 4 * 1024 * 1024;
 
+/** Cut of all sources that have none of their own. */
+const anySource = 'any';
+
 interface LinkState {
-  cut: CutMode;
+  /** By source address. */
+  cuts: Map<string, CutMode>;
   latencyMs: number;
-  sockets: Set<Socket>;
+  /** Open sockets with the source address of their connection. */
+  sockets: Map<Socket, string>;
 }
 
 /**
@@ -47,26 +62,27 @@
  */
 export async function createLink(options: LinkOptions): Promise<Link> {
   const host = options.host ?? '127.0.0.1';
-  const state: LinkState = { cut: 'none', latencyMs: options.latencyMs ?? 0, sockets: new Set() };
+  const state: LinkState = {
+    cuts: new Map(),
+    latencyMs: options.latencyMs ?? 0,
+    sockets: new Map(),
+  };
   const server = createServer((near) => {
-    accept(near, options.target, state);
+    const { target } = options;
+    accept(near, typeof target === 'function' ? target() : target, state);
   });
   const port = await listen(server, host, options.port ?? 0);
   return {
     url: `http://${host}:${String(port)}`,
     port,
-    setCut: (mode) => {
-      // connections that lost bytes in a silent cut are of no more use when it ends: a real one
-      // would have dropped them after its retransmissions, so they are broken here.
-      const lostBytes = state.cut === 'silent' && mode !== 'silent';
-      state.cut = mode;
-      if (mode === 'reset' || lostBytes) breakAll(state);
+    setCut: (mode, from = anySource) => {
+      setCut(state, mode, from);
     },
     setLatency: (latencyMs) => {
       state.latencyMs = latencyMs;
     },
     close: () => {
-      breakAll(state);
+      breakWhere(state, () => true);
       return new Promise((resolve) => {
         server.close(() => {
           resolve();
@@ -76,34 +92,54 @@
   };
 }
 
-function accept(near: Socket, target: LinkOptions['target'], state: LinkState): void {
-  track(near, state);
-  if (state.cut === 'reset') {
+function setCut(state: LinkState, mode: CutMode, from: string): void {
+  const before = new Map(
+    [...state.sockets].map(([socket, source]) => [socket, cutOf(state, source)]),
+  );
+  state.cuts.set(from, mode);
+  // connections that lost bytes in a silent cut are of no more use when it ends: a real one would
+  // have dropped them after its retransmissions, so they are broken here.
+  breakWhere(state, (socket, source) => {
+    const now = cutOf(state, source);
+    return now === 'reset' || (before.get(socket) === 'silent' && now === 'none');
+  });
+}
+
+function cutOf(state: LinkState, source: string): CutMode {
+  return state.cuts.get(source) ?? state.cuts.get(anySource) ?? 'none';
+}
+
+function accept(near: Socket, target: LinkTarget, state: LinkState): void {
+  const source = near.remoteAddress ?? '';
+  track(near, source, state);
+  const cut = cutOf(state, source);
+  if (cut === 'reset') {
     near.resetAndDestroy();
     return;
   }
   // during a silent cut the connection is taken and leads nowhere.
-  if (state.cut === 'silent') return;
+  if (cut === 'silent') return;
   const far = connect(target.port, target.host);
-  track(far, state);
-  relay(near, far, state);
-  relay(far, near, state);
+  track(far, source, state);
+  const isOpen = (): boolean => cutOf(state, source) === 'none';
+  relay(near, far, state, isOpen);
+  relay(far, near, state, isOpen);
 }
 
-function track(socket: Socket, state: LinkState): void {
+function track(socket: Socket, source: string, state: LinkState): void {
   socket.setNoDelay(true);
-  state.sockets.add(socket);
+  state.sockets.set(socket, source);
   socket.on('close', () => state.sockets.delete(socket));
   socket.on('error', () => {
     socket.destroy();
   });
 }
 
-function relay(from: Socket, to: Socket, state: LinkState): void {
+function relay(from: Socket, to: Socket, state: LinkState, isOpen: () => boolean): void {
   const inOrder = createDelayLine(state);
   let underWay = 0;
   from.on('data', (bytes: Buffer) => {
-    if (state.cut !== 'none') return;
+    if (!isOpen()) return;
     underWay += bytes.length;
     if (underWay > maxBytesUnderWay) from.pause();
     inOrder(() => {
@@ -115,10 +151,10 @@
     });
   });
   from.on('end', () => {
-    if (state.cut === 'none') inOrder(() => to.end());
+    if (isOpen()) inOrder(() => to.end());
   });
   from.on('close', () => {
-    if (state.cut === 'none') inOrder(() => to.destroy());
+    if (isOpen()) inOrder(() => to.destroy());
   });
 }
 
@@ -135,9 +171,13 @@
   };
 }
 
-function breakAll(state: LinkState): void {
-  for (const socket of state.sockets) socket.resetAndDestroy();
-  state.sockets.clear();
+function breakWhere(
+  state: LinkState,
+  condition: (socket: Socket, source: string) => boolean,
+): void {
+  for (const [socket, source] of state.sockets) {
+    if (condition(socket, source)) socket.resetAndDestroy();
+  }
 }
 
 function listen(server: Server, host: string, port: number): Promise<number> {
--- a/packages/mesh/src/node/meshClient.ts
+++ b/packages/mesh/src/node/meshClient.ts
@@ -25,6 +25,8 @@
   timeoutMs?: number;
   /** Calls under way to one peer; more are refused without being sent. @default 64 */
   maxPerPeer?: number;
+  /** IP address that connections come from. @default chosen by the system */
+  localAddress?: string;
 }
 
 /** Where a call goes. */
@@ -56,11 +58,17 @@
  */
 export class MeshClient {
   readonly #options: MeshClientOptions;
-  readonly #agent = new Agent({ keepAlive: true, maxSockets: socketsPerPeer });
+  readonly #agent: Agent;
   readonly #clients = new Map<string, PeerClient>();
+  #closed = false;
 
   constructor(options: MeshClientOptions = {}) {
     this.#options = options;
+    this.#agent = new Agent({
+      keepAlive: true,
+      maxSockets: socketsPerPeer,
+      localAddress: options.localAddress,
+    });
   }
 
   /** Calls a procedure of a peer. For errors see {@link MeshErrorCode}. */
@@ -70,6 +78,8 @@
     input: ProcedureInput<P>,
     options: MeshCallOptions = {},
   ): Promise<Result<ProcedureOutput<P>, MeshError>> {
+    if (this.#closed)
+      return Result.err(new MeshError('refused', 'this client is closed; not sent'));
     const peer = this.#peerClient(target.meshUrl);
     if (peer.running >= (this.#options.maxPerPeer ?? defaultMaxPerPeer)) {
       return Result.err(new MeshError('refused', `too many calls to ${target.meshUrl}; not sent`));
@@ -93,8 +103,9 @@
     }
   }
 
-  /** Ends all connections. */
+  /** Ends all connections; later calls are refused without being sent. */
   close(): void {
+    this.#closed = true;
     this.#agent.destroy();
     this.#clients.clear();
   }
--- a/packages/mesh/src/runtime/schemas.ts
+++ b/packages/mesh/src/runtime/schemas.ts
@@ -2,12 +2,13 @@
 
 import type { Bill, JournalChange, JournalLine, MemberInfo, Outcome } from '@flamingocourse/core';
 import type { ZodType } from 'zod';
-import type { ProcedureInput, ProcedureName } from '../types/procedures.js';
+import type { HeartbeatMessage, ProcedureInput, ProcedureName } from '../types/procedures.js';
 import { z } from 'zod';
 
 const maxIdLength = 300;
 const maxLines = 5_000;
-const maxBeats = 64;
+/** Members named in one heartbeat or witness line. */
+const maxMembers = 64;
 const maxHints = 32;
 const maxHintLength = 65_536;
 /** Base64 of a kept answer; the body limit of the whole call is tighter still. */
@@ -58,7 +59,7 @@
   z.object({ type: z.literal('bill'), bill: billSchema }),
   z.object({ type: z.literal('outcome'), outcome: outcomeSchema }),
   z.object({ type: z.literal('not-run'), ticket: count }),
-  z.object({ type: z.literal('witnesses'), witnesses: z.array(id).max(maxBeats) }),
+  z.object({ type: z.literal('witnesses'), witnesses: z.array(id).max(maxMembers) }),
   z.object({ type: z.literal('close') }),
 ]);
 
@@ -70,12 +71,17 @@
 
 const linesSchema = z.object({ lines: z.array(journalLineSchema).max(maxLines) });
 
+const heartbeatSchema: ZodType<HeartbeatMessage> = z.object({
+  info: memberInfoSchema,
+  digest: z
+    .array(z.object({ incarnation: id, beat: count, ageMs: z.number().min(0) }))
+    .max(maxMembers),
+  members: z.array(memberInfoSchema).max(maxMembers),
+});
+
 /** Input schema of each procedure. */
 export const inputSchemas: { [P in ProcedureName]: ZodType<ProcedureInput<P>> } = {
-  heartbeat: z.object({
-    from: memberInfoSchema,
-    beats: z.array(z.object({ incarnation: id, beat: count })).max(maxBeats),
-  }),
+  heartbeat: heartbeatSchema,
   appendLines: linesSchema,
   keepLines: linesSchema,
   fenceHolder: z.object({ holder: id }),
--- a/packages/mesh/src/types/procedures.ts
+++ b/packages/mesh/src/types/procedures.ts
@@ -11,10 +11,21 @@
 } from '@flamingocourse/core';
 import type { Result } from 'true-myth';
 
-/** What a router last heard of a member; a higher beat is newer. */
+/** Second-hand evidence that a member lives; a higher beat is newer. */
 export interface MemberBeat {
   incarnation: IncarnationId;
   beat: number;
+  /** Milliseconds since the sender had evidence. */
+  ageMs: number;
+}
+
+/** What one router tells another at each beat, and gets as the answer. */
+export interface HeartbeatMessage {
+  info: MemberInfo;
+  /** Some members that the sender takes as alive. */
+  digest: MemberBeat[];
+  /** Members that the receiver may not know. */
+  members: MemberInfo[];
 }
 
 /** Information that only reduces refusals or shortens recovery; losing it harms no promise. */
@@ -25,14 +36,20 @@
   body: string;
 }
 
+/** What one source of the configuration tells. */
+export interface ConfigurationUpdate {
+  /** All changes up to this revision are covered. */
+  asOf: number;
+  /** Changed objects, deletions included; or, when `complete`, all objects that exist. */
+  objects: DeclaredObject[];
+  /** Whether an object that is missing here does not exist as of `asOf`. */
+  complete: boolean;
+}
+
 /** Input and output of each procedure. */
 export interface MeshProcedures {
-  /** Sign of life, with the beats of some members that the sender knows. */
-  heartbeat: {
-    input: { from: MemberInfo; beats: MemberBeat[] };
-    /** `news`: members that the receiver knows better than the beats that it was sent. */
-    output: { self: MemberInfo; news: MemberInfo[] };
-  };
+  /** Sign of life. */
+  heartbeat: { input: HeartbeatMessage; output: HeartbeatMessage };
   /** Asks the committer of the data centre to put lines into the journal. */
   appendLines: {
     input: { lines: JournalLine[] };
@@ -44,12 +61,8 @@
   fenceHolder: { input: { holder: IncarnationId }; output: { lines: JournalLine[] } };
   /** Asks a peer to give idle tokens of an account back. */
   recall: { input: { account: AccountId; amount: Tokens }; output: { amount: Tokens } };
-  /** Asks for declared objects with a revision above `since`, lowest first. */
-  pullConfiguration: {
-    input: { since: number };
-    /** `more`: the answer was cut at the limit; ask again from the last revision. */
-    output: { objects: DeclaredObject[]; more: boolean };
-  };
+  /** Asks for what changed in the configuration after the revision `since`. */
+  pullConfiguration: { input: { since: number }; output: ConfigurationUpdate };
   shareHints: { input: { hints: Hint[] }; output: 'taken' };
 }
 
--- /dev/null
+++ b/packages/router/src/node/fleet/configurationService.ts
@@ -0,0 +1,287 @@
+/**
+ * Configuration in force at this router. One router of each data centre, the relay, watches the
+ * platform; the others ask a peer as soon as its heartbeat shows a higher revision.
+ */
+
+import type {
+  ClientAccountDeclaration,
+  Declaration,
+  DeclaredObject,
+  DeploymentDeclaration,
+  ServiceDeclaration,
+  WorkClassDeclaration,
+} from '@flamingocourse/core';
+import type { Kernel, Steps } from '@flamingocourse/kernel';
+import type { ConfigurationUpdate, MeshClient } from '@flamingocourse/mesh';
+import type {
+  Collection,
+  ObjectList,
+  ObjectStore,
+  Subscription,
+  VersionedObject,
+  WatchEvent,
+} from '@flamingocourse/platform';
+import type { ZodType } from 'zod';
+import type { Peer } from '../../types/fleet.js';
+import type { RouterContext } from '../../types/routerContext.js';
+import type { ConfigurationView } from './configurationView.js';
+import { Channel, startProcess, takeWithin } from '@flamingocourse/kernel';
+import { MeshServer } from '@flamingocourse/mesh';
+import { Result } from 'true-myth';
+import { Configuration } from '../../types/configuration.js';
+import { Fleet } from '../../types/fleet.js';
+import { createConfigurationView } from './configurationView.js';
+import { createDeclarationStore, mergeUpdate, updateSince } from './declarationStore.js';
+
+/** Time between two looks at the peers' revisions; a look is local and costs no message. */
+const lookMs = 150;
+const pullTimeoutMs = 1_000;
+/** Time between two tries to read the platform while nothing at all is in force. */
+const emptyRetryMs = 1_000;
+
+/** What the configuration service is created with. */
+export interface ConfigurationServiceOptions {
+  context: RouterContext;
+  mesh: MeshClient;
+  store: ObjectStore;
+  /** Checks each declaration read from the platform. */
+  declarationSchema: ZodType<Declaration>;
+}
+
+/**
+ * Service `configuration`.
+ *
+ * @example
+ * kernel.register(new ConfigurationService({ context, mesh, store, declarationSchema }));
+ */
+export class ConfigurationService extends Configuration {
+  override readonly dependsOn = ['mesh', 'fleet'];
+  readonly #context: RouterContext;
+  readonly #mesh: MeshClient;
+  readonly #store: ObjectStore;
+  readonly #collection: Collection<Declaration>;
+  readonly #listeners = new Set<() => void>();
+  readonly #stopped = new Channel<true>(1);
+  #fleet: Fleet | undefined;
+  #known = createDeclarationStore();
+  #view: ConfigurationView = createConfigurationView([]);
+  #relay: Subscription | undefined;
+  #pulling = false;
+  #failedPulls = 0;
+  #listedAt = Number.NEGATIVE_INFINITY;
+  #loop: Promise<void> = Promise.resolve();
+
+  constructor(options: ConfigurationServiceOptions) {
+    super();
+    this.#context = options.context;
+    this.#mesh = options.mesh;
+    this.#store = options.store;
+    this.#collection = { name: 'declarations', schema: options.declarationSchema };
+  }
+
+  override get revision(): number {
+    return this.#known.asOf;
+  }
+
+  override get deployment(): DeploymentDeclaration {
+    return this.#view.deployment;
+  }
+
+  override accountByKeyDigest(digest: string): ClientAccountDeclaration | undefined {
+    return this.#view.accountsByKeyDigest.get(digest);
+  }
+
+  override account(name: string): ClientAccountDeclaration | undefined {
+    return this.#view.accounts.get(name);
+  }
+
+  override accounts(): ClientAccountDeclaration[] {
+    return [...this.#view.accounts.values()];
+  }
+
+  override workClass(name: string): WorkClassDeclaration | undefined {
+    return this.#view.workClasses.get(name);
+  }
+
+  override workClasses(): WorkClassDeclaration[] {
+    return [...this.#view.workClasses.values()];
+  }
+
+  override service(name: string): ServiceDeclaration | undefined {
+    return this.#view.services.get(name);
+  }
+
+  override services(): ServiceDeclaration[] {
+    return [...this.#view.services.values()];
+  }
+
+  override serviceByModel(model: string): ServiceDeclaration | undefined {
+    return this.#view.servicesByModel.get(model);
+  }
+
+  override onChange(listener: () => void): () => void {
+    this.#listeners.add(listener);
+    return () => this.#listeners.delete(listener);
+  }
+
+  /** Reads the platform and the peer that knows most, so that a restart never serves older objects. */
+  override async start(kernel: Kernel): Promise<void> {
+    this.#fleet = kernel.get('fleet', Fleet);
+    const server = kernel.get('mesh', MeshServer);
+    server.handle('pullConfiguration', ({ since }) => Result.ok(updateSince(this.#known, since)));
+    await Promise.all([this.#readPlatform(), this.#pullFromPeers()]);
+    // what the platform told may have hidden that a peer knew more, and the other way round.
+    await this.#pullFromPeers();
+    this.#loop = startProcess(
+      () => this.#run(),
+      (err) => {
+        kernel.reportFailure(err, this.name);
+      },
+    );
+  }
+
+  override async stop(): Promise<void> {
+    this.#stopped.close();
+    this.#endRelay();
+    await this.#loop;
+  }
+
+  *#run(): Steps<void> {
+    while (!this.#stopped.closed) {
+      this.#updateRelay();
+      void this.#pullFromPeers();
+      if (this.revision === 0 && this.#now() - this.#listedAt > emptyRetryMs) {
+        void this.#readPlatform();
+      }
+      yield* takeWithin(this.#stopped, lookMs);
+    }
+  }
+
+  /** Begins or ends the relay's watch, as the members of the data centre come and go. */
+  #updateRelay(): void {
+    const fleet = this.#fleet;
+    if (!fleet) return;
+    const isRelay = fleet.localOwner('config-relay').incarnation === fleet.self.incarnation;
+    if (isRelay === (this.#relay !== undefined)) return;
+    this.#context.log.write('configuration-relay', { relay: isRelay });
+    if (!isRelay) {
+      this.#endRelay();
+      return;
+    }
+    const from = this.revision === 0 ? {} : { from: String(this.revision) };
+    this.#relay = this.#store.watch(this.#collection, {
+      ...from,
+      onEvent: (event) => {
+        this.#takeEvent(event);
+      },
+    });
+  }
+
+  #endRelay(): void {
+    this.#relay?.stop();
+    this.#relay = undefined;
+  }
+
+  #takeEvent(event: WatchEvent<Declaration>): void {
+    switch (event.type) {
+      case 'listed':
+        this.#takeList(event.list);
+        return;
+      case 'changed': {
+        const object = toDeclaredObject(event.object);
+        this.#merge({ asOf: object.revision, objects: [object], complete: false });
+        return;
+      }
+      case 'removed': {
+        const revision = Number(event.version);
+        const objects = [{ ...splitName(event.name), revision }];
+        this.#merge({ asOf: revision, objects, complete: false });
+        return;
+      }
+      case 'invalid':
+        this.#context.log.write('declaration-unreadable', { object: event.name });
+        this.#merge({ asOf: Number(event.version), objects: [], complete: false });
+        return;
+    }
+  }
+
+  async #readPlatform(): Promise<void> {
+    this.#listedAt = this.#now();
+    const list = await this.#store.list(this.#collection);
+    if (list.isOk) this.#takeList(list.value);
+  }
+
+  #takeList(list: ObjectList<Declaration>): void {
+    const objects = list.items.map(toDeclaredObject);
+    for (const name of list.invalid) {
+      this.#context.log.write('declaration-unreadable', { object: name });
+      // an object that cannot be read still exists: its last good version must not be deleted.
+      const lastGood = this.#known.objects.get(name);
+      if (lastGood) objects.push(lastGood);
+    }
+    this.#merge({ asOf: Number(list.version), objects, complete: true });
+  }
+
+  async #pullFromPeers(): Promise<void> {
+    const peer = this.#choosePeer();
+    if (!peer || this.#pulling) return;
+    this.#pulling = true;
+    const since = this.revision;
+    const timeoutMs = pullTimeoutMs;
+    const update = await this.#mesh.call(peer.info, 'pullConfiguration', { since }, { timeoutMs });
+    this.#pulling = false;
+    if (update.isErr) {
+      this.#failedPulls += 1;
+      return;
+    }
+    this.#failedPulls = 0;
+    this.#merge(update.value);
+  }
+
+  /** A peer that knows more, of the own data centre first; another one after each failure. */
+  #choosePeer(): Peer | undefined {
+    const fleet = this.#fleet;
+    if (!fleet) return undefined;
+    const { dataCentre } = fleet.self;
+    const distance = ({ info }: Peer): number => (info.dataCentre === dataCentre ? 0 : 1);
+    const ahead = fleet
+      .peers()
+      .filter(({ info, health }) => health !== 'gone' && info.revision > this.revision)
+      .sort((a, b) => distance(a) - distance(b) || b.info.revision - a.info.revision);
+    return ahead[this.#failedPulls % ahead.length];
+  }
+
+  #merge(update: ConfigurationUpdate): void {
+    const before = this.#known;
+    this.#known = mergeUpdate(before, update);
+    if (this.#known.asOf > before.asOf) this.#fleet?.setRevision(this.revision);
+    if (!hasChanged(before.objects, this.#known.objects)) return;
+    const inForce = [...this.#known.objects.values()];
+    this.#view = createConfigurationView(inForce.flatMap(({ declaration }) => declaration ?? []));
+    this.#context.log.write('configuration-applied', { revision: this.revision });
+    for (const listener of this.#listeners) listener();
+  }
+
+  #now(): number {
+    return this.#context.clock.now();
+  }
+}
+
+function toDeclaredObject({ version, value }: VersionedObject<Declaration>): DeclaredObject {
+  const { kind, name } = value;
+  return { kind, name, revision: Number(version), declaration: value };
+}
+
+/** Splits the platform's name of a declared object, `{kind}.{name}`. */
+function splitName(objectName: string): Pick<DeclaredObject, 'kind' | 'name'> {
+  const dot = objectName.indexOf('.');
+  const kind = objectName.slice(0, dot) as DeclaredObject['kind'];
+  return { kind, name: objectName.slice(dot + 1) };
+}
+
+type Objects = ReadonlyMap<string, DeclaredObject>;
+
+function hasChanged(before: Objects, after: Objects): boolean {
+  if (before.size !== after.size) return true;
+  return [...after].some(([key, { revision }]) => before.get(key)?.revision !== revision);
+}
--- /dev/null
+++ b/test/mesh/configuration.test.ts
@@ -0,0 +1,233 @@
+import type { TestContext } from 'node:test';
+import type { ClientAccountDeclaration, DeclaredObject } from '@flamingocourse/core';
+import type { ConfigurationUpdate } from '@flamingocourse/mesh';
+import type { ObjectStore } from '@flamingocourse/platform';
+import type { DeclarationStore } from '../../packages/router/src/node/fleet/index.js';
+import type { TestRouter } from './fixtures.js';
+import assert from 'node:assert/strict';
+import { test } from 'node:test';
+import { MemoryObjectStore } from '@flamingocourse/platform';
+import {
+  createDeclarationStore,
+  mergeUpdate,
+  updateSince,
+} from '../../packages/router/src/node/fleet/index.js';
+import { declarationSchema, startRouter, until } from './fixtures.js';
+
+const declarations = { name: 'declarations', schema: declarationSchema } as const;
+
+const account = (name: string, openingTokens = 0): ClientAccountDeclaration => ({
+  kind: 'ClientAccount',
+  name,
+  apiKeyDigests: [`key of ${name}`],
+  openingTokens,
+});
+
+async function declare(store: ObjectStore, name: string, tokens = 0): Promise<void> {
+  const object = `ClientAccount.${name}`;
+  const known = await store.get(declarations, object);
+  const value = account(name, tokens);
+  const result = known.isOk
+    ? await store.update(declarations, object, known.value.version, value)
+    : await store.create(declarations, object, value);
+  assert.ok(result.isOk);
+}
+
+async function undeclare(store: ObjectStore, name: string): Promise<void> {
+  const known = await store.get(declarations, `ClientAccount.${name}`);
+  assert.ok(known.isOk);
+  await store.remove(declarations, known.value.name, known.value.version);
+}
+
+const tokensOf = (router: TestRouter, name: string): number | undefined =>
+  router.configuration.account(name)?.openingTokens;
+
+const names = (router: TestRouter): string =>
+  router.configuration
+    .accounts()
+    .map(({ name }) => name)
+    .join();
+
+/** Routers r1, r2... of one data centre, each with its own view of the platform. */
+async function startCentre(
+  t: TestContext,
+  platform: MemoryObjectStore,
+  count: number,
+): Promise<{ routers: TestRouter[]; stores: MemoryObjectStore[] }> {
+  const routers: TestRouter[] = [];
+  const stores: MemoryObjectStore[] = [];
+  for (let n = 1; n <= count; n += 1) {
+    const store = platform.view();
+    const seeds = routers.slice(0, 1).map(({ link }) => link.url);
+    stores.push(store);
+    const options = { instance: `r${String(n)}`, dataCentre: 'dc-a', centre: 1, store, seeds };
+    routers.push(await startRouter(t, options));
+  }
+  const others = count - 1;
+  await until('together', () => routers.every((r) => r.fleet.localPeers().length === others));
+  return { routers, stores };
+}
+
+const isRelay = (router: TestRouter): boolean =>
+  router.fleet.localOwner('config-relay').incarnation === router.fleet.self.incarnation;
+
+test('a change reaches all routers within 3 s, and one of them watches', async (t) => {
+  const platform = new MemoryObjectStore();
+  const { routers, stores } = await startCentre(t, platform, 4);
+  await until('one relay', () => routers.filter(isRelay).length === 1);
+  await declare(platform, 'club', 5);
+  await until('in force', () => routers.every((r) => tokensOf(r, 'club') === 5), 3_000);
+  const byKey = routers.map((r) => r.configuration.accountByKeyDigest('key of club')?.name);
+  assert.deepEqual(new Set(byKey), new Set(['club']));
+  await undeclare(platform, 'club');
+  await until('deleted', () => routers.every((r) => names(r) === ''), 3_000);
+  const lists = stores.map((store) => store.counters.list.sent);
+  assert.deepEqual(lists, [1, 1, 1, 1], 'each router lists once, at its start');
+});
+
+// an operator's change never comes into force in one data centre: the router that watched for it
+// crashed, and none of the others watched.
+test('a change reaches the others after the relay died', async (t) => {
+  const platform = new MemoryObjectStore();
+  const { routers } = await startCentre(t, platform, 3);
+  await until('one relay', () => routers.filter(isRelay).length === 1);
+  const relay = routers.find(isRelay);
+  const others = routers.filter((r) => r !== relay);
+  await relay?.kill();
+  await declare(platform, 'club', 7);
+  await until('in force', () => others.every((r) => tokensOf(r, 'club') === 7), 3_000);
+});
+
+// a club is served by its old settings again: a router restarted, the platform gave it a stale list,
+// and it told its peers. What peers know is newer and must win, in both directions.
+test('a stale list after a restart reverts nothing', async (t) => {
+  const platform = new MemoryObjectStore();
+  await declare(platform, 'club', 1);
+  await declare(platform, 'gone', 1);
+  const stale = new MemoryObjectStore();
+  await declare(stale, 'club', 1);
+  await declare(stale, 'gone', 1);
+  await declare(platform, 'club', 2);
+  await undeclare(platform, 'gone');
+  const { routers } = await startCentre(t, platform, 2);
+  const seeds = routers.slice(0, 1).map(({ link }) => link.url);
+  const restarted = await startRouter(t, {
+    instance: 'r3',
+    dataCentre: 'dc-a',
+    centre: 1,
+    store: stale,
+    seeds,
+  });
+  assert.equal(tokensOf(restarted, 'club'), 2, 'newest at the end of its start');
+  assert.equal(names(restarted), 'club');
+  await declare(platform, 'club', 3);
+  await until('all go on', () => [...routers, restarted].every((r) => tokensOf(r, 'club') === 3));
+  assert.ok([...routers, restarted].every((r) => names(r) === 'club'));
+});
+
+test('a router that starts while the platform is out gets the newest from peers', async (t) => {
+  const platform = new MemoryObjectStore();
+  await declare(platform, 'club', 4);
+  const { routers } = await startCentre(t, platform, 2);
+  const out = platform.view();
+  out.faults.outage = true;
+  const seeds = routers.slice(0, 1).map(({ link }) => link.url);
+  const options = { instance: 'r3', dataCentre: 'dc-a', centre: 1, store: out, seeds };
+  const late = await startRouter(t, options);
+  assert.equal(tokensOf(late, 'club'), 4);
+});
+
+test('an unreadable object leaves its last good version and all others in force', async (t) => {
+  const platform = new MemoryObjectStore();
+  await declare(platform, 'club', 4);
+  const { routers } = await startCentre(t, platform, 1);
+  const [router] = routers;
+  assert.ok(router);
+  const { version } = platform.table.get('declarations', 'ClientAccount.club') ?? { version: '' };
+  platform.table.update('declarations', 'ClientAccount.club', version, '"not an object"');
+  await declare(platform, 'other', 5);
+  await until('the other is in force', () => tokensOf(router, 'other') === 5);
+  assert.equal(tokensOf(router, 'club'), 4);
+  assert.ok(router.log.events.some(({ event }) => event === 'declaration-unreadable'));
+});
+
+const at = (name: string, revision: number, exists = true): DeclaredObject => ({
+  kind: 'ClientAccount',
+  name,
+  revision,
+  ...(exists ? { declaration: account(name) } : {}),
+});
+const delta = (asOf: number, ...objects: DeclaredObject[]): ConfigurationUpdate => ({
+  asOf,
+  objects,
+  complete: false,
+});
+const complete = (asOf: number, ...objects: DeclaredObject[]): ConfigurationUpdate => ({
+  asOf,
+  objects,
+  complete: true,
+});
+
+const merges: {
+  name: string;
+  updates: ConfigurationUpdate[];
+  exist: string[];
+  asOf: number;
+  floor: number;
+}[] = [
+  {
+    name: 'a late change does not replace a newer one or bring a deleted object back',
+    updates: [delta(5, at('a', 5)), delta(6, at('b', 6, false)), delta(4, at('a', 4), at('b', 3))],
+    exist: ['a@5'],
+    asOf: 6,
+    floor: 0,
+  },
+  {
+    name: 'a complete update deletes what it lacks',
+    updates: [complete(5, at('a', 1), at('b', 2)), complete(9, at('a', 1))],
+    exist: ['a@1'],
+    asOf: 9,
+    floor: 9,
+  },
+  {
+    name: 'a stale complete update deletes nothing newer',
+    updates: [complete(5, at('a', 1)), delta(8, at('b', 8)), complete(6, at('a', 1))],
+    exist: ['a@1', 'b@8'],
+    asOf: 8,
+    floor: 5,
+  },
+];
+
+const existing = (store: DeclarationStore): string[] =>
+  [...store.objects.values()]
+    .filter(({ declaration }) => declaration)
+    .map(({ name, revision }) => `${name}@${String(revision)}`);
+
+for (const { name, updates, exist, asOf, floor } of merges) {
+  test(`merge: ${name}`, () => {
+    const store = updates.reduce(mergeUpdate, createDeclarationStore());
+    assert.deepEqual(existing(store), exist);
+    assert.equal(store.asOf, asOf);
+    assert.equal(store.floor, floor);
+  });
+}
+
+// a deleted account keeps working at one router: it was deleted while that router could not be
+// reached, and the peer that it asked later had itself only listed after the deletion.
+test('a peer that never saw a deletion tells it by a complete update', () => {
+  const behind = mergeUpdate(createDeclarationStore(), complete(5, at('a', 1), at('b', 2)));
+  const fresh = mergeUpdate(createDeclarationStore(), complete(9, at('a', 1)));
+  const update = updateSince(fresh, behind.asOf);
+  assert.equal(update.complete, true);
+  assert.deepEqual(existing(mergeUpdate(behind, update)), ['a@1']);
+  const upToDate = updateSince(mergeUpdate(fresh, delta(10, at('c', 10))), 9);
+  assert.deepEqual(upToDate, delta(10, at('c', 10)), 'who follows closely gets the change alone');
+});
+
+test('deletions are remembered up to a bound, and then told by complete updates', () => {
+  const deletions = Array.from({ length: 1_200 }, (_, i) => at(`n${String(i)}`, i + 1, false));
+  const store = mergeUpdate(createDeclarationStore(), delta(1_200, ...deletions));
+  assert.equal(store.objects.size, 1_000);
+  assert.equal(updateSince(store, 199).complete, true);
+  assert.equal(updateSince(store, 200).complete, false);
+});
--- /dev/null
+++ b/test/mesh/fixtures.ts
@@ -0,0 +1,127 @@
+/** Routers of a small fleet in this process: mesh, fleet and configuration, without the request path. */
+
+import type { TestContext } from 'node:test';
+import type { Declaration, MemberInfo } from '@flamingocourse/core';
+import type { ObjectStore } from '@flamingocourse/platform';
+import type { RouterContext, RouterSettings } from '@flamingocourse/router';
+import type { Link } from '../../packages/lab/src/node/link/index.js';
+import { setTimeout as delay } from 'node:timers/promises';
+import { Kernel, MemoryEventLog, NoMetrics, SystemClock } from '@flamingocourse/kernel';
+import { MeshClient, MeshServer } from '@flamingocourse/mesh';
+import { z } from 'zod';
+import { createLink } from '../../packages/lab/src/node/link/index.js';
+import { ConfigurationService, FleetService } from '../../packages/router/src/node/fleet/index.js';
+
+export const times = { heartbeatMs: 25, suspectMs: 250, goneMs: 500 };
+
+export const declarationSchema = z.custom<Declaration>(
+  (value) => z.object({ kind: z.string(), name: z.string() }).safeParse(value).success,
+);
+
+/** A router of the test fleet. */
+export interface TestRouter {
+  fleet: FleetService;
+  configuration: ConfigurationService;
+  /** Relay in front of its mesh listener. */
+  link: Link;
+  /** Loopback address of its data centre. */
+  host: string;
+  log: MemoryEventLog;
+  /** Ends it the planned way. */
+  stop(): Promise<void>;
+  /** Ends it without a word, as a crash would. */
+  kill(): Promise<void>;
+}
+
+export interface TestRouterOptions {
+  instance: string;
+  dataCentre: string;
+  /** Last part of the data centre's loopback address. */
+  centre: number;
+  store: ObjectStore;
+  seeds?: string[];
+}
+
+/** Starts a router that ends with the test. */
+export async function startRouter(t: TestContext, options: TestRouterOptions): Promise<TestRouter> {
+  const host = `127.0.${String(options.centre)}.1`;
+  const server = new MeshServer({ host, port: 0 });
+  const link = await createLink({
+    target: () => ({ host, port: Number(new URL(server.url).port) }),
+  });
+  const log = new MemoryEventLog();
+  const context = createContext(options, link.url, log);
+  const mesh = new MeshClient({ localAddress: host });
+  const fleet = new FleetService({ context, mesh, store: options.store });
+  const configuration = new ConfigurationService({
+    context,
+    mesh,
+    store: options.store,
+    declarationSchema,
+  });
+  const kernel = new Kernel().register(server).register(fleet).register(configuration);
+  await kernel.start();
+  fleet.setState('serving');
+  const stop = async (): Promise<void> => {
+    await kernel.stop();
+    mesh.close();
+    await link.close();
+  };
+  t.after(stop);
+  const kill = async (): Promise<void> => {
+    mesh.close();
+    link.setCut('reset');
+    await stop();
+  };
+  return { fleet, configuration, link, host, log, stop, kill };
+}
+
+/** Cuts or heals the mesh between two groups of routers, both ways. */
+export function setPartition(a: TestRouter[], b: TestRouter[], mode: 'silent' | 'none'): void {
+  for (const from of a) {
+    for (const to of b) {
+      to.link.setCut(mode, from.host);
+      from.link.setCut(mode, to.host);
+    }
+  }
+}
+
+/** Waits until a condition holds; fails loudly after a bounded time. */
+export async function until(what: string, holds: () => boolean, withinMs = 5_000): Promise<void> {
+  const end = Date.now() + withinMs;
+  while (!holds()) {
+    if (Date.now() > end) throw new Error(`not within ${String(withinMs)} ms: ${what}`);
+    await delay(5);
+  }
+}
+
+/** A member for tests of the decisions alone. */
+export function createMember(instance: string, change: Partial<MemberInfo> = {}): MemberInfo {
+  return {
+    incarnation: `dc-a/${instance}/1`,
+    dataCentre: 'dc-a',
+    instance,
+    meshUrl: `http://${instance}:1`,
+    entryUrl: `http://${instance}:2`,
+    state: 'serving',
+    beat: 1,
+    revision: 0,
+    ...change,
+  };
+}
+
+function createContext(
+  options: TestRouterOptions,
+  publicUrl: string,
+  log: MemoryEventLog,
+): RouterContext {
+  const { instance, dataCentre, seeds = [] } = options;
+  const settings = {
+    instance,
+    dataCentre,
+    entry: { publicUrl: `http://127.0.0.1/${instance}` },
+    // the port is not used: the listener was made with its own.
+    mesh: { ...times, host: '127.0.0.1', port: 1, publicUrl, seeds },
+  } as unknown as RouterSettings;
+  return { settings, clock: new SystemClock(), log, metrics: new NoMetrics() };
+}
