--- a/packages/core/src/runtime/spender.ts
+++ b/packages/core/src/runtime/spender.ts
@@ -94,6 +94,25 @@
     return this.#journal.holders[this.holder]?.state === 'open';
   }
 
+  /**
+   * Peers whose word that they keep a line can be trusted: those that the journal names now and
+   * will name after every unapplied line. A peer named by only one of the two might not be asked
+   * when this holder is sealed, and the line would be lost.
+   */
+  get witnesses(): IncarnationId[] {
+    let trusted = this.#journal.holders[this.holder]?.witnesses ?? [];
+    for (const { change } of this.#unapplied) {
+      if (change.type !== 'witnesses') continue;
+      trusted = trusted.filter((witness) => change.witnesses.includes(witness));
+    }
+    return trusted;
+  }
+
+  /** Whether a change of witnesses is still on its way into the journal. */
+  get changesWitnesses(): boolean {
+    return this.#unapplied.some((line) => line.change.type === 'witnesses');
+  }
+
   /** Accounts of which this holder has or had tokens. */
   get accounts(): AccountId[] {
     return Object.keys(this.#journal.accounts);
--- a/packages/core/src/runtime/witness.ts
+++ b/packages/core/src/runtime/witness.ts
@@ -79,7 +79,9 @@
 export function dropApplied(state: WitnessState, journal: JournalState): WitnessState {
   const kept = Object.entries(state.holders).flatMap(([id, held]) => {
     const entry = journal.holders[id];
-    if (!entry || entry.state === 'sealed' || entry.state === 'closed') return [];
+    // a fence may come before the journal that shows the holder; it must outlast that.
+    if (!entry) return held.fenced ? [[id, held] as const] : [];
+    if (entry.state === 'sealed' || entry.state === 'closed') return [];
     const lines = held.lines.filter((line) => line.seq > entry.seq);
     if (lines.length === 0 && !held.fenced) return [];
     return [[id, { ...held, lines }] as const];
--- a/packages/kernel/src/runtime/eventCatalogue.ts
+++ b/packages/kernel/src/runtime/eventCatalogue.ts
@@ -34,6 +34,21 @@
     text: 'the settings file was refused',
     action: 'Mend the place that the message names.',
   },
+  'holder-registered': { number: 400, level: 'info', text: 'router registered in the journal' },
+  'holder-lost': {
+    number: 401,
+    level: 'warn',
+    text: 'router was sealed by a peer and starts over as a new incarnation',
+    action: 'Look for a pause of the process or a cut between it and its peers.',
+  },
+  'holder-sealed': { number: 402, level: 'info', text: 'a router that is gone was sealed' },
+  'holder-in-doubt': {
+    number: 403,
+    level: 'warn',
+    text: 'a router that is gone cannot be sealed, because a witness of it does not answer',
+    action: 'Bring the witness back, or write the holder off once both are destroyed.',
+  },
+  'segment-rolled': { number: 404, level: 'info', text: 'bills were moved to a closed segment' },
 } as const satisfies Record<string, EventDefinition>;
 
 export type EventName = keyof typeof eventCatalogue;
--- /dev/null
+++ b/packages/router/src/node/money/ticketResolver.ts
@@ -0,0 +1,77 @@
+/** Finds out what became of a ticket that another incarnation issued. */
+
+import type {
+  BillSegment,
+  IncarnationId,
+  JournalHolder,
+  JournalState,
+  Outcome,
+  TicketId,
+} from '@flamingocourse/core';
+import type { Fleet } from '../../types/fleet.js';
+import type { ObjectStore } from '../../types/moneyPorts.js';
+import type { TicketResolution } from '../../types/money.js';
+import { hasInterval } from '@flamingocourse/core';
+
+/** Segments read for one ticket, newest first; an older answer is told as `billed`. */
+const MAX_SEGMENTS_READ = 20;
+
+/** Resolver of foreign tickets. */
+export class TicketResolver {
+  readonly #fleet: Fleet;
+  readonly #store: ObjectStore;
+
+  constructor(fleet: Fleet, store: ObjectStore) {
+    this.#fleet = fleet;
+    this.#store = store;
+  }
+
+  /** Asks for the issuer while it lives, and else reads its data centre's journal. */
+  async resolve(ticket: TicketId): Promise<TicketResolution> {
+    const issuer = this.#fleet.find(ticket.issuer);
+    if (issuer?.health === 'alive') return { type: 'elsewhere', entryUrl: issuer.info.entryUrl };
+    const read = await this.#store.get('journals', dataCentreOf(ticket.issuer));
+    if (read.isErr) return { type: 'unknown' };
+    const journal = read.value.value as JournalState;
+    const holder = journal.holders[ticket.issuer];
+    if (!holder) return { type: 'unknown' };
+    if (hasInterval(holder.done, ticket.number)) return this.#answered(ticket, holder, journal);
+    if (holder.openIntents.includes(ticket.number)) return { type: 'started' };
+    return { type: isProvablyOver(holder) ? 'not-run' : 'unknown' };
+  }
+
+  async #answered(
+    ticket: TicketId,
+    holder: JournalHolder,
+    journal: JournalState,
+  ): Promise<TicketResolution> {
+    const open = findOutcome(journal.outcomes, ticket);
+    if (open) return { type: 'answered', outcome: open };
+    const oldest = Math.max(holder.segments.first, holder.segments.last - MAX_SEGMENTS_READ);
+    for (let number = holder.segments.last; number >= oldest; number -= 1) {
+      const read = await this.#store.get('segments', segmentName(journal.dataCentre, number));
+      if (read.isErr) continue;
+      const outcome = findOutcome((read.value.value as BillSegment).outcomes, ticket);
+      if (outcome) return { type: 'answered', outcome };
+    }
+    return { type: 'billed' };
+  }
+}
+
+/** Name of a segment's platform object. */
+export function segmentName(dataCentre: string, number: number): string {
+  return `${dataCentre}-${number}`;
+}
+
+/** A holder that an operator wrote off may have run what its lost lines would have told. */
+function isProvablyOver(holder: JournalHolder): boolean {
+  return (holder.state === 'sealed' || holder.state === 'closed') && !holder.writtenOff;
+}
+
+function findOutcome(outcomes: Outcome[], ticket: TicketId): Outcome | undefined {
+  return outcomes.find((one) => one.holder === ticket.issuer && one.ticket === ticket.number);
+}
+
+function dataCentreOf(incarnation: IncarnationId): string {
+  return incarnation.split('/')[0] ?? '';
+}
--- a/packages/router/src/types/moneyPorts.ts
+++ b/packages/router/src/types/moneyPorts.ts
@@ -2,6 +2,7 @@
 
 import type {
   AccountId,
+  DataCentreId,
   IncarnationId,
   JournalLine,
   JournalState,
@@ -67,11 +68,15 @@
     witness: IncarnationId,
     holder: IncarnationId,
   ): Promise<Result<JournalLine[], PeerFault>>;
-  /** Asks a peer to give idle tokens back; resolves with the amount that it gave. */
+  /**
+   * Asks a peer to give idle tokens back, to the pool when `forDataCentre` is its own and else to
+   * the ledger; resolves with the amount that it made available.
+   */
   recall(
     peer: IncarnationId,
     account: AccountId,
     amount: Tokens,
+    forDataCentre: DataCentreId,
   ): Promise<Result<Tokens, PeerFault>>;
 }
 
@@ -80,5 +85,9 @@
   handleAppendLines(lines: JournalLine[]): Promise<Result<AppendAnswer, PeerFault>>;
   handleKeepLines(lines: JournalLine[]): Result<'kept', PeerFault>;
   handleFenceHolder(holder: IncarnationId): Result<JournalLine[], PeerFault>;
-  handleRecall(account: AccountId, amount: Tokens): Promise<Result<Tokens, PeerFault>>;
+  handleRecall(
+    account: AccountId,
+    amount: Tokens,
+    forDataCentre: DataCentreId,
+  ): Promise<Result<Tokens, PeerFault>>;
 }
