feat(router): the daemon's wiring, and tests of the request path

Cause: all services exist; the router binary ties them together by name. Before: no test of the path. Conclusion: order of steps, retries and refusals hold against stand-in servers.

--- a/packages/kernel/src/runtime/eventCatalogue.ts
+++ b/packages/kernel/src/runtime/eventCatalogue.ts
@@ -34,6 +34,32 @@
     text: 'the settings file was refused',
     action: 'Mend the place that the message names.',
   },
+  'peer-health-changed': {
+    number: 300,
+    level: 'info',
+    text: 'the judgement of a peer router changed',
+  },
+  'incarnation-renewed': {
+    number: 301,
+    level: 'warn',
+    text: 'this router was sealed by its peers and goes on under a new incarnation',
+    action: 'Look for pauses of the process or a partition just before; no action is needed.',
+  },
+  'holder-registered': { number: 400, level: 'info', text: 'router registered in the journal' },
+  'holder-lost': {
+    number: 401,
+    level: 'warn',
+    text: 'router was sealed by a peer and starts over as a new incarnation',
+    action: 'Look for a pause of the process or a cut between it and its peers.',
+  },
+  'holder-sealed': { number: 402, level: 'info', text: 'a router that is gone was sealed' },
+  'holder-in-doubt': {
+    number: 403,
+    level: 'warn',
+    text: 'a router that is gone cannot be sealed, because a witness of it does not answer',
+    action: 'Bring the witness back, or write the holder off once both are destroyed.',
+  },
+  'segment-rolled': { number: 404, level: 'info', text: 'bills were moved to a closed segment' },
   'backend-crashed': {
     number: 500,
     level: 'warn',
@@ -46,17 +72,6 @@
     text: 'a request crashed the servers that ran it and is refused from now on',
     action: 'Find the caller by the fingerprint and have the request changed.',
   },
-  'peer-health-changed': {
-    number: 300,
-    level: 'info',
-    text: 'the judgement of a peer router changed',
-  },
-  'incarnation-renewed': {
-    number: 301,
-    level: 'warn',
-    text: 'this router was sealed by its peers and goes on under a new incarnation',
-    action: 'Look for pauses of the process or a partition just before; no action is needed.',
-  },
   'configuration-applied': {
     number: 600,
     level: 'info',
@@ -73,22 +88,6 @@
     level: 'debug',
     text: 'this router began or ended to relay configuration to its data centre',
   },
-  },
-  'holder-registered': { number: 400, level: 'info', text: 'router registered in the journal' },
-  'holder-lost': {
-    number: 401,
-    level: 'warn',
-    text: 'router was sealed by a peer and starts over as a new incarnation',
-    action: 'Look for a pause of the process or a cut between it and its peers.',
-  },
-  'holder-sealed': { number: 402, level: 'info', text: 'a router that is gone was sealed' },
-  'holder-in-doubt': {
-    number: 403,
-    level: 'warn',
-    text: 'a router that is gone cannot be sealed, because a witness of it does not answer',
-    action: 'Bring the witness back, or write the holder off once both are destroyed.',
-  },
-  'segment-rolled': { number: 404, level: 'info', text: 'bills were moved to a closed segment' },
 } as const satisfies Record<string, EventDefinition>;
 
 export type EventName = keyof typeof eventCatalogue;
--- a/packages/mesh/src/runtime/schemas.ts
+++ b/packages/mesh/src/runtime/schemas.ts
@@ -85,7 +85,7 @@
   appendLines: linesSchema,
   keepLines: linesSchema,
   fenceHolder: z.object({ holder: id }),
-  recall: z.object({ account: id, amount: tokens.min(0) }),
+  recall: z.object({ account: id, amount: tokens.min(0), forDataCentre: id }),
   pullConfiguration: z.object({ since: count }),
   shareHints: z.object({
     hints: z.array(z.object({ topic: id, body: z.string().max(maxHintLength) })).max(maxHints),
--- a/packages/mesh/src/types/procedures.ts
+++ b/packages/mesh/src/types/procedures.ts
@@ -2,6 +2,7 @@
 
 import type {
   AccountId,
+  DataCentreId,
   DeclaredObject,
   IncarnationId,
   JournalLine,
@@ -59,8 +60,11 @@
   keepLines: { input: { lines: JournalLine[] }; output: 'kept' };
   /** Asks a witness to keep nothing more for a holder and to return what it kept. */
   fenceHolder: { input: { holder: IncarnationId }; output: { lines: JournalLine[] } };
-  /** Asks a peer to give idle tokens of an account back. */
-  recall: { input: { account: AccountId; amount: Tokens }; output: { amount: Tokens } };
+  /** Asks a peer to give idle tokens of an account back, for the use of a data centre. */
+  recall: {
+    input: { account: AccountId; amount: Tokens; forDataCentre: DataCentreId };
+    output: { amount: Tokens };
+  };
   /** Asks for what changed in the configuration after the revision `since`. */
   pullConfiguration: { input: { since: number }; output: ConfigurationUpdate };
   shareHints: { input: { hints: Hint[] }; output: 'taken' };
--- /dev/null
+++ b/packages/router/src/node/createRouter.ts
@@ -0,0 +1,109 @@
+/** Wires the services of one router. */
+
+import type { Clock, EventLog, Metrics } from '@flamingocourse/kernel';
+import type { RouterContext } from '../types/routerContext.js';
+import type { RouterSettings } from '../types/routerSettings.js';
+import { describeError, Kernel, NoMetrics, StatsdMetrics } from '@flamingocourse/kernel';
+import { MeshClient, MeshServer } from '@flamingocourse/mesh';
+import { HttpObjectStore } from '@flamingocourse/platform';
+import { HmacTicketCodec } from '../utils/hmacTicketCodec.js';
+import { Fleet } from '../types/fleet.js';
+import { BackendService } from './backends/backendService.js';
+import { EntryServer } from './entry/entryServer.js';
+import { RequestRunner } from './entry/requestRunner.js';
+import { ConfigurationService } from './fleet/configurationService.js';
+import { FleetService } from './fleet/fleetService.js';
+import { MeshMoneyPeers, MeshQuarantineExchange, serveMoney } from './meshAdapters.js';
+import { MoneyService } from './money/moneyService.js';
+import { MoneyObjectStore, PlatformInstances } from './platformAdapters.js';
+
+/** What a router gets from its process. */
+export interface RouterOptions {
+  settings: RouterSettings;
+  clock: Clock;
+  log: EventLog;
+  /** Numbers from 0 to 1 for the choice of servers. */
+  random: () => number;
+}
+
+/** A router that can be started and stopped as a whole. */
+export interface Router {
+  start(): Promise<void>;
+  /** Graceful shutdown: refuses new requests, ends those in progress, hands budgets back. */
+  stop(): Promise<void>;
+}
+
+/**
+ * Creates a router from its settings; nothing runs before `start`.
+ *
+ * @example
+ * const router = createRouter({ settings, clock: new SystemClock(), log, random: Math.random });
+ * await router.start();
+ */
+export function createRouter(options: RouterOptions): Router {
+  const { settings, clock, log } = options;
+  const metrics = createMetrics(settings);
+  const context: RouterContext = { settings, clock, log, metrics };
+  const kernel = new Kernel();
+  const store = new HttpObjectStore({
+    url: settings.platform.url,
+    timeoutMs: settings.platform.timeoutMs,
+    clock,
+  });
+  const client = new MeshClient({ secret: settings.fleetSecret });
+  const fleet = (): Fleet => kernel.get('fleet', Fleet);
+
+  const mesh = new MeshServer({ ...settings.mesh, secret: settings.fleetSecret });
+  const quarantine = new MeshQuarantineExchange(client, fleet);
+  const requests = new RequestRunner(context, new HmacTicketCodec(settings.fleetSecret));
+  const money = new MoneyService({
+    context,
+    store: new MoneyObjectStore(store),
+    peers: new MeshMoneyPeers(client, fleet),
+  });
+  serveMoney(mesh, money);
+  quarantine.serve(mesh);
+
+  kernel
+    .register(mesh)
+    .register(new FleetService({ context, mesh: client, store }))
+    .register(new ConfigurationService({ context, mesh: client, store }))
+    .register(money)
+    .register(
+      new BackendService({
+        context,
+        instances: new PlatformInstances(store),
+        quarantine,
+        random: options.random,
+      }),
+    )
+    .register(requests)
+    .register(new EntryServer(context));
+  // one service's failure must not take the others down: the router serves what it still can.
+  kernel.onFailure((err, service) => {
+    log.write('service-failed', { service, error: describeError(err) });
+  });
+
+  return {
+    async start() {
+      await kernel.start();
+      fleet().setState('serving');
+      log.write('router-started', { entry: settings.entry.publicUrl });
+    },
+    async stop() {
+      log.write('router-stopping', { running: requests.running });
+      fleet().setState('leaving');
+      await kernel.stop();
+      client.close();
+      store.close();
+      await metrics.close();
+      log.write('router-stopped');
+    },
+  };
+}
+
+function createMetrics(settings: RouterSettings): Metrics {
+  if (!settings.statsd) return new NoMetrics();
+  const { instance, dataCentre } = settings;
+  return new StatsdMetrics({ ...settings.statsd, tags: { instance, dataCentre } });
+}
--- a/packages/router/src/node/entry/entryServer.ts
+++ b/packages/router/src/node/entry/entryServer.ts
@@ -30,6 +30,8 @@
   override readonly dependsOn = ['requests', 'configuration', 'fleet', 'money'];
 
   readonly #context: RouterContext;
+  /** Responses that have not been handed to the network in full. */
+  readonly #open = new Set<ServerResponse>();
   #server: Server | undefined;
   #kernel!: Kernel;
   #requests!: RequestRunner;
@@ -57,6 +59,7 @@
         keepAliveTimeout: KEEP_ALIVE_MS,
       },
       (req, res) => {
+        this.#track(res);
         this.#serve(req, res).catch((err: unknown) => {
           this.#kernel.reportFailure(err, this.name);
           res.destroy();
@@ -74,11 +77,14 @@
     if (!server) return;
     this.#requests.refuseNew();
     await this.#requests.stop();
+    await this.#flushed();
+    // what is left open are connections without a request, kept alive or just opened by callers;
+    // waiting for these would hold up the shutdown until they time out.
     await new Promise<void>((resolve) => {
       server.close(() => {
         resolve();
       });
-      server.closeIdleConnections();
+      server.closeAllConnections();
     });
   }
 
@@ -87,6 +93,23 @@
     return (this.#server?.address() as AddressInfo).port;
   }
 
+  #track(res: ServerResponse): void {
+    this.#open.add(res);
+    res.once('close', () => this.#open.delete(res));
+  }
+
+  /** Waits until every answer is with its caller, or its caller is too slow to take it. */
+  async #flushed(): Promise<void> {
+    const { slowReaderMs } = this.#context.settings.entry;
+    let timer: NodeJS.Timeout | undefined;
+    const tooSlow = new Promise((resolve) => (timer = setTimeout(resolve, slowReaderMs)));
+    const all = Promise.all(
+      [...this.#open].map((res) => new Promise<void>((resolve) => res.once('close', resolve))),
+    );
+    await Promise.race([all, tooSlow]);
+    clearTimeout(timer);
+  }
+
   async #serve(req: IncomingMessage, res: ServerResponse): Promise<void> {
     const path = (req.url ?? '/').split('?')[0] ?? '/';
     if (path === '/healthz') {
--- a/packages/router/src/node/fleet/configurationService.ts
+++ b/packages/router/src/node/fleet/configurationService.ts
@@ -5,7 +5,6 @@
 
 import type {
   ClientAccountDeclaration,
-  Declaration,
   DeclaredObject,
   DeploymentDeclaration,
   ServiceDeclaration,
@@ -25,9 +24,11 @@
 import type { Peer } from '../../types/fleet.js';
 import type { RouterContext } from '../../types/routerContext.js';
 import type { ConfigurationView } from './configurationView.js';
+import { readStored } from '@flamingocourse/core';
 import { Channel, startProcess, takeWithin } from '@flamingocourse/kernel';
 import { MeshServer } from '@flamingocourse/mesh';
 import { Result } from 'true-myth';
+import { z } from 'zod';
 import { Configuration } from '../../types/configuration.js';
 import { Fleet } from '../../types/fleet.js';
 import { createConfigurationView } from './configurationView.js';
@@ -44,22 +45,20 @@
   context: RouterContext;
   mesh: MeshClient;
   store: ObjectStore;
-  /** Checks each declaration read from the platform. */
-  declarationSchema: ZodType<Declaration>;
 }
 
 /**
  * Service `configuration`.
  *
  * @example
- * kernel.register(new ConfigurationService({ context, mesh, store, declarationSchema }));
+ * kernel.register(new ConfigurationService({ context, mesh, store }));
  */
 export class ConfigurationService extends Configuration {
   override readonly dependsOn = ['mesh', 'fleet'];
   readonly #context: RouterContext;
   readonly #mesh: MeshClient;
   readonly #store: ObjectStore;
-  readonly #collection: Collection<Declaration>;
+  readonly #collection: Collection<StoredObject>;
   readonly #listeners = new Set<() => void>();
   readonly #stopped = new Channel<true>(1);
   #fleet: Fleet | undefined;
@@ -76,7 +75,7 @@
     this.#context = options.context;
     this.#mesh = options.mesh;
     this.#store = options.store;
-    this.#collection = { name: 'declarations', schema: options.declarationSchema };
+    this.#collection = { name: 'declarations', schema: storedSchema };
   }
 
   override get revision(): number {
@@ -182,7 +181,7 @@
     this.#relay = undefined;
   }
 
-  #takeEvent(event: WatchEvent<Declaration>): void {
+  #takeEvent(event: WatchEvent<StoredObject>): void {
     switch (event.type) {
       case 'listed':
         this.#takeList(event.list);
@@ -211,7 +210,7 @@
     if (list.isOk) this.#takeList(list.value);
   }
 
-  #takeList(list: ObjectList<Declaration>): void {
+  #takeList(list: ObjectList<StoredObject>): void {
     const objects = list.items.map(toDeclaredObject);
     for (const name of list.invalid) {
       this.#context.log.write('declaration-unreadable', { object: name });
@@ -267,9 +266,21 @@
   }
 }
 
-function toDeclaredObject({ version, value }: VersionedObject<Declaration>): DeclaredObject {
-  const { kind, name } = value;
-  return { kind, name, revision: Number(version), declaration: value };
+/** A declared object without its revision, which is the version it is stored as. */
+type StoredObject = Omit<DeclaredObject, 'revision'>;
+
+const storedSchema: ZodType<StoredObject> = z.unknown().transform((value, context) => {
+  const read = readStored(value, 0);
+  if (read.isErr) {
+    context.addIssue(read.error);
+    return z.NEVER;
+  }
+  const { kind, name, declaration } = read.value;
+  return { kind, name, ...(declaration && { declaration }) };
+});
+
+function toDeclaredObject({ version, value }: VersionedObject<StoredObject>): DeclaredObject {
+  return { ...value, revision: Number(version) };
 }
 
 /** Splits the platform's name of a declared object, `{kind}.{name}`. */
--- a/packages/router/src/node/meshAdapters.ts
+++ b/packages/router/src/node/meshAdapters.ts
@@ -2,6 +2,7 @@
 
 import type {
   AccountId,
+  DataCentreId,
   IncarnationId,
   JournalLine,
   QuarantineState,
@@ -54,8 +55,9 @@
     peer: IncarnationId,
     account: AccountId,
     amount: Tokens,
+    forDataCentre: DataCentreId,
   ): Promise<Result<Tokens, PeerFault>> {
-    const given = await this.#call(peer, 'recall', { account, amount });
+    const given = await this.#call(peer, 'recall', { account, amount, forDataCentre });
     return given.map((answer) => answer.amount);
   }
 
@@ -85,8 +87,8 @@
       .map((lines) => ({ lines }))
       .mapErr(describeFault),
   );
-  mesh.handle('recall', async ({ account, amount }) => {
-    const given = await money.handleRecall(account, amount);
+  mesh.handle('recall', async ({ account, amount, forDataCentre }) => {
+    const given = await money.handleRecall(account, amount, forDataCentre);
     return given.map((tokens) => ({ amount: tokens })).mapErr(describeFault);
   });
 }
--- /dev/null
+++ b/test/entry/chatAnswers.test.ts
@@ -0,0 +1,197 @@
+import type { EngineStandIn, EngineStandInOptions } from '@flamingocourse/lab';
+import type { EntryBench } from './fixtures/entryBench.js';
+import assert from 'node:assert/strict';
+import { afterEach, test } from 'node:test';
+import { createEngineStandIn, expectedAnswer } from '@flamingocourse/lab';
+import { waitUntil } from '../lab/engineClient.js';
+import { call, chatBody, readEvents, startBench } from './fixtures/entryBench.js';
+
+const FAST = { decodeMs: 1, decodeMsPerRequest: 0, prefillMsPerToken: 0 };
+const cleanUps: (() => Promise<void>)[] = [];
+
+afterEach(async () => {
+  for (const cleanUp of cleanUps.splice(0).reverse()) await cleanUp();
+});
+
+async function engine(options: EngineStandInOptions = {}): Promise<EngineStandIn> {
+  const started = await createEngineStandIn({ ...FAST, ...options });
+  cleanUps.push(() => started.stop());
+  return started;
+}
+
+async function bench(
+  urls: string[],
+  overrides?: { slowReaderMs?: number; maxQueue?: number },
+): Promise<EntryBench> {
+  const started = await startBench({ llm: urls }, overrides);
+  cleanUps.push(() => started.stop());
+  return started;
+}
+
+function textOf(words: number): string {
+  return expectedAnswer([{ role: 'user', content: `beds words=${words}` }], 0, 600);
+}
+
+interface Completion {
+  choices: { message: { content: string }; finish_reason: string }[];
+  usage: { prompt_tokens: number; completion_tokens: number };
+}
+
+test('a whole answer comes as one completion with its usage, and is billed for it', async () => {
+  const { url } = await engine();
+  const router = await bench([url]);
+  const res = await call(router, '/v1/chat/completions', { body: chatBody(12, false) });
+  const answer = (await res.json()) as Completion;
+  assert.equal(answer.choices[0]?.message.content, textOf(12));
+  assert.equal(answer.choices[0].finish_reason, 'stop');
+  assert.deepEqual(answer.usage, { prompt_tokens: 6, completion_tokens: 12, total_tokens: 18 });
+  assert.deepEqual(
+    router.money.bills.map((bill) => bill.cost),
+    [18],
+  );
+  assert.equal(router.money.held, 0);
+});
+
+// a caller holds an answer that nobody has billed: the router died between the final event and the
+// bill. The final event therefore waits until the bill is kept.
+test('the final event waits for the bill', async () => {
+  const { url } = await engine();
+  const router = await bench([url]);
+  let keep: () => void = assert.fail;
+  router.money.keep = new Promise((resolve) => (keep = resolve));
+  const res = await call(router, '/v1/chat/completions', { body: chatBody(10, true) });
+  const reader = (res.body as ReadableStream<Uint8Array>).getReader();
+  let text = '';
+  while (!router.money.steps.includes('bill') || !text.includes(textOf(10).slice(-4))) {
+    text += Buffer.from((await reader.read()).value ?? []).toString();
+  }
+  assert.equal(readEvents(text).done, false);
+  keep();
+  for (let part = await reader.read(); !part.done; part = await reader.read()) {
+    text += Buffer.from(part.value).toString();
+  }
+  assert.deepEqual(readEvents(text), { content: textOf(10), done: true, error: false });
+});
+
+// a volunteer's answer stops in the middle of a sentence: its engine crashed. The router goes on at
+// another engine from the last word; a repeat, a gap or a seam would show as a wrong text.
+for (const crashAfterTokens of [1, 5, 11]) {
+  test(`a crash after ${crashAfterTokens} tokens is not seen by the caller`, async () => {
+    const first = await engine({ faults: { crashAfterTokens } });
+    const second = await engine();
+    const router = await bench([first.url, second.url]);
+    const answers = await Promise.all(
+      [1, 2].map(async () => {
+        const res = await call(router, '/v1/chat/completions', { body: chatBody(12, true) });
+        return readEvents(await res.text());
+      }),
+    );
+    const whole = { content: textOf(12), done: true, error: false };
+    assert.deepEqual(answers, [whole, whole]);
+    assert.equal(router.money.bills.length, 2);
+  });
+}
+
+// a caller reads words twice or words of somebody else: the engine repeats events, or sends late
+// ones of an attempt that is over.
+for (const faults of [{ duplicateChunks: 0.5 }, { lateChunks: 0.5 }]) {
+  test(`output with ${Object.keys(faults).join()} is put right`, async () => {
+    const { url } = await engine({ faults });
+    const router = await bench([url]);
+    const res = await call(router, '/v1/chat/completions', { body: chatBody(30, true) });
+    assert.equal(readEvents(await res.text()).content, textOf(30));
+  });
+}
+
+// the connection breaks while the answer is produced and the client sends the request again: both
+// must be one request, with one bill, and the second gets the whole answer.
+test('a retry with the same key joins the running request', async () => {
+  const { url, counters } = await engine({ decodeMs: 5 });
+  const router = await bench([url]);
+  const headers = { 'idempotency-key': 'k1' };
+  const options = { body: chatBody(30, true), headers };
+  const abort = new AbortController();
+  const broken = await call(router, '/v1/chat/completions', { ...options, signal: abort.signal });
+  abort.abort();
+  const retried = await call(router, '/v1/chat/completions', options);
+  assert.equal(readEvents(await retried.text()).content, textOf(30));
+  const id = 'flamingocourse-request-id';
+  assert.equal(broken.headers.get(id), retried.headers.get(id));
+  assert.equal(router.money.bills.length, 1);
+  assert.equal(counters.requests, 1);
+});
+
+test('a request without a name is stopped when its caller leaves, and billed so far', async () => {
+  const stoppable = await engine({ decodeMs: 5 });
+  const router = await bench([stoppable.url]);
+  const abort = new AbortController();
+  const body = chatBody(500, true);
+  await call(router, '/v1/chat/completions', { body, signal: abort.signal });
+  abort.abort();
+  await waitUntil(() => router.money.bills.length === 1 && stoppable.counters.cancelled === 1);
+  assert.ok((router.money.bills[0]?.completionTokens ?? 500) < 500);
+  assert.equal(router.money.held, 0);
+});
+
+// a router was paused, sealed by its peers and woke up: the engine's answer is complete, but it can
+// not be billed. The caller must not take what it has for an answer.
+test('an answer whose bill cannot be kept gets no final event', async () => {
+  const { url } = await engine();
+  const router = await bench([url]);
+  router.money.billRefusal = { reason: 'outcome-unknown', run: 'unknown', detail: 'sealed' };
+  const res = await call(router, '/v1/chat/completions', { body: chatBody(10, true) });
+  const events = readEvents(await res.text());
+  assert.deepEqual([events.done, events.error], [false, true]);
+});
+
+// a donor waits in vain: the queue is longer than the deadline. What is refused as "not run" must
+// not run later.
+test('a request whose deadline passes in the queue is refused as not run and never runs', async () => {
+  const busy = await engine({ slots: 2, decodeMs: 20 });
+  const router = await bench([busy.url]);
+  const long = [1, 2].map(() =>
+    call(router, '/v1/chat/completions', { body: chatBody(60, false) }),
+  );
+  await new Promise((resolve) => setTimeout(resolve, 100));
+  const res = await call(router, '/v1/chat/completions', {
+    body: chatBody(8, false),
+    headers: { 'flamingocourse-deadline-ms': '150' },
+  });
+  const problem = (await res.json()) as { reason: string; run: string };
+  assert.deepEqual([problem.reason, problem.run], ['deadline-passed', 'not-run']);
+  assert.notEqual(res.headers.get('retry-after'), null);
+  await Promise.all(long);
+  assert.equal(busy.counters.requests, 2);
+});
+
+// one caller on a bad connection does not read its answer: it must not hold up others, and its own
+// memory at the router is freed after a while.
+test('a slow reader is cut off and holds up nobody', async () => {
+  const { url } = await engine({ slots: 8 });
+  const router = await bench([url], { slowReaderMs: 100 });
+  const padded = { ...chatBody(600, true), user: 'x'.repeat(100) };
+  const slow = await call(router, '/v1/chat/completions', { body: padded });
+  const quick = await call(router, '/v1/chat/completions', { body: chatBody(12, true) });
+  assert.equal(readEvents(await quick.text()).content, textOf(12));
+  await slow.body?.cancel();
+});
+
+// a request crashes every server that runs it, and its caller sends it again and again.
+test('a request that crashes its servers is refused after two of them, neighbours are served', async () => {
+  const servers = await Promise.all([1, 2, 3, 4].map(() => engine({ restartAfterMs: 50 })));
+  const router = await bench(servers.map((server) => server.url));
+  const poison = { model: 'chat', messages: [{ role: 'user', content: 'crash-the-engine' }] };
+  const neighbours = Promise.all(
+    Array.from({ length: 6 }, () =>
+      call(router, '/v1/chat/completions', { body: chatBody(40, false) }),
+    ),
+  );
+  const first = await call(router, '/v1/chat/completions', { body: poison });
+  assert.notEqual(first.status, 200);
+  const again = await call(router, '/v1/chat/completions', { body: poison });
+  const problem = (await again.json()) as { reason: string };
+  assert.equal(problem.reason, 'quarantined');
+  const crashes = servers.reduce((sum, server) => sum + server.counters.crashes, 0);
+  assert.equal(crashes, 2);
+  for (const res of await neighbours) assert.equal(res.status, 200);
+});
--- /dev/null
+++ b/test/entry/plainCalls.test.ts
@@ -0,0 +1,128 @@
+import type { PlainServiceStandIn } from '@flamingocourse/lab';
+import type { EntryBench } from './fixtures/entryBench.js';
+import assert from 'node:assert/strict';
+import { afterEach, test } from 'node:test';
+import { createPlainServiceStandIn, createServiceRecords } from '@flamingocourse/lab';
+import { call, startBench } from './fixtures/entryBench.js';
+
+const cleanUps: (() => Promise<void>)[] = [];
+const PATH = '/services/ledger/reservations';
+
+afterEach(async () => {
+  for (const cleanUp of cleanUps.splice(0).reverse()) await cleanUp();
+});
+
+async function startAll(count: number): Promise<{
+  router: EntryBench;
+  servers: PlainServiceStandIn[];
+  runs: () => number;
+}> {
+  const records = createServiceRecords();
+  const servers = await Promise.all(
+    Array.from({ length: count }, () => createPlainServiceStandIn({ records })),
+  );
+  const router = await startBench({ ledger: servers.map((server) => server.url) });
+  cleanUps.push(...servers.map((server) => () => server.stop()), () => router.stop());
+  return { router, servers, runs: () => records.runs.length };
+}
+
+interface Problem {
+  reason: string;
+  run: string;
+}
+
+test('a call keeps its intent before it is sent, and is billed as declared', async () => {
+  const { router, runs } = await startAll(1);
+  const res = await call(router, PATH, { body: { item: 'bed-1', key: 'a' } });
+  assert.equal(res.status, 201);
+  assert.equal(runs(), 1);
+  assert.deepEqual(router.money.steps, ['reserve', 'intent', 'bill']);
+  assert.equal(router.money.bills[0]?.cost, 3);
+});
+
+// a family's bed is reserved twice: the service ran the call, the connection broke before the reply
+// and the router asked another server.
+const breaks = [
+  { breakAt: 'after-run', ran: 1 },
+  { breakAt: 'before-run', ran: 0 },
+] as const;
+
+for (const { breakAt, ran } of breaks) {
+  test(`a connection that breaks ${breakAt} is not asked again`, async () => {
+    const { router, servers, runs } = await startAll(2);
+    for (const server of servers) server.setFaults({ breakAt, breaks: 5 });
+    const headers = { 'idempotency-key': 'bed-17' };
+    const options = { body: { item: 'bed-17', key: 'b' }, headers };
+    const res = await call(router, PATH, options);
+    const problem = (await res.json()) as Problem;
+    assert.deepEqual([problem.reason, problem.run], ['outcome-unknown', 'unknown']);
+    assert.equal(runs(), ran);
+    for (const server of servers) server.setFaults({ breakAt: null, breaks: 0 });
+    const retry = await call(router, PATH, options);
+    assert.equal(((await retry.json()) as Problem).reason, 'outcome-unknown');
+    assert.equal(runs(), ran);
+  });
+}
+
+test('a server that refuses the connection is passed over, since nothing ran', async () => {
+  const { router, servers, runs } = await startAll(2);
+  await servers[0]?.stop();
+  for (let index = 0; index < 4; index += 1) {
+    const res = await call(router, PATH, { body: { item: `bed-${index}`, key: String(index) } });
+    assert.equal(res.status, 201);
+  }
+  assert.equal(runs(), 4);
+});
+
+test('with no server to be had the refusal says not run, and the intent is taken back', async () => {
+  const { router, servers } = await startAll(1);
+  await servers[0]?.stop();
+  const res = await call(router, PATH, { body: { item: 'bed-1', key: 'c' } });
+  assert.equal(((await res.json()) as Problem).run, 'not-run');
+  assert.notEqual(res.headers.get('retry-after'), null);
+  assert.deepEqual(router.money.notRun, [1]);
+});
+
+// two retries of one reservation arrive together: both waited for the claim, and both ran.
+test('the same key sent twice at once runs once and both get the answer', async () => {
+  const { router, runs } = await startAll(2);
+  const options = { body: { item: 'bed-3', key: 'd' }, headers: { 'idempotency-key': 'bed-3' } };
+  const both = await Promise.all([call(router, PATH, options), call(router, PATH, options)]);
+  const texts = await Promise.all(both.map((res) => res.text()));
+  assert.equal(texts[0], texts[1]);
+  assert.equal(runs(), 1);
+});
+
+test('a ticket runs once however often it is sent', async () => {
+  const { router, runs } = await startAll(1);
+  const issued = await call(router, '/v1/tickets', { body: {} });
+  const { ticket } = (await issued.json()) as { ticket: string };
+  const options = { body: { item: 'b', key: 'e' }, headers: { 'flamingocourse-ticket': ticket } };
+  router.money.resolution = { type: 'not-run' };
+  const first = await (await call(router, PATH, options)).text();
+  const second = await (await call(router, PATH, options)).text();
+  assert.equal(first, second);
+  assert.equal(runs(), 1);
+});
+
+const resolutions = [
+  { resolution: { type: 'started' }, reason: 'outcome-unknown', run: 'unknown' },
+  { resolution: { type: 'unknown' }, reason: 'outcome-unknown', run: 'unknown' },
+  { resolution: { type: 'billed' }, reason: 'answer-expired', run: 'ran' },
+] as const;
+
+for (const { resolution, reason, run } of resolutions) {
+  test(`a ticket of a dead router that is ${resolution.type} gets ${reason}`, async () => {
+    const { router, runs } = await startAll(1);
+    const issued = await call(router, '/v1/tickets', { body: {} });
+    const { ticket } = (await issued.json()) as { ticket: string };
+    router.money.resolution = resolution;
+    const res = await call(router, PATH, {
+      body: { item: 'b', key: 'f' },
+      headers: { 'flamingocourse-ticket': ticket },
+    });
+    const problem = (await res.json()) as Problem;
+    assert.deepEqual([problem.reason, problem.run], [reason, run]);
+    assert.equal(runs(), 0);
+  });
+}
--- /dev/null
+++ b/test/entry/refusals.test.ts
@@ -0,0 +1,111 @@
+import type { EntryBench } from './fixtures/entryBench.js';
+import assert from 'node:assert/strict';
+import { after, before, test } from 'node:test';
+import { call, chatBody, startBench } from './fixtures/entryBench.js';
+
+let router: EntryBench;
+
+before(async () => {
+  router = await startBench({});
+});
+
+after(async () => {
+  await router.stop();
+});
+
+const chat = '/v1/chat/completions';
+
+const cases: {
+  name: string;
+  path?: string;
+  body?: unknown;
+  headers?: Record<string, string>;
+  status: number;
+  reason: string;
+}[] = [
+  {
+    name: 'a wrong key',
+    headers: { authorization: 'Bearer no' },
+    status: 401,
+    reason: 'unauthenticated',
+  },
+  {
+    name: 'an unknown model',
+    body: { model: 'x', messages: [{ role: 'user' }] },
+    status: 404,
+    reason: 'unknown-service',
+  },
+  {
+    name: 'no messages',
+    body: { model: 'chat', messages: [] },
+    status: 400,
+    reason: 'bad-request',
+  },
+  { name: 'an unknown path', path: '/v2/nothing', status: 404, reason: 'unknown-service' },
+  {
+    name: 'a model service by path',
+    path: '/services/llm/x',
+    status: 404,
+    reason: 'unknown-service',
+  },
+  {
+    name: 'an unknown class',
+    headers: { 'flamingocourse-class': 'x' },
+    status: 400,
+    reason: 'unknown-class',
+  },
+  {
+    name: 'a deadline that is no number',
+    headers: { 'flamingocourse-deadline-ms': 'soon' },
+    status: 400,
+    reason: 'bad-request',
+  },
+  {
+    name: 'a key that is too long',
+    headers: { 'idempotency-key': 'k'.repeat(201) },
+    status: 400,
+    reason: 'bad-request',
+  },
+  {
+    name: 'key and ticket together',
+    headers: { 'idempotency-key': 'k', 'flamingocourse-ticket': 't' },
+    status: 400,
+    reason: 'bad-request',
+  },
+  {
+    name: 'a ticket made up by the caller',
+    headers: { 'flamingocourse-ticket': 'a.b' },
+    status: 400,
+    reason: 'bad-request',
+  },
+  {
+    name: 'a body that is too large',
+    body: { model: 'chat', messages: [{ role: 'user', content: 'x'.repeat(70_000) }] },
+    status: 413,
+    reason: 'too-large',
+  },
+  { name: 'a service without servers', status: 503, reason: 'no-backend-server' },
+];
+
+for (const { name, path = chat, body = chatBody(8, false), headers, status, reason } of cases) {
+  test(`${name} is refused as not run, with its reason`, async () => {
+    const res = await call(router, path, { body, ...(headers ? { headers } : {}) });
+    const problem = (await res.json()) as { status: number; reason: string; run: string };
+    assert.equal(res.status, status);
+    assert.equal(res.headers.get('content-type'), 'application/problem+json');
+    assert.deepEqual([problem.status, problem.reason, problem.run], [status, reason, 'not-run']);
+  });
+}
+
+test('a refusal for budget is passed on as it is, with the time to come back', async () => {
+  router.money.refusal = {
+    reason: 'budget-exhausted',
+    run: 'not-run',
+    detail: 'top up',
+    retryAfterMs: 1_500,
+  };
+  const res = await call(router, chat, { body: chatBody(8, true) });
+  router.money.refusal = undefined;
+  assert.equal(res.status, 402);
+  assert.equal(res.headers.get('retry-after'), '2');
+});
--- a/test/mesh/configuration.test.ts
+++ b/test/mesh/configuration.test.ts
@@ -5,6 +5,7 @@
 import type { DeclarationStore } from '../../packages/router/src/node/fleet/index.js';
 import type { TestRouter } from './fixtures.js';
 import assert from 'node:assert/strict';
+import { createHash } from 'node:crypto';
 import { test } from 'node:test';
 import { MemoryObjectStore } from '@flamingocourse/platform';
 import {
@@ -16,10 +17,12 @@
 
 const declarations = { name: 'declarations', schema: declarationSchema } as const;
 
+const digestOf = (key: string): string => createHash('sha256').update(key).digest('hex');
+
 const account = (name: string, openingTokens = 0): ClientAccountDeclaration => ({
   kind: 'ClientAccount',
   name,
-  apiKeyDigests: [`key of ${name}`],
+  apiKeyDigests: [digestOf(`key of ${name}`)],
   openingTokens,
 });
 
@@ -77,7 +80,9 @@
   await until('one relay', () => routers.filter(isRelay).length === 1);
   await declare(platform, 'club', 5);
   await until('in force', () => routers.every((r) => tokensOf(r, 'club') === 5), 3_000);
-  const byKey = routers.map((r) => r.configuration.accountByKeyDigest('key of club')?.name);
+  const byKey = routers.map(
+    (r) => r.configuration.accountByKeyDigest(digestOf('key of club'))?.name,
+  );
   assert.deepEqual(new Set(byKey), new Set(['club']));
   await undeclare(platform, 'club');
   await until('deleted', () => routers.every((r) => names(r) === ''), 3_000);
--- a/test/mesh/fixtures.ts
+++ b/test/mesh/fixtures.ts
@@ -57,7 +57,6 @@
     context,
     mesh,
     store: options.store,
-    declarationSchema,
   });
   const kernel = new Kernel().register(server).register(fleet).register(configuration);
   await kernel.start();
--- a/test/mesh/mesh.test.ts
+++ b/test/mesh/mesh.test.ts
@@ -135,7 +135,7 @@
     const { server, target } = await startServer(t, options.server);
     prepare?.(server);
     const client = createClient(t, options.client);
-    const input = { account: 'a', amount: options.amount ?? 1 };
+    const input = { account: 'a', amount: options.amount ?? 1, forDataCentre: 'dc-a' };
     const result = await client.call(target, 'recall', input);
     assert.ok(result.isErr);
     assert.equal(result.error.code, code, result.error.message);
@@ -162,6 +162,7 @@
   const result = await createClient(t, { secret: 's' }).call(target, 'recall', {
     account: 'a',
     amount: 7,
+    forDataCentre: 'dc-a',
   });
   assert.deepEqual(result.unwrapOr(null), { amount: 7 });
 });
@@ -180,7 +181,11 @@
     t.after(() => link.close());
     const client = createClient(t, { timeoutMs: 100 });
     const call = (): ReturnType<typeof client.call<'recall'>> =>
-      client.call({ ...target, meshUrl: link.url }, 'recall', { account: 'a', amount: 1 });
+      client.call({ ...target, meshUrl: link.url }, 'recall', {
+        account: 'a',
+        amount: 1,
+        forDataCentre: 'dc-a',
+      });
     assert.ok((await call()).isOk);
     link.setCut(cut);
     const result = await call();
