--- /dev/null
+++ b/packages/cli/bin/flamingocourse.mjs
@@ -0,0 +1,2 @@
+#!/usr/bin/env node
+import '../dist/node/main.js';
--- a/packages/cli/src/index.ts
+++ b/packages/cli/src/index.ts
@@ -1,1 +1,12 @@
-export {};
+export * from './node/platformStore.js';
+export * from './runtime/applyPlan.js';
+export * from './runtime/audit.js';
+export * from './runtime/bills.js';
+export * from './runtime/budget.js';
+export * from './runtime/drain.js';
+export * from './runtime/loadObjects.js';
+export * from './runtime/planFiles.js';
+export * from './runtime/status.js';
+export type * from './types/operator.js';
+export type * from './types/operatorStore.js';
+export * from './utils/cliError.js';
--- /dev/null
+++ b/packages/cli/src/node/main.ts
@@ -0,0 +1,43 @@
+/** Entry of the `flamingocourse` binary. */
+
+import { applyCommand, planCommand, validateCommand } from './commands/declarationCommands.js';
+import {
+  billsCommand,
+  getCommand,
+  historyCommand,
+  statusCommand,
+} from './commands/readCommands.js';
+import { budgetCommands, drainCommand } from './commands/budgetCommands.js';
+import { runSafely, subcommands } from 'cmd-ts';
+import { describeError } from '@flamingocourse/kernel';
+import { exitCodes } from '../utils/cliError.js';
+
+const application = subcommands({
+  name: 'flamingocourse',
+  description: 'declare, apply and look into a router fleet for prepaid token budgets',
+  cmds: {
+    validate: validateCommand,
+    plan: planCommand,
+    apply: applyCommand,
+    get: getCommand,
+    history: historyCommand,
+    budget: budgetCommands,
+    bills: billsCommand,
+    status: statusCommand,
+    drain: drainCommand,
+  },
+});
+
+/** Runs the command line; the exit code is set by the command or by a fault of usage. */
+async function main(args: string[]): Promise<void> {
+  const result = await runSafely(application, args);
+  if (result._tag === 'ok') return;
+  const { message, exitCode, into } = result.error.config;
+  process[into].write(`${message}\n`);
+  process.exitCode = exitCode === 0 ? exitCodes.ok : exitCodes.usage;
+}
+
+main(process.argv.slice(2)).catch((err: unknown) => {
+  process.stderr.write(`The command failed: ${describeError(err)}. Report it.\n`);
+  process.exitCode = exitCodes.faults;
+});
--- a/packages/cli/src/runtime/audit.ts
+++ b/packages/cli/src/runtime/audit.ts
@@ -9,7 +9,7 @@
 import type { Operator } from '../types/operator.js';
 import type { OperatorStore, StoreError } from '../types/operatorStore.js';
 import { auditCollection, objectName } from '@flamingocourse/core';
-import type { CliError} from '../utils/cliError.js';
+import type { CliError } from '../utils/cliError.js';
 import { fromStoreError } from '../utils/cliError.js';
 import { Result } from 'true-myth';
 import { loadObjects } from './loadObjects.js';
