--- a/packages/cli/src/runtime/budget.ts
+++ b/packages/cli/src/runtime/budget.ts
@@ -9,7 +9,14 @@
 } from '@flamingocourse/core';
 import type { Operator } from '../types/operator.js';
 import { budgetAuditName, createAudit } from './audit.js';
-import { changeBudget, committed, inDoubt, openAccount, writeOff } from '@flamingocourse/core';
+import {
+  changeBudget,
+  committed,
+  inDoubt,
+  openAccount,
+  pageOf,
+  writeOff,
+} from '@flamingocourse/core';
 import { changeLedgerPage, loadLedger } from './ledgerPages.js';
 import { CliError, fromStoreError } from '../utils/cliError.js';
 import { Result } from 'true-myth';
@@ -97,8 +104,13 @@
   operator: Operator,
   accounts: readonly { name: AccountId; openingTokens: Tokens }[],
 ): Promise<Result<AccountId[], CliError>> {
+  const ledger = await loadLedger(operator);
+  if (ledger.isErr) return Result.err(ledger.error);
+  const misplaced = findMisplacedPage(ledger.value, operator.ledgerPages);
+  if (misplaced) return Result.err(misplaced);
+  const known = new Set(ledger.value.flatMap((page) => Object.keys(page.accounts)));
   const opened: AccountId[] = [];
-  for (const { name, openingTokens } of accounts) {
+  for (const { name, openingTokens } of accounts.filter((one) => !known.has(one.name))) {
     const seen = { missing: false };
     const changed = await changeLedgerPage(operator, name, (page) => {
       seen.missing ||= page.accounts[name] === undefined;
@@ -110,6 +122,20 @@
   return Result.ok(opened);
 }
 
+// with another number of pages than the routers use, a budget would be opened where none looks
+function findMisplacedPage(
+  pages: readonly LedgerPage[],
+  ledgerPages: number,
+): CliError | undefined {
+  for (const { page, accounts } of pages) {
+    const stray = Object.keys(accounts).find((account) => pageOf(account, ledgerPages) !== page);
+    if (stray === undefined) continue;
+    const message = `The budget of "${stray}" stands on page ${page}, which does not fit ${ledgerPages} ledger pages. Set --ledger-pages to the value of budget.ledgerPages in the routers settings.`;
+    return new CliError('usage', message);
+  }
+  return undefined;
+}
+
 /**
  * Ends a holder that can never be sealed, because it and a witness are destroyed. What it held is
  * billed as unattributed, since bills that are lost may have spent it.
--- a/test/cli/budget.test.ts
+++ b/test/cli/budget.test.ts
@@ -67,6 +67,18 @@
   assert.equal((await showBudgets(bat)).unwrapOr([])[0]?.limit, 1_000);
 });
 
+// The command is run with another number of ledger pages than the routers use. Budgets would be
+// opened on pages where no router looks, and every request of these accounts be refused.
+test('a wrong number of ledger pages is refused before a budget is opened', async () => {
+  const bat = createOperator('bat', new MemoryObjectStore());
+  const names = ['altan', 'nomin', 'khan', 'delger'];
+  const accounts = names.map((name) => ({ name, openingTokens: 1 }));
+  await openBudgets({ ...bat, ledgerPages: 4 }, accounts);
+  const refused = await openBudgets(bat, [{ name: 'new', openingTokens: 1 }]);
+  assert.ok(refused.isErr && refused.error.code === 'usage');
+  assert.match(refused.error.message, /Set --ledger-pages/);
+});
+
 test('a top-up of an unknown account is refused', async () => {
   const bat = createOperator('bat', new MemoryObjectStore());
   const change = { id: '1', amount: 5, by: 'bat', at: now };
