--- /dev/null
+++ b/packages/mesh/src/types/procedures.ts
@@ -0,0 +1,81 @@
+/** Procedures that routers offer each other: inputs, outputs and handlers. */
+
+import type {
+  AccountId,
+  DeclaredObject,
+  IncarnationId,
+  JournalLine,
+  JournalState,
+  MemberInfo,
+  Tokens,
+} from '@flamingocourse/core';
+import type { Result } from 'true-myth';
+
+/** Second-hand evidence that a member lives; a higher beat is newer. */
+export interface MemberBeat {
+  incarnation: IncarnationId;
+  beat: number;
+  /** Milliseconds since the sender had evidence. */
+  ageMs: number;
+}
+
+/** What one router tells another at each beat, and gets as the answer. */
+export interface HeartbeatMessage {
+  info: MemberInfo;
+  /** Some members that the sender takes as alive. */
+  digest: MemberBeat[];
+  /** Members that the receiver may not know. */
+  members: MemberInfo[];
+}
+
+/** Information that only reduces refusals or shortens recovery; losing it harms no promise. */
+export interface Hint {
+  /** Names the receiver inside the router, such as `quarantine`. */
+  topic: string;
+  /** JSON text that the receiver understands. */
+  body: string;
+}
+
+/** What one source of the configuration tells. */
+export interface ConfigurationUpdate {
+  /** All changes up to this revision are covered. */
+  asOf: number;
+  /** Changed objects, deletions included; or, when `complete`, all objects that exist. */
+  objects: DeclaredObject[];
+  /** Whether an object that is missing here does not exist as of `asOf`. */
+  complete: boolean;
+}
+
+/** Input and output of each procedure. */
+export interface MeshProcedures {
+  /** Sign of life. */
+  heartbeat: { input: HeartbeatMessage; output: HeartbeatMessage };
+  /** Asks the committer of the data centre to put lines into the journal. */
+  appendLines: {
+    input: { lines: JournalLine[] };
+    output: { version: string; state: JournalState };
+  };
+  /** Asks a witness to keep lines in memory. */
+  keepLines: { input: { lines: JournalLine[] }; output: 'kept' };
+  /** Asks a witness to keep nothing more for a holder and to return what it kept. */
+  fenceHolder: { input: { holder: IncarnationId }; output: { lines: JournalLine[] } };
+  /** Asks a peer to give idle tokens of an account back. */
+  recall: { input: { account: AccountId; amount: Tokens }; output: { amount: Tokens } };
+  /** Asks for what changed in the configuration after the revision `since`. */
+  pullConfiguration: { input: { since: number }; output: ConfigurationUpdate };
+  shareHints: { input: { hints: Hint[] }; output: 'taken' };
+}
+
+export type ProcedureName = keyof MeshProcedures;
+
+export type ProcedureInput<P extends ProcedureName> = MeshProcedures[P]['input'];
+
+export type ProcedureOutput<P extends ProcedureName> = MeshProcedures[P]['output'];
+
+/**
+ * Serves a procedure. An error is a sentence why the call had no effect and will have none; it
+ * reaches the caller as `refused`. A handler that throws leaves the effect unknown.
+ */
+export type MeshHandler<P extends ProcedureName> = (
+  input: ProcedureInput<P>,
+) => Promise<Result<ProcedureOutput<P>, string>> | Result<ProcedureOutput<P>, string>;
