--- a/packages/lab/src/node/demo/applyExamples.ts
+++ b/packages/lab/src/node/demo/applyExamples.ts
@@ -11,10 +11,16 @@
 /** Runs `flamingocourse apply` over `examples/{deployment}/*.jsonc`; throws `apply-failed`. */
 export async function applyExamples(deployment: string, platformUrl: string): Promise<void> {
   const directory = fileURLToPath(new URL(`examples/${deployment}/`, root));
-  const names = await readdir(directory);
-  const files = names.filter((name) => name.endsWith('.jsonc')).map((name) => directory + name);
+  const files = await findDeclarations(directory);
   const binary = fileURLToPath(new URL('packages/cli/bin/flamingocourse.mjs', root));
-  await runCommand([binary, 'apply', ...files.sort()], platformUrl);
+  await runCommand([binary, 'apply', ...files], platformUrl);
+}
+
+async function findDeclarations(directory: string): Promise<string[]> {
+  const names = await readdir(directory).catch(() => []);
+  const files = names.filter((name) => name.endsWith('.jsonc')).map((name) => directory + name);
+  if (files.length > 0) return files.sort();
+  throw new LabError('apply-failed', `${directory} holds no declarations; put *.jsonc files there`);
 }
 
 function runCommand(args: string[], platformUrl: string): Promise<void> {
--- a/packages/lab/src/node/demo/runDemo.ts
+++ b/packages/lab/src/node/demo/runDemo.ts
@@ -62,8 +62,9 @@
   const backends = await startBackends(plan, options.seed);
   closers.push(() => backends.stop());
   for (const [service, items] of backends.instances) platform.setInstances(service, items);
-  options.onProgress(`applying examples/${options.deployment}`);
-  await applyExamples(options.deployment, platform.operatorsUrl);
+  options.onProgress('applying the declarations');
+  const apply = options.apply ?? ((url) => applyExamples(options.deployment, url));
+  await apply(platform.operatorsUrl);
   const fleet = await FleetRunner.create({
     slots: routerSlots(plan),
     platformUrls: platform.urls,
@@ -71,6 +72,7 @@
     onInstances: (records) => {
       platform.setInstances(ROUTER_SERVICE, records);
     },
+    ...(options.routerCommand ? { command: options.routerCommand } : {}),
   });
   closers.push(() => fleet.stop());
   options.onProgress(`starting ${plan.routers} routers in ${plan.dataCentres.length} data centres`);
--- a/packages/lab/src/node/freePorts.ts
+++ b/packages/lab/src/node/freePorts.ts
@@ -1,22 +1,45 @@
 /** Ports for processes that must come back on the same address after a restart. */
 
-import type { AddressInfo, Server } from 'node:net';
+import { randomInt } from 'node:crypto';
 import { createServer } from 'node:net';
 
-/** Finds ports on loopback that are free now, all different. */
+/**
+ * Ports below the range from which systems usually serve port 0 and outgoing connections. A port of
+ * that range can be given to any other process between the check and its use, which shows as a
+ * router that ends at its start or as foreign requests at a test's server.
+ */
+const LOWEST_PORT = 20_000;
+const HIGHEST_PORT = 32_000;
+const MAX_TRIES_PER_PORT = 50;
+
+/**
+ * Finds ports on loopback that nothing listens on now, all different.
+ *
+ * @example
+ * const [entry, mesh] = await findFreePorts(2);
+ */
 export async function findFreePorts(count: number): Promise<number[]> {
-  const servers = await Promise.all(Array.from({ length: count }, listenAnywhere));
-  const ports = servers.map((server) => (server.address() as AddressInfo).port);
-  await Promise.all(servers.map((server) => new Promise((resolve) => server.close(resolve))));
-  return ports;
+  const ports = new Set<number>();
+  for (let tries = 0; ports.size < count; tries += 1) {
+    if (tries > count * MAX_TRIES_PER_PORT) {
+      throw new RangeError(`no ${count} free ports from ${LOWEST_PORT} to ${HIGHEST_PORT}`);
+    }
+    const port = randomInt(LOWEST_PORT, HIGHEST_PORT);
+    if (!ports.has(port) && (await isFree(port))) ports.add(port);
+  }
+  return [...ports];
 }
 
-function listenAnywhere(): Promise<Server> {
-  return new Promise((resolve, reject) => {
+function isFree(port: number): Promise<boolean> {
+  return new Promise((resolve) => {
     const server = createServer();
-    server.once('error', reject);
-    server.listen(0, '127.0.0.1', () => {
-      resolve(server);
+    server.once('error', () => {
+      resolve(false);
+    });
+    server.listen(port, '127.0.0.1', () => {
+      server.close(() => {
+        resolve(true);
+      });
     });
   });
 }
--- a/packages/lab/src/types/demo.ts
+++ b/packages/lab/src/types/demo.ts
@@ -3,6 +3,7 @@
 import type { DeploymentName } from '../runtime/deployments.js';
 import type { EntryAudit } from '../runtime/entryAudit.js';
 import type { SpendRow } from '../runtime/spend.js';
+import type { FleetRunnerOptions } from './fleetRunner.js';
 import type { LoadResult } from './load.js';
 import type { ReportDocument } from './report.js';
 
@@ -17,6 +18,10 @@
   keep: boolean;
   /** Where settings and logs of the routers go. */
   directory: string;
+  /** Puts the declarations in force. @default `flamingocourse apply` over the examples */
+  apply?: (platformUrl: string) => Promise<void>;
+  /** How a router is run. @default the flamingocourse-router binary of this workspace */
+  routerCommand?: FleetRunnerOptions['command'];
   /** Ends the demo early. */
   signal: AbortSignal;
   onProgress: (line: string) => void;
--- a/test/lab/engineStandIn.test.ts
+++ b/test/lab/engineStandIn.test.ts
@@ -1,5 +1,8 @@
 import assert from 'node:assert/strict';
+import { spawn } from 'node:child_process';
+import { once } from 'node:events';
 import { after, test } from 'node:test';
+import { fileURLToPath } from 'node:url';
 import {
   countPromptTokens,
   createEngineStandIn,
@@ -167,3 +170,17 @@
     assert.deepEqual(statuses, [200, status]);
   });
 }
+
+// as a process of its own the engine must really be gone after a crash, not only its connections.
+test('the engine process ends when a marked request runs', async () => {
+  const main = fileURLToPath(
+    new URL('../../packages/lab/src/node/engineStandIn/main.ts', import.meta.url),
+  );
+  const args = ['--conditions=@flamingocourse/source', '--import=tsx', main];
+  const child = spawn(process.execPath, args, { stdio: ['ignore', 'pipe', 'inherit'] });
+  const [line] = (await once(child.stdout, 'data')) as [Buffer];
+  const { url } = JSON.parse(line.toString()) as { url: string };
+  const ended = once(child, 'exit');
+  assert.equal((await readStream(url, userPrompt('crash-the-engine'))).done, false);
+  assert.deepEqual(await ended, [70, null]);
+});
