feat(lab): the demo also reads from services with non-idempotent classes

Cause: all plain classes of the examples are non-idempotent, so no read took part in the load. Reads are safe calls whatever the class says.

--- a/packages/lab/src/runtime/declaredLoad.ts
+++ b/packages/lab/src/runtime/declaredLoad.ts
@@ -70,12 +70,13 @@
     }));
   }
   const call = { workClass, service: service.name, path: `/${workClass}` };
-  if (item.idempotent) return [{ ...call, type: 'read', weight, naming: 'none' }];
+  const read: MixItem = { ...call, type: 'read', weight: weight / 2, naming: 'none' };
+  if (item.idempotent) return [read];
   const entry = (naming: Naming): MixItem => ({
     ...call,
     type: 'entry',
     weight: weight / 2,
     naming,
   });
-  return [entry('key'), entry('ticket')];
+  return [read, entry('key'), entry('ticket')];
 }
--- a/test/lab/demoReport.test.ts
+++ b/test/lab/demoReport.test.ts
@@ -107,7 +107,13 @@
   assert.deepEqual(accounts, [{ name: 'ger-shop', apiKey: 'demo-ger-shop', weight: 5 }]);
   assert.deepEqual(
     mix.map((item) => `${item.workClass} ${item.type} ${item.naming}`),
-    ['drafts chat key', 'stock read none', 'reservations entry key', 'reservations entry ticket'],
+    [
+      'drafts chat key',
+      'stock read none',
+      'reservations read none',
+      'reservations entry key',
+      'reservations entry ticket',
+    ],
   );
 });
 
