--- a/packages/core/src/runtime/quarantine/quarantine.ts
+++ b/packages/core/src/runtime/quarantine/quarantine.ts
@@ -59,6 +59,8 @@
 
 /** Fingerprints kept; beyond it the oldest suspects go first. */
 const MAX_ENTRIES = 1_024;
+/** Fingerprints left after that; some fewer, so that not each further one costs a sort of all. */
+const ENTRIES_AFTER_BOUND = 896;
 const MAX_CRASHES = 8;
 /** Crashes in a row that quarantine even where a service has a single server. */
 const CRASHES_ON_ONE_SERVER = 3;
@@ -221,15 +223,15 @@
   return bound({ entries: { ...state.entries, [fingerprint]: entry } }, now);
 }
 
-/** Drops what no longer says anything, and beyond the limit the oldest suspects first. */
+/** Beyond the limit drops what no longer says anything, then the oldest suspects. */
 function bound(state: QuarantineState, now: EpochMs): QuarantineState {
+  if (Object.keys(state.entries).length <= MAX_ENTRIES) return state;
   const kept = Object.entries(state.entries).filter(([, entry]) => isUseful(entry, now));
-  if (kept.length <= MAX_ENTRIES) return { entries: Object.fromEntries(kept) };
   const ranked = kept.sort(
     ([, a], [, b]) =>
       Number(isQuarantined(b, now)) - Number(isQuarantined(a, now)) || lastSeen(b) - lastSeen(a),
   );
-  return { entries: Object.fromEntries(ranked.slice(0, MAX_ENTRIES)) };
+  return { entries: Object.fromEntries(ranked.slice(0, ENTRIES_AFTER_BOUND)) };
 }
 
 /** A cleared entry is kept for a while: it overrides the older crash in a peer's late hint. */
--- a/packages/lab/src/index.ts
+++ b/packages/lab/src/index.ts
@@ -1,1 +1,1 @@
-export {};
+export * from './runtime/routingExperiment/index.js';
--- /dev/null
+++ b/packages/lab/src/runtime/routingExperiment/index.ts
@@ -0,0 +1,5 @@
+export * from './measureCapacity.js';
+export * from './policies.js';
+export * from './runRoutingExperiment.js';
+export * from './runRoutingMeasure.js';
+export type * from './types.js';
--- /dev/null
+++ b/packages/lab/src/runtime/routingExperiment/policies.ts
@@ -0,0 +1,42 @@
+/** Scenarios, and policies that differ from the chosen one in a single decision. */
+
+import type { RoutingPolicy, RoutingScenario } from './types.js';
+import { naivePolicy } from './measureCapacity.js';
+
+/** What the router does. */
+export const chosenPolicy: RoutingPolicy = {
+  name: 'chosen',
+  chooser: 'prefix-affinity',
+  discipline: 'importance-deadline',
+  limit: 'aimd',
+  refuseUnreachable: true,
+  ejection: true,
+  slowEjection: true,
+  fairPart: true,
+};
+
+/** The chosen policy, each with one decision set back, and the naive one. */
+export const routingPolicies: readonly RoutingPolicy[] = [
+  chosenPolicy,
+  { ...chosenPolicy, name: 'chooser: power-of-two', chooser: 'power-of-two' },
+  { ...chosenPolicy, name: 'chooser: least-loaded', chooser: 'least-loaded' },
+  { ...chosenPolicy, name: 'chooser: random', chooser: 'random' },
+  { ...chosenPolicy, name: 'queue: fifo', discipline: 'fifo' },
+  { ...chosenPolicy, name: 'limit: fixed', limit: 'fixed' },
+  { ...chosenPolicy, name: 'limit: gradient', limit: 'gradient' },
+  { ...chosenPolicy, name: 'keep hopeless', refuseUnreachable: false },
+  { ...chosenPolicy, name: 'no slow ejection', slowEjection: false },
+  { ...chosenPolicy, name: 'no ejection', ejection: false },
+  { ...chosenPolicy, name: 'no fair part', fairPart: false },
+  naivePolicy,
+];
+
+/** Loads and faults of the measurement. */
+export const routingScenarios: readonly RoutingScenario[] = [
+  { name: 'load 0.7', load: 0.7, fault: 'none' },
+  { name: 'load 1.0', load: 1, fault: 'none' },
+  { name: 'load 1.5', load: 1.5, fault: 'none' },
+  { name: 'slow server', load: 0.7, fault: 'slow-server' },
+  { name: 'crashed server', load: 0.7, fault: 'crashed-server' },
+  { name: 'cut data centre', load: 0.7, fault: 'cut-data-centre' },
+];
