--- a/packages/core/src/runtime/admission/admissionQueue.ts
+++ b/packages/core/src/runtime/admission/admissionQueue.ts
@@ -1,7 +1,7 @@
 /** Bounded queue of the requests of one service that wait for a backend server. */
 
 import type { EpochMs } from '../../types/ids.js';
-import type { QueueDiscipline, QueueEntry } from './queueDiscipline.js';
+import type { PlacementTest, QueueDiscipline, QueueEntry } from './queueDiscipline.js';
 import { DrainRate } from './drainRate.js';
 import { ImportanceDeadlineDiscipline } from './queueDiscipline.js';
 
@@ -57,6 +57,7 @@
   readonly #discipline: QueueDiscipline;
   readonly #refuseUnreachable: boolean;
   readonly #drain = new DrainRate();
+  readonly #laneDrains = new Map<string, DrainRate>();
 
   constructor(options: AdmissionQueueOptions) {
     this.#maxSize = options.maxSize;
@@ -77,15 +78,20 @@
     return { queued: !shed.some((other) => other.entry.id === entry.id), shed };
   }
 
-  /** Takes the next request that can still be answered in time. */
-  take(now: EpochMs): TakeResult {
+  /**
+   * Takes the next request that can still be answered in time, among those that can be placed.
+   *
+   * @example
+   * const { entry, shed } = queue.take(now, (importance) => pool.hasRoom({ importance }, now));
+   */
+  take(now: EpochMs, canPlace: PlacementTest = () => true): TakeResult {
     const shed: ShedEntry[] = [];
     for (;;) {
-      const entry = this.#discipline.take();
+      const entry = this.#discipline.take(canPlace);
       if (!entry) return { shed };
       const late = this.#judge(entry, 0, now);
       if (!late) {
-        this.#recordTake(now);
+        this.#recordTake(entry, now);
         return { entry, shed };
       }
       shed.push(late);
@@ -119,8 +125,14 @@
     return entries;
   }
 
-  /** Expected wait of a request in milliseconds, were it added now; 0 while no rate is known. */
+  /**
+   * Expected wait of a request in milliseconds, were it added now; 0 while no rate is known. Judged
+   * by the lane's own rate where that was measured: it includes the more important requests that
+   * keep coming after this one and are served before it.
+   */
   predictWaitMs(entry: QueueEntry, now: EpochMs): number {
+    const laneRate = this.#laneDrains.get(this.#discipline.laneOf(entry))?.perMs(now);
+    if (laneRate !== undefined) return this.#discipline.countAheadInLane(entry) / laneRate;
     const rate = this.#drain.perMs(now);
     return rate === undefined ? 0 : this.#discipline.countAhead(entry) / rate;
   }
@@ -151,8 +163,18 @@
     return shed;
   }
 
-  #recordTake(now: EpochMs): void {
+  #recordTake(entry: QueueEntry, now: EpochMs): void {
     if (this.size === 0) this.#drain.reset();
     else this.#drain.record(now);
+    const lane = this.#discipline.laneOf(entry);
+    const drain = this.#laneDrains.get(lane) ?? new DrainRate();
+    this.#laneDrains.set(lane, drain);
+    const laneIsEmpty = !this.#discipline.entries().some((other) => this.#isInLane(other, lane));
+    if (laneIsEmpty) drain.reset();
+    else drain.record(now);
+  }
+
+  #isInLane(entry: QueueEntry, lane: string): boolean {
+    return this.#discipline.laneOf(entry) === lane;
   }
 }
--- a/packages/core/src/runtime/admission/drainRate.ts
+++ b/packages/core/src/runtime/admission/drainRate.ts
@@ -3,9 +3,9 @@
 import type { EpochMs } from '../../types/ids.js';
 
 const WINDOW_TAKES = 64;
-const MIN_TAKES = 8;
+const MIN_TAKES = 4;
 /** Takes older than this say nothing about the present, in milliseconds. */
-const MAX_AGE_MS = 10_000;
+const MAX_AGE_MS = 30_000;
 
 /**
  * Counts takes from a queue that has a backlog. Takes from an empty queue would measure the arrival
--- a/packages/core/src/runtime/admission/queueDiscipline.ts
+++ b/packages/core/src/runtime/admission/queueDiscipline.ts
@@ -17,18 +17,28 @@
 
 export type QueueDisciplineName = 'fifo' | 'importance-deadline';
 
+/**
+ * Whether a request of this importance can be placed now. `owed` says that it is the turn of its
+ * minimum share, to which no reserve applies.
+ */
+export type PlacementTest = (importance: Importance, owed: boolean) => boolean;
+
 /** An ordered set of waiting requests. */
 export abstract class QueueDiscipline {
   abstract readonly name: QueueDisciplineName;
   abstract get size(): number;
   abstract add(entry: QueueEntry): void;
-  /** Removes and returns the request to be served next. */
-  abstract take(): QueueEntry | undefined;
+  /** Removes and returns the request to be served next, among those that can be placed. */
+  abstract take(canPlace: PlacementTest): QueueEntry | undefined;
   abstract remove(id: number): QueueEntry | undefined;
   /** The request to be given up when there is one too many. */
   abstract leastValuable(): QueueEntry | undefined;
   /** Requests that would be served before the given one, were it added now. */
   abstract countAhead(entry: QueueEntry): number;
+  /** Requests of the same lane that would be served before it; a lane is served in fixed order. */
+  abstract countAheadInLane(entry: QueueEntry): number;
+  /** Name of the lane that a request waits in. */
+  abstract laneOf(entry: QueueEntry): string;
   abstract entries(): QueueEntry[];
 }
 
@@ -45,8 +55,9 @@
     this.#queue.push(entry);
   }
 
-  override take(): QueueEntry | undefined {
-    return this.#queue.shift();
+  override take(canPlace: PlacementTest): QueueEntry | undefined {
+    const index = this.#queue.findIndex((entry) => canPlace(entry.importance, false));
+    return index < 0 ? undefined : this.#queue.splice(index, 1)[0];
   }
 
   override remove(id: number): QueueEntry | undefined {
@@ -61,6 +72,14 @@
     return this.#queue.length;
   }
 
+  override countAheadInLane(): number {
+    return this.#queue.length;
+  }
+
+  override laneOf(): string {
+    return 'all';
+  }
+
   override entries(): QueueEntry[] {
     return [...this.#queue];
   }
@@ -114,8 +133,8 @@
     queue.splice(insertionIndex(queue, entry), 0, entry);
   }
 
-  override take(): QueueEntry | undefined {
-    const lane = this.#nextLane();
+  override take(canPlace: PlacementTest): QueueEntry | undefined {
+    const lane = this.#nextLane(canPlace);
     if (!lane) return undefined;
     for (const other of this.#lanes) {
       if (other !== lane && other.queue.length > 0) other.passedOver += 1;
@@ -150,17 +169,27 @@
     return ahead;
   }
 
+  override countAheadInLane(entry: QueueEntry): number {
+    return insertionIndex(this.#lane(entry.importance).queue, entry);
+  }
+
+  override laneOf(entry: QueueEntry): string {
+    return entry.importance;
+  }
+
   override entries(): QueueEntry[] {
     return this.#lanes.flatMap((lane) => lane.queue);
   }
 
-  #nextLane(): Lane | undefined {
+  #nextLane(canPlace: PlacementTest): Lane | undefined {
     const waiting = this.#lanes.filter((lane) => lane.queue.length > 0);
-    const owed = waiting.findLast((lane) => {
-      const share = this.#shares[lane.importance];
-      return share > 0 && (lane.passedOver + 1) * share >= 1;
-    });
-    return owed ?? waiting[0];
+    const owed = waiting.findLast((lane) => this.#isOwed(lane) && canPlace(lane.importance, true));
+    return owed ?? waiting.find((lane) => canPlace(lane.importance, false));
+  }
+
+  #isOwed(lane: Lane): boolean {
+    const share = this.#shares[lane.importance];
+    return share > 0 && (lane.passedOver + 1) * share >= 1;
   }
 
   #lane(importance: Importance): Lane {
--- a/packages/core/src/runtime/routing/serverPool.ts
+++ b/packages/core/src/runtime/routing/serverPool.ts
@@ -141,6 +141,22 @@
       .filter((candidate) => candidate.hasRoom);
   }
 
+  /**
+   * Whether a request can be placed while a part of all places, from 0 to 1, stays free. In the own
+   * data centre if that has room at all, else in the others.
+   */
+  hasRoom(keptFree: number, now: EpochMs): boolean {
+    const candidates = this.candidates({}, now);
+    if (candidates.length === 0) return false;
+    if (keptFree <= 0) return true;
+    const local = candidates.filter((candidate) => candidate.local);
+    const used = local.length > 0 ? local : candidates;
+    const all = this.#openEntries(now).filter((entry) => this.#isLocal(entry) === local.length > 0);
+    const places = all.reduce((sum, entry) => sum + entry.capacity(this.#health, now), 0);
+    const free = used.reduce((sum, next) => sum + Math.max(0, next.capacity - next.load), 0);
+    return free > keptFree * places;
+  }
+
   /** Whether any server may get new work, with or without room; otherwise waiting is useless. */
   hasOpenServer(tried: ReadonlySet<ServerId> | undefined, now: EpochMs): boolean {
     return this.#openEntries(now).some((entry) => !tried?.has(entry.server.id));
--- a/packages/lab/src/runtime/routingExperiment/measureCapacity.ts
+++ b/packages/lab/src/runtime/routingExperiment/measureCapacity.ts
@@ -13,6 +13,7 @@
   ejection: false,
   slowEjection: false,
   fairPart: false,
+  reserve: false,
 };
 
 const SATURATING_RATE = 400;
--- a/packages/lab/src/runtime/routingExperiment/policies.ts
+++ b/packages/lab/src/runtime/routingExperiment/policies.ts
@@ -13,6 +13,7 @@
   ejection: true,
   slowEjection: true,
   fairPart: true,
+  reserve: true,
 };
 
 /** The chosen policy, each with one decision set back, and the naive one. */
@@ -28,6 +29,7 @@
   { ...chosenPolicy, name: 'no slow ejection', slowEjection: false },
   { ...chosenPolicy, name: 'no ejection', ejection: false },
   { ...chosenPolicy, name: 'no fair part', fairPart: false },
+  { ...chosenPolicy, name: 'no reserve', reserve: false },
   naivePolicy,
 ];
 
--- a/packages/lab/src/runtime/routingExperiment/routerModel.ts
+++ b/packages/lab/src/runtime/routingExperiment/routerModel.ts
@@ -9,6 +9,7 @@
   RetryBudget,
   ServerChooser,
   ServerId,
+  ServiceTime,
 } from '@flamingocourse/core';
 import type { ClassStats } from './classStats.js';
 import type { ExperimentRequest } from './requestSource.js';
@@ -17,13 +18,16 @@
 import type { VirtualLoop } from './virtualLoop.js';
 import {
   AdmissionQueue,
+  cautiousServiceMs,
   chooseServer,
   createQueueDiscipline,
   createRetryBudget,
   createServerChooser,
   decideRetry,
   earnRetry,
+  ImportanceReserve,
   mix32,
+  recordServiceTime,
   resolveAttemptPlan,
   ServerPool,
   spendRetry,
@@ -54,8 +58,6 @@
 const MAX_QUEUE = 256;
 const MAX_ATTEMPTS = 3;
 const EXPIRE_EVERY_MS = 50;
-/** Weight of one answer in the expected time of its class. */
-const SERVICE_WEIGHT = 0.1;
 const priorities = { first: 0, standard: 1, background: 2 } as const;
 
 /** A router with its pool, queue and retry budget. */
@@ -66,7 +68,8 @@
   readonly #queue: AdmissionQueue;
   readonly #chooser: ServerChooser;
   readonly #pending = new Map<number, PendingRequest>();
-  readonly #serviceMs = new Map<string, number>();
+  readonly #serviceTimes = new Map<string, ServiceTime>();
+  readonly #reserve: ImportanceReserve | undefined;
   #retries: RetryBudget = createRetryBudget();
 
   constructor(
@@ -93,6 +96,7 @@
       sharers: policy.fairPart ? sharers : Infinity,
       health: policy.ejection ? slowNever : never,
     });
+    this.#reserve = policy.reserve ? new ImportanceReserve() : undefined;
     this.#pool.applyList(servers, around.loop.now);
     this.#expireRegularly();
   }
@@ -105,7 +109,7 @@
   receive(request: ExperimentRequest): void {
     const { now } = this.#around.loop;
     const deadline = request.arrivedAt + request.workClass.completeMs;
-    const typicalMs = this.#serviceMs.get(request.workClass.name) ?? 0;
+    const typicalMs = this.#serviceTimes.get(request.workClass.name)?.meanMs ?? 0;
     const plan = resolveAttemptPlan(
       { idempotent: true, deadline, maxAttempts: MAX_ATTEMPTS, typicalMs },
       now,
@@ -124,7 +128,7 @@
       importance: workClass.importance,
       deadline: pending.deadline,
       targetAt: arrivedAt + workClass.firstTokenMs,
-      serviceMs: this.#serviceMs.get(workClass.name) ?? 0,
+      serviceMs: cautiousServiceMs(this.#serviceTimes.get(workClass.name)),
     };
     const { shed } = this.#queue.offer(entry, this.#around.loop.now);
     for (const given of shed) this.#refuse(given.entry.id, given.reason);
@@ -132,10 +136,14 @@
 
   #pump(): void {
     const { now } = this.#around.loop;
-    while (this.#queue.size > 0 && this.#pool.candidates({}, now).length > 0) {
-      const { entry, shed } = this.#queue.take(now);
+    for (;;) {
+      const { entry, shed } = this.#queue.take(now, (importance, owed) => {
+        const keptFree = owed ? 0 : (this.#reserve?.keptFree(importance) ?? 0);
+        return this.#pool.hasRoom(keptFree, now);
+      });
       for (const given of shed) this.#refuse(given.entry.id, given.reason);
-      const pending = entry && this.#pending.get(entry.id);
+      if (!entry) return;
+      const pending = this.#pending.get(entry.id);
       if (pending) this.#dispatch(pending);
     }
   }
@@ -161,9 +169,11 @@
   #ended(pending: PendingRequest, end: AttemptOutcome): void {
     const { loop, stats } = this.#around;
     if (end.type === 'done') {
-      this.#learnServiceTime(pending.request.workClass.name, end.serviceMs);
+      const { request } = pending;
+      const firstTokenMs = end.firstTokenAt - request.arrivedAt;
+      this.#learn(request, end.serviceMs, firstTokenMs);
       this.#close(pending);
-      stats.answered(pending.request, end.firstTokenAt - pending.request.arrivedAt);
+      stats.answered(request, firstTokenMs);
     } else {
       this.#retryOrRefuse(pending, end.provablyNotRun, loop.now);
     }
@@ -196,9 +206,10 @@
     this.#pending.delete(pending.request.id);
   }
 
-  #learnServiceTime(workClass: string, ms: number): void {
-    const known = this.#serviceMs.get(workClass) ?? ms;
-    this.#serviceMs.set(workClass, known + SERVICE_WEIGHT * (ms - known));
+  #learn(request: ExperimentRequest, serviceMs: number, firstTokenMs: number): void {
+    const { name, importance, firstTokenMs: targetMs } = request.workClass;
+    this.#serviceTimes.set(name, recordServiceTime(this.#serviceTimes.get(name), serviceMs));
+    this.#reserve?.sample(importance, firstTokenMs > targetMs);
   }
 
   #expireRegularly(): void {
--- a/packages/lab/src/runtime/routingExperiment/types.ts
+++ b/packages/lab/src/runtime/routingExperiment/types.ts
@@ -22,6 +22,8 @@
   slowEjection: boolean;
   /** Whether each router keeps a fair part of a full server. */
   fairPart: boolean;
+  /** Whether places are kept free for more important requests. */
+  reserve: boolean;
 }
 
 /** Fault that begins and ends at fixed times of each run. */
