--- a/packages/lab/src/node/fleetRunner/fleetRunner.ts
+++ b/packages/lab/src/node/fleetRunner/fleetRunner.ts
@@ -146,7 +146,7 @@
 }
 
 function runRouterBinary(settingsFile: string): RouterCommand {
-  return { file: process.execPath, args: [routerBinary, '--settings', settingsFile] };
+  return { file: process.execPath, args: [routerBinary, settingsFile] };
 }
 
 function urlOf(port: number): string {
