fix(requests): a ticket that was issued or refused as not run can be started

Ruled out: the claim (keys without tickets went through), the sealing of a live router (no event 402). Conclusion: the issuer remembers which of its tickets have not been started.

--- a/packages/router/src/node/entry/requestRunner.ts
+++ b/packages/router/src/node/entry/requestRunner.ts
@@ -27,6 +27,7 @@
 import { ExecutionTable } from './executionTable.js';
 import { LiveAnswer } from './liveAnswer.js';
 import { PlainWork } from './plainWork.js';
+import { UnusedTickets } from './unusedTickets.js';
 import { outcomeUnknown } from './work.js';
 
 const NOT_READY_RETRY_MS = 1_000;
@@ -51,12 +52,14 @@
   readonly #context: RouterContext;
   readonly #tickets: TicketCodec;
   readonly #table = new ExecutionTable();
+  readonly #unused = new UnusedTickets();
   readonly #claiming = new Map<string, Promise<Handling>>();
   #kernel!: Kernel;
   #money!: Money;
   #fleet!: Fleet;
   #workContext!: WorkContext;
   #stopping = false;
+  #incarnation = '';
 
   constructor(context: RouterContext, tickets: TicketCodec) {
     super();
@@ -68,6 +71,7 @@
     this.#kernel = kernel;
     this.#money = kernel.get('money', Money);
     this.#fleet = kernel.get('fleet', Fleet);
+    this.#incarnation = this.#fleet.self.incarnation;
     this.#workContext = {
       backends: kernel.get('backends', Backends),
       clock: this.#context.clock,
@@ -100,7 +104,9 @@
   issueTicket(account: string): Result<string, Refusal> {
     const refusal = this.#refusalOfNew();
     if (refusal) return Result.err(refusal);
-    return Result.ok(this.#tickets.format(this.#money.nextTicket(), account));
+    const ticket = this.#money.nextTicket();
+    this.#unused.add(ticket.number);
+    return Result.ok(this.#tickets.format(ticket, account));
   }
 
   /** Waits for the end of a request of this incarnation; undefined when it is not known here. */
@@ -115,6 +121,7 @@
 
   /** Decides what becomes of a request and starts it where it is new. */
   async handle(request: CallerRequest): Promise<Handling> {
+    this.#followIncarnation();
     switch (request.name.type) {
       case 'none':
         return this.#startNew(request, undefined);
@@ -183,6 +190,9 @@
     if (ticket.issuer === this.#fleet.self.incarnation) {
       const known = this.#table.byNumber(ticket.number);
       if (known) return this.#join(known, request);
+      const refusal = this.#refusalOfNew();
+      if (refusal) return refused(refusal);
+      if (this.#unused.take(ticket.number)) return this.#start(request, ticket);
     }
     const resolution = await this.#money.resolveTicket(ticket);
     switch (resolution.type) {
@@ -207,13 +217,10 @@
     }
   }
 
-  /** A ticket that provably was neither billed nor run: ours to use, or to take over by claim. */
+  /** A ticket of a sealed router that provably was neither billed nor run: to take over by claim. */
   async #startUnrun(request: CallerRequest, ticket: TicketId, claimKey: string): Promise<Handling> {
     const refusal = this.#refusalOfNew();
     if (refusal) return refused(refusal);
-    if (ticket.issuer === this.#fleet.self.incarnation) {
-      return this.#start(request, ticket, undefined);
-    }
     // two routers may get retries of the same orphaned ticket; the claim lets one of them run it.
     const next = this.#money.nextTicket();
     const answer = await this.#money.takeOverClaim(claimKey, ticket, next);
@@ -289,7 +296,9 @@
     if (end.type === 'refused') {
       metrics.count('requests.refused', 1, { reason: end.refusal.reason });
       // what did not run may be tried again under the same name.
-      if (end.refusal.run === 'not-run') this.#table.forget(execution);
+      if (end.refusal.run !== 'not-run') return;
+      this.#table.forget(execution);
+      if (request.name.type !== 'none') this.#unused.add(execution.ticket.number);
       return;
     }
     metrics.count('requests.answered');
@@ -450,8 +459,13 @@
       : new PlainWork(request, this.#workContext);
   }
 
-  /** Ends all requests of an incarnation that was sealed; none of them can be billed any more. */
-  abandonAll(): void {
+  // a router that was sealed goes on under a new incarnation. What the old one ran can no longer be
+  // billed, and its ticket numbers must not be taken for those of the new one.
+  #followIncarnation(): void {
+    const { incarnation } = this.#fleet.self;
+    if (incarnation === this.#incarnation) return;
+    this.#incarnation = incarnation;
+    this.#unused.clear();
     for (const execution of this.#table.clear()) execution.abort.abort();
   }
 }
