--- a/packages/router/src/node/money/groupWriter.ts
+++ b/packages/router/src/node/money/groupWriter.ts
@@ -3,7 +3,8 @@
  *
  * A change is a function of the state and must be idempotent: when a write conflicts, or its reply
  * is lost and it may or may not have taken effect, the object is read again and the change is made
- * on what was read.
+ * on what was read. A change that does nothing on the copy at hand is not checked against the store:
+ * whoever decides from levels that others move refreshes first.
  */
 
 import type { ObjectStore, StoredObject, StoreError } from '../../types/moneyPorts.js';
@@ -112,8 +113,9 @@
     if (read.error.code !== 'not-found') return this.#unreachable();
     const created = await store.create(collection, name, this.#options.initial());
     if (created.isOk) return Result.ok(this.#accept(created.value));
-    if (created.error.code === 'exists') return this.refresh();
-    return this.#unreachable();
+    // another router was first, or the reply was lost: either way it may exist now.
+    const again = await store.get(collection, name);
+    return again.isOk ? Result.ok(this.#accept(again.value)) : this.#unreachable();
   }
 
   *#run(): Steps<void> {
--- a/packages/router/src/node/money/holderSession.ts
+++ b/packages/router/src/node/money/holderSession.ts
@@ -115,7 +115,10 @@
     if (free > level * GIVE_ABOVE && level > 0) void this.give(account, free - level);
   }
 
-  /** Takes tokens that a waiting request lacks. Gives what the pool does not have. */
+  /**
+   * Takes tokens that a waiting request lacks. Gives how many the pool would need to have, when it
+   * has fewer.
+   */
   takeFor(
     account: string,
     amount: Tokens,
@@ -127,7 +130,7 @@
     if (lacking <= 0 || this.#isTaking(account)) return 0;
     const level = this.#level(account, journal, policy, now, amount);
     this.#take(account, Math.max(lacking, level - this.spender.free(account)), journal);
-    return Math.max(0, lacking - pool(journal, account));
+    return pool(journal, account) < lacking ? lacking : 0;
   }
 
   /** Gives free tokens back to the pool; resolves with the amount once the line is kept. */
--- a/packages/router/src/node/money/ledgerPlan.ts
+++ b/packages/router/src/node/money/ledgerPlan.ts
@@ -10,11 +10,12 @@
   SlicePolicy,
   Tokens,
 } from '@flamingocourse/core';
-import { grant, mergeReturned, mergeSpent, openAccount, shareOf } from '@flamingocourse/core';
+import { grant, mergeReturned, mergeSpent, openAccount, pool, shareOf } from '@flamingocourse/core';
 
 /** What a plan is made from. */
 export interface LedgerSituation {
   state: JournalState;
+  /** Tokens that the pool would need to have for waiting requests. */
   shortfalls: Map<AccountId, Tokens>;
   policy: SlicePolicy;
   /** Tokens a second of this data centre. */
@@ -24,6 +25,8 @@
   now: EpochMs;
   /** Whether tokens are fetched too; not when some were just handed back for others. */
   refills: boolean;
+  /** Whether an account's tokens are left to another data centre at the moment. */
+  yields: (account: AccountId) => boolean;
   /** Filled in: unspent tokens that the data centre should hold. */
   levels: Map<AccountId, Tokens>;
 }
@@ -60,7 +63,7 @@
   const { state, policy } = situation;
   const share = shareOf(entry, state.dataCentre);
   const held = share.grantedIn - share.returnedOut - share.spent;
-  const shortfall = situation.shortfalls.get(account) ?? 0;
+  const shortfall = (situation.shortfalls.get(account) ?? 0) - pool(state, account);
   const level = policy.grantTarget({
     demandPerSecond: situation.demand(account),
     rideThroughSeconds: situation.rideThroughSeconds,
@@ -68,8 +71,9 @@
     dataCentres: situation.dataCentres,
     shortfall: 0,
   });
-  situation.levels.set(account, level);
-  const isLow = held < level * REFILL_BELOW;
+  // what waiting requests lack is no surplus, though it stands above the level.
+  situation.levels.set(account, Math.max(level, situation.shortfalls.get(account) ?? 0));
+  const isLow = held < level * REFILL_BELOW && !situation.yields(account);
   const wanted = Math.max(isLow ? level - held : 0, shortfall);
   return wanted > 0 ? grant(page, account, state.dataCentre, wanted) : page;
 }
--- a/packages/router/src/node/money/lineLog.ts
+++ b/packages/router/src/node/money/lineLog.ts
@@ -106,12 +106,12 @@
   async #append(): Promise<boolean> {
     const { spender, routes } = this.#options;
     const lines = spender.unapplied.slice(0, MAX_LINES_PER_APPEND);
+    const before = spender.appliedSeq;
     const answer = await routes.append(lines);
     if (answer.isErr) {
       if (answer.error === 'sealed') this.seal();
       return false;
     }
-    const before = spender.appliedSeq;
     spender.sync(answer.value.state);
     this.#options.onAnswer(answer.value);
     this.settleKept();
--- a/packages/router/src/node/money/moneyService.ts
+++ b/packages/router/src/node/money/moneyService.ts
@@ -248,7 +248,7 @@
       return Result.ok(await parts.treasurer.returnToLedger(account, amount));
     }
     if (given < amount && parts.treasurer.owns(account)) {
-      await parts.treasurer.request(account, amount - given);
+      await parts.treasurer.request(account, amount);
     }
     return Result.ok(given);
   }
@@ -332,6 +332,10 @@
     if (!parts.witness.empty || session.spender.reservedTokens() > 0) return;
     parts.witness.close();
     await session.log.record([{ type: 'close' }]);
+    // kept at a witness is enough for the money; in the journal, peers need not seal this holder.
+    while (parts.writer.reachable && session.spender.unapplied.length > 0) {
+      await delay(RESERVE_POLL_MS);
+    }
   }
 
   async #record(
--- a/packages/router/src/node/money/treasurer.ts
+++ b/packages/router/src/node/money/treasurer.ts
@@ -40,6 +40,12 @@
 /** Least time between two questions to other data centres about one account. */
 const RECALL_INTERVAL_MS = 500;
 
+/** Time for which tokens that were handed back for another data centre are left to it. */
+const YIELD_MS = 1_000;
+
+/** Time for which a pool must stand above its level before it is handed back. */
+const SURPLUS_MS = 2_000;
+
 /** Peers asked for tokens in each other data centre. */
 const RECALLED_PEERS = 4;
 
@@ -70,6 +76,8 @@
   readonly #syncedAt = new Map<number, EpochMs>();
   readonly #running = new Map<number, Promise<void>>();
   readonly #recalledAt = new Map<AccountId, EpochMs>();
+  readonly #yieldedAt = new Map<AccountId, EpochMs>();
+  readonly #surplusSince = new Map<AccountId, EpochMs>();
   readonly #demand = new DemandBook();
   readonly #shortfalls = new Map<AccountId, Tokens>();
 
@@ -92,7 +100,7 @@
     }
   }
 
-  /** Asks for tokens that waiting requests lack; resolves when the pool may have grown. */
+  /** Asks for a pool of `amount` tokens; resolves when it may have grown. */
   async request(account: AccountId, amount: Tokens): Promise<void> {
     const { fleet, peers, ledgerPages } = this.#options;
     const page = pageOf(account, ledgerPages);
@@ -107,7 +115,8 @@
 
   /** Hands idle tokens of the pool back to the ledger, for another data centre. */
   async returnToLedger(account: AccountId, amount: Tokens): Promise<Tokens> {
-    const { journal, ledgerPages } = this.#options;
+    const { journal, ledgerPages, clock } = this.#options;
+    this.#yieldedAt.set(account, clock.now());
     const before = journal.latest?.state.accounts[account]?.returnedOut ?? 0;
     const level = before + amount;
     const written = await journal.change((state) => Result.ok(returnUpTo(state, account, level)));
@@ -148,7 +157,9 @@
   ): Promise<LedgerPage | undefined> {
     const { journal, clock } = this.#options;
     const read = await journal.refresh();
-    if (read.isErr) return undefined;
+    // an old copy of the page would hide what another data centre has just handed back.
+    const opened = await this.#writer(page).refresh();
+    if (read.isErr || opened.isErr) return undefined;
     const { state } = read.value;
     this.#demand.observe(state, clock.now());
     const situation = { ...this.#situation(state, shortfalls), refills };
@@ -178,6 +189,8 @@
       rideThroughSeconds: configuration.deployment.rideThroughSeconds,
       dataCentres: new Set(members.map((member) => member.dataCentre)).size,
       now: clock.now(),
+      // the own refill would else win the race against the data centre that asked.
+      yields: (account) => clock.now() - (this.#yieldedAt.get(account) ?? -Infinity) < YIELD_MS,
       levels: new Map<AccountId, Tokens>(),
     };
   }
@@ -200,14 +213,23 @@
     for (const [account, entry] of Object.entries(ledger.accounts)) {
       const level = levels.get(account) ?? 0;
       const surplus = state ? pool(state, account) - level : 0;
-      const isWanted = entry.pendingReduction > 0 || surplus > level * (RETURN_FACTOR - 1);
-      if (surplus <= 0 || !isWanted) continue;
+      const isLasting = this.#isLastingSurplus(account, surplus > level * (RETURN_FACTOR - 1));
+      if (surplus <= 0 || (entry.pendingReduction === 0 && !isLasting)) continue;
       await this.#options.journal.change((now) =>
         Result.ok(startReturn(now, account, Math.max(0, pool(now, account) - level))),
       );
     }
   }
 
+  /** Tokens just fetched for a waiting request look like a surplus until it takes them. */
+  #isLastingSurplus(account: AccountId, isAbove: boolean): boolean {
+    const now = this.#options.clock.now();
+    const since = isAbove ? (this.#surplusSince.get(account) ?? now) : undefined;
+    if (since === undefined) this.#surplusSince.delete(account);
+    else this.#surplusSince.set(account, since);
+    return since !== undefined && now - since >= SURPLUS_MS;
+  }
+
   /** Asks the other data centres for tokens that the ledger no longer has. */
   async #recallRest(ledger: LedgerPage, shortfalls: Map<AccountId, Tokens>): Promise<Tokens> {
     let recalled = 0;
--- /dev/null
+++ b/test/money/moneyService.test.ts
@@ -0,0 +1,205 @@
+import type { Refusal } from '@flamingocourse/core';
+import type { Reservation } from '@flamingocourse/router';
+import type { TestRouter } from './fixtures/moneyFleet.js';
+import assert from 'node:assert/strict';
+import { test } from 'node:test';
+import { KIRK, MoneyWorld, until } from './fixtures/moneyFleet.js';
+
+const details = { service: 'llm', cost: 80, promptTokens: 30, completionTokens: 50 };
+
+/** Runs a body against routers of one data centre, and stops them after it. */
+async function withRouters(
+  count: number,
+  tokens: number,
+  body: (world: MoneyWorld, routers: TestRouter[]) => Promise<void>,
+): Promise<void> {
+  const world = new MoneyWorld(tokens);
+  const routers = Array.from({ length: count }, (_, index) => world.add(`router-${index + 1}`));
+  await world.start();
+  try {
+    await body(world, routers);
+    for (const router of routers) assert.deepEqual(router.failures, []);
+  } finally {
+    await world.stop();
+  }
+}
+
+function requestOf(amount: number, budgetShare = 1) {
+  const who = { account: KIRK, workClass: 'drafts', importance: 'first' as const };
+  return { ...who, budgetShare, amount, deadline: Date.now() + 5_000 };
+}
+
+async function reserve(router: TestRouter, amount: number): Promise<Reservation> {
+  const result = await router.money.reserve(requestOf(amount));
+  return result.unwrapOrElse((refusal) => assert.fail(refusal.reason));
+}
+
+async function refusalOf(router: TestRouter, amount: number, share = 1): Promise<Refusal> {
+  const result = await router.money.reserve(requestOf(amount, share));
+  return result.isErr ? result.error : assert.fail('was reserved');
+}
+
+test('a request is reserved, billed and settled; the ledger learns the spend', async () => {
+  await withRouters(2, 10_000, async (world, routers) => {
+    for (const router of routers) {
+      const reservation = await reserve(router, 200);
+      const billed = await router.money.bill(reservation, router.money.nextTicket(), details);
+      assert.equal(billed.isOk, true);
+    }
+    // a kept bill may be at a witness for a moment before the journal has it.
+    await until(() => world.journal().accounts[KIRK]?.spent === 160);
+    await until(() => world.ledger().accounts[KIRK]?.shares['dc-a']?.spent === 160);
+  });
+});
+
+test('many requests at two routers never spend beyond the budget and use nearly all of it', async () => {
+  await withRouters(2, 2_000, async (world, routers) => {
+    let refused = 0;
+    const one = async (router: TestRouter): Promise<void> => {
+      const result = await router.money.reserve(requestOf(100));
+      if (result.isErr) refused += 1;
+      else await router.money.bill(result.value, router.money.nextTicket(), { ...details, cost: 100 }); // prettier-ignore
+    };
+    await Promise.all(Array.from({ length: 30 }, (_, index) => one(routers[index % 2] ?? assert.fail()))); // prettier-ignore
+    assert.equal(world.journal().accounts[KIRK]?.spent, 2_000);
+    assert.equal(refused, 10);
+  });
+});
+
+test('a refusal names the cause and when to come back', async () => {
+  await withRouters(1, 1_000, async (world, [router]) => {
+    assert.ok(router);
+    const exhausted = await refusalOf(router, 1_001);
+    assert.equal(exhausted.reason, 'budget-exhausted');
+    assert.ok(exhausted.retryAfterMs);
+    assert.equal((await refusalOf(router, 200, 0.1)).reason, 'class-share-exhausted');
+    world.store.fault = 'out';
+    await until(() => !router.money.ready);
+    assert.equal((await refusalOf(router, 10)).reason, 'budget-unreachable');
+  });
+});
+
+test('a write whose reply is lost bills once', async () => {
+  // a member would pay twice for one tow: the platform takes the bill and its reply is lost.
+  await withRouters(1, 10_000, async (world, [router]) => {
+    assert.ok(router);
+    const reservation = await reserve(router, 200);
+    world.store.fault = 'reply-lost';
+    const billed = await router.money.bill(reservation, router.money.nextTicket(), details);
+    assert.equal(billed.isOk, true);
+    assert.equal(world.journal().accounts[KIRK]?.spent, 80);
+  });
+});
+
+test('during an outage a witness keeps the bill, and the journal has it afterwards', async () => {
+  // an answer given during an outage would be missing from the invoice, or be charged twice: the
+  // platform is out, a peer keeps the line, and holder and peer both replay it afterwards.
+  await withRouters(2, 10_000, async (world, routers) => {
+    const router = routers[1] ?? assert.fail();
+    const named = (): string[] => world.journal().holders[router.incarnation]?.witnesses ?? [];
+    await until(() => named().length === 1);
+    const reservation = await reserve(router, 200);
+    world.store.fault = 'out';
+    const billed = await router.money.bill(reservation, router.money.nextTicket(), details);
+    assert.equal(billed.isOk, true);
+    assert.equal(world.journal().bills.length, 0);
+    world.store.fault = 'none';
+    await until(() => world.journal().accounts[KIRK]?.spent === 80);
+    assert.equal(world.journal().bills.length, 1);
+  });
+});
+
+/** Steps of one request; router A freezes after the named one and B takes over. */
+const freezes = [
+  { after: 'reserve', platform: 'none', billed: 0, found: 'not-run' },
+  { after: 'intent', platform: 'none', billed: 0, found: 'started' },
+  { after: 'bill', platform: 'none', billed: 80, found: 'billed' },
+  { after: 'bill', platform: 'out', billed: 80, found: 'billed' },
+] as const;
+
+for (const { after, platform, billed, found } of freezes) {
+  test(`A freezes after ${after} (store fault: ${platform}); B seals it: ${found}`, async () => {
+    // a family's bed would be reserved twice, or the tokens of a dead router be lost: A freezes, B
+    // seals it and is asked about the ticket; then A wakes and bills what it has in progress.
+    await withRouters(2, 1_000, async (world, [a, b]) => {
+      assert.ok(a && b);
+      await until(() => world.journal().holders[a.incarnation]?.witnesses.length === 1);
+      const old = a.incarnation;
+      const reservation = await reserve(a, 200);
+      const late = await reserve(a, 100);
+      const ticket = a.money.nextTicket();
+      if (after !== 'reserve') await a.money.recordIntent(ticket);
+      world.store.fault = platform;
+      if (after === 'bill') {
+        assert.equal((await a.money.bill(reservation, ticket, details)).isOk, true);
+      }
+      a.isolated = true;
+      world.store.fault = 'none';
+      await until(() => world.journal().holders[old]?.state === 'sealed');
+      assert.equal((await b.money.resolveTicket(ticket)).type, found);
+      assert.equal(world.journal().accounts[KIRK]?.spent, billed);
+      // everything but the bill can be spent at B.
+      b.money.release(await reserve(b, 1_000 - billed));
+      const stale = a.money.bill(late, a.money.nextTicket(), details);
+      a.isolated = false;
+      const answer = await stale;
+      assert.equal(answer.isErr && answer.error.reason, 'outcome-unknown');
+      assert.equal(world.journal().accounts[KIRK]?.spent, billed);
+      await until(() => a.money.ready && a.incarnation !== old);
+    });
+  });
+}
+
+test('an answer that was kept is found by another router after its issuer is gone', async () => {
+  await withRouters(2, 1_000, async (world, [a, b]) => {
+    assert.ok(a && b);
+    const ticket = a.money.nextTicket();
+    const kept = { status: 201, contentType: 'application/json', body: 'e30=', at: 1 };
+    const outcome = { holder: ticket.issuer, ticket: ticket.number, ...kept };
+    await a.money.bill(await reserve(a, 100), ticket, details, outcome);
+    assert.equal((await b.money.resolveTicket(ticket)).type, 'elsewhere');
+    a.isolated = true;
+    assert.deepEqual(await b.money.resolveTicket(ticket), { type: 'answered', outcome });
+  });
+});
+
+test('tokens idle in another data centre are recalled before a request is refused', async () => {
+  const world = new MoneyWorld(1_000, 'avoid-false-refusals');
+  const a = world.add('router-1');
+  const b = world.add('router-2', 'dc-b');
+  await world.start();
+  try {
+    a.money.release(await reserve(a, 600));
+    const result = await reserve(b, 900);
+    assert.equal(result.amount, 900);
+    assert.equal((await refusalOf(a, 200)).reason, 'budget-exhausted');
+  } finally {
+    await world.stop();
+  }
+});
+
+test('a graceful stop gives everything back and closes the holder', async () => {
+  await withRouters(2, 1_000, async (world, [a, b]) => {
+    assert.ok(a && b);
+    a.money.release(await reserve(a, 400));
+    await a.kernel.stop();
+    const closed = world.journal().holders[a.incarnation];
+    assert.deepEqual([closed?.state, closed?.slices], ['closed', {}]);
+    a.isolated = true;
+    b.money.release(await reserve(b, 1_000));
+  });
+});
+
+test('two routers that claim one key learn of one owner, also when a reply is lost', async () => {
+  await withRouters(2, 1_000, async (world, [a, b]) => {
+    assert.ok(a && b);
+    const ticket = a.money.nextTicket();
+    world.store.fault = 'reply-lost';
+    assert.equal((await a.money.claim('key', 'body', ticket)).type, 'own');
+    const second = await b.money.claim('key', 'body', b.money.nextTicket());
+    assert.deepEqual(second, { type: 'other', ticket });
+    assert.equal((await b.money.claim('key', 'else', ticket)).type, 'other-body');
+    const next = b.money.nextTicket();
+    assert.equal((await b.money.takeOverClaim('key', ticket, next)).type, 'own');
+  });
+});
