feat(core): schema with which routers read stored declarations and removals

A stored object carries the record of its change, and a removal is kept as an object without declaration. Read with the plain schema both would count as unreadable, so a removed class would stay in force for good. declaredBodySchema takes the record off and reads the removal.

--- a/packages/core/src/runtime/declaration/storedDeclaration.ts
+++ b/packages/core/src/runtime/declaration/storedDeclaration.ts
@@ -108,3 +108,25 @@
   // stored classes always say whether they are idempotent; false is the answer that does no harm
   return Result.ok({ ...base, declaration: completeDeclaration(written.data, () => true) });
 }
+
+/** A declared object without its revision, which the platform gives as the version. */
+export type DeclaredBody = Omit<DeclaredObject, 'revision'>;
+
+/**
+ * Schema for readers of the collection: takes the change record off and reads a removed object as
+ * one without declaration, so that a removal comes into force like any other change.
+ *
+ * @example
+ * const collection = { name: 'declarations', schema: declaredBodySchema };
+ */
+export const declaredBodySchema: z.ZodType<DeclaredBody> = z
+  .unknown()
+  .transform((value, context): DeclaredBody => {
+    const read = readStored(value, 0);
+    if (read.isErr) {
+      context.addIssue({ code: 'custom', message: read.error });
+      return z.NEVER;
+    }
+    const { kind, name, declaration } = read.value;
+    return { kind, name, ...(declaration && { declaration }) };
+  });
--- a/test/cli/applyPlan.test.ts
+++ b/test/cli/applyPlan.test.ts
@@ -9,6 +9,7 @@
 } from './fixtures.js';
 import { loadObjects, readHistory } from '@flamingocourse/cli';
 import { MemoryObjectStore } from '@flamingocourse/platform';
+import { declaredBodySchema } from '@flamingocourse/core';
 import assert from 'node:assert/strict';
 import { test } from 'node:test';
 
@@ -145,6 +146,33 @@
   assert.ok((again[0]?.revision ?? 0) > removed.revision);
 });
 
+// A router reads what the command stored. If it could not read a removal, the removed class would
+// stay in force there for good.
+test('routers read stored objects and removals with the schema of the core', async () => {
+  const objects = new MemoryObjectStore();
+  const bat = createOperator('bat', objects);
+  await apply(bat, await plan(bat, [serviceText, classText('a')]));
+  await apply(bat, await plan(bat, [serviceText], true), ['refuses-whole-class']);
+  const collection = { name: 'declarations', schema: declaredBodySchema } as const;
+  const list = (await objects.list(collection)).unwrapOrElse((err) => assert.fail(err.message));
+  assert.deepEqual(list.invalid, []);
+  const removed = list.items.find(({ value }) => value.name === 'a')?.value;
+  assert.deepEqual(removed, { kind: 'WorkClass', name: 'a' });
+  const service = list.items.find(({ value }) => value.kind === 'Service')?.value;
+  assert.equal(service?.declaration?.name, 'deel-llm');
+  assert.ok(!('change' in (service.declaration ?? {})));
+});
+
+// One file cannot be parsed, so any object could stand in it. Pruning would remove what it holds.
+test('nothing is pruned while a file cannot be read', async () => {
+  const objects = new MemoryObjectStore();
+  const bat = createOperator('bat', objects);
+  await apply(bat, await plan(bat, [serviceText, classText('a')]));
+  const planned = await plan(bat, ['{ "kind": '], true);
+  assert.deepEqual(planned.plan.changes, []);
+  assert.match(planned.pruneRefusal ?? '', /nothing is removed/);
+});
+
 // The platform is out: the operator must not be told that nothing happened if that is not known.
 test('during an outage the verdict is that the effect is not known', async () => {
   const objects = new MemoryObjectStore();
--- a/test/cli/commands.test.ts
+++ b/test/cli/commands.test.ts
@@ -42,7 +42,7 @@
     FLAMINGOCOURSE_PLATFORM: platform.operatorsUrl,
     FLAMINGOCOURSE_WHO: 'oyun',
   };
-  const all = ['--conditions=source', '--import=tsx', main, ...args];
+  const all = ['--conditions=@flamingocourse/source', '--import=tsx', main, ...args];
   return new Promise((resolve) => {
     execFile(process.execPath, all, { env }, (err, stdout, stderr) => {
       const code = typeof err?.code === 'number' ? err.code : 0;
--- a/test/docs/referencePages.test.ts
+++ b/test/docs/referencePages.test.ts
@@ -6,7 +6,8 @@
 import { readFileSync } from 'node:fs';
 import { test } from 'node:test';
 
-const remedy = 'Run: node --conditions=source --import=tsx scripts/writeCatalogues.mjs';
+const remedy =
+  'Run: node --conditions=@flamingocourse/source --import=tsx scripts/writeCatalogues.mjs';
 
 function readPage(file: string): string {
   return readFileSync(new URL(`../../docs/${file}`, import.meta.url), 'utf8');
--- a/test/docs/renderPages.ts
+++ b/test/docs/renderPages.ts
@@ -41,7 +41,7 @@
 Each line of the log is a JSON object with the number (\`event\`) and the name (\`name\`) of an event.
 Numbers are never reused. Warnings and errors say what an operator can do.
 
-Written by \`node --conditions=source --import=tsx scripts/writeCatalogues.mjs\`.`;
+Written by \`node --conditions=@flamingocourse/source --import=tsx scripts/writeCatalogues.mjs\`.`;
   return { file: 'EVENTS.md', intro, head: ['number', 'name', 'level', 'text', 'action'], rows };
 }
 
@@ -54,7 +54,7 @@
 
 Sent by StatsD to the agent of the setting \`statsd\`; dropped where none is set.
 
-Written by \`node --conditions=source --import=tsx scripts/writeCatalogues.mjs\`.`;
+Written by \`node --conditions=@flamingocourse/source --import=tsx scripts/writeCatalogues.mjs\`.`;
   return { file: 'METRICS.md', intro, head: ['name', 'type', 'unit', 'text'], rows };
 }
 
@@ -82,6 +82,6 @@
 Settings without a default have to be set, except \`entry.publicUrl\`, \`mesh.publicUrl\` and
 \`statsd\`. Times are in milliseconds.
 
-Written by \`node --conditions=source --import=tsx scripts/writeCatalogues.mjs\`.`;
+Written by \`node --conditions=@flamingocourse/source --import=tsx scripts/writeCatalogues.mjs\`.`;
   return { file: 'SETTINGS.md', intro, head: ['setting', 'default', 'what to write'], rows };
 }
