--- a/packages/lab/src/node/demo/runDemo.ts
+++ b/packages/lab/src/node/demo/runDemo.ts
@@ -43,7 +43,7 @@
     const load = await runDemoLoad(options, stage);
     await delay(SETTLE_MS, undefined, { signal: options.signal }).catch(() => undefined);
     const result = judge(options, stage, load);
-    if (options.keep) await keepRunning(options, stage);
+    if (options.keep && !options.signal.aborted) await keepRunning(options, stage);
     return result;
   } finally {
     options.onProgress('stopping what was started');
@@ -118,7 +118,7 @@
   options.onProgress(`entries: ${fleet.entryUrls.join(' ')}`);
   options.onProgress(`platform for operators: ${platform.operatorsUrl}`);
   options.onProgress('running on; end with Ctrl-C');
-  if (!options.signal.aborted) await once(options.signal, 'abort');
+  await once(options.signal, 'abort');
 }
 
 function readValues<T>(platform: PlatformStandIn, collection: string): T[] {
--- a/packages/lab/src/node/fleetRunner/fleetRunner.ts
+++ b/packages/lab/src/node/fleetRunner/fleetRunner.ts
@@ -1,7 +1,7 @@
 /** Starts a fleet of router processes on loopback and lets tests and measurements disturb it. */
 
 import type { InstanceRecord } from '@flamingocourse/core';
-import type { FleetRunnerOptions, RouterCommand } from '../../types/fleetRunner.js';
+import type { FleetRunnerOptions, RouterCommand, RouterSlot } from '../../types/fleetRunner.js';
 import type { ProcessEnd } from './routerProcess.js';
 import { randomBytes } from 'node:crypto';
 import { writeFile } from 'node:fs/promises';
@@ -42,37 +42,26 @@
 
   /** Writes a settings file for each router; starts nothing yet. */
   static async create(options: FleetRunnerOptions): Promise<FleetRunner> {
-    const ports = await findFreePorts(options.slots.length * PORTS_PER_ROUTER);
-    const addresses = options.slots.map((_, index) => ({
-      entry: ports[PORTS_PER_ROUTER * index] ?? 0,
-      mesh: ports[PORTS_PER_ROUTER * index + 1] ?? 0,
-    }));
+    const addresses = await chooseAddresses(options.slots.length);
     const fleetSecret = randomBytes(SECRET_BYTES).toString('hex');
-    const seeds = addresses.map(({ mesh }) => urlOf(mesh));
-    const command = options.command ?? runRouterBinary;
+    const meshUrls = addresses.map(({ mesh }) => urlOf(mesh));
     const routers: RouterProcess[] = [];
-    for (const [index, slot] of options.slots.entries()) {
-      const { entry, mesh } = addresses[index] ?? { entry: 0, mesh: 0 };
+    for (const [index, address] of addresses.entries()) {
+      const slot = options.slots[index];
+      if (!slot) continue;
       const base = {
         ...slot,
         fleetSecret,
-        entry: { host: HOST, port: entry },
-        mesh: { host: HOST, port: mesh, seeds: seeds.filter((seed) => seed !== urlOf(mesh)) },
+        entry: { host: HOST, port: address.entry },
+        mesh: {
+          host: HOST,
+          port: address.mesh,
+          seeds: meshUrls.filter((url) => url !== urlOf(address.mesh)),
+        },
         platform: { url: options.platformUrls[slot.dataCentre] },
       };
       const settings = mergeSections(base, options.settings?.(slot, index) ?? {});
-      const name = join(options.directory, `${slot.dataCentre}-${slot.instance}`);
-      await writeFile(`${name}.jsonc`, JSON.stringify(settings, null, 2));
-      const router = new RouterProcess({
-        slot,
-        entryUrl: urlOf(entry),
-        meshUrl: urlOf(mesh),
-        command: command(`${name}.jsonc`),
-        logFile: `${name}.log`,
-        readyTimeoutMs: options.readyTimeoutMs ?? READY_TIMEOUT_MS,
-        stopTimeoutMs: options.stopTimeoutMs ?? STOP_TIMEOUT_MS,
-      });
-      routers.push(router);
+      routers.push(await createRouter(options, slot, address, settings));
     }
     return new FleetRunner(routers, options);
   }
@@ -145,6 +134,39 @@
   }
 }
 
+interface RouterPorts {
+  entry: number;
+  mesh: number;
+}
+
+async function chooseAddresses(count: number): Promise<RouterPorts[]> {
+  const ports = await findFreePorts(count * PORTS_PER_ROUTER);
+  return Array.from({ length: count }, (_, index) => ({
+    entry: ports[PORTS_PER_ROUTER * index] ?? 0,
+    mesh: ports[PORTS_PER_ROUTER * index + 1] ?? 0,
+  }));
+}
+
+async function createRouter(
+  options: FleetRunnerOptions,
+  slot: RouterSlot,
+  { entry, mesh }: RouterPorts,
+  settings: Record<string, unknown>,
+): Promise<RouterProcess> {
+  const name = join(options.directory, `${slot.dataCentre}-${slot.instance}`);
+  await writeFile(`${name}.jsonc`, JSON.stringify(settings, null, 2));
+  const command = options.command ?? runRouterBinary;
+  return new RouterProcess({
+    slot,
+    entryUrl: urlOf(entry),
+    meshUrl: urlOf(mesh),
+    command: command(`${name}.jsonc`),
+    logFile: `${name}.log`,
+    readyTimeoutMs: options.readyTimeoutMs ?? READY_TIMEOUT_MS,
+    stopTimeoutMs: options.stopTimeoutMs ?? STOP_TIMEOUT_MS,
+  });
+}
+
 function runRouterBinary(settingsFile: string): RouterCommand {
   return { file: process.execPath, args: [routerBinary, '--settings', settingsFile] };
 }
--- a/packages/lab/src/node/report/renderReport.ts
+++ b/packages/lab/src/node/report/renderReport.ts
@@ -54,6 +54,7 @@
 }
 
 function textTable({ columns, rows }: ReportTable): string {
+  if (rows.length === 0) return '  none';
   const numeric = columns.map((_, at) => rows.every((row) => typeof row[at] === 'number'));
   const table = new Table({
     head: columns,
