--- a/packages/lab/src/index.ts
+++ b/packages/lab/src/index.ts
@@ -22,3 +22,4 @@
 export * from './types/plainServiceStandIn.js';
 export * from './types/report.js';
 export * from './utils/labError.js';
+export * from './runtime/routingExperiment/index.js';
