fix(backends): a late event of another attempt no longer swallows words of this one

Cause: the event number was checked before the nonce, so a late event raised the last number seen and the attempt's own next events passed for repeated. Ruled out: the engine's numbering (its own streams are dense), the resume path (one attempt only). Conclusion: the nonce decides first, and is compared as a whole.

--- a/packages/router/src/node/backends/engineAttempt.ts
+++ b/packages/router/src/node/backends/engineAttempt.ts
@@ -158,14 +158,16 @@
   }
 
   #onEvent(event: EventSourceMessage): void {
-    if (this.#settled || this.#isRepeated(event.id)) return;
+    if (this.#settled) return;
     if (event.data === DONE_MARK) {
       this.#settleDone();
       return;
     }
     const chunk = parseChunk(event.data);
-    if (!chunk?.id.includes(this.#attempt.nonce)) return;
-    this.#onChunk(chunk);
+    // the nonce comes before the event number: a late event of another attempt has that attempt's
+    // number, and would make this attempt's own next events look repeated.
+    if (!chunk || !isOfAttempt(chunk.id, this.#attempt.nonce)) return;
+    if (!this.#isRepeated(event.id)) this.#onChunk(chunk);
   }
 
   // guards against an engine that sends an event twice or late within one stream: the caller would
@@ -244,6 +246,11 @@
   }
 }
 
+/** Engines give the nonce back as the chunk's id, some with a prefix of their own. */
+function isOfAttempt(chunkId: string, nonce: string): boolean {
+  return chunkId === nonce || chunkId.endsWith(`-${nonce}`);
+}
+
 function rejectionEnd(status: number, text: string): EngineEnd {
   if (status === 503 && text.includes('"leaving"')) return { type: 'leaving' };
   return { type: 'rejected', status, detail: text.slice(0, 500) };
--- a/packages/router/src/node/fleet/configurationService.ts
+++ b/packages/router/src/node/fleet/configurationService.ts
@@ -5,6 +5,7 @@
 
 import type {
   ClientAccountDeclaration,
+  DeclaredBody,
   DeclaredObject,
   DeploymentDeclaration,
   ServiceDeclaration,
@@ -20,15 +21,13 @@
   VersionedObject,
   WatchEvent,
 } from '@flamingocourse/platform';
-import type { ZodType } from 'zod';
 import type { Peer } from '../../types/fleet.js';
 import type { RouterContext } from '../../types/routerContext.js';
 import type { ConfigurationView } from './configurationView.js';
-import { readStored } from '@flamingocourse/core';
+import { declaredBodySchema } from '@flamingocourse/core';
 import { Channel, startProcess, takeWithin } from '@flamingocourse/kernel';
 import { MeshServer } from '@flamingocourse/mesh';
 import { Result } from 'true-myth';
-import { z } from 'zod';
 import { Configuration } from '../../types/configuration.js';
 import { Fleet } from '../../types/fleet.js';
 import { createConfigurationView } from './configurationView.js';
@@ -58,7 +57,7 @@
   readonly #context: RouterContext;
   readonly #mesh: MeshClient;
   readonly #store: ObjectStore;
-  readonly #collection: Collection<StoredObject>;
+  readonly #collection: Collection<DeclaredBody>;
   readonly #listeners = new Set<() => void>();
   readonly #stopped = new Channel<true>(1);
   #fleet: Fleet | undefined;
@@ -75,7 +74,7 @@
     this.#context = options.context;
     this.#mesh = options.mesh;
     this.#store = options.store;
-    this.#collection = { name: 'declarations', schema: storedSchema };
+    this.#collection = { name: 'declarations', schema: declaredBodySchema };
   }
 
   override get revision(): number {
@@ -181,7 +180,7 @@
     this.#relay = undefined;
   }
 
-  #takeEvent(event: WatchEvent<StoredObject>): void {
+  #takeEvent(event: WatchEvent<DeclaredBody>): void {
     switch (event.type) {
       case 'listed':
         this.#takeList(event.list);
@@ -210,7 +209,7 @@
     if (list.isOk) this.#takeList(list.value);
   }
 
-  #takeList(list: ObjectList<StoredObject>): void {
+  #takeList(list: ObjectList<DeclaredBody>): void {
     const objects = list.items.map(toDeclaredObject);
     for (const name of list.invalid) {
       this.#context.log.write('declaration-unreadable', { object: name });
@@ -266,20 +265,7 @@
   }
 }
 
-/** A declared object without its revision, which is the version it is stored as. */
-type StoredObject = Omit<DeclaredObject, 'revision'>;
-
-const storedSchema: ZodType<StoredObject> = z.unknown().transform((value, context) => {
-  const read = readStored(value, 0);
-  if (read.isErr) {
-    context.addIssue(read.error);
-    return z.NEVER;
-  }
-  const { kind, name, declaration } = read.value;
-  return { kind, name, ...(declaration && { declaration }) };
-});
-
-function toDeclaredObject({ version, value }: VersionedObject<StoredObject>): DeclaredObject {
+function toDeclaredObject({ version, value }: VersionedObject<DeclaredBody>): DeclaredObject {
   return { ...value, revision: Number(version) };
 }
 
