feat(mesh): routers report their state where the instance list says they are

Cause: flamingocourse status asked the mesh address of the instance list for /readyz, which only the callers' listener answered, so all 8 routers showed as not ready. Ruled out: a second address in the platform's list, which is the platform's own. Before: 8 of 8 'not ready' on a running demo. The demo now prints export lines that the pages' examples use. Conclusion: the mesh listener answers GET with the router's report.

--- a/packages/lab/src/node/demo/applyExamples.ts
+++ b/packages/lab/src/node/demo/applyExamples.ts
@@ -13,7 +13,7 @@
   const directory = fileURLToPath(new URL(`examples/${deployment}/`, root));
   const files = await findDeclarations(directory);
   const binary = fileURLToPath(new URL('packages/cli/bin/flamingocourse.mjs', root));
-  await runCommand([binary, 'apply', ...files], platformUrl);
+  await runCommand([binary, 'apply', '--who', 'demo', ...files], platformUrl);
 }
 
 async function findDeclarations(directory: string): Promise<string[]> {
--- a/packages/lab/src/node/demo/runDemo.ts
+++ b/packages/lab/src/node/demo/runDemo.ts
@@ -115,8 +115,15 @@
 }
 
 async function keepRunning(options: DemoOptions, { fleet, platform }: Stage): Promise<void> {
+  const [entry = '', other = ''] = fleet.entryUrls;
+  const { exampleAccount } = deployments[options.deployment];
   options.onProgress(`entries: ${fleet.entryUrls.join(' ')}`);
-  options.onProgress(`platform for operators: ${platform.operatorsUrl}`);
+  options.onProgress(
+    'for the examples of docs/CALLERS.md and docs/OPERATORS.md, in another shell:',
+  );
+  options.onProgress(`export FLAMINGOCOURSE_ENTRY=${entry} FLAMINGOCOURSE_OTHER_ENTRY=${other}`);
+  options.onProgress(`export FLAMINGOCOURSE_KEY=demo-${exampleAccount}`);
+  options.onProgress(`export FLAMINGOCOURSE_PLATFORM=${platform.operatorsUrl}`);
   options.onProgress('running on; end with Ctrl-C');
   await once(options.signal, 'abort');
 }
--- a/packages/lab/src/runtime/deployments.ts
+++ b/packages/lab/src/runtime/deployments.ts
@@ -16,11 +16,14 @@
   dataCentres: string[];
   routers: number;
   services: ServicePlan[];
+  /** Account whose key the examples of the pages use. */
+  exampleAccount: string;
 }
 
 export const deployments = {
   'tsagaan-deel': {
     name: 'tsagaan-deel',
+    exampleAccount: 'altan-shop',
     dataCentres: ['ub-east', 'ub-north', 'ub-south', 'ub-west'],
     routers: 8,
     services: [
@@ -30,6 +33,7 @@
   },
   svifvakt: {
     name: 'svifvakt',
+    exampleAccount: 'hella-club',
     dataCentres: ['su-east', 'su-mid', 'su-west'],
     routers: 7,
     services: [
--- a/packages/mesh/src/node/meshServer.ts
+++ b/packages/mesh/src/node/meshServer.ts
@@ -19,6 +19,12 @@
 const headersTimeoutMs = 5_000;
 const requestTimeoutMs = 10_000;
 
+/** What a router says about itself; further members are for people. */
+export interface RouterStatusReport {
+  ready: boolean;
+  [detail: string]: unknown;
+}
+
 /** Options of the mesh listener. */
 export interface MeshServerOptions {
   host: string;
@@ -46,6 +52,7 @@
   #server: Server | undefined;
   #isSelf: (incarnation: string) => boolean = () => false;
   #running = 0;
+  #reportStatus: (() => RouterStatusReport) | undefined;
 
   constructor(options: MeshServerOptions) {
     super();
@@ -67,6 +74,14 @@
     Object.assign(this.#handlers, { [procedure]: handler });
   }
 
+  /**
+   * Sets what `GET /readyz` and `GET /status` answer. The instance list names this listener, so it
+   * is where operators can ask every router, without a secret, since nothing can be changed by it.
+   */
+  reportStatus(report: () => RouterStatusReport): void {
+    this.#reportStatus = report;
+  }
+
   /** Sets which incarnations are lives of this process; calls meant for others are refused. */
   recogniseSelf(isSelf: (incarnation: string) => boolean): void {
     this.#isSelf = isSelf;
@@ -117,6 +132,10 @@
   }
 
   #admit(req: IncomingMessage, res: ServerResponse, handler: RequestListener): void {
+    if (req.method === 'GET') {
+      this.#sendStatus(res);
+      return;
+    }
     // bounded work: beyond this the caller is told at once that nothing was done.
     if (this.#running >= (this.#options.maxConcurrent ?? defaultMaxConcurrent)) {
       res.writeHead(429, { connection: 'close' }).end();
@@ -128,6 +147,16 @@
     });
     handler(req, res);
   }
+
+  #sendStatus(res: ServerResponse): void {
+    const report = this.#reportStatus?.() ?? { ready: false };
+    const body = JSON.stringify(report);
+    res.writeHead(readyStatus(report), { 'content-type': 'application/json' }).end(body);
+  }
+}
+
+function readyStatus({ ready }: RouterStatusReport): number {
+  return ready ? 200 : 503;
 }
 
 function listen(server: Server, { host, port }: MeshServerOptions): Promise<void> {
--- a/packages/router/src/node/createRouter.ts
+++ b/packages/router/src/node/createRouter.ts
@@ -55,6 +55,7 @@
 
   const mesh = new MeshServer({ ...settings.mesh, secret: settings.fleetSecret });
   const quarantine = new MeshQuarantineExchange(client, fleet);
+  const entry = new EntryServer(context);
   const requests = new RequestRunner(context, new HmacTicketCodec(settings.fleetSecret));
   const money = new MoneyService({
     context,
@@ -78,7 +79,7 @@
       }),
     )
     .register(requests)
-    .register(new EntryServer(context));
+    .register(entry);
   // one service's failure must not take the others down: the router serves what it still can.
   kernel.onFailure((err, service) => {
     log.write('service-failed', { service, error: describeError(err) });
@@ -87,6 +88,7 @@
   return {
     async start() {
       await kernel.start();
+      mesh.reportStatus(() => entry.status());
       fleet().setState('serving');
       log.write('router-started', { entry: settings.entry.publicUrl });
     },
--- a/packages/router/src/node/entry/entryServer.ts
+++ b/packages/router/src/node/entry/entryServer.ts
@@ -117,7 +117,8 @@
       return;
     }
     if (path === '/readyz' || path === '/status') {
-      this.#sendStatus(res);
+      const status = this.status();
+      sendJson(res, status.ready ? 200 : 503, status);
       return;
     }
     const asked = REQUEST_PATH.exec(path)?.[1];
@@ -181,20 +182,21 @@
     else sendJson(res, 200, { state: 'whole' });
   }
 
-  #sendStatus(res: ServerResponse): void {
-    const ready = this.#money.ready && this.#fleet.self.state === 'serving';
-    sendJson(res, ready ? 200 : 503, {
-      state: this.#fleet.self.state,
-      ready,
-      incarnation: this.#fleet.self.incarnation,
-      dataCentre: this.#fleet.self.dataCentre,
+  /** What `/readyz` and `/status` say. */
+  status(): { ready: boolean; [detail: string]: unknown } {
+    const { self } = this.#fleet;
+    return {
+      ready: this.#money.ready && self.state === 'serving',
+      state: self.state,
+      incarnation: self.incarnation,
+      dataCentre: self.dataCentre,
       revision: this.#configuration.revision,
       running: this.#requests.running,
       peers: this.#fleet.peers().map((peer) => ({
         incarnation: peer.info.incarnation,
         health: peer.health,
       })),
-    });
+    };
   }
 
   #sendModels(req: IncomingMessage, res: ServerResponse): void {
