--- a/packages/core/src/runtime/declaration/readDeclarations.ts
+++ b/packages/core/src/runtime/declaration/readDeclarations.ts
@@ -96,6 +96,8 @@
   const checked = checkWithPositions(declarationSchema, document, {
     at,
     explainKey: explainDerivedKey,
+    // whoever wrote the key itself in place of its digest must not find it in the CI log too
+    isSecret: (path) => path.includes('apiKeyDigests'),
   });
   if (checked.isOk) {
     result.objects.push({ written: checked.value, document, at });
--- a/packages/core/src/utils/jsoncCheck.ts
+++ b/packages/core/src/utils/jsoncCheck.ts
@@ -13,10 +13,14 @@
   at?: JsoncPath;
   /** Explains an unknown key that people write for a known reason. */
   explainKey?: (key: string) => string | undefined;
+  /** Whether a value may be a secret, so that no message repeats it. @default none is */
+  isSecret?: (path: JsoncPath) => boolean;
 }
 
 /** Largest edit distance at which an unknown key is taken for a misspelt one. */
 const maxMisspelling = 3;
+/** Characters of a faulty value that a message repeats. */
+const maxShownLength = 60;
 
 /**
  * Parses a value of a document with a schema. Returns the value with defaults or all faults. A
@@ -38,7 +42,7 @@
   const faults = parsed.error.issues.flatMap((issue) =>
     issue.code === 'unrecognized_keys'
       ? issue.keys.map((key) => describeUnknownKey(schema, document, issue, key, options))
-      : [describeIssue(schema, document, issue, at)],
+      : [describeIssue(schema, document, issue, options)],
   );
   return Result.err(faults);
 }
@@ -72,19 +76,21 @@
   schema: z.ZodType,
   document: JsoncDocument,
   issue: Issue,
-  at: JsoncPath,
+  options: CheckOptions,
 ): SourceFault {
+  const at = options.at ?? [];
   const inner = issue.path as JsoncPath;
   const path = [...at, ...inner];
   const value = valueAt(document.value, path);
   const about = schemaAt(schema, inner, document.value, at)?.description;
   const hint = about ? `Write ${about}.` : 'Change the value as the message says.';
-  return faultAt(document, path, describeMessage(issue, value), hint);
+  const isSecret = options.isSecret?.(path) ?? false;
+  return faultAt(document, path, describeMessage(issue, value, isSecret), hint);
 }
 
-function describeMessage(issue: Issue, value: unknown): string {
+function describeMessage(issue: Issue, value: unknown, isSecret: boolean): string {
   if (value === undefined) return 'this key is missing';
-  const given = JSON.stringify(value).slice(0, 60);
+  const given = isSecret ? 'the value' : JSON.stringify(value).slice(0, maxShownLength);
   switch (issue.code) {
     case 'invalid_value':
       return `${given} is not one of ${issue.values.map((one) => JSON.stringify(one)).join(', ')}`;
--- a/packages/router/src/node/resolveConfig.ts
+++ b/packages/router/src/node/resolveConfig.ts
@@ -1,6 +1,6 @@
 /** Reads the settings file of a router, checks it and fills in the defaults. */
 
-import type { JsoncDocument, SourceFault } from '@flamingocourse/core';
+import type { JsoncDocument, JsoncPath, SourceFault } from '@flamingocourse/core';
 import type { ListenAddress, RouterSettings } from '../types/routerSettings.js';
 import { checkWithPositions, faultAt, formatFault, parseJsonc } from '@flamingocourse/core';
 import { LayerError, describeError } from '@flamingocourse/kernel';
@@ -51,7 +51,7 @@
 export function parseSettings(text: string, file: string): Result<RouterSettings, SettingsError> {
   return parseJsonc(text, file)
     .andThen((document) =>
-      checkWithPositions(settingsSchema, document).andThen((written) =>
+      checkWithPositions(settingsSchema, document, { isSecret }).andThen((written) =>
         checkRelations(written, document),
       ),
     )
@@ -62,9 +62,16 @@
     });
 }
 
-/** Writes settings as JSON, as `flamingocourse-router --print-settings` shows them. */
+/** Stands for the secret where settings are shown. */
+const hiddenSecret = '(set and not shown)';
+
+/** Writes settings as JSON for `flamingocourse-router --print-settings`, without the secret. */
 export function printSettings(settings: RouterSettings): string {
-  return JSON.stringify(settings, null, 2);
+  return JSON.stringify({ ...settings, fleetSecret: hiddenSecret }, null, 2);
+}
+
+function isSecret(path: JsoncPath): boolean {
+  return path[0] === 'fleetSecret';
 }
 
 function checkRelations(
--- a/test/docs/referencePages.test.ts
+++ b/test/docs/referencePages.test.ts
@@ -1,4 +1,4 @@
-import { listSettings, settingsDefaults } from '@flamingocourse/router';
+import { listSettings, parseSettings, settingsDefaults } from '@flamingocourse/router';
 import { renderPages, renderRow } from './renderPages.js';
 import assert from 'node:assert/strict';
 import { guardNames } from '@flamingocourse/core';
@@ -41,6 +41,12 @@
   }
 });
 
+test('the shortest settings file of the page is valid', () => {
+  const [, sample] = /```jsonc\n([^`]*)```/.exec(readPage('SETTINGS.md')) ?? [];
+  const settings = parseSettings(sample ?? '', 'SETTINGS.md');
+  assert.ok(settings.isOk, settings.isErr ? settings.error.message : '');
+});
+
 test('event numbers are unique', () => {
   const events = renderPages().find(({ file }) => file === 'EVENTS.md');
   const numbers = events?.rows.map(([number]) => number) ?? [];
