feat(router): a renewed incarnation answers for what its process kept as a witness

Cause: a router that was sealed by mistake and started over was no longer found under the name that others had given as their witness, so a holder that died then stayed in doubt for ever although its lines were there.

--- a/packages/core/src/runtime/journal.ts
+++ b/packages/core/src/runtime/journal.ts
@@ -20,6 +20,9 @@
 /** Ended holders that stay readable for retries of their tickets. */
 const DEFAULT_KEPT_HOLDERS = 200;
 
+/** Earlier incarnations that a holder names. */
+const MAX_FORMER = 16;
+
 /** Class and service named by a bill for tokens whose real bills were lost with their holder. */
 export const UNATTRIBUTED = 'unattributed';
 
@@ -75,6 +78,7 @@
   holder: IncarnationId,
   witnesses: IncarnationId[],
   now: EpochMs,
+  formerly: IncarnationId[] = [],
 ): JournalState {
   if (state.holders[holder]) return state;
   const entry: JournalHolder = {
@@ -86,10 +90,22 @@
     done: [],
     segments: { first: state.segment, last: state.segment },
     since: now,
+    ...(formerly.length > 0 && { formerly: formerly.slice(-MAX_FORMER) }),
   };
   return { ...state, holders: { ...state.holders, [holder]: entry } };
 }
 
+/**
+ * Finds the incarnation that now answers for a witness: the witness itself, or the one that its
+ * process became after it was sealed.
+ */
+export function answeringIncarnation(state: JournalState, witness: IncarnationId): IncarnationId {
+  const successors = Object.entries(state.holders)
+    .filter(([, holder]) => holder.formerly?.includes(witness))
+    .sort(([, left], [, right]) => (right.formerly?.length ?? 0) - (left.formerly?.length ?? 0));
+  return successors[0]?.[0] ?? witness;
+}
+
 /** Begins to seal a holder: from here on its own lines are refused. */
 export function startSeal(
   state: JournalState,
--- a/packages/core/src/types/journal.ts
+++ b/packages/core/src/types/journal.ts
@@ -35,6 +35,11 @@
   segments: { first: number; last: number };
   /** When the holder registered. */
   since: EpochMs;
+  /**
+   * Earlier incarnations of the same process, newest last. It still has the lines that it kept as
+   * their witness, and answers for them.
+   */
+  formerly?: IncarnationId[];
   /** Set when an operator stated that holder and witnesses are destroyed; bills may be lost. */
   writtenOff?: true;
 }
--- a/packages/router/src/node/money/groupWriter.ts
+++ b/packages/router/src/node/money/groupWriter.ts
@@ -11,6 +11,7 @@
 import type { Steps } from '@flamingocourse/kernel';
 import { Channel, awaitPromise, sleep, startProcess, take } from '@flamingocourse/kernel';
 import { Result } from 'true-myth';
+import { delay } from './timing.js';
 
 /** Writes of one batch before it is given up; each loss means that another router wrote. */
 const MAX_ATTEMPTS = 8;
@@ -208,11 +209,6 @@
   return BigInt(version) > BigInt(than);
 }
 
-/** Waits without a process, for the few places that are plain promises. */
-export function delay(ms: number): Promise<void> {
-  return new Promise((resolve) => setTimeout(resolve, ms));
-}
-
 function applyJobs<S, F>(base: S, jobs: Job<S, F>[]): { state: S; refused: Map<Job<S, F>, F> } {
   const refused = new Map<Job<S, F>, F>();
   let state = base;
--- a/packages/router/src/node/money/holderSession.ts
+++ b/packages/router/src/node/money/holderSession.ts
@@ -2,10 +2,19 @@
 
 import type { AppendAnswer } from '../../types/moneyPorts.js';
 import type { Fleet } from '../../types/fleet.js';
-import type { JournalState, SlicePolicy, TicketId, Tokens } from '@flamingocourse/core';
-import type { JournalWriter, LineRoutes } from './lineRoutes.js';
+import type {
+  IncarnationId,
+  JournalChange,
+  JournalState,
+  SlicePolicy,
+  TicketId,
+  Tokens,
+} from '@flamingocourse/core';
+import type { WitnessStore } from './witnessStore.js';
+import type { AppendFault, JournalWriter, LineRoutes } from './lineRoutes.js';
 import { Spender, pool, registerHolder } from '@flamingocourse/core';
 import { Result } from 'true-myth';
+import { delay, within } from './timing.js';
 import { DemandBook } from './demandBook.js';
 import { LineLog } from './lineLog.js';
 
@@ -21,12 +30,20 @@
 /** Times the level above which a slice is given back in part. */
 const GIVE_ABOVE = 2;
 
+/** Longest wait for a line to be kept; beyond it the caller is told that it is not known. */
+const KEEP_TIMEOUT_MS = 5_000;
+
+/** Time between two looks at what the journal has while leaving, in milliseconds. */
+const LEAVE_POLL_MS = 10;
+
 /** What a session is created with. */
 export interface HolderSessionOptions {
   fleet: Fleet;
   writer: JournalWriter;
   routes: LineRoutes;
   witnessAfterMs: number;
+  /** Earlier incarnations of this process. */
+  formerly: IncarnationId[];
   onAnswer: (answer: AppendAnswer) => void;
   onSealed: () => void;
   onFailure: (err: unknown) => void;
@@ -62,10 +79,10 @@
 
   /** Writes this incarnation into the journal; repeated until it succeeds. */
   async register(now: number): Promise<boolean> {
-    const { writer } = this.#options;
+    const { writer, formerly } = this.#options;
     const witnesses = this.#wantedWitnesses();
     const written = await writer.change((state) =>
-      Result.ok(registerHolder(state, this.spender.holder, witnesses, now)),
+      Result.ok(registerHolder(state, this.spender.holder, witnesses, now, formerly)),
     );
     if (written.isErr) return false;
     this.#registered = true;
@@ -135,12 +152,32 @@
 
   /** Gives free tokens back to the pool; resolves with the amount once the line is kept. */
   async give(account: string, amount: Tokens): Promise<Tokens> {
-    const given = Math.min(amount, this.spender.free(account));
+    const given = Math.floor(Math.min(amount, this.spender.free(account)));
     if (!this.open || given <= 0) return 0;
     const kept = await this.log.record([{ type: 'give', account, amount: given }]);
     return kept.isOk ? given : 0;
   }
 
+  /** Records changes; after a time the answer is that it is not known whether they are kept. */
+  record(changes: JournalChange[]): Promise<Result<'kept', AppendFault>> {
+    const late = Result.err<'kept', AppendFault>('unreachable');
+    return within(this.log.record(changes), KEEP_TIMEOUT_MS, late);
+  }
+
+  /** Gives everything back and closes the holder, unless the sealing of it has to do that. */
+  async leave(witness: WitnessStore): Promise<void> {
+    const { writer } = this.#options;
+    if (!this.open) return;
+    await witness.replay(writer);
+    await Promise.all(this.spender.accounts.map((one) => this.give(one, Infinity)));
+    // a closed witness is not asked for lines, so none of other holders may be left here.
+    if (!witness.empty || this.spender.reservedTokens() > 0) return;
+    witness.close();
+    await this.log.record([{ type: 'close' }]);
+    // kept at a witness is enough for the money; in the journal, peers need not seal this holder.
+    while (writer.reachable && this.spender.unapplied.length > 0) await delay(LEAVE_POLL_MS);
+  }
+
   #take(account: string, amount: Tokens, journal: JournalState): void {
     if (amount <= 0 || pool(journal, account) <= 0) return;
     void this.log.record([{ type: 'take', account, amount }]);
--- a/packages/router/src/node/money/moneyService.ts
+++ b/packages/router/src/node/money/moneyService.ts
@@ -3,7 +3,6 @@
 import type {
   AccountId,
   IncarnationId,
-  JournalChange,
   JournalLine,
   Outcome,
   Refusal,
@@ -28,7 +27,6 @@
   PeerFault,
 } from '../../types/moneyPorts.js';
 import type { RouterContext } from '../../types/routerContext.js';
-import type { AppendFault } from './lineRoutes.js';
 import type { MoneyParts } from './moneyParts.js';
 import { createSlicePolicy } from '@flamingocourse/core';
 import { Channel, awaitPromise, startProcess, takeWithin } from '@flamingocourse/kernel';
@@ -36,7 +34,8 @@
 import { Configuration } from '../../types/configuration.js';
 import { Fleet } from '../../types/fleet.js';
 import { Money } from '../../types/money.js';
-import { delay, isNewer } from './groupWriter.js';
+import { billChanges } from './billLines.js';
+import { isNewer } from './groupWriter.js';
 import { HolderSession } from './holderSession.js';
 import { createMoneyParts } from './moneyParts.js';
 import {
@@ -46,6 +45,7 @@
   refuseUnreachable,
 } from './moneyRefusals.js';
 import { rollLargeSegment } from './segmentRoller.js';
+import { delay, within } from './timing.js';
 
 /** Time between two rounds of background work, in milliseconds. */
 const TICK_MS = 100;
@@ -59,15 +59,9 @@
 /** Time between two looks at the tokens while a request waits for some. */
 const RESERVE_POLL_MS = 10;
 
-/** Longest wait for a line to be kept; beyond it the caller is told that it is not known. */
-const KEEP_TIMEOUT_MS = 5_000;
-
 /** Longest wait at a stop for slices to be given back, in milliseconds. */
 const STOP_TIMEOUT_MS = 3_000;
 
-/** Largest answer kept for retries, in characters of base64. */
-const MAX_OUTCOME_BODY = 32_768;
-
 /** What the budget services are created with. `fleet` and `configuration` come from the kernel. */
 export interface MoneyServiceOptions {
   context: RouterContext;
@@ -90,7 +84,8 @@
   #done: Promise<void> | undefined;
   #view: AppendAnswer | undefined;
   #refreshedAt = -Infinity;
-  #accounts = new Set<AccountId>();
+  readonly #former: IncarnationId[] = [];
+  readonly #accounts = new Set<AccountId>();
 
   constructor(options: MoneyServiceOptions) {
     super();
@@ -128,7 +123,7 @@
     const session = this.#session;
     const parts = this.#parts;
     if (!session || !parts) return;
-    await Promise.race([this.#leave(session, parts), delay(STOP_TIMEOUT_MS)]);
+    await within(session.leave(parts.witness), STOP_TIMEOUT_MS, undefined);
     session.log.close();
     await Promise.all([parts.writer.stop(), parts.claims.stop(), parts.treasurer.stop()]);
   }
@@ -138,12 +133,12 @@
     return session ? session.nextTicket() : { issuer: '', number: 0 };
   }
 
-  override async reserve(request: ReservationRequest): Promise<Result<Reservation, Refusal>> {
+  override async reserve(asked: ReservationRequest): Promise<Result<Reservation, Refusal>> {
+    const request = { ...asked, amount: Math.ceil(asked.amount) };
     const { clock, settings } = this.#options.context;
     const start = clock.now();
     const latest = Math.min(start + settings.budget.reserveWaitMs, request.deadline);
-    const asking = this.#session;
-    asking?.demand.add(request.account, request.amount, start);
+    this.#session?.demand.add(request.account, request.amount, start);
     this.#accounts.add(request.account);
     for (;;) {
       const session = this.#session;
@@ -170,9 +165,9 @@
     if (!isOwn || !session.spender.isReserved(reservation)) {
       return Result.err(refuseUnknownOutcome());
     }
-    const changes: JournalChange[] = [this.#billChange(reservation, ticket, details)];
-    if (outcome) changes.push({ type: 'outcome', outcome: boundedOutcome(outcome) });
-    const kept = this.#record(session, changes);
+    const now = this.#options.context.clock.now();
+    const changes = billChanges(reservation, ticket, details, now, outcome);
+    const kept = session.record(changes);
     session.spender.release(reservation);
     const result = await kept;
     return result.isOk ? Result.ok('kept') : Result.err(refuseUnknownOutcome());
@@ -187,7 +182,7 @@
     if (!session?.open || ticket.issuer !== session.spender.holder) {
       return Result.err(refuseNotReady());
     }
-    const result = await this.#record(session, [{ type: 'intent', ticket: ticket.number }]);
+    const result = await session.record([{ type: 'intent', ticket: ticket.number }]);
     if (result.isOk) return Result.ok('kept');
     // the intent may be kept yet; it is never dispatched, so the record must say so.
     this.recordNotRun(ticket);
@@ -302,6 +297,7 @@
       fleet: parts.fleet,
       writer: parts.writer,
       routes: parts.routes,
+      formerly: [...this.#former],
       witnessAfterMs: this.#options.context.settings.budget.witnessAfterMs,
       onAnswer: (answer) => {
         this.#adopt(answer);
@@ -319,33 +315,11 @@
     if (this.#session !== session || this.#stopping.closed) return;
     const holder = session.spender.holder;
     this.#options.context.log.write('holder-lost', { holder });
+    this.#former.push(holder);
     parts.fleet.renewIncarnation();
     this.#openSession(parts);
   }
 
-  async #leave(session: HolderSession, parts: MoneyParts): Promise<void> {
-    if (!session.open) return;
-    await parts.witness.replay(parts.writer);
-    await Promise.all(session.spender.accounts.map((one) => session.give(one, Infinity)));
-    // while lines of others are kept here, only the sealing of this router may end it: a closed
-    // witness is not asked for lines.
-    if (!parts.witness.empty || session.spender.reservedTokens() > 0) return;
-    parts.witness.close();
-    await session.log.record([{ type: 'close' }]);
-    // kept at a witness is enough for the money; in the journal, peers need not seal this holder.
-    while (parts.writer.reachable && session.spender.unapplied.length > 0) {
-      await delay(RESERVE_POLL_MS);
-    }
-  }
-
-  async #record(
-    session: HolderSession,
-    changes: JournalChange[],
-  ): Promise<Result<'kept', AppendFault>> {
-    const late = delay(KEEP_TIMEOUT_MS).then(() => Result.err<'kept', AppendFault>('unreachable'));
-    return Promise.race([session.log.record(changes), late]);
-  }
-
   #spenderRequest(
     session: HolderSession,
     request: ReservationRequest,
@@ -366,19 +340,6 @@
     if (lacking > 0) parts.seek(account, lacking);
   }
 
-  #billChange(reservation: Reservation, ticket: TicketId, details: BillDetails): JournalChange {
-    const bill = {
-      ...details,
-      cost: Math.min(details.cost, reservation.amount),
-      holder: ticket.issuer,
-      ticket: ticket.number,
-      account: reservation.account,
-      workClass: reservation.workClass,
-      at: this.#options.context.clock.now(),
-    };
-    return { type: 'bill', bill };
-  }
-
   #refusal(shortage: Shortage): Refusal {
     return refuseShortage(shortage, this.#parts?.writer.reachable ?? false);
   }
@@ -387,9 +348,3 @@
     return createSlicePolicy(this.#parts?.configuration.deployment.policy ?? 'avoid-overspend');
   }
 }
-
-function boundedOutcome(outcome: Outcome): Outcome {
-  if ((outcome.body?.length ?? 0) <= MAX_OUTCOME_BODY) return outcome;
-  const { holder, ticket, status, contentType, at } = outcome;
-  return { holder, ticket, status, contentType, at };
-}
--- a/packages/router/src/node/money/sealer.ts
+++ b/packages/router/src/node/money/sealer.ts
@@ -1,12 +1,18 @@
 /** Seals holders of this data centre that are gone, so that their slices become free again. */
 
-import type { EpochMs, IncarnationId, JournalHolder, JournalLine } from '@flamingocourse/core';
+import type {
+  EpochMs,
+  IncarnationId,
+  JournalHolder,
+  JournalLine,
+  JournalState,
+} from '@flamingocourse/core';
 import type { EventLog } from '@flamingocourse/kernel';
 import type { Fleet } from '../../types/fleet.js';
 import type { JournalWriter } from './lineRoutes.js';
 import type { MoneyPeers } from '../../types/moneyPorts.js';
 import type { WitnessStore } from './witnessStore.js';
-import { finishSeal, startSeal } from '@flamingocourse/core';
+import { answeringIncarnation, finishSeal, startSeal } from '@flamingocourse/core';
 
 /** What a sealer is created with. */
 export interface SealerOptions {
@@ -51,7 +57,7 @@
     const started = await writer.change((state) => startSeal(state, holder));
     if (started.isErr) return false;
     // the answers count only because they are taken after `sealing` was stored.
-    const lines = await this.#fenceAll(holder, started.value.state.holders);
+    const lines = await this.#fenceAll(holder, started.value.state);
     if (!lines) return false;
     const finished = await writer.change((state) => finishSeal(state, holder, lines));
     if (finished.isErr) return false;
@@ -60,14 +66,12 @@
   }
 
   /** Lines of all witnesses; `undefined` while one of them does not answer. */
-  async #fenceAll(
-    holder: IncarnationId,
-    holders: Record<IncarnationId, JournalHolder>,
-  ): Promise<JournalLine[] | undefined> {
+  async #fenceAll(holder: IncarnationId, state: JournalState): Promise<JournalLine[] | undefined> {
     const lines: JournalLine[] = [];
-    for (const witness of holders[holder]?.witnesses ?? []) {
+    for (const named of state.holders[holder]?.witnesses ?? []) {
+      const witness = answeringIncarnation(state, named);
       // a router closes only after its kept lines are in the journal, and keeps none afterwards.
-      if (holders[witness]?.state === 'closed') continue;
+      if (state.holders[witness]?.state === 'closed') continue;
       const answer = await this.#fence(witness, holder);
       if (!answer) {
         this.#reportInDoubt(holder, witness);
--- /dev/null
+++ b/test/money/moneyFaults.test.ts
@@ -0,0 +1,101 @@
+import type { BillSegment, JournalState } from '@flamingocourse/core';
+import type { StoreFault } from './fixtures/memoryStore.js';
+import type { TestRouter } from './fixtures/moneyFleet.js';
+import assert from 'node:assert/strict';
+import { test } from 'node:test';
+import { checkInvariant, checkLedgerInvariant } from '@flamingocourse/core';
+import { uniformInt } from 'pure-rand/distribution/uniformInt';
+import { xoroshiro128plus } from 'pure-rand/generator/xoroshiro128plus';
+import { KIRK, MoneyWorld, until } from './fixtures/moneyFleet.js';
+
+const LIMIT = 40_000;
+const FAULT_TIME_MS = 2_500;
+const CLIENTS = 12;
+
+for (const seed of [1, 2, 3]) {
+  test(`random cuts, outages and lost replies: every kept bill once, no overspend (${seed})`, async (t) => {
+    // an account would be charged twice, or an answer given for nothing, or the budget exceeded:
+    // routers are cut off and come back while the store fails, and clients go on all the time.
+    const world = new MoneyWorld(LIMIT, 'avoid-false-refusals');
+    for (const name of ['router-1', 'router-2', 'router-3']) world.add(name);
+    world.add('router-4', 'dc-b');
+    t.after(() => world.stop());
+    await world.start();
+    const random = xoroshiro128plus(seed);
+    const pick = (most: number): number => uniformInt(random, 0, most);
+    const kept = new Set<string>();
+    const end = Date.now() + FAULT_TIME_MS;
+    const clients = Array.from({ length: CLIENTS }, async () => {
+      while (Date.now() < end) await runOne(world.routers[pick(3)] ?? assert.fail(), pick, kept);
+    });
+    while (Date.now() < end) {
+      await pause(30 + pick(90));
+      const router = world.routers[pick(3)] ?? assert.fail();
+      router.isolated = !router.isolated && pick(2) === 0;
+      const faults: StoreFault[] = ['none', 'none', 'out', 'reply-lost', 'reply-lost'];
+      world.store.fault = faults[pick(4)] ?? 'none';
+    }
+    world.store.fault = 'none';
+    for (const router of world.routers) router.isolated = false;
+    await Promise.all(clients);
+    await until(() => world.routers.every((router) => router.money.ready));
+    await until(() => isSettled(world));
+    checkWorld(world, kept);
+    await world.stop();
+    checkWorld(world, kept);
+  });
+}
+
+async function runOne(
+  router: TestRouter,
+  pick: (most: number) => number,
+  kept: Set<string>,
+): Promise<void> {
+  const who = { account: KIRK, workClass: 'drafts', importance: 'first' as const, budgetShare: 1 };
+  const amount = 50 + pick(300);
+  const result = await router.money.reserve({ ...who, amount, deadline: Date.now() + 100 });
+  if (result.isErr) return pause(10);
+  await pause(pick(20));
+  const ticket = router.money.nextTicket();
+  const use = { service: 'llm', cost: pick(amount), promptTokens: 0, completionTokens: 0 };
+  const billed = await router.money.bill(result.value, ticket, use);
+  if (billed.isOk) kept.add(`${ticket.issuer}#${ticket.number}`);
+}
+
+/** Every holder that is not in use has ended, and nothing waits at a witness. */
+function isSettled(world: MoneyWorld): boolean {
+  const live = new Set(world.routers.map((router) => router.incarnation));
+  return journalsOf(world).every((journal) =>
+    Object.entries(journal.holders).every(([id, holder]) =>
+      live.has(id) ? holder.state === 'open' : holder.state === 'sealed',
+    ),
+  );
+}
+
+function checkWorld(world: MoneyWorld, kept: Set<string>): void {
+  const billed: string[] = [];
+  let spent = 0;
+  for (const journal of journalsOf(world)) {
+    assert.equal(checkInvariant(journal), undefined);
+    spent += journal.accounts[KIRK]?.spent ?? 0;
+    for (let number = 0; number < journal.segment; number += 1) {
+      const segment = world.store.peek('segments', `${journal.dataCentre}-${number}`);
+      billed.push(...(segment as BillSegment).bills.map((bill) => `${bill.holder}#${bill.ticket}`));
+    }
+    billed.push(...journal.bills.map((bill) => `${bill.holder}#${bill.ticket}`));
+  }
+  assert.equal(checkLedgerInvariant(world.ledger()), undefined);
+  assert.ok(spent <= LIMIT, `${spent} spent of ${LIMIT}`);
+  assert.equal(new Set(billed).size, billed.length);
+  assert.ok(kept.size > 0);
+  const all = new Set(billed);
+  for (const ticket of kept) assert.ok(all.has(ticket), `${ticket} was kept and is not billed`);
+}
+
+function journalsOf(world: MoneyWorld): JournalState[] {
+  return [world.journal('dc-a'), world.journal('dc-b')];
+}
+
+function pause(ms: number): Promise<void> {
+  return new Promise((resolve) => setTimeout(resolve, ms));
+}
--- a/test/money/moneyService.test.ts
+++ b/test/money/moneyService.test.ts
@@ -3,6 +3,7 @@
 import type { TestRouter } from './fixtures/moneyFleet.js';
 import assert from 'node:assert/strict';
 import { test } from 'node:test';
+import { inDoubt } from '@flamingocourse/core';
 import { KIRK, MoneyWorld, until } from './fixtures/moneyFleet.js';
 
 const details = { service: 'llm', cost: 80, promptTokens: 30, completionTokens: 50 };
@@ -160,6 +161,34 @@
     assert.equal((await b.money.resolveTicket(ticket)).type, 'elsewhere');
     a.isolated = true;
     assert.deepEqual(await b.money.resolveTicket(ticket), { type: 'answered', outcome });
+    a.isolated = false;
+  });
+});
+
+test('a dead router stays in doubt until all its witnesses answer, and is sealed then', async () => {
+  // an answer would go unbilled: A's bill is kept at C only, A and C vanish together, and B must
+  // not free A's slice before C has told what it kept.
+  await withRouters(3, 3_000, async (world, [a, b, c]) => {
+    assert.ok(a && b && c);
+    const old = a.incarnation;
+    await until(() => world.journal().holders[old]?.witnesses.length === 2);
+    const reservation = await reserve(a, 400);
+    world.store.fault = 'out';
+    b.isolated = true;
+    const billed = await a.money.bill(reservation, a.money.nextTicket(), details);
+    assert.equal(billed.isOk, true);
+    a.isolated = true;
+    c.isolated = true;
+    b.isolated = false;
+    world.store.fault = 'none';
+    await until(() => b.log.events.some((entry) => entry.event === 'holder-in-doubt'));
+    assert.equal(world.journal().holders[old]?.state, 'sealing');
+    assert.ok(inDoubt(world.journal(), KIRK) >= 400);
+    c.isolated = false;
+    await until(() => world.journal().holders[old]?.state === 'sealed');
+    assert.equal(world.journal().accounts[KIRK]?.spent, 80);
+    assert.equal(inDoubt(world.journal(), KIRK), 0);
+    a.isolated = false;
   });
 });
 
