fix(requests): not run is said of a keyed request only after its claim was read

Cause: a refusal for a router's own reasons (stopping, no budget, queue) said not-run although the key may have run at another router before. Ruled out: reading the claim before each refusal (a platform call when there is least time for it). Before: the new test fails for a key; after: it passes, 41 entry tests pass. Conclusion: until its claim is read a keyed request's refusal says unknown; the same key can be retried.

--- a/packages/router/src/node/entry/answerWriter.ts
+++ b/packages/router/src/node/entry/answerWriter.ts
@@ -203,7 +203,7 @@
     execution.abort.abort();
     return {
       reason: 'deadline-passed',
-      run: 'not-run',
+      run: execution.soleRun ? 'not-run' : 'unknown',
       detail: 'The deadline passed before a backend server was free.',
       retryAfterMs: STILL_RUNNING_RETRY_MS,
     };
--- a/packages/router/src/node/entry/executionTable.ts
+++ b/packages/router/src/node/entry/executionTable.ts
@@ -16,6 +16,8 @@
   answer: LiveAnswer;
   /** Aborted when the request is given up on. */
   abort: AbortController;
+  /** Whether it is known that no other ticket can have run under this request's key. */
+  soleRun: boolean;
   /** Set just before the first byte may reach a backend server. */
   dispatched: boolean;
   finishedAt?: EpochMs;
--- a/packages/router/src/node/entry/requestRunner.ts
+++ b/packages/router/src/node/entry/requestRunner.ts
@@ -149,9 +149,9 @@
       const handling = await claiming;
       return handling.type === 'answer' ? this.#join(handling.execution, request) : handling;
     }
-    if (request.idempotent) return this.#startNew(request, keyDigest);
     const refusal = this.#refusalOfNew();
-    if (refusal) return refused(refusal);
+    if (refusal) return refused(unverified(refusal));
+    if (request.idempotent) return this.#startNew(request, keyDigest);
     const handling = this.#claimAndStart(request, keyDigest);
     this.#claiming.set(keyDigest, handling);
     try {
@@ -176,7 +176,7 @@
         const detail =
           'The idempotency key cannot be checked while the platform is out of reach; ' +
           'use a ticket from POST /v1/tickets, or retry.';
-        return refused(notRun('budget-unreachable', detail, CLAIM_RETRY_MS));
+        return refused(unverified(notRun('budget-unreachable', detail, CLAIM_RETRY_MS)));
       }
     }
   }
@@ -277,6 +277,8 @@
       answer,
       abort,
       dispatched: false,
+      // a ticket is run by its issuer alone, and the key of a non-idempotent request was claimed.
+      soleRun: keyDigest === undefined || !request.idempotent,
       ...(keyDigest === undefined ? {} : { keyDigest }),
     };
     this.#table.add(execution);
@@ -291,7 +293,7 @@
   ): Promise<void> {
     const end = await this.#runGuarded(request, execution, billedAs);
     const { clock, metrics } = this.#context;
-    execution.answer.finish(end);
+    execution.answer.finish(execution.soleRun ? end : withUnverifiedRun(end));
     this.#table.finished(execution, clock.now());
     if (end.type === 'refused') {
       metrics.count('requests.refused', 1, { reason: end.refusal.reason });
@@ -366,6 +368,8 @@
     const answer = await this.#money.claim(keyDigest, request.bodyDigest, ticket);
     switch (answer.type) {
       case 'own':
+        execution.soleRun = true;
+        return 'bill';
       case 'unreachable':
         return 'bill';
       case 'other-body':
@@ -474,6 +478,16 @@
   return { type: 'refused', refusal };
 }
 
+// a key may have been used at another router before. While its claim has not been read, "not run"
+// could be a lie about that earlier try, so only a checked key gets it.
+function unverified(refusal: Refusal): Refusal {
+  return refusal.run === 'not-run' ? { ...refusal, run: 'unknown' } : refusal;
+}
+
+function withUnverifiedRun(end: AnswerEnd): AnswerEnd {
+  return end.type === 'refused' ? { ...end, refusal: unverified(end.refusal) } : end;
+}
+
 function keyReused(): Refusal {
   return notRun(
     'key-reused-with-other-body',
--- a/test/entry/refusals.test.ts
+++ b/test/entry/refusals.test.ts
@@ -109,3 +109,20 @@
   assert.equal(res.status, 402);
   assert.equal(res.headers.get('retry-after'), '2');
 });
+
+// a tow entry ran at one router, its reply was lost, and the retry reaches a router that refuses it
+// for its own reasons: "not run" would be read as leave to send it under a new name, and to run twice.
+const unchecked = [
+  { name: 'a key that no claim has been read for', key: true, run: 'unknown' },
+  { name: 'no name at all', key: false, run: 'not-run' },
+];
+
+for (const { name, key, run } of unchecked) {
+  test(`a refusal of a request with ${name} says ${run}`, async () => {
+    router.money.refusal = { reason: 'budget-exhausted', run: 'not-run', detail: 'top up' };
+    const headers = key ? { 'idempotency-key': 'seen-elsewhere' } : {};
+    const res = await call(router, chat, { body: chatBody(8, true), headers });
+    router.money.refusal = undefined;
+    assert.equal(((await res.json()) as { run: string }).run, run);
+  });
+}
