feat(backends): operators' drains, health of servers, learned service times and places for first classes

Cause: drain orders were written and read by nobody; a leaving server was seen only in its load answer; the lane used none of the admission decisions that the routing measurement speaks for. Ruled out: a watch of the orders by each router (platform calls would follow routers). Before: a drained server got calls. Conclusion: one router of a data centre reads the orders each second and tells its peers.

--- a/packages/lab/src/node/plainServiceStandIn/plainServiceStandIn.ts
+++ b/packages/lab/src/node/plainServiceStandIn/plainServiceStandIn.ts
@@ -39,6 +39,7 @@
   readonly #loads: LateReport<LoadReport>;
   #faults: PlainServiceFaults;
   #running = 0;
+  #served = 0;
   #sampler: NodeJS.Timeout | undefined;
 
   constructor(options: PlainServiceStandInOptions) {
@@ -56,6 +57,11 @@
     this.#faults = { ...this.#faults, ...faults };
   }
 
+  /** Calls that this server has taken in, refused ones left out. */
+  get served(): number {
+    return this.#served;
+  }
+
   /** Runs of calls with this caller key; more than one is a double entry. */
   runsOf(callerKey: string): ServiceRun[] {
     return this.records.runs.filter((run) => run.callerKey === callerKey);
@@ -107,6 +113,7 @@
       return;
     }
     this.#running += 1;
+    this.#served += 1;
     try {
       await delay(this.#options.serviceMs + this.#faults.slowMs);
       if (req.method === 'GET') this.#read(req, res, url);
--- a/packages/router/src/node/backends/backendService.ts
+++ b/packages/router/src/node/backends/backendService.ts
@@ -3,7 +3,7 @@
 import type { BackendServer, Refusal, ServiceDeclaration } from '@flamingocourse/core';
 import type { Kernel } from '@flamingocourse/kernel';
 import type { Placement, PlacementRequest } from '../../types/backends.js';
-import type { InstanceSource, QuarantineExchange } from '../../types/backendPorts.js';
+import type { DrainSource, InstanceSource, QuarantineExchange } from '../../types/backendPorts.js';
 import type { RouterContext } from '../../types/routerContext.js';
 import { AdmissionQueue, createServerChooser, ServerPool } from '@flamingocourse/core';
 import { awaitPromise, sleep, startProcess } from '@flamingocourse/kernel';
@@ -24,6 +24,7 @@
   context: RouterContext;
   instances: InstanceSource;
   quarantine: QuarantineExchange;
+  drains: DrainSource;
   /** Numbers from 0 to 1 for the choice of servers; seeded in tests. */
   random: () => number;
 }
@@ -35,13 +36,14 @@
 
 /** Implements {@link Backends} on the pure decisions of core. */
 export class BackendService extends Backends {
-  override readonly dependsOn = ['configuration', 'fleet'];
+  override readonly dependsOn = ['configuration', 'fleet', 'drains'];
 
   readonly #options: BackendServiceOptions;
   readonly #lanes = new Map<string, Lane>();
   readonly #register: QuarantineRegister;
   #configuration!: Configuration;
   #fleet!: Fleet;
+  #drained = new Set<string>();
   #running = false;
   #endWatch: (() => void) | undefined;
 
@@ -60,6 +62,10 @@
       this.#syncLanes();
     });
     this.#syncLanes();
+    this.#options.drains.onDrains((drains) => {
+      this.#drained = new Set(drains.map(({ service, server }) => `${service}/${server}`));
+      this.#applyDrains();
+    });
     await this.#refreshLists();
     const onFailure = (err: unknown): void => {
       kernel.reportFailure(err, this.name);
@@ -156,6 +162,15 @@
         lane.pump();
       }),
     );
+    this.#applyDrains();
+  }
+
+  #applyDrains(): void {
+    for (const [service, { lane }] of this.#lanes) {
+      for (const { id } of lane.servers) {
+        lane.pool.setDrained(id, this.#drained.has(`${service}/${id}`));
+      }
+    }
   }
 
   async #refreshLoads(): Promise<void> {
--- a/packages/router/src/node/backends/loadProbe.ts
+++ b/packages/router/src/node/backends/loadProbe.ts
@@ -1,4 +1,4 @@
-/** Asks a backend server for its load. */
+/** Asks a backend server for its load and whether it leaves. */
 
 import { Agent, get } from 'node:http';
 import { z } from 'zod';
@@ -17,32 +17,37 @@
 const agent = new Agent({ keepAlive: true, maxSockets: 4 });
 
 /**
- * Reads `GET /load`. Never throws; a server that does not answer is `unknown`.
+ * Reads `GET /health` and `GET /load`. Never throws; a server that does not answer is `unknown`.
  *
  * @example
  * const probed = await probeLoad('http://10.0.0.7:9000');
  */
-export function probeLoad(url: string): Promise<ProbedLoad> {
+export async function probeLoad(url: string): Promise<ProbedLoad> {
+  const [health, load] = await Promise.all([read(`${url}/health`), read(`${url}/load`)]);
+  return health.includes('"leaving"') ? { type: 'leaving' } : parseLoad(load);
+}
+
+/** Body of a GET, empty when there is none in time. */
+function read(url: string): Promise<string> {
   return new Promise((resolve) => {
-    const req = get(`${url}/load`, { agent, timeout: PROBE_TIMEOUT_MS }, (res) => {
+    const req = get(url, { agent, timeout: PROBE_TIMEOUT_MS }, (res) => {
       let text = '';
       res.setEncoding('utf8');
       res.on('data', (part: string) => {
         if (text.length < MAX_ANSWER_BYTES) text += part;
       });
       res.on('close', () => {
-        resolve(parseLoad(text));
+        resolve(text);
       });
     });
     req.on('timeout', () => req.destroy());
     req.on('error', () => {
-      resolve({ type: 'unknown' });
+      resolve('');
     });
   });
 }
 
 function parseLoad(text: string): ProbedLoad {
-  if (text.includes('"leaving"')) return { type: 'leaving' };
   try {
     const { running, waiting, asOf } = loadSchema.parse(JSON.parse(text));
     return { type: 'load', report: { running, waiting, at: asOf } };
--- a/packages/router/src/node/backends/serviceLane.ts
+++ b/packages/router/src/node/backends/serviceLane.ts
@@ -5,11 +5,11 @@
   AttemptResult,
   BackendServer,
   Candidate,
+  EpochMs,
   QueueEntry,
   Refusal,
   RetryBudget,
   ServerChooser,
-  ServerId,
   ServerPool,
   ShedEntry,
 } from '@flamingocourse/core';
@@ -25,6 +25,8 @@
 } from '@flamingocourse/core';
 import { Result } from 'true-myth';
 import { notRun } from '../../utils/problem.js';
+import { InFlightRequests } from './inFlightRequests.js';
+import { LaneLearning } from './laneLearning.js';
 
 const NO_SERVER_RETRY_MS = 1_000;
 /** Requests that wait apart because no server that they may use has room. */
@@ -45,6 +47,7 @@
 interface Waiter {
   request: PlacementRequest;
   exclusive: boolean;
+  arrivedAt: EpochMs;
   resolve(placed: Result<Placement, Refusal>): void;
 }
 
@@ -54,10 +57,10 @@
   readonly #waiters = new Map<number, Waiter>();
   /** Waiting requests that need a server which is not to be had yet; tried before the queue. */
   readonly #parked = new Set<number>();
-  readonly #inFlight = new Map<ServerId, Map<number, string>>();
+  readonly #inFlight = new InFlightRequests();
+  readonly #learning = new LaneLearning();
   #retries: RetryBudget = createRetryBudget();
   #nextId = 1;
-  #targetMs = new Map<string, number>();
 
   constructor(options: ServiceLaneOptions) {
     this.#options = options;
@@ -72,13 +75,13 @@
     return this.#options.pool.servers;
   }
 
-  get pool(): ServiceLaneOptions['pool'] {
+  get pool(): ServerPool {
     return this.#options.pool;
   }
 
   /** Takes the first-token targets of the classes that use this service. */
   setTargets(targets: Map<string, number>): void {
-    this.#targetMs = targets;
+    this.#learning.setTargets(targets);
   }
 
   /** Waits for a place; refuses at once when none can come in time. */
@@ -87,12 +90,13 @@
     const verdict = this.#options.quarantine.judge(request.fingerprint);
     if (verdict === 'quarantined') return Promise.resolve(Result.err(quarantined()));
     if (request.signal.aborted) return Promise.resolve(Result.err(gone()));
-    if (!this.#options.pool.hasOpenServer(new Set(request.tried), now)) {
+    if (!this.#options.pool.hasOpenServer(undefined, now)) {
       return Promise.resolve(Result.err(noServer()));
     }
     if (request.tried.length === 0) this.#retries = earnRetry(this.#retries);
     return new Promise((resolve) => {
-      this.#enqueue({ request, exclusive: verdict === 'suspect', resolve });
+      const exclusive = verdict === 'suspect';
+      this.#enqueue({ request, exclusive, arrivedAt: now, resolve });
       this.pump();
     });
   }
@@ -107,10 +111,13 @@
   /** Hands out free places; to be called after every change and at short intervals. */
   pump(): void {
     const now = this.#options.clock.now();
-    for (const shed of this.#options.queue.expire(now)) this.#refuseShed(shed);
+    const { queue, pool } = this.#options;
+    for (const shed of queue.expire(now)) this.#refuseShed(shed);
     this.#pumpParked(now);
-    while (this.#options.queue.size > 0 && this.#hasRoom(now)) {
-      const { entry, shed } = this.#options.queue.take(now);
+    for (;;) {
+      const { entry, shed } = queue.take(now, (importance, owed) =>
+        pool.hasRoom(this.#learning.ruleFor(importance, owed), now),
+      );
       for (const item of shed) this.#refuseShed(item);
       if (!entry) return;
       const waiter = this.#waiters.get(entry.id);
@@ -129,33 +136,40 @@
     const id = this.#nextId;
     this.#nextId += 1;
     this.#waiters.set(id, waiter);
-    const { request } = waiter;
-    request.signal.addEventListener('abort', () => {
+    waiter.request.signal.addEventListener('abort', () => {
       this.#drop(id);
     });
-    const now = this.#options.clock.now();
     // a suspect waits for a server of its own, apart from the queue, so that it delays nobody.
     if (waiter.exclusive) {
-      this.#park(id, waiter, now);
+      this.#park(id, waiter, waiter.arrivedAt);
       return;
     }
-    const offered = this.#options.queue.offer(toEntry(id, request), now);
+    const offered = this.#options.queue.offer(this.#toEntry(id, waiter), waiter.arrivedAt);
     for (const shed of offered.shed) this.#refuseShed(shed);
   }
 
-  #pumpParked(now: number): void {
+  #toEntry(id: number, { request, arrivedAt }: Waiter): QueueEntry {
+    const { workClass, deadline } = request;
+    const targetMs = this.#learning.targetMs(workClass);
+    return {
+      id,
+      deadline,
+      // a request that has begun to answer must not wait behind new ones: its caller sees the pause.
+      importance: request.tried.length > 0 ? 'first' : request.importance,
+      serviceMs: this.#learning.serviceMs(workClass, arrivedAt),
+      ...(targetMs === undefined ? {} : { targetAt: arrivedAt + targetMs }),
+    };
+  }
+
+  #pumpParked(now: EpochMs): void {
     for (const id of this.#parked) {
       const waiter = this.#waiters.get(id);
       if (!waiter) {
         this.#parked.delete(id);
-        continue;
-      }
-      if (waiter.request.deadline <= now) {
-        this.#settle(
-          id,
-          Result.err(notRun('deadline-passed', 'The deadline passed in the queue.')),
-        );
-      } else if (!this.#options.pool.hasOpenServer(new Set(waiter.request.tried), now)) {
+      } else if (waiter.request.deadline <= now) {
+        const refusal = notRun('deadline-passed', shedDetails['deadline-passed']);
+        this.#settle(id, Result.err(refusal));
+      } else if (!this.#options.pool.hasOpenServer(undefined, now)) {
         this.#settle(id, Result.err(noServer()));
       } else {
         this.#tryPlace(id, waiter, now);
@@ -163,96 +177,93 @@
     }
   }
 
-  #park(id: number, waiter: Waiter, now: number): void {
+  #park(id: number, waiter: Waiter, now: EpochMs): void {
     if (this.#parked.size >= MAX_PARKED) {
       const retryAfterMs = this.#options.queue.retryAfterMs(now);
-      this.#settle(id, Result.err(notRun('overloaded', 'Too many requests wait.', retryAfterMs)));
+      this.#settle(id, Result.err(notRun('overloaded', shedDetails.overloaded, retryAfterMs)));
       return;
     }
     this.#parked.add(id);
     this.#tryPlace(id, waiter, now);
   }
 
-  #hasRoom(now: number): boolean {
-    return this.#options.pool.candidates({}, now).length > 0;
-  }
-
-  #tryPlace(id: number, waiter: Waiter, now: number): boolean {
-    const { request, exclusive } = waiter;
-    const choice = request.prefixKey === undefined ? {} : { prefixHash: hash32(request.prefixKey) };
-    const query = { tried: new Set(request.tried), exclusive };
-    const { pool, chooser, random } = this.#options;
-    const chosen = chooseServer(pool, chooser, choice, query, now, random);
+  #tryPlace(id: number, waiter: Waiter, now: EpochMs): boolean {
+    const chosen = this.#choose(waiter, now);
     if (!chosen) return false;
     this.#settle(id, Result.ok(this.#dispatch(chosen, waiter, now)));
     return true;
   }
 
-  #dispatch(chosen: Candidate, waiter: Waiter, now: number): Placement {
+  /** Prefers a server that the request has not tried; with all tried, any may have recovered. */
+  #choose({ request, exclusive }: Waiter, now: EpochMs): Candidate | undefined {
+    const { pool, chooser, random } = this.#options;
+    const choice = request.prefixKey === undefined ? {} : { prefixHash: hash32(request.prefixKey) };
+    const { extra } = this.#learning.ruleFor(request.importance);
+    const tried = new Set(request.tried);
+    const query = pool.hasOpenServer(tried, now)
+      ? { tried, exclusive, extra }
+      : { exclusive, extra };
+    return chooseServer(pool, chooser, choice, query, now, random);
+  }
+
+  #dispatch(chosen: Candidate, waiter: Waiter, now: EpochMs): Placement {
     const { pool } = this.#options;
-    const { request } = waiter;
-    const attempt = pool.dispatch(chosen.id, now, waiter.exclusive);
+    const { request, exclusive, arrivedAt } = waiter;
+    const attempt = pool.dispatch(chosen.id, now, exclusive);
     const server = pool.servers.find((item) => item.id === chosen.id);
     if (!server) throw new RangeError(`chosen server "${chosen.id}" is not in the pool`);
-    this.#track(chosen.id, attempt, request.fingerprint);
+    this.#inFlight.add(server.id, attempt, request.fingerprint);
     return {
       server,
       priority: enginePriority[request.importance],
       end: (how, firstTokenMs) => {
-        this.#end(chosen.id, attempt, request, how, firstTokenMs);
+        this.#recordEnd(attempt, request, how, firstTokenMs);
+        this.#reportCrash(server, attempt, request.fingerprint, how);
+        if (how === 'ok' && firstTokenMs !== undefined) {
+          this.#learn(request, now - arrivedAt, firstTokenMs, this.#options.clock.now() - now);
+        }
+        this.pump();
       },
     };
   }
 
-  #end(
-    server: ServerId,
+  #recordEnd(
     attempt: number,
-    request: PlacementRequest,
+    { workClass }: PlacementRequest,
     how: AttemptEnd,
     firstTokenMs: number | undefined,
   ): void {
-    const now = this.#options.clock.now();
-    const targetMs = this.#targetMs.get(request.workClass);
-    this.#options.pool.settle(
-      attempt,
-      {
-        end: healthEnd(how),
-        ...(firstTokenMs === undefined ? {} : { firstTokenMs }),
-        ...(targetMs === undefined ? {} : { targetMs }),
-      },
-      now,
-    );
-    this.#recordForQuarantine(server, attempt, request.fingerprint, how);
-    this.pump();
+    const targetMs = this.#learning.targetMs(workClass);
+    const result: AttemptResult = {
+      end: healthEnd(how),
+      ...(firstTokenMs === undefined ? {} : { firstTokenMs }),
+      ...(targetMs === undefined ? {} : { targetMs }),
+    };
+    this.#options.pool.settle(attempt, result, this.#options.clock.now());
   }
 
-  /**
-   * The first attempt that breaks off reports the crash for all that were in flight there; the ends
-   * of the others belong to the same crash and must not count as further ones.
-   */
-  #recordForQuarantine(
-    server: ServerId,
-    attempt: number,
-    fingerprint: string,
-    how: AttemptEnd,
-  ): void {
-    if (how === 'ok') this.#options.quarantine.finished(fingerprint);
-    const attempts = this.#inFlight.get(server);
-    if (!attempts?.delete(attempt) || how !== 'crashed') return;
-    const inFlight = new Set([fingerprint, ...attempts.values()]);
-    attempts.clear();
-    this.#options.quarantine.crashed(server, [...inFlight]);
+  #reportCrash(server: BackendServer, attempt: number, fingerprint: string, how: AttemptEnd): void {
+    const { quarantine } = this.#options;
+    const isFirstReport = this.#inFlight.remove(server.id, attempt);
+    if (how === 'ok') quarantine.finished(fingerprint);
+    if (how !== 'crashed' || !isFirstReport) return;
+    const others = this.#inFlight.takeAll(server.id);
+    quarantine.crashed(server.id, [...new Set([fingerprint, ...others])]);
   }
 
-  #track(server: ServerId, attempt: number, fingerprint: string): void {
-    const attempts = this.#inFlight.get(server) ?? new Map<number, string>();
-    attempts.set(attempt, fingerprint);
-    this.#inFlight.set(server, attempts);
+  #learn(
+    { workClass, importance }: PlacementRequest,
+    waitedMs: number,
+    firstTokenMs: number,
+    serviceMs: number,
+  ): void {
+    const timing = { workClass, importance, waitedMs, firstTokenMs, serviceMs };
+    this.#learning.answered(timing, this.#options.clock.now());
   }
 
-  #refuseShed(shed: ShedEntry): void {
-    const detail = shedDetails[shed.reason];
-    this.#settle(shed.entry.id, Result.err(notRun(shed.reason, detail, shed.retryAfterMs)));
+  #refuseShed({ entry, reason, retryAfterMs }: ShedEntry): void {
+    this.#learning.refused(entry.importance);
+    this.#settle(entry.id, Result.err(notRun(reason, shedDetails[reason], retryAfterMs)));
   }
 
   #drop(id: number): void {
@@ -275,12 +286,6 @@
   'deadline-passed': 'The deadline passed in the queue.',
 } as const;
 
-function toEntry(id: number, request: PlacementRequest): QueueEntry {
-  // a request that has begun to answer must not wait behind new ones: its caller sees the pause.
-  const importance = request.tried.length > 0 ? 'first' : request.importance;
-  return { id, importance, deadline: request.deadline };
-}
-
 function quarantined(): Refusal {
   return notRun('quarantined', 'This request has crashed the servers that ran it; change it.');
 }
@@ -294,6 +299,7 @@
   return notRun('deadline-passed', 'The request was given up before it ran.');
 }
 
+/** A crash counts as a failure of the server; what crashed it is the quarantine's matter. */
 function healthEnd(how: AttemptEnd): AttemptResult['end'] {
   switch (how) {
     case 'crashed':
--- a/packages/router/src/node/createRouter.ts
+++ b/packages/router/src/node/createRouter.ts
@@ -9,11 +9,13 @@
 import { HmacTicketCodec } from '../utils/hmacTicketCodec.js';
 import { Fleet } from '../types/fleet.js';
 import { BackendService } from './backends/backendService.js';
+import { DrainRelay } from './backends/drainRelay.js';
 import { EntryServer } from './entry/entryServer.js';
 import { RequestRunner } from './entry/requestRunner.js';
 import { ConfigurationService } from './fleet/configurationService.js';
 import { FleetService } from './fleet/fleetService.js';
-import { MeshMoneyPeers, MeshQuarantineExchange, serveMoney } from './meshAdapters.js';
+import { HintedQuarantine, MeshMoneyPeers, serveMoney } from './meshAdapters.js';
+import { MeshHints } from './meshHints.js';
 import { MoneyService } from './money/moneyService.js';
 import { MoneyObjectStore, PlatformInstances } from './platformAdapters.js';
 
@@ -54,7 +56,8 @@
   const fleet = (): Fleet => kernel.get('fleet', Fleet);
 
   const mesh = new MeshServer({ ...settings.mesh, secret: settings.fleetSecret });
-  const quarantine = new MeshQuarantineExchange(client, fleet);
+  const hints = new MeshHints(client, fleet);
+  const drains = new DrainRelay(store, hints);
   const entry = new EntryServer(context);
   const requests = new RequestRunner(context, new HmacTicketCodec(settings.fleetSecret));
   const money = new MoneyService({
@@ -63,18 +66,20 @@
     peers: new MeshMoneyPeers(client, fleet),
   });
   serveMoney(mesh, money);
-  quarantine.serve(mesh);
+  hints.serve(mesh);
 
   kernel
     .register(mesh)
     .register(new FleetService({ context, mesh: client, store }))
     .register(new ConfigurationService({ context, mesh: client, store }))
     .register(money)
+    .register(drains)
     .register(
       new BackendService({
         context,
         instances: new PlatformInstances(store),
-        quarantine,
+        quarantine: new HintedQuarantine(hints),
+        drains,
         random: options.random,
       }),
     )
--- a/packages/router/src/node/meshAdapters.ts
+++ b/packages/router/src/node/meshAdapters.ts
@@ -19,6 +19,7 @@
 import type { QuarantineExchange } from '../types/backendPorts.js';
 import type { AppendAnswer, MoneyPeerHandler, MoneyPeers, PeerFault } from '../types/moneyPorts.js';
 import type { Fleet } from '../types/fleet.js';
+import type { MeshHints } from './meshHints.js';
 import { Result } from 'true-myth';
 import { z } from 'zod';
 
@@ -93,38 +94,23 @@
   });
 }
 
-/** Sends the quarantine's news to the peers of the own data centre. */
-export class MeshQuarantineExchange implements QuarantineExchange {
-  readonly #client: MeshClient;
-  readonly #fleet: () => Fleet;
-  readonly #listeners: ((state: QuarantineState) => void)[] = [];
+/** Quarantine news as hints. */
+export class HintedQuarantine implements QuarantineExchange {
+  readonly #hints: MeshHints;
 
-  constructor(client: MeshClient, fleet: () => Fleet) {
-    this.#client = client;
-    this.#fleet = fleet;
+  constructor(hints: MeshHints) {
+    this.#hints = hints;
   }
 
   publish(state: QuarantineState): void {
-    const hints = [{ topic: QUARANTINE_TOPIC, body: JSON.stringify(state) }];
-    for (const { info } of this.#fleet().localPeers()) {
-      const { meshUrl, incarnation } = info;
-      // a lost hint is made good by the next one, which carries the whole state.
-      void this.#client.call({ meshUrl, incarnation }, 'shareHints', { hints });
-    }
+    this.#hints.publish(QUARANTINE_TOPIC, state);
   }
 
   onHint(listener: (state: QuarantineState) => void): void {
-    this.#listeners.push(listener);
-  }
-
-  /** Takes hints from peers; those of other topics or of a wrong shape are passed over. */
-  serve(mesh: MeshServer): void {
-    mesh.handle('shareHints', ({ hints }) => {
-      for (const { topic, body } of hints) {
-        const state = topic === QUARANTINE_TOPIC ? parseQuarantine(body) : undefined;
-        if (state) for (const listener of this.#listeners) listener(state);
-      }
-      return Result.ok('taken');
+    this.#hints.on(QUARANTINE_TOPIC, (value) => {
+      const state = quarantineSchema.safeParse(value);
+      // zod types an absent key as `undefined`; JSON has no such value, so the shapes agree.
+      if (state.success) listener(state.data as QuarantineState);
     });
   }
 }
@@ -141,16 +127,6 @@
   ),
 });
 
-function parseQuarantine(body: string): QuarantineState | undefined {
-  try {
-    const { entries } = quarantineSchema.parse(JSON.parse(body));
-    // zod types an absent key as `undefined`; JSON has no such value, so the shapes agree.
-    return { entries: entries as QuarantineState['entries'] };
-  } catch {
-    return undefined;
-  }
-}
-
 function toPeerFault(err: MeshError): PeerFault {
   return err.code === 'refused' ? 'refused' : 'unreachable';
 }
--- a/packages/router/src/types/backendPorts.ts
+++ b/packages/router/src/types/backendPorts.ts
@@ -1,6 +1,6 @@
 /** Seams between placement and the outside. */
 
-import type { InstanceRecord, QuarantineState, ServiceName } from '@flamingocourse/core';
+import type { InstanceRecord, QuarantineState, ServerId, ServiceName } from '@flamingocourse/core';
 
 /** The platform's lagging instance list. */
 export interface InstanceSource {
@@ -15,3 +15,9 @@
   /** Calls back with what peers have sent. */
   onHint(listener: (state: QuarantineState) => void): void;
 }
+
+/** Operators' drains. */
+export interface DrainSource {
+  /** Calls back with all drains in force, at once and after each change. */
+  onDrains(listener: (drains: { service: ServiceName; server: ServerId }[]) => void): void;
+}
--- a/test/entry/plainCalls.test.ts
+++ b/test/entry/plainCalls.test.ts
@@ -84,6 +84,22 @@
   assert.deepEqual(router.money.notRun, [1]);
 });
 
+// an operator drains a server before its repair, and calls still reach it: nobody read the order.
+test('a drained server gets no new work, and gets it again when the drain is taken back', async () => {
+  const { router, servers } = await startAll(2);
+  const send = async (): Promise<number[]> => {
+    const before = servers.map((server) => server.served);
+    for (let index = 0; index < 6; index += 1) {
+      await call(router, PATH, { body: { item: `bed-${index}`, key: String(index) } });
+    }
+    return servers.map((server, index) => server.served - (before[index] ?? 0));
+  };
+  router.drain([{ service: 'ledger', server: 'ledger-0' }]);
+  assert.deepEqual(await send(), [0, 6]);
+  router.drain([]);
+  assert.ok(((await send())[0] ?? 0) > 0);
+});
+
 // two retries of one reservation arrive together: both waited for the claim, and both ran.
 test('the same key sent twice at once runs once and both get the answer', async () => {
   const { router, runs } = await startAll(2);
