--- a/packages/router/src/node/fleet/silenceMembershipTable.ts
+++ b/packages/router/src/node/fleet/silenceMembershipTable.ts
@@ -20,10 +20,18 @@
   heardAt: EpochMs;
 }
 
-/** Heartbeats sent at one beat. */
-const maxTargets = 12;
+/** Members of the own data centre that get one beat's heartbeat. */
+const maxLocalTargets = 6;
+/** Beats between heartbeats to each other data centre. */
+const remoteEveryBeats = 4;
+/** Addresses without a living member that are tried at one beat. */
+const maxContactTargets = 2;
+/** Silence of a member elsewhere, heard of seldom and mostly through others, weighs this much less. */
+const remotePatience = 4;
 /** Members named in one heartbeat. */
 const maxDigest = 8;
+/** Members described in full in one heartbeat. */
+const maxIntroduced = 1;
 /** Members and addresses kept. */
 const maxEntries = 512;
 /** How long a gone member is remembered, so that late messages about it change nothing. */
@@ -86,26 +94,29 @@
     const asOf = this.#judgementTime(now);
     return [...this.#members.values()].map(({ info, heardAt }) => ({
       info,
-      health: this.#judge(asOf - heardAt),
+      health: this.#judge(info, asOf - heardAt),
     }));
   }
 
   override targets(now: EpochMs): string[] {
-    const living = this.peers(now).filter(({ health }) => health !== 'gone');
-    const former = [...this.#members.values()].map(({ info }) => info.meshUrl);
-    const urls = new Set(living.map(({ info }) => info.meshUrl));
-    for (const url of [...this.#options.seeds, ...this.#contacts, ...former]) urls.add(url);
-    urls.delete(this.#self.meshUrl);
-    return rotate([...urls], this.#self.beat * maxTargets).slice(0, maxTargets);
+    const { beat, dataCentre } = this.#self;
+    const living = this.#living(now, ['alive', 'suspect']);
+    const local = living.filter((info) => info.dataCentre === dataCentre);
+    const remote = living.filter((info) => info.dataCentre !== dataCentre);
+    const turn = rotate(local, beat * maxLocalTargets).slice(0, maxLocalTargets);
+    const urls = [...turn, ...this.#remoteTurn(remote)].map(({ meshUrl }) => meshUrl);
+    return [...urls, ...this.#silentContacts(living)];
   }
 
   override compose(now: EpochMs): HeartbeatMessage {
-    const living = this.peers(now).filter(({ health }) => health === 'alive');
-    const turn = rotate(living, this.#self.beat * maxDigest).slice(0, maxDigest);
-    const members = turn.map(({ info }) => info);
-    const digest = members.map(({ incarnation, beat }) => {
+    const { beat } = this.#self;
+    const living = this.#living(now, ['alive']);
+    const members = rotate(living, beat * maxIntroduced).slice(0, maxIntroduced);
+    const turn = rotate(living, beat * maxDigest).slice(0, maxDigest);
+    const named = [...new Set([...members, ...turn])].slice(0, maxDigest);
+    const digest = named.map(({ incarnation, beat: heard }) => {
       const heardAt = this.#members.get(incarnation)?.heardAt ?? now;
-      return { incarnation, beat, ageMs: Math.max(0, now - heardAt) };
+      return { incarnation, beat: heard, ageMs: Math.max(0, now - heardAt) };
     });
     return { info: this.#self, digest, members };
   }
@@ -146,9 +157,36 @@
     return now - tickedAt > this.#options.suspectMs / 2 ? tickedAt : now;
   }
 
-  #judge(silence: number): Peer['health'] {
-    if (silence >= this.#options.goneMs) return 'gone';
-    return silence >= this.#options.suspectMs ? 'suspect' : 'alive';
+  #judge(info: MemberInfo, silence: number): Peer['health'] {
+    const patience = info.dataCentre === this.#self.dataCentre ? 1 : remotePatience;
+    if (silence >= this.#options.goneMs * patience) return 'gone';
+    return silence >= this.#options.suspectMs * patience ? 'suspect' : 'alive';
+  }
+
+  #living(now: EpochMs, healths: Peer['health'][]): MemberInfo[] {
+    return this.peers(now)
+      .filter(({ health }) => healths.includes(health))
+      .map(({ info }) => info);
+  }
+
+  /** One member of each other data centre whose turn it is at this beat. */
+  #remoteTurn(remote: MemberInfo[]): MemberInfo[] {
+    const { beat } = this.#self;
+    const centres = [...new Set(remote.map(({ dataCentre }) => dataCentre))].sort();
+    return centres.flatMap((dataCentre, i) => {
+      if ((beat + i) % remoteEveryBeats !== 0) return [];
+      const members = remote.filter((info) => info.dataCentre === dataCentre);
+      return rotate(members, Math.floor(beat / remoteEveryBeats)).slice(0, 1);
+    });
+  }
+
+  /** Addresses where nobody is known to live: new routers, and those behind a healed partition. */
+  #silentContacts(living: MemberInfo[]): string[] {
+    const answering = new Set(living.map(({ meshUrl }) => meshUrl)).add(this.#self.meshUrl);
+    const former = [...this.#members.values()].map(({ info }) => info.meshUrl);
+    const urls = new Set([...this.#options.seeds, ...this.#contacts, ...former]);
+    const silent = [...urls].filter((url) => !answering.has(url));
+    return rotate(silent, this.#self.beat * maxContactTargets).slice(0, maxContactTargets);
   }
 }
 
--- a/test/mesh/configuration.test.ts
+++ b/test/mesh/configuration.test.ts
@@ -71,10 +71,17 @@
 const isRelay = (router: TestRouter): boolean =>
   router.fleet.localOwner('config-relay').incarnation === router.fleet.self.incarnation;
 
+/** Whether a router's watch is open, by its own log. */
+const watches = (router: TestRouter): boolean =>
+  router.log.events.findLast(({ event }) => event === 'configuration-relay')?.fields.relay === true;
+
 test('a change reaches all routers within 3 s, and one of them watches', async (t) => {
   const platform = new MemoryObjectStore();
   const { routers, stores } = await startCentre(t, platform, 4);
-  await until('one relay', () => routers.filter(isRelay).length === 1);
+  await until('one watches', () => {
+    const watching = routers.filter(watches);
+    return watching.length === 1 && routers.every((r) => isRelay(r) === watching.includes(r));
+  });
   await declare(platform, 'club', 5);
   await until('in force', () => routers.every((r) => tokensOf(r, 'club') === 5), 3_000);
   const byKey = routers.map((r) => r.configuration.accountByKeyDigest('key of club')?.name);
