fix(router): a stop that learns that the holder was sealed ends

Cause: leaving waited for lines that a sealed holder can never write, so the process did not exit; it showed as test runs that passed and hung (4 of 4).

--- a/packages/router/src/node/money/holderSession.ts
+++ b/packages/router/src/node/money/holderSession.ts
@@ -175,7 +175,7 @@
     witness.close();
     await this.log.record([{ type: 'close' }]);
     // kept at a witness is enough for the money; in the journal, peers need not seal this holder.
-    while (writer.reachable && this.spender.unapplied.length > 0) await delay(LEAVE_POLL_MS);
+    while (writer.reachable && !this.log.ended) await delay(LEAVE_POLL_MS);
   }
 
   #take(account: string, amount: Tokens, journal: JournalState): void {
--- a/packages/router/src/node/money/lineLog.ts
+++ b/packages/router/src/node/money/lineLog.ts
@@ -56,6 +56,11 @@
     return this.#sealed;
   }
 
+  /** Whether the loops have been ended. */
+  get ended(): boolean {
+    return this.#toJournal.closed;
+  }
+
   /** Appends changes as lines and resolves once all of them are kept. */
   record(changes: JournalChange[]): Promise<Result<'kept', AppendFault>> {
     const { spender } = this.#options;
