fix(requests): an orphaned ticket that was never claimed is claimed, not taken over

Cause: the takeover of a ticket from POST /v1/tickets asked for a claim that did not exist, was told 'other' with the same ticket, resolved it as not run, and went round for ever. Ruled out: the resolver (its answer not-run is right for a sealed holder without intent). Before: the new test got no answer within 60 s. After: it passes, 43 entry tests pass. Conclusion: claim first, take over only from the named ticket, and at most three hops.

--- a/packages/router/src/node/entry/chatWork.ts
+++ b/packages/router/src/node/entry/chatWork.ts
@@ -157,8 +157,16 @@
   }
 
   #details(promptTokens: Tokens, completionTokens: Tokens): BillDetails {
+    // a resumed attempt reports its template once more; the caller is told what is billed, and that
+    // is never more than was reserved.
     const cost = Math.min(this.worstCase(), promptTokens + completionTokens);
-    return { service: this.request.service.name, cost, promptTokens, completionTokens };
+    const billedPrompt = cost - completionTokens;
+    return {
+      service: this.request.service.name,
+      cost,
+      promptTokens: billedPrompt,
+      completionTokens,
+    };
   }
 
   #engineBody(execution: Execution, priority: number, delivered: number): string {
--- a/packages/router/src/node/entry/requestRunner.ts
+++ b/packages/router/src/node/entry/requestRunner.ts
@@ -10,12 +10,13 @@
 import type { Kernel } from '@flamingocourse/kernel';
 import type { Refusal, TicketId } from '@flamingocourse/core';
 import type { RouterContext } from '../../types/routerContext.js';
-import type { Reservation } from '../../types/money.js';
+import type { ClaimAnswer, Reservation } from '../../types/money.js';
 import type { TicketCodec } from '../../types/ticketCodec.js';
 import type { CallerRequest } from './callerRequest.js';
 import type { Execution } from './executionTable.js';
 import type { AnswerEnd } from './liveAnswer.js';
 import type { Work, WorkContext, WorkEnd } from './work.js';
+import { sameTicket } from '@flamingocourse/core';
 import { Service } from '@flamingocourse/kernel';
 import { Result } from 'true-myth';
 import { Backends } from '../../types/backends.js';
@@ -36,6 +37,7 @@
 /** Largest answer of a plain service that is kept for retries after a router's death, in bytes. */
 const MAX_KEPT_ANSWER_BYTES = 8_192;
 const DRAIN_POLL_MS = 20;
+const MAX_TAKEOVER_HOPS = 3;
 
 /** What the entry does with a request. */
 export type Handling =
@@ -186,7 +188,10 @@
     request: CallerRequest,
     ticket: TicketId,
     claimKey: string,
+    hops = 0,
   ): Promise<Handling> {
+    // each hop is a takeover by another router; a request that is handed on for ever gets an answer.
+    if (hops > MAX_TAKEOVER_HOPS) return refused(notConfirmed());
     if (ticket.issuer === this.#fleet.self.incarnation) {
       const known = this.#table.byNumber(ticket.number);
       if (known) return this.#join(known, request);
@@ -208,7 +213,7 @@
       case 'billed':
         return this.#afterBill(request, ticket);
       case 'not-run':
-        return this.#startUnrun(request, ticket, claimKey);
+        return this.#startUnrun(request, ticket, claimKey, hops);
       case 'started':
       case 'unknown':
         return refused(
@@ -218,15 +223,44 @@
   }
 
   /** A ticket of a sealed router that provably was neither billed nor run: to take over by claim. */
-  async #startUnrun(request: CallerRequest, ticket: TicketId, claimKey: string): Promise<Handling> {
+  async #startUnrun(
+    request: CallerRequest,
+    ticket: TicketId,
+    claimKey: string,
+    hops: number,
+  ): Promise<Handling> {
     const refusal = this.#refusalOfNew();
     if (refusal) return refused(refusal);
-    // two routers may get retries of the same orphaned ticket; the claim lets one of them run it.
     const next = this.#money.nextTicket();
-    const answer = await this.#money.takeOverClaim(claimKey, ticket, next);
-    if (answer.type === 'own') return this.#start(request, next, undefined);
-    if (answer.type === 'other') return this.#resumeTicket(request, answer.ticket, claimKey);
-    return refused(outcomeUnknown('The request cannot be taken over while the platform is out.'));
+    const answer = await this.#claimOrphan(request, ticket, next, claimKey);
+    switch (answer.type) {
+      case 'own':
+        return this.#start(request, next);
+      case 'other':
+        return this.#resumeTicket(request, answer.ticket, claimKey, hops + 1);
+      case 'other-body':
+        return refused(keyReused());
+      case 'unreachable':
+        return refused(
+          outcomeUnknown('The request cannot be taken over while the platform is out.'),
+        );
+    }
+  }
+
+  /**
+   * Binds an orphaned request to a ticket of ours. Two routers may get retries of it at once, and the
+   * claim lets one of them run it. A ticket from POST /v1/tickets has no claim yet; a key has one,
+   * which still names the dead router's ticket and is taken over from it.
+   */
+  async #claimOrphan(
+    request: CallerRequest,
+    from: TicketId,
+    to: TicketId,
+    claimKey: string,
+  ): Promise<ClaimAnswer> {
+    const answer = await this.#money.claim(claimKey, request.bodyDigest, to);
+    if (answer.type !== 'other' || !sameTicket(answer.ticket, from)) return answer;
+    return this.#money.takeOverClaim(claimKey, from, to);
   }
 
   /** The bill stands but the answer is gone: an idempotent request runs again under that bill. */
--- a/scripts/runTests.mjs
+++ b/scripts/runTests.mjs
@@ -21,6 +21,8 @@
     '--test',
     `--test-concurrency=${concurrency}`,
     '--test-reporter=spec',
+    // a test that hangs must fail, or CI says nothing until its own limit.
+    '--test-timeout=120000',
     ...files,
   ],
   { stdio: 'inherit' },
--- a/test/entry/plainCalls.test.ts
+++ b/test/entry/plainCalls.test.ts
@@ -144,6 +144,21 @@
   });
 }
 
+// a volunteer's retry gets no answer at all: the router that issued the ticket died before the ticket
+// was used, nobody had claimed it, and the takeover asked for a claim that was not there, for ever.
+test('a ticket of a sealed router that has not run is run once, and its retry gets the answer', async () => {
+  const { router, runs } = await startAll(1);
+  const codec = new HmacTicketCodec('a secret of the tests');
+  const ticket = codec.format({ issuer: 'dc-b/router-9/0', number: 4 }, 'shop');
+  router.money.resolution = { type: 'not-run' };
+  const options = { body: { item: 'b', key: 'h' }, headers: { 'flamingocourse-ticket': ticket } };
+  const first = await call(router, PATH, options);
+  assert.equal(first.status, 201);
+  const second = await call(router, PATH, options);
+  assert.equal(await second.text(), await first.text());
+  assert.equal(runs(), 1);
+});
+
 const resolutions = [
   { resolution: { type: 'started' }, reason: 'outcome-unknown', run: 'unknown' },
   { resolution: { type: 'unknown' }, reason: 'outcome-unknown', run: 'unknown' },
