--- /dev/null
+++ b/packages/lab/src/runtime/walk/index.ts
@@ -0,0 +1,6 @@
+export * from './createWorld.js';
+export * from './findViolation.js';
+export * from './rules.js';
+export * from './scopes.js';
+export type * from './types.js';
+export * from './walk.js';
