--- a/packages/lab/src/index.ts
+++ b/packages/lab/src/index.ts
@@ -23,3 +23,5 @@
 export * from './types/report.js';
 export * from './utils/labError.js';
 export * from './runtime/routingExperiment/index.js';
+export * from './node/mutants/index.js';
+export * from './runtime/walk/index.js';
--- a/packages/lab/src/node/labCommand/measures.ts
+++ b/packages/lab/src/node/labCommand/measures.ts
@@ -2,6 +2,7 @@
 
 import { mkdir, writeFile } from 'node:fs/promises';
 import { dirname } from 'node:path';
+import { hasFailed, renderMutants, runMutants } from '../mutants/index.js';
 import { runRoutingMeasure } from '../../runtime/routingExperiment/index.js';
 
 /** What a measurement is given from the command line. */
@@ -24,8 +25,18 @@
 /** `npm run prove`, once there is something to prove. */
 export const prove: Measure | undefined = undefined;
 
-/** `npm run mutants`, once there are mutants to catch. */
-export const mutants: Measure | undefined = undefined;
+/** `npm run mutants`: fails if a broken rule goes unnoticed. */
+export const mutants: Measure | undefined = measureMutants;
+
+async function measureMutants({ json }: MeasureOptions): Promise<number> {
+  const report = runMutants();
+  process.stdout.write(`${renderMutants(report)}\n`);
+  if (json !== undefined) {
+    await mkdir(dirname(json), { recursive: true });
+    await writeFile(json, `${JSON.stringify(report, undefined, 2)}\n`);
+  }
+  return hasFailed(report) ? 1 : 0;
+}
 
 async function measureRouting({ seed, json }: MeasureOptions): Promise<number> {
   const seeds = Array.from({ length: ROUTING_SEEDS }, (_, index) => seed + index);
--- /dev/null
+++ b/packages/lab/src/node/mutants/index.ts
@@ -0,0 +1,1 @@
+export * from './runMutants.js';
--- a/packages/lab/src/runtime/walk/findViolation.ts
+++ b/packages/lab/src/runtime/walk/findViolation.ts
@@ -1,8 +1,8 @@
 /** What must hold in every state of the small world. */
 
-import type { IncarnationId, JournalState } from '@flamingocourse/core';
+import type { IncarnationId, JournalLine, JournalState } from '@flamingocourse/core';
 import type { World } from './types.js';
-import { checkInvariant, checkLedgerInvariant, finishSeal, keptLines, startSeal } from '@flamingocourse/core';
+import { checkInvariant, checkLedgerInvariant, finishSeal, startSeal } from '@flamingocourse/core';
 import { ACCOUNT, dataCentreOf, spenderOf } from './createWorld.js';
 import { NON_IDEMPOTENT } from './rules.js';
 
@@ -81,7 +81,7 @@
 }
 
 /** Lines at those whom a sealer would ask, and answers that it has already. */
-function linesKeptFor(world: World, holder: IncarnationId): ReturnType<typeof keptLines> {
+function linesKeptFor(world: World, holder: IncarnationId): JournalLine[] {
   const named = world.journals[dataCentreOf(holder)]?.holders[holder]?.witnesses ?? [];
   return named.flatMap((witness) => [
     ...(world.holders[witness]?.witness.holders[holder]?.lines ?? []),
--- /dev/null
+++ b/packages/lab/src/runtime/walk/mutants.ts
@@ -0,0 +1,212 @@
+/** Broken versions of the rules, one per rule; the walk has to catch each. */
+
+import type { JournalHolder, JournalLine, JournalState } from '@flamingocourse/core';
+import type { ProtocolRules } from './rules.js';
+import { addToSlice, draftOfHolder } from './mutantEdits.js';
+import { coreRules } from './rules.js';
+import {
+  applyLines,
+  changeBudget,
+  createWitness,
+  grant,
+  hasInterval,
+  keepLines,
+  mergeReturned,
+  pool,
+  startSeal,
+} from '@flamingocourse/core';
+import { ACCOUNT } from './createWorld.js';
+
+/** A rule that is broken. */
+export interface Mutant {
+  readonly name: string;
+  /** Scope that is walked first, because it has the steps that the rule guards. */
+  readonly scope: string;
+  readonly rules: ProtocolRules;
+}
+
+const UNLIMITED = 1_000;
+
+/** All mutants. */
+export const mutantList: readonly Mutant[] = [
+  mutant('slice taken back by time', 'spend', {
+    startSeal: (state, holder) => applyFreed(state, holder),
+  }),
+  mutant('settle repeated after a lost reply', 'seal', {
+    applyLines: (state, lines) => applyLines(state, renumbered(state, lines)),
+  }),
+  mutant('second bill of a ticket counts', 'seal', { applyLines: applyBillsAgain }),
+  mutant('line applied out of sequence', 'seal', {
+    applyLines: (state, lines) => applyLines(skipGap(state, lines), lines),
+  }),
+  mutant('journal takes lines of a sealed holder', 'idempotent key', {
+    applyLines: applyThoughSealed,
+  }),
+  mutant('take beyond the pool', 'budget', { applyLines: takeBeyondPool }),
+  mutant('claim after dispatch', 'non-idempotent key', { claimsFirst: () => false }),
+  mutant('bill without a claim', 'idempotent key', { billNeedsClaim: () => false }),
+  mutant('claim given to each that asks', 'idempotent key', {
+    claim: (page, key, wanted) => ({
+      page: { ...page, claims: { ...page.claims, [key]: wanted } },
+      answer: { type: 'own' },
+    }),
+  }),
+  mutant('claim taken over without sealed evidence', 'non-idempotent key', {
+    isProvablyNotRun: (journal, { issuer, number }) => {
+      const holder = journal.holders[issuer];
+      return holder !== undefined && !hasInterval(holder.done, number);
+    },
+  }),
+  mutant('started ticket held for not run', 'non-idempotent key', {
+    isProvablyNotRun: (journal, { issuer, number }) => {
+      const holder = journal.holders[issuer];
+      return holder?.state === 'sealed' && !hasInterval(holder.done, number);
+    },
+  }),
+  mutant('intent after dispatch', 'non-idempotent key', {
+    mayDispatch: (run) => run.phase === 'intended' || run.phase === 'reserved',
+  }),
+  mutant('dispatch before the intent is kept', 'non-idempotent key', {
+    mayDispatch: (run) => run.phase === (run.request === 1 ? 'intended' : 'reserved'),
+  }),
+  mutant('bill after the final event', 'seal', { mayAnswer: (run) => run.phase === 'billed' }),
+  mutant('spend beyond the reservation', 'spend', { billCost: (used) => used }),
+  mutant('seal without any witness', 'witnesses', { witnessesToAsk: () => [] }),
+  mutant('seal without all witnesses', 'witnesses', {
+    witnessesToAsk: (journal, holder) => coreRules.witnessesToAsk(journal, holder).slice(0, 1),
+  }),
+  mutant('new witness trusted before the journal names it', 'renamed witnesses', {
+    trustedWitnesses: ({ unapplied, witnesses }) =>
+      unapplied
+        .flatMap(({ change }) => (change.type === 'witnesses' ? change.witnesses : []))
+        .concat(witnesses),
+  }),
+  mutant('seal without fencing', 'witnesses', {
+    fence: (state, holder) => ({ state, lines: state.holders[holder]?.lines ?? [] }),
+  }),
+  mutant('witness accepts after the fence', 'witnesses', {
+    keepLines: (state, lines, journal) => {
+      const holder = lines[0]?.holder ?? '';
+      const kept = state.holders[holder]?.lines ?? [];
+      const open = { holders: { ...state.holders, [holder]: { fenced: false, lines: kept } } };
+      return keepLines(open, lines, journal);
+    },
+  }),
+  mutant('witness forgets lines when fenced', 'witnesses', {
+    fence: () => ({ state: createWitness(), lines: [] }),
+  }),
+  mutant('grant without limit check', 'budget', {
+    grant: (page, account, dataCentre, amount) => {
+      const entry = page.accounts[account];
+      if (!entry) return page;
+      const loose = { ...entry, limit: entry.limit + UNLIMITED };
+      const granted = grant(
+        { ...page, accounts: { ...page.accounts, [account]: loose } },
+        account,
+        dataCentre,
+        amount,
+      );
+      const next = granted.accounts[account] ?? entry;
+      return {
+        ...page,
+        accounts: { ...page.accounts, [account]: { ...next, limit: entry.limit } },
+      };
+    },
+  }),
+  mutant('top-up counted twice', 'budget', {
+    changeBudget: (page, account, change) => {
+      const times = page.accounts[account]?.changes.length ?? 0;
+      return changeBudget(page, account, { ...change, id: `${change.id}-${times}` });
+    },
+  }),
+  mutant('grant copied by overwrite', 'budget', {
+    recordGrant: (state, account, grantedIn) => {
+      const before = state.accounts[account] ?? { grantedIn: 0, returnedOut: 0, spent: 0 };
+      return { ...state, accounts: { ...state.accounts, [account]: { ...before, grantedIn } } };
+    },
+  }),
+  mutant('ledger takes back before the journal gives', 'budget', {
+    mergeReturned: (page, account, dataCentre, returned) =>
+      mergeReturned(page, account, dataCentre, returned + 1),
+  }),
+  mutant('return of tokens that holders have', 'budget', {
+    startReturn: (state, account, amount) => {
+      const before = state.accounts[account];
+      if (!before) return state;
+      const returnedOut = before.returnedOut + amount + pool(state, account);
+      return { ...state, accounts: { ...state.accounts, [account]: { ...before, returnedOut } } };
+    },
+  }),
+  mutant('configuration merged by arrival', 'revisions', {
+    mergeObjects: (state, incoming) => {
+      const entries = incoming.map((one) => [`${one.kind}.${one.name}`, one] as const);
+      const objects = { ...state.objects, ...Object.fromEntries(entries) };
+      return { state: { ...state, objects }, changed: [...incoming] };
+    },
+  }),
+];
+
+function mutant(name: string, scope: string, broken: Partial<ProtocolRules>): Mutant {
+  return { name, scope, rules: { ...coreRules, ...broken } };
+}
+
+/** Frees the slice and lets the holder go on. */
+function applyFreed(state: JournalState, holder: string): ReturnType<ProtocolRules['startSeal']> {
+  return startSeal(state, holder).map((next) =>
+    draftOfHolder(next, holder, { state: 'open', slices: {} }),
+  );
+}
+
+/** Gives lines that are in already the next places, as if each delivery were new. */
+function renumbered(state: JournalState, lines: readonly JournalLine[]): JournalLine[] {
+  const seq = state.holders[lines[0]?.holder ?? '']?.seq ?? 0;
+  return lines.map((line, index) => ({ ...line, seq: seq + index + 1 }));
+}
+
+/** Charges each delivered bill once more when the ticket is billed already. */
+function applyBillsAgain(
+  state: JournalState,
+  lines: readonly JournalLine[],
+): ReturnType<ProtocolRules['applyLines']> {
+  return applyLines(state, lines).map((next) => {
+    const again = lines.flatMap(({ holder, change }) => {
+      if (change.type !== 'bill') return [];
+      const done = state.holders[holder]?.done ?? [];
+      return hasInterval(done, change.bill.ticket) ? [change.bill] : [];
+    });
+    return again.length === 0 ? next : { ...next, bills: [...next.bills, ...again] };
+  });
+}
+
+function skipGap(state: JournalState, lines: readonly JournalLine[]): JournalState {
+  const first = lines[0];
+  const entry = state.holders[first?.holder ?? ''];
+  if (!first || !entry || first.seq <= entry.seq) return state;
+  return draftOfHolder(state, first.holder, { seq: first.seq - 1 });
+}
+
+function applyThoughSealed(
+  state: JournalState,
+  lines: readonly JournalLine[],
+): ReturnType<ProtocolRules['applyLines']> {
+  const id = lines[0]?.holder ?? '';
+  const before: JournalHolder['state'] = state.holders[id]?.state ?? 'open';
+  return applyLines(draftOfHolder(state, id, { state: 'open' }), lines).map((next) =>
+    draftOfHolder(next, id, { state: before }),
+  );
+}
+
+function takeBeyondPool(
+  state: JournalState,
+  lines: readonly JournalLine[],
+): ReturnType<ProtocolRules['applyLines']> {
+  return applyLines(state, lines).map((next) => {
+    let changed = next;
+    for (const { holder, seq, change } of lines) {
+      if (change.type !== 'take' || seq <= (state.holders[holder]?.seq ?? 0)) continue;
+      const lacking = change.amount - Math.min(change.amount, pool(state, ACCOUNT));
+      changed = addToSlice(changed, holder, lacking);
+    }
+    return changed;
+  });
+}
--- a/packages/lab/src/runtime/walk/requestSteps.ts
+++ b/packages/lab/src/runtime/walk/requestSteps.ts
@@ -3,7 +3,15 @@
 import type { Bill, IncarnationId } from '@flamingocourse/core';
 import type { Observed, Run, StepType, World } from './types.js';
 import type { StepFunction } from './storeSteps.js';
-import { ACCOUNT, IDLE, holderIn, journalOf, reserveFor, spenderOf, withHolder } from './createWorld.js';
+import {
+  ACCOUNT,
+  IDLE,
+  holderIn,
+  journalOf,
+  reserveFor,
+  spenderOf,
+  withHolder,
+} from './createWorld.js';
 import { NON_IDEMPOTENT } from './rules.js';
 import { writeLine } from './storeSteps.js';
 
--- a/packages/lab/src/runtime/walk/rules.ts
+++ b/packages/lab/src/runtime/walk/rules.ts
@@ -3,7 +3,7 @@
  * the services keep around them. A mutant replaces one entry.
  */
 
-import type { IncarnationId, JournalState, TicketId, Tokens } from '@flamingocourse/core';
+import type { IncarnationId, JournalState, Spender, TicketId, Tokens } from '@flamingocourse/core';
 import type { Run } from './types.js';
 import {
   applyLines,
@@ -40,6 +40,8 @@
   claim,
   takeOver,
   mergeObjects,
+  /** Witnesses whose word a holder takes that they keep its lines. */
+  trustedWitnesses: (spender: Spender): readonly IncarnationId[] => spender.witnesses,
   /** Witnesses whose answers a sealer needs. */
   witnessesToAsk: (journal: JournalState, holder: IncarnationId): readonly IncarnationId[] =>
     journal.holders[holder]?.witnesses ?? [],
--- a/packages/lab/src/runtime/walk/stateKey.ts
+++ b/packages/lab/src/runtime/walk/stateKey.ts
@@ -40,5 +40,7 @@
 /** Writes the keys of objects in order, whatever order they were added in. */
 function sortKeys(_key: string, value: unknown): unknown {
   if (value === null || typeof value !== 'object' || Array.isArray(value)) return value;
-  return Object.fromEntries(Object.entries(value).sort(([left], [right]) => (left < right ? -1 : 1)));
+  return Object.fromEntries(
+    Object.entries(value).sort(([left], [right]) => (left < right ? -1 : 1)),
+  );
 }
