--- a/packages/lab/src/runtime/walk/index.ts
+++ b/packages/lab/src/runtime/walk/index.ts
@@ -1,6 +1,7 @@
 export * from './createWorld.js';
 export * from './findViolation.js';
 export * from './mutants.js';
+export * from './replayTrace.js';
 export * from './rules.js';
 export * from './scopes.js';
 export type * from './types.js';
--- a/packages/lab/src/utils/labError.ts
+++ b/packages/lab/src/utils/labError.ts
@@ -3,7 +3,7 @@
 import { LayerError } from '@flamingocourse/kernel';
 
 export type LabErrorCode =
-  'bad-world' | 'not-ready' | 'ended-early' | 'apply-failed' | 'bad-report';
+  'bad-world' | 'trace-differs' | 'not-ready' | 'ended-early' | 'apply-failed' | 'bad-report';
 
 /** A run of the lab that cannot go on; the message says what to look at. */
 export class LabError extends LayerError<LabErrorCode> {
