--- a/packages/lab/src/index.ts
+++ b/packages/lab/src/index.ts
@@ -25,3 +25,4 @@
 export * from './runtime/routingExperiment/index.js';
 export * from './node/mutants/index.js';
 export * from './runtime/walk/index.js';
+export * from './runtime/naive/index.js';
--- /dev/null
+++ b/packages/lab/src/runtime/naive/index.ts
@@ -0,0 +1,3 @@
+export * from './naiveFleet.js';
+export * from './reducerFleet.js';
+export * from './types.js';
