--- a/packages/lab/src/runtime/naive/types.ts
+++ b/packages/lab/src/runtime/naive/types.ts
@@ -39,3 +39,11 @@
 export function costOf(key: number): Tokens {
   return 1 + (key % WORST_CASE);
 }
+
+/** First key whose requests come with a ticket, which only its issuer dispatches, unclaimed. */
+const FIRST_TICKET = 8;
+
+/** Whether requests under a key come with a ticket of the router that got the first of them. */
+export function hasTicket(key: number): boolean {
+  return key >= FIRST_TICKET;
+}
--- /dev/null
+++ b/test/differential/livingHolder.test.ts
@@ -0,0 +1,28 @@
+import type { FleetEvent } from '@flamingocourse/lab';
+import assert from 'node:assert/strict';
+import { test } from 'node:test';
+import { ReducerFleet } from '@flamingocourse/lab';
+
+const TICKET_KEY = 8;
+
+test('an answered request is billed although its router was sealed and the witness died', () => {
+  // a member's tow is in the log and on no invoice: the platform is out, the bill is kept by the
+  // one witness, which then dies; the platform comes back, and a peer seals the router, which
+  // lives and has the line, before it can write it. Nobody asks the router itself.
+  const fleet = new ReducerFleet(1_000);
+  const request = { type: 'request', dies: 'none' } as const;
+  const events: FleetEvent[] = [
+    { ...request, router: 0, key: 0 },
+    { ...request, router: 1, key: 2 },
+    { type: 'platform', isUp: false },
+    { ...request, router: 0, key: TICKET_KEY },
+    { ...request, router: 1, key: 6, dies: 'after-dispatch' },
+    { type: 'seal', router: 0 },
+    { type: 'platform', isUp: true },
+  ];
+  const outcomes = events.map((event) => fleet.handle(event));
+  assert.deepEqual(outcomes.slice(3, 5), ['answered', 'no-answer']);
+  fleet.settle();
+  const bills = fleet.store.journals.flatMap((journal) => journal.bills);
+  assert.equal(bills.filter((bill) => bill.ticket === TICKET_KEY).length, 1);
+});
