--- a/test/spec/walk.test.ts
+++ b/test/spec/walk.test.ts
@@ -1,6 +1,6 @@
 import assert from 'node:assert/strict';
 import { test } from 'node:test';
-import { catchMutant, mutantList, scopes, walk } from '@flamingocourse/lab';
+import { catchMutant, hasFailed, mutantList, scopes, walk } from '@flamingocourse/lab';
 
 /** Scopes in which a caller can get an answer; a walk that never shows one proves nothing. */
 const answering = [
@@ -28,3 +28,12 @@
     assert.ok(caught?.violation, `no walk notices: ${mutant.name}`);
   });
 }
+
+test('a mutant that survives and a violation of the unbroken protocol fail the report', () => {
+  const sound = { scope: 's', states: 1, depth: 1, end: 'whole', answered: 0 } as const;
+  const wrong = { ...sound, end: 'violation', violation: 'revision fell' } as const;
+  const caught = { name: 'm', states: 1, caught: wrong };
+  assert.equal(hasFailed({ unbroken: [sound], mutants: [caught] }), false);
+  assert.equal(hasFailed({ unbroken: [sound], mutants: [{ name: 'm', states: 1 }] }), true);
+  assert.equal(hasFailed({ unbroken: [wrong], mutants: [caught] }), true);
+});
