test: failures listed in KNOWN-RED.txt are passed over and printed, nothing else is

Cause: a fault that cannot be mended at once needs its failing test on main without hiding others. Ruled out: skip marks in the tests (they do not say when the test passes again). Seen: a listed failure exits 0 and is printed; an unlisted one exits 1; a listed test that passes exits 1 and asks for its line to be removed.

--- a/scripts/runTests.mjs
+++ b/scripts/runTests.mjs
@@ -1,6 +1,14 @@
 // runs every test file, or those whose path contains one of the given words.
+//
+// A test named in KNOWN-RED.txt may fail: it is printed and passed over. Any other failure fails the
+// run, and so does a listed test that passes again, so that its line gets removed.
 import { spawnSync } from 'node:child_process';
-import { readdirSync } from 'node:fs';
+import { existsSync, mkdtempSync, readdirSync, readFileSync, rmSync } from 'node:fs';
+import { tmpdir } from 'node:os';
+import { join } from 'node:path';
+
+const KNOWN_RED_FILE = 'KNOWN-RED.txt';
+const MOST_KNOWN_RED = 3;
 
 const words = process.argv.slice(2);
 const files = readdirSync('test', { recursive: true })
@@ -12,8 +20,17 @@
   console.error(`no test file matches: ${words.join(' ')}`);
   process.exit(2);
 }
+
+const knownRed = readKnownRed();
+if (knownRed.size > MOST_KNOWN_RED) {
+  console.error(`${KNOWN_RED_FILE} has more than ${MOST_KNOWN_RED} lines; mend some first`);
+  process.exit(2);
+}
+
+const directory = mkdtempSync(join(tmpdir(), 'flamingocourse-tests-'));
+const tapFile = join(directory, 'results.tap');
 const concurrency = process.env.TEST_CONCURRENCY ?? '6';
-const result = spawnSync(
+const run = spawnSync(
   process.execPath,
   [
     '--conditions=@flamingocourse/source',
@@ -21,10 +38,47 @@
     '--test',
     `--test-concurrency=${concurrency}`,
     '--test-reporter=spec',
+    '--test-reporter-destination=stdout',
+    '--test-reporter=tap',
+    `--test-reporter-destination=${tapFile}`,
     // a test that hangs must fail, or CI says nothing until its own limit.
     '--test-timeout=120000',
     ...files,
   ],
   { stdio: 'inherit' },
 );
-process.exit(result.status ?? 1);
+const results = readResults(tapFile);
+rmSync(directory, { recursive: true });
+process.exit(judge(run.status ?? 1, results));
+
+/** Names of tests that may fail, with the whole line of each. */
+function readKnownRed() {
+  if (!existsSync(KNOWN_RED_FILE)) return new Map();
+  const lines = readFileSync(KNOWN_RED_FILE, 'utf8').split('\n');
+  const entries = lines.filter((line) => line.trim() !== '' && !line.startsWith('#'));
+  return new Map(entries.map((line) => [line.split(' | ')[0].trim(), line]));
+}
+
+/** Names of passed and failed tests from a TAP report. */
+function readResults(file) {
+  const passed = new Set();
+  const failed = new Set();
+  for (const line of readFileSync(file, 'utf8').split('\n')) {
+    const match = /^\s*(not ok|ok) \d+ - (.*?)(?: # .*)?$/.exec(line);
+    if (match) (match[1] === 'ok' ? passed : failed).add(match[2]);
+  }
+  return { passed, failed };
+}
+
+function judge(status, { passed, failed }) {
+  const repaired = [...knownRed.keys()].filter((name) => passed.has(name) && !failed.has(name));
+  for (const name of repaired) {
+    console.error(`"${name}" passes again: remove its line from ${KNOWN_RED_FILE}`);
+  }
+  if (repaired.length > 0) return 1;
+  const unknown = [...failed].filter((name) => !knownRed.has(name));
+  if (status === 0) return 0;
+  if (failed.size === 0 || unknown.length > 0) return status;
+  for (const name of failed) console.log(`known red, passed over: ${knownRed.get(name)}`);
+  return 0;
+}
