feat(lab): prove checks the eight promises with real router processes under faults

Relays between data centres let a partition be made on loopback: each data centre calls from an address of its own. Callers' answers are compared with bills, runs and the engines' counters; ledger and journals are checked every 100 ms and to the token once quiet.

--- a/packages/lab/src/node/engineStandIn/engineStandIn.ts
+++ b/packages/lab/src/node/engineStandIn/engineStandIn.ts
@@ -56,6 +56,7 @@
 export class EngineStandIn extends HttpStandIn {
   readonly counters: EngineCounters = {
     requests: 0,
+    whileLeaving: 0,
     finished: 0,
     cancelled: 0,
     tokensWritten: 0,
@@ -184,6 +185,7 @@
   /** Answers requests that are refused before anything runs. */
   #refuse(res: ServerResponse): boolean {
     if (this.#faults.leaving) {
+      this.counters.whileLeaving += 1;
       sendJson(res, 503, { state: 'leaving' }, { 'retry-after': RETRY_AFTER_SECONDS });
       return true;
     }
--- a/packages/lab/src/node/fleetRunner/fleetRunner.ts
+++ b/packages/lab/src/node/fleetRunner/fleetRunner.ts
@@ -21,6 +21,9 @@
   new URL('../../../../router/bin/flamingocourseRouter.mjs', import.meta.url),
 );
 
+const sourceModule = new URL('../../../dist/node/fleetRunner/sourceAddress.js', import.meta.url)
+  .href;
+
 /**
  * A fleet of router processes, addressed by index.
  *
@@ -33,37 +36,42 @@
  */
 export class FleetRunner {
   readonly routers: RouterProcess[];
+  /** Secret of this fleet, with which the ids of requests can be read. */
+  readonly fleetSecret: string;
   readonly #onInstances: (records: InstanceRecord[]) => void;
 
-  private constructor(routers: RouterProcess[], options: FleetRunnerOptions) {
+  private constructor(routers: RouterProcess[], secret: string, options: FleetRunnerOptions) {
     this.routers = routers;
+    this.fleetSecret = secret;
     this.#onInstances = options.onInstances ?? (() => undefined);
   }
 
   /** Writes a settings file for each router; starts nothing yet. */
   static async create(options: FleetRunnerOptions): Promise<FleetRunner> {
-    const addresses = await chooseAddresses(options.slots.length);
+    const addresses = await chooseAddresses(options);
     const fleetSecret = randomBytes(SECRET_BYTES).toString('hex');
-    const meshUrls = addresses.map(({ mesh }) => urlOf(mesh));
+    const meshUrls = addresses.map(({ meshUrl }) => meshUrl);
     const routers: RouterProcess[] = [];
     for (const [index, address] of addresses.entries()) {
       const slot = options.slots[index];
       if (!slot) continue;
+      const { entry, mesh, entryUrl, meshUrl } = address;
       const base = {
         ...slot,
         fleetSecret,
-        entry: { host: HOST, port: address.entry },
+        entry: { host: HOST, port: entry, publicUrl: entryUrl },
         mesh: {
           host: HOST,
-          port: address.mesh,
-          seeds: meshUrls.filter((url) => url !== urlOf(address.mesh)),
+          port: mesh,
+          publicUrl: meshUrl,
+          seeds: meshUrls.filter((url) => url !== meshUrl),
         },
         platform: { url: options.platformUrls[slot.dataCentre] },
       };
       const settings = mergeSections(base, options.settings?.(slot, index) ?? {});
       routers.push(await createRouter(options, slot, address, settings));
     }
-    return new FleetRunner(routers, options);
+    return new FleetRunner(routers, fleetSecret, options);
   }
 
   get entryUrls(): string[] {
@@ -134,32 +142,42 @@
   }
 }
 
-interface RouterPorts {
+interface RouterAddress {
+  /** Ports that the router listens on. */
   entry: number;
   mesh: number;
+  /** URLs that its peers use, through relays where there is a network. */
+  entryUrl: string;
+  meshUrl: string;
 }
 
-async function chooseAddresses(count: number): Promise<RouterPorts[]> {
-  const ports = await findFreePorts(count * PORTS_PER_ROUTER);
-  return Array.from({ length: count }, (_, index) => ({
-    entry: ports[PORTS_PER_ROUTER * index] ?? 0,
-    mesh: ports[PORTS_PER_ROUTER * index + 1] ?? 0,
-  }));
+async function chooseAddresses({ slots, network }: FleetRunnerOptions): Promise<RouterAddress[]> {
+  const ports = await findFreePorts(slots.length * PORTS_PER_ROUTER);
+  const addresses: RouterAddress[] = [];
+  for (const [index, { dataCentre }] of slots.entries()) {
+    const entry = ports[PORTS_PER_ROUTER * index] ?? 0;
+    const mesh = ports[PORTS_PER_ROUTER * index + 1] ?? 0;
+    const entryUrl = (await network?.relay(urlOf(entry), dataCentre)) ?? urlOf(entry);
+    const meshUrl = (await network?.relay(urlOf(mesh), dataCentre)) ?? urlOf(mesh);
+    addresses.push({ entry, mesh, entryUrl, meshUrl });
+  }
+  return addresses;
 }
 
 async function createRouter(
   options: FleetRunnerOptions,
   slot: RouterSlot,
-  { entry, mesh }: RouterPorts,
+  { entry, meshUrl }: RouterAddress,
   settings: Record<string, unknown>,
 ): Promise<RouterProcess> {
   const name = join(options.directory, `${slot.dataCentre}-${slot.instance}`);
   await writeFile(`${name}.jsonc`, JSON.stringify(settings, null, 2));
-  const command = options.command ?? runRouterBinary;
+  const source = options.network?.sourceAddress(slot.dataCentre);
+  const command = options.command ?? ((file) => runRouterBinary(file, source));
   return new RouterProcess({
     slot,
     entryUrl: urlOf(entry),
-    meshUrl: urlOf(mesh),
+    meshUrl,
     command: command(`${name}.jsonc`),
     logFile: `${name}.log`,
     readyTimeoutMs: options.readyTimeoutMs ?? READY_TIMEOUT_MS,
@@ -167,8 +185,9 @@
   });
 }
 
-function runRouterBinary(settingsFile: string): RouterCommand {
-  return { file: process.execPath, args: [routerBinary, settingsFile] };
+function runRouterBinary(settingsFile: string, source: string | undefined): RouterCommand {
+  const options = source === undefined ? [] : [`--import=${sourceModule}?address=${source}`];
+  return { file: process.execPath, args: [...options, routerBinary, settingsFile] };
 }
 
 function urlOf(port: number): string {
--- a/packages/lab/src/node/labCommand/main.ts
+++ b/packages/lab/src/node/labCommand/main.ts
@@ -14,7 +14,8 @@
   subcommands,
 } from 'cmd-ts';
 import { demoCommand } from './demoCommand.js';
-import { measures, mutants, prove } from './measures.js';
+import { measures, mutants } from './measures.js';
+import { proveCommand } from './proveCommand.js';
 import { reportCommand } from './reportCommand.js';
 
 const EXIT_NOT_AVAILABLE = 2;
@@ -37,13 +38,6 @@
   handler: ({ name, ...args }) => runMeasure(`measure ${name}`, measures[name], args),
 });
 
-const proveCommand = command({
-  name: 'prove',
-  description: 'checks the specification against the real reducers',
-  args: commonArgs,
-  handler: (args) => runMeasure('prove', prove, args),
-});
-
 const mutantsCommand = command({
   name: 'mutants',
   description: 'checks that each broken rule is caught',
--- a/packages/lab/src/node/labCommand/measures.ts
+++ b/packages/lab/src/node/labCommand/measures.ts
@@ -21,9 +21,6 @@
 /** `npm run measure -- NAME`. */
 export const measures: Record<string, Measure> = { routing: measureRouting };
 
-/** `npm run prove`, once there is something to prove. */
-export const prove: Measure | undefined = undefined;
-
 /** `npm run mutants`, once there are mutants to catch. */
 export const mutants: Measure | undefined = undefined;
 
--- a/packages/lab/src/node/loadGenerator/callerRequest.ts
+++ b/packages/lab/src/node/loadGenerator/callerRequest.ts
@@ -16,6 +16,7 @@
 
 const MAX_SOCKETS_PER_ROUTER = 512;
 const MS_PER_SECOND = 1_000;
+const REQUEST_ID_HEADER = 'flamingocourse-request-id';
 
 const agent = new Agent({ keepAlive: true, maxSockets: MAX_SOCKETS_PER_ROUTER });
 
@@ -84,6 +85,12 @@
   };
 }
 
+/** The request's id from the head of an answer, as a part of {@link CallEnd}. */
+export function requestIdOf(res: IncomingMessage): { requestId?: string } {
+  const requestId = res.headers[REQUEST_ID_HEADER];
+  return typeof requestId === 'string' ? { requestId } : {};
+}
+
 /** Parses JSON; `undefined` where it is none. */
 export function parseJson(text: string): unknown {
   try {
--- a/packages/lab/src/node/loadGenerator/chatCall.ts
+++ b/packages/lab/src/node/loadGenerator/chatCall.ts
@@ -7,7 +7,14 @@
 import { z } from 'zod';
 import { checkAnswer, checkBeginning } from '../../runtime/answerCheck.js';
 import { expectedAnswer } from '../../runtime/answerText.js';
-import { callerHeaders, parseJson, parseRefusal, readText, sendCall } from './callerRequest.js';
+import {
+  callerHeaders,
+  parseJson,
+  parseRefusal,
+  readText,
+  requestIdOf,
+  sendCall,
+} from './callerRequest.js';
 
 const SLOW_READ_MS = 40;
 
@@ -62,7 +69,10 @@
     signal,
   });
   if (res.statusCode !== 200) return parseRefusal(await readText(res), res);
-  return request.stream ? readStream(res, request, expected) : readWhole(res, expected);
+  const end = request.stream
+    ? await readStream(res, request, expected)
+    : await readWhole(res, expected);
+  return end.type === 'answer' ? { ...end, ...requestIdOf(res) } : end;
 }
 
 async function readWhole(res: IncomingMessage, expected: string): Promise<CallEnd> {
--- a/packages/lab/src/node/loadGenerator/runLoad.ts
+++ b/packages/lab/src/node/loadGenerator/runLoad.ts
@@ -72,6 +72,7 @@
   for (let attempt = 0; attempt < settings.maxAttempts; attempt += 1) {
     end = await callOnce(caller, attempt);
     recorder.attempt(request, attempt, end);
+    settings.onAttempt?.(request, end);
     const waitMs = retryWaitMs(request, end, settings);
     if (waitMs === undefined || attempt + 1 === settings.maxAttempts) break;
     await delay(waitMs);
@@ -79,20 +80,36 @@
   recorder.finished(request, end, startedAt, performance.now());
 }
 
-interface Caller {
-  settings: Settings;
+/** A request with the ticket that all its attempts carry. */
+export interface NamedRequest {
   request: PlannedRequest;
   ticket: string | undefined;
 }
 
+interface Caller extends NamedRequest {
+  settings: Settings;
+}
+
 /** One attempt at the next router in turn; never throws. */
-async function callOnce(caller: Caller, attempt: number): Promise<CallEnd> {
+function callOnce(caller: Caller, attempt: number): Promise<CallEnd> {
   const { request, settings } = caller;
   const { targets } = settings;
   const url = targets[(request.firstTarget + attempt) % targets.length]?.url ?? '';
-  const signal = AbortSignal.timeout(settings.timeoutMs);
+  return callRouter(caller, url, settings.timeoutMs);
+}
+
+/**
+ * Sends a request to one router; never throws. Takes a ticket first where the request needs one and
+ * the caller has none yet.
+ */
+export async function callRouter(
+  caller: NamedRequest,
+  url: string,
+  timeoutMs: number,
+): Promise<CallEnd> {
+  const signal = AbortSignal.timeout(timeoutMs);
   try {
-    if (request.item.naming === 'ticket' && caller.ticket === undefined) {
+    if (caller.request.item.naming === 'ticket' && caller.ticket === undefined) {
       const refusal = await takeTicket(caller, url, signal);
       if (refusal) return refusal;
     }
@@ -102,7 +119,11 @@
   }
 }
 
-function dispatch({ request, ticket }: Caller, url: string, signal: AbortSignal): Promise<CallEnd> {
+function dispatch(
+  { request, ticket }: NamedRequest,
+  url: string,
+  signal: AbortSignal,
+): Promise<CallEnd> {
   const { item } = request;
   if (item.type === 'chat') return callChat(url, { ...request, item }, ticket, signal);
   return callService(url, { ...request, item }, ticket, signal);
@@ -110,7 +131,7 @@
 
 /** Takes a ticket once; all attempts then carry it. Returns the refusal where there is one. */
 async function takeTicket(
-  caller: Caller,
+  caller: NamedRequest,
   url: string,
   signal: AbortSignal,
 ): Promise<CallEnd | undefined> {
--- a/packages/lab/src/node/loadGenerator/serviceCall.ts
+++ b/packages/lab/src/node/loadGenerator/serviceCall.ts
@@ -3,7 +3,14 @@
 import type { AnswerVerdict } from '../../runtime/answerCheck.js';
 import type { CallEnd, PlannedRequest, ServiceMix } from '../../types/load.js';
 import { z } from 'zod';
-import { callerHeaders, parseJson, parseRefusal, readText, sendCall } from './callerRequest.js';
+import {
+  callerHeaders,
+  parseJson,
+  parseRefusal,
+  readText,
+  requestIdOf,
+  sendCall,
+} from './callerRequest.js';
 
 const readSchema = z.object({ query: z.object({ caller: z.string() }) });
 const entrySchema = z.object({ entry: z.object({ key: z.string(), caller: z.string() }) });
@@ -26,7 +33,7 @@
   const text = await readText(res);
   if ((res.statusCode ?? 0) >= FIRST_ERROR_STATUS) return parseRefusal(text, res);
   const verdict = type === 'read' ? judgeRead(request, text) : judgeEntry(request, text);
-  return { type: 'answer', verdict, firstAt: performance.now() };
+  return { type: 'answer', verdict, firstAt: performance.now(), ...requestIdOf(res) };
 }
 
 function entryBody(request: PlannedRequest): string {
--- /dev/null
+++ b/packages/lab/src/node/network/index.ts
@@ -0,0 +1,1 @@
+export * from './network.js';
--- /dev/null
+++ b/packages/lab/src/node/prove/callerLog.ts
@@ -0,0 +1,72 @@
+/** Keeps what callers saw, for comparison with bills and runs. */
+
+import type { Bill } from '@flamingocourse/core';
+import type { SeenAnswer, SeenNotRun } from '../../runtime/prove/billAudit.js';
+import type { CallEnd, EntryOutcome, PlannedRequest } from '../../types/load.js';
+import { digest, HmacTicketCodec } from '@flamingocourse/router';
+import { auditBills } from '../../runtime/prove/billAudit.js';
+import { TOKENS_PER_CALL } from './proveDeclarations.js';
+
+/** Attempts of all callers of a run. */
+export class CallerLog {
+  readonly answers: SeenAnswer[] = [];
+  /** Last word on each non-idempotent request; an answer stands over what came later. */
+  readonly entries: Record<string, EntryOutcome> = {};
+  /** Answers, complete or not, that are not the caller's own whole answer. */
+  readonly badAnswers: string[] = [];
+  attempts = 0;
+  readonly #tickets: HmacTicketCodec;
+  readonly #notRun = new Map<string, string>();
+  readonly #answered = new Set<string>();
+
+  constructor(fleetSecret: string) {
+    this.#tickets = new HmacTicketCodec(fleetSecret);
+  }
+
+  /** Records how an attempt ended. */
+  add(request: PlannedRequest, end: CallEnd): void {
+    this.attempts += 1;
+    if ('verdict' in end && end.verdict !== 'whole') {
+      this.badAnswers.push(`${request.key}: ${end.type} with a ${end.verdict} answer`);
+    }
+    if (request.item.type === 'entry') this.#addEntry(request.key, end);
+    if (end.type === 'answer') this.#addAnswer(request, end);
+    this.#addNotRun(request, end);
+  }
+
+  /** Compares with the bills. */
+  auditBills(bills: readonly Bill[]): string[] {
+    const notRun: SeenNotRun[] = [...this.#notRun].map(([key, keyDigest]) => ({ key, keyDigest }));
+    return auditBills({ answers: this.answers, notRun, bills });
+  }
+
+  #addEntry(key: string, end: CallEnd): void {
+    if (this.entries[key] === 'entered') return;
+    if (end.type === 'answer') this.entries[key] = 'entered';
+    else if (end.type === 'refused' && end.run === 'not-run') this.entries[key] = 'not-run';
+    else this.entries[key] = 'unknown';
+  }
+
+  #addAnswer(request: PlannedRequest, end: CallEnd & { type: 'answer' }): void {
+    const { item, account, key } = request;
+    const issued = end.requestId === undefined ? undefined : this.#tickets.parse(end.requestId);
+    const usage = end.usage && end.usage.promptTokens + end.usage.completionTokens;
+    const cost = item.type === 'chat' ? usage : TOKENS_PER_CALL;
+    this.#answered.add(key);
+    this.answers.push({
+      account: account.name,
+      key,
+      ...(issued ? { ticket: issued.ticket } : {}),
+      ...(cost === undefined ? {} : { cost }),
+      ...(item.naming === 'key' ? { keyDigest: digest(account.name, key) } : {}),
+    });
+  }
+
+  /** Only the last word counts: a caller may be refused at first and served at another router. */
+  #addNotRun({ item, account, key }: PlannedRequest, end: CallEnd): void {
+    const refused = end.type === 'refused' && end.run === 'not-run';
+    if (refused && item.naming === 'key' && !this.#answered.has(key)) {
+      this.#notRun.set(key, digest(account.name, key));
+    } else this.#notRun.delete(key);
+  }
+}
--- /dev/null
+++ b/packages/lab/src/node/prove/index.ts
@@ -0,0 +1,3 @@
+export * from './loadPhase.js';
+export * from './proveStage.js';
+export * from './runProve.js';
--- /dev/null
+++ b/packages/lab/src/node/prove/loadPhase.ts
@@ -0,0 +1,178 @@
+/** A phase of the proof: load, faults at fixed times, then all audits once it is quiet. */
+
+import type { LoadResult } from '../../types/load.js';
+import type { Findings } from '../../runtime/prove/findings.js';
+import type { ProveStage } from './proveStage.js';
+import type { Watch } from './watchers.js';
+import { setTimeout as delay } from 'node:timers/promises';
+import { auditEntries } from '../../runtime/entryAudit.js';
+import { skewedWeights } from '../../runtime/loadPlan.js';
+import { findQuietFaults } from '../../runtime/prove/moneyAudit.js';
+import { runLoad } from '../loadGenerator/index.js';
+import { CallerLog } from './callerLog.js';
+import { proveAccounts, proveMix, TIGHT_ACCOUNTS, TIGHT_TOKENS } from './proveDeclarations.js';
+import { readBills, readMoney } from './proveStage.js';
+import { runTwins } from './twins.js';
+import { watchMoney } from './watchers.js';
+
+/** A fault, or the end of one, at a time of its phase. */
+export interface FaultStep {
+  atSeconds: number;
+  run: (stage: ProveStage) => Promise<unknown> | undefined;
+}
+
+/** A phase with load. */
+export interface LoadPhase {
+  name: string;
+  /** Faults in words, for the reports of the promises. */
+  faults: string[];
+  /** Time over which requests arrive. */
+  seconds: number;
+  steps: FaultStep[];
+  /** Whether callers may see streams that break off. */
+  mayBreak: boolean;
+}
+
+/** What every phase works with. */
+export interface PhaseSite {
+  stage: ProveStage;
+  findings: Findings;
+  seed: number;
+  onProgress: (line: string) => void;
+}
+
+/** How a phase ended, for readers of the run. */
+export interface PhaseFigures {
+  phase: string;
+  load: Pick<LoadResult, 'requests' | 'whole' | 'broken' | 'unanswered' | 'retries' | 'refusals'>;
+  twins: number;
+  attempts: number;
+  entries: number;
+  moneySamples: number;
+  /** Milliseconds until ledger, journals and bills agreed to the token; absent if they never did. */
+  quietAfterMs?: number;
+}
+
+const RATE_PER_SECOND = 24;
+const TWINS_PER_SECOND = 6;
+const TIMEOUT_MS = 12_000;
+const MAX_ATTEMPTS = 6;
+const QUIET_POLL_MS = 250;
+const QUIET_TIMEOUT_MS = 12_000;
+const MS_PER_SECOND = 1_000;
+
+/** Runs a phase and adds what it found. */
+export async function runLoadPhase(site: PhaseSite, phase: LoadPhase): Promise<PhaseFigures> {
+  const { stage, findings, seed } = site;
+  site.onProgress(`phase ${phase.name}: ${phase.faults.join(', ')}`);
+  await topUp(stage, `${phase.name}-start`);
+  const money = watchMoney(stage);
+  const log = new CallerLog(stage.fleet.fleetSecret);
+  const weights = skewedWeights(stage.fleet.entryUrls.length);
+  const [load, twins] = await Promise.all([
+    runLoad({
+      targets: stage.fleet.entryUrls.map((url, index) => ({ url, weight: weights[index] ?? 1 })),
+      accounts: proveAccounts,
+      mix: proveMix,
+      ratePerSecond: RATE_PER_SECOND,
+      seconds: phase.seconds,
+      seed,
+      timeoutMs: TIMEOUT_MS,
+      maxAttempts: MAX_ATTEMPTS,
+      onAttempt: (request, end) => {
+        log.add(request, end);
+      },
+    }),
+    runTwins({
+      entryUrls: stage.fleet.entryUrls,
+      label: `${phase.name}-${seed}`,
+      seed,
+      seconds: phase.seconds,
+      perSecond: TWINS_PER_SECOND,
+      log,
+    }),
+    runSteps(stage, phase.steps),
+  ]);
+  const quiet = await waitForQuiet(stage);
+  money.stop();
+  addFindings({ stage, findings, phase, log, money, load, quietFaults: quiet.faults });
+  const { requests, whole, broken, unanswered, retries, refusals } = load;
+  return {
+    phase: phase.name,
+    load: { requests, whole, broken, unanswered, retries, refusals },
+    twins,
+    attempts: log.attempts,
+    entries: Object.keys(log.entries).length,
+    moneySamples: money.samples,
+    ...(quiet.faults.length === 0 ? { quietAfterMs: quiet.afterMs } : {}),
+  };
+}
+
+/** Tops the tight accounts up, as an operator; the id makes a repetition harmless. */
+export async function topUp(stage: ProveStage, changeId: string): Promise<void> {
+  for (const account of TIGHT_ACCOUNTS) {
+    const tokens = String(TIGHT_TOKENS);
+    const change = ['--account', account, '--tokens', tokens, '--change-id', changeId];
+    await stage.operate('budget', 'top-up', ...change);
+  }
+}
+
+async function runSteps(stage: ProveStage, steps: readonly FaultStep[]): Promise<void> {
+  const startedAt = performance.now();
+  await Promise.all(
+    steps.map(async ({ atSeconds, run }) => {
+      await delay(startedAt + atSeconds * MS_PER_SECOND - performance.now());
+      await run(stage);
+    }),
+  );
+}
+
+/** Waits until everything adds up; returns what still does not when time runs out. */
+async function waitForQuiet(stage: ProveStage): Promise<{ faults: string[]; afterMs: number }> {
+  const startedAt = performance.now();
+  for (;;) {
+    const faults = findQuietFaults(readMoney(stage.platform), readBills(stage.platform));
+    const afterMs = Math.round(performance.now() - startedAt);
+    if (faults.length === 0 || afterMs > QUIET_TIMEOUT_MS) return { faults, afterMs };
+    await delay(QUIET_POLL_MS);
+  }
+}
+
+interface PhaseOutcome {
+  stage: ProveStage;
+  findings: Findings;
+  phase: LoadPhase;
+  log: CallerLog;
+  money: Watch;
+  load: LoadResult;
+  quietFaults: string[];
+}
+
+function addFindings(outcome: PhaseOutcome): void {
+  const { stage, findings, phase, log, money, load, quietFaults } = outcome;
+  const { faults, name } = phase;
+  const named = (violations: readonly string[]): string[] =>
+    violations.map((violation) => `[${name}] ${violation}`);
+  const entries = auditEntries(log.entries, stage.backends.records.runs);
+  const entryCount = Object.keys(log.entries).length;
+  findings.add(1, {
+    faults,
+    checks: money.samples,
+    violations: named([...money.violations, ...quietFaults]),
+  });
+  findings.add(2, {
+    faults,
+    checks: log.answers.length,
+    violations: named(log.auditBills(readBills(stage.platform))),
+  });
+  const lost = entries.lost.map((key) => `${key}: answered and never ran`);
+  const answers = log.answers.length;
+  findings.add(3, { faults, checks: answers, violations: named([...log.badAnswers, ...lost]) });
+  const falsely = entries.falselyNotRun.map((key) => `${key}: refused as not run, and it ran`);
+  findings.add(4, { faults, checks: entryCount, violations: named(falsely) });
+  const doubled = entries.doubled.map((key) => `${key}: ran more than once`);
+  findings.add(5, { faults, checks: entryCount, violations: named(doubled) });
+  if (phase.mayBreak) return;
+  const broken = load.broken > 0 ? [`${load.broken} requests in progress were cut off`] : [];
+  findings.add(7, { faults, checks: load.requests, violations: named(broken) });
+}
--- /dev/null
+++ b/packages/lab/src/node/prove/runProve.ts
@@ -0,0 +1,74 @@
+/** Runs the proof of all promises, on one fleet. */
+
+import type { PromiseNumber, ProveResult } from '../../types/prove.js';
+import type { PhaseSite } from './loadPhase.js';
+import { mkdtemp } from 'node:fs/promises';
+import { tmpdir } from 'node:os';
+import { join } from 'node:path';
+import { deployments } from '../../runtime/deployments.js';
+import { Findings } from '../../runtime/prove/findings.js';
+import { runConfigurationPhase } from './configurationPhase.js';
+import { runLeavingPhase } from './leavingPhase.js';
+import { runLoadPhase } from './loadPhase.js';
+import { loadPhases } from './phases.js';
+import { startStage } from './proveStage.js';
+
+/** Options of {@link runProve}. */
+export interface ProveOptions {
+  seed: number;
+  /** Runs only what this promise needs. */
+  only?: PromiseNumber;
+  onProgress: (line: string) => void;
+}
+
+type PhaseRun = (site: PhaseSite) => Promise<object>;
+
+interface ListedPhase {
+  promises: readonly PromiseNumber[];
+  run: PhaseRun;
+}
+
+const MS_PER_SECOND = 1_000;
+/** Seeds of the phases of one run lie next to each other. */
+const SEED_STEP = 100;
+
+const phases: ListedPhase[] = [
+  ...loadPhases.map((phase): ListedPhase => ({
+    promises: phase.mayBreak ? [1, 2, 3, 4, 5] : [1, 2, 3, 4, 5, 7],
+    run: (site) => runLoadPhase(site, phase),
+  })),
+  { promises: [6], run: runLeavingPhase },
+  { promises: [8], run: runConfigurationPhase },
+];
+
+/**
+ * Proves the promises with real router processes.
+ *
+ * @example
+ * const { promises } = await runProve({ seed: 1, onProgress: console.error });
+ * const broken = promises.filter((report) => report.verdict === 'broken');
+ */
+export async function runProve(options: ProveOptions): Promise<ProveResult> {
+  const startedAt = performance.now();
+  const directory = await mkdtemp(join(tmpdir(), 'flamingocourse-prove-'));
+  options.onProgress(`settings and logs of the routers are in ${directory}`);
+  const stage = await startStage(deployments['tsagaan-deel'], directory, options.seed);
+  const findings = new Findings();
+  const figures: Record<string, unknown>[] = [];
+  try {
+    for (const [index, phase] of phases.entries()) {
+      if (options.only !== undefined && !phase.promises.includes(options.only)) continue;
+      const seed = options.seed * SEED_STEP + index;
+      const run = await phase.run({ stage, findings, seed, onProgress: options.onProgress });
+      figures.push({ ...run });
+    }
+    findings.add(7, { checks: 0, violations: stage.stopFaults });
+  } finally {
+    await stage.close();
+  }
+  const seconds = Math.round((performance.now() - startedAt) / MS_PER_SECOND);
+  const promises = findings
+    .reports()
+    .filter(({ promise }) => options.only === undefined || promise === options.only);
+  return { seed: options.seed, seconds, promises, phases: figures };
+}
--- a/packages/lab/src/types/engineStandIn.ts
+++ b/packages/lab/src/types/engineStandIn.ts
@@ -65,6 +65,8 @@
 /** Counters since the engine was created; they outlive a crash. */
 export interface EngineCounters {
   requests: number;
+  /** Requests that came while the engine was leaving; each was refused. */
+  whileLeaving: number;
   finished: number;
   cancelled: number;
   tokensWritten: number;
--- a/packages/lab/src/types/fleetRunner.ts
+++ b/packages/lab/src/types/fleetRunner.ts
@@ -1,6 +1,7 @@
 /** Router processes that the lab starts, stops and disturbs. */
 
 import type { InstanceRecord } from '@flamingocourse/core';
+import type { Network } from '../node/network/index.js';
 
 /** Where one router runs. */
 export interface RouterSlot {
@@ -26,6 +27,8 @@
   directory: string;
   /** Told the live routers after each start and end, for the platform's instance list. */
   onInstances?: (records: InstanceRecord[]) => void;
+  /** Puts relays between data centres; `platformUrls` are then relays of it too. */
+  network?: Network;
   /** Settings of one router that differ from the defaults, by section. */
   settings?: (slot: RouterSlot, index: number) => Record<string, unknown>;
   /** @default the flamingocourse-router binary of this workspace */
--- a/packages/lab/src/types/load.ts
+++ b/packages/lab/src/types/load.ts
@@ -74,6 +74,8 @@
   hangUpShare?: number;
   /** Told the figures so far about once a second. */
   onProgress?: (progress: LoadProgress) => void;
+  /** Told how each attempt ended. */
+  onAttempt?: (request: PlannedRequest, end: CallEnd) => void;
   /** Ends the arrivals early. */
   signal?: AbortSignal;
 }
@@ -112,7 +114,14 @@
 
 /** How one attempt of a caller ended. */
 export type CallEnd =
-  | { type: 'answer'; verdict: AnswerVerdict; firstAt: number; usage?: ReportedUsage }
+  | {
+      type: 'answer';
+      verdict: AnswerVerdict;
+      firstAt: number;
+      usage?: ReportedUsage;
+      /** From the header `flamingocourse-request-id`. */
+      requestId?: string;
+    }
   | { type: 'refused'; reason: string; run: RunVerdict; retryAfterMs?: number }
   | { type: 'broken'; verdict: AnswerVerdict }
   | { type: 'hung-up'; verdict: AnswerVerdict }
--- a/packages/router/src/index.ts
+++ b/packages/router/src/index.ts
@@ -15,3 +15,4 @@
 export type * from './types/backendPorts.js';
 export * from './types/ticketCodec.js';
 export * from './utils/hmacTicketCodec.js';
+export * from './utils/digest.js';
--- /dev/null
+++ b/test/process/firstCall.test.ts
@@ -0,0 +1,63 @@
+import assert from 'node:assert/strict';
+import { readFile } from 'node:fs/promises';
+import { test } from 'node:test';
+import { runDemo } from '@flamingocourse/lab';
+import { buildOnce, createDirectory, SEED } from './fixtures/processStage.js';
+
+interface CurlCall {
+  path: string;
+  headers: Record<string, string>;
+  body: string;
+}
+
+/** Reads the first curl command of a page. */
+async function readCurl(page: string): Promise<CurlCall> {
+  const text = await readFile(new URL(`../../${page}`, import.meta.url), 'utf8');
+  const command = /^curl [\s\S]*?\n```$/m.exec(text)?.[0] ?? '';
+  const headers = [...command.matchAll(/-H '([^:]+): ([^']+)'/g)].map(([, name, value]) => [
+    name,
+    value,
+  ]);
+  return {
+    path: /http:\/\/[^/]+(\/\S+)/.exec(command)?.[1] ?? '',
+    headers: Object.fromEntries(headers) as Record<string, string>,
+    body: /-d '([^']+)'/.exec(command)?.[1] ?? '',
+  };
+}
+
+// A new user starts the demo and copies the curl command of the page. It names an account, a class
+// and a model of the examples; were one of them renamed there, the first call would be refused.
+test('the curl commands of README.md and CALLERS.md get an answer from the demo', async (t) => {
+  buildOnce();
+  const abort = new AbortController();
+  const results: unknown[] = [];
+  const call = async (entryUrl: string): Promise<void> => {
+    for (const page of ['README.md', 'docs/CALLERS.md']) {
+      const { path, headers, body } = await readCurl(page);
+      const res = await fetch(`${entryUrl}${path}`, { method: 'POST', headers, body });
+      const answer = (await res.json()) as { choices?: { message: { content: string } }[] };
+      const content = answer.choices?.[0]?.message.content ?? '';
+      results.push({ page, status: res.status, answered: content !== '' });
+    }
+  };
+  await runDemo({
+    deployment: 'tsagaan-deel',
+    seconds: 1,
+    ratePerSecond: 10,
+    seed: SEED,
+    keep: true,
+    directory: await createDirectory(t),
+    signal: abort.signal,
+    onProgress: (line) => {
+      const entry = /^entries: (\S+)/.exec(line)?.[1];
+      if (entry === undefined) return;
+      void call(entry).finally(() => {
+        abort.abort();
+      });
+    },
+  });
+  assert.deepEqual(results, [
+    { page: 'README.md', status: 200, answered: true },
+    { page: 'docs/CALLERS.md', status: 200, answered: true },
+  ]);
+});
