--- /dev/null
+++ b/packages/lab/src/node/capacity/targetSize.ts
@@ -0,0 +1,80 @@
+/** The size that the users expect to run at, and what follows from it. */
+
+/** A fleet's size, as far as costs depend on it. */
+export interface FleetSize {
+  nodes: number;
+  dataCentres: number;
+  servers: number;
+  requestsPerSecond: number;
+  tokensPerSecond: number;
+  budgets: number;
+  accounts: number;
+  services: number;
+  changesPerDay: number;
+  /** Instances that fail, are restarted or replaced. */
+  restartsPerDay: number;
+  /** Time between two tokens of a stream. */
+  tokenGapMs: number;
+}
+
+/** Within two years. */
+export const targetSize: FleetSize = {
+  nodes: 2_800,
+  dataCentres: 22,
+  servers: 10_000,
+  requestsPerSecond: 51_000,
+  tokensPerSecond: 18_000_000,
+  budgets: 46_000,
+  accounts: 2_200,
+  services: 34,
+  changesPerDay: 15_000,
+  restartsPerDay: 210 + 940,
+  tokenGapMs: 32,
+};
+
+/** What control may cost each node. */
+export const controlBudget = { coreMsPerSecond: 26, bytes: 64_000_000, bytesPerSecond: 2_000 };
+
+/** What the platform handles. */
+export const platformLimits = {
+  readsPerSecond: 2_000,
+  /** "Several hundred". */
+  writesPerSecond: 400,
+  valueBytes: 1_000_000,
+};
+
+const SECONDS_PER_DAY = 86_400;
+const MS_PER_SECOND = 1_000;
+
+/** Parts of a size that one node or data centre has. */
+export interface SizeShares {
+  nodesPerCentre: number;
+  serversPerCentre: number;
+  requestsPerNode: number;
+  tokensPerNode: number;
+  /** Answers under way at one node. */
+  streamsPerNode: number;
+  requestsPerCentre: number;
+  changesPerSecond: number;
+  restartsPerSecond: number;
+}
+
+/**
+ * Spreads a size evenly over its nodes and data centres.
+ *
+ * @example
+ * sharesOf(targetSize).nodesPerCentre; // 127.3
+ */
+export function sharesOf(size: FleetSize): SizeShares {
+  const tokensPerNode = size.tokensPerSecond / size.nodes;
+  return {
+    nodesPerCentre: size.nodes / size.dataCentres,
+    serversPerCentre: size.servers / size.dataCentres,
+    requestsPerNode: size.requestsPerSecond / size.nodes,
+    tokensPerNode,
+    streamsPerNode: (tokensPerNode * size.tokenGapMs) / MS_PER_SECOND,
+    requestsPerCentre: size.requestsPerSecond / size.dataCentres,
+    changesPerSecond: size.changesPerDay / SECONDS_PER_DAY,
+    restartsPerSecond: size.restartsPerDay / SECONDS_PER_DAY,
+  };
+}
--- a/packages/router/src/index.ts
+++ b/packages/router/src/index.ts
@@ -11,6 +11,8 @@
 export * from './node/backends/backendService.js';
 export * from './node/entry/entryServer.js';
 export * from './node/entry/requestRunner.js';
+export * from './node/fleet/index.js';
+export * from './node/money/ledgerPlan.js';
 export * from './types/backends.js';
 export type * from './types/backendPorts.js';
 export * from './types/ticketCodec.js';
