feat(lab): capacity at the size to come is worked out in code; measure routing writes a report

Cause: docs/CAPACITY.md has to state figures that come from a run, and npm run report could not show the routing measurement. Ruled out: slopes from two points, and drivers that never varied by themselves: both are refused, because they look like any other slope in a table.

--- a/packages/lab/src/index.ts
+++ b/packages/lab/src/index.ts
@@ -1,3 +1,4 @@
+export * from './node/capacity/index.js';
 export * from './node/demo/index.js';
 export * from './node/engineStandIn/index.js';
 export * from './node/fleetRunner/index.js';
--- a/packages/lab/src/node/labCommand/measures.ts
+++ b/packages/lab/src/node/labCommand/measures.ts
@@ -3,6 +3,8 @@
 import { mkdir, writeFile } from 'node:fs/promises';
 import { dirname } from 'node:path';
 import { runRoutingMeasure } from '../../runtime/routingExperiment/index.js';
+import { createCapacityReport, measureSlopes } from '../capacity/index.js';
+import { renderText } from '../report/index.js';
 
 /** What a measurement is given from the command line. */
 export interface MeasureOptions {
@@ -19,7 +21,10 @@
 const ROUTING_SEEDS = 3;
 
 /** `npm run measure -- NAME`. */
-export const measures: Record<string, Measure> = { routing: measureRouting };
+export const measures: Record<string, Measure> = {
+  routing: measureRouting,
+  capacity: measureCapacity,
+};
 
 /** `npm run prove`, once there is something to prove. */
 export const prove: Measure | undefined = undefined;
@@ -39,3 +44,19 @@
   process.stdout.write(`written: ${json}\n`);
   return 0;
 }
+
+async function measureCapacity({ seed, json }: MeasureOptions): Promise<number> {
+  const lines = await measureSlopes(seed, (line) => {
+    process.stderr.write(`${line}\n`);
+  });
+  const report = createCapacityReport(lines, seed);
+  process.stdout.write(`${renderText(report)}\n`);
+  if (json !== undefined) await writeResult(json, { report, lines: [...lines.values()] });
+  return 0;
+}
+
+async function writeResult(file: string, result: unknown): Promise<void> {
+  await mkdir(dirname(file), { recursive: true });
+  await writeFile(file, `${JSON.stringify(result, null, 2)}\n`);
+  process.stdout.write(`written: ${file}\n`);
+}
--- a/packages/lab/src/runtime/routingExperiment/index.ts
+++ b/packages/lab/src/runtime/routingExperiment/index.ts
@@ -3,3 +3,4 @@
 export * from './runRoutingExperiment.js';
 export * from './runRoutingMeasure.js';
 export type * from './types.js';
+export * from './routingReport.js';
--- a/packages/lab/src/runtime/routingExperiment/runRoutingMeasure.ts
+++ b/packages/lab/src/runtime/routingExperiment/runRoutingMeasure.ts
@@ -3,6 +3,7 @@
 import type { ClassResult, RoutingExperimentResult } from './types.js';
 import Table from 'cli-table3';
 import { measureCapacity } from './measureCapacity.js';
+import { createRoutingReport } from './routingReport.js';
 import { routingPolicies, routingScenarios } from './policies.js';
 import { runRoutingExperiment } from './runRoutingExperiment.js';
 
@@ -46,8 +47,12 @@
         return meanOfRuns(runs);
       }),
   );
-  if (options.json) return JSON.stringify({ capacityPerSecond, rows }, undefined, 2);
   const title = `capacity ${capacityPerSecond.toFixed(1)} requests/s; seeds ${options.seeds.join(', ')}; times in ms to the first token`;
+  if (options.json) {
+    const present = rows.flatMap((row) => row ?? []);
+    const report = createRoutingReport(title, present);
+    return JSON.stringify({ report, capacityPerSecond, rows }, undefined, 2);
+  }
   const tables = routingScenarios.map(({ name }) =>
     renderScenario(
       name,
--- /dev/null
+++ b/test/lab/capacity.test.ts
@@ -0,0 +1,162 @@
+import assert from 'node:assert/strict';
+import { describe, test } from 'node:test';
+import type { CapacityRow, CostLine, CostPoint, FleetSize } from '@flamingocourse/lab';
+import {
+  costAt,
+  cpuMsPerCall,
+  createCapacityReport,
+  createRoutingReport,
+  extrapolation,
+  findBreaks,
+  fitCostLine,
+  median,
+  readProcessUsage,
+  reportDocumentSchema,
+  sharesOf,
+  targetSize,
+  timesLimit,
+  workOutCapacity,
+} from '@flamingocourse/lab';
+
+/** Every line that the model asks for, with one cost for each of its drivers. */
+const modelLines: Record<string, string[]> = {
+  'router.cpu': ['requests', 'tokens'],
+  'router.streams': ['streams'],
+  'router.accounts': ['accounts'],
+  'router.probes': ['servers'],
+  'pool.placement': ['servers'],
+  'queue.step': ['length'],
+  'heartbeat.bytes': ['nodes'],
+  'heartbeat.cpu': ['nodes'],
+  'change.bytes': ['nodes', 'objects'],
+  'change.cpu': ['nodes', 'objects'],
+  'journal.bytes': ['holders', 'slices', 'accounts', 'bills'],
+  'journal.commit': ['slices', 'accounts', 'bills', 'lines'],
+  'ledger.bytes': ['accounts', 'shares'],
+  'ledger.sync': ['shares', 'pairs'],
+  'calls.rest.instances': ['centres', 'routers'],
+  'calls.rest.get': ['centres', 'routers'],
+  'calls.rest.list': ['centres', 'routers'],
+  'calls.none.update': ['centres', 'routers', 'requests'],
+  'calls.key.update': ['centres', 'routers', 'requests'],
+};
+
+function lineOf(name: string, drivers: string[]): CostLine {
+  const ones = Object.fromEntries(drivers.map((driver) => [driver, 1]));
+  const base = { name, drivers, unit: 'B', points: [], fixed: 0, fit: 1 };
+  return { ...base, slopes: ones, measuredTo: ones };
+}
+
+const lines = new Map(
+  Object.entries(modelLines).map(([name, drivers]) => [name, lineOf(name, drivers)]),
+);
+
+describe('a cost line goes through its points', () => {
+  const cases: { title: string; drivers: string[]; points: CostPoint[]; fixed: number }[] = [
+    {
+      title: 'one driver',
+      drivers: ['nodes'],
+      points: [8, 32, 128].map((nodes) => ({ at: { nodes }, cost: 5 + 3 * nodes })),
+      fixed: 5,
+    },
+    {
+      title: 'two drivers of very different size',
+      drivers: ['requests', 'tokens'],
+      points: [
+        { at: { requests: 0, tokens: 0 }, cost: 7 },
+        { at: { requests: 10, tokens: 80_000 }, cost: 7 + 20 + 80 },
+        { at: { requests: 40, tokens: 20_000 }, cost: 7 + 80 + 20 },
+        { at: { requests: 20, tokens: 90_000 }, cost: 7 + 40 + 90 },
+      ],
+      fixed: 7,
+    },
+  ];
+  for (const { title, drivers, points, fixed } of cases) {
+    test(title, () => {
+      const line = fitCostLine({ name: 'x', unit: 'B', drivers, points });
+      assert.ok(Math.abs(line.fixed - fixed) < 1e-6);
+      assert.ok(line.fit > 0.999_999);
+      for (const { at, cost } of points) {
+        assert.ok(Math.abs(costAt(new Map([['x', line]]), 'x', at) - cost) < 1e-6);
+      }
+    });
+  }
+});
+
+// a slope from two points, or from runs that never varied a driver, looks like any other in the
+// tables; the page would then state a figure that nothing measured.
+describe('a line that its points do not determine is refused', () => {
+  const cases: { title: string; drivers: string[]; points: CostPoint[] }[] = [
+    { title: 'two points', drivers: ['n'], points: [1, 2].map((n) => ({ at: { n }, cost: n })) },
+    {
+      title: 'a driver that never varies',
+      drivers: ['n'],
+      points: [1, 2, 3].map((cost) => ({ at: { n: 4 }, cost })),
+    },
+    {
+      title: 'two drivers that always vary together',
+      drivers: ['n', 'm'],
+      points: [1, 2, 3, 4].map((n) => ({ at: { n, m: 2 * n }, cost: n })),
+    },
+  ];
+  for (const { title, drivers, points } of cases) {
+    test(title, () => {
+      const fit = (): unknown => fitCostLine({ name: 'x', unit: 'B', drivers, points });
+      assert.throws(fit, { code: 'too-few-points' });
+    });
+  }
+});
+
+test('a line says how far it is drawn out, by its most stretched driver', () => {
+  const line = { ...lineOf('x', ['nodes', 'objects']), measuredTo: { nodes: 128, objects: 2_200 } };
+  const far = extrapolation(new Map([['x', line]]), 'x', { nodes: 2_816, objects: 100 });
+  assert.equal(far, 22);
+  assert.equal(extrapolation(new Map([['x', line]]), 'x', { nodes: 8, objects: 100 }), 1);
+});
+
+test('the middle of a few values', () => {
+  assert.equal(median([9, 1, 5]), 5);
+  assert.equal(median([1, 2, 4, 100]), 3);
+});
+
+test('a size is spread over its nodes and data centres', () => {
+  const shares = sharesOf(targetSize);
+  assert.equal(Math.round(shares.nodesPerCentre), 127);
+  assert.equal(Math.round(shares.streamsPerNode), 206);
+});
+
+test('costs that grow with the fleet do, and breaks come worst first', () => {
+  const half: FleetSize = { ...targetSize, nodes: 1_400, requestsPerSecond: 25_500 };
+  const costOf = (size: FleetSize, mechanism: string): number =>
+    workOutCapacity(lines, size).find((row) => row.mechanism === mechanism)?.cost ?? NaN;
+  const lists = 'instance lists, one a service and router';
+  assert.ok(costOf(targetSize, lists) > 1.9 * costOf(half, lists));
+  const breaks = findBreaks(workOutCapacity(lines, targetSize)).map(timesLimit);
+  assert.ok(breaks.length > 0 && breaks.every((times) => times > 1));
+  assert.deepEqual(
+    breaks,
+    breaks.toSorted((a, b) => b - a),
+  );
+});
+
+test('a row without a limit never breaks', () => {
+  const row: CapacityRow = { role: 'r', mechanism: 'm', cost: 1e12, unit: 'B', drawnOut: 1 };
+  assert.deepEqual(findBreaks([row]), []);
+});
+
+test('the reports of capacity and routing can be shown', () => {
+  assert.equal(reportDocumentSchema.parse(createCapacityReport(lines, 1)).tables.length, 3);
+  const times = { targetMet: 0.5, p50: 1, p95: 2, p99: 3, refusals: {} };
+  const item = { workClass: 'drafts', offered: 10, answered: 9, ...times };
+  const row = { policy: 'chosen', classes: [item], usefulTokensPerSecond: 1, cacheHits: 0 };
+  const rows = ['load 1.0', 'load 1.5'].map((scenario) => ({ ...row, scenario }));
+  const report = reportDocumentSchema.parse(createRoutingReport('seed 1', rows));
+  assert.deepEqual(report.tables[1]?.rows, [['chosen', 'drafts', 50, 90, 1, 2, 3, 1]]);
+});
+
+test('usage is read from this process and refused where there is none', async () => {
+  const { cpuMs, residentBytes } = await readProcessUsage(process.pid);
+  assert.ok(cpuMs > 0 && residentBytes > 1_000_000);
+  await assert.rejects(readProcessUsage(2 ** 30), { code: 'no-usage' });
+  assert.ok(cpuMsPerCall(() => JSON.stringify([...Array(1_000).keys()])) > 0);
+});
