--- a/packages/lab/src/node/capacity/capacityModel.ts
+++ b/packages/lab/src/node/capacity/capacityModel.ts
@@ -7,6 +7,7 @@
 import type { FleetSize, SizeShares } from './targetSize.js';
 import { settingsDefaults } from '@flamingocourse/router';
 import { costAt, extrapolation } from './costLine.js';
+import { heartbeatTargetsOf } from './fleetCosts.js';
 import { controlBudget, platformLimits, sharesOf } from './targetSize.js';
 
 /** One mechanism's cost in one role. */
@@ -97,8 +98,13 @@
     return Math.max(0, this.at(name, values) - costAt(this.#lines, name, {}));
   }
 
-  slope(name: string, driver: string): number {
-    return this.#lines.get(name)?.slopes[driver] ?? 0;
+  /** The part of a cost that comes from one driver alone. */
+  part(name: string, driver: string, value: number): number {
+    this.#drawnOut = Math.max(
+      this.#drawnOut,
+      extrapolation(this.#lines, name, { [driver]: value }),
+    );
+    return (this.#lines.get(name)?.slopes[driver] ?? 0) * value;
   }
 
   add(role: string, mechanism: string, cost: number, unit: string, limit?: number): void {
@@ -113,6 +119,14 @@
       ...(limit === undefined ? {} : { limit }),
     });
   }
+
+  /** A row that sums earlier ones, and is drawn out as far as the farthest of them. */
+  addSum(role: string, mechanism: string, parts: string[], limit: number): void {
+    const summed = this.rows.filter((row) => parts.includes(row.mechanism));
+    this.#drawnOut = Math.max(...summed.map((row) => row.drawnOut));
+    const cost = summed.reduce((sum, row) => sum + row.cost, 0);
+    this.add(role, mechanism, cost, summed[0]?.unit ?? '', limit);
+  }
 }
 
 const cpu = 'CPU ms/s';
@@ -123,7 +137,7 @@
   const role = 'entry router';
   const { requestsPerNode, tokensPerNode, streamsPerNode } = sheet.shares;
   const work = { requests: requestsPerNode, tokens: tokensPerNode };
-  sheet.add(role, 'requests and streamed tokens', sheet.above('router.cpu', work), cpu, CORE_MS);
+  sheet.add(role, 'whole process: requests and tokens', sheet.at('router.cpu', work), cpu, CORE_MS);
   const streams = sheet.above('router.streams', { streams: streamsPerNode });
   sheet.add(role, 'answers under way', streams, 'B');
   const servers = sheet.size.servers / sheet.size.services;
@@ -137,12 +151,14 @@
   const role = 'every router, control';
   const { size, shares } = sheet;
   const { coreMsPerSecond, bytes, bytesPerSecond } = controlBudget;
-  const { nodes } = size;
-  sheet.add(role, 'heartbeats', sheet.at('heartbeat.bytes', { nodes }), traffic, bytesPerSecond);
-  sheet.add(role, 'heartbeats', sheet.at('heartbeat.cpu', { nodes }), cpu, coreMsPerSecond);
+  const targets = heartbeatTargetsOf(shares.nodesPerCentre, size.dataCentres);
+  sheet.add(role, 'heartbeats', sheet.at('heartbeat.bytes', { targets }), traffic, bytesPerSecond);
+  sheet.add(role, 'heartbeats', sheet.at('heartbeat.cpu', { targets }), cpu, coreMsPerSecond);
+  const rest = sheet.at('router.rest', { accounts: size.accounts });
+  sheet.add(role, 'whole process at rest, 4 servers', rest, cpu, coreMsPerSecond);
   const probes = sheet.above('router.probes', { servers: size.servers });
   sheet.add(role, 'load probes of all servers', probes, cpu, coreMsPerSecond);
-  const objects = { nodes, objects: size.accounts };
+  const objects = { objects: size.accounts };
   const perSecond = shares.changesPerSecond;
   const changeBytes = sheet.at('change.bytes', objects) * perSecond;
   sheet.add(role, 'changes of configuration', changeBytes, traffic, bytesPerSecond);
@@ -192,12 +208,12 @@
 
 function addRelayAndWitness(sheet: Sheet): void {
   const { size, shares } = sheet;
-  const perNode = sheet.at('change.bytes', { nodes: size.nodes, objects: size.accounts });
+  const perNode = sheet.at('change.bytes', { objects: size.accounts });
   const relayed = perNode * shares.nodesPerCentre * shares.changesPerSecond;
   const { bytes, bytesPerSecond } = controlBudget;
   sheet.add('relay of a data centre', 'changes told to all', relayed, traffic, bytesPerSecond);
   const lines = shares.requestsPerNode * LINES_PER_REQUEST * OUTAGE_SECONDS;
-  const kept = lines * sheet.slope('journal.bytes', 'bills');
+  const kept = sheet.part('journal.bytes', 'bills', lines);
   sheet.add('witness', 'lines of one holder, 1 h of outage', kept, 'B', bytes);
 }
 
@@ -221,7 +237,7 @@
     calls,
     writesPerSecond,
   );
-  const claims = claimsPerRequest(sheet) * size.requestsPerSecond;
+  const claims = claimWrites(sheet, size.requestsPerSecond);
   sheet.add(role, 'claims, if every request has a key', claims, calls, writesPerSecond);
   const pages = centres * syncsPerSecond;
   sheet.add(role, 'ledger writes, 1 page', pages, calls, writesPerSecond);
@@ -230,16 +246,25 @@
   sheet.add(role, 'sealing of dead routers', seals, calls, writesPerSecond);
   const changes = shares.changesPerSecond * CALLS_PER_CHANGE;
   sheet.add("operators' command", 'changes with their audits', changes, calls, writesPerSecond);
-  const reads = lists + gets + drains;
-  sheet.add(role, 'all reads', reads, calls, readsPerSecond);
-  const writes = centres * commitsPerSecond + claims + pages + seals + changes;
-  sheet.add(role, 'all writes, 1 page', writes, calls, writesPerSecond);
+  const reads = [
+    'instance lists, one a service and router',
+    'reads of journal and one ledger page',
+    'reads of orders, one a data centre',
+  ];
+  sheet.addSum(role, 'all reads', reads, readsPerSecond);
+  const unkeyed = [
+    'journal writes at full rate',
+    'ledger writes, 1 page',
+    'sealing of dead routers',
+    'changes with their audits',
+  ];
+  sheet.addSum(role, 'all writes, 1 page, without keys', unkeyed, writesPerSecond);
 }
 
-/** Updates of claim pages that a request with a key adds to those of one without. */
-function claimsPerRequest(sheet: Sheet): number {
-  const keyed = sheet.slope('calls.key.update', 'requests');
-  return Math.max(0, keyed - sheet.slope('calls.none.update', 'requests'));
+/** Updates of claim pages that requests with a key add to those of requests without. */
+function claimWrites(sheet: Sheet, requests: number): number {
+  const keyed = sheet.part('calls.key.update', 'requests', requests);
+  return Math.max(0, keyed - sheet.part('calls.none.update', 'requests', requests));
 }
 
 /** Every router comes to hold a slice of every account in steady use. */
