--- a/packages/lab/src/node/capacity/cpuTime.ts
+++ b/packages/lab/src/node/capacity/cpuTime.ts
@@ -1,8 +1,6 @@
 /** Processor time and memory of this process and of others. */
 
 import { readFile } from 'node:fs/promises';
-import { setFlagsFromString } from 'node:v8';
-import { runInNewContext } from 'node:vm';
 import { LabError } from '../../utils/labError.js';
 import { median } from './costLine.js';
 
@@ -62,14 +60,6 @@
   return median(Array.from({ length: REPETITIONS }, () => cpuMsOf(call, calls) / calls));
 }
 
-/** Bytes of live objects on the heap, after a collection. */
-export function liveHeapBytes(): number {
-  setFlagsFromString('--expose-gc');
-  const collect = runInNewContext('gc') as () => void;
-  collect();
-  return process.memoryUsage().heapUsed;
-}
-
 function cpuMsOf(call: () => unknown, calls: number): number {
   const before = ownCpuMs();
   for (let i = 0; i < calls; i += 1) call();
