feat(lab): measure of budgets against two central ledgers

Cause: false refusals, stranded tokens and platform calls of the budget services were not measured. `npm run measure -- budget` drives 8 routers' real budget services in 4 data centres through exhaustion, a cut with a top-up, a crash and 1,000 requests a second, and feeds the same arrivals to a naive and a perfect ledger. It ends non-zero on overspend, lost or doubled bills. Ruled out: a store over HTTP (would measure the stand-in).

--- a/packages/lab/src/index.ts
+++ b/packages/lab/src/index.ts
@@ -23,3 +23,6 @@
 export * from './types/report.js';
 export * from './utils/labError.js';
 export * from './runtime/routingExperiment/index.js';
+export * from './node/budgetMeasure/index.js';
+export * from './runtime/budgetMeasure/oracle.js';
+export * from './runtime/budgetMeasure/requestPlan.js';
--- /dev/null
+++ b/packages/lab/src/node/budgetMeasure/index.ts
@@ -0,0 +1,1 @@
+export * from './measureBudget.js';
--- a/packages/lab/src/node/labCommand/main.ts
+++ b/packages/lab/src/node/labCommand/main.ts
@@ -25,15 +25,22 @@
   json: option({ type: optional(string), long: 'json' }),
 };
 
+const loadArgs = {
+  seconds: option({ type: optional(number), long: 'seconds' }),
+  only: option({ type: optional(string), long: 'only', description: 'the one scenario to run' }),
+};
+
 interface CommonArgs {
   seed: number;
   json: string | undefined;
+  seconds?: number | undefined;
+  only?: string | undefined;
 }
 
 const measureCommand = command({
   name: 'measure',
   description: 'runs a measurement by name',
-  args: { name: positional({ type: string, displayName: 'name' }), ...commonArgs },
+  args: { name: positional({ type: string, displayName: 'name' }), ...commonArgs, ...loadArgs },
   handler: ({ name, ...args }) => runMeasure(`measure ${name}`, measures[name], args),
 });
 
@@ -65,9 +72,16 @@
 async function runMeasure(
   name: string,
   measure: Measure | undefined,
-  { seed, json }: CommonArgs,
+  { seed, json, seconds, only }: CommonArgs,
 ): Promise<number> {
-  if (measure) return measure({ seed, ...(json === undefined ? {} : { json }) });
+  if (measure) {
+    return measure({
+      seed,
+      ...(json === undefined ? {} : { json }),
+      ...(seconds === undefined ? {} : { seconds }),
+      ...(only === undefined ? {} : { only }),
+    });
+  }
   const known = Object.keys(measures).join(', ') || 'none yet';
   process.stderr.write(`${name}: not available yet (measurements: ${known})\n`);
   return EXIT_NOT_AVAILABLE;
--- a/packages/lab/src/node/labCommand/measures.ts
+++ b/packages/lab/src/node/labCommand/measures.ts
@@ -2,6 +2,8 @@
 
 import { mkdir, writeFile } from 'node:fs/promises';
 import { dirname } from 'node:path';
+import { measureBudget } from '../budgetMeasure/index.js';
+import { renderText } from '../report/index.js';
 import { runRoutingMeasure } from '../../runtime/routingExperiment/index.js';
 
 /** What a measurement is given from the command line. */
@@ -10,6 +12,10 @@
   seed: number;
   /** File for the raw figures. */
   json?: string;
+  /** Length of the load, for measurements that run in real time. */
+  seconds?: number;
+  /** Name of the one scenario to run. */
+  only?: string;
 }
 
 /** A named measurement. */
@@ -18,8 +24,14 @@
 /** Seeds of one run of the routing measurement. */
 const ROUTING_SEEDS = 3;
 
+/** Load of one scenario of the budget measurement, in seconds. */
+const BUDGET_SECONDS = 24;
+
 /** `npm run measure -- NAME`. */
-export const measures: Record<string, Measure> = { routing: measureRouting };
+export const measures: Record<string, Measure> = {
+  budget: measureBudgets,
+  routing: measureRouting,
+};
 
 /** `npm run prove`, once there is something to prove. */
 export const prove: Measure | undefined = undefined;
@@ -39,3 +51,19 @@
   process.stdout.write(`written: ${json}\n`);
   return 0;
 }
+
+async function measureBudgets(options: MeasureOptions): Promise<number> {
+  const { seed, seconds = BUDGET_SECONDS, only, json } = options;
+  const onProgress = (line: string): void => {
+    process.stderr.write(`${line}\n`);
+  };
+  const scenario = only === undefined ? {} : { only };
+  const result = await measureBudget({ seed, seconds, ...scenario, onProgress });
+  process.stdout.write(`${renderText(result.report)}\n`);
+  for (const violation of result.violations) process.stdout.write(`BROKEN: ${violation}\n`);
+  if (json !== undefined) {
+    await mkdir(dirname(json), { recursive: true });
+    await writeFile(json, `${JSON.stringify(result, null, 2)}\n`);
+  }
+  return result.violations.length === 0 ? 0 : 1;
+}
