fix(router): data centres in need take from the ledger, not from each other

Cause: after a grant the pool may be short again because its routers took it; the treasurer then asked the other data centres although the ledger had plenty, and each data centre that was asked left its own refill to the others for a second. With all in need at once nobody refilled. Local peers were asked for their slices at the same time as the ledger. Now others are asked only for what the ledger lacks, a refill yields only when the ledger cannot fill every data centre's level, and local peers are asked after the pool stayed short.

--- a/packages/router/src/node/money/ledgerPlan.ts
+++ b/packages/router/src/node/money/ledgerPlan.ts
@@ -10,7 +10,15 @@
   SlicePolicy,
   Tokens,
 } from '@flamingocourse/core';
-import { grant, mergeReturned, mergeSpent, openAccount, pool, shareOf } from '@flamingocourse/core';
+import {
+  grant,
+  mergeReturned,
+  mergeSpent,
+  openAccount,
+  pool,
+  shareOf,
+  ungranted,
+} from '@flamingocourse/core';
 
 /** What a plan is made from. */
 export interface LedgerSituation {
@@ -73,7 +81,9 @@
   });
   // what waiting requests lack is no surplus, though it stands above the level.
   situation.levels.set(account, Math.max(level, situation.shortfalls.get(account) ?? 0));
-  const isLow = held < level * REFILL_BELOW && !situation.yields(account);
+  // with enough for a level everywhere there is nothing to leave to another data centre.
+  const yields = situation.yields(account) && ungranted(entry) < level * situation.dataCentres;
+  const isLow = held < level * REFILL_BELOW && !yields;
   const wanted = Math.max(isLow ? level - held : 0, shortfall);
   return wanted > 0 ? grant(page, account, state.dataCentre, wanted) : page;
 }
--- a/packages/router/src/node/money/moneyParts.ts
+++ b/packages/router/src/node/money/moneyParts.ts
@@ -14,7 +14,7 @@
 import type { RouterContext } from '../../types/routerContext.js';
 import type { JournalWriter } from './lineRoutes.js';
 import type { Written } from './groupWriter.js';
-import { checkInvariant, createJournal, createSlicePolicy } from '@flamingocourse/core';
+import { checkInvariant, createJournal, createSlicePolicy, pool } from '@flamingocourse/core';
 import { ClaimKeeper } from './claimKeeper.js';
 import { GroupWriter } from './groupWriter.js';
 import { LineRoutes } from './lineRoutes.js';
@@ -110,11 +110,12 @@
 ): (account: AccountId, amount: Tokens) => void {
   const running = new Set<AccountId>();
   const seek = async (account: AccountId, amount: Tokens): Promise<void> => {
-    await Promise.all([
-      treasurer.request(account, amount),
-      recallFromPeers(options, account, amount),
-    ]);
+    await treasurer.request(account, amount);
     // what the others did shows in the journal only, which this router may not have written.
+    const read = await writer.refresh();
+    // peers need what they hold themselves, so they are asked only when the pool stayed short.
+    if (read.isErr || pool(read.value.state, account) >= amount) return;
+    await recallFromPeers(options, account, amount);
     await writer.refresh();
   };
   return (account, amount) => {
--- a/packages/router/src/node/money/treasurer.ts
+++ b/packages/router/src/node/money/treasurer.ts
@@ -27,6 +27,7 @@
   pool,
   recordGrant,
   startReturn,
+  ungranted,
 } from '@flamingocourse/core';
 import { Result } from 'true-myth';
 import { GroupWriter } from './groupWriter.js';
@@ -243,6 +244,9 @@
       const lately = clock.now() - (this.#recalledAt.get(account) ?? 0) < RECALL_INTERVAL_MS;
       const entry = ledger.accounts[account];
       if (lacking <= 0 || lately || !entry) continue;
+      // the pool may lack only what was taken from it since the grant. Data centres that ask each
+      // other while the ledger has plenty hand tokens round, and refuse requests meanwhile.
+      if (ungranted(entry) >= lacking) continue;
       this.#recalledAt.set(account, clock.now());
       const asked = this.#peersHolding(entry).map((peer) =>
         peers.recall(peer, account, lacking, fleet.self.dataCentre),
--- a/test/money/moneyService.test.ts
+++ b/test/money/moneyService.test.ts
@@ -207,6 +207,35 @@
   }
 });
 
+test('data centres in need at once take from the ledger, not from each other', async () => {
+  // a full account is refused: two data centres lack tokens at the same time, each asks the other
+  // for some, and both leave the ledger's plenty to the one that asked.
+  const world = new MoneyWorld(200_000_000, 'avoid-false-refusals');
+  for (const name of ['a-1', 'a-2', 'b-1', 'b-2']) world.add(`router-${name}`, `dc-${name[0]}`);
+  await world.start();
+  let refused = 0;
+  const end = Date.now() + 1_500;
+  const call = async (router: TestRouter): Promise<void> => {
+    while (Date.now() < end) {
+      const result = await router.money.reserve(requestOf(800));
+      await new Promise((resolve) => setTimeout(resolve, 20));
+      if (result.isErr) refused += 1;
+      else await router.money.bill(result.value, router.money.nextTicket(), { ...details, cost: 500 }); // prettier-ignore
+    }
+  };
+  try {
+    await Promise.all(world.routers.flatMap((router) => Array.from({ length: 4 }, () => call(router)))); // prettier-ignore
+    assert.equal(refused, 0);
+    const shares = Object.values(world.ledger().accounts[KIRK]?.shares ?? {});
+    assert.deepEqual(
+      shares.map(({ returnedOut }) => returnedOut),
+      [0, 0],
+    );
+  } finally {
+    await world.stop();
+  }
+});
+
 test('a graceful stop gives everything back and closes the holder', async () => {
   await withRouters(2, 1_000, async (world, [a, b]) => {
     assert.ok(a && b);
