fix(router): waiting requests are fetched for together

Cause: a router asked the ledger for what one waiting request lacked; the others had to wait for as many round trips, and some of them past their limit. Ruled out: a larger first level (strands tokens of small accounts).

--- a/packages/router/src/node/money/moneyService.ts
+++ b/packages/router/src/node/money/moneyService.ts
@@ -2,6 +2,7 @@
 
 import type {
   AccountId,
+  EpochMs,
   IncarnationId,
   JournalLine,
   Outcome,
@@ -46,6 +47,7 @@
 } from './moneyRefusals.js';
 import { rollLargeSegment } from './segmentRoller.js';
 import { delay, within } from './timing.js';
+import { WaitingTokens } from './waitingTokens.js';
 
 /** Time between two rounds of background work, in milliseconds. */
 const TICK_MS = 100;
@@ -86,6 +88,7 @@
   #refreshedAt = -Infinity;
   readonly #former: IncarnationId[] = [];
   readonly #accounts = new Set<AccountId>();
+  readonly #waiting = new WaitingTokens();
 
   constructor(options: MoneyServiceOptions) {
     super();
@@ -140,6 +143,19 @@
     const latest = Math.min(start + settings.budget.reserveWaitMs, request.deadline);
     this.#session?.demand.add(request.account, request.amount, start);
     this.#accounts.add(request.account);
+    const done = this.#waiting.add(request.account, request.amount);
+    try {
+      return await this.#reserveUntil(request, latest);
+    } finally {
+      done();
+    }
+  }
+
+  async #reserveUntil(
+    request: ReservationRequest,
+    latest: EpochMs,
+  ): Promise<Result<Reservation, Refusal>> {
+    const { clock } = this.#options.context;
     for (;;) {
       const session = this.#session;
       if (!session?.open) return Result.err(refuseNotReady());
@@ -148,7 +164,7 @@
       if (result.isOk) return Result.ok(result.value);
       const isFinal = result.error === 'class-share' || result.error === 'reserved-for-first';
       if (isFinal || clock.now() >= latest) return Result.err(this.#refusal(result.error));
-      this.#seekTokens(session, request.account, request.amount);
+      this.#seekTokens(session, request.account);
       await delay(RESERVE_POLL_MS);
     }
   }
@@ -331,11 +347,12 @@
   }
 
   /** Takes from the pool, and where that is short, asks the treasurer and the peers. */
-  #seekTokens(session: HolderSession, account: AccountId, amount: Tokens): void {
+  #seekTokens(session: HolderSession, account: AccountId): void {
     const parts = this.#parts;
     const state = this.#view?.state;
     if (!parts || !state || !parts.writer.reachable) return;
     const now = this.#options.context.clock.now();
+    const amount = this.#waiting.sum(account);
     const lacking = session.takeFor(account, amount, state, this.#policy(), now);
     if (lacking > 0) parts.seek(account, lacking);
   }
