fix(router): other data centres are asked again while a request still waits

Cause: other data centres were asked for tokens at most every 500 ms, a request waits 400 ms. When the one question came too early (the pool there was not filled yet), the request was refused while the tokens lay idle. Ruled out: the wait of the test (400 ms, as shipped).

--- a/packages/router/src/node/money/treasurer.ts
+++ b/packages/router/src/node/money/treasurer.ts
@@ -38,8 +38,11 @@
 /** Gathering of changes of one ledger page, in milliseconds. */
 const LEDGER_GROUP_MS = 5;
 
-/** Least time between two questions to other data centres about one account. */
-const RECALL_INTERVAL_MS = 500;
+/**
+ * Least time between two questions to other data centres about one account, in milliseconds. Several
+ * fit into the time that a request waits, because one question may come too early to find anything.
+ */
+const RECALL_INTERVAL_MS = 100;
 
 /** Time for which tokens that were handed back for another data centre are left to it. */
 const YIELD_MS = 1_000;
