--- a/packages/lab/src/index.ts
+++ b/packages/lab/src/index.ts
@@ -33,3 +33,6 @@
 export * from './node/mutants/index.js';
 export * from './runtime/walk/index.js';
 export * from './runtime/naive/index.js';
+export * from './node/budgetMeasure/index.js';
+export * from './runtime/budgetMeasure/oracle.js';
+export * from './runtime/budgetMeasure/requestPlan.js';
--- a/packages/lab/src/node/labCommand/measures.ts
+++ b/packages/lab/src/node/labCommand/measures.ts
@@ -2,6 +2,7 @@
 
 import { mkdir, writeFile } from 'node:fs/promises';
 import { dirname } from 'node:path';
+import { measureBudget } from '../budgetMeasure/index.js';
 import { hasFailed, renderMutants, runMutants } from '../mutants/index.js';
 import { runRoutingMeasure } from '../../runtime/routingExperiment/index.js';
 import { createCapacityReport, measureSlopes } from '../capacity/index.js';
@@ -13,6 +14,10 @@
   seed: number;
   /** File for the raw figures. */
   json?: string;
+  /** Length of the load, for measurements that run in real time. */
+  seconds?: number;
+  /** Name of the one scenario to run. */
+  only?: string;
 }
 
 /** A named measurement. */
@@ -21,8 +26,12 @@
 /** Seeds of one run of the routing measurement. */
 const ROUTING_SEEDS = 3;
 
+/** Load of one scenario of the budget measurement, in seconds. */
+const BUDGET_SECONDS = 24;
+
 /** `npm run measure -- NAME`. */
 export const measures: Record<string, Measure> = {
+  budget: measureBudgets,
   routing: measureRouting,
   capacity: measureCapacity,
 };
@@ -33,10 +42,7 @@
 async function measureMutants({ json }: MeasureOptions): Promise<number> {
   const report = runMutants();
   process.stdout.write(`${renderMutants(report)}\n`);
-  if (json !== undefined) {
-    await mkdir(dirname(json), { recursive: true });
-    await writeFile(json, `${JSON.stringify(report, undefined, 2)}\n`);
-  }
+  if (json !== undefined) await writeResult(json, report);
   return hasFailed(report) ? 1 : 0;
 }
 
@@ -68,3 +74,16 @@
   await writeFile(file, `${JSON.stringify(result, null, 2)}\n`);
   process.stdout.write(`written: ${file}\n`);
 }
+
+async function measureBudgets(options: MeasureOptions): Promise<number> {
+  const { seed, seconds = BUDGET_SECONDS, only, json } = options;
+  const onProgress = (line: string): void => {
+    process.stderr.write(`${line}\n`);
+  };
+  const scenario = only === undefined ? {} : { only };
+  const result = await measureBudget({ seed, seconds, ...scenario, onProgress });
+  process.stdout.write(`${renderText(result.report)}\n`);
+  for (const violation of result.violations) process.stdout.write(`BROKEN: ${violation}\n`);
+  if (json !== undefined) await writeResult(json, result);
+  return result.violations.length === 0 ? 0 : 1;
+}
--- a/packages/router/src/node/money/treasurer.ts
+++ b/packages/router/src/node/money/treasurer.ts
@@ -27,6 +27,7 @@
   pool,
   recordGrant,
   startReturn,
+  ungranted,
 } from '@flamingocourse/core';
 import { Result } from 'true-myth';
 import { GroupWriter } from './groupWriter.js';
@@ -37,8 +38,11 @@
 /** Gathering of changes of one ledger page, in milliseconds. */
 const LEDGER_GROUP_MS = 5;
 
-/** Least time between two questions to other data centres about one account. */
-const RECALL_INTERVAL_MS = 500;
+/**
+ * Least time between two questions to other data centres about one account, in milliseconds. Several
+ * fit into the time that a request waits, because one question may come too early to find anything.
+ */
+const RECALL_INTERVAL_MS = 100;
 
 /** Time for which tokens that were handed back for another data centre are left to it. */
 const YIELD_MS = 1_000;
@@ -243,6 +247,9 @@
       const lately = clock.now() - (this.#recalledAt.get(account) ?? 0) < RECALL_INTERVAL_MS;
       const entry = ledger.accounts[account];
       if (lacking <= 0 || lately || !entry) continue;
+      // the pool may lack only what was taken from it since the grant. Data centres that ask each
+      // other while the ledger has plenty hand tokens round, and refuse requests meanwhile.
+      if (ungranted(entry) >= lacking) continue;
       this.#recalledAt.set(account, clock.now());
       const asked = this.#peersHolding(entry).map((peer) =>
         peers.recall(peer, account, lacking, fleet.self.dataCentre),
