fix(fleet): one membership reducer; every member is introduced, a waking router blames nobody

Cause: two reducers stood side by side. That of core introduced the first member of the digest's turn, whose step of 6 at every fourth beat leaves a small fleet at the same member for ever; and it took all peers as gone when it was asked after a pause before its own first tick.

Now introductions have their own rotation, and silence is judged as of the last tick while the next one is overdue. The table by silence and its own rendezvous hash are gone; the router keeps the state of core's reducer.

Ruled out: clamping in the router's adapter only (another user of the reducer would lack the guard).

--- a/packages/core/src/runtime/membership/memberHealth.ts
+++ b/packages/core/src/runtime/membership/memberHealth.ts
@@ -25,6 +25,7 @@
  * const alive = judgeMembers(state, now).filter((peer) => peer.health === 'alive');
  */
 export function judgeMembers(state: MembershipState, now: EpochMs): JudgedMember[] {
+  const asOf = judgementTime(state, now);
   const direct = findDirectSenders(state);
   const lives = groupByInstance(state);
   return Object.values(state.members).map((member) => {
@@ -33,7 +34,7 @@
     const others = lives.get(instanceKey(info)) ?? [];
     const superseded =
       instanceKey(info) === instanceKey(state.self) || isSuperseded(member, others);
-    const health = superseded ? 'gone' : judgeSilence(state, now - member.heardAt, patience);
+    const health = superseded ? 'gone' : judgeSilence(state, asOf - member.heardAt, patience);
     return { info, health };
   });
 }
@@ -54,6 +55,20 @@
   return ranked.sort((a, b) => a.rank - b.rank || (a.id < b.id ? -1 : 1)).map(({ id }) => id);
 }
 
+/**
+ * Time as of which silence counts.
+ *
+ * A router that was paused has heard nobody meanwhile. A request or a timer of another service can
+ * run before its own tick when it wakes; judged by the clock, all peers would be gone then, and it
+ * would seal them and take their duties. So while its own tick is overdue it judges as of its last
+ * tick, up to which it did listen. The guard holds because each tick takes the pause off everyone's
+ * silence before it moves that time on, and because a router that runs ticks far more often.
+ */
+function judgementTime({ lastTickAt, settings }: MembershipState, now: EpochMs): EpochMs {
+  if (lastTickAt === undefined) return now;
+  return now - lastTickAt > settings.suspectMs / 2 ? lastTickAt : now;
+}
+
 function judgeSilence(state: MembershipState, silence: number, patience: number): PeerHealth {
   const { goneMs, suspectMs } = state.settings;
   if (silence >= goneMs * patience) return 'gone';
--- a/packages/core/src/runtime/membership/membership.ts
+++ b/packages/core/src/runtime/membership/membership.ts
@@ -205,14 +205,20 @@
     a.info.incarnation < b.info.incarnation ? -1 : 1,
   );
   const { beat } = state.self;
+  // the introduction has its own rotation: by the digest's step a small fleet would introduce the
+  // same member for ever, and routers that know only a third would never meet.
+  const introduced =
+    beat % INTRODUCE_EVERY_BEATS === 0
+      ? rotate(living, beat / INTRODUCE_EVERY_BEATS).slice(0, 1)
+      : [];
   const turn = rotate(living, beat * MAX_DIGEST).slice(0, MAX_DIGEST);
-  const digest = turn.map(({ info, heardAt }) => ({
+  const named = [...new Set([...introduced, ...turn])].slice(0, MAX_DIGEST);
+  const digest = named.map(({ info, heardAt }) => ({
     incarnation: info.incarnation,
     beat: info.beat,
     ageMs: Math.max(0, now - heardAt),
   }));
-  const introduce = beat % INTRODUCE_EVERY_BEATS === 0 ? turn.slice(0, 1) : [];
-  return { info: state.self, digest, members: introduce.map((member) => member.info) };
+  return { info: state.self, digest, members: introduced.map((member) => member.info) };
 }
 
 function membersWith(state: MembershipState, healths: PeerHealth[], now: EpochMs): KnownMember[] {
--- a/packages/router/src/node/fleet/fleetService.ts
+++ b/packages/router/src/node/fleet/fleetService.ts
@@ -6,13 +6,12 @@
 import type { ObjectStore } from '@flamingocourse/platform';
 import type { Peer } from '../../types/fleet.js';
 import type { RouterContext } from '../../types/routerContext.js';
-import type { MembershipTable } from './membershipTable.js';
 import { randomBytes } from 'node:crypto';
 import { Channel, startProcess, takeWithin } from '@flamingocourse/kernel';
 import { MeshServer } from '@flamingocourse/mesh';
 import { Result } from 'true-myth';
 import { Fleet } from '../../types/fleet.js';
-import { SilenceMembershipTable } from './silenceMembershipTable.js';
+import { MembershipTable } from './membershipTable.js';
 
 /** Name of the routers' own service in the platform's instance list. */
 export const routerInstanceList = 'flamingocourse-router';
@@ -28,8 +27,6 @@
   context: RouterContext;
   mesh: MeshClient;
   store: ObjectStore;
-  /** Creates the decisions about membership. @default by silence */
-  createTable?: (self: MemberInfo) => MembershipTable;
 }
 
 /**
@@ -44,14 +41,13 @@
   readonly #context: RouterContext;
   readonly #mesh: MeshClient;
   readonly #store: ObjectStore;
-  readonly #createTable: (self: MemberInfo) => MembershipTable;
   readonly #listeners = new Set<(peer: Peer) => void>();
   readonly #health = new Map<IncarnationId, PeerHealth>();
   readonly #ownIncarnations: IncarnationId[] = [];
   /** Addresses with a heartbeat under way; a silent one is not sent a second. */
   readonly #underWay = new Set<string>();
   readonly #stopped = new Channel<true>(1);
-  #table: MembershipTable;
+  readonly #table: MembershipTable;
   #instancesReadAt: EpochMs = Number.NEGATIVE_INFINITY;
   #loop: Promise<void> = Promise.resolve();
 
@@ -60,8 +56,8 @@
     this.#context = options.context;
     this.#mesh = options.mesh;
     this.#store = options.store;
-    this.#createTable = options.createTable ?? ((self) => this.#createSilenceTable(self));
-    this.#table = this.#createTable(this.#describeSelf());
+    const { seeds, suspectMs, goneMs } = this.#context.settings.mesh;
+    this.#table = new MembershipTable(this.#describeSelf(), { suspectMs, goneMs }, seeds);
   }
 
   override get self(): MemberInfo {
@@ -218,11 +214,6 @@
     return incarnation;
   }
 
-  #createSilenceTable(self: MemberInfo): MembershipTable {
-    const { seeds, suspectMs, goneMs } = this.#context.settings.mesh;
-    return new SilenceMembershipTable(self, { seeds, suspectMs, goneMs });
-  }
-
   #now(): EpochMs {
     return this.#context.clock.now();
   }
--- a/packages/router/src/node/fleet/index.ts
+++ b/packages/router/src/node/fleet/index.ts
@@ -2,5 +2,3 @@
 export * from './declarationStore.js';
 export * from './fleetService.js';
 export * from './membershipTable.js';
-export * from './rendezvous.js';
-export * from './silenceMembershipTable.js';
--- a/packages/router/src/node/fleet/membershipTable.ts
+++ b/packages/router/src/node/fleet/membershipTable.ts
@@ -1,25 +1,77 @@
-/** What the fleet service needs from the decisions about membership. */
+/** Keeps the state of the membership reducer for the fleet service, which carries the messages. */
 
-import type { EpochMs, InstanceRecord, MemberInfo } from '@flamingocourse/core';
-import type { HeartbeatMessage } from '@flamingocourse/mesh';
+import type {
+  EpochMs,
+  Heartbeat,
+  InstanceRecord,
+  MemberInfo,
+  MembershipSettings,
+  MembershipState,
+} from '@flamingocourse/core';
 import type { Peer } from '../../types/fleet.js';
+import {
+  composeHeartbeat,
+  createMembership,
+  heartbeatTargets,
+  judgeMembers,
+  observeHeartbeat,
+  observeInstanceList,
+  resolveLocalOwner,
+  tickMembership,
+  updateSelf,
+} from '@flamingocourse/core';
+
+/** Members as known to one router. */
+export class MembershipTable {
+  readonly #seeds: readonly string[];
+  #state: MembershipState;
+
+  /** @param seeds mesh URLs from the settings, tried also when the instance list lacks them. */
+  constructor(self: MemberInfo, settings: MembershipSettings, seeds: readonly string[]) {
+    this.#seeds = seeds;
+    this.#state = createMembership(self, settings, seeds);
+  }
 
-/** Members as known to one router. Decides only; the fleet service carries the messages. */
-export abstract class MembershipTable {
   /** This router; its beat rises with each tick. */
-  abstract get self(): MemberInfo;
-  abstract updateSelf(change: Partial<MemberInfo>): void;
+  get self(): MemberInfo {
+    return this.#state.self;
+  }
+
+  updateSelf(change: Partial<MemberInfo>): void {
+    this.#state = updateSelf(this.#state, change);
+  }
+
   /** Takes in a heartbeat or the answer to one. */
-  abstract observe(message: HeartbeatMessage, now: EpochMs): void;
+  observe(message: Heartbeat, now: EpochMs): void {
+    this.#state = observeHeartbeat(this.#state, message, now);
+  }
+
   /** Takes in the platform's lagging list of routers: addresses to try, nothing more. */
-  abstract observeInstances(records: readonly InstanceRecord[]): void;
+  observeInstances(records: readonly InstanceRecord[]): void {
+    this.#state = observeInstanceList(this.#state, records, this.#seeds);
+  }
+
   /** Lets time pass by one beat. */
-  abstract tick(now: EpochMs): void;
-  abstract peers(now: EpochMs): Peer[];
+  tick(now: EpochMs): void {
+    this.#state = tickMembership(this.#state, now);
+  }
+
+  peers(now: EpochMs): Peer[] {
+    return judgeMembers(this.#state, now);
+  }
+
   /** Mesh URLs that get this beat's heartbeat; bounded. */
-  abstract targets(now: EpochMs): string[];
+  targets(now: EpochMs): string[] {
+    return heartbeatTargets(this.#state, now);
+  }
+
   /** This beat's heartbeat. */
-  abstract compose(now: EpochMs): HeartbeatMessage;
+  compose(now: EpochMs): Heartbeat {
+    return composeHeartbeat(this.#state, now);
+  }
+
   /** Member of the own data centre, self included, that a key maps to. */
-  abstract localOwner(key: string, now: EpochMs): MemberInfo;
+  localOwner(key: string, now: EpochMs): MemberInfo {
+    return resolveLocalOwner(this.#state, key, now);
+  }
 }
--- a/test/fleet/membership.test.ts
+++ b/test/fleet/membership.test.ts
@@ -73,6 +73,14 @@
     for (let now = 30_500; now <= 34_000; now += 500) state = tickMembership(state, now);
     assert.equal(judgeMember(state, member('r1').incarnation, 34_000), 'gone');
   });
+
+  // a router seals its whole data centre after its machine was suspended: another service's timer
+  // asked for the peers' health before the router's own tick had run.
+  test('a paused router does not blame its peers before its first tick either', () => {
+    const state = tickMembership(membershipOf([member('r1')]), 0);
+    assert.equal(judgeMember(state, member('r1').incarnation, 30_000), 'alive');
+    assert.equal(resolveLocalOwner(state, 'a', 30_000), resolveLocalOwner(state, 'a', 0));
+  });
 });
 
 describe('restart', () => {
@@ -159,6 +167,21 @@
     assert.equal(state.members[far(1).incarnation], undefined);
   });
 
+  // routers that share only one seed never meet, and keep two relays and two committers: the seed
+  // introduced the same one of its few peers at every turn.
+  for (const count of [2, 3, 4, 6]) {
+    test(`each of ${count} members is introduced in turn`, () => {
+      const peers = Array.from({ length: count }, (_, i) => member(`r${i}`));
+      let state = membershipOf(peers);
+      const introduced = new Set<string>();
+      for (let beat = 1; beat <= 4 * count; beat += 1) {
+        state = tickMembership(state, beat);
+        for (const info of composeHeartbeat(state, beat).members) introduced.add(info.instance);
+      }
+      assert.equal(introduced.size, count);
+    });
+  }
+
   test('routers that only hear each other through a third come to know each other', () => {
     let [a, b] = [member('a'), member('b')].map((self) => createMembership(self, settings));
     assert.ok(a && b);
--- a/test/mesh/fleet.test.ts
+++ b/test/mesh/fleet.test.ts
@@ -5,10 +5,7 @@
 import { test } from 'node:test';
 import { MeshClient } from '@flamingocourse/mesh';
 import { MemoryObjectStore } from '@flamingocourse/platform';
-import {
-  routerInstanceList,
-  SilenceMembershipTable,
-} from '../../packages/router/src/node/fleet/index.js';
+import { MembershipTable, routerInstanceList } from '../../packages/router/src/node/fleet/index.js';
 import { createMember, setPartition, startRouter, times, until } from './fixtures.js';
 
 /** Two routers in each of two data centres; all but the first know only the first. */
@@ -139,7 +136,7 @@
 // an operator sees a router seal all its peers after the machine was suspended: it woke, had heard
 // nobody for minutes, and took everyone as gone before the first heartbeat came in.
 test('a router that wakes from a pause does not take its peers as gone', () => {
-  const table = new SilenceMembershipTable(createMember('r1'), { ...times, seeds: [] });
+  const table = new MembershipTable(createMember('r1'), times, []);
   const message = { info: createMember('r2'), digest: [], members: [] };
   table.tick(1_000);
   table.observe(message, 1_000);
