feat(fleet): one configuration store in core; mistakes are contained at the routers

The store of core could not tell deletions that a list never showed; the router's could (asOf and floor), but put every newest object into force. Both are one pure store now, with the last version of each object before a mistake, and ConfigurationService serves resolveEffectiveConfig: a class that names an unknown service keeps its last good version. Findings are logged once (event 603).

A router that starts after the mistake, with nobody to ask, finds only the newest version on the platform. What cannot be had: the earlier version when no reachable peer was running before the mistake, and the same earlier version everywhere when a relay missed one.

Shares: only those below 1 are added up and scaled, as the guard at `plan` counts them.

--- a/packages/core/src/runtime/configStore/effectiveConfig.ts
+++ b/packages/core/src/runtime/configStore/effectiveConfig.ts
@@ -6,8 +6,9 @@
   ServiceDeclaration,
   WorkClassDeclaration,
 } from '../../types/declaration.js';
-import type { ConfigStoreState } from './configStore.js';
-import { digestConfig, namesKnownService, objectKey } from './configStore.js';
+import type { ConfigStore } from './configStore.js';
+import { shareTolerance } from '../declaration/guards.js';
+import { namesKnownService, objectKey } from './configStore.js';
 
 /** A mistake that was contained. */
 export interface ConfigFinding {
@@ -41,11 +42,11 @@
  * all others in force.
  *
  * @example
- * const config = resolveEffectiveConfig(state);
+ * const config = resolveEffectiveConfig(store);
  */
-export function resolveEffectiveConfig(state: ConfigStoreState): EffectiveConfig {
-  const findings = findReplacedClasses(state);
-  const good = Object.values(state.lastGood).flatMap((object) => object.declaration ?? []);
+export function resolveEffectiveConfig(store: ConfigStore): EffectiveConfig {
+  const findings = findReplacedClasses(store);
+  const good = [...store.lastGood.values()].flatMap((object) => object.declaration ?? []);
   const services = good.filter((item) => item.kind === 'Service');
   const names = new Set(services.map((service) => service.name));
   // a last good version may itself name a service that was deleted since.
@@ -55,7 +56,7 @@
   const scaled = scaleShares(classes);
   const deployments = good.filter((item) => item.kind === 'Deployment');
   return {
-    revision: digestConfig(state).revision,
+    revision: store.asOf,
     deployment: deployments.sort((a, b) => (a.name < b.name ? -1 : 1))[0] ?? defaultDeployment,
     accounts: good.filter((item) => item.kind === 'ClientAccount'),
     services,
@@ -65,9 +66,9 @@
 }
 
 /** Classes whose newest version is not in force. */
-function findReplacedClasses(state: ConfigStoreState): ConfigFinding[] {
-  return Object.values(state.objects)
-    .filter((object) => !namesKnownService(object, state.objects))
+function findReplacedClasses({ objects }: ConfigStore): ConfigFinding[] {
+  return [...objects.values()]
+    .filter((object) => !namesKnownService(object, objects))
     .map((object) => ({
       type: 'unknown-service-in-class',
       object: objectKey(object),
@@ -77,26 +78,40 @@
 
 /**
  * Scales the budget shares of a service's classes down to a sum of 1 where they pass it. Without
- * this the classes that come first could draw what was meant for the others.
+ * this the classes that come first could draw what was meant for the others. A class with the share
+ * 1 has no cap of its own: it is neither added up nor scaled, as it takes nothing from the others
+ * that they were promised.
  */
 function scaleShares(classes: WorkClassDeclaration[]): {
   workClasses: WorkClassDeclaration[];
   findings: ConfigFinding[];
 } {
   const sums = new Map<string, number>();
-  for (const { service, budgetShare } of classes) {
+  for (const { service, budgetShare } of classes.filter(hasCap)) {
     sums.set(service, (sums.get(service) ?? 0) + budgetShare);
   }
+  const excessive = [...sums].filter(([, sum]) => sum > 1 + shareTolerance);
+  const sumToScale = new Map(excessive);
   const workClasses = classes.map((workClass) => {
-    const sum = sums.get(workClass.service) ?? 0;
-    return sum > 1 ? { ...workClass, budgetShare: workClass.budgetShare / sum } : workClass;
+    const sum = hasCap(workClass) ? sumToScale.get(workClass.service) : undefined;
+    return sum === undefined ? workClass : scaleShare(workClass, sum);
   });
-  const findings = [...sums]
-    .filter(([, sum]) => sum > 1)
-    .map(([service, sum]): ConfigFinding => ({
-      type: 'shares-scaled',
-      object: `Service.${service}`,
-      detail: `Lower the budget shares of the classes of service "${service}": they sum to ${Number(sum.toFixed(3))}, and are scaled to 1 until then.`,
-    }));
-  return { workClasses, findings };
+  return { workClasses, findings: excessive.map(describeScaling) };
+}
+
+function hasCap({ budgetShare }: WorkClassDeclaration): boolean {
+  return budgetShare < 1;
+}
+
+function scaleShare(workClass: WorkClassDeclaration, sum: number): WorkClassDeclaration {
+  return { ...workClass, budgetShare: workClass.budgetShare / sum };
+}
+
+function describeScaling([service, sum]: [string, number]): ConfigFinding {
+  const total = Number(sum.toFixed(3));
+  return {
+    type: 'shares-scaled',
+    object: `Service.${service}`,
+    detail: `Lower the budget shares of the classes of service "${service}": those below 1 sum to ${total}, and are scaled to 1 until then.`,
+  };
 }
--- a/packages/core/src/runtime/declaration/guards.ts
+++ b/packages/core/src/runtime/declaration/guards.ts
@@ -56,7 +56,7 @@
 /** Part of all objects above which removals count as a mass removal. */
 const massRemovalPart = 0.2;
 /** Tolerance for sums of decimal fractions. */
-const shareTolerance = 1e-9;
+export const shareTolerance = 1e-9;
 
 /** Finds all guard rails that one change meets. */
 export function findGuards(change: GuardedChange, world: GuardWorld): GuardFinding[] {
--- a/packages/kernel/src/runtime/eventCatalogue.ts
+++ b/packages/kernel/src/runtime/eventCatalogue.ts
@@ -88,6 +88,12 @@
     level: 'debug',
     text: 'this router began or ended to relay configuration to its data centre',
   },
+  'declaration-contained': {
+    number: 603,
+    level: 'warn',
+    text: 'a mistake in a declared object was contained',
+    action: 'Change the object as the detail says.',
+  },
 } as const satisfies Record<string, EventDefinition>;
 
 export type EventName = keyof typeof eventCatalogue;
--- a/packages/mesh/src/types/procedures.ts
+++ b/packages/mesh/src/types/procedures.ts
@@ -2,8 +2,8 @@
 
 import type {
   AccountId,
+  ConfigurationUpdate,
   DataCentreId,
-  DeclaredObject,
   IncarnationId,
   JournalLine,
   JournalState,
@@ -37,16 +37,6 @@
   body: string;
 }
 
-/** What one source of the configuration tells. */
-export interface ConfigurationUpdate {
-  /** All changes up to this revision are covered. */
-  asOf: number;
-  /** Changed objects, deletions included; or, when `complete`, all objects that exist. */
-  objects: DeclaredObject[];
-  /** Whether an object that is missing here does not exist as of `asOf`. */
-  complete: boolean;
-}
-
 /** Input and output of each procedure. */
 export interface MeshProcedures {
   /** Sign of life. */
--- a/packages/router/src/node/fleet/configurationService.ts
+++ b/packages/router/src/node/fleet/configurationService.ts
@@ -5,14 +5,17 @@
 
 import type {
   ClientAccountDeclaration,
+  ConfigFinding,
+  ConfigurationUpdate,
   DeclaredBody,
   DeclaredObject,
   DeploymentDeclaration,
+  IncarnationId,
   ServiceDeclaration,
   WorkClassDeclaration,
 } from '@flamingocourse/core';
 import type { Kernel, Steps } from '@flamingocourse/kernel';
-import type { ConfigurationUpdate, MeshClient } from '@flamingocourse/mesh';
+import type { MeshClient } from '@flamingocourse/mesh';
 import type {
   Collection,
   ObjectList,
@@ -24,14 +27,21 @@
 import type { Peer } from '../../types/fleet.js';
 import type { RouterContext } from '../../types/routerContext.js';
 import type { ConfigurationView } from './configurationView.js';
-import { declaredBodySchema } from '@flamingocourse/core';
+import {
+  createConfigStore,
+  declaredBodySchema,
+  hasSameObjects,
+  mergeUpdate,
+  missingLastGood,
+  resolveEffectiveConfig,
+  updateSince,
+} from '@flamingocourse/core';
 import { Channel, startProcess, takeWithin } from '@flamingocourse/kernel';
 import { MeshServer } from '@flamingocourse/mesh';
 import { Result } from 'true-myth';
 import { Configuration } from '../../types/configuration.js';
 import { Fleet } from '../../types/fleet.js';
 import { createConfigurationView } from './configurationView.js';
-import { createDeclarationStore, mergeUpdate, updateSince } from './declarationStore.js';
 
 /** Time between two looks at the peers' revisions; a look is local and costs no message. */
 const lookMs = 150;
@@ -61,8 +71,13 @@
   readonly #listeners = new Set<() => void>();
   readonly #stopped = new Channel<true>(1);
   #fleet: Fleet | undefined;
-  #known = createDeclarationStore();
-  #view: ConfigurationView = createConfigurationView([]);
+  #known = createConfigStore();
+  #view: ConfigurationView = createConfigurationView(resolveEffectiveConfig(this.#known));
+  /** Sentences of the findings that were logged. */
+  #reported: ReadonlySet<string> = new Set();
+  /** Objects whose last good version is wanted, and the peers that were asked for it. */
+  #wantedGood = '';
+  #askedForGood = new Set<IncarnationId>();
   #relay: Subscription | undefined;
   #pulling = false;
   #failedPulls = 0;
@@ -221,7 +236,7 @@
   }
 
   async #pullFromPeers(): Promise<void> {
-    const peer = this.#choosePeer();
+    const peer = this.#choosePeer() ?? this.#choosePeerForGood();
     if (!peer || this.#pulling) return;
     this.#pulling = true;
     const since = this.revision;
@@ -230,6 +245,7 @@
     this.#pulling = false;
     if (update.isErr) {
       this.#failedPulls += 1;
+      this.#askedForGood.delete(peer.info.incarnation);
       return;
     }
     this.#failedPulls = 0;
@@ -249,17 +265,44 @@
     return ahead[this.#failedPulls % ahead.length];
   }
 
+  /**
+   * A peer to ask for the version that a mistake replaced, or none. The platform has only newest
+   * versions, so a router that was started after the mistake would refuse a class that its peers go
+   * on serving. Each peer is asked once, because those that started late too have nothing to tell.
+   */
+  #choosePeerForGood(): Peer | undefined {
+    const wanted = missingLastGood(this.#known).join();
+    if (wanted !== this.#wantedGood) this.#askedForGood.clear();
+    this.#wantedGood = wanted;
+    if (wanted === '' || this.#pulling) return undefined;
+    const peers = this.#fleet?.peers() ?? [];
+    const peer = peers.find(
+      ({ info, health }) => health !== 'gone' && !this.#askedForGood.has(info.incarnation),
+    );
+    if (peer) this.#askedForGood.add(peer.info.incarnation);
+    return peer;
+  }
+
   #merge(update: ConfigurationUpdate): void {
     const before = this.#known;
     this.#known = mergeUpdate(before, update);
     if (this.#known.asOf > before.asOf) this.#fleet?.setRevision(this.revision);
-    if (!hasChanged(before.objects, this.#known.objects)) return;
-    const inForce = [...this.#known.objects.values()];
-    this.#view = createConfigurationView(inForce.flatMap(({ declaration }) => declaration ?? []));
+    if (hasSameObjects(before, this.#known)) return;
+    const config = resolveEffectiveConfig(this.#known);
+    this.#view = createConfigurationView(config);
+    this.#reportFindings(config.findings);
     this.#context.log.write('configuration-applied', { revision: this.revision });
     for (const listener of this.#listeners) listener();
   }
 
+  #reportFindings(findings: readonly ConfigFinding[]): void {
+    for (const { type, object, detail } of findings) {
+      if (this.#reported.has(detail)) continue;
+      this.#context.log.write('declaration-contained', { type, object, detail });
+    }
+    this.#reported = new Set(findings.map(({ detail }) => detail));
+  }
+
   #now(): number {
     return this.#context.clock.now();
   }
@@ -275,10 +318,3 @@
   const kind = objectName.slice(0, dot) as DeclaredObject['kind'];
   return { kind, name: objectName.slice(dot + 1) };
 }
-
-type Objects = ReadonlyMap<string, DeclaredObject>;
-
-function hasChanged(before: Objects, after: Objects): boolean {
-  if (before.size !== after.size) return true;
-  return [...after].some(([key, { revision }]) => before.get(key)?.revision !== revision);
-}
--- a/packages/router/src/node/fleet/configurationView.ts
+++ b/packages/router/src/node/fleet/configurationView.ts
@@ -2,8 +2,8 @@
 
 import type {
   ClientAccountDeclaration,
-  Declaration,
   DeploymentDeclaration,
+  EffectiveConfig,
   ServiceDeclaration,
   WorkClassDeclaration,
 } from '@flamingocourse/core';
@@ -18,26 +18,16 @@
   servicesByModel: ReadonlyMap<string, ServiceDeclaration>;
 }
 
-/** In force until operators declare a deployment. */
-const defaultDeployment: DeploymentDeclaration = {
-  kind: 'Deployment',
-  name: 'default',
-  policy: 'avoid-overspend',
-  rideThroughSeconds: 600,
-};
-
 /**
  * Builds the indexes. Where two objects claim one key or model, the first by name has it, so that
  * all routers decide the same.
  */
-export function createConfigurationView(declarations: readonly Declaration[]): ConfigurationView {
-  const sorted = [...declarations].sort((a, b) => (a.name < b.name ? -1 : 1));
-  const accounts = sorted.filter((item) => item.kind === 'ClientAccount');
-  const workClasses = sorted.filter((item) => item.kind === 'WorkClass');
-  const services = sorted.filter((item) => item.kind === 'Service');
-  const deployment = sorted.find((item) => item.kind === 'Deployment');
+export function createConfigurationView(config: EffectiveConfig): ConfigurationView {
+  const accounts = sortByName(config.accounts);
+  const workClasses = sortByName(config.workClasses);
+  const services = sortByName(config.services);
   return {
-    deployment: deployment ?? defaultDeployment,
+    deployment: config.deployment,
     accounts: indexBy(accounts, ({ name }) => [name]),
     accountsByKeyDigest: indexBy(accounts, ({ apiKeyDigests }) => apiKeyDigests),
     workClasses: indexBy(workClasses, ({ name }) => [name]),
@@ -46,6 +36,10 @@
   };
 }
 
+function sortByName<T extends { name: string }>(items: readonly T[]): T[] {
+  return [...items].sort((a, b) => (a.name < b.name ? -1 : 1));
+}
+
 function indexBy<T>(items: readonly T[], keysOf: (item: T) => readonly string[]): Map<string, T> {
   const index = new Map<string, T>();
   for (const item of items) {
--- a/packages/router/src/node/fleet/index.ts
+++ b/packages/router/src/node/fleet/index.ts
@@ -1,4 +1,3 @@
 export * from './configurationService.js';
-export * from './declarationStore.js';
 export * from './fleetService.js';
 export * from './membershipTable.js';
