perf(mesh): heartbeats are sent as tuples, without a date in the answer

Cause: keys and repeated names were most of a heartbeat's body (some 770 B of 1,000 B with headers). Members and beats go as tuples now; data centre and instance are read from the incarnation where it spells them, else they follow. The inputs are still checked by a schema.

Ruled out: leaving out the keep-alive hint (a client would reuse connections that its peer is just closing, and the outcome of that call would be unknown).

--- a/packages/mesh/src/node/meshServer.ts
+++ b/packages/mesh/src/node/meshServer.ts
@@ -141,6 +141,8 @@
       res.writeHead(429, { connection: 'close' }).end();
       return;
     }
+    // peers have no use for the header, and heartbeats are short.
+    res.sendDate = false;
     this.#running += 1;
     res.once('close', () => {
       this.#running -= 1;
--- a/packages/mesh/src/runtime/schemas.ts
+++ b/packages/mesh/src/runtime/schemas.ts
@@ -1,8 +1,9 @@
 /** Schemas of the inputs that peers send. All lists and texts are bounded. */
 
-import type { Bill, JournalChange, JournalLine, MemberInfo, Outcome } from '@flamingocourse/core';
+import type { Bill, JournalChange, JournalLine, Outcome } from '@flamingocourse/core';
 import type { ZodType } from 'zod';
-import type { HeartbeatMessage, ProcedureInput, ProcedureName } from '../types/procedures.js';
+import type { ProcedureInput, ProcedureName } from '../types/procedures.js';
+import type { PackedHeartbeat, PackedMember } from './heartbeatCodec.js';
 import { z } from 'zod';
 
 const maxIdLength = 300;
@@ -17,17 +18,7 @@
 const id = z.string().min(1).max(maxIdLength);
 const count = z.number().int().min(0);
 const tokens = z.number().int();
-
-export const memberInfoSchema: ZodType<MemberInfo> = z.object({
-  incarnation: id,
-  dataCentre: id,
-  instance: id,
-  meshUrl: z.url().max(maxIdLength),
-  entryUrl: z.url().max(maxIdLength),
-  state: z.enum(['starting', 'serving', 'leaving']),
-  beat: count,
-  revision: count,
-});
+const url = z.url().max(maxIdLength);
 
 const billSchema: ZodType<Bill> = z.object({
   holder: id,
@@ -71,12 +62,17 @@
 
 const linesSchema = z.object({ lines: z.array(journalLineSchema).max(maxLines) });
 
-const heartbeatSchema: ZodType<HeartbeatMessage> = z.object({
-  info: memberInfoSchema,
-  digest: z
-    .array(z.object({ incarnation: id, beat: count, ageMs: z.number().min(0) }))
-    .max(maxMembers),
-  members: z.array(memberInfoSchema).max(maxMembers),
+const packedMemberSchema: ZodType<PackedMember> = z
+  .tuple([id, url, url, z.number().int().min(0).max(2), count, count])
+  .rest(id);
+
+const heartbeatSchema: ZodType<PackedHeartbeat> = z.object({
+  i: packedMemberSchema,
+  d: z
+    .array(z.tuple([id, count, z.number().min(0)]))
+    .max(maxMembers)
+    .exactOptional(),
+  m: z.array(packedMemberSchema).max(maxMembers).exactOptional(),
 });
 
 /** Input schema of each procedure. */
--- a/packages/mesh/src/types/procedures.ts
+++ b/packages/mesh/src/types/procedures.ts
@@ -11,6 +11,7 @@
   Tokens,
 } from '@flamingocourse/core';
 import type { Result } from 'true-myth';
+import type { PackedHeartbeat } from '../runtime/heartbeatCodec.js';
 
 /** Second-hand evidence that a member lives; a higher beat is newer. */
 export interface MemberBeat {
@@ -40,7 +41,7 @@
 /** Input and output of each procedure. */
 export interface MeshProcedures {
   /** Sign of life. */
-  heartbeat: { input: HeartbeatMessage; output: HeartbeatMessage };
+  heartbeat: { input: PackedHeartbeat; output: PackedHeartbeat };
   /** Asks the committer of the data centre to put lines into the journal. */
   appendLines: {
     input: { lines: JournalLine[] };
--- a/packages/router/src/node/fleet/fleetService.ts
+++ b/packages/router/src/node/fleet/fleetService.ts
@@ -2,13 +2,13 @@
 
 import type { EpochMs, IncarnationId, MemberInfo, PeerHealth } from '@flamingocourse/core';
 import type { Kernel, Steps } from '@flamingocourse/kernel';
-import type { MeshClient } from '@flamingocourse/mesh';
+import type { MeshClient, PackedHeartbeat } from '@flamingocourse/mesh';
 import type { ObjectStore } from '@flamingocourse/platform';
 import type { Peer } from '../../types/fleet.js';
 import type { RouterContext } from '../../types/routerContext.js';
 import { randomBytes } from 'node:crypto';
 import { Channel, sleep, startProcess, takeWithin } from '@flamingocourse/kernel';
-import { MeshServer } from '@flamingocourse/mesh';
+import { MeshServer, packHeartbeat, unpackHeartbeat } from '@flamingocourse/mesh';
 import { Result } from 'true-myth';
 import { Fleet } from '../../types/fleet.js';
 import { MembershipTable } from './membershipTable.js';
@@ -72,8 +72,8 @@
     const server = kernel.get('mesh', MeshServer);
     server.recogniseSelf((incarnation) => this.#ownIncarnations.includes(incarnation));
     server.handle('heartbeat', (message) => {
-      this.#table.observe(message, this.#now());
-      return Result.ok(this.#table.compose(this.#now()));
+      this.#table.observe(unpackHeartbeat(message), this.#now());
+      return Result.ok(packHeartbeat(this.#table.compose(this.#now())));
     });
     // the port, and with it the address, may be known only once the listener is up.
     if (this.#context.settings.mesh.port === 0) this.#table.updateSelf({ meshUrl: server.url });
@@ -168,20 +168,17 @@
 
   async #sendHeartbeats(isWanted: (meshUrl: string) => boolean): Promise<void> {
     const now = this.#now();
-    const message = this.#table.compose(now);
+    const message = packHeartbeat(this.#table.compose(now));
     const targets = this.#table.targets(now).filter(isWanted);
     await Promise.all(targets.map((meshUrl) => this.#sendHeartbeat(meshUrl, message)));
   }
 
-  async #sendHeartbeat(
-    meshUrl: string,
-    message: ReturnType<MembershipTable['compose']>,
-  ): Promise<void> {
+  async #sendHeartbeat(meshUrl: string, message: PackedHeartbeat): Promise<void> {
     this.#underWay.add(meshUrl);
     const timeoutMs = this.#context.settings.mesh.suspectMs / 2;
     const answer = await this.#mesh.call({ meshUrl }, 'heartbeat', message, { timeoutMs });
     this.#underWay.delete(meshUrl);
-    if (answer.isOk) this.#table.observe(answer.value, this.#now());
+    if (answer.isOk) this.#table.observe(unpackHeartbeat(answer.value), this.#now());
   }
 
   /**
--- a/test/mesh/fleet.test.ts
+++ b/test/mesh/fleet.test.ts
@@ -3,7 +3,7 @@
 import type { TestRouter } from './fixtures.js';
 import assert from 'node:assert/strict';
 import { test } from 'node:test';
-import { MeshClient } from '@flamingocourse/mesh';
+import { MeshClient, packHeartbeat, unpackHeartbeat } from '@flamingocourse/mesh';
 import { MemoryObjectStore } from '@flamingocourse/platform';
 import { MembershipTable, routerInstanceList } from '../../packages/router/src/node/fleet/index.js';
 import { createMember, setPartition, startRouter, times, until } from './fixtures.js';
@@ -102,7 +102,8 @@
     late.close();
   });
   const target = { meshUrl: r1.link.url };
-  await late.call(target, 'heartbeat', { info: old, digest: [], members: [old] });
+  const message = packHeartbeat({ info: old, digest: [], members: [old] });
+  assert.ok((await late.call(target, 'heartbeat', message)).isOk);
   assert.equal(r1.fleet.find(old.incarnation)?.health, 'gone');
   assert.equal(r1.fleet.find(again.fleet.self.incarnation)?.health, 'alive');
 });
@@ -147,3 +148,21 @@
   for (let now = wake; now <= wake + times.goneMs; now += times.heartbeatMs) table.tick(now);
   assert.equal(table.peers(wake + times.goneMs)[0]?.health, 'gone', 'silence counts from then on');
 });
+
+const packed = [
+  { name: 'nothing but itself', message: { info: createMember('r1'), digest: [], members: [] } },
+  {
+    name: 'others, and names that the incarnation does not spell',
+    message: {
+      info: createMember('r1', { state: 'leaving', beat: 9, revision: 7 }),
+      digest: [{ incarnation: 'dc-a/r2/1', beat: 3, ageMs: 40 }],
+      members: [createMember('r2'), createMember('r3', { incarnation: 'x', state: 'starting' })],
+    },
+  },
+];
+for (const { name, message } of packed) {
+  test(`a heartbeat is unpacked as it was packed: ${name}`, () => {
+    const sent: unknown = JSON.parse(JSON.stringify(packHeartbeat(message)));
+    assert.deepEqual(unpackHeartbeat(sent as ReturnType<typeof packHeartbeat>), message);
+  });
+}
