refactor(kernel): one HTTP exchange for the platform's client and the mesh

Both had some 40 lines that send a request and read a bounded answer. The kernel has them now; a call without a time limit of its own ends by its signal. 22 lines fewer in all.

--- a/packages/kernel/src/index.ts
+++ b/packages/kernel/src/index.ts
@@ -1,4 +1,5 @@
 export * from './node/eventLog.js';
+export * from './node/httpExchange.js';
 export * from './node/metrics.js';
 export * from './runtime/channel.js';
 export * from './runtime/clock.js';
--- a/packages/platform/src/node/httpTransport.ts
+++ b/packages/kernel/src/node/httpExchange.ts
@@ -1,4 +1,4 @@
-/** One HTTP exchange with a timeout, a bounded answer and a kept-alive connection. */
+/** One HTTP exchange with a bounded answer, over a kept-alive connection. */
 
 import type { Agent, IncomingHttpHeaders } from 'node:http';
 import { request } from 'node:http';
@@ -8,8 +8,12 @@
 export interface HttpCall {
   method: 'GET' | 'POST' | 'PUT' | 'DELETE';
   url: URL;
+  /** JSON text. */
   body?: string;
-  timeoutMs: number;
+  /** Further headers. */
+  headers?: Record<string, string>;
+  /** Milliseconds for the whole exchange. @default none: `signal` ends it */
+  timeoutMs?: number;
   maxAnswerBytes: number;
   agent: Agent;
   signal?: AbortSignal | undefined;
@@ -36,7 +40,7 @@
  */
 export function exchange(call: HttpCall): Promise<Result<HttpAnswer, TransportFault>> {
   return new Promise((resolve) => {
-    const headers = call.body === undefined ? {} : jsonHeaders(call.body);
+    const headers = { ...call.headers, ...(call.body === undefined ? {} : jsonHeaders(call.body)) };
     const { method, agent, signal } = call;
     const req = request(call.url, { method, agent, headers, ...(signal ? { signal } : {}) });
     const finish = (result: Result<HttpAnswer, TransportFault>): void => {
@@ -48,9 +52,12 @@
       req.destroy();
     };
     // one timer over the whole exchange: a peer that sends a byte now and then is also cut off.
-    const timer = setTimeout(() => {
-      fail('timeout');
-    }, call.timeoutMs);
+    const timer =
+      call.timeoutMs === undefined
+        ? undefined
+        : setTimeout(() => {
+            fail('timeout');
+          }, call.timeoutMs);
     req.on('error', (err) => {
       fail(signal?.aborted ? 'aborted' : 'broken', err);
     });
--- a/packages/mesh/src/node/nodeFetch.ts
+++ b/packages/mesh/src/node/nodeFetch.ts
@@ -4,9 +4,10 @@
  */
 
 import type { HTTPLinkOptions } from '@trpc/client';
-import type { Agent, IncomingMessage } from 'node:http';
+import type { TransportFault } from '@flamingocourse/kernel';
+import type { Agent } from 'node:http';
 import type { MeshRouter } from '../runtime/meshRouter.js';
-import { request } from 'node:http';
+import { exchange } from '@flamingocourse/kernel';
 
 /** A call that got no whole answer. */
 export class TransportError extends Error {
@@ -38,62 +39,31 @@
  * @example
  * httpLink({ url, fetch: createNodeFetch({ agent, maxAnswerBytes: 1_048_576 }) });
  */
-export function createNodeFetch(options: NodeFetchOptions): FetchEsque {
-  return (input, init) =>
-    new Promise<FetchAnswer>((resolve, reject) => {
-      const body = typeof init?.body === 'string' ? init.body : '';
-      const headers = {
-        ...(init?.headers as Record<string, string> | undefined),
-        'content-length': Buffer.byteLength(body),
-      };
-      const req = request(input as string, { method: 'POST', agent: options.agent, headers });
-      const fail = (reason: TransportError['reason'], cause?: unknown): void => {
-        reject(new TransportError(reason, { cause }));
-        req.destroy();
-      };
-      init?.signal?.addEventListener(
-        'abort',
-        () => {
-          fail('broken', 'given up by the caller');
-        },
-        { once: true },
-      );
-      req.on('error', (err) => {
-        fail('broken', err);
-      });
-      req.on('response', (res) => {
-        readAnswer(res, options.maxAnswerBytes, fail, resolve);
-      });
-      req.end(body);
+export function createNodeFetch({ agent, maxAnswerBytes }: NodeFetchOptions): FetchEsque {
+  return async (input, init) => {
+    const answer = await exchange({
+      method: 'POST',
+      url: new URL(input as string),
+      body: typeof init?.body === 'string' ? init.body : '',
+      headers: { ...(init?.headers as Record<string, string> | undefined) },
+      agent,
+      maxAnswerBytes,
+      signal: init?.signal ?? undefined,
     });
+    if (answer.isErr) throw toTransportError(answer.error);
+    const { status, body } = answer.value;
+    if (status === statusTooMany) throw new TransportError('refused');
+    return createAnswer(status, body);
+  };
 }
 
-function readAnswer(
-  res: IncomingMessage,
-  maxBytes: number,
-  fail: (reason: TransportError['reason'], cause?: unknown) => void,
-  done: (answer: FetchAnswer) => void,
-): void {
-  const chunks: Buffer[] = [];
-  let size = 0;
-  const status = res.statusCode ?? 0;
-  res.on('data', (chunk: Buffer) => {
-    size += chunk.length;
-    if (size > maxBytes) fail('too-large');
-    else chunks.push(chunk);
-  });
-  res.on('error', (err) => {
-    fail('broken', err);
-  });
-  res.on('end', () => {
-    if (status === statusTooMany) fail('refused');
-    else done(createAnswer(status, Buffer.concat(chunks)));
-  });
+function toTransportError({ reason, cause }: TransportFault): TransportError {
+  return new TransportError(reason === 'too-large' ? 'too-large' : 'broken', { cause });
 }
 
-function createAnswer(status: number, bytes: Buffer): FetchAnswer {
+function createAnswer(status: number, body: string): FetchAnswer {
   return {
     ok: status < 300,
-    json: () => Promise.resolve(JSON.parse(bytes.toString('utf8')) as unknown),
+    json: () => Promise.resolve(JSON.parse(body) as unknown),
   };
 }
--- a/packages/platform/src/node/httpObjectStore.ts
+++ b/packages/platform/src/node/httpObjectStore.ts
@@ -1,7 +1,7 @@
 /** Object store over HTTP: the client that routers and the operators' command use. */
 
 import type { InstanceRecord } from '@flamingocourse/core';
-import type { Clock } from '@flamingocourse/kernel';
+import type { Clock, HttpAnswer, HttpCall } from '@flamingocourse/kernel';
 import type { ZodType } from 'zod';
 import type { CircuitOptions } from '../runtime/circuit.js';
 import type { PlatformResult } from '../runtime/objectStore.js';
@@ -15,10 +15,9 @@
   VersionedObject,
   WatchOptions,
 } from '../types/objects.js';
-import type { HttpAnswer, HttpCall } from './httpTransport.js';
 import type { WireObject } from './wireFormat.js';
 import { Agent } from 'node:http';
-import { SystemClock } from '@flamingocourse/kernel';
+import { exchange, SystemClock } from '@flamingocourse/kernel';
 import { Result } from 'true-myth';
 import {
   admitCall,
@@ -28,7 +27,6 @@
 } from '../runtime/circuit.js';
 import { ObjectStore } from '../runtime/objectStore.js';
 import { PlatformError } from '../utils/platformError.js';
-import { exchange } from './httpTransport.js';
 import { ObjectWatch } from './objectWatch.js';
 import {
   checkObject,
--- a/packages/platform/src/node/wireFormat.ts
+++ b/packages/platform/src/node/wireFormat.ts
@@ -2,7 +2,7 @@
 
 import type { ZodType } from 'zod';
 import type { CallKind, Collection, VersionedObject } from '../types/objects.js';
-import type { HttpAnswer, TransportFault } from './httpTransport.js';
+import type { HttpAnswer, TransportFault } from '@flamingocourse/kernel';
 import { Result } from 'true-myth';
 import { z } from 'zod';
 import { PlatformError } from '../utils/platformError.js';
