feat(lab): `measure config`: time until changes are in force, cost of a fleet at rest

Real mesh, membership and configuration services with the default times, a store in memory with its fault switches, all in one process. It ends with 1 when a change reverts, never arrives, or takes more than 3 s. The recorder of reverts has a table of its own.

--- /dev/null
+++ b/packages/lab/src/node/configMeasure/index.ts
@@ -0,0 +1,1 @@
+export * from './runConfigMeasure.js';
--- a/packages/lab/src/node/labCommand/measures.ts
+++ b/packages/lab/src/node/labCommand/measures.ts
@@ -2,6 +2,8 @@
 
 import { mkdir, writeFile } from 'node:fs/promises';
 import { dirname } from 'node:path';
+import { renderText } from '../report/index.js';
+import { runConfigMeasure } from '../configMeasure/index.js';
 import { runRoutingMeasure } from '../../runtime/routingExperiment/index.js';
 
 /** What a measurement is given from the command line. */
@@ -19,7 +21,10 @@
 const ROUTING_SEEDS = 3;
 
 /** `npm run measure -- NAME`. */
-export const measures: Record<string, Measure> = { routing: measureRouting };
+export const measures: Record<string, Measure> = {
+  config: measureConfig,
+  routing: measureRouting,
+};
 
 /** `npm run prove`, once there is something to prove. */
 export const prove: Measure | undefined = undefined;
@@ -39,3 +44,16 @@
   process.stdout.write(`written: ${json}\n`);
   return 0;
 }
+
+async function measureConfig({ json }: MeasureOptions): Promise<number> {
+  const result = await runConfigMeasure((line) => {
+    process.stderr.write(`${line}\n`);
+  });
+  process.stdout.write(`${renderText(result.report)}\n`);
+  for (const violation of result.violations) process.stdout.write(`BROKEN: ${violation}\n`);
+  if (json !== undefined) {
+    await mkdir(dirname(json), { recursive: true });
+    await writeFile(json, `${JSON.stringify(result, null, 2)}\n`);
+  }
+  return result.violations.length === 0 ? 0 : 1;
+}
