fix(budget): one bill for a key that was answered on both sides of a cut; young claims are never dropped

Cause: while claims could not be read each router billed a keyed request under its own ticket; and a full claim page dropped its oldest keys, so a retry after some two minutes could run again. Ruled out: refusing keyed requests during a cut; crediting a bill afterwards (counters only rise). Conclusion: the bill is provisional until the claim decides.

--- a/packages/core/src/runtime/claims.ts
+++ b/packages/core/src/runtime/claims.ts
@@ -51,13 +51,10 @@
   return { page: withClaim(page, keyDigest, moved), answer: { type: 'own' } };
 }
 
-/** Drops claims made before a time, and the oldest beyond `most`. */
-export function pruneClaims(page: ClaimPage, before: EpochMs, most: number): ClaimPage {
+/** Drops claims made before a time; what is younger always stays. */
+export function pruneClaims(page: ClaimPage, before: EpochMs): ClaimPage {
   const entries = Object.entries(page.claims);
-  const kept = entries
-    .filter(([, held]) => held.at >= before)
-    .sort(([, left], [, right]) => right.at - left.at)
-    .slice(0, most);
+  const kept = entries.filter(([, held]) => held.at >= before);
   if (kept.length === entries.length) return page;
   return { ...page, claims: Object.fromEntries(kept) };
 }
--- a/packages/core/src/runtime/journal.ts
+++ b/packages/core/src/runtime/journal.ts
@@ -3,8 +3,16 @@
  * reply was lost can be repeated on the state that is read back.
  */
 
-import type { AccountId, DataCentreId, EpochMs, IncarnationId, Tokens } from '../types/ids.js';
 import type {
+  AccountId,
+  DataCentreId,
+  EpochMs,
+  IncarnationId,
+  TicketId,
+  Tokens,
+} from '../types/ids.js';
+import type {
+  Bill,
   BillSegment,
   JournalFault,
   JournalHolder,
@@ -13,7 +21,7 @@
 } from '../types/journal.js';
 import type { JournalDraft } from './journalDraft.js';
 import { Result } from 'true-myth';
-import { applyChange, faultInChange } from './journalChange.js';
+import { applyChange, charge, faultInChange } from './journalChange.js';
 import { draftOf, dropFreeSlices, editAccount, editHolder } from './journalDraft.js';
 import { pool } from './journalTotals.js';
 
@@ -163,6 +171,35 @@
   return Result.ok(draft.state);
 }
 
+/** What the claim said about a provisional bill. */
+export type ProvisionalVerdict = 'billed' | 'void';
+
+/**
+ * Settles a provisional bill, once: `billed` puts it on the invoice; `void` frees its tokens, because
+ * another ticket of the same key is billed. Later calls change nothing.
+ *
+ * @example
+ * state = settleProvisional(state, { issuer: holder, number: 7 }, 'void');
+ */
+export function settleProvisional(
+  state: JournalState,
+  ticket: TicketId,
+  verdict: ProvisionalVerdict,
+): JournalState {
+  const isMeant = (bill: Bill): boolean =>
+    bill.holder === ticket.issuer && bill.ticket === ticket.number;
+  const found = state.provisional?.find(isMeant);
+  if (!found) return state;
+  const draft = draftOf(state);
+  draft.state.provisional = (state.provisional ?? []).filter((bill) => !isMeant(bill));
+  if (verdict === 'billed') {
+    const bill = { ...found };
+    delete bill.unclaimed;
+    charge(draft, bill);
+  }
+  return draft.state;
+}
+
 /** Copies what the ledger granted, by maximum, so that a late copy changes nothing. */
 export function recordGrant(
   state: JournalState,
--- a/packages/core/src/runtime/journalChange.ts
+++ b/packages/core/src/runtime/journalChange.ts
@@ -85,6 +85,13 @@
   // a second bill for one ticket is a fault of its holder; the caller must not pay for it.
   if (hasInterval(holder.done, entry.ticket)) return;
   addToSlice(holder, entry.account, -entry.cost);
+  if (entry.unclaimed === undefined) charge(draft, entry);
+  else draft.state.provisional = [...(draft.state.provisional ?? []), entry];
+  complete(draft, holder, entry.ticket);
+}
+
+/** Adds a bill to the invoice and to what was spent. */
+export function charge(draft: JournalDraft, entry: Bill): void {
   const totals = editAccount(draft, entry.account);
   totals.spent += entry.cost;
   totals.spentByClass = {
@@ -92,7 +99,6 @@
     [entry.workClass]: (totals.spentByClass?.[entry.workClass] ?? 0) + entry.cost,
   };
   draft.state.bills.push(entry);
-  complete(draft, holder, entry.ticket);
 }
 
 function complete(draft: JournalDraft, holder: JournalHolder, ticket: number): void {
--- a/packages/core/src/runtime/journalDraft.ts
+++ b/packages/core/src/runtime/journalDraft.ts
@@ -19,6 +19,7 @@
       holders: { ...state.holders },
       bills: [...state.bills],
       outcomes: [...state.outcomes],
+      ...(state.provisional && { provisional: [...state.provisional] }),
     },
     ownHolders: new Set(),
     ownAccounts: new Set(),
--- a/packages/core/src/runtime/journalTotals.ts
+++ b/packages/core/src/runtime/journalTotals.ts
@@ -8,7 +8,8 @@
   const totals = state.accounts[account];
   if (!totals) return 0;
   const held = sumSlices(state, account, () => true);
-  return Math.max(0, totals.grantedIn - totals.returnedOut - totals.spent - held);
+  const charged = totals.spent + held + provisionalSum(state, account);
+  return Math.max(0, totals.grantedIn - totals.returnedOut - charged);
 }
 
 /** Tokens held by holders that are being sealed: charged, and not spendable until they are. */
@@ -22,10 +23,17 @@
     const totals = state.accounts[account];
     if (!totals) return false;
     const held = sumSlices(state, account, () => true);
-    return totals.spent + held > totals.grantedIn - totals.returnedOut;
+    const charged = totals.spent + held + provisionalSum(state, account);
+    return charged > totals.grantedIn - totals.returnedOut;
   });
 }
 
+/** Cost of answered requests whose bill waits for the claim on its key. */
+export function provisionalSum(state: JournalState, account: AccountId): Tokens {
+  const own = (state.provisional ?? []).filter((bill) => bill.account === account);
+  return own.reduce((sum, bill) => sum + bill.cost, 0);
+}
+
 function sumSlices(
   state: JournalState,
   account: AccountId,
--- a/packages/core/src/types/journal.ts
+++ b/packages/core/src/types/journal.ts
@@ -74,6 +74,11 @@
   completionTokens: Tokens;
   /** Digest of the caller's idempotency key, where one was given. */
   keyDigest?: string;
+  /**
+   * Body digest of a request whose key could not be claimed before it was answered. Stands only
+   * while the bill is provisional.
+   */
+  unclaimed?: string;
   at: EpochMs;
 }
 
@@ -97,6 +102,11 @@
   segment: number;
   bills: Bill[];
   outcomes: Outcome[];
+  /**
+   * Bills of answered requests whose key has not been claimed yet. Their cost is charged, and each
+   * becomes a bill or is void once the claim tells which ticket owns the key.
+   */
+  provisional?: Bill[];
 }
 
 /** A change that a holder makes to its own entry. */
--- a/packages/mesh/src/runtime/schemas.ts
+++ b/packages/mesh/src/runtime/schemas.ts
@@ -30,6 +30,7 @@
   promptTokens: tokens,
   completionTokens: tokens,
   keyDigest: id.exactOptional(),
+  unclaimed: id.exactOptional(),
   at: z.number(),
 });
 
--- a/packages/router/src/node/entry/executor.ts
+++ b/packages/router/src/node/entry/executor.ts
@@ -27,6 +27,12 @@
 /** Largest answer of a plain service that is kept for retries after a router's death, in bytes. */
 const MAX_KEPT_ANSWER_BYTES = 8_192;
 
+/**
+ * What becomes of the bill: `skip` where another ticket of the key is billed; `bill-provisionally`
+ * where the claim cannot be read and is settled later.
+ */
+type Billing = 'bill' | 'bill-provisionally' | 'skip';
+
 /** What executions share. */
 export interface ExecutorOptions {
   money: Money;
@@ -155,10 +161,7 @@
   }
 
   /** Claims the key of an idempotent request while it runs; the bill waits for the answer. */
-  async #claimEarly(
-    request: CallerRequest,
-    execution: Execution,
-  ): Promise<'bill' | 'skip' | Refusal> {
+  async #claimEarly(request: CallerRequest, execution: Execution): Promise<Billing | Refusal> {
     const { keyDigest, ticket } = execution;
     if (!request.idempotent || keyDigest === undefined) return 'bill';
     const answer = await this.#options.money.claim(keyDigest, request.bodyDigest, ticket);
@@ -167,7 +170,7 @@
         execution.soleRun = true;
         return 'bill';
       case 'unreachable':
-        return 'bill';
+        return 'bill-provisionally';
       case 'other-body':
         return keyReused();
       case 'other':
@@ -181,7 +184,7 @@
     owner: TicketId,
     own: TicketId,
     keyDigest: string,
-  ): Promise<'bill' | 'skip' | Refusal> {
+  ): Promise<Billing | Refusal> {
     const resolution = await this.#options.money.resolveTicket(owner);
     switch (resolution.type) {
       case 'billed':
@@ -207,17 +210,19 @@
     execution: Execution,
     reservation: Reservation,
     end: Exclude<WorkEnd, { type: 'refused' }>,
-    claim: 'bill' | 'skip' | Refusal,
+    claim: Billing | Refusal,
   ): Promise<AnswerEnd> {
-    if (claim !== 'bill' || end.details === undefined) {
+    if (typeof claim !== 'string' || claim === 'skip' || end.details === undefined) {
       this.#options.money.release(reservation);
       if (typeof claim !== 'string') return { type: 'refused', refusal: claim };
       return this.#unbilledEnd(request, execution, end);
     }
-    const details =
-      execution.keyDigest === undefined
-        ? end.details
-        : { ...end.details, keyDigest: execution.keyDigest };
+    const { keyDigest, bodyDigest } = execution;
+    const details = {
+      ...end.details,
+      ...(keyDigest === undefined ? {} : { keyDigest }),
+      ...(claim === 'bill-provisionally' ? { unclaimed: bodyDigest } : {}),
+    };
     const billed = await this.#options.money.bill(
       reservation,
       execution.ticket,
--- a/packages/router/src/node/money/claimKeeper.ts
+++ b/packages/router/src/node/money/claimKeeper.ts
@@ -8,11 +8,11 @@
 import { Result } from 'true-myth';
 import { GroupWriter } from './groupWriter.js';
 
-/** Claims on one page before old ones are dropped; about 0.8 MB. */
+/** Claims on one page, about 0.8 MB; the platform takes values up to a megabyte. */
 const MAX_CLAIMS_PER_PAGE = 4_000;
 
-/** Age from which a claim may be dropped: callers do not retry for longer. */
-const CLAIM_LIFETIME_MS = 24 * 60 * 60 * 1_000;
+/** Time for which a key is remembered; docs/CALLERS.md promises it. */
+export const CLAIM_LIFETIME_MS = 15 * 60 * 1_000;
 
 /** What a claim keeper is created with. */
 export interface ClaimKeeperOptions {
@@ -52,7 +52,11 @@
   async #change(keyDigest: string, decide: (page: ClaimPage) => ClaimResult): Promise<ClaimAnswer> {
     let answer: ClaimAnswer = { type: 'unreachable' };
     const written = await this.#writer(keyDigest).change((page) => {
-      const decided = decide(this.#pruned(page));
+      const pruned = this.#pruned(page);
+      // a young claim dropped for want of room would let a retry run its request a second time; a
+      // full page therefore takes no new key, and the caller is told to use a ticket.
+      if (isFull(pruned) && !(keyDigest in pruned.claims)) return Result.ok(page);
+      const decided = decide(pruned);
       answer = decided.answer;
       // what was only pruned is not worth a write.
       return Result.ok(decided.answer.type === 'own' ? decided.page : page);
@@ -61,9 +65,8 @@
   }
 
   #pruned(page: ClaimPage): ClaimPage {
-    if (Object.keys(page.claims).length < MAX_CLAIMS_PER_PAGE) return page;
-    const before = this.#options.clock.now() - CLAIM_LIFETIME_MS;
-    return pruneClaims(page, before, MAX_CLAIMS_PER_PAGE - 1);
+    if (!isFull(page)) return page;
+    return pruneClaims(page, this.#options.clock.now() - CLAIM_LIFETIME_MS);
   }
 
   #writer(keyDigest: string): GroupWriter<ClaimPage, never> {
@@ -84,3 +87,7 @@
     return writer;
   }
 }
+
+function isFull(page: ClaimPage): boolean {
+  return Object.keys(page.claims).length >= MAX_CLAIMS_PER_PAGE;
+}
--- a/packages/router/src/node/money/moneyParts.ts
+++ b/packages/router/src/node/money/moneyParts.ts
@@ -18,6 +18,7 @@
 import { ClaimKeeper } from './claimKeeper.js';
 import { GroupWriter } from './groupWriter.js';
 import { LineRoutes } from './lineRoutes.js';
+import { ProvisionalSettler } from './provisionalSettler.js';
 import { Sealer } from './sealer.js';
 import { TicketResolver } from './ticketResolver.js';
 import { Treasurer } from './treasurer.js';
@@ -46,6 +47,7 @@
   treasurer: Treasurer;
   claims: ClaimKeeper;
   resolver: TicketResolver;
+  provisional: ProvisionalSettler;
   onFailure: (err: unknown) => void;
   /** Looks for tokens that a request lacks, at most once at a time per account. */
   seek: (account: AccountId, amount: Tokens) => void;
@@ -67,6 +69,14 @@
     ledgerPages: budget.ledgerPages,
     ledgerSyncMs: budget.ledgerSyncMs,
   });
+  const claims = new ClaimKeeper({
+    store,
+    clock: context.clock,
+    pages: budget.claimPages,
+    groupMs: budget.groupCommitMs,
+    onFailure,
+  });
+  const resolver = new TicketResolver(fleet, store);
   return {
     fleet,
     configuration,
@@ -75,14 +85,9 @@
     witness,
     sealer: new Sealer({ fleet, peers, writer, witness, log: context.log, goneMs: mesh.goneMs }),
     treasurer,
-    claims: new ClaimKeeper({
-      store,
-      clock: context.clock,
-      pages: budget.claimPages,
-      groupMs: budget.groupCommitMs,
-      onFailure,
-    }),
-    resolver: new TicketResolver(fleet, store),
+    claims,
+    resolver,
+    provisional: new ProvisionalSettler({ fleet, writer, claims, resolver }),
     onFailure,
     seek: createSeeker(options, treasurer, writer),
   };
--- a/packages/router/src/node/money/moneyService.ts
+++ b/packages/router/src/node/money/moneyService.ts
@@ -289,6 +289,7 @@
     await parts.witness.replay(parts.writer);
     await parts.sealer.tick(clock.now());
     await parts.treasurer.tick(clock.now());
+    await parts.provisional.tick(clock.now());
     await rollLargeSegment(this.#options.store, parts.writer, log);
   }
 
--- a/packages/router/src/node/money/ticketResolver.ts
+++ b/packages/router/src/node/money/ticketResolver.ts
@@ -40,6 +40,19 @@
     return { type: isProvablyOver(holder) ? 'not-run' : 'unknown' };
   }
 
+  /**
+   * Says whether a ticket is billed or answered for (`done`), provably never will be (`never`), or
+   * may yet be (`open`).
+   */
+  async progress(ticket: TicketId): Promise<'done' | 'never' | 'open'> {
+    const read = await this.#store.get('journals', dataCentreOf(ticket.issuer));
+    if (read.isErr) return 'open';
+    const holder = (read.value.value as JournalState).holders[ticket.issuer];
+    if (!holder) return 'open';
+    if (hasInterval(holder.done, ticket.number)) return 'done';
+    return isProvablyOver(holder) ? 'never' : 'open';
+  }
+
   async #answered(
     ticket: TicketId,
     holder: JournalHolder,
--- a/packages/router/src/types/routerSettings.ts
+++ b/packages/router/src/types/routerSettings.ts
@@ -45,7 +45,7 @@
   budget: {
     /** Pages of the ledger; the same for the whole deployment. @default 1 */
     ledgerPages: number;
-    /** @default 1 */
+    /** Pages of claims, some 4,000 keys each; the same for the whole deployment. @default 16 */
     claimPages: number;
     /** Time over which lines are gathered into one journal update. @default 40 */
     groupCommitMs: number;
--- a/packages/router/src/utils/settingsDefaults.ts
+++ b/packages/router/src/utils/settingsDefaults.ts
@@ -20,7 +20,7 @@
   platform: { timeoutMs: 1_500 },
   budget: {
     ledgerPages: 1,
-    claimPages: 1,
+    claimPages: 16,
     groupCommitMs: 40,
     witnessAfterMs: 60,
     ledgerSyncMs: 1_000,
--- a/test/money/ledger.test.ts
+++ b/test/money/ledger.test.ts
@@ -109,7 +109,7 @@
   assert.equal(takeOver(taken.page, 'key', ticketA, ticketB, 21).answer.type, 'own');
   const late = takeOver(taken.page, 'key', ticketA, ticketC, 22);
   assert.deepEqual(late.answer, { type: 'other', ticket: ticketB });
-  assert.deepEqual(pruneClaims(taken.page, 21, 9).claims, {});
+  assert.deepEqual(pruneClaims(taken.page, 21).claims, {});
 });
 
 const sign = (text: string): string => `s${text.length}`;
--- a/test/money/moneyService.test.ts
+++ b/test/money/moneyService.test.ts
@@ -261,3 +261,32 @@
     assert.equal((await b.money.takeOverClaim('key', ticket, next)).type, 'own');
   });
 });
+
+// a volunteer's draft is answered twice under one key, once on each side of an outage, because no
+// router can read the claim, and the charity pays for both. After the heal one of the two is billed.
+for (const died of [false, true]) {
+  const when = died ? 'also when one of them died meanwhile' : 'once claims can be read again';
+  test(`a key answered by two routers during an outage is billed once, ${when}`, async () => {
+    await withRouters(2, 10_000, async (world, routers) => {
+      const reserved: Reservation[] = [];
+      for (const router of routers) reserved.push(await reserve(router, 200));
+      world.store.fault = 'out';
+      await until(() => routers.every((router) => router.money.ready));
+      for (const [index, router] of routers.entries()) {
+        const ticket = router.money.nextTicket();
+        assert.equal((await router.money.claim('key', 'body', ticket)).type, 'unreachable');
+        const reservation = reserved[index] ?? assert.fail();
+        const unclaimed = { ...details, keyDigest: 'key', unclaimed: 'body' };
+        assert.equal((await router.money.bill(reservation, ticket, unclaimed)).isOk, true);
+      }
+      const [first] = routers;
+      if (died && first) first.isolated = true;
+      world.store.fault = 'none';
+      await until(() => world.journal().accounts[KIRK]?.spent === 80);
+      await until(() => world.journal().provisional?.length === 0);
+      assert.equal(world.journal().bills.length, 1);
+      assert.equal(world.journal().bills[0]?.unclaimed, undefined);
+      if (died && first) first.isolated = false;
+    });
+  });
+}
