fix(budget): a router that was sealed by mistake ends its own doubt

Cause: only witnesses were asked for a sealed holder's lines; when the holder lived and its witness had died, the bills that only the two had stayed in doubt for good (found by the differential test). Conclusion: the holder's own process knows all its lines and ends the sealing with them.

--- a/packages/lab/src/runtime/naive/reducerFleet.ts
+++ b/packages/lab/src/runtime/naive/reducerFleet.ts
@@ -65,6 +65,8 @@
     this.#isUp = true;
     this.#tend();
     for (const router of this.#routers) {
+      // a router that lives reads the journal at each tick, also when no request comes.
+      this.#sync(router);
       this.#append(router);
       this.store.read(router);
     }
@@ -239,6 +241,7 @@
     const { holder } = router.spender;
     const entry = this.store.journal(router.dataCentre).holders[holder];
     if (entry && entry.state !== 'open') {
+      this.store.finishOwn(router);
       router.formerly.push(holder);
       router.spender = new Spender(this.#nextId(router.dataCentre));
       router.keptSeq = 0;
--- a/packages/lab/src/runtime/naive/reducerStore.ts
+++ b/packages/lab/src/runtime/naive/reducerStore.ts
@@ -115,6 +115,13 @@
     return finished.isOk;
   }
 
+  /** Ends the sealing of a router that lives, with all the lines that it has. */
+  finishOwn({ dataCentre, spender }: ReducerRouter): void {
+    const journal = this.journal(dataCentre);
+    const finished = finishSeal(journal, spender.holder, spender.unapplied);
+    this.#set(finished.unwrapOr(journal));
+  }
+
   /** Shows the journal to a router. */
   read(router: ReducerRouter): void {
     const journal = this.journal(router.dataCentre);
--- a/packages/router/src/node/money/moneyService.ts
+++ b/packages/router/src/node/money/moneyService.ts
@@ -38,6 +38,7 @@
 import { billChanges } from './billLines.js';
 import { isNewer } from './groupWriter.js';
 import { HolderSession } from './holderSession.js';
+import { OwnEndings } from './ownEndings.js';
 import { createMoneyParts } from './moneyParts.js';
 import {
   refuseNotReady,
@@ -80,6 +81,7 @@
 export class MoneyService extends Money implements MoneyPeerHandler {
   override readonly dependsOn = ['fleet', 'configuration'];
   readonly #options: MoneyServiceOptions;
+  readonly #endings = new OwnEndings();
   readonly #stopping = new Channel<true>(1);
   #parts: MoneyParts | undefined;
   #session: HolderSession | undefined;
@@ -287,6 +289,7 @@
       session.balance(account, state, this.#policy(), clock.now());
     }
     await parts.witness.replay(parts.writer);
+    await this.#endings.tick(parts.writer);
     await parts.sealer.tick(clock.now());
     await parts.treasurer.tick(clock.now());
     await parts.provisional.tick(clock.now());
@@ -333,6 +336,7 @@
     const holder = session.spender.holder;
     this.#options.context.log.write('holder-lost', { holder });
     this.#former.push(holder);
+    this.#endings.add(holder, session.spender.unapplied);
     parts.fleet.renewIncarnation();
     this.#openSession(parts);
   }
--- a/test/money/moneyService.test.ts
+++ b/test/money/moneyService.test.ts
@@ -192,6 +192,24 @@
   });
 });
 
+test('a router that was sealed by mistake ends its own doubt, though a witness is gone', async () => {
+  // a club's tokens stay in doubt for good although their holder lives: it was paused, a peer began
+  // to seal it, and one of its witnesses had died meanwhile. Nobody asked the holder itself.
+  await withRouters(3, 10_000, async (world, [a, b, c]) => {
+    assert.ok(a && b && c);
+    const { incarnation } = a;
+    await until(() => world.journal().holders[incarnation]?.witnesses.length === 2);
+    await reserve(a, 500);
+    c.isolated = true;
+    a.isolated = true;
+    await until(() => world.journal().holders[incarnation]?.state === 'sealing');
+    assert.ok(inDoubt(world.journal(), KIRK) > 0);
+    a.isolated = false;
+    await until(() => world.journal().holders[incarnation]?.state === 'sealed');
+    c.isolated = false;
+  });
+});
+
 test('tokens idle in another data centre are recalled before a request is refused', async () => {
   const world = new MoneyWorld(1_000, 'avoid-false-refusals');
   const a = world.add('router-1');
