fix(platform): a mute watch is answered by a list, so that a change is in force within 3 s

Ruled out: polling beside a healthy watch. Changed test: after silence the watch now lists once instead of resuming (1 list became 2), because resuming is what hid the changes; the frozen case got a stricter test of its own, in which changes must be seen while the watches stay mute. Before: that test fails after 5 s. After: 70 platform and mesh tests pass. Conclusion: 2 s without a line or bookmark, then a list; a platform with rarer bookmarks pays one list in 2 s for each data centre.

--- a/packages/platform/src/node/httpObjectStore.ts
+++ b/packages/platform/src/node/httpObjectStore.ts
@@ -44,6 +44,8 @@
 /** A list answers with whole values, so it may be longer than one value's megabyte. */
 const maxAnswerBytes = 64 * 1024 * 1024;
 const maxSockets = 16;
+/** Above the platform's time between bookmarks; with a list after it, a change is known within 3 s. */
+const defaultWatchIdleMs = 2_000;
 
 /** Options of the client. */
 export interface HttpObjectStoreOptions {
@@ -52,7 +54,7 @@
   /** Milliseconds for a whole call. @default 1500 */
   timeoutMs?: number;
   circuit?: CircuitOptions;
-  /** Milliseconds without a line after which a watch is opened anew. @default 5000 */
+  /** Milliseconds without a line after which a watch is opened anew. @default 2000 */
   watchIdleMs?: number;
   clock?: Clock;
   /** Numbers from 0 to 1 for the jitter of back-offs. @default Math.random */
@@ -151,7 +153,7 @@
       list: () => this.list(collection),
       url: new URL(collectionPath(collection.name), this.#options.url),
       agent: this.#watchAgent,
-      idleMs: this.#options.watchIdleMs ?? 5_000,
+      idleMs: this.#options.watchIdleMs ?? defaultWatchIdleMs,
       random: this.#options.random ?? Math.random,
       onOpen: () => {
         this.countSent('watch');
--- a/packages/platform/src/node/objectWatch.ts
+++ b/packages/platform/src/node/objectWatch.ts
@@ -65,6 +65,7 @@
       return;
     }
     this.#version = list.value.version;
+    this.#failures = 0;
     this.options.onEvent({ type: 'listed', list: list.value });
   }
 
@@ -88,8 +89,9 @@
 
   #settle(end: WatchEnd): void {
     if (end === 'stopped') return;
-    // the changes in between are gone from the platform's history; only a new list can tell them.
-    if (end === 'too-old') this.#version = undefined;
+    // too old: the changes in between are gone from the platform's history. Silent: a watch that is
+    // open and mute, also after it is opened anew, would hide every change. A list tells them all.
+    if (end === 'too-old' || end === 'silent') this.#version = undefined;
     this.#failures += 1;
     this.ports.onBreak();
     this.options.onBreak?.(end);
