fix(lab): the lab and the test runner leave at once when all is done

Ruled out: our own loops (no JavaScript runs by then; the inspector cannot be attached). Conclusion: forced exit after the last test and after each lab command.

--- a/packages/lab/src/node/labCommand/main.ts
+++ b/packages/lab/src/node/labCommand/main.ts
@@ -88,3 +88,6 @@
   process.stderr.write(`${describeError(err)}\n`);
   process.exitCode = EXIT_FAILED;
 }
+// Node 20 can spin for ever while it cleans up the handles of ended child processes; leaving at once
+// skips that. Everything that was started has been stopped by now.
+process.exit();
--- a/scripts/runTests.mjs
+++ b/scripts/runTests.mjs
@@ -43,6 +43,9 @@
     `--test-reporter-destination=${tapFile}`,
     // a test that hangs must fail, or CI says nothing until its own limit.
     '--test-timeout=120000',
+    // Node 20 can spin for ever while it cleans up the handles of ended child processes, after the
+    // last test has ended (seen in test/process: the main thread stays in CleanupHandles).
+    '--test-force-exit',
     ...files,
   ],
   { stdio: 'inherit' },
