fix(lab): a continued message is not framed again; fix(tickets): one text for each ticket

And a ticket's text with a trailing character decoded to the same signature, so one ticket had several texts and claims. Ruled out: the router's sums (prompt + completion of the resumed run are taken as reported). Before: 18 and 22 tokens for the same answer, a ticket with a changed signature accepted. After: 18 and 18, refused; the entry, engine and ticket tests pass. Conclusion: resumed answers cost what uninterrupted ones cost.

--- a/packages/lab/src/node/engineStandIn/engineStandIn.ts
+++ b/packages/lab/src/node/engineStandIn/engineStandIn.ts
@@ -206,7 +206,7 @@
     const cachedTokens = this.#cache.use(
       messages.flatMap((message) => splitWords(message.content)),
     );
-    const promptTokens = countPromptTokens(messages);
+    const promptTokens = countPromptTokens(messages, request.continue_final_message);
     const attempt = new ChatAttempt(res, id, request, {
       task: planAnswer(messages, request.seed, request.continue_final_message),
       prefillMs: (promptTokens - cachedTokens) * this.#options.prefillMsPerToken,
--- a/packages/lab/src/runtime/answerText.ts
+++ b/packages/lab/src/runtime/answerText.ts
@@ -37,10 +37,18 @@
   return text.split(/\s+/).filter((word) => word !== '');
 }
 
-/** Counts prompt tokens: the words of all messages and a fixed amount for each message. */
-export function countPromptTokens(messages: readonly PromptMessage[]): number {
+/**
+ * Counts prompt tokens: the words of all messages and a fixed amount for each message. A final
+ * message that is continued is not framed again, as with a real engine, where it stands in the place
+ * of the opening of the answer.
+ */
+export function countPromptTokens(
+  messages: readonly PromptMessage[],
+  continueFinal = false,
+): number {
   const words = messages.reduce((sum, message) => sum + splitWords(message.content).length, 0);
-  return words + TOKENS_PER_MESSAGE * messages.length;
+  const framed = continueFinal ? messages.length - 1 : messages.length;
+  return words + TOKENS_PER_MESSAGE * framed;
 }
 
 /**
--- a/packages/router/src/utils/hmacTicketCodec.ts
+++ b/packages/router/src/utils/hmacTicketCodec.ts
@@ -37,8 +37,10 @@
     if (text.length > MAX_TEXT_LENGTH) return undefined;
     const [encoded, mac, ...rest] = text.split('.');
     if (encoded === undefined || mac === undefined || rest.length > 0) return undefined;
-    const given = Buffer.from(mac, 'base64url');
-    const expected = this.#mac(encoded);
+    // texts are compared, not bytes: decoding passes over trailing characters, so that one ticket
+    // would have many texts and a claim under each of them.
+    const given = Buffer.from(mac);
+    const expected = Buffer.from(this.#mac(encoded).toString('base64url'));
     if (given.length !== expected.length || !timingSafeEqual(given, expected)) return undefined;
     const payload = payloadSchema.safeParse(parsePayload(encoded));
     if (!payload.success) return undefined;
--- a/test/entry/chatAnswers.test.ts
+++ b/test/entry/chatAnswers.test.ts
@@ -88,7 +88,11 @@
     );
     const whole = { content: textOf(12), done: true, error: false };
     assert.deepEqual(answers, [whole, whole]);
-    assert.equal(router.money.bills.length, 2);
+    // a resumed answer costs what an uninterrupted one costs.
+    assert.deepEqual(
+      router.money.bills.map((bill) => bill.cost),
+      [18, 18],
+    );
   });
 }
 
