test(entry): the crash of an engine in the middle of an answer is really tried

Cause: the test's two requests had one prompt and went to the engine that did not crash, so it passed whatever the router did. Replaced by a stricter one: six prompts, the crash is counted, and the bills must be those of uninterrupted runs.

--- a/test/entry/chatAnswers.test.ts
+++ b/test/entry/chatAnswers.test.ts
@@ -80,18 +80,21 @@
     const first = await engine({ faults: { crashAfterTokens } });
     const second = await engine();
     const router = await bench([first.url, second.url]);
+    const lengths = [12, 13, 14, 15, 16, 17];
     const answers = await Promise.all(
-      [1, 2].map(async () => {
-        const res = await call(router, '/v1/chat/completions', { body: chatBody(12, true) });
+      lengths.map(async (words) => {
+        const res = await call(router, '/v1/chat/completions', { body: chatBody(words, true) });
         return readEvents(await res.text());
       }),
     );
-    const whole = { content: textOf(12), done: true, error: false };
-    assert.deepEqual(answers, [whole, whole]);
-    // a resumed answer costs what an uninterrupted one costs.
+    const whole = lengths.map((words) => ({ content: textOf(words), done: true, error: false }));
+    assert.deepEqual(answers, whole);
+    assert.equal(first.counters.crashes, 1, 'the engine did not crash, so nothing was tried');
+    // a resumed answer costs what an uninterrupted one costs: 6 tokens of prompt and its words.
+    const costs = router.money.bills.map((bill) => bill.cost).sort((a, b) => a - b);
     assert.deepEqual(
-      router.money.bills.map((bill) => bill.cost),
-      [18, 18],
+      costs,
+      lengths.map((words) => words + 6),
     );
   });
 }
