--- a/packages/router/src/types/routerSettings.ts
+++ b/packages/router/src/types/routerSettings.ts
@@ -47,7 +47,7 @@
     ledgerPages: number;
     /** Pages of claims, some 4,000 keys each; the same for the whole deployment. @default 16 */
     claimPages: number;
-    /** Time over which lines are gathered into one journal update. @default 40 */
+    /** Time over which lines are gathered into one journal update. @default 50 */
     groupCommitMs: number;
     /** Wait for the journal before the witnesses are asked too. @default 60 */
     witnessAfterMs: number;
--- a/packages/router/src/utils/settingsDefaults.ts
+++ b/packages/router/src/utils/settingsDefaults.ts
@@ -21,7 +21,7 @@
   budget: {
     ledgerPages: 1,
     claimPages: 16,
-    groupCommitMs: 40,
+    groupCommitMs: 50,
     witnessAfterMs: 60,
     ledgerSyncMs: 1_000,
     reserveWaitMs: 400,
