--- a/test/money/moneyService.test.ts
+++ b/test/money/moneyService.test.ts
@@ -159,6 +159,8 @@
     const outcome = { holder: ticket.issuer, ticket: ticket.number, ...kept };
     await a.money.bill(await reserve(a, 100), ticket, details, outcome);
     assert.equal((await b.money.resolveTicket(ticket)).type, 'elsewhere');
+    // a kept answer may be at a witness for a moment before the journal has it.
+    await until(() => world.journal().accounts[KIRK]?.spent === 80);
     a.isolated = true;
     assert.deepEqual(await b.money.resolveTicket(ticket), { type: 'answered', outcome });
     a.isolated = false;
