refactor(store): the client of the object store is called store

The users' machines have a platform of their own, and the adapter for it is to be the only thing of that name.

--- a/eslint.config.mjs
+++ b/eslint.config.mjs
@@ -7,11 +7,12 @@
 const allowedImports = {
   kernel: [],
   core: [],
-  platform: ['kernel', 'core'],
+  store: ['kernel', 'core'],
   mesh: ['kernel', 'core'],
-  router: ['kernel', 'core', 'platform', 'mesh'],
-  cli: ['kernel', 'core', 'platform'],
-  lab: ['kernel', 'core', 'platform', 'mesh', 'router', 'cli'],
+  router: ['kernel', 'core', 'store', 'mesh'],
+  gateway: ['kernel', 'core', 'store', 'router'],
+  cli: ['kernel', 'core', 'store'],
+  lab: ['kernel', 'core', 'store', 'mesh', 'router', 'cli'],
 };
 
 const packageNames = Object.keys(allowedImports);
@@ -36,7 +37,7 @@
 });
 
 export default tseslint.config(
-  { ignores: ['**/dist/**', '**/node_modules/**', 'reports/**'] },
+  { ignores: ['**/dist/**', 'target/**', '**/node_modules/**', 'reports/**'] },
   js.configs.recommended,
   {
     files: ['**/*.ts'],
--- a/packages/cli/src/node/commonArgs.ts
+++ b/packages/cli/src/node/commonArgs.ts
@@ -5,7 +5,7 @@
 import type { GivenSettings } from './cliSettings.js';
 import type { Operator } from '../types/operator.js';
 import type { OutputFormat, Report } from './report.js';
-import { HttpObjectStore } from '@flamingocourse/platform';
+import { HttpObjectStore } from '@flamingocourse/store';
 import { Result } from 'true-myth';
 import { createOperatorStore } from './platformStore.js';
 import { finishCommand } from './report.js';
--- a/packages/cli/src/node/platformStore.ts
+++ b/packages/cli/src/node/platformStore.ts
@@ -1,7 +1,7 @@
 /** The operators' view of the platform over its client. */
 
 import type { OperatorCollection, OperatorStore, StoreError } from '../types/operatorStore.js';
-import type { Collection, ObjectStore, PlatformError } from '@flamingocourse/platform';
+import type { Collection, ObjectStore, PlatformError } from '@flamingocourse/store';
 import { z } from 'zod';
 
 /**
--- a/packages/lab/src/node/capacity/capacityDeclarations.ts
+++ b/packages/lab/src/node/capacity/capacityDeclarations.ts
@@ -1,7 +1,7 @@
 /** Declared objects that the measurements write straight into a store. */
 
 import type { Declaration } from '@flamingocourse/core';
-import type { ObjectTable } from '@flamingocourse/platform';
+import type { ObjectTable } from '@flamingocourse/store';
 import { createHash } from 'node:crypto';
 import { LabError } from '../../utils/labError.js';
 
--- a/packages/lab/src/node/capacity/fleetCosts.ts
+++ b/packages/lab/src/node/capacity/fleetCosts.ts
@@ -5,7 +5,7 @@
  */
 
 import type { Kernel } from '@flamingocourse/kernel';
-import type { ObjectStore } from '@flamingocourse/platform';
+import type { ObjectStore } from '@flamingocourse/store';
 import type { RouterContext, RouterSettings } from '@flamingocourse/router';
 import type { CostLine, CostPoint, Progress } from './types.js';
 import { setTimeout as delay } from 'node:timers/promises';
@@ -16,7 +16,7 @@
   SystemClock,
 } from '@flamingocourse/kernel';
 import { MeshClient, MeshServer } from '@flamingocourse/mesh';
-import { MemoryObjectStore } from '@flamingocourse/platform';
+import { MemoryObjectStore } from '@flamingocourse/store';
 import { ConfigurationService, FleetService, settingsDefaults } from '@flamingocourse/router';
 import { LabError } from '../../utils/labError.js';
 import { declareAccounts, declaredAccount, declareOne } from './capacityDeclarations.js';
--- a/packages/lab/src/node/configMeasure/measuredFleet.ts
+++ b/packages/lab/src/node/configMeasure/measuredFleet.ts
@@ -5,7 +5,7 @@
 import { setTimeout as delay } from 'node:timers/promises';
 import { Kernel, MemoryEventLog, NoMetrics, SystemClock } from '@flamingocourse/kernel';
 import { MeshClient, MeshServer } from '@flamingocourse/mesh';
-import { MemoryObjectStore } from '@flamingocourse/platform';
+import { MemoryObjectStore } from '@flamingocourse/store';
 import {
   ConfigurationService,
   FleetService,
--- a/packages/lab/src/node/configMeasure/scenarios.ts
+++ b/packages/lab/src/node/configMeasure/scenarios.ts
@@ -1,6 +1,6 @@
 /** Runs of changes under faults. */
 
-import type { Collection, ObjectStore } from '@flamingocourse/platform';
+import type { Collection, ObjectStore } from '@flamingocourse/store';
 import type { FleetSize } from './measuredFleet.js';
 import { createHash } from 'node:crypto';
 import { setTimeout as delay } from 'node:timers/promises';
--- a/packages/lab/src/node/platformStandIn/entrance.ts
+++ b/packages/lab/src/node/platformStandIn/entrance.ts
@@ -1,6 +1,6 @@
 /** One entrance of the platform stand-in: the listener that one data centre reaches. */
 
-import type { CallKind, ObjectTable } from '@flamingocourse/platform';
+import type { CallKind, ObjectTable } from '@flamingocourse/store';
 import type { IncomingMessage, Server, ServerResponse } from 'node:http';
 import type { RandomGenerator } from 'pure-rand/types/RandomGenerator';
 import type { EntranceFaults } from './entranceFaults.js';
--- a/packages/lab/src/node/platformStandIn/httpReplies.ts
+++ b/packages/lab/src/node/platformStandIn/httpReplies.ts
@@ -1,6 +1,6 @@
 /** Reading of request bodies and writing of replies for the platform stand-in. */
 
-import type { StoredObject, TableFault } from '@flamingocourse/platform';
+import type { StoredObject, TableFault } from '@flamingocourse/store';
 import type { IncomingMessage, ServerResponse } from 'node:http';
 
 const statusByFault: Record<TableFault, number> = {
--- a/packages/lab/src/node/platformStandIn/platformStandIn.ts
+++ b/packages/lab/src/node/platformStandIn/platformStandIn.ts
@@ -5,7 +5,7 @@
 import type { AddressInfo } from 'node:net';
 import type { EntranceFaults } from './entranceFaults.js';
 import type { StandInShared } from './entrance.js';
-import { ObjectTable } from '@flamingocourse/platform';
+import { ObjectTable } from '@flamingocourse/store';
 import { xoroshiro128plus } from 'pure-rand/generator/xoroshiro128plus';
 import { createControlHandler } from './controlHandler.js';
 import { Entrance } from './entrance.js';
--- a/packages/lab/src/node/platformStandIn/watchHub.ts
+++ b/packages/lab/src/node/platformStandIn/watchHub.ts
@@ -1,6 +1,6 @@
 /** Open watches of one entrance. */
 
-import type { ObjectTable } from '@flamingocourse/platform';
+import type { ObjectTable } from '@flamingocourse/store';
 import type { ServerResponse } from 'node:http';
 import { objectJson } from './httpReplies.js';
 
--- a/packages/router/src/node/backends/drainRelay.ts
+++ b/packages/router/src/node/backends/drainRelay.ts
@@ -7,7 +7,7 @@
  */
 
 import type { Kernel, Steps } from '@flamingocourse/kernel';
-import type { Collection, ObjectStore } from '@flamingocourse/platform';
+import type { Collection, ObjectStore } from '@flamingocourse/store';
 import type { MeshHints } from '../meshHints.js';
 import { awaitPromise, Channel, Service, startProcess, takeWithin } from '@flamingocourse/kernel';
 import { z } from 'zod';
--- a/packages/router/src/node/createRouter.ts
+++ b/packages/router/src/node/createRouter.ts
@@ -5,7 +5,7 @@
 import type { RouterSettings } from '../types/routerSettings.js';
 import { describeError, Kernel, NoMetrics, StatsdMetrics } from '@flamingocourse/kernel';
 import { MeshClient, MeshServer } from '@flamingocourse/mesh';
-import { HttpObjectStore } from '@flamingocourse/platform';
+import { HttpObjectStore } from '@flamingocourse/store';
 import { HmacTicketCodec } from '../utils/hmacTicketCodec.js';
 import { Fleet } from '../types/fleet.js';
 import { BackendService } from './backends/backendService.js';
--- a/packages/router/src/node/fleet/configurationService.ts
+++ b/packages/router/src/node/fleet/configurationService.ts
@@ -23,7 +23,7 @@
   Subscription,
   VersionedObject,
   WatchEvent,
-} from '@flamingocourse/platform';
+} from '@flamingocourse/store';
 import type { Peer } from '../../types/fleet.js';
 import type { RouterContext } from '../../types/routerContext.js';
 import type { ConfigurationView } from './configurationView.js';
--- a/packages/router/src/node/fleet/fleetService.ts
+++ b/packages/router/src/node/fleet/fleetService.ts
@@ -3,7 +3,7 @@
 import type { EpochMs, IncarnationId, MemberInfo, PeerHealth } from '@flamingocourse/core';
 import type { Kernel, Steps } from '@flamingocourse/kernel';
 import type { MeshClient, PackedHeartbeat } from '@flamingocourse/mesh';
-import type { ObjectStore } from '@flamingocourse/platform';
+import type { ObjectStore } from '@flamingocourse/store';
 import type { Peer } from '../../types/fleet.js';
 import type { RouterContext } from '../../types/routerContext.js';
 import { randomBytes } from 'node:crypto';
--- a/packages/router/src/node/platformAdapters.ts
+++ b/packages/router/src/node/platformAdapters.ts
@@ -7,7 +7,7 @@
   ObjectStore,
   PlatformError,
   VersionedObject,
-} from '@flamingocourse/platform';
+} from '@flamingocourse/store';
 import type { InstanceSource } from '../types/backendPorts.js';
 import type * as ports from '../types/moneyPorts.js';
 import type { Result } from 'true-myth';
--- a/test/cli/applyPlan.test.ts
+++ b/test/cli/applyPlan.test.ts
@@ -8,7 +8,7 @@
   verdicts,
 } from './fixtures.js';
 import { loadObjects, readHistory } from '@flamingocourse/cli';
-import { MemoryObjectStore } from '@flamingocourse/platform';
+import { MemoryObjectStore } from '@flamingocourse/store';
 import { declaredBodySchema } from '@flamingocourse/core';
 import assert from 'node:assert/strict';
 import { test } from 'node:test';
--- a/test/cli/budget.test.ts
+++ b/test/cli/budget.test.ts
@@ -11,7 +11,7 @@
 } from '@flamingocourse/cli';
 import type { Bill, JournalState } from '@flamingocourse/core';
 import { createOperator, now } from './fixtures.js';
-import { MemoryObjectStore } from '@flamingocourse/platform';
+import { MemoryObjectStore } from '@flamingocourse/store';
 import assert from 'node:assert/strict';
 import { test } from 'node:test';
 
--- a/test/cli/fixtures.ts
+++ b/test/cli/fixtures.ts
@@ -4,7 +4,7 @@
 import { createOperatorStore, planFiles, applyPlan } from '@flamingocourse/cli';
 import type { AppliedChange, PlannedFiles } from '@flamingocourse/cli';
 import type { GuardName } from '@flamingocourse/core';
-import type { MemoryObjectStore } from '@flamingocourse/platform';
+import type { MemoryObjectStore } from '@flamingocourse/store';
 import assert from 'node:assert/strict';
 
 export const now = 1_700_000_000_000;
--- a/test/mesh/configuration.test.ts
+++ b/test/mesh/configuration.test.ts
@@ -6,13 +6,13 @@
   Declaration,
   DeclaredObject,
 } from '@flamingocourse/core';
-import type { ObjectStore } from '@flamingocourse/platform';
+import type { ObjectStore } from '@flamingocourse/store';
 import type { TestRouter } from './fixtures.js';
 import assert from 'node:assert/strict';
 import { createHash } from 'node:crypto';
 import { test } from 'node:test';
 import { createConfigStore, mergeUpdate, updateSince } from '@flamingocourse/core';
-import { MemoryObjectStore } from '@flamingocourse/platform';
+import { MemoryObjectStore } from '@flamingocourse/store';
 import { declarationSchema, startRouter, until } from './fixtures.js';
 
 const declarations = { name: 'declarations', schema: declarationSchema } as const;
--- a/test/mesh/fixtures.ts
+++ b/test/mesh/fixtures.ts
@@ -2,7 +2,7 @@
 
 import type { TestContext } from 'node:test';
 import type { Declaration, MemberInfo } from '@flamingocourse/core';
-import type { ObjectStore } from '@flamingocourse/platform';
+import type { ObjectStore } from '@flamingocourse/store';
 import type { RouterContext, RouterSettings } from '@flamingocourse/router';
 import type { Link } from '../../packages/lab/src/node/link/index.js';
 import { setTimeout as delay } from 'node:timers/promises';
--- a/test/mesh/fleet.test.ts
+++ b/test/mesh/fleet.test.ts
@@ -4,7 +4,7 @@
 import assert from 'node:assert/strict';
 import { test } from 'node:test';
 import { MeshClient, packHeartbeat, unpackHeartbeat } from '@flamingocourse/mesh';
-import { MemoryObjectStore } from '@flamingocourse/platform';
+import { MemoryObjectStore } from '@flamingocourse/store';
 import { MembershipTable, routerInstanceList } from '../../packages/router/src/node/fleet/index.js';
 import { createMember, setPartition, startRouter, times, until } from './fixtures.js';
 
--- a/test/platform/circuit.test.ts
+++ b/test/store/circuit.test.ts
@@ -1,7 +1,7 @@
-import type { CircuitState } from '@flamingocourse/platform';
+import type { CircuitState } from '@flamingocourse/store';
 import assert from 'node:assert/strict';
 import { test } from 'node:test';
-import { admitCall, backOffMs, createCircuit, recordOutcome } from '@flamingocourse/platform';
+import { admitCall, backOffMs, createCircuit, recordOutcome } from '@flamingocourse/store';
 
 const options = { failureLimit: 2, pauseMs: 100, maxPauseMs: 300 };
 
--- a/test/platform/fixtures.ts
+++ b/test/store/fixtures.ts
@@ -1,13 +1,13 @@
 /** Shared by the platform tests: a running stand-in, its clients and small helpers. */
 
 import type { TestContext } from 'node:test';
-import type { Collection, HttpObjectStoreOptions } from '@flamingocourse/platform';
+import type { Collection, HttpObjectStoreOptions } from '@flamingocourse/store';
 import type {
   PlatformStandIn,
   PlatformStandInOptions,
 } from '../../packages/lab/src/node/platformStandIn/index.js';
 import { setTimeout as delay } from 'node:timers/promises';
-import { HttpObjectStore } from '@flamingocourse/platform';
+import { HttpObjectStore } from '@flamingocourse/store';
 import { z } from 'zod';
 import { createPlatformStandIn } from '../../packages/lab/src/node/platformStandIn/index.js';
 
--- a/test/platform/httpObjectStore.test.ts
+++ b/test/store/httpObjectStore.test.ts
@@ -1,4 +1,4 @@
-import type { HttpObjectStore, PlatformErrorCode } from '@flamingocourse/platform';
+import type { HttpObjectStore, PlatformErrorCode } from '@flamingocourse/store';
 import type { PlatformStandIn } from '../../packages/lab/src/node/platformStandIn/index.js';
 import assert from 'node:assert/strict';
 import { test } from 'node:test';
--- a/test/platform/watch.test.ts
+++ b/test/store/watch.test.ts
@@ -1,8 +1,8 @@
-import type { WatchEvent } from '@flamingocourse/platform';
+import type { WatchEvent } from '@flamingocourse/store';
 import type { Note } from './fixtures.js';
 import assert from 'node:assert/strict';
 import { test } from 'node:test';
-import { MemoryObjectStore } from '@flamingocourse/platform';
+import { MemoryObjectStore } from '@flamingocourse/store';
 import { connect, failTest, notes, startStandIn, until } from './fixtures.js';
 
 /** The collection as a watcher knows it after the events so far. */
