--- a/packages/kernel/src/node/eventLog.ts
+++ b/packages/kernel/src/node/eventLog.ts
@@ -1,6 +1,7 @@
 /** Structured log of numbered events, by winston. */
 
 import type { EventName } from '../runtime/eventCatalogue.js';
+import { Writable } from 'node:stream';
 import { SonicBoom } from 'sonic-boom';
 import winston from 'winston';
 import { eventCatalogue } from '../runtime/eventCatalogue.js';
@@ -78,14 +79,21 @@
 
   // a reader that stops reading must not stop the requests: a write to a full pipe would block.
   #createBackgroundTransport(): winston.transport {
-    const stream = new SonicBoom({ fd: STDOUT_FD, sync: false, maxLength: MAX_WAITING_BYTES });
-    stream.on('drop', () => {
+    const output = new SonicBoom({ fd: STDOUT_FD, sync: false, maxLength: MAX_WAITING_BYTES });
+    output.on('drop', () => {
       this.#dropped += 1;
     });
-    stream.on('error', () => {
+    output.on('error', () => {
       this.#dropped += 1;
     });
-    return new winston.transports.Stream({ stream: stream as unknown as NodeJS.WritableStream });
+    const stream = new Writable({
+      decodeStrings: false,
+      write: (line: string, _encoding, done) => {
+        output.write(line);
+        done();
+      },
+    });
+    return new winston.transports.Stream({ stream });
   }
 }
 
--- a/scripts/bundle.mjs
+++ b/scripts/bundle.mjs
@@ -10,12 +10,11 @@
   format: 'esm',
   target: 'node20',
   conditions: ['@flamingocourse/source'],
-  minify: true,
-  keepNames: true,
   // CommonJS modules in the bundle call require() for Node's own modules.
   banner: {
     js: "import { createRequire } from 'node:module'; const require = createRequire(import.meta.url);",
   },
-  metafile: true,
+  // the UMD build of jsonc-parser loads its parts in a way that can't be bundled.
+  alias: { 'jsonc-parser': './node_modules/jsonc-parser/lib/esm/main.js' },
   logLevel: 'warning',
 });
