feat(prepaid): slices follow where an account comes in; a conflict is no outage

Cause: some accounts come in at one instance only, others everywhere; an even or a noisy split left the one instance without tokens in a cut.

--- a/packages/core/src/runtime/prepaid/prepaidHolder.ts
+++ b/packages/core/src/runtime/prepaid/prepaidHolder.ts
@@ -8,7 +8,7 @@
 import type { DemandEstimate } from '../demand.js';
 import type { PrepaidLimits } from './prepaidPage.js';
 import type { PrepaidSizing } from './prepaidSizing.js';
-import { currentDemand, NO_DEMAND, observeDemand } from '../demand.js';
+import { NO_DEMAND, observeDemand, settledDemand } from '../demand.js';
 import { prepaidRate, remainingPrepaid } from './prepaidPage.js';
 
 /** Tokens set aside for one request, at its maximum. */
@@ -28,6 +28,8 @@
   /** Lacked by requests since the last report. */
   shortfall: Tokens;
   demand: DemandEstimate;
+  /** When the first request came. */
+  demandSince: EpochMs;
   /** Rate that the store was last told. */
   toldRate: number;
 }
@@ -38,6 +40,20 @@
   given: Map<AccountId, Tokens>;
 }
 
+/** Weight of one request in the moving average of their sizes. */
+const TYPICAL_WEIGHT = 0.05;
+
+/** What this instance and all together are asked for. */
+interface Demand {
+  /** Tokens a second at this instance, by account. */
+  rates: Map<AccountId, number>;
+  /** Tokens a second at all instances, by account. */
+  fleetRates: Map<AccountId, number>;
+  instances: number;
+  /** This instance's part of everything, from 0 to 1. */
+  trafficPart: number;
+}
+
 /** Part by which a rate has to change before it is worth a report of its own. */
 const RATE_NEWS = 0.25;
 /** Part of its level by which an account's rights may differ from it without a report. */
@@ -57,6 +73,7 @@
   readonly #holdings = new Map<AccountId, Holding>();
   #nextSeq = 1;
   #pending: PendingReport | undefined;
+  #typicalRequest: Tokens = 0;
 
   constructor(instance: string, incarnation: IncarnationId, sizing: PrepaidSizing) {
     this.instance = instance;
@@ -77,7 +94,10 @@
 
   /** Notes that a request came, so that the levels follow the demand. */
   observe(account: AccountId, amount: Tokens, now: EpochMs): void {
+    const weight = this.#typicalRequest === 0 ? 1 : TYPICAL_WEIGHT;
+    this.#typicalRequest += weight * (amount - this.#typicalRequest);
     const holding = this.#holding(account);
+    holding.demandSince = Math.min(holding.demandSince, now);
     holding.demand = observeDemand(holding.demand, amount, now);
   }
 
@@ -121,11 +141,11 @@
     if (this.#pending) return this.#pending.report;
     const entries: Record<AccountId, PrepaidReportEntry> = {};
     const given = new Map<AccountId, Tokens>();
-    const instances = Math.max(1, Object.keys(page.writers).length);
+    const demand = this.#demand(page, limits, now);
     for (const [account, limit] of limits) {
       const holding = this.#holding(account);
-      const rate = currentDemand(holding.demand, now);
-      const level = last ? 0 : this.#level(page, account, limit, rate, instances);
+      const level = last ? 0 : this.#level(page, account, limit, demand);
+      const rate = demand.rates.get(account) ?? 0;
       const entry = this.#entry(account, holding, Math.max(level, holding.shortfall), rate);
       if (!entry) continue;
       entries[account] = entry;
@@ -158,20 +178,31 @@
     for (const [account, amount] of pending.given) this.#holding(account).rights += amount;
   }
 
-  #level(
-    page: PrepaidPage,
-    account: AccountId,
-    limit: Tokens,
-    rate: number,
-    instances: number,
-  ): Tokens {
-    const entry = page.accounts[account];
-    const own = entry?.shares[this.instance]?.rate ?? 0;
+  #demand(page: PrepaidPage, limits: PrepaidLimits, now: EpochMs): Demand {
+    const rates = new Map<AccountId, number>();
+    const fleetRates = new Map<AccountId, number>();
+    for (const account of limits.keys()) {
+      const { demand, demandSince } = this.#holding(account);
+      const entry = page.accounts[account];
+      const own = settledDemand(demand, demandSince, now);
+      const others = prepaidRate(entry) - (entry?.shares[this.instance]?.rate ?? 0);
+      rates.set(account, own);
+      fleetRates.set(account, Math.max(0, others) + own);
+    }
+    const fleetTotal = sum(fleetRates.values());
+    const instances = Math.max(1, Object.keys(page.writers).length);
+    const trafficPart = fleetTotal > 0 ? sum(rates.values()) / fleetTotal : 1 / instances;
+    return { rates, fleetRates, instances, trafficPart };
+  }
+
+  #level(page: PrepaidPage, account: AccountId, limit: Tokens, demand: Demand): Tokens {
     return this.#sizing.level({
-      rate,
-      fleetRate: Math.max(0, prepaidRate(entry) - own) + rate,
-      remaining: remainingPrepaid(entry, limit),
-      instances,
+      rate: demand.rates.get(account) ?? 0,
+      fleetRate: demand.fleetRates.get(account) ?? 0,
+      remaining: remainingPrepaid(page.accounts[account], limit),
+      instances: demand.instances,
+      trafficPart: demand.trafficPart,
+      typicalRequest: this.#typicalRequest,
     });
   }
 
@@ -211,6 +242,7 @@
         unreported: 0,
         shortfall: 0,
         demand: NO_DEMAND,
+        demandSince: Infinity,
         toldRate: 0,
       };
       this.#holdings.set(account, holding);
@@ -218,3 +250,9 @@
     return holding;
   }
 }
+
+function sum(values: Iterable<number>): number {
+  let total = 0;
+  for (const value of values) total += value;
+  return total;
+}
--- a/packages/core/src/runtime/prepaid/prepaidSizing.ts
+++ b/packages/core/src/runtime/prepaid/prepaidSizing.ts
@@ -1,6 +1,7 @@
 /** How much of a prepaid budget one instance holds, so that it can serve while it is cut off. */
 
 import type { Tokens } from '../../types/ids.js';
+import { DEMAND_SPAN_SECONDS } from '../demand.js';
 
 /** What a level is decided from. */
 export interface PrepaidSituation {
@@ -12,6 +13,10 @@
   remaining: Tokens;
   /** Instances that share the budget, this one included. */
   instances: number;
+  /** This instance's part of the demand of all accounts together, from 0 to 1. */
+  trafficPart: number;
+  /** Tokens that a request of any account asks for on average. */
+  typicalRequest: Tokens;
 }
 
 /** Tuning of the levels. */
@@ -28,19 +33,29 @@
   dealtPart: number;
   /** Part of what is dealt that goes to all instances evenly, for callers who change instance. */
   evenPart: number;
+  /**
+   * Requests of an account, in the span that its rate is averaged over, that say as much about where
+   * its next ones come in as all traffic does. Some accounts always come in at one instance, others
+   * at all; and a handful of requests, whose sizes differ by a factor of ten, can't tell which.
+   */
+  priorRequests: number;
 }
 
 export const defaultPrepaidSizing: PrepaidSizingSettings = {
-  rideThroughSeconds: 16,
-  dealtPart: 0.6,
-  evenPart: 0.2,
+  rideThroughSeconds: 20,
+  dealtPart: 0.7,
+  evenPart: 0.1,
+  priorRequests: 4,
 };
 
 /**
  * Levels by demand within a fair part of what remains.
  *
  * @example
- * new PrepaidSizing().level({ rate: 2_000, fleetRate: 10_000, remaining: 900_000, instances: 7 });
+ * new PrepaidSizing().level({
+ *   rate: 2_000, fleetRate: 10_000, remaining: 900_000, instances: 7, trafficPart: 0.15,
+ *   typicalRequest: 5_000,
+ * });
  */
 export class PrepaidSizing {
   readonly #settings: PrepaidSizingSettings;
@@ -51,11 +66,14 @@
 
   /** Free tokens that an instance should hold. */
   level(situation: PrepaidSituation): Tokens {
-    const { rideThroughSeconds, dealtPart, evenPart } = this.#settings;
-    const { rate, fleetRate, remaining, instances } = situation;
+    const { rideThroughSeconds, dealtPart, evenPart, priorRequests } = this.#settings;
+    const { rate, fleetRate, remaining, instances, trafficPart, typicalRequest } = situation;
     const dealt = remaining * dealtPart;
     const even = (dealt * evenPart) / instances;
-    const byDemand = fleetRate > 0 ? (dealt * (1 - evenPart) * rate) / fleetRate : 0;
-    return Math.floor(Math.min(even + byDemand, Math.max(even, rate * rideThroughSeconds)));
+    const prior = Math.max(1, priorRequests * typicalRequest);
+    const seen = fleetRate * DEMAND_SPAN_SECONDS;
+    const part = (rate * DEMAND_SPAN_SECONDS + prior * trafficPart) / (seen + prior);
+    const byDemand = dealt * (1 - evenPart) * part;
+    return Math.floor(even + Math.min(byDemand, fleetRate * part * rideThroughSeconds));
   }
 }
--- a/packages/core/src/runtime/routing/serverChooser.ts
+++ b/packages/core/src/runtime/routing/serverChooser.ts
@@ -119,8 +119,8 @@
       affinity(prefixHash, next) > affinity(prefixHash, best) ? next : best,
     );
     const mean = candidates.reduce((sum, next) => sum + utilisation(next), 0) / candidates.length;
-    // one request more than the mean is always fine: else an idle fleet would ignore its caches.
-    const limit = Math.max(this.#bound * mean, mean + 1 / owner.capacity);
+    // one request more is always fine: else an idle fleet would ignore its caches.
+    const limit = this.#bound * mean + 1 / owner.capacity;
     if (utilisation(owner) <= limit) return owner;
     return this.#fallback.pick(candidates, request, random);
   }
--- a/packages/gateway/src/node/createGateway.ts
+++ b/packages/gateway/src/node/createGateway.ts
@@ -5,7 +5,7 @@
 import type { GatewaySettings } from '../types/gatewaySettings.js';
 import { randomUUID } from 'node:crypto';
 import { Kernel, describeError } from '@flamingocourse/kernel';
-import { HttpObjectStore } from '@flamingocourse/store';
+import { HttpObjectStore, defaultCircuitOptions } from '@flamingocourse/store';
 import { BackendLanes } from './backendLanes.js';
 import { ConfigurationWatch } from './configurationWatch.js';
 import { EntryService } from './entryService.js';
@@ -14,6 +14,12 @@
 import { ServerDirectory } from './serverDirectory.js';
 import { StatusService } from './statusService.js';
 
+/**
+ * Longest pause between probes of a store that is away, in milliseconds. Tokens run out and servers
+ * go unnoticed meanwhile, so it is a part of the time in which a configuration has to be in force.
+ */
+const MAX_CIRCUIT_PAUSE_MS = 400;
+
 /** What a gateway gets from its process. */
 export interface GatewayOptions {
   settings: GatewaySettings;
@@ -44,6 +50,7 @@
     timeoutMs: settings.store.timeoutMs,
     watchIdleMs: settings.store.watchIdleMs,
     dialect: dialects.store,
+    circuit: { ...defaultCircuitOptions, maxPauseMs: MAX_CIRCUIT_PAUSE_MS },
     clock,
     random,
   });
--- a/packages/gateway/src/node/prepaidService.ts
+++ b/packages/gateway/src/node/prepaidService.ts
@@ -18,6 +18,7 @@
   createPrepaidPage,
   hasReport,
   remainingPrepaid,
+  ungrantedPrepaid,
 } from '@flamingocourse/core';
 import { Service } from '@flamingocourse/kernel';
 import { notRun } from '@flamingocourse/router';
@@ -30,9 +31,15 @@
 /** One page holds all accounts: some hundred bytes for each account and instance. */
 const PAGE_NAME = '0';
 /** Conflicts in a row after which a report waits for its next turn. */
-const MAX_CONFLICTS = 6;
+const MAX_CONFLICTS = 8;
 /** Milliseconds after which a page is too old to say that a budget is used up. */
 const PAGE_FRESH_MS = 300;
+/** Milliseconds for which a page that has too few tokens to grant is not asked again. */
+const SHORT_FRESH_MS = 250;
+/** Part of the report period by which instances that started together drift apart. */
+const REPORT_JITTER = 0.3;
+/** Milliseconds between tries while the store is away; tokens run out meanwhile. */
+const AWAY_RETRY_MS = 300;
 /** Milliseconds after which a caller that was refused for want of tokens may find some. */
 const TOKENS_RETRY_MS = 400;
 
@@ -51,7 +58,9 @@
   #pageAt = -Infinity;
   #running: Promise<SyncEnd> | undefined;
   #timer: NodeJS.Timeout | undefined;
-  #failures = 0;
+  /** The store did not answer the last exchange. */
+  #away = false;
+  #stopped = false;
 
   constructor(context: GatewayContext, incarnation: string) {
     super();
@@ -67,14 +76,13 @@
     this.#configuration.onChange(() => {
       void this.#sync();
     });
-    this.#timer = setInterval(() => {
-      void this.#sync();
-    }, this.#context.settings.prepaid.reportMs);
+    this.#schedule();
   }
 
   /** Reports the rest and gives everything back. */
   override async stop(): Promise<void> {
-    clearInterval(this.#timer);
+    clearTimeout(this.#timer);
+    this.#stopped = true;
     await this.#running;
     await this.#sync(true);
   }
@@ -91,7 +99,7 @@
     this.#holder.observe(account, amount, clock.now());
     const held = this.#holder.reserve(account, amount);
     if (held) return Result.ok(held);
-    if (this.#failures === 0 && !this.#isUsedUp(account, amount)) {
+    if (!this.#away && !this.#isShort(account, amount)) {
       // one exchange may have been under way that did not ask for these tokens yet.
       await this.#running;
       await this.#sync();
@@ -106,6 +114,31 @@
     this.#holder.settle(reservation, used);
   }
 
+  /** Whether a page just seen has too few tokens left to grant. */
+  #isShort(account: AccountId, amount: Tokens): boolean {
+    if (this.#context.clock.now() - this.#pageAt > SHORT_FRESH_MS) return false;
+    const entry = this.#page?.value.accounts[account];
+    const limit = this.#table?.prepaid.get(account) ?? Infinity;
+    if (!entry) return false;
+    return this.#holder.free(account) + ungrantedPrepaid(entry, limit) < amount;
+  }
+
+  #schedule(): void {
+    if (this.#stopped) return;
+    const { settings, random } = this.#context;
+    const { reportMs } = settings.prepaid;
+    // instances that report in the same moment conflict with each other again and again.
+    const jittered = reportMs * (1 - REPORT_JITTER / 2 + REPORT_JITTER * random());
+    this.#timer = setTimeout(
+      () => {
+        void this.#sync().finally(() => {
+          this.#schedule();
+        });
+      },
+      this.#away ? AWAY_RETRY_MS : jittered,
+    );
+  }
+
   #refuse(account: AccountId, amount: Tokens): Refusal {
     const { clock, log } = this.#context;
     const usedUp = this.#isUsedUp(account, amount);
@@ -162,7 +195,8 @@
       if (written.error.code !== 'conflict') return this.#fail(written.error.message);
       current = this.#parseCurrent(written.error.current) ?? (await this.#read());
     }
-    return this.#fail('conflicts');
+    // others were quicker each time; the store itself is there.
+    return current ? 'failed' : this.#fail('page not read');
   }
 
   #confirm(page: VersionedObject<PrepaidPage>): SyncEnd {
@@ -170,8 +204,8 @@
     const report = this.#holder.pending;
     this.#keep(page);
     this.#holder.confirm(page.value);
-    if (this.#failures > 0) log.write('store-regained', { watch: this.name });
-    this.#failures = 0;
+    if (this.#away) log.write('store-regained', { watch: this.name });
+    this.#away = false;
     const accounts = Object.keys(report?.entries ?? {});
     log.write('prepaid-reported', {
       version: page.version,
@@ -191,10 +225,9 @@
   // the report stays pending: its write may still take effect, so the same one is sent again.
   #fail(reason: string): SyncEnd {
     this.#page = undefined;
-    this.#failures += 1;
-    if (this.#failures === 1) this.#context.log.write('store-lost', { watch: this.name, reason });
     const seq = this.#holder.pending?.seq;
-    if (seq !== undefined) this.#context.log.write('prepaid-report-failed', { seq, reason });
+    if (!this.#away) this.#context.log.write('store-lost', { watch: this.name, reason, seq });
+    this.#away = true;
     return 'failed';
   }
 
--- a/packages/kernel/src/runtime/eventCatalogue.ts
+++ b/packages/kernel/src/runtime/eventCatalogue.ts
@@ -83,12 +83,6 @@
     level: 'info',
     text: 'spend was reported and tokens were taken or given back',
   },
-  'prepaid-report-failed': {
-    number: 411,
-    level: 'warn',
-    text: 'a report of spend has no known outcome and is sent again',
-    action: 'Look at the store; tokens in hand can still be spent.',
-  },
   'prepaid-refused': {
     number: 412,
     level: 'info',
