--- a/packages/core/src/runtime/prepaid/prepaidSizing.ts
+++ b/packages/core/src/runtime/prepaid/prepaidSizing.ts
@@ -39,6 +39,8 @@
    * at all; and a handful of requests, whose sizes differ by a factor of ten, can't tell which.
    */
   priorRequests: number;
+  /** Requests for each instance that the last tokens must cover to be dealt at all. */
+  undealtRequests: number;
 }
 
 export const defaultPrepaidSizing: PrepaidSizingSettings = {
@@ -46,6 +48,7 @@
   dealtPart: 0.7,
   evenPart: 0.1,
   priorRequests: 4,
+  undealtRequests: 1.5,
 };
 
 /**
@@ -68,7 +71,10 @@
   level(situation: PrepaidSituation): Tokens {
     const { rideThroughSeconds, dealtPart, evenPart, priorRequests } = this.#settings;
     const { rate, fleetRate, remaining, instances, trafficPart, typicalRequest } = situation;
-    const dealt = remaining * dealtPart;
+    // dealt to all, the last tokens would be dust: no instance could cover a request, while together
+    // they could cover many. Kept in the store, they are fetched for each request that comes.
+    const undealt = this.#settings.undealtRequests * typicalRequest * instances;
+    const dealt = Math.max(0, remaining - undealt) * dealtPart;
     const even = (dealt * evenPart) / instances;
     const prior = Math.max(1, priorRequests * typicalRequest);
     const seen = fleetRate * DEMAND_SPAN_SECONDS;
--- a/packages/gateway/src/node/answerRelay.ts
+++ b/packages/gateway/src/node/answerRelay.ts
@@ -94,7 +94,7 @@
     });
     open.body.on('end', () => {
       // `end` also comes for an answer whose connection closed before its declared length.
-      if (open.body.complete) finish({ type: 'whole', firstByteAt });
+      if (open.body.complete && !open.isBroken()) finish({ type: 'whole', firstByteAt });
       else finish({ type: 'broken', cause: 'cut short' });
     });
     open.body.on('error', (err) => {
--- a/packages/gateway/src/node/entryService.ts
+++ b/packages/gateway/src/node/entryService.ts
@@ -245,6 +245,7 @@
       made: progress?.made,
       tried: progress?.tried.join(' ') ?? undefined,
       events: answer.events,
+      charged: progress?.charged,
       firstMs: Math.round(doneMs),
       totalMs: Math.round(now - arrivedAt),
       version: run?.table.config.version,
--- a/packages/gateway/src/node/httpAttempt.ts
+++ b/packages/gateway/src/node/httpAttempt.ts
@@ -40,6 +40,11 @@
 export interface OpenAnswer {
   head: ServerHead;
   body: IncomingMessage;
+  /**
+   * Whether the connection failed. An answer without a length ends with its connection, and Node
+   * reports such an answer as complete also when the connection was reset.
+   */
+  isBroken(): boolean;
   /** Gives the answer up; the server is told by the closed connection. */
   drop(): void;
 }
@@ -86,7 +91,9 @@
       signal.removeEventListener('abort', abort);
       fail('broken', 'connection closed');
     });
+    let broken = false;
     req.on('error', (err) => {
+      broken = true;
       fail('broken', err.message);
     });
     req.on('response', (body) => {
@@ -96,7 +103,13 @@
       const drop = (): void => {
         req.destroy();
       };
-      settle(Result.ok({ head: { status, headers: answerHeaders, rawHeaders }, body, drop }));
+      const head = { status, headers: answerHeaders, rawHeaders };
+      if (endsWithConnection(body)) {
+        body.socket.prependOnceListener('end', () => {
+          if (wasReset(body.socket)) broken = true;
+        });
+      }
+      settle(Result.ok({ head, body, drop, isBroken: () => broken }));
     });
     if (signal.aborted) abort();
     else req.end(attempt.body);
@@ -107,6 +120,20 @@
   return reason === 'aborted' ? 'aborted' : 'not-connected';
 }
 
+/** Whether only the end of the connection tells where the answer ends. */
+function endsWithConnection({ headers }: IncomingMessage): boolean {
+  return headers['content-length'] === undefined && headers['transfer-encoding'] === undefined;
+}
+
+/**
+ * Whether a connection that just ended was reset. libuv reports a reset that comes together with the
+ * last bytes as a plain end, without an error; but only a connection that is still half open has an
+ * address at its other end.
+ */
+function wasReset(socket: Socket): boolean {
+  return socket.remoteAddress === undefined;
+}
+
 /** Tells whether a request has an open connection; without one nothing of it was sent. */
 function watchConnection(req: ClientRequest): { isOpen(): boolean } {
   let open = false;
--- a/packages/gateway/src/node/prepaidService.ts
+++ b/packages/gateway/src/node/prepaidService.ts
@@ -17,6 +17,7 @@
   applyReport,
   createPrepaidPage,
   hasReport,
+  heldPrepaid,
   remainingPrepaid,
   ungrantedPrepaid,
 } from '@flamingocourse/core';
@@ -146,7 +147,10 @@
       account,
       amount,
       free: this.#holder.free(account),
+      held: this.#holder.held(account),
       remaining: this.#remaining(account),
+      limit: this.#table?.prepaid.get(account),
+      inDoubt: this.#page?.value.accounts[account]?.inDoubt,
       pageAgeMs: Math.round(clock.now() - this.#pageAt),
       usedUp,
     });
@@ -200,7 +204,7 @@
   }
 
   #confirm(page: VersionedObject<PrepaidPage>): SyncEnd {
-    const { clock, log, metrics } = this.#context;
+    const { log, metrics } = this.#context;
     const report = this.#holder.pending;
     this.#keep(page);
     this.#holder.confirm(page.value);
@@ -213,7 +217,7 @@
       accounts: accounts.length,
       spent: sum(Object.values(report?.entries ?? {}).map((entry) => entry.spent)),
       held: sum(accounts.map((account) => this.#holder.held(account))),
-      at: Math.round(clock.now()),
+      ...pageTotals(page.value, this.#table),
     });
     for (const account of accounts) {
       metrics.gauge('prepaid_held_tokens', 'tokens held', this.#holder.held(account), { account });
@@ -260,6 +264,20 @@
   }
 }
 
+/** Totals over all accounts, for the log. */
+function pageTotals(
+  page: PrepaidPage,
+  table: RouteTable | undefined,
+): { limitAll: Tokens; spentAll: Tokens; heldAll: Tokens; inDoubtAll: Tokens } {
+  const accounts = Object.values(page.accounts);
+  return {
+    limitAll: sum([...(table?.prepaid.values() ?? [])]),
+    spentAll: sum(accounts.map((account) => account.spent)),
+    heldAll: sum(accounts.map(heldPrepaid)),
+    inDoubtAll: sum(accounts.map((account) => account.inDoubt)),
+  };
+}
+
 function sum(values: number[]): number {
   return values.reduce((total, value) => total + value, 0);
 }
--- a/packages/gateway/src/node/requestFlow.ts
+++ b/packages/gateway/src/node/requestFlow.ts
@@ -74,6 +74,8 @@
   mayHaveRun: number;
   events: number;
   resumeAfter: string | undefined;
+  /** Tokens charged to the account. */
+  charged: number;
 }
 
 type AttemptEnd = { type: 'done'; outcome: Outcome } | { type: 'failed'; failed: FailedAttempt };
@@ -88,7 +90,7 @@
     this.#parts = parts;
     this.#call = call;
     const { resumeAfter } = call.head;
-    this.#progress = { tried: [], made: 0, mayHaveRun: 0, events: 0, resumeAfter };
+    this.#progress = { tried: [], made: 0, mayHaveRun: 0, events: 0, resumeAfter, charged: 0 };
   }
 
   /** Servers tried, attempts and events so far, for the log. */
@@ -129,6 +131,7 @@
     const { mayHaveRun, events } = this.#progress;
     const generated = Math.min(head.size.most, events * service.tokensPerEvent);
     const used = mayHaveRun === 0 ? 0 : head.size.prompt + generated;
+    this.#progress.charged = used;
     this.#parts.prepaid.settle(reservation, used);
   }
 
