--- a/packages/core/src/runtime/prepaid/prepaidSizing.ts
+++ b/packages/core/src/runtime/prepaid/prepaidSizing.ts
@@ -44,8 +44,8 @@
 }
 
 export const defaultPrepaidSizing: PrepaidSizingSettings = {
-  rideThroughSeconds: 20,
-  dealtPart: 0.7,
+  rideThroughSeconds: 9,
+  dealtPart: 0.4,
   evenPart: 0.1,
   priorRequests: 4,
   undealtRequests: 1.5,
--- a/packages/core/src/runtime/routes/routeTable.ts
+++ b/packages/core/src/runtime/routes/routeTable.ts
@@ -1,7 +1,12 @@
 /** Finds routes, accounts and services of a configuration. */
 
 import type { AccountId, ServiceName, Tokens } from '../../types/ids.js';
-import type { Route, RoutedAccount, RoutedConfig, RoutedService } from '../../types/routedConfig.js';
+import type {
+  Route,
+  RoutedAccount,
+  RoutedConfig,
+  RoutedService,
+} from '../../types/routedConfig.js';
 
 /**
  * One version of the configuration, arranged for look-ups.
--- a/packages/gateway/src/index.ts
+++ b/packages/gateway/src/index.ts
@@ -1,6 +1,9 @@
 export * from './node/createGateway.js';
 export * from './node/resolveGatewaySettings.js';
+export { readAnswer } from './node/answerRelay.js';
+export * from './node/httpAttempt.js';
 export * from './node/serverAgent.js';
+export * from './runtime/affinityKey.js';
 export * from './runtime/retryAllowance.js';
 export * from './runtime/attemptJudgement.js';
 export type * from './types/call.js';
--- a/packages/gateway/src/node/answerRelay.ts
+++ b/packages/gateway/src/node/answerRelay.ts
@@ -23,23 +23,45 @@
   | { type: 'broken'; cause: string }
   | { type: 'aborted' };
 
+/** An answer that was read to its end. */
+export interface WholeAnswer {
+  type: 'whole';
+  firstByteAt: number | undefined;
+  body: Buffer;
+}
+
 /**
  * Reads a whole answer, then passes it on. So an answer that breaks off never reaches the caller, and
  * the request can go to another server.
  */
 export async function relayWhole(relay: Relay): Promise<RelayEnd> {
+  const { open, answer, headers, signal, now } = relay;
+  const end = await readAnswer(open, signal, now);
+  if (end.type === 'whole') answer.whole(open.head.status, headers, end.body);
+  return end;
+}
+
+/**
+ * Reads an answer to its end.
+ *
+ * @example
+ * const end = await readAnswer(open, signal);
+ * if (end.type === 'whole') use(end.body);
+ */
+export async function readAnswer(
+  open: OpenAnswer,
+  signal: AbortSignal,
+  now: () => number = () => performance.now(),
+): Promise<Exclude<RelayEnd, { type: 'whole' }> | WholeAnswer> {
   const chunks: Buffer[] = [];
   let size = 0;
-  const end = await readBody(relay, (chunk) => {
+  const end = await readBody({ open, signal, now }, (chunk) => {
     size += chunk.length;
     if (size > MAX_WHOLE_BYTES) return false;
     chunks.push(chunk);
     return true;
   });
-  if (end.type === 'whole') {
-    relay.answer.whole(relay.open.head.status, relay.headers, Buffer.concat(chunks));
-  }
-  return end;
+  return end.type === 'whole' ? { ...end, body: Buffer.concat(chunks) } : end;
 }
 
 /**
@@ -75,8 +97,10 @@
   });
 }
 
-function readBody(relay: Relay, take: (chunk: Buffer) => boolean): Promise<RelayEnd> {
-  const { open, signal, now } = relay;
+function readBody(
+  { open, signal, now }: Pick<Relay, 'open' | 'signal' | 'now'>,
+  take: (chunk: Buffer) => boolean,
+): Promise<RelayEnd> {
   return new Promise((resolve) => {
     let firstByteAt: number | undefined;
     const finish = (end: RelayEnd): void => {
--- a/packages/gateway/src/node/backendLanes.ts
+++ b/packages/gateway/src/node/backendLanes.ts
@@ -4,7 +4,12 @@
 import type { ServiceName } from '@flamingocourse/core';
 import type { GatewayContext } from '../types/context.js';
 import type { DirectoryServer } from './serverDirectory.js';
-import { AdmissionQueue, PrefixAffinityChooser, ServerPool, createServerChooser } from '@flamingocourse/core';
+import {
+  AdmissionQueue,
+  PrefixAffinityChooser,
+  ServerPool,
+  createServerChooser,
+} from '@flamingocourse/core';
 import { Service } from '@flamingocourse/kernel';
 import { QuarantineRegister, ServiceLane } from '@flamingocourse/router';
 import { ConfigurationWatch } from './configurationWatch.js';
--- a/packages/gateway/src/node/entryService.ts
+++ b/packages/gateway/src/node/entryService.ts
@@ -124,7 +124,11 @@
       // a fault in our own code must not leave the caller waiting.
       this.#kernel?.reportFailure(err, this.name);
       if (!answer.started) {
-        this.#refuse(answer, { reason: 'backend-failed', run: 'unknown', detail: 'internal fault' });
+        this.#refuse(answer, {
+          reason: 'backend-failed',
+          run: 'unknown',
+          detail: 'internal fault',
+        });
       } else answer.cut();
       const outcome: Outcome = { type: 'broken', detail: describeError(err) };
       this.#end('none', head, answer, arrivedAt, outcome);
--- a/packages/gateway/src/node/prepaidService.ts
+++ b/packages/gateway/src/node/prepaidService.ts
@@ -9,7 +9,11 @@
   Tokens,
 } from '@flamingocourse/core';
 import type { Kernel } from '@flamingocourse/kernel';
-import type { Collection, PlatformError as StoreError, VersionedObject } from '@flamingocourse/store';
+import type {
+  Collection,
+  PlatformError as StoreError,
+  VersionedObject,
+} from '@flamingocourse/store';
 import type { GatewayContext } from '../types/context.js';
 import {
   PrepaidHolder,
@@ -92,10 +96,7 @@
    * Sets the most that a request may use aside. What is lacking is fetched from the store, which
    * takes some milliseconds; while the store is away the request is refused at once instead.
    */
-  async reserve(
-    account: AccountId,
-    amount: Tokens,
-  ): Promise<Result<PrepaidReservation, Refusal>> {
+  async reserve(account: AccountId, amount: Tokens): Promise<Result<PrepaidReservation, Refusal>> {
     const { clock } = this.#context;
     this.#holder.observe(account, amount, clock.now());
     const held = this.#holder.reserve(account, amount);
@@ -194,7 +195,10 @@
     for (let tries = 0; current && tries < MAX_CONFLICTS; tries += 1) {
       if (hasReport(current.value, report)) return this.#confirm(current);
       const next = applyReport(current.value, report, limits);
-      const written: Result<VersionedObject<PrepaidPage>, StoreError> = await this.#context.store.update(pages, PAGE_NAME, current.version, next);
+      const written: Result<
+        VersionedObject<PrepaidPage>,
+        StoreError
+      > = await this.#context.store.update(pages, PAGE_NAME, current.version, next);
       if (written.isOk) return this.#confirm(written.value);
       if (written.error.code !== 'conflict') return this.#fail(written.error.message);
       current = this.#parseCurrent(written.error.current) ?? (await this.#read());
--- a/packages/gateway/src/node/readRequestBody.ts
+++ b/packages/gateway/src/node/readRequestBody.ts
@@ -2,7 +2,8 @@
 
 import type { IncomingMessage } from 'node:http';
 
-export type RequestBody = { type: 'whole'; bytes: Buffer } | { type: 'too-large' } | { type: 'gone' };
+export type RequestBody =
+  { type: 'whole'; bytes: Buffer } | { type: 'too-large' } | { type: 'gone' };
 
 /** Reads up to `limit` bytes; what is beyond is thrown away. */
 export function readRequestBody(req: IncomingMessage, limit: number): Promise<RequestBody> {
--- a/packages/gateway/src/node/requestFlow.ts
+++ b/packages/gateway/src/node/requestFlow.ts
@@ -209,7 +209,12 @@
         return this.#relay(opened.value, placement, startedAt);
       case 'not-run':
         opened.value.body.resume();
-        return this.#failed(placement, 'refused', 'cancelled', `status ${opened.value.head.status}`);
+        return this.#failed(
+          placement,
+          'refused',
+          'cancelled',
+          `status ${opened.value.head.status}`,
+        );
       case 'other-server':
         opened.value.body.resume();
         return this.#failed(placement, 'other-server', 'leaving', 'another server has the address');
@@ -288,7 +293,11 @@
       placement.end('cancelled');
       return { type: 'done', outcome: this.#interrupted() };
     }
-    context.log.write('attempt-failed', { request: head.id, cause: end.cause, events: answer.events });
+    context.log.write('attempt-failed', {
+      request: head.id,
+      cause: end.cause,
+      events: answer.events,
+    });
     return this.#failed(placement, 'unknown', 'crashed', end.cause);
   }
 
@@ -354,7 +363,11 @@
 /** Digest of what runs, the same whenever the caller sends it again. */
 function fingerprintOf({ head, account, body }: RoutedCall): string {
   const hash = createHash('sha1').update(head.method).update(head.target).update('\0');
-  return hash.update(account?.name ?? '').update('\0').update(body).digest('base64');
+  return hash
+    .update(account?.name ?? '')
+    .update('\0')
+    .update(body)
+    .digest('base64');
 }
 
 function noServers(): Refusal {
--- a/packages/kernel/src/node/eventLog.ts
+++ b/packages/kernel/src/node/eventLog.ts
@@ -2,7 +2,7 @@
 
 import type { EventName } from '../runtime/eventCatalogue.js';
 import { Writable } from 'node:stream';
-import { SonicBoom } from 'sonic-boom';
+import sonicBoom from 'sonic-boom';
 import winston from 'winston';
 import { eventCatalogue } from '../runtime/eventCatalogue.js';
 
@@ -57,9 +57,7 @@
       defaultMeta: options.defaults ?? {},
       format: winston.format.combine(winston.format.timestamp(), winston.format.json()),
       transports: [
-        options.output === 'stdout'
-          ? this.#createBackgroundTransport()
-          : createConsoleTransport(),
+        options.output === 'stdout' ? this.#createBackgroundTransport() : createConsoleTransport(),
       ],
     });
   }
@@ -79,7 +77,7 @@
 
   // a reader that stops reading must not stop the requests: a write to a full pipe would block.
   #createBackgroundTransport(): winston.transport {
-    const output = new SonicBoom({ fd: STDOUT_FD, sync: false, maxLength: MAX_WAITING_BYTES });
+    const output = new sonicBoom.SonicBoom({ fd: STDOUT_FD, sync: false, maxLength: MAX_WAITING_BYTES });
     output.on('drop', () => {
       this.#dropped += 1;
     });
--- a/packages/kernel/src/runtime/eventCatalogue.ts
+++ b/packages/kernel/src/runtime/eventCatalogue.ts
@@ -38,7 +38,11 @@
   'gateway-stopping': { number: 111, level: 'info', text: 'a graceful shutdown has begun' },
   'gateway-stopped': { number: 112, level: 'info', text: 'the entry has stopped' },
   'settings-reloaded': { number: 113, level: 'info', text: 'the settings file was read again' },
-  'readiness-changed': { number: 114, level: 'info', text: 'the entry asks for connections or not' },
+  'readiness-changed': {
+    number: 114,
+    level: 'info',
+    text: 'the entry asks for connections or not',
+  },
   'log-lines-dropped': {
     number: 115,
     level: 'warn',
--- /dev/null
+++ b/test/gateway/decisions.test.ts
@@ -0,0 +1,171 @@
+import type { AttemptHistory, FailedAttempt } from '@flamingocourse/gateway';
+import type { RoutedConfig } from '@flamingocourse/core';
+import assert from 'node:assert/strict';
+import { describe, test } from 'node:test';
+import { RouteTable, pickTarget } from '@flamingocourse/core';
+import { RetryAllowance, affinityKey, mayFollow, refuseFailed } from '@flamingocourse/gateway';
+
+describe('another attempt', () => {
+  // a bed is reserved twice: the connection broke after the request was sent, and it was sent again.
+  const base: AttemptHistory = {
+    repetition: 'once',
+    maxAttempts: 1,
+    mayHaveRun: 0,
+    made: 1,
+    leftMs: 400,
+  };
+  const cases: { failed: FailedAttempt; change?: Partial<AttemptHistory>; expected: boolean }[] = [
+    { failed: 'not-sent', expected: true },
+    { failed: 'refused', expected: true },
+    { failed: 'other-server', expected: true },
+    { failed: 'unknown', change: { mayHaveRun: 1 }, expected: false },
+    { failed: 'server-error', change: { mayHaveRun: 1 }, expected: false },
+    { failed: 'not-sent', change: { leftMs: 5 }, expected: false },
+    { failed: 'not-sent', change: { made: 4 }, expected: false },
+    { failed: 'not-sent', change: { mayHaveRun: 1, made: 2 }, expected: false },
+    {
+      failed: 'unknown',
+      change: { repetition: 'idempotent', maxAttempts: 2, mayHaveRun: 1 },
+      expected: true,
+    },
+    {
+      failed: 'unknown',
+      change: { repetition: 'idempotent', maxAttempts: 2, mayHaveRun: 2, made: 2 },
+      expected: false,
+    },
+    {
+      failed: 'unknown',
+      change: { repetition: 'once-stream', maxAttempts: 2, mayHaveRun: 1 },
+      expected: false,
+    },
+    {
+      failed: 'unknown',
+      change: { repetition: 'resumable-stream', maxAttempts: 2, mayHaveRun: 1 },
+      expected: true,
+    },
+  ];
+  for (const { failed, change = {}, expected } of cases) {
+    test(`${expected ? 'may' : 'may not'} follow ${failed} ${JSON.stringify(change)}`, () => {
+      assert.equal(mayFollow(failed, { ...base, ...change }), expected);
+    });
+  }
+});
+
+// a family is told "not run" of a reservation that stands.
+test('a refusal says not run only when no attempt can have run', () => {
+  assert.equal(refuseFailed(0, 'gone', 300).run, 'not-run');
+  assert.equal(refuseFailed(0, 'gone', 300).retryAfterMs, 300);
+  assert.equal(refuseFailed(1, 'gone', 300).run, 'unknown');
+  assert.equal(refuseFailed(1, 'gone', 300).retryAfterMs, undefined);
+});
+
+describe('the allowance for further attempts', () => {
+  // all servers of a service fail for some seconds, every instance tries each request again, and
+  // the doubled load keeps the servers down.
+  const options = { ratio: 0.2, slack: 54, windowMs: 10_000 };
+
+  test('stays within the bound over all instances, in any window', () => {
+    const instances = 7;
+    const requests = 200;
+    const allowances = Array.from(
+      { length: instances },
+      () => new RetryAllowance({ ...options, instances }),
+    );
+    let taken = 0;
+    for (let at = 0; at < requests; at += 1) {
+      const now = at * 10;
+      const allowance = allowances[at % instances];
+      allowance?.request(now);
+      while (allowance?.take(now)) taken += 1;
+    }
+    assert.ok(taken > 0);
+    assert.ok(taken <= options.ratio * requests + options.slack, `took ${String(taken)}`);
+  });
+
+  test('comes back as the window moves on', () => {
+    const allowance = new RetryAllowance({ ...options, ratio: 0, instances: 27 });
+    assert.equal(allowance.take(0), true);
+    assert.equal(allowance.take(1), false);
+    assert.equal(allowance.take(10_001), true);
+  });
+});
+
+describe('routes', () => {
+  const route = {
+    repetition: 'once',
+    maxAttempts: 1,
+    timeoutMs: 1,
+    targetMs: 1,
+    priority: 0,
+  } as const;
+  const config: RoutedConfig = {
+    version: 3,
+    services: [],
+    limits: { maxBodyBytes: 1, headMs: 1, idleMs: 1 },
+    accounts: [
+      { name: 'kirk', keys: ['k1', 'k2'], prepaid: 10 },
+      { name: 'open', keys: ['k3'] },
+    ],
+    routes: [
+      { ...route, name: 'all', host: 'Shop.example', pathPrefix: '/', open: true, targets: [] },
+      {
+        ...route,
+        name: 'beds',
+        host: 'shop.example',
+        pathPrefix: '/beds/',
+        open: true,
+        targets: [],
+      },
+    ],
+  };
+  const table = new RouteTable(config);
+  const cases = [
+    { host: 'shop.example', path: '/beds/12', expected: 'beds' },
+    { host: 'SHOP.example', path: '/beds/', expected: 'beds' },
+    { host: 'shop.example', path: '/beds', expected: 'all' },
+    { host: 'other.example', path: '/beds/12', expected: undefined },
+  ];
+  for (const { host, path, expected } of cases) {
+    test(`${host}${path} goes to ${expected ?? 'no route'}`, () => {
+      assert.equal(table.findRoute(host, path)?.name, expected);
+    });
+  }
+
+  test('keys name their account, and only limited accounts have a budget', () => {
+    assert.equal(table.findAccount('k2')?.name, 'kirk');
+    assert.equal(table.findAccount('k9'), undefined);
+    assert.deepEqual([...table.prepaid], [['kirk', 10]]);
+  });
+
+  test('traffic is split by weight', () => {
+    const split = {
+      ...route,
+      name: 's',
+      host: 'h',
+      pathPrefix: '/',
+      open: true,
+      targets: [
+        { service: 'old', weight: 90 },
+        { service: 'new', weight: 10 },
+      ],
+    };
+    assert.equal(pickTarget(split, 0.89), 'old');
+    assert.equal(pickTarget(split, 0.91), 'new');
+    assert.equal(pickTarget({ ...split, targets: [] }, 0.5), undefined);
+  });
+});
+
+describe('the prompt part that decides where a request goes', () => {
+  const part = (id: string) => ({ id, tokens: 100 });
+  const cases = [
+    { parts: [], expected: undefined },
+    { parts: ['a'], expected: 'a' },
+    { parts: ['a', 'b'], expected: 'a' },
+    { parts: ['a', 'b', 'c'], expected: 'b' },
+  ];
+  for (const { parts, expected } of cases) {
+    test(`of [${parts.join(' ')}] is ${expected ?? 'none'}`, () => {
+      assert.equal(affinityKey(parts.map(part)), expected);
+    });
+  }
+});
--- /dev/null
+++ b/test/gateway/eventFrames.test.ts
@@ -0,0 +1,33 @@
+import assert from 'node:assert/strict';
+import { describe, test } from 'node:test';
+import { EventFrames } from '@flamingocourse/core';
+
+const stream = 'id: 1\ndata: one\n\nid: 2\r\ndata: two\r\n\r\nid: 3\ndata: three\n\n';
+
+describe('an event stream', () => {
+  // a volunteer reads a sentence with a gap or a word twice: the server broke off in the middle of
+  // an event, and the stream went on at another one.
+  const sizes = [1, 2, 3, 7, 1_000];
+  for (const size of sizes) {
+    test(`in chunks of ${String(size)} bytes is passed on unchanged`, () => {
+      const frames = new EventFrames();
+      let passed = '';
+      for (let at = 0; at < stream.length; at += size) {
+        passed += frames.push(Buffer.from(stream.slice(at, at + size))).bytes.toString();
+      }
+      assert.equal(passed, stream);
+      assert.equal(frames.total, 3);
+      assert.equal(frames.lastId, '3');
+      assert.equal(frames.isOpen, false);
+    });
+  }
+
+  test('holds back half an event', () => {
+    const frames = new EventFrames();
+    const { bytes, events } = frames.push(Buffer.from('id: 7\ndata: a\n\nid: 8\ndata: b'));
+    assert.equal(bytes.toString(), 'id: 7\ndata: a\n\n');
+    assert.equal(events, 1);
+    assert.equal(frames.lastId, '7');
+    assert.equal(frames.isOpen, true);
+  });
+});
--- /dev/null
+++ b/test/gateway/httpAttempt.test.ts
@@ -0,0 +1,109 @@
+import type { TestContext } from 'node:test';
+import type { AddressInfo, Socket } from 'node:net';
+import assert from 'node:assert/strict';
+import { createServer } from 'node:net';
+import { setTimeout as delay } from 'node:timers/promises';
+import { describe, test } from 'node:test';
+import { ServerAgent, openAttempt, readAnswer } from '@flamingocourse/gateway';
+
+const whole = 'HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok';
+const unframed = 'HTTP/1.1 200 OK\r\n\r\nok';
+
+/** Starts a server that does something with each request; ends with the test. */
+async function serve(
+  t: TestContext,
+  onRequest: (socket: Socket, count: number) => void,
+): Promise<string> {
+  let count = 0;
+  const sockets = new Set<Socket>();
+  const server = createServer((socket) => {
+    sockets.add(socket);
+    socket.on('error', () => undefined);
+    socket.on('data', () => {
+      count += 1;
+      onRequest(socket, count);
+    });
+  });
+  await new Promise<void>((resolve) => server.listen(0, '127.0.0.1', resolve));
+  t.after(() => {
+    for (const socket of sockets) socket.destroy();
+    server.close();
+  });
+  return `http://127.0.0.1:${String((server.address() as AddressInfo).port)}`;
+}
+
+async function send(url: string, agent: ServerAgent): Promise<string> {
+  const signal = new AbortController().signal;
+  const opened = await openAttempt({
+    url,
+    method: 'POST',
+    target: '/',
+    headers: ['content-length', '1'],
+    body: Buffer.from('x'),
+    agent,
+    connectMs: 500,
+    headMs: 1_000,
+    signal,
+  });
+  if (opened.isErr) return opened.error.sent ? 'maybe run' : 'not sent';
+  const end = await readAnswer(opened.value, signal);
+  return end.type === 'whole' ? end.body.toString() : end.type;
+}
+
+describe('an answer without a length', () => {
+  // a winch driver sees half of a launch entry as the whole: the server was reset together with its
+  // last bytes, which looks like a plain end of the connection.
+  const cases = [
+    { name: 'that ends with its connection is whole', end: (s: Socket) => s.end(), expected: 'ok' },
+    {
+      name: 'that was reset is not',
+      end: (s: Socket) => s.resetAndDestroy(),
+      expected: 'broken',
+    },
+    {
+      name: 'that was reset later is not',
+      end: (s: Socket) => setTimeout(() => s.resetAndDestroy(), 30),
+      expected: 'broken',
+    },
+  ];
+  for (const { name, end, expected } of cases) {
+    test(name, async (t) => {
+      const url = await serve(t, (socket) => {
+        socket.write(unframed, () => end(socket));
+      });
+      assert.equal(await send(url, new ServerAgent()), expected);
+    });
+  }
+});
+
+// a volunteer reads the answer to somebody else's question: the server sent a second answer while
+// the connection was idle, and it stood where the next answer was expected.
+test('a connection with bytes that nobody asked for is not used again', async (t) => {
+  const agent = new ServerAgent();
+  const url = await serve(t, (socket, count) => {
+    socket.write(whole.replace('ok', String(count).padStart(2, '0')));
+    if (count === 1) setTimeout(() => socket.write(whole.replace('ok', 'no')), 10);
+  });
+  assert.equal(await send(url, agent), '01');
+  await delay(50);
+  assert.equal(await send(url, agent), '02');
+  agent.destroy();
+});
+
+test('a request to a closed port was not sent', async (t) => {
+  const url = await serve(t, () => undefined);
+  const closed = url.replace(/\d+$/, '1');
+  assert.equal(await send(closed, new ServerAgent()), 'not sent');
+});
+
+test('a request on a connection that breaks may have run', async (t) => {
+  const url = await serve(t, (socket) => socket.resetAndDestroy());
+  assert.equal(await send(url, new ServerAgent()), 'maybe run');
+});
+
+test('an answer that is cut short is not whole', async (t) => {
+  const url = await serve(t, (socket) =>
+    socket.end('HTTP/1.1 200 OK\r\nContent-Length: 9\r\n\r\nok'),
+  );
+  assert.equal(await send(url, new ServerAgent()), 'broken');
+});
