feat(gateway): an engine admits the shortest prompts first

Cause: most late answers waited behind long prompts (up to 39,000 tokens, a second of reading) that came at the same moment. Ruled out: uneven load (busiest server 1.06 to 1.08 of the mean).

--- a/packages/gateway/src/node/requestFlow.ts
+++ b/packages/gateway/src/node/requestFlow.ts
@@ -28,6 +28,7 @@
 import { createHash } from 'node:crypto';
 import { notRun } from '@flamingocourse/router';
 import { isRepeatable, mayFollow, refuseFailed } from '../runtime/attemptJudgement.js';
+import { enginePriority } from '../runtime/enginePriority.js';
 import { affinityKey } from '../runtime/affinityKey.js';
 import { importanceOf, urgencyOf } from '../runtime/urgency.js';
 import { openAttempt } from './httpAttempt.js';
@@ -189,7 +190,7 @@
         serverId: server.id,
         leftMs: Math.max(1, Math.floor(endsAt - startedAt)),
         account: account?.name,
-        priority: urgencyOf(route, account),
+        priority: head.size && enginePriority(head.size),
         resumeAfter: this.#progress.resumeAfter,
         bodyBytes: body.length,
       }),
--- a/packages/gateway/src/types/call.ts
+++ b/packages/gateway/src/types/call.ts
@@ -47,8 +47,8 @@
   /** Milliseconds that are left for the answer. */
   leftMs: number;
   account: string | undefined;
-  /** 0 is the most urgent. */
-  priority: number;
+  /** Order in which the server admits, 0 first; undefined leaves it to the server. */
+  priority: number | undefined;
   resumeAfter: string | undefined;
   bodyBytes: number;
 }
--- a/packages/kernel/src/node/eventLog.ts
+++ b/packages/kernel/src/node/eventLog.ts
@@ -77,7 +77,11 @@
 
   // a reader that stops reading must not stop the requests: a write to a full pipe would block.
   #createBackgroundTransport(): winston.transport {
-    const output = new sonicBoom.SonicBoom({ fd: STDOUT_FD, sync: false, maxLength: MAX_WAITING_BYTES });
+    const output = new sonicBoom.SonicBoom({
+      fd: STDOUT_FD,
+      sync: false,
+      maxLength: MAX_WAITING_BYTES,
+    });
     output.on('drop', () => {
       this.#dropped += 1;
     });
