feat(prepaid): slices cover the spread of small accounts; servers out of reach are avoided

Cause: in a cut, accounts with a request a second at an instance were refused while others' tokens lay idle: the slice was the mean of their demand. And after a partition every instance kept sending to servers behind it, three requests a server, each waiting 250 ms or to its time limit.

--- a/packages/core/src/runtime/prepaid/prepaidHolder.ts
+++ b/packages/core/src/runtime/prepaid/prepaidHolder.ts
@@ -57,7 +57,7 @@
 /** Part by which a rate has to change before it is worth a report of its own. */
 const RATE_NEWS = 0.25;
 /** Part of its level by which an account's rights may differ from it without a report. */
-const LEVEL_SLACK = 0.25;
+const LEVEL_SLACK = 0.1;
 
 /**
  * Holdings of one process.
--- a/packages/core/src/runtime/prepaid/prepaidSizing.ts
+++ b/packages/core/src/runtime/prepaid/prepaidSizing.ts
@@ -22,16 +22,21 @@
 /** Tuning of the levels. */
 export interface PrepaidSizingSettings {
   /**
-   * Seconds of its own demand that an instance holds at most. More than the longest cut that
-   * instances are expected to ride out (about eight seconds), with room for a busier account.
+   * Seconds of its own demand that an instance holds. The longest cut that instances are expected
+   * to ride out, with the time to notice its end.
    */
   rideThroughSeconds: number;
+  /**
+   * Standard deviations of the demand of that time that are held on top. An account with a request a
+   * second at an instance may ask for twice its mean; one with ten a second hardly does.
+   */
+  spreadFactor: number;
   /**
    * Part of the remaining budget that all instances together hold at most. What they hold is in
    * doubt when all of them are killed at once, and must leave enough for the traffic after it.
    */
   dealtPart: number;
-  /** Part of what is dealt that goes to all instances evenly, for callers who change instance. */
+  /** Part of what is dealt that goes to all instances evenly before any demand is known. */
   evenPart: number;
   /**
    * Requests of an account, in the span that its rate is averaged over, that say as much about where
@@ -44,15 +49,22 @@
 }
 
 export const defaultPrepaidSizing: PrepaidSizingSettings = {
-  rideThroughSeconds: 9,
-  dealtPart: 0.4,
+  rideThroughSeconds: 9.5,
+  spreadFactor: 1.3,
+  dealtPart: 0.5,
   evenPart: 0.1,
   priorRequests: 4,
   undealtRequests: 1.5,
 };
 
 /**
- * Levels by demand within a fair part of what remains.
+ * Size, as a multiple of the mean, of the request that an average token belongs to. Prompts spread so
+ * widely that most tokens belong to large ones.
+ */
+const SIZE_SPREAD = 2;
+
+/**
+ * Levels by demand within a part of what remains.
  *
  * @example
  * new PrepaidSizing().level({
@@ -69,17 +81,29 @@
 
   /** Free tokens that an instance should hold. */
   level(situation: PrepaidSituation): Tokens {
-    const { rideThroughSeconds, dealtPart, evenPart, priorRequests } = this.#settings;
-    const { rate, fleetRate, remaining, instances, trafficPart, typicalRequest } = situation;
+    const { dealtPart, evenPart, undealtRequests, rideThroughSeconds } = this.#settings;
+    const { fleetRate, remaining, instances, typicalRequest } = situation;
     // dealt to all, the last tokens would be dust: no instance could cover a request, while together
     // they could cover many. Kept in the store, they are fetched for each request that comes.
-    const undealt = this.#settings.undealtRequests * typicalRequest * instances;
+    const undealt = undealtRequests * typicalRequest * instances;
     const dealt = Math.max(0, remaining - undealt) * dealtPart;
-    const even = (dealt * evenPart) / instances;
-    const prior = Math.max(1, priorRequests * typicalRequest);
+    if (fleetRate <= 0) return Math.floor((dealt * evenPart) / instances);
+    const fleetDemand = fleetRate * rideThroughSeconds;
+    const own = this.#withSpread(fleetDemand * this.#part(situation), 1, typicalRequest);
+    const all = this.#withSpread(fleetDemand, instances, typicalRequest);
+    return Math.floor(own * Math.min(1, dealt / all));
+  }
+
+  /** Where the account's next requests come in, as far as past ones tell. */
+  #part({ rate, fleetRate, trafficPart, typicalRequest }: PrepaidSituation): number {
+    const prior = Math.max(1, this.#settings.priorRequests * typicalRequest);
     const seen = fleetRate * DEMAND_SPAN_SECONDS;
-    const part = (rate * DEMAND_SPAN_SECONDS + prior * trafficPart) / (seen + prior);
-    const byDemand = dealt * (1 - evenPart) * part;
-    return Math.floor(even + Math.min(byDemand, fleetRate * part * rideThroughSeconds));
+    return (rate * DEMAND_SPAN_SECONDS + prior * trafficPart) / (seen + prior);
+  }
+
+  /** A demand with its spread, were it met by so many instances in equal parts. */
+  #withSpread(demand: Tokens, instances: number, typicalRequest: Tokens): Tokens {
+    const deviation = Math.sqrt(demand * instances * SIZE_SPREAD * typicalRequest);
+    return Math.max(1, demand + this.#settings.spreadFactor * deviation);
   }
 }
--- a/packages/core/src/runtime/routing/loadEstimate.ts
+++ b/packages/core/src/runtime/routing/loadEstimate.ts
@@ -42,6 +42,15 @@
     return this.#inFlight.size;
   }
 
+  /** Start of the oldest own attempt in flight. */
+  oldestStart(): EpochMs | undefined {
+    let oldest: EpochMs | undefined;
+    for (const startedAt of this.#inFlight.values()) {
+      if (oldest === undefined || startedAt < oldest) oldest = startedAt;
+    }
+    return oldest;
+  }
+
   start(attempt: number, now: EpochMs): void {
     this.#inFlight.set(attempt, now);
   }
--- a/packages/core/src/runtime/routing/serverEntry.ts
+++ b/packages/core/src/runtime/routing/serverEntry.ts
@@ -5,8 +5,10 @@
 import type { ConcurrencyLimit } from './concurrencyLimit.js';
 import type { ServerHealth, HealthSettings } from './serverHealth.js';
 import type { AttemptResult } from './serverPool.js';
+import type { Reachability } from './reachability.js';
 import { hash32 } from '../../utils/hash.js';
 import { LoadEstimate } from './loadEstimate.js';
+import { REACHABLE, isReachable, recordSent, recordSilence } from './reachability.js';
 import {
   createServerHealth,
   eject,
@@ -26,6 +28,8 @@
   /** A request that has to run alone is in flight here. */
   exclusive = false;
   #health: ServerHealth = createServerHealth();
+  #reach: Reachability = REACHABLE;
+  #heardAt: EpochMs = -Infinity;
   /** Shared by all servers of the pool. */
   readonly #limit: ConcurrencyLimit;
 
@@ -40,6 +44,34 @@
     return this.saidLeaving || this.server.state === 'leaving' || !this.listed;
   }
 
+  /** Whether requests to it arrive, as far as is known. */
+  reachable(now: EpochMs): boolean {
+    return isReachable(this.#reach, now);
+  }
+
+  /** Something came from the server. */
+  heard(now: EpochMs): void {
+    this.#heardAt = now;
+    this.#reach = REACHABLE;
+  }
+
+  /** A request is being sent. */
+  sent(now: EpochMs): void {
+    this.#reach = recordSent(this.#reach, now);
+  }
+
+  /** A connection did not open, or nothing comes on open ones. */
+  silent(now: EpochMs): void {
+    this.#reach = recordSilence(this.#reach, now);
+  }
+
+  /** Milliseconds for which requests have waited there without a word from the server. */
+  silentMs(now: EpochMs): number {
+    const waitingSince = this.load.oldestStart();
+    if (waitingSince === undefined) return 0;
+    return now - Math.max(waitingSince, this.#heardAt);
+  }
+
   update(server: BackendServer, now: EpochMs): void {
     this.server = server;
     if (server.load) this.load.report(server.load, now);
--- a/packages/core/src/runtime/routing/serverPool.ts
+++ b/packages/core/src/runtime/routing/serverPool.ts
@@ -211,6 +211,7 @@
     const entry = this.#entries.get(id);
     if (!entry) return attempt;
     entry.load.start(attempt, now);
+    entry.sent(now);
     this.#attempts.set(attempt, entry);
     if (exclusive) {
       entry.exclusive = true;
@@ -219,6 +220,32 @@
     return attempt;
   }
 
+  /** Something of an answer came; the server is there. */
+  heard(attempt: number, now: EpochMs): void {
+    this.#attempts.get(attempt)?.heard(now);
+  }
+
+  /** The connection for an attempt did not open. */
+  unreachable(attempt: number, now: EpochMs): void {
+    this.#attempts.get(attempt)?.silent(now);
+  }
+
+  /**
+   * Avoids servers at which requests wait while nothing at all comes from them. Without it a server
+   * that lost power would get new requests until the first of them reached its time limit.
+   *
+   * @returns ids of the servers that are avoided from now on.
+   */
+  avoidSilent(silentMs: number, now: EpochMs): ServerId[] {
+    const found: ServerId[] = [];
+    for (const entry of this.#entries.values()) {
+      if (!entry.reachable(now) || entry.silentMs(now) < silentMs) continue;
+      entry.silent(now);
+      found.push(entry.server.id);
+    }
+    return found;
+  }
+
   /** Takes in the end of an attempt; a second call for the same attempt does nothing. */
   settle(attempt: number, result: AttemptResult, now: EpochMs): void {
     const entry = this.#attempts.get(attempt);
@@ -242,11 +269,15 @@
         !this.#drained.has(entry.server.id) &&
         (this.#subset?.has(entry.server.id) ?? true),
     );
-    const healthy = staying.filter((entry) => entry.share(this.#health, now) > 0);
+    // out of reach is a fact, not a suspicion: with most servers behind a partition the few that
+    // remain have to do, and only with none at all every one is worth a try.
+    const near = staying.filter((entry) => entry.reachable(now));
+    const reachable = near.length > 0 ? near : staying;
+    const healthy = reachable.filter((entry) => entry.share(this.#health, now) > 0);
     // when most servers look bad the fault is more likely the network or the requests; ejecting
     // them would put all load on the few that remain and bring these down too.
-    const tooFew = healthy.length < staying.length * (1 - MAX_EJECTED_SHARE);
-    return tooFew ? staying : healthy;
+    const tooFew = healthy.length < reachable.length * (1 - MAX_EJECTED_SHARE);
+    return tooFew ? reachable : healthy;
   }
 
   #exclusiveCandidates(open: ServerEntry[], now: EpochMs): Candidate[] {
--- a/packages/gateway/src/node/answerRelay.ts
+++ b/packages/gateway/src/node/answerRelay.ts
@@ -14,6 +14,8 @@
   /** Headers for the caller. */
   headers: string[];
   signal: AbortSignal;
+  /** Told of each piece that comes. */
+  heard: () => void;
   now: () => number;
 }
 
@@ -77,6 +79,7 @@
   const frames = new EventFrames();
   answer.begin(open.head.status, relay.headers);
   const end = await readBody(relay, (chunk) => {
+    relay.heard();
     const { bytes, events } = frames.push(chunk);
     if (events === 0) return true;
     onEvents(events, frames.lastId);
--- a/packages/gateway/src/node/backendLanes.ts
+++ b/packages/gateway/src/node/backendLanes.ts
@@ -28,6 +28,14 @@
 /** Requests that a plain server may have running and queued, as a multiple of its slots. */
 const PLAIN_QUEUE_FACTOR = 2;
 
+/**
+ * Milliseconds without a word while a request waits, after which an engine is taken as out of reach.
+ * A prompt of 40,000 tokens is read in a second; meanwhile other streams of the engine are heard.
+ */
+const ENGINE_SILENT_MS = 1_300;
+/** The same for a plain server, whose work takes some tens of milliseconds. */
+const PLAIN_SILENT_MS = 400;
+
 /** A lane with what belongs to its service. */
 export interface BackendLane {
   lane: ServiceLane;
@@ -40,7 +48,7 @@
   override readonly dependsOn = ['configuration', 'directory'];
   readonly #context: GatewayContext;
   readonly #register: QuarantineRegister;
-  readonly #lanes = new Map<ServiceName, BackendLane & { slots: number }>();
+  readonly #lanes = new Map<ServiceName, BackendLane & { silentMs: number }>();
   #instances = 1;
   #timer: NodeJS.Timeout | undefined;
   #directory: ServerDirectory | undefined;
@@ -83,7 +91,12 @@
       this.#apply(this.#directory?.servers ?? []);
     });
     this.#timer = setInterval(() => {
-      for (const { lane } of this.#lanes.values()) lane.pump();
+      for (const [service, { lane, silentMs }] of this.#lanes) {
+        for (const server of lane.avoidSilent(silentMs)) {
+          this.#context.log.write('server-silent', { service, server, silentMs });
+        }
+        lane.pump();
+      }
     }, PUMP_MS);
   }
 
@@ -130,7 +143,8 @@
       scope: sharesPrompts ? 'everywhere' : 'near-first',
     });
     const retries = new RetryAllowance({ ...settings.retries, instances: this.#instances });
-    const created = { lane, retries, slots };
+    const silentMs = sharesPrompts ? ENGINE_SILENT_MS : PLAIN_SILENT_MS;
+    const created = { lane, retries, silentMs };
     this.#lanes.set(service, created);
     return created;
   }
--- a/packages/gateway/src/node/prepaidService.ts
+++ b/packages/gateway/src/node/prepaidService.ts
@@ -44,7 +44,9 @@
 /** Part of the report period by which instances that started together drift apart. */
 const REPORT_JITTER = 0.3;
 /** Milliseconds between tries while the store is away; tokens run out meanwhile. */
-const AWAY_RETRY_MS = 300;
+const AWAY_RETRY_MS = 200;
+/** Milliseconds for a call while the store is away; only a new connection notices its return soon. */
+const AWAY_TIMEOUT_MS = 500;
 /** Milliseconds after which a caller that was refused for want of tokens may find some. */
 const TOKENS_RETRY_MS = 400;
 
@@ -246,7 +248,8 @@
 
   async #read(): Promise<VersionedObject<PrepaidPage> | undefined> {
     const { store } = this.#context;
-    let read = await store.get(pages, PAGE_NAME);
+    const options = this.#away ? { timeoutMs: AWAY_TIMEOUT_MS } : {};
+    let read = await store.get(pages, PAGE_NAME, options);
     if (read.isErr && read.error.code === 'not-found') {
       read = await store.create(pages, PAGE_NAME, createPrepaidPage());
       if (read.isErr && read.error.code === 'exists') read = await store.get(pages, PAGE_NAME);
--- a/packages/gateway/src/node/requestFlow.ts
+++ b/packages/gateway/src/node/requestFlow.ts
@@ -201,6 +201,7 @@
       signal,
     });
     if (opened.isErr) return this.#faulted(placement, opened.error);
+    placement.heard();
     this.#learnLoad(opened.value, placement, lane);
     const verdict = context.dialects.servers.judge(head, opened.value.head);
     context.metrics.attempt(service.name, verdict);
@@ -241,8 +242,9 @@
       placement.end('cancelled');
       return { type: 'done', outcome: this.#interrupted() };
     }
+    if (!fault.sent) return this.#failed(placement, 'not-sent', 'unreachable', fault.cause);
     const how = fault.reason === 'timeout' ? 'timed-out' : 'failed';
-    return this.#failed(placement, fault.sent ? 'unknown' : 'not-sent', how, fault.cause);
+    return this.#failed(placement, 'unknown', how, fault.cause);
   }
 
   #failed(
@@ -278,7 +280,10 @@
       open.body.resume();
       return this.#failed(placement, 'server-error', 'ok', `status ${open.head.status}`);
     }
-    const relay = { open, answer, headers, signal, now: () => this.#now() };
+    const heard = (): void => {
+      placement.heard();
+    };
+    const relay = { open, answer, headers, signal, heard, now: () => this.#now() };
     const end: RelayEnd =
       isStream && !isError
         ? await relayStream(relay, (events, lastId) => {
--- a/packages/gateway/src/utils/gatewaySettingsSchema.ts
+++ b/packages/gateway/src/utils/gatewaySettingsSchema.ts
@@ -28,7 +28,7 @@
   prepaid: z
     .object({
       reportMs: milliseconds.default(1_000),
-      rideThroughSeconds: z.number().positive().default(9),
+      rideThroughSeconds: z.number().positive().default(9.5),
     })
     .prefault({}),
   retries: z.object({
--- a/packages/kernel/src/runtime/eventCatalogue.ts
+++ b/packages/kernel/src/runtime/eventCatalogue.ts
@@ -95,6 +95,12 @@
   'request-ended': { number: 510, level: 'info', text: 'a request got its final answer' },
   'attempt-failed': { number: 511, level: 'info', text: 'an attempt at a server gave no answer' },
   'servers-changed': { number: 512, level: 'info', text: 'the list of servers changed' },
+  'server-silent': {
+    number: 514,
+    level: 'warn',
+    text: 'requests wait at a server and nothing comes from it; it is avoided',
+    action: 'Look at the server and at the network to it.',
+  },
   'server-entry-invalid': {
     number: 513,
     level: 'warn',
--- a/packages/router/src/node/backends/serviceLane.ts
+++ b/packages/router/src/node/backends/serviceLane.ts
@@ -111,6 +111,11 @@
     return spent !== undefined;
   }
 
+  /** Avoids servers at which requests wait and nothing comes; returns those newly avoided. */
+  avoidSilent(silentMs: number): string[] {
+    return this.#options.pool.avoidSilent(silentMs, this.#options.clock.now());
+  }
+
   /** Hands out free places; to be called after every change and at short intervals. */
   pump(): void {
     const now = this.#options.clock.now();
@@ -219,6 +224,9 @@
     return {
       server,
       priority: enginePriority[request.importance],
+      heard: () => {
+        pool.heard(attempt, this.#options.clock.now());
+      },
       end: (how, firstTokenMs) => {
         this.#recordEnd(attempt, request, how, firstTokenMs);
         this.#reportCrash(server, attempt, request.fingerprint, how);
@@ -242,7 +250,9 @@
       ...(firstTokenMs === undefined ? {} : { firstTokenMs }),
       ...(targetMs === undefined ? {} : { targetMs }),
     };
-    this.#options.pool.settle(attempt, result, this.#options.clock.now());
+    const { pool, clock } = this.#options;
+    if (how === 'unreachable') pool.unreachable(attempt, clock.now());
+    pool.settle(attempt, result, clock.now());
   }
 
   #reportCrash(server: BackendServer, attempt: number, fingerprint: string, how: AttemptEnd): void {
@@ -309,6 +319,8 @@
       return 'failed';
     case 'timed-out':
       return 'timeout';
+    case 'unreachable':
+      return 'cancelled';
     case 'ok':
     case 'failed':
     case 'cancelled':
--- a/packages/router/src/types/backends.ts
+++ b/packages/router/src/types/backends.ts
@@ -30,7 +30,15 @@
 }
 
 /** How an attempt ended, as far as the server's health is concerned. */
-export type AttemptEnd = 'ok' | 'failed' | 'crashed' | 'timed-out' | 'cancelled' | 'leaving';
+export type AttemptEnd =
+  | 'ok'
+  | 'failed'
+  | 'crashed'
+  | 'timed-out'
+  | 'cancelled'
+  | 'leaving'
+  /** No connection could be opened. */
+  | 'unreachable';
 
 /** A place on a backend server for one attempt; ended exactly once. */
 export interface Placement {
@@ -38,6 +46,8 @@
   /** Value of the engine's `priority` field; lower runs first. */
   priority: number;
   end(how: AttemptEnd, firstTokenMs?: number): void;
+  /** Something of the answer came. */
+  heard(): void;
 }
 
 /** Places attempts on backend servers. Registered as `backends`. */
