--- a/eslint.config.mjs
+++ b/eslint.config.mjs
@@ -36,6 +36,23 @@
   };
 });
 
+const adapterRules = {
+  files: ['platform/src/**/*.ts'],
+  rules: {
+    'no-restricted-imports': [
+      'error',
+      {
+        patterns: [
+          {
+            group: ['@flamingocourse/{mesh,router,cli,lab}', '**/packages/**'],
+            message: 'the adapter may import only: kernel, core, store, gateway.',
+          },
+        ],
+      },
+    ],
+  },
+};
+
 export default tseslint.config(
   { ignores: ['**/dist/**', 'target/**', '**/node_modules/**', 'reports/**'] },
   js.configs.recommended,
@@ -88,5 +105,6 @@
     languageOptions: { globals: { process: 'readonly', console: 'readonly', URL: 'readonly' } },
   },
   ...layerRules,
+  adapterRules,
   prettier,
 );
--- a/packages/gateway/src/node/requestFlow.ts
+++ b/packages/gateway/src/node/requestFlow.ts
@@ -178,7 +178,7 @@
 
   async #attempt(placement: Placement, lane: BackendLane): Promise<AttemptEnd> {
     const { context, agent } = this.#parts;
-    const { head, route, account, body, signal, endsAt, service } = this.#call;
+    const { head, account, body, signal, endsAt, service } = this.#call;
     const startedAt = this.#now();
     this.#progress.made += 1;
     const { server } = placement;
--- a/packages/gateway/src/node/serverAgent.ts
+++ b/packages/gateway/src/node/serverAgent.ts
@@ -24,17 +24,8 @@
     super({ keepAlive: true, maxFreeSockets: 256, scheduling: 'lifo' });
   }
 
-  override keepSocketAlive(stream: Duplex): void {
-    // the declared return type is void; Node keeps the connection only for a true value.
-    return this.#keep(stream) as unknown as void;
-  }
-
-  override reuseSocket(stream: Duplex, req: ClientRequest): void {
-    stream.removeListener('data', destroySender);
-    super.reuseSocket(stream, req);
-  }
-
-  #keep(stream: Duplex): boolean {
+  /** Returns whether the connection is kept. */
+  override keepSocketAlive(stream: Duplex): boolean {
     if (!(stream instanceof Socket)) return false;
     const idleMs = allowedIdleMs(stream);
     if (idleMs <= 0) return false;
@@ -44,6 +35,11 @@
     stream.on('data', destroySender);
     return true;
   }
+
+  override reuseSocket(stream: Duplex, req: ClientRequest): void {
+    stream.removeListener('data', destroySender);
+    super.reuseSocket(stream, req);
+  }
 }
 
 function destroySender(this: Socket): void {
--- a/packages/kernel/src/node/eventLog.ts
+++ b/packages/kernel/src/node/eventLog.ts
@@ -14,9 +14,7 @@
   abstract write(event: EventName, fields?: EventFields): void;
 
   /** Lines dropped so far because nobody read them in time. */
-  get dropped(): number {
-    return 0;
-  }
+  abstract readonly dropped: number;
 }
 
 /** Options of the winston log. */
@@ -71,7 +69,7 @@
     });
   }
 
-  override get dropped(): number {
+  get dropped(): number {
     return this.#dropped;
   }
 
@@ -95,7 +93,8 @@
         done();
       },
     });
-    return new winston.transports.Stream({ stream });
+    const transport: unknown = new winston.transports.Stream({ stream });
+    return transport as winston.transport;
   }
 }
 
@@ -108,6 +107,7 @@
 
 /** Keeps events in memory, for tests. */
 export class MemoryEventLog extends EventLog {
+  override readonly dropped = 0;
   readonly events: { event: EventName; fields: EventFields }[] = [];
 
   override write(event: EventName, fields: EventFields = {}): void {
--- a/packages/store/src/node/httpObjectStore.ts
+++ b/packages/store/src/node/httpObjectStore.ts
@@ -1,7 +1,7 @@
 /** Object store over HTTP: the client that routers and the operators' command use. */
 
 import type { InstanceRecord } from '@flamingocourse/core';
-import type { Clock, HttpAnswer, HttpCall } from '@flamingocourse/kernel';
+import type { Clock, HttpAnswer } from '@flamingocourse/kernel';
 import type { ZodType } from 'zod';
 import type { CircuitOptions } from '../runtime/circuit.js';
 import type { PlatformResult } from '../runtime/objectStore.js';
