test(platform): the adapter end to end against stand-ins of store and servers; fix: 504 at the time limit, 402 beside unreported spend

Two findings of the new tests. At the time limit of a request that may not be repeated two timers fired in the same moment, and the caller got 502 or 504 by chance. And the last request before the end of a budget was refused with 503 (come back) although the page and the instance's own unreported spend proved that nothing was left.

--- a/packages/core/src/runtime/prepaid/prepaidHolder.ts
+++ b/packages/core/src/runtime/prepaid/prepaidHolder.ts
@@ -92,6 +92,11 @@
     return this.#holdings.get(account)?.rights ?? 0;
   }
 
+  /** Tokens spent here that no page shows yet. */
+  unreported(account: AccountId): Tokens {
+    return this.#holdings.get(account)?.unreported ?? 0;
+  }
+
   /** Notes that a request came, so that the levels follow the demand. */
   observe(account: AccountId, amount: Tokens, now: EpochMs): void {
     const weight = this.#typicalRequest === 0 ? 1 : TYPICAL_WEIGHT;
--- a/packages/gateway/src/node/httpAttempt.ts
+++ b/packages/gateway/src/node/httpAttempt.ts
@@ -19,8 +19,8 @@
   agent: Agent;
   /** Milliseconds for a new connection. */
   connectMs: number;
-  /** Milliseconds until the head of the answer. */
-  headMs: number;
+  /** Milliseconds until the head of the answer; undefined leaves it to `signal`. */
+  headMs: number | undefined;
   /** Aborted when the answer is not wanted any more. */
   signal: AbortSignal;
 }
@@ -83,9 +83,12 @@
     const connectTimer = setTimeout(() => {
       if (!connection.isOpen()) fail('not-connected', 'connect timeout');
     }, attempt.connectMs);
-    const headTimer = setTimeout(() => {
-      fail('timeout', 'no answer in time');
-    }, attempt.headMs);
+    const headTimer =
+      attempt.headMs === undefined
+        ? undefined
+        : setTimeout(() => {
+            fail('timeout', 'no answer in time');
+          }, attempt.headMs);
     signal.addEventListener('abort', abort, { once: true });
     req.once('close', () => {
       signal.removeEventListener('abort', abort);
--- a/packages/gateway/src/node/prepaidService.ts
+++ b/packages/gateway/src/node/prepaidService.ts
@@ -167,7 +167,8 @@
   /** Whether a fresh page proves that the budget can't cover the amount, whoever holds the rest. */
   #isUsedUp(account: AccountId, amount: Tokens): boolean {
     if (this.#context.clock.now() - this.#pageAt > PAGE_FRESH_MS) return false;
-    return this.#remaining(account) < amount;
+    // what was spent here since the last report is in no page yet.
+    return this.#remaining(account) - this.#holder.unreported(account) < amount;
   }
 
   #remaining(account: AccountId): Tokens {
--- a/packages/gateway/src/node/requestFlow.ts
+++ b/packages/gateway/src/node/requestFlow.ts
@@ -227,12 +227,12 @@
     }
   }
 
-  /** Milliseconds for the head; all that is left where no other attempt may follow. */
-  #headMs(now: number): number {
+  /** Milliseconds for the head; the request's own end decides where no other attempt may follow. */
+  #headMs(now: number): number | undefined {
     const { route, endsAt } = this.#call;
     const leftMs = Math.max(1, endsAt - now);
     const last = this.#progress.mayHaveRun + 1 >= route.maxAttempts;
-    if (last || !isRepeatable(route.repetition)) return leftMs;
+    if (last || !isRepeatable(route.repetition)) return undefined;
     return Math.min(leftMs, Math.max(ATTEMPT_PART * leftMs, PATIENCE * route.targetMs));
   }
 
--- /dev/null
+++ b/test/platform/usersServer.ts
@@ -0,0 +1,135 @@
+/** A small stand-in of one of the users' servers, plain or model engine. */
+
+import type { IncomingHttpHeaders, IncomingMessage, ServerResponse } from 'node:http';
+import type { AddressInfo } from 'node:net';
+import type { TestContext } from 'node:test';
+import { createServer } from 'node:http';
+
+/** A request as the server saw it. */
+export interface SeenRequest {
+  method: string;
+  url: string;
+  headers: IncomingHttpHeaders;
+  body: string;
+}
+
+/** How a server answers one request. */
+export type Behaviour =
+  | 'answer'
+  | 'stream'
+  /** Breaks off in the middle of the second event. */
+  | 'break-stream'
+  | 'shed'
+  | 'error'
+  /** Says 503 without saying that the request has not run. */
+  | 'unmarked-503'
+  | 'other-id'
+  | 'no-proof'
+  | 'encoded'
+  | 'reset'
+  | 'silent';
+
+export class UsersServer {
+  readonly seen: SeenRequest[] = [];
+  /** Requests whose connection was closed before they were answered. */
+  dropped = 0;
+  behaviour: Behaviour = 'answer';
+  address = '';
+
+  constructor(readonly id: string) {}
+
+  async listen(t: TestContext): Promise<this> {
+    const server = createServer((req, res) => {
+      void this.#answer(req, res);
+    });
+    await new Promise<void>((resolve) => server.listen(0, '127.0.0.1', resolve));
+    this.address = `127.0.0.1:${String((server.address() as AddressInfo).port)}`;
+    t.after(() => {
+      server.close();
+      server.closeAllConnections();
+    });
+    return this;
+  }
+
+  /** The entry that the server writes of itself. */
+  entry(service: string, change: Record<string, unknown> = {}): Record<string, unknown> {
+    const { address } = this;
+    return {
+      service,
+      address,
+      zone: 'hall-a',
+      version: 'v1',
+      slots: 4,
+      state: 'ready',
+      seq: 1,
+      ...change,
+    };
+  }
+
+  async #answer(req: IncomingMessage, res: ServerResponse): Promise<void> {
+    const chunks: Buffer[] = [];
+    for await (const chunk of req) chunks.push(chunk as Buffer);
+    const { method = '', url = '', headers } = req;
+    this.seen.push({ method, url, headers, body: Buffer.concat(chunks).toString() });
+    res.on('close', () => {
+      if (!res.writableFinished) this.dropped += 1;
+    });
+    if (headers['x-expect-instance'] !== this.id) {
+      res.writeHead(421, { 'x-instance-id': this.id }).end();
+      return;
+    }
+    this.#behave(req, res);
+  }
+
+  #behave(req: IncomingMessage, res: ServerResponse): void {
+    const own = {
+      'x-request-id': req.headers['x-request-id'],
+      'x-response-signature': `proof-of-${this.id}`,
+      'x-server-load': '1,0,4',
+    };
+    const from = Number(req.headers['last-event-id'] ?? 0);
+    switch (this.behaviour) {
+      case 'answer':
+        res.writeHead(200, own).end(`from ${this.id}`);
+        return;
+      case 'error':
+        res.writeHead(500, own).end('failed');
+        return;
+      case 'stream':
+        res.writeHead(200, { ...own, 'content-type': 'text/event-stream' });
+        for (let id = from + 1; id <= 4; id += 1) res.write(event(id));
+        res.end();
+        return;
+      case 'break-stream':
+        res.writeHead(200, { ...own, 'content-type': 'text/event-stream' });
+        res.write(`${event(from + 1)}id: ${String(from + 2)}\nda`);
+        setTimeout(() => req.socket.resetAndDestroy(), 20);
+        return;
+      case 'shed':
+        res.writeHead(503, { 'x-not-executed': '1' }).end();
+        return;
+      case 'unmarked-503':
+        res.writeHead(503, own).end();
+        return;
+      case 'other-id':
+        res.writeHead(200, { ...own, 'x-request-id': 'another' }).end('of somebody else');
+        return;
+      case 'no-proof':
+        res.writeHead(200, { 'x-request-id': own['x-request-id'] }).end('of nobody');
+        return;
+      case 'encoded':
+        res.writeHead(200, { ...own, 'content-encoding': 'gzip' }).end('of a proxy');
+        return;
+      case 'reset':
+        req.socket.resetAndDestroy();
+        return;
+      case 'silent':
+        return;
+    }
+  }
+}
+
+/** One event of the stand-in's stream. */
+export function event(id: number): string {
+  return `id: ${String(id)}\ndata: piece ${String(id)}\n\n`;
+}
--- /dev/null
+++ b/test/platform/usersStore.ts
@@ -0,0 +1,179 @@
+/** A small stand-in of the users' store: objects by kind, one revision, waiting calls for changes. */
+
+import type { IncomingMessage, ServerResponse } from 'node:http';
+import type { TestContext } from 'node:test';
+import type { AddressInfo } from 'node:net';
+import { createServer } from 'node:http';
+
+interface Stored {
+  name: string;
+  revision: number;
+  spec: unknown;
+}
+
+interface Change extends Stored {
+  kind: string;
+  tombstone: boolean;
+}
+
+const LIST_PART = 2;
+
+/** What the stand-in does wrong for a while. */
+export type StoreFault = 'none' | 'silent' | 'down' | 'history-gone';
+
+export class UsersStore {
+  fault: StoreFault = 'none';
+  calls = 0;
+  url = '';
+  #revision = 10;
+  readonly #kinds = new Map<string, Map<string, Stored>>();
+  #history: Change[] = [];
+  readonly #waiting = new Set<() => void>();
+
+  /** Writes as the operator or a server would; returns the new revision. */
+  put(kind: string, name: string, spec: unknown): number {
+    this.#revision += 1;
+    const stored = { name, revision: this.#revision, spec };
+    this.#kind(kind).set(name, stored);
+    this.#tell({ ...stored, kind, tombstone: false });
+    return this.#revision;
+  }
+
+  remove(kind: string, name: string): void {
+    this.#revision += 1;
+    this.#kind(kind).delete(name);
+    this.#tell({ kind, name, revision: this.#revision, spec: null, tombstone: true });
+  }
+
+  value(kind: string, name: string): unknown {
+    return this.#kind(kind).get(name)?.spec;
+  }
+
+  /** Serves until the test ends. */
+  async listen(t: TestContext): Promise<this> {
+    const server = createServer((req, res) => {
+      this.calls += 1;
+      if (this.fault === 'silent') return;
+      void this.#answer(req, res);
+    });
+    await new Promise<void>((resolve) => server.listen(0, '127.0.0.1', resolve));
+    this.url = `http://127.0.0.1:${String((server.address() as AddressInfo).port)}`;
+    t.after(() => {
+      server.close();
+      server.closeAllConnections();
+    });
+    return this;
+  }
+
+  #kind(kind: string): Map<string, Stored> {
+    const known = this.#kinds.get(kind) ?? new Map<string, Stored>();
+    this.#kinds.set(kind, known);
+    return known;
+  }
+
+  #tell(change: Change): void {
+    this.#history.push(change);
+    for (const wake of this.#waiting) wake();
+  }
+
+  async #answer(req: IncomingMessage, res: ServerResponse): Promise<void> {
+    const url = new URL(req.url ?? '/', this.url);
+    const [, , , kind = '', name] = url.pathname.split('/').map(decodeURIComponent);
+    const body = await readJson(req);
+    if (this.fault === 'down') send(res, 503, {});
+    else if (req.method === 'GET' && name !== undefined) this.#get(res, kind, name);
+    else if (req.method === 'GET' && url.searchParams.has('watch'))
+      await this.#watch(res, kind, url);
+    else if (req.method === 'GET') this.#list(res, kind, url.searchParams.get('after') ?? '');
+    else if (req.method === 'POST') this.#create(res, kind, body);
+    else this.#replace(res, kind, name ?? '', body);
+  }
+
+  #get(res: ServerResponse, kind: string, name: string): void {
+    const stored = this.#kind(kind).get(name);
+    if (stored) send(res, 200, toBody(stored));
+    else send(res, 404, {});
+  }
+
+  #list(res: ServerResponse, kind: string, after: string): void {
+    const all = [...this.#kind(kind).values()].sort((a, b) => (a.name < b.name ? -1 : 1));
+    const rest = all.filter(({ name }) => name > after);
+    const items = rest.slice(0, LIST_PART).map(toBody);
+    send(res, 200, { items, has_more: rest.length > LIST_PART, store_revision: this.#revision });
+  }
+
+  async #watch(res: ServerResponse, kind: string, url: URL): Promise<void> {
+    if (this.fault === 'history-gone') {
+      send(res, 410, {});
+      return;
+    }
+    const since = Number(url.searchParams.get('watch'));
+    const end = Date.now() + Number(url.searchParams.get('wait_ms'));
+    const news = (): Change[] =>
+      this.#history.filter((change) => change.kind === kind && change.revision > since);
+    while (news().length === 0 && Date.now() < end) await this.#change(end - Date.now());
+    const events = news().map((change) => ({
+      object: toBody(change),
+      tombstone: change.tombstone,
+    }));
+    send(res, 200, { events, store_revision: this.#revision });
+  }
+
+  #change(withinMs: number): Promise<void> {
+    return new Promise((resolve) => {
+      const wake = (): void => {
+        clearTimeout(timer);
+        this.#waiting.delete(wake);
+        resolve();
+      };
+      const timer = setTimeout(wake, withinMs);
+      this.#waiting.add(wake);
+    });
+  }
+
+  #create(res: ServerResponse, kind: string, body: WrittenObject): void {
+    const { name } = body.metadata;
+    if (this.#kind(kind).has(name)) {
+      send(res, 409, {});
+      return;
+    }
+    this.put(kind, name, body.spec);
+    this.#get(res, kind, name);
+  }
+
+  #replace(res: ServerResponse, kind: string, name: string, body: WrittenObject): void {
+    const stored = this.#kind(kind).get(name);
+    if (!stored) send(res, 404, {});
+    else if (stored.revision !== body.metadata.revision) send(res, 409, toBody(stored));
+    else {
+      this.put(kind, name, body.spec);
+      this.#get(res, kind, name);
+    }
+  }
+}
+
+interface WrittenObject {
+  metadata: { name: string; revision?: number };
+  spec: unknown;
+}
+
+function toBody({ name, revision, spec }: Stored): unknown {
+  return {
+    metadata: { name, revision, create_rev: 1, finalizers: [], deleting: false },
+    spec,
+    status: null,
+  };
+}
+
+async function readJson(req: IncomingMessage): Promise<WrittenObject> {
+  const chunks: Buffer[] = [];
+  for await (const chunk of req) chunks.push(chunk as Buffer);
+  const text = Buffer.concat(chunks).toString();
+  return (text === '' ? { metadata: { name: '' } } : JSON.parse(text)) as WrittenObject;
+}
+
+function send(res: ServerResponse, status: number, body: unknown): void {
+  const text = JSON.stringify(body);
+  res.writeHead(status, { 'content-type': 'application/json', 'content-length': text.length });
+  res.end(text);
+}
--- /dev/null
+++ b/test/platform/world.ts
@@ -0,0 +1,250 @@
+/** One gateway on the users' platform, with stand-ins for the store and the servers. */
+
+import type { TestContext } from 'node:test';
+import type { IncomingHttpHeaders } from 'node:http';
+import { request } from 'node:http';
+import { setTimeout as delay } from 'node:timers/promises';
+import { createGateway, parseGatewaySettings } from '@flamingocourse/gateway';
+import { MemoryEventLog, MonotonicClock } from '@flamingocourse/kernel';
+import {
+  CONFIGURATION_NAME,
+  ObjectsDialect,
+  PlatformCallers,
+  PlatformServers,
+  configuration,
+  serverList,
+} from '@flamingocourse/platform-adapter';
+import { findFreePorts } from '../../packages/lab/src/node/freePorts.js';
+import { UsersServer } from './usersServer.js';
+import { UsersStore } from './usersStore.js';
+
+export const HOST = 'shop.example';
+export const KEY = 'key-of-kirk';
+
+const route = {
+  hostname: HOST,
+  timeout_ms: 1_500,
+  target_latency_ms: 200,
+  priority: 1,
+  max_attempts: 1,
+  public: false,
+};
+
+/** Configuration with a route of each kind. */
+export function configWith(change: Record<string, unknown> = {}): Record<string, unknown> {
+  return {
+    version: 7,
+    routes: [
+      {
+        ...route,
+        name: 'look',
+        path_prefix: '/look/',
+        kind: 'idempotent',
+        max_attempts: 2,
+        service: 'ledger',
+      },
+      { ...route, name: 'book', path_prefix: '/book/', kind: 'non_idempotent', service: 'ledger' },
+      { ...route, name: 'chat', path_prefix: '/chat/', kind: 'streaming', service: 'llm' },
+      {
+        ...route,
+        name: 'draft',
+        path_prefix: '/draft/',
+        kind: 'streaming',
+        resume_streams: true,
+        max_attempts: 2,
+        service: 'llm',
+      },
+    ],
+    services: [
+      { name: 'ledger', health_path: '/health', max_connections: 100 },
+      {
+        name: 'llm',
+        health_path: '/health',
+        max_connections: 100,
+        engine: { slots: 4, stride: 3 },
+      },
+    ],
+    limits: { max_body_bytes: 1_000, header_timeout_ms: 3_000, idle_timeout_ms: 15_000 },
+    tenants: [{ name: 'kirk', api_keys: [KEY], prepaid: 100_000 }],
+    ...change,
+  };
+}
+
+export interface Answer {
+  /** 0 when the connection ended without an answer. */
+  status: number;
+  headers: IncomingHttpHeaders;
+  body: string;
+  /** Whether the answer was framed as complete. */
+  complete: boolean;
+}
+
+export interface Call {
+  path: string;
+  method?: string;
+  headers?: Record<string, string>;
+  body?: string;
+  /** Milliseconds after which the caller leaves. */
+  leaveMs?: number;
+}
+
+export class World {
+  readonly log = new MemoryEventLog();
+  #entryPort = 0;
+  #readyPort = 0;
+  #metricsPort = 0;
+  #calls = 0;
+
+  private constructor(
+    readonly store: UsersStore,
+    readonly servers: UsersServer[],
+  ) {}
+
+  /** Starts store, servers (two plain, two engines) and gateway, and waits until it is ready. */
+  static async start(t: TestContext, config = configWith()): Promise<World> {
+    const store = await new UsersStore().listen(t);
+    const servers = await Promise.all(
+      ['p1', 'p2', 'e1', 'e2'].map((id) => new UsersServer(id).listen(t)),
+    );
+    for (const server of servers) {
+      store.put('servers', server.id, server.entry(server.id.startsWith('p') ? 'ledger' : 'llm'));
+    }
+    store.put('config', 'main', config);
+    const world = new World(store, servers);
+    await world.#startGateway(t);
+    return world;
+  }
+
+  server(id: string): UsersServer {
+    const found = this.servers.find((server) => server.id === id);
+    if (!found) throw new RangeError(`no server ${id}`);
+    return found;
+  }
+
+  /** Requests that reached the servers of a kind, `p` or `e`. */
+  seen(kind: 'p' | 'e'): UsersServer['seen'] {
+    return this.servers.filter(({ id }) => id.startsWith(kind)).flatMap((server) => server.seen);
+  }
+
+  behave(kind: 'p' | 'e', behaviour: UsersServer['behaviour']): void {
+    for (const server of this.servers) if (server.id.startsWith(kind)) server.behaviour = behaviour;
+  }
+
+  async ready(): Promise<number> {
+    return (await send(this.#readyPort, { path: '/api/ready', method: 'GET' })).status;
+  }
+
+  async metrics(): Promise<string> {
+    return (await send(this.#metricsPort, { path: '/metrics', method: 'GET' })).body;
+  }
+
+  /** Sends a request as a caller of the platform would. */
+  call(call: Call): Promise<Answer> {
+    this.#calls += 1;
+    const headers = {
+      host: HOST,
+      'x-request-id': `r-${String(this.#calls)}`,
+      'x-deadline-ms': '1200',
+      authorization: `Token ${KEY}`,
+      ...call.headers,
+    };
+    return send(this.#entryPort, { method: 'POST', body: 'x=1', ...call, headers });
+  }
+
+  /** A generation of so many prompt tokens and at most 80 more. */
+  generate(path: string, prompt = 1_000, headers: Record<string, string> = {}): Promise<Answer> {
+    return this.call({
+      path,
+      headers: {
+        'x-model': 'm',
+        'x-token-usage': `${String(prompt)},80`,
+        'x-prompt-prefix': 'a1:300,b2:500,c3:200',
+        ...headers,
+      },
+    });
+  }
+
+  async #startGateway(t: TestContext): Promise<void> {
+    const [entry, ready, metrics] = await findFreePorts(3);
+    this.#entryPort = entry ?? 0;
+    this.#readyPort = ready ?? 0;
+    this.#metricsPort = metrics ?? 0;
+    const settings = parseGatewaySettings(
+      JSON.stringify({
+        instance: 'edge-1',
+        dataCentre: 'hall-a',
+        listen: {
+          entry: `127.0.0.1:${String(entry)}`,
+          ready: `127.0.0.1:${String(ready)}`,
+          metrics: `127.0.0.1:${String(metrics)}`,
+        },
+        store: { url: this.store.url, timeoutMs: 300, watchIdleMs: 900 },
+        prepaid: { reportMs: 100 },
+        retries: { ratio: 0.2, slack: 54, windowMs: 10_000 },
+        stopGraceMs: 4_000,
+      }),
+      'test.jsonc',
+    );
+    if (settings.isErr) throw new Error(settings.error);
+    const gateway = createGateway({
+      settings: settings.value,
+      dialects: {
+        store: new ObjectsDialect(),
+        callers: new PlatformCallers(),
+        servers: new PlatformServers(),
+        configuration,
+        configurationName: CONFIGURATION_NAME,
+        serverList,
+      },
+      clock: new MonotonicClock(),
+      log: this.log,
+      random: Math.random,
+    });
+    await gateway.start();
+    let stopped: Promise<void> | undefined;
+    this.stop = () => (stopped ??= gateway.stop());
+    t.after(() => this.stop());
+    await until('ready', async () => (await this.ready()) === 200);
+  }
+
+  /** Stops the gateway the planned way. */
+  stop: () => Promise<void> = () => Promise.resolve();
+}
+
+/** Waits until a condition holds; gives up after a time that only a hang reaches. */
+export async function until(what: string, holds: () => boolean | Promise<boolean>): Promise<void> {
+  const end = Date.now() + 20_000;
+  while (!(await holds())) {
+    if (Date.now() > end) throw new Error(`never came true: ${what}`);
+    await delay(10);
+  }
+}
+
+function send(
+  port: number,
+  { path, method = 'POST', headers = {}, body = '', leaveMs }: Call,
+): Promise<Answer> {
+  return new Promise((resolve) => {
+    const req = request({ host: '127.0.0.1', port, path, method, headers, agent: false });
+    const nothing = { status: 0, headers: {}, body: '', complete: false };
+    req.on('error', () => {
+      resolve(nothing);
+    });
+    req.on('response', (res) => {
+      let text = '';
+      res.setEncoding('utf8');
+      res.on('data', (chunk: string) => (text += chunk));
+      res.on('error', () => undefined);
+      res.on('close', () => {
+        resolve({
+          status: res.statusCode ?? 0,
+          headers: res.headers,
+          body: text,
+          complete: res.complete,
+        });
+      });
+    });
+    if (leaveMs !== undefined) setTimeout(() => req.destroy(), leaveMs);
+    req.end(method === 'GET' ? undefined : body);
+  });
+}
