--- a/packages/core/src/runtime/routing/serverPool.ts
+++ b/packages/core/src/runtime/routing/serverPool.ts
@@ -186,6 +186,13 @@
     return free > rule.keptFree * places;
   }
 
+  /** How many of the servers that are listed can be reached, as far as is known. */
+  countReachable(now: EpochMs): { reachable: number; listed: number } {
+    const entries = [...this.#entries.values()];
+    const reachable = entries.filter((entry) => entry.reachable(now)).length;
+    return { reachable, listed: entries.length };
+  }
+
   /** Whether any server may get new work, with or without room; otherwise waiting is useless. */
   hasOpenServer(tried: ReadonlySet<ServerId> | undefined, now: EpochMs): boolean {
     return this.#openEntries(now).some((entry) => !tried?.has(entry.server.id));
@@ -270,9 +277,9 @@
         (this.#subset?.has(entry.server.id) ?? true),
     );
     // out of reach is a fact, not a suspicion: with most servers behind a partition the few that
-    // remain have to do, and only with none at all every one is worth a try.
-    const near = staying.filter((entry) => entry.reachable(now));
-    const reachable = near.length > 0 ? near : staying;
+    // remain have to do, and with none at all the caller is told at once. Each server is tried again
+    // by a single request after a pause.
+    const reachable = staying.filter((entry) => entry.reachable(now));
     const healthy = reachable.filter((entry) => entry.share(this.#health, now) > 0);
     // when most servers look bad the fault is more likely the network or the requests; ejecting
     // them would put all load on the few that remain and bring these down too.
--- a/packages/gateway/src/node/backendLanes.ts
+++ b/packages/gateway/src/node/backendLanes.ts
@@ -75,6 +75,16 @@
     return [...this.#lanes.values()].some(({ lane }) => lane.pool.hasOpenServer(undefined, now));
   }
 
+  /** What of the servers is out of reach: the whole of some service, most of all servers, or little. */
+  get outOfReach(): 'service' | 'most' | 'little' {
+    const now = this.#context.clock.now();
+    const counts = [...this.#lanes.values()].map(({ lane }) => lane.pool.countReachable(now));
+    if (counts.some(({ reachable, listed }) => listed > 0 && reachable === 0)) return 'service';
+    const listed = counts.reduce((sum, count) => sum + count.listed, 0);
+    const reachable = counts.reduce((sum, count) => sum + count.reachable, 0);
+    return reachable * 2 < listed ? 'most' : 'little';
+  }
+
   /** Sets by how many instances the fleet's retries are shared. */
   setInstances(count: number): void {
     this.#instances = Math.max(1, count);
--- a/packages/gateway/src/node/callerAnswer.ts
+++ b/packages/gateway/src/node/callerAnswer.ts
@@ -11,7 +11,7 @@
   #events = 0;
   #firstEventAt: number | undefined;
 
-  /** @param closing whether the process stops, so that connections should not be kept. */
+  /** @param closing whether callers should go elsewhere, so that connections are not kept. */
   constructor(res: ServerResponse, closing: () => boolean) {
     this.#res = res;
     this.#closing = closing;
--- a/packages/gateway/src/node/entryService.ts
+++ b/packages/gateway/src/node/entryService.ts
@@ -67,7 +67,25 @@
   /** Whether this instance should get new connections. */
   get ready(): boolean {
     if (this.#stoppingSince !== undefined) return false;
-    return this.#configuration?.table !== undefined && (this.#parts?.lanes.hasServers ?? false);
+    const hasServers = this.#parts?.lanes.hasServers ?? false;
+    return this.#configuration?.table !== undefined && hasServers && !this.#cutOff;
+  }
+
+  /**
+   * Whether a partition separates this instance from the servers: callers are better served by the
+   * instances of another data centre, to which the balancer sends them when none here is ready. An
+   * instance that lost only the store and its peers goes on, as all of them may have.
+   */
+  get #cutOff(): boolean {
+    const outOfReach = this.#parts?.lanes.outOfReach ?? 'little';
+    if (outOfReach === 'service') return true;
+    const fresh = this.#configuration?.isFresh(this.#context.clock.now()) ?? false;
+    return outOfReach === 'most' && !fresh;
+  }
+
+  /** Whether callers should not keep their connections. */
+  get #turnsAway(): boolean {
+    return this.#stoppingSince !== undefined || this.#cutOff;
   }
 
   override async start(kernel: Kernel): Promise<void> {
@@ -110,7 +128,7 @@
 
   async #handle(req: IncomingMessage, res: ServerResponse): Promise<void> {
     const arrivedAt = this.#context.clock.now();
-    const answer = new CallerAnswer(res, () => this.#stoppingSince !== undefined);
+    const answer = new CallerAnswer(res, () => this.#turnsAway);
     const decoded = this.#context.dialects.callers.decode(req);
     if (decoded.isErr) {
       const refusal: Refusal = { reason: 'bad-request', run: 'not-run', detail: decoded.error };
--- /dev/null
+++ b/test/routing/reachability.test.ts
@@ -0,0 +1,94 @@
+import type { BackendServer } from '@flamingocourse/core';
+import assert from 'node:assert/strict';
+import { describe, test } from 'node:test';
+import {
+  REACHABLE,
+  ServerPool,
+  isReachable,
+  recordSent,
+  recordSilence,
+} from '@flamingocourse/core';
+
+const server = (id: string): BackendServer => ({
+  service: 'ledger',
+  id,
+  dataCentre: 'hall-a',
+  url: `http://${id}`,
+  state: 'live',
+});
+
+function createPool(ids: string[]): ServerPool {
+  const pool = new ServerPool({ dataCentre: 'hall-a', concurrencyPerServer: 6 });
+  pool.applyList(ids.map(server), 0);
+  return pool;
+}
+
+const openIds = (pool: ServerPool, now: number): string[] =>
+  pool.candidates({}, now).map(({ id }) => id);
+
+describe('the way to a server', () => {
+  const cases = [
+    { name: 'is open at first', silences: [], now: 0, expected: true },
+    { name: 'is avoided after a silence', silences: [0], now: 700, expected: false },
+    { name: 'is tried again after a pause', silences: [0], now: 800, expected: true },
+    { name: 'is avoided longer each time', silences: [0, 900], now: 2_000, expected: false },
+    {
+      name: 'does not count the same silence twice',
+      silences: [0, 100, 200],
+      now: 800,
+      expected: true,
+    },
+    {
+      name: 'is tried again within seconds',
+      silences: [0, 900, 2_600, 6_000],
+      now: 9_200,
+      expected: true,
+    },
+  ];
+  for (const { name, silences, now, expected } of cases) {
+    test(name, () => {
+      const state = silences.reduce((known, at) => recordSilence(known, at), REACHABLE);
+      assert.equal(isReachable(state, now), expected);
+    });
+  }
+
+  test('is tried by one request at a time', () => {
+    const state = recordSent(recordSilence(REACHABLE, 0), 900);
+    assert.equal(isReachable(state, 901), false);
+    assert.equal(isReachable(state, 1_400), true);
+  });
+});
+
+// winch drivers wait a second for each refusal: their hall is cut off, most servers lie behind the
+// partition, and every request waits for its connection to each of them in turn.
+test('with most servers behind a partition the few in reach get all work', () => {
+  const pool = createPool(['near', 'far-1', 'far-2', 'far-3']);
+  for (const id of ['far-1', 'far-2', 'far-3']) {
+    const attempt = pool.dispatch(id, 100);
+    pool.unreachable(attempt, 350);
+    pool.settle(attempt, { end: 'cancelled' }, 350);
+  }
+  assert.deepEqual(openIds(pool, 400), ['near']);
+  assert.deepEqual(pool.countReachable(400), { reachable: 1, listed: 4 });
+});
+
+test('with none in reach the caller is told at once', () => {
+  const pool = createPool(['far']);
+  const attempt = pool.dispatch('far', 0);
+  pool.unreachable(attempt, 250);
+  assert.equal(pool.hasOpenServer(undefined, 300), false);
+  assert.equal(pool.hasOpenServer(undefined, 2_000), true);
+});
+
+// a server loses power with requests in flight: each new one would wait there to its time limit.
+test('a server at which requests wait in silence is avoided until it is heard', () => {
+  const pool = createPool(['dark', 'sound']);
+  const waiting = pool.dispatch('dark', 0);
+  const answered = pool.dispatch('sound', 0);
+  pool.heard(answered, 350);
+  assert.deepEqual(pool.avoidSilent(400, 300), []);
+  assert.deepEqual(pool.avoidSilent(400, 450), ['dark']);
+  assert.deepEqual(openIds(pool, 460), ['sound']);
+  pool.heard(waiting, 500);
+  assert.deepEqual(openIds(pool, 510), ['dark', 'sound']);
+});
