--- a/packages/gateway/src/node/backendLanes.ts
+++ b/packages/gateway/src/node/backendLanes.ts
@@ -85,6 +85,13 @@
     return reachable * 2 < listed ? 'most' : 'little';
   }
 
+  /** Takes the bounds on further attempts from the settings anew. */
+  applySettings(): void {
+    for (const { retries } of this.#lanes.values()) {
+      retries.setBounds(this.#context.settings.retries);
+    }
+  }
+
   /** Sets by how many instances the fleet's retries are shared. */
   setInstances(count: number): void {
     this.#instances = Math.max(1, count);
@@ -151,6 +158,7 @@
       clock,
       random,
       scope: sharesPrompts ? 'everywhere' : 'near-first',
+      runsSuspectsAlone: false,
     });
     const retries = new RetryAllowance({ ...settings.retries, instances: this.#instances });
     const silentMs = sharesPrompts ? ENGINE_SILENT_MS : PLAIN_SILENT_MS;
--- a/packages/gateway/src/node/createGateway.ts
+++ b/packages/gateway/src/node/createGateway.ts
@@ -4,6 +4,7 @@
 import type { GatewayDialects, GatewayContext } from '../types/context.js';
 import type { GatewaySettings } from '../types/gatewaySettings.js';
 import { randomUUID } from 'node:crypto';
+import { isDeepStrictEqual } from 'node:util';
 import { Kernel, describeError } from '@flamingocourse/kernel';
 import { HttpObjectStore, defaultCircuitOptions } from '@flamingocourse/store';
 import { BackendLanes } from './backendLanes.js';
@@ -20,6 +21,9 @@
  */
 const MAX_CIRCUIT_PAUSE_MS = 400;
 
+/** Settings that are read once, at the start. */
+const fixedSettings = ['instance', 'dataCentre', 'listen', 'store', 'logLevel'] as const;
+
 /** What a gateway gets from its process. */
 export interface GatewayOptions {
   settings: GatewaySettings;
@@ -32,6 +36,13 @@
 /** A gateway that can be started and stopped as a whole. */
 export interface Gateway {
   start(): Promise<void>;
+  /**
+   * Takes new settings without touching a request. Names, addresses and the store need a restart;
+   * all else is in force at once.
+   *
+   * @returns names of the settings that changed but need a restart.
+   */
+  reload(settings: GatewaySettings): string[];
   /** Graceful shutdown: not ready at once, ends what is in progress, hands tokens back. */
   stop(): Promise<void>;
 }
@@ -44,7 +55,8 @@
  * await gateway.start();
  */
 export function createGateway(options: GatewayOptions): Gateway {
-  const { settings, dialects, clock, log, random } = options;
+  const { dialects, clock, log, random } = options;
+  const settings = { ...options.settings };
   const store = new HttpObjectStore({
     url: settings.store.url,
     timeoutMs: settings.store.timeoutMs,
@@ -58,10 +70,11 @@
   const context: GatewayContext = { settings, clock, log, metrics, store, dialects, random };
   const kernel = new Kernel();
   const entry = new EntryService(context);
+  const lanes = new BackendLanes(context);
   kernel
     .register(new ConfigurationWatch(context))
     .register(new ServerDirectory(context))
-    .register(new BackendLanes(context))
+    .register(lanes)
     .register(new PrepaidService(context, randomUUID()))
     .register(entry)
     .register(new StatusService(context));
@@ -73,6 +86,13 @@
       await kernel.start();
       log.write('gateway-started', { port: settings.listen.entry.port });
     },
+    reload(next) {
+      const fixed = fixedSettings.filter((name) => !isDeepStrictEqual(settings[name], next[name]));
+      const kept = Object.fromEntries(fixedSettings.map((name) => [name, settings[name]]));
+      Object.assign(settings, next, kept);
+      lanes.applySettings();
+      return fixed;
+    },
     async stop() {
       log.write('gateway-stopping', { running: entry.running });
       entry.beginStop();
--- a/packages/gateway/src/runtime/retryAllowance.ts
+++ b/packages/gateway/src/runtime/retryAllowance.ts
@@ -4,12 +4,16 @@
  */
 
 /** Bounds of the whole fleet. */
-export interface RetryAllowanceOptions {
+export interface RetryBounds {
   /** Attempts beyond the first, as a part of the requests of the window. */
   ratio: number;
   /** Further attempts in a window, for the whole fleet. */
   slack: number;
   windowMs: number;
+}
+
+/** What an allowance is created with. */
+export interface RetryAllowanceOptions extends RetryBounds {
   /** Instances that share the slack. */
   instances: number;
 }
@@ -28,16 +32,20 @@
  * if (allowance.take(now)) sendAgain();
  */
 export class RetryAllowance {
-  readonly #options: RetryAllowanceOptions;
+  #bounds: RetryBounds;
   #instances: number;
   #requests: number[] = [];
   #taken: number[] = [];
 
   constructor(options: RetryAllowanceOptions) {
-    this.#options = options;
+    this.#bounds = options;
     this.#instances = options.instances;
   }
 
+  setBounds(bounds: RetryBounds): void {
+    this.#bounds = bounds;
+  }
+
   setInstances(count: number): void {
     this.#instances = count;
   }
@@ -49,7 +57,7 @@
 
   /** Takes one further attempt, if the window has one left. */
   take(now: number): boolean {
-    const from = now - this.#options.windowMs;
+    const from = now - this.#bounds.windowMs;
     this.#requests = after(this.#requests, from);
     this.#taken = after(this.#taken, from);
     if (this.#taken.length >= this.#most()) return false;
@@ -58,7 +66,7 @@
   }
 
   #most(): number {
-    const { ratio, slack } = this.#options;
+    const { ratio, slack } = this.#bounds;
     return Math.floor(SAFE_PART * (ratio * this.#requests.length + slack / this.#instances));
   }
 }
--- a/packages/kernel/src/node/eventLog.ts
+++ b/packages/kernel/src/node/eventLog.ts
@@ -86,6 +86,12 @@
     output.on('error', () => {
       this.#dropped += 1;
     });
+    let told = 0;
+    output.on('drain', () => {
+      if (this.#dropped === told) return;
+      told = this.#dropped;
+      this.write('log-lines-dropped', { dropped: told });
+    });
     const stream = new Writable({
       decodeStrings: false,
       write: (line: string, _encoding, done) => {
--- a/packages/router/src/node/backends/serviceLane.ts
+++ b/packages/router/src/node/backends/serviceLane.ts
@@ -45,6 +45,12 @@
   random: () => number;
   /** @default 'near-first' */
   scope?: PlacementScope;
+  /**
+   * Whether a request that was in flight in a crash runs alone at a server until it is cleared. Not
+   * where servers run dozens of requests at once: a server without any is hardly ever to be had, and
+   * a stream that is to go on at another server would wait for one. @default true
+   */
+  runsSuspectsAlone?: boolean;
 }
 
 interface Waiter {
@@ -98,7 +104,7 @@
     }
     if (request.tried.length === 0) this.#retries = earnRetry(this.#retries);
     return new Promise((resolve) => {
-      const exclusive = verdict === 'suspect';
+      const exclusive = verdict === 'suspect' && (this.#options.runsSuspectsAlone ?? true);
       this.#enqueue({ request, exclusive, arrivedAt: now, resolve });
       this.pump();
     });
--- a/test/platform/gateway.test.ts
+++ b/test/platform/gateway.test.ts
@@ -19,7 +19,9 @@
   assert.equal(chat.body, wholeStream);
   assert.equal(chat.complete, true);
 
-  const [look, book] = world.seen('p');
+  const [look, book] = ['/look/', '/book/'].map((path) =>
+    world.seen('p').find(({ url }) => url.startsWith(path)),
+  );
   assert.equal(look?.url, '/look/12?full=1');
   assert.equal(book?.body, 'bed=12');
   for (const { headers } of [...world.seen('p'), ...world.seen('e')]) {
@@ -269,3 +271,15 @@
   assert.match(metrics, /flamingocourse_requests_total\{route="look",outcome="answered"\} 1/);
   assert.match(metrics, /flamingocourse_request_seconds_bucket/);
 });
+
+describe('new settings', () => {
+  // calls hang up when an operator changes a figure: the process had to be restarted for it.
+  test('come into force while requests run, and what needs a restart is named', async (t) => {
+    const world = await World.start(t);
+    const running = world.call({ path: '/book/1' });
+    assert.ok(world.settings);
+    const next = { ...world.settings, stopGraceMs: 3_000, dataCentre: 'hall-b' };
+    assert.deepEqual(world.reload(next), ['dataCentre']);
+    assert.equal((await running).status, 200);
+  });
+});
--- a/test/platform/world.ts
+++ b/test/platform/world.ts
@@ -1,6 +1,7 @@
 /** One gateway on the users' platform, with stand-ins for the store and the servers. */
 
 import type { TestContext } from 'node:test';
+import type { GatewaySettings } from '@flamingocourse/gateway';
 import type { IncomingHttpHeaders } from 'node:http';
 import { request } from 'node:http';
 import { setTimeout as delay } from 'node:timers/promises';
@@ -200,6 +201,8 @@
       log: this.log,
       random: Math.random,
     });
+    this.settings = settings.value;
+    this.reload = (next) => gateway.reload(next);
     await gateway.start();
     let stopped: Promise<void> | undefined;
     this.stop = () => (stopped ??= gateway.stop());
@@ -207,6 +210,9 @@
     await until('ready', async () => (await this.ready()) === 200);
   }
 
+  settings: GatewaySettings | undefined;
+  /** Gives the gateway new settings. */
+  reload: (next: GatewaySettings) => string[] = () => [];
   /** Stops the gateway the planned way. */
   stop: () => Promise<void> = () => Promise.resolve();
 }
