--- a/packages/core/src/runtime/prepaid/prepaidHolder.ts
+++ b/packages/core/src/runtime/prepaid/prepaidHolder.ts
@@ -34,12 +34,6 @@
   toldRate: number;
 }
 
-/** A report on its way, with what was taken off the holdings for it. */
-interface PendingReport {
-  report: PrepaidReport;
-  given: Map<AccountId, Tokens>;
-}
-
 /** Weight of one request in the moving average of their sizes. */
 const TYPICAL_WEIGHT = 0.05;
 
@@ -72,7 +66,7 @@
   readonly #sizing: PrepaidSizing;
   readonly #holdings = new Map<AccountId, Holding>();
   #nextSeq = 1;
-  #pending: PendingReport | undefined;
+  #pending: PrepaidReport | undefined;
   #typicalRequest: Tokens = 0;
 
   constructor(instance: string, incarnation: IncarnationId, sizing: PrepaidSizing) {
@@ -130,7 +124,7 @@
 
   /** Whether a report is on its way whose fate is not known. */
   get pending(): PrepaidReport | undefined {
-    return this.#pending?.report;
+    return this.#pending;
   }
 
   /**
@@ -143,7 +137,7 @@
     now: EpochMs,
     last = false,
   ): PrepaidReport | undefined {
-    if (this.#pending) return this.#pending.report;
+    if (this.#pending) return this.#pending;
     const entries: Record<AccountId, PrepaidReportEntry> = {};
     const given = new Map<AccountId, Tokens>();
     const demand = this.#demand(page, limits, now);
@@ -166,7 +160,7 @@
     const pending = this.#pending;
     if (!pending) return;
     this.#pending = undefined;
-    for (const [account, entry] of Object.entries(pending.report.entries)) {
+    for (const [account, entry] of Object.entries(pending.entries)) {
       const holding = this.#holding(account);
       const held = page.accounts[account]?.shares[this.instance]?.held ?? entry.keeps;
       holding.rights += held - entry.keeps;
@@ -175,14 +169,6 @@
     }
   }
 
-  /** Gives a pending report up that provably never took effect. */
-  abandon(): void {
-    const pending = this.#pending;
-    if (!pending) return;
-    this.#pending = undefined;
-    for (const [account, amount] of pending.given) this.#holding(account).rights += amount;
-  }
-
   #demand(page: PrepaidPage, limits: PrepaidLimits, now: EpochMs): Demand {
     const rates = new Map<AccountId, number>();
     const fleetRates = new Map<AccountId, number>();
@@ -234,7 +220,7 @@
     const { instance, incarnation } = this;
     const report = { instance, incarnation, seq: this.#nextSeq, entries };
     this.#nextSeq += 1;
-    this.#pending = { report, given };
+    this.#pending = report;
     return report;
   }
 
--- a/packages/core/src/types/routedConfig.ts
+++ b/packages/core/src/types/routedConfig.ts
@@ -33,10 +33,6 @@
 /** A service that requests are passed to. */
 export interface RoutedService {
   name: ServiceName;
-  /** Connections that one of its servers takes from all instances together. */
-  maxConnections: number;
-  /** Requests that one server works on at once, where the configuration tells. */
-  slots?: number;
   /** Whether it generates text, so that requests gain from a server that read the same prompt. */
   generates: boolean;
   /** Most tokens that one event of a stream holds. */
--- a/packages/gateway/src/node/entryService.ts
+++ b/packages/gateway/src/node/entryService.ts
@@ -6,7 +6,7 @@
 import type { CallHead } from '../types/call.js';
 import type { GatewayContext } from '../types/context.js';
 import type { Outcome } from '../types/outcome.js';
-import type { FlowParts } from './requestFlow.js';
+import type { FlowParts, RoutedCall } from './requestFlow.js';
 import { createServer } from 'node:http';
 import { pickTarget } from '@flamingocourse/core';
 import { Service, describeError } from '@flamingocourse/kernel';
@@ -162,50 +162,41 @@
     const table = this.#configuration?.table;
     const route = table?.findRoute(head.host, head.path);
     const account = head.key === undefined ? undefined : table?.findAccount(head.key);
-    const refusal = this.#judge(table, route, account, arrivedAt);
     const limit = table?.config.limits.maxBodyBytes ?? 0;
-    if (refusal || !table || !route) {
-      // the body is read all the same: a connection with unread bytes could not be used again.
-      await readRequestBody(req, limit);
-      const outcome = this.#refuse(answer, refusal ?? notReady());
-      this.#end(route?.name ?? 'none', head, answer, arrivedAt, outcome);
-      return;
-    }
+    // the body is read in any case: a connection with unread bytes could not be used again.
     const body = await readRequestBody(req, limit);
-    if (body.type !== 'whole') {
-      const outcome: Outcome =
-        body.type === 'gone' ? { type: 'gone' } : this.#refuse(answer, tooLarge(limit));
-      this.#end(route.name, head, answer, arrivedAt, outcome);
-      return;
-    }
-    const service = table.service(pickTarget(route, this.#context.random()) ?? '');
-    if (!service) {
-      const outcome = this.#refuse(answer, notReady());
-      this.#end(route.name, head, answer, arrivedAt, outcome);
-      return;
+    const refuse = (refusal: Refusal): void => {
+      const outcome = this.#refuse(answer, refusal);
+      this.#end(route?.name ?? 'none', head, answer, arrivedAt, outcome);
+    };
+    const refusal = this.#judge(table, route, account, arrivedAt);
+    if (refusal) refuse(refusal);
+    else if (body.type === 'gone') {
+      this.#end(route?.name ?? 'none', head, answer, arrivedAt, { type: 'gone' });
+    } else if (body.type === 'too-large') refuse(tooLarge(limit));
+    else {
+      const service = route && table?.service(pickTarget(route, this.#context.random()) ?? '');
+      if (!table || !route || !service) refuse(notReady());
+      else {
+        const call = { head, body: body.bytes, table, route, account, service, arrivedAt, answer };
+        await this.#run(call);
+      }
     }
-    const waitMs = Math.min(head.waitMs ?? DEFAULT_WAIT_MS, route.timeoutMs);
+  }
+
+  /** Runs a routed request until it ends, its caller leaves or its time is over. */
+  async #run(call: Omit<RoutedCall, 'endsAt' | 'signal'>): Promise<void> {
+    const { head, route, account, table, answer, arrivedAt } = call;
+    const endsAt = arrivedAt + Math.min(head.waitMs ?? DEFAULT_WAIT_MS, route.timeoutMs);
     const controller = new AbortController();
     this.#running.add(controller);
-    const timer = setTimeout(() => {
-      controller.abort();
-    }, waitMs);
-    answer.onGone(() => {
+    const abort = (): void => {
       controller.abort();
-    });
-    if (answer.gone) controller.abort();
-    const flow = new RequestFlow(this.#flowParts(), {
-      head,
-      body: body.bytes,
-      table,
-      route,
-      account,
-      service,
-      arrivedAt,
-      endsAt: arrivedAt + waitMs,
-      answer,
-      signal: controller.signal,
-    });
+    };
+    const timer = setTimeout(abort, endsAt - this.#context.clock.now());
+    answer.onGone(abort);
+    if (answer.gone) abort();
+    const flow = new RequestFlow(this.#flowParts(), { ...call, endsAt, signal: controller.signal });
     try {
       const outcome = await flow.run();
       this.#end(route.name, head, answer, arrivedAt, outcome, { flow, account, table });
--- a/test/platform/world.ts
+++ b/test/platform/world.ts
@@ -7,14 +7,7 @@
 import { setTimeout as delay } from 'node:timers/promises';
 import { createGateway, parseGatewaySettings } from '@flamingocourse/gateway';
 import { MemoryEventLog, MonotonicClock } from '@flamingocourse/kernel';
-import {
-  CONFIGURATION_NAME,
-  ObjectsDialect,
-  PlatformCallers,
-  PlatformServers,
-  configuration,
-  serverList,
-} from '@flamingocourse/platform-adapter';
+import { createPlatformDialects } from '@flamingocourse/platform-adapter';
 import { findFreePorts } from '../../packages/lab/src/node/freePorts.js';
 import { UsersServer } from './usersServer.js';
 import { UsersStore } from './usersStore.js';
@@ -189,14 +182,7 @@
     if (settings.isErr) throw new Error(settings.error);
     const gateway = createGateway({
       settings: settings.value,
-      dialects: {
-        store: new ObjectsDialect(),
-        callers: new PlatformCallers(),
-        servers: new PlatformServers(),
-        configuration,
-        configurationName: CONFIGURATION_NAME,
-        serverList,
-      },
+      dialects: createPlatformDialects(),
       clock: new MonotonicClock(),
       log: this.log,
       random: Math.random,
