fix(gateway): a planned stop takes no connection that it could not serve to the end

Cause: with too few instances ready the balancer sends new connections to one that is stopping all the same; it took a chat six seconds after its order to stop and cut it at the end of the grace time. Ruled out: kept connections (they end with their answer). The listener closes 2.6 s after the order now; the new test fails before.

--- a/packages/gateway/src/node/entryService.ts
+++ b/packages/gateway/src/node/entryService.ts
@@ -28,8 +28,8 @@
 /** Wait of a caller that names none, in milliseconds. */
 const DEFAULT_WAIT_MS = 30_000;
 /**
- * Milliseconds from the order to stop until idle connections are closed. The balancer asks each
- * second and needs two misses, so new connections come for up to two seconds.
+ * Milliseconds from the order to stop until no connection is taken any more and idle ones are closed.
+ * The balancer asks each second and needs two misses, so new ones come for up to two seconds.
  */
 const STILL_SENT_MS = 2_600;
 /** Milliseconds between looks at whether the last request has ended. */
@@ -116,11 +116,13 @@
     const lastAt = since + this.#context.settings.stopGraceMs - STOP_MARGIN_MS;
     for (;;) {
       const now = this.#context.clock.now();
-      if (now >= since + STILL_SENT_MS) this.#server.closeIdleConnections();
-      if (now >= lastAt || (now >= since + STILL_SENT_MS && this.#running.size === 0)) break;
+      const closed = now >= since + STILL_SENT_MS;
+      // a balancer that finds too few instances ready sends new connections to this one all the
+      // same; a stream begun that late would be cut at the end of the grace time.
+      if (closed) this.#server.close();
+      if (now >= lastAt || (closed && this.#running.size === 0)) break;
       await new Promise((resolve) => setTimeout(resolve, STOP_CHECK_MS));
     }
-    this.#server.close();
     for (const controller of this.#running) controller.abort();
     this.#server.closeAllConnections();
     this.#agent.destroy();
--- a/test/platform/gateway.test.ts
+++ b/test/platform/gateway.test.ts
@@ -257,6 +257,26 @@
   assert.equal(page.accounts.kirk?.shares['edge-1']?.held ?? 0, 0, 'all tokens are given back');
 });
 
+// a duty pilot's chat breaks off half way: the balancer found too few instances ready and went on sending
+// to one that was told to stop six seconds before, which took the chat and cut it at its end.
+test('a planned stop takes nothing that it could not finish', async (t) => {
+  const slow = { timeout_ms: 8_000, kind: 'non_idempotent', service: 'ledger', public: true };
+  const route = { ...slow, name: 'book', hostname: 'shop.example', path_prefix: '/book/' };
+  const world = await World.start(t, configWith({ routes: [route] }));
+  world.behave('p', 'silent');
+  let ended = false;
+  const running = world.call({ path: '/book/1', headers: { 'x-deadline-ms': '7000' } });
+  void running.then(() => {
+    ended = true;
+  });
+  await until('running', () => world.seen('p').length === 1);
+  const stopped = world.stop();
+  await until('closed', async () => (await world.call({ path: '/none/' })).status === 0);
+  assert.equal(ended, false, 'the first request still runs');
+  await stopped;
+  assert.notEqual((await running).status, 200);
+});
+
 test('each request leaves one line with what decided it, and counts in the metrics', async (t) => {
   const world = await World.start(t);
   await world.call({ path: '/look/1', method: 'GET' });
