test(store): a cut is told by its error, not by the clock

Beside load the first call of a silent cut passed its timeout of 80 ms on a sound connection, and the test failed (1 of 662). The timeout is a second now, and whether a cut costs it is read from the error itself.

--- a/test/store/link.test.ts
+++ b/test/store/link.test.ts
@@ -16,17 +16,14 @@
   test(`a ${cut} cut stops calls, also on kept connections, and heals`, async (t) => {
     const platform = await startStandIn(t);
     const link = await linkTo(t, platform.urls['dc-a']);
-    const options = { timeoutMs: 80, circuit: { failureLimit: 99, pauseMs: 1, maxPauseMs: 1 } };
+    const options = { timeoutMs: 1_000, circuit: { failureLimit: 99, pauseMs: 1, maxPauseMs: 1 } };
     const store = connect(t, link.url, options);
     assert.ok((await store.create(notes, 'n', { text: 'a' })).isOk);
     link.setCut(cut);
-    const before = performance.now();
-    assert.ok((await store.get(notes, 'n')).isErr);
-    assert.equal(
-      performance.now() - before > 70,
-      cut === 'silent',
-      'only silence costs the timeout',
-    );
+    const cutOff = await store.get(notes, 'n');
+    assert.ok(cutOff.isErr);
+    const reason = cutOff.error.message.includes('timeout') ? 'timeout' : 'broken';
+    assert.equal(reason, cut === 'silent' ? 'timeout' : 'broken', 'only silence costs the timeout');
     link.setCut('none');
     assert.ok((await store.get(notes, 'n')).isOk);
   });
