--- a/packages/gateway/src/node/requestFlow.ts
+++ b/packages/gateway/src/node/requestFlow.ts
@@ -37,11 +37,11 @@
 /** Milliseconds after which a caller may come back when no server could take its request. */
 const NO_SERVER_RETRY_MS = 300;
 /**
- * Times its target that a repeatable request waits for one server before another is tried. Most
- * answers come within the target; one that is three times late is more likely lost than slow.
+ * Times its target that a repeatable request waits for the first of several servers, at least. An
+ * answer that comes so late is more likely lost than slow.
  */
 const PATIENCE = 2;
-/** Part of the remaining time that one of several attempts may use. */
+/** Part of the remaining time that it waits, at least: two servers must not share a short wait. */
 const ATTEMPT_PART = 0.6;
 
 /** What all requests of a process share. */
