fix(gateway): attempts have a module of their own; one line, one count, no wasted allowance

Ruled out: the allowance of the servers' side (what was taken and not sent counts nowhere else).

Before: the three new tests fail (two lines and two counts, 2 of 3 requests at the servers, 6,000 moments kept for a window of 1,000).

--- a/packages/gateway/src/node/requestFlow.ts
+++ b/packages/gateway/src/node/requestFlow.ts
@@ -18,32 +18,20 @@
 import type { CallHead } from '../types/call.js';
 import type { GatewayContext } from '../types/context.js';
 import type { Outcome } from '../types/outcome.js';
-import type { AttemptHistory, FailedAttempt } from '../runtime/attemptJudgement.js';
+import type { FailedAttempt } from '../runtime/attemptJudgement.js';
 import type { BackendLane, BackendLanes } from './backendLanes.js';
-import type { AttemptFault, OpenAnswer } from './httpAttempt.js';
 import type { PrepaidService } from './prepaidService.js';
 import type { ServerAgent } from './serverAgent.js';
 import type { CallerAnswer } from './callerAnswer.js';
-import type { RelayEnd } from './answerRelay.js';
 import { createHash } from 'node:crypto';
 import { notRun } from '@flamingocourse/router';
-import { isRepeatable, mayFollow, refuseFailed } from '../runtime/attemptJudgement.js';
-import { enginePriority } from '../runtime/enginePriority.js';
+import { mayFollow, refuseFailed } from '../runtime/attemptJudgement.js';
 import { affinityKey } from '../runtime/affinityKey.js';
 import { importanceOf, urgencyOf } from '../runtime/urgency.js';
-import { openAttempt } from './httpAttempt.js';
-import { relayStream, relayWhole } from './answerRelay.js';
+import { ServerAttempt, historyOf } from './serverAttempt.js';
 
 /** Milliseconds after which a caller may come back when no server could take its request. */
 const NO_SERVER_RETRY_MS = 300;
-/**
- * Times its target that a repeatable request waits for the first of several servers, at least. An
- * answer that comes so late is more likely lost than slow.
- */
-const PATIENCE = 2;
-/** Part of the remaining time that it waits, at least: two servers must not share a short wait. */
-const ATTEMPT_PART = 0.6;
-
 /** What all requests of a process share. */
 export interface FlowParts {
   context: GatewayContext;
@@ -69,18 +57,21 @@
 }
 
 /** Progress of one request. */
-interface Progress {
+export interface Progress {
+  /** Servers whose attempt failed. */
   tried: string[];
+  /** Attempts so far, all kinds. */
   made: number;
+  /** Attempts so far that may have run. */
   mayHaveRun: number;
+  /** Events of the stream that were passed on. */
   events: number;
+  /** Event after which another server has to go on. */
   resumeAfter: string | undefined;
   /** Tokens charged to the account. */
   charged: number;
 }
 
-type AttemptEnd = { type: 'done'; outcome: Outcome } | { type: 'failed'; failed: FailedAttempt };
-
 /** Runs one request. */
 export class RequestFlow {
   readonly #parts: FlowParts;
@@ -143,8 +134,11 @@
     for (;;) {
       const placed = await this.#place(lane);
       if (placed.type === 'refused') return this.#refuse(placed.refusal);
-      const end = await this.#attempt(placed.placement, lane);
-      if (end.type === 'done') return end.outcome;
+      const { placement } = placed;
+      const attempt = { parts: this.#parts, call: this.#call, progress: this.#progress };
+      const end = await new ServerAttempt({ ...attempt, placement, lane }).run();
+      if (end.type === 'answered') return end;
+      if (end.type === 'interrupted') return this.#interrupted();
       const stop = this.#stopAfter(end.failed, lane);
       if (stop) return stop;
     }
@@ -176,155 +170,14 @@
     return refuseFailed(this.#progress.mayHaveRun, refusal.detail, NO_SERVER_RETRY_MS);
   }
 
-  async #attempt(placement: Placement, lane: BackendLane): Promise<AttemptEnd> {
-    const { context, agent } = this.#parts;
-    const { head, account, body, signal, endsAt, service } = this.#call;
-    const startedAt = this.#now();
-    this.#progress.made += 1;
-    const { server } = placement;
-    const opened = await openAttempt({
-      url: server.url,
-      method: head.method,
-      target: head.target,
-      headers: context.dialects.servers.attemptHeaders(head, {
-        serverId: server.id,
-        leftMs: Math.max(1, Math.floor(endsAt - startedAt)),
-        account: account?.name,
-        priority: head.size && enginePriority(head.size),
-        resumeAfter: this.#progress.resumeAfter,
-        bodyBytes: body.length,
-      }),
-      body,
-      agent,
-      connectMs: context.settings.servers.connectMs,
-      headMs: this.#headMs(startedAt),
-      signal,
-    });
-    if (opened.isErr) return this.#faulted(placement, opened.error);
-    placement.heard();
-    this.#learnLoad(opened.value, placement, lane);
-    const verdict = context.dialects.servers.judge(head, opened.value.head);
-    context.metrics.attempt(service.name, verdict);
-    switch (verdict) {
-      case 'answered':
-        this.#progress.mayHaveRun += 1;
-        return this.#relay(opened.value, placement, startedAt);
-      case 'not-run':
-        opened.value.body.resume();
-        return this.#failed(
-          placement,
-          'refused',
-          'cancelled',
-          `status ${opened.value.head.status}`,
-        );
-      case 'other-server':
-        opened.value.body.resume();
-        return this.#failed(placement, 'other-server', 'leaving', 'another server has the address');
-      case 'spoilt':
-        opened.value.drop();
-        this.#progress.mayHaveRun += 1;
-        return this.#failed(placement, 'unknown', 'failed', 'not an answer to this request');
-    }
-  }
-
-  /** Milliseconds for the head; the request's own end decides where no other attempt may follow. */
-  #headMs(now: number): number | undefined {
-    const { route, endsAt } = this.#call;
-    const leftMs = Math.max(1, endsAt - now);
-    const last = this.#progress.mayHaveRun + 1 >= route.maxAttempts;
-    if (last || !isRepeatable(route.repetition)) return undefined;
-    return Math.min(leftMs, Math.max(ATTEMPT_PART * leftMs, PATIENCE * route.targetMs));
-  }
-
-  #faulted(placement: Placement, fault: AttemptFault): AttemptEnd {
-    if (fault.sent) this.#progress.mayHaveRun += 1;
-    if (fault.reason === 'aborted') {
-      placement.end('cancelled');
-      return { type: 'done', outcome: this.#interrupted() };
-    }
-    if (!fault.sent) return this.#failed(placement, 'not-sent', 'unreachable', fault.cause);
-    const how = fault.reason === 'timeout' ? 'timed-out' : 'failed';
-    return this.#failed(placement, 'unknown', how, fault.cause);
-  }
-
-  #failed(
-    placement: Placement,
-    failed: FailedAttempt,
-    how: Parameters<Placement['end']>[0],
-    cause: string,
-  ): AttemptEnd {
-    const { context } = this.#parts;
-    const { head, service } = this.#call;
-    placement.end(how);
-    this.#progress.tried.push(placement.server.id);
-    context.metrics.attempt(service.name, failed);
-    context.log.write('attempt-failed', {
-      request: head.id,
-      server: placement.server.id,
-      failed,
-      cause,
-      made: this.#progress.made,
-      mayHaveRun: this.#progress.mayHaveRun,
-      leftMs: Math.round(this.#call.endsAt - this.#now()),
-    });
-    return { type: 'failed', failed };
-  }
-
-  async #relay(open: OpenAnswer, placement: Placement, startedAt: number): Promise<AttemptEnd> {
-    const { context } = this.#parts;
-    const { answer, head, route, signal } = this.#call;
-    const isStream = route.repetition === 'resumable-stream' || route.repetition === 'once-stream';
-    const headers = context.dialects.servers.answerHeaders(open.head);
-    const isError = open.head.status >= 500;
-    if (isError && !answer.started && this.#mayTryAgain('server-error')) {
-      open.body.resume();
-      return this.#failed(placement, 'server-error', 'ok', `status ${open.head.status}`);
-    }
-    const heard = (): void => {
-      placement.heard();
-    };
-    const relay = { open, answer, headers, signal, heard, now: () => this.#now() };
-    const end: RelayEnd =
-      isStream && !isError
-        ? await relayStream(relay, (events, lastId) => {
-            this.#progress.events += events;
-            if (lastId !== undefined) this.#progress.resumeAfter = lastId;
-          })
-        : await relayWhole(relay);
-    if (end.type === 'whole') {
-      placement.end('ok', (end.firstByteAt ?? this.#now()) - startedAt);
-      return { type: 'done', outcome: { type: 'answered', status: open.head.status } };
-    }
-    if (end.type === 'aborted' || answer.gone) {
-      placement.end('cancelled');
-      return { type: 'done', outcome: this.#interrupted() };
-    }
-    context.log.write('attempt-failed', {
-      request: head.id,
-      cause: end.cause,
-      events: answer.events,
-    });
-    return this.#failed(placement, 'unknown', 'crashed', end.cause);
-  }
-
-  #mayTryAgain(failed: FailedAttempt): boolean {
-    return mayFollow(failed, this.#history());
-  }
-
-  #history(): AttemptHistory {
-    const { route, endsAt } = this.#call;
-    const { mayHaveRun, made } = this.#progress;
-    const { repetition, maxAttempts } = route;
-    return { repetition, maxAttempts, mayHaveRun, made, leftMs: endsAt - this.#now() };
-  }
-
   /** The outcome if no further attempt may follow. */
   #stopAfter(failed: FailedAttempt, lane: BackendLane): Outcome | undefined {
     const { answer, signal } = this.#call;
     if (signal.aborted) return this.#interrupted();
+    const now = this.#now();
+    const follows = mayFollow(failed, historyOf(this.#call, this.#progress, now));
     // what never reached a server is not counted as a further attempt by anybody.
-    const allowed = failed === 'not-sent' || lane.retries.take(this.#now());
-    if (allowed && this.#mayTryAgain(failed)) return undefined;
+    if (follows && (failed === 'not-sent' || lane.retries.take(now))) return undefined;
     if (answer.started) return this.#break(`broke off after ${failed}`);
     const detail = 'No backend server gave an answer.';
     return this.#refuse(refuseFailed(this.#progress.mayHaveRun, detail, NO_SERVER_RETRY_MS));
@@ -355,12 +208,6 @@
     return { type: 'refused', status, refusal };
   }
 
-  #learnLoad(open: OpenAnswer, { server }: Placement, { lane }: BackendLane): void {
-    const load = this.#parts.context.dialects.servers.load(open.head);
-    const now = this.#now();
-    if (load) lane.pool.reportLoad(server.id, { ...load, at: now }, now);
-  }
-
   #now(): number {
     return this.#parts.context.clock.now();
   }
--- /dev/null
+++ b/packages/gateway/src/node/serverAttempt.ts
@@ -0,0 +1,210 @@
+/** One attempt of a request at one backend server: send, judge the answer's head, pass it on. */
+
+import type { Placement } from '@flamingocourse/router';
+import type { AttemptHistory, FailedAttempt } from '../runtime/attemptJudgement.js';
+import type { RelayEnd } from './answerRelay.js';
+import type { BackendLane } from './backendLanes.js';
+import type { AttemptFault, OpenAnswer } from './httpAttempt.js';
+import type { FlowParts, Progress, RoutedCall } from './requestFlow.js';
+import { isRepeatable, mayFollow } from '../runtime/attemptJudgement.js';
+import { enginePriority } from '../runtime/enginePriority.js';
+import { relayStream, relayWhole } from './answerRelay.js';
+import { openAttempt } from './httpAttempt.js';
+
+/**
+ * Times its target that a repeatable request waits for the first of several servers, at least. An
+ * answer that comes so late is more likely lost than slow.
+ */
+const PATIENCE = 2;
+/** Part of the remaining time that it waits, at least: two servers must not share a short wait. */
+const ATTEMPT_PART = 0.6;
+
+/** How an attempt ended. */
+export type AttemptEnd =
+  | { type: 'answered'; status: number }
+  /** The caller left, or the time is over. */
+  | { type: 'interrupted' }
+  | { type: 'failed'; failed: FailedAttempt };
+
+/** What an attempt is made from. */
+export interface AttemptParts {
+  parts: FlowParts;
+  call: RoutedCall;
+  /** Brought up to date while the attempt runs. */
+  progress: Progress;
+  placement: Placement;
+  lane: BackendLane;
+}
+
+/**
+ * One attempt.
+ *
+ * @example
+ * const end = await new ServerAttempt({ parts, call, progress, placement, lane }).run();
+ */
+export class ServerAttempt {
+  readonly #parts: FlowParts;
+  readonly #call: RoutedCall;
+  readonly #progress: Progress;
+  readonly #placement: Placement;
+  readonly #lane: BackendLane;
+  #startedAt = 0;
+
+  constructor({ parts, call, progress, placement, lane }: AttemptParts) {
+    this.#parts = parts;
+    this.#call = call;
+    this.#progress = progress;
+    this.#placement = placement;
+    this.#lane = lane;
+  }
+
+  /** Runs to the answer's last byte, or until it is known that none comes. */
+  async run(): Promise<AttemptEnd> {
+    this.#startedAt = this.#now();
+    this.#progress.made += 1;
+    const opened = await this.#open();
+    if (opened.isErr) return this.#faulted(opened.error);
+    this.#placement.heard();
+    this.#learnLoad(opened.value);
+    const verdict = this.#parts.context.dialects.servers.judge(this.#call.head, opened.value.head);
+    switch (verdict) {
+      case 'answered':
+        this.#progress.mayHaveRun += 1;
+        return this.#relay(opened.value);
+      case 'not-run':
+        opened.value.body.resume();
+        return this.#failed('refused', 'cancelled', `status ${opened.value.head.status}`);
+      case 'other-server':
+        opened.value.body.resume();
+        return this.#failed('other-server', 'leaving', 'another server has the address');
+      case 'spoilt':
+        opened.value.drop();
+        this.#progress.mayHaveRun += 1;
+        return this.#failed('unknown', 'failed', 'not an answer to this request');
+    }
+  }
+
+  #open(): ReturnType<typeof openAttempt> {
+    const { context, agent } = this.#parts;
+    const { head, account, body, signal, endsAt } = this.#call;
+    const { server } = this.#placement;
+    return openAttempt({
+      url: server.url,
+      method: head.method,
+      target: head.target,
+      headers: context.dialects.servers.attemptHeaders(head, {
+        serverId: server.id,
+        leftMs: Math.max(1, Math.floor(endsAt - this.#startedAt)),
+        account: account?.name,
+        priority: head.size && enginePriority(head.size),
+        resumeAfter: this.#progress.resumeAfter,
+        bodyBytes: body.length,
+      }),
+      body,
+      agent,
+      connectMs: context.settings.servers.connectMs,
+      headMs: this.#headMs(),
+      signal,
+    });
+  }
+
+  /** Milliseconds for the head; the request's own end decides where no other attempt may follow. */
+  #headMs(): number | undefined {
+    const { route, endsAt } = this.#call;
+    const leftMs = Math.max(1, endsAt - this.#startedAt);
+    const last = this.#progress.mayHaveRun + 1 >= route.maxAttempts;
+    if (last || !isRepeatable(route.repetition)) return undefined;
+    return Math.min(leftMs, Math.max(ATTEMPT_PART * leftMs, PATIENCE * route.targetMs));
+  }
+
+  #faulted(fault: AttemptFault): AttemptEnd {
+    if (fault.sent) this.#progress.mayHaveRun += 1;
+    if (fault.reason === 'aborted') return this.#interrupted();
+    if (!fault.sent) return this.#failed('not-sent', 'unreachable', fault.cause);
+    const how = fault.reason === 'timeout' ? 'timed-out' : 'failed';
+    return this.#failed('unknown', how, fault.cause);
+  }
+
+  async #relay(open: OpenAnswer): Promise<AttemptEnd> {
+    const { answer } = this.#call;
+    const { status } = open.head;
+    if (status >= 500 && !answer.started && this.#mayTryAgain('server-error')) {
+      open.body.resume();
+      return this.#failed('server-error', 'ok', `status ${status}`);
+    }
+    const end = await this.#pass(open);
+    if (end.type === 'whole') {
+      const now = this.#now();
+      this.#placement.end('ok', (end.firstByteAt ?? now) - this.#startedAt);
+      this.#parts.context.metrics.attempt(this.#call.service.name, 'answered');
+      return { type: 'answered', status };
+    }
+    if (end.type === 'aborted' || answer.gone) return this.#interrupted();
+    return this.#failed('unknown', 'crashed', end.cause);
+  }
+
+  #pass(open: OpenAnswer): Promise<RelayEnd> {
+    const { answer, route, signal } = this.#call;
+    const isStream = route.repetition === 'resumable-stream' || route.repetition === 'once-stream';
+    const headers = this.#parts.context.dialects.servers.answerHeaders(open.head);
+    const heard = (): void => {
+      this.#placement.heard();
+    };
+    const relay = { open, answer, headers, signal, heard, now: () => this.#now() };
+    if (!isStream || open.head.status >= 500) return relayWhole(relay);
+    return relayStream(relay, (events, lastId) => {
+      this.#progress.events += events;
+      if (lastId !== undefined) this.#progress.resumeAfter = lastId;
+    });
+  }
+
+  #interrupted(): AttemptEnd {
+    this.#placement.end('cancelled');
+    this.#parts.context.metrics.attempt(this.#call.service.name, 'interrupted');
+    return { type: 'interrupted' };
+  }
+
+  /** Ends the attempt without an answer; the only place that logs and counts it as failed. */
+  #failed(failed: FailedAttempt, how: Parameters<Placement['end']>[0], cause: string): AttemptEnd {
+    const { context } = this.#parts;
+    const { head, service, answer, endsAt } = this.#call;
+    const { server } = this.#placement;
+    this.#placement.end(how);
+    this.#progress.tried.push(server.id);
+    context.metrics.attempt(service.name, failed);
+    context.log.write('attempt-failed', {
+      request: head.id,
+      server: server.id,
+      failed,
+      cause,
+      made: this.#progress.made,
+      mayHaveRun: this.#progress.mayHaveRun,
+      events: answer.events,
+      leftMs: Math.round(endsAt - this.#now()),
+    });
+    return { type: 'failed', failed };
+  }
+
+  #mayTryAgain(failed: FailedAttempt): boolean {
+    return mayFollow(failed, historyOf(this.#call, this.#progress, this.#now()));
+  }
+
+  #learnLoad(open: OpenAnswer): void {
+    const load = this.#parts.context.dialects.servers.load(open.head);
+    const now = this.#now();
+    const { id } = this.#placement.server;
+    if (load) this.#lane.lane.pool.reportLoad(id, { ...load, at: now }, now);
+  }
+
+  #now(): number {
+    return this.#parts.context.clock.now();
+  }
+}
+
+/** What the choice of a further attempt goes by. */
+export function historyOf(call: RoutedCall, progress: Progress, now: number): AttemptHistory {
+  const { route, endsAt } = call;
+  const { mayHaveRun, made } = progress;
+  const { repetition, maxAttempts } = route;
+  return { repetition, maxAttempts, mayHaveRun, made, leftMs: endsAt - now };
+}
--- a/packages/gateway/src/runtime/retryAllowance.ts
+++ b/packages/gateway/src/runtime/retryAllowance.ts
@@ -34,8 +34,8 @@
 export class RetryAllowance {
   #bounds: RetryBounds;
   #instances: number;
-  #requests: number[] = [];
-  #taken: number[] = [];
+  readonly #requests: number[] = [];
+  readonly #taken: number[] = [];
 
   constructor(options: RetryAllowanceOptions) {
     this.#bounds = options;
@@ -50,28 +50,39 @@
     this.#instances = count;
   }
 
+  /** Moments kept in memory; those of one window, whether further attempts are asked for or not. */
+  get kept(): number {
+    return this.#requests.length + this.#taken.length;
+  }
+
   /** Counts a request for the service. */
   request(now: number): void {
+    this.#forget(now);
     this.#requests.push(now);
   }
 
   /** Takes one further attempt, if the window has one left. */
   take(now: number): boolean {
-    const from = now - this.#bounds.windowMs;
-    this.#requests = after(this.#requests, from);
-    this.#taken = after(this.#taken, from);
+    this.#forget(now);
     if (this.#taken.length >= this.#most()) return false;
     this.#taken.push(now);
     return true;
   }
 
+  #forget(now: number): void {
+    const from = now - this.#bounds.windowMs;
+    dropUntil(this.#requests, from);
+    dropUntil(this.#taken, from);
+  }
+
   #most(): number {
     const { ratio, slack } = this.#bounds;
     return Math.floor(SAFE_PART * (ratio * this.#requests.length + slack / this.#instances));
   }
 }
 
-function after(times: number[], from: number): number[] {
-  const first = times.findIndex((time) => time > from);
-  return first < 0 ? [] : times.slice(first);
+/** Drops the moments up to and including `until`; they are in order. */
+function dropUntil(times: number[], until: number): void {
+  const kept = times.findIndex((time) => time > until);
+  times.splice(0, kept < 0 ? times.length : kept);
 }
--- a/test/gateway/decisions.test.ts
+++ b/test/gateway/decisions.test.ts
@@ -88,6 +88,14 @@
     assert.equal(allowance.take(1), false);
     assert.equal(allowance.take(10_001), true);
   });
+
+  test('forgets requests while nothing fails', () => {
+    // an instance that serves calm traffic for a day grows until it is killed for its memory: the
+    // moments of requests were dropped only when a further attempt was asked for.
+    const allowance = new RetryAllowance({ ...options, instances: 1 });
+    for (let now = 0; now < 60_000; now += 10) allowance.request(now);
+    assert.ok(allowance.kept <= 1_000, `kept ${String(allowance.kept)}`);
+  });
 });
 
 describe('routes', () => {
--- a/test/platform/gateway.test.ts
+++ b/test/platform/gateway.test.ts
@@ -91,6 +91,18 @@
   }
 });
 
+test('failures that nothing may follow use up nothing of the allowance', async (t) => {
+  // while a server resets connections, lookups fail that another server would have answered: each
+  // reservation that failed took one of the few further attempts and never made it.
+  const world = await World.start(t);
+  assert.ok(world.settings);
+  world.reload({ ...world.settings, retries: { ratio: 0, slack: 2, windowMs: 60_000 } });
+  world.behave('p', 'reset');
+  assert.equal((await world.call({ path: '/book/1' })).status, 502);
+  assert.equal((await world.call({ path: '/look/1' })).status, 502);
+  assert.equal(world.seen('p').length, 3);
+});
+
 describe('a stream whose server breaks off in the middle of an event', () => {
   // a volunteer's draft stops half way, or has a sentence twice where another server went on.
   test('goes on at another server without a seam', async (t) => {
@@ -114,6 +126,14 @@
     assert.equal(answer.complete, false);
     assert.equal(answer.body, event(1));
     assert.equal(world.seen('e').length, 1);
+    // one line and one count, or an engineer takes one failure for two.
+    const failed = world.log.events.filter(({ event: name }) => name === 'attempt-failed');
+    assert.deepEqual(
+      failed.map(({ fields }) => [fields?.['failed'], fields?.['events']]),
+      [['unknown', 1]],
+    );
+    const counted = (await world.metrics()).match(/attempts_total\{[^}]*\} \d+/g);
+    assert.deepEqual(counted, ['attempts_total{service="llm",end="unknown"} 1']);
   });
 });
 
