feat(prepaid): budgets are granted to groups of instances, each with a page of its own

Cause: one page held all accounts of all instances. With 73 instances and 24 accounts it had some 100 KB, was written by everybody each second, and most of the writes met a conflict that carried the page back. On links of 7 to 140 Mbit/s the pages pushed the requests aside: a reservation took 213 ms in the middle (21 ms of work), and 13,455 of some 23,000 tries were refused with 503.

Grants only grow, so a lost or late reply is taken in twice without harm, and an outdated copy takes nothing back.

--- a/packages/core/src/runtime/prepaid/index.ts
+++ b/packages/core/src/runtime/prepaid/index.ts
@@ -1,3 +1,4 @@
+export * from './prepaidBudgets.js';
 export * from './prepaidHolder.js';
 export * from './prepaidPage.js';
 export * from './prepaidSizing.js';
--- /dev/null
+++ b/packages/core/src/runtime/prepaid/prepaidBudgets.ts
@@ -0,0 +1,133 @@
+/** Reducer of the object that all groups share: membership, and what each group was granted. */
+
+import type { AccountId, Tokens } from '../../types/ids.js';
+import type {
+  PrepaidBudgets,
+  PrepaidGrant,
+  PrepaidOutlook,
+  PrepaidPage,
+} from '../../types/prepaid.js';
+import { emptyPrepaidAccount } from './prepaidPage.js';
+
+/** Limit of each account, from the configuration in force; an account without one is not limited. */
+export type PrepaidLimits = ReadonlyMap<AccountId, Tokens>;
+
+/**
+ * Grants that are left for each group in what remains when it asks, so that a group that asks first
+ * does not take all. With one group each grant is half of the rest: a budget takes some ten of them.
+ */
+const GRANTS_LEFT = 2;
+
+const NO_GRANT: PrepaidGrant = { granted: 0, gone: 0 };
+
+/** Budgets of which nothing was granted, without members. */
+export function createPrepaidBudgets(): PrepaidBudgets {
+  return { members: {}, grants: {} };
+}
+
+/**
+ * Puts an instance into the first group with room; one that belongs to a group stays there, also over
+ * restarts, so that its new process finds what its predecessor held.
+ *
+ * @param groupSize most instances of a group.
+ */
+export function joinGroup(
+  budgets: PrepaidBudgets,
+  instance: string,
+  groupSize: number,
+): PrepaidBudgets {
+  if (budgets.members[instance] !== undefined) return budgets;
+  const groups = Object.values(budgets.members);
+  let group = 0;
+  while (groups.filter((name) => name === String(group)).length >= groupSize) group += 1;
+  return { ...budgets, members: { ...budgets.members, [instance]: String(group) } };
+}
+
+/** Tokens of an account that no group holds. */
+export function ungrantedPrepaid(
+  budgets: PrepaidBudgets,
+  account: AccountId,
+  limit: Tokens,
+): Tokens {
+  const grants = Object.values(budgets.grants[account] ?? {});
+  return Math.max(0, limit - sum(grants.map(({ granted }) => granted)));
+}
+
+/** The most of an account that can be left anywhere. */
+export function leftPrepaid(budgets: PrepaidBudgets, account: AccountId, limit: Tokens): Tokens {
+  const grants = Object.values(budgets.grants[account] ?? {});
+  return Math.max(0, limit - sum(grants.map(({ gone }) => gone)));
+}
+
+/**
+ * Grants a group what it lacks and a part of the rest with it, so that it does not have to ask for each
+ * request. What the group's page says of its spending is taken in too.
+ *
+ * @example
+ * const next = grantPrepaid(budgets, '0', page, lackingPrepaid(page, report), limits);
+ */
+export function grantPrepaid(
+  budgets: PrepaidBudgets,
+  group: string,
+  page: PrepaidPage,
+  lacking: ReadonlyMap<AccountId, Tokens>,
+  limits: PrepaidLimits,
+): PrepaidBudgets {
+  const known = takePage(budgets, group, page);
+  const groups = countGroups(known);
+  const grants = { ...known.grants };
+  for (const [account, lacks] of lacking) {
+    const rest = ungrantedPrepaid(known, account, limits.get(account) ?? 0);
+    const grant = Math.floor(Math.min(rest, Math.max(lacks, rest / (GRANTS_LEFT * groups))));
+    const before = grants[account]?.[group] ?? NO_GRANT;
+    const after = { ...before, granted: before.granted + grant };
+    if (grant > 0) grants[account] = { ...grants[account], [group]: after };
+  }
+  return { ...known, grants };
+}
+
+/** The group's page with all grants that the budgets know; never takes one back. */
+export function takeGrants(page: PrepaidPage, budgets: PrepaidBudgets, group: string): PrepaidPage {
+  const accounts = { ...page.accounts };
+  for (const [name, grants] of Object.entries(budgets.grants)) {
+    const granted = grants[group]?.granted ?? 0;
+    const account = accounts[name] ?? emptyPrepaidAccount();
+    if (granted > account.granted) accounts[name] = { ...account, granted };
+  }
+  return { ...page, accounts };
+}
+
+/** What a group needs to know beyond its own page to size its instances' shares. */
+export function prepaidOutlook(
+  budgets: PrepaidBudgets,
+  limits: PrepaidLimits,
+): Map<AccountId, PrepaidOutlook> {
+  const groups = countGroups(budgets);
+  return new Map(
+    [...limits].map(([account, limit]) => {
+      const beyond = ungrantedPrepaid(budgets, account, limit) / groups;
+      return [account, { limitPart: limit / groups, beyond }];
+    }),
+  );
+}
+
+/** Takes in what the page says of spending, which only grows. */
+function takePage(budgets: PrepaidBudgets, group: string, page: PrepaidPage): PrepaidBudgets {
+  const grants = { ...budgets.grants };
+  for (const [name, { spent, inDoubt }] of Object.entries(page.accounts)) {
+    const before = grants[name]?.[group];
+    // a page can't have anything of an account before its group was granted some.
+    if (!before) continue;
+    const gone = Math.max(before.gone, spent + inDoubt);
+    grants[name] = { ...grants[name], [group]: { ...before, gone } };
+  }
+  return { ...budgets, grants };
+}
+
+function countGroups(budgets: PrepaidBudgets): number {
+  return Math.max(1, new Set(Object.values(budgets.members)).size);
+}
+
+function sum(values: number[]): number {
+  return values.reduce((total, value) => total + value, 0);
+}
--- a/packages/core/src/runtime/prepaid/prepaidHolder.ts
+++ b/packages/core/src/runtime/prepaid/prepaidHolder.ts
@@ -4,9 +4,13 @@
  */
 
 import type { AccountId, EpochMs, IncarnationId, Tokens } from '../../types/ids.js';
-import type { PrepaidPage, PrepaidReport, PrepaidReportEntry } from '../../types/prepaid.js';
+import type {
+  PrepaidOutlook,
+  PrepaidPage,
+  PrepaidReport,
+  PrepaidReportEntry,
+} from '../../types/prepaid.js';
 import type { DemandEstimate } from '../demand.js';
-import type { PrepaidLimits } from './prepaidPage.js';
 import type { PrepaidSizing } from './prepaidSizing.js';
 import { NO_DEMAND, observeDemand, settledDemand } from '../demand.js';
 import { prepaidRate, remainingPrepaid } from './prepaidPage.js';
@@ -37,11 +41,11 @@
 /** Weight of one request in the moving average of their sizes. */
 const TYPICAL_WEIGHT = 0.05;
 
-/** What this instance and all together are asked for. */
+/** What this instance and all of its group are asked for. */
 interface Demand {
   /** Tokens a second at this instance, by account. */
   rates: Map<AccountId, number>;
-  /** Tokens a second at all instances, by account. */
+  /** Tokens a second at all instances of the group, by account. */
   fleetRates: Map<AccountId, number>;
   instances: number;
   /** This instance's part of everything, from 0 to 1. */
@@ -130,20 +134,22 @@
   /**
    * Builds the next report; undefined when it would say nothing new. What it gives back can't be
    * spent from now on, so the page never promises it twice.
+   *
+   * @param outlook the limited accounts, with what the page does not show of each.
    */
   beginReport(
     page: PrepaidPage,
-    limits: PrepaidLimits,
+    outlook: ReadonlyMap<AccountId, PrepaidOutlook>,
     now: EpochMs,
     last = false,
   ): PrepaidReport | undefined {
     if (this.#pending) return this.#pending;
     const entries: Record<AccountId, PrepaidReportEntry> = {};
     const given = new Map<AccountId, Tokens>();
-    const demand = this.#demand(page, limits, now);
-    for (const [account, limit] of limits) {
+    const demand = this.#demand(page, [...outlook.keys()], now);
+    for (const [account, beyondPage] of outlook) {
       const holding = this.#holding(account);
-      const level = last ? 0 : this.#level(page, account, limit, demand);
+      const level = last ? 0 : this.#level(page, account, beyondPage, demand);
       const rate = demand.rates.get(account) ?? 0;
       const entry = this.#entry(account, holding, Math.max(level, holding.shortfall), rate);
       if (!entry) continue;
@@ -169,10 +175,10 @@
     }
   }
 
-  #demand(page: PrepaidPage, limits: PrepaidLimits, now: EpochMs): Demand {
+  #demand(page: PrepaidPage, accounts: AccountId[], now: EpochMs): Demand {
     const rates = new Map<AccountId, number>();
     const fleetRates = new Map<AccountId, number>();
-    for (const account of limits.keys()) {
+    for (const account of accounts) {
       const { demand, demandSince } = this.#holding(account);
       const entry = page.accounts[account];
       const own = settledDemand(demand, demandSince, now);
@@ -186,12 +192,17 @@
     return { rates, fleetRates, instances, trafficPart };
   }
 
-  #level(page: PrepaidPage, account: AccountId, limit: Tokens, demand: Demand): Tokens {
+  #level(
+    page: PrepaidPage,
+    account: AccountId,
+    { limitPart, beyond }: PrepaidOutlook,
+    demand: Demand,
+  ): Tokens {
     return this.#sizing.level({
       rate: demand.rates.get(account) ?? 0,
       fleetRate: demand.fleetRates.get(account) ?? 0,
-      remaining: remainingPrepaid(page.accounts[account], limit),
-      lostPart: limit > 0 ? (page.accounts[account]?.inDoubt ?? 0) / limit : 0,
+      remaining: remainingPrepaid(page.accounts[account]) + beyond,
+      lostPart: limitPart > 0 ? (page.accounts[account]?.inDoubt ?? 0) / limitPart : 0,
       instances: demand.instances,
       trafficPart: demand.trafficPart,
       typicalRequest: this.#typicalRequest,
@@ -210,7 +221,8 @@
     const rateNews = Math.abs(rate - holding.toldRate) > RATE_NEWS * Math.max(rate, 1);
     if (gives === 0 && wants === 0 && holding.unreported === 0 && !rateNews) return undefined;
     holding.shortfall = 0;
-    return { spent: holding.unreported, keeps: holding.rights - gives, wants, rate };
+    const keeps = holding.rights - gives;
+    return { spent: holding.unreported, keeps, wants, rate: Math.round(rate) };
   }
 
   #begin(
--- a/packages/core/src/runtime/prepaid/prepaidPage.ts
+++ b/packages/core/src/runtime/prepaid/prepaidPage.ts
@@ -1,4 +1,4 @@
-/** Reducer of a page of prepaid budgets. */
+/** Reducer of the page of one group's prepaid budgets. */
 
 import type { AccountId, Tokens } from '../../types/ids.js';
 import type {
@@ -8,9 +8,6 @@
   PrepaidReportEntry,
 } from '../../types/prepaid.js';
 
-/** Limit of each account, from the configuration in force; an account without one is not limited. */
-export type PrepaidLimits = ReadonlyMap<AccountId, Tokens>;
-
 /** A page on which nothing was spent. */
 export function createPrepaidPage(): PrepaidPage {
   return { accounts: {}, writers: {} };
@@ -23,40 +20,55 @@
 }
 
 /**
- * Takes a report in. What it wants is granted as far as the limit allows.
+ * Takes a report in. What it wants is dealt as far as the group's grant allows.
  *
  * A report of a new process of the same instance moves all that its predecessor held to `inDoubt`:
  * the predecessor may have spent it since its last report, so it is never granted again.
  *
  * @example
- * const next = applyReport(page, report, limits);
+ * const next = applyReport(page, report);
  * const update = await store.update(pages, '0', version, next);
  */
-export function applyReport(
-  page: PrepaidPage,
-  report: PrepaidReport,
-  limits: PrepaidLimits,
-): PrepaidPage {
+export function applyReport(page: PrepaidPage, report: PrepaidReport): PrepaidPage {
   if (hasReport(page, report)) return page;
   const { instance, incarnation, seq } = report;
   const before = page.writers[instance];
   const replaced = before !== undefined && before.incarnation !== incarnation;
   const accounts = replaced ? doubtShares(page.accounts, instance) : { ...page.accounts };
   for (const [name, entry] of Object.entries(report.entries)) {
-    const limit = limits.get(name) ?? Infinity;
-    accounts[name] = applyEntry(accounts[name] ?? emptyAccount(), instance, entry, limit);
+    accounts[name] = applyEntry(accounts[name] ?? emptyPrepaidAccount(), instance, entry);
   }
   return { accounts, writers: { ...page.writers, [instance]: { incarnation, seq } } };
 }
 
-/** Tokens of an account that may be granted still. */
-export function ungrantedPrepaid(account: PrepaidAccount, limit: Tokens): Tokens {
-  return Math.max(0, limit - account.spent - account.inDoubt - heldPrepaid(account));
+/** Tokens of an account that may be dealt to instances still. */
+export function undealtPrepaid(account: PrepaidAccount): Tokens {
+  const { granted, spent, inDoubt } = account;
+  return Math.max(0, granted - spent - inDoubt - heldPrepaid(account));
+}
+
+/** Tokens of the group's grant that no report has shown as spent or in doubt. */
+export function remainingPrepaid(account: PrepaidAccount | undefined): Tokens {
+  if (!account) return 0;
+  return Math.max(0, account.granted - account.spent - account.inDoubt);
 }
 
-/** Tokens of an account that no report has shown as spent or in doubt. */
-export function remainingPrepaid(account: PrepaidAccount | undefined, limit: Tokens): Tokens {
-  return account === undefined ? limit : Math.max(0, limit - account.spent - account.inDoubt);
+/**
+ * Tokens that a report wants and the page can't deal, by account.
+ *
+ * @example
+ * const lacking = lackingPrepaid(page, report);
+ * if (lacking.size > 0) await askForGrants(lacking);
+ */
+export function lackingPrepaid(page: PrepaidPage, report: PrepaidReport): Map<AccountId, Tokens> {
+  const lacking = new Map<AccountId, Tokens>();
+  const after = applyReport(page, report);
+  for (const [account, { keeps, wants }] of Object.entries(report.entries)) {
+    const held = after.accounts[account]?.shares[report.instance]?.held ?? 0;
+    const lacks = keeps + wants - held;
+    if (lacks > 0) lacking.set(account, lacks);
+  }
+  return lacking;
 }
 
 /** Tokens that instances hold. */
@@ -73,15 +85,14 @@
   account: PrepaidAccount,
   instance: string,
   entry: PrepaidReportEntry,
-  limit: Tokens,
 ): PrepaidAccount {
   const kept: PrepaidAccount = {
     ...account,
     spent: account.spent + entry.spent,
     shares: { ...account.shares, [instance]: { held: entry.keeps, rate: entry.rate } },
   };
-  const granted = Math.floor(Math.min(entry.wants, ungrantedPrepaid(kept, limit)));
-  kept.shares[instance] = { held: entry.keeps + granted, rate: entry.rate };
+  const dealt = Math.floor(Math.min(entry.wants, undealtPrepaid(kept)));
+  kept.shares[instance] = { held: entry.keeps + dealt, rate: entry.rate };
   return kept;
 }
 
@@ -99,6 +110,7 @@
   );
 }
 
-function emptyAccount(): PrepaidAccount {
-  return { spent: 0, inDoubt: 0, shares: {} };
+/** An account of which nothing was granted. */
+export function emptyPrepaidAccount(): PrepaidAccount {
+  return { granted: 0, spent: 0, inDoubt: 0, shares: {} };
 }
--- a/packages/core/src/runtime/prepaid/prepaidSizing.ts
+++ b/packages/core/src/runtime/prepaid/prepaidSizing.ts
@@ -7,15 +7,15 @@
 export interface PrepaidSituation {
   /** Tokens a second that this instance is asked for. */
   rate: number;
-  /** Tokens a second that all instances are asked for, this one included. */
+  /** Tokens a second that all instances of the group are asked for, this one included. */
   fleetRate: number;
-  /** Tokens neither spent nor in doubt. */
+  /** Tokens neither spent nor in doubt that the group has or may still get. */
   remaining: Tokens;
-  /** Part of the whole budget that is in doubt, from 0 to 1. */
+  /** Part of the group's budget that is in doubt, from 0 to 1. */
   lostPart: number;
-  /** Instances that share the budget, this one included. */
+  /** Instances of the group, this one included. */
   instances: number;
-  /** This instance's part of the demand of all accounts together, from 0 to 1. */
+  /** This instance's part of the group's demand of all accounts together, from 0 to 1. */
   trafficPart: number;
   /** Tokens that a request of any account asks for on average. */
   typicalRequest: Tokens;
--- a/packages/core/src/types/prepaid.ts
+++ b/packages/core/src/types/prepaid.ts
@@ -1,6 +1,8 @@
 /**
- * Prepaid budgets whose rights are dealt to instances: one stored page, changed only by conditional
- * update, that says what was spent and which instance may still spend how much.
+ * Prepaid budgets whose rights are dealt to instances: stored objects, changed only by conditional
+ * update, that say what was spent and who may still spend how much. Budgets are granted to groups of
+ * instances, and a group's page deals them to its instances: one page for a whole fleet would be
+ * fought over, and would be long to carry over a slow link.
  */
 
 import type { AccountId, IncarnationId, Tokens } from './ids.js';
@@ -13,8 +15,10 @@
   rate: number;
 }
 
-/** One account. Invariant: spent + inDoubt + sum of held <= limit. */
+/** One account. Invariant: spent + inDoubt + sum of held <= granted. */
 export interface PrepaidAccount {
+  /** All that the group was ever granted, as far as the page knows. */
+  granted: Tokens;
   /** Reported spend of all instances, ended ones included. */
   spent: Tokens;
   /** Held by processes that ended without a last report: charged, but without bills. */
@@ -28,13 +32,39 @@
   seq: number;
 }
 
-/** Value of one stored page. */
+/** Value of one stored page: the budgets of a group of instances. */
 export interface PrepaidPage {
   accounts: Record<AccountId, PrepaidAccount>;
   /** By instance name. */
   writers: Record<string, PrepaidWriter>;
 }
 
+/** What a group was granted of one account. Both only grow. */
+export interface PrepaidGrant {
+  granted: Tokens;
+  /** Spent or in doubt at the group, as of its last exchange; may lag behind. */
+  gone: Tokens;
+}
+
+/**
+ * Value of the one object that all groups share: who belongs to which group, and what each was granted.
+ * Invariant for each account: the sum of granted never passes the account's limit.
+ */
+export interface PrepaidBudgets {
+  /** Group of each instance, by instance name. */
+  members: Record<string, string>;
+  /** By account, then by group. */
+  grants: Record<AccountId, Record<string, PrepaidGrant>>;
+}
+
+/** What one group needs to know of an account beyond its own page. */
+export interface PrepaidOutlook {
+  /** The group's even part of the account's limit. */
+  limitPart: Tokens;
+  /** Its even part of what no group was granted yet. */
+  beyond: Tokens;
+}
+
 /** What an instance says of one account. */
 export interface PrepaidReportEntry {
   /** Spent since the last report. */
--- a/packages/gateway/src/index.ts
+++ b/packages/gateway/src/index.ts
@@ -5,6 +5,7 @@
 export * from './node/serverAgent.js';
 export * from './runtime/affinityKey.js';
 export * from './runtime/enginePriority.js';
+export * from './runtime/reportPeriod.js';
 export * from './runtime/retryAllowance.js';
 export * from './runtime/attemptJudgement.js';
 export type * from './types/call.js';
--- /dev/null
+++ b/packages/gateway/src/node/storedObject.ts
@@ -0,0 +1,95 @@
+/** One object of the store, changed by conditional update, with a copy of what was last seen of it. */
+
+import type { CallOptions, Collection, ObjectStore, PlatformError } from '@flamingocourse/store';
+import type { VersionedObject } from '@flamingocourse/store';
+import { Result } from 'true-myth';
+
+/** What became of an update. */
+export type UpdateEnd = 'written' | 'conflict';
+
+/**
+ * Copy of one object.
+ *
+ * @example
+ * const read = await object.read(now);
+ * if (read.isOk) await object.update(next(read.value), now);
+ */
+export class StoredObject<T> {
+  readonly #store: ObjectStore;
+  readonly #collection: Collection<T>;
+  readonly #name: string;
+  readonly #initial: () => T;
+  #seen: VersionedObject<T> | undefined;
+  #seenAt = -Infinity;
+
+  /** @param initial value of an object that does not exist yet. */
+  constructor(store: ObjectStore, collection: Collection<T>, name: string, initial: () => T) {
+    this.#store = store;
+    this.#collection = collection;
+    this.#name = name;
+    this.#initial = initial;
+  }
+
+  /** The value last seen; undefined when it has to be read again. */
+  get value(): T | undefined {
+    return this.#seen?.value;
+  }
+
+  get version(): string | undefined {
+    return this.#seen?.version;
+  }
+
+  /** Milliseconds since the value was seen. */
+  ageMs(now: number): number {
+    return now - this.#seenAt;
+  }
+
+  /** Drops the copy: a write whose fate is not known may have changed the object. */
+  forget(): void {
+    this.#seen = undefined;
+  }
+
+  /** Reads the object, and creates it where it is missing. */
+  async read(now: number, options: CallOptions = {}): Promise<Result<T, PlatformError>> {
+    let read = await this.#store.get(this.#collection, this.#name, options);
+    if (read.isErr && read.error.code === 'not-found') {
+      read = await this.#store.create(this.#collection, this.#name, this.#initial());
+      if (read.isErr && read.error.code === 'exists') {
+        read = await this.#store.get(this.#collection, this.#name);
+      }
+    }
+    if (read.isErr) return Result.err(read.error);
+    this.#keep(read.value, now);
+    return Result.ok(read.value.value);
+  }
+
+  /** Replaces the value last seen. After a conflict the copy is what stands there instead. */
+  async update(next: T, now: number): Promise<Result<UpdateEnd, PlatformError>> {
+    const version = this.#seen?.version ?? '0';
+    const written = await this.#store.update(this.#collection, this.#name, version, next);
+    if (written.isOk) {
+      this.#keep(written.value, now);
+      return Result.ok('written');
+    }
+    this.forget();
+    if (written.error.code !== 'conflict') return Result.err(written.error);
+    const current = this.#parse(written.error.current);
+    if (current) {
+      this.#keep(current, now);
+      return Result.ok('conflict');
+    }
+    const read = await this.read(now);
+    return read.isOk ? Result.ok('conflict') : Result.err(read.error);
+  }
+
+  #keep(seen: VersionedObject<T>, now: number): void {
+    this.#seen = seen;
+    this.#seenAt = now;
+  }
+
+  #parse(current: VersionedObject<unknown> | undefined): VersionedObject<T> | undefined {
+    if (!current) return undefined;
+    const parsed = this.#collection.schema.safeParse(current.value);
+    return parsed.success ? { ...current, value: parsed.data } : undefined;
+  }
+}
--- a/packages/gateway/src/utils/prepaidPageSchema.ts
+++ b/packages/gateway/src/utils/prepaidSchemas.ts
@@ -1,6 +1,6 @@
-/** Shape of a stored page of prepaid budgets. */
+/** Shapes of the stored objects of prepaid budgets. */
 
-import type { PrepaidPage } from '@flamingocourse/core';
+import type { PrepaidBudgets, PrepaidPage } from '@flamingocourse/core';
 import { z } from 'zod';
 
 const tokens = z.number();
@@ -9,6 +9,7 @@
   accounts: z.record(
     z.string(),
     z.object({
+      granted: tokens,
       spent: tokens,
       inDoubt: tokens,
       shares: z.record(z.string(), z.object({ held: tokens, rate: z.number() })),
@@ -16,3 +17,8 @@
   ),
   writers: z.record(z.string(), z.object({ incarnation: z.string(), seq: z.number().int() })),
 });
+
+export const prepaidBudgetsSchema: z.ZodType<PrepaidBudgets> = z.object({
+  members: z.record(z.string(), z.string()),
+  grants: z.record(z.string(), z.record(z.string(), z.object({ granted: tokens, gone: tokens }))),
+});
--- a/packages/kernel/src/runtime/eventCatalogue.ts
+++ b/packages/kernel/src/runtime/eventCatalogue.ts
@@ -87,6 +87,12 @@
     level: 'info',
     text: 'spend was reported and tokens were taken or given back',
   },
+  'prepaid-group-joined': {
+    number: 411,
+    level: 'info',
+    text: 'this instance shares a page of prepaid budgets with the others of its group',
+  },
+  'prepaid-granted': { number: 413, level: 'info', text: 'the group was granted what it lacked' },
   'prepaid-refused': {
     number: 412,
     level: 'info',
--- /dev/null
+++ b/test/prepaid/prepaidBudgets.test.ts
@@ -0,0 +1,93 @@
+import type { PrepaidBudgets, PrepaidPage } from '@flamingocourse/core';
+import assert from 'node:assert/strict';
+import { describe, test } from 'node:test';
+import {
+  createPrepaidBudgets,
+  createPrepaidPage,
+  grantPrepaid,
+  joinGroup,
+  leftPrepaid,
+  prepaidOutlook,
+  takeGrants,
+  ungrantedPrepaid,
+} from '@flamingocourse/core';
+
+const limits = new Map([['shop', 1_000]]);
+
+function budgetsOf(...instances: string[]): PrepaidBudgets {
+  return instances.reduce(
+    (budgets, instance) => joinGroup(budgets, instance, 2),
+    createPrepaidBudgets(),
+  );
+}
+
+function pageWith(change: Partial<PrepaidPage['accounts'][string]>): PrepaidPage {
+  const account = { granted: 0, spent: 0, inDoubt: 0, shares: {}, ...change };
+  return { ...createPrepaidPage(), accounts: { shop: account } };
+}
+
+function grant(budgets: PrepaidBudgets, group: string, lacks: number): PrepaidBudgets {
+  return grantPrepaid(budgets, group, createPrepaidPage(), new Map([['shop', lacks]]), limits);
+}
+
+test('instances fill one group after the other, and each stays in its own', () => {
+  const budgets = budgetsOf('a', 'b', 'c');
+  assert.deepEqual(budgets.members, { a: '0', b: '0', c: '1' });
+  assert.equal(joinGroup(budgets, 'a', 1), budgets);
+});
+
+describe('grants', () => {
+  const cases = [
+    { name: 'give one group half of the rest', members: ['a'], lacks: 10, granted: 500 },
+    {
+      name: 'give each of two groups a quarter',
+      members: ['a', 'b', 'c'],
+      lacks: 10,
+      granted: 250,
+    },
+    { name: 'cover what is lacking where that is more', members: ['a'], lacks: 800, granted: 800 },
+    { name: 'never pass the limit', members: ['a'], lacks: 5_000, granted: 1_000 },
+  ];
+  for (const { name, members, lacks, granted } of cases) {
+    test(name, () => {
+      const budgets = grant(budgetsOf(...members), '0', lacks);
+      assert.equal(budgets.grants.shop?.['0']?.granted, granted);
+      assert.equal(ungrantedPrepaid(budgets, 'shop', 1_000), 1_000 - granted);
+    });
+  }
+
+  test('of an account without a limit in force give nothing', () => {
+    const lacking = new Map([['gone', 100]]);
+    const budgets = grantPrepaid(budgetsOf('a'), '0', createPrepaidPage(), lacking, limits);
+    assert.equal(budgets.grants.gone, undefined);
+  });
+
+  test('reach the page once, and an outdated copy takes none back', () => {
+    const first = grant(budgetsOf('a'), '0', 100);
+    const second = grant(first, '0', 100);
+    const page = takeGrants(takeGrants(createPrepaidPage(), second, '0'), first, '0');
+    assert.equal(page.accounts.shop?.granted, 750);
+    assert.equal(takeGrants(createPrepaidPage(), second, '1').accounts.shop, undefined);
+  });
+});
+
+// a top-up of the day before is gone: a lower limit must not be passed, and a higher one is granted.
+test('a limit that changes changes what is left to grant', () => {
+  const budgets = grant(budgetsOf('a'), '0', 800);
+  assert.equal(ungrantedPrepaid(budgets, 'shop', 500), 0);
+  assert.equal(ungrantedPrepaid(budgets, 'shop', 1_500), 700);
+});
+
+// a volunteer gets 402, for good, while another group still holds tokens that it will give up soon.
+test('what is left anywhere counts only what the groups told as gone', () => {
+  const granted = grant(budgetsOf('a', 'b', 'c'), '0', 400);
+  const spent = pageWith({ granted: 400, spent: 300, inDoubt: 50 });
+  const told = grantPrepaid(granted, '0', spent, new Map([['shop', 10]]), limits);
+  assert.equal(leftPrepaid(told, 'shop', 1_000), 650);
+  assert.equal(leftPrepaid(granted, 'shop', 1_000), 1_000);
+});
+
+test('a group sizes by its even part of the limit and of the rest', () => {
+  const outlook = prepaidOutlook(grant(budgetsOf('a', 'b', 'c'), '0', 400), limits);
+  assert.deepEqual(outlook.get('shop'), { limitPart: 500, beyond: 300 });
+});
