feat(prepaid): a request of which the account got nothing is not charged

Cause: accounts were refused with 402 although the users take them as not used up.

Ruled out: counts of output tokens (a hundredth of the prompts), requests charged twice (none).

Also mended: a whole answer of a route that doesn't stream was charged without what it generated; it counts at its most now.

--- a/packages/gateway/src/index.ts
+++ b/packages/gateway/src/index.ts
@@ -4,6 +4,7 @@
 export * from './node/httpAttempt.js';
 export * from './node/serverAgent.js';
 export * from './runtime/affinityKey.js';
+export * from './runtime/charge.js';
 export * from './runtime/enginePriority.js';
 export * from './runtime/reportPeriod.js';
 export * from './runtime/retryAllowance.js';
--- a/packages/gateway/src/node/requestFlow.ts
+++ b/packages/gateway/src/node/requestFlow.ts
@@ -25,8 +25,9 @@
 import type { CallerAnswer } from './callerAnswer.js';
 import { createHash } from 'node:crypto';
 import { notRun } from '@flamingocourse/router';
-import { mayFollow, refuseFailed } from '../runtime/attemptJudgement.js';
+import { isStream, mayFollow, refuseFailed } from '../runtime/attemptJudgement.js';
 import { affinityKey } from '../runtime/affinityKey.js';
+import { chargeOf } from '../runtime/charge.js';
 import { importanceOf, urgencyOf } from '../runtime/urgency.js';
 import { ServerAttempt, historyOf } from './serverAttempt.js';
 
@@ -94,10 +95,12 @@
   async run(): Promise<Outcome> {
     const reserved = await this.#reserve();
     if (reserved.type === 'refused') return this.#refuse(reserved.refusal);
+    let outcome: Outcome | undefined;
     try {
-      return await this.#serve();
+      outcome = await this.#serve();
+      return outcome;
     } finally {
-      this.#settle(reserved.reservation);
+      this.#settle(reserved.reservation, outcome);
     }
   }
 
@@ -116,15 +119,20 @@
       : { type: 'refused', refusal: reserved.error };
   }
 
-  /** Charges the prompt once if it may have been read, and what was generated and passed on. */
-  #settle(reservation: PrepaidReservation | undefined): void {
-    const { head, service } = this.#call;
+  #settle(reservation: PrepaidReservation | undefined, outcome: Outcome | undefined): void {
+    const { head, service, route } = this.#call;
     if (!reservation || !head.size) return;
     const { mayHaveRun, events } = this.#progress;
-    const generated = Math.min(head.size.most, events * service.tokensPerEvent);
-    const used = mayHaveRun === 0 ? 0 : head.size.prompt + generated;
-    this.#progress.charged = used;
-    this.#parts.prepaid.settle(reservation, used);
+    const { prepaid } = this.#parts.context.settings;
+    const request = {
+      ...head.size,
+      mayHaveRun,
+      answered: outcome?.type === 'answered' && isSuccess(outcome.status),
+      events: isStream(route.repetition) ? events : undefined,
+      tokensPerEvent: service.tokensPerEvent,
+    };
+    this.#progress.charged = chargeOf(request, prepaid.unanswered);
+    this.#parts.prepaid.settle(reservation, this.#progress.charged);
   }
 
   async #serve(): Promise<Outcome> {
@@ -223,6 +231,10 @@
     .digest('base64');
 }
 
+function isSuccess(status: number | undefined): boolean {
+  return status !== undefined && status >= 200 && status < 300;
+}
+
 function noServers(): Refusal {
   return notRun('no-backend-server', 'No backend server is known.', NO_SERVER_RETRY_MS);
 }
--- a/packages/gateway/src/node/serverAttempt.ts
+++ b/packages/gateway/src/node/serverAttempt.ts
@@ -6,7 +6,7 @@
 import type { BackendLane } from './backendLanes.js';
 import type { AttemptFault, OpenAnswer } from './httpAttempt.js';
 import type { FlowParts, Progress, RoutedCall } from './requestFlow.js';
-import { isRepeatable, mayFollow } from '../runtime/attemptJudgement.js';
+import { isRepeatable, isStream, mayFollow } from '../runtime/attemptJudgement.js';
 import { enginePriority } from '../runtime/enginePriority.js';
 import { relayStream, relayWhole } from './answerRelay.js';
 import { openAttempt } from './httpAttempt.js';
@@ -145,13 +145,12 @@
 
   #pass(open: OpenAnswer): Promise<RelayEnd> {
     const { answer, route, signal } = this.#call;
-    const isStream = route.repetition === 'resumable-stream' || route.repetition === 'once-stream';
     const headers = this.#parts.context.dialects.servers.answerHeaders(open.head);
     const heard = (): void => {
       this.#placement.heard();
     };
     const relay = { open, answer, headers, signal, heard, now: () => this.#now() };
-    if (!isStream || open.head.status >= 500) return relayWhole(relay);
+    if (!isStream(route.repetition) || open.head.status >= 500) return relayWhole(relay);
     return relayStream(relay, (events, lastId) => {
       this.#progress.events += events;
       if (lastId !== undefined) this.#progress.resumeAfter = lastId;
--- a/packages/gateway/src/runtime/attemptJudgement.ts
+++ b/packages/gateway/src/runtime/attemptJudgement.ts
@@ -59,6 +59,11 @@
   return repetition === 'idempotent' || repetition === 'resumable-stream';
 }
 
+/** Whether the answer is a series of events. */
+export function isStream(repetition: Repetition): boolean {
+  return repetition === 'resumable-stream' || repetition === 'once-stream';
+}
+
 /** What a refusal may say: `not-run` only when no attempt can have run. */
 export function runVerdict(mayHaveRun: number): RunVerdict {
   return mayHaveRun === 0 ? 'not-run' : 'unknown';
--- a/packages/gateway/src/types/gatewaySettings.ts
+++ b/packages/gateway/src/types/gatewaySettings.ts
@@ -1,5 +1,7 @@
 /** Settings of a process with the pass-through entry. */
 
+import type { UnansweredPolicy } from '../runtime/charge.js';
+
 /** An address to listen on. */
 export interface Listen {
   host: string;
@@ -27,6 +29,8 @@
     reportMs: number;
     /** Seconds of its demand that an instance holds to serve while it is cut off. */
     rideThroughSeconds: number;
+    /** Whether a request of which the account got nothing is charged with its prompt. */
+    unanswered: UnansweredPolicy;
   };
   retries: {
     /** Attempts beyond the first, as a part of all requests of a service. */
--- a/packages/gateway/src/utils/gatewaySettingsSchema.ts
+++ b/packages/gateway/src/utils/gatewaySettingsSchema.ts
@@ -29,6 +29,8 @@
     .object({
       reportMs: milliseconds.default(1_000),
       rideThroughSeconds: z.number().positive().default(9.5),
+      // whether a request of which the account got nothing is charged with its prompt.
+      unanswered: z.enum(['free', 'charged']).default('free'),
     })
     .prefault({}),
   retries: z.object({
--- a/test/platform/gateway.test.ts
+++ b/test/platform/gateway.test.ts
@@ -323,3 +323,15 @@
     assert.equal((await running).status, 200);
   });
 });
+
+// a shop is refused with 402 although none of its calls was answered: each that its servers lost was
+// charged with its prompt.
+test('a call of which the account got nothing is not charged', async (t) => {
+  const world = await World.start(t);
+  world.behave('e', 'reset');
+  for (let n = 0; n < 4; n += 1) {
+    assert.equal((await world.generate('/chat/1', 30_000)).status, 502);
+  }
+  world.behave('e', 'stream');
+  assert.equal((await world.generate('/chat/1', 90_000)).status, 200);
+});
