fix(prepaid): a request waits a quarter of a second for tokens at most, and joining ends

One instance had not joined a group in 55 s: it paused before each update of the object that all share, longer after each conflict, so its copy was always outdated. Requests that lacked tokens there waited for the exchange, and neither their time limit nor their caller's hang-up ended the wait: their line request-ended is missing from the log.

Change: after a conflict the pause comes before the read, and the update follows it at once; a request waits 250 ms for tokens at most, and not beyond its own end. A page that was seen short within the report period is not asked again, and conflicts are counted in prepaid-reported.

Ruled out: a freeze of the process (its reports went on from other timers), saturated links.

Test: a call that lacks tokens is refused while the store answers nothing (before: no answer).

--- a/packages/gateway/src/node/prepaidPages.ts
+++ b/packages/gateway/src/node/prepaidPages.ts
@@ -52,8 +52,11 @@
 const MAX_CONFLICTS = 8;
 /** Milliseconds after which the shared object is read again: new members share the fleet's retries. */
 const BUDGETS_FRESH_MS = 4_000;
-/** Milliseconds within which instances that started together spread their joining, at first. */
-const JOIN_SPREAD_MS = 100;
+/**
+ * Milliseconds over which instances that start together spread their joining. A join takes some ten
+ * milliseconds, so two of 73 that start at once get in each other's way now and then.
+ */
+const JOIN_SPREAD_MS = 400;
 /** Milliseconds for a call while the store is away; only a new connection notices its return soon. */
 const AWAY_TIMEOUT_MS = 500;
 
@@ -72,6 +75,7 @@
   readonly #budgets: StoredObject<PrepaidBudgets>;
   #page: StoredObject<PrepaidPage> | undefined;
   #group = '';
+  #conflicts = 0;
 
   constructor(context: GatewayContext) {
     this.#context = context;
@@ -97,6 +101,13 @@
     return Math.max(1, Object.keys(this.#budgets.value?.members ?? {}).length);
   }
 
+  /** Conflicts since this was last asked, for the log. */
+  takeConflicts(): number {
+    const conflicts = this.#conflicts;
+    this.#conflicts = 0;
+    return conflicts;
+  }
+
   /** Milliseconds since the page was seen. */
   ageMs(now: number): number {
     return this.#page?.ageMs(now) ?? Infinity;
@@ -165,6 +176,7 @@
       const written = await this.#page.update(kept, this.#now());
       if (written.isErr) return Result.err(written.error);
       if (written.value === 'written') return this.#giveBack(kept, limits);
+      this.#conflicts += 1;
     }
     return Result.ok('busy');
   }
@@ -177,6 +189,7 @@
       const written = await this.#budgets.update(next, this.#now());
       if (written.isErr) return Result.err(written.error);
       if (written.value === 'written') this.#logReturns(page);
+      else this.#conflicts += 1;
     }
     return Result.ok('taken');
   }
@@ -202,7 +215,10 @@
       const next = grantPrepaid(this.#known, this.#group, page, wanted, limits);
       const written = await this.#budgets.update(next, this.#now());
       if (written.isErr) return Result.err(written.error);
-      if (written.value === 'conflict') continue;
+      if (written.value === 'conflict') {
+        this.#conflicts += 1;
+        continue;
+      }
       this.#context.log.write('prepaid-granted', {
         group: this.#group,
         version: this.#budgets.version,
@@ -229,14 +245,16 @@
 
   async #join(): Promise<Result<Unit, StoreError>> {
     const { settings, random, log } = this.#context;
-    let spreadMs = JOIN_SPREAD_MS;
     while (this.#known.members[settings.instance] === undefined) {
-      // instances that start together would conflict with each other again and again.
-      await delay(random() * spreadMs);
-      spreadMs *= 2;
       const next = joinGroup(this.#known, settings.instance, GROUP_SIZE);
       const written = await this.#budgets.update(next, this.#now());
       if (written.isErr) return Result.err(written.error);
+      if (written.value === 'written') break;
+      // instances that start together would conflict with each other again; and the copy has to be
+      // read after the pause, because another's write during it would make it outdated each time.
+      await delay(random() * JOIN_SPREAD_MS);
+      const read = await this.#budgets.read(this.#now());
+      if (read.isErr) return Result.err(read.error);
     }
     const group = this.#known.members[settings.instance] ?? '';
     if (group !== this.#group) log.write('prepaid-group-joined', { group });
--- a/packages/gateway/src/node/prepaidService.ts
+++ b/packages/gateway/src/node/prepaidService.ts
@@ -11,10 +11,11 @@
 import type { Kernel } from '@flamingocourse/kernel';
 import type { GatewayContext } from '../types/context.js';
 import { PrepaidHolder, PrepaidSizing, heldPrepaid } from '@flamingocourse/core';
+import { setTimeout as delay } from 'node:timers/promises';
 import { Service } from '@flamingocourse/kernel';
 import { notRun } from '@flamingocourse/router';
 import { Result } from 'true-myth';
-import { reportPeriodMs, shortFreshMs } from '../runtime/reportPeriod.js';
+import { reportPeriodMs } from '../runtime/reportPeriod.js';
 import { BackendLanes } from './backendLanes.js';
 import { ConfigurationWatch } from './configurationWatch.js';
 import { PrepaidPages } from './prepaidPages.js';
@@ -29,6 +30,12 @@
 /** Milliseconds after which a caller that was refused for want of tokens may find some. */
 const TOKENS_RETRY_MS = 400;
 
+/**
+ * Milliseconds that a request waits for tokens from the store. An exchange takes 4 to 40; one that takes
+ * longer meets a store that is cut off, and the caller is served sooner elsewhere.
+ */
+const FETCH_WAIT_MS = 250;
+
 /** Outcome of one exchange with the store. */
 type SyncEnd = 'done' | 'failed';
 
@@ -77,42 +84,63 @@
   /**
    * Sets the most that a request may use aside. What is lacking is fetched from the store, which
    * takes some milliseconds; while the store is away the request is refused at once instead.
+   *
+   * @param signal ends the wait for the store; the request is refused then.
    */
-  async reserve(account: AccountId, amount: Tokens): Promise<Result<PrepaidReservation, Refusal>> {
+  async reserve(
+    account: AccountId,
+    amount: Tokens,
+    signal: AbortSignal,
+  ): Promise<Result<PrepaidReservation, Refusal>> {
     const { clock } = this.#context;
     this.#holder.observe(account, amount, clock.now());
     const held = this.#holder.reserve(account, amount);
     if (held) return Result.ok(held);
     if (!this.#contact.isLost && !this.#isShort(account, amount)) {
-      // one exchange may have been under way that did not ask for these tokens yet.
-      await this.#running;
-      await this.#sync();
+      await this.#fetch(signal);
       const fetched = this.#holder.reserve(account, amount);
       if (fetched) return Result.ok(fetched);
     }
     return Result.err(this.#refuse(account, amount));
   }
 
+  /** Waits for an exchange that asks for what is lacking, but no longer than a caller should. */
+  async #fetch(signal: AbortSignal): Promise<void> {
+    // one exchange may have been under way that did not ask for these tokens yet.
+    const exchange = (this.#running ?? Promise.resolve()).then(() => this.#sync());
+    const limit = delay(FETCH_WAIT_MS, undefined, { signal, ref: false }).catch((err: unknown) => {
+      // the caller left or its time is over: there is nothing to wait for.
+      if (!signal.aborted) throw err;
+    });
+    await Promise.race([exchange, limit]);
+  }
+
   /** Ends a reservation with what was used. */
   settle(reservation: PrepaidReservation, used: Tokens): void {
     this.#holder.settle(reservation, used);
   }
 
-  /** Whether a page just seen has too few tokens left to deal. */
+  /**
+   * Whether the page last seen has too few tokens to deal. Nothing is asked then until the next report:
+   * callers of an account that is short come back several times a second, and each question would be a
+   * write that others of the group conflict with, for tokens that hardly ever turn up.
+   */
   #isShort(account: AccountId, amount: Tokens): boolean {
-    const { clock, settings } = this.#context;
-    const freshMs = shortFreshMs(settings.prepaid.reportMs, this.#pages.instances);
-    if (this.#pages.ageMs(clock.now()) > freshMs) return false;
+    if (this.#pages.ageMs(this.#context.clock.now()) > this.#periodMs) return false;
     const available = this.#pages.available(account, this.#limit(account));
     return this.#holder.free(account) + available < amount;
   }
 
+  get #periodMs(): number {
+    const { reportMs } = this.#context.settings.prepaid;
+    return reportPeriodMs(reportMs, this.#pages.instances);
+  }
+
   #schedule(): void {
     if (this.#stopped) return;
-    const { settings, random } = this.#context;
-    const periodMs = reportPeriodMs(settings.prepaid.reportMs, this.#pages.instances);
+    const { random } = this.#context;
     // instances that report in the same moment conflict with each other again and again.
-    const jittered = periodMs * (1 - REPORT_JITTER / 2 + REPORT_JITTER * random());
+    const jittered = this.#periodMs * (1 - REPORT_JITTER / 2 + REPORT_JITTER * random());
     this.#timer = setTimeout(
       () => {
         void this.#sync().finally(() => {
@@ -195,6 +223,7 @@
       group: this.#pages.group,
       version: this.#pages.version,
       seq: report?.seq,
+      conflicts: this.#pages.takeConflicts(),
       accounts: accounts.length,
       spent: sum(Object.values(report?.entries ?? {}).map((entry) => entry.spent)),
       held: sum(accounts.map((account) => this.#holder.held(account))),
--- a/packages/gateway/src/node/requestFlow.ts
+++ b/packages/gateway/src/node/requestFlow.ts
@@ -108,12 +108,12 @@
     | { type: 'held'; reservation: PrepaidReservation | undefined }
     | { type: 'refused'; refusal: Refusal }
   > {
-    const { account, head } = this.#call;
+    const { account, head, signal } = this.#call;
     if (account?.prepaid === undefined || head.size === undefined) {
       return { type: 'held', reservation: undefined };
     }
     const most = head.size.prompt + head.size.most;
-    const reserved = await this.#parts.prepaid.reserve(account.name, most);
+    const reserved = await this.#parts.prepaid.reserve(account.name, most, signal);
     return reserved.isOk
       ? { type: 'held', reservation: reserved.value }
       : { type: 'refused', refusal: reserved.error };
--- a/packages/gateway/src/runtime/reportPeriod.ts
+++ b/packages/gateway/src/runtime/reportPeriod.ts
@@ -10,12 +10,6 @@
  * being alone, so a longer one takes from other instances.
  */
 const MAX_PERIOD_MS = 4_000;
-/**
- * Part of the period for which a page without enough tokens is not asked again: callers that are
- * refused come back two or three times a second.
- */
-const SHORT_FRESH_PART = 0.25;
-
 /**
  * Milliseconds between two reports of one instance.
  *
@@ -28,8 +22,3 @@
   const fairMs = Math.round((1_000 * instances) / FLEET_REPORTS_PER_SECOND);
   return Math.max(leastMs, Math.min(MAX_PERIOD_MS, fairMs));
 }
-
-/** Milliseconds for which a page that has too few tokens to deal is not asked again. */
-export function shortFreshMs(leastMs: number, instances: number): number {
-  return SHORT_FRESH_PART * reportPeriodMs(leastMs, instances);
-}
--- a/test/gateway/reportPeriod.test.ts
+++ b/test/gateway/reportPeriod.test.ts
@@ -1,9 +1,8 @@
 import assert from 'node:assert/strict';
 import { describe, test } from 'node:test';
-import { reportPeriodMs, shortFreshMs } from '@flamingocourse/gateway';
+import { reportPeriodMs } from '@flamingocourse/gateway';
 
-// the store's price eats up what a large fleet earns: each instance reported each second, and asked
-// again at once for budgets that were used up.
+// the store's price eats up what a large fleet earns: each instance reported each second.
 describe('the report period', () => {
   const cases = [
     { instances: 1, periodMs: 1_000 },
@@ -15,7 +14,6 @@
   for (const { instances, periodMs } of cases) {
     test(`of ${String(instances)} instances is ${String(periodMs)} ms`, () => {
       assert.equal(reportPeriodMs(1_000, instances), periodMs);
-      assert.equal(shortFreshMs(1_000, instances), periodMs / 4);
     });
   }
 });
--- a/test/platform/gateway.test.ts
+++ b/test/platform/gateway.test.ts
@@ -184,6 +184,20 @@
     assert.ok(Number(answer.headers['retry-after']) > 0);
   });
 
+  test('is refused, not waited for, while the store answers nothing', async (t) => {
+    // volunteers see nothing until they hang up: their calls waited for tokens from a store that had
+    // gone silent a moment ago, and neither the time limit nor the hang-up ended the wait.
+    const world = await World.start(t, configWith(), { timeoutMs: 8_000, watchIdleMs: 9_000 });
+    world.store.fault = 'silent';
+    const answer = await world.call({
+      path: '/chat/1',
+      headers: { 'x-model': 'm', 'x-token-usage': '90000,80' },
+      leaveMs: 6_000,
+    });
+    assert.equal(answer.status, 503);
+    assert.ok(Number(answer.headers['retry-after']) > 0);
+  });
+
   test('grows by a top-up', async (t) => {
     const world = await World.start(
       t,
--- a/test/platform/world.ts
+++ b/test/platform/world.ts
@@ -95,7 +95,11 @@
   ) {}
 
   /** Starts store, servers (two plain, two engines) and gateway, and waits until it is ready. */
-  static async start(t: TestContext, config = configWith()): Promise<World> {
+  static async start(
+    t: TestContext,
+    config = configWith(),
+    storeSettings: Partial<GatewaySettings['store']> = {},
+  ): Promise<World> {
     const store = await new UsersStore().listen(t);
     const servers = await Promise.all(
       ['p1', 'p2', 'e1', 'e2'].map((id) => new UsersServer(id).listen(t)),
@@ -105,7 +109,7 @@
     }
     store.put('config', 'main', config);
     const world = new World(store, servers);
-    await world.#startGateway(t);
+    await world.#startGateway(t, storeSettings);
     return world;
   }
 
@@ -158,7 +162,10 @@
     });
   }
 
-  async #startGateway(t: TestContext): Promise<void> {
+  async #startGateway(
+    t: TestContext,
+    storeSettings: Partial<GatewaySettings['store']>,
+  ): Promise<void> {
     const [entry, ready, metrics] = await findFreePorts(3);
     this.#entryPort = entry ?? 0;
     this.#readyPort = ready ?? 0;
@@ -172,7 +179,7 @@
           ready: `127.0.0.1:${String(ready)}`,
           metrics: `127.0.0.1:${String(metrics)}`,
         },
-        store: { url: this.store.url, timeoutMs: 300, watchIdleMs: 900 },
+        store: { url: this.store.url, timeoutMs: 300, watchIdleMs: 900, ...storeSettings },
         prepaid: { reportMs: 100 },
         retries: { ratio: 0.2, slack: 54, windowMs: 10_000 },
         stopGraceMs: 4_000,
