fix(prepaid): a budget that is used up is told at once, not when the page is a moment old

Cause: 402 was given only while the page had been seen within 300 ms.

Change: what is gone only grows, so an old page proves as much; what may have changed is the limit, so the configuration has to be fresh instead. A refusal after a lost exchange no longer logs the whole limit as available.

--- a/packages/gateway/src/node/prepaidPages.ts
+++ b/packages/gateway/src/node/prepaidPages.ts
@@ -10,7 +10,9 @@
   Tokens,
 } from '@flamingocourse/core';
 import type { Collection, PlatformError as StoreError } from '@flamingocourse/store';
+import type { Unit } from 'true-myth';
 import type { GatewayContext } from '../types/context.js';
+import { setTimeout as delay } from 'node:timers/promises';
 import {
   applyReport,
   createPrepaidBudgets,
@@ -27,9 +29,7 @@
   undealtPrepaid,
   ungrantedPrepaid,
 } from '@flamingocourse/core';
-import { setTimeout as delay } from 'node:timers/promises';
 import { Result } from 'true-myth';
-import type { Unit } from 'true-myth';
 import { prepaidBudgetsSchema, prepaidPageSchema } from '../utils/prepaidSchemas.js';
 import { StoredObject } from './storedObject.js';
 
--- a/packages/gateway/src/node/prepaidService.ts
+++ b/packages/gateway/src/node/prepaidService.ts
@@ -10,8 +10,8 @@
 } from '@flamingocourse/core';
 import type { Kernel } from '@flamingocourse/kernel';
 import type { GatewayContext } from '../types/context.js';
-import { PrepaidHolder, PrepaidSizing, heldPrepaid } from '@flamingocourse/core';
 import { setTimeout as delay } from 'node:timers/promises';
+import { PrepaidHolder, PrepaidSizing, heldPrepaid } from '@flamingocourse/core';
 import { Service } from '@flamingocourse/kernel';
 import { notRun } from '@flamingocourse/router';
 import { Result } from 'true-myth';
@@ -21,8 +21,6 @@
 import { PrepaidPages } from './prepaidPages.js';
 import { StoreContact } from './storeContact.js';
 
-/** Milliseconds after which a page is too old to say that a budget is used up. */
-const PAGE_FRESH_MS = 300;
 /** Part of the report period by which instances that started together drift apart. */
 const REPORT_JITTER = 0.3;
 /** Milliseconds between tries while the store is away; tokens run out meanwhile. */
@@ -45,9 +43,9 @@
   override readonly dependsOn = ['configuration', 'lanes'];
   readonly #context: GatewayContext;
   readonly #holder: PrepaidHolder;
+  readonly #pages: PrepaidPages;
   #lanes: BackendLanes | undefined;
   #configuration: ConfigurationWatch | undefined;
-  readonly #pages: PrepaidPages;
   #running: Promise<SyncEnd> | undefined;
   #timer: NodeJS.Timeout | undefined;
   /** Whether the store answered the last exchange. */
@@ -155,13 +153,15 @@
     const { clock, log } = this.#context;
     const usedUp = this.#isUsedUp(account, amount);
     const limit = this.#limit(account);
+    // after a lost exchange nothing is known of what is left.
+    const isKnown = this.#pages.page !== undefined;
     log.write('prepaid-refused', {
       account,
       amount,
       free: this.#holder.free(account),
       held: this.#holder.held(account),
-      available: this.#pages.available(account, limit),
-      left: this.#pages.left(account, limit),
+      available: isKnown ? this.#pages.available(account, limit) : undefined,
+      left: isKnown ? this.#pages.left(account, limit) : undefined,
       limit: Number.isFinite(limit) ? limit : undefined,
       inDoubt: this.#pages.page?.accounts[account]?.inDoubt,
       pageAgeMs: Math.round(this.#pages.ageMs(clock.now())),
@@ -174,9 +174,14 @@
     return notRun('budget-unreachable', detail, TOKENS_RETRY_MS);
   }
 
-  /** Whether a fresh page proves that the budget can't cover the amount, whoever holds the rest. */
+  /**
+   * Whether it is proved that the budget can't cover the amount, whoever holds the rest. What is gone
+   * only grows, so an old page proves it as well; but a higher limit may have come that this instance,
+   * cut off from the store, does not know.
+   */
   #isUsedUp(account: AccountId, amount: Tokens): boolean {
-    if (this.#pages.ageMs(this.#context.clock.now()) > PAGE_FRESH_MS) return false;
+    const isFresh = this.#configuration?.isFresh(this.#context.clock.now()) ?? false;
+    if (!isFresh || !this.#pages.page) return false;
     // what was spent here since the last report is in no page yet.
     const left = this.#pages.left(account, this.#limit(account));
     return left - this.#holder.unreported(account) < amount;
--- a/packages/gateway/src/node/storedObject.ts
+++ b/packages/gateway/src/node/storedObject.ts
@@ -1,7 +1,12 @@
 /** One object of the store, changed by conditional update, with a copy of what was last seen of it. */
 
-import type { CallOptions, Collection, ObjectStore, PlatformError } from '@flamingocourse/store';
-import type { VersionedObject } from '@flamingocourse/store';
+import type {
+  CallOptions,
+  Collection,
+  ObjectStore,
+  PlatformError,
+  VersionedObject,
+} from '@flamingocourse/store';
 import { Result } from 'true-myth';
 
 /** What became of an update. */
