--- a/test/platform/usersServer.ts
+++ b/test/platform/usersServer.ts
@@ -11,6 +11,8 @@
   url: string;
   headers: IncomingHttpHeaders;
   body: string;
+  /** Whether the server began to work on it; what it turned away did not run. */
+  ran: boolean;
 }
 
 /** How a server answers one request. */
@@ -38,7 +40,7 @@
 
   constructor(readonly id: string) {}
 
-  async listen(t: TestContext): Promise<this> {
+  async listen(t: Pick<TestContext, 'after'>): Promise<this> {
     const server = createServer((req, res) => {
       void this.#answer(req, res);
     });
@@ -70,7 +72,8 @@
     const chunks: Buffer[] = [];
     for await (const chunk of req) chunks.push(chunk as Buffer);
     const { method = '', url = '', headers } = req;
-    this.seen.push({ method, url, headers, body: Buffer.concat(chunks).toString() });
+    const ran = headers['x-expect-instance'] === this.id && this.behaviour !== 'shed';
+    this.seen.push({ method, url, headers, body: Buffer.concat(chunks).toString(), ran });
     res.on('close', () => {
       if (!res.writableFinished) this.dropped += 1;
     });
--- a/test/platform/usersStore.ts
+++ b/test/platform/usersStore.ts
@@ -50,7 +50,7 @@
   }
 
   /** Serves until the test ends. */
-  async listen(t: TestContext): Promise<this> {
+  async listen(t: Pick<TestContext, 'after'>): Promise<this> {
     const server = createServer((req, res) => {
       this.calls += 1;
       if (this.fault === 'silent') return;
--- /dev/null
+++ b/test/soak/runSoak.ts
@@ -0,0 +1,321 @@
+/** One seeded run: real processes, stand-ins of store and servers, and faults from outside. */
+
+import type { Link } from '../../packages/lab/src/node/link/index.js';
+import type { Random } from '../../packages/lab/src/runtime/random.js';
+import type { Behaviour } from '../platform/usersServer.js';
+import { mkdtemp, rm } from 'node:fs/promises';
+import { tmpdir } from 'node:os';
+import { join } from 'node:path';
+import { setTimeout as delay } from 'node:timers/promises';
+import { findFreePorts } from '../../packages/lab/src/node/freePorts.js';
+import { createLink } from '../../packages/lab/src/node/link/index.js';
+import { createRandom } from '../../packages/lab/src/runtime/random.js';
+import { UsersServer } from '../platform/usersServer.js';
+import { UsersStore } from '../platform/usersStore.js';
+import { configWith, until } from '../platform/world.js';
+import { SoakCallers } from './soakCallers.js';
+import { SoakProcess } from './soakProcess.js';
+import { TOKENS_PER_EVENT, brokenPromises } from './soakPromises.js';
+
+const INSTANCES = 3;
+const ACCOUNTS = ['kirk', 'spock'];
+/** Tokens of an account: some of a run's calls exceed them. */
+const LIMIT = 60_000;
+const TOP_UP = 10_000;
+/** Milliseconds between two calls, between two faults at most, and that a fault lasts at most. */
+const CALL_MS = 25;
+const FAULT_GAP_MS = 900;
+const FAULT_MS = 1_800;
+/** Milliseconds after the last fault until callers have to be served again, and calls that show it. */
+const RECOVERY_MS = 6_000;
+const RECOVERY_CALLS = 40;
+/** Part of plain calls that has to be answered then; a stand-in never fails by itself. */
+const RECOVERED_PART = 0.9;
+
+/** What one run brought to light. */
+export interface SoakReport {
+  seed: number;
+  calls: number;
+  answered: number;
+  faults: string[];
+  broken: string[];
+  /** Output of the processes. */
+  output: string;
+}
+
+/**
+ * Plays one seed. Faults and calls draw from generators of their own, so the same seed plays the same
+ * faults however long the calls take.
+ *
+ * @example
+ * const { broken } = await runSoak(7, 8_000);
+ */
+export async function runSoak(seed: number, faultsMs: number): Promise<SoakReport> {
+  const run = await SoakRun.start(createRandom(seed), createRandom(seed + 1));
+  try {
+    await run.play(faultsMs);
+    return { seed, ...run.report() };
+  } finally {
+    await run.close();
+  }
+}
+
+class SoakRun {
+  readonly #faults: string[] = [];
+  readonly #limits = new Map(ACCOUNTS.map((account) => [account, LIMIT]));
+  #version = 7;
+  #recovered = '';
+
+  private constructor(
+    readonly random: Random,
+    readonly directory: string,
+    readonly store: UsersStore,
+    readonly servers: UsersServer[],
+    readonly links: { store: Link[]; servers: Link[] },
+    readonly instances: SoakProcess[],
+    readonly callers: SoakCallers,
+    readonly cleanUps: (() => unknown)[],
+  ) {}
+
+  static async start(random: Random, callersRandom: Random): Promise<SoakRun> {
+    const cleanUps: (() => unknown)[] = [];
+    const scope = {
+      after: (cleanUp: unknown) => {
+        cleanUps.push(cleanUp as () => unknown);
+      },
+    };
+    const directory = await mkdtemp(join(tmpdir(), 'flamingocourse-soak-'));
+    const store = await new UsersStore().listen(scope);
+    const servers = await Promise.all(
+      ['p1', 'p2', 'e1', 'e2'].map((id) => new UsersServer(id).listen(scope)),
+    );
+    const links = { store: [] as Link[], servers: [] as Link[] };
+    for (const server of servers) {
+      const link = await createLink({ target: addressOf(server.address) });
+      links.servers.push(link);
+      server.behaviour = server.id.startsWith('e') ? 'stream' : 'answer';
+      const service = server.id.startsWith('e') ? 'llm' : 'ledger';
+      const address = `127.0.0.1:${String(link.port)}`;
+      store.put('servers', server.id, server.entry(service, { address, slots: 16 }));
+    }
+    const instances: SoakProcess[] = [];
+    for (let at = 0; at < INSTANCES; at += 1) {
+      const link = await createLink({ target: addressOf(store.url.replace('http://', '')) });
+      links.store.push(link);
+      const [entry, ready] = await findFreePorts(2);
+      const settings = settingsOf(entry ?? 0, ready ?? 0, link.url);
+      instances.push(new SoakProcess(`edge-${String(at + 1)}`, directory, settings));
+    }
+    const callers = new SoakCallers(instances, ACCOUNTS, callersRandom);
+    const run = new SoakRun(random, directory, store, servers, links, instances, callers, cleanUps);
+    run.#configure();
+    try {
+      await Promise.all(instances.map((instance) => instance.start()));
+      await Promise.all(instances.map(untilReady));
+    } catch (err) {
+      await run.close();
+      throw err;
+    }
+    return run;
+  }
+
+  /** Calls all the time, faults in overlapping series, then quiet and a look at the recovery. */
+  async play(faultsMs: number): Promise<void> {
+    const calling = setInterval(() => {
+      this.callers.send();
+    }, CALL_MS);
+    const under = new Set<Promise<void>>();
+    const lastAt = performance.now() + faultsMs;
+    while (performance.now() < lastAt) {
+      await delay(this.random.int(50, FAULT_GAP_MS));
+      const fault = this.#fault().finally(() => under.delete(fault));
+      under.add(fault);
+    }
+    await Promise.all(under);
+    await delay(RECOVERY_MS);
+    clearInterval(calling);
+    await this.callers.settle();
+    await this.#lookAtRecovery();
+  }
+
+  report(): Omit<SoakReport, 'seed'> {
+    const { answers } = this.callers;
+    const arrivals = this.servers.flatMap(({ seen }) => seen);
+    return {
+      calls: answers.length,
+      answered: answers.filter(({ status }) => status === 200).length,
+      faults: this.#faults,
+      broken: [
+        ...brokenPromises({ answers, arrivals, limits: this.#limits }),
+        ...this.instances.flatMap(({ ownEnds }) => ownEnds.map((end) => `ended by itself: ${end}`)),
+        ...(this.#recovered === '' ? [] : [this.#recovered]),
+      ],
+      output: this.instances.map(({ output }) => output).join('\n'),
+    };
+  }
+
+  async close(): Promise<void> {
+    this.callers.close();
+    await Promise.all(this.instances.map((instance) => instance.end('SIGKILL')));
+    await Promise.all([...this.links.store, ...this.links.servers].map((link) => link.close()));
+    for (const cleanUp of this.cleanUps) await cleanUp();
+    await rm(this.directory, { recursive: true, force: true });
+  }
+
+  async #lookAtRecovery(): Promise<void> {
+    const before = this.callers.answers.length;
+    for (let at = 0; at < RECOVERY_CALLS; at += 1) this.callers.send();
+    await this.callers.settle();
+    const plain = this.callers.answers
+      .slice(before)
+      .filter(({ kind }) => kind === 'look' || kind === 'book');
+    const served = plain.filter(({ status }) => status === 200).length;
+    if (served >= RECOVERED_PART * plain.length) return;
+    this.#recovered = `after the faults ${String(served)} of ${String(plain.length)} were served`;
+  }
+
+  #fault(): Promise<void> {
+    const { random } = this;
+    const forMs = random.int(200, FAULT_MS);
+    const instance = random.pick(this.instances);
+    const at = this.instances.indexOf(instance);
+    const faults: { name: string; weight: number; run: () => Promise<void> }[] = [
+      { name: `kill ${instance.name}`, weight: 2, run: () => restart(instance, 'SIGKILL', forMs) },
+      { name: `stop ${instance.name}`, weight: 1, run: () => restart(instance, 'SIGTERM', forMs) },
+      { name: `pause ${instance.name}`, weight: 2, run: () => pause(instance, forMs) },
+      { name: 'kill all', weight: 1, run: () => this.#killAll(forMs) },
+      {
+        name: `store silent for ${instance.name}`,
+        weight: 2,
+        run: () => cut(this.links.store[at], 'silent', forMs),
+      },
+      {
+        name: `store resets ${instance.name}`,
+        weight: 1,
+        run: () => cut(this.links.store[at], 'reset', forMs),
+      },
+      { name: 'store silent', weight: 1, run: () => this.#storeFault('silent', forMs) },
+      { name: 'store down', weight: 1, run: () => this.#storeFault('down', forMs) },
+      {
+        name: 'a server is cut off',
+        weight: 2,
+        run: () => cut(random.pick(this.links.servers), 'silent', forMs),
+      },
+      {
+        name: 'a server is slow to reach',
+        weight: 1,
+        run: () => slow(random.pick(this.links.servers), forMs),
+      },
+      { name: 'a server fails', weight: 2, run: () => this.#misbehave(forMs) },
+      { name: 'top-up', weight: 1, run: () => this.#topUp() },
+    ];
+    const fault = random.pickWeighted(faults);
+    this.#faults.push(`${fault.name} for ${String(forMs)} ms`);
+    return fault.run();
+  }
+
+  async #killAll(forMs: number): Promise<void> {
+    await Promise.all(this.instances.map((instance) => restart(instance, 'SIGKILL', forMs)));
+  }
+
+  async #storeFault(fault: 'silent' | 'down', forMs: number): Promise<void> {
+    this.store.fault = fault;
+    await delay(forMs);
+    this.store.fault = 'none';
+  }
+
+  async #misbehave(forMs: number): Promise<void> {
+    const server = this.random.pick(this.servers);
+    const usual: Behaviour = server.id.startsWith('e') ? 'stream' : 'answer';
+    const failures: Behaviour[] = ['reset', 'shed', 'error', 'silent', 'other-id', 'no-proof'];
+    if (usual === 'stream') failures.push('break-stream');
+    server.behaviour = this.random.pick(failures);
+    await delay(forMs);
+    server.behaviour = usual;
+  }
+
+  #topUp(): Promise<void> {
+    for (const [account, limit] of this.#limits) this.#limits.set(account, limit + TOP_UP);
+    this.#configure();
+    return Promise.resolve();
+  }
+
+  #configure(): void {
+    this.#version += 1;
+    const tenants = [...this.#limits].map(([name, prepaid]) => {
+      return { name, api_keys: [`key-of-${name}`], prepaid };
+    });
+    const { services } = configWith() as { services: { engine?: object }[] };
+    const told = services.map((service) => {
+      return service.engine
+        ? { ...service, engine: { slots: 16, stride: TOKENS_PER_EVENT } }
+        : service;
+    });
+    this.store.put(
+      'config',
+      'main',
+      configWith({ version: this.#version, tenants, services: told }),
+    );
+  }
+}
+
+async function untilReady({ name, settings }: SoakProcess): Promise<void> {
+  await until(`${name} is ready`, async () => {
+    try {
+      return (await fetch(`http://${settings.listen.ready}/api/ready`)).ok;
+    } catch (err) {
+      // it does not listen yet.
+      if (err instanceof TypeError) return false;
+      throw err;
+    }
+  });
+}
+
+async function restart(
+  instance: SoakProcess,
+  signal: 'SIGKILL' | 'SIGTERM',
+  forMs: number,
+): Promise<void> {
+  // one restart at a time: a process that is away is not started twice.
+  if (instance.busy) return;
+  instance.busy = true;
+  await instance.end(signal);
+  await delay(forMs);
+  await instance.start();
+  instance.busy = false;
+}
+
+async function pause(instance: SoakProcess, forMs: number): Promise<void> {
+  instance.signal('SIGHUP');
+  instance.signal('SIGSTOP');
+  await delay(forMs);
+  instance.signal('SIGCONT');
+}
+
+async function cut(link: Link | undefined, mode: 'silent' | 'reset', forMs: number): Promise<void> {
+  link?.setCut(mode);
+  await delay(forMs);
+  link?.setCut('none');
+}
+
+async function slow(link: Link, forMs: number): Promise<void> {
+  link.setLatency(100);
+  await delay(forMs);
+  link.setLatency(0);
+}
+
+function addressOf(address: string): { host: string; port: number } {
+  const [host = '', port] = address.split(':');
+  return { host, port: Number(port) };
+}
+
+function settingsOf(entry: number, ready: number, storeUrl: string): SoakProcess['settings'] {
+  return {
+    dataCentre: 'hall-a',
+    listen: { entry: `127.0.0.1:${String(entry)}`, ready: `127.0.0.1:${String(ready)}` },
+    store: { url: storeUrl, timeoutMs: 500, watchIdleMs: 1_000 },
+    prepaid: { reportMs: 300, rideThroughSeconds: 3 },
+    retries: { ratio: 0.2, slack: 54, windowMs: 10_000 },
+    stopGraceMs: 4_000,
+  };
+}
--- /dev/null
+++ b/test/soak/soakCallers.ts
@@ -0,0 +1,116 @@
+/** Callers that send requests of all kinds to the instances, and note what they were told. */
+
+import type { Random } from '../../packages/lab/src/runtime/random.js';
+import type { SoakProcess } from './soakProcess.js';
+import { Agent, request } from 'node:http';
+import { HOST } from '../platform/world.js';
+
+export type CallKind = 'look' | 'book' | 'chat' | 'draft';
+
+/** One request as its caller saw it. */
+export interface SeenAnswer {
+  id: string;
+  kind: CallKind;
+  account: string;
+  prompt: number;
+  /** 0 without an answer. */
+  status: number;
+  /** Id that the answer names. */
+  answeredId: string | undefined;
+  body: string;
+  complete: boolean;
+}
+
+/** Milliseconds after which a caller gives up. */
+const PATIENCE_MS = 2_500;
+/** Milliseconds that a caller grants a request. */
+const DEADLINE_MS = 1_500;
+
+export class SoakCallers {
+  readonly answers: SeenAnswer[] = [];
+  /** Callers keep using open connections until the instance closes them. */
+  readonly #agent = new Agent({ keepAlive: true, maxSockets: 32 });
+  readonly #open = new Set<Promise<void>>();
+  #count = 0;
+
+  constructor(
+    readonly instances: SoakProcess[],
+    readonly accounts: string[],
+    readonly random: Random,
+  ) {}
+
+  /** Sends one request; its answer is noted when it ends. */
+  send(): void {
+    const { random } = this;
+    this.#count += 1;
+    const call = {
+      id: `q-${String(this.#count)}`,
+      kind: random.pick<CallKind>(['look', 'book', 'chat', 'draft']),
+      account: random.pick(this.accounts),
+      prompt: random.int(100, 2_000),
+    };
+    const done = this.#ask(random.pick(this.instances).port, call).then((answer) => {
+      this.answers.push(answer);
+      this.#open.delete(done);
+    });
+    this.#open.add(done);
+  }
+
+  async settle(): Promise<void> {
+    await Promise.all(this.#open);
+  }
+
+  close(): void {
+    this.#agent.destroy();
+  }
+
+  #ask(
+    port: number,
+    call: Pick<SeenAnswer, 'id' | 'kind' | 'account' | 'prompt'>,
+  ): Promise<SeenAnswer> {
+    const generates = call.kind === 'chat' || call.kind === 'draft';
+    const headers = {
+      host: HOST,
+      'x-request-id': call.id,
+      'x-deadline-ms': String(DEADLINE_MS),
+      authorization: `Token key-of-${call.account}`,
+      ...(generates ? { 'x-model': 'm', 'x-token-usage': `${String(call.prompt)},80` } : {}),
+    };
+    return new Promise((resolve) => {
+      const answer: SeenAnswer = {
+        ...call,
+        status: 0,
+        answeredId: undefined,
+        body: '',
+        complete: false,
+      };
+      const req = request({
+        host: '127.0.0.1',
+        port,
+        path: `/${call.kind}/1`,
+        method: 'POST',
+        headers,
+        agent: this.#agent,
+      });
+      const timer = setTimeout(() => req.destroy(), PATIENCE_MS);
+      const end = (): void => {
+        clearTimeout(timer);
+        resolve(answer);
+      };
+      req.on('error', end);
+      req.on('response', (res) => {
+        answer.status = res.statusCode ?? 0;
+        answer.answeredId = res.headers['x-request-id']?.toString();
+        res.setEncoding('utf8');
+        res.on('data', (chunk: string) => (answer.body += chunk));
+        // a broken answer shows as incomplete below.
+        res.on('error', () => undefined);
+        res.on('close', () => {
+          answer.complete = res.complete;
+          end();
+        });
+      });
+      req.end(`id=${call.id}`);
+    });
+  }
+}
