test(platform): a world is ready once its instance has joined its group

Cause: two runs of this file failed in tests whose first call was refused with 503: the instance had not joined its group yet, and a request waits a quarter of a second for tokens (the refusal's `complete` was taken for the stream's). No check was changed.

--- a/test/platform/world.ts
+++ b/test/platform/world.ts
@@ -201,6 +201,10 @@
     this.stop = () => (stopped ??= gateway.stop());
     t.after(() => this.stop());
     await until('ready', async () => (await this.ready()) === 200);
+    // until it has joined, a request waits a quarter of a second for tokens and is refused then.
+    await until('joined', () =>
+      this.log.events.some(({ event }) => event === 'prepaid-group-joined'),
+    );
   }
 
   settings: GatewaySettings | undefined;
