--- a/test/money/moneyFaults.test.ts
+++ b/test/money/moneyFaults.test.ts
@@ -39,7 +39,7 @@
     for (const router of world.routers) router.isolated = false;
     await Promise.all(clients);
     await until(() => world.routers.every((router) => router.money.ready));
-    await until(() => isSettled(world));
+    await until(() => isSettled(world) && missingBills(world, kept).length === 0);
     checkWorld(world, kept);
     await world.stop();
     checkWorld(world, kept);
@@ -62,7 +62,7 @@
   if (billed.isOk) kept.add(`${ticket.issuer}#${ticket.number}`);
 }
 
-/** Every holder that is not in use has ended, and nothing waits at a witness. */
+/** Every holder that is not in use has ended. */
 function isSettled(world: MoneyWorld): boolean {
   const live = new Set(world.routers.map((router) => router.incarnation));
   return journalsOf(world).every((journal) =>
@@ -73,23 +73,30 @@
 }
 
 function checkWorld(world: MoneyWorld, kept: Set<string>): void {
-  const billed: string[] = [];
-  let spent = 0;
-  for (const journal of journalsOf(world)) {
-    assert.equal(checkInvariant(journal), undefined);
-    spent += journal.accounts[KIRK]?.spent ?? 0;
-    for (let number = 0; number < journal.segment; number += 1) {
-      const segment = world.store.peek('segments', `${journal.dataCentre}-${number}`);
-      billed.push(...(segment as BillSegment).bills.map((bill) => `${bill.holder}#${bill.ticket}`));
-    }
-    billed.push(...journal.bills.map((bill) => `${bill.holder}#${bill.ticket}`));
-  }
+  for (const journal of journalsOf(world)) assert.equal(checkInvariant(journal), undefined);
   assert.equal(checkLedgerInvariant(world.ledger()), undefined);
+  const spent = journalsOf(world).reduce((sum, one) => sum + (one.accounts[KIRK]?.spent ?? 0), 0);
   assert.ok(spent <= LIMIT, `${spent} spent of ${LIMIT}`);
+  const billed = billedTickets(world);
   assert.equal(new Set(billed).size, billed.length);
-  assert.ok(kept.size > 0);
-  const all = new Set(billed);
-  for (const ticket of kept) assert.ok(all.has(ticket), `${ticket} was kept and is not billed`);
+  assert.ok(kept.size > 0, 'no bill was kept');
+  assert.deepEqual(missingBills(world, kept), []);
+}
+
+/** A kept bill may be in the memory of a witness yet: its line gets to the journal soon after. */
+function missingBills(world: MoneyWorld, kept: Set<string>): string[] {
+  const billed = new Set(billedTickets(world));
+  return [...kept].filter((ticket) => !billed.has(ticket));
+}
+
+function billedTickets(world: MoneyWorld): string[] {
+  return journalsOf(world).flatMap((journal) => {
+    const segments = Array.from({ length: journal.segment }, (_, number) => {
+      return world.store.peek('segments', `${journal.dataCentre}-${number}`) as BillSegment;
+    });
+    const bills = [...segments.flatMap((segment) => segment.bills), ...journal.bills];
+    return bills.map((bill) => `${bill.holder}#${bill.ticket}`);
+  });
 }
 
 function journalsOf(world: MoneyWorld): JournalState[] {
