fix(lab): a connection whose end is on its way is closed, not reset

Its main thread stood in the runtime's own end (FreeEnvironment, CleanupHandles, uv_run): a link had reset a connection whose end was already on its way. The runtime refuses that reset with EINVAL, never closes the connection, and at the end of the process waits for it in a loop. A script of fifteen lines with end() and resetAndDestroy() does the same. Ruled out: the stand-ins' waiting loops, timers, processes under test (all ended). The gateway itself resets no connections.

--- a/packages/lab/src/node/link/index.ts
+++ b/packages/lab/src/node/link/index.ts
@@ -1,1 +1,2 @@
+export * from './breakConnection.js';
 export * from './link.js';
--- a/packages/lab/src/node/link/link.ts
+++ b/packages/lab/src/node/link/link.ts
@@ -2,6 +2,7 @@
 
 import type { AddressInfo, Server, Socket } from 'node:net';
 import { connect, createServer } from 'node:net';
+import { breakConnection } from './breakConnection.js';
 
 /** How a cut shows to both ends. */
 export type CutMode = 'none' | 'silent' | 'reset';
@@ -114,7 +115,7 @@
   track(near, source, state);
   const cut = cutOf(state, source);
   if (cut === 'reset') {
-    near.resetAndDestroy();
+    breakConnection(near);
     return;
   }
   // during a silent cut the connection is taken and leads nowhere.
@@ -176,7 +177,7 @@
   condition: (socket: Socket, source: string) => boolean,
 ): void {
   for (const [socket, source] of state.sockets) {
-    if (condition(socket, source)) socket.resetAndDestroy();
+    if (condition(socket, source)) breakConnection(socket);
   }
 }
 
--- a/test/store/link.test.ts
+++ b/test/store/link.test.ts
@@ -1,8 +1,11 @@
+import type { Socket } from 'node:net';
 import type { TestContext } from 'node:test';
 import type { Link } from '../../packages/lab/src/node/link/index.js';
 import assert from 'node:assert/strict';
-import { test } from 'node:test';
-import { createLink } from '../../packages/lab/src/node/link/index.js';
+import { once } from 'node:events';
+import { connect as connectTcp, createServer } from 'node:net';
+import { describe, test } from 'node:test';
+import { breakConnection, createLink } from '../../packages/lab/src/node/link/index.js';
 import { connect, failTest, notes, startStandIn } from './fixtures.js';
 
 async function linkTo(t: TestContext, url: string | undefined): Promise<Link> {
@@ -42,3 +45,31 @@
   assert.ok((await creating).isOk);
   assert.equal((await store.get(notes, 'n')).unwrapOrElse(failTest).value.text, text);
 });
+
+// a process never ends and keeps a core busy: a connection was reset while its own end was on its way,
+// which the runtime refuses, and then it waits for that connection for good.
+describe('a connection that is broken closes without an error', () => {
+  const cases = [
+    { name: 'while it is open', before: () => undefined },
+    { name: 'while its end is on its way', before: (socket: Socket) => socket.end() },
+    { name: 'while it is closing already', before: (socket: Socket) => socket.destroy() },
+  ];
+  for (const { name, before } of cases) {
+    test(name, async (t) => {
+      const server = createServer((socket) => socket.on('error', () => undefined).resume());
+      t.after(() => server.close());
+      await once(server.listen(0, '127.0.0.1'), 'listening');
+      const address = server.address();
+      assert.ok(address !== null && typeof address === 'object', 'listens on a port');
+      const socket = connectTcp({ port: address.port, host: '127.0.0.1', allowHalfOpen: true });
+      await once(socket, 'connect');
+      const errors: Error[] = [];
+      socket.on('error', (err) => errors.push(err));
+      const closed = once(socket, 'close');
+      before(socket);
+      breakConnection(socket);
+      await closed;
+      assert.deepEqual(errors, []);
+    });
+  }
+});
