feat(prepaid): instances that stop or are lost leave their group and its page

Cause: members and writers were never taken out. Instances that are replaced under new names fill groups, take their part of the fleet's retries, lengthen the object that all share, and hold tokens for ever. Now a planned stop ends with a last report that gives all back, and the membership with it. Each group looks after itself and the next one: an instance without a new report for ten minutes (prepaid.silentMs) is dropped by a conditional update and what it held is in doubt. One that was only cut off finds its next report fenced, drops its rights and starts anew under another incarnation; no clock decides about tokens. A group without instances gives back all that it has not dealt. The property test never used a budget up with kills: a mutant that forgets what is in doubt passed it. With whole requests as steps and a third size it is found, and so are rights kept after a renewal.

--- a/packages/core/src/runtime/prepaid/index.ts
+++ b/packages/core/src/runtime/prepaid/index.ts
@@ -1,3 +1,4 @@
+export * from './memberWatch.js';
 export * from './prepaidBudgets.js';
 export * from './prepaidHolder.js';
 export * from './prepaidPage.js';
--- a/packages/core/src/runtime/prepaid/prepaidBudgets.ts
+++ b/packages/core/src/runtime/prepaid/prepaidBudgets.ts
@@ -46,6 +46,28 @@
   return { ...budgets, members: { ...budgets.members, [instance]: String(group) } };
 }
 
+/** Takes instances out that stopped or were lost; their places in the group are free again. */
+export function leaveGroup(budgets: PrepaidBudgets, instances: readonly string[]): PrepaidBudgets {
+  const leaving = instances.filter((instance) => budgets.members[instance] !== undefined);
+  if (leaving.length === 0) return budgets;
+  const members = Object.entries(budgets.members).filter(([name]) => !leaving.includes(name));
+  return { ...budgets, members: Object.fromEntries(members) };
+}
+
+/** Instances of a group. */
+export function membersOf(budgets: PrepaidBudgets, group: string): string[] {
+  return Object.keys(budgets.members).filter((name) => budgets.members[name] === group);
+}
+
+/**
+ * The group that follows in a ring of all that have members; itself where it is the only one. Each
+ * group looks after the next one too, as nobody of a group that was lost whole can.
+ */
+export function nextGroup(budgets: PrepaidBudgets, group: string): string {
+  const groups = [...new Set(Object.values(budgets.members))].map(Number).sort((a, b) => a - b);
+  return String(groups.find((other) => other > Number(group)) ?? groups[0] ?? group);
+}
+
 /** Tokens of an account that no group holds. */
 export function ungrantedPrepaid(
   budgets: PrepaidBudgets,
@@ -104,12 +126,13 @@
  * The group's page with all given back that other groups need more: what it has not dealt, beyond twice
  * what it would be granted now. An account's callers come in elsewhere than they did, or the first
  * instances that started were granted tokens before the others had joined; without a way back, others
- * refuse while these tokens lie idle.
+ * refuse while these tokens lie idle. A group without instances gives back all.
  */
 export function returnSurplus(
   page: PrepaidPage,
   outlook: ReadonlyMap<AccountId, PrepaidOutlook>,
 ): PrepaidPage {
+  if (Object.keys(page.writers).length === 0) return returnAll(page);
   const accounts = { ...page.accounts };
   for (const [name, { limitPart, beyond, groups }] of outlook) {
     const account = accounts[name];
@@ -123,6 +146,13 @@
   return { ...page, accounts };
 }
 
+function returnAll(page: PrepaidPage): PrepaidPage {
+  const accounts = Object.entries(page.accounts).map(([name, account]) => {
+    return [name, { ...account, returned: account.returned + undealtPrepaid(account) }];
+  });
+  return { ...page, accounts: Object.fromEntries(accounts) as PrepaidPage['accounts'] };
+}
+
 /** Whether the page gave something back that the budgets have not taken in. */
 export function hasReturns(page: PrepaidPage, budgets: PrepaidBudgets, group: string): boolean {
   return Object.entries(page.accounts).some(([name, { returned }]) => {
--- a/packages/core/src/runtime/prepaid/prepaidHolder.ts
+++ b/packages/core/src/runtime/prepaid/prepaidHolder.ts
@@ -19,9 +19,24 @@
 export interface PrepaidReservation {
   readonly account: AccountId;
   readonly amount: Tokens;
+  /** Process whose rights it is taken from. */
+  readonly incarnation: IncarnationId;
   settled: boolean;
 }
 
+/** What a holder is created with. */
+export interface PrepaidHolderOptions {
+  instance: string;
+  /** Differs for each process of the instance. */
+  process: string;
+  sizing: PrepaidSizing;
+  /**
+   * Milliseconds after which the instance reports though it has nothing new to say, so that its group
+   * can tell it from one that is lost.
+   */
+  aliveMs: number;
+}
+
 /** State of one account at this process. */
 interface Holding {
   /** Tokens that may be spent and are not spent, those set aside included. */
@@ -66,17 +81,28 @@
  */
 export class PrepaidHolder {
   readonly instance: string;
-  readonly incarnation: IncarnationId;
+  readonly #process: string;
   readonly #sizing: PrepaidSizing;
+  readonly #aliveMs: number;
   readonly #holdings = new Map<AccountId, Holding>();
+  #life = 1;
   #nextSeq = 1;
+  /** Whether a page has taken in a report of this life. */
+  #known = false;
+  #reportedAt: EpochMs = -Infinity;
   #pending: PrepaidReport | undefined;
   #typicalRequest: Tokens = 0;
 
-  constructor(instance: string, incarnation: IncarnationId, sizing: PrepaidSizing) {
+  constructor({ instance, process, sizing, aliveMs }: PrepaidHolderOptions) {
     this.instance = instance;
-    this.incarnation = incarnation;
+    this.#process = process;
     this.#sizing = sizing;
+    this.#aliveMs = aliveMs;
+  }
+
+  /** Names the rights of this process; changes when they are lost. */
+  get incarnation(): IncarnationId {
+    return `${this.#process}/${String(this.#life)}`;
   }
 
   /** Tokens that may be set aside now. */
@@ -112,13 +138,15 @@
       return undefined;
     }
     holding.reserved += amount;
-    return { account, amount, settled: false };
+    return { account, amount, incarnation: this.incarnation, settled: false };
   }
 
   /** Ends a reservation with what was used; a second time changes nothing. */
   settle(reservation: PrepaidReservation, used: Tokens): void {
     if (reservation.settled) return;
     reservation.settled = true;
+    // of rights that were lost all is charged already.
+    if (reservation.incarnation !== this.incarnation) return;
     const holding = this.#holding(reservation.account);
     const spent = Math.min(reservation.amount, Math.max(0, Math.ceil(used)));
     holding.reserved -= reservation.amount;
@@ -126,6 +154,27 @@
     holding.unreported += spent;
   }
 
+  /** Whether a page no longer knows this process, though it took its reports in. */
+  isForgotten(page: PrepaidPage): boolean {
+    return this.#known && page.writers[this.instance]?.incarnation !== this.incarnation;
+  }
+
+  /**
+   * Starts anew without rights, after the page has put them in doubt: this instance was away for long.
+   * What requests in progress use of them is charged already.
+   */
+  renew(): void {
+    this.#life += 1;
+    this.#nextSeq = 1;
+    this.#known = false;
+    this.#pending = undefined;
+    for (const holding of this.#holdings.values()) {
+      holding.rights = 0;
+      holding.reserved = 0;
+      holding.unreported = 0;
+    }
+  }
+
   /** Whether a report is on its way whose fate is not known. */
   get pending(): PrepaidReport | undefined {
     return this.#pending;
@@ -157,8 +206,10 @@
       given.set(account, holding.rights - entry.keeps);
     }
     const registered = page.writers[this.instance]?.incarnation === this.incarnation;
-    if (given.size === 0 && registered) return undefined;
-    return this.#begin(entries, given);
+    const isDue = last || now - this.#reportedAt >= this.#aliveMs;
+    if (given.size === 0 && registered && !isDue) return undefined;
+    this.#reportedAt = now;
+    return this.#begin(entries, given, last);
   }
 
   /** Takes in a page that has the pending report. */
@@ -166,6 +217,7 @@
     const pending = this.#pending;
     if (!pending) return;
     this.#pending = undefined;
+    this.#known = true;
     for (const [account, entry] of Object.entries(pending.entries)) {
       const holding = this.#holding(account);
       const held = page.accounts[account]?.shares[this.instance]?.held ?? entry.keeps;
@@ -228,10 +280,11 @@
   #begin(
     entries: Record<AccountId, PrepaidReportEntry>,
     given: Map<AccountId, Tokens>,
+    last: boolean,
   ): PrepaidReport {
     for (const [account, amount] of given) this.#holding(account).rights -= amount;
     const { instance, incarnation } = this;
-    const report = { instance, incarnation, seq: this.#nextSeq, entries };
+    const report = { instance, incarnation, seq: this.#nextSeq, last, entries };
     this.#nextSeq += 1;
     this.#pending = report;
     return report;
--- a/packages/core/src/runtime/prepaid/prepaidPage.ts
+++ b/packages/core/src/runtime/prepaid/prepaidPage.ts
@@ -19,18 +19,27 @@
   return writer?.incarnation === report.incarnation && writer.seq >= report.seq;
 }
 
+/**
+ * Whether the page has forgotten the process that reports, because it was silent for long or because a
+ * successor has reported. What it held is in doubt then: the report would count it a second time.
+ */
+export function isFenced(page: PrepaidPage, report: PrepaidReport): boolean {
+  return report.seq > 1 && page.writers[report.instance]?.incarnation !== report.incarnation;
+}
+
 /**
  * Takes a report in. What it wants is dealt as far as the group's grant allows.
  *
  * A report of a new process of the same instance moves all that its predecessor held to `inDoubt`:
- * the predecessor may have spent it since its last report, so it is never granted again.
+ * the predecessor may have spent it since its last report, so it is never granted again. After a last
+ * report the page no longer knows the instance.
  *
  * @example
  * const next = applyReport(page, report);
  * const update = await store.update(pages, '0', version, next);
  */
 export function applyReport(page: PrepaidPage, report: PrepaidReport): PrepaidPage {
-  if (hasReport(page, report)) return page;
+  if (hasReport(page, report) || isFenced(page, report)) return page;
   const { instance, incarnation, seq } = report;
   const before = page.writers[instance];
   const replaced = before !== undefined && before.incarnation !== incarnation;
@@ -38,7 +47,21 @@
   for (const [name, entry] of Object.entries(report.entries)) {
     accounts[name] = applyEntry(accounts[name] ?? emptyPrepaidAccount(), instance, entry);
   }
-  return { accounts, writers: { ...page.writers, [instance]: { incarnation, seq } } };
+  const next = { accounts, writers: { ...page.writers, [instance]: { incarnation, seq } } };
+  return report.last ? dropWriter(next, instance) : next;
+}
+
+/**
+ * Forgets an instance; what it holds is in doubt from then on. Should it be alive after all, its next
+ * report is fenced.
+ */
+export function dropWriter(page: PrepaidPage, instance: string): PrepaidPage {
+  if (!page.writers[instance]) return page;
+  const writers = Object.entries(page.writers).filter(([name]) => name !== instance);
+  return {
+    accounts: doubtShares(page.accounts, instance),
+    writers: Object.fromEntries(writers),
+  };
 }
 
 /** Tokens of an account that may be dealt to instances still. */
@@ -109,9 +132,8 @@
 ): Record<AccountId, PrepaidAccount> {
   return Object.fromEntries(
     Object.entries(accounts).map(([name, account]) => {
-      const lost = account.shares[instance];
+      const { [instance]: lost, ...shares } = account.shares;
       if (!lost) return [name, account];
-      const shares = { ...account.shares, [instance]: { held: 0, rate: 0 } };
       return [name, { ...account, inDoubt: account.inDoubt + lost.held, shares }];
     }),
   );
--- a/packages/core/src/types/prepaid.ts
+++ b/packages/core/src/types/prepaid.ts
@@ -88,5 +88,7 @@
   instance: string;
   incarnation: IncarnationId;
   seq: number;
+  /** Whether the instance leaves: the page forgets it with this report. */
+  last: boolean;
   entries: Record<AccountId, PrepaidReportEntry>;
 }
--- a/packages/gateway/src/node/prepaidService.ts
+++ b/packages/gateway/src/node/prepaidService.ts
@@ -3,6 +3,7 @@
 import type {
   AccountId,
   PrepaidPage,
+  PrepaidReport,
   PrepaidReservation,
   Refusal,
   RouteTable,
@@ -34,6 +35,15 @@
  */
 const FETCH_WAIT_MS = 250;
 
+/**
+ * Reports of an idle instance in the time after which a silent one is taken for lost. With five, some may
+ * be lost or late; at ten minutes that is a write each two, which costs nothing that shows.
+ */
+const REPORTS_WITHIN_SILENCE = 5;
+
+/** Exchanges in which an instance that stops tries to leave; its time to stop is bounded. */
+const LAST_TRIES = 3;
+
 /** Outcome of one exchange with the store. */
 type SyncEnd = 'done' | 'failed';
 
@@ -51,15 +61,20 @@
   /** Whether the store answered the last exchange. */
   readonly #contact: StoreContact;
   #stopped = false;
+  #left = false;
 
   constructor(context: GatewayContext, incarnation: string) {
     super();
     this.#context = context;
     this.#contact = new StoreContact(context, this.name);
     this.#pages = new PrepaidPages(context);
-    const { rideThroughSeconds } = context.settings.prepaid;
-    const sizing = new PrepaidSizing({ rideThroughSeconds });
-    this.#holder = new PrepaidHolder(context.settings.instance, incarnation, sizing);
+    const { instance, prepaid } = context.settings;
+    this.#holder = new PrepaidHolder({
+      instance,
+      process: incarnation,
+      sizing: new PrepaidSizing({ rideThroughSeconds: prepaid.rideThroughSeconds }),
+      aliveMs: prepaid.silentMs / REPORTS_WITHIN_SILENCE,
+    });
   }
 
   override start(kernel: Kernel): void {
@@ -71,12 +86,13 @@
     this.#schedule();
   }
 
-  /** Reports the rest and gives everything back. */
+  /** Reports the rest, gives everything back and leaves the group. */
   override async stop(): Promise<void> {
     clearTimeout(this.#timer);
     this.#stopped = true;
     await this.#running;
-    await this.#sync(true);
+    // the first exchange may have to end with an earlier report whose fate was not known.
+    for (let tries = 0; tries < LAST_TRIES && !this.#left; tries += 1) await this.#sync(true);
   }
 
   /**
@@ -208,36 +224,59 @@
     const opened = await this.#pages.open(this.#contact.isLost);
     if (opened.isErr) return this.#fail(opened.error.message);
     this.#lanes?.setInstances(this.#pages.instances);
+    if (this.#holder.isForgotten(opened.value)) this.#renew(opened.value);
     const outlook = this.#pages.outlook(limits);
     const now = this.#context.clock.now();
     const report = this.#holder.beginReport(opened.value, outlook, now, last);
-    if (!report) return 'done';
-    const sent = await this.#pages.send(report, limits);
-    if (sent.isErr) return this.#fail(sent.error.message);
-    const { page } = this.#pages;
-    return sent.value === 'taken' && page ? this.#confirm(page) : 'failed';
+    if (report) {
+      const sent = await this.#pages.send(report, limits);
+      if (sent.isErr) return this.#fail(sent.error.message);
+      const { page } = this.#pages;
+      if (sent.value !== 'taken' || !page) return 'failed';
+      this.#confirm(report, page);
+    }
+    const ended = await (report?.last ? this.#leave() : this.#pages.tend(limits));
+    return ended.isOk ? 'done' : this.#fail(ended.error.message);
+  }
+
+  async #leave(): ReturnType<PrepaidPages['leave']> {
+    const left = await this.#pages.leave();
+    this.#left = left.isOk;
+    return left;
+  }
+
+  /** Goes on without the rights that were put in doubt while this instance was away. */
+  #renew(page: PrepaidPage): void {
+    const { log, settings } = this.#context;
+    const { incarnation } = this.#holder;
+    this.#holder.renew();
+    log.write('prepaid-rights-lost', {
+      incarnation,
+      renewed: this.#holder.incarnation,
+      group: this.#pages.group,
+      version: this.#pages.version,
+      writer: page.writers[settings.instance]?.incarnation,
+    });
   }
 
-  #confirm(page: PrepaidPage): SyncEnd {
+  #confirm(report: PrepaidReport, page: PrepaidPage): void {
     const { log, metrics } = this.#context;
-    const report = this.#holder.pending;
     this.#holder.confirm(page);
     this.#contact.heard();
-    const accounts = Object.keys(report?.entries ?? {});
+    const accounts = Object.keys(report.entries);
     log.write('prepaid-reported', {
       group: this.#pages.group,
       version: this.#pages.version,
-      seq: report?.seq,
+      seq: report.seq,
       conflicts: this.#pages.takeConflicts(),
       accounts: accounts.length,
-      spent: sum(Object.values(report?.entries ?? {}).map((entry) => entry.spent)),
+      spent: sum(Object.values(report.entries).map((entry) => entry.spent)),
       held: sum(accounts.map((account) => this.#holder.held(account))),
       ...pageTotals(page, this.#table),
     });
     for (const account of accounts) {
       metrics.gauge('prepaid_held_tokens', 'tokens held', this.#holder.held(account), { account });
     }
-    return 'done';
   }
 
   // the report stays pending: its write may still take effect, so the same one is sent again.
--- a/packages/gateway/src/node/storedObject.ts
+++ b/packages/gateway/src/node/storedObject.ts
@@ -12,6 +12,12 @@
 /** What became of an update. */
 export type UpdateEnd = 'written' | 'conflict';
 
+/** What became of a change; `busy` when others were quicker each time. */
+export type ChangeEnd = 'written' | 'unchanged' | 'busy';
+
+/** Conflicts in a row after which a change waits for its next turn. */
+const MAX_CONFLICTS = 8;
+
 /**
  * Copy of one object.
  *
@@ -26,6 +32,7 @@
   readonly #initial: () => T;
   #seen: VersionedObject<T> | undefined;
   #seenAt = -Infinity;
+  #conflicts = 0;
 
   /** @param initial value of an object that does not exist yet. */
   constructor(store: ObjectStore, collection: Collection<T>, name: string, initial: () => T) {
@@ -49,6 +56,13 @@
     return now - this.#seenAt;
   }
 
+  /** Conflicts since this was last asked. */
+  takeConflicts(): number {
+    const conflicts = this.#conflicts;
+    this.#conflicts = 0;
+    return conflicts;
+  }
+
   /** Drops the copy: a write whose fate is not known may have changed the object. */
   forget(): void {
     this.#seen = undefined;
@@ -78,6 +92,7 @@
     }
     this.forget();
     if (written.error.code !== 'conflict') return Result.err(written.error);
+    this.#conflicts += 1;
     const current = this.#parse(written.error.current);
     if (current) {
       this.#keep(current, now);
@@ -87,6 +102,23 @@
     return read.isOk ? Result.ok('conflict') : Result.err(read.error);
   }
 
+  /**
+   * Changes the value last seen until no other was quicker.
+   *
+   * @param reduce gives the value itself where nothing is left to change.
+   */
+  async change(reduce: (value: T) => T, now: number): Promise<Result<ChangeEnd, PlatformError>> {
+    for (let tries = 0; tries < MAX_CONFLICTS; tries += 1) {
+      const value = this.value ?? this.#initial();
+      const next = reduce(value);
+      if (next === value) return Result.ok('unchanged');
+      const written = await this.update(next, now);
+      if (written.isErr) return Result.err(written.error);
+      if (written.value === 'written') return Result.ok('written');
+    }
+    return Result.ok('busy');
+  }
+
   #keep(seen: VersionedObject<T>, now: number): void {
     this.#seen = seen;
     this.#seenAt = now;
--- a/packages/gateway/src/types/gatewaySettings.ts
+++ b/packages/gateway/src/types/gatewaySettings.ts
@@ -31,6 +31,10 @@
     rideThroughSeconds: number;
     /** Whether a request of which the account got nothing is charged with its prompt. */
     unanswered: UnansweredPolicy;
+    /** Milliseconds without a report after which an instance is taken for lost. */
+    silentMs: number;
+    /** Milliseconds between two looks at the members of a group. */
+    tendMs: number;
   };
   retries: {
     /** Attempts beyond the first, as a part of all requests of a service. */
--- a/packages/gateway/src/utils/gatewaySettingsSchema.ts
+++ b/packages/gateway/src/utils/gatewaySettingsSchema.ts
@@ -31,6 +31,11 @@
       rideThroughSeconds: z.number().positive().default(9.5),
       // whether a request of which the account got nothing is charged with its prompt.
       unanswered: z.enum(['free', 'charged']).default('free'),
+      // outlasts any restart or cut that we were told of; an instance that was only cut off for longer
+      // loses some ten seconds of tokens.
+      silentMs: milliseconds.default(600_000),
+      // time between two looks at the members of a group; two reads a minute cost nothing that shows.
+      tendMs: milliseconds.default(60_000),
     })
     .prefault({}),
   retries: z.object({
--- a/packages/kernel/src/runtime/eventCatalogue.ts
+++ b/packages/kernel/src/runtime/eventCatalogue.ts
@@ -98,6 +98,23 @@
     level: 'info',
     text: 'the group gave back what it did not need',
   },
+  'prepaid-group-left': {
+    number: 415,
+    level: 'info',
+    text: 'this instance stops, has given back what it held and is no longer a member',
+  },
+  'prepaid-members-dropped': {
+    number: 416,
+    level: 'warn',
+    text: 'members that were silent for long are taken for lost; what they held is charged in doubt',
+    action: 'Look whether these instances were removed; one that was only cut off joins again.',
+  },
+  'prepaid-rights-lost': {
+    number: 417,
+    level: 'warn',
+    text: 'this instance was taken for lost and goes on without the tokens that it held',
+    action: 'Look for a long cut between it and the store, or a second process of its name.',
+  },
   'prepaid-refused': {
     number: 412,
     level: 'info',
--- a/test/platform/gateway.test.ts
+++ b/test/platform/gateway.test.ts
@@ -1,6 +1,8 @@
+import type { PrepaidBudgets, PrepaidPage } from '@flamingocourse/core';
 import assert from 'node:assert/strict';
 import { setTimeout as delay } from 'node:timers/promises';
 import { describe, test } from 'node:test';
+import { dropWriter } from '@flamingocourse/core';
 import { event } from './usersServer.js';
 import { World, configWith, until } from './world.js';
 
@@ -187,7 +189,8 @@
   test('is refused, not waited for, while the store answers nothing', async (t) => {
     // volunteers see nothing until they hang up: their calls waited for tokens from a store that had
     // gone silent a moment ago, and neither the time limit nor the hang-up ended the wait.
-    const world = await World.start(t, configWith(), { timeoutMs: 8_000, watchIdleMs: 9_000 });
+    const store = { timeoutMs: 8_000, watchIdleMs: 9_000 };
+    const world = await World.start(t, configWith(), { store });
     world.store.fault = 'silent';
     const answer = await world.call({
       path: '/chat/1',
@@ -285,12 +288,59 @@
   assert.equal(crossing.status, 200);
   assert.equal(crossing.headers.connection, 'close');
   await stopped;
-  const page = world.store.value('prepaid-pages', '0') as {
-    accounts: Record<string, { shares: Record<string, { held: number }> }>;
-  };
-  assert.equal(page.accounts.kirk?.shares['edge-1']?.held ?? 0, 0, 'all tokens are given back');
+  const { page, budgets } = prepaidOf(world);
+  assert.deepEqual(page.accounts.kirk?.shares, {}, 'all tokens are given back');
+  assert.deepEqual(page.writers, {}, 'the page has forgotten it');
+  assert.deepEqual(budgets.members, {}, 'it is no member');
+  const { granted = 0, returned = 0, gone = 0 } = budgets.grants.kirk?.['0'] ?? {};
+  assert.equal(granted - returned, gone, 'the group, left by all, holds nothing');
 });
 
+// replaced instances that nobody takes out fill the groups, and what they held lies idle.
+describe('an instance that is silent for long', () => {
+  const silent = { prepaid: { silentMs: 700, tendMs: 100 } };
+
+  test('is taken out by another of its group, and what it held is in doubt', async (t) => {
+    const world = await World.start(t, configWith(), silent);
+    world.behave('e', 'stream');
+    await world.generate('/chat/1', 1_000);
+    const { page, budgets } = prepaidOf(world);
+    const members = { ...budgets.members, lost: '0' };
+    world.store.put('prepaid-budgets', 'all', { ...budgets, members });
+    const kirk = page.accounts.kirk ?? assert.fail('no account');
+    const shares = { ...kirk.shares, lost: { held: 3_000, rate: 0 } };
+    const accounts = { kirk: { ...kirk, granted: kirk.granted + 3_000, shares } };
+    const writers = { ...page.writers, lost: { incarnation: 'lost-1', seq: 4 } };
+    world.store.put('prepaid-pages', '0', { accounts, writers });
+    await until('taken out', () => !('lost' in prepaidOf(world).budgets.members));
+    const after = prepaidOf(world).page;
+    assert.equal(after.accounts.kirk?.inDoubt, 3_000);
+    assert.deepEqual(Object.keys(after.writers), ['edge-1']);
+  });
+
+  test('goes on when it comes back, with tokens that it fetches anew', async (t) => {
+    const world = await World.start(t);
+    world.behave('e', 'stream');
+    await world.generate('/chat/1', 1_000);
+    const { page } = prepaidOf(world);
+    world.store.put('prepaid-pages', '0', dropWriter(page, 'edge-1'));
+    world.store.put('prepaid-budgets', 'all', { ...prepaidOf(world).budgets, members: {} });
+    await until('noticed', async () => {
+      await world.generate('/chat/1', 1_000);
+      return world.events.includes('prepaid-rights-lost');
+    });
+    await until('joined', () => 'edge-1' in prepaidOf(world).budgets.members);
+    await until('served', async () => (await world.generate('/chat/1', 1_000)).status === 200);
+  });
+});
+
+function prepaidOf(world: World): { page: PrepaidPage; budgets: PrepaidBudgets } {
+  return {
+    page: world.store.value('prepaid-pages', '0') as PrepaidPage,
+    budgets: world.store.value('prepaid-budgets', 'all') as PrepaidBudgets,
+  };
+}
+
 // a duty pilot's chat breaks off half way: the balancer found too few instances ready and went on sending
 // to one that was told to stop six seconds before, which took the chat and cut it at its end.
 test('a planned stop takes nothing that it could not finish', async (t) => {
--- a/test/platform/world.ts
+++ b/test/platform/world.ts
@@ -82,6 +82,12 @@
   leaveMs?: number;
 }
 
+/** Settings of a gateway that differ from those of the other tests. */
+interface SettingsChange {
+  store?: Partial<GatewaySettings['store']>;
+  prepaid?: Partial<GatewaySettings['prepaid']>;
+}
+
 export class World {
   readonly log = new MemoryEventLog();
   #entryPort = 0;
@@ -98,7 +104,7 @@
   static async start(
     t: TestContext,
     config = configWith(),
-    storeSettings: Partial<GatewaySettings['store']> = {},
+    change: SettingsChange = {},
   ): Promise<World> {
     const store = await new UsersStore().listen(t);
     const servers = await Promise.all(
@@ -109,7 +115,7 @@
     }
     store.put('config', 'main', config);
     const world = new World(store, servers);
-    await world.#startGateway(t, storeSettings);
+    await world.#startGateway(t, change);
     return world;
   }
 
@@ -124,6 +130,11 @@
     return this.servers.filter(({ id }) => id.startsWith(kind)).flatMap((server) => server.seen);
   }
 
+  /** Names of the events that were logged. */
+  get events(): string[] {
+    return this.log.events.map(({ event }) => event);
+  }
+
   behave(kind: 'p' | 'e', behaviour: UsersServer['behaviour']): void {
     for (const server of this.servers) if (server.id.startsWith(kind)) server.behaviour = behaviour;
   }
@@ -162,10 +173,7 @@
     });
   }
 
-  async #startGateway(
-    t: TestContext,
-    storeSettings: Partial<GatewaySettings['store']>,
-  ): Promise<void> {
+  async #startGateway(t: TestContext, change: SettingsChange): Promise<void> {
     const [entry, ready, metrics] = await findFreePorts(3);
     this.#entryPort = entry ?? 0;
     this.#readyPort = ready ?? 0;
@@ -179,8 +187,8 @@
           ready: `127.0.0.1:${String(ready)}`,
           metrics: `127.0.0.1:${String(metrics)}`,
         },
-        store: { url: this.store.url, timeoutMs: 300, watchIdleMs: 900, ...storeSettings },
-        prepaid: { reportMs: 100 },
+        store: { url: this.store.url, timeoutMs: 300, watchIdleMs: 900, ...change.store },
+        prepaid: { reportMs: 100, ...change.prepaid },
         retries: { ratio: 0.2, slack: 54, windowMs: 10_000 },
         stopGraceMs: 4_000,
       }),
--- a/test/prepaid/prepaidBudgets.test.ts
+++ b/test/prepaid/prepaidBudgets.test.ts
@@ -7,7 +7,10 @@
   grantPrepaid,
   hasReturns,
   joinGroup,
+  leaveGroup,
   leftPrepaid,
+  membersOf,
+  nextGroup,
   prepaidOutlook,
   returnSurplus,
   takeGrants,
@@ -25,7 +28,7 @@
 
 function pageWith(change: Partial<PrepaidPage['accounts'][string]>): PrepaidPage {
   const account = { granted: 0, returned: 0, spent: 0, inDoubt: 0, shares: {}, ...change };
-  return { ...createPrepaidPage(), accounts: { shop: account } };
+  return { writers: { a: { incarnation: 'a-1', seq: 1 } }, accounts: { shop: account } };
 }
 
 function grant(budgets: PrepaidBudgets, group: string, lacks: number): PrepaidBudgets {
@@ -38,6 +41,33 @@
   assert.equal(joinGroup(budgets, 'a', 1), budgets);
 });
 
+// instances are replaced under new names each day: without an end of their membership the object that all
+// read grows for ever, and each instance's part of the retries shrinks.
+test('instances that leave free their places', () => {
+  const budgets = leaveGroup(budgetsOf('a', 'b', 'c'), ['a', 'unknown']);
+  assert.deepEqual(budgets.members, { b: '0', c: '1' });
+  assert.equal(joinGroup(budgets, 'd', 2).members.d, '0');
+  assert.equal(leaveGroup(budgets, ['a']), budgets);
+  assert.deepEqual(membersOf(budgets, '1'), ['c']);
+});
+
+describe('the group after', () => {
+  const budgets = leaveGroup(budgetsOf('a', 'b', 'c', 'd', 'e'), ['c', 'd']);
+  const cases = [
+    { group: '0', next: '2' },
+    { group: '2', next: '0' },
+    { group: '1', next: '2' },
+  ];
+  for (const { group, next } of cases) {
+    test(`${group} is ${next}`, () => {
+      assert.equal(nextGroup(budgets, group), next);
+    });
+  }
+  test('the only one is itself', () => {
+    assert.equal(nextGroup(budgetsOf('a'), '0'), '0');
+  });
+});
+
 describe('grants', () => {
   const cases = [
     { name: 'give one group half of the rest', members: ['a'], lacks: 10, granted: 500 },
@@ -110,6 +140,12 @@
     assert.equal(grant(taken, '1', 300).grants.shop?.['1']?.granted, 300);
   });
 
+  // all instances of a group were removed: what it was granted would lie idle for good.
+  test('is all that a group without instances has not dealt', () => {
+    const page = { ...pageWith({ granted: 1_000, spent: 200, inDoubt: 50 }), writers: {} };
+    assert.equal(returnSurplus(page, new Map()).accounts.shop?.returned, 750);
+  });
+
   const kept = [
     { name: 'of a group that is alone', change: { groups: 1 } },
     { name: 'while enough is left for the others', change: { beyond: 600 } },
--- /dev/null
+++ b/test/prepaid/prepaidHolder.test.ts
@@ -0,0 +1,116 @@
+import type { PrepaidPage, PrepaidReport } from '@flamingocourse/core';
+import assert from 'node:assert/strict';
+import { describe, test } from 'node:test';
+import {
+  PrepaidHolder,
+  PrepaidSizing,
+  applyReport,
+  createPrepaidPage,
+  dropWriter,
+} from '@flamingocourse/core';
+
+const ALIVE_MS = 120_000;
+
+const outlook = new Map([['shop', { limitPart: 50_000, beyond: 0, groups: 1 }]]);
+
+function createHolder(): PrepaidHolder {
+  const sizing = new PrepaidSizing();
+  return new PrepaidHolder({ instance: 'a', process: 'process-1', sizing, aliveMs: ALIVE_MS });
+}
+
+function grantedPage(): PrepaidPage {
+  const shop = { granted: 50_000, returned: 0, spent: 0, inDoubt: 0, shares: {} };
+  return { ...createPrepaidPage(), accounts: { shop } };
+}
+
+/** A holder and its page after a first exchange in which it got tokens for a request of 1,000. */
+function start(): { holder: PrepaidHolder; page: PrepaidPage } {
+  const holder = createHolder();
+  holder.observe('shop', 1_000, 0);
+  holder.reserve('shop', 1_000);
+  const page = exchange(holder, grantedPage(), 10);
+  assert.ok(holder.free('shop') >= 1_000, 'holds tokens');
+  return { holder, page };
+}
+
+function exchange(
+  holder: PrepaidHolder,
+  page: PrepaidPage,
+  now: number,
+  last = false,
+): PrepaidPage {
+  const next = applyReport(page, beginReport(holder, page, now, last));
+  holder.confirm(next);
+  return next;
+}
+
+function beginReport(
+  holder: PrepaidHolder,
+  page: PrepaidPage,
+  now: number,
+  last = false,
+): PrepaidReport {
+  const report = holder.beginReport(page, outlook, now, last);
+  assert.ok(report, 'has something to report');
+  return report;
+}
+
+// an instance that was cut off for long comes back: the group has charged what it held, and it would
+// spend it all the same, or count it twice.
+describe('a holder whose page has forgotten it', () => {
+  test('starts anew without tokens, under another name', () => {
+    const { holder, page } = start();
+    const { incarnation } = holder;
+    assert.equal(holder.isForgotten(page), false);
+    assert.equal(holder.isForgotten(dropWriter(page, 'a')), true);
+    holder.renew();
+    assert.notEqual(holder.incarnation, incarnation);
+    assert.equal(holder.free('shop'), 0);
+    assert.equal(holder.unreported('shop'), 0);
+  });
+
+  test('gets nothing from requests that were begun before', () => {
+    const { holder, page } = start();
+    const running = holder.reserve('shop', 1_000);
+    assert.ok(running, 'the request fits');
+    const without = dropWriter(page, 'a');
+    holder.renew();
+    exchange(holder, without, 20);
+    const free = holder.free('shop');
+    holder.settle(running, 400);
+    assert.equal(holder.free('shop'), free);
+    assert.equal(holder.unreported('shop'), 0);
+  });
+
+  test('is not meant before the first report was taken in', () => {
+    const holder = createHolder();
+    assert.equal(holder.isForgotten(grantedPage()), false);
+  });
+});
+
+// an idle instance would be taken for lost, and its tokens charged.
+test('a holder without news reports now and then all the same', () => {
+  const { holder, page } = start();
+  // its demand fades within minutes, which is news.
+  const reportedAt: number[] = [];
+  let seen = page;
+  for (let now = 1_000; now <= 1_200_000; now += 1_000) {
+    const report = holder.beginReport(seen, outlook, now);
+    if (!report) continue;
+    seen = applyReport(seen, report);
+    holder.confirm(seen);
+    reportedAt.push(now);
+  }
+  const [before = 0, last = 0] = reportedAt.slice(-2);
+  assert.equal(last - before, ALIVE_MS);
+});
+
+// a machine is emptied: what it held would be charged in doubt, or lie idle.
+test('a last report is due without news, and gives all back', () => {
+  const { holder, page } = start();
+  const left = exchange(holder, page, 20, true);
+  assert.equal(holder.free('shop'), 0);
+  assert.deepEqual(left.writers, {});
+  assert.deepEqual(left.accounts.shop?.shares, {});
+  assert.equal(left.accounts.shop.inDoubt, 0);
+});
--- a/test/prepaid/prepaidPage.test.ts
+++ b/test/prepaid/prepaidPage.test.ts
@@ -4,8 +4,10 @@
 import {
   applyReport,
   createPrepaidPage,
+  dropWriter,
   hasReport,
   heldPrepaid,
+  isFenced,
   lackingPrepaid,
   remainingPrepaid,
   undealtPrepaid,
@@ -18,7 +20,8 @@
   incarnation = `${instance}-1`,
 ): PrepaidReport {
   const { spent = 0, keeps = 0, wants = 0 } = entry;
-  return { instance, incarnation, seq, entries: { shop: { spent, keeps, wants, rate: 10 } } };
+  const entries = { shop: { spent, keeps, wants, rate: 10 } };
+  return { instance, incarnation, seq, last: false, entries };
 }
 
 function pageOf(...reports: PrepaidReport[]): PrepaidPage {
@@ -84,7 +87,7 @@
 });
 
 test('a report is known by process and number', () => {
-  const page = pageOf(report('a', 3, { wants: 1 }));
+  const page = pageOf(report('a', 1, { wants: 1 }), report('a', 3, {}));
   assert.equal(hasReport(page, report('a', 3, {})), true);
   assert.equal(hasReport(page, report('a', 4, {})), false);
   assert.equal(hasReport(page, report('a', 3, {}, 'a-2')), false);
@@ -97,3 +100,47 @@
   assert.deepEqual([...lacking], [['shop', 400]]);
   assert.equal(lackingPrepaid(page, report('b', 1, { wants: 100 })).size, 0);
 });
+
+// each planned replacement leaves a name behind: the page grows for ever, and the parts of the others,
+// which are sized by its writers, shrink.
+test('a last report gives all back and is the end of its writer', () => {
+  const left = { ...report('a', 2, { spent: 150 }), last: true };
+  const page = pageOf(report('a', 1, { wants: 400 }), report('b', 1, {}), left);
+  assert.deepEqual(Object.keys(page.writers), ['b']);
+  const { spent, inDoubt, shares } = page.accounts.shop ?? {};
+  assert.deepEqual({ spent, inDoubt, shares }, { spent: 150, inDoubt: 0, shares: { b: { held: 0, rate: 10 } } }); // prettier-ignore
+  assert.equal(applyReport(page, left), page, 'sent again it changes nothing');
+});
+
+// a removed instance holds its tokens for ever; an instance that comes back after an hour reports them
+// although they are charged in doubt, and its spend is counted twice.
+describe('a writer that was dropped', () => {
+  const before = pageOf(report('a', 1, { wants: 400 }), report('b', 1, { wants: 100 }));
+  const page = dropWriter(before, 'a');
+
+  test('leaves what it held in doubt', () => {
+    const account = page.accounts.shop;
+    assert.equal(account?.inDoubt, 400);
+    assert.deepEqual(Object.keys(account.shares), ['b']);
+    assert.deepEqual(Object.keys(page.writers), ['b']);
+    assert.equal(dropWriter(page, 'a'), page);
+  });
+
+  const cases = [
+    { name: 'is fenced when it reports again', next: report('a', 2, { spent: 300 }), fenced: true },
+    { name: 'may start anew', next: report('a', 1, { wants: 10 }, 'a-2'), fenced: false },
+    { name: 'does not fence others', next: report('b', 2, { spent: 10 }), fenced: false },
+  ];
+  for (const { name, next, fenced } of cases) {
+    test(name, () => {
+      assert.equal(isFenced(page, next), fenced);
+      assert.equal(applyReport(page, next) === page, fenced);
+    });
+  }
+});
+
+// two processes under one name: the older one must not take the younger one's place again.
+test('a process whose successor has reported is fenced', () => {
+  const page = pageOf(report('a', 1, { wants: 400 }), report('a', 1, { wants: 100 }, 'a-2'));
+  assert.equal(isFenced(page, report('a', 2, { spent: 50, keeps: 350 })), true);
+});
--- a/test/prepaid/prepaidWorld.test.ts
+++ b/test/prepaid/prepaidWorld.test.ts
@@ -13,6 +13,7 @@
   applyReport,
   createPrepaidBudgets,
   createPrepaidPage,
+  dropWriter,
   grantPrepaid,
   hasReport,
   joinGroup,
@@ -38,11 +39,14 @@
 type Step =
   | { type: 'reserve'; instance: number; amount: number }
   | { type: 'settle'; instance: number; part: number }
+  | { type: 'serve'; instance: number; amount: number; part: number }
   | { type: 'look'; instance: number }
   | { type: 'grant'; instance: number; lacks: number; reply: Fate }
   | { type: 'report'; instance: number; reply: Fate }
   | { type: 'late-write' }
   | { type: 'kill'; instance: number }
+  | { type: 'stop'; instance: number; reply: Fate }
+  | { type: 'drop'; instance: number; reply: Fate }
   | { type: 'top-up'; amount: number };
 
 /** One object under conditional update, with writes that are still on their way. */
@@ -102,6 +106,9 @@
       case 'settle':
         this.#settle(step.instance, step.part);
         break;
+      case 'serve':
+        this.#serve(step.instance, step.amount, step.part);
+        break;
       case 'report':
         this.#report(step.instance, step.reply);
         break;
@@ -118,6 +125,13 @@
       case 'kill':
         this.#kill(step.instance);
         break;
+      case 'stop':
+        this.#report(step.instance, step.reply, true);
+        this.#kill(step.instance);
+        break;
+      case 'drop':
+        this.#drop(step.instance, step.reply);
+        break;
       case 'top-up':
         this.limits.set(ACCOUNT, (this.limits.get(ACCOUNT) ?? 0) + step.amount);
         break;
@@ -153,6 +167,18 @@
     if (reservation) this.#running[at]?.push(reservation);
   }
 
+  /** A request from its start to its end, fetching what it lacks. */
+  #serve(at: number, amount: number, part: number): void {
+    const before = this.#running[at]?.length ?? 0;
+    this.#reserve(at, amount);
+    if (this.#running[at]?.length === before) {
+      this.#look(at);
+      this.#report(at, 'comes');
+      this.#reserve(at, amount);
+    }
+    if ((this.#running[at]?.length ?? 0) > before) this.#settle(at, part);
+  }
+
   #settle(at: number, part: number): void {
     const reservation = this.#running[at]?.shift();
     if (!reservation) return;
@@ -176,13 +202,23 @@
     if (this.budgets.write(seen.version, next, fate)) this.#look(at);
   }
 
-  #report(at: number, fate: Fate): void {
+  /** Others take an instance for lost, rightly or not. */
+  #drop(at: number, fate: Fate): void {
+    const page = this.#pageOf(at);
+    const budgets = this.#seen[at]?.value;
+    if (!page || !budgets) return;
+    const without = dropWriter(page.value, INSTANCES[at] ?? '');
+    page.write(page.version, returnSurplus(without, prepaidOutlook(budgets, this.limits)), fate);
+  }
+
+  #report(at: number, fate: Fate, last = false): void {
     const holder = this.#holders[at];
     const page = this.#pageOf(at);
     const budgets = this.#seen[at]?.value;
     if (!holder || !page || !budgets) return;
+    if (holder.isForgotten(page.value)) holder.renew();
     const outlook = prepaidOutlook(budgets, this.limits);
-    const report = holder.beginReport(page.value, outlook, this.#now);
+    const report = holder.beginReport(page.value, outlook, this.#now, last);
     if (!report) return;
     if (hasReport(page.value, report)) holder.confirm(page.value);
     else this.#send(at, holder, report, fate);
@@ -212,7 +248,12 @@
 
   #createHolder(instance: string): PrepaidHolder {
     this.#lives += 1;
-    return new PrepaidHolder(instance, `${instance}-${String(this.#lives)}`, new PrepaidSizing());
+    return new PrepaidHolder({
+      instance,
+      process: `${instance}-${String(this.#lives)}`,
+      sizing: new PrepaidSizing(),
+      aliveMs: 5_000,
+    });
   }
 }
 
@@ -241,6 +282,15 @@
         part: fc.double({ min: 0, max: 1, noNaN: true }),
       }),
     },
+    {
+      weight: 6,
+      arbitrary: fc.record({
+        type: fc.constant('serve' as const),
+        instance,
+        amount: fc.integer({ min: 1, max: most }),
+        part: fc.double({ min: 0.5, max: 1, noNaN: true }),
+      }),
+    },
     {
       weight: 6,
       arbitrary: fc.record({
@@ -260,7 +310,15 @@
     },
     { weight: 3, arbitrary: fc.record({ type: fc.constant('look' as const), instance }) },
     { weight: 2, arbitrary: fc.record({ type: fc.constant('late-write' as const) }) },
-    { weight: 1, arbitrary: fc.record({ type: fc.constant('kill' as const), instance }) },
+    { weight: 2, arbitrary: fc.record({ type: fc.constant('kill' as const), instance }) },
+    {
+      weight: 1,
+      arbitrary: fc.record({ type: fc.constant('stop' as const), instance, reply: fate }),
+    },
+    {
+      weight: 1,
+      arbitrary: fc.record({ type: fc.constant('drop' as const), instance, reply: fate }),
+    },
     {
       weight: 1,
       arbitrary: fc.record({
@@ -277,6 +335,8 @@
   { name: 'few large requests', most: 8_000 },
   // most of a grant lies undealt here, and groups give back and are granted again.
   { name: 'many small requests', most: 300 },
+  // what a killed instance held is a large part of the budget, and others come to need it.
+  { name: 'middle-sized requests', most: 2_000 },
 ];
 for (const { name, most } of sizes) {
   test(`${name} never pass a prepaid budget, whatever is lost, late or killed`, () => {
