test(soak): no SIGHUP before the first line; output of failed seeds goes to a file

The soak had sent it while the runtime was starting, before any line of ours runs; no program can handle a signal there. Ruled out: the early handler (earlySignals is imported first and is in place before the first log line). Now a process gets SIGHUP only after its first line.

--- a/test/soak/main.ts
+++ b/test/soak/main.ts
@@ -1,5 +1,8 @@
 /** `npm run soak`: plays fresh or given seeds and prints each that broke a promise. */
 
+import { writeFile } from 'node:fs/promises';
+import { tmpdir } from 'node:os';
+import { join } from 'node:path';
 import { command, number, option, optional, run } from 'cmd-ts';
 import { runSoak } from './runSoak.js';
 
@@ -42,5 +45,7 @@
   if (broken.length === 0) return;
   process.exitCode = 1;
   console.log([...faults, ...broken].map((line) => `  ${line}`).join('\n'));
-  console.error(output);
+  const file = join(tmpdir(), `flamingocourse-soak-${String(seed)}.log`);
+  await writeFile(file, output);
+  console.log(`  output of the processes: ${file}`);
 }
--- a/test/soak/runSoak.ts
+++ b/test/soak/runSoak.ts
@@ -286,7 +286,7 @@
 }
 
 async function pause(instance: SoakProcess, forMs: number): Promise<void> {
-  instance.signal('SIGHUP');
+  if (instance.isUp) instance.signal('SIGHUP');
   instance.signal('SIGSTOP');
   await delay(forMs);
   instance.signal('SIGCONT');
--- a/test/soak/soakProcess.ts
+++ b/test/soak/soakProcess.ts
@@ -18,6 +18,7 @@
   readonly #file: string;
   #child: ChildProcess | undefined;
   #expected = false;
+  #isUp = false;
 
   constructor(
     readonly name: string,
@@ -31,11 +32,13 @@
   async start(): Promise<void> {
     await writeFile(this.#file, JSON.stringify({ instance: this.name, ...this.settings }));
     this.#expected = false;
+    this.#isUp = false;
     const child = spawn(process.execPath, ['target/flamingocourse.mjs'], {
       env: { ...process.env, FLAMINGOCOURSE_CONFIG: this.#file },
       stdio: ['ignore', 'pipe', 'pipe'],
     });
     const keep = (chunk: Buffer): void => {
+      if (this.#child === child) this.#isUp = true;
       this.output = (this.output + chunk.toString()).slice(-KEPT_OUTPUT);
     };
     child.stdout.on('data', keep);
@@ -46,6 +49,11 @@
     this.#child = child;
   }
 
+  /** Whether it has said its first line; before that the runtime is starting and handles no signal. */
+  get isUp(): boolean {
+    return this.#isUp;
+  }
+
   /** Pauses, wakes up or tells the process something; it goes on afterwards. */
   signal(signal: 'SIGSTOP' | 'SIGCONT' | 'SIGHUP'): void {
     this.#child?.kill(signal);
