perf(prepaid): an instance looks at its page with a cheap read before it reports

Now it is read before, allowed to be some seconds old, which costs a tenth; the copy never becomes older. Ruled out: reading for certain (costs what the conflict costs).

--- a/packages/gateway/src/node/prepaidGrants.ts
+++ b/packages/gateway/src/node/prepaidGrants.ts
@@ -109,8 +109,9 @@
   /** Joins a group if this instance has none; reads anew what is not known or old. */
   async join(options: CallOptions): Promise<Result<Unit, StoreError>> {
     const { settings, random, log } = this.#context;
-    if (!this.#budgets.value || this.#budgets.ageMs(this.#now()) > BUDGETS_FRESH_MS) {
-      const read = await this.#budgets.read(this.#now(), options);
+    const stale = this.#budgets.value !== undefined;
+    if (!stale || this.#budgets.ageMs(this.#now()) > BUDGETS_FRESH_MS) {
+      const read = await this.#budgets.read(this.#now(), { ...options, stale });
       if (read.isErr) return Result.err(read.error);
     }
     while (this.known.members[settings.instance] === undefined) {
--- a/packages/gateway/src/node/prepaidPages.ts
+++ b/packages/gateway/src/node/prepaidPages.ts
@@ -132,7 +132,8 @@
     if (joined.isErr) return Result.err(joined.error);
     if (this.#own?.group !== this.group) this.#own = this.#watched(this.group);
     const { page } = this.#own;
-    return page.value ? Result.ok(page.value) : page.read(this.#now(), options);
+    // others have reported since this copy was seen: a report on it would conflict, which costs a call.
+    return page.read(this.#now(), { ...options, stale: page.value !== undefined });
   }
 
   /** Has a report taken in; it is idempotent, so after an error it may be sent again. */
--- a/packages/gateway/src/node/storedObject.ts
+++ b/packages/gateway/src/node/storedObject.ts
@@ -1,10 +1,10 @@
 /** One object of the store, changed by conditional update, with a copy of what was last seen of it. */
 
 import type {
-  CallOptions,
   Collection,
   ObjectStore,
   PlatformError,
+  ReadOptions,
   VersionedObject,
 } from '@flamingocourse/store';
 import { Result } from 'true-myth';
@@ -68,8 +68,8 @@
     this.#seen = undefined;
   }
 
-  /** Reads the object, and creates it where it is missing. */
-  async read(now: number, options: CallOptions = {}): Promise<Result<T, PlatformError>> {
+  /** Reads the object, and creates it where it is missing. The copy never becomes older. */
+  async read(now: number, options: ReadOptions = {}): Promise<Result<T, PlatformError>> {
     let read = await this.#store.get(this.#collection, this.#name, options);
     if (read.isErr && read.error.code === 'not-found') {
       read = await this.#store.create(this.#collection, this.#name, this.#initial());
@@ -78,8 +78,11 @@
       }
     }
     if (read.isErr) return Result.err(read.error);
-    this.#keep(read.value, now);
-    return Result.ok(read.value.value);
+    const seen = this.#seen;
+    const isOlder = seen !== undefined && Number(read.value.version) < Number(seen.version);
+    const kept = isOlder ? seen : read.value;
+    this.#keep(kept, now);
+    return Result.ok(kept.value);
   }
 
   /** Replaces the value last seen. After a conflict the copy is what stands there instead. */
--- a/packages/store/src/node/httpObjectStore.ts
+++ b/packages/store/src/node/httpObjectStore.ts
@@ -10,6 +10,7 @@
   CallOptions,
   Collection,
   ObjectList,
+  ReadOptions,
   Subscription,
   VersionedObject,
   WatchOptions,
@@ -95,9 +96,9 @@
   override async get<T>(
     collection: Collection<T>,
     name: string,
-    options: CallOptions = {},
+    options: ReadOptions = {},
   ): PlatformResult<VersionedObject<T>> {
-    const request = this.#dialect.get(collection.name, name);
+    const request = this.#dialect.get(collection.name, name, options.stale);
     return this.#callObject(collection, { kind: 'get', ...request }, options);
   }
 
--- a/packages/store/src/runtime/objectStore.ts
+++ b/packages/store/src/runtime/objectStore.ts
@@ -8,6 +8,7 @@
   CallOptions,
   Collection,
   ObjectList,
+  ReadOptions,
   Subscription,
   VersionedObject,
   WatchOptions,
@@ -32,7 +33,7 @@
   abstract get<T>(
     collection: Collection<T>,
     name: string,
-    options?: CallOptions,
+    options?: ReadOptions,
   ): PlatformResult<VersionedObject<T>>;
 
   /** Reads all objects of a collection. Errors as for {@link get}, without `not-found`. */
--- a/packages/store/src/runtime/storeDialect.ts
+++ b/packages/store/src/runtime/storeDialect.ts
@@ -56,7 +56,8 @@
 
 /** Form of the calls and answers of one kind of store. */
 export abstract class StoreDialect {
-  abstract get(collection: string, name: string): StoreRequest;
+  /** @param stale whether the answer may be some seconds old. */
+  abstract get(collection: string, name: string, stale?: boolean): StoreRequest;
   abstract list(collection: string, after?: string): StoreRequest;
   abstract create(collection: string, name: string, value: unknown): StoreRequest;
   abstract update(collection: string, name: string, version: string, value: unknown): StoreRequest;
--- a/packages/store/src/types/objects.ts
+++ b/packages/store/src/types/objects.ts
@@ -76,6 +76,12 @@
   timeoutMs?: number;
 }
 
+/** Options of one read. */
+export interface ReadOptions extends CallOptions {
+  /** Whether the answer may be some seconds old, which a store may serve at a lower price. */
+  stale?: boolean;
+}
+
 /** Kinds of calls, as the platform counts them. */
 export type CallKind = 'get' | 'list' | 'create' | 'update' | 'remove' | 'watch' | 'instances';
 
