--- a/packages/gateway/src/node/gatewayMetrics.ts
+++ b/packages/gateway/src/node/gatewayMetrics.ts
@@ -1,5 +1,6 @@
 /** Counters and histograms, served as text. */
 
+import type { CallCounters } from '@flamingocourse/store';
 import { Counter, Gauge, Histogram, Registry } from 'prom-client';
 
 /** Bounds in seconds; from a plain call's few milliseconds to the longest time limits. */
@@ -33,6 +34,18 @@
     labelNames: ['service', 'end'],
     registers: [this.#registry],
   });
+  readonly #storeCalls = new Counter({
+    name: 'flamingocourse_store_calls_total',
+    help: 'calls to the object store by kind; failed ones are also in flamingocourse_store_calls_failed_total',
+    labelNames: ['kind'],
+    registers: [this.#registry],
+  });
+  readonly #storeFailures = new Counter({
+    name: 'flamingocourse_store_calls_failed_total',
+    help: 'calls to the object store that got no useful answer, by kind',
+    labelNames: ['kind'],
+    registers: [this.#registry],
+  });
   readonly #gauges = new Map<string, Gauge>();
 
   /** A request got its final answer. `seconds` is absent when no answer came. */
@@ -45,6 +58,16 @@
     this.#attempts.inc({ service, end });
   }
 
+  /** Takes over what the store's client has counted since the start. */
+  storeCalls(counters: CallCounters): void {
+    this.#storeCalls.reset();
+    this.#storeFailures.reset();
+    for (const [kind, { sent, failed }] of Object.entries(counters)) {
+      this.#storeCalls.inc({ kind }, sent);
+      this.#storeFailures.inc({ kind }, failed);
+    }
+  }
+
   /** Sets a gauge; `name` ends with its unit. */
   gauge(name: string, help: string, value: number, labels: Record<string, string> = {}): void {
     let gauge = this.#gauges.get(name);
--- a/packages/gateway/src/node/statusService.ts
+++ b/packages/gateway/src/node/statusService.ts
@@ -53,9 +53,10 @@
   }
 
   async #answerMetrics(res: ServerResponse): Promise<void> {
-    const { metrics, log } = this.#context;
+    const { metrics, log, store } = this.#context;
     metrics.gauge('requests_running', 'requests in progress', this.#entry?.running ?? 0);
     metrics.gauge('log_lines_dropped', 'log lines dropped', log.dropped);
+    metrics.storeCalls(store.counters);
     const text = await metrics.text();
     res.writeHead(200, { 'content-type': 'text/plain; version=0.0.4' }).end(text);
   }
--- a/test/platform/gateway.test.ts
+++ b/test/platform/gateway.test.ts
@@ -394,6 +394,7 @@
   const metrics = await world.metrics();
   assert.match(metrics, /flamingocourse_requests_total\{route="look",outcome="answered"\} 1/);
   assert.match(metrics, /flamingocourse_request_seconds_bucket/);
+  assert.match(metrics, /flamingocourse_store_calls_total\{kind="watch"\} [1-9]/);
 });
 
 describe('new settings', () => {
