--- a/test/soak/runSoak.ts
+++ b/test/soak/runSoak.ts
@@ -89,34 +89,30 @@
     const servers = await Promise.all(
       ['p1', 'p2', 'e1', 'e2'].map((id) => new UsersServer(id).listen(scope)),
     );
-    const links = { store: [] as Link[], servers: [] as Link[] };
-    for (const server of servers) {
-      const link = await createLink({ target: addressOf(server.address) });
-      links.servers.push(link);
-      server.behaviour = server.id.startsWith('e') ? 'stream' : 'answer';
-      const service = server.id.startsWith('e') ? 'llm' : 'ledger';
-      const address = `127.0.0.1:${String(link.port)}`;
-      store.put('servers', server.id, server.entry(service, { address, slots: 16 }));
-    }
-    const instances: SoakProcess[] = [];
-    for (let at = 0; at < INSTANCES; at += 1) {
-      const link = await createLink({ target: addressOf(store.url.replace('http://', '')) });
-      links.store.push(link);
-      const [entry, ready] = await findFreePorts(2);
-      const settings = settingsOf(entry ?? 0, ready ?? 0, link.url);
-      instances.push(new SoakProcess(`edge-${String(at + 1)}`, directory, settings));
-    }
+    const links = {
+      servers: await Promise.all(servers.map((server) => list(server, store))),
+      store: await linksTo(store.url, INSTANCES),
+    };
+    const ports = await findFreePorts(2 * INSTANCES);
+    const instances = links.store.map(({ url }, at) => {
+      const [entry = 0, ready = 0] = ports.slice(2 * at);
+      return new SoakProcess(`edge-${String(at + 1)}`, directory, settingsOf(entry, ready, url));
+    });
     const callers = new SoakCallers(instances, ACCOUNTS, callersRandom);
     const run = new SoakRun(random, directory, store, servers, links, instances, callers, cleanUps);
     run.#configure();
+    await run.#startInstances();
+    return run;
+  }
+
+  async #startInstances(): Promise<void> {
     try {
-      await Promise.all(instances.map((instance) => instance.start()));
-      await Promise.all(instances.map(untilReady));
+      await Promise.all(this.instances.map((instance) => instance.start()));
+      await Promise.all(this.instances.map(untilReady));
     } catch (err) {
-      await run.close();
+      await this.close();
       throw err;
     }
-    return run;
   }
 
   /** Calls all the time, faults in overlapping series, then quiet and a look at the recovery. */
@@ -304,9 +300,22 @@
   link.setLatency(0);
 }
 
-function addressOf(address: string): { host: string; port: number } {
-  const [host = '', port] = address.split(':');
-  return { host, port: Number(port) };
+/** Lists a server in the store, at the near end of a link to it. */
+async function list(server: UsersServer, store: UsersStore): Promise<Link> {
+  const [link] = await linksTo(`http://${server.address}`, 1);
+  if (!link) throw new RangeError('no link was made');
+  const isEngine = server.id.startsWith('e');
+  server.behaviour = isEngine ? 'stream' : 'answer';
+  const address = `127.0.0.1:${String(link.port)}`;
+  const entry = server.entry(isEngine ? 'llm' : 'ledger', { address, slots: 16 });
+  store.put('servers', server.id, entry);
+  return link;
+}
+
+function linksTo(url: string, count: number): Promise<Link[]> {
+  const { hostname: host, port } = new URL(url);
+  const target = { host, port: Number(port) };
+  return Promise.all(Array.from({ length: count }, () => createLink({ target })));
 }
 
 function settingsOf(entry: number, ready: number, storeUrl: string): SoakProcess['settings'] {
