perf(store): changes of the server list gather for a quarter of a second

Now a watch may pause after changes. A server that leaves serves for two seconds more, so a quarter of a second costs nothing there.

--- a/packages/gateway/src/node/serverDirectory.ts
+++ b/packages/gateway/src/node/serverDirectory.ts
@@ -17,6 +17,12 @@
  * for three heartbeats then, of which one may lie before the outage.
  */
 const LAPSE_OUTAGE_MS = 2_300;
+/**
+ * Milliseconds that changes of the list gather before they are asked for. While many servers start, are
+ * replaced or report their state, each change would cost a call of its own; a server that leaves goes on
+ * serving for two seconds.
+ */
+const GATHER_MS = 250;
 /** Milliseconds between looks at whether kept entries have to go. */
 const LAPSE_CHECK_MS = 200;
 
@@ -57,6 +63,7 @@
   override start(kernel: Kernel): void {
     const { store, dialects, clock } = this.#context;
     this.#subscription = store.watch(dialects.serverList, {
+      gatherMs: GATHER_MS,
       onEvent: (event) => {
         try {
           this.#take(event);
--- a/packages/store/src/node/objectWatch.ts
+++ b/packages/store/src/node/objectWatch.ts
@@ -31,6 +31,8 @@
   readonly #stopped = new Channel<true>(1);
   #version: string | undefined;
   #failures = 0;
+  /** Whether changes came since the last pause. */
+  #changed = false;
 
   constructor(
     readonly collection: Collection<T>,
@@ -50,11 +52,18 @@
     while (!this.#abort.signal.aborted) {
       if (this.#version === undefined) yield* awaitPromise(this.#list());
       if (this.#version !== undefined) yield* awaitPromise(this.#follow());
-      if (this.#failures === 0) continue;
-      yield* takeWithin(this.#stopped, backOffMs(this.#failures - 1, backOff, this.ports.random));
+      const pauseMs = this.#pauseMs();
+      if (pauseMs > 0) yield* takeWithin(this.#stopped, pauseMs);
     }
   }
 
+  #pauseMs(): number {
+    const changed = this.#changed;
+    this.#changed = false;
+    if (this.#failures > 0) return backOffMs(this.#failures - 1, backOff, this.ports.random);
+    return changed ? (this.options.gatherMs ?? 0) : 0;
+  }
+
   async #list(): Promise<void> {
     const list = await this.ports.list();
     if (this.#abort.signal.aborted) return;
@@ -100,6 +109,7 @@
     if (this.#abort.signal.aborted) return;
     this.#failures = 0;
     this.#version = version;
+    this.#changed ||= changes.length > 0;
     for (const change of changes) {
       if (change.type === 'removed') {
         this.options.onEvent({ type: 'removed', name: change.name, version });
--- a/packages/store/src/types/objects.ts
+++ b/packages/store/src/types/objects.ts
@@ -57,6 +57,11 @@
   from?: string;
   /** Milliseconds for which the watch may be silent. @default that of the store */
   idleMs?: number;
+  /**
+   * Milliseconds that the watch pauses after changes, so that those that come together are told by one
+   * answer of a store whose calls are answered with the first change. @default 0
+   */
+  gatherMs?: number;
   onEvent: (event: WatchEvent<T>) => void;
   /** Called whenever the store said that what was delivered so far is complete. */
   onHeard?: () => void;
--- a/test/platform/gateway.test.ts
+++ b/test/platform/gateway.test.ts
@@ -258,6 +258,28 @@
 });
 
 describe('the list of servers', () => {
+  // a hundred servers start or report a new state within seconds, and each change costs each instance a call.
+  test('is asked for once for changes that come together', async (t) => {
+    const world = await World.start(t);
+    const calls = (): number => world.store.calls.filter((kind) => kind === 'servers').length;
+    const server = world.server('p1');
+    const before = calls();
+    const since = performance.now();
+    for (let slots = 11; slots <= 20; slots += 1) {
+      world.store.put('servers', 'p1', server.entry('ledger', { slots }));
+      await delay(15);
+    }
+    world.store.remove('servers', 'p2');
+    await until('all are known', () =>
+      world.log.events.some(({ event: name, fields }) => {
+        return name === 'servers-changed' && fields.servers === 3;
+      }),
+    );
+    // one for each quarter of a second, and those that were under way at both ends.
+    const most = 4 + (performance.now() - since) / 250;
+    assert.ok(calls() - before <= most, `${String(calls() - before)} calls for eleven changes`);
+  });
+
   test('without a server, and with entries that nobody can use, takes no request', async (t) => {
     const world = await World.start(t);
     world.store.put('servers', 'p1', world.server('p1').entry('ledger', { state: 'draining' }));
