--- /dev/null
+++ b/test/platform/watches.test.ts
@@ -0,0 +1,102 @@
+import assert from 'node:assert/strict';
+import { setTimeout as delay } from 'node:timers/promises';
+import { describe, test } from 'node:test';
+import { World, configWith, until } from './world.js';
+
+describe('the configuration', () => {
+  test('that is newer comes into force, an older or unreadable one never', async (t) => {
+    const world = await World.start(t);
+    world.store.put('config', 'main', configWith({ version: 12, routes: [] }));
+    await until('in force', async () => (await world.call({ path: '/look/1' })).status === 404);
+    world.store.put('config', 'main', configWith({ version: 8 }));
+    world.store.put('config', 'main', { version: 'none' });
+    await until('refused', () =>
+      world.log.events.some(({ event: name }) => name === 'configuration-invalid'),
+    );
+    assert.equal((await world.call({ path: '/look/1' })).status, 404);
+  });
+
+  // a volunteer's new key is refused for good by an instance that was cut off when it was added.
+  test('that may be outdated refuses nobody for good', async (t) => {
+    const world = await World.start(t);
+    world.store.fault = 'silent';
+    await until('outdated', async () => {
+      const answer = await world.call({ path: '/look/1', headers: { authorization: 'Token new' } });
+      return answer.status === 503 && answer.headers['retry-after'] !== undefined;
+    });
+  });
+});
+
+describe('the list of servers', () => {
+  // a hundred servers start or report a new state within seconds, and each change costs each instance a call.
+  test('is asked for once for changes that come together', async (t) => {
+    const world = await World.start(t);
+    const calls = (): number => world.store.calls.filter((kind) => kind === 'servers').length;
+    const server = world.server('p1');
+    const before = calls();
+    const since = performance.now();
+    for (let slots = 11; slots <= 20; slots += 1) {
+      world.store.put('servers', 'p1', server.entry('ledger', { slots }));
+      await delay(15);
+    }
+    world.store.remove('servers', 'p2');
+    await until('all are known', () =>
+      world.log.events.some(({ event: name, fields }) => {
+        return name === 'servers-changed' && fields.servers === 3;
+      }),
+    );
+    // one for each quarter of a second, and those that were under way at both ends.
+    const most = 4 + (performance.now() - since) / 250;
+    assert.ok(calls() - before <= most, `${String(calls() - before)} calls for eleven changes`);
+  });
+
+  test('without a server, and with entries that nobody can use, takes no request', async (t) => {
+    const world = await World.start(t);
+    world.store.put('servers', 'p1', world.server('p1').entry('ledger', { state: 'draining' }));
+    world.store.put('servers', 'p2', { service: 'ledger', address: 7 });
+    world.store.put('servers', 'p3', 'not an entry');
+    await until('leaving', async () => (await world.call({ path: '/look/1' })).status === 503);
+    assert.equal((await world.generate('/chat/1')).status, 200, 'the others hold');
+  });
+
+  // all volunteers are refused after an outage: the entries of servers that live had lapsed.
+  test('that lapsed during an outage is believed only after the servers could write again', async (t) => {
+    const world = await World.start(t);
+    world.store.fault = 'silent';
+    await delay(2_600);
+    for (const { id } of world.servers) world.store.remove('servers', id);
+    world.store.fault = 'none';
+    await until('back', () =>
+      world.log.events.some(({ event: name }) => name === 'store-regained'),
+    );
+    assert.equal((await world.call({ path: '/look/1' })).status, 200);
+    await until('gone', async () => (await world.call({ path: '/look/1' })).status === 503);
+  });
+
+  test('is read again when its history is gone', async (t) => {
+    const world = await World.start(t);
+    world.store.fault = 'history-gone';
+    await delay(1_000);
+    world.store.put('servers', 'p1', world.server('p1').entry('ledger', { state: 'draining' }));
+    world.store.fault = 'none';
+    await until('p1 is left', async () => {
+      await world.call({ path: '/look/1', method: 'GET' });
+      return (
+        world.seen('p').length > 0 &&
+        (await world.call({ path: '/look/2', method: 'GET' })).body === 'from p2'
+      );
+    });
+  });
+});
+
+describe('new settings', () => {
+  // calls hang up when an operator changes a figure: the process had to be restarted for it.
+  test('come into force while requests run, and what needs a restart is named', async (t) => {
+    const world = await World.start(t);
+    const running = world.call({ path: '/book/1' });
+    assert.ok(world.settings);
+    const next = { ...world.settings, stopGraceMs: 3_000, dataCentre: 'hall-b' };
+    assert.deepEqual(world.reload(next), ['dataCentre']);
+    assert.equal((await running).status, 200);
+  });
+});
