test(platform): the silence outlasts what the directory takes as an outage, and it is the directory that is back

The store was silent for 2.6 s, but a waiting call that came before may be answered half a second into the silence, so the directory may have been without a word for 2.1 s only, less than the 2.3 s that it takes as an outage; and the test went on with the first user of the store that was back, which was mostly not the directory, so it hardly tested this at all. Stricter than before: the directory itself has to be back before the request is sent.

--- a/test/platform/watches.test.ts
+++ b/test/platform/watches.test.ts
@@ -63,11 +63,14 @@
   test('that lapsed during an outage is believed only after the servers could write again', async (t) => {
     const world = await World.start(t);
     world.store.fault = 'silent';
-    await delay(2_600);
+    // a waiting call that came before the silence may be answered half a second into it.
+    await delay(4_000);
     for (const { id } of world.servers) world.store.remove('servers', id);
     world.store.fault = 'none';
     await until('back', () =>
-      world.log.events.some(({ event: name }) => name === 'store-regained'),
+      world.log.events.some(({ event: name, fields }) => {
+        return name === 'store-regained' && fields.watch === 'directory';
+      }),
     );
     assert.equal((await world.call({ path: '/look/1' })).status, 200);
     await until('gone', async () => (await world.call({ path: '/look/1' })).status === 503);
