refactor: one sum, and one comparison of store versions

Versions beyond 2^53 are compared exactly in StoredObject too; nothing else differs, no test was changed.

--- a/packages/core/src/runtime/prepaid/prepaidBudgets.ts
+++ b/packages/core/src/runtime/prepaid/prepaidBudgets.ts
@@ -7,6 +7,7 @@
   PrepaidOutlook,
   PrepaidPage,
 } from '../../types/prepaid.js';
+import { sum } from '../../utils/sum.js';
 import { emptyPrepaidAccount, ownPrepaid, undealtPrepaid } from './prepaidPage.js';
 
 /** Limit of each account, from the configuration in force; an account without one is not limited. */
@@ -194,7 +195,3 @@
 function countGroups(budgets: PrepaidBudgets): number {
   return Math.max(1, new Set(Object.values(budgets.members)).size);
 }
-
-function sum(values: number[]): number {
-  return values.reduce((total, value) => total + value, 0);
-}
--- a/packages/core/src/runtime/prepaid/prepaidHolder.ts
+++ b/packages/core/src/runtime/prepaid/prepaidHolder.ts
@@ -12,6 +12,7 @@
 } from '../../types/prepaid.js';
 import type { DemandEstimate } from '../demand.js';
 import type { PrepaidSizing } from './prepaidSizing.js';
+import { sum } from '../../utils/sum.js';
 import { NO_DEMAND, observeDemand, settledDemand } from '../demand.js';
 import { prepaidRate, remainingPrepaid } from './prepaidPage.js';
 
@@ -307,9 +308,3 @@
     return holding;
   }
 }
-
-function sum(values: Iterable<number>): number {
-  let total = 0;
-  for (const value of values) total += value;
-  return total;
-}
--- a/packages/core/src/runtime/prepaid/prepaidPage.ts
+++ b/packages/core/src/runtime/prepaid/prepaidPage.ts
@@ -8,6 +8,7 @@
   PrepaidReportEntry,
   PrepaidShare,
 } from '../../types/prepaid.js';
+import { sum } from '../../utils/sum.js';
 
 /** A page on which nothing was spent. */
 export function createPrepaidPage(): PrepaidPage {
@@ -103,12 +104,12 @@
 
 /** Tokens that instances hold. */
 export function heldPrepaid(account: PrepaidAccount): Tokens {
-  return Object.values(account.shares).reduce((sum, share) => sum + share.held, 0);
+  return sum(Object.values(account.shares).map(({ held }) => held));
 }
 
 /** Demand of all instances in tokens a second. */
 export function prepaidRate(account: PrepaidAccount | undefined): number {
-  return Object.values(account?.shares ?? {}).reduce((sum, share) => sum + share.rate, 0);
+  return sum(Object.values(account?.shares ?? {}).map(({ rate }) => rate));
 }
 
 function applyEntry(
--- /dev/null
+++ b/packages/core/src/utils/sum.ts
@@ -0,0 +1,11 @@
+/**
+ * Sum of numbers; 0 of none.
+ *
+ * @example
+ * sum([1, 2]); // 3
+ */
+export function sum(values: Iterable<number>): number {
+  let total = 0;
+  for (const value of values) total += value;
+  return total;
+}
--- a/packages/gateway/src/node/prepaidGrants.ts
+++ b/packages/gateway/src/node/prepaidGrants.ts
@@ -21,6 +21,7 @@
   leaveGroup,
   leftPrepaid,
   prepaidOutlook,
+  sum,
   ungrantedPrepaid,
 } from '@flamingocourse/core';
 import { Result } from 'true-myth';
@@ -198,7 +199,3 @@
     return this.#context.clock.now();
   }
 }
-
-function sum(values: number[]): number {
-  return values.reduce((total, value) => total + value, 0);
-}
--- a/packages/gateway/src/node/prepaidService.ts
+++ b/packages/gateway/src/node/prepaidService.ts
@@ -14,7 +14,7 @@
 import type { GatewayContext } from '../types/context.js';
 import { setTimeout as delay } from 'node:timers/promises';
 import { isDeepStrictEqual } from 'node:util';
-import { PrepaidHolder, PrepaidSizing, heldPrepaid } from '@flamingocourse/core';
+import { PrepaidHolder, PrepaidSizing, heldPrepaid, sum } from '@flamingocourse/core';
 import { Service } from '@flamingocourse/kernel';
 import { notRun } from '@flamingocourse/router';
 import { Result } from 'true-myth';
@@ -318,7 +318,3 @@
     inDoubtAll: sum(accounts.map((account) => account.inDoubt)),
   };
 }
-
-function sum(values: number[]): number {
-  return values.reduce((total, value) => total + value, 0);
-}
--- a/packages/gateway/src/node/storedObject.ts
+++ b/packages/gateway/src/node/storedObject.ts
@@ -7,6 +7,7 @@
   ReadOptions,
   VersionedObject,
 } from '@flamingocourse/store';
+import { isNewer } from '@flamingocourse/store';
 import { Result } from 'true-myth';
 
 /** What became of an update. */
@@ -79,7 +80,7 @@
     }
     if (read.isErr) return Result.err(read.error);
     const seen = this.#seen;
-    const isOlder = seen !== undefined && Number(read.value.version) < Number(seen.version);
+    const isOlder = seen !== undefined && isNewer(seen.version, read.value.version);
     const kept = isOlder ? seen : read.value;
     this.#keep(kept, now);
     return Result.ok(kept.value);
--- a/packages/router/src/node/money/groupWriter.ts
+++ b/packages/router/src/node/money/groupWriter.ts
@@ -10,6 +10,7 @@
 import type { ObjectStore, StoredObject, StoreError } from '../../types/moneyPorts.js';
 import type { Steps } from '@flamingocourse/kernel';
 import { Channel, awaitPromise, sleep, startProcess, take } from '@flamingocourse/kernel';
+import { isNewer } from '@flamingocourse/store';
 import { Result } from 'true-myth';
 import { delay } from './timing.js';
 
@@ -204,11 +205,6 @@
   }
 }
 
-/** Whether a version of the store is newer than another; versions are decimal counters. */
-export function isNewer(version: string, than: string): boolean {
-  return BigInt(version) > BigInt(than);
-}
-
 function applyJobs<S, F>(base: S, jobs: Job<S, F>[]): { state: S; refused: Map<Job<S, F>, F> } {
   const refused = new Map<Job<S, F>, F>();
   let state = base;
--- a/packages/store/src/index.ts
+++ b/packages/store/src/index.ts
@@ -8,4 +8,5 @@
 export * from './runtime/objectTable.js';
 export * from './runtime/storeDialect.js';
 export type * from './types/objects.js';
+export * from './utils/isNewer.js';
 export * from './utils/platformError.js';
