fix(platform): orders to servers in a caller's request are not passed on

Besides, a server answers 503 to a foreign Kv-From, so such a request was refused after four servers had been asked, which spent the shared retries. Names of the same families that nobody knows yet are held back too; so is X-Expect-Version, as a 421 for a foreign version would mark the server as leaving for all callers.

--- /dev/null
+++ b/test/platform/serverDialect.test.ts
@@ -0,0 +1,76 @@
+import type { CallHead } from '@flamingocourse/gateway';
+import assert from 'node:assert/strict';
+import { describe, test } from 'node:test';
+import { createPlatformDialects } from '@flamingocourse/platform-adapter';
+
+const { servers } = createPlatformDialects();
+
+/** Names, in lower case, of what is passed on of a request with these headers. */
+function passedOn(raw: string[], change: Partial<CallHead> = {}): string[] {
+  const head: CallHead = {
+    id: 'r1',
+    host: 'shop.example',
+    method: 'POST',
+    target: '/chat/1',
+    path: '/chat/1',
+    key: undefined,
+    waitMs: undefined,
+    size: undefined,
+    promptParts: [],
+    resumeAfter: undefined,
+    headers: {},
+    rawHeaders: raw,
+    ...change,
+  };
+  const details = {
+    serverId: 's1',
+    leftMs: 900,
+    account: 'kirk',
+    priority: undefined,
+    resumeAfter: undefined,
+    bodyBytes: 0,
+  };
+  const headers = servers.attemptHeaders(head, details);
+  return headers.filter((_, at) => at % 2 === 0).map((name) => name.toLowerCase());
+}
+
+// a caller sends orders that only this side gives to servers. One that named another server's memory
+// got 503 from each server asked, four in a row, and was refused; one that held or pinned places took
+// them from all other callers.
+describe('an order to a server in a request of a caller is not passed on', () => {
+  const cases = [
+    { name: 'X-Hold', value: 'h-1' },
+    { name: 'x-hold', value: '' },
+    { name: 'X-HOLD', value: '\u00ff' },
+    { name: 'X-Hold-Ms', value: '2000' },
+    { name: 'X-Pin-Ms', value: '4000' },
+    { name: 'x-pin-until', value: 'never' },
+    { name: 'X-Kv-Backup', value: '10.128.0.9:8080' },
+    { name: 'X-Kv-Restore', value: '1' },
+    { name: 'Kv-From', value: '10.128.0.9:8080/17' },
+    { name: 'kv-fetch', value: '10.128.0.9:8080' },
+    { name: 'KV-Later', value: '1' },
+    { name: 'X-Expect-Version', value: '9' },
+    { name: 'X-Expect-Instance', value: 'other' },
+    { name: 'X-Tenant', value: 'spock' },
+    { name: 'X-Request-Priority', value: '0' },
+    { name: 'Authorization', value: 'Token k' },
+  ];
+  for (const { name, value } of cases) {
+    test(`${name}: ${value}`, () => {
+      const passed = passedOn(['Accept', '*/*', name, value, name, value]);
+      const own = ['x-expect-instance', 'x-tenant'].includes(name.toLowerCase()) ? 1 : 0;
+      assert.equal(passed.filter((other) => other === name.toLowerCase()).length, own);
+      assert.ok(passed.includes('accept'));
+    });
+  }
+});
+
+describe('what says something of the request itself is passed on', () => {
+  const cases = ['X-Model', 'X-Token-Usage', 'X-Prompt-Prefix', 'X-Length-Hint', 'X-Request-Id'];
+  for (const name of cases) {
+    test(name, () => {
+      assert.ok(passedOn([name, 'value']).includes(name.toLowerCase()));
+    });
+  }
+});
