--- a/packages/gateway/src/node/callerAnswer.ts
+++ b/packages/gateway/src/node/callerAnswer.ts
@@ -10,6 +10,8 @@
   #gone = false;
   #events = 0;
   #firstEventAt: number | undefined;
+  #lastEventAt: number | undefined;
+  #longestPauseMs = 0;
 
   /** @param closing whether callers should go elsewhere, so that connections are not kept. */
   constructor(res: ServerResponse, closing: () => boolean) {
@@ -42,6 +44,11 @@
     return this.#firstEventAt;
   }
 
+  /** Longest time between two batches of events of a stream, in milliseconds. */
+  get longestPauseMs(): number {
+    return this.#longestPauseMs;
+  }
+
   /** Calls back when the connection is over before the answer was whole. */
   onGone(listener: () => void): void {
     this.#res.on('close', () => {
@@ -60,7 +67,7 @@
   write(bytes: Buffer, events: number, now: number): boolean {
     if (this.#gone) return true;
     this.#events += events;
-    if (events > 0) this.#firstEventAt ??= now;
+    if (events > 0) this.#notePause(now);
     return this.#res.write(bytes);
   }
 
@@ -94,6 +101,12 @@
     this.#res.destroy();
   }
 
+  #notePause(now: number): void {
+    this.#firstEventAt ??= now;
+    this.#longestPauseMs = Math.max(this.#longestPauseMs, now - (this.#lastEventAt ?? now));
+    this.#lastEventAt = now;
+  }
+
   #writeHead(status: number, headers: string[]): void {
     const all = this.#closing() ? [...headers, 'connection', 'close'] : headers;
     this.#res.writeHead(status, all);
--- a/packages/gateway/src/node/requestFlow.ts
+++ b/packages/gateway/src/node/requestFlow.ts
@@ -61,6 +61,8 @@
 export interface Progress {
   /** Servers whose attempt failed. */
   tried: string[];
+  /** Server of the last attempt. */
+  server?: string;
   /** Attempts so far, all kinds. */
   made: number;
   /** Attempts so far that may have run. */
--- a/packages/gateway/src/node/serverAttempt.ts
+++ b/packages/gateway/src/node/serverAttempt.ts
@@ -62,6 +62,7 @@
   async run(): Promise<AttemptEnd> {
     this.#startedAt = this.#now();
     this.#progress.made += 1;
+    this.#progress.server = this.#placement.server.id;
     const opened = await this.#open();
     if (opened.isErr) return this.#faulted(opened.error);
     this.#placement.heard();
