feat(routing): an engine copies prompt parts that another has read

Change: with each request goes the address of the server that read its shared part last for this instance, or else of the first in rendezvous order besides the chosen one; the engine copies what it lacks.

--- a/packages/core/src/runtime/routing/index.ts
+++ b/packages/core/src/runtime/routing/index.ts
@@ -2,6 +2,7 @@
 export * from './concurrencyLimit.js';
 export * from './enginePace.js';
 export * from './loadEstimate.js';
+export * from './promptHolders.js';
 export * from './quickEngineChooser.js';
 export * from './reachability.js';
 export * from './retryBudget.js';
--- a/packages/core/src/runtime/routing/serverChooser.ts
+++ b/packages/core/src/runtime/routing/serverChooser.ts
@@ -2,7 +2,7 @@
 
 import type { ServerId, Tokens } from '../../types/ids.js';
 import type { CandidateQuery, ServerPool } from './serverPool.js';
-import { mix32 } from '../../utils/hash.js';
+import { rendezvousRank } from '../../utils/hash.js';
 
 /** A backend server that may get a request. */
 export interface Candidate {
@@ -178,5 +178,5 @@
 }
 
 function affinity(prefixHash: number, candidate: Candidate): number {
-  return mix32(prefixHash ^ candidate.idHash);
+  return rendezvousRank(prefixHash, candidate.idHash);
 }
--- a/packages/core/src/runtime/routing/serverPool.ts
+++ b/packages/core/src/runtime/routing/serverPool.ts
@@ -9,7 +9,7 @@
 import type { LoadReport } from './loadEstimate.js';
 import type { Candidate } from './serverChooser.js';
 import type { AttemptEnd, HealthSettings } from './serverHealth.js';
-import { hash32 } from '../../utils/hash.js';
+import { hash32, rendezvousRank } from '../../utils/hash.js';
 import { createConcurrencyLimit } from './concurrencyLimit.js';
 import { defaultHealthSettings } from './serverHealth.js';
 import { ServerEntry } from './serverEntry.js';
@@ -164,6 +164,31 @@
     this.#entries.get(id)?.pace.observe(quickestMs);
   }
 
+  /**
+   * The server that most likely has read a prompt, as far as hashing tells: the first in rendezvous order
+   * of those that can be reached. Other instances have sent requests with the same prompt there.
+   *
+   * @param except servers that are not asked for.
+   */
+  likelyHolder(
+    prefixHash: number,
+    except: ReadonlySet<ServerId>,
+    now: EpochMs,
+  ): BackendServer | undefined {
+    const others = [...this.#entries.values()].filter((entry) => {
+      return !except.has(entry.server.id) && !entry.leaving && entry.reachable(now);
+    });
+    const [first, ...rest] = others;
+    if (!first) return undefined;
+    const rank = ({ idHash }: ServerEntry): number => rendezvousRank(prefixHash, idHash);
+    return rest.reduce((best, next) => (rank(next) > rank(best) ? next : best), first).server;
+  }
+
+  /** Whether requests to a server arrive, as far as is known; not for one that left the list. */
+  isReachable(id: ServerId, now: EpochMs): boolean {
+    return this.#entries.get(id)?.reachable(now) ?? false;
+  }
+
   /** Servers with room for one more request, own data centre or not. */
   candidates(query: CandidateQuery, now: EpochMs): Candidate[] {
     this.#releaseExpiredHold(now);
--- a/packages/core/src/types/routedConfig.ts
+++ b/packages/core/src/types/routedConfig.ts
@@ -35,6 +35,8 @@
   name: ServiceName;
   /** Whether it generates text, so that requests gain from a server that read the same prompt. */
   generates: boolean;
+  /** Whether a server can copy a prompt that another has read. */
+  copiesPrompts: boolean;
   /** Most tokens that one event of a stream holds. */
   tokensPerEvent: number;
 }
--- a/packages/core/src/utils/hash.ts
+++ b/packages/core/src/utils/hash.ts
@@ -25,6 +25,11 @@
   return (hash ^ (hash >>> 16)) >>> 0;
 }
 
+/** Rank of an id for a key in rendezvous hashing; the id with the highest one owns the key. */
+export function rendezvousRank(keyHash: number, idHash: number): number {
+  return mix32(keyHash ^ idHash);
+}
+
 /**
  * Rendezvous hashing: the id with the highest score owns the key. Adding or removing an id moves
  * only the keys of that id.
@@ -37,7 +42,7 @@
   let owner: string | undefined;
   let best = -1;
   for (const id of ids) {
-    const score = mix32(keyHash ^ hash32(id));
+    const score = rendezvousRank(keyHash, hash32(id));
     if (score > best || (score === best && owner !== undefined && id < owner)) {
       owner = id;
       best = score;
--- a/packages/gateway/src/node/serverAttempt.ts
+++ b/packages/gateway/src/node/serverAttempt.ts
@@ -88,8 +88,8 @@
 
   #open(): ReturnType<typeof openAttempt> {
     const { context, agent } = this.#parts;
-    const { head, account, body, signal, endsAt } = this.#call;
-    const { server } = this.#placement;
+    const { head, account, body, service, signal, endsAt } = this.#call;
+    const { server, holder } = this.#placement;
     return openAttempt({
       url: server.url,
       method: head.method,
@@ -100,6 +100,7 @@
         account: account?.name,
         priority: head.size && enginePriority(head.size),
         resumeAfter: this.#progress.resumeAfter,
+        copyFrom: service.copiesPrompts && holder ? new URL(holder.url).host : undefined,
         bodyBytes: body.length,
       }),
       body,
@@ -157,6 +158,7 @@
   }
 
   async #relayEvents(relay: Relay): Promise<RelayEnd> {
+    this.#placement.promptRead();
     const timing = new EventTiming();
     const end = await relayStream(relay, (events, lastId) => {
       this.#progress.events += events;
--- a/packages/gateway/src/types/call.ts
+++ b/packages/gateway/src/types/call.ts
@@ -50,6 +50,8 @@
   /** Order in which the server admits, 0 first; undefined leaves it to the server. */
   priority: number | undefined;
   resumeAfter: string | undefined;
+  /** `host:port` of a server from which the prompt may be copied as far as it was read there. */
+  copyFrom: string | undefined;
   bodyBytes: number;
 }
 
--- a/packages/router/src/node/backends/serviceLane.ts
+++ b/packages/router/src/node/backends/serviceLane.ts
@@ -19,6 +19,7 @@
 import type { QuarantineRegister } from './quarantineRegister.js';
 import {
   chooseServer,
+  PromptHolders,
   createRetryBudget,
   earnRetry,
   hash32,
@@ -68,6 +69,7 @@
   readonly #parked = new Set<number>();
   readonly #inFlight = new InFlightRequests();
   readonly #learning = new LaneLearning();
+  readonly #holders = new PromptHolders();
   #retries: RetryBudget = createRetryBudget();
   #nextId = 1;
 
@@ -231,12 +233,17 @@
     const server = pool.server(chosen.id);
     if (!server) throw new RangeError(`chosen server "${chosen.id}" is not in the pool`);
     this.#inFlight.add(server.id, attempt, request.fingerprint);
+    const { prefixKey } = request;
     return {
       server,
+      holder: prefixKey === undefined ? undefined : this.#holderOf(prefixKey, server, request, now),
       priority: enginePriority[request.importance],
       heard: () => {
         pool.heard(attempt, this.#options.clock.now());
       },
+      promptRead: () => {
+        if (prefixKey !== undefined) this.#holders.read(prefixKey, server.id);
+      },
       end: (how, firstTokenMs) => {
         this.#recordEnd(attempt, request, how, firstTokenMs);
         this.#reportCrash(server, attempt, request.fingerprint, how);
@@ -248,6 +255,26 @@
     };
   }
 
+  /**
+   * Where a server that has to read a prompt can copy it from: from the server that read it last for this
+   * instance, or else from the one at which all instances place it first.
+   */
+  #holderOf(
+    prefixKey: string,
+    { id }: BackendServer,
+    { tried }: PlacementRequest,
+    now: EpochMs,
+  ): BackendServer | undefined {
+    const { pool } = this.#options;
+    const known = this.#holders.find(prefixKey);
+    if (known === id) return undefined;
+    // a server that just failed this request may be down, and the copy would wait for it.
+    if (known !== undefined && !tried.includes(known) && pool.isReachable(known, now)) {
+      return pool.server(known);
+    }
+    return pool.likelyHolder(hash32(prefixKey), new Set([id, ...tried]), now);
+  }
+
   #recordEnd(
     attempt: number,
     { workClass }: PlacementRequest,
--- a/packages/router/src/types/backends.ts
+++ b/packages/router/src/types/backends.ts
@@ -46,11 +46,15 @@
 /** A place on a backend server for one attempt; ended exactly once. */
 export interface Placement {
   server: BackendServer;
+  /** Another server that probably has read the request's shared prompt parts. */
+  holder: BackendServer | undefined;
   /** Value of the engine's `priority` field; lower runs first. */
   priority: number;
   end(how: AttemptEnd, firstTokenMs?: number): void;
   /** Something of the answer came. */
   heard(): void;
+  /** The server answers, so it has read the prompt. */
+  promptRead(): void;
 }
 
 /** Places attempts on backend servers. Registered as `backends`. */
--- a/test/platform/serverDialect.test.ts
+++ b/test/platform/serverDialect.test.ts
@@ -5,9 +5,18 @@
 
 const { servers } = createPlatformDialects();
 
-/** Names, in lower case, of what is passed on of a request with these headers. */
-function passedOn(raw: string[], change: Partial<CallHead> = {}): string[] {
-  const head: CallHead = {
+const details = {
+  serverId: 's1',
+  leftMs: 900,
+  account: 'kirk',
+  priority: undefined,
+  resumeAfter: undefined,
+  copyFrom: undefined,
+  bodyBytes: 0,
+};
+
+function callHead(rawHeaders: string[]): CallHead {
+  return {
     id: 'r1',
     host: 'shop.example',
     method: 'POST',
@@ -19,18 +28,13 @@
     promptParts: [],
     resumeAfter: undefined,
     headers: {},
-    rawHeaders: raw,
-    ...change,
-  };
-  const details = {
-    serverId: 's1',
-    leftMs: 900,
-    account: 'kirk',
-    priority: undefined,
-    resumeAfter: undefined,
-    bodyBytes: 0,
+    rawHeaders,
   };
-  const headers = servers.attemptHeaders(head, details);
+}
+
+/** Names, in lower case, of what is passed on of a request with these headers. */
+function passedOn(raw: string[]): string[] {
+  const headers = servers.attemptHeaders(callHead(raw), details);
   return headers.filter((_, at) => at % 2 === 0).map((name) => name.toLowerCase());
 }
 
@@ -66,6 +70,17 @@
   }
 });
 
+describe('a server is told where it may copy the prompt from, by this side only', () => {
+  for (const copyFrom of [undefined, '10.128.0.9:8080']) {
+    test(copyFrom ?? 'nowhere', () => {
+      const head = callHead(['Kv-Fetch', '10.9.9.9:1']);
+      const headers = servers.attemptHeaders(head, { ...details, copyFrom });
+      const values = headers.filter((_, at) => headers[at - 1]?.toLowerCase() === 'kv-fetch');
+      assert.deepEqual(values, copyFrom === undefined ? [] : [copyFrom]);
+    });
+  }
+});
+
 describe('what says something of the request itself is passed on', () => {
   const cases = ['X-Model', 'X-Token-Usage', 'X-Prompt-Prefix', 'X-Length-Hint', 'X-Request-Id'];
   for (const name of cases) {
--- /dev/null
+++ b/test/routing/promptHolders.test.ts
@@ -0,0 +1,119 @@
+import assert from 'node:assert/strict';
+import { describe, test } from 'node:test';
+import type { BackendServer } from '@flamingocourse/core';
+import {
+  PrefixAffinityChooser,
+  PromptHolders,
+  ServerPool,
+  chooseServer,
+  hash32,
+} from '@flamingocourse/core';
+
+const SERVERS = ['e0', 'e1', 'e2', 'e3', 'e4', 'e5', 'e6', 'e7'];
+const INSTANCES = 7;
+const SESSIONS = 140;
+/** Tokens of a session that its requests share, as the third customer states them. */
+const SESSION_TOKENS = 6_300;
+/** Reports in 55 s at 11.6 a second. */
+const REPORTS = 640;
+
+function createRandom(seed: number): () => number {
+  let state = seed;
+  return () => {
+    state = (Math.imul(state, 1_664_525) + 1_013_904_223) >>> 0;
+    return state / 2 ** 32;
+  };
+}
+
+function server(id: string): BackendServer {
+  return { service: 'llm', id, dataCentre: 'dc-a', url: `http://${id}`, state: 'live' };
+}
+
+class Instance {
+  readonly pool = new ServerPool({ dataCentre: 'dc-a', concurrencyPerServer: 128 });
+  readonly holders = new PromptHolders();
+  readonly #chooser = new PrefixAffinityChooser(1.5);
+  #inFlight: { attempt: number; until: number }[] = [];
+
+  constructor() {
+    this.pool.applyList(SERVERS.map(server), 0);
+  }
+
+  place(prefixHash: number, now: number, random: () => number): string {
+    for (const { attempt } of this.#inFlight.filter(({ until }) => until <= now)) {
+      this.pool.settle(attempt, { end: 'ok' }, now);
+    }
+    this.#inFlight = this.#inFlight.filter(({ until }) => until > now);
+    const query = { scope: 'everywhere' } as const;
+    const chosen = chooseServer(this.pool, this.#chooser, { prefixHash }, query, now, random);
+    assert.ok(chosen);
+    // notes in progress: some servers are busier than others by chance, so that reports go elsewhere.
+    const until = now + 4_000 * random();
+    this.#inFlight.push({ attempt: this.pool.dispatch(chosen.id, now), until });
+    return chosen.id;
+  }
+}
+
+/** Tokens that are read though another server has them. */
+function readAgain(seed: number, copies: boolean): number {
+  const random = createRandom(seed);
+  const instances = Array.from({ length: INSTANCES }, () => new Instance());
+  const read = new Map<string, Set<string>>();
+  let again = 0;
+  for (let i = 0; i < REPORTS; i += 1) {
+    const now = i * 86;
+    const session = `session-${String(Math.floor(random() * SESSIONS))}`;
+    const instance = instances[Math.floor(random() * INSTANCES)];
+    assert.ok(instance);
+    for (let note = 0; note < 3; note += 1)
+      instance.place(hash32(`note-${String(random())}`), now, random);
+    const id = instance.place(hash32(session), now, random);
+    const holders = read.get(session) ?? new Set<string>();
+    const known = instance.holders.find(session);
+    const except = new Set([id]);
+    const source = known ?? instance.pool.likelyHolder(hash32(session), except, now)?.id;
+    const copied = copies && source !== undefined && holders.has(source);
+    if (holders.size > 0 && !holders.has(id) && !copied) again += SESSION_TOKENS;
+    instance.holders.read(session, id);
+    read.set(session, holders.add(id));
+  }
+  return again;
+}
+
+// a report waits while its engine reads what another one has read already, and every note beside it
+// pauses meanwhile. Requests of one session come in at all instances, and leave the session's engine
+// when that is busier than the others.
+describe('a prompt that was read elsewhere is copied from there', () => {
+  for (const seed of [1, 2, 3]) {
+    test(`less than half is read again, seed ${String(seed)}`, () => {
+      const before = readAgain(seed, false);
+      const after = readAgain(seed, true);
+      assert.ok(before > 20 * SESSION_TOKENS, `${String(before)} tokens`);
+      assert.ok(after < before / 2, `${String(after)} of ${String(before)} tokens`);
+    });
+  }
+});
+
+describe('where a copy is looked for', () => {
+  const pool = new ServerPool({ dataCentre: 'dc-a', concurrencyPerServer: 8 });
+  pool.applyList(SERVERS.map(server), 0);
+  const first = pool.likelyHolder(hash32('p'), new Set(), 0)?.id ?? '';
+
+  test('not at a server that is excluded', () => {
+    const second = pool.likelyHolder(hash32('p'), new Set([first]), 0)?.id;
+    assert.ok(second !== undefined && second !== first);
+  });
+
+  test('not at a server that is out of reach or leaves', () => {
+    const attempt = pool.dispatch(first, 0);
+    pool.unreachable(attempt, 0);
+    const second = pool.likelyHolder(hash32('p'), new Set(), 0)?.id ?? '';
+    assert.notEqual(second, first);
+    pool.markLeaving(second);
+    assert.notEqual(pool.likelyHolder(hash32('p'), new Set(), 0)?.id, second);
+  });
+
+  test('nowhere when there is no other server', () => {
+    assert.equal(pool.likelyHolder(hash32('p'), new Set(SERVERS), 0), undefined);
+  });
+});
