--- a/packages/lab/src/index.ts
+++ b/packages/lab/src/index.ts
@@ -15,6 +15,7 @@
 export * from './runtime/deployments.js';
 export * from './runtime/entryAudit.js';
 export * from './runtime/loadPlan.js';
+export * from './runtime/prepaidExperiment/index.js';
 export * from './runtime/prove/billAudit.js';
 export * from './runtime/prove/findings.js';
 export * from './runtime/prove/moneyAudit.js';
--- /dev/null
+++ b/packages/lab/src/runtime/prepaidExperiment/index.ts
@@ -0,0 +1,2 @@
+export * from './prepaidArrivals.js';
+export * from './runPrepaidExperiment.js';
--- /dev/null
+++ b/packages/lab/src/runtime/prepaidExperiment/runPrepaidExperiment.ts
@@ -0,0 +1,188 @@
+/**
+ * Plays the product's own holders, pages and sizing on drawn arrivals, without network: instances that
+ * report, are cut off from the store and are killed all at once. It tells in seconds what a played day tells
+ * in minutes, and without the chance of everything else that happens there.
+ */
+
+import type { PrepaidReservation, PrepaidSizing, Tokens } from '@flamingocourse/core';
+import type { PrepaidArrival, PrepaidLoad } from './prepaidArrivals.js';
+import {
+  PrepaidHolder,
+  applyReport,
+  createPrepaidBudgets,
+  createPrepaidPage,
+  grantPrepaid,
+  joinGroup,
+  lackingPrepaid,
+  prepaidOutlook,
+  returnSurplus,
+  takeGrants,
+  ungrantedPrepaid,
+} from '@flamingocourse/core';
+
+/** What happens in a run, in seconds from its start. */
+export interface PrepaidFaults {
+  /** Spans in which no instance reaches the store. */
+  cuts: readonly (readonly [number, number])[];
+  /** When all instances are killed; each begins anew at once. */
+  killsAt: readonly number[];
+}
+
+/** Tokens of requests that fit into their account's limit, and what became of them. */
+export interface PrepaidExperimentResult {
+  asked: Tokens;
+  refusedAlone: Tokens;
+  refusedConnected: Tokens;
+  /** Exchanges with the store. */
+  exchanges: number;
+}
+
+const GROUP = '0';
+/** All instances of a run share one page. */
+const GROUP_SIZE = 1_000;
+const REPORT_SECONDS = 2;
+/** Silent for longer than any run. */
+const ALIVE_MS = 600_000;
+/** Part of a limit that callers may count on. */
+const OWED_PART = 0.97;
+
+interface Running {
+  arrival: PrepaidArrival;
+  reservation: PrepaidReservation;
+  holder: PrepaidHolder;
+}
+
+/**
+ * Runs one load.
+ *
+ * @example
+ * const result = runPrepaidExperiment(load, { cuts: [[6, 14]], killsAt: [41] }, new PrepaidSizing());
+ */
+export function runPrepaidExperiment(
+  load: PrepaidLoad,
+  faults: PrepaidFaults,
+  sizing: PrepaidSizing,
+): PrepaidExperimentResult {
+  const run = new PrepaidRun(load, faults, sizing);
+  for (const arrival of load.arrivals) run.take(arrival);
+  return run.result;
+}
+
+class PrepaidRun {
+  readonly result: PrepaidExperimentResult = {
+    asked: 0,
+    refusedAlone: 0,
+    refusedConnected: 0,
+    exchanges: 0,
+  };
+  readonly #load: PrepaidLoad;
+  readonly #faults: PrepaidFaults;
+  readonly #sizing: PrepaidSizing;
+  readonly #holders = new Map<string, PrepaidHolder>();
+  readonly #reportAt = new Map<string, number>();
+  /** What each account has used, with running requests at their most. */
+  readonly #used = new Map<string, Tokens>();
+  #running: Running[] = [];
+  #budgets = createPrepaidBudgets();
+  #page = createPrepaidPage();
+  #kills = 0;
+
+  constructor(load: PrepaidLoad, faults: PrepaidFaults, sizing: PrepaidSizing) {
+    this.#load = load;
+    this.#faults = faults;
+    this.#sizing = sizing;
+    for (const [at, instance] of load.instances.entries()) {
+      this.#budgets = joinGroup(this.#budgets, instance, GROUP_SIZE);
+      this.#holders.set(instance, this.#createHolder(instance));
+      this.#reportAt.set(instance, (REPORT_SECONDS * at) / load.instances.length);
+    }
+  }
+
+  take(arrival: PrepaidArrival): void {
+    const { at, instance, account, amount } = arrival;
+    this.#passTime(at);
+    const holder = this.#holder(instance);
+    holder.observe(account, amount, at * 1_000);
+    const alone = this.#isCut(at);
+    let reservation = holder.reserve(account, amount);
+    if (!reservation && !alone) {
+      this.#exchange(instance, at);
+      reservation = holder.reserve(account, amount);
+    }
+    const used = this.#used.get(account) ?? 0;
+    const limit = this.#load.limits.get(account) ?? 0;
+    const fits = used + amount <= OWED_PART * limit;
+    if (fits) this.result.asked += amount;
+    if (reservation) {
+      this.#used.set(account, used + amount);
+      this.#running.push({ arrival, reservation, holder });
+    } else if (fits && alone) this.result.refusedAlone += amount;
+    else if (fits) this.result.refusedConnected += amount;
+  }
+
+  #passTime(now: number): void {
+    this.#settleUntil(now);
+    const killAt = this.#faults.killsAt[this.#kills];
+    if (killAt !== undefined && killAt <= now) this.#kill();
+    for (const [instance, at] of this.#reportAt) {
+      if (at > now) continue;
+      if (!this.#isCut(now)) this.#exchange(instance, now);
+      this.#reportAt.set(instance, now + REPORT_SECONDS);
+    }
+  }
+
+  #settleUntil(now: number): void {
+    const isOver = ({ arrival }: Running): boolean => arrival.at + arrival.seconds <= now;
+    for (const running of this.#running.filter(isOver)) this.#settle(running);
+    this.#running = this.#running.filter((running) => !isOver(running));
+  }
+
+  #settle({ arrival, reservation, holder }: Running): void {
+    const { account, amount, used } = arrival;
+    holder.settle(reservation, used);
+    this.#used.set(account, (this.#used.get(account) ?? 0) - amount + used);
+  }
+
+  /** What the instances hold is in doubt once their successors report. */
+  #kill(): void {
+    this.#kills += 1;
+    for (const running of this.#running) this.#settle(running);
+    this.#running = [];
+    for (const instance of this.#load.instances) {
+      this.#holders.set(instance, this.#createHolder(instance));
+    }
+  }
+
+  #exchange(instance: string, now: number): void {
+    const { limits } = this.#load;
+    const outlook = prepaidOutlook(this.#budgets, limits);
+    const holder = this.#holder(instance);
+    const report = holder.beginReport(this.#page, outlook, now * 1_000);
+    if (!report) return;
+    this.result.exchanges += 1;
+    const lacking = [...lackingPrepaid(this.#page, report)].filter(([account]) => {
+      return ungrantedPrepaid(this.#budgets, account, limits.get(account) ?? 0) > 0;
+    });
+    if (lacking.length > 0) {
+      this.#budgets = grantPrepaid(this.#budgets, GROUP, this.#page, new Map(lacking), limits);
+    }
+    const granted = takeGrants(this.#page, this.#budgets, GROUP);
+    this.#page = returnSurplus(applyReport(granted, report), prepaidOutlook(this.#budgets, limits));
+    holder.confirm(this.#page);
+  }
+
+  #holder(instance: string): PrepaidHolder {
+    const holder = this.#holders.get(instance);
+    if (!holder) throw new RangeError(`no instance "${instance}"`);
+    return holder;
+  }
+
+  #createHolder(instance: string): PrepaidHolder {
+    const process = `${instance}-${String(this.#kills)}`;
+    return new PrepaidHolder({ instance, process, sizing: this.#sizing, aliveMs: ALIVE_MS });
+  }
+
+  #isCut(now: number): boolean {
+    return this.#faults.cuts.some(([from, until]) => now >= from && now < until);
+  }
+}
