--- a/test/routing/promptHolders.test.ts
+++ b/test/routing/promptHolders.test.ts
@@ -8,6 +8,7 @@
   chooseServer,
   hash32,
 } from '@flamingocourse/core';
+import { createRandom } from './fixtures/seededRandom.js';
 
 const SERVERS = ['e0', 'e1', 'e2', 'e3', 'e4', 'e5', 'e6', 'e7'];
 const INSTANCES = 7;
@@ -17,14 +18,6 @@
 /** Reports in 55 s at 11.6 a second. */
 const REPORTS = 640;
 
-function createRandom(seed: number): () => number {
-  let state = seed;
-  return () => {
-    state = (Math.imul(state, 1_664_525) + 1_013_904_223) >>> 0;
-    return state / 2 ** 32;
-  };
-}
-
 function server(id: string): BackendServer {
   return { service: 'llm', id, dataCentre: 'dc-a', url: `http://${id}`, state: 'live' };
 }
--- a/test/routing/quickEngineChooser.test.ts
+++ b/test/routing/quickEngineChooser.test.ts
@@ -2,14 +2,7 @@
 import { describe, test } from 'node:test';
 import { PrefixAffinityChooser, QuickEngineChooser } from '@flamingocourse/core';
 import { playChunkedEngines } from './fixtures/chunkedEngine.js';
-
-function createRandom(seed: number): () => number {
-  let state = seed;
-  return () => {
-    state = (Math.imul(state, 1_664_525) + 1_013_904_223) >>> 0;
-    return state / 2 ** 32;
-  };
-}
+import { createRandom } from './fixtures/seededRandom.js';
 
 const affinity = new PrefixAffinityChooser(1.5);
 const quick = new QuickEngineChooser(affinity);
--- a/test/routing/serverChooser.test.ts
+++ b/test/routing/serverChooser.test.ts
@@ -2,14 +2,7 @@
 import { describe, test } from 'node:test';
 import type { BackendServer, Candidate, ServerChooserName } from '@flamingocourse/core';
 import { chooseServer, createServerChooser, hash32, ServerPool } from '@flamingocourse/core';
-
-function createRandom(seed: number): () => number {
-  let state = seed;
-  return () => {
-    state = (Math.imul(state, 1_664_525) + 1_013_904_223) >>> 0;
-    return state / 2 ** 32;
-  };
-}
+import { createRandom } from './fixtures/seededRandom.js';
 
 function candidate(id: string, load: number, capacity = 10): Candidate {
   const idHash = hash32(id);
