feat(gateway): a request's line tells the list its server was chosen by, and a kept server its reason

What callers saw is not touched. Of work sent to a server that had left, the log could not tell a leaving taken for a lapse from a long way back to the store, a calm silence taken for an outage, or a word of the server that got lost.

request-ended and attempt-failed now hold version and age of the list by which the server was chosen, and whether its entry was missing; server-kept and server-kept-ended tell why and for how long; store-lost and store-regained how long the silence and the way back took; two gauges tell the list's age and the servers kept. No choice is changed.

--- a/packages/gateway/src/node/entryService.ts
+++ b/packages/gateway/src/node/entryService.ts
@@ -24,6 +24,7 @@
 import { readRequestBody } from './readRequestBody.js';
 import { RequestFlow } from './requestFlow.js';
 import { ServerAgent } from './serverAgent.js';
+import { ServerDirectory } from './serverDirectory.js';
 
 /** Largest head of a request, in bytes; above what any configuration allows callers. */
 const MAX_HEAD_BYTES = 64 * 1024;
@@ -98,7 +99,14 @@
     this.#kernel = kernel;
     const lanes = kernel.get('lanes', BackendLanes);
     const prepaid = kernel.get('prepaid', PrepaidService);
-    this.#parts = { context: this.#context, lanes, prepaid, agent: this.#agent };
+    const directory = kernel.get('directory', ServerDirectory);
+    this.#parts = {
+      context: this.#context,
+      lanes,
+      prepaid,
+      directory,
+      agent: this.#agent,
+    };
     this.#configuration = kernel.get('configuration', ConfigurationWatch);
     this.#configuration.onChange(({ config }) => {
       this.#server.keepAliveTimeout = config.limits.idleMs + IDLE_MARGIN_MS;
@@ -267,6 +275,7 @@
       made: progress?.made,
       tried: progress?.tried.join(' ') ?? undefined,
       server: progress?.server,
+      ...progress?.list,
       prompt: head?.size?.prompt,
       events: answer.events,
       pauseMs: Math.round(answer.longestPauseMs),
--- a/packages/gateway/src/node/requestFlow.ts
+++ b/packages/gateway/src/node/requestFlow.ts
@@ -21,6 +21,7 @@
 import type { FailedAttempt } from '../runtime/attemptJudgement.js';
 import type { BackendLane, BackendLanes } from './backendLanes.js';
 import type { PrepaidService } from './prepaidService.js';
+import type { ListView, ServerDirectory } from './serverDirectory.js';
 import type { ServerAgent } from './serverAgent.js';
 import type { CallerAnswer } from './callerAnswer.js';
 import { createHash } from 'node:crypto';
@@ -38,6 +39,7 @@
   context: GatewayContext;
   lanes: BackendLanes;
   prepaid: PrepaidService;
+  directory: ServerDirectory;
   agent: ServerAgent;
 }
 
@@ -63,6 +65,8 @@
   tried: string[];
   /** Server of the last attempt. */
   server?: string;
+  /** State of the list by which that server was chosen. */
+  list?: ListView;
   /** Attempts so far, all kinds. */
   made: number;
   /** Attempts so far that may have run. */
--- a/packages/gateway/src/node/serverAttempt.ts
+++ b/packages/gateway/src/node/serverAttempt.ts
@@ -64,6 +64,7 @@
     this.#startedAt = this.#now();
     this.#progress.made += 1;
     this.#progress.server = this.#placement.server.id;
+    this.#progress.list = this.#parts.directory.view(this.#placement.server.id, this.#startedAt);
     const opened = await this.#open();
     if (opened.isErr) return this.#faulted(opened.error);
     this.#placement.heard();
@@ -190,6 +191,7 @@
     context.log.write('attempt-failed', {
       request: head.id,
       server: server.id,
+      ...this.#progress.list,
       failed,
       cause,
       made: this.#progress.made,
--- a/packages/gateway/src/node/serverDirectory.ts
+++ b/packages/gateway/src/node/serverDirectory.ts
@@ -12,6 +12,26 @@
   slots: number;
 }
 
+/** The state of the list by which a server was chosen, for the log. */
+export interface ListView {
+  /** Version of the store up to which the list is known. */
+  listVersion: string | undefined;
+  /** Milliseconds since the store confirmed the list. */
+  listAgeMs: number;
+  /** Whether the server is used although its entry is missing. */
+  kept: boolean;
+}
+
+/** A server that is used although its entry is missing. */
+interface KeptServer {
+  since: number;
+  /** When it is taken as gone. */
+  until: number;
+}
+
+/** Why a server is no longer kept. */
+type KeptEnd = 'its entry is back' | 'its entry cannot be used' | 'time is over';
+
 /**
  * Milliseconds without a word from the store after which entries may have lapsed: a server is silent
  * for three heartbeats then, of which one may lie before the outage.
@@ -37,13 +57,14 @@
   override readonly name = 'directory';
   readonly #context: GatewayContext;
   readonly #servers = new Map<string, DirectoryServer>();
-  /** Entries that lapsed around an outage, by the time at which they are taken as gone. */
-  readonly #lapsing = new Map<string, number>();
+  /** Servers that are used although their entry is missing. */
+  readonly #kept = new Map<string, KeptServer>();
   readonly #listeners: ((servers: DirectoryServer[]) => void)[] = [];
   readonly #contact: StoreContact;
   #subscription: Subscription | undefined;
   #timer: NodeJS.Timeout | undefined;
   #graceUntil = -Infinity;
+  #version: string | undefined;
 
   constructor(context: GatewayContext) {
     super();
@@ -55,6 +76,22 @@
     return [...this.#servers.values()];
   }
 
+  /** Servers that are used although their entry is missing. */
+  get keptCount(): number {
+    return this.#kept.size;
+  }
+
+  /** Milliseconds since the store confirmed the list; infinite before the first word. */
+  ageMs(now: number): number {
+    return this.#contact.ageMs(now);
+  }
+
+  /** What the choice of a server goes by at a time. */
+  view(id: string, now: number): ListView {
+    const listAgeMs = Math.round(this.ageMs(now));
+    return { listVersion: this.#version, listAgeMs, kept: this.#kept.has(id) };
+  }
+
   /** Calls back with all servers after each change. */
   onChange(listener: (servers: DirectoryServer[]) => void): void {
     this.#listeners.push(listener);
@@ -90,7 +127,8 @@
 
   #take(event: WatchEvent<ListedServer>): void {
     const now = this.#context.clock.now();
-    if (this.#contact.ageMs(now) > LAPSE_OUTAGE_MS) {
+    const silentMs = this.#contact.ageMs(now);
+    if (silentMs > LAPSE_OUTAGE_MS) {
       this.#graceUntil = now + this.#context.settings.servers.lapseGraceMs;
     }
     switch (event.type) {
@@ -107,7 +145,8 @@
         this.#refuse(event.name);
         break;
     }
-    this.#publish(event.type);
+    this.#version = versionOf(event);
+    this.#publish(event.type, silentMs);
   }
 
   #takeList(list: ObjectList<ListedServer>, now: number): void {
@@ -118,19 +157,38 @@
   }
 
   #put(id: string, value: ListedServer): void {
-    this.#lapsing.delete(id);
+    this.#endKept(id, 'its entry is back');
     this.#servers.set(id, { id, ...value });
   }
 
   #miss(id: string, now: number): void {
-    if (!this.#servers.has(id)) return;
-    if (now < this.#graceUntil) this.#lapsing.set(id, this.#graceUntil);
-    else this.#servers.delete(id);
+    const server = this.#servers.get(id);
+    if (!server) return;
+    if (now >= this.#graceUntil) {
+      this.#servers.delete(id);
+      return;
+    }
+    if (this.#kept.has(id)) return;
+    this.#kept.set(id, { since: now, until: this.#graceUntil });
+    this.#context.log.write('server-kept', {
+      server: id,
+      service: server.service,
+      silentMs: Math.round(this.#contact.ageMs(now)),
+      forMs: Math.round(this.#graceUntil - now),
+    });
+  }
+
+  #endKept(id: string, why: KeptEnd): void {
+    const kept = this.#kept.get(id);
+    if (!kept) return;
+    this.#kept.delete(id);
+    const keptMs = Math.round(this.#context.clock.now() - kept.since);
+    this.#context.log.write('server-kept-ended', { server: id, why, keptMs });
   }
 
   #refuse(id: string): void {
     this.#servers.delete(id);
-    this.#lapsing.delete(id);
+    this.#endKept(id, 'its entry cannot be used');
     this.#context.log.write('server-entry-invalid', { server: id });
   }
 
@@ -138,22 +196,37 @@
     // while the store is away again nothing says that a server is gone.
     if (this.#contact.isLost) return;
     let dropped = 0;
-    for (const [id, until] of this.#lapsing) {
+    for (const [id, { until }] of this.#kept) {
       if (now < until) continue;
-      this.#lapsing.delete(id);
+      this.#endKept(id, 'time is over');
       if (this.#servers.delete(id)) dropped += 1;
     }
     if (dropped > 0) this.#publish('lapsed');
   }
 
-  #publish(cause: string): void {
+  #publish(cause: string, silentMs?: number): void {
     const servers = this.servers;
     this.#context.log.write('servers-changed', {
       cause,
       servers: servers.length,
       leaving: servers.filter((server) => server.state === 'leaving').length,
-      lapsing: this.#lapsing.size,
+      kept: this.#kept.size,
+      version: this.#version,
+      silentMs: Number.isFinite(silentMs) ? Math.round(silentMs ?? 0) : undefined,
     });
     for (const listener of this.#listeners) listener(servers);
   }
 }
+
+/** Version of the store up to which an event tells the list. */
+function versionOf(event: WatchEvent<ListedServer>): string {
+  switch (event.type) {
+    case 'listed':
+      return event.list.version;
+    case 'changed':
+      return event.object.version;
+    case 'removed':
+    case 'invalid':
+      return event.version;
+  }
+}
--- a/packages/gateway/src/node/statusService.ts
+++ b/packages/gateway/src/node/statusService.ts
@@ -7,6 +7,9 @@
 import { createServer } from 'node:http';
 import { Service } from '@flamingocourse/kernel';
 import { EntryService } from './entryService.js';
+import { ServerDirectory } from './serverDirectory.js';
+
+const MS_PER_SECOND = 1_000;
 
 /** Path of the metrics. */
 export const METRICS_PATH = '/metrics';
@@ -14,10 +17,11 @@
 /** Registered as `status`. */
 export class StatusService extends Service {
   override readonly name = 'status';
-  override readonly dependsOn = ['entry'];
+  override readonly dependsOn = ['entry', 'directory'];
   readonly #context: GatewayContext;
   readonly #servers: Server[] = [];
   #entry: EntryService | undefined;
+  #directory: ServerDirectory | undefined;
   #wasReady: boolean | undefined;
 
   constructor(context: GatewayContext) {
@@ -27,6 +31,7 @@
 
   override async start(kernel: Kernel): Promise<void> {
     this.#entry = kernel.get('entry', EntryService);
+    this.#directory = kernel.get('directory', ServerDirectory);
     const { ready, metrics } = this.#context.settings.listen;
     await this.#listen(ready, (req, res) => {
       this.#answerReady(req, res);
@@ -53,9 +58,14 @@
   }
 
   async #answerMetrics(res: ServerResponse): Promise<void> {
-    const { metrics, log, store } = this.#context;
+    const { metrics, log, store, clock } = this.#context;
     metrics.gauge('requests_running', 'requests in progress', this.#entry?.running ?? 0);
     metrics.gauge('log_lines_dropped', 'log lines dropped', log.dropped);
+    const ageMs = this.#directory?.ageMs(clock.now()) ?? Infinity;
+    const ageHelp = 'seconds since the store confirmed the list of servers';
+    metrics.gauge('server_list_age_seconds', ageHelp, ageMs / MS_PER_SECOND);
+    const keptHelp = 'servers that are used although their entry is missing';
+    metrics.gauge('servers_kept', keptHelp, this.#directory?.keptCount ?? 0);
     metrics.storeCalls(store.counters);
     const text = await metrics.text();
     res.writeHead(200, { 'content-type': 'text/plain; version=0.0.4' }).end(text);
--- a/packages/gateway/src/node/storeContact.ts
+++ b/packages/gateway/src/node/storeContact.ts
@@ -13,7 +13,7 @@
 export class StoreContact {
   readonly #context: GatewayContext;
   readonly #user: string;
-  #lost = false;
+  #lostAt: number | undefined;
   #heardAt = -Infinity;
 
   /** @param user the service that uses the store, for the log. */
@@ -24,7 +24,7 @@
 
   /** Whether the last word was that the store is away. */
   get isLost(): boolean {
-    return this.#lost;
+    return this.#lostAt !== undefined;
   }
 
   /** Milliseconds since the store was last heard; infinite before the first word. */
@@ -34,17 +34,27 @@
 
   /** The store answered. */
   heard(fields: EventFields = {}): void {
-    this.#heardAt = this.#context.clock.now();
-    if (!this.#lost) return;
-    this.#lost = false;
-    this.#context.log.write('store-regained', { watch: this.#user, ...fields });
+    const now = this.#context.clock.now();
+    const silentMs = this.#silentMs(now);
+    this.#heardAt = now;
+    if (this.#lostAt === undefined) return;
+    const lostMs = Math.round(now - this.#lostAt);
+    this.#lostAt = undefined;
+    this.#context.log.write('store-regained', { watch: this.#user, silentMs, lostMs, ...fields });
   }
 
   /** The store did not answer, or not usefully. */
   lose(reason: string, fields: EventFields = {}): void {
-    if (!this.#lost) {
-      this.#context.log.write('store-lost', { watch: this.#user, reason, ...fields });
-    }
-    this.#lost = true;
+    if (this.#lostAt !== undefined) return;
+    const now = this.#context.clock.now();
+    this.#lostAt = now;
+    const silentMs = this.#silentMs(now);
+    this.#context.log.write('store-lost', { watch: this.#user, reason, silentMs, ...fields });
+  }
+
+  /** For the log; undefined before the first word. */
+  #silentMs(now: number): number | undefined {
+    const ageMs = this.ageMs(now);
+    return Number.isFinite(ageMs) ? Math.round(ageMs) : undefined;
   }
 }
--- a/packages/kernel/src/runtime/eventCatalogue.ts
+++ b/packages/kernel/src/runtime/eventCatalogue.ts
@@ -129,6 +129,16 @@
     text: 'requests wait at a server and nothing comes from it; it is avoided',
     action: 'Look at the server and at the network to it.',
   },
+  'server-kept': {
+    number: 515,
+    level: 'info',
+    text: 'a server is used although its entry is missing: the entry may have lapsed',
+  },
+  'server-kept-ended': {
+    number: 516,
+    level: 'info',
+    text: 'a server whose entry was missing is listed again or not used any more',
+  },
   'server-entry-invalid': {
     number: 513,
     level: 'warn',
