fix(gateway): a server whose entry is missing after a silence is asked whether it stays

What callers saw: requests sent to a server up to 2.49 s after it had left; two servers answered 500 on the record, and an instance in touch is allowed 2.0 s.

Cause: entries of servers that live lapse while the store is away, so the directory kept each server that was missing after 2.3 s of silence for 2.2 s and up to 0.2 s more. It went by its own silence alone: where only this instance had been cut off, each missing entry was one of a server that had left.

Ruled out as the cure: evidence of the store's own outage (revisions that went on, what other instances wrote) would also drop the living servers of a data centre that is cut off together with this instance; a shorter time alone leaves the wrong answer in use, only for less long. The server itself knows: while it leaves, its status says so under its own name. It is asked at once and each half second; `leaving` and `gone` end its use, `staying` and no answer (a full server is slow) leave the time as it was. The time is looked at when it is over, not each 0.2 s.

Why it holds: whatever the silence was due to, work goes to a server without an entry only as long as the server has not said that it leaves, plus the time to ask.

--- a/packages/core/src/runtime/routing/index.ts
+++ b/packages/core/src/runtime/routing/index.ts
@@ -1,6 +1,7 @@
 export * from './attemptPlan.js';
 export * from './concurrencyLimit.js';
 export * from './enginePace.js';
+export * from './keptServers.js';
 export * from './loadEstimate.js';
 export * from './promptHolders.js';
 export * from './quickEngineChooser.js';
--- a/packages/core/src/types/routedConfig.ts
+++ b/packages/core/src/types/routedConfig.ts
@@ -33,6 +33,8 @@
 /** A service that requests are passed to. */
 export interface RoutedService {
   name: ServiceName;
+  /** Path at which a server tells whether it is well and stays; absent where it has none. */
+  healthPath?: string;
   /** Whether it generates text, so that requests gain from a server that read the same prompt. */
   generates: boolean;
   /** Whether a server can copy a prompt that another has read. */
--- a/packages/gateway/src/index.ts
+++ b/packages/gateway/src/index.ts
@@ -13,3 +13,4 @@
 export type * from './types/context.js';
 export * from './types/dialects.js';
 export type * from './types/gatewaySettings.js';
+export * from './types/healthCheck.js';
--- a/packages/gateway/src/node/createGateway.ts
+++ b/packages/gateway/src/node/createGateway.ts
@@ -11,7 +11,9 @@
 import { ConfigurationWatch } from './configurationWatch.js';
 import { EntryService } from './entryService.js';
 import { GatewayMetrics } from './gatewayMetrics.js';
+import { HttpHealthCheck } from './httpHealthCheck.js';
 import { PrepaidService } from './prepaidService.js';
+import { ServerAgent } from './serverAgent.js';
 import { ServerDirectory } from './serverDirectory.js';
 import { StatusService } from './statusService.js';
 
@@ -69,11 +71,14 @@
   const metrics = new GatewayMetrics();
   const context: GatewayContext = { settings, clock, log, metrics, store, dialects, random };
   const kernel = new Kernel();
-  const entry = new EntryService(context);
+  const agent = new ServerAgent();
+  const configuration = new ConfigurationWatch(context);
+  const health = new HttpHealthCheck(context, configuration, agent);
+  const entry = new EntryService(context, agent);
   const lanes = new BackendLanes(context);
   kernel
-    .register(new ConfigurationWatch(context))
-    .register(new ServerDirectory(context))
+    .register(configuration)
+    .register(new ServerDirectory(context, health))
     .register(lanes)
     .register(new PrepaidService(context, randomUUID()))
     .register(entry)
--- a/packages/gateway/src/node/entryService.ts
+++ b/packages/gateway/src/node/entryService.ts
@@ -10,6 +10,7 @@
 import type { Kernel } from '@flamingocourse/kernel';
 import type { IncomingMessage, Server, ServerResponse } from 'node:http';
 import type { CallHead } from '../types/call.js';
+import type { ServerAgent } from './serverAgent.js';
 import type { GatewayContext } from '../types/context.js';
 import type { Outcome } from '../types/outcome.js';
 import type { FlowParts, RoutedCall } from './requestFlow.js';
@@ -23,7 +24,6 @@
 import { PrepaidService } from './prepaidService.js';
 import { readRequestBody } from './readRequestBody.js';
 import { RequestFlow } from './requestFlow.js';
-import { ServerAgent } from './serverAgent.js';
 import { ServerDirectory } from './serverDirectory.js';
 
 /** Largest head of a request, in bytes; above what any configuration allows callers. */
@@ -49,7 +49,7 @@
   override readonly name = 'entry';
   override readonly dependsOn = ['configuration', 'directory', 'lanes', 'prepaid'];
   readonly #context: GatewayContext;
-  readonly #agent = new ServerAgent();
+  readonly #agent: ServerAgent;
   readonly #server: Server;
   readonly #running = new Set<AbortController>();
   #parts: FlowParts | undefined;
@@ -57,9 +57,10 @@
   #kernel: Kernel | undefined;
   #stoppingSince: number | undefined;
 
-  constructor(context: GatewayContext) {
+  constructor(context: GatewayContext, agent: ServerAgent) {
     super();
     this.#context = context;
+    this.#agent = agent;
     this.#server = createServer({ maxHeaderSize: MAX_HEAD_BYTES, noDelay: true }, (req, res) => {
       void this.#handle(req, res);
     });
--- a/packages/gateway/src/node/httpAttempt.ts
+++ b/packages/gateway/src/node/httpAttempt.ts
@@ -26,7 +26,13 @@
 }
 
 /** Why there is no answer. */
-export type AttemptFaultReason = 'not-connected' | 'broken' | 'timeout' | 'aborted';
+export type AttemptFaultReason =
+  | 'not-connected'
+  /** Nobody listens at the address. */
+  | 'refused'
+  | 'broken'
+  | 'timeout'
+  | 'aborted';
 
 /** An exchange without an answer. */
 export interface AttemptFault {
@@ -95,9 +101,9 @@
       fail('broken', 'connection closed');
     });
     let broken = false;
-    req.on('error', (err) => {
+    req.on('error', (err: NodeJS.ErrnoException) => {
       broken = true;
-      fail('broken', err.message);
+      fail(err.code === 'ECONNREFUSED' ? 'refused' : 'broken', err.message);
     });
     req.on('response', (body) => {
       const { statusCode: status = 0, headers: answerHeaders, rawHeaders } = body;
@@ -120,7 +126,7 @@
 }
 
 function notSentReason(reason: AttemptFaultReason): AttemptFaultReason {
-  return reason === 'aborted' ? 'aborted' : 'not-connected';
+  return reason === 'aborted' || reason === 'refused' ? reason : 'not-connected';
 }
 
 /** Whether only the end of the connection tells where the answer ends. */
--- /dev/null
+++ b/packages/gateway/src/node/httpHealthCheck.ts
@@ -0,0 +1,51 @@
+/** Asks servers for their status at the path that the configuration names. */
+
+import type { ListedServer, ServerId, ServerWord } from '@flamingocourse/core';
+import type { GatewayContext } from '../types/context.js';
+import type { ConfigurationWatch } from './configurationWatch.js';
+import type { ServerAgent } from './serverAgent.js';
+import { HealthCheck } from '../types/healthCheck.js';
+import { openAttempt } from './httpAttempt.js';
+
+/** Milliseconds for an answer; one that is busy may let the question wait for a place. */
+const ANSWER_MS = 400;
+const NO_BODY = Buffer.alloc(0);
+
+/**
+ * Status checks over the connections that requests use too.
+ *
+ * @example
+ * const word = await new HttpHealthCheck(context, configuration, agent).ask('p1', server);
+ */
+export class HttpHealthCheck extends HealthCheck {
+  readonly #context: GatewayContext;
+  readonly #configuration: ConfigurationWatch;
+  readonly #agent: ServerAgent;
+
+  constructor(context: GatewayContext, configuration: ConfigurationWatch, agent: ServerAgent) {
+    super();
+    this.#context = context;
+    this.#configuration = configuration;
+    this.#agent = agent;
+  }
+
+  override async ask(id: ServerId, { service, url }: ListedServer): Promise<ServerWord> {
+    const target = this.#configuration.table?.service(service)?.healthPath;
+    if (target === undefined) return 'unknown';
+    const { dialects, settings } = this.#context;
+    const opened = await openAttempt({
+      url,
+      method: 'GET',
+      target,
+      headers: dialects.servers.healthHeaders(id, new URL(url).host),
+      body: NO_BODY,
+      agent: this.#agent,
+      connectMs: settings.servers.connectMs,
+      headMs: ANSWER_MS,
+      signal: AbortSignal.timeout(ANSWER_MS),
+    });
+    if (opened.isErr) return opened.error.reason === 'refused' ? 'gone' : 'unknown';
+    opened.value.body.resume();
+    return dialects.servers.judgeHealth(id, opened.value.head);
+  }
+}
--- a/packages/gateway/src/node/serverDirectory.ts
+++ b/packages/gateway/src/node/serverDirectory.ts
@@ -4,6 +4,8 @@
 import type { Kernel } from '@flamingocourse/kernel';
 import type { ObjectList, Subscription, WatchEvent } from '@flamingocourse/store';
 import type { GatewayContext } from '../types/context.js';
+import type { HealthCheck } from '../types/healthCheck.js';
+import { KeptServers } from '@flamingocourse/core';
 import { Service } from '@flamingocourse/kernel';
 import { StoreContact } from './storeContact.js';
 
@@ -22,15 +24,16 @@
   kept: boolean;
 }
 
-/** A server that is used although its entry is missing. */
-interface KeptServer {
-  since: number;
-  /** When it is taken as gone. */
-  until: number;
-}
+/** Milliseconds between two looks at kept servers whose time is over while the store is away again. */
+const OVERDUE_LOOK_MS = 100;
 
 /** Why a server is no longer kept. */
-type KeptEnd = 'its entry is back' | 'its entry cannot be used' | 'time is over';
+type KeptEnd =
+  | 'its entry is back'
+  | 'its entry cannot be used'
+  | 'time is over'
+  | 'it is leaving'
+  | 'it is gone';
 
 /**
  * Milliseconds without a word from the store after which entries may have lapsed: a server is silent
@@ -43,22 +46,22 @@
  * serving for two seconds.
  */
 const GATHER_MS = 250;
-/** Milliseconds between looks at whether kept entries have to go. */
-const LAPSE_CHECK_MS = 200;
 
 /**
  * Servers that may get work. Registered as `directory`.
  *
  * While the store is away the entries of servers that live lapse, because they can't be renewed.
- * Taken at its word, the list after the store's return would leave nobody to serve. So entries that
- * are missing then are kept until the servers have had time to write them again.
+ * Taken at its word, the list after the store's return would leave nobody to serve. So servers whose
+ * entries are missing then are kept until they have had time to write them again, unless they say
+ * themselves that they leave.
  */
 export class ServerDirectory extends Service {
   override readonly name = 'directory';
   readonly #context: GatewayContext;
   readonly #servers = new Map<string, DirectoryServer>();
   /** Servers that are used although their entry is missing. */
-  readonly #kept = new Map<string, KeptServer>();
+  readonly #kept = new KeptServers();
+  readonly #health: HealthCheck;
   readonly #listeners: ((servers: DirectoryServer[]) => void)[] = [];
   readonly #contact: StoreContact;
   #subscription: Subscription | undefined;
@@ -66,9 +69,10 @@
   #graceUntil = -Infinity;
   #version: string | undefined;
 
-  constructor(context: GatewayContext) {
+  constructor(context: GatewayContext, health: HealthCheck) {
     super();
     this.#context = context;
+    this.#health = health;
     this.#contact = new StoreContact(context, this.name);
   }
 
@@ -98,7 +102,7 @@
   }
 
   override start(kernel: Kernel): void {
-    const { store, dialects, clock } = this.#context;
+    const { store, dialects } = this.#context;
     this.#subscription = store.watch(dialects.serverList, {
       gatherMs: GATHER_MS,
       onEvent: (event) => {
@@ -115,14 +119,11 @@
         this.#contact.lose(reason);
       },
     });
-    this.#timer = setInterval(() => {
-      this.#dropLapsed(clock.now());
-    }, LAPSE_CHECK_MS);
   }
 
   override stop(): void {
     this.#subscription?.stop();
-    clearInterval(this.#timer);
+    clearTimeout(this.#timer);
   }
 
   #take(event: WatchEvent<ListedServer>): void {
@@ -147,6 +148,7 @@
     }
     this.#version = versionOf(event);
     this.#publish(event.type, silentMs);
+    this.#tendKept(now);
   }
 
   #takeList(list: ObjectList<ListedServer>, now: number): void {
@@ -168,8 +170,7 @@
       this.#servers.delete(id);
       return;
     }
-    if (this.#kept.has(id)) return;
-    this.#kept.set(id, { since: now, until: this.#graceUntil });
+    if (!this.#kept.keep(id, this.#graceUntil, now)) return;
     this.#context.log.write('server-kept', {
       server: id,
       service: server.service,
@@ -179,11 +180,51 @@
   }
 
   #endKept(id: string, why: KeptEnd): void {
-    const kept = this.#kept.get(id);
-    if (!kept) return;
-    this.#kept.delete(id);
-    const keptMs = Math.round(this.#context.clock.now() - kept.since);
-    this.#context.log.write('server-kept-ended', { server: id, why, keptMs });
+    const summary = this.#kept.end(id, this.#context.clock.now());
+    if (!summary) return;
+    const { lastWord } = summary;
+    const keptMs = Math.round(summary.keptMs);
+    this.#context.log.write('server-kept-ended', { server: id, why, keptMs, lastWord });
+  }
+
+  /** Asks the kept servers that are due and drops those whose time is over; comes back by itself. */
+  #tendKept(now: number): void {
+    clearTimeout(this.#timer);
+    for (const id of this.#kept.takeToAsk(now)) void this.#ask(id);
+    // while the store is away again nothing says that a server is gone.
+    const over = this.#contact.isLost ? [] : this.#kept.over(now);
+    for (const id of over) this.#drop(id, 'time is over');
+    if (over.length > 0) this.#publish('lapsed');
+    if (this.#kept.size === 0) return;
+    const dueMs = this.#kept.nextAt - now;
+    const next = (): void => {
+      this.#tendKept(this.#context.clock.now());
+    };
+    this.#timer = setTimeout(next, dueMs > 0 ? dueMs : OVERDUE_LOOK_MS);
+  }
+
+  /**
+   * Asks a kept server whether it stays. The silence that let it be kept may have been this instance's
+   * own, while the store took the leaving of servers from others; work sent to these would reach them
+   * after they have ended.
+   */
+  async #ask(id: string): Promise<void> {
+    const server = this.#servers.get(id);
+    if (!server) return;
+    const word = await this.#health.ask(id, server);
+    const now = this.#context.clock.now();
+    // it may have written its entry meanwhile, or come back as another.
+    if (!this.#kept.has(id) || this.#servers.get(id) !== server) return;
+    if (!this.#kept.hear(id, word, now)) {
+      this.#drop(id, word === 'gone' ? 'it is gone' : 'it is leaving');
+      this.#publish('asked');
+    }
+    this.#tendKept(now);
+  }
+
+  #drop(id: string, why: KeptEnd): void {
+    this.#endKept(id, why);
+    this.#servers.delete(id);
   }
 
   #refuse(id: string): void {
@@ -192,18 +233,6 @@
     this.#context.log.write('server-entry-invalid', { server: id });
   }
 
-  #dropLapsed(now: number): void {
-    // while the store is away again nothing says that a server is gone.
-    if (this.#contact.isLost) return;
-    let dropped = 0;
-    for (const [id, { until }] of this.#kept) {
-      if (now < until) continue;
-      this.#endKept(id, 'time is over');
-      if (this.#servers.delete(id)) dropped += 1;
-    }
-    if (dropped > 0) this.#publish('lapsed');
-  }
-
   #publish(cause: string, silentMs?: number): void {
     const servers = this.servers;
     this.#context.log.write('servers-changed', {
--- a/packages/gateway/src/types/dialects.ts
+++ b/packages/gateway/src/types/dialects.ts
@@ -1,6 +1,6 @@
 /** The seams between the pipeline and the forms of requests and answers. */
 
-import type { Refusal } from '@flamingocourse/core';
+import type { Refusal, ServerId, ServerWord } from '@flamingocourse/core';
 import type { IncomingMessage, OutgoingHttpHeaders } from 'node:http';
 import type { Result } from 'true-myth';
 import type { AttemptDetails, CallHead, HeadVerdict, ServerHead, ToldLoad } from './call.js';
@@ -30,6 +30,10 @@
   abstract judge(head: CallHead, answer: ServerHead): HeadVerdict;
   /** Load of the server, where it told it. */
   abstract load(answer: ServerHead): ToldLoad | undefined;
+  /** Headers of a question for a server's status, as alternating names and values. */
+  abstract healthHeaders(serverId: ServerId, host: string): string[];
+  /** Decides what the answer says of the server that was asked. */
+  abstract judgeHealth(serverId: ServerId, answer: ServerHead): ServerWord;
   /** Headers for the caller, as alternating names and values, without those of the connection. */
   abstract answerHeaders(answer: ServerHead): string[];
 }
--- a/test/gateway/directoryWorld.ts
+++ b/test/gateway/directoryWorld.ts
@@ -1,11 +1,12 @@
 /** A directory without network: the test says what the store tells and when, and moves the time. */
 
 import type { TestContext } from 'node:test';
-import type { ListedServer } from '@flamingocourse/core';
+import type { ListedServer, ServerId, ServerWord } from '@flamingocourse/core';
 import type { GatewayContext } from '@flamingocourse/gateway';
 import type { Collection, Subscription, WatchEvent, WatchOptions } from '@flamingocourse/store';
 import { setImmediate as turn } from 'node:timers/promises';
-import { parseGatewaySettings } from '@flamingocourse/gateway';
+import { HealthCheck, parseGatewaySettings } from '@flamingocourse/gateway';
+import type { Clock } from '@flamingocourse/kernel';
 import { Kernel, ManualClock, MemoryEventLog } from '@flamingocourse/kernel';
 import { createPlatformDialects } from '@flamingocourse/platform-adapter';
 import { MemoryObjectStore } from '@flamingocourse/store';
@@ -25,17 +26,34 @@
   }
 }
 
+/** Servers that stay until the test says when they leave. */
+class ToldServers extends HealthCheck {
+  readonly leavesAt = new Map<ServerId, number>();
+  readonly #clock: Clock;
+
+  constructor(clock: Clock) {
+    super();
+    this.#clock = clock;
+  }
+
+  override ask(id: ServerId): Promise<ServerWord> {
+    const leaves = this.#clock.now() >= (this.leavesAt.get(id) ?? Infinity);
+    return Promise.resolve(leaves ? 'leaving' : 'staying');
+  }
+}
+
 export class DirectoryWorld {
   readonly clock = new ManualClock();
   readonly log = new MemoryEventLog();
   readonly #store = new ToldStore();
+  readonly #servers = new ToldServers(this.clock);
   readonly #directory: ServerDirectory;
   readonly #t: TestContext;
   #version = 0;
 
   private constructor(t: TestContext) {
     this.#t = t;
-    this.#directory = new ServerDirectory(this.#context());
+    this.#directory = new ServerDirectory(this.#context(), this.#servers);
   }
 
   /** Starts a directory that knows these servers. */
@@ -59,6 +77,11 @@
     return this.clock.now();
   }
 
+  /** A server leaves; from then on it says so when it is asked. */
+  leave(id: ServerId, at: number): void {
+    this.#servers.leavesAt.set(id, at);
+  }
+
   /** The store tells all entries. */
   list(ids: readonly string[]): void {
     const items = ids.map((name) => ({ name, version: '1', value: entry }));
--- a/test/gateway/serverDirectory.test.ts
+++ b/test/gateway/serverDirectory.test.ts
@@ -10,6 +10,9 @@
 // A caller's request fails with 500 at a server that left more than two seconds before. The instance was
 // cut off from the store for some seconds and came back; meanwhile, or just after, the store took the
 // server's leaving. The instance was in touch again for three seconds and still sent requests there.
+// Cause: after its own silence it took each missing entry for one that lapsed while the store was away,
+// and kept the server. Proof: asked for their status, all such servers said that they leave or were gone,
+// and with their word taken the three cases pass.
 const leavings: readonly {
   name: string;
   cutEndsAt: number;
@@ -38,6 +41,7 @@
 for (const { name, cutEndsAt, leftAt, backAt, told } of leavings) {
   test(`a server that leaves ${name} gets no work`, async (t) => {
     const world = DirectoryWorld.start(t, ['p1', 'p2']);
+    world.leave('p1', leftAt);
     await world.runTo(2_400);
     world.lose();
     await world.runTo(backAt);
--- a/test/platform/serverDialect.test.ts
+++ b/test/platform/serverDialect.test.ts
@@ -1,3 +1,4 @@
+import type { ServerWord } from '@flamingocourse/core';
 import type { CallHead } from '@flamingocourse/gateway';
 import assert from 'node:assert/strict';
 import { describe, test } from 'node:test';
@@ -89,3 +90,42 @@
     });
   }
 });
+
+describe('the word of a server that is asked for its status', () => {
+  const cases: readonly {
+    name: string;
+    status: number;
+    headers: Record<string, string>;
+    word: ServerWord;
+  }[] = [
+    { name: 'is well', status: 200, headers: { 'x-instance-id': 's1' }, word: 'staying' },
+    { name: 'is leaving', status: 503, headers: { 'x-instance-id': 's1' }, word: 'leaving' },
+    { name: 'is leaving, without a name', status: 503, headers: {}, word: 'leaving' },
+    {
+      name: 'is too full to answer',
+      status: 503,
+      headers: { 'x-not-executed': '1', 'x-instance-id': 's1' },
+      word: 'unknown',
+    },
+    { name: 'is another', status: 200, headers: { 'x-instance-id': 's2' }, word: 'gone' },
+    {
+      name: 'is another, and leaving',
+      status: 503,
+      headers: { 'x-instance-id': 's2' },
+      word: 'gone',
+    },
+    {
+      name: 'turns a question away that is meant for another',
+      status: 421,
+      headers: { 'x-not-executed': '1' },
+      word: 'gone',
+    },
+    { name: 'does not name itself', status: 200, headers: {}, word: 'unknown' },
+    { name: 'fails', status: 500, headers: { 'x-instance-id': 's1' }, word: 'unknown' },
+  ];
+  for (const { name, status, headers, word } of cases) {
+    test(`${word}: it ${name}`, () => {
+      assert.equal(servers.judgeHealth('s1', { status, headers, rawHeaders: [] }), word);
+    });
+  }
+});
--- a/test/platform/usersServer.ts
+++ b/test/platform/usersServer.ts
@@ -31,11 +31,16 @@
   | 'reset'
   | 'silent';
 
+/** Path at which it tells whether it is well and stays. */
+const HEALTH_PATH = '/health';
+
 export class UsersServer {
   readonly seen: SeenRequest[] = [];
   /** Requests whose connection was closed before they were answered. */
   dropped = 0;
   behaviour: Behaviour = 'answer';
+  /** Whether it says of itself that it leaves. */
+  leaving = false;
   address = '';
 
   constructor(readonly id: string) {}
@@ -72,6 +77,10 @@
     const chunks: Buffer[] = [];
     for await (const chunk of req) chunks.push(chunk as Buffer);
     const { method = '', url = '', headers } = req;
+    if (url === HEALTH_PATH) {
+      res.writeHead(this.leaving ? 503 : 200, { 'x-instance-id': this.id }).end();
+      return;
+    }
     const ran = headers['x-expect-instance'] === this.id && this.behaviour !== 'shed';
     this.seen.push({ method, url, headers, body: Buffer.concat(chunks).toString(), ran });
     res.on('close', () => {
--- a/test/platform/watches.test.ts
+++ b/test/platform/watches.test.ts
@@ -76,6 +76,25 @@
     await until('gone', async () => (await world.call({ path: '/look/1' })).status === 503);
   });
 
+  // a caller's request fails at a server that left while this instance was cut off from the store.
+  test('that lacks a server after a silence goes by the word of the server', async (t) => {
+    const world = await World.start(t);
+    world.store.fault = 'silent';
+    await delay(4_000);
+    world.server('p1').leaving = true;
+    for (const id of ['p1', 'p2']) world.store.remove('servers', id);
+    world.store.fault = 'none';
+    const ends = (): unknown[] =>
+      world.log.events
+        .filter(({ event: name }) => name === 'server-kept-ended')
+        .map(({ fields }) => ({ server: fields.server, why: fields.why }));
+    await until('p1 was asked', () => ends().length > 0);
+    assert.deepEqual(ends(), [{ server: 'p1', why: 'it is leaving' }]);
+    const before = world.server('p1').seen.length;
+    for (let n = 0; n < 10; n += 1) await world.call({ path: `/look/${String(n)}` });
+    assert.equal(world.server('p1').seen.length, before);
+  });
+
   test('is read again when its history is gone', async (t) => {
     const world = await World.start(t);
     world.store.fault = 'history-gone';
--- /dev/null
+++ b/test/routing/keptServers.test.ts
@@ -0,0 +1,60 @@
+import type { ServerWord } from '@flamingocourse/core';
+import assert from 'node:assert/strict';
+import { describe, test } from 'node:test';
+import { KeptServers } from '@flamingocourse/core';
+
+const UNTIL = 2_200;
+
+function keep(...ids: string[]): KeptServers {
+  const kept = new KeptServers();
+  for (const id of ids) kept.keep(id, UNTIL, 0);
+  return kept;
+}
+
+describe('a server whose entry is missing', () => {
+  const words: readonly { word: ServerWord; stillKept: boolean }[] = [
+    { word: 'staying', stillKept: true },
+    // a busy server doesn't answer in time; to drop all of these after an outage would leave nobody.
+    { word: 'unknown', stillKept: true },
+    { word: 'leaving', stillKept: false },
+    { word: 'gone', stillKept: false },
+  ];
+  for (const { word, stillKept } of words) {
+    test(`is ${stillKept ? 'kept' : 'not kept'} when its word is: ${word}`, () => {
+      assert.equal(keep('p1').hear('p1', word, 5), stillKept);
+    });
+  }
+
+  test('is asked at once, not again before its answer, and again after half a second', () => {
+    const kept = keep('p1', 'p2');
+    assert.deepEqual(kept.takeToAsk(0), ['p1', 'p2']);
+    assert.deepEqual(kept.takeToAsk(400), []);
+    kept.hear('p1', 'staying', 400);
+    assert.equal(kept.nextAt, 900);
+    assert.deepEqual(kept.takeToAsk(899), []);
+    assert.deepEqual(kept.takeToAsk(900), ['p1']);
+  });
+
+  test('is given up when its time is over, whatever it says', () => {
+    const kept = keep('p1');
+    kept.hear('p1', 'staying', 2_100);
+    assert.deepEqual(kept.over(UNTIL - 1), []);
+    assert.deepEqual(kept.over(UNTIL), ['p1']);
+    assert.deepEqual(kept.end('p1', UNTIL), { keptMs: UNTIL, lastWord: 'staying' });
+    assert.equal(kept.nextAt, Infinity);
+  });
+
+  test('that is missing again is kept for longer, never for less', () => {
+    const kept = keep('p1');
+    assert.equal(kept.keep('p1', 3_000, 500), false);
+    assert.equal(kept.keep('p1', 1_000, 600), false);
+    assert.deepEqual(kept.over(2_999), []);
+  });
+
+  test('that is not kept any more is not kept by a late word', () => {
+    const kept = keep('p1');
+    kept.end('p1', 10);
+    assert.equal(kept.hear('p1', 'staying', 20), false);
+    assert.equal(kept.has('p1'), false);
+  });
+});
