fix(store): an object without a value does not make the whole answer unreadable

On the users' platform one entry of the server list without its `spec`, left by another writer, made each list and each waiting call unreadable: no server that came, left or failed was noticed any more. On the Object API no bookmark was ever understood, so a calm watch was never heard and its version stood still.

Cause: with zod 4 `z.unknown()` in an object asks for the key; it does not mean that the key may be missing.

Both tests fail before (the list never shows that the servers leave; no bookmark is heard in 5 s) and pass now. Why it holds: the envelope needs name and version only; a value that is missing is refused by the collection's own schema, for that one entry.

--- a/packages/store/src/node/wireFormat.ts
+++ b/packages/store/src/node/wireFormat.ts
@@ -10,7 +10,7 @@
 
 export const wireObjectSchema = z.object({
   metadata: z.object({ name: z.string(), resourceVersion: z.string().regex(/^\d+$/) }),
-  value: z.unknown(),
+  value: z.unknown().optional(),
 });
 
 /** Takes the names of the Object API off an object. */
@@ -27,7 +27,8 @@
   type: z.enum(['ADDED', 'MODIFIED', 'DELETED', 'BOOKMARK']),
   object: z.object({
     metadata: z.object({ name: z.string().optional(), resourceVersion: z.string() }),
-    value: z.unknown(),
+    // a bookmark names no object and has no value.
+    value: z.unknown().optional(),
   }),
 });
 
--- a/test/platform/watches.test.ts
+++ b/test/platform/watches.test.ts
@@ -55,6 +55,7 @@
     world.store.put('servers', 'p1', world.server('p1').entry('ledger', { state: 'draining' }));
     world.store.put('servers', 'p2', { service: 'ledger', address: 7 });
     world.store.put('servers', 'p3', 'not an entry');
+    world.store.put('servers', 'p4', undefined);
     await until('leaving', async () => (await world.call({ path: '/look/1' })).status === 503);
     assert.equal((await world.generate('/chat/1')).status, 200, 'the others hold');
   });
--- a/test/store/watch.test.ts
+++ b/test/store/watch.test.ts
@@ -39,6 +39,16 @@
   );
 });
 
+// a caller is told that the configuration may be outdated although the store is well: nothing changes for
+// a while, and the lines by which the store says so are not understood.
+test('a calm watch is heard by its bookmarks', async (t) => {
+  const platform = await startStandIn(t, { bookmarkMs: 20 });
+  const store = connect(t, platform.urls['dc-a']);
+  let heard = 0;
+  store.watch(notes, { onEvent: () => undefined, onHeard: () => (heard += 1) });
+  await until('heard again and again', () => heard >= 4);
+});
+
 // an operator applies a change while a data centre's watch is down and it never comes into force:
 // the watch broke, the change happened, the watch came back. It must resume where it was, and list
 // anew when the platform has forgotten that place.
