fix(store): probes find the store's return, and the first answer wakes every watch

What callers saw: a server's leaving, a new key or a new route stayed unknown at an instance for up to 1.1 s after its own cut had ended; in the worst case for longer than the three seconds after which it has to keep its bounds again.

Cause: each user of the store found its return by itself. A call that hangs took 1.0 to 3.0 s, a back-off up to 1.5 s, a circuit up to 0.4 s, a list that began during the cut another second, one after the other.

While the store does not answer, the client now sends a small read each quarter of a second on a connection of its own; in an outage the watches send nothing. The first answer to any call ends all back-offs and opens hanging watches anew. Weighed: a shorter back-off alone (more full-priced calls in each outage, and the hanging calls stay); one watch for all (another shape of call than the store has).

Why it holds: the return is noticed by a call that was sent after it, on a new connection, whatever the older ones do.

--- a/packages/store/src/node/httpObjectStore.ts
+++ b/packages/store/src/node/httpObjectStore.ts
@@ -15,7 +15,7 @@
   VersionedObject,
   WatchOptions,
 } from '../types/objects.js';
-import type { ListPage, StoreDialect, StoreRequest } from '../runtime/storeDialect.js';
+import type { ListPage, StoreDialect, StoreRequest, WatchEnd } from '../runtime/storeDialect.js';
 import { Agent } from 'node:http';
 import { exchange, SystemClock } from '@flamingocourse/kernel';
 import { Result } from 'true-myth';
@@ -29,6 +29,7 @@
 import { PlatformError } from '../utils/platformError.js';
 import { ObjectApiDialect } from './objectApiDialect.js';
 import { ObjectWatch } from './objectWatch.js';
+import { ReturnProbe } from './returnProbe.js';
 import {
   checkObject,
   faultToError,
@@ -62,6 +63,11 @@
   onFailure?: (err: unknown) => void;
 }
 
+/** Milliseconds for a probe; a store that is only slow answers within it. */
+const PROBE_TIMEOUT_MS = 1_000;
+/** Ends of a watch after which the store may be away. */
+const SILENT_ENDS: ReadonlySet<WatchEnd> = new Set(['silent', 'broken', 'refused']);
+
 type Request = StoreRequest & { kind: CallKind };
 
 /**
@@ -79,7 +85,10 @@
   readonly #agent = new Agent({ keepAlive: true, maxSockets });
   /** Watches hold their connection, so they must not take one from the calls. */
   readonly #watchAgent = new Agent({ keepAlive: true });
-  readonly #watches = new Set<Subscription>();
+  /** A probe opens a connection of its own: those that were open may be silent for good. */
+  readonly #probeAgent = new Agent({ keepAlive: false });
+  readonly #probe: ReturnProbe;
+  readonly #watches = new Set<ObjectWatch<unknown>>();
   #circuit = createCircuit();
 
   constructor(options: HttpObjectStoreOptions) {
@@ -87,6 +96,10 @@
     this.#options = options;
     this.#clock = options.clock ?? new SystemClock();
     this.#dialect = options.dialect ?? new ObjectApiDialect();
+    this.#probe = new ReturnProbe({
+      send: () => void this.#sendProbe(),
+      random: options.random ?? Math.random,
+    });
   }
 
   override get reachable(): boolean {
@@ -161,19 +174,26 @@
       agent: this.#watchAgent,
       idleMs: options.idleMs ?? this.#options.watchIdleMs ?? defaultWatchIdleMs,
       random: this.#options.random ?? Math.random,
+      isAway: () => this.#probe.isAway,
       onOpen: () => {
         this.countSent('watch');
       },
-      onBreak: () => {
+      onHeard: () => {
+        this.#heard(watch as ObjectWatch<unknown>);
+      },
+      onBreak: (end) => {
         this.countFailed('watch');
+        if (SILENT_ENDS.has(end)) this.#suspect();
       },
       onFailure: this.#options.onFailure ?? (() => undefined),
     });
-    this.#watches.add(watch);
+    const known = watch as ObjectWatch<unknown>;
+    this.#watches.add(known);
     return {
       stop: () => {
         watch.stop();
-        this.#watches.delete(watch);
+        this.#watches.delete(known);
+        if (this.#watches.size === 0) this.#probe.stop();
       },
     };
   }
@@ -194,8 +214,10 @@
   override close(): void {
     for (const watch of this.#watches) watch.stop();
     this.#watches.clear();
+    this.#probe.stop();
     this.#agent.destroy();
     this.#watchAgent.destroy();
+    this.#probeAgent.destroy();
   }
 
   async #callObject<T>(
@@ -243,6 +265,37 @@
     return result;
   }
 
+  /** Only watches have to learn of the return by themselves. */
+  #suspect(): void {
+    if (this.#watches.size > 0) this.#probe.suspect();
+  }
+
+  /**
+   * The store answered a call: all that wait for its return go on at once.
+   *
+   * @param by the watch that was told something, if it was one.
+   */
+  #heard(by?: ObjectWatch<unknown>): void {
+    const absence = this.#probe.heard();
+    if (!absence) return;
+    this.#circuit = createCircuit();
+    for (const watch of this.#watches) if (watch !== by) watch.wake(absence === 'outage');
+  }
+
+  async #sendProbe(): Promise<void> {
+    const { path, ...request } = this.#dialect.probe();
+    this.countSent('get');
+    const answer = await exchange({
+      ...request,
+      url: new URL(path, this.#options.url),
+      timeoutMs: PROBE_TIMEOUT_MS,
+      maxAnswerBytes,
+      agent: this.#probeAgent,
+    });
+    if (answer.isOk && isUseful(answer.value)) this.#heard();
+    else this.countFailed('get');
+  }
+
   #record(
     kind: CallKind,
     result: Result<HttpAnswer, PlatformError>,
@@ -253,6 +306,8 @@
     // a call that its caller gave up says nothing about the platform, except as the one probe:
     // left without an outcome, a half-open circuit would admit no call ever again.
     if (failed && signal?.aborted && this.#circuit.phase !== 'half-open') return;
+    if (failed) this.#suspect();
+    else if (result.isOk || result.error.code !== 'throttled') this.#heard();
     this.#circuit = recordOutcome(
       this.#circuit,
       failed ? 'failed' : 'answered',
@@ -262,6 +317,11 @@
   }
 }
 
+/** Whether a store that gave this answer serves others calls too; a missing object is an answer. */
+function isUseful({ status }: HttpAnswer): boolean {
+  return status < 300 || status === 404;
+}
+
 function toList<T>(collection: Collection<T>, page: ListPage): ObjectList<T> {
   const list: ObjectList<T> = { version: page.version, items: [], invalid: [] };
   for (const object of page.items) {
--- a/packages/store/src/node/objectApiDialect.ts
+++ b/packages/store/src/node/objectApiDialect.ts
@@ -32,6 +32,10 @@
     return { method: 'GET', path: objectPath(collection, name) };
   }
 
+  override probe(): StoreRequest {
+    return this.get('declarations', 'probe');
+  }
+
   override list(collection: string): StoreRequest {
     return { method: 'GET', path: collectionPath(collection) };
   }
--- a/packages/store/src/node/objectWatch.ts
+++ b/packages/store/src/node/objectWatch.ts
@@ -20,15 +20,23 @@
   agent: Agent;
   idleMs: number;
   random: () => number;
+  /** Whether probes look for the store's return; a call would only hang or cost. */
+  isAway: () => boolean;
   onOpen: () => void;
-  onBreak: () => void;
+  /** The store told this watch something. */
+  onHeard: () => void;
+  onBreak: (end: WatchEnd) => void;
   onFailure: (err: unknown) => void;
 }
 
 /** One running watch. */
 export class ObjectWatch<T> {
   readonly #abort = new AbortController();
-  readonly #stopped = new Channel<true>(1);
+  /** Ends a pause; closed when the watch is stopped. */
+  readonly #wakeUp = new Channel<true>(1);
+  #isBackingOff = false;
+  /** The waiting call, while there is one. */
+  #call: AbortController | undefined;
   #version: string | undefined;
   #failures = 0;
   /** Whether changes came since the last pause. */
@@ -45,15 +53,31 @@
 
   stop(): void {
     this.#abort.abort();
-    this.#stopped.close();
+    this.#wakeUp.close();
+  }
+
+  /**
+   * The store answers others again: ends a back-off.
+   *
+   * @param reopen whether a waiting call is opened anew; one that was sent while the store was away
+   * would hang up to its own time limit.
+   */
+  wake(reopen: boolean): void {
+    if (this.#isBackingOff) this.#wakeUp.offer(true);
+    else if (reopen) this.#call?.abort();
   }
 
   *#run(): Steps<void> {
     while (!this.#abort.signal.aborted) {
-      if (this.#version === undefined) yield* awaitPromise(this.#list());
-      if (this.#version !== undefined) yield* awaitPromise(this.#follow());
+      if (this.ports.isAway()) this.#fail('the store is away');
+      else {
+        if (this.#version === undefined) yield* awaitPromise(this.#list());
+        if (this.#version !== undefined) yield* awaitPromise(this.#follow());
+      }
       const pauseMs = this.#pauseMs();
-      if (pauseMs > 0) yield* takeWithin(this.#stopped, pauseMs);
+      this.#isBackingOff = this.#failures > 0;
+      if (pauseMs > 0) yield* takeWithin(this.#wakeUp, pauseMs);
+      this.#isBackingOff = false;
     }
   }
 
@@ -68,8 +92,7 @@
     const list = await this.ports.list();
     if (this.#abort.signal.aborted) return;
     if (list.isErr) {
-      this.#failures += 1;
-      this.options.onBreak?.(list.error.message);
+      this.#fail(list.error.message);
       return;
     }
     this.#version = list.value.version;
@@ -81,17 +104,19 @@
   async #follow(): Promise<void> {
     this.ports.onOpen();
     const { dialect, url, agent, idleMs } = this.ports;
+    this.#call = new AbortController();
     const end = await dialect.follow({
       url,
       collection: this.collection.name,
       version: this.#version ?? '0',
       agent,
-      signal: this.#abort.signal,
+      signal: AbortSignal.any([this.#abort.signal, this.#call.signal]),
       idleMs,
       onChanges: (changes, version) => {
         this.#takeChanges(changes, version);
       },
     });
+    this.#call = undefined;
     this.#settle(end);
   }
 
@@ -100,13 +125,18 @@
     // too old: the changes in between are gone from the platform's history. Silent: a watch that is
     // open and mute, also after it is opened anew, would hide every change. A list tells them all.
     if (end === 'too-old' || end === 'silent') this.#version = undefined;
+    this.ports.onBreak(end);
+    this.#fail(end);
+  }
+
+  #fail(reason: string): void {
     this.#failures += 1;
-    this.ports.onBreak();
-    this.options.onBreak?.(end);
+    this.options.onBreak?.(reason);
   }
 
   #takeChanges(changes: WireChange[], version: string): void {
     if (this.#abort.signal.aborted) return;
+    this.ports.onHeard();
     this.#failures = 0;
     this.#version = version;
     this.#changed ||= changes.length > 0;
--- a/packages/store/src/runtime/storeDialect.ts
+++ b/packages/store/src/runtime/storeDialect.ts
@@ -58,6 +58,8 @@
 export abstract class StoreDialect {
   /** @param stale whether the answer may be some seconds old. */
   abstract get(collection: string, name: string, stale?: boolean): StoreRequest;
+  /** The cheapest call whose answer shows that the store serves this instance. */
+  abstract probe(): StoreRequest;
   abstract list(collection: string, after?: string): StoreRequest;
   abstract create(collection: string, name: string, value: unknown): StoreRequest;
   abstract update(collection: string, name: string, version: string, value: unknown): StoreRequest;
--- /dev/null
+++ b/test/store/returnProbe.test.ts
@@ -0,0 +1,85 @@
+import assert from 'node:assert/strict';
+import { describe, test } from 'node:test';
+import { ReturnProbe } from '../../packages/store/src/node/returnProbe.js';
+import { connect, notes, startStandIn, until } from './fixtures.js';
+
+describe('a probe for the return of the store', () => {
+  const start = (): { probe: ReturnProbe; sent: () => number } => {
+    let sent = 0;
+    const send = (): void => {
+      sent += 1;
+    };
+    return { probe: new ReturnProbe({ send, random: () => 0.5 }), sent: () => sent };
+  };
+
+  test('is sent at once and each quarter of a second until the store answers', (t) => {
+    t.mock.timers.enable({ apis: ['setTimeout'] });
+    const { probe, sent } = start();
+    probe.suspect();
+    probe.suspect();
+    assert.equal(sent(), 1);
+    for (let n = 0; n < 4; n += 1) t.mock.timers.tick(250);
+    assert.equal(sent(), 5);
+    probe.heard();
+    t.mock.timers.tick(1_000);
+    assert.equal(sent(), 5);
+  });
+
+  const absences = [
+    { name: 'nothing failed', failed: false, afterMs: 0, expected: undefined },
+    { name: 'the first probe is answered', failed: true, afterMs: 249, expected: 'lost-answer' },
+    { name: 'the first is not answered', failed: true, afterMs: 250, expected: 'outage' },
+  ];
+  for (const { name, failed, afterMs, expected } of absences) {
+    test(`tells ${String(expected)} when ${name}`, (t) => {
+      t.mock.timers.enable({ apis: ['setTimeout'] });
+      const { probe } = start();
+      if (failed) probe.suspect();
+      t.mock.timers.tick(afterMs);
+      assert.equal(probe.heard(), expected);
+      assert.equal(probe.heard(), undefined);
+    });
+  }
+});
+
+// A new key or a server's leaving stays unknown for seconds after the store is back: an instance was cut
+// off, one of its watches had just begun a long back-off when the cut ended, and another user of the same
+// client was answered meanwhile. Each waited for the store in its own way.
+describe('the return of the store', () => {
+  for (const outage of ['refuse', 'silent'] as const) {
+    test(`wakes a watch that backs off (${outage})`, async (t) => {
+      const platform = await startStandIn(t, { bookmarkMs: 30 });
+      const store = connect(t, platform.urls['dc-a'], {
+        watchIdleMs: 100,
+        timeoutMs: 60,
+        random: () => 1,
+      });
+      const breaks: string[] = [];
+      let heard = 0;
+      store.watch(notes, {
+        onEvent: () => undefined,
+        onHeard: () => (heard += 1),
+        onBreak: (reason) => breaks.push(reason),
+      });
+      await until('listed', () => heard > 0);
+      platform.setFaults('dc-a', { outage });
+      // five failures in a row are a back-off of 1.5 s, counted from the last of them.
+      await until('it has failed often', () => breaks.length >= 5, 20_000);
+      platform.setFaults('dc-a', { outage: 'none' });
+      assert.ok(store.counters.get.sent > 0, 'probes were sent');
+      const before = heard;
+      await until('another user is answered', () => store.reachable);
+      // fifty calls take far less than what is left of the back-off.
+      for (let n = 0; n < 50 && heard === before; n += 1) await store.get(notes, 'none');
+      assert.ok(heard > before, 'the watch was back meanwhile');
+    });
+  }
+});
+
+test('a client without a watch sends no probe', async (t) => {
+  const platform = await startStandIn(t);
+  const store = connect(t, platform.urls['dc-a'], { timeoutMs: 60 });
+  platform.setFaults('dc-a', { outage: 'refuse' });
+  assert.ok((await store.list(notes)).isErr);
+  assert.equal(store.counters.get.sent, 0);
+});
