fix(gateway): a configuration watch that went silent is open again within the bound

What callers saw: nothing yet. The table of ways from a change to its effect, made for the incident's cause, has one row without room: a waiting call for the configuration hangs for exactly the time after which the instance has to have it in force, and then the list is still to be read. A key taken away in that silence would be let in for some milliseconds too long.

The watch now gives a call up 300 ms before.

--- a/packages/gateway/src/node/configurationWatch.ts
+++ b/packages/gateway/src/node/configurationWatch.ts
@@ -8,6 +8,12 @@
 import { Service } from '@flamingocourse/kernel';
 import { StoreContact } from './storeContact.js';
 
+/**
+ * Milliseconds that are left to open a silent watch anew, and to read the list, within the time after which
+ * changes have to be in force here again. Without them a configuration that came during the silence would
+ * be unknown for some milliseconds too long.
+ */
+export const REOPEN_MS = 300;
 /**
  * Milliseconds beyond the watch's idle time without a word from the store after which what is known may be
  * outdated. A healthy watch is answered within its idle time; the rest is for a slow store and the way.
@@ -54,7 +60,7 @@
   override start(kernel: Kernel): void {
     const { store, dialects, settings } = this.#context;
     this.#subscription = store.watch(dialects.configuration, {
-      idleMs: settings.store.configurationIdleMs,
+      idleMs: settings.store.configurationIdleMs - REOPEN_MS,
       onEvent: (event) => {
         try {
           this.#take(event);
--- a/packages/gateway/src/node/serverDirectory.ts
+++ b/packages/gateway/src/node/serverDirectory.ts
@@ -45,7 +45,7 @@
  * replaced or report their state, each change would cost a call of its own; a server that leaves goes on
  * serving for two seconds.
  */
-const GATHER_MS = 250;
+export const GATHER_MS = 250;
 
 /**
  * Servers that may get work. Registered as `directory`.
--- a/packages/gateway/src/types/gatewaySettings.ts
+++ b/packages/gateway/src/types/gatewaySettings.ts
@@ -23,7 +23,7 @@
     timeoutMs: number;
     /** Milliseconds for which a watch may be silent. */
     watchIdleMs: number;
-    /** The same for the configuration. */
+    /** Milliseconds within which a watch of the configuration that went silent has to be open anew. */
     configurationIdleMs: number;
   };
   prepaid: {
--- /dev/null
+++ b/test/gateway/propagation.test.ts
@@ -0,0 +1,55 @@
+import assert from 'node:assert/strict';
+import { describe, test } from 'node:test';
+import { parseGatewaySettings } from '@flamingocourse/gateway';
+import { REOPEN_MS } from '../../packages/gateway/src/node/configurationWatch.js';
+import { GATHER_MS } from '../../packages/gateway/src/node/serverDirectory.js';
+
+/** Milliseconds that a healthy store takes for a list, on a link of 7 Mbit/s. */
+const LIST_MS = 100;
+
+/** Deployments, by what an instance has to keep. */
+const deployments = [
+  { name: 'of today', inTouchMs: 3_000, leavingMs: 2_000, applyMs: 2_000 },
+  { name: 'grown', inTouchMs: 4_000, leavingMs: 3_000, applyMs: 3_000 },
+];
+
+// A caller's request is handled by what was true seconds ago, by an instance that has long been back from a
+// cut. Each state that an instance follows has a longest way from a change to its effect: on a calm day,
+// and when the call that would tell it hangs and has to be given up first. Cause of the incident in
+// serverDirectory.test.ts was that nobody had added these up.
+for (const { name, inTouchMs, leavingMs, applyMs } of deployments) {
+  const settings = parseGatewaySettings(
+    JSON.stringify({
+      instance: 'edge-1',
+      dataCentre: 'hall-a',
+      listen: { entry: '127.0.0.1:1', ready: '127.0.0.1:2' },
+      store: { url: 'http://127.0.0.1:3', configurationIdleMs: inTouchMs },
+      retries: { ratio: 0.2, slack: 54, windowMs: 10_000 },
+    }),
+    'test.jsonc',
+  ).unwrapOrElse((err) => {
+    throw new Error(err);
+  });
+  const { watchIdleMs, configurationIdleMs } = settings.store;
+  const states = [
+    { state: 'servers that leave', pauseMs: GATHER_MS, hangMs: watchIdleMs, boundMs: leavingMs },
+    {
+      state: 'configuration, keys and budgets',
+      pauseMs: 0,
+      hangMs: configurationIdleMs - REOPEN_MS,
+      boundMs: applyMs,
+    },
+  ];
+  describe(`from a change to its effect (${name})`, () => {
+    for (const { state, pauseMs, hangMs, boundMs } of states) {
+      test(`${state}: in time on a calm day`, () => {
+        assert.ok(pauseMs + LIST_MS <= boundMs);
+      });
+
+      test(`${state}: in time after a call that hung`, () => {
+        // the first probe is sent when the call is given up, and its answer wakes the watch.
+        assert.ok(hangMs + LIST_MS <= inTouchMs, `${String(hangMs + LIST_MS)} ms`);
+      });
+    }
+  });
+}
