fix(store): a pause for changes to gather counts as silence of the watch

A slow answer, or an instance short of processor time, made an outage out of it, and a server that left then was kept.

The wait is now shorter by the pause, so a calm silence ends 0.3 s before an outage would begin, and one that hangs is given up 0.25 s sooner. Raising the limit instead would miss outages in which entries lapse, as two heartbeats are 2.4 s. Also: the watch that is told something names itself, as it may be told before its creator has it.

--- a/packages/store/src/node/httpObjectStore.ts
+++ b/packages/store/src/node/httpObjectStore.ts
@@ -178,8 +178,8 @@
       onOpen: () => {
         this.countSent('watch');
       },
-      onHeard: () => {
-        this.#heard(watch as ObjectWatch<unknown>);
+      onHeard: (by) => {
+        this.#heard(by as ObjectWatch<unknown>);
       },
       onBreak: (end) => {
         this.countFailed('watch');
--- a/packages/store/src/node/objectWatch.ts
+++ b/packages/store/src/node/objectWatch.ts
@@ -24,7 +24,7 @@
   isAway: () => boolean;
   onOpen: () => void;
   /** The store told this watch something. */
-  onHeard: () => void;
+  onHeard: (watch: ObjectWatch<T>) => void;
   onBreak: (end: WatchEnd) => void;
   onFailure: (err: unknown) => void;
 }
@@ -41,6 +41,8 @@
   #failures = 0;
   /** Whether changes came since the last pause. */
   #changed = false;
+  /** Milliseconds that the watch has paused since the last word, for changes to gather. */
+  #gatheredMs = 0;
 
   constructor(
     readonly collection: Collection<T>,
@@ -84,8 +86,10 @@
   #pauseMs(): number {
     const changed = this.#changed;
     this.#changed = false;
+    this.#gatheredMs = 0;
     if (this.#failures > 0) return backOffMs(this.#failures - 1, backOff, this.ports.random);
-    return changed ? (this.options.gatherMs ?? 0) : 0;
+    if (changed) this.#gatheredMs = this.options.gatherMs ?? 0;
+    return this.#gatheredMs;
   }
 
   async #list(): Promise<void> {
@@ -111,7 +115,8 @@
       version: this.#version ?? '0',
       agent,
       signal: AbortSignal.any([this.#abort.signal, this.#call.signal]),
-      idleMs,
+      // counted from the last word: a pause and a whole wait after it would look like an outage.
+      idleMs: idleMs - this.#gatheredMs,
       onChanges: (changes, version) => {
         this.#takeChanges(changes, version);
       },
@@ -136,7 +141,7 @@
 
   #takeChanges(changes: WireChange[], version: string): void {
     if (this.#abort.signal.aborted) return;
-    this.ports.onHeard();
+    this.ports.onHeard(this);
     this.#failures = 0;
     this.#version = version;
     this.#changed ||= changes.length > 0;
--- a/test/store/watch.test.ts
+++ b/test/store/watch.test.ts
@@ -1,8 +1,8 @@
-import type { WatchEvent } from '@flamingocourse/store';
+import type { WatchCall, WatchEnd, WatchEvent } from '@flamingocourse/store';
 import type { Note } from './fixtures.js';
 import assert from 'node:assert/strict';
 import { test } from 'node:test';
-import { MemoryObjectStore } from '@flamingocourse/store';
+import { MemoryObjectStore, ObjectApiDialect } from '@flamingocourse/store';
 import { connect, failTest, notes, startStandIn, until } from './fixtures.js';
 
 /** The collection as a watcher knows it after the events so far. */
@@ -39,6 +39,30 @@
   );
 });
 
+/** Tells a change at once, and then nothing. */
+class OneChangeDialect extends ObjectApiDialect {
+  readonly idleMs: number[] = [];
+
+  override follow(call: WatchCall): Promise<WatchEnd> {
+    this.idleMs.push(call.idleMs);
+    if (this.idleMs.length > 1) return new Promise(() => undefined);
+    call.onChanges([{ type: 'removed', name: 'a' }], '2');
+    return Promise.resolve('answered');
+  }
+}
+
+// a server that leaves on a calm day is taken for one whose entry lapsed in an outage: a pause for changes
+// to gather and a whole wait after it came within 50 ms of the silence that means an outage.
+test('the pause for changes to gather is part of the time for which a watch may be silent', async (t) => {
+  const dialect = new OneChangeDialect();
+  const store = connect(t, 'http://127.0.0.1:1', { dialect });
+  const options = { from: '1', idleMs: 2_400, gatherMs: 20, onEvent: () => undefined };
+  const watch = store.watch(notes, options);
+  await until('two calls', () => dialect.idleMs.length === 2);
+  watch.stop();
+  assert.deepEqual(dialect.idleMs, [2_400, 2_380]);
+});
+
 // a caller is told that the configuration may be outdated although the store is well: nothing changes for
 // a while, and the lines by which the store says so are not understood.
 test('a calm watch is heard by its bookmarks', async (t) => {
