fix(prepaid): a request that lacks a few tokens gets them

What callers saw: refused for budget though plenty was left and the store answered: an instance held 1,278 tokens, the request needed 1,282, and 198,824 were to be had.

Cause: the tenth by which holdings may differ from their level without a report was also taken off what a waiting request needs, so the exchange that it waited for asked for nothing.

The new test fails before and passes. Why it holds: the slack is on the level alone; what a request lacks is asked for to the token.

--- a/packages/core/src/runtime/prepaid/prepaidHolder.ts
+++ b/packages/core/src/runtime/prepaid/prepaidHolder.ts
@@ -58,6 +58,14 @@
 /** Weight of one request in the moving average of their sizes. */
 const TYPICAL_WEIGHT = 0.05;
 
+/** Free tokens that an account should have here. */
+interface Wish {
+  /** In general; a little more or less is not worth a report. */
+  level: Tokens;
+  /** For requests that wait for them or were refused. */
+  least: Tokens;
+}
+
 /** What this instance and all of its group are asked for. */
 interface Demand {
   /** Tokens a second at this instance, by account. */
@@ -215,7 +223,7 @@
       const level = last ? 0 : this.#level(page, account, beyondPage, demand);
       const rate = demand.rates.get(account) ?? 0;
       const least = Math.max(holding.shortfall, holding.awaited);
-      const entry = this.#entry(account, holding, Math.max(level, least), rate);
+      const entry = this.#entry(account, holding, { level: Math.max(level, least), least }, rate);
       if (!entry) continue;
       entries[account] = entry;
       given.set(account, holding.rights - entry.keeps);
@@ -275,12 +283,14 @@
   #entry(
     account: AccountId,
     holding: Holding,
-    level: Tokens,
+    { level, least }: Wish,
     rate: number,
   ): PrepaidReportEntry | undefined {
     const free = holding.rights - holding.reserved;
     const gives = free > level * (1 + LEVEL_SLACK) ? Math.floor(free - level) : 0;
-    const wants = free < level * (1 - LEVEL_SLACK) ? Math.ceil(level - free) : 0;
+    // a request that waits is refused for a single token that is lacking, so its amount has no slack.
+    const isShort = free < Math.max(least, level * (1 - LEVEL_SLACK));
+    const wants = isShort ? Math.ceil(level - free) : 0;
     const rateNews = Math.abs(rate - holding.toldRate) > RATE_NEWS * Math.max(rate, 1);
     if (gives === 0 && wants === 0 && holding.unreported === 0 && !rateNews) return undefined;
     holding.shortfall = 0;
--- a/test/prepaid/prepaidHolder.test.ts
+++ b/test/prepaid/prepaidHolder.test.ts
@@ -121,6 +121,17 @@
     assert.ok(holder.reserve('shop', 6_000));
     assert.ok(holder.reserve('shop', 7_000));
   });
+
+  // a volunteer is refused although plenty is left: the instance lacked four tokens, and a report did not ask
+  // for so few.
+  test('are fetched also when only a few are lacking', () => {
+    const { holder, page } = start();
+    const amount = Math.ceil(1.05 * holder.free('shop'));
+    assert.equal(holder.reserve('shop', amount), undefined);
+    holder.beginWait('shop', amount);
+    exchange(holder, page, 20);
+    assert.ok(holder.reserve('shop', amount));
+  });
 });
 
 // an idle instance would be taken for lost, and its tokens charged.
