perf(prepaid): a group that asks for an account fills up those that run low too

Cause: the groups ask for each account by a write of its own, and all write the same object. A report whose ask was lost deals nothing, and its caller is refused.

An ask now takes along, without a least amount, each account of which the group has less than half of what it would be granted.

Why it holds: a group needs most accounts within seconds of each other, so one write does the work of several; what it does not need goes back by the rule that returns a surplus. The experiment without network asks by the same function now.

--- a/packages/core/src/runtime/prepaid/prepaidBudgets.ts
+++ b/packages/core/src/runtime/prepaid/prepaidBudgets.ts
@@ -19,6 +19,13 @@
  */
 const GRANTS_LEFT = 2;
 
+/**
+ * Part of what a group would be granted now below which an account runs low there. Then it is filled up
+ * when the group asks for another, as all groups write the same object and get in each other's way: one
+ * write for several accounts instead of one for each.
+ */
+const RUNS_LOW = 0.5;
+
 /** Part of a group's even limit below which nothing is given back; each return costs a call. */
 const LEAST_RETURN = 0.05;
 
@@ -85,6 +92,55 @@
   return Math.max(0, limit - sum(grants.map(({ gone }) => gone)));
 }
 
+/**
+ * What a group asks for: the accounts that it lacks, as far as the known grants don't cover them and
+ * anything is left; and with them, without a least amount, those that run low.
+ *
+ * @param page the group's page; it may not have taken in all known grants yet.
+ *
+ * @example
+ * const wanted = wantedGrants(budgets, '0', page, lackingPrepaid(page, report), limits);
+ * if (wanted.size > 0) await write(grantPrepaid(budgets, '0', page, wanted, limits));
+ */
+export function wantedGrants(
+  budgets: PrepaidBudgets,
+  group: string,
+  page: PrepaidPage,
+  lacking: ReadonlyMap<AccountId, Tokens>,
+  limits: PrepaidLimits,
+): Map<AccountId, Tokens> {
+  const wanted = new Map<AccountId, Tokens>();
+  for (const [account, lacks] of lacking) {
+    const stillLacks = lacks - comingGrant(budgets, group, page, account);
+    const rest = ungrantedPrepaid(budgets, account, limits.get(account) ?? 0);
+    if (stillLacks > 0 && rest > 0) wanted.set(account, stillLacks);
+  }
+  if (wanted.size === 0) return wanted;
+  for (const [account, limit] of limits) {
+    if (wanted.has(account)) continue;
+    const undealt = undealtPrepaid(page.accounts[account] ?? emptyPrepaidAccount());
+    const has = undealt + comingGrant(budgets, group, page, account);
+    if (has < RUNS_LOW * fairGrant(budgets, account, limit)) wanted.set(account, 0);
+  }
+  return wanted;
+}
+
+/** What a group was granted of an account and its page does not show yet. */
+function comingGrant(
+  budgets: PrepaidBudgets,
+  group: string,
+  page: PrepaidPage,
+  account: AccountId,
+): Tokens {
+  const granted = budgets.grants[account]?.[group]?.granted ?? 0;
+  return Math.max(0, granted - (page.accounts[account]?.granted ?? 0));
+}
+
+/** What a group is granted of an account when it asks without lacking more. */
+function fairGrant(budgets: PrepaidBudgets, account: AccountId, limit: Tokens): Tokens {
+  return ungrantedPrepaid(budgets, account, limit) / (GRANTS_LEFT * countGroups(budgets));
+}
+
 /**
  * Grants a group what it lacks and a part of the rest with it, so that it does not have to ask for each
  * request. What the group's page says of returns and spending is taken in too.
@@ -100,11 +156,11 @@
   limits: PrepaidLimits,
 ): PrepaidBudgets {
   const known = takePage(budgets, group, page);
-  const groups = countGroups(known);
   const grants = { ...known.grants };
   for (const [account, lacks] of lacking) {
-    const rest = ungrantedPrepaid(known, account, limits.get(account) ?? 0);
-    const grant = Math.floor(Math.min(rest, Math.max(lacks, rest / (GRANTS_LEFT * groups))));
+    const limit = limits.get(account) ?? 0;
+    const rest = ungrantedPrepaid(known, account, limit);
+    const grant = Math.floor(Math.min(rest, Math.max(lacks, fairGrant(known, account, limit))));
     const before = grants[account]?.[group] ?? NO_GRANT;
     const after = { ...before, granted: before.granted + grant };
     if (grant > 0) grants[account] = { ...grants[account], [group]: after };
--- a/packages/gateway/src/node/prepaidGrants.ts
+++ b/packages/gateway/src/node/prepaidGrants.ts
@@ -23,6 +23,7 @@
   prepaidOutlook,
   sum,
   ungrantedPrepaid,
+  wantedGrants,
 } from '@flamingocourse/core';
 import { Result } from 'true-myth';
 import { prepaidBudgetsSchema } from '../utils/prepaidSchemas.js';
@@ -140,7 +141,7 @@
   ): Promise<Result<ChangeEnd, StoreError>> {
     let wanted = new Map<AccountId, Tokens>();
     const asked = await this.#budgets.change((known) => {
-      wanted = this.#grantable(known, page, lacking, limits);
+      wanted = wantedGrants(known, this.#group, page, lacking, limits);
       return wanted.size === 0 ? known : grantPrepaid(known, this.#group, page, wanted, limits);
     }, this.#now());
     if (asked.isOk && asked.value === 'written') {
@@ -178,23 +179,6 @@
     return this.#budgets.change((known) => leaveGroup(known, instances), this.#now());
   }
 
-  /** What is lacking still once the known grants are taken in, of accounts with a rest. */
-  #grantable(
-    known: PrepaidBudgets,
-    page: PrepaidPage,
-    lacking: ReadonlyMap<AccountId, Tokens>,
-    limits: PrepaidLimits,
-  ): Map<AccountId, Tokens> {
-    const wanted = new Map<AccountId, Tokens>();
-    for (const [account, lacks] of lacking) {
-      const granted = known.grants[account]?.[this.#group]?.granted ?? 0;
-      const stillLacks = lacks - Math.max(0, granted - (page.accounts[account]?.granted ?? 0));
-      const rest = ungrantedPrepaid(known, account, limits.get(account) ?? 0);
-      if (stillLacks > 0 && rest > 0) wanted.set(account, stillLacks);
-    }
-    return wanted;
-  }
-
   #now(): number {
     return this.#context.clock.now();
   }
--- a/packages/lab/src/runtime/prepaidExperiment/runPrepaidExperiment.ts
+++ b/packages/lab/src/runtime/prepaidExperiment/runPrepaidExperiment.ts
@@ -17,7 +17,7 @@
   prepaidOutlook,
   returnSurplus,
   takeGrants,
-  ungrantedPrepaid,
+  wantedGrants,
 } from '@flamingocourse/core';
 
 /** What happens in a run, in seconds from its start. */
@@ -160,11 +160,10 @@
     const report = holder.beginReport(this.#page, outlook, now * 1_000);
     if (!report) return;
     this.result.exchanges += 1;
-    const lacking = [...lackingPrepaid(this.#page, report)].filter(([account]) => {
-      return ungrantedPrepaid(this.#budgets, account, limits.get(account) ?? 0) > 0;
-    });
-    if (lacking.length > 0) {
-      this.#budgets = grantPrepaid(this.#budgets, GROUP, this.#page, new Map(lacking), limits);
+    const lacking = lackingPrepaid(this.#page, report);
+    const wanted = wantedGrants(this.#budgets, GROUP, this.#page, lacking, limits);
+    if (wanted.size > 0) {
+      this.#budgets = grantPrepaid(this.#budgets, GROUP, this.#page, wanted, limits);
     }
     const granted = takeGrants(this.#page, this.#budgets, GROUP);
     this.#page = returnSurplus(applyReport(granted, report), prepaidOutlook(this.#budgets, limits));
--- a/test/prepaid/prepaidBudgets.test.ts
+++ b/test/prepaid/prepaidBudgets.test.ts
@@ -15,6 +15,7 @@
   returnSurplus,
   takeGrants,
   ungrantedPrepaid,
+  wantedGrants,
 } from '@flamingocourse/core';
 
 const limits = new Map([['shop', 1_000]]);
@@ -31,6 +32,14 @@
   return { writers: { a: { incarnation: 'a-1', seq: 1 } }, accounts: { shop: account } };
 }
 
+/** The grants that a page of the first group has taken in. */
+function grantsOf({ accounts }: PrepaidPage): PrepaidBudgets['grants'] {
+  const grants = Object.entries(accounts).map(([name, { granted, returned }]) => {
+    return [name, { '0': { granted, returned, gone: 0 } }];
+  });
+  return Object.fromEntries(grants) as PrepaidBudgets['grants'];
+}
+
 function grant(budgets: PrepaidBudgets, group: string, lacks: number): PrepaidBudgets {
   return grantPrepaid(budgets, group, createPrepaidPage(), new Map([['shop', lacks]]), limits);
 }
@@ -41,6 +50,73 @@
   assert.equal(joinGroup(budgets, 'a', 1), budgets);
 });
 
+// callers are refused although plenty is left: eight groups asked for two dozen accounts one by one, and all
+// write the same object, so that one ask in two was lost to others. An ask for one account takes along what
+// the others will soon need.
+describe('a group that asks for an account', () => {
+  const both = new Map([
+    ['shop', 1_000],
+    ['depot', 1_000],
+  ]);
+  // two groups: a fair grant of an untouched limit is a quarter of it.
+  const budgets = budgetsOf('a', 'b', 'c');
+  const pageOf = (granted: number, spent = 0): PrepaidPage => {
+    const { accounts, writers } = pageWith({ granted, spent });
+    return { writers, accounts: accounts.shop ? { depot: accounts.shop } : {} };
+  };
+  const cases: readonly {
+    name: string;
+    page: PrepaidPage;
+    lacks: number;
+    wanted: [string, number][];
+  }[] = [
+    {
+      name: 'takes along one that it has nothing of',
+      page: createPrepaidPage(),
+      lacks: 10,
+      wanted: [
+        ['shop', 10],
+        ['depot', 0],
+      ],
+    },
+    {
+      name: 'takes along one that runs low',
+      page: pageOf(250, 170),
+      lacks: 10,
+      wanted: [
+        ['shop', 10],
+        ['depot', 0],
+      ],
+    },
+    { name: 'leaves one that has enough', page: pageOf(250), lacks: 10, wanted: [['shop', 10]] },
+    {
+      name: 'asks for nothing when it lacks nothing',
+      page: createPrepaidPage(),
+      lacks: 0,
+      wanted: [],
+    },
+  ];
+  for (const { name, page, lacks, wanted } of cases) {
+    test(name, () => {
+      const lacking = new Map(lacks > 0 ? [['shop', lacks]] : []);
+      const granted = { ...budgets, grants: grantsOf(page) };
+      assert.deepEqual([...wantedGrants(granted, '0', page, lacking, both)], wanted);
+    });
+  }
+
+  test('counts a grant that its page has not taken in yet', () => {
+    const granted = grant(budgets, '0', 300);
+    const lacking = new Map([['shop', 200]]);
+    assert.deepEqual([...wantedGrants(granted, '0', createPrepaidPage(), lacking, limits)], []);
+  });
+
+  test('gets a fair part of what it takes along', () => {
+    const wanted = wantedGrants(budgets, '0', createPrepaidPage(), new Map([['shop', 10]]), both);
+    const { grants } = grantPrepaid(budgets, '0', createPrepaidPage(), wanted, both);
+    assert.equal(grants.depot?.['0']?.granted, 250);
+  });
+});
+
 // instances are replaced under new names each day: without an end of their membership the object that all
 // read grows for ever, and each instance's part of the retries shrinks.
 test('instances that leave free their places', () => {
