fix(store): a watch whose answers are useless is not woken

Only an outage wakes now: a probe that was left without an answer until the next one was due, a quarter of a second. The new test made one call of the watch for each of another user's fifty before, and at most one in all now. A woken watch also begins its back-off anew, as its failures were the outage's.

--- a/packages/store/src/node/httpObjectStore.ts
+++ b/packages/store/src/node/httpObjectStore.ts
@@ -276,10 +276,9 @@
    * @param by the watch that was told something, if it was one.
    */
   #heard(by?: ObjectWatch<unknown>): void {
-    const absence = this.#probe.heard();
-    if (!absence) return;
+    if (!this.#probe.heard()) return;
     this.#circuit = createCircuit();
-    for (const watch of this.#watches) if (watch !== by) watch.wake(absence === 'outage');
+    for (const watch of this.#watches) if (watch !== by) watch.wake();
   }
 
   async #sendProbe(): Promise<void> {
--- a/packages/store/src/node/objectWatch.ts
+++ b/packages/store/src/node/objectWatch.ts
@@ -59,14 +59,13 @@
   }
 
   /**
-   * The store answers others again: ends a back-off.
-   *
-   * @param reopen whether a waiting call is opened anew; one that was sent while the store was away
-   * would hang up to its own time limit.
+   * The store is back from an outage: ends a back-off, or opens a waiting call anew. One that was sent
+   * while the store was away would hang up to its own time limit.
    */
-  wake(reopen: boolean): void {
+  wake(): void {
+    this.#failures = 0;
     if (this.#isBackingOff) this.#wakeUp.offer(true);
-    else if (reopen) this.#call?.abort();
+    else this.#call?.abort();
   }
 
   *#run(): Steps<void> {
--- a/packages/store/src/node/returnProbe.ts
+++ b/packages/store/src/node/returnProbe.ts
@@ -5,12 +5,6 @@
 /** Part of that by which they are spread, so that instances don't come back to the store at once. */
 const PROBE_JITTER = 0.5;
 
-/**
- * What an answer ends: `lost-answer`, when a single call had failed; `outage`, when also a probe was left
- * without an answer until the next one was due.
- */
-export type Absence = 'lost-answer' | 'outage';
-
 /** What a probe needs from its store. */
 export interface ProbePorts {
   /** Sends one small read on a connection of its own; whether it was usefully answered is told by {@link ReturnProbe.heard}. */
@@ -27,7 +21,7 @@
  * @example
  * const probe = new ReturnProbe({ send, random: Math.random });
  * probe.suspect(); // a call failed
- * if (probe.heard()) wakeAll(); // some call was answered, after others had failed
+ * if (probe.heard()) wakeAll(); // some call was answered, after the store was away
  */
 export class ReturnProbe {
   readonly #ports: ProbePorts;
@@ -48,12 +42,14 @@
     if (this.#sent === 0) this.#send();
   }
 
-  /** The store answered some call; ends probing. Undefined where nothing had failed. */
-  heard(): Absence | undefined {
-    const isSuspected = this.#sent > 0;
-    const absence = this.isAway ? 'outage' : 'lost-answer';
+  /**
+   * The store answered some call; ends probing. Returns whether it was away. If only an answer was lost
+   * nobody is to be woken: a watch whose answers are all useless would ask without a pause.
+   */
+  heard(): boolean {
+    const wasAway = this.isAway;
     this.stop();
-    return isSuspected ? absence : undefined;
+    return wasAway;
   }
 
   stop(): void {
--- a/test/store/returnProbe.test.ts
+++ b/test/store/returnProbe.test.ts
@@ -1,5 +1,7 @@
+import type { WatchEnd } from '@flamingocourse/store';
 import assert from 'node:assert/strict';
 import { describe, test } from 'node:test';
+import { ObjectApiDialect } from '@flamingocourse/store';
 import { ReturnProbe } from '../../packages/store/src/node/returnProbe.js';
 import { connect, notes, startStandIn, until } from './fixtures.js';
 
@@ -26,18 +28,18 @@
   });
 
   const absences = [
-    { name: 'nothing failed', failed: false, afterMs: 0, expected: undefined },
-    { name: 'the first probe is answered', failed: true, afterMs: 249, expected: 'lost-answer' },
-    { name: 'the first is not answered', failed: true, afterMs: 250, expected: 'outage' },
+    { name: 'nothing failed', failed: false, afterMs: 0, wasAway: false },
+    { name: 'the first probe is answered', failed: true, afterMs: 249, wasAway: false },
+    { name: 'the first is not answered', failed: true, afterMs: 250, wasAway: true },
   ];
-  for (const { name, failed, afterMs, expected } of absences) {
-    test(`tells ${String(expected)} when ${name}`, (t) => {
+  for (const { name, failed, afterMs, wasAway } of absences) {
+    test(`tells ${wasAway ? 'an outage' : 'no outage'} when ${name}`, (t) => {
       t.mock.timers.enable({ apis: ['setTimeout'] });
       const { probe } = start();
       if (failed) probe.suspect();
       t.mock.timers.tick(afterMs);
-      assert.equal(probe.heard(), expected);
-      assert.equal(probe.heard(), undefined);
+      assert.equal(probe.heard(), wasAway);
+      assert.equal(probe.heard(), false);
     });
   }
 });
@@ -77,6 +79,31 @@
   }
 });
 
+/** Each waiting call is answered with something that can't be read. */
+class UselessDialect extends ObjectApiDialect {
+  follows = 0;
+
+  override follow(): Promise<WatchEnd> {
+    this.follows += 1;
+    return Promise.resolve('broken');
+  }
+}
+
+// the store is flooded with calls: an answer that can't be read counts as a loss, the probe for the store's
+// return is answered at once, and the watch was woken to ask for the same again.
+test('a watch whose answers are useless backs off although the store is there', async (t) => {
+  const platform = await startStandIn(t);
+  const dialect = new UselessDialect();
+  const store = connect(t, platform.urls['dc-a'], { dialect, random: () => 1 });
+  store.watch(notes, { from: '1', onEvent: () => undefined });
+  await until('probed', () => store.counters.get.sent >= 3);
+  // three pauses of 100, 200 and 400 ms; a probe for each call, none without a pause.
+  assert.ok(dialect.follows <= store.counters.get.sent + 1);
+  const before = dialect.follows;
+  for (let n = 0; n < 50; n += 1) await store.get(notes, 'none');
+  assert.ok(dialect.follows - before <= 1, `${String(dialect.follows - before)} calls`);
+});
+
 test('a client without a watch sends no probe', async (t) => {
   const platform = await startStandIn(t);
   const store = connect(t, platform.urls['dc-a'], { timeoutMs: 60 });
