refactor(prepaid): groups are counted once for an ask, not for each account

Found on the last reading: the fair part of a grant counted the groups from all members anew for each account, in a change that is tried up to eight times.

No figure changes: the same rest, the same groups. The tests of budgets pass as they stand.

--- a/packages/core/src/runtime/prepaid/prepaidBudgets.ts
+++ b/packages/core/src/runtime/prepaid/prepaidBudgets.ts
@@ -116,11 +116,13 @@
     if (stillLacks > 0 && rest > 0) wanted.set(account, stillLacks);
   }
   if (wanted.size === 0) return wanted;
+  const groups = countGroups(budgets);
   for (const [account, limit] of limits) {
     if (wanted.has(account)) continue;
+    const fair = fairGrant(ungrantedPrepaid(budgets, account, limit), groups);
     const undealt = undealtPrepaid(page.accounts[account] ?? emptyPrepaidAccount());
     const has = undealt + comingGrant(budgets, group, page, account);
-    if (has < RUNS_LOW * fairGrant(budgets, account, limit)) wanted.set(account, 0);
+    if (has < RUNS_LOW * fair) wanted.set(account, 0);
   }
   return wanted;
 }
@@ -136,9 +138,9 @@
   return Math.max(0, granted - (page.accounts[account]?.granted ?? 0));
 }
 
-/** What a group is granted of an account when it asks without lacking more. */
-function fairGrant(budgets: PrepaidBudgets, account: AccountId, limit: Tokens): Tokens {
-  return ungrantedPrepaid(budgets, account, limit) / (GRANTS_LEFT * countGroups(budgets));
+/** What a group is granted of the rest of an account when it asks without lacking more. */
+function fairGrant(rest: Tokens, groups: number): Tokens {
+  return rest / (GRANTS_LEFT * groups);
 }
 
 /**
@@ -156,11 +158,11 @@
   limits: PrepaidLimits,
 ): PrepaidBudgets {
   const known = takePage(budgets, group, page);
+  const groups = countGroups(known);
   const grants = { ...known.grants };
   for (const [account, lacks] of lacking) {
-    const limit = limits.get(account) ?? 0;
-    const rest = ungrantedPrepaid(known, account, limit);
-    const grant = Math.floor(Math.min(rest, Math.max(lacks, fairGrant(known, account, limit))));
+    const rest = ungrantedPrepaid(known, account, limits.get(account) ?? 0);
+    const grant = Math.floor(Math.min(rest, Math.max(lacks, fairGrant(rest, groups))));
     const before = grants[account]?.[group] ?? NO_GRANT;
     const after = { ...before, granted: before.granted + grant };
     if (grant > 0) grants[account] = { ...grants[account], [group]: after };
