feat(gateway): the limit of requests a second that a server names is read and told in the logs

Sight for the incident of servers that got more than the limit they named; where work goes does not change.

The header is decoded once, in the adapter, into a limit, none, or something that cannot be read. Answers that the server itself gave teach it, of any status and also refusals that did not run, and status checks. Told: a line when a limit is named, changes, ends or cannot be read; the limit and its age in the line of each attempt that was sent to such a server; a counter of these attempts and two gauges.

--- a/packages/core/src/runtime/routing/index.ts
+++ b/packages/core/src/runtime/routing/index.ts
@@ -10,3 +10,4 @@
 export * from './serverChooser.js';
 export * from './serverHealth.js';
 export * from './serverPool.js';
+export * from './serverRateLimits.js';
--- a/packages/gateway/src/node/backendLanes.ts
+++ b/packages/gateway/src/node/backendLanes.ts
@@ -125,6 +125,7 @@
 
   #apply(servers: DirectoryServer[]): void {
     const now = this.#context.clock.now();
+    this.#context.rateLimits.retain(new Set(servers.map(({ id }) => id)), now);
     const byService = new Map<ServiceName, DirectoryServer[]>();
     for (const server of servers) {
       byService.set(server.service, [...(byService.get(server.service) ?? []), server]);
--- a/packages/gateway/src/node/createGateway.ts
+++ b/packages/gateway/src/node/createGateway.ts
@@ -5,6 +5,7 @@
 import type { GatewaySettings } from '../types/gatewaySettings.js';
 import { randomUUID } from 'node:crypto';
 import { isDeepStrictEqual } from 'node:util';
+import { ServerRateLimits } from '@flamingocourse/core';
 import { Kernel, describeError } from '@flamingocourse/kernel';
 import { HttpObjectStore, defaultCircuitOptions } from '@flamingocourse/store';
 import { BackendLanes } from './backendLanes.js';
@@ -69,7 +70,17 @@
     random,
   });
   const metrics = new GatewayMetrics();
-  const context: GatewayContext = { settings, clock, log, metrics, store, dialects, random };
+  const rateLimits = new ServerRateLimits();
+  const context: GatewayContext = {
+    settings,
+    clock,
+    log,
+    metrics,
+    store,
+    dialects,
+    rateLimits,
+    random,
+  };
   const kernel = new Kernel();
   const agent = new ServerAgent();
   const configuration = new ConfigurationWatch(context);
--- a/packages/gateway/src/node/entryService.ts
+++ b/packages/gateway/src/node/entryService.ts
@@ -277,6 +277,7 @@
       tried: progress?.tried.join(' ') ?? undefined,
       server: progress?.server,
       ...progress?.list,
+      ...progress?.rateLimit,
       prompt: head?.size?.prompt,
       events: answer.events,
       pauseMs: Math.round(answer.longestPauseMs),
--- a/packages/gateway/src/node/gatewayMetrics.ts
+++ b/packages/gateway/src/node/gatewayMetrics.ts
@@ -34,6 +34,12 @@
     labelNames: ['service', 'end'],
     registers: [this.#registry],
   });
+  readonly #rateLimitedAttempts = new Counter({
+    name: 'flamingocourse_rate_limited_attempts_total',
+    help: 'attempts at servers that name a rate limit, by service',
+    labelNames: ['service'],
+    registers: [this.#registry],
+  });
   readonly #storeCalls = new Counter({
     name: 'flamingocourse_store_calls_total',
     help: 'calls to the object store by kind; failed ones are also in flamingocourse_store_calls_failed_total',
@@ -58,6 +64,11 @@
     this.#attempts.inc({ service, end });
   }
 
+  /** An attempt goes to a server that names a rate limit. */
+  rateLimitedAttempt(service: string): void {
+    this.#rateLimitedAttempts.inc({ service });
+  }
+
   /** Takes over what the store's client has counted since the start. */
   storeCalls(counters: CallCounters): void {
     this.#storeCalls.reset();
--- a/packages/gateway/src/node/httpHealthCheck.ts
+++ b/packages/gateway/src/node/httpHealthCheck.ts
@@ -5,6 +5,7 @@
 import type { ConfigurationWatch } from './configurationWatch.js';
 import type { ServerAgent } from './serverAgent.js';
 import { HealthCheck } from '../types/healthCheck.js';
+import { learnRateLimit } from './learnRateLimit.js';
 import { openAttempt } from './httpAttempt.js';
 
 /** Milliseconds for an answer; one that is busy may let the question wait for a place. */
@@ -46,6 +47,8 @@
     });
     if (opened.isErr) return opened.error.reason === 'refused' ? 'gone' : 'unknown';
     opened.value.body.resume();
-    return dialects.servers.judgeHealth(id, opened.value.head);
+    const word = dialects.servers.judgeHealth(id, opened.value.head);
+    if (word !== 'gone') learnRateLimit(this.#context, id, opened.value.head);
+    return word;
   }
 }
--- a/packages/gateway/src/node/requestFlow.ts
+++ b/packages/gateway/src/node/requestFlow.ts
@@ -8,6 +8,7 @@
 
 import type {
   PrepaidReservation,
+  RateLimitView,
   Refusal,
   Route,
   RouteTable,
@@ -67,6 +68,8 @@
   server?: string;
   /** State of the list by which that server was chosen. */
   list?: ListView;
+  /** Limit that server had named before the attempt. */
+  rateLimit?: RateLimitView | undefined;
   /** Attempts so far, all kinds. */
   made: number;
   /** Attempts so far that may have run. */
--- a/packages/gateway/src/node/serverAttempt.ts
+++ b/packages/gateway/src/node/serverAttempt.ts
@@ -9,6 +9,7 @@
 import { EventTiming } from '@flamingocourse/core';
 import { isRepeatable, isStream, mayFollow } from '../runtime/attemptJudgement.js';
 import { enginePriority } from '../runtime/enginePriority.js';
+import { learnRateLimit } from './learnRateLimit.js';
 import { relayStream, relayWhole } from './answerRelay.js';
 import { openAttempt } from './httpAttempt.js';
 
@@ -65,11 +66,16 @@
     this.#progress.made += 1;
     this.#progress.server = this.#placement.server.id;
     this.#progress.list = this.#parts.directory.view(this.#placement.server.id, this.#startedAt);
+    const { rateLimits, metrics } = this.#parts.context;
+    this.#progress.rateLimit = rateLimits.view(this.#placement.server.id, this.#startedAt);
+    if (this.#progress.rateLimit) metrics.rateLimitedAttempt(this.#call.service.name);
     const opened = await this.#open();
     if (opened.isErr) return this.#faulted(opened.error);
     this.#placement.heard();
     this.#learnLoad(opened.value);
     const verdict = this.#parts.context.dialects.servers.judge(this.#call.head, opened.value.head);
+    // an answer that is not the server's own says nothing about it.
+    if (verdict === 'answered' || verdict === 'not-run') this.#learnRateLimit(opened.value);
     switch (verdict) {
       case 'answered':
         this.#progress.mayHaveRun += 1;
@@ -192,6 +198,7 @@
       request: head.id,
       server: server.id,
       ...this.#progress.list,
+      ...this.#progress.rateLimit,
       failed,
       cause,
       made: this.#progress.made,
@@ -213,6 +220,10 @@
     if (load) this.#lane.lane.pool.reportLoad(id, { ...load, at: now }, now);
   }
 
+  #learnRateLimit({ head }: OpenAnswer): void {
+    learnRateLimit(this.#parts.context, this.#placement.server.id, head);
+  }
+
   #now(): number {
     return this.#parts.context.clock.now();
   }
--- a/packages/gateway/src/node/statusService.ts
+++ b/packages/gateway/src/node/statusService.ts
@@ -58,7 +58,7 @@
   }
 
   async #answerMetrics(res: ServerResponse): Promise<void> {
-    const { metrics, log, store, clock } = this.#context;
+    const { metrics, log, store, clock, rateLimits } = this.#context;
     metrics.gauge('requests_running', 'requests in progress', this.#entry?.running ?? 0);
     metrics.gauge('log_lines_dropped', 'log lines dropped', log.dropped);
     const ageMs = this.#directory?.ageMs(clock.now()) ?? Infinity;
@@ -66,6 +66,10 @@
     metrics.gauge('server_list_age_seconds', ageHelp, ageMs / MS_PER_SECOND);
     const keptHelp = 'servers that are used although their entry is missing';
     metrics.gauge('servers_kept', keptHelp, this.#directory?.keptCount ?? 0);
+    const limitedHelp = 'servers that name a rate limit';
+    metrics.gauge('servers_rate_limited', limitedHelp, rateLimits.size);
+    const limitHelp = 'requests a second that these servers take together from all instances';
+    metrics.gauge('server_rate_limits_per_second', limitHelp, rateLimits.perSecond);
     metrics.storeCalls(store.counters);
     const text = await metrics.text();
     res.writeHead(200, { 'content-type': 'text/plain; version=0.0.4' }).end(text);
--- a/packages/kernel/src/runtime/eventCatalogue.ts
+++ b/packages/kernel/src/runtime/eventCatalogue.ts
@@ -145,6 +145,17 @@
     text: 'an entry of the server list cannot be used and names no server',
     action: 'Look at who writes the entry.',
   },
+  'server-rate-limit': {
+    number: 517,
+    level: 'info',
+    text: 'a server named, changed or ended its limit of requests a second',
+  },
+  'server-rate-limit-invalid': {
+    number: 518,
+    level: 'warn',
+    text: 'a limit of requests a second in an answer cannot be read and changes nothing',
+    action: 'Look at the software of the server.',
+  },
   'backend-crashed': {
     number: 500,
     level: 'warn',
--- a/test/gateway/directoryWorld.ts
+++ b/test/gateway/directoryWorld.ts
@@ -7,6 +7,7 @@
 import { setImmediate as turn } from 'node:timers/promises';
 import { HealthCheck, parseGatewaySettings } from '@flamingocourse/gateway';
 import type { Clock } from '@flamingocourse/kernel';
+import { ServerRateLimits } from '@flamingocourse/core';
 import { Kernel, ManualClock, MemoryEventLog } from '@flamingocourse/kernel';
 import { createPlatformDialects } from '@flamingocourse/platform-adapter';
 import { MemoryObjectStore } from '@flamingocourse/store';
@@ -143,6 +144,7 @@
       metrics: new GatewayMetrics(),
       store: this.#store,
       dialects: createPlatformDialects(),
+      rateLimits: new ServerRateLimits(),
       random: () => 0.5,
     };
   }
--- a/test/platform/serverDialect.test.ts
+++ b/test/platform/serverDialect.test.ts
@@ -1,4 +1,4 @@
-import type { ServerWord } from '@flamingocourse/core';
+import type { ServerWord, ToldRateLimit } from '@flamingocourse/core';
 import type { CallHead } from '@flamingocourse/gateway';
 import assert from 'node:assert/strict';
 import { describe, test } from 'node:test';
@@ -91,6 +91,37 @@
   }
 });
 
+describe('the limit of requests a second that an answer names', () => {
+  const cases: readonly { header: string | string[] | undefined; told: ToldRateLimit }[] = [
+    { header: undefined, told: { type: 'none' } },
+    { header: '1.8', told: { type: 'limit', perSecond: 1.8 } },
+    { header: ' 12 ', told: { type: 'limit', perSecond: 12 } },
+    { header: '0.05', told: { type: 'limit', perSecond: 0.05 } },
+    ...[
+      '',
+      '0',
+      '0.0',
+      '-2',
+      'NaN',
+      'Infinity',
+      '1e3',
+      '0x10',
+      '1,5',
+      '1.8, 1.8',
+      '.',
+      '12345678',
+    ].map((header) => ({ header, told: { type: 'invalid' as const, text: header } })),
+    { header: ['1.8', '2.0'], told: { type: 'invalid', text: '1.8,2.0' } },
+    { header: 'x'.repeat(500), told: { type: 'invalid', text: 'x'.repeat(40) } },
+  ];
+  for (const { header, told } of cases) {
+    test(`${String(header).slice(0, 30)}: ${told.type}`, () => {
+      const headers = header === undefined ? {} : { 'server-limit': header };
+      assert.deepEqual(servers.rateLimit({ status: 200, headers, rawHeaders: [] }), told);
+    });
+  }
+});
+
 describe('the word of a server that is asked for its status', () => {
   const cases: readonly {
     name: string;
--- /dev/null
+++ b/test/routing/serverRateLimits.test.ts
@@ -0,0 +1,52 @@
+import type { RateLimitChange, ToldRateLimit } from '@flamingocourse/core';
+import assert from 'node:assert/strict';
+import { describe, test } from 'node:test';
+import { ServerRateLimits } from '@flamingocourse/core';
+
+const limit = (perSecond: number): ToldRateLimit => ({ type: 'limit', perSecond });
+const none: ToldRateLimit = { type: 'none' };
+const invalid: ToldRateLimit = { type: 'invalid', text: '-1' };
+
+describe('the limit that is known after the answers of a server', () => {
+  const cases: readonly {
+    name: string;
+    told: ToldRateLimit[];
+    changes: (RateLimitChange | undefined)[];
+    known: number | undefined;
+  }[] = [
+    { name: 'none', told: [none], changes: [undefined], known: undefined },
+    { name: 'named once', told: [limit(2)], changes: ['named'], known: 2 },
+    {
+      name: 'said again, then changed',
+      told: [limit(2), limit(2), limit(3)],
+      changes: ['named', undefined, 'changed'],
+      known: 3,
+    },
+    { name: 'ended', told: [limit(2), none], changes: ['named', 'ended'], known: undefined },
+    {
+      name: 'kept over answers that cannot be read, which are told once',
+      told: [limit(2), invalid, invalid, limit(2), invalid],
+      changes: ['named', 'invalid', undefined, undefined, 'invalid'],
+      known: 2,
+    },
+  ];
+  for (const { name, told, changes, known } of cases) {
+    test(name, () => {
+      const limits = new ServerRateLimits();
+      assert.deepEqual(
+        told.map((word, at) => limits.tell('p1', word, at)),
+        changes,
+      );
+      assert.equal(limits.view('p1', 10)?.limitPerSecond, known);
+    });
+  }
+});
+
+test('an outage of the list does not make an instance forget limits', () => {
+  const limits = new ServerRateLimits();
+  limits.tell('p1', limit(2), 0);
+  limits.retain(new Set(), 5_000);
+  assert.deepEqual(limits.view('p1', 5_000), { limitPerSecond: 2, limitAgeMs: 5_000 });
+  limits.retain(new Set(), 700_000);
+  assert.equal(limits.size, 0);
+});
