--- /dev/null
+++ b/test/platform/rateLimit.test.ts
@@ -0,0 +1,71 @@
+import type { TestContext } from 'node:test';
+import assert from 'node:assert/strict';
+import { setTimeout as delay } from 'node:timers/promises';
+import { describe, test } from 'node:test';
+import { World, until } from './world.js';
+
+const INSTANCES = 4;
+/** Milliseconds between two requests of the callers of one instance. */
+const REQUEST_EVERY_MS = 80;
+/** Milliseconds after which an answer that names a limit binds the instance that got it. */
+const BINDING_MS = 600;
+/** Milliseconds of any stretch for which the limit is judged. */
+const WINDOW_MS = 4_000;
+const MS_PER_SECOND = 1_000;
+
+/** Most requests that may reach a server in a window, from all instances that it told its limit. */
+function allowed(perSecond: number): number {
+  return (1.5 * perSecond * WINDOW_MS) / MS_PER_SECOND + 5;
+}
+
+/** Most of these times that lie in one window. */
+function mostInWindow(times: readonly number[]): number {
+  const inWindow = times.map((from) => times.filter((at) => at >= from && at < from + WINDOW_MS));
+  return Math.max(0, ...inWindow.map((found) => found.length));
+}
+
+/** Some instances, each with callers that send all the time. */
+async function startFleet(t: TestContext): Promise<World[]> {
+  const first = await World.start(t);
+  const names = Array.from({ length: INSTANCES - 1 }, (_, at) => `edge-${String(at + 2)}`);
+  const fleet = [first, ...(await Promise.all(names.map((name) => first.join(t, name))))];
+  let stopped = false;
+  t.after(() => {
+    stopped = true;
+  });
+  for (const world of fleet) {
+    const send = (): void => {
+      if (stopped) return;
+      void world.call({ path: '/look/1', method: 'GET' });
+      setTimeout(send, REQUEST_EVERY_MS);
+    };
+    send();
+  }
+  return fleet;
+}
+
+describe('a server that names a limit gets no more than it from all instances together', () => {
+  // guards against instances that don't read the limit, or that each use the whole of it.
+  const cases = [
+    { name: 'while it answers', behaviour: 'answer', perSecond: 1 },
+    { name: 'while it turns requests away', behaviour: 'shed', perSecond: 0.5 },
+  ] as const;
+  for (const { name, behaviour, perSecond } of cases) {
+    test(`limited server ${name}`, async (t) => {
+      const fleet = await startFleet(t);
+      const server = fleet[0]?.server('p1');
+      assert.ok(server);
+      server.behaviour = behaviour;
+      server.rateLimit = String(perSecond);
+      await until('all are told', () => {
+        return fleet.every(({ events }) => events.includes('server-rate-limit'));
+      });
+      await delay(BINDING_MS);
+      const from = performance.now();
+      await delay(WINDOW_MS + BINDING_MS);
+      const times = server.seen.map(({ at }) => at).filter((at) => at >= from);
+      const most = mostInWindow(times);
+      assert.ok(most <= allowed(perSecond), `${String(most)} requests in a window`);
+    });
+  }
+});
--- a/test/platform/usersServer.ts
+++ b/test/platform/usersServer.ts
@@ -11,6 +11,8 @@
   url: string;
   headers: IncomingHttpHeaders;
   body: string;
+  /** Milliseconds of the process's steady clock. */
+  at: number;
   /** Whether the server began to work on it; what it turned away did not run. */
   ran: boolean;
 }
@@ -39,6 +41,8 @@
   /** Requests whose connection was closed before they were answered. */
   dropped = 0;
   behaviour: Behaviour = 'answer';
+  /** Limit of requests a second that it names in each answer. */
+  rateLimit: string | undefined;
   /** Whether it says of itself that it leaves. */
   leaving = false;
   address = '';
@@ -76,13 +80,15 @@
   async #answer(req: IncomingMessage, res: ServerResponse): Promise<void> {
     const chunks: Buffer[] = [];
     for await (const chunk of req) chunks.push(chunk as Buffer);
+    const at = performance.now();
     const { method = '', url = '', headers } = req;
+    if (this.rateLimit !== undefined) res.setHeader('server-limit', this.rateLimit);
     if (url === HEALTH_PATH) {
       res.writeHead(this.leaving ? 503 : 200, { 'x-instance-id': this.id }).end();
       return;
     }
     const ran = headers['x-expect-instance'] === this.id && this.behaviour !== 'shed';
-    this.seen.push({ method, url, headers, body: Buffer.concat(chunks).toString(), ran });
+    this.seen.push({ method, url, headers, body: Buffer.concat(chunks).toString(), at, ran });
     res.on('close', () => {
       if (!res.writableFinished) this.dropped += 1;
     });
--- a/test/platform/world.ts
+++ b/test/platform/world.ts
@@ -96,6 +96,7 @@
   #calls = 0;
 
   private constructor(
+    readonly instance: string,
     readonly store: UsersStore,
     readonly servers: UsersServer[],
   ) {}
@@ -114,11 +115,18 @@
       store.put('servers', server.id, server.entry(server.id.startsWith('p') ? 'ledger' : 'llm'));
     }
     store.put('config', 'main', config);
-    const world = new World(store, servers);
+    const world = new World('edge-1', store, servers);
     await world.#startGateway(t, change);
     return world;
   }
 
+  /** Starts another gateway beside the same store and servers. */
+  async join(t: TestContext, instance: string): Promise<World> {
+    const world = new World(instance, this.store, this.servers);
+    await world.#startGateway(t, {});
+    return world;
+  }
+
   server(id: string): UsersServer {
     const found = this.servers.find((server) => server.id === id);
     if (!found) throw new RangeError(`no server ${id}`);
@@ -180,7 +188,7 @@
     this.#metricsPort = metrics ?? 0;
     const settings = parseGatewaySettings(
       JSON.stringify({
-        instance: 'edge-1',
+        instance: this.instance,
         dataCentre: 'hall-a',
         listen: {
           entry: `127.0.0.1:${String(entry)}`,
