fix(routing): instances share the limit of requests a second that a server names

What was seen: two servers of deel-llm named 1.6 and 1.5 requests a second and got 18 and 17 in four seconds from instances that they had told; 15 and 14 are allowed. Callers were served; the servers were not spared.

Cause: nothing read the limit. Class: a bound that is set for all and kept, if at all, by each for itself. The only bound on a server was its places, counted by each instance for its own requests; a rate was bounded nowhere. An instance that kept the whole limit for itself would send 4 L + 1, seven of them 28 L + 7 in four seconds.

Now each instance sends to such a server at regular moments, at an equal part of 0.6 of the limit. The number of instances is that of the members that the retries are shared by, so no new call is made. A moment that is not used lapses after two seconds: saved up longer, the parts of many instances would be sent in the first moments of a burst. Each instance begins at a random part of its interval. Everything that reaches the server counts: first attempts, further ones, resumed streams and questions for its status. The limit holds for an instance until an answer of the server comes without it; since its part goes on, such an answer comes, so the limit is neither forgotten nor kept for good. A due send takes the next short request if the server had no turn since; waiting for one that hashing brings there, it would lapse. Its places count as one while a send is due and as none otherwise, so admission does not take it for a whole server. Where all servers limit, a request whose turn comes after its target is refused at once, the more important ones last, with the time of its turn.

Most in any 4 s: n parts give 0.6 L x (4 + 2) if none lapses, 3.6 L of 6 L + 5 allowed. Whether no instance sees another doesn't matter: rights don't move.

--- a/packages/core/src/runtime/routing/quickEngineChooser.ts
+++ b/packages/core/src/runtime/routing/quickEngineChooser.ts
@@ -1,15 +1,9 @@
 /** Keeps long prompts away from slow engines. */
 
-import type { Tokens } from '../../types/ids.js';
 import type { Candidate, ChoiceRequest, RandomSource } from './serverChooser.js';
+import { isLongPrompt } from './promptLength.js';
 import { ServerChooser } from './serverChooser.js';
 
-/**
- * Prompts from this length on are kept away from slow engines. An engine reads a prompt in parts, on
- * common engines of 2,048 tokens, and each of its streams waits for one part per token; an event of
- * three tokens so waits for three parts, which a shorter prompt does not have.
- */
-const LONG_PROMPT: Tokens = 4_000;
 /** Time for an event, as a multiple of the quickest engine's, above which an engine is slow. */
 const SLOW_FACTOR = 1.15;
 /** Part of the engines that must remain; with fewer, long prompts would queue behind each other. */
@@ -37,8 +31,11 @@
     request: ChoiceRequest,
     random: RandomSource,
   ): Candidate {
-    const isLong = (request.promptTokens ?? 0) >= LONG_PROMPT;
-    return this.#inner.pick(isLong ? quickOf(candidates) : candidates, request, random);
+    return this.#inner.pick(
+      isLongPrompt(request) ? quickOf(candidates) : candidates,
+      request,
+      random,
+    );
   }
 }
 
--- a/packages/core/src/runtime/routing/serverChooser.ts
+++ b/packages/core/src/runtime/routing/serverChooser.ts
@@ -3,6 +3,7 @@
 import type { ServerId, Tokens } from '../../types/ids.js';
 import type { CandidateQuery, ServerPool } from './serverPool.js';
 import { rendezvousRank } from '../../utils/hash.js';
+import { isLongPrompt } from './promptLength.js';
 
 /** A backend server that may get a request. */
 export interface Candidate {
@@ -18,6 +19,11 @@
   /** Milliseconds that it takes for an event of a stream; undefined while not known. */
   eventMs?: number | undefined;
   hasRoom: boolean;
+  /**
+   * It takes few requests a second, one is due, and others got as many since its last one as if all
+   * shared alike.
+   */
+  owed: boolean;
 }
 
 /** What is known about a request when its server is chosen. */
@@ -146,6 +152,10 @@
   random: RandomSource,
 ): Candidate | undefined {
   const candidates = pool.candidates(query, now);
+  // a due send that waits for a request which hashing or load brings there lapses. A long prompt would
+  // cost most where its beginning is not cached.
+  const owed = candidates.find((candidate) => candidate.owed);
+  if (owed && !isLongPrompt(request)) return owed;
   const local = candidates.filter((candidate) => candidate.local);
   const nearFirst = query.scope !== 'everywhere' && local.length > 0;
   const [first, ...rest] = nearFirst ? local : candidates;
--- a/packages/core/src/runtime/routing/serverEntry.ts
+++ b/packages/core/src/runtime/routing/serverEntry.ts
@@ -27,6 +27,8 @@
   listed = true;
   /** The server itself said that it leaves; the list cannot take this back. */
   saidLeaving = false;
+  /** Number of the pool's attempt that was last sent here. */
+  lastAttempt = 0;
   /** A request that has to run alone is in flight here. */
   exclusive = false;
   #health: ServerHealth = createServerHealth();
--- a/packages/core/src/runtime/routing/serverPool.ts
+++ b/packages/core/src/runtime/routing/serverPool.ts
@@ -9,6 +9,7 @@
 import type { LoadReport } from './loadEstimate.js';
 import type { Candidate } from './serverChooser.js';
 import type { AttemptEnd, HealthSettings } from './serverHealth.js';
+import type { ServerRateLimits } from './serverRateLimits.js';
 import { hash32, rendezvousRank } from '../../utils/hash.js';
 import { createConcurrencyLimit } from './concurrencyLimit.js';
 import { defaultHealthSettings } from './serverHealth.js';
@@ -25,6 +26,8 @@
   /** Routers that share the servers of this data centre, self included. @default 1 */
   sharers?: number;
   health?: Partial<HealthSettings>;
+  /** Limits that servers have named. @default none */
+  rateLimits?: ServerRateLimits;
 }
 
 /** What a caller of the pool says about one attempt. */
@@ -62,6 +65,14 @@
   extra: number;
 }
 
+/** How requests go out while all servers limit them, in milliseconds. */
+export interface RateLimitPace {
+  /** Until the next one may be sent. */
+  firstMs: number;
+  /** Between two, on average. */
+  intervalMs: number;
+}
+
 /** Share of the pool that may be ejected at once. */
 const MAX_EJECTED_SHARE = 0.5;
 /** How long a server is kept free for a request that has to run alone, in milliseconds. */
@@ -192,7 +203,9 @@
   /** Servers with room for one more request, own data centre or not. */
   candidates(query: CandidateQuery, now: EpochMs): Candidate[] {
     this.#releaseExpiredHold(now);
-    const open = this.#openEntries(now).filter((entry) => !query.tried?.has(entry.server.id));
+    const open = this.#openEntries(now).filter((entry) => {
+      return !query.tried?.has(entry.server.id) && this.#maySend(entry, now);
+    });
     if (query.exclusive) return this.#exclusiveCandidates(open, now);
     return open
       .filter((entry) => !entry.exclusive && entry !== this.#heldServer?.entry)
@@ -211,8 +224,8 @@
     const local = candidates.filter((candidate) => candidate.local);
     const used = local.length > 0 ? local : candidates;
     const all = this.#openEntries(now).filter((entry) => this.#isLocal(entry) === local.length > 0);
-    const places = all.reduce((sum, entry) => sum + entry.capacity(this.#health, now), 0);
-    const free = used.reduce((sum, next) => sum + Math.max(0, next.capacity - next.load), 0);
+    const places = all.reduce((sum, entry) => sum + this.#places(entry, now), 0);
+    const free = used.reduce((sum, next) => sum + this.#freePlaces(next), 0);
     return free > rule.keptFree * places;
   }
 
@@ -228,12 +241,26 @@
     return this.#openEntries(now).some((entry) => !tried?.has(entry.server.id));
   }
 
+  /** Whether any server may get a request now, by what limits it named; with or without room. */
+  maySend(tried: ReadonlySet<ServerId> | undefined, now: EpochMs): boolean {
+    return this.#openEntries(now).some((entry) => {
+      return !tried?.has(entry.server.id) && this.#maySend(entry, now);
+    });
+  }
+
+  /** When rate limits let requests through; undefined where some open server has none. */
+  rateLimitPace(now: EpochMs): RateLimitPace | undefined {
+    const open = this.#openEntries(now).map(({ server }) => server.id);
+    const limits = this.#options.rateLimits;
+    if (!limits || open.length === 0 || open.some((id) => !limits.has(id))) return undefined;
+    const firstAt = Math.min(...open.map((id) => limits.nextAt(id, now)));
+    const perMs = open.reduce((sum, id) => sum + 1 / limits.intervalMs(id), 0);
+    return { firstMs: Math.max(0, firstAt - now), intervalMs: 1 / perMs };
+  }
+
   /** Requests that the open servers take at once. */
   capacity(now: EpochMs): number {
-    return this.#openEntries(now).reduce(
-      (sum, entry) => sum + entry.capacity(this.#health, now),
-      0,
-    );
+    return this.#openEntries(now).reduce((sum, entry) => sum + this.#places(entry, now), 0);
   }
 
   /** Own attempts in flight at a server. */
@@ -249,6 +276,8 @@
     if (!entry) return attempt;
     entry.load.start(attempt, now);
     entry.sent(now);
+    entry.lastAttempt = attempt;
+    this.#options.rateLimits?.take(id, now);
     this.#attempts.set(attempt, entry);
     if (exclusive) {
       entry.exclusive = true;
@@ -294,6 +323,29 @@
     if (this.#isSlow(entry)) entry.eject(this.#health, now);
   }
 
+  #maySend({ server }: ServerEntry, now: EpochMs): boolean {
+    return (this.#options.rateLimits?.nextAt(server.id, now) ?? now) <= now;
+  }
+
+  /** Places that a server has; where it limits requests a second, the one whose request is due. */
+  #places(entry: ServerEntry, now: EpochMs): number {
+    if (!this.#isLimited(entry.server.id)) return entry.capacity(this.#health, now);
+    return this.#maySend(entry, now) ? 1 : 0;
+  }
+
+  #freePlaces({ id, capacity, load }: Candidate): number {
+    return this.#isLimited(id) ? 1 : Math.max(0, capacity - load);
+  }
+
+  #isLimited(id: ServerId): boolean {
+    return this.#options.rateLimits?.has(id) ?? false;
+  }
+
+  /** Whether the others got as many requests since a server's last one as if all shared alike. */
+  #hadNoTurn({ lastAttempt }: ServerEntry): boolean {
+    return this.#nextAttempt - 1 - lastAttempt >= this.#entries.size;
+  }
+
   #createEntry(server: BackendServer, now: EpochMs): ServerEntry {
     return new ServerEntry(server, this.#limit, now);
   }
@@ -355,6 +407,7 @@
       load,
       capacity,
       eventMs: entry.pace.eventMs,
+      owed: this.#isLimited(entry.server.id) && this.#hadNoTurn(entry),
       hasRoom: load < capacity * (1 + extra) || entry.load.own < fairPart,
     };
   }
--- a/packages/core/src/runtime/routing/serverRateLimits.ts
+++ b/packages/core/src/runtime/routing/serverRateLimits.ts
@@ -1,6 +1,9 @@
 /** Rate limits that backend servers name in their answers, as one instance has heard them. */
 
 import type { EpochMs, ServerId } from '../../types/ids.js';
+import type { RandomSource } from './serverChooser.js';
+import { sum } from '../../utils/sum.js';
+import { SendShare } from './sendShare.js';
 
 /** What an answer says about its server's rate limit. */
 export type ToldRateLimit =
@@ -23,8 +26,13 @@
   limitPerSecond: number;
   /** Milliseconds since an answer named it. */
   limitAgeMs: number;
+  /** Instances that share it, self included; undefined while their number is not known. */
+  limitSharers: number | undefined;
+  /** Milliseconds between two requests of this instance. */
+  limitIntervalMs: number;
 }
 
+const MS_PER_SECOND = 1_000;
 /** Milliseconds; the entry of a server that lives may be missing from the list for some seconds. */
 const FORGET_MS = 600_000;
 
@@ -32,19 +40,39 @@
 interface KnownLimit {
   perSecond: number;
   heardAt: EpochMs;
+  share: SendShare;
 }
 
 /**
- * Limits by server.
+ * Part of a limit that all instances use together. The sum over some seconds swings around its mean, as no
+ * instance knows when the others send, and some may have joined that the count does not show yet.
+ */
+const USED_PART = 0.6;
+/** Instances that are reckoned with while their number is not known. */
+const UNKNOWN_SHARERS = 100;
+
+/**
+ * Limits by server. A limit holds for all instances together, and each uses an equal part of it, so the sum
+ * holds also while none sees another. An instance goes on sending at its part, so that an answer
+ * tells it when the limit has ended.
  *
  * @example
+ * const limits = new ServerRateLimits(Math.random);
+ * limits.setSharers(8, now);
  * const change = limits.tell('p1', { type: 'limit', perSecond: 1.5 }, now);
  * if (change) log(change, limits.view('p1', now));
+ * if (limits.nextAt('p1', now) <= now) limits.take('p1', now);
  */
 export class ServerRateLimits {
   readonly #limits = new Map<ServerId, KnownLimit>();
   /** Servers whose last word could not be read. */
   readonly #invalid = new Set<ServerId>();
+  readonly #random: RandomSource;
+  #sharers: number | undefined;
+
+  constructor(random: RandomSource) {
+    this.#random = random;
+  }
 
   /** Servers that name a limit. */
   get size(): number {
@@ -53,7 +81,21 @@
 
   /** Requests a second that all these servers take together. */
   get perSecond(): number {
-    return [...this.#limits.values()].reduce((sum, { perSecond }) => sum + perSecond, 0);
+    return sum([...this.#limits.values()].map(({ perSecond }) => perSecond));
+  }
+
+  /** Requests a second that this instance sends to them at most. */
+  get ownPerSecond(): number {
+    const shares = [...this.#limits.values()].map(({ share }) => MS_PER_SECOND / share.intervalMs);
+    return sum(shares);
+  }
+
+  /** Sets how many instances share each limit, self included. */
+  setSharers(count: number, now: EpochMs): void {
+    this.#sharers = Math.max(1, count);
+    for (const { share, perSecond } of this.#limits.values()) {
+      share.setInterval(this.#intervalMs(perSecond), now);
+    }
   }
 
   /** Takes in what an answer of a server says. */
@@ -65,17 +107,39 @@
     }
     this.#invalid.delete(id);
     if (told.type === 'none') return this.#limits.delete(id) ? 'ended' : undefined;
-    const before = this.#limits.get(id)?.perSecond;
-    this.#limits.set(id, { perSecond: told.perSecond, heardAt: now });
-    if (before === told.perSecond) return undefined;
-    return before === undefined ? 'named' : 'changed';
+    return this.#learn(id, told.perSecond, now);
+  }
+
+  /** Whether a server names a limit. */
+  has(id: ServerId): boolean {
+    return this.#limits.has(id);
+  }
+
+  /** When this instance may send the next request to a server; not after `now` if it may at once. */
+  nextAt(id: ServerId, now: EpochMs): EpochMs {
+    return this.#limits.get(id)?.share.nextAt(now) ?? now;
+  }
+
+  /** Milliseconds between two requests of this instance to a server; 0 without a limit. */
+  intervalMs(id: ServerId): number {
+    return this.#limits.get(id)?.share.intervalMs ?? 0;
+  }
+
+  /** Counts whatever is sent to a server: requests, further attempts and questions for its status. */
+  take(id: ServerId, now: EpochMs): void {
+    this.#limits.get(id)?.share.take(now);
   }
 
   /** The limit of a server; undefined where it names none. */
   view(id: ServerId, now: EpochMs): RateLimitView | undefined {
     const known = this.#limits.get(id);
     if (!known) return undefined;
-    return { limitPerSecond: known.perSecond, limitAgeMs: Math.round(now - known.heardAt) };
+    return {
+      limitPerSecond: known.perSecond,
+      limitAgeMs: Math.round(now - known.heardAt),
+      limitSharers: this.#sharers,
+      limitIntervalMs: Math.round(known.share.intervalMs),
+    };
   }
 
   /** Forgets servers that are neither listed nor were heard for long. */
@@ -85,4 +149,23 @@
       if (!listed.has(id) && now - heardAt > FORGET_MS) this.#limits.delete(id);
     }
   }
+
+  #learn(id: ServerId, perSecond: number, now: EpochMs): RateLimitChange | undefined {
+    const known = this.#limits.get(id);
+    const intervalMs = this.#intervalMs(perSecond);
+    if (!known) {
+      const share = new SendShare(intervalMs, now, this.#random());
+      this.#limits.set(id, { perSecond, heardAt: now, share });
+      return 'named';
+    }
+    known.heardAt = now;
+    if (known.perSecond === perSecond) return undefined;
+    known.perSecond = perSecond;
+    known.share.setInterval(intervalMs, now);
+    return 'changed';
+  }
+
+  #intervalMs(perSecond: number): number {
+    return (MS_PER_SECOND * (this.#sharers ?? UNKNOWN_SHARERS)) / (USED_PART * perSecond);
+  }
 }
--- a/packages/gateway/src/node/backendLanes.ts
+++ b/packages/gateway/src/node/backendLanes.ts
@@ -93,10 +93,11 @@
     }
   }
 
-  /** Sets by how many instances the fleet's retries are shared. */
+  /** Sets by how many instances the fleet's retries and the servers' rate limits are shared. */
   setInstances(count: number): void {
     this.#instances = Math.max(1, count);
     for (const { retries } of this.#lanes.values()) retries.setInstances(this.#instances);
+    this.#context.rateLimits.setSharers(this.#instances, this.#context.clock.now());
   }
 
   override start(kernel: Kernel): void {
@@ -143,12 +144,13 @@
   #ensure(service: ServiceName, slots: number): BackendLane {
     const known = this.#lanes.get(service);
     if (known) return known;
-    const { clock, random, settings } = this.#context;
+    const { clock, random, settings, rateLimits } = this.#context;
     const sharesPrompts = this.#configuration?.table?.service(service)?.generates ?? false;
     const pool = new ServerPool({
       dataCentre: settings.dataCentre,
       concurrencyPerServer: sharesPrompts ? slots : slots * PLAIN_QUEUE_FACTOR,
       limitKind: 'fixed',
+      rateLimits,
     });
     const lane = new ServiceLane({
       pool,
--- a/packages/gateway/src/node/createGateway.ts
+++ b/packages/gateway/src/node/createGateway.ts
@@ -70,7 +70,7 @@
     random,
   });
   const metrics = new GatewayMetrics();
-  const rateLimits = new ServerRateLimits();
+  const rateLimits = new ServerRateLimits(random);
   const context: GatewayContext = {
     settings,
     clock,
--- a/packages/gateway/src/node/httpHealthCheck.ts
+++ b/packages/gateway/src/node/httpHealthCheck.ts
@@ -33,7 +33,11 @@
   override async ask(id: ServerId, { service, url }: ListedServer): Promise<ServerWord> {
     const target = this.#configuration.table?.service(service)?.healthPath;
     if (target === undefined) return 'unknown';
-    const { dialects, settings } = this.#context;
+    const { clock, dialects, rateLimits, settings } = this.#context;
+    const now = clock.now();
+    // a question reaches the server like a request, so it counts like one.
+    if (rateLimits.nextAt(id, now) > now) return 'unknown';
+    rateLimits.take(id, now);
     const opened = await openAttempt({
       url,
       method: 'GET',
--- a/packages/gateway/src/node/requestFlow.ts
+++ b/packages/gateway/src/node/requestFlow.ts
@@ -164,13 +164,15 @@
   async #place(
     lane: BackendLane,
   ): Promise<{ type: 'placed'; placement: Placement } | { type: 'refused'; refusal: Refusal }> {
-    const { head, route, account, endsAt, signal, service } = this.#call;
+    const { head, route, account, arrivedAt, endsAt, signal, service } = this.#call;
     const prefixKey = affinityKey(head.promptParts);
     const placed = await lane.lane.place({
       service: service.name,
       workClass: route.name,
       importance: importanceOf(urgencyOf(route, account)),
       deadline: endsAt,
+      // a first attempt waits for a rate limit only while the answer can still be in time.
+      ...(this.#progress.made === 0 ? { startBy: arrivedAt + route.targetMs } : {}),
       ...(prefixKey === undefined ? {} : { prefixKey }),
       ...(head.size === undefined ? {} : { promptTokens: head.size.prompt }),
       tried: this.#progress.tried,
--- a/packages/gateway/src/node/statusService.ts
+++ b/packages/gateway/src/node/statusService.ts
@@ -70,6 +70,8 @@
     metrics.gauge('servers_rate_limited', limitedHelp, rateLimits.size);
     const limitHelp = 'requests a second that these servers take together from all instances';
     metrics.gauge('server_rate_limits_per_second', limitHelp, rateLimits.perSecond);
+    const ownHelp = 'requests a second that this instance may send to them';
+    metrics.gauge('server_rate_limit_share_per_second', ownHelp, rateLimits.ownPerSecond);
     metrics.storeCalls(store.counters);
     const text = await metrics.text();
     res.writeHead(200, { 'content-type': 'text/plain; version=0.0.4' }).end(text);
--- a/packages/router/src/node/backends/serviceLane.ts
+++ b/packages/router/src/node/backends/serviceLane.ts
@@ -34,6 +34,10 @@
 /** Requests that wait apart because no server that they may use has room. */
 const MAX_PARKED = 256;
 
+const RATE_LIMITED = 'All backend servers limit the requests a second; retry later.';
+
+/** The more important one comes first. */
+const importanceOrder = { first: 0, standard: 1, background: 2 } as const;
 const enginePriority = { first: 0, standard: 10, background: 20 } as const;
 
 /** Passive parts of a lane. */
@@ -135,10 +139,11 @@
         pool.hasRoom(this.#learning.ruleFor(importance, owed), now),
       );
       for (const item of shed) this.#refuseShed(item);
-      if (!entry) return;
+      if (!entry) break;
       const waiter = this.#waiters.get(entry.id);
       if (waiter && !this.#tryPlace(entry.id, waiter, now)) this.#park(entry.id, waiter, now);
     }
+    this.#refuseRateLimited(now);
   }
 
   /** Refuses everything that waits; for the end of the service or the router. */
@@ -148,6 +153,27 @@
     this.#parked.clear();
   }
 
+  /** Refuses those whose turn comes too late because all servers limit the requests a second. */
+  #refuseRateLimited(now: EpochMs): void {
+    const { pool, queue } = this.#options;
+    const pace = this.#waiters.size === 0 ? undefined : pool.rateLimitPace(now);
+    if (!pace) return;
+    const inOrder = [...this.#waiters].toSorted(([, a], [, b]) => {
+      return importanceOrder[a.request.importance] - importanceOrder[b.request.importance];
+    });
+    let ahead = 0;
+    for (const [id, { request }] of inOrder) {
+      const waitMs = pace.firstMs + ahead * pace.intervalMs;
+      if (now + waitMs <= (request.startBy ?? request.deadline)) {
+        ahead += 1;
+        continue;
+      }
+      queue.remove(id);
+      this.#learning.refused(request.importance);
+      this.#settle(id, Result.err(notRun('overloaded', RATE_LIMITED, Math.ceil(waitMs))));
+    }
+  }
+
   #enqueue(waiter: Waiter): void {
     const id = this.#nextId;
     this.#nextId += 1;
@@ -220,7 +246,7 @@
     };
     const { extra } = this.#learning.ruleFor(request.importance);
     const tried = new Set(request.tried);
-    const query = pool.hasOpenServer(tried, now)
+    const query = pool.maySend(tried, now)
       ? { tried, exclusive, extra, scope }
       : { exclusive, extra, scope };
     return chooseServer(pool, chooser, choice, query, now, random);
--- a/packages/router/src/types/backends.ts
+++ b/packages/router/src/types/backends.ts
@@ -20,6 +20,8 @@
   importance: Importance;
   /** Latest useful time of the whole answer. */
   deadline: EpochMs;
+  /** Latest time at which it may be sent; if that can't be kept for rate limits it is refused at once. */
+  startBy?: EpochMs;
   /** Requests with the same prefix key gain from the same server's prompt cache. */
   prefixKey?: string;
   /** Tokens of the prompt, where the request has one. */
--- a/test/gateway/directoryWorld.ts
+++ b/test/gateway/directoryWorld.ts
@@ -144,7 +144,7 @@
       metrics: new GatewayMetrics(),
       store: this.#store,
       dialects: createPlatformDialects(),
-      rateLimits: new ServerRateLimits(),
+      rateLimits: new ServerRateLimits(() => 0.5),
       random: () => 0.5,
     };
   }
--- a/test/platform/rateLimit.test.ts
+++ b/test/platform/rateLimit.test.ts
@@ -69,3 +69,27 @@
     });
   }
 });
+
+// guards against callers that wait up to their time limit for servers that are known to take nothing now.
+test('while all servers limit requests a caller is told at once when to come back', async (t) => {
+  const world = await World.start(t);
+  for (const id of ['p1', 'p2']) world.server(id).rateLimit = '0.5';
+  const call = (): ReturnType<World['call']> => world.call({ path: '/look/1', method: 'GET' });
+  await until('both told', async () => {
+    await call();
+    return world.events.filter((event) => event === 'server-rate-limit').length === 2;
+  });
+  const answers = [];
+  for (let count = 0; count < 6; count += 1) answers.push(await call());
+  const refused = answers.filter(({ status }) => status !== 200);
+  assert.ok(refused.length > 0, 'no server takes six requests at once');
+  for (const { status, headers } of refused) {
+    assert.equal(status, 503);
+    const seconds = Number(headers['retry-after']);
+    assert.ok(seconds > 0 && seconds <= 7, `come back in ${String(seconds)} s`);
+  }
+  const reasons = world.log.events
+    .filter(({ event, fields }) => event === 'request-ended' && fields.outcome === 'refused')
+    .map(({ fields }) => fields.reason);
+  assert.deepEqual([...new Set(reasons)], ['overloaded']);
+});
--- a/test/routing/serverChooser.test.ts
+++ b/test/routing/serverChooser.test.ts
@@ -6,7 +6,16 @@
 
 function candidate(id: string, load: number, capacity = 10): Candidate {
   const idHash = hash32(id);
-  return { id, idHash, url: `http://${id}`, local: true, load, capacity, hasRoom: true };
+  return {
+    id,
+    idHash,
+    url: `http://${id}`,
+    local: true,
+    load,
+    capacity,
+    owed: false,
+    hasRoom: true,
+  };
 }
 
 /** Picks 600 times for one prefix and counts. */
--- a/test/routing/serverRateLimits.test.ts
+++ b/test/routing/serverRateLimits.test.ts
@@ -32,7 +32,7 @@
   ];
   for (const { name, told, changes, known } of cases) {
     test(name, () => {
-      const limits = new ServerRateLimits();
+      const limits = new ServerRateLimits(() => 0.5);
       assert.deepEqual(
         told.map((word, at) => limits.tell('p1', word, at)),
         changes,
@@ -43,10 +43,10 @@
 });
 
 test('an outage of the list does not make an instance forget limits', () => {
-  const limits = new ServerRateLimits();
+  const limits = new ServerRateLimits(() => 0.5);
   limits.tell('p1', limit(2), 0);
   limits.retain(new Set(), 5_000);
-  assert.deepEqual(limits.view('p1', 5_000), { limitPerSecond: 2, limitAgeMs: 5_000 });
+  assert.equal(limits.view('p1', 5_000)?.limitAgeMs, 5_000);
   limits.retain(new Set(), 700_000);
   assert.equal(limits.size, 0);
 });
