fix(routing): a refusal for a rate limit keeps no places free for others

What callers would see: after refusals of urgent requests because all servers limit the requests a second, less important requests wait although there are places, for good where no class has a target: nothing lets the reserve shrink then. Cause: such a refusal counted as one for want of places, for which places are kept free; places don't help against a rate. The test fails before (the last of ten places stays empty) and passes now.

--- a/packages/router/src/node/backends/serviceLane.ts
+++ b/packages/router/src/node/backends/serviceLane.ts
@@ -169,7 +169,6 @@
         continue;
       }
       queue.remove(id);
-      this.#learning.refused(request.importance);
       this.#settle(id, Result.err(notRun('overloaded', RATE_LIMITED, Math.ceil(waitMs))));
     }
   }
