feat(money): the settler of provisional bills says why one waits and how it ended

A line for each reason, once, names the ticket that owns the key; one tells the verdict. Nothing is decided otherwise.

--- a/packages/kernel/src/runtime/eventCatalogue.ts
+++ b/packages/kernel/src/runtime/eventCatalogue.ts
@@ -92,6 +92,16 @@
     level: 'info',
     text: 'this instance shares a page of prepaid budgets with the others of its group',
   },
+  'provisional-waits': {
+    number: 418,
+    level: 'info',
+    text: 'a request was answered while its key could not be claimed; who is billed is not known yet',
+  },
+  'provisional-settled': {
+    number: 419,
+    level: 'info',
+    text: 'it is known whether such a request is billed or void',
+  },
   'prepaid-granted': { number: 413, level: 'info', text: 'the group was granted what it lacked' },
   'prepaid-returned': {
     number: 414,
--- a/packages/router/src/node/money/moneyParts.ts
+++ b/packages/router/src/node/money/moneyParts.ts
@@ -87,7 +87,7 @@
     treasurer,
     claims,
     resolver,
-    provisional: new ProvisionalSettler({ fleet, writer, claims, resolver }),
+    provisional: new ProvisionalSettler({ fleet, writer, claims, resolver, log: context.log }),
     onFailure,
     seek: createSeeker(options, treasurer, writer),
   };
--- a/packages/router/src/node/money/provisionalSettler.ts
+++ b/packages/router/src/node/money/provisionalSettler.ts
@@ -9,10 +9,11 @@
  */
 
 import type { Bill, EpochMs, ProvisionalVerdict, TicketId } from '@flamingocourse/core';
+import type { EventLog } from '@flamingocourse/kernel';
 import type { Fleet } from '../../types/fleet.js';
 import type { ClaimKeeper } from './claimKeeper.js';
 import type { JournalWriter } from './lineRoutes.js';
-import type { TicketResolver } from './ticketResolver.js';
+import type { TicketProgress, TicketResolver } from './ticketResolver.js';
 import { settleProvisional } from '@flamingocourse/core';
 import { Result } from 'true-myth';
 
@@ -28,12 +29,22 @@
   writer: JournalWriter;
   claims: ClaimKeeper;
   resolver: TicketResolver;
+  log: EventLog;
+}
+
+/** What a bill waits for. */
+interface Wait {
+  reason: 'claim-unreachable' | 'takeover-failed' | `owner-${TicketProgress}`;
+  /** Ticket that owns the key, where it is known. */
+  owner?: TicketId;
 }
 
 /** Settler of one data centre's journal. */
 export class ProvisionalSettler {
   readonly #options: ProvisionalSettlerOptions;
   #lastAt: EpochMs = -Infinity;
+  /** Why each bill waits, as it was last told. */
+  readonly #told = new Map<string, string>();
 
   constructor(options: ProvisionalSettlerOptions) {
     this.#options = options;
@@ -46,20 +57,40 @@
     this.#lastAt = now;
     if (fleet.localOwner(SETTLER_KEY).incarnation !== fleet.self.incarnation) return;
     const waiting = (writer.latest?.state.provisional ?? []).slice(0, MAX_PER_ROUND);
+    const names = new Set(waiting.map(nameOf));
+    for (const name of this.#told.keys()) if (!names.has(name)) this.#told.delete(name);
     await Promise.all(waiting.map((bill) => this.#settle(bill)));
   }
 
   async #settle(bill: Bill): Promise<void> {
     const ticket = { issuer: bill.holder, number: bill.ticket };
     const verdict = await this.#judge(bill, ticket);
-    if (!verdict) return;
-    await this.#options.writer.change((state) =>
+    if (typeof verdict !== 'string') {
+      this.#tell(bill, verdict);
+      return;
+    }
+    const written = await this.#options.writer.change((state) =>
       Result.ok(settleProvisional(state, ticket, verdict)),
     );
+    const { log } = this.#options;
+    if (written.isOk) log.write('provisional-settled', { bill: nameOf(bill), verdict });
   }
 
-  /** Asks the claim who is billed; undefined while that cannot be known yet. */
-  async #judge(bill: Bill, ticket: TicketId): Promise<ProvisionalVerdict | undefined> {
+  /** Says once for each reason why a bill is not settled yet. */
+  #tell(bill: Bill, { reason, owner }: Wait): void {
+    const name = nameOf(bill);
+    if (this.#told.get(name) === reason) return;
+    this.#told.set(name, reason);
+    this.#options.log.write('provisional-waits', {
+      bill: name,
+      account: bill.account,
+      reason,
+      owner: owner && `${owner.issuer}#${String(owner.number)}`,
+    });
+  }
+
+  /** Asks the claim who is billed, or says why that cannot be known yet. */
+  async #judge(bill: Bill, ticket: TicketId): Promise<ProvisionalVerdict | Wait> {
     const { claims, resolver } = this.#options;
     const { keyDigest = '', unclaimed = '' } = bill;
     const answer = await claims.claim(keyDigest, unclaimed, ticket);
@@ -69,14 +100,20 @@
       case 'other-body':
         return 'billed';
       case 'unreachable':
-        return undefined;
+        return { reason: 'claim-unreachable' };
       case 'other': {
         const progress = await resolver.progress(answer.ticket);
         if (progress === 'done') return 'void';
-        if (progress === 'open') return undefined;
+        const owner = answer.ticket;
+        if (progress !== 'never') return { reason: `owner-${progress}`, owner };
         const taken = await claims.takeOver(keyDigest, answer.ticket, ticket);
-        return taken.type === 'own' ? 'billed' : undefined;
+        return taken.type === 'own' ? 'billed' : { reason: 'takeover-failed', owner };
       }
     }
   }
 }
+
+/** A bill's ticket as text. */
+function nameOf({ holder, ticket }: Bill): string {
+  return `${holder}#${String(ticket)}`;
+}
--- a/packages/router/src/node/money/ticketResolver.ts
+++ b/packages/router/src/node/money/ticketResolver.ts
@@ -16,6 +16,17 @@
 /** Segments read for one ticket, newest first; an older answer is told as `billed`. */
 const MAX_SEGMENTS_READ = 20;
 
+/** How far a ticket has come, by its issuer's journal. */
+export type TicketProgress =
+  /** Billed or answered for. */
+  | 'done'
+  /** It provably never will be. */
+  | 'never'
+  /** It may yet be. */
+  | 'open'
+  /** The journal can't be read now. */
+  | 'unread';
+
 /** Resolver of foreign tickets. */
 export class TicketResolver {
   readonly #fleet: Fleet;
@@ -40,13 +51,10 @@
     return { type: isProvablyOver(holder) ? 'not-run' : 'unknown' };
   }
 
-  /**
-   * Says whether a ticket is billed or answered for (`done`), provably never will be (`never`), or
-   * may yet be (`open`).
-   */
-  async progress(ticket: TicketId): Promise<'done' | 'never' | 'open'> {
+  /** Says how far a ticket has come. */
+  async progress(ticket: TicketId): Promise<TicketProgress> {
     const read = await this.#store.get('journals', dataCentreOf(ticket.issuer));
-    if (read.isErr) return 'open';
+    if (read.isErr) return 'unread';
     const holder = (read.value.value as JournalState).holders[ticket.issuer];
     if (!holder) return 'open';
     if (hasInterval(holder.done, ticket.number)) return 'done';
