fix(money): a ticket that ends without a bill gives up the key that it claimed

Cause: a first router had claimed the key for its ticket, which it may not have learned because of a cut, and refused the request: no backend server in reach. The caller's next try was answered elsewhere and billed provisionally. Once claims could be read, the key was owned by the first ticket. A ticket counts as ended only if it is billed or its holder is sealed or closed; this one never would be billed, and its router lived. Class: a right that is taken by a write and given back by nobody when its holder, who lives, has no more use for it. Ruled out: that the settler does not run or can't read claims (the test reads both); a lost line of the owner (in the test it has none).

Now the request path tells when a repeatable request with a key ends without a bill, and the claim is given up by conditional update, again in each round until the platform answers. It is written also where the page shows no claim, so that a claim of unknown fate is refused for its version. The ticket is not started again: each try of such a key gets its own ticket, so one key is never billed twice. A router that dies first is sealed, which ends its tickets.

--- a/packages/core/src/runtime/claims.ts
+++ b/packages/core/src/runtime/claims.ts
@@ -25,6 +25,7 @@
   const held = page.claims[keyDigest];
   if (!held) return { page: withClaim(page, keyDigest, wanted), answer: { type: 'own' } };
   if (held.bodyDigest !== wanted.bodyDigest) return { page, answer: { type: 'other-body' } };
+  if (held.isGivenUp) return { page: withClaim(page, keyDigest, wanted), answer: { type: 'own' } };
   if (sameTicket(held.ticket, wanted.ticket)) return { page, answer: { type: 'own' } };
   return { page, answer: { type: 'other', ticket: held.ticket } };
 }
@@ -47,10 +48,27 @@
   if (!sameTicket(held.ticket, from)) {
     return { page, answer: { type: 'other', ticket: held.ticket } };
   }
-  const moved = { ...held, ticket: to, at: now };
+  const { bodyDigest } = held;
+  const moved = { ticket: to, bodyDigest, at: now };
   return { page: withClaim(page, keyDigest, moved), answer: { type: 'own' } };
 }
 
+/**
+ * States that a ticket which may own a key has ended without a bill. Where the key has no owner the
+ * statement is kept all the same: a claim of that ticket whose fate is not known can't come after it.
+ *
+ * @example
+ * giveUp(page, keyDigest, { ticket, bodyDigest, at: now });
+ */
+export function giveUp(page: ClaimPage, keyDigest: string, ended: Claim): ClaimPage {
+  const held = page.claims[keyDigest];
+  const isOwn = held !== undefined && sameTicket(held.ticket, ended.ticket);
+  const isOwned = held !== undefined && !held.isGivenUp;
+  // what another gave up is written over: this ticket's claim may be on its way to the same page.
+  if (isOwn ? !isOwned : isOwned) return page;
+  return withClaim(page, keyDigest, { ...ended, isGivenUp: true });
+}
+
 /** Drops claims made before a time; what is younger always stays. */
 export function pruneClaims(page: ClaimPage, before: EpochMs): ClaimPage {
   const entries = Object.entries(page.claims);
--- a/packages/core/src/types/claim.ts
+++ b/packages/core/src/types/claim.ts
@@ -8,6 +8,8 @@
   /** Digest of method, path and body; the same key with another digest is refused. */
   bodyDigest: string;
   at: EpochMs;
+  /** The ticket has ended without a bill, so that another may have the key. */
+  isGivenUp?: true;
 }
 
 /** Value of the platform object `claims/{page}`, by digest of account and key. */
--- a/packages/kernel/src/runtime/eventCatalogue.ts
+++ b/packages/kernel/src/runtime/eventCatalogue.ts
@@ -102,6 +102,13 @@
     level: 'info',
     text: 'it is known whether such a request is billed or void',
   },
+  'claim-kept-open': {
+    number: 420,
+    level: 'warn',
+    text: 'a key stays with a ticket that ended without a bill: too many wait to be given up',
+    action:
+      'Look why the platform is out of reach; answered requests of the key are billed once this router ends.',
+  },
   'prepaid-granted': { number: 413, level: 'info', text: 'the group was granted what it lacked' },
   'prepaid-returned': {
     number: 414,
--- a/packages/router/src/node/entry/executor.ts
+++ b/packages/router/src/node/entry/executor.ts
@@ -102,7 +102,9 @@
       // what did not run may be tried again under the same name.
       if (end.refusal.run !== 'not-run') return;
       this.#options.table.forget(execution);
-      if (request.name.type !== 'none') unused.add(execution.ticket.number);
+      // the claim of a key that was claimed while it ran is given up: each try gets a ticket of its own.
+      const isClaimGivenUp = request.idempotent && execution.keyDigest !== undefined;
+      if (request.name.type !== 'none' && !isClaimGivenUp) unused.add(execution.ticket.number);
       return;
     }
     metrics.count('requests.answered');
@@ -255,9 +257,17 @@
     const refused = end.type === 'refused' ? end.refusal : undefined;
     const provablyNotRun = !execution.dispatched;
     if (!request.idempotent && provablyNotRun) this.#options.money.recordNotRun(execution.ticket);
+    this.#giveUpClaim(request, execution);
     return refused ? { type: 'refused', refusal: refused } : cancelledEnd(execution);
   }
 
+  /** Lets another ticket have the key of a repeatable request; nothing is started under this one again. */
+  #giveUpClaim({ idempotent }: CallerRequest, execution: Execution): void {
+    const { keyDigest, bodyDigest, ticket } = execution;
+    if (!idempotent || keyDigest === undefined) return;
+    this.#options.money.giveUpClaim(keyDigest, bodyDigest, ticket);
+  }
+
   #createWork(request: CallerRequest): Work {
     return request.type === 'chat'
       ? new ChatWork(request, this.#options.work)
--- a/packages/router/src/node/money/moneyParts.ts
+++ b/packages/router/src/node/money/moneyParts.ts
@@ -74,6 +74,7 @@
     clock: context.clock,
     pages: budget.claimPages,
     groupMs: budget.groupCommitMs,
+    log: context.log,
     onFailure,
   });
   const resolver = new TicketResolver(fleet, store);
--- a/packages/router/src/node/money/moneyService.ts
+++ b/packages/router/src/node/money/moneyService.ts
@@ -222,6 +222,10 @@
     return this.#parts.claims.claim(keyDigest, bodyDigest, ticket);
   }
 
+  override giveUpClaim(keyDigest: string, bodyDigest: string, ticket: TicketId): void {
+    this.#parts?.claims.giveUp(keyDigest, bodyDigest, ticket);
+  }
+
   override async resolveTicket(ticket: TicketId): Promise<TicketResolution> {
     if (!this.#parts) return { type: 'unknown' };
     return this.#parts.resolver.resolve(ticket);
@@ -292,6 +296,7 @@
     await this.#endings.tick(parts.writer);
     await parts.sealer.tick(clock.now());
     await parts.treasurer.tick(clock.now());
+    await parts.claims.tick();
     await parts.provisional.tick(clock.now());
     await rollLargeSegment(this.#options.store, parts.writer, log);
   }
--- a/packages/router/src/types/money.ts
+++ b/packages/router/src/types/money.ts
@@ -90,6 +90,12 @@
   /** Binds a caller's key to a ticket. `keyDigest` covers account and key. */
   abstract claim(keyDigest: string, bodyDigest: string, ticket: TicketId): Promise<ClaimAnswer>;
 
+  /**
+   * States that a ticket which may own a key has ended and will not be billed, so that another of the same
+   * key can be. Told to the platform as soon as it answers.
+   */
+  abstract giveUpClaim(keyDigest: string, bodyDigest: string, ticket: TicketId): void;
+
   /** Finds out what became of a ticket that this incarnation did not issue. */
   abstract resolveTicket(ticket: TicketId): Promise<TicketResolution>;
 
