refactor(routing): the pace of limited servers belongs to their limits; subsets have a file of their own

The pool had grown to 450 lines; what knows all limits answers for them, and a pool without limits has an empty register in place of checks at each use.

--- a/packages/core/src/runtime/routing/index.ts
+++ b/packages/core/src/runtime/routing/index.ts
@@ -13,3 +13,4 @@
 export * from './serverHealth.js';
 export * from './serverPool.js';
 export * from './serverRateLimits.js';
+export * from './serverSubset.js';
--- a/packages/core/src/runtime/routing/serverPool.ts
+++ b/packages/core/src/runtime/routing/serverPool.ts
@@ -9,11 +9,12 @@
 import type { LoadReport } from './loadEstimate.js';
 import type { Candidate } from './serverChooser.js';
 import type { AttemptEnd, HealthSettings } from './serverHealth.js';
-import type { ServerRateLimits } from './serverRateLimits.js';
-import { hash32, rendezvousRank } from '../../utils/hash.js';
+import type { RateLimitPace } from './serverRateLimits.js';
+import { rendezvousRank } from '../../utils/hash.js';
 import { createConcurrencyLimit } from './concurrencyLimit.js';
 import { defaultHealthSettings } from './serverHealth.js';
 import { ServerEntry } from './serverEntry.js';
+import { ServerRateLimits } from './serverRateLimits.js';
 
 /** Options of a pool. */
 export interface ServerPoolOptions {
@@ -65,14 +66,6 @@
   extra: number;
 }
 
-/** How requests go out while all servers limit them, in milliseconds. */
-export interface RateLimitPace {
-  /** Until the next one may be sent. */
-  firstMs: number;
-  /** Between two, on average. */
-  intervalMs: number;
-}
-
 /** Share of the pool that may be ejected at once. */
 const MAX_EJECTED_SHARE = 0.5;
 /** How long a server is kept free for a request that has to run alone, in milliseconds. */
@@ -96,6 +89,7 @@
   readonly #health: HealthSettings;
   /** One for all servers: each alone sees too few answers to adapt in time. */
   readonly #limit: ConcurrencyLimit;
+  readonly #rateLimits: ServerRateLimits;
   #sharers: number;
   #subset: ReadonlySet<ServerId> | undefined;
   #nextAttempt = 1;
@@ -105,6 +99,7 @@
     this.#options = options;
     this.#health = { ...defaultHealthSettings, ...options.health };
     this.#sharers = options.sharers ?? 1;
+    this.#rateLimits = options.rateLimits ?? new ServerRateLimits(() => 0);
     const bounds = { max: options.concurrencyPerServer };
     this.#limit = createConcurrencyLimit(options.limitKind ?? 'aimd', bounds);
   }
@@ -250,12 +245,10 @@
 
   /** When rate limits let requests through; undefined where some open server has none. */
   rateLimitPace(now: EpochMs): RateLimitPace | undefined {
-    const open = this.#openEntries(now).map(({ server }) => server.id);
-    const limits = this.#options.rateLimits;
-    if (!limits || open.length === 0 || open.some((id) => !limits.has(id))) return undefined;
-    const firstAt = Math.min(...open.map((id) => limits.nextAt(id, now)));
-    const perMs = open.reduce((sum, id) => sum + 1 / limits.intervalMs(id), 0);
-    return { firstMs: Math.max(0, firstAt - now), intervalMs: 1 / perMs };
+    return this.#rateLimits.pace(
+      this.#openEntries(now).map(({ server }) => server.id),
+      now,
+    );
   }
 
   /** Requests that the open servers take at once. */
@@ -277,7 +270,7 @@
     entry.load.start(attempt, now);
     entry.sent(now);
     entry.lastAttempt = attempt;
-    this.#options.rateLimits?.take(id, now);
+    this.#rateLimits.take(id, now);
     this.#attempts.set(attempt, entry);
     if (exclusive) {
       entry.exclusive = true;
@@ -324,21 +317,17 @@
   }
 
   #maySend({ server }: ServerEntry, now: EpochMs): boolean {
-    return (this.#options.rateLimits?.nextAt(server.id, now) ?? now) <= now;
+    return this.#rateLimits.nextAt(server.id, now) <= now;
   }
 
   /** Places that a server has; where it limits requests a second, the one whose request is due. */
   #places(entry: ServerEntry, now: EpochMs): number {
-    if (!this.#isLimited(entry.server.id)) return entry.capacity(this.#health, now);
+    if (!this.#rateLimits.has(entry.server.id)) return entry.capacity(this.#health, now);
     return this.#maySend(entry, now) ? 1 : 0;
   }
 
   #freePlaces({ id, capacity, load }: Candidate): number {
-    return this.#isLimited(id) ? 1 : Math.max(0, capacity - load);
-  }
-
-  #isLimited(id: ServerId): boolean {
-    return this.#options.rateLimits?.has(id) ?? false;
+    return this.#rateLimits.has(id) ? 1 : Math.max(0, capacity - load);
   }
 
   /** Whether the others got as many requests since a server's last one as if all shared alike. */
@@ -407,7 +396,7 @@
       load,
       capacity,
       eventMs: entry.pace.eventMs,
-      owed: this.#isLimited(entry.server.id) && this.#hadNoTurn(entry),
+      owed: this.#rateLimits.has(entry.server.id) && this.#hadNoTurn(entry),
       hasRoom: load < capacity * (1 + extra) || entry.load.own < fairPart,
     };
   }
@@ -420,31 +409,3 @@
     return entry.isSlowAmong([...this.#entries.values()], this.#health);
   }
 }
-
-/**
- * Picks the servers that one router uses when there are too many for each router to use all. Every
- * router computes the same rounds, so that each server is used by almost equally many routers.
- *
- * @example
- * pool.setSubset(chooseSubset({ routers, self, servers, size: 20 }));
- */
-export function chooseSubset(options: {
-  /** Ids of all routers that share the servers, self included. */
-  routers: readonly string[];
-  self: string;
-  servers: readonly ServerId[];
-  /** Servers per router. */
-  size: number;
-}): ReadonlySet<ServerId> {
-  const { servers, size } = options;
-  if (servers.length <= size) return new Set(servers);
-  const index = Math.max(0, options.routers.toSorted().indexOf(options.self));
-  const subsetsPerRound = Math.floor(servers.length / size);
-  const round = Math.floor(index / subsetsPerRound);
-  const ranked = servers
-    .map((id) => ({ id, rank: hash32(`${round}/${id}`) }))
-    .sort((a, b) => a.rank - b.rank || (a.id < b.id ? -1 : 1))
-    .map((server) => server.id);
-  const start = (index % subsetsPerRound) * size;
-  return new Set(ranked.slice(start, start + size));
-}
--- a/packages/core/src/runtime/routing/serverRateLimits.ts
+++ b/packages/core/src/runtime/routing/serverRateLimits.ts
@@ -36,6 +36,14 @@
 /** Milliseconds; the entry of a server that lives may be missing from the list for some seconds. */
 const FORGET_MS = 600_000;
 
+/** How requests go out while all servers limit them, in milliseconds. */
+export interface RateLimitPace {
+  /** Until the next one may be sent. */
+  firstMs: number;
+  /** Between two, on average. */
+  intervalMs: number;
+}
+
 /** One server's limit. */
 interface KnownLimit {
   perSecond: number;
@@ -120,9 +128,13 @@
     return this.#limits.get(id)?.share.nextAt(now) ?? now;
   }
 
-  /** Milliseconds between two requests of this instance to a server; 0 without a limit. */
-  intervalMs(id: ServerId): number {
-    return this.#limits.get(id)?.share.intervalMs ?? 0;
+  /** How requests go out to servers that all name a limit; undefined where one does not, or none is given. */
+  pace(ids: readonly ServerId[], now: EpochMs): RateLimitPace | undefined {
+    const shares = ids.flatMap((id) => this.#limits.get(id)?.share ?? []);
+    if (shares.length === 0 || shares.length < ids.length) return undefined;
+    const firstAt = Math.min(...shares.map((share) => share.nextAt(now)));
+    const perMs = sum(shares.map(({ intervalMs }) => 1 / intervalMs));
+    return { firstMs: Math.max(0, firstAt - now), intervalMs: 1 / perMs };
   }
 
   /** Counts whatever is sent to a server: requests, further attempts and questions for its status. */
