fix(money): a refused request gives its key up after its claim is answered

A request can be refused while its claim is on its way, and the claim may then take the key over from a ticket that ended before. Given up earlier, the key would be owned again by a ticket that never is billed. The test fails before (given up before the claim is answered) and passes now.

--- a/packages/router/src/node/entry/executor.ts
+++ b/packages/router/src/node/entry/executor.ts
@@ -153,6 +153,7 @@
       return this.#settle(request, execution, reservation, end, await claim);
     }
     this.#options.money.release(reservation);
+    void this.#giveUpClaim(request, execution, claim);
     return this.#unbilledEnd(request, execution, end);
   }
 
@@ -257,14 +258,22 @@
     const refused = end.type === 'refused' ? end.refusal : undefined;
     const provablyNotRun = !execution.dispatched;
     if (!request.idempotent && provablyNotRun) this.#options.money.recordNotRun(execution.ticket);
-    this.#giveUpClaim(request, execution);
     return refused ? { type: 'refused', refusal: refused } : cancelledEnd(execution);
   }
 
   /** Lets another ticket have the key of a repeatable request; nothing is started under this one again. */
-  #giveUpClaim({ idempotent }: CallerRequest, execution: Execution): void {
-    const { keyDigest, bodyDigest, ticket } = execution;
+  async #giveUpClaim(
+    { idempotent }: CallerRequest,
+    { keyDigest, bodyDigest, ticket }: Execution,
+    claim: Promise<Billing | Refusal>,
+  ): Promise<void> {
     if (!idempotent || keyDigest === undefined) return;
+    try {
+      // it may be about to take the key over from a ticket that ended before.
+      await claim;
+    } catch (err) {
+      this.#options.onFailure(err);
+    }
     this.#options.money.giveUpClaim(keyDigest, bodyDigest, ticket);
   }
 
--- a/test/entry/refusals.test.ts
+++ b/test/entry/refusals.test.ts
@@ -1,6 +1,7 @@
 import type { EntryBench } from './fixtures/entryBench.js';
 import assert from 'node:assert/strict';
 import { after, before, test } from 'node:test';
+import { until } from '../money/fixtures/moneyFleet.js';
 import { call, chatBody, startBench } from './fixtures/entryBench.js';
 
 let router: EntryBench;
@@ -126,3 +127,20 @@
     assert.equal(((await res.json()) as { run: string }).run, run);
   });
 }
+
+// guards against a key that is owned for good by a refused request, whose claim was answered after its refusal.
+test('a refused request gives its key up once its claim is answered', async () => {
+  const { money } = router;
+  let answerClaims: () => void = () => undefined;
+  money.claimed = new Promise((resolve) => (answerClaims = resolve));
+  money.steps.length = 0;
+  const headers = { 'idempotency-key': 'refused-early' };
+  const res = await call(router, chat, { body: chatBody(8, true), headers });
+  assert.equal(res.ok, false);
+  assert.deepEqual(money.steps, ['reserve']);
+  answerClaims();
+  await res.text();
+  await until(() => money.steps.includes('give-up'));
+  assert.deepEqual(money.steps, ['reserve', 'claim', 'give-up']);
+  assert.equal(money.claims.size, 0);
+});
