--- a/packages/core/src/runtime/routing/serverRateLimits.ts
+++ b/packages/core/src/runtime/routing/serverRateLimits.ts
@@ -32,10 +32,6 @@
   limitIntervalMs: number;
 }
 
-const MS_PER_SECOND = 1_000;
-/** Milliseconds; the entry of a server that lives may be missing from the list for some seconds. */
-const FORGET_MS = 600_000;
-
 /** How requests go out while all servers limit them, in milliseconds. */
 export interface RateLimitPace {
   /** Until the next one may be sent. */
@@ -44,6 +40,10 @@
   intervalMs: number;
 }
 
+const MS_PER_SECOND = 1_000;
+/** Milliseconds; the entry of a server that lives may be missing from the list for some seconds. */
+const FORGET_MS = 600_000;
+
 /** One server's limit. */
 interface KnownLimit {
   perSecond: number;
