test(gateway): questions for the status of a server count for its rate limit

The postmortem claimed it and no test showed it. Without the count (tried: the two lines of the check taken out) the first question is asked at once.

--- /dev/null
+++ b/test/gateway/contextOf.ts
@@ -0,0 +1,33 @@
+/** What the parts of a gateway are created with, for tests that need only some of them. */
+
+import type { GatewayContext } from '@flamingocourse/gateway';
+import type { Clock, EventLog } from '@flamingocourse/kernel';
+import type { ObjectStore } from '@flamingocourse/store';
+import { ServerRateLimits } from '@flamingocourse/core';
+import { parseGatewaySettings } from '@flamingocourse/gateway';
+import { createPlatformDialects } from '@flamingocourse/platform-adapter';
+import { GatewayMetrics } from '../../packages/gateway/src/node/gatewayMetrics.js';
+
+export function contextOf(clock: Clock, log: EventLog, store: ObjectStore): GatewayContext {
+  const settings = parseGatewaySettings(
+    JSON.stringify({
+      instance: 'edge-1',
+      dataCentre: 'hall-a',
+      listen: { entry: '127.0.0.1:1', ready: '127.0.0.1:2' },
+      store: { url: 'http://127.0.0.1:3' },
+      retries: { ratio: 0.2, slack: 54, windowMs: 10_000 },
+    }),
+    'test.jsonc',
+  );
+  if (settings.isErr) throw new Error(settings.error);
+  return {
+    settings: settings.value,
+    clock,
+    log,
+    metrics: new GatewayMetrics(),
+    store,
+    dialects: createPlatformDialects(),
+    rateLimits: new ServerRateLimits(() => 0.5),
+    random: () => 0.5,
+  };
+}
--- a/test/gateway/directoryWorld.ts
+++ b/test/gateway/directoryWorld.ts
@@ -2,17 +2,14 @@
 
 import type { TestContext } from 'node:test';
 import type { ListedServer, ServerId, ServerWord } from '@flamingocourse/core';
-import type { GatewayContext } from '@flamingocourse/gateway';
 import type { Collection, Subscription, WatchEvent, WatchOptions } from '@flamingocourse/store';
 import { setImmediate as turn } from 'node:timers/promises';
-import { HealthCheck, parseGatewaySettings } from '@flamingocourse/gateway';
+import { HealthCheck } from '@flamingocourse/gateway';
 import type { Clock } from '@flamingocourse/kernel';
-import { ServerRateLimits } from '@flamingocourse/core';
 import { Kernel, ManualClock, MemoryEventLog } from '@flamingocourse/kernel';
-import { createPlatformDialects } from '@flamingocourse/platform-adapter';
 import { MemoryObjectStore } from '@flamingocourse/store';
-import { GatewayMetrics } from '../../packages/gateway/src/node/gatewayMetrics.js';
 import { ServerDirectory } from '../../packages/gateway/src/node/serverDirectory.js';
+import { contextOf } from './contextOf.js';
 
 /** Milliseconds by which the time moves at once. */
 const STEP_MS = 10;
@@ -54,7 +51,10 @@
 
   private constructor(t: TestContext) {
     this.#t = t;
-    this.#directory = new ServerDirectory(this.#context(), this.#servers);
+    this.#directory = new ServerDirectory(
+      contextOf(this.clock, this.log, this.#store),
+      this.#servers,
+    );
   }
 
   /** Starts a directory that knows these servers. */
@@ -124,30 +124,6 @@
     this.#version += 1;
     return String(this.#version);
   }
-
-  #context(): GatewayContext {
-    const settings = parseGatewaySettings(
-      JSON.stringify({
-        instance: 'edge-1',
-        dataCentre: 'hall-a',
-        listen: { entry: '127.0.0.1:1', ready: '127.0.0.1:2' },
-        store: { url: 'http://127.0.0.1:3' },
-        retries: { ratio: 0.2, slack: 54, windowMs: 10_000 },
-      }),
-      'test.jsonc',
-    );
-    if (settings.isErr) throw new Error(settings.error);
-    return {
-      settings: settings.value,
-      clock: this.clock,
-      log: this.log,
-      metrics: new GatewayMetrics(),
-      store: this.#store,
-      dialects: createPlatformDialects(),
-      rateLimits: new ServerRateLimits(() => 0.5),
-      random: () => 0.5,
-    };
-  }
 }
 
 const entry: ListedServer = {
--- /dev/null
+++ b/test/gateway/httpHealthCheck.test.ts
@@ -0,0 +1,44 @@
+import type { ListedServer } from '@flamingocourse/core';
+import assert from 'node:assert/strict';
+import { test } from 'node:test';
+import { ManualClock, MemoryEventLog } from '@flamingocourse/kernel';
+import { MemoryObjectStore } from '@flamingocourse/store';
+import type { ConfigurationWatch } from '../../packages/gateway/src/node/configurationWatch.js';
+import { HttpHealthCheck } from '../../packages/gateway/src/node/httpHealthCheck.js';
+import { ServerAgent } from '../../packages/gateway/src/node/serverAgent.js';
+import { UsersServer } from '../platform/usersServer.js';
+import { contextOf } from './contextOf.js';
+
+// guards against instances that each ask a server twice a second though it takes fewer requests from all of them.
+test('questions for the status of a server count as requests for its rate limit', async (t) => {
+  const server = await new UsersServer('p1').listen(t);
+  const clock = new ManualClock();
+  const context = contextOf(clock, new MemoryEventLog(), new MemoryObjectStore());
+  const table = { service: () => ({ healthPath: '/health' }) };
+  const agent = new ServerAgent();
+  t.after(() => {
+    agent.destroy();
+  });
+  const check = new HttpHealthCheck(context, { table } as unknown as ConfigurationWatch, agent);
+  const listed: ListedServer = {
+    service: 'ledger',
+    dataCentre: 'hall-a',
+    url: `http://${server.address}`,
+    state: 'live',
+    slots: 4,
+  };
+  context.rateLimits.setSharers(1, clock.now());
+  context.rateLimits.tell('p1', { type: 'limit', perSecond: 0.5 }, clock.now());
+  server.rateLimit = '0.5';
+  assert.equal(await check.ask('p1', listed), 'unknown', 'no question is due yet');
+  assert.equal(server.asked, 0);
+  clock.advance(context.rateLimits.nextAt('p1', clock.now()) - clock.now());
+  assert.equal(await check.ask('p1', listed), 'staying');
+  assert.equal(await check.ask('p1', listed), 'unknown', 'the next is not due yet');
+  assert.equal(server.asked, 1);
+  server.rateLimit = undefined;
+  clock.advance(context.rateLimits.nextAt('p1', clock.now()) - clock.now());
+  assert.equal(await check.ask('p1', listed), 'staying');
+  assert.equal(await check.ask('p1', listed), 'staying', 'the limit has ended');
+  assert.equal(server.asked, 3);
+});
--- a/test/platform/usersServer.ts
+++ b/test/platform/usersServer.ts
@@ -40,6 +40,8 @@
   readonly seen: SeenRequest[] = [];
   /** Requests whose connection was closed before they were answered. */
   dropped = 0;
+  /** Questions for its status. */
+  asked = 0;
   behaviour: Behaviour = 'answer';
   /** Limit of requests a second that it names in each answer. */
   rateLimit: string | undefined;
@@ -84,6 +86,7 @@
     const { method = '', url = '', headers } = req;
     if (this.rateLimit !== undefined) res.setHeader('server-limit', this.rateLimit);
     if (url === HEALTH_PATH) {
+      this.asked += 1;
       res.writeHead(this.leaving ? 503 : 200, { 'x-instance-id': this.id }).end();
       return;
     }
