--- a/test/routing/rateLimitedLane.test.ts
+++ b/test/routing/rateLimitedLane.test.ts
@@ -93,3 +93,21 @@
   world.limits.tell('s1', { type: 'none' }, 0);
   for (let count = 0; count < PLACES; count += 1) assert.equal(await world.place(), 'placed');
 });
+
+// guards against requests that are let in for places of a server which takes hardly any.
+test('a limited server counts as the one request that is due, not as all its places', () => {
+  const { limits, lane } = new World();
+  const { pool } = lane;
+  assert.equal(pool.capacity(0), PLACES);
+  limits.tell('s1', { type: 'limit', perSecond: 1 }, 0);
+  const dueAt = limits.nextAt('s1', 0);
+  const everything = { keptFree: 0, extra: 0 };
+  assert.equal(pool.capacity(dueAt - 1), 0);
+  assert.equal(pool.hasRoom(everything, dueAt - 1), false);
+  assert.equal(pool.capacity(dueAt), 1);
+  assert.equal(pool.hasRoom(everything, dueAt), true);
+  pool.dispatch('s1', dueAt);
+  assert.equal(pool.capacity(dueAt), 0);
+  limits.tell('s1', { type: 'none' }, dueAt);
+  assert.equal(pool.capacity(dueAt), PLACES);
+});
