refactor(money): a ticket is written as text in one place

The text of a ticket stood three times in what the claims and the settler name. One function beside sameTicket serves them; the names and log fields are the same.

--- a/packages/core/src/runtime/claims.ts
+++ b/packages/core/src/runtime/claims.ts
@@ -82,6 +82,16 @@
   return left.issuer === right.issuer && left.number === right.number;
 }
 
+/**
+ * A ticket as text, for logs and as a key in memory.
+ *
+ * @example
+ * ticketName({ issuer: 'dc-a/router-1/1', number: 17 }); // 'dc-a/router-1/1#17'
+ */
+export function ticketName({ issuer, number }: TicketId): string {
+  return `${issuer}#${String(number)}`;
+}
+
 function withClaim(page: ClaimPage, keyDigest: string, held: Claim): ClaimPage {
   return { ...page, claims: { ...page.claims, [keyDigest]: held } };
 }
--- a/packages/router/src/node/money/claimKeeper.ts
+++ b/packages/router/src/node/money/claimKeeper.ts
@@ -11,6 +11,7 @@
   pageOf,
   pruneClaims,
   takeOver,
+  ticketName,
 } from '@flamingocourse/core';
 import { Result } from 'true-myth';
 import { GroupWriter } from './groupWriter.js';
@@ -66,7 +67,7 @@
 
   /** Gives up what a ticket without a bill may have claimed, now or once the platform answers. */
   giveUp(keyDigest: string, bodyDigest: string, ticket: TicketId): void {
-    const name = `${keyDigest} ${ticket.issuer}#${String(ticket.number)}`;
+    const name = `${keyDigest} ${ticketName(ticket)}`;
     this.#ended.set(name, { keyDigest, bodyDigest, ticket });
     const [oldest] = this.#ended.keys();
     if (this.#ended.size > MAX_ENDED && oldest !== undefined) this.#drop(oldest);
--- a/packages/router/src/node/money/provisionalSettler.ts
+++ b/packages/router/src/node/money/provisionalSettler.ts
@@ -14,7 +14,7 @@
 import type { ClaimKeeper } from './claimKeeper.js';
 import type { JournalWriter } from './lineRoutes.js';
 import type { TicketProgress, TicketResolver } from './ticketResolver.js';
-import { settleProvisional } from '@flamingocourse/core';
+import { settleProvisional, ticketName } from '@flamingocourse/core';
 import { Result } from 'true-myth';
 
 /** Key under which the one router is chosen that settles; others may do it without harm. */
@@ -85,7 +85,7 @@
       bill: name,
       account: bill.account,
       reason,
-      owner: owner && `${owner.issuer}#${String(owner.number)}`,
+      owner: owner && ticketName(owner),
     });
   }
 
@@ -115,5 +115,5 @@
 
 /** A bill's ticket as text. */
 function nameOf({ holder, ticket }: Bill): string {
-  return `${holder}#${String(ticket)}`;
+  return ticketName({ issuer: holder, number: ticket });
 }
