--- a/test/platform/serverDialect.test.ts
+++ b/test/platform/serverDialect.test.ts
@@ -39,9 +39,7 @@
   return headers.filter((_, at) => at % 2 === 0).map((name) => name.toLowerCase());
 }
 
-// a caller sends orders that only this side gives to servers. One that named another server's memory
-// got 503 from each server asked, four in a row, and was refused; one that held or pinned places took
-// them from all other callers.
+// guards against a caller that holds a server's places or memory, or sends it to another's, by a header of its own.
 describe('an order to a server in a request of a caller is not passed on', () => {
   const cases = [
     { name: 'X-Hold', value: 'h-1' },
