--- a/packages/gateway/src/node/gatewayMetrics.ts
+++ b/packages/gateway/src/node/gatewayMetrics.ts
@@ -40,6 +40,12 @@
     labelNames: ['service'],
     registers: [this.#registry],
   });
+  readonly #prepaidRefused = new Counter({
+    name: 'flamingocourse_prepaid_refused_total',
+    help: 'requests refused for want of tokens, by client account and why the tokens were not had',
+    labelNames: ['account', 'why'],
+    registers: [this.#registry],
+  });
   readonly #storeCalls = new Counter({
     name: 'flamingocourse_store_calls_total',
     help: 'calls to the object store by kind; failed ones are also in flamingocourse_store_calls_failed_total',
@@ -64,6 +70,11 @@
     this.#attempts.inc({ service, end });
   }
 
+  /** A request was refused for want of tokens. */
+  prepaidRefused(account: string, why: string): void {
+    this.#prepaidRefused.inc({ account, why });
+  }
+
   /** An attempt goes to a server that names a rate limit. */
   rateLimitedAttempt(service: string): void {
     this.#rateLimitedAttempts.inc({ service });
--- a/packages/gateway/src/node/prepaidPages.ts
+++ b/packages/gateway/src/node/prepaidPages.ts
@@ -147,11 +147,15 @@
     if (!hasReport(seen, report)) {
       const asked = await this.#grants.ask(seen, lackingPrepaid(seen, report), limits);
       if (asked.isErr) return Result.err(asked.error);
+      if (asked.value === 'busy') this.#logBusy('grants');
     }
     const sent = await own.page.change((page) => this.#apply(page, report, limits), this.#now());
     if (sent.isErr) return Result.err(sent.error);
     const { value } = own.page;
-    if (sent.value === 'busy') return Result.ok('busy');
+    if (sent.value === 'busy') {
+      this.#logBusy('page');
+      return Result.ok('busy');
+    }
     if (sent.value === 'unchanged') {
       return Result.ok(hasReport(value, report) ? 'taken' : 'fenced');
     }
@@ -221,6 +225,12 @@
     return returnSurplus(next, this.outlook(limits));
   }
 
+  /** Others were quicker each time: what was wanted has to wait for the next exchange. */
+  #logBusy(object: 'page' | 'grants'): void {
+    const { log } = this.#context;
+    log.write('prepaid-busy', { object, group: this.group, conflicts: this.takeConflicts() });
+  }
+
   #watched(group: string): WatchedPage {
     const { store, settings } = this.#context;
     const page = new StoredObject(store, pageCollection, group, createPrepaidPage);
--- a/packages/gateway/src/node/prepaidService.ts
+++ b/packages/gateway/src/node/prepaidService.ts
@@ -54,6 +54,15 @@
 /** Outcome of one exchange with the store. */
 type SyncEnd = 'done' | 'failed';
 
+/** Why a request was refused without its tokens. */
+type WhyNot =
+  /** The store did not answer the last exchange. */
+  | 'away'
+  /** The page showed just now that there are too few. */
+  | 'short'
+  /** They were asked for and did not come in time. */
+  | 'not-had';
+
 /** Registered as `prepaid`. */
 export class PrepaidService extends Service {
   override readonly name = 'prepaid';
@@ -117,12 +126,17 @@
     this.#holder.observe(account, amount, clock.now());
     const held = this.#holder.reserve(account, amount);
     if (held) return Result.ok(held);
-    if (!this.#contact.isLost && !this.#isShort(account, amount)) {
-      await this.#fetch(account, amount, signal);
-      const fetched = this.#holder.reserve(account, amount);
-      if (fetched) return Result.ok(fetched);
-    }
-    return Result.err(this.#refuse(account, amount));
+    const unasked = this.#whyNotAsk(account, amount);
+    if (unasked) return Result.err(this.#refuse(account, amount, unasked));
+    await this.#fetch(account, amount, signal);
+    const fetched = this.#holder.reserve(account, amount);
+    return fetched ? Result.ok(fetched) : Result.err(this.#refuse(account, amount, 'not-had'));
+  }
+
+  /** Why the store is not asked for what a request lacks; undefined where it is. */
+  #whyNotAsk(account: AccountId, amount: Tokens): WhyNot | undefined {
+    if (this.#contact.isLost) return 'away';
+    return this.#isShort(account, amount) ? 'short' : undefined;
   }
 
   /** Waits for an exchange that asks for what is lacking, but no longer than a caller should. */
@@ -186,15 +200,17 @@
     return this.#periodMs * (1 - REPORT_JITTER / 2 + REPORT_JITTER * random());
   }
 
-  #refuse(account: AccountId, amount: Tokens): Refusal {
-    const { clock, log } = this.#context;
+  #refuse(account: AccountId, amount: Tokens, why: WhyNot): Refusal {
+    const { clock, log, metrics } = this.#context;
     const usedUp = this.#isUsedUp(account, amount);
     const limit = this.#limit(account);
     // after a lost exchange nothing is known of what is left.
     const isKnown = this.#pages.page !== undefined;
+    metrics.prepaidRefused(account, usedUp ? 'used-up' : why);
     log.write('prepaid-refused', {
       account,
       amount,
+      why,
       free: this.#holder.free(account),
       held: this.#holder.held(account),
       available: isKnown ? this.#pages.available(account, limit) : undefined,
--- a/packages/kernel/src/runtime/eventCatalogue.ts
+++ b/packages/kernel/src/runtime/eventCatalogue.ts
@@ -137,6 +137,11 @@
     level: 'info',
     text: 'a request does not fit into the tokens to be had',
   },
+  'prepaid-busy': {
+    number: 428,
+    level: 'info',
+    text: 'a change of shared budgets was given up until the next exchange: others were quicker each time',
+  },
   'request-ended': { number: 510, level: 'info', text: 'a request got its final answer' },
   'attempt-failed': { number: 511, level: 'info', text: 'an attempt at a server gave no answer' },
   'servers-changed': { number: 512, level: 'info', text: 'the list of servers changed' },
