fix(prepaid): a lost race for the page is no lost store

Callers saw: after a cut of 12 s an instance refused all requests of an account for 26 s more, at once and without asking, though the store answered each of its calls. Cause: only a report that was taken in ended the loss, and the instance with the most callers lost each race for its page. Ruled out: the store's circuit and the watches (configuration and list were back 0.28 s after the cut). Now a read that is answered ends the loss; what others did to the report is another matter. It holds because a loss always forgets the page, so the next exchange begins with a read of its own.

--- a/packages/gateway/src/node/prepaidService.ts
+++ b/packages/gateway/src/node/prepaidService.ts
@@ -260,6 +260,8 @@
     if (!limits) return 'done';
     const opened = await this.#pages.open(this.#contact.isLost);
     if (opened.isErr) return this.#fail(opened.error.message);
+    // the store answers, whatever becomes of the report: others may be quicker each time.
+    this.#contact.heard();
     this.#lanes?.setInstances(this.#pages.instances);
     if (this.#holder.isForgotten(opened.value)) this.#renew(opened.value);
     const outlook = this.#pages.outlook(limits);
@@ -299,7 +301,6 @@
   #confirm(report: PrepaidReport, page: PrepaidPage): void {
     const { log, metrics } = this.#context;
     this.#holder.confirm(page);
-    this.#contact.heard();
     const accounts = Object.keys(report.entries);
     log.write('prepaid-reported', {
       group: this.#pages.group,
