fix(prepaid): a store over its rate is no lost store

Cause: every error of an exchange counted as no answer. Ruled out: the store's circuit, which does not count 429. Now such an exchange ends, what is known stays, and no single request asks for half a second, or for as long as the store says; prepaid-throttled tells it.

--- a/packages/gateway/src/node/prepaidService.ts
+++ b/packages/gateway/src/node/prepaidService.ts
@@ -11,6 +11,7 @@
   Tokens,
 } from '@flamingocourse/core';
 import type { Kernel } from '@flamingocourse/kernel';
+import type { PlatformError as StoreError } from '@flamingocourse/store';
 import type { GatewayContext } from '../types/context.js';
 import { setTimeout as delay } from 'node:timers/promises';
 import { isDeepStrictEqual } from 'node:util';
@@ -31,6 +32,8 @@
  * same moment; a request that needs the new tokens sooner fetches them itself.
  */
 const LIMITS_SPREAD_MS = 500;
+/** Milliseconds for which a store that is over its rate is not asked, unless it says for how long. */
+const THROTTLED_MS = 500;
 /** Milliseconds between tries while the store is away; tokens run out meanwhile. */
 const AWAY_RETRY_MS = 200;
 /** Milliseconds after which a caller that was refused for want of tokens may find some. */
@@ -58,6 +61,8 @@
 type WhyNot =
   /** The store did not answer the last exchange. */
   | 'away'
+  /** All instances together ask the store too often. */
+  | 'throttled'
   /** The page showed just now that there are too few. */
   | 'short'
   /** They were asked for and did not come in time. */
@@ -77,6 +82,8 @@
   #limits: PrepaidLimits | undefined;
   /** Whether the store answered the last exchange. */
   readonly #contact: StoreContact;
+  /** Until then the store is not asked for single requests, because it is over its rate. */
+  #askAgainAt = -Infinity;
   #stopped = false;
   #left = false;
 
@@ -136,6 +143,7 @@
   /** Why the store is not asked for what a request lacks; undefined where it is. */
   #whyNotAsk(account: AccountId, amount: Tokens): WhyNot | undefined {
     if (this.#contact.isLost) return 'away';
+    if (this.#context.clock.now() < this.#askAgainAt) return 'throttled';
     return this.#isShort(account, amount) ? 'short' : undefined;
   }
 
@@ -259,7 +267,7 @@
     const limits = this.#table?.prepaid;
     if (!limits) return 'done';
     const opened = await this.#pages.open(this.#contact.isLost);
-    if (opened.isErr) return this.#fail(opened.error.message);
+    if (opened.isErr) return this.#fail(opened.error);
     // the store answers, whatever becomes of the report: others may be quicker each time.
     this.#contact.heard();
     this.#lanes?.setInstances(this.#pages.instances);
@@ -269,13 +277,13 @@
     const report = this.#holder.beginReport(opened.value, outlook, now, last);
     if (report) {
       const sent = await this.#pages.send(report, limits);
-      if (sent.isErr) return this.#fail(sent.error.message);
+      if (sent.isErr) return this.#fail(sent.error);
       const { page } = this.#pages;
       if (sent.value !== 'taken' || !page) return 'failed';
       this.#confirm(report, page);
     }
     const ended = await (report?.last ? this.#leave() : this.#pages.tend(limits));
-    return ended.isOk ? 'done' : this.#fail(ended.error.message);
+    return ended.isOk ? 'done' : this.#fail(ended.error);
   }
 
   async #leave(): ReturnType<PrepaidPages['leave']> {
@@ -318,9 +326,15 @@
   }
 
   // the report stays pending: its write may still take effect, so the same one is sent again.
-  #fail(reason: string): SyncEnd {
+  #fail({ code, message, retryAfterMs = THROTTLED_MS }: StoreError): SyncEnd {
+    if (code === 'throttled') {
+      // nothing was done, and the store is there: what is known stays, and nothing is asked for a while.
+      this.#askAgainAt = this.#context.clock.now() + retryAfterMs;
+      this.#context.log.write('prepaid-throttled', { reason: message, retryAfterMs });
+      return 'failed';
+    }
     this.#pages.forget();
-    this.#contact.lose(reason, { seq: this.#holder.pending?.seq });
+    this.#contact.lose(message, { seq: this.#holder.pending?.seq });
     return 'failed';
   }
 }
--- a/packages/kernel/src/runtime/eventCatalogue.ts
+++ b/packages/kernel/src/runtime/eventCatalogue.ts
@@ -142,6 +142,12 @@
     level: 'info',
     text: 'a change of shared budgets was given up until the next exchange: others were quicker each time',
   },
+  'prepaid-throttled': {
+    number: 429,
+    level: 'warn',
+    text: 'the store takes no more calls for now; requests that lack tokens are refused without asking it',
+    action: 'Compare the calls of all instances with the rates of the store.',
+  },
   'request-ended': { number: 510, level: 'info', text: 'a request got its final answer' },
   'attempt-failed': { number: 511, level: 'info', text: 'an attempt at a server gave no answer' },
   'servers-changed': { number: 512, level: 'info', text: 'the list of servers changed' },
