feat(prepaid): spenders of a data centre lend to its other instances

Cause: every instance wrote the page of its group and the object of all grants by conditional update, and the instance with the most callers, short of processor time, was the slowest writer of both and lost each race. Ruled out: engines (0.85 to 1.16 of the mean), admission, the store's circuit. Now, where a fleet has more than ten instances, two spenders a data centre (rendezvous hashing over the instances that the store lists) hold its rights, and the others borrow from them over the mesh. A loan is set aside at its lender like a request, so the store shows it as held until the borrower says what it spent; reports are numbered, and a lender believes none that it did not make in this life. What a lost lender or borrower leaves is charged in full. Whoever is asked to lend does so, so spenders that do not answer are followed by others without agreement. Up to ten instances hold rights of their own, as before.

--- a/eslint.config.mjs
+++ b/eslint.config.mjs
@@ -10,7 +10,7 @@
   store: ['kernel', 'core'],
   mesh: ['kernel', 'core'],
   router: ['kernel', 'core', 'store', 'mesh'],
-  gateway: ['kernel', 'core', 'store', 'router'],
+  gateway: ['kernel', 'core', 'store', 'mesh', 'router'],
   cli: ['kernel', 'core', 'store'],
   lab: ['kernel', 'core', 'store', 'mesh', 'router', 'cli'],
 };
--- a/packages/core/src/runtime/prepaid/prepaidHolder.ts
+++ b/packages/core/src/runtime/prepaid/prepaidHolder.ts
@@ -5,15 +5,18 @@
 
 import type { AccountId, EpochMs, IncarnationId, Tokens } from '../../types/ids.js';
 import type {
+  PrepaidAccountView,
   PrepaidOutlook,
   PrepaidPage,
   PrepaidReport,
   PrepaidReportEntry,
+  PrepaidView,
 } from '../../types/prepaid.js';
 import type { DemandEstimate } from '../demand.js';
 import type { PrepaidSizing } from './prepaidSizing.js';
 import { NO_DEMAND, observeDemand, settledDemand } from '../demand.js';
-import { prepaidRate, remainingPrepaid } from './prepaidPage.js';
+import { sum } from '../../utils/sum.js';
+import { viewOfPage } from './prepaidView.js';
 
 /** Tokens set aside for one request, at its maximum. */
 export interface PrepaidReservation {
@@ -30,6 +33,8 @@
   /** Differs for each process of the instance. */
   process: string;
   sizing: PrepaidSizing;
+  /** Sizes what is kept to be lent to others. @default sizing */
+  lendingSizing?: PrepaidSizing;
   /**
    * Milliseconds after which the instance reports though it has nothing new to say, so that its group
    * can tell it from one that is lost.
@@ -53,8 +58,19 @@
   demandSince: EpochMs;
   /** Rate that the store was last told. */
   toldRate: number;
+  lending: Lending;
 }
 
+/** What the borrowers of one account ask a lender for. */
+export interface Lending {
+  /** Tokens a second of all of them. */
+  rate: number;
+  /** Wanted by them and not lent. */
+  unmet: Tokens;
+}
+
+const NO_LENDING: Lending = { rate: 0, unmet: 0 };
+
 /** Weight of one request in the moving average of their sizes. */
 const TYPICAL_WEIGHT = 0.05;
 
@@ -66,15 +82,6 @@
   least: Tokens;
 }
 
-/** What this instance and all of its group are asked for. */
-interface Demand {
-  /** Tokens a second at this instance, by account. */
-  rates: Map<AccountId, number>;
-  /** Tokens a second at all instances of the group, by account. */
-  fleetRates: Map<AccountId, number>;
-  instances: number;
-}
-
 /** Part by which a rate has to change before it is worth a report of its own. */
 const RATE_NEWS = 0.25;
 /** Part of its level by which an account's rights may differ from it without a report. */
@@ -91,6 +98,7 @@
   readonly instance: string;
   readonly #process: string;
   readonly #sizing: PrepaidSizing;
+  readonly #lendingSizing: PrepaidSizing;
   readonly #aliveMs: number;
   readonly #holdings = new Map<AccountId, Holding>();
   #life = 1;
@@ -101,10 +109,11 @@
   #pending: PrepaidReport | undefined;
   #typicalRequest: Tokens = 0;
 
-  constructor({ instance, process, sizing, aliveMs }: PrepaidHolderOptions) {
+  constructor({ instance, process, sizing, lendingSizing, aliveMs }: PrepaidHolderOptions) {
     this.instance = instance;
     this.#process = process;
     this.#sizing = sizing;
+    this.#lendingSizing = lendingSizing ?? sizing;
     this.#aliveMs = aliveMs;
   }
 
@@ -124,6 +133,44 @@
     return this.#holdings.get(account)?.rights ?? 0;
   }
 
+  /** Tokens held of all accounts. */
+  get heldInAll(): Tokens {
+    return sum([...this.#holdings.values()].map(({ rights }) => rights));
+  }
+
+  /** Whether anything is held or set aside. */
+  get hasRights(): boolean {
+    return [...this.#holdings.values()].some(({ rights, reserved }) => rights > 0 || reserved > 0);
+  }
+
+  /** Whether anything was spent that no report has told yet, or a report is on its way. */
+  get hasNews(): boolean {
+    const unreported = [...this.#holdings.values()].some((holding) => holding.unreported > 0);
+    return unreported || this.#pending !== undefined;
+  }
+
+  /** Accounts that were asked for here or of which anything is held. */
+  get accounts(): AccountId[] {
+    return [...this.#holdings.keys()];
+  }
+
+  /** Tokens that a request asks for on average; 0 before the first. */
+  get typicalRequest(): Tokens {
+    return this.#typicalRequest;
+  }
+
+  /** Tokens that requests wait for beyond what is free. */
+  awaited(account: AccountId): Tokens {
+    return Math.max(0, (this.#holdings.get(account)?.awaited ?? 0) - this.free(account));
+  }
+
+  /** Tokens a second that are asked for here and by borrowers. */
+  rate(account: AccountId, now: EpochMs): number {
+    const holding = this.#holdings.get(account);
+    if (!holding) return 0;
+    return settledDemand(holding.demand, holding.demandSince, now) + holding.lending.rate;
+  }
+
   /** Tokens spent here that no page shows yet. */
   unreported(account: AccountId): Tokens {
     return this.#holdings.get(account)?.unreported ?? 0;
@@ -131,13 +178,18 @@
 
   /** Notes that a request came, so that the levels follow the demand. */
   observe(account: AccountId, amount: Tokens, now: EpochMs): void {
-    const weight = this.#typicalRequest === 0 ? 1 : TYPICAL_WEIGHT;
-    this.#typicalRequest += weight * (amount - this.#typicalRequest);
+    this.observeSize(amount);
     const holding = this.#holding(account);
     holding.demandSince = Math.min(holding.demandSince, now);
     holding.demand = observeDemand(holding.demand, amount, now);
   }
 
+  /** Notes the size of a request, here or at a borrower. */
+  observeSize(amount: Tokens): void {
+    const weight = this.#typicalRequest === 0 ? 1 : TYPICAL_WEIGHT;
+    this.#typicalRequest += weight * (amount - this.#typicalRequest);
+  }
+
   /** Sets the most that a request may use aside; undefined when that much isn't held. */
   reserve(account: AccountId, amount: Tokens): PrepaidReservation | undefined {
     const holding = this.#holding(account);
@@ -176,6 +228,27 @@
     holding.unreported += spent;
   }
 
+  /** Sets tokens aside for another instance, as far as any are free; returns how many. */
+  lend(account: AccountId, amount: Tokens): Tokens {
+    const holding = this.#holding(account);
+    const lent = Math.max(0, Math.min(Math.floor(amount), holding.rights - holding.reserved));
+    holding.reserved += lent;
+    return lent;
+  }
+
+  /** Takes back what {@link lend} set aside; what was spent of it is charged. */
+  endLoan(account: AccountId, amount: Tokens, spent: Tokens): void {
+    const holding = this.#holding(account);
+    holding.reserved -= amount;
+    holding.rights -= spent;
+    holding.unreported += spent;
+  }
+
+  /** Notes what the borrowers of an account ask for. */
+  setLending(account: AccountId, lending: Lending): void {
+    this.#holding(account).lending = lending;
+  }
+
   /** Whether a page no longer knows this process, though it took its reports in. */
   isForgotten(page: PrepaidPage): boolean {
     return this.#known && page.writers[this.instance]?.incarnation !== this.incarnation;
@@ -194,6 +267,7 @@
       holding.rights = 0;
       holding.reserved = 0;
       holding.unreported = 0;
+      holding.lending = NO_LENDING;
     }
   }
 
@@ -203,8 +277,7 @@
   }
 
   /**
-   * Builds the next report; undefined when it would say nothing new. What it gives back can't be
-   * spent from now on, so the page never promises it twice.
+   * Builds the next report to a group's page, see {@link reportBy}.
    *
    * @param outlook the limited accounts, with what the page does not show of each.
    */
@@ -214,70 +287,74 @@
     now: EpochMs,
     last = false,
   ): PrepaidReport | undefined {
+    return this.reportBy(viewOfPage(page, outlook, this), now, last);
+  }
+
+  /**
+   * Builds the next report; undefined when it would say nothing new. What it gives back can't be
+   * spent from now on, so it is never promised twice.
+   */
+  reportBy(view: PrepaidView, now: EpochMs, last = false): PrepaidReport | undefined {
     if (this.#pending) return this.#pending;
     const entries: Record<AccountId, PrepaidReportEntry> = {};
     const given = new Map<AccountId, Tokens>();
-    const demand = this.#demand(page, [...outlook.keys()], now);
-    for (const [account, beyondPage] of outlook) {
+    for (const [account, accountView] of view.accounts) {
       const holding = this.#holding(account);
-      const level = last ? 0 : this.#level(page, account, beyondPage, demand);
-      const rate = demand.rates.get(account) ?? 0;
+      const ownRate = settledDemand(holding.demand, holding.demandSince, now);
+      const level = last ? 0 : this.#level(holding, ownRate, accountView, view);
       const least = Math.max(holding.shortfall, holding.awaited);
+      const rate = ownRate + holding.lending.rate;
       const entry = this.#entry(account, holding, { level: Math.max(level, least), least }, rate);
       if (!entry) continue;
       entries[account] = entry;
       given.set(account, holding.rights - entry.keeps);
     }
-    const registered = page.writers[this.instance]?.incarnation === this.incarnation;
     const isDue = last || now - this.#reportedAt >= this.#aliveMs;
-    if (given.size === 0 && registered && !isDue) return undefined;
+    if (given.size === 0 && view.isRegistered && !isDue) return undefined;
     this.#reportedAt = now;
     return this.#begin(entries, given, last);
   }
 
   /** Takes in a page that has the pending report. */
   confirm(page: PrepaidPage): void {
+    this.confirmHeld((account) => page.accounts[account]?.shares[this.instance]?.held);
+  }
+
+  /**
+   * Takes in what the pending report led to.
+   *
+   * @param heldOf tokens of an account that are held now; undefined where the report's word stands.
+   */
+  confirmHeld(heldOf: (account: AccountId) => Tokens | undefined): void {
     const pending = this.#pending;
     if (!pending) return;
     this.#pending = undefined;
     this.#known = true;
     for (const [account, entry] of Object.entries(pending.entries)) {
       const holding = this.#holding(account);
-      const held = page.accounts[account]?.shares[this.instance]?.held ?? entry.keeps;
-      holding.rights += held - entry.keeps;
+      holding.rights += (heldOf(account) ?? entry.keeps) - entry.keeps;
       holding.unreported -= entry.spent;
       holding.toldRate = entry.rate;
     }
   }
 
-  #demand(page: PrepaidPage, accounts: AccountId[], now: EpochMs): Demand {
-    const rates = new Map<AccountId, number>();
-    const fleetRates = new Map<AccountId, number>();
-    for (const account of accounts) {
-      const { demand, demandSince } = this.#holding(account);
-      const entry = page.accounts[account];
-      const own = settledDemand(demand, demandSince, now);
-      const others = prepaidRate(entry) - (entry?.shares[this.instance]?.rate ?? 0);
-      rates.set(account, own);
-      fleetRates.set(account, Math.max(0, others) + own);
-    }
-    const instances = Math.max(1, Object.keys(page.writers).length);
-    return { rates, fleetRates, instances };
-  }
-
   #level(
-    page: PrepaidPage,
-    account: AccountId,
-    { beyond }: PrepaidOutlook,
-    demand: Demand,
+    { lending }: Holding,
+    ownRate: number,
+    { remaining, othersRate }: PrepaidAccountView,
+    { instances, fetchers }: PrepaidView,
   ): Tokens {
-    return this.#sizing.level({
-      rate: demand.rates.get(account) ?? 0,
-      fleetRate: demand.fleetRates.get(account) ?? 0,
-      remaining: remainingPrepaid(page.accounts[account]) + beyond,
-      instances: demand.instances,
+    const situation = {
+      fleetRate: othersRate + ownRate + lending.rate,
+      remaining,
+      instances,
+      fetchers,
       typicalRequest: this.#typicalRequest,
-    });
+    };
+    const own = this.#sizing.level({ ...situation, rate: ownRate });
+    if (fetchers >= instances) return own + lending.unmet;
+    const lender = { ...situation, rate: lending.rate, instances: fetchers };
+    return own + this.#lendingSizing.level(lender) + lending.unmet;
   }
 
   #entry(
@@ -323,6 +400,7 @@
         demand: NO_DEMAND,
         demandSince: Infinity,
         toldRate: 0,
+        lending: NO_LENDING,
       };
       this.#holdings.set(account, holding);
     }
--- a/packages/core/src/types/prepaid.ts
+++ b/packages/core/src/types/prepaid.ts
@@ -5,7 +5,7 @@
  * fought over, and would be long to carry over a slow link.
  */
 
-import type { AccountId, IncarnationId, Tokens } from './ids.js';
+import type { AccountId, DataCentreId, IncarnationId, Tokens } from './ids.js';
 
 /** What one instance holds of an account. */
 export interface PrepaidShare {
@@ -92,3 +92,71 @@
   last: boolean;
   entries: Record<AccountId, PrepaidReportEntry>;
 }
+
+/** What a holder sizes its holdings by, wherever its rights come from. */
+export interface PrepaidView {
+  /** Whether the giver of the rights knows this process already. */
+  isRegistered: boolean;
+  /** Instances that share what remains, this one included. */
+  instances: number;
+  /** Those among them that fetch tokens for single requests from what nobody holds. */
+  fetchers: number;
+  accounts: ReadonlyMap<AccountId, PrepaidAccountView>;
+}
+
+/** One account of a {@link PrepaidView}. */
+export interface PrepaidAccountView {
+  /** Tokens neither spent nor in doubt that these instances have or may still get. */
+  remaining: Tokens;
+  /** Tokens a second that the other instances are asked for. */
+  othersRate: number;
+}
+
+/** An instance of the fleet as the others know it. */
+export interface FleetInstance {
+  name: string;
+  dataCentre: DataCentreId;
+  /** `http://host:port` at which it serves its peers; absent where it serves none. */
+  meshUrl?: string | undefined;
+}
+
+/** Asks a lender for tokens and tells it what became of those that it lent before. */
+export interface LoanRequest {
+  /** Life of the lender by which earlier loans were made; absent before its first answer. */
+  lender?: IncarnationId | undefined;
+  report: PrepaidReport;
+  /** Part of what the report wants that requests wait for. */
+  urgent: Record<AccountId, Tokens>;
+  /** Tokens that a request at the borrower asks for on average. */
+  typicalRequest: Tokens;
+  /** Accounts of which the borrower wants to know how much is left, beside those of the report. */
+  interest: AccountId[];
+}
+
+/** What the lender knows of one account, and what it lends of it. */
+export interface LoanAccount {
+  /** Tokens that the borrower holds from now on. */
+  held: Tokens;
+  remaining: Tokens;
+  othersRate: number;
+  /** Tokens that could be lent beyond that. */
+  available: Tokens;
+  /** Tokens spent or in doubt anywhere, as far as the lender knows; it may lag behind. */
+  gone: Tokens;
+}
+
+/** A lender's answer. */
+export type LoanAnswer =
+  | {
+      type: 'lent';
+      lender: IncarnationId;
+      /** Instances that share what remains. */
+      instances: number;
+      /** Those among them that fetch tokens from the store. */
+      fetchers: number;
+      /** Whether the lender stops: its loans should go back, and others be asked. */
+      isStopping: boolean;
+      accounts: Record<AccountId, LoanAccount>;
+    }
+  /** The lender does not know these loans. They are charged, so they may be spent, but not told of again. */
+  | { type: 'forgotten'; lender: IncarnationId };
--- a/packages/gateway/src/node/createGateway.ts
+++ b/packages/gateway/src/node/createGateway.ts
@@ -7,12 +7,16 @@
 import { isDeepStrictEqual } from 'node:util';
 import { ServerRateLimits } from '@flamingocourse/core';
 import { Kernel, describeError } from '@flamingocourse/kernel';
+import { MeshClient, MeshServer } from '@flamingocourse/mesh';
+import { Result } from 'true-myth';
 import { HttpObjectStore, defaultCircuitOptions } from '@flamingocourse/store';
 import { BackendLanes } from './backendLanes.js';
 import { ConfigurationWatch } from './configurationWatch.js';
 import { EntryService } from './entryService.js';
 import { GatewayMetrics } from './gatewayMetrics.js';
 import { HttpHealthCheck } from './httpHealthCheck.js';
+import { InstanceDirectory } from './instanceDirectory.js';
+import { MeshLoanCalls } from './meshLoanCalls.js';
 import { PrepaidService } from './prepaidService.js';
 import { ServerAgent } from './serverAgent.js';
 import { ServerDirectory } from './serverDirectory.js';
@@ -87,13 +91,20 @@
   const health = new HttpHealthCheck(context, configuration, agent);
   const entry = new EntryService(context, agent);
   const lanes = new BackendLanes(context);
+  const instances = new InstanceDirectory(context);
+  const peers = new MeshClient();
+  const prepaid = new PrepaidService(context, randomUUID(), new MeshLoanCalls(peers));
   kernel
     .register(configuration)
     .register(new ServerDirectory(context, health))
     .register(lanes)
-    .register(new PrepaidService(context, randomUUID()))
-    .register(entry)
-    .register(new StatusService(context));
+    .register(instances);
+  if (settings.listen.mesh) {
+    const mesh = new MeshServer(settings.listen.mesh);
+    mesh.handle('borrow', async (req) => Result.ok(await prepaid.lend(req)));
+    kernel.register(mesh);
+  }
+  kernel.register(prepaid).register(entry).register(new StatusService(context));
   kernel.onFailure((err, service) => {
     log.write('service-failed', { service, error: describeError(err) });
   });
@@ -112,7 +123,9 @@
     async stop() {
       log.write('gateway-stopping', { running: entry.running });
       entry.beginStop();
-      await kernel.stop();
+      prepaid.beginStop();
+      await Promise.all([instances.leave(), kernel.stop()]);
+      peers.close();
       store.close();
       log.write('gateway-stopped');
     },
--- a/packages/gateway/src/node/prepaidGrants.ts
+++ b/packages/gateway/src/node/prepaidGrants.ts
@@ -81,6 +81,11 @@
     return Math.max(1, Object.keys(this.known.members).length);
   }
 
+  /** Groups that have members; at least the own one. */
+  get groups(): number {
+    return Math.max(1, new Set(Object.values(this.known.members)).size);
+  }
+
   /** Conflicts since this was last asked, for the log. */
   takeConflicts(): number {
     return this.#budgets.takeConflicts();
--- a/packages/gateway/src/node/prepaidPages.ts
+++ b/packages/gateway/src/node/prepaidPages.ts
@@ -89,6 +89,11 @@
     return this.#grants.instances;
   }
 
+  /** Groups of instances that hold rights; at least the own one. */
+  get groups(): number {
+    return this.#grants.groups;
+  }
+
   /** Conflicts since this was last asked, for the log. */
   takeConflicts(): number {
     return this.#grants.takeConflicts() + (this.#own?.page.takeConflicts() ?? 0);
--- a/packages/gateway/src/node/prepaidService.ts
+++ b/packages/gateway/src/node/prepaidService.ts
@@ -1,47 +1,44 @@
-/** Keeps this instance's part of the prepaid budgets: reserves, reports, takes and gives back. */
+/** Reserves prepaid tokens for requests: of rights that this instance holds itself, or that others lend it. */
 
 import type {
   AccountId,
+  FleetInstance,
+  LoanAnswer,
+  LoanRequest,
   PrepaidLimits,
-  PrepaidPage,
-  PrepaidReport,
   PrepaidReservation,
   Refusal,
   RouteTable,
   Tokens,
 } from '@flamingocourse/core';
 import type { Kernel } from '@flamingocourse/kernel';
-import type { PlatformError as StoreError } from '@flamingocourse/store';
 import type { GatewayContext } from '../types/context.js';
-import { setTimeout as delay } from 'node:timers/promises';
+import type { LoanCalls } from '../types/loans.js';
+import type { TokenSource } from '../types/tokenSource.js';
 import { isDeepStrictEqual } from 'node:util';
-import { PrepaidHolder, PrepaidSizing, heldPrepaid, sum } from '@flamingocourse/core';
+import {
+  PrepaidHolder,
+  PrepaidSizing,
+  chooseSpenders,
+  orderSpenders,
+  rankSpenders,
+} from '@flamingocourse/core';
 import { Service } from '@flamingocourse/kernel';
 import { notRun } from '@flamingocourse/router';
 import { Result } from 'true-myth';
-import { believedShortMs, reportPeriodMs } from '../runtime/reportPeriod.js';
+import { startTimeLimit } from '../utils/timeLimit.js';
 import { BackendLanes } from './backendLanes.js';
 import { ConfigurationWatch } from './configurationWatch.js';
-import { PrepaidPages } from './prepaidPages.js';
-import { StoreContact } from './storeContact.js';
+import { InstanceDirectory } from './instanceDirectory.js';
+import { LoanTokens } from './loanTokens.js';
+import { StoreTokens } from './storeTokens.js';
 
-/** Part of the report period by which instances that started together drift apart. */
-const REPORT_JITTER = 0.3;
-/**
- * Milliseconds over which instances spread their reports after limits have changed. All hear of it in the
- * same moment; a request that needs the new tokens sooner fetches them itself.
- */
-const LIMITS_SPREAD_MS = 500;
-/** Milliseconds for which a store that is over its rate is not asked, unless it says for how long. */
-const THROTTLED_MS = 500;
-/** Milliseconds between tries while the store is away; tokens run out meanwhile. */
-const AWAY_RETRY_MS = 200;
 /** Milliseconds after which a caller that was refused for want of tokens may find some. */
 const TOKENS_RETRY_MS = 400;
 
 /**
- * Milliseconds that a request waits for tokens from the store. An exchange takes 4 to 40; one that takes
- * longer meets a store that is cut off, and the caller is served sooner elsewhere.
+ * Milliseconds that a request waits for tokens. An exchange takes 4 to 40; one that takes longer meets
+ * somebody who is cut off, and the caller is served sooner elsewhere.
  */
 const FETCH_WAIT_MS = 250;
 
@@ -51,181 +48,281 @@
  */
 const REPORTS_WITHIN_SILENCE = 5;
 
-/** Exchanges in which an instance that stops tries to leave; its time to stop is bounded. */
-const LAST_TRIES = 3;
-
-/** Outcome of one exchange with the store. */
-type SyncEnd = 'done' | 'failed';
+/** Lenders that an instance turns to one after the other before it takes itself as cut off. */
+const MOST_LENDERS = 4;
+/** Milliseconds for which an instance that was asked to lend holds rights, though it is no spender by its own list. */
+const ACTING_MS = 15_000;
+/** Milliseconds between looks at whether this instance should hold rights. */
+const ROLE_LOOK_MS = 5_000;
+/** Seconds of the borrowers' demand that a spender keeps to be lent. */
+const LENDING_SECONDS = 3;
+/** Part of what may be dealt that spenders hold before any demand is known, to be lent to the first callers. */
+const LENT_BEFORE_DEMAND = 0.2;
 
 /** Why a request was refused without its tokens. */
 type WhyNot =
-  /** The store did not answer the last exchange. */
+  /** Nobody who could give them answered lately. */
   | 'away'
-  /** All instances together ask the store too often. */
+  /** The store is asked too often by all instances together. */
   | 'throttled'
-  /** The page showed just now that there are too few. */
+  /** It was said just now that there are too few. */
   | 'short'
   /** They were asked for and did not come in time. */
-  | 'not-had';
+  | 'not-had'
+  /** The other instances are not known yet. */
+  | 'unknown-fleet';
 
 /** Registered as `prepaid`. */
 export class PrepaidService extends Service {
   override readonly name = 'prepaid';
-  override readonly dependsOn = ['configuration', 'lanes'];
+  override readonly dependsOn = ['configuration', 'lanes', 'instances'];
   readonly #context: GatewayContext;
-  readonly #holder: PrepaidHolder;
-  readonly #pages: PrepaidPages;
-  #lanes: BackendLanes | undefined;
+  readonly #incarnation: string;
+  readonly #calls: LoanCalls;
+  readonly #store: StoreTokens;
+  /** By lender. */
+  readonly #loans = new Map<string, LoanTokens>();
+  #instances: InstanceDirectory | undefined;
   #configuration: ConfigurationWatch | undefined;
-  #running: Promise<SyncEnd> | undefined;
-  #timer: NodeJS.Timeout | undefined;
   #limits: PrepaidLimits | undefined;
-  /** Whether the store answered the last exchange. */
-  readonly #contact: StoreContact;
-  /** Until then the store is not asked for single requests, because it is over its rate. */
-  #askAgainAt = -Infinity;
-  #stopped = false;
-  #left = false;
+  #spenders: FleetInstance[] = [];
+  #isSpender = false;
+  #actingUntil = -Infinity;
+  #timer: NodeJS.Timeout | undefined;
+  #stopping = false;
 
-  constructor(context: GatewayContext, incarnation: string) {
+  constructor(context: GatewayContext, incarnation: string, calls: LoanCalls) {
     super();
     this.#context = context;
-    this.#contact = new StoreContact(context, this.name);
-    this.#pages = new PrepaidPages(context);
-    const { instance, prepaid } = context.settings;
-    this.#holder = new PrepaidHolder({
-      instance,
-      process: incarnation,
-      sizing: new PrepaidSizing({ rideThroughSeconds: prepaid.rideThroughSeconds }),
-      aliveMs: prepaid.silentMs / REPORTS_WITHIN_SILENCE,
+    this.#incarnation = incarnation;
+    this.#calls = calls;
+    this.#store = new StoreTokens({
+      context,
+      holder: this.#createHolder(incarnation),
+      limits: () => this.#table?.prepaid,
+      fleetSize: () => this.#instances?.count ?? 1,
+      onLostBorrowers: (names) => void this.#instances?.remove(names),
     });
   }
 
   override start(kernel: Kernel): void {
-    this.#lanes = kernel.get('lanes', BackendLanes);
+    const lanes = kernel.get('lanes', BackendLanes);
+    this.#instances = kernel.get('instances', InstanceDirectory);
     this.#configuration = kernel.get('configuration', ConfigurationWatch);
+    this.#instances.onChange(() => {
+      lanes.setInstances(this.#instances?.count ?? 1);
+      this.#assumeRole();
+    });
     this.#configuration.onChange((table) => {
       this.#takeLimits(table.prepaid);
     });
+    this.#timer = setInterval(() => {
+      this.#assumeRole();
+    }, ROLE_LOOK_MS);
   }
 
-  /** Reports the rest, gives everything back and leaves the group. */
+  /** Others are told to borrow elsewhere; requests in progress go on. */
+  beginStop(): void {
+    this.#stopping = true;
+    this.#store.beginStop();
+  }
+
+  /** Reports the rest and gives everything back. */
   override async stop(): Promise<void> {
-    clearTimeout(this.#timer);
-    this.#stopped = true;
-    await this.#running;
-    // the first exchange may have to end with an earlier report whose fate was not known.
-    for (let tries = 0; tries < LAST_TRIES && !this.#left; tries += 1) await this.#sync(true);
+    this.beginStop();
+    clearInterval(this.#timer);
+    await Promise.all([...this.#loans.values()].map((loans) => loans.stop()));
+    await this.#store.stop();
   }
 
   /**
-   * Sets the most that a request may use aside. What is lacking is fetched from the store, which
-   * takes some milliseconds; while the store is away the request is refused at once instead.
+   * Sets the most that a request may use aside. What is lacking is asked of a lender or the store, which
+   * takes some milliseconds; while they are out of reach the request is refused at once instead.
    *
-   * @param signal ends the wait for the store; the request is refused then.
+   * @param signal ends the wait; the request is refused then.
    */
   async reserve(
     account: AccountId,
     amount: Tokens,
     signal: AbortSignal,
   ): Promise<Result<PrepaidReservation, Refusal>> {
-    const { clock } = this.#context;
-    this.#holder.observe(account, amount, clock.now());
-    const held = this.#holder.reserve(account, amount);
+    const sources = this.#sources(account);
+    sources[0]?.observe(account, amount, this.#now());
+    const held = this.#take(account, amount);
     if (held) return Result.ok(held);
-    const unasked = this.#whyNotAsk(account, amount);
-    if (unasked) return Result.err(this.#refuse(account, amount, unasked));
-    await this.#fetch(account, amount, signal);
-    const fetched = this.#holder.reserve(account, amount);
-    return fetched ? Result.ok(fetched) : Result.err(this.#refuse(account, amount, 'not-had'));
+    const why = await this.#fetch(sources, account, amount, signal);
+    const fetched = this.#take(account, amount);
+    return fetched ? Result.ok(fetched) : Result.err(this.#refuse(account, amount, why));
   }
 
-  /** Why the store is not asked for what a request lacks; undefined where it is. */
-  #whyNotAsk(account: AccountId, amount: Tokens): WhyNot | undefined {
-    if (this.#contact.isLost) return 'away';
-    if (this.#context.clock.now() < this.#askAgainAt) return 'throttled';
-    return this.#isShort(account, amount) ? 'short' : undefined;
+  /** Ends a reservation with what was used. */
+  settle(reservation: PrepaidReservation, used: Tokens): void {
+    const sources: TokenSource[] = [this.#store, ...this.#loans.values()];
+    sources.find((source) => source.settle(reservation, used));
   }
 
-  /** Waits for an exchange that asks for what is lacking, but no longer than a caller should. */
-  async #fetch(account: AccountId, amount: Tokens, signal: AbortSignal): Promise<void> {
-    this.#holder.beginWait(account, amount);
-    // one exchange may have been under way that did not ask for these tokens yet.
-    const exchange = (this.#running ?? Promise.resolve()).then(() => this.#sync());
-    const limit = delay(FETCH_WAIT_MS, undefined, { signal, ref: false }).catch((err: unknown) => {
-      // the caller left or its time is over: there is nothing to wait for.
-      if (!signal.aborted) throw err;
-    });
-    await Promise.race([exchange, limit]).finally(() => {
-      this.#holder.endWait(account, amount);
-    });
+  /** Lends to another instance. One that is asked takes the place of spenders that do not answer. */
+  async lend(request: LoanRequest): Promise<LoanAnswer> {
+    this.#actingUntil = this.#now() + ACTING_MS;
+    if (!this.#isSpender) this.#assumeRole();
+    return this.#store.lend(request);
   }
 
-  /** Ends a reservation with what was used. */
-  settle(reservation: PrepaidReservation, used: Tokens): void {
-    this.#holder.settle(reservation, used);
+  /** Takes tokens that are here, from whomever they are. */
+  #take(account: AccountId, amount: Tokens): PrepaidReservation | undefined {
+    const holding: TokenSource[] = [...this.#loans.values(), this.#store];
+    const [first] = this.#sources(account);
+    const source = holding.find((other) => other.free(account) >= amount) ?? first;
+    return source?.reserve(account, amount);
   }
 
-  /**
-   * Whether the page was seen just now and has too few tokens to deal. Nothing is asked then: callers of an
-   * account that is short come back several times a second, and each question would be a write that others
-   * of the group conflict with, for tokens that hardly ever turn up so soon.
-   */
-  #isShort(account: AccountId, amount: Tokens): boolean {
-    const believedMs = believedShortMs(this.#periodMs, this.#pages.instances);
-    if (this.#pages.ageMs(this.#context.clock.now()) > believedMs) return false;
-    const available = this.#pages.available(account, this.#limit(account));
-    return this.#holder.free(account) + available < amount;
+  /** Asks one source after the other until one has the tokens or answers that it has not. */
+  async #fetch(
+    sources: readonly TokenSource[],
+    account: AccountId,
+    amount: Tokens,
+    signal: AbortSignal,
+  ): Promise<WhyNot> {
+    if (sources.length === 0) return 'unknown-fleet';
+    const limit = startTimeLimit(FETCH_WAIT_MS, signal);
+    try {
+      return await this.#fetchWithin(limit.signal, sources, account, amount);
+    } finally {
+      limit.end();
+    }
+  }
+
+  async #fetchWithin(
+    signal: AbortSignal,
+    sources: readonly TokenSource[],
+    account: AccountId,
+    amount: Tokens,
+  ): Promise<WhyNot> {
+    for (const source of sources) {
+      const outlook = source.fetchOutlook(account, amount);
+      if (outlook === 'away') continue;
+      if (outlook !== 'may-help') return outlook;
+      await source.fetch(account, amount, signal);
+      if (signal.aborted || !source.isLost) return 'not-had';
+    }
+    return 'away';
   }
 
-  get #periodMs(): number {
-    const { reportMs } = this.#context.settings.prepaid;
-    return reportPeriodMs(reportMs, this.#pages.instances);
+  /** Whom to ask for tokens of an account, in this order. */
+  #sources(account: AccountId): TokenSource[] {
+    if (this.#isSpender) return [this.#store];
+    return orderSpenders(this.#spenders, account).flatMap(
+      ({ name }) => this.#loans.get(name) ?? [],
+    );
   }
 
-  /** Reports at once when the first limits are known, and soon when some have changed. */
-  #takeLimits(limits: PrepaidLimits): void {
-    const before = this.#limits;
-    this.#limits = limits;
-    if (!before) this.#reportIn(0);
-    else if (!isDeepStrictEqual(before, limits))
-      this.#reportIn(this.#context.random() * LIMITS_SPREAD_MS);
+  /** Whether a lender is the one that an account's tokens are asked of. */
+  #isAskedFor(lender: string, account: AccountId): boolean {
+    const sources = this.#sources(account);
+    const first = sources.find(({ isLost }) => !isLost) ?? sources[0];
+    return first?.name === lender;
+  }
+
+  /** Holds rights or borrows, by what is known of the fleet. */
+  #assumeRole(): void {
+    const all = this.#instances?.all ?? [];
+    if (all.length === 0 || this.#stopping || !this.#limits) return;
+    const { instance, dataCentre, listen } = this.#context.settings;
+    const spenders = chooseSpenders(all, dataCentre);
+    const isListed = spenders.length === 0 || spenders.some(({ name }) => name === instance);
+    this.#isSpender = isListed || !listen.mesh || this.#now() < this.#actingUntil;
+    this.#spenders = this.#isSpender
+      ? []
+      : this.#reachable(spenders, rankSpenders(all, dataCentre));
+    if (this.#isSpender) this.#store.hold();
+    else this.#store.retire();
+    for (const spender of this.#spenders) this.#ensureLoans(spender);
+    this.#dropEmptyLoans();
+  }
+
+  /** The spenders, and as long as none of them answers those that follow them. */
+  #reachable(spenders: FleetInstance[], ranked: FleetInstance[]): FleetInstance[] {
+    const { instance } = this.#context.settings;
+    const others = ranked.filter(({ name }) => name !== instance).slice(0, MOST_LENDERS);
+    const isLost = ({ name }: FleetInstance): boolean => this.#loans.get(name)?.isLost ?? false;
+    const isStopping = ({ name }: FleetInstance): boolean => {
+      return this.#loans.get(name)?.isStopping ?? false;
+    };
+    const staying = spenders.filter((spender) => !isStopping(spender));
+    if (staying.some((spender) => !isLost(spender))) return staying;
+    const next = others.find((other) => !isLost(other) && !isStopping(other));
+    return next ? [...staying, next] : staying;
+  }
+
+  #ensureLoans(lender: FleetInstance): void {
+    const known = this.#loans.get(lender.name);
+    if (known?.url === lender.meshUrl) return;
+    const loans = new LoanTokens({
+      context: this.#context,
+      lender,
+      calls: this.#calls,
+      createHolder: (life) => this.#createHolder(`${this.#incarnation}-${lender.name}-${life}`),
+      isAskedFor: (account) => this.#isAskedFor(lender.name, account),
+      onLost: () => {
+        this.#instances?.lookSoon();
+        this.#assumeRole();
+      },
+    });
+    this.#loans.set(lender.name, loans);
+    loans.start();
+  }
+
+  /** Forgets lenders that are asked no more and of which nothing is held. */
+  #dropEmptyLoans(): void {
+    for (const [name, loans] of this.#loans) {
+      const isSpender = this.#spenders.some((spender) => spender.name === name);
+      if (isSpender || !loans.isEmpty) continue;
+      this.#loans.delete(name);
+      void loans.stop();
+    }
   }
 
-  #reportIn(ms: number): void {
-    clearTimeout(this.#timer);
-    if (this.#stopped) return;
-    this.#timer = setTimeout(() => {
-      void this.#sync().finally(() => {
-        this.#reportIn(this.#contact.isLost ? AWAY_RETRY_MS : this.#jitteredPeriodMs);
-      });
-    }, ms);
+  #createHolder(process: string): PrepaidHolder {
+    const { instance, prepaid } = this.#context.settings;
+    const { rideThroughSeconds, silentMs } = prepaid;
+    return new PrepaidHolder({
+      instance,
+      process,
+      sizing: new PrepaidSizing({ rideThroughSeconds }),
+      lendingSizing: new PrepaidSizing({
+        rideThroughSeconds: LENDING_SECONDS,
+        evenPart: LENT_BEFORE_DEMAND,
+      }),
+      aliveMs: silentMs / REPORTS_WITHIN_SILENCE,
+    });
   }
 
-  /** Instances that report in the same moment conflict with each other again and again. */
-  get #jitteredPeriodMs(): number {
-    const { random } = this.#context;
-    return this.#periodMs * (1 - REPORT_JITTER / 2 + REPORT_JITTER * random());
+  /** Rights are held from the first limits on, and reported soon when some have changed. */
+  #takeLimits(limits: PrepaidLimits): void {
+    const before = this.#limits;
+    this.#limits = limits;
+    if (!before) this.#assumeRole();
+    else if (!isDeepStrictEqual(before, limits)) this.#store.reportSoon();
   }
 
   #refuse(account: AccountId, amount: Tokens, why: WhyNot): Refusal {
-    const { clock, log, metrics } = this.#context;
-    const usedUp = this.#isUsedUp(account, amount);
+    const [source = this.#store] = this.#sources(account);
     const limit = this.#limit(account);
-    // after a lost exchange nothing is known of what is left.
-    const isKnown = this.#pages.page !== undefined;
-    metrics.prepaidRefused(account, usedUp ? 'used-up' : why);
-    log.write('prepaid-refused', {
+    const { available, left, ageMs, inDoubt } = source.view(account, limit, this.#now());
+    const usedUp = this.#isUsedUp(left, amount);
+    this.#context.metrics.prepaidRefused(account, usedUp ? 'used-up' : why);
+    this.#context.log.write('prepaid-refused', {
       account,
       amount,
       why,
-      free: this.#holder.free(account),
-      held: this.#holder.held(account),
-      available: isKnown ? this.#pages.available(account, limit) : undefined,
-      left: isKnown ? this.#pages.left(account, limit) : undefined,
+      source: source.name,
+      free: source.free(account),
+      held: source.held(account),
+      available,
+      left,
       limit: Number.isFinite(limit) ? limit : undefined,
-      inDoubt: this.#pages.page?.accounts[account]?.inDoubt,
-      pageAgeMs: Math.round(this.#pages.ageMs(clock.now())),
+      inDoubt,
+      pageAgeMs: Number.isFinite(ageMs) ? Math.round(ageMs) : undefined,
       usedUp,
     });
     if (usedUp) {
@@ -237,15 +334,12 @@
 
   /**
    * Whether it is proved that the budget can't cover the amount, whoever holds the rest. What is gone
-   * only grows, so an old page proves it as well; but a higher limit may have come that this instance,
-   * cut off from the store, does not know.
+   * only grows, so what was known earlier proves it as well; but a higher limit may have come that this
+   * instance, cut off from the store, does not know.
    */
-  #isUsedUp(account: AccountId, amount: Tokens): boolean {
-    const isFresh = this.#configuration?.isFresh(this.#context.clock.now()) ?? false;
-    if (!isFresh || !this.#pages.page) return false;
-    // what was spent here since the last report is in no page yet.
-    const left = this.#pages.left(account, this.#limit(account));
-    return left - this.#holder.unreported(account) < amount;
+  #isUsedUp(left: Tokens | undefined, amount: Tokens): boolean {
+    const isFresh = this.#configuration?.isFresh(this.#now()) ?? false;
+    return isFresh && left !== undefined && left < amount;
   }
 
   #limit(account: AccountId): Tokens {
@@ -256,100 +350,7 @@
     return this.#configuration?.table;
   }
 
-  #sync(last = false): Promise<SyncEnd> {
-    this.#running ??= this.#report(last).finally(() => {
-      this.#running = undefined;
-    });
-    return this.#running;
-  }
-
-  async #report(last: boolean): Promise<SyncEnd> {
-    const limits = this.#table?.prepaid;
-    if (!limits) return 'done';
-    const opened = await this.#pages.open(this.#contact.isLost);
-    if (opened.isErr) return this.#fail(opened.error);
-    // the store answers, whatever becomes of the report: others may be quicker each time.
-    this.#contact.heard();
-    this.#lanes?.setInstances(this.#pages.instances);
-    if (this.#holder.isForgotten(opened.value)) this.#renew(opened.value);
-    const outlook = this.#pages.outlook(limits);
-    const now = this.#context.clock.now();
-    const report = this.#holder.beginReport(opened.value, outlook, now, last);
-    if (report) {
-      const sent = await this.#pages.send(report, limits);
-      if (sent.isErr) return this.#fail(sent.error);
-      const { page } = this.#pages;
-      if (sent.value !== 'taken' || !page) return 'failed';
-      this.#confirm(report, page);
-    }
-    const ended = await (report?.last ? this.#leave() : this.#pages.tend(limits));
-    return ended.isOk ? 'done' : this.#fail(ended.error);
-  }
-
-  async #leave(): ReturnType<PrepaidPages['leave']> {
-    const left = await this.#pages.leave();
-    this.#left = left.isOk;
-    return left;
-  }
-
-  /** Goes on without the rights that were put in doubt while this instance was away. */
-  #renew(page: PrepaidPage): void {
-    const { log, settings } = this.#context;
-    const { incarnation } = this.#holder;
-    this.#holder.renew();
-    log.write('prepaid-rights-lost', {
-      incarnation,
-      renewed: this.#holder.incarnation,
-      group: this.#pages.group,
-      version: this.#pages.version,
-      writer: page.writers[settings.instance]?.incarnation,
-    });
-  }
-
-  #confirm(report: PrepaidReport, page: PrepaidPage): void {
-    const { log, metrics } = this.#context;
-    this.#holder.confirm(page);
-    const accounts = Object.keys(report.entries);
-    log.write('prepaid-reported', {
-      group: this.#pages.group,
-      version: this.#pages.version,
-      seq: report.seq,
-      conflicts: this.#pages.takeConflicts(),
-      accounts: accounts.length,
-      spent: sum(Object.values(report.entries).map((entry) => entry.spent)),
-      held: sum(accounts.map((account) => this.#holder.held(account))),
-      ...pageTotals(page, this.#table),
-    });
-    for (const account of accounts) {
-      metrics.gauge('prepaid_held_tokens', 'tokens held', this.#holder.held(account), { account });
-    }
-  }
-
-  // the report stays pending: its write may still take effect, so the same one is sent again.
-  #fail({ code, message, retryAfterMs = THROTTLED_MS }: StoreError): SyncEnd {
-    if (code === 'throttled') {
-      // nothing was done, and the store is there: what is known stays, and nothing is asked for a while.
-      this.#askAgainAt = this.#context.clock.now() + retryAfterMs;
-      this.#context.log.write('prepaid-throttled', { reason: message, retryAfterMs });
-      return 'failed';
-    }
-    this.#pages.forget();
-    this.#contact.lose(message, { seq: this.#holder.pending?.seq });
-    return 'failed';
+  #now(): number {
+    return this.#context.clock.now();
   }
 }
-
-/** Totals over all accounts of the group, for the log. */
-function pageTotals(
-  page: PrepaidPage,
-  table: RouteTable | undefined,
-): { limitAll: Tokens; grantedAll: Tokens; spentAll: Tokens; heldAll: Tokens; inDoubtAll: Tokens } {
-  const accounts = Object.values(page.accounts);
-  return {
-    limitAll: sum([...(table?.prepaid.values() ?? [])]),
-    grantedAll: sum(accounts.map((account) => account.granted)),
-    spentAll: sum(accounts.map((account) => account.spent)),
-    heldAll: sum(accounts.map(heldPrepaid)),
-    inDoubtAll: sum(accounts.map((account) => account.inDoubt)),
-  };
-}
--- a/packages/gateway/src/types/gatewaySettings.ts
+++ b/packages/gateway/src/types/gatewaySettings.ts
@@ -16,6 +16,8 @@
     entry: Listen;
     ready: Listen;
     metrics?: Listen | undefined;
+    /** Serves the other instances; without it this instance neither lends nor borrows. */
+    mesh?: Listen | undefined;
   };
   store: {
     url: string;
--- a/packages/gateway/src/utils/gatewaySettingsSchema.ts
+++ b/packages/gateway/src/utils/gatewaySettingsSchema.ts
@@ -17,7 +17,12 @@
 export const gatewaySettingsSchema = z.object({
   instance: z.string().min(1).describe('the name of this instance'),
   dataCentre: z.string().min(1).describe('the name of the data centre'),
-  listen: z.object({ entry: address, ready: address, metrics: address.optional() }),
+  listen: z.object({
+    entry: address,
+    ready: address,
+    metrics: address.optional(),
+    mesh: address.optional(),
+  }),
   store: z.object({
     url: z.string().describe('the URL of the object store'),
     // a healthy store answers in some milliseconds, a slow one in some hundred.
--- /dev/null
+++ b/packages/gateway/src/utils/instanceSchemas.ts
@@ -0,0 +1,12 @@
+/** Shape of the stored objects that list the instances of the fleet. */
+
+import { z } from 'zod';
+
+/** The instances of one data centre, by name. */
+export interface StoredInstances {
+  instances: Record<string, { meshUrl?: string | undefined }>;
+}
+
+export const storedInstancesSchema: z.ZodType<StoredInstances> = z.object({
+  instances: z.record(z.string(), z.object({ meshUrl: z.string().optional() })),
+});
--- a/packages/mesh/src/runtime/meshRouter.ts
+++ b/packages/mesh/src/runtime/meshRouter.ts
@@ -31,6 +31,7 @@
     fenceHolder: createProcedure(ports, 'fenceHolder'),
     recall: createProcedure(ports, 'recall'),
     pullConfiguration: createProcedure(ports, 'pullConfiguration'),
+    borrow: createProcedure(ports, 'borrow'),
     shareHints: createProcedure(ports, 'shareHints'),
   });
 }
@@ -50,6 +51,9 @@
   });
 }
 
+/** Procedures that need no addressee: incarnations are learned by the one, named inside by the other. */
+const UNADDRESSED: ReadonlySet<ProcedureName> = new Set(['heartbeat', 'borrow']);
+
 /**
  * A process that was replaced under the same address has none of its predecessor's memory. Were it
  * to answer "I kept no lines" in the predecessor's place, a holder would be sealed without bills
@@ -61,7 +65,7 @@
   procedure: ProcedureName,
   to: string | undefined,
 ): void {
-  if (to === undefined && procedure === 'heartbeat') return;
+  if (to === undefined && UNADDRESSED.has(procedure)) return;
   if (to !== undefined && ports.isSelf(to)) return;
   throw refusal('PRECONDITION_FAILED', `this process is not ${to ?? 'named in the call'}`);
 }
--- a/packages/mesh/src/runtime/schemas.ts
+++ b/packages/mesh/src/runtime/schemas.ts
@@ -1,6 +1,6 @@
 /** Schemas of the inputs that peers send. All lists and texts are bounded. */
 
-import type { Bill, JournalChange, JournalLine, Outcome } from '@flamingocourse/core';
+import type { Bill, JournalChange, JournalLine, LoanRequest, Outcome } from '@flamingocourse/core';
 import type { ZodType } from 'zod';
 import type { ProcedureInput, ProcedureName } from '../types/procedures.js';
 import type { PackedHeartbeat, PackedMember } from './heartbeatCodec.js';
@@ -11,6 +11,8 @@
 /** Members named in one heartbeat or witness line. */
 const maxMembers = 64;
 const maxHints = 32;
+/** Accounts that one instance asks for. */
+const maxAccounts = 50_000;
 const maxHintLength = 65_536;
 /** Base64 of a kept answer; the body limit of the whole call is tighter still. */
 const maxKeptAnswerLength = 2 * 1024 * 1024;
@@ -76,6 +78,25 @@
   m: z.array(packedMemberSchema).max(maxMembers).exactOptional(),
 });
 
+const held = z.number().min(0);
+
+const loanRequestSchema: ZodType<LoanRequest> = z.object({
+  lender: id.optional(),
+  report: z.object({
+    instance: id,
+    incarnation: id,
+    seq: count,
+    last: z.boolean(),
+    entries: z.record(
+      id,
+      z.object({ spent: held, keeps: held, wants: held, rate: z.number().min(0) }),
+    ),
+  }),
+  urgent: z.record(id, held),
+  typicalRequest: held,
+  interest: z.array(id).max(maxAccounts),
+});
+
 /** Input schema of each procedure. */
 export const inputSchemas: { [P in ProcedureName]: ZodType<ProcedureInput<P>> } = {
   heartbeat: heartbeatSchema,
@@ -84,6 +105,7 @@
   fenceHolder: z.object({ holder: id }),
   recall: z.object({ account: id, amount: tokens.min(0), forDataCentre: id }),
   pullConfiguration: z.object({ since: count }),
+  borrow: loanRequestSchema,
   shareHints: z.object({
     hints: z.array(z.object({ topic: id, body: z.string().max(maxHintLength) })).max(maxHints),
   }),
--- a/packages/mesh/src/types/procedures.ts
+++ b/packages/mesh/src/types/procedures.ts
@@ -7,6 +7,8 @@
   IncarnationId,
   JournalLine,
   JournalState,
+  LoanAnswer,
+  LoanRequest,
   MemberInfo,
   Tokens,
 } from '@flamingocourse/core';
@@ -58,6 +60,8 @@
   };
   /** Asks for what changed in the configuration after the revision `since`. */
   pullConfiguration: { input: { since: number }; output: ConfigurationUpdate };
+  /** Asks a lender for tokens of prepaid budgets; the request itself names the lender's life. */
+  borrow: { input: LoanRequest; output: LoanAnswer };
   shareHints: { input: { hints: Hint[] }; output: 'taken' };
 }
 
--- a/packages/store/src/node/httpObjectStore.ts
+++ b/packages/store/src/node/httpObjectStore.ts
@@ -117,12 +117,12 @@
 
   override async list<T>(
     collection: Collection<T>,
-    options: CallOptions = {},
+    options: ReadOptions = {},
   ): PlatformResult<ObjectList<T>> {
     const objects: ListPage = { version: '0', items: [] };
     let after: string | undefined;
     do {
-      const request = this.#dialect.list(collection.name, after);
+      const request = this.#dialect.list(collection.name, after, options.stale);
       const answer = await this.#call({ kind: 'list', ...request }, options);
       const page = answer.andThen((reply) => this.#dialect.parseList(reply));
       if (page.isErr) return Result.err(page.error);
--- a/packages/store/src/runtime/objectStore.ts
+++ b/packages/store/src/runtime/objectStore.ts
@@ -37,7 +37,7 @@
   ): PlatformResult<VersionedObject<T>>;
 
   /** Reads all objects of a collection. Errors as for {@link get}, without `not-found`. */
-  abstract list<T>(collection: Collection<T>, options?: CallOptions): PlatformResult<ObjectList<T>>;
+  abstract list<T>(collection: Collection<T>, options?: ReadOptions): PlatformResult<ObjectList<T>>;
 
   /** Creates an object if the name is free. Errors: `exists`, and those of {@link update}. */
   abstract create<T>(
--- a/packages/store/src/runtime/storeDialect.ts
+++ b/packages/store/src/runtime/storeDialect.ts
@@ -60,7 +60,7 @@
   abstract get(collection: string, name: string, stale?: boolean): StoreRequest;
   /** The cheapest call whose answer shows that the store serves this instance. */
   abstract probe(): StoreRequest;
-  abstract list(collection: string, after?: string): StoreRequest;
+  abstract list(collection: string, after?: string, stale?: boolean): StoreRequest;
   abstract create(collection: string, name: string, value: unknown): StoreRequest;
   abstract update(collection: string, name: string, version: string, value: unknown): StoreRequest;
   abstract remove(collection: string, name: string, version: string): StoreRequest;
--- a/test/gateway/fleet/prepaidFleet.ts
+++ b/test/gateway/fleet/prepaidFleet.ts
@@ -11,10 +11,13 @@
 import { MemoryObjectStore } from '@flamingocourse/store';
 import { BackendLanes } from '../../../packages/gateway/src/node/backendLanes.js';
 import { ConfigurationWatch } from '../../../packages/gateway/src/node/configurationWatch.js';
+import { InstanceDirectory } from '../../../packages/gateway/src/node/instanceDirectory.js';
 import { PrepaidService } from '../../../packages/gateway/src/node/prepaidService.js';
 import { ServerDirectory } from '../../../packages/gateway/src/node/serverDirectory.js';
 import { createRandom } from '../../../packages/lab/src/runtime/random.js';
 import { contextOf } from '../contextOf.js';
+import type { Peer } from './loanLink.js';
+import { LoanLink } from './loanLink.js';
 import { ProcessLife, StoreLink, StoreLoad, WayFaults } from './storeLink.js';
 
 /** Size of a fleet and what its callers ask for. */
@@ -53,10 +56,8 @@
   running: RunningProcess | undefined;
 }
 
-interface RunningProcess {
+interface RunningProcess extends Peer {
   kernel: Kernel;
-  prepaid: PrepaidService;
-  process: ProcessLife;
 }
 
 /** The first accounts are large. */
@@ -178,6 +179,7 @@
   stop(name: string): void {
     const instance = this.#find(name);
     const { running } = instance;
+    running?.prepaid.beginStop();
     void running?.kernel.stop().then(() => {
       if (instance.running === running) this.kill(name);
     });
@@ -268,13 +270,16 @@
     const process = new ProcessLife(faults);
     const store = new StoreLink(this.#objects, this.#load, process, random);
     const base = contextOf(this.clock, log, store);
-    const settings = { ...base.settings, instance: name, dataCentre };
+    const listen = { ...base.settings.listen, mesh: { host: name, port: 7_340 } };
+    const settings = { ...base.settings, instance: name, dataCentre, listen };
     const context = { ...base, settings, rateLimits: new ServerRateLimits(random), random };
-    const prepaid = new PrepaidService(context, `${name}-${String(processes)}`);
+    const calls = new LoanLink((peer) => this.#find(peer).running, process, random);
+    const prepaid = new PrepaidService(context, `${name}-${String(processes)}`, calls);
     const kernel = new Kernel()
       .register(new ConfigurationWatch(context))
       .register(new ServerDirectory(context, new NoHealthCheck()))
       .register(new BackendLanes(context))
+      .register(new InstanceDirectory(context))
       .register(prepaid);
     instance.running = { prepaid, process, kernel };
     await kernel.start();
