feat(prepaid): an instance whose tokens are out of reach sends its callers to others

Callers saw: all requests of one account came in at an instance that was cut off together with a third of the fleet, and were refused there for twelve seconds while the other instances and most of the account's budget were in reach of each other. Cause: such an instance stayed in rotation. Ruled out: holding more ahead, as a second of traffic tells nobody where the next twelve come in. Now an instance that has refused a request for tokens that nobody in reach can give is not ready and ends its connections, until somebody answers again. Where all are cut off all say so, and the balancer uses them as before. Shown by a test with a silent store that fails without the change (ready all the while). A request whose fetch ended with a lost lender is counted as away, not as asked in vain.

--- a/packages/gateway/src/node/entryService.ts
+++ b/packages/gateway/src/node/entryService.ts
@@ -76,7 +76,8 @@
   get ready(): boolean {
     if (this.#stoppingSince !== undefined) return false;
     const hasServers = this.#parts?.lanes.hasServers ?? false;
-    return this.#configuration?.table !== undefined && hasServers && !this.#cutOff;
+    const isServing = this.#configuration?.table !== undefined && hasServers;
+    return isServing && !this.#servesElsewhere;
   }
 
   /**
@@ -93,7 +94,12 @@
 
   /** Whether callers should not keep their connections. */
   get #turnsAway(): boolean {
-    return this.#stoppingSince !== undefined || this.#cutOff;
+    return this.#stoppingSince !== undefined || this.#servesElsewhere;
+  }
+
+  /** Whether callers are better served by other instances, as far as this one can tell. */
+  get #servesElsewhere(): boolean {
+    return this.#cutOff || (this.#parts?.prepaid.isDry ?? false);
   }
 
   override async start(kernel: Kernel): Promise<void> {
--- a/packages/gateway/src/node/prepaidService.ts
+++ b/packages/gateway/src/node/prepaidService.ts
@@ -59,6 +59,12 @@
 /** Part of what may be dealt that spenders hold before any demand is known, to be lent to the first callers. */
 const LENT_BEFORE_DEMAND = 0.2;
 
+/**
+ * Milliseconds after a request was refused for want of tokens that are out of reach in which callers are sent
+ * elsewhere. A balancer that asks each second and needs two misses has turned away by then.
+ */
+const DRY_MS = 3_000;
+
 /** Why a request was refused without its tokens. */
 type WhyNot =
   /** Nobody who could give them answered lately. */
@@ -90,6 +96,8 @@
   #actingUntil = -Infinity;
   #timer: NodeJS.Timeout | undefined;
   #stopping = false;
+  /** When a request was last refused because nobody who could give its tokens answers. */
+  #dryAt = -Infinity;
 
   constructor(context: GatewayContext, incarnation: string, calls: LoanCalls) {
     super();
@@ -105,6 +113,19 @@
     });
   }
 
+  /**
+   * Whether callers are better served elsewhere: nobody who could give tokens answers, and some were refused
+   * for want of them. Where every instance is cut off, all say so, and a balancer uses them as before.
+   */
+  get isDry(): boolean {
+    return this.#now() - this.#dryAt < DRY_MS && this.#isOutOfReach;
+  }
+
+  get #isOutOfReach(): boolean {
+    if (this.#isSpender) return this.#store.isLost;
+    return this.#spenders.every(({ name }) => this.#loans.get(name)?.isLost ?? true);
+  }
+
   override start(kernel: Kernel): void {
     const lanes = kernel.get('lanes', BackendLanes);
     this.#instances = kernel.get('instances', InstanceDirectory);
@@ -203,7 +224,8 @@
       if (outlook === 'away') continue;
       if (outlook !== 'may-help') return outlook;
       await source.fetch(account, amount, signal);
-      if (signal.aborted || !source.isLost) return 'not-had';
+      if (!source.isLost) return 'not-had';
+      if (signal.aborted) return 'away';
     }
     return 'away';
   }
@@ -310,6 +332,7 @@
     const limit = this.#limit(account);
     const { available, left, ageMs, inDoubt } = source.view(account, limit, this.#now());
     const usedUp = this.#isUsedUp(left, amount);
+    if (why === 'away' && !usedUp) this.#dryAt = this.#now();
     this.#context.metrics.prepaidRefused(account, usedUp ? 'used-up' : why);
     this.#context.log.write('prepaid-refused', {
       account,
--- a/test/platform/prepaid.test.ts
+++ b/test/platform/prepaid.test.ts
@@ -44,6 +44,25 @@
     assert.ok(Number(answer.headers['retry-after']) > 0);
   });
 
+  // all callers of one account came in at an instance that was cut off, and were refused for twelve seconds
+  // beside instances that could serve them.
+  test('that is out of reach sends callers to other instances until it is back', async (t) => {
+    const world = await World.start(t);
+    world.behave('e', 'stream');
+    world.store.fault = 'silent';
+    await until('store lost', () => world.events.includes('store-lost'));
+    assert.equal(await world.ready(), 200, 'an instance that can still serve stays');
+    await until('refused at once', async () => {
+      await world.generate('/chat/1', 90_000);
+      return world.log.events.some(({ fields }) => fields.why === 'away');
+    });
+    assert.notEqual(await world.ready(), 200);
+    world.store.fault = 'none';
+    await until('ready again', async () => (await world.ready()) === 200);
+    const served = await world.generate('/chat/1', 90_000);
+    assert.equal(served.status, 200);
+  });
+
   test('is refused, not waited for, while the store answers nothing', async (t) => {
     // volunteers see nothing until they hang up: their calls waited for tokens from a store that had
     // gone silent a moment ago, and neither the time limit nor the hang-up ended the wait.
