feat(routing): what servers say of leaving and rest is read, kept by their start, and told

No line told a word of a server that leaves or asks for rest, so nothing distinguished words that were not read from words that were lost. Each answer is decoded once into leaving, rest and rate limit; ServerNotices is the one home for what holds for one start of a server (id and time of start), with server-notice for what is new, views in each attempt's lines, and two gauges. Choices go as before: the pool asks it for rate limits only.

--- a/packages/core/src/runtime/routing/serverPool.ts
+++ b/packages/core/src/runtime/routing/serverPool.ts
@@ -14,6 +14,7 @@
 import { createConcurrencyLimit } from './concurrencyLimit.js';
 import { defaultHealthSettings } from './serverHealth.js';
 import { ServerEntry } from './serverEntry.js';
+import { ServerNotices } from './serverNotices.js';
 import { ServerRateLimits } from './serverRateLimits.js';
 
 /** Options of a pool. */
@@ -27,8 +28,8 @@
   /** Routers that share the servers of this data centre, self included. @default 1 */
   sharers?: number;
   health?: Partial<HealthSettings>;
-  /** Limits that servers have named. @default none */
-  rateLimits?: ServerRateLimits;
+  /** What servers have said of themselves. @default nothing */
+  notices?: ServerNotices;
 }
 
 /** What a caller of the pool says about one attempt. */
@@ -89,6 +90,7 @@
   readonly #health: HealthSettings;
   /** One for all servers: each alone sees too few answers to adapt in time. */
   readonly #limit: ConcurrencyLimit;
+  readonly #notices: ServerNotices;
   readonly #rateLimits: ServerRateLimits;
   #sharers: number;
   #subset: ReadonlySet<ServerId> | undefined;
@@ -99,7 +101,8 @@
     this.#options = options;
     this.#health = { ...defaultHealthSettings, ...options.health };
     this.#sharers = options.sharers ?? 1;
-    this.#rateLimits = options.rateLimits ?? new ServerRateLimits(() => 0);
+    this.#notices = options.notices ?? new ServerNotices(new ServerRateLimits(() => 0), () => 0);
+    this.#rateLimits = this.#notices.rateLimits;
     const bounds = { max: options.concurrencyPerServer };
     this.#limit = createConcurrencyLimit(options.limitKind ?? 'aimd', bounds);
   }
--- a/packages/gateway/src/node/backendLanes.ts
+++ b/packages/gateway/src/node/backendLanes.ts
@@ -97,7 +97,7 @@
   setInstances(count: number): void {
     this.#instances = Math.max(1, count);
     for (const { retries } of this.#lanes.values()) retries.setInstances(this.#instances);
-    this.#context.rateLimits.setSharers(this.#instances, this.#context.clock.now());
+    this.#context.notices.rateLimits.setSharers(this.#instances, this.#context.clock.now());
   }
 
   override start(kernel: Kernel): void {
@@ -126,7 +126,7 @@
 
   #apply(servers: DirectoryServer[]): void {
     const now = this.#context.clock.now();
-    this.#context.rateLimits.retain(new Set(servers.map(({ id }) => id)), now);
+    this.#context.notices.retain(new Set(servers.map(({ id }) => id)), now);
     const byService = new Map<ServiceName, DirectoryServer[]>();
     for (const server of servers) {
       byService.set(server.service, [...(byService.get(server.service) ?? []), server]);
@@ -144,13 +144,13 @@
   #ensure(service: ServiceName, slots: number): BackendLane {
     const known = this.#lanes.get(service);
     if (known) return known;
-    const { clock, random, settings, rateLimits } = this.#context;
+    const { clock, random, settings, notices } = this.#context;
     const sharesPrompts = this.#configuration?.table?.service(service)?.generates ?? false;
     const pool = new ServerPool({
       dataCentre: settings.dataCentre,
       concurrencyPerServer: sharesPrompts ? slots : slots * PLAIN_QUEUE_FACTOR,
       limitKind: 'fixed',
-      rateLimits,
+      notices,
     });
     const lane = new ServiceLane({
       pool,
--- a/packages/gateway/src/node/createGateway.ts
+++ b/packages/gateway/src/node/createGateway.ts
@@ -5,7 +5,7 @@
 import type { GatewaySettings } from '../types/gatewaySettings.js';
 import { randomUUID } from 'node:crypto';
 import { isDeepStrictEqual } from 'node:util';
-import { ServerRateLimits } from '@flamingocourse/core';
+import { ServerNotices, ServerRateLimits } from '@flamingocourse/core';
 import { Kernel, describeError } from '@flamingocourse/kernel';
 import { MeshClient, MeshServer } from '@flamingocourse/mesh';
 import { Result } from 'true-myth';
@@ -74,7 +74,7 @@
     random,
   });
   const metrics = new GatewayMetrics();
-  const rateLimits = new ServerRateLimits(random);
+  const notices = new ServerNotices(new ServerRateLimits(random), random);
   const context: GatewayContext = {
     settings,
     clock,
@@ -82,7 +82,7 @@
     metrics,
     store,
     dialects,
-    rateLimits,
+    notices,
     random,
   };
   const kernel = new Kernel();
--- a/packages/gateway/src/node/entryService.ts
+++ b/packages/gateway/src/node/entryService.ts
@@ -283,7 +283,7 @@
       tried: progress?.tried.join(' ') ?? undefined,
       server: progress?.server,
       ...progress?.list,
-      ...progress?.rateLimit,
+      ...progress?.notice,
       prompt: head?.size?.prompt,
       events: answer.events,
       pauseMs: Math.round(answer.longestPauseMs),
--- a/packages/gateway/src/node/httpHealthCheck.ts
+++ b/packages/gateway/src/node/httpHealthCheck.ts
@@ -5,7 +5,7 @@
 import type { ConfigurationWatch } from './configurationWatch.js';
 import type { ServerAgent } from './serverAgent.js';
 import { HealthCheck } from '../types/healthCheck.js';
-import { learnRateLimit } from './learnRateLimit.js';
+import { learnNotice } from './learnNotice.js';
 import { openAttempt } from './httpAttempt.js';
 
 /** Milliseconds for an answer; one that is busy may let the question wait for a place. */
@@ -30,14 +30,15 @@
     this.#agent = agent;
   }
 
-  override async ask(id: ServerId, { service, url }: ListedServer): Promise<ServerWord> {
+  override async ask(id: ServerId, { service, url, bornAt }: ListedServer): Promise<ServerWord> {
+    const start = { id, bornAt };
     const target = this.#configuration.table?.service(service)?.healthPath;
     if (target === undefined) return 'unknown';
-    const { clock, dialects, rateLimits, settings } = this.#context;
+    const { clock, dialects, notices, settings } = this.#context;
     const now = clock.now();
     // a question reaches the server like a request, so it counts like one.
-    if (rateLimits.nextAt(id, now) > now) return 'unknown';
-    rateLimits.take(id, now);
+    if (notices.rateLimits.nextAt(id, now) > now) return 'unknown';
+    notices.rateLimits.take(id, now);
     const opened = await openAttempt({
       url,
       method: 'GET',
@@ -52,7 +53,7 @@
     if (opened.isErr) return opened.error.reason === 'refused' ? 'gone' : 'unknown';
     opened.value.body.resume();
     const word = dialects.servers.judgeHealth(id, opened.value.head);
-    if (word !== 'gone') learnRateLimit(this.#context, id, opened.value.head);
+    if (word !== 'gone') learnNotice(this.#context, start, opened.value.head);
     return word;
   }
 }
--- a/packages/gateway/src/node/requestFlow.ts
+++ b/packages/gateway/src/node/requestFlow.ts
@@ -7,8 +7,8 @@
  */
 
 import type {
+  NoticeView,
   PrepaidReservation,
-  RateLimitView,
   Refusal,
   Route,
   RouteTable,
@@ -68,8 +68,8 @@
   server?: string;
   /** State of the list by which that server was chosen. */
   list?: ListView;
-  /** Limit that server had named before the attempt. */
-  rateLimit?: RateLimitView | undefined;
+  /** What that server had said of itself before the attempt. */
+  notice?: NoticeView | undefined;
   /** Attempts so far, all kinds. */
   made: number;
   /** Attempts so far that may have run. */
--- a/packages/gateway/src/node/serverAttempt.ts
+++ b/packages/gateway/src/node/serverAttempt.ts
@@ -9,7 +9,7 @@
 import { EventTiming } from '@flamingocourse/core';
 import { isRepeatable, isStream, mayFollow } from '../runtime/attemptJudgement.js';
 import { enginePriority } from '../runtime/enginePriority.js';
-import { learnRateLimit } from './learnRateLimit.js';
+import { learnNotice } from './learnNotice.js';
 import { relayStream, relayWhole } from './answerRelay.js';
 import { openAttempt } from './httpAttempt.js';
 
@@ -66,16 +66,17 @@
     this.#progress.made += 1;
     this.#progress.server = this.#placement.server.id;
     this.#progress.list = this.#parts.directory.view(this.#placement.server.id, this.#startedAt);
-    const { rateLimits, metrics } = this.#parts.context;
-    this.#progress.rateLimit = rateLimits.view(this.#placement.server.id, this.#startedAt);
-    if (this.#progress.rateLimit) metrics.rateLimitedAttempt(this.#call.service.name);
+    const { notices, metrics } = this.#parts.context;
+    this.#progress.notice = notices.view(this.#placement.server, this.#startedAt);
+    if (this.#progress.notice?.limitPerSecond !== undefined)
+      metrics.rateLimitedAttempt(this.#call.service.name);
     const opened = await this.#open();
     if (opened.isErr) return this.#faulted(opened.error);
     this.#placement.heard();
     this.#learnLoad(opened.value);
     const verdict = this.#parts.context.dialects.servers.judge(this.#call.head, opened.value.head);
     // an answer that is not the server's own says nothing about it.
-    if (verdict === 'answered' || verdict === 'not-run') this.#learnRateLimit(opened.value);
+    if (verdict === 'answered' || verdict === 'not-run') this.#learnNotice(opened.value);
     switch (verdict) {
       case 'answered':
         this.#progress.mayHaveRun += 1;
@@ -198,7 +199,7 @@
       request: head.id,
       server: server.id,
       ...this.#progress.list,
-      ...this.#progress.rateLimit,
+      ...this.#progress.notice,
       failed,
       cause,
       made: this.#progress.made,
@@ -220,8 +221,8 @@
     if (load) this.#lane.lane.pool.reportLoad(id, { ...load, at: now }, now);
   }
 
-  #learnRateLimit({ head }: OpenAnswer): void {
-    learnRateLimit(this.#parts.context, this.#placement.server.id, head);
+  #learnNotice({ head }: OpenAnswer): void {
+    learnNotice(this.#parts.context, this.#placement.server, head);
   }
 
   #now(): number {
--- a/packages/gateway/src/node/statusService.ts
+++ b/packages/gateway/src/node/statusService.ts
@@ -58,7 +58,8 @@
   }
 
   async #answerMetrics(res: ServerResponse): Promise<void> {
-    const { metrics, log, store, clock, rateLimits } = this.#context;
+    const { metrics, log, store, clock, notices } = this.#context;
+    const { rateLimits } = notices;
     metrics.gauge('requests_running', 'requests in progress', this.#entry?.running ?? 0);
     metrics.gauge('log_lines_dropped', 'log lines dropped', log.dropped);
     const ageMs = this.#directory?.ageMs(clock.now()) ?? Infinity;
@@ -72,6 +73,9 @@
     metrics.gauge('server_rate_limits_per_second', limitHelp, rateLimits.perSecond);
     const ownHelp = 'requests a second that this instance may send to them';
     metrics.gauge('server_rate_limit_share_per_second', ownHelp, rateLimits.ownPerSecond);
+    const { leaving, resting } = notices.counts(clock.now());
+    metrics.gauge('servers_leaving', 'servers that said that they leave', leaving);
+    metrics.gauge('servers_resting', 'servers that asked for rest', resting);
     metrics.storeCalls(store.counters);
     const text = await metrics.text();
     res.writeHead(200, { 'content-type': 'text/plain; version=0.0.4' }).end(text);
--- a/packages/gateway/src/types/context.ts
+++ b/packages/gateway/src/types/context.ts
@@ -1,6 +1,6 @@
 /** What the parts of the pipeline are created with. */
 
-import type { ListedServer, RoutedConfig, ServerRateLimits } from '@flamingocourse/core';
+import type { ListedServer, RoutedConfig, ServerNotices } from '@flamingocourse/core';
 import type { Clock, EventLog } from '@flamingocourse/kernel';
 import type { Collection, ObjectStore, StoreDialect } from '@flamingocourse/store';
 import type { GatewayMetrics } from '../node/gatewayMetrics.js';
@@ -27,8 +27,8 @@
   metrics: GatewayMetrics;
   store: ObjectStore;
   dialects: GatewayDialects;
-  /** Limits that servers have named to this instance. */
-  rateLimits: ServerRateLimits;
+  /** What servers have said of themselves to this instance. */
+  notices: ServerNotices;
   /** Numbers from 0 (included) to 1 (excluded). */
   random: () => number;
 }
--- a/packages/gateway/src/types/dialects.ts
+++ b/packages/gateway/src/types/dialects.ts
@@ -1,6 +1,6 @@
 /** The seams between the pipeline and the forms of requests and answers. */
 
-import type { Refusal, ServerId, ServerWord, ToldRateLimit } from '@flamingocourse/core';
+import type { Refusal, ServerId, ServerNotice, ServerWord } from '@flamingocourse/core';
 import type { IncomingMessage, OutgoingHttpHeaders } from 'node:http';
 import type { Result } from 'true-myth';
 import type { AttemptDetails, CallHead, HeadVerdict, ServerHead, ToldLoad } from './call.js';
@@ -30,8 +30,8 @@
   abstract judge(head: CallHead, answer: ServerHead): HeadVerdict;
   /** Load of the server, where it told it. */
   abstract load(answer: ServerHead): ToldLoad | undefined;
-  /** Requests a second that the server takes from all instances together, where it told it. */
-  abstract rateLimit(answer: ServerHead): ToldRateLimit;
+  /** What the answer says of its server: leaving, rest and rate limit. */
+  abstract notice(answer: ServerHead): ServerNotice;
   /** Headers of a question for a server's status, as alternating names and values. */
   abstract healthHeaders(serverId: ServerId, host: string): string[];
   /** Decides what the answer says of the server that was asked. */
--- a/packages/kernel/src/runtime/eventCatalogue.ts
+++ b/packages/kernel/src/runtime/eventCatalogue.ts
@@ -219,6 +219,11 @@
     text: 'a limit of requests a second in an answer cannot be read and changes nothing',
     action: 'Look at the software of the server.',
   },
+  'server-notice': {
+    number: 519,
+    level: 'info',
+    text: 'a server said of itself that it leaves, wants to rest, or is back from a rest',
+  },
   'backend-crashed': {
     number: 500,
     level: 'warn',
--- a/test/gateway/contextOf.ts
+++ b/test/gateway/contextOf.ts
@@ -3,7 +3,7 @@
 import type { GatewayContext } from '@flamingocourse/gateway';
 import type { Clock, EventLog } from '@flamingocourse/kernel';
 import type { ObjectStore } from '@flamingocourse/store';
-import { ServerRateLimits } from '@flamingocourse/core';
+import { ServerNotices, ServerRateLimits } from '@flamingocourse/core';
 import { parseGatewaySettings } from '@flamingocourse/gateway';
 import { createPlatformDialects } from '@flamingocourse/platform-adapter';
 import { GatewayMetrics } from '../../packages/gateway/src/node/gatewayMetrics.js';
@@ -27,7 +27,7 @@
     metrics: new GatewayMetrics(),
     store,
     dialects: createPlatformDialects(),
-    rateLimits: new ServerRateLimits(() => 0.5),
+    notices: new ServerNotices(new ServerRateLimits(() => 0.5), () => 0.5),
     random: () => 0.5,
   };
 }
--- a/test/gateway/fleet/prepaidFleet.ts
+++ b/test/gateway/fleet/prepaidFleet.ts
@@ -5,7 +5,7 @@
 import type { EventFields } from '@flamingocourse/kernel';
 import { syncBuiltinESMExports } from 'node:module';
 import { setImmediate as turn } from 'node:timers/promises';
-import { ServerRateLimits } from '@flamingocourse/core';
+import { ServerNotices, ServerRateLimits } from '@flamingocourse/core';
 import { HealthCheck } from '@flamingocourse/gateway';
 import { Kernel, ManualClock, MemoryEventLog } from '@flamingocourse/kernel';
 import { MemoryObjectStore } from '@flamingocourse/store';
@@ -272,7 +272,8 @@
     const base = contextOf(this.clock, log, store);
     const listen = { ...base.settings.listen, mesh: { host: name, port: 7_340 } };
     const settings = { ...base.settings, instance: name, dataCentre, listen };
-    const context = { ...base, settings, rateLimits: new ServerRateLimits(random), random };
+    const notices = new ServerNotices(new ServerRateLimits(random), random);
+    const context = { ...base, settings, notices, random };
     const calls = new LoanLink((peer) => this.#find(peer).running, process, random);
     const prepaid = new PrepaidService(context, `${name}-${String(processes)}`, calls);
     const kernel = new Kernel()
--- a/test/gateway/httpHealthCheck.test.ts
+++ b/test/gateway/httpHealthCheck.test.ts
@@ -27,17 +27,17 @@
     state: 'live',
     slots: 4,
   };
-  context.rateLimits.setSharers(1, clock.now());
-  context.rateLimits.tell('p1', { type: 'limit', perSecond: 0.5 }, clock.now());
+  context.notices.rateLimits.setSharers(1, clock.now());
+  context.notices.rateLimits.tell('p1', { type: 'limit', perSecond: 0.5 }, clock.now());
   server.rateLimit = '0.5';
   assert.equal(await check.ask('p1', listed), 'unknown', 'no question is due yet');
   assert.equal(server.asked, 0);
-  clock.advance(context.rateLimits.nextAt('p1', clock.now()) - clock.now());
+  clock.advance(context.notices.rateLimits.nextAt('p1', clock.now()) - clock.now());
   assert.equal(await check.ask('p1', listed), 'staying');
   assert.equal(await check.ask('p1', listed), 'unknown', 'the next is not due yet');
   assert.equal(server.asked, 1);
   server.rateLimit = undefined;
-  clock.advance(context.rateLimits.nextAt('p1', clock.now()) - clock.now());
+  clock.advance(context.notices.rateLimits.nextAt('p1', clock.now()) - clock.now());
   assert.equal(await check.ask('p1', listed), 'staying');
   assert.equal(await check.ask('p1', listed), 'staying', 'the limit has ended');
   assert.equal(server.asked, 3);
--- a/test/platform/serverDialect.test.ts
+++ b/test/platform/serverDialect.test.ts
@@ -1,4 +1,4 @@
-import type { ServerWord, ToldRateLimit } from '@flamingocourse/core';
+import type { ServerWord, ToldRateLimit, ToldRest } from '@flamingocourse/core';
 import type { CallHead } from '@flamingocourse/gateway';
 import assert from 'node:assert/strict';
 import { describe, test } from 'node:test';
@@ -115,11 +115,40 @@
   for (const { header, told } of cases) {
     test(`${String(header).slice(0, 30)}: ${told.type}`, () => {
       const headers = header === undefined ? {} : { 'server-limit': header };
-      assert.deepEqual(servers.rateLimit({ status: 200, headers, rawHeaders: [] }), told);
+      assert.deepEqual(servers.notice({ status: 200, headers, rawHeaders: [] }).rateLimit, told);
     });
   }
 });
 
+describe('the rest that an answer asks for', () => {
+  const cases: readonly { name: string; status?: number; texts: string[]; rest: ToldRest }[] = [
+    { name: 'none', texts: [], rest: { type: 'none' } },
+    { name: 'whole seconds', texts: ['3'], rest: { type: 'rest', ms: 3_000 } },
+    { name: 'a fraction', texts: ['0.25'], rest: { type: 'rest', ms: 250 } },
+    { name: 'nothing', texts: ['0'], rest: { type: 'rest', ms: 0 } },
+    { name: 'the longer of two', texts: ['1', '4'], rest: { type: 'rest', ms: 4_000 } },
+    { name: 'with another status', status: 429, texts: ['3'], rest: { type: 'none' } },
+    ...['', '-1', 'NaN', '1e3', 'Wed, 21 Oct 2026 07:28:00 GMT', '99999999999'].map((text) => {
+      const rest: ToldRest = { type: 'invalid', text };
+      return { name: `no number of seconds: ${text}`, texts: [text], rest };
+    }),
+  ];
+  for (const { name, status = 503, texts, rest } of cases) {
+    test(name, () => {
+      const rawHeaders = texts.flatMap((text) => ['Retry-After', text]);
+      assert.deepEqual(servers.notice({ status, headers: {}, rawHeaders }).rest, rest);
+    });
+  }
+});
+
+test('a server says in any answer that it leaves', () => {
+  for (const status of [200, 500, 503]) {
+    const headers = { 'server-leaving': '1' };
+    assert.equal(servers.notice({ status, headers, rawHeaders: [] }).leaving, true);
+    assert.equal(servers.notice({ status, headers: {}, rawHeaders: [] }).leaving, false);
+  }
+});
+
 describe('the word of a server that is asked for its status', () => {
   const cases: readonly {
     name: string;
--- a/test/routing/rateLimitedLane.test.ts
+++ b/test/routing/rateLimitedLane.test.ts
@@ -5,6 +5,7 @@
 import {
   AdmissionQueue,
   PowerOfTwoChooser,
+  ServerNotices,
   ServerPool,
   ServerRateLimits,
 } from '@flamingocourse/core';
@@ -31,7 +32,7 @@
       dataCentre: 'dc-a',
       concurrencyPerServer: PLACES,
       limitKind: 'fixed',
-      rateLimits: this.limits,
+      notices: new ServerNotices(this.limits, () => 0),
     });
     pool.applyList([server], 0);
     this.limits.setSharers(1, 0);
