--- a/test/platform/usersServer.ts
+++ b/test/platform/usersServer.ts
@@ -45,8 +45,12 @@
   behaviour: Behaviour = 'answer';
   /** Limit of requests a second that it names in each answer. */
   rateLimit: string | undefined;
-  /** Whether it says of itself that it leaves. */
+  /** Whether it says of itself that it leaves, when it is asked for its status. */
   leaving = false;
+  /** Whether it says so in every answer. */
+  saysLeaving = false;
+  /** Seconds of rest that it asks for when it turns a request away. */
+  rest: string | undefined;
   address = '';
 
   constructor(readonly id: string) {}
@@ -85,6 +89,7 @@
     const at = performance.now();
     const { method = '', url = '', headers } = req;
     if (this.rateLimit !== undefined) res.setHeader('server-limit', this.rateLimit);
+    if (this.saysLeaving) res.setHeader('server-leaving', '1');
     if (url === HEALTH_PATH) {
       this.asked += 1;
       res.writeHead(this.leaving ? 503 : 200, { 'x-instance-id': this.id }).end();
@@ -127,6 +132,7 @@
         setTimeout(() => req.socket.resetAndDestroy(), 20);
         return;
       case 'shed':
+        if (this.rest !== undefined) res.setHeader('retry-after', this.rest);
         res.writeHead(503, { 'x-not-executed': '1' }).end();
         return;
       case 'unmarked-503':
