fix(routing): a server that says that it leaves gets no new work

Cause: nothing read the word, and the mark for it lay in the pool's row of the list, where an entry that lapses and returns loses it. Ruled out: the list and its age, which said nothing of the server yet. Now the pool asks ServerNotices, whose word outlasts the entry and ends with a new time of start only; copies of prompts are not asked of such a server, and its status is known without asking.

--- a/packages/core/src/runtime/routing/serverPool.ts
+++ b/packages/core/src/runtime/routing/serverPool.ts
@@ -185,7 +185,7 @@
     now: EpochMs,
   ): BackendServer | undefined {
     const others = [...this.#entries.values()].filter((entry) => {
-      return !except.has(entry.server.id) && !entry.leaving && entry.reachable(now);
+      return !except.has(entry.server.id) && !this.#isLeaving(entry) && entry.reachable(now);
     });
     const [first, ...rest] = others;
     if (!first) return undefined;
@@ -193,9 +193,10 @@
     return rest.reduce((best, next) => (rank(next) > rank(best) ? next : best), first).server;
   }
 
-  /** Whether requests to a server arrive, as far as is known; not for one that left the list. */
-  isReachable(id: ServerId, now: EpochMs): boolean {
-    return this.#entries.get(id)?.reachable(now) ?? false;
+  /** Whether a server can be asked for a copy of a prompt, as far as is known; not one that left the list. */
+  canCopyFrom(id: ServerId, now: EpochMs): boolean {
+    const entry = this.#entries.get(id);
+    return entry !== undefined && entry.reachable(now) && !this.#isLeaving(entry);
   }
 
   /** Servers with room for one more request, own data centre or not. */
@@ -319,6 +320,11 @@
     if (this.#isSlow(entry)) entry.eject(this.#health, now);
   }
 
+  /** Whether it leaves by the list or by its own word, which outlasts its entry. */
+  #isLeaving({ leaving, server }: ServerEntry): boolean {
+    return leaving || this.#notices.isLeaving(server);
+  }
+
   #maySend({ server }: ServerEntry, now: EpochMs): boolean {
     return this.#rateLimits.nextAt(server.id, now) <= now;
   }
@@ -346,7 +352,7 @@
   #openEntries(now: EpochMs): ServerEntry[] {
     const staying = [...this.#entries.values()].filter(
       (entry) =>
-        !entry.leaving &&
+        !this.#isLeaving(entry) &&
         !this.#drained.has(entry.server.id) &&
         (this.#subset?.has(entry.server.id) ?? true),
     );
--- a/packages/gateway/src/node/httpHealthCheck.ts
+++ b/packages/gateway/src/node/httpHealthCheck.ts
@@ -36,6 +36,7 @@
     if (target === undefined) return 'unknown';
     const { clock, dialects, notices, settings } = this.#context;
     const now = clock.now();
+    if (notices.isLeaving(start)) return 'leaving';
     // a question reaches the server like a request, so it counts like one.
     if (notices.rateLimits.nextAt(id, now) > now) return 'unknown';
     notices.rateLimits.take(id, now);
--- a/packages/router/src/node/backends/serviceLane.ts
+++ b/packages/router/src/node/backends/serviceLane.ts
@@ -294,7 +294,7 @@
     const known = this.#holders.find(prefixKey);
     if (known === id) return undefined;
     // a server that just failed this request may be down, and the copy would wait for it.
-    if (known !== undefined && !tried.includes(known) && pool.isReachable(known, now)) {
+    if (known !== undefined && !tried.includes(known) && pool.canCopyFrom(known, now)) {
       return pool.server(known);
     }
     return pool.likelyHolder(hash32(prefixKey), new Set([id, ...tried]), now);
--- a/test/platform/serverNotices.test.ts
+++ b/test/platform/serverNotices.test.ts
@@ -42,6 +42,8 @@
   test('leaving server until it is started again', async (t) => {
     const world = await World.start(t);
     const server = world.server('p1');
+    world.store.put('servers', 'p1', server.entry('ledger', { born: 500 }));
+    await delay(400);
     server.saysLeaving = true;
     await until('told', async () => {
       await world.call({ path: '/look/1', method: 'GET' });
