fix(routing): a server that asked for rest gets nothing until it is over

Cause: the word was not read, and a server that sheds answers fastest, so a choice by load is drawn to it. Ruled out: callers' own retries and ejection, which saw no failure in it. Now a resting server is no place: not for first or further attempts, resumed streams or questions for its status, nor for admission. Where all rest, a request waits only while its answer can be in time; the others are refused at once with the time of the first return.

--- a/packages/core/src/runtime/routing/serverPool.ts
+++ b/packages/core/src/runtime/routing/serverPool.ts
@@ -247,12 +247,22 @@
     });
   }
 
-  /** When rate limits let requests through; undefined where some open server has none. */
-  rateLimitPace(now: EpochMs): RateLimitPace | undefined {
-    return this.#rateLimits.pace(
-      this.#openEntries(now).map(({ server }) => server.id),
-      now,
-    );
+  /**
+   * When servers take requests that all limit them or rest; undefined where some server takes them now, or
+   * none is there.
+   */
+  sendPace(now: EpochMs): RateLimitPace | undefined {
+    const open = this.#openEntries(now);
+    if (open.length > 0) return this.#rateLimits.pace(open.map(({ server }) => server.id), now); // prettier-ignore
+    const restMs = this.restEndsInMs(now);
+    return restMs === undefined ? undefined : { firstMs: restMs, intervalMs: 0 };
+  }
+
+  /** Milliseconds until the first server that rests is back; undefined where none rests. */
+  restEndsInMs(now: EpochMs): number | undefined {
+    const rests = this.#stayingEntries(now).map(({ server }) => this.#notices.restMs(server, now));
+    const resting = rests.filter((restMs) => restMs > 0);
+    return resting.length === 0 ? undefined : Math.min(...resting);
   }
 
   /** Requests that the open servers take at once. */
@@ -274,7 +284,7 @@
     entry.load.start(attempt, now);
     entry.sent(now);
     entry.lastAttempt = attempt;
-    this.#rateLimits.take(id, now);
+    this.#notices.sent(entry.server, now);
     this.#attempts.set(attempt, entry);
     if (exclusive) {
       entry.exclusive = true;
@@ -348,18 +358,25 @@
     return new ServerEntry(server, this.#limit, now);
   }
 
-  /** Servers that are not leaving, drained or ejected. */
-  #openEntries(now: EpochMs): ServerEntry[] {
-    const staying = [...this.#entries.values()].filter(
+  /** Servers in reach that are not leaving or drained. */
+  #stayingEntries(now: EpochMs): ServerEntry[] {
+    // out of reach is a fact, not a suspicion: with most servers behind a partition the few that
+    // remain have to do, and with none at all the caller is told at once. Each server is tried again
+    // by a single request after a pause.
+    return [...this.#entries.values()].filter(
       (entry) =>
         !this.#isLeaving(entry) &&
         !this.#drained.has(entry.server.id) &&
-        (this.#subset?.has(entry.server.id) ?? true),
+        (this.#subset?.has(entry.server.id) ?? true) &&
+        entry.reachable(now),
     );
-    // out of reach is a fact, not a suspicion: with most servers behind a partition the few that
-    // remain have to do, and with none at all the caller is told at once. Each server is tried again
-    // by a single request after a pause.
-    const reachable = staying.filter((entry) => entry.reachable(now));
+  }
+
+  /** Servers that are not leaving, drained, ejected or resting. */
+  #openEntries(now: EpochMs): ServerEntry[] {
+    const reachable = this.#stayingEntries(now).filter(({ server }) => {
+      return this.#notices.restMs(server, now) === 0;
+    });
     const healthy = reachable.filter((entry) => entry.share(this.#health, now) > 0);
     // when most servers look bad the fault is more likely the network or the requests; ejecting
     // them would put all load on the few that remain and bring these down too.
--- a/packages/gateway/src/node/httpHealthCheck.ts
+++ b/packages/gateway/src/node/httpHealthCheck.ts
@@ -38,8 +38,8 @@
     const now = clock.now();
     if (notices.isLeaving(start)) return 'leaving';
     // a question reaches the server like a request, so it counts like one.
-    if (notices.rateLimits.nextAt(id, now) > now) return 'unknown';
-    notices.rateLimits.take(id, now);
+    if (notices.nextAt(start, now) > now) return 'unknown';
+    notices.sent(start, now);
     const opened = await openAttempt({
       url,
       method: 'GET',
--- a/packages/gateway/src/node/requestFlow.ts
+++ b/packages/gateway/src/node/requestFlow.ts
@@ -171,8 +171,8 @@
       workClass: route.name,
       importance: importanceOf(urgencyOf(route, account)),
       deadline: endsAt,
-      // a first attempt waits for a rate limit only while the answer can still be in time.
-      ...(this.#progress.made === 0 ? { startBy: arrivedAt + route.targetMs } : {}),
+      // what has not run yet waits for limits and rests only while the answer can still be in time.
+      ...(this.#progress.mayHaveRun === 0 ? { startBy: arrivedAt + route.targetMs } : {}),
       ...(prefixKey === undefined ? {} : { prefixKey }),
       ...(head.size === undefined ? {} : { promptTokens: head.size.prompt }),
       tried: this.#progress.tried,
@@ -200,7 +200,7 @@
     if (follows && (failed === 'not-sent' || lane.retries.take(now))) return undefined;
     if (answer.started) return this.#break(`broke off after ${failed}`);
     const detail = 'No backend server gave an answer.';
-    return this.#refuse(refuseFailed(this.#progress.mayHaveRun, detail, NO_SERVER_RETRY_MS));
+    return this.#refuse(refuseFailed(this.#progress.mayHaveRun, detail, retryMs(lane, now)));
   }
 
   /** The caller left, or its time is over. */
@@ -247,6 +247,12 @@
   return status !== undefined && status >= 200 && status < 300;
 }
 
+/** Milliseconds after which a caller may come back: not before a server is back, where all rest. */
+function retryMs({ lane: { pool } }: BackendLane, now: number): number {
+  const restMs = pool.hasOpenServer(undefined, now) ? undefined : pool.restEndsInMs(now);
+  return Math.max(NO_SERVER_RETRY_MS, Math.ceil(restMs ?? 0));
+}
+
 function noServers(): Refusal {
   return notRun('no-backend-server', 'No backend server is known.', NO_SERVER_RETRY_MS);
 }
--- a/packages/router/src/node/backends/serviceLane.ts
+++ b/packages/router/src/node/backends/serviceLane.ts
@@ -34,7 +34,7 @@
 /** Requests that wait apart because no server that they may use has room. */
 const MAX_PARKED = 256;
 
-const RATE_LIMITED = 'All backend servers limit the requests a second; retry later.';
+const NOT_TAKEN_YET = 'All backend servers rest or limit the requests a second; retry later.';
 
 /** The more important one comes first. */
 const importanceOrder = { first: 0, standard: 1, background: 2 } as const;
@@ -105,9 +105,7 @@
     const verdict = this.#options.quarantine.judge(request.fingerprint);
     if (verdict === 'quarantined') return Promise.resolve(Result.err(quarantined()));
     if (request.signal.aborted) return Promise.resolve(Result.err(gone()));
-    if (!this.#options.pool.hasOpenServer(undefined, now)) {
-      return Promise.resolve(Result.err(noServer()));
-    }
+    if (!this.#hasServer(now)) return Promise.resolve(Result.err(noServer()));
     if (request.tried.length === 0) this.#retries = earnRetry(this.#retries);
     return new Promise((resolve) => {
       const exclusive = verdict === 'suspect' && (this.#options.runsSuspectsAlone ?? true);
@@ -143,7 +141,13 @@
       const waiter = this.#waiters.get(entry.id);
       if (waiter && !this.#tryPlace(entry.id, waiter, now)) this.#park(entry.id, waiter, now);
     }
-    this.#refuseRateLimited(now);
+    this.#refuseTooLate(now);
+  }
+
+  /** Whether any server takes requests, now or after a rest. */
+  #hasServer(now: EpochMs): boolean {
+    const { pool } = this.#options;
+    return pool.hasOpenServer(undefined, now) || pool.restEndsInMs(now) !== undefined;
   }
 
   /** Refuses everything that waits; for the end of the service or the router. */
@@ -153,10 +157,10 @@
     this.#parked.clear();
   }
 
-  /** Refuses those whose turn comes too late because all servers limit the requests a second. */
-  #refuseRateLimited(now: EpochMs): void {
+  /** Refuses those whose turn comes too late because all servers limit the requests a second or rest. */
+  #refuseTooLate(now: EpochMs): void {
     const { pool, queue } = this.#options;
-    const pace = this.#waiters.size === 0 ? undefined : pool.rateLimitPace(now);
+    const pace = this.#waiters.size === 0 ? undefined : pool.sendPace(now);
     if (!pace) return;
     const inOrder = [...this.#waiters].toSorted(([, a], [, b]) => {
       return importanceOrder[a.request.importance] - importanceOrder[b.request.importance];
@@ -169,7 +173,7 @@
         continue;
       }
       queue.remove(id);
-      this.#settle(id, Result.err(notRun('overloaded', RATE_LIMITED, Math.ceil(waitMs))));
+      this.#settle(id, Result.err(notRun('overloaded', NOT_TAKEN_YET, Math.ceil(waitMs))));
     }
   }
 
@@ -210,7 +214,7 @@
       } else if (waiter.request.deadline <= now) {
         const refusal = notRun('deadline-passed', shedDetails['deadline-passed']);
         this.#settle(id, Result.err(refusal));
-      } else if (!this.#options.pool.hasOpenServer(undefined, now)) {
+      } else if (!this.#hasServer(now)) {
         this.#settle(id, Result.err(noServer()));
       } else {
         this.#tryPlace(id, waiter, now);
--- a/test/routing/rateLimitedLane.test.ts
+++ b/test/routing/rateLimitedLane.test.ts
@@ -18,6 +18,7 @@
 class World {
   readonly clock = new ManualClock();
   readonly limits = new ServerRateLimits(() => 0.5);
+  readonly notices = new ServerNotices(this.limits, () => 0);
   readonly lane: ServiceLane;
 
   constructor() {
@@ -32,7 +33,7 @@
       dataCentre: 'dc-a',
       concurrencyPerServer: PLACES,
       limitKind: 'fixed',
-      notices: new ServerNotices(this.limits, () => 0),
+      notices: this.notices,
     });
     pool.applyList([server], 0);
     this.limits.setSharers(1, 0);
@@ -83,6 +84,26 @@
   }
 });
 
+describe('a request while the only server rests', () => {
+  // guards against callers that are held until their time is over for a server that wants none of them.
+  const cases = [
+    { name: 'that ends in time waits', startByMs: 1_500, end: 'waits' },
+    { name: 'that ends too late is refused', startByMs: 500, end: 'overloaded' },
+  ];
+  for (const { name, startByMs, end } of cases) {
+    test(name, async () => {
+      const world = new World();
+      const rest = { type: 'rest', ms: 1_000 } as const;
+      world.notices.tell({ id: 's1' }, { leaving: false, rest, rateLimit: { type: 'none' } }, 0);
+      assert.equal(await world.place({ startBy: startByMs }), end);
+      assert.equal(world.lane.pool.capacity(0), 0);
+      world.clock.advance(1_000);
+      world.lane.pump();
+      assert.equal(world.lane.waiting, 0);
+    });
+  }
+});
+
 // guards against less important requests that wait although there are places, because others were refused
 // for a rate limit: keeping places free helps nobody against it.
 test('refusals for a rate limit keep no places free after its end', async () => {
