test(soak): servers say that they leave, rest and limit; each fifth seed has twelve instances that lend

Servers of the soak now name rests, limits and leaving (with a new start after it), callers tell which instance they use, and a rest is judged by what reached the server from each undisturbed instance. Of each five seeds one plays twelve instances in three data centres, so that most borrow from spenders over the mesh.

--- a/test/platform/usersServer.ts
+++ b/test/platform/usersServer.ts
@@ -33,11 +33,25 @@
   | 'reset'
   | 'silent';
 
+const MS_PER_SECOND = 1_000;
 /** Path at which it tells whether it is well and stays. */
 const HEALTH_PATH = '/health';
 
+/** A time for which a server asked instances to leave it alone, told by its steady clock. */
+export interface Rest {
+  server: string;
+  /** Instance that was told, by the header that the soak's callers send. */
+  instance: string;
+  from: number;
+  until: number;
+}
+
+/** Header by which the soak's callers tell the instance that they use. */
+export const USED_INSTANCE = 'x-used-instance';
+
 export class UsersServer {
   readonly seen: SeenRequest[] = [];
+  readonly rests: Rest[] = [];
   /** Requests whose connection was closed before they were answered. */
   dropped = 0;
   /** Questions for its status. */
@@ -107,6 +121,14 @@
     this.#behave(req, res);
   }
 
+  #askForRest({ headers }: IncomingMessage, res: ServerResponse, rest: string): void {
+    res.setHeader('retry-after', rest);
+    const instance = String(headers[USED_INSTANCE]);
+    const from = performance.now();
+    const until = from + Number(rest) * MS_PER_SECOND;
+    this.rests.push({ server: this.id, instance, from, until });
+  }
+
   #behave(req: IncomingMessage, res: ServerResponse): void {
     const own = {
       'x-request-id': req.headers['x-request-id'],
@@ -132,7 +154,7 @@
         setTimeout(() => req.socket.resetAndDestroy(), 20);
         return;
       case 'shed':
-        if (this.rest !== undefined) res.setHeader('retry-after', this.rest);
+        if (this.rest !== undefined) this.#askForRest(req, res, this.rest);
         res.writeHead(503, { 'x-not-executed': '1' }).end();
         return;
       case 'unmarked-503':
--- a/test/soak/runSoak.ts
+++ b/test/soak/runSoak.ts
@@ -2,7 +2,7 @@
 
 import type { Link } from '../../packages/lab/src/node/link/index.js';
 import type { Random } from '../../packages/lab/src/runtime/random.js';
-import type { Behaviour } from '../platform/usersServer.js';
+import type { Behaviour, Rest } from '../platform/usersServer.js';
 import { mkdtemp, rm } from 'node:fs/promises';
 import { tmpdir } from 'node:os';
 import { join } from 'node:path';
@@ -18,10 +18,17 @@
 import { TOKENS_PER_EVENT, brokenPromises } from './soakPromises.js';
 
 const INSTANCES = 3;
+/** Instances of each fifth seed, so many that most of them borrow from spenders, and their data centres. */
+const MANY_INSTANCES = 12;
+const DATA_CENTRES = ['hall-a', 'hall-b', 'hall-c'] as const;
+const LARGE_EVERY = 5;
 const ACCOUNTS = ['kirk', 'spock'];
 /** Tokens of an account: some of a run's calls exceed them. */
 const LIMIT = 60_000;
 const TOP_UP = 10_000;
+/** Ports of one instance: for callers, the balancer and other instances. */
+const PORTS_EACH = 3;
+const MS_PER_SECOND = 1_000;
 /** Milliseconds between two calls, between two faults at most, and that a fault lasts at most. */
 const CALL_MS = 25;
 const FAULT_GAP_MS = 900;
@@ -51,7 +58,8 @@
  * const { broken } = await runSoak(7, 8_000);
  */
 export async function runSoak(seed: number, faultsMs: number): Promise<SoakReport> {
-  const run = await SoakRun.start(createRandom(seed), createRandom(seed + 1));
+  const count = seed % LARGE_EVERY === 0 ? MANY_INSTANCES : INSTANCES;
+  const run = await SoakRun.start(count, createRandom(seed), createRandom(seed + 1));
   try {
     await run.play(faultsMs);
     return { seed, ...run.report() };
@@ -77,7 +85,7 @@
     readonly cleanUps: (() => unknown)[],
   ) {}
 
-  static async start(random: Random, callersRandom: Random): Promise<SoakRun> {
+  static async start(count: number, random: Random, callersRandom: Random): Promise<SoakRun> {
     const cleanUps: (() => unknown)[] = [];
     const scope = {
       after: (cleanUp: unknown) => {
@@ -91,12 +99,12 @@
     );
     const links = {
       servers: await Promise.all(servers.map((server) => list(server, store))),
-      store: await linksTo(store.url, INSTANCES),
+      store: await linksTo(store.url, count),
     };
-    const ports = await findFreePorts(2 * INSTANCES);
+    const ports = await findFreePorts(PORTS_EACH * count);
     const instances = links.store.map(({ url }, at) => {
-      const [entry = 0, ready = 0] = ports.slice(2 * at);
-      return new SoakProcess(`edge-${String(at + 1)}`, directory, settingsOf(entry, ready, url));
+      const settings = settingsOf(ports.slice(PORTS_EACH * at), url, at);
+      return new SoakProcess(`edge-${String(at + 1)}`, directory, settings);
     });
     const callers = new SoakCallers(instances, ACCOUNTS, callersRandom);
     const run = new SoakRun(random, directory, store, servers, links, instances, callers, cleanUps);
@@ -142,7 +150,13 @@
       answered: answers.filter(({ status }) => status === 200).length,
       faults: this.#faults,
       broken: [
-        ...brokenPromises({ answers, arrivals, limits: this.#limits }),
+        ...brokenPromises({
+          answers,
+          arrivals,
+          arrivalsOf: new Map(this.servers.map(({ id, seen }) => [id, seen])),
+          rests: this.#undisturbedRests(),
+          limits: this.#limits,
+        }),
         ...this.instances.flatMap(({ ownEnds }) => ownEnds.map((end) => `ended by itself: ${end}`)),
         ...(this.#recovered === '' ? [] : [this.#recovered]),
       ],
@@ -150,6 +164,15 @@
     };
   }
 
+  #undisturbedRests(): Rest[] {
+    return this.servers.flatMap(({ rests }) => {
+      return rests.filter(({ instance, from, until }) => {
+        const { disturbedAt = [] } = this.instances.find(({ name }) => name === instance) ?? {};
+        return !disturbedAt.some((at) => at > from && at < until);
+      });
+    });
+  }
+
   async close(): Promise<void> {
     this.callers.close();
     await Promise.all(this.instances.map((instance) => instance.end('SIGKILL')));
@@ -203,6 +226,9 @@
         run: () => slow(random.pick(this.links.servers), forMs),
       },
       { name: 'a server fails', weight: 2, run: () => this.#misbehave(forMs) },
+      { name: 'a server rests', weight: 2, run: () => this.#rest(forMs) },
+      { name: 'a server leaves and starts again', weight: 1, run: () => this.#leave(forMs) },
+      { name: 'a server limits requests', weight: 1, run: () => this.#limitRate(forMs) },
       { name: 'top-up', weight: 1, run: () => this.#topUp() },
     ];
     const fault = random.pickWeighted(faults);
@@ -230,6 +256,34 @@
     server.behaviour = usual;
   }
 
+  async #rest(forMs: number): Promise<void> {
+    const server = this.random.pick(this.servers);
+    const usual: Behaviour = server.id.startsWith('e') ? 'stream' : 'answer';
+    server.rest = String(forMs / MS_PER_SECOND);
+    server.behaviour = 'shed';
+    await delay(forMs);
+    server.behaviour = usual;
+  }
+
+  /** It says in its answers that it leaves, and is another start of the same server after that. */
+  async #leave(forMs: number): Promise<void> {
+    const server = this.random.pick(this.servers);
+    if (server.saysLeaving) return;
+    server.saysLeaving = true;
+    await delay(forMs);
+    server.saysLeaving = false;
+    this.#version += 1;
+    const entry = this.store.value('servers', server.id) as Record<string, unknown>;
+    this.store.put('servers', server.id, { ...entry, born: this.#version });
+  }
+
+  async #limitRate(forMs: number): Promise<void> {
+    const server = this.random.pick(this.servers);
+    server.rateLimit = '5';
+    await delay(forMs);
+    server.rateLimit = undefined;
+  }
+
   #topUp(): Promise<void> {
     for (const [account, limit] of this.#limits) this.#limits.set(account, limit + TOP_UP);
     this.#configure();
@@ -307,7 +361,7 @@
   const isEngine = server.id.startsWith('e');
   server.behaviour = isEngine ? 'stream' : 'answer';
   const address = `127.0.0.1:${String(link.port)}`;
-  const entry = server.entry(isEngine ? 'llm' : 'ledger', { address, slots: 16 });
+  const entry = server.entry(isEngine ? 'llm' : 'ledger', { address, slots: 16, born: 1 });
   store.put('servers', server.id, entry);
   return link;
 }
@@ -318,10 +372,11 @@
   return Promise.all(Array.from({ length: count }, () => createLink({ target })));
 }
 
-function settingsOf(entry: number, ready: number, storeUrl: string): SoakProcess['settings'] {
+function settingsOf(ports: number[], storeUrl: string, at: number): SoakProcess['settings'] {
+  const [entry = '', ready = '', mesh = ''] = ports.map((port) => `127.0.0.1:${String(port)}`);
   return {
-    dataCentre: 'hall-a',
-    listen: { entry: `127.0.0.1:${String(entry)}`, ready: `127.0.0.1:${String(ready)}` },
+    dataCentre: DATA_CENTRES[at % DATA_CENTRES.length],
+    listen: { entry, ready, mesh },
     store: { url: storeUrl, timeoutMs: 500, watchIdleMs: 1_000, configurationIdleMs: 1_000 },
     prepaid: { reportMs: 300, rideThroughSeconds: 3 },
     retries: { ratio: 0.2, slack: 54, windowMs: 10_000 },
--- a/test/soak/soakCallers.ts
+++ b/test/soak/soakCallers.ts
@@ -3,6 +3,7 @@
 import type { Random } from '../../packages/lab/src/runtime/random.js';
 import type { SoakProcess } from './soakProcess.js';
 import { Agent, request } from 'node:http';
+import { USED_INSTANCE } from '../platform/usersServer.js';
 import { HOST } from '../platform/world.js';
 
 export type CallKind = 'look' | 'book' | 'chat' | 'draft';
@@ -49,7 +50,7 @@
       account: random.pick(this.accounts),
       prompt: random.int(100, 2_000),
     };
-    const done = this.#ask(random.pick(this.instances).port, call).then((answer) => {
+    const done = this.#ask(random.pick(this.instances), call).then((answer) => {
       this.answers.push(answer);
       this.#open.delete(done);
     });
@@ -65,7 +66,7 @@
   }
 
   #ask(
-    port: number,
+    { name, port }: SoakProcess,
     call: Pick<SeenAnswer, 'id' | 'kind' | 'account' | 'prompt'>,
   ): Promise<SeenAnswer> {
     const generates = call.kind === 'chat' || call.kind === 'draft';
@@ -74,6 +75,7 @@
       'x-request-id': call.id,
       'x-deadline-ms': String(DEADLINE_MS),
       authorization: `Token key-of-${call.account}`,
+      [USED_INSTANCE]: name,
       ...(generates ? { 'x-model': 'm', 'x-token-usage': `${String(call.prompt)},80` } : {}),
     };
     return new Promise((resolve) => {
--- a/test/soak/soakProcess.ts
+++ b/test/soak/soakProcess.ts
@@ -13,6 +13,8 @@
   output = '';
   /** Whether a restart is under way. */
   busy = false;
+  /** When it was paused, woken, told something or ended, by the steady clock. */
+  readonly disturbedAt: number[] = [];
   /** Ends that no signal of ours caused. */
   ownEnds: string[] = [];
   readonly #file: string;
@@ -23,7 +25,10 @@
   constructor(
     readonly name: string,
     directory: string,
-    readonly settings: { listen: { entry: string; ready: string } } & Record<string, unknown>,
+    readonly settings: { listen: Record<'entry' | 'ready' | 'mesh', string> } & Record<
+      string,
+      unknown
+    >,
   ) {
     this.#file = join(directory, `${name}.jsonc`);
     this.port = Number(settings.listen.entry.split(':')[1]);
@@ -56,6 +61,7 @@
 
   /** Pauses, wakes up or tells the process something; it goes on afterwards. */
   signal(signal: 'SIGSTOP' | 'SIGCONT' | 'SIGHUP'): void {
+    this.disturbedAt.push(performance.now());
     this.#child?.kill(signal);
   }
 
@@ -64,6 +70,7 @@
     const child = this.#child;
     if (child?.exitCode !== null || child.signalCode !== null) return;
     this.#expected = true;
+    this.disturbedAt.push(performance.now());
     const gone = new Promise((resolve) => child.once('exit', resolve));
     child.kill('SIGCONT');
     child.kill(signal);
--- a/test/soak/soakPromises.ts
+++ b/test/soak/soakPromises.ts
@@ -1,12 +1,15 @@
 /** What callers and servers must have seen, whatever failed. */
 
-import type { SeenRequest } from '../platform/usersServer.js';
+import type { Rest, SeenRequest } from '../platform/usersServer.js';
 import type { SeenAnswer } from './soakCallers.js';
-import { event } from '../platform/usersServer.js';
+import { USED_INSTANCE, event } from '../platform/usersServer.js';
 
 /** Tokens in one event of the stand-ins' streams. */
 export const TOKENS_PER_EVENT = 3;
 const EVENTS = 4;
+/** Milliseconds from a server's word to the time in which its rest is judged, and requests allowed in it. */
+const REST_HEARD_MS = 500;
+const MOST_IN_REST = 2;
 const NOT_RUN: readonly number[] = [408, 421, 429, 503];
 
 /** All that was seen of one run. */
@@ -14,6 +17,10 @@
   answers: readonly SeenAnswer[];
   /** What reached the servers. */
   arrivals: readonly SeenRequest[];
+  /** What reached each server, by its id. */
+  arrivalsOf: ReadonlyMap<string, readonly SeenRequest[]>;
+  /** Rests that servers asked for, without those in which the instance was disturbed. */
+  rests: readonly Rest[];
   /** The highest limit that each account ever had. */
   limits: ReadonlyMap<string, number>;
 }
@@ -30,6 +37,7 @@
     ...seen.answers.flatMap((answer) => brokenByAnswer(answer, runs.get(answer.id) ?? 0)),
     ...passedBudgets(seen),
     ...leakedKeys(seen.arrivals),
+    ...brokenRests(seen),
   ];
 }
 
@@ -82,3 +90,13 @@
     .filter(({ headers }) => headers.authorization !== undefined)
     .map(({ headers }) => `the key of ${String(headers['x-request-id'])} was passed on`);
 }
+
+function brokenRests({ rests, arrivalsOf }: Seen): string[] {
+  return rests.flatMap(({ server, instance, from, until }) => {
+    const inRest = (arrivalsOf.get(server) ?? []).filter(({ at, headers }) => {
+      return headers[USED_INSTANCE] === instance && at > from + REST_HEARD_MS && at < until;
+    });
+    if (inRest.length <= MOST_IN_REST) return [];
+    return [`${instance} sent ${String(inRest.length)} requests to ${server} in its rest`];
+  });
+}
