fix(prepaid): loans of a lender that moved to another address are given up in order

An instance known under another address is another process; its loans were dropped while their timer went on reporting under the old life. Found by reading. They are stopped first, and charged at the lender as with any lost borrower.

--- a/packages/gateway/src/node/prepaidService.ts
+++ b/packages/gateway/src/node/prepaidService.ts
@@ -279,6 +279,8 @@
   #ensureLoans(lender: FleetInstance): void {
     const known = this.#loans.get(lender.name);
     if (known?.url === lender.meshUrl) return;
+    // it moved: as another process, it does not know these loans; they are charged there in time.
+    void known?.stop();
     const loans = new LoanTokens({
       context: this.#context,
       lender,
