--- a/packages/gateway/src/node/prepaidService.ts
+++ b/packages/gateway/src/node/prepaidService.ts
@@ -2,7 +2,6 @@
 
 import type {
   AccountId,
-  FleetInstance,
   LoanAnswer,
   LoanRequest,
   PrepaidLimits,
@@ -16,13 +15,7 @@
 import type { LoanCalls } from '../types/loans.js';
 import type { TokenSource } from '../types/tokenSource.js';
 import { isDeepStrictEqual } from 'node:util';
-import {
-  PrepaidHolder,
-  PrepaidSizing,
-  chooseSpenders,
-  orderSpenders,
-  rankSpenders,
-} from '@flamingocourse/core';
+import { PrepaidHolder, PrepaidSizing, chooseSpenders, rankSpenders } from '@flamingocourse/core';
 import { Service } from '@flamingocourse/kernel';
 import { notRun } from '@flamingocourse/router';
 import { Result } from 'true-myth';
@@ -30,7 +23,8 @@
 import { BackendLanes } from './backendLanes.js';
 import { ConfigurationWatch } from './configurationWatch.js';
 import { InstanceDirectory } from './instanceDirectory.js';
-import { LoanTokens } from './loanTokens.js';
+import { Lenders } from './lenders.js';
+import { LoanDesk } from './loanDesk.js';
 import { StoreTokens } from './storeTokens.js';
 
 /** Milliseconds after which a caller that was refused for want of tokens may find some. */
@@ -48,8 +42,6 @@
  */
 const REPORTS_WITHIN_SILENCE = 5;
 
-/** Lenders that an instance turns to one after the other before it takes itself as cut off. */
-const MOST_LENDERS = 4;
 /** Milliseconds for which an instance that was asked to lend holds rights, though it is no spender by its own list. */
 const ACTING_MS = 15_000;
 /** Milliseconds between looks at whether this instance should hold rights. */
@@ -83,15 +75,12 @@
   override readonly name = 'prepaid';
   override readonly dependsOn = ['configuration', 'lanes', 'instances'];
   readonly #context: GatewayContext;
-  readonly #incarnation: string;
-  readonly #calls: LoanCalls;
   readonly #store: StoreTokens;
-  /** By lender. */
-  readonly #loans = new Map<string, LoanTokens>();
+  readonly #desk: LoanDesk;
+  readonly #lenders: Lenders;
   #instances: InstanceDirectory | undefined;
   #configuration: ConfigurationWatch | undefined;
   #limits: PrepaidLimits | undefined;
-  #spenders: FleetInstance[] = [];
   #isSpender = false;
   #actingUntil = -Infinity;
   #timer: NodeJS.Timeout | undefined;
@@ -102,14 +91,26 @@
   constructor(context: GatewayContext, incarnation: string, calls: LoanCalls) {
     super();
     this.#context = context;
-    this.#incarnation = incarnation;
-    this.#calls = calls;
+    const holder = this.#createHolder(incarnation);
+    this.#lenders = new Lenders({
+      context,
+      calls,
+      createHolder: (name) => this.#createHolder(`${incarnation}-${name}`),
+      onLost: () => {
+        this.#instances?.lookSoon();
+        this.#assumeRole();
+      },
+    });
+    this.#desk = new LoanDesk({ context, holder, limitOf: (account) => this.#limit(account) });
     this.#store = new StoreTokens({
       context,
-      holder: this.#createHolder(incarnation),
+      holder,
+      book: this.#desk.book,
       limits: () => this.#table?.prepaid,
       fleetSize: () => this.#instances?.count ?? 1,
-      onLostBorrowers: (names) => void this.#instances?.remove(names),
+      onExchange: () => {
+        this.#dropLostBorrowers();
+      },
     });
   }
 
@@ -122,8 +123,7 @@
   }
 
   get #isOutOfReach(): boolean {
-    if (this.#isSpender) return this.#store.isLost;
-    return this.#spenders.every(({ name }) => this.#loans.get(name)?.isLost ?? true);
+    return this.#isSpender ? this.#store.isLost : this.#lenders.areLost;
   }
 
   override start(kernel: Kernel): void {
@@ -152,7 +152,7 @@
   override async stop(): Promise<void> {
     this.beginStop();
     clearInterval(this.#timer);
-    await Promise.all([...this.#loans.values()].map((loans) => loans.stop()));
+    await this.#lenders.stop();
     await this.#store.stop();
   }
 
@@ -178,7 +178,7 @@
 
   /** Ends a reservation with what was used. */
   settle(reservation: PrepaidReservation, used: Tokens): void {
-    const sources: TokenSource[] = [this.#store, ...this.#loans.values()];
+    const sources: TokenSource[] = [this.#store, ...this.#lenders.all];
     sources.find((source) => source.settle(reservation, used));
   }
 
@@ -186,12 +186,17 @@
   async lend(request: LoanRequest): Promise<LoanAnswer> {
     this.#actingUntil = this.#now() + ACTING_MS;
     if (!this.#isSpender) this.#assumeRole();
-    return this.#store.lend(request);
+    return this.#desk.lend(request, this.#store);
+  }
+
+  #dropLostBorrowers(): void {
+    const lost = this.#desk.dropLost();
+    if (lost.length > 0) void this.#instances?.remove(lost);
   }
 
   /** Takes tokens that are here, from whomever they are. */
   #take(account: AccountId, amount: Tokens): PrepaidReservation | undefined {
-    const holding: TokenSource[] = [...this.#loans.values(), this.#store];
+    const holding: TokenSource[] = [...this.#lenders.all, this.#store];
     const [first] = this.#sources(account);
     const source = holding.find((other) => other.free(account) >= amount) ?? first;
     return source?.reserve(account, amount);
@@ -232,17 +237,7 @@
 
   /** Whom to ask for tokens of an account, in this order. */
   #sources(account: AccountId): TokenSource[] {
-    if (this.#isSpender) return [this.#store];
-    return orderSpenders(this.#spenders, account).flatMap(
-      ({ name }) => this.#loans.get(name) ?? [],
-    );
-  }
-
-  /** Whether a lender is the one that an account's tokens are asked of. */
-  #isAskedFor(lender: string, account: AccountId): boolean {
-    const sources = this.#sources(account);
-    const first = sources.find(({ isLost }) => !isLost) ?? sources[0];
-    return first?.name === lender;
+    return this.#isSpender ? [this.#store] : this.#lenders.inOrder(account);
   }
 
   /** Holds rights or borrows, by what is known of the fleet. */
@@ -253,56 +248,12 @@
     const spenders = chooseSpenders(all, dataCentre);
     const isListed = spenders.length === 0 || spenders.some(({ name }) => name === instance);
     this.#isSpender = isListed || !listen.mesh || this.#now() < this.#actingUntil;
-    this.#spenders = this.#isSpender
-      ? []
-      : this.#reachable(spenders, rankSpenders(all, dataCentre));
-    if (this.#isSpender) this.#store.hold();
-    else this.#store.retire();
-    for (const spender of this.#spenders) this.#ensureLoans(spender);
-    this.#dropEmptyLoans();
-  }
-
-  /** The spenders, and as long as none of them answers those that follow them. */
-  #reachable(spenders: FleetInstance[], ranked: FleetInstance[]): FleetInstance[] {
-    const { instance } = this.#context.settings;
-    const others = ranked.filter(({ name }) => name !== instance).slice(0, MOST_LENDERS);
-    const isLost = ({ name }: FleetInstance): boolean => this.#loans.get(name)?.isLost ?? false;
-    const isStopping = ({ name }: FleetInstance): boolean => {
-      return this.#loans.get(name)?.isStopping ?? false;
-    };
-    const staying = spenders.filter((spender) => !isStopping(spender));
-    if (staying.some((spender) => !isLost(spender))) return staying;
-    const next = others.find((other) => !isLost(other) && !isStopping(other));
-    return next ? [...staying, next] : staying;
-  }
-
-  #ensureLoans(lender: FleetInstance): void {
-    const known = this.#loans.get(lender.name);
-    if (known?.url === lender.meshUrl) return;
-    // it moved: as another process, it does not know these loans; they are charged there in time.
-    void known?.stop();
-    const loans = new LoanTokens({
-      context: this.#context,
-      lender,
-      calls: this.#calls,
-      createHolder: (life) => this.#createHolder(`${this.#incarnation}-${lender.name}-${life}`),
-      isAskedFor: (account) => this.#isAskedFor(lender.name, account),
-      onLost: () => {
-        this.#instances?.lookSoon();
-        this.#assumeRole();
-      },
-    });
-    this.#loans.set(lender.name, loans);
-    loans.start();
-  }
-
-  /** Forgets lenders that are asked no more and of which nothing is held. */
-  #dropEmptyLoans(): void {
-    for (const [name, loans] of this.#loans) {
-      const isSpender = this.#spenders.some((spender) => spender.name === name);
-      if (isSpender || !loans.isEmpty) continue;
-      this.#loans.delete(name);
-      void loans.stop();
+    if (this.#isSpender) {
+      this.#lenders.release();
+      this.#store.hold();
+    } else {
+      this.#lenders.use(spenders, rankSpenders(all, dataCentre));
+      this.#store.retire();
     }
   }
 
--- a/packages/gateway/src/node/storeTokens.ts
+++ b/packages/gateway/src/node/storeTokens.ts
@@ -1,11 +1,9 @@
-/** Rights to spend that this instance holds itself, by its reports to the store; it lends of them to others. */
+/** Rights to spend that this instance holds itself, by its reports to the store. */
 
 import type {
   AccountId,
   EpochMs,
-  LoanAccount,
-  LoanAnswer,
-  LoanRequest,
+  LoanBook,
   PrepaidHolder,
   PrepaidLimits,
   PrepaidPage,
@@ -17,10 +15,10 @@
 import type { PlatformError as StoreError } from '@flamingocourse/store';
 import type { GatewayContext } from '../types/context.js';
 import type { FetchOutlook, SourceView } from '../types/tokenSource.js';
-import { LoanBook, heldPrepaid, sum, viewOfPage } from '@flamingocourse/core';
+import { heldPrepaid, sum, viewOfPage } from '@flamingocourse/core';
 import { believedShortMs, reportPeriodMs } from '../runtime/reportPeriod.js';
 import { TokenSource } from '../types/tokenSource.js';
-import { aborted, startTimeLimit } from '../utils/timeLimit.js';
+import { aborted } from '../utils/timeLimit.js';
 import { PrepaidPages } from './prepaidPages.js';
 import { StoreContact } from './storeContact.js';
 
@@ -37,15 +35,6 @@
 const AWAY_RETRY_MS = 200;
 /** Exchanges in which an instance that stops tries to leave; its time to stop is bounded. */
 const LAST_TRIES = 3;
-/** Milliseconds for which a borrower waits while tokens are fetched for it; its call has a limit of its own. */
-const LEND_WAIT_MS = 180;
-
-/**
- * Requests of an account that each instance expects in the time that it may be cut off, on average, above
- * which it holds tokens before the first has come.
- */
-const LEAST_EXPECTED = 0.1;
-
 /** Outcome of one exchange with the store. */
 type SyncEnd = 'done' | 'failed';
 
@@ -60,8 +49,10 @@
   limits: () => PrepaidLimits | undefined;
   /** Instances of the fleet. */
   fleetSize: () => number;
-  /** Called with borrowers that were silent for so long that they are lost. */
-  onLostBorrowers: (names: string[]) => void;
+  /** What is lent of these rights. */
+  book: LoanBook;
+  /** Called at each exchange that went well. */
+  onExchange: () => void;
 }
 
 /**
@@ -77,7 +68,6 @@
   override readonly name = 'store';
   readonly #options: StoreTokensOptions;
   readonly #holder: PrepaidHolder;
-  readonly #book: LoanBook;
   readonly #pages: PrepaidPages;
   /** Whether the store answered the last exchange. */
   readonly #contact: StoreContact;
@@ -92,7 +82,6 @@
     super();
     this.#options = options;
     this.#holder = options.holder;
-    this.#book = new LoanBook(options.holder);
     this.#pages = new PrepaidPages(options.context);
     this.#contact = new StoreContact(options.context, 'prepaid');
   }
@@ -173,7 +162,7 @@
   }
 
   override async fetch(account: AccountId, amount: Tokens, signal: AbortSignal): Promise<void> {
-    await this.#fetchAll(new Map([[account, amount]]), signal);
+    await this.fetchAll(new Map([[account, amount]]), signal);
   }
 
   override view(account: AccountId, limit: Tokens, now: EpochMs): SourceView {
@@ -189,72 +178,26 @@
     };
   }
 
-  /** Lends to another instance what is free here, and what the store has where its requests wait for it. */
-  async lend(request: LoanRequest): Promise<LoanAnswer> {
-    const { report, urgent, lender } = request;
-    const { life } = this.#book;
-    if (lender !== undefined && lender !== life) return { type: 'forgotten', lender: life };
-    const end = this.#book.take(report, urgent, this.#now());
-    this.#logLost();
-    if (end === 'forgotten') return { type: 'forgotten', lender: life };
-    if (request.typicalRequest > 0) this.#holder.observeSize(request.typicalRequest);
-    const lacking = this.#book.lacking(report, urgent);
-    await this.#fetchLacking(lacking);
-    if (this.#book.life !== life) return { type: 'forgotten', lender: this.#book.life };
-    this.#book.lendLacking(report, lacking);
-    return this.#answer(request, life);
-  }
-
-  #answer({ report, interest }: LoanRequest, lender: string): LoanAnswer {
-    const view = this.#view();
-    const known = [...Object.keys(report.entries), ...interest];
-    const names = new Set([...known, ...this.#widelyUsed(view)]);
-    const accounts: Record<AccountId, LoanAccount> = {};
-    for (const name of names) accounts[name] = this.#loanAccount(report.instance, name, view);
-    const { instances, fetchers } = view;
-    return { type: 'lent', lender, instances, fetchers, isStopping: this.#stopping, accounts };
-  }
-
-  /** Accounts that callers may ask any instance for, though they have not come to it yet. */
-  #widelyUsed({ accounts, instances }: PrepaidView): AccountId[] {
-    const { rideThroughSeconds } = this.#options.context.settings.prepaid;
-    const least = LEAST_EXPECTED * this.#holder.typicalRequest * instances;
-    const now = this.#now();
-    return [...accounts].flatMap(([account, { othersRate }]) => {
-      const fleetRate = othersRate + this.#holder.rate(account, now);
-      return fleetRate > 0 && fleetRate * rideThroughSeconds >= least ? [account] : [];
+  /** What the holder sizes its rights by; one that retires needs none. */
+  get outlook(): PrepaidView {
+    const limits = this.#options.limits() ?? new Map<AccountId, Tokens>();
+    const page = this.#pages.page ?? { accounts: {}, writers: {} };
+    const instances = Math.ceil(this.#options.fleetSize() / this.#pages.groups);
+    const view = viewOfPage(page, this.#pages.outlook(limits), this.#holder, instances);
+    if (this.#phase !== 'retiring') return view;
+    const nothing = [...view.accounts.keys()].map((account): [AccountId, typeof NOTHING_LEFT] => {
+      return [account, NOTHING_LEFT];
     });
+    return { ...view, accounts: new Map(nothing) };
   }
 
-  #loanAccount(borrower: string, account: AccountId, view: PrepaidView): LoanAccount {
-    const limit = this.#limit(account);
-    const now = this.#now();
-    const { available = 0, left = limit } = this.view(account, limit, now);
-    const { remaining = 0, othersRate = 0 } = view.accounts.get(account) ?? {};
-    const fleetRate = othersRate + this.#holder.rate(account, now);
-    return {
-      held: this.#book.held(borrower, account),
-      remaining,
-      othersRate: Math.max(0, fleetRate - this.#book.rate(borrower, account)),
-      available: this.free(account) + available,
-      gone: limit - left,
-    };
-  }
-
-  /** Fetches what borrowers lack where that may help, but no longer than they wait. */
-  async #fetchLacking(lacking: ReadonlyMap<AccountId, Tokens>): Promise<void> {
-    const useful = [...lacking].filter(([account, amount]) => {
-      return this.fetchOutlook(account, amount) === 'may-help';
-    });
-    if (useful.length === 0) return;
-    const limit = startTimeLimit(LEND_WAIT_MS);
-    await this.#fetchAll(new Map(useful), limit.signal).finally(() => {
-      limit.end();
-    });
+  /** Whether this instance stops, or gives its rights back for another reason. */
+  get isStopping(): boolean {
+    return this.#stopping;
   }
 
-  /** Waits for an exchange that asks for what is lacking. */
-  async #fetchAll(lacking: ReadonlyMap<AccountId, Tokens>, signal: AbortSignal): Promise<void> {
+  /** Waits for an exchange that asks for what several requests lack. */
+  async fetchAll(lacking: ReadonlyMap<AccountId, Tokens>, signal: AbortSignal): Promise<void> {
     for (const [account, amount] of lacking) this.#holder.beginWait(account, amount);
     // one exchange may have been under way that did not ask for these tokens yet.
     const exchange = (this.#running ?? Promise.resolve()).then(() => this.#sync());
@@ -308,7 +251,7 @@
     // the store answers, whatever becomes of the report: others may be quicker each time.
     this.#contact.heard();
     if (this.#holder.isForgotten(opened.value)) this.#renew(opened.value);
-    const report = this.#holder.reportBy(this.#view(), this.#now(), last);
+    const report = this.#holder.reportBy(this.outlook, this.#now(), last);
     if (report) {
       const sent = await this.#pages.send(report, limits);
       if (sent.isErr) return this.#fail(sent.error);
@@ -316,31 +259,11 @@
       if (sent.value !== 'taken' || !page) return 'failed';
       this.#confirm(report, page);
     }
-    const ended = await (report?.last ? this.#leave() : this.#tend(limits));
+    this.#options.onExchange();
+    const ended = await (report?.last ? this.#leave() : this.#pages.tend(limits));
     return ended.isOk ? 'done' : this.#fail(ended.error);
   }
 
-  /** What the holder sizes its rights by; one that retires needs none. */
-  #view(): PrepaidView {
-    const limits = this.#options.limits() ?? new Map<AccountId, Tokens>();
-    const page = this.#pages.page ?? { accounts: {}, writers: {} };
-    const instances = Math.ceil(this.#options.fleetSize() / this.#pages.groups);
-    const view = viewOfPage(page, this.#pages.outlook(limits), this.#holder, instances);
-    if (this.#phase !== 'retiring') return view;
-    const nothing = [...view.accounts.keys()].map((account): [AccountId, typeof NOTHING_LEFT] => {
-      return [account, NOTHING_LEFT];
-    });
-    return { ...view, accounts: new Map(nothing) };
-  }
-
-  #tend(limits: PrepaidLimits): ReturnType<PrepaidPages['tend']> {
-    const { context, onLostBorrowers } = this.#options;
-    const silent = this.#book.dropSilent(context.settings.prepaid.silentMs, this.#now());
-    if (silent.length > 0) onLostBorrowers(silent);
-    this.#logLost();
-    return this.#pages.tend(limits);
-  }
-
   async #leave(): ReturnType<PrepaidPages['leave']> {
     const left = await this.#pages.leave();
     if (left.isErr) return left;
@@ -365,7 +288,8 @@
   }
 
   #confirm(report: PrepaidReport, page: PrepaidPage): void {
-    const { log, metrics } = this.#options.context;
+    const { book, context } = this.#options;
+    const { log, metrics } = context;
     this.#holder.confirm(page);
     const accounts = Object.keys(report.entries);
     log.write('prepaid-reported', {
@@ -376,21 +300,16 @@
       accounts: accounts.length,
       spent: sum(Object.values(report.entries).map((entry) => entry.spent)),
       held: sum(accounts.map((account) => this.#holder.held(account))),
-      borrowers: this.#book.borrowers,
-      lent: this.#book.lent,
+      borrowers: book.borrowers,
+      lent: book.lent,
       ...pageTotals(page, this.#options.limits()),
     });
-    metrics.gauge('prepaid_lent_tokens', 'tokens lent to other instances', this.#book.lent);
+    metrics.gauge('prepaid_lent_tokens', 'tokens lent to other instances', book.lent);
     for (const account of accounts) {
       metrics.gauge('prepaid_held_tokens', 'tokens held', this.#holder.held(account), { account });
     }
   }
 
-  #logLost(): void {
-    const { log } = this.#options.context;
-    for (const lost of this.#book.takeLost()) log.write('prepaid-loans-charged', { ...lost });
-  }
-
   // the report stays pending: its write may still take effect, so the same one is sent again.
   #fail({ code, message, retryAfterMs = THROTTLED_MS }: StoreError): SyncEnd {
     if (code === 'throttled') {
--- a/packages/mesh/src/runtime/meshRouter.ts
+++ b/packages/mesh/src/runtime/meshRouter.ts
@@ -51,7 +51,7 @@
   });
 }
 
-/** Procedures that need no addressee: incarnations are learned by the one, named inside by the other. */
+/** Procedures that need no addressee: a heartbeat teaches incarnations, a loan request names its lender's. */
 const UNADDRESSED: ReadonlySet<ProcedureName> = new Set(['heartbeat', 'borrow']);
 
 /**
