fix(routing): a rest that is long over holds nothing back

Cause: the single try had no end of its own. Ruled out: budgets and the list. Two seconds after a rest an instance that sent nothing meanwhile goes on as usual; the unit test fails without it.

--- a/packages/core/src/runtime/routing/serverNotices.ts
+++ b/packages/core/src/runtime/routing/serverNotices.ts
@@ -44,6 +44,8 @@
 const MAX_REST_SPREAD_MS = 1_000;
 /** Milliseconds for which one request alone finds out whether a rest is really over. */
 const TRY_MS = 500;
+/** Milliseconds after a rest after which an instance that has not sent anything since goes on as usual. */
+const FOUND_OUT_MS = 2_000;
 
 interface KnownServer {
   bornAt: number | undefined;
@@ -108,8 +110,10 @@
   sent(start: ServerStart, now: EpochMs): void {
     this.rateLimits.take(start.id, now);
     const server = this.#find(start);
-    if (server?.restUntil !== undefined)
-      server.restUntil = Math.max(server.restUntil, now + TRY_MS);
+    if (server?.restUntil === undefined) return;
+    // an instance that returns late need not be held back: others have found out meanwhile.
+    const isLongOver = now - server.restUntil > FOUND_OUT_MS;
+    server.restUntil = isLongOver ? undefined : Math.max(server.restUntil, now + TRY_MS);
   }
 
   /** The state of a server; undefined where it said nothing. */
--- a/test/routing/serverNotices.test.ts
+++ b/test/routing/serverNotices.test.ts
@@ -78,6 +78,14 @@
     assert.equal(notices.nextAt(START, 1_600), 1_600);
   });
 
+  // the first of several requests that come long after a rest had all others refused.
+  test('is used as usual by an instance that comes back long after', () => {
+    const notices = createNotices();
+    notices.tell(START, rests(1_000), 0);
+    notices.sent(START, 3_001);
+    assert.equal(notices.nextAt(START, 3_001), 3_001);
+  });
+
   // eighty instances that come back in the same moment would have it shed again.
   test('gets its first requests one after the other', () => {
     const times = [0, 0.5, 0.99].map((random) => {
