fix(routing): the answer to the single try after a rest ends it

Cause: the time of the single try was kept in the rest itself, so its answer came within the rest and did not end it. Ruled out: rate limits, budgets, the list.

--- a/packages/core/src/runtime/routing/serverNotices.ts
+++ b/packages/core/src/runtime/routing/serverNotices.ts
@@ -50,8 +50,13 @@
 interface KnownServer {
   bornAt: number | undefined;
   leavingSince: EpochMs | undefined;
-  /** Not before then; in the past while a single request finds out. */
-  restUntil: EpochMs | undefined;
+  rest: Rest | undefined;
+}
+
+interface Rest {
+  until: EpochMs;
+  /** After the rest: until then a single request finds out whether it is really over. */
+  triedUntil: EpochMs;
 }
 
 /**
@@ -83,8 +88,9 @@
     }
     if (rest.type === 'invalid') changes.push('rest-invalid');
     if (rest.type === 'rest' && this.#rest(server, rest.ms, now)) changes.push('rests');
-    if (rest.type === 'none' && server.restUntil !== undefined && server.restUntil <= now) {
-      server.restUntil = undefined;
+    // an answer to an earlier request says nothing of a rest that was asked for since.
+    if (rest.type === 'none' && server.rest && server.rest.until <= now) {
+      server.rest = undefined;
       changes.push('back');
     }
     return changes;
@@ -97,7 +103,8 @@
 
   /** Milliseconds that are left of a server's rest; 0 where it does not rest. */
   restMs(start: ServerStart, now: EpochMs): number {
-    return Math.max(0, (this.#find(start)?.restUntil ?? now) - now);
+    const rest = this.#find(start)?.rest;
+    return rest ? Math.max(0, rest.until - now, rest.triedUntil - now) : 0;
   }
 
   /** When this instance may send the next request to a server; never to one that leaves. */
@@ -110,22 +117,23 @@
   sent(start: ServerStart, now: EpochMs): void {
     this.rateLimits.take(start.id, now);
     const server = this.#find(start);
-    if (server?.restUntil === undefined) return;
+    if (!server?.rest) return;
     // an instance that returns late need not be held back: others have found out meanwhile.
-    const isLongOver = now - server.restUntil > FOUND_OUT_MS;
-    server.restUntil = isLongOver ? undefined : Math.max(server.restUntil, now + TRY_MS);
+    const isLongOver = now - server.rest.until > FOUND_OUT_MS;
+    if (isLongOver) server.rest = undefined;
+    else server.rest.triedUntil = now + TRY_MS;
   }
 
   /** The state of a server; undefined where it said nothing. */
   view(start: ServerStart, now: EpochMs): NoticeView | undefined {
     const server = this.#find(start);
     const limit = this.rateLimits.view(start.id, now);
-    const { leavingSince, restUntil } = server ?? {};
-    if (!limit && leavingSince === undefined && restUntil === undefined) return undefined;
+    const { leavingSince, rest } = server ?? {};
+    if (!limit && leavingSince === undefined && !rest) return undefined;
     return {
       ...limit,
       leavingMs: leavingSince === undefined ? undefined : Math.round(now - leavingSince),
-      restMs: restUntil === undefined ? undefined : Math.round(this.restMs(start, now)),
+      restMs: rest && Math.round(this.restMs(start, now)),
     };
   }
 
@@ -134,15 +142,15 @@
     const servers = [...this.#servers.values()];
     return {
       leaving: servers.filter(({ leavingSince }) => leavingSince !== undefined).length,
-      resting: servers.filter(({ restUntil }) => restUntil !== undefined && restUntil > now).length,
+      resting: servers.filter(({ rest }) => rest !== undefined && rest.until > now).length,
     };
   }
 
   /** Forgets servers that are neither listed nor said anything that may still hold. */
   retain(listed: ReadonlySet<ServerId>, now: EpochMs): void {
     this.rateLimits.retain(listed, now);
-    for (const [id, { leavingSince = -Infinity, restUntil = -Infinity }] of this.#servers) {
-      const isOver = Math.max(leavingSince + MAX_REST_MS, restUntil) <= now;
+    for (const [id, { leavingSince = -Infinity, rest }] of this.#servers) {
+      const isOver = Math.max(leavingSince + MAX_REST_MS, rest?.until ?? -Infinity) <= now;
       if (!listed.has(id) && isOver) this.#servers.delete(id);
     }
   }
@@ -153,9 +161,9 @@
     const bounded = Math.min(ms, MAX_REST_MS);
     const spreadMs = Math.min(REST_SPREAD * bounded, MAX_REST_SPREAD_MS);
     const until = now + bounded + spreadMs * this.#random();
-    const isNew = server.restUntil === undefined || server.restUntil <= now;
-    server.restUntil = Math.max(server.restUntil ?? 0, until);
-    return isNew;
+    const before = server.rest?.until ?? -Infinity;
+    server.rest = { until: Math.max(before, until), triedUntil: -Infinity };
+    return before <= now;
   }
 
   #find({ id, bornAt }: ServerStart): KnownServer | undefined {
@@ -166,7 +174,7 @@
   #of(start: ServerStart): KnownServer {
     const found = this.#find(start);
     if (found) return found;
-    const created = { bornAt: start.bornAt, leavingSince: undefined, restUntil: undefined };
+    const created = { bornAt: start.bornAt, leavingSince: undefined, rest: undefined };
     const known = this.#servers.get(start.id);
     // a late answer of an earlier start says nothing of the one that runs now.
     const isLate = known !== undefined && (start.bornAt ?? 0) < (known.bornAt ?? 0);
--- a/test/routing/serverNotices.test.ts
+++ b/test/routing/serverNotices.test.ts
@@ -73,9 +73,23 @@
     notices.sent(START, 1_000);
     assert.equal(notices.nextAt(START, 1_001), 1_500);
     assert.equal(notices.nextAt(START, 1_500), 1_500);
-    assert.deepEqual(notices.tell(START, notice(), 1_600), ['back']);
-    notices.sent(START, 1_600);
-    assert.equal(notices.nextAt(START, 1_600), 1_600);
+  });
+
+  // its answer came within the time of the single try and did not end it: one request each half second got through.
+  test('is used as usual once the request that finds out is answered', () => {
+    const notices = createNotices();
+    notices.tell(START, rests(1_000), 0);
+    notices.sent(START, 1_000);
+    assert.deepEqual(notices.tell(START, notice(), 1_005), ['back']);
+    notices.sent(START, 1_005);
+    assert.equal(notices.nextAt(START, 1_005), 1_005);
+  });
+
+  test('rests on when an earlier request is answered', () => {
+    const notices = createNotices();
+    notices.tell(START, rests(1_000), 0);
+    assert.deepEqual(notices.tell(START, notice(), 500), []);
+    assert.equal(notices.nextAt(START, 500), 1_000);
   });
 
   // the first of several requests that come long after a rest had all others refused.
