test(prepaid): an instance is asked to serve again once its tokens are in reach

Traced by reading: readiness also comes back three seconds after the last refusal, before the store is regained, and a request may wait no longer than 250 ms for tokens. It now waits for the regained store, asserts readiness at once then (which it did not before), and that requests are served again.

--- a/test/platform/prepaid.test.ts
+++ b/test/platform/prepaid.test.ts
@@ -58,9 +58,13 @@
     });
     assert.notEqual(await world.ready(), 200);
     world.store.fault = 'none';
-    await until('ready again', async () => (await world.ready()) === 200);
-    const served = await world.generate('/chat/1', 90_000);
-    assert.equal(served.status, 200);
+    await until('regained', () => {
+      return world.log.events.some(({ event, fields }) => {
+        return event === 'store-regained' && fields.watch === 'prepaid';
+      });
+    });
+    assert.equal(await world.ready(), 200);
+    await until('served', async () => (await world.generate('/chat/1', 90_000)).status === 200);
   });
 
   test('is refused, not waited for, while the store answers nothing', async (t) => {
