--- a/packages/gateway/src/node/loanTokens.ts
+++ b/packages/gateway/src/node/loanTokens.ts
@@ -8,6 +8,7 @@
   LoanAccount,
   LoanAnswer,
   PrepaidAccountView,
+  PrepaidHolder,
   PrepaidReport,
   PrepaidReservation,
   PrepaidView,
@@ -16,7 +17,7 @@
 import type { GatewayContext } from '../types/context.js';
 import type { LoanCalls } from '../types/loans.js';
 import type { FetchOutlook, SourceView } from '../types/tokenSource.js';
-import type { PrepaidHolder } from '@flamingocourse/core';
+import { withReportJitter } from '../runtime/reportPeriod.js';
 import { TokenSource } from '../types/tokenSource.js';
 import { aborted } from '../utils/timeLimit.js';
 import { Contact } from './contact.js';
@@ -26,8 +27,6 @@
 /** Milliseconds until a lender that does not answer is tried again, at first and at most. */
 const FIRST_RETRY_MS = 200;
 const MAX_RETRY_MS = 1_600;
-/** Part of the report period by which instances drift apart. */
-const REPORT_JITTER = 0.3;
 
 const LENDER_EVENTS = { lost: 'lender-lost', regained: 'lender-regained' } as const;
 
@@ -190,9 +189,9 @@
 
   get #pauseMs(): number {
     const { random, settings } = this.#options.context;
-    const jitter = 1 - REPORT_JITTER / 2 + REPORT_JITTER * random();
-    if (!this.isLost) return settings.prepaid.reportMs * jitter;
-    return Math.min(MAX_RETRY_MS, FIRST_RETRY_MS * 2 ** (this.#failures - 1)) * jitter;
+    if (!this.isLost) return withReportJitter(settings.prepaid.reportMs, random);
+    const retryMs = Math.min(MAX_RETRY_MS, FIRST_RETRY_MS * 2 ** (this.#failures - 1));
+    return withReportJitter(retryMs, random);
   }
 
   #sync(): Promise<void> {
--- a/packages/gateway/src/node/storeTokens.ts
+++ b/packages/gateway/src/node/storeTokens.ts
@@ -16,14 +16,12 @@
 import type { GatewayContext } from '../types/context.js';
 import type { FetchOutlook, SourceView } from '../types/tokenSource.js';
 import { heldPrepaid, sum, viewOfPage } from '@flamingocourse/core';
-import { believedShortMs, reportPeriodMs } from '../runtime/reportPeriod.js';
+import { believedShortMs, reportPeriodMs, withReportJitter } from '../runtime/reportPeriod.js';
 import { TokenSource } from '../types/tokenSource.js';
 import { aborted } from '../utils/timeLimit.js';
 import { PrepaidPages } from './prepaidPages.js';
 import { StoreContact } from './storeContact.js';
 
-/** Part of the report period by which instances that started together drift apart. */
-const REPORT_JITTER = 0.3;
 /**
  * Milliseconds over which instances spread their reports after limits have changed. All hear of it in the
  * same moment; a request that needs the new tokens sooner fetches them itself.
@@ -211,10 +209,8 @@
     return reportPeriodMs(reportMs, this.#pages.instances);
   }
 
-  /** Instances that report in the same moment conflict with each other again and again. */
   get #jitteredPeriodMs(): number {
-    const { random } = this.#options.context;
-    return this.#periodMs * (1 - REPORT_JITTER / 2 + REPORT_JITTER * random());
+    return withReportJitter(this.#periodMs, this.#options.context.random);
   }
 
   #reportIn(ms: number): void {
--- a/packages/gateway/src/runtime/reportPeriod.ts
+++ b/packages/gateway/src/runtime/reportPeriod.ts
@@ -44,3 +44,19 @@
   const fairMs = Math.round((1_000 * instances) / FLEET_REPORTS_PER_SECOND);
   return Math.max(leastMs, Math.min(MAX_PERIOD_MS, fairMs));
 }
+
+/** Part of a pause between reports by which instances that started together drift apart. */
+const REPORT_JITTER = 0.3;
+
+/**
+ * A pause between reports, a little longer or shorter each time: instances that report in the same moment
+ * conflict with each other again and again.
+ *
+ * @param random gives numbers from 0 (included) to 1 (excluded).
+ *
+ * @example
+ * withReportJitter(2_000, () => 0.5); // 2000
+ */
+export function withReportJitter(ms: number, random: () => number): number {
+  return ms * (1 - REPORT_JITTER / 2 + REPORT_JITTER * random());
+}
