fix(gateway): a request whose caller has left before it is read goes to no server

Cause: an instance that is behind reads a request and the end of its connection in two turns of the event loop, and sent the request on in between. Node's server then closes a half-ended connection only after its own end was sent, which takes further turns, so the caller's leaving was noticed too late even for requests that waited for tokens.

Now a connection is closed as soon as its other side ends it (unless an answer is still on its way), and a request waits two turns of the loop, until all that had arrived was read, before it reserves anything.

--- a/packages/gateway/src/node/callerAnswer.ts
+++ b/packages/gateway/src/node/callerAnswer.ts
@@ -26,7 +26,12 @@
 
   /** Whether the caller left, or its connection broke, before the answer was whole. */
   get gone(): boolean {
-    return this.#gone;
+    return this.#gone || this.#isCutOff;
+  }
+
+  /** Whether the connection is closed, though nobody was told yet. */
+  get #isCutOff(): boolean {
+    return (this.#res.socket?.destroyed ?? false) && !this.#res.writableFinished;
   }
 
   /** Whether a byte of an answer was written. */
--- a/packages/gateway/src/node/entryService.ts
+++ b/packages/gateway/src/node/entryService.ts
@@ -20,8 +20,10 @@
 import { notRun } from '@flamingocourse/router';
 import { BackendLanes } from './backendLanes.js';
 import { CallerAnswer } from './callerAnswer.js';
+import { closeWithCaller } from './closeWithCaller.js';
 import { ConfigurationWatch } from './configurationWatch.js';
 import { PrepaidService } from './prepaidService.js';
+import { pendingReads } from '../utils/pendingReads.js';
 import { readRequestBody } from './readRequestBody.js';
 import { RequestFlow } from './requestFlow.js';
 import { ServerDirectory } from './serverDirectory.js';
@@ -61,9 +63,9 @@
     super();
     this.#context = context;
     this.#agent = agent;
-    this.#server = createServer({ maxHeaderSize: MAX_HEAD_BYTES, noDelay: true }, (req, res) => {
-      void this.#handle(req, res);
-    });
+    const options = { maxHeaderSize: MAX_HEAD_BYTES, noDelay: true };
+    const server = createServer(options, (req, res) => void this.#handle(req, res));
+    this.#server = closeWithCaller(server);
     this.#server.requestTimeout = 0;
   }
 
@@ -219,6 +221,8 @@
     };
     const timer = setTimeout(abort, endsAt - this.#context.clock.now());
     answer.onGone(abort);
+    // a process that is behind reads the requests of callers who have given up meanwhile.
+    await pendingReads();
     if (answer.gone) abort();
     const flow = new RequestFlow(this.#flowParts(), { ...call, endsAt, signal: controller.signal });
     try {
--- a/packages/gateway/src/node/requestFlow.ts
+++ b/packages/gateway/src/node/requestFlow.ts
@@ -102,6 +102,7 @@
 
   /** Runs the request to its end; never rejects for reasons outside our own code. */
   async run(): Promise<Outcome> {
+    if (this.#call.answer.gone) return { type: 'gone' };
     const reserved = await this.#reserve();
     if (reserved.type === 'refused') return this.#refuse(reserved.refusal);
     let outcome: Outcome | undefined;
--- a/test/platform/gateway.test.ts
+++ b/test/platform/gateway.test.ts
@@ -150,6 +150,27 @@
   await until('cancelled', () => world.servers.some(({ dropped }) => dropped === 1));
 });
 
+// a volunteer's lookup is worked on after its caller gave up, because a busy instance read it two seconds late.
+describe('a request whose caller left before it was read', () => {
+  const kinds = [
+    { name: 'that may be repeated', path: '/look/1', server: 'p' },
+    { name: 'that must not be repeated', path: '/book/1', server: 'p' },
+    { name: 'for a generation', path: '/chat/1', server: 'e' },
+  ] as const;
+  for (const { name, path, server } of kinds) {
+    test(`${name} reaches no server`, async (t) => {
+      const world = await World.start(t);
+      world.behave('e', 'stream');
+      // over connections that are open already nothing delays what is sent on.
+      await Promise.all(Array.from({ length: 10 }, () => world.call({ path })));
+      const before = world.seen(server).length;
+      for (let sent = 0; sent < 5; sent += 1) await world.sendAndLeave(path);
+      await until('all have ended', () => world.ended('gone') === 5);
+      assert.equal(world.seen(server).length - before, 0);
+    });
+  }
+});
+
 // a duty pilot's chat breaks off half way: the balancer found too few instances ready and went on sending
 // to one that was told to stop six seconds before, which took the chat and cut it at its end.
 test('a planned stop takes nothing that it could not finish', async (t) => {
--- a/test/platform/world.ts
+++ b/test/platform/world.ts
@@ -3,7 +3,9 @@
 import type { TestContext } from 'node:test';
 import type { GatewaySettings } from '@flamingocourse/gateway';
 import type { IncomingHttpHeaders } from 'node:http';
+import { once } from 'node:events';
 import { request } from 'node:http';
+import { connect } from 'node:net';
 import { setTimeout as delay } from 'node:timers/promises';
 import { createGateway, parseGatewaySettings } from '@flamingocourse/gateway';
 import { MemoryEventLog, MonotonicClock } from '@flamingocourse/kernel';
@@ -168,6 +170,30 @@
     return send(this.#entryPort, { method: 'POST', body: 'x=1', ...call, headers });
   }
 
+  /** Sends a whole request and closes its connection before the gateway can have read any of it. */
+  async sendAndLeave(path: string): Promise<void> {
+    this.#calls += 1;
+    const socket = connect(this.#entryPort, '127.0.0.1');
+    await once(socket, 'connect');
+    const head = [
+      `POST ${path} HTTP/1.1`,
+      `Host: ${HOST}`,
+      `X-Request-Id: r-${String(this.#calls)}`,
+      'X-Deadline-Ms: 1200',
+      `Authorization: Token ${KEY}`,
+      'Content-Length: 3',
+    ];
+    socket.write(`${head.join('\r\n')}\r\n\r\nx=1`);
+    socket.destroy();
+  }
+
+  /** Requests that have ended in a way. */
+  ended(outcome: string): number {
+    return this.log.events.filter(({ event, fields }) => {
+      return event === 'request-ended' && fields.outcome === outcome;
+    }).length;
+  }
+
   /** A generation of so many prompt tokens and at most 80 more. */
   generate(path: string, prompt = 1_000, headers: Record<string, string> = {}): Promise<Answer> {
     return this.call({
