feat(prepaid): loans are sized by the instances that an account's callers come in at

Cause: a balancer keeps a caller at one instance, so an account comes in at some 28 of 195, but its tokens were sized as if it came in evenly at all of them: the spread of the demand was reckoned over 195, and two requests for each of them kept undealt.

Now a lender reckons from its borrowers' rates at how many instances they would come in were they equal, and tells it with what remains; borrowers size their loans by it. Fleets that do not lend are as before. Pattern: callers that stay, all alone (demandSpread.test.ts); its first case fails with the spread of all instances (10,366 of 14,112 tokens).

--- a/packages/core/src/runtime/prepaid/index.ts
+++ b/packages/core/src/runtime/prepaid/index.ts
@@ -1,3 +1,4 @@
+export * from './demandSpread.js';
 export * from './loanBook.js';
 export * from './memberWatch.js';
 export * from './prepaidBudgets.js';
--- a/packages/core/src/runtime/prepaid/loanBook.ts
+++ b/packages/core/src/runtime/prepaid/loanBook.ts
@@ -2,8 +2,10 @@
 
 import type { AccountId, EpochMs, IncarnationId, Tokens } from '../../types/ids.js';
 import type { PrepaidReport, PrepaidReportEntry } from '../../types/prepaid.js';
+import type { KnownDemand } from './demandSpread.js';
 import type { PrepaidHolder } from './prepaidHolder.js';
 import { sum } from '../../utils/sum.js';
+import { knownDemand } from './demandSpread.js';
 
 /** Part of the free tokens that is lent ahead of requests while some want more. */
 const LENT_AHEAD = 0.5;
@@ -46,6 +48,8 @@
 export class LoanBook {
   readonly #holder: PrepaidHolder;
   readonly #borrowers = new Map<string, Borrower>();
+  /** Of all borrowers, by account. */
+  readonly #demand = new Map<AccountId, KnownDemand>();
   /** Life of the holder whose rights are lent. */
   #life: IncarnationId;
   #lost: LostLoans[] = [];
@@ -83,6 +87,11 @@
     return this.#borrowers.get(borrower)?.loans.get(account)?.rate ?? 0;
   }
 
+  /** What the borrowers are asked for of an account. */
+  demand(account: AccountId): KnownDemand {
+    return this.#demand.get(account) ?? knownDemand([]);
+  }
+
   /** Loans given up since this was last asked, for the log. */
   takeLost(): LostLoans[] {
     const lost = this.#lost;
@@ -204,8 +213,10 @@
 
   #noteLending(account: AccountId): void {
     const loans = [...this.#borrowers.values()].flatMap(({ loans }) => loans.get(account) ?? []);
+    const demand = knownDemand(loans.map(({ rate }) => rate));
+    this.#demand.set(account, demand);
     this.#holder.setLending(account, {
-      rate: sum(loans.map(({ rate }) => rate)),
+      rate: demand.rate,
       unmet: sum(loans.map(({ unmet }) => unmet)),
     });
   }
--- a/packages/core/src/runtime/prepaid/prepaidHolder.ts
+++ b/packages/core/src/runtime/prepaid/prepaidHolder.ts
@@ -341,7 +341,7 @@
   #level(
     { lending }: Holding,
     ownRate: number,
-    { remaining, othersRate }: PrepaidAccountView,
+    { remaining, othersRate, spread }: PrepaidAccountView,
     { instances, fetchers }: PrepaidView,
   ): Tokens {
     const situation = {
@@ -351,7 +351,7 @@
       fetchers,
       typicalRequest: this.#typicalRequest,
     };
-    const own = this.#sizing.level({ ...situation, rate: ownRate });
+    const own = this.#sizing.level({ ...situation, rate: ownRate, spread });
     if (fetchers >= instances) return own + lending.unmet;
     const lender = { ...situation, rate: lending.rate, instances: fetchers };
     return own + this.#lendingSizing.level(lender) + lending.unmet;
--- a/packages/core/src/runtime/prepaid/prepaidSizing.ts
+++ b/packages/core/src/runtime/prepaid/prepaidSizing.ts
@@ -13,6 +13,8 @@
   remaining: Tokens;
   /** Instances of the group, this one included. */
   instances: number;
+  /** Those among them that the account's callers come in at. @default all */
+  spread?: number | undefined;
   /** Tokens that a request of any account asks for on average. */
   typicalRequest: Tokens;
 }
@@ -86,12 +88,12 @@
   /** Free tokens that an instance should hold. */
   level(situation: PrepaidSituation): Tokens {
     const { evenPart, rideThroughSeconds } = this.#settings;
-    const { fleetRate, instances, typicalRequest } = situation;
+    const { fleetRate, instances, spread = instances, typicalRequest } = situation;
     const dealt = this.#dealt(situation);
     if (fleetRate <= 0) return Math.floor((dealt * evenPart) / instances);
     const fleetDemand = fleetRate * rideThroughSeconds;
     const own = this.#withSpread(fleetDemand * this.#part(situation), 1, typicalRequest);
-    const all = this.#withSpread(fleetDemand, instances, typicalRequest);
+    const all = this.#withSpread(fleetDemand, spread, typicalRequest);
     return Math.floor(own * Math.min(1, dealt / all));
   }
 
@@ -100,14 +102,19 @@
    * account that has plenty left may deal out all that its instances can use; one that has little keeps
    * back what its callers ask for in the time after a loss.
    */
-  #dealt({ fleetRate, remaining, instances, typicalRequest }: PrepaidSituation): Tokens {
-    const { rideThroughSeconds, undealtRequests } = this.#settings;
+  #dealt(situation: PrepaidSituation): Tokens {
+    const { fleetRate, remaining, instances, spread = instances, typicalRequest } = situation;
+    const {
+      rideThroughSeconds,
+      keptSeconds = rideThroughSeconds,
+      undealtRequests,
+    } = this.#settings;
     // dealt to all, the last tokens would be dust: no instance could cover a request, while together
     // they could cover many. Kept in the store, they are fetched for each request that comes.
-    const undealt = undealtRequests * typicalRequest * instances;
+    const undealt = undealtRequests * typicalRequest * spread;
     const rest = remaining - Math.min(undealt, MOST_UNDEALT * remaining);
     const dealt = Math.max(LEAST_DEALT * rest, rest - fleetRate * rideThroughSeconds);
-    return dealt < LEAST_USEFUL * typicalRequest * instances ? 0 : dealt;
+    return dealt < LEAST_USEFUL * typicalRequest * spread ? 0 : dealt;
   }
 
   /** Where the account's next requests come in, as far as past ones tell. */
--- a/packages/core/src/types/prepaid.ts
+++ b/packages/core/src/types/prepaid.ts
@@ -110,6 +110,8 @@
   remaining: Tokens;
   /** Tokens a second that the other instances are asked for. */
   othersRate: number;
+  /** Instances that its callers come in at. @default all that share what remains */
+  spread?: number | undefined;
 }
 
 /** An instance of the fleet as the others know it. */
@@ -139,6 +141,8 @@
   held: Tokens;
   remaining: Tokens;
   othersRate: number;
+  /** Instances that its callers come in at; absent at lenders that do not tell. */
+  spread?: number | undefined;
   /** Tokens that could be lent beyond that. */
   available: Tokens;
   /** Tokens spent or in doubt anywhere, as far as the lender knows; it may lag behind. */
--- a/packages/gateway/src/node/loanDesk.ts
+++ b/packages/gateway/src/node/loanDesk.ts
@@ -11,7 +11,7 @@
 } from '@flamingocourse/core';
 import type { GatewayContext } from '../types/context.js';
 import type { StoreTokens } from './storeTokens.js';
-import { LoanBook } from '@flamingocourse/core';
+import { LoanBook, demandSpread } from '@flamingocourse/core';
 import { startTimeLimit } from '../utils/timeLimit.js';
 
 /** Milliseconds for which a borrower waits while tokens are fetched for it; its call has a limit of its own. */
@@ -109,11 +109,13 @@
     const now = this.#now();
     const { available = 0, left = limit } = tokens.view(account, limit, now);
     const { remaining = 0, othersRate = 0 } = outlook.accounts.get(account) ?? {};
+    const { instances } = outlook;
     const fleetRate = othersRate + holder.rate(account, now);
     return {
       held: this.book.held(borrower, account),
       remaining,
       othersRate: Math.max(0, fleetRate - this.book.rate(borrower, account)),
+      spread: demandSpread(this.book.demand(account), fleetRate, instances),
       available: holder.free(account) + available,
       gone: Number.isFinite(limit) ? limit - left : 0,
     };
