fix(prepaid): an instance that lent in place of the listed spenders steps back once they answer

Cause: after a cut each borrower that finds its lenders still silent asks the next in rank, which then lends for fifteen seconds; a report that only gives tokens back counted as a question too, and a lender that answered again was noticed at the next look.

Now only who wants tokens keeps such a lender in place, for six seconds, and borrowers turn back in the moment their lender answers. The test failed before: 20 of 24 instances still reported 20 s after the cut, 8 are listed.

The fleet of the experiment has callers now that stay at one instance and come again at another when they are refused.

--- a/packages/gateway/src/node/lenders.ts
+++ b/packages/gateway/src/node/lenders.ts
@@ -17,6 +17,8 @@
   createHolder: (name: string) => PrepaidHolder;
   /** Called when a lender does not answer, or stops. */
   onLost: () => void;
+  /** Called when a lender answers again. */
+  onRegained: () => void;
 }
 
 /**
@@ -88,7 +90,7 @@
     if (known?.url === lender.meshUrl) return;
     // it moved: as another process, it does not know these loans; they are charged there in time.
     void known?.stop();
-    const { context, calls, createHolder, onLost } = this.#options;
+    const { context, calls, createHolder, onLost, onRegained } = this.#options;
     const loans = new LoanTokens({
       context,
       lender,
@@ -96,6 +98,7 @@
       createHolder: (life) => createHolder(`${lender.name}-${life}`),
       isAskedFor: (account) => this.#isAskedFor(lender, account),
       onLost,
+      onRegained,
     });
     this.#loans.set(lender.name, loans);
     loans.start();
--- a/packages/gateway/src/node/loanTokens.ts
+++ b/packages/gateway/src/node/loanTokens.ts
@@ -43,6 +43,8 @@
   isAskedFor: (account: AccountId) => boolean;
   /** Called when the lender does not answer, or stops. */
   onLost: () => void;
+  /** Called when the lender answers again. */
+  onRegained: () => void;
 }
 
 /** What the lender last said of an account. */
@@ -231,7 +233,9 @@
 
   #take(answer: LoanAnswer, report: PrepaidReport): void {
     this.#failures = 0;
+    const wasLost = this.#contact.isLost;
     this.#contact.heard();
+    if (wasLost) this.#options.onRegained();
     if (answer.type === 'forgotten') {
       this.#renew(answer.lender);
       return;
--- a/packages/gateway/src/node/prepaidService.ts
+++ b/packages/gateway/src/node/prepaidService.ts
@@ -43,7 +43,7 @@
 const REPORTS_WITHIN_SILENCE = 5;
 
 /** Milliseconds for which an instance that was asked to lend holds rights, though it is no spender by its own list. */
-const ACTING_MS = 15_000;
+const ACTING_MS = 6_000;
 /** Milliseconds between looks at whether this instance should hold rights. */
 const ROLE_LOOK_MS = 5_000;
 /** Seconds of the borrowers' demand that a spender keeps to be lent. */
@@ -105,6 +105,9 @@
     this.#store = new StoreTokens({
       context,
       holder,
+      onRegained: () => {
+        this.#assumeRole();
+      },
       book: this.#desk.book,
       limits: () => this.#table?.prepaid,
       fleetSize: () => this.#instances?.count ?? 1,
@@ -184,7 +187,7 @@
 
   /** Lends to another instance. One that is asked takes the place of spenders that do not answer. */
   async lend(request: LoanRequest): Promise<LoanAnswer> {
-    this.#actingUntil = this.#now() + ACTING_MS;
+    if (asksForTokens(request)) this.#actingUntil = this.#now() + ACTING_MS;
     if (!this.#isSpender) this.#assumeRole();
     return this.#desk.lend(request, this.#store);
   }
@@ -330,3 +333,8 @@
     return this.#context.clock.now();
   }
 }
+
+/** Whether a borrower wants more than to give back what it has. */
+function asksForTokens({ report }: LoanRequest): boolean {
+  return Object.values(report.entries).some(({ wants }) => wants > 0);
+}
--- a/test/gateway/fleet/prepaidFleet.ts
+++ b/test/gateway/fleet/prepaidFleet.ts
@@ -4,7 +4,7 @@
 import type { AccountId, PrepaidReservation, Tokens } from '@flamingocourse/core';
 import type { EventFields } from '@flamingocourse/kernel';
 import { syncBuiltinESMExports } from 'node:module';
-import { setImmediate as turn } from 'node:timers/promises';
+import { setImmediate as turn, setTimeout as delay } from 'node:timers/promises';
 import { ServerNotices, ServerRateLimits } from '@flamingocourse/core';
 import { HealthCheck } from '@flamingocourse/gateway';
 import { Kernel, ManualClock, MemoryEventLog } from '@flamingocourse/kernel';
@@ -31,6 +31,11 @@
   budgetSeconds: number;
   /** Part of the requests that belong to the first account and all come in at the first instance. @default 0 */
   atOneInstance?: number;
+  /**
+   * Callers, each of one account, whose requests come in at the instance that a balancer chose by its hash of
+   * the caller; one that is refused comes again at another. Without any, each request comes in anywhere.
+   */
+  callers?: number;
   seed: number;
 }
 
@@ -56,6 +61,12 @@
   running: RunningProcess | undefined;
 }
 
+/** Somebody who keeps sending requests. */
+interface Caller {
+  account: AccountId;
+  home: Instance;
+}
+
 interface RunningProcess extends Peer {
   kernel: Kernel;
 }
@@ -72,6 +83,8 @@
 /** Part of its most that a request uses. */
 const USED_PART = 0.9;
 const REQUEST_MS = 400;
+/** Milliseconds after which a refused caller comes again. */
+const RETRY_MS = 400;
 const MS_PER_SECOND = 1_000;
 const WRITES_PER_SECOND = 1_200;
 const LEAST_WEIGHT = 0.3;
@@ -92,6 +105,7 @@
   readonly #load: StoreLoad;
   readonly #instances: Instance[] = [];
   readonly #accounts: { name: AccountId; weight: number }[];
+  #callers: Caller[] = [];
   #nextRequestAt = Infinity;
 
   private constructor(t: TestContext, shape: FleetShape) {
@@ -118,6 +132,7 @@
     for (let at = 0; at < dataCentres * instancesPerDataCentre; at += 1) {
       await fleet.#add(`edge-${String(at)}`, `hall-${String(at % dataCentres)}`);
     }
+    fleet.#callers = Array.from({ length: shape.callers ?? 0 }, () => fleet.#createCaller());
     return fleet;
   }
 
@@ -146,6 +161,11 @@
     });
   }
 
+  /** Reports of an instance that the store has taken in. */
+  reportsOf(name: string): number {
+    return this.#find(name).log.events.filter(({ event }) => event === 'prepaid-reported').length;
+  }
+
   tally(account: AccountId): AccountTally {
     const tally = this.tallies.get(account);
     if (!tally) throw new RangeError(`no account ${account}`);
@@ -223,30 +243,55 @@
     const gapMs = MS_PER_SECOND / this.#shape.requestsPerSecond;
     this.#nextRequestAt -= Math.log(1 - this.#random.fraction()) * gapMs;
     const { most } = this.#random.pickWeighted(REQUESTS);
+    if (this.#callers.length > 0) {
+      void this.#call(this.#random.pick(this.#callers), most);
+      return;
+    }
     const [instance, account] = this.#random.chance(this.#shape.atOneInstance ?? 0)
       ? [this.#instances[0], this.#accounts[0]]
       : [this.#random.pickWeighted(this.#instances), this.#random.pickWeighted(this.#accounts)];
-    if (instance?.running && account) void this.#reserve(instance.running, account.name, most);
+    if (instance?.running && account) void this.#ask(instance, account.name, most);
+  }
+
+  /** A request that is not repeated. */
+  async #ask(instance: Instance, account: AccountId, most: Tokens): Promise<void> {
+    const tally = this.tally(account);
+    tally.asked += 1;
+    if (!(await this.#reserve(instance, account, most))) tally.refused += 1;
+  }
+
+  #createCaller(): Caller {
+    const { name: account } = this.#random.pickWeighted(this.#accounts);
+    return { account, home: this.#random.pickWeighted(this.#instances) };
   }
 
-  async #reserve(
-    { prepaid, process }: RunningProcess,
-    account: AccountId,
-    most: Tokens,
-  ): Promise<void> {
+  /** A request of a caller and, where it is refused, its next try. */
+  async #call({ account, home }: Caller, most: Tokens): Promise<void> {
     const tally = this.tally(account);
     tally.asked += 1;
+    if (await this.#reserve(home, account, most)) return;
+    await delay(RETRY_MS);
+    const others = this.#instances.filter((other) => {
+      return other.dataCentre === home.dataCentre && other !== home;
+    });
+    if (await this.#reserve(this.#random.pick(others), account, most)) return;
+    tally.refused += 1;
+  }
+
+  /** Whether the request was taken; one at a process that ends counts as neither. */
+  async #reserve({ running }: Instance, account: AccountId, most: Tokens): Promise<boolean> {
+    if (!running) return false;
+    const { prepaid, process } = running;
+    const tally = this.tally(account);
     const reserved = await prepaid.reserve(account, most, new AbortController().signal);
     // a process that was killed meanwhile sends nothing.
-    if (process.isOver()) return;
-    if (reserved.isErr) {
-      tally.refused += 1;
-      return;
-    }
+    if (process.isOver()) return true;
+    if (reserved.isErr) return false;
     tally.committed += most;
     setTimeout(() => {
       if (!process.isOver()) settle(prepaid, tally, reserved.value);
     }, REQUEST_MS);
+    return true;
   }
 
   async #add(name: string, dataCentre: string): Promise<void> {
--- a/test/gateway/prepaidFleet.test.ts
+++ b/test/gateway/prepaidFleet.test.ts
@@ -56,6 +56,22 @@
   assert.deepEqual(fleet.lines('store-lost'), []);
 });
 
+// After a cut of all, a quarter of a fleet writes to the store, and their own callers' loans are given back.
+test('the listed spenders alone hold rights soon after a cut of all instances', async (t) => {
+  const shape = { ...GROWN, instancesPerDataCentre: 6, requestsPerSecond: 60, callers: 60 };
+  const fleet = await PrepaidFleet.start(t, { ...shape, atOneInstance: 0, seed: 3 });
+  await fleet.rest(4_000);
+  await fleet.serve(3_000);
+  for (const name of fleet.names) fleet.setAlone(name, true);
+  await fleet.serve(4_000);
+  for (const name of fleet.names) fleet.setAlone(name, false);
+  await fleet.serve(20_000);
+  const before = new Map(fleet.names.map((name) => [name, fleet.reportsOf(name)]));
+  await fleet.serve(6_000);
+  const writers = fleet.names.filter((name) => fleet.reportsOf(name) > (before.get(name) ?? 0));
+  assert.equal(writers.length, 2 * GROWN.dataCentres);
+});
+
 /**
  * A fleet whose third, the busy instance among them, was cut off for three seconds and is back for longer than
  * a call may hang that was under way when the cut ended.
