feat(prepaid): what is not dealt covers what borrowers have spent and not told yet

Cause: a borrower's spending is known to the store after two reports, its own to the lender and the lender's, so what remains was reckoned some five seconds of demand too high, and three seconds more lay with the lenders to be lent.

Now borrowers leave five seconds more undealt than they hold, and lenders keep one second to be lent in place of three; what lacks is fetched as before. Fleets that do not lend are as before.

--- a/packages/core/src/runtime/prepaid/prepaidSizing.ts
+++ b/packages/core/src/runtime/prepaid/prepaidSizing.ts
@@ -23,11 +23,15 @@
 export interface PrepaidSizingSettings {
   /**
    * Seconds of its own demand that an instance holds: the longest cut that instances are expected to
-   * ride out, with the time to notice its end. As many seconds of the whole demand are not dealt out:
-   * what instances hold is in doubt when all of them are killed at once, and the rest then lasts as
-   * long as the holdings would have.
+   * ride out, with the time to notice its end.
    */
   rideThroughSeconds: number;
+  /**
+   * Seconds of the whole demand that are not dealt out: what instances hold is in doubt when all of them
+   * are killed at once, and the rest then lasts as long as the holdings would have. What was spent and is
+   * in no report yet has to come on top. @default rideThroughSeconds
+   */
+  keptSeconds?: number;
   /**
    * Standard deviations of the demand of that time that are held on top. An account with a request a
    * second at an instance may ask for twice its mean; one with ten a second hardly does.
@@ -113,7 +117,7 @@
     // they could cover many. Kept in the store, they are fetched for each request that comes.
     const undealt = undealtRequests * typicalRequest * spread;
     const rest = remaining - Math.min(undealt, MOST_UNDEALT * remaining);
-    const dealt = Math.max(LEAST_DEALT * rest, rest - fleetRate * rideThroughSeconds);
+    const dealt = Math.max(LEAST_DEALT * rest, rest - fleetRate * keptSeconds);
     return dealt < LEAST_USEFUL * typicalRequest * spread ? 0 : dealt;
   }
 
--- a/packages/gateway/src/node/prepaidService.ts
+++ b/packages/gateway/src/node/prepaidService.ts
@@ -47,7 +47,9 @@
 /** Milliseconds between looks at whether this instance should hold rights. */
 const ROLE_LOOK_MS = 5_000;
 /** Seconds of the borrowers' demand that a spender keeps to be lent. */
-const LENDING_SECONDS = 3;
+const LENDING_SECONDS = 1;
+/** Seconds until the store knows what a borrower has spent: a report to its lender, and one of the lender. */
+const LOAN_REPORT_SECONDS = 5;
 /** Part of what may be dealt that spenders hold before any demand is known, to be lent to the first callers. */
 const LENT_BEFORE_DEMAND = 0.2;
 
@@ -91,23 +93,26 @@
   constructor(context: GatewayContext, incarnation: string, calls: LoanCalls) {
     super();
     this.#context = context;
-    const holder = this.#createHolder(incarnation);
+    const { rideThroughSeconds } = context.settings.prepaid;
+    const holder = this.#createHolder(incarnation, new PrepaidSizing({ rideThroughSeconds }));
+    const keptSeconds = rideThroughSeconds + LOAN_REPORT_SECONDS;
+    const loanSizing = new PrepaidSizing({ rideThroughSeconds, keptSeconds });
     this.#lenders = new Lenders({
       context,
       calls,
-      createHolder: (name) => this.#createHolder(`${incarnation}-${name}`),
+      createHolder: (name) => this.#createHolder(`${incarnation}-${name}`, loanSizing),
       onLost: () => {
         this.#instances?.lookSoon();
         this.#assumeRole();
       },
+      onRegained: () => {
+        this.#assumeRole();
+      },
     });
     this.#desk = new LoanDesk({ context, holder, limitOf: (account) => this.#limit(account) });
     this.#store = new StoreTokens({
       context,
       holder,
-      onRegained: () => {
-        this.#assumeRole();
-      },
       book: this.#desk.book,
       limits: () => this.#table?.prepaid,
       fleetSize: () => this.#instances?.count ?? 1,
@@ -260,18 +265,17 @@
     }
   }
 
-  #createHolder(process: string): PrepaidHolder {
+  #createHolder(process: string, sizing: PrepaidSizing): PrepaidHolder {
     const { instance, prepaid } = this.#context.settings;
-    const { rideThroughSeconds, silentMs } = prepaid;
     return new PrepaidHolder({
       instance,
       process,
-      sizing: new PrepaidSizing({ rideThroughSeconds }),
+      sizing,
       lendingSizing: new PrepaidSizing({
         rideThroughSeconds: LENDING_SECONDS,
         evenPart: LENT_BEFORE_DEMAND,
       }),
-      aliveMs: silentMs / REPORTS_WITHIN_SILENCE,
+      aliveMs: prepaid.silentMs / REPORTS_WITHIN_SILENCE,
     });
   }
 
