fix(prepaid): an instance of a fleet that starts for the first time waits until it knows the others

Callers saw: with 195 instances, requests were refused for want of tokens while others of the fleet had plenty, and the price of calls was the greatest one.

Cause: instances that start in the same moment find at most ten others at their first look, take themselves for a small fleet and hold rights of their own for half a second. 41 of 192 joined groups so, and the twelve spenders stayed in the five groups that came about: each held a part of every budget, and they asked each other's parts back by 117 writes a second of one object.

Now an instance whose entry was not there before it joined holds rights from its second look on, 0.6 s later; one that was listed before, which is each that restarts, as soon as before. The test failed before (32 of 88 instances had joined where 8 are listed).

--- a/packages/gateway/src/node/instanceDirectory.ts
+++ b/packages/gateway/src/node/instanceDirectory.ts
@@ -23,6 +23,8 @@
 const JOIN_SPREAD_MS = 400;
 /** Milliseconds after its own entry at which an instance looks again: others start in the same moment. */
 const SECOND_LOOK_MS = 600;
+/** Looks after which those that started in the same moment are known. */
+const LOOKS_TO_SETTLE = 2;
 /** Least milliseconds between two looks at the others. */
 const LOOK_MS = 4_000;
 /** Milliseconds between looks for each instance: the whole fleet looks so often, however large it is. */
@@ -44,6 +46,8 @@
   #instances: FleetInstance[] = [];
   #timer: NodeJS.Timeout | undefined;
   #lookedAt = -Infinity;
+  #wasListed = false;
+  #looks = 0;
   #joining: Promise<void> | undefined;
   #stopped = false;
 
@@ -65,6 +69,14 @@
     return Math.max(1, this.#instances.length);
   }
 
+  /**
+   * Whether the others are known as far as they can be. When a whole fleet starts for the first time, the
+   * first look finds the few that were quicker; an instance that was listed before finds all.
+   */
+  get isSettled(): boolean {
+    return this.#wasListed || this.#looks >= LOOKS_TO_SETTLE;
+  }
+
   /** Calls back after each change of the instances. */
   onChange(listener: () => void): void {
     this.#listeners.push(listener);
@@ -118,7 +130,9 @@
   async #writeSelf(): Promise<Result<ChangeEnd, StoreError>> {
     const { random, settings } = this.#context;
     const read = await this.#own.read(this.#now());
-    if (read.isOk && read.value.instances[settings.instance] === undefined) {
+    const isListed = read.isOk && read.value.instances[settings.instance] !== undefined;
+    this.#wasListed ||= isListed;
+    if (read.isOk && !isListed) {
       await delay(random() * JOIN_SPREAD_MS);
       await this.#own.read(this.#now());
     }
@@ -144,10 +158,12 @@
     this.#lookedAt = this.#now();
     const list = await store.list(instanceCollection, { stale: true });
     if (list.isErr) this.#logFailure('look', list.error);
-    else
+    else {
+      this.#looks += 1;
       this.#take(
         list.value.items.flatMap(({ name: dataCentre, value }) => toInstances(dataCentre, value)),
       );
+    }
     const periodMs = Math.max(LOOK_MS, LOOK_MS_PER_INSTANCE * this.count);
     this.#lookIn(list.isErr ? AWAY_RETRY_MS : periodMs * (0.75 + 0.5 * random()));
   }
@@ -157,9 +173,10 @@
     const { instance } = this.#context.settings;
     const self = listed.some(({ name }) => name === instance) ? [] : [this.#self()];
     const instances = [...listed, ...self];
-    if (isDeepStrictEqual(instances, this.#instances)) return;
+    const isSame = isDeepStrictEqual(instances, this.#instances);
+    if (isSame && this.#looks !== LOOKS_TO_SETTLE) return;
     this.#instances = instances;
-    this.#context.log.write('instances-changed', { instances: instances.length });
+    if (!isSame) this.#context.log.write('instances-changed', { instances: instances.length });
     for (const listener of this.#listeners) listener();
   }
 
--- a/packages/gateway/src/node/prepaidService.ts
+++ b/packages/gateway/src/node/prepaidService.ts
@@ -252,6 +252,7 @@
   #assumeRole(): void {
     const all = this.#instances?.all ?? [];
     if (all.length === 0 || this.#stopping || !this.#limits) return;
+    if (!this.#instances?.isSettled) return;
     const { instance, dataCentre, listen } = this.#context.settings;
     const spenders = chooseSpenders(all, dataCentre);
     const isListed = spenders.length === 0 || spenders.some(({ name }) => name === instance);
--- a/test/gateway/prepaidFleet.test.ts
+++ b/test/gateway/prepaidFleet.test.ts
@@ -56,6 +56,13 @@
   assert.deepEqual(fleet.lines('store-lost'), []);
 });
 
+// Instances that start together hold rights of their own until they know of each other, and leave budgets in pieces.
+test('a large fleet that starts for the first time joins with its listed spenders only', async (t) => {
+  const fleet = await PrepaidFleet.start(t, { ...GROWN, atOneInstance: 0 });
+  await fleet.rest(6_000);
+  assert.equal(fleet.lines('prepaid-group-joined').length, 2 * GROWN.dataCentres);
+});
+
 // After a cut of all, a quarter of a fleet writes to the store, and their own callers' loans are given back.
 test('the listed spenders alone hold rights soon after a cut of all instances', async (t) => {
   const shape = { ...GROWN, instancesPerDataCentre: 6, requestsPerSecond: 60, callers: 60 };
