fix(prepaid): callers that come to an instance of a small fleet are expected to stay

Now the holder of loans expects newcomers to pass by, the holder of rights of its own expects them to stay, as before.

--- a/packages/core/src/runtime/prepaid/prepaidHolder.ts
+++ b/packages/core/src/runtime/prepaid/prepaidHolder.ts
@@ -40,8 +40,16 @@
    * can tell it from one that is lost.
    */
   aliveMs: number;
+  /** What callers of an account are expected to do after its first request here. @default 'stay' */
+  newcomers?: Newcomers;
 }
 
+/**
+ * Callers that come to an instance where their account was not seen. At one of few they mostly stay; at one
+ * of many they are more likely refused elsewhere, and go on.
+ */
+export type Newcomers = 'stay' | 'pass-by';
+
 /** State of one account at this process. */
 interface Holding {
   /** Tokens that may be spent and are not spent, those set aside included. */
@@ -54,6 +62,8 @@
   /** Asked for by requests that wait for the store's answer. */
   awaited: Tokens;
   demand: DemandEstimate;
+  /** Since when the demand is observed. */
+  demandSince: EpochMs;
   /** Rate that the store was last told. */
   toldRate: number;
   lending: Lending;
@@ -98,6 +108,7 @@
   readonly #sizing: PrepaidSizing;
   readonly #lendingSizing: PrepaidSizing;
   readonly #aliveMs: number;
+  readonly #newcomers: Newcomers;
   readonly #holdings = new Map<AccountId, Holding>();
   #life = 1;
   #nextSeq = 1;
@@ -109,12 +120,14 @@
   /** When the first request came, of any account. */
   #observedSince: EpochMs = Infinity;
 
-  constructor({ instance, process, sizing, lendingSizing, aliveMs }: PrepaidHolderOptions) {
+  constructor(options: PrepaidHolderOptions) {
+    const { instance, process, sizing, lendingSizing, aliveMs, newcomers = 'stay' } = options;
     this.instance = instance;
     this.#process = process;
     this.#sizing = sizing;
     this.#lendingSizing = lendingSizing ?? sizing;
     this.#aliveMs = aliveMs;
+    this.#newcomers = newcomers;
   }
 
   /** Names the rights of this process; changes when they are lost. */
@@ -168,7 +181,7 @@
   rate(account: AccountId, now: EpochMs): number {
     const holding = this.#holdings.get(account);
     if (!holding) return 0;
-    return settledDemand(holding.demand, this.#observedSince, now) + holding.lending.rate;
+    return settledDemand(holding.demand, holding.demandSince, now) + holding.lending.rate;
   }
 
   /** Tokens spent here that no page shows yet. */
@@ -181,6 +194,8 @@
     this.observeSize(amount);
     const holding = this.#holding(account);
     this.#observedSince = Math.min(this.#observedSince, now);
+    const since = this.#newcomers === 'stay' ? now : this.#observedSince;
+    holding.demandSince = Math.min(holding.demandSince, since);
     holding.demand = observeDemand(holding.demand, amount, now);
   }
 
@@ -300,7 +315,7 @@
     const given = new Map<AccountId, Tokens>();
     for (const [account, accountView] of view.accounts) {
       const holding = this.#holding(account);
-      const ownRate = settledDemand(holding.demand, this.#observedSince, now);
+      const ownRate = settledDemand(holding.demand, holding.demandSince, now);
       const level = last ? 0 : this.#level(holding, ownRate, accountView, view);
       const least = Math.max(holding.shortfall, holding.awaited);
       const rate = ownRate + holding.lending.rate;
@@ -398,6 +413,7 @@
         shortfall: 0,
         awaited: 0,
         demand: NO_DEMAND,
+        demandSince: Infinity,
         toldRate: 0,
         lending: NO_LENDING,
       };
--- a/packages/gateway/src/node/prepaidService.ts
+++ b/packages/gateway/src/node/prepaidService.ts
@@ -4,6 +4,7 @@
   AccountId,
   LoanAnswer,
   LoanRequest,
+  Newcomers,
   PrepaidLimits,
   PrepaidReservation,
   Refusal,
@@ -94,13 +95,16 @@
     super();
     this.#context = context;
     const { rideThroughSeconds } = context.settings.prepaid;
-    const holder = this.#createHolder(incarnation, new PrepaidSizing({ rideThroughSeconds }));
+    const sizing = new PrepaidSizing({ rideThroughSeconds });
+    const holder = this.#createHolder(incarnation, sizing, 'stay');
     const keptSeconds = rideThroughSeconds + LOAN_REPORT_SECONDS;
     const loanSizing = new PrepaidSizing({ rideThroughSeconds, keptSeconds });
     this.#lenders = new Lenders({
       context,
       calls,
-      createHolder: (name) => this.#createHolder(`${incarnation}-${name}`, loanSizing),
+      createHolder: (name) => {
+        return this.#createHolder(`${incarnation}-${name}`, loanSizing, 'pass-by');
+      },
       onLost: () => {
         this.#instances?.lookSoon();
         this.#assumeRole();
@@ -266,7 +270,7 @@
     }
   }
 
-  #createHolder(process: string, sizing: PrepaidSizing): PrepaidHolder {
+  #createHolder(process: string, sizing: PrepaidSizing, newcomers: Newcomers): PrepaidHolder {
     const { instance, prepaid } = this.#context.settings;
     return new PrepaidHolder({
       instance,
@@ -277,6 +281,7 @@
         evenPart: LENT_BEFORE_DEMAND,
       }),
       aliveMs: prepaid.silentMs / REPORTS_WITHIN_SILENCE,
+      newcomers,
     });
   }
 
--- a/test/prepaid/prepaidHolder.test.ts
+++ b/test/prepaid/prepaidHolder.test.ts
@@ -1,4 +1,4 @@
-import type { PrepaidPage, PrepaidReport } from '@flamingocourse/core';
+import type { Newcomers, PrepaidPage, PrepaidReport } from '@flamingocourse/core';
 import assert from 'node:assert/strict';
 import { describe, test } from 'node:test';
 import {
@@ -14,9 +14,10 @@
 
 const outlook = new Map([['shop', { limitPart: 50_000, beyond: 0, groups: 1 }]]);
 
-function createHolder(): PrepaidHolder {
+function createHolder(newcomers?: Newcomers): PrepaidHolder {
   const sizing = new PrepaidSizing();
-  return new PrepaidHolder({ instance: 'a', process: 'process-1', sizing, aliveMs: ALIVE_MS });
+  const options = { instance: 'a', process: 'process-1', sizing, aliveMs: ALIVE_MS };
+  return new PrepaidHolder(newcomers ? { ...options, newcomers } : options);
 }
 
 function grantedPage(): PrepaidPage {
@@ -170,7 +171,7 @@
   ];
   for (const { name, observedMs } of cases) {
     test(name, () => {
-      const holder = createHolder();
+      const holder = createHolder('pass-by');
       for (let at = 0; at <= observedMs; at += 500) holder.observe('steady', 1_000, at);
       holder.observe('shop', 1_000, observedMs);
       const expected = 1_000 / Math.min(observedMs / 1_000, DEMAND_SPAN_SECONDS);
@@ -179,3 +180,12 @@
     });
   }
 });
+
+// A volunteer's second request is refused in a cut: her shop's first one here was taken for the only one in a long time.
+test('the demand of an account whose callers stay is reckoned from its first request', () => {
+  const holder = createHolder('stay');
+  for (let at = 0; at <= 20_000; at += 500) holder.observe('steady', 1_000, at);
+  for (const at of [20_000, 21_000, 22_000]) holder.observe('shop', 1_000, at);
+  const rate = holder.rate('shop', 22_000);
+  assert.ok(rate >= 1_000, `${String(rate)} tokens a second`);
+});
