fix(prepaid): a lender forgets its borrowers' demand with its loans

Found on the last reading, not seen at a caller: a lender whose rights were lost and begun anew sized loans by the demand of borrowers that it no longer knew, until each had reported again. The map is emptied where the borrowers are.

--- a/packages/core/src/runtime/prepaid/loanBook.ts
+++ b/packages/core/src/runtime/prepaid/loanBook.ts
@@ -64,6 +64,7 @@
     if (this.#life !== this.#holder.incarnation) {
       this.#life = this.#holder.incarnation;
       this.#borrowers.clear();
+      this.#demand.clear();
     }
     return this.#life;
   }
