--- a/test/gateway/propagation.test.ts
+++ b/test/gateway/propagation.test.ts
@@ -16,10 +16,7 @@
   { name: 'grown', inTouchMs: 4_000, leavingMs: 3_000, applyMs: 3_000 },
 ];
 
-// A caller's request is handled by what was true seconds ago, by an instance that has long been back from a
-// cut. Each state that an instance follows has a longest way from a change to its effect: on a calm day,
-// and when the call that would tell it hangs and has to be given up first. Cause of the incident in
-// serverDirectory.test.ts was that nobody had added these up.
+// A caller's request is handled by what was true seconds ago: nobody had added up the ways of a change to its effect.
 for (const { name, inTouchMs, leavingMs, applyMs } of deployments) {
   const settings = parseGatewaySettings(
     JSON.stringify({
