test(prepaid): what is kept back beyond the ride-through has a test

One test's story is one line now, and the second look of the instances says why it tells its listeners.

--- a/packages/gateway/src/node/instanceDirectory.ts
+++ b/packages/gateway/src/node/instanceDirectory.ts
@@ -173,6 +173,7 @@
     const { instance } = this.#context.settings;
     const self = listed.some(({ name }) => name === instance) ? [] : [this.#self()];
     const instances = [...listed, ...self];
+    // listeners that wait until the others are known hear of the look that settles it, whatever it finds.
     const isSame = isDeepStrictEqual(instances, this.#instances);
     if (isSame && this.#looks !== LOOKS_TO_SETTLE) return;
     this.#instances = instances;
--- a/test/prepaid/demandSpread.test.ts
+++ b/test/prepaid/demandSpread.test.ts
@@ -26,8 +26,7 @@
   }
 });
 
-// All instances of a fleet are alone for eight seconds and refuse nearly half although the account has plenty: its
-// tokens were sized as if its callers came in at all 195 instances, and they stay at 28.
+// Callers are refused while all instances are alone: tokens were sized as if each of 195 instances had some of them.
 describe('an account whose callers stay at 28 of 195 instances, all of them alone for eight seconds', () => {
   const HOMES = 28;
   const ALONE_SECONDS = 8;
--- a/test/prepaid/prepaidSizing.test.ts
+++ b/test/prepaid/prepaidSizing.test.ts
@@ -97,3 +97,12 @@
   const level = sizing.level({ ...usual, remaining: 5_000_000 });
   assert.ok(level >= 10 * usual.rate, `level ${String(level)}`);
 });
+
+// After a loss of all instances too little is left: what borrowers had spent and not told yet was dealt out once more.
+test('what is kept back of an account may be more than its instances ride through', () => {
+  const keptSeconds = 15;
+  const keeping = new PrepaidSizing({ rideThroughSeconds: 10, keptSeconds });
+  const situation = { ...usual, remaining: 300_000 };
+  const left = situation.remaining - situation.instances * keeping.level(situation);
+  assert.ok(left >= keptSeconds * situation.fleetRate, `${String(left)} left`);
+});
