feat(gateway): each request's line says how long it may have lain unread, and when it was placed and sent

Callers saw requests sent on after they had left (GONE), and no line of ours told where a request lay between its caller and its server: its times count from when it was read.

Now each request's line has unreadMs (at most so long in the queue of connections or in its own connection), placedMs and sentMs.

Ruled out: libuv's idle time as the measure. A process that gets no processor time while it waits for news counts as idle there.

--- a/packages/gateway/src/node/entryService.ts
+++ b/packages/gateway/src/node/entryService.ts
@@ -11,6 +11,7 @@
 import type { IncomingMessage, Server, ServerResponse } from 'node:http';
 import type { CallHead } from '../types/call.js';
 import type { ServerAgent } from './serverAgent.js';
+import type { Arrival } from './arrivalWatch.js';
 import type { GatewayContext } from '../types/context.js';
 import type { Outcome } from '../types/outcome.js';
 import type { FlowParts, RoutedCall } from './requestFlow.js';
@@ -18,6 +19,7 @@
 import { pickTarget } from '@flamingocourse/core';
 import { Service, describeError } from '@flamingocourse/kernel';
 import { notRun } from '@flamingocourse/router';
+import { ArrivalWatch } from './arrivalWatch.js';
 import { BackendLanes } from './backendLanes.js';
 import { CallerAnswer } from './callerAnswer.js';
 import { closeWithCaller } from './closeWithCaller.js';
@@ -53,6 +55,7 @@
   readonly #context: GatewayContext;
   readonly #agent: ServerAgent;
   readonly #server: Server;
+  readonly #arrivals: ArrivalWatch;
   readonly #running = new Set<AbortController>();
   #parts: FlowParts | undefined;
   #configuration: ConfigurationWatch | undefined;
@@ -66,6 +69,7 @@
     const options = { maxHeaderSize: MAX_HEAD_BYTES, noDelay: true };
     const server = createServer(options, (req, res) => void this.#handle(req, res));
     this.#server = closeWithCaller(server);
+    this.#arrivals = new ArrivalWatch(context, server);
     this.#server.requestTimeout = 0;
   }
 
@@ -126,6 +130,7 @@
       this.#server.once('error', reject);
       this.#server.listen({ host, port, backlog: 1024 }, resolve);
     });
+    this.#arrivals.start();
   }
 
   /** Not ready from now on; the requests in progress and those that cross are ended in order. */
@@ -147,22 +152,23 @@
       await new Promise((resolve) => setTimeout(resolve, STOP_CHECK_MS));
     }
     for (const controller of this.#running) controller.abort();
+    this.#arrivals.stop();
     this.#server.closeAllConnections();
     this.#agent.destroy();
   }
 
   async #handle(req: IncomingMessage, res: ServerResponse): Promise<void> {
-    const arrivedAt = this.#context.clock.now();
+    const arrival = this.#arrivals.read(req);
     const answer = new CallerAnswer(res, () => this.#turnsAway);
     const decoded = this.#context.dialects.callers.decode(req);
     if (decoded.isErr) {
       const refusal: Refusal = { reason: 'bad-request', run: 'not-run', detail: decoded.error };
-      this.#end('none', undefined, answer, arrivedAt, this.#refuse(answer, refusal));
+      this.#end('none', undefined, answer, arrival, this.#refuse(answer, refusal));
       return;
     }
     const head = decoded.value;
     try {
-      await this.#route(req, head, answer, arrivedAt);
+      await this.#route(req, head, answer, arrival);
     } catch (err) {
       // a fault in our own code must not leave the caller waiting.
       this.#kernel?.reportFailure(err, this.name);
@@ -174,7 +180,7 @@
         });
       } else answer.cut();
       const outcome: Outcome = { type: 'broken', detail: describeError(err) };
-      this.#end('none', head, answer, arrivedAt, outcome);
+      this.#end('none', head, answer, arrival, outcome);
     }
   }
 
@@ -182,7 +188,7 @@
     req: IncomingMessage,
     head: CallHead,
     answer: CallerAnswer,
-    arrivedAt: number,
+    arrival: Arrival,
   ): Promise<void> {
     const table = this.#configuration?.table;
     const route = table?.findRoute(head.host, head.path);
@@ -192,26 +198,27 @@
     const body = await readRequestBody(req, limit);
     const refuse = (refusal: Refusal): void => {
       const outcome = this.#refuse(answer, refusal);
-      this.#end(route?.name ?? 'none', head, answer, arrivedAt, outcome);
+      this.#end(route?.name ?? 'none', head, answer, arrival, outcome);
     };
-    const refusal = this.#judge(table, route, account, arrivedAt);
+    const refusal = this.#judge(table, route, account, arrival.readAt);
     if (refusal) refuse(refusal);
     else if (body.type === 'gone') {
-      this.#end(route?.name ?? 'none', head, answer, arrivedAt, { type: 'gone' });
+      this.#end(route?.name ?? 'none', head, answer, arrival, { type: 'gone' });
     } else if (body.type === 'too-large') refuse(tooLarge(limit));
     else {
       const service = route && table?.service(pickTarget(route, this.#context.random()) ?? '');
       if (!table || !route || !service) refuse(notReady());
       else if (!fits(head, service)) refuse(tooLong(service));
       else {
+        const arrivedAt = arrival.readAt;
         const call = { head, body: body.bytes, table, route, account, service, arrivedAt, answer };
-        await this.#run(call);
+        await this.#run(call, arrival);
       }
     }
   }
 
   /** Runs a routed request until it ends, its caller leaves or its time is over. */
-  async #run(call: Omit<RoutedCall, 'endsAt' | 'signal'>): Promise<void> {
+  async #run(call: Omit<RoutedCall, 'endsAt' | 'signal'>, arrival: Arrival): Promise<void> {
     const { head, route, account, table, answer, arrivedAt } = call;
     const endsAt = arrivedAt + Math.min(head.waitMs ?? DEFAULT_WAIT_MS, route.timeoutMs);
     const controller = new AbortController();
@@ -227,7 +234,7 @@
     const flow = new RequestFlow(this.#flowParts(), { ...call, endsAt, signal: controller.signal });
     try {
       const outcome = await flow.run();
-      this.#end(route.name, head, answer, arrivedAt, outcome, { flow, account, table });
+      this.#end(route.name, head, answer, arrival, outcome, { flow, account, table });
     } finally {
       clearTimeout(timer);
       this.#running.delete(controller);
@@ -264,13 +271,14 @@
     route: string,
     head: CallHead | undefined,
     answer: CallerAnswer,
-    arrivedAt: number,
+    arrival: Arrival,
     outcome: Outcome,
     run?: { flow: RequestFlow; account: RoutedAccount | undefined; table: RouteTable },
   ): void {
     const { clock, log, metrics } = this.#context;
     const now = clock.now();
-    const doneMs = (answer.firstEventAt ?? now) - arrivedAt;
+    const { readAt } = arrival;
+    const doneMs = (answer.firstEventAt ?? now) - readAt;
     const seconds = outcome.type === 'answered' ? doneMs / 1_000 : undefined;
     metrics.ended(route, outcome.refusal?.reason ?? outcome.type, seconds);
     const progress = run?.flow.progress;
@@ -292,14 +300,21 @@
       events: answer.events,
       pauseMs: Math.round(answer.longestPauseMs),
       charged: progress?.charged,
+      unreadMs: Math.round(arrival.unreadMs),
+      placedMs: sinceMs(readAt, progress?.placedAt),
+      sentMs: sinceMs(readAt, progress?.sentAt),
       firstMs: Math.round(doneMs),
-      totalMs: Math.round(now - arrivedAt),
+      totalMs: Math.round(now - readAt),
       version: run?.table.config.version,
       configAgeMs: Math.round(this.#configuration?.ageMs(now) ?? -1),
     });
   }
 }
 
+function sinceMs(from: number, at: number | undefined): number | undefined {
+  return at === undefined ? undefined : Math.round(at - from);
+}
+
 function notReady(): Refusal {
   const detail = 'This instance has no fresh configuration; retry soon.';
   return notRun('not-ready', detail, NOT_READY_RETRY_MS);
--- a/packages/gateway/src/node/gatewayMetrics.ts
+++ b/packages/gateway/src/node/gatewayMetrics.ts
@@ -28,6 +28,12 @@
     buckets: LATENCY_BOUNDS,
     registers: [this.#registry],
   });
+  readonly #unread = new Histogram({
+    name: 'flamingocourse_request_unread_seconds',
+    help: 'time for which a request may have lain unread, at most',
+    buckets: LATENCY_BOUNDS,
+    registers: [this.#registry],
+  });
   readonly #attempts = new Counter({
     name: 'flamingocourse_attempts_total',
     help: 'attempts at servers by service and end',
@@ -66,6 +72,11 @@
     if (seconds !== undefined) this.#latency.observe({ route }, seconds);
   }
 
+  /** A request was read that may have lain unread for so long. */
+  unread(seconds: number): void {
+    this.#unread.observe(seconds);
+  }
+
   attempt(service: string, end: string): void {
     this.#attempts.inc({ service, end });
   }
--- a/packages/gateway/src/node/httpAttempt.ts
+++ b/packages/gateway/src/node/httpAttempt.ts
@@ -23,6 +23,8 @@
   headMs: number | undefined;
   /** Aborted when the answer is not wanted any more. */
   signal: AbortSignal;
+  /** Told when the request is written. */
+  onSent?: () => void;
 }
 
 /** Why there is no answer. */
@@ -67,7 +69,7 @@
     const { method, target: path, headers, agent, signal } = attempt;
     const { hostname, port } = new URL(attempt.url);
     const req = request({ host: hostname, port, method, path, agent, headers, setHost: false });
-    const connection = watchConnection(req);
+    const connection = watchConnection(req, attempt.onSent);
     let settled = false;
     const settle = (result: Result<OpenAnswer, AttemptFault>): void => {
       if (settled) return;
@@ -144,14 +146,15 @@
 }
 
 /** Tells whether a request has an open connection; without one nothing of it was sent. */
-function watchConnection(req: ClientRequest): { isOpen(): boolean } {
+function watchConnection(req: ClientRequest, onOpen?: () => void): { isOpen(): boolean } {
   let open = false;
+  const opened = (): void => {
+    open = true;
+    onOpen?.();
+  };
   req.once('socket', (socket: Socket) => {
-    if (!socket.connecting) open = true;
-    else
-      socket.once('connect', () => {
-        open = true;
-      });
+    if (socket.connecting) socket.once('connect', opened);
+    else opened();
   });
   return { isOpen: () => open };
 }
--- a/packages/gateway/src/node/requestFlow.ts
+++ b/packages/gateway/src/node/requestFlow.ts
@@ -70,6 +70,10 @@
   list?: ListView;
   /** What that server had said of itself before the attempt. */
   notice?: NoticeView | undefined;
+  /** When the last attempt got its place at that server. */
+  placedAt?: number;
+  /** When the last attempt was written to that server. */
+  sentAt?: number | undefined;
   /** Attempts so far, all kinds. */
   made: number;
   /** Attempts so far that may have run. */
--- a/packages/gateway/src/node/serverAttempt.ts
+++ b/packages/gateway/src/node/serverAttempt.ts
@@ -64,6 +64,8 @@
   async run(): Promise<AttemptEnd> {
     this.#startedAt = this.#now();
     this.#progress.made += 1;
+    this.#progress.placedAt = this.#startedAt;
+    this.#progress.sentAt = undefined;
     this.#progress.server = this.#placement.server.id;
     this.#progress.list = this.#parts.directory.view(this.#placement.server.id, this.#startedAt);
     const { notices, metrics } = this.#parts.context;
@@ -116,6 +118,9 @@
       connectMs: context.settings.servers.connectMs,
       headMs: this.#headMs(),
       signal,
+      onSent: () => {
+        this.#progress.sentAt = this.#now();
+      },
     });
   }
 
--- a/packages/kernel/src/runtime/eventCatalogue.ts
+++ b/packages/kernel/src/runtime/eventCatalogue.ts
@@ -224,6 +224,17 @@
     level: 'info',
     text: 'a server said of itself that it leaves, wants to rest, or is back from a rest',
   },
+  'entry-behind': {
+    number: 520,
+    level: 'warn',
+    text: 'requests of callers may have lain unread for long: this process does not keep up',
+    action: 'Compare its processor time with what its machine has; add instances if it lasts.',
+  },
+  'entry-caught-up': {
+    number: 521,
+    level: 'info',
+    text: 'requests of callers are read in time again',
+  },
   'backend-crashed': {
     number: 500,
     level: 'warn',
