--- a/test/platform/usersServer.ts
+++ b/test/platform/usersServer.ts
@@ -31,6 +31,8 @@
   | 'no-proof'
   | 'encoded'
   | 'reset'
+  /** Keeps the request until it is released, and streams then. */
+  | 'hold'
   | 'silent';
 
 const MS_PER_SECOND = 1_000;
@@ -66,6 +68,12 @@
   /** Seconds of rest that it asks for when it turns a request away. */
   rest: string | undefined;
   address = '';
+  /** Called when a connection comes in. */
+  onConnection: () => void = () => undefined;
+  /** Called when an answer was written. */
+  afterAnswer: () => void = () => undefined;
+
+  readonly #kept: (() => void)[] = [];
 
   constructor(readonly id: string) {}
 
@@ -73,6 +81,9 @@
     const server = createServer((req, res) => {
       void this.#answer(req, res);
     });
+    server.on('connection', () => {
+      this.onConnection();
+    });
     await new Promise<void>((resolve) => server.listen(0, '127.0.0.1', resolve));
     this.address = `127.0.0.1:${String((server.address() as AddressInfo).port)}`;
     t.after(() => {
@@ -119,6 +130,12 @@
       return;
     }
     this.#behave(req, res);
+    this.afterAnswer();
+  }
+
+  /** Streams the answers of all requests that are kept. */
+  release(): void {
+    for (const stream of this.#kept.splice(0)) stream();
   }
 
   #askForRest({ headers }: IncomingMessage, res: ServerResponse, rest: string): void {
@@ -136,6 +153,11 @@
       'x-server-load': '1,0,4',
     };
     const from = Number(req.headers['last-event-id'] ?? 0);
+    const stream = (): void => {
+      res.writeHead(200, { ...own, 'content-type': 'text/event-stream' });
+      for (let id = from + 1; id <= 4; id += 1) res.write(event(id));
+      res.end();
+    };
     switch (this.behaviour) {
       case 'answer':
         res.writeHead(200, own).end(`from ${this.id}`);
@@ -144,9 +166,10 @@
         res.writeHead(500, own).end('failed');
         return;
       case 'stream':
-        res.writeHead(200, { ...own, 'content-type': 'text/event-stream' });
-        for (let id = from + 1; id <= 4; id += 1) res.write(event(id));
-        res.end();
+        stream();
+        return;
+      case 'hold':
+        this.#kept.push(stream);
         return;
       case 'break-stream':
         res.writeHead(200, { ...own, 'content-type': 'text/event-stream' });
--- a/test/platform/usersStore.ts
+++ b/test/platform/usersStore.ts
@@ -26,6 +26,8 @@
   /** Kinds of the objects that were asked for, one for each call. */
   readonly calls: string[] = [];
   url = '';
+  /** Called when a change that somebody asked for was answered. */
+  afterChange: (kind: string) => void = () => undefined;
   #revision = 10;
   readonly #kinds = new Map<string, Map<string, Stored>>();
   #history: Change[] = [];
@@ -86,8 +88,11 @@
     else if (req.method === 'GET' && url.searchParams.has('watch'))
       await this.#watch(res, kind, url);
     else if (req.method === 'GET') this.#list(res, kind, url.searchParams.get('after') ?? '');
-    else if (req.method === 'POST') this.#create(res, kind, body);
-    else this.#replace(res, kind, name ?? '', body);
+    else {
+      if (req.method === 'POST') this.#create(res, kind, body);
+      else this.#replace(res, kind, name ?? '', body);
+      this.afterChange(kind);
+    }
   }
 
   #get(res: ServerResponse, kind: string, name: string): void {
--- a/test/platform/world.ts
+++ b/test/platform/world.ts
@@ -5,6 +5,7 @@
 import type { IncomingHttpHeaders } from 'node:http';
 import { once } from 'node:events';
 import { request } from 'node:http';
+import type { Socket } from 'node:net';
 import { connect } from 'node:net';
 import { setTimeout as delay } from 'node:timers/promises';
 import { createGateway, parseGatewaySettings } from '@flamingocourse/gateway';
@@ -172,6 +173,11 @@
 
   /** Sends a whole request and closes its connection before the gateway can have read any of it. */
   async sendAndLeave(path: string): Promise<void> {
+    (await this.sendOpen(path)).destroy();
+  }
+
+  /** Sends a whole request on a connection of its own, which the test may close at any moment. */
+  async sendOpen(path: string, headers: Record<string, string> = {}): Promise<Socket> {
     this.#calls += 1;
     const socket = connect(this.#entryPort, '127.0.0.1');
     await once(socket, 'connect');
@@ -182,9 +188,10 @@
       'X-Deadline-Ms: 1200',
       `Authorization: Token ${KEY}`,
       'Content-Length: 3',
+      ...Object.entries(headers).map(([name, value]) => `${name}: ${value}`),
     ];
     socket.write(`${head.join('\r\n')}\r\n\r\nx=1`);
-    socket.destroy();
+    return socket;
   }
 
   /** Requests that have ended in a way. */
