fix(gateway): a request is written only after all that had arrived of its caller was read

Callers saw: requests that reached a server after their callers had left (GONE), from an instance without a fault of its machine or links that was merely behind.

Cause: what a request waits for (a connection, a place, tokens, the answer after which another server is tried) may come true in the same turn of the event loop as the end of its caller's connection, and is read before it. The request was then written at once, and the end read after. The wait before anything is reserved closed one of these doors only.

Ruled out: waiting again after each of these steps. All of them lead to one place, the write, so the wait stands there: once the connection is open, two turns of the loop pass, and the request is written if its caller is still there.

On the way: nothing counts as sent before it is written, so a server that closes an idle connection in that moment leaves the request unsent, and an answer that comes before the request is not taken for its own.

--- a/packages/gateway/src/node/httpAttempt.ts
+++ b/packages/gateway/src/node/httpAttempt.ts
@@ -5,6 +5,7 @@
 import type { ServerHead } from '../types/call.js';
 import { request } from 'node:http';
 import { Result } from 'true-myth';
+import { pendingReads } from '../utils/pendingReads.js';
 
 /** A request to send to a server. */
 export interface AttemptRequest {
@@ -23,6 +24,8 @@
   headMs: number | undefined;
   /** Aborted when the answer is not wanted any more. */
   signal: AbortSignal;
+  /** Asked right before the request is written; `signal` tells of a caller that left some turns of the event loop later. */
+  isWanted?: () => boolean;
   /** Told when the request is written. */
   onSent?: () => void;
 }
@@ -58,7 +61,8 @@
 }
 
 /**
- * Sends a request and waits for the head of the answer.
+ * Sends a request and waits for the head of the answer. Nothing is sent once what had arrived at this process by the
+ * time the connection was open says that the answer is not wanted any more.
  *
  * @example
  * const answer = await openAttempt({ url, method: 'POST', target: '/a/b', ...rest });
@@ -69,8 +73,8 @@
     const { method, target: path, headers, agent, signal } = attempt;
     const { hostname, port } = new URL(attempt.url);
     const req = request({ host: hostname, port, method, path, agent, headers, setHost: false });
-    const connection = watchConnection(req, attempt.onSent);
     let settled = false;
+    let sent = false;
     const settle = (result: Result<OpenAnswer, AttemptFault>): void => {
       if (settled) return;
       settled = true;
@@ -79,7 +83,6 @@
       resolve(result);
     };
     const fail = (reason: AttemptFaultReason, cause: string): void => {
-      const sent = connection.isOpen();
       settle(Result.err({ reason: sent ? reason : notSentReason(reason), sent, cause }));
       req.destroy();
     };
@@ -89,7 +92,7 @@
     };
     // a server without power never refuses: only this limit frees the caller for another server.
     const connectTimer = setTimeout(() => {
-      if (!connection.isOpen()) fail('not-connected', 'connect timeout');
+      if (!sent) fail('not-connected', 'connect timeout');
     }, attempt.connectMs);
     const headTimer =
       attempt.headMs === undefined
@@ -108,6 +111,11 @@
       fail(err.code === 'ECONNREFUSED' ? 'refused' : 'broken', err.message);
     });
     req.on('response', (body) => {
+      // what comes before the request belongs to another one.
+      if (!sent) {
+        fail('broken', 'an answer came before the request');
+        return;
+      }
       const { statusCode: status = 0, headers: answerHeaders, rawHeaders } = body;
       // an answer that breaks off while nobody reads it must not end the process.
       body.on('error', () => undefined);
@@ -122,8 +130,26 @@
       }
       settle(Result.ok({ head, body, drop, isBroken: () => broken }));
     });
+    onceConnected(req, () => {
+      if (settled) return;
+      if (attempt.isWanted?.() === false) {
+        abort();
+        return;
+      }
+      sent = true;
+      attempt.onSent?.();
+      req.end(attempt.body);
+    });
     if (signal.aborted) abort();
-    else req.end(attempt.body);
+  });
+}
+
+/** Calls back when a request has an open connection and all that had arrived by then was read. */
+function onceConnected(req: ClientRequest, listener: () => void): void {
+  const connected = (): void => void pendingReads().then(listener);
+  req.once('socket', (socket: Socket) => {
+    if (socket.connecting) socket.once('connect', connected);
+    else connected();
   });
 }
 
@@ -144,17 +170,3 @@
 function wasReset(socket: Socket): boolean {
   return socket.remoteAddress === undefined;
 }
-
-/** Tells whether a request has an open connection; without one nothing of it was sent. */
-function watchConnection(req: ClientRequest, onOpen?: () => void): { isOpen(): boolean } {
-  let open = false;
-  const opened = (): void => {
-    open = true;
-    onOpen?.();
-  };
-  req.once('socket', (socket: Socket) => {
-    if (socket.connecting) socket.once('connect', opened);
-    else opened();
-  });
-  return { isOpen: () => open };
-}
--- a/packages/gateway/src/node/serverAttempt.ts
+++ b/packages/gateway/src/node/serverAttempt.ts
@@ -98,7 +98,7 @@
 
   #open(): ReturnType<typeof openAttempt> {
     const { context, agent } = this.#parts;
-    const { head, account, body, service, signal, endsAt } = this.#call;
+    const { head, account, answer, body, service, signal, endsAt } = this.#call;
     const { server, holder } = this.#placement;
     return openAttempt({
       url: server.url,
@@ -118,6 +118,7 @@
       connectMs: context.settings.servers.connectMs,
       headMs: this.#headMs(),
       signal,
+      isWanted: () => !answer.gone,
       onSent: () => {
         this.#progress.sentAt = this.#now();
       },
