fix(kernel): a time limit is over only once what had arrived by then was read

Callers saw: answers that were ready refused with 504 at an instance that was behind; and, as far as the record of CONFIG tells, a configuration that came into force late.

A process that gets no processor time for longer than what was left of a limit ends a wait whose answer lies in its connection: the store is taken for lost (a waiting call for changes has 0.4 s of room; then a back-off, a list of everything and a probe follow, and each takes another such turn), a healthy server for unreachable after 250 ms, a lender for lost, and the caller's request for too late.

Now limits of exchanges with the store, of attempts, of calls over the mesh and of requests call back two turns of the loop after their time, when what had arrived was read. The limit stood three times (kernel, mesh, gateway) and stands once, in the kernel.

Nothing waits longer in a process that keeps up: two turns of its loop.

--- a/packages/gateway/src/node/entryService.ts
+++ b/packages/gateway/src/node/entryService.ts
@@ -17,7 +17,7 @@
 import type { FlowParts, RoutedCall } from './requestFlow.js';
 import { createServer } from 'node:http';
 import { pickTarget } from '@flamingocourse/core';
-import { Service, describeError } from '@flamingocourse/kernel';
+import { Service, describeError, onTimeOver, pendingReads } from '@flamingocourse/kernel';
 import { notRun } from '@flamingocourse/router';
 import { ArrivalWatch } from './arrivalWatch.js';
 import { BackendLanes } from './backendLanes.js';
@@ -25,7 +25,6 @@
 import { closeWithCaller } from './closeWithCaller.js';
 import { ConfigurationWatch } from './configurationWatch.js';
 import { PrepaidService } from './prepaidService.js';
-import { pendingReads } from '../utils/pendingReads.js';
 import { readRequestBody } from './readRequestBody.js';
 import { RequestFlow } from './requestFlow.js';
 import { ServerDirectory } from './serverDirectory.js';
@@ -226,7 +225,7 @@
     const abort = (): void => {
       controller.abort();
     };
-    const timer = setTimeout(abort, endsAt - this.#context.clock.now());
+    const stopTimer = onTimeOver(endsAt - this.#context.clock.now(), abort);
     answer.onGone(abort);
     // a process that is behind reads the requests of callers who have given up meanwhile.
     await pendingReads();
@@ -236,7 +235,7 @@
       const outcome = await flow.run();
       this.#end(route.name, head, answer, arrival, outcome, { flow, account, table });
     } finally {
-      clearTimeout(timer);
+      stopTimer();
       this.#running.delete(controller);
     }
   }
--- a/packages/gateway/src/node/loanDesk.ts
+++ b/packages/gateway/src/node/loanDesk.ts
@@ -12,7 +12,7 @@
 import type { GatewayContext } from '../types/context.js';
 import type { StoreTokens } from './storeTokens.js';
 import { LoanBook, demandSpread } from '@flamingocourse/core';
-import { startTimeLimit } from '../utils/timeLimit.js';
+import { startTimeLimit } from '@flamingocourse/kernel';
 
 /** Milliseconds for which a borrower waits while tokens are fetched for it; its call has a limit of its own. */
 const LEND_WAIT_MS = 180;
--- a/packages/gateway/src/node/storeTokens.ts
+++ b/packages/gateway/src/node/storeTokens.ts
@@ -18,7 +18,7 @@
 import { heldPrepaid, sum, viewOfPage } from '@flamingocourse/core';
 import { believedShortMs, reportPeriodMs, withReportJitter } from '../runtime/reportPeriod.js';
 import { TokenSource } from '../types/tokenSource.js';
-import { aborted } from '../utils/timeLimit.js';
+import { aborted } from '@flamingocourse/kernel';
 import { PrepaidPages } from './prepaidPages.js';
 import { StoreContact } from './storeContact.js';
 
--- a/packages/kernel/src/node/httpExchange.ts
+++ b/packages/kernel/src/node/httpExchange.ts
@@ -3,6 +3,7 @@
 import type { Agent, IncomingHttpHeaders } from 'node:http';
 import { request } from 'node:http';
 import { Result } from 'true-myth';
+import { onTimeOver } from './timeLimit.js';
 
 /** A request to send. */
 export interface HttpCall {
@@ -44,7 +45,7 @@
     const { method, agent, signal } = call;
     const req = request(call.url, { method, agent, headers, ...(signal ? { signal } : {}) });
     const finish = (result: Result<HttpAnswer, TransportFault>): void => {
-      clearTimeout(timer);
+      stopTimer?.();
       resolve(result);
     };
     const fail = (reason: TransportFault['reason'], cause?: unknown): void => {
@@ -52,12 +53,12 @@
       req.destroy();
     };
     // one timer over the whole exchange: a peer that sends a byte now and then is also cut off.
-    const timer =
+    const stopTimer =
       call.timeoutMs === undefined
         ? undefined
-        : setTimeout(() => {
+        : onTimeOver(call.timeoutMs, () => {
             fail('timeout');
-          }, call.timeoutMs);
+          });
     req.on('error', (err) => {
       fail(signal?.aborted ? 'aborted' : 'broken', err);
     });
--- a/packages/gateway/src/utils/timeLimit.ts
+++ b/packages/kernel/src/node/timeLimit.ts
@@ -1,13 +1,39 @@
-/** A bound on how long something is waited for. */
+/** Bounds on how long something is waited for. */
+
+import { pendingReads } from './pendingReads.js';
 
 /** A signal with the timer behind it. */
 export interface TimeLimit {
   /** Aborted when the time is over, or with the signal that was given. */
   readonly signal: AbortSignal;
+  /** Whether the time is over. */
+  readonly isOver: boolean;
   /** Stops the timer. */
   end(): void;
 }
 
+/**
+ * Calls back once the time is over and all that had arrived by then was read. The event loop looks at its timers
+ * first: in a process that is behind, what was waited for may have arrived long before.
+ *
+ * @returns stops the timer.
+ * @example
+ * const stop = onTimeOver(1_500, () => fail('timeout'));
+ * req.on('response', stop);
+ */
+export function onTimeOver(ms: number, listener: () => void): () => void {
+  let stopped = false;
+  const timer = setTimeout(() => {
+    void pendingReads().then(() => {
+      if (!stopped) listener();
+    });
+  }, ms);
+  return () => {
+    stopped = true;
+    clearTimeout(timer);
+  };
+}
+
 /**
  * Starts a time limit.
  *
@@ -17,14 +43,15 @@
  */
 export function startTimeLimit(ms: number, signal?: AbortSignal): TimeLimit {
   const controller = new AbortController();
-  const timer = setTimeout(() => {
+  const end = onTimeOver(ms, () => {
     controller.abort();
-  }, ms);
+  });
   return {
     signal: signal ? AbortSignal.any([controller.signal, signal]) : controller.signal,
-    end: () => {
-      clearTimeout(timer);
+    get isOver() {
+      return controller.signal.aborted;
     },
+    end,
   };
 }
 
--- a/packages/mesh/src/node/meshClient.ts
+++ b/packages/mesh/src/node/meshClient.ts
@@ -5,6 +5,7 @@
 import type { MeshRouter } from '../runtime/meshRouter.js';
 import type { ProcedureInput, ProcedureName, ProcedureOutput } from '../types/procedures.js';
 import { Agent } from 'node:http';
+import { startTimeLimit } from '@flamingocourse/kernel';
 import { createTRPCUntypedClient, httpLink, TRPCClientError } from '@trpc/client';
 import { Result } from 'true-myth';
 import { MeshError } from '../utils/meshError.js';
@@ -94,7 +95,7 @@
       });
       return Result.ok(output as ProcedureOutput<P>);
     } catch (err) {
-      if (!limit.expired()) return Result.err(toMeshError(err, procedure));
+      if (!limit.isOver) return Result.err(toMeshError(err, procedure));
       const message = `${procedure}: no answer within ${String(timeoutMs)} ms`;
       return Result.err(new MeshError('timeout', message, { cause: err }));
     } finally {
@@ -140,28 +141,6 @@
   }
 }
 
-interface TimeLimit {
-  signal: AbortSignal;
-  expired: () => boolean;
-  end: () => void;
-}
-
-/** One timer over the whole call, joined with the caller's own signal. */
-function startTimeLimit(timeoutMs: number, callerSignal: AbortSignal | undefined): TimeLimit {
-  const timeLimit = new AbortController();
-  const timer = setTimeout(() => {
-    timeLimit.abort();
-  }, timeoutMs);
-  const signals = callerSignal ? [timeLimit.signal, callerSignal] : [timeLimit.signal];
-  return {
-    signal: AbortSignal.any(signals),
-    expired: () => timeLimit.signal.aborted,
-    end: () => {
-      clearTimeout(timer);
-    },
-  };
-}
-
 const refusedCodes = ['UNAUTHORIZED', 'PRECONDITION_FAILED'];
 const invalidCodes = ['BAD_REQUEST', 'PAYLOAD_TOO_LARGE', 'NOT_FOUND', 'PARSE_ERROR'];
 
