fix(gateway): the time of a request that lay unread counts from when it arrived

Their time was counted from when an instance that was behind had read them; servers were handed more time than was left as well.

Now a request that may have lain unread for half a second and more counts from the earliest moment at which it can have arrived; so an instance that is that far behind also refuses sooner what it can't serve in time, and callers go elsewhere. Below that the bound is no better than the time between two marks, and reading counts as before.

Ruled out: the whole bound always. A calm instance's is up to 0.2 s, a third of a reservation's time.

Before: 2,522 ms for a limit of 1,500 after a second of held-up event loop (test red); now within half a second of it.

--- a/packages/gateway/src/node/arrivalWatch.ts
+++ b/packages/gateway/src/node/arrivalWatch.ts
@@ -16,6 +16,8 @@
   readAt: number;
   /** Milliseconds for which it lay unread before, at most. */
   unreadMs: number;
+  /** From when its time counts: its reading, or its earliest arrival at an instance that is behind. */
+  countsFrom: number;
 }
 
 /**
@@ -63,7 +65,7 @@
     this.#opened.delete(socket);
     this.#markSoon();
     this.#observe(unreadMs, readAt);
-    return { readAt, unreadMs };
+    return { readAt, unreadMs, countsFrom: readAt - (unreadMs < BEHIND_MS ? 0 : unreadMs) };
   }
 
   /** Marks the end of this turn of the event loop: the next look for news comes right after it. */
--- a/packages/gateway/src/node/entryService.ts
+++ b/packages/gateway/src/node/entryService.ts
@@ -209,7 +209,7 @@
       if (!table || !route || !service) refuse(notReady());
       else if (!fits(head, service)) refuse(tooLong(service));
       else {
-        const arrivedAt = arrival.readAt;
+        const arrivedAt = arrival.countsFrom;
         const call = { head, body: body.bytes, table, route, account, service, arrivedAt, answer };
         await this.#run(call, arrival);
       }
