fix(gateway): a server is taken for silent only once what had arrived was read

Callers saw: requests that went round healthy servers, from an instance that was behind. The look whether servers have gone silent (0.4 s for plain ones) ran on a timer, before the answers that lay unread in the same turn; the same class as time limits.

Ruled out: a longer silence. It would find dead servers later for everybody.

Before: a server whose answer lay unread for 0.6 s was logged as silent (new test red). Now the look comes after the reads.

--- a/packages/gateway/src/node/backendLanes.ts
+++ b/packages/gateway/src/node/backendLanes.ts
@@ -11,7 +11,7 @@
   ServerPool,
   createServerChooser,
 } from '@flamingocourse/core';
-import { Service } from '@flamingocourse/kernel';
+import { Service, pendingReads } from '@flamingocourse/kernel';
 import { QuarantineRegister, ServiceLane } from '@flamingocourse/router';
 import { ConfigurationWatch } from './configurationWatch.js';
 import { ServerDirectory } from './serverDirectory.js';
@@ -110,12 +110,10 @@
       this.#apply(this.#directory?.servers ?? []);
     });
     this.#timer = setInterval(() => {
-      for (const [service, { lane, silentMs }] of this.#lanes) {
-        for (const server of lane.avoidSilent(silentMs)) {
-          this.#context.log.write('server-silent', { service, server, silentMs });
-        }
-        lane.pump();
-      }
+      // what a server said may have arrived and be read in this turn only.
+      void pendingReads().then(() => {
+        this.#look();
+      });
     }, PUMP_MS);
   }
 
@@ -124,6 +122,16 @@
     for (const { lane } of this.#lanes.values()) lane.clear();
   }
 
+  /** Avoids servers that have gone silent, and ends the wait of requests whose time is over. */
+  #look(): void {
+    for (const [service, { lane, silentMs }] of this.#lanes) {
+      for (const server of lane.avoidSilent(silentMs)) {
+        this.#context.log.write('server-silent', { service, server, silentMs });
+      }
+      lane.pump();
+    }
+  }
+
   #apply(servers: DirectoryServer[]): void {
     const now = this.#context.clock.now();
     this.#context.notices.retain(new Set(servers.map(({ id }) => id)), now);
--- a/test/platform/arrivals.test.ts
+++ b/test/platform/arrivals.test.ts
@@ -39,6 +39,14 @@
   assert.ok(tookMs >= ROUTE_MS - SLACK_MS && tookMs < ROUTE_MS + SLACK_MS, `${String(tookMs)} ms`);
 });
 
+// Requests go round a healthy server: its answer lay unread in an instance that was behind.
+test('a server whose answer had arrived is not taken for silent', async (t) => {
+  const world = await World.start(t);
+  for (const server of world.servers) server.afterAnswer = () => { holdUp(600); };
+  assert.equal((await world.call({ path: '/book/1' })).status, 200);
+  assert.equal(world.events.includes('server-silent'), false);
+});
+
 // A volunteer reads that the time is over beside an answer that was ready: the instance looked at the clock first.
 test('an answer that had arrived when the time of its request was over is delivered', async (t) => {
   const world = await World.start(t);
