--- a/test/platform/arrivals.test.ts
+++ b/test/platform/arrivals.test.ts
@@ -42,7 +42,10 @@
 // Requests go round a healthy server: its answer lay unread in an instance that was behind.
 test('a server whose answer had arrived is not taken for silent', async (t) => {
   const world = await World.start(t);
-  for (const server of world.servers) server.afterAnswer = () => { holdUp(600); };
+  for (const server of world.servers)
+    server.afterAnswer = () => {
+      holdUp(600);
+    };
   assert.equal((await world.call({ path: '/book/1' })).status, 200);
   assert.equal(world.events.includes('server-silent'), false);
 });
