--- a/packages/kernel/src/node/eventLog.ts
+++ b/packages/kernel/src/node/eventLog.ts
@@ -15,6 +15,9 @@
 
   /** Lines dropped so far because nobody read them in time. */
   abstract readonly dropped: number;
+
+  /** Resolves once the lines that wait are written, or nobody has read them in time; for the end of a process. */
+  abstract close(): Promise<void>;
 }
 
 /** Options of the winston log. */
@@ -36,6 +39,8 @@
 /** Bytes of lines that wait to be written; some seconds of a busy process. */
 const MAX_WAITING_BYTES = 1024 * 1024;
 const STDOUT_FD = 1;
+/** Milliseconds that a process which ends waits for its last lines to be read. */
+const CLOSE_MS = 200;
 
 /**
  * Writes one JSON object a line.
@@ -46,6 +51,7 @@
  */
 export class WinstonEventLog extends EventLog {
   readonly #logger;
+  #background: sonicBoom.SonicBoom | undefined;
   #dropped = 0;
 
   constructor(options: EventLogOptions = {}) {
@@ -73,6 +79,16 @@
     return this.#dropped;
   }
 
+  override close(): Promise<void> {
+    const output = this.#background;
+    if (!output) return Promise.resolve();
+    return new Promise((resolve) => {
+      setTimeout(resolve, CLOSE_MS);
+      // comes with the end of each batch of lines; sonic-boom's own flush does not wait for one on its way.
+      output.once('drain', resolve);
+    });
+  }
+
   // a reader that stops reading must not stop the requests: a write to a full pipe would block.
   #createBackgroundTransport(): winston.transport {
     const output = new sonicBoom.SonicBoom({
@@ -80,6 +96,7 @@
       sync: false,
       maxLength: MAX_WAITING_BYTES,
     });
+    this.#background = output;
     output.on('drop', () => {
       this.#dropped += 1;
     });
@@ -119,4 +136,8 @@
   override write(event: EventName, fields: EventFields = {}): void {
     this.events.push({ event, fields });
   }
+
+  override close(): Promise<void> {
+    return Promise.resolve();
+  }
 }
