fix(gateway): only turns of the loop move the time from which a late request counts

Now the time counts from the turn in which a request came, as if no other connection had waited before it; unreadMs stays the bound.

--- a/packages/gateway/src/node/arrivalWatch.ts
+++ b/packages/gateway/src/node/arrivalWatch.ts
@@ -11,12 +11,20 @@
 /** Milliseconds that a request may have lain unread from which on the instance counts as behind. */
 const BEHIND_MS = 500;
 
+/** A connection on which nothing was read yet. */
+interface Opened {
+  /** Earliest time at which it can have been opened. */
+  earliest: number;
+  /** The same if no others waited to be accepted before it, which nobody can tell. */
+  ifNoneWaited: number;
+}
+
 /** When a request was read. */
 export interface Arrival {
   readAt: number;
   /** Milliseconds for which it lay unread before, at most. */
   unreadMs: number;
-  /** From when its time counts: its reading, or its earliest arrival at an instance that is behind. */
+  /** From when its time counts: its reading, or in an instance that is behind the turn in which it came. */
   countsFrom: number;
 }
 
@@ -31,8 +39,8 @@
 export class ArrivalWatch {
   readonly #context: GatewayContext;
   readonly #bounds: ArrivalBounds;
-  /** When connections on which nothing was read yet were opened, at the earliest. */
-  readonly #opened = new WeakMap<Socket, number>();
+  /** Connections on which nothing was read yet. */
+  readonly #unread = new WeakMap<Socket, Opened>();
   #timer: NodeJS.Timeout | undefined;
   #isMarking = false;
   #behindSince: number | undefined;
@@ -43,7 +51,8 @@
     this.#bounds = new ArrivalBounds(context.clock.now());
     server.on('connection', (socket: Socket) => {
       this.#bounds.accepted();
-      this.#opened.set(socket, this.#bounds.connectionsFrom);
+      const { connectionsFrom, requestsFrom } = this.#bounds;
+      this.#unread.set(socket, { earliest: connectionsFrom, ifNoneWaited: requestsFrom });
       this.#markSoon();
     });
   }
@@ -61,11 +70,17 @@
   /** Takes in a request that was just read, once. */
   read({ socket }: IncomingMessage): Arrival {
     const readAt = this.#context.clock.now();
-    const unreadMs = readAt - (this.#opened.get(socket) ?? this.#bounds.requestsFrom);
-    this.#opened.delete(socket);
+    const { requestsFrom } = this.#bounds;
+    const opened = this.#unread.get(socket) ?? {
+      earliest: requestsFrom,
+      ifNoneWaited: requestsFrom,
+    };
+    this.#unread.delete(socket);
+    const unreadMs = readAt - opened.earliest;
     this.#markSoon();
     this.#observe(unreadMs, readAt);
-    return { readAt, unreadMs, countsFrom: readAt - (unreadMs < BEHIND_MS ? 0 : unreadMs) };
+    const isLate = readAt - opened.ifNoneWaited >= BEHIND_MS;
+    return { readAt, unreadMs, countsFrom: isLate ? opened.ifNoneWaited : readAt };
   }
 
   /** Marks the end of this turn of the event loop: the next look for news comes right after it. */
