--- a/test/gateway/serverDirectory.test.ts
+++ b/test/gateway/serverDirectory.test.ts
@@ -7,12 +7,7 @@
 /** Milliseconds for which a server that leaves goes on serving. */
 const STILL_SERVES_MS = 2_000;
 
-// A caller's request fails with 500 at a server that left more than two seconds before. The instance was
-// cut off from the store for some seconds and came back; meanwhile, or just after, the store took the
-// server's leaving. The instance was in touch again for three seconds and still sent requests there.
-// Cause: after its own silence it took each missing entry for one that lapsed while the store was away,
-// and kept the server. Proof: asked for their status, all such servers said that they leave or were gone,
-// and with their word taken the three cases pass.
+// Requests go to servers that have left: an instance that was cut off took each missing entry for one that had lapsed.
 const leavings: readonly {
   name: string;
   cutEndsAt: number;
--- a/test/mesh/configuration.test.ts
+++ b/test/mesh/configuration.test.ts
@@ -230,9 +230,7 @@
   assert.ok(router.log.events.some(({ event }) => event === 'declaration-unreadable'));
 });
 
-// volunteers get no answers by way of one router: an operator had mistyped the service of their
-// class, then the router started, reached no peer yet, and read the mistake from the platform, which
-// keeps no earlier version. Its peers have one, but its revision is no lower than theirs.
+// A router that started after an operator's mistake serves a class never again, though its peers know the last good version.
 test('a router that starts after a mistake gets the last good version from a peer', async (t) => {
   const platform = new MemoryObjectStore();
   const write = async (declaration: Declaration): Promise<void> => {
--- a/test/mesh/mesh.test.ts
+++ b/test/mesh/mesh.test.ts
@@ -142,9 +142,7 @@
   });
 }
 
-// a family's reservation is billed and then forgotten: the witness of a dead router was replaced
-// under the same address, the new process answered "no lines kept", and the dead holder was sealed
-// without its bill. The call must name the life it is meant for, and any other must decline.
+// A dead holder is sealed without its bill: a new process at its witness's address answers in the witness's place.
 for (const incarnation of ['dc-a/ruter-1é/ffffffffffff', undefined]) {
   test(`a call meant for ${incarnation ?? 'nobody in particular'} is refused`, async (t) => {
     const { server, target } = await startServer(t);
--- a/test/prepaid/prepaidBudgets.test.ts
+++ b/test/prepaid/prepaidBudgets.test.ts
@@ -50,9 +50,7 @@
   assert.equal(joinGroup(budgets, 'a', 1), budgets);
 });
 
-// callers are refused although plenty is left: eight groups asked for two dozen accounts one by one, and all
-// write the same object, so that one ask in two was lost to others. An ask for one account takes along what
-// the others will soon need.
+// Callers are refused although plenty is left: groups that ask for one account at a time lose their asks to each other.
 describe('a group that asks for an account', () => {
   const both = new Map([
     ['shop', 1_000],
--- a/test/process/promises.test.ts
+++ b/test/process/promises.test.ts
@@ -18,9 +18,7 @@
   assert.ok(load.retries > 0, 'callers of the killed router tried again');
 });
 
-// A router stands still for longer than its peers wait, is sealed by them and its budget goes to
-// others. Then it wakes and still believes that it may spend: were its bills kept, a caller's budget
-// would be spent twice.
+// A budget is spent twice: a router that was sealed while it stood still wakes and believes that it may spend.
 test('a router frozen past its sealing spends nothing when it wakes', async (t) => {
   const stage = await startSmallStage(t);
   await assertHeld(stage, {
@@ -45,9 +43,7 @@
   });
 });
 
-// One data centre loses the others and the platform, and goes on serving from what it holds. The
-// other side spends too, and an operator tops the budget up meanwhile. After the cut has healed,
-// both sides together must not have billed more than the budget.
+// Both sides of a cut spend the same tokens, and a top-up that comes meanwhile.
 test('a data centre cut off during a top-up does not overspend', async (t) => {
   const stage = await startSmallStage(t);
   await assertHeld(stage, {
