docs(gateway): three comments say what a newcomer would ask

From when a request's time counts, why a caller is asked for beside the signal, and the failure that the tests of a leaving caller guard against in one line. Comments and one blank line only.

--- a/packages/gateway/src/node/httpAttempt.ts
+++ b/packages/gateway/src/node/httpAttempt.ts
@@ -24,7 +24,7 @@
   headMs: number | undefined;
   /** Aborted when the answer is not wanted any more. */
   signal: AbortSignal;
-  /** Asked right before the request is written; `signal` tells of a caller that left some turns of the event loop later. */
+  /** Asked right before the request is written: `signal` is aborted only at the end of the turn of the event loop. */
   isWanted?: () => boolean;
   /** Told when the request is written. */
   onSent?: () => void;
--- a/packages/gateway/src/node/requestFlow.ts
+++ b/packages/gateway/src/node/requestFlow.ts
@@ -35,6 +35,7 @@
 
 /** Milliseconds after which a caller may come back when no server could take its request. */
 const NO_SERVER_RETRY_MS = 300;
+
 /** What all requests of a process share. */
 export interface FlowParts {
   context: GatewayContext;
@@ -52,6 +53,7 @@
   route: Route;
   account: RoutedAccount | undefined;
   service: RoutedService;
+  /** From when its time counts. */
   arrivedAt: number;
   /** When its time is over, by the caller's word and the route's limit. */
   endsAt: number;
--- a/test/platform/callerLeaves.test.ts
+++ b/test/platform/callerLeaves.test.ts
@@ -5,8 +5,7 @@
 
 const generation = { 'X-Model': 'm', 'X-Token-Usage': '1000,80', 'X-Prompt-Prefix': 'a1:300' };
 
-// A server works for a caller who left long ago: what the request waited for came in the same turn of the event loop as
-// the end of the caller's connection, and was read before it.
+// A server works for a caller who has left: what its request waited for was read before the end of its connection.
 describe('a request whose caller leaves in the moment in which its wait ends', () => {
   const kinds = [
     { kind: 'that may be repeated', path: '/look/1', servers: 'p', headers: {} },
