--- a/packages/gateway/src/node/requestFlow.ts
+++ b/packages/gateway/src/node/requestFlow.ts
@@ -86,6 +86,8 @@
   resumeAfter: string | undefined;
   /** Tokens charged to the account. */
   charged: number;
+  /** Digest of what runs, the same whenever the caller sends it again. */
+  fingerprint: string;
 }
 
 /** Runs one request. */
@@ -98,7 +100,15 @@
     this.#parts = parts;
     this.#call = call;
     const { resumeAfter } = call.head;
-    this.#progress = { tried: [], made: 0, mayHaveRun: 0, events: 0, resumeAfter, charged: 0 };
+    this.#progress = {
+      tried: [],
+      made: 0,
+      mayHaveRun: 0,
+      events: 0,
+      resumeAfter,
+      charged: 0,
+      fingerprint: fingerprintOf(call),
+    };
   }
 
   /** Servers tried, attempts and events so far, for the log. */
@@ -183,7 +193,7 @@
       ...(prefixKey === undefined ? {} : { prefixKey }),
       ...(head.size === undefined ? {} : { promptTokens: head.size.prompt }),
       tried: this.#progress.tried,
-      fingerprint: fingerprintOf(this.#call),
+      fingerprint: this.#progress.fingerprint,
       signal,
     });
     return placed.isOk
--- a/packages/gateway/src/node/serverAttempt.ts
+++ b/packages/gateway/src/node/serverAttempt.ts
@@ -203,6 +203,7 @@
     context.metrics.attempt(service.name, failed);
     context.log.write('attempt-failed', {
       request: head.id,
+      fingerprint: this.#progress.fingerprint,
       server: server.id,
       ...this.#progress.list,
       ...this.#progress.notice,
--- a/packages/router/src/node/backends/quarantineRegister.ts
+++ b/packages/router/src/node/backends/quarantineRegister.ts
@@ -10,6 +10,9 @@
   reduceQuarantine,
 } from '@flamingocourse/core';
 
+/** Most fingerprints in the line of a crash. */
+const MAX_LOGGED = 32;
+
 /** Keeps the quarantine's state and tells peers about each crash at once. */
 export class QuarantineRegister {
   readonly #clock: Clock;
@@ -34,7 +37,11 @@
   crashed(server: ServerId, inFlight: string[]): void {
     const now = this.#clock.now();
     this.#state = reduceQuarantine(this.#state, { type: 'crashed', server, inFlight }, now);
-    this.#log.write('backend-crashed', { server, inFlight: inFlight.length });
+    this.#log.write('backend-crashed', {
+      server,
+      inFlight: inFlight.length,
+      fingerprints: inFlight.slice(0, MAX_LOGGED).join(' '),
+    });
     for (const fingerprint of inFlight) {
       if (this.judge(fingerprint) !== 'quarantined') continue;
       this.#log.write('request-quarantined', { fingerprint, server });
