--- a/scripts/runTests.mjs
+++ b/scripts/runTests.mjs
@@ -66,13 +66,19 @@
   return first.startsWith(SOMETIMES) ? first.slice(SOMETIMES.length) : first;
 }
 
-/** Names of passed and failed tests from a TAP report. */
+/** Names of passed and failed tests from a TAP report. A group that fails only by its tests is none itself. */
 function readResults(file) {
   const passed = new Set();
   const failed = new Set();
+  let last;
   for (const line of readFileSync(file, 'utf8').split('\n')) {
     const match = /^\s*(not ok|ok) \d+ - (.*?)(?: # .*)?$/.exec(line);
-    if (match) (match[1] === 'ok' ? passed : failed).add(match[2]);
+    if (match) {
+      last = match[2];
+      (match[1] === 'ok' ? passed : failed).add(last);
+    } else if (/^\s*failureType: 'subtestsFailed'$/.test(line)) {
+      failed.delete(last);
+    }
   }
   return { passed, failed };
 }
--- a/test/platform/usersServer.ts
+++ b/test/platform/usersServer.ts
@@ -1,9 +1,10 @@
 /** A small stand-in of one of the users' servers, plain or model engine. */
 
-import type { IncomingHttpHeaders, IncomingMessage, ServerResponse } from 'node:http';
+import type { IncomingHttpHeaders, IncomingMessage, Server, ServerResponse } from 'node:http';
 import type { AddressInfo } from 'node:net';
 import type { TestContext } from 'node:test';
 import { createServer } from 'node:http';
+import { setTimeout as delay } from 'node:timers/promises';
 
 /** A request as the server saw it. */
 export interface SeenRequest {
@@ -35,6 +36,16 @@
   | 'hold'
   | 'silent';
 
+/** When a request that crashes its servers brings one down. */
+export type CrashMoment = 'before-head' | 'after-head';
+
+/** Body of the requests that crash a server. */
+export const CRASHING_BODY = 'crash=1';
+/** Milliseconds for which a server is away after a crash. */
+const RESTART_MS = 150;
+/** Milliseconds that a request runs before its server crashes. */
+const CRASH_MS = 5;
+
 const MS_PER_SECOND = 1_000;
 /** Path at which it tells whether it is well and stays. */
 const HEALTH_PATH = '/health';
@@ -72,25 +83,59 @@
   onConnection: () => void = () => undefined;
   /** Called when an answer was written. */
   afterAnswer: () => void = () => undefined;
+  /** When requests with a body that begins so bring the server down; undefined where they are answered. */
+  crashes: CrashMoment | undefined;
+  /** Lives of this server that ended in a crash. */
+  crashed = 0;
+  /** Called when the server has started again, under another id. */
+  onRestart: () => void = () => undefined;
 
   readonly #kept: (() => void)[] = [];
+  #http: Server | undefined;
+  #isOver = false;
+
+  constructor(readonly name: string) {}
 
-  constructor(readonly id: string) {}
+  /** Id of the present life. */
+  get id(): string {
+    return this.crashed === 0 ? this.name : `${this.name}-${String(this.crashed)}`;
+  }
 
   async listen(t: Pick<TestContext, 'after'>): Promise<this> {
+    await this.#open(0);
+    t.after(() => {
+      this.#isOver = true;
+      this.#close();
+    });
+    return this;
+  }
+
+  async #open(port: number): Promise<void> {
     const server = createServer((req, res) => {
       void this.#answer(req, res);
     });
     server.on('connection', () => {
       this.onConnection();
     });
-    await new Promise<void>((resolve) => server.listen(0, '127.0.0.1', resolve));
+    await new Promise<void>((resolve) => server.listen(port, '127.0.0.1', resolve));
+    this.#http = server;
     this.address = `127.0.0.1:${String((server.address() as AddressInfo).port)}`;
-    t.after(() => {
-      server.close();
-      server.closeAllConnections();
-    });
-    return this;
+  }
+
+  #close(): void {
+    this.#http?.close();
+    this.#http?.closeAllConnections();
+    this.#http = undefined;
+  }
+
+  async #crash(): Promise<void> {
+    if (!this.#http) return;
+    this.crashed += 1;
+    this.#close();
+    await delay(RESTART_MS);
+    if (this.#isOver) return;
+    await this.#open(Number(this.address.split(':')[1]));
+    this.onRestart();
   }
 
   /** The entry that the server writes of itself. */
@@ -129,6 +174,13 @@
       res.writeHead(421, { 'x-instance-id': this.id }).end();
       return;
     }
+    if (this.crashes && Buffer.concat(chunks).toString().startsWith(CRASHING_BODY)) {
+      if (this.crashes === 'after-head') {
+        res.writeHead(200, this.#own(req)).flushHeaders();
+      }
+      setTimeout(() => void this.#crash(), CRASH_MS);
+      return;
+    }
     this.#behave(req, res);
     this.afterAnswer();
   }
@@ -146,12 +198,17 @@
     this.rests.push({ server: this.id, instance, from, until });
   }
 
-  #behave(req: IncomingMessage, res: ServerResponse): void {
-    const own = {
-      'x-request-id': req.headers['x-request-id'],
+  /** Headers that say whose answer it is. */
+  #own({ headers }: IncomingMessage): Record<string, string> {
+    return {
+      'x-request-id': String(headers['x-request-id']),
       'x-response-signature': `proof-of-${this.id}`,
       'x-server-load': '1,0,4',
     };
+  }
+
+  #behave(req: IncomingMessage, res: ServerResponse): void {
+    const own = this.#own(req);
     const from = Number(req.headers['last-event-id'] ?? 0);
     const stream = (): void => {
       res.writeHead(200, { ...own, 'content-type': 'text/event-stream' });
--- a/test/platform/world.ts
+++ b/test/platform/world.ts
@@ -89,6 +89,9 @@
 interface SettingsChange {
   store?: Partial<GatewaySettings['store']>;
   prepaid?: Partial<GatewaySettings['prepaid']>;
+  /** Whether the instance serves its peers. */
+  mesh?: boolean;
+  dataCentre?: string;
 }
 
 export class World {
@@ -124,12 +127,22 @@
   }
 
   /** Starts another gateway beside the same store and servers. */
-  async join(t: TestContext, instance: string): Promise<World> {
+  async join(t: TestContext, instance: string, change: SettingsChange = {}): Promise<World> {
     const world = new World(instance, this.store, this.servers);
-    await world.#startGateway(t, {});
+    await world.#startGateway(t, change);
     return world;
   }
 
+  /** Waits until each instance of a fleet knows of the others. */
+  async allKnow(fleet: readonly World[]): Promise<void> {
+    await until('all know of each other', () =>
+      fleet.every(({ log }) => {
+        const last = log.events.findLast(({ event }) => event === 'instances-changed');
+        return last?.fields.instances === fleet.length;
+      }),
+    );
+  }
+
   server(id: string): UsersServer {
     const found = this.servers.find((server) => server.id === id);
     if (!found) throw new RangeError(`no server ${id}`);
@@ -215,18 +228,19 @@
   }
 
   async #startGateway(t: TestContext, change: SettingsChange): Promise<void> {
-    const [entry, ready, metrics] = await findFreePorts(3);
+    const [entry, ready, metrics, mesh] = await findFreePorts(4);
     this.#entryPort = entry ?? 0;
     this.#readyPort = ready ?? 0;
     this.#metricsPort = metrics ?? 0;
     const settings = parseGatewaySettings(
       JSON.stringify({
         instance: this.instance,
-        dataCentre: 'hall-a',
+        dataCentre: change.dataCentre ?? 'hall-a',
         listen: {
           entry: `127.0.0.1:${String(entry)}`,
           ready: `127.0.0.1:${String(ready)}`,
           metrics: `127.0.0.1:${String(metrics)}`,
+          ...(change.mesh ? { mesh: `127.0.0.1:${String(mesh)}` } : {}),
         },
         store: {
           url: this.store.url,
