feat(core): the cause of crashes is told from its neighbours by the servers that ended under it

Cause: 'the only suspect in flight' proves something only where a suspect runs alone; the users' servers run dozens of requests of all instances, and an instance sees its own. The class: proof from a part of what happened.

A crash that several instances report (isShared) counts once for each request. A request is a cause once three servers ended under it since it last finished, unless each of them is explained by another under which as many ended; up to five are wanted where servers end without it as well, or it can't be told from another.

Ruled out: waiting for four servers always (a cause may end three and three more, and each costs dozens of streams); a verdict that is kept once it fell (two instances that hear of the same crash in another order would keep different ones).

Not wired yet: the gateway's instances go on as before until they tell each other.

--- a/packages/core/src/index.ts
+++ b/packages/core/src/index.ts
@@ -14,6 +14,7 @@
 export type * from './types/claim.js';
 export type * from './types/declaration.js';
 export type * from './types/member.js';
+export type * from './types/quarantine.js';
 export * from './runtime/admission/index.js';
 export * from './runtime/routing/index.js';
 export * from './utils/hash.js';
--- a/packages/core/src/runtime/quarantine/quarantine.ts
+++ b/packages/core/src/runtime/quarantine/quarantine.ts
@@ -6,56 +6,16 @@
  * can be merged with that of peers in any order, any number of times.
  */
 
-import type { EpochMs, ServerId } from '../../types/ids.js';
-
-/** Digest of account, service and body. */
-export type Fingerprint = string;
-
-/** What the quarantine says about a request. */
-export type QuarantineVerdict =
-  /** Nothing known: it may run beside others. */
-  | 'clear'
-  /** A server crashed with it in flight: it has to run alone. */
-  | 'suspect'
-  /** It crashed servers repeatedly: it gets a final refusal. */
-  | 'quarantined';
-
-/** A crash of a server with the request in flight. */
-export interface CrashRecord {
-  server: ServerId;
-  at: EpochMs;
-}
-
-/** What is known about one fingerprint. */
-export interface QuarantineEntry {
-  /** Crashes since it was last cleared, oldest first; bounded. */
-  crashes: CrashRecord[];
-  /** When it last finished on a server without a crash; earlier crashes no longer count. */
-  clearedAt?: EpochMs;
-  quarantinedAt?: EpochMs;
-  /** When an operator let it run again. */
-  releasedAt?: EpochMs;
-}
-
-/** Serialisable state. */
-export interface QuarantineState {
-  entries: Record<Fingerprint, QuarantineEntry>;
-}
-
-/** What a router has seen. */
-export type QuarantineEvent =
-  | {
-      /**
-       * The server's process died. Not for timeouts or an unreachable network: a data centre that is
-       * cut off would make every request in flight there look like poison.
-       */
-      type: 'crashed';
-      server: ServerId;
-      /** All requests that were in flight there, each once. */
-      inFlight: Fingerprint[];
-    }
-  | { type: 'finished'; fingerprint: Fingerprint }
-  | { type: 'released'; fingerprint: Fingerprint };
+import type { EpochMs } from '../../types/ids.js';
+import type {
+  CrashRecord,
+  Fingerprint,
+  QuarantineEntry,
+  QuarantineEvent,
+  QuarantineState,
+  QuarantineVerdict,
+} from '../../types/quarantine.js';
+import { SUSPECT_MS, countedCrashes, isOftenThere, refusedForMs } from './crashEvidence.js';
 
 /** Fingerprints kept; beyond it the oldest suspects go first. */
 const MAX_ENTRIES = 1_024;
@@ -64,8 +24,6 @@
 const MAX_CRASHES = 8;
 /** Crashes in a row that quarantine even where a service has a single server. */
 const CRASHES_ON_ONE_SERVER = 3;
-/** How long a suspect stays one, in milliseconds. */
-const SUSPECT_MS = 10 * 60_000;
 /** How long a quarantine lasts, in milliseconds. */
 const QUARANTINE_MS = 24 * 60 * 60_000;
 
@@ -89,7 +47,7 @@
 ): QuarantineVerdict {
   const entry = state.entries[fingerprint];
   if (!entry) return 'clear';
-  if (isQuarantined(entry, now)) return 'quarantined';
+  if (isQuarantined(entry, now) || refusedForMs(state, fingerprint, now) > 0) return 'quarantined';
   return countedCrashes(entry, now).length > 0 ? 'suspect' : 'clear';
 }
 
@@ -109,7 +67,7 @@
 ): QuarantineState {
   switch (event.type) {
     case 'crashed':
-      return recordCrash(state, event.server, event.inFlight, now);
+      return event.isShared ? recordShared(state, event, now) : recordCrash(state, event, now);
     case 'finished': {
       const entry = state.entries[event.fingerprint];
       // nearly all requests end here, unknown to the quarantine.
@@ -157,10 +115,27 @@
   return { entries: Object.fromEntries(newest) };
 }
 
+type Crash = Extract<QuarantineEvent, { type: 'crashed' }>;
+
+/** A crash of which this instance saw a part: whoever reports it, it counts once for each request. */
+function recordShared(
+  state: QuarantineState,
+  { server, inFlight }: Crash,
+  now: EpochMs,
+): QuarantineState {
+  const entries = { ...state.entries };
+  for (const fingerprint of inFlight) {
+    const entry = entries[fingerprint] ?? { crashes: [] };
+    if (entry.crashes.some((crash) => crash.server === server)) continue;
+    const crashes = [...countedCrashes(entry, now), { server, at: now }].toSorted(byTime);
+    entries[fingerprint] = { ...entry, crashes: crashes.slice(-MAX_CRASHES) };
+  }
+  return bound({ entries }, now);
+}
+
 function recordCrash(
   state: QuarantineState,
-  server: ServerId,
-  inFlight: Fingerprint[],
+  { server, inFlight }: Crash,
   now: EpochMs,
 ): QuarantineState {
   const suspectsBefore = inFlight.filter(
@@ -190,11 +165,6 @@
   return now - quarantinedAt < QUARANTINE_MS;
 }
 
-function countedCrashes(entry: QuarantineEntry, now: EpochMs): CrashRecord[] {
-  const { clearedAt = -Infinity } = entry;
-  return entry.crashes.filter((crash) => crash.at > clearedAt && now - crash.at < SUSPECT_MS);
-}
-
 function joinEntries(a: QuarantineEntry, b: QuarantineEntry): QuarantineEntry {
   const clearedAt = latest(a.clearedAt, b.clearedAt);
   const quarantinedAt = latest(a.quarantinedAt, b.quarantinedAt);
@@ -209,9 +179,11 @@
 
 function joinCrashes(a: CrashRecord[], b: CrashRecord[]): CrashRecord[] {
   const byKey = new Map([...a, ...b].map((crash) => [`${crash.at}/${crash.server}`, crash]));
-  return [...byKey.values()]
-    .sort((x, y) => x.at - y.at || (x.server < y.server ? -1 : 1))
-    .slice(-MAX_CRASHES);
+  return [...byKey.values()].sort(byTime).slice(-MAX_CRASHES);
+}
+
+function byTime(a: CrashRecord, b: CrashRecord): number {
+  return a.at - b.at || (a.server < b.server ? -1 : 1);
 }
 
 function withEntry(
@@ -229,14 +201,18 @@
   const kept = Object.entries(state.entries).filter(([, entry]) => isUseful(entry, now));
   const ranked = kept.sort(
     ([, a], [, b]) =>
-      Number(isQuarantined(b, now)) - Number(isQuarantined(a, now)) || lastSeen(b) - lastSeen(a),
+      Number(isRemembered(b, now)) - Number(isRemembered(a, now)) || lastSeen(b) - lastSeen(a),
   );
   return { entries: Object.fromEntries(ranked.slice(0, ENTRIES_AFTER_BOUND)) };
 }
 
 /** A cleared entry is kept for a while: it overrides the older crash in a peer's late hint. */
 function isUseful(entry: QuarantineEntry, now: EpochMs): boolean {
-  return isQuarantined(entry, now) || now - lastSeen(entry) < SUSPECT_MS;
+  return isRemembered(entry, now) || now - lastSeen(entry) < SUSPECT_MS;
+}
+
+function isRemembered(entry: QuarantineEntry, now: EpochMs): boolean {
+  return isQuarantined(entry, now) || isOftenThere(entry, now);
 }
 
 function lastSeen(entry: QuarantineEntry): EpochMs {
