fix(gateway): a server that ends before its answer's head has crashed, one that only lost a connection has not

Cause: only an answer that broke off after its head counted as a crash; before it, the attempt was just failed. On the other side each answer that broke off made suspects of all requests at a server that lived on (resets, spoilt answers).

A connection that ends before the whole answer now asks whether the server has ended: not while another connection to it is open; else its address either takes a connection or refuses it. One question for all that broke off together. A server that is out of reach has not shown that it ended, so a cut makes no suspects.

Ruled out: the list of servers as the proof (an entry lapses 1.3 s and more after the crash), a status check (it waits for a slot).

--- a/packages/gateway/src/node/backendLanes.ts
+++ b/packages/gateway/src/node/backendLanes.ts
@@ -3,6 +3,7 @@
 import type { Kernel } from '@flamingocourse/kernel';
 import type { ServiceName } from '@flamingocourse/core';
 import type { GatewayContext } from '../types/context.js';
+import type { CrashCheck } from '@flamingocourse/router';
 import type { DirectoryServer } from './serverDirectory.js';
 import {
   AdmissionQueue,
@@ -49,15 +50,17 @@
   override readonly dependsOn = ['configuration', 'directory'];
   readonly #context: GatewayContext;
   readonly #register: QuarantineRegister;
+  readonly #crashCheck: CrashCheck;
   readonly #lanes = new Map<ServiceName, BackendLane & { silentMs: number }>();
   #instances = 1;
   #timer: NodeJS.Timeout | undefined;
   #directory: ServerDirectory | undefined;
   #configuration: ConfigurationWatch | undefined;
 
-  constructor(context: GatewayContext) {
+  constructor(context: GatewayContext, crashCheck: CrashCheck) {
     super();
     this.#context = context;
+    this.#crashCheck = crashCheck;
     const { clock, log } = context;
     this.#register = new QuarantineRegister(clock, log, {
       publish: () => undefined,
@@ -167,6 +170,7 @@
         ? new QuickEngineChooser(new PrefixAffinityChooser(AFFINITY_BOUND))
         : createServerChooser('power-of-two'),
       quarantine: this.#register,
+      crashCheck: this.#crashCheck,
       clock,
       random,
       scope: sharesPrompts ? 'everywhere' : 'near-first',
--- a/packages/gateway/src/node/createGateway.ts
+++ b/packages/gateway/src/node/createGateway.ts
@@ -11,6 +11,7 @@
 import { Result } from 'true-myth';
 import { HttpObjectStore, defaultCircuitOptions } from '@flamingocourse/store';
 import { BackendLanes } from './backendLanes.js';
+import { ConnectionCheck } from './connectionCheck.js';
 import { ConfigurationWatch } from './configurationWatch.js';
 import { EntryService } from './entryService.js';
 import { GatewayMetrics } from './gatewayMetrics.js';
@@ -90,7 +91,7 @@
   const configuration = new ConfigurationWatch(context);
   const health = new HttpHealthCheck(context, configuration, agent);
   const entry = new EntryService(context, agent);
-  const lanes = new BackendLanes(context);
+  const lanes = new BackendLanes(context, new ConnectionCheck(agent));
   const instances = new InstanceDirectory(context);
   const peers = new MeshClient();
   const prepaid = new PrepaidService(context, randomUUID(), new MeshLoanCalls(peers));
--- a/packages/gateway/src/node/serverAgent.ts
+++ b/packages/gateway/src/node/serverAgent.ts
@@ -36,6 +36,13 @@
     return true;
   }
 
+  /** Whether any connection to an address is open, idle or in use. */
+  isConnectedTo(host: string, port: string): boolean {
+    const name = this.getName({ host, port: Number(port) });
+    const sockets = [...(this.sockets[name] ?? []), ...(this.freeSockets[name] ?? [])];
+    return sockets.some((socket) => !socket.destroyed && !socket.connecting);
+  }
+
   override reuseSocket(stream: Duplex, req: ClientRequest): void {
     stream.removeListener('data', destroySender);
     super.reuseSocket(stream, req);
--- a/packages/gateway/src/node/serverAttempt.ts
+++ b/packages/gateway/src/node/serverAttempt.ts
@@ -138,7 +138,7 @@
     if (fault.sent) this.#progress.mayHaveRun += 1;
     if (fault.reason === 'aborted') return this.#interrupted();
     if (!fault.sent) return this.#failed('not-sent', 'unreachable', fault.cause);
-    const how = fault.reason === 'timeout' ? 'timed-out' : 'failed';
+    const how = fault.reason === 'timeout' ? 'timed-out' : 'broken';
     return this.#failed('unknown', how, fault.cause);
   }
 
@@ -157,7 +157,7 @@
       return { type: 'answered', status };
     }
     if (end.type === 'aborted' || answer.gone) return this.#interrupted();
-    return this.#failed('unknown', 'crashed', end.cause);
+    return this.#failed('unknown', 'broken', end.cause);
   }
 
   #pass(open: OpenAnswer): Promise<RelayEnd> {
--- a/packages/router/src/index.ts
+++ b/packages/router/src/index.ts
@@ -14,6 +14,7 @@
 export * from './node/fleet/index.js';
 export * from './node/money/ledgerPlan.js';
 export * from './types/backends.js';
+export * from './types/crashCheck.js';
 export type * from './types/backendPorts.js';
 export * from './types/ticketCodec.js';
 export * from './utils/hmacTicketCodec.js';
--- a/packages/router/src/node/backends/quarantineRegister.ts
+++ b/packages/router/src/node/backends/quarantineRegister.ts
@@ -1,6 +1,6 @@
 /** This router's knowledge of requests that crash their servers, shared with peers. */
 
-import type { QuarantineState, QuarantineVerdict, ServerId } from '@flamingocourse/core';
+import type { BackendServer, QuarantineState, QuarantineVerdict } from '@flamingocourse/core';
 import type { Clock, EventLog } from '@flamingocourse/kernel';
 import type { QuarantineExchange } from '../../types/backendPorts.js';
 import {
@@ -34,7 +34,7 @@
   }
 
   /** A server broke off everything that it ran for this router. */
-  crashed(server: ServerId, inFlight: string[]): void {
+  crashed({ id: server }: BackendServer, inFlight: string[]): void {
     const now = this.#clock.now();
     this.#state = reduceQuarantine(this.#state, { type: 'crashed', server, inFlight }, now);
     this.#log.write('backend-crashed', {
--- a/packages/router/src/node/backends/serviceLane.ts
+++ b/packages/router/src/node/backends/serviceLane.ts
@@ -16,6 +16,7 @@
 } from '@flamingocourse/core';
 import type { Clock } from '@flamingocourse/kernel';
 import type { AttemptEnd, Placement, PlacementRequest } from '../../types/backends.js';
+import type { CrashCheck } from '../../types/crashCheck.js';
 import type { QuarantineRegister } from './quarantineRegister.js';
 import {
   chooseServer,
@@ -48,6 +49,8 @@
   quarantine: QuarantineRegister;
   clock: Clock;
   random: () => number;
+  /** Asked about servers that break off; without it they only count as failed. */
+  crashCheck?: CrashCheck;
   /** @default 'near-first' */
   scope?: PlacementScope;
   /**
@@ -325,9 +328,23 @@
     const { quarantine } = this.#options;
     const isFirstReport = this.#inFlight.remove(server.id, attempt);
     if (how === 'ok') quarantine.finished(fingerprint);
-    if (how !== 'crashed' || !isFirstReport) return;
+    if (!isFirstReport) return;
+    if (how === 'crashed') this.#crashed(server, [fingerprint]);
+    if (how === 'broken' && this.#inFlight.breakOff(server.id, fingerprint)) {
+      void this.#findOut(server);
+    }
+  }
+
+  /** Finds out whether a server that broke off has crashed. */
+  async #findOut(server: BackendServer): Promise<void> {
+    const hasEnded = await this.#options.crashCheck?.hasEnded(server);
+    const brokenOff = this.#inFlight.takeBrokenOff(server.id);
+    if (hasEnded) this.#crashed(server, brokenOff);
+  }
+
+  #crashed(server: BackendServer, brokenOff: string[]): void {
     const others = this.#inFlight.takeAll(server.id);
-    quarantine.crashed(server.id, [...new Set([fingerprint, ...others])]);
+    this.#options.quarantine.crashed(server, [...new Set([...brokenOff, ...others])]);
   }
 
   #learn(
@@ -382,6 +399,7 @@
 function healthEnd(how: AttemptEnd): AttemptResult['end'] {
   switch (how) {
     case 'crashed':
+    case 'broken':
       return 'failed';
     case 'timed-out':
       return 'timeout';
--- a/packages/router/src/types/backends.ts
+++ b/packages/router/src/types/backends.ts
@@ -39,6 +39,8 @@
   | 'ok'
   | 'failed'
   | 'crashed'
+  /** The connection ended before the whole answer; whether the server crashed is to be found out. */
+  | 'broken'
   | 'timed-out'
   | 'cancelled'
   | 'leaving'
--- /dev/null
+++ b/test/gateway/connectionCheck.test.ts
@@ -0,0 +1,87 @@
+import type { TestContext } from 'node:test';
+import type { Server } from 'node:http';
+import type { AddressInfo } from 'node:net';
+import assert from 'node:assert/strict';
+import { once } from 'node:events';
+import { createServer, request } from 'node:http';
+import { test } from 'node:test';
+import { ConnectionCheck } from '../../packages/gateway/src/node/connectionCheck.js';
+import { ServerAgent } from '../../packages/gateway/src/node/serverAgent.js';
+
+interface Case {
+  name: string;
+  /** What becomes of the server after it broke off. */
+  after: (server: Server) => void;
+  /** Whether another request is under way at the server. */
+  isInUse: boolean;
+  hasEnded: boolean;
+  /** Connections that the server takes for the check. */
+  opened: number;
+}
+
+// A lost connection is taken for a crash, and all requests beside it become suspects; or a crash is missed.
+const cases: Case[] = [
+  {
+    name: 'a process that ended',
+    after: (server) => {
+      server.close();
+      server.closeAllConnections();
+    },
+    isInUse: true,
+    hasEnded: true,
+    opened: 0,
+  },
+  {
+    name: 'a server that only lost a connection',
+    after: () => undefined,
+    isInUse: false,
+    hasEnded: false,
+    opened: 1,
+  },
+  {
+    name: 'a server with another connection open',
+    after: () => undefined,
+    isInUse: true,
+    hasEnded: false,
+    opened: 0,
+  },
+];
+
+for (const { name, after, isInUse, hasEnded, opened } of cases) {
+  test(`${name} has ${hasEnded ? '' : 'not '}ended`, async (t) => {
+    const { server, url } = await listen(t);
+    const agent = new ServerAgent();
+    t.after(() => {
+      agent.destroy();
+    });
+    if (isInUse) await begin(url, agent);
+    let connections = 0;
+    server.on('connection', () => (connections += 1));
+    after(server);
+    const check = new ConnectionCheck(agent);
+    const [service, id, dataCentre, state] = ['llm', 's1', 'hall-a', 'live'] as const;
+    assert.equal(await check.hasEnded({ service, id, dataCentre, state, url }), hasEnded);
+    await new Promise((resolve) => setTimeout(resolve, 20));
+    assert.equal(connections, opened);
+  });
+}
+
+async function listen(t: TestContext): Promise<{ server: Server; url: string }> {
+  const server = createServer(() => undefined);
+  server.listen(0, '127.0.0.1');
+  await once(server, 'listening');
+  t.after(() => {
+    server.close();
+    server.closeAllConnections();
+  });
+  return { server, url: `http://127.0.0.1:${String((server.address() as AddressInfo).port)}` };
+}
+
+/** Sends a request that stays without an answer. */
+async function begin(url: string, agent: ServerAgent): Promise<void> {
+  const req = request(url, { agent });
+  req.on('error', () => undefined);
+  req.end();
+  const [socket] = (await once(req, 'socket')) as [NodeJS.EventEmitter];
+  await once(socket, 'connect');
+}
--- a/test/gateway/fleet/prepaidFleet.ts
+++ b/test/gateway/fleet/prepaidFleet.ts
@@ -10,9 +10,11 @@
 import { Kernel, ManualClock, MemoryEventLog } from '@flamingocourse/kernel';
 import { MemoryObjectStore } from '@flamingocourse/store';
 import { BackendLanes } from '../../../packages/gateway/src/node/backendLanes.js';
+import { ConnectionCheck } from '../../../packages/gateway/src/node/connectionCheck.js';
 import { ConfigurationWatch } from '../../../packages/gateway/src/node/configurationWatch.js';
 import { InstanceDirectory } from '../../../packages/gateway/src/node/instanceDirectory.js';
 import { PrepaidService } from '../../../packages/gateway/src/node/prepaidService.js';
+import { ServerAgent } from '../../../packages/gateway/src/node/serverAgent.js';
 import { ServerDirectory } from '../../../packages/gateway/src/node/serverDirectory.js';
 import { createRandom } from '../../../packages/lab/src/runtime/random.js';
 import { contextOf } from '../contextOf.js';
@@ -324,7 +326,7 @@
     const kernel = new Kernel()
       .register(new ConfigurationWatch(context))
       .register(new ServerDirectory(context, new NoHealthCheck()))
-      .register(new BackendLanes(context))
+      .register(new BackendLanes(context, new ConnectionCheck(new ServerAgent())))
       .register(new InstanceDirectory(context))
       .register(prepaid);
     instance.running = { prepaid, process, kernel };
