fix(gateway): what one instance learns of requests that crash servers, all instances know

Cause: the gateway made its quarantine with an exchange that does nothing, so each instance began from nothing, as did each new process. Class: what one instance learns and others need stays with it.

News of the fleet (NewsService): each instance tells four others, all but one of its data centre, and whoever hears something new does the same; numbered by origin, bounded (512 kept, 128 in a message), ages instead of times, as instances share no clock. While there is something to tell, each compares what it knows with a random other one each second, later less often; a new process asks before the first news. Nothing is sent while nothing was learned. A crash is known by the life of the server, so that two instances' reports of it count once. A request that waited is judged again when it is placed.

Why it holds: the verdict follows from the crashes alone, so instances that heard of the same ones say the same. Ruled out: hints of the whole state, as the own interface sends them (the instances' clocks differ, and a state grows with each suspect); one instance of each data centre that collects (it can be lost, paused, cut off). docs/EVENTS.md has the two new lines.

--- /dev/null
+++ b/packages/core/src/runtime/news/index.ts
@@ -0,0 +1,2 @@
+export * from './chooseListeners.js';
+export * from './newsLog.js';
--- a/packages/core/src/runtime/routing/index.ts
+++ b/packages/core/src/runtime/routing/index.ts
@@ -11,6 +11,7 @@
 export * from './sendShare.js';
 export * from './serverChooser.js';
 export * from './serverHealth.js';
+export * from './serverLife.js';
 export * from './serverNotices.js';
 export * from './serverPool.js';
 export * from './serverRateLimits.js';
--- a/packages/gateway/src/node/backendLanes.ts
+++ b/packages/gateway/src/node/backendLanes.ts
@@ -3,7 +3,7 @@
 import type { Kernel } from '@flamingocourse/kernel';
 import type { ServiceName } from '@flamingocourse/core';
 import type { GatewayContext } from '../types/context.js';
-import type { CrashCheck } from '@flamingocourse/router';
+import type { CrashCheck, QuarantineExchange } from '@flamingocourse/router';
 import type { DirectoryServer } from './serverDirectory.js';
 import {
   AdmissionQueue,
@@ -57,15 +57,12 @@
   #directory: ServerDirectory | undefined;
   #configuration: ConfigurationWatch | undefined;
 
-  constructor(context: GatewayContext, crashCheck: CrashCheck) {
+  constructor(context: GatewayContext, crashCheck: CrashCheck, quarantine: QuarantineExchange) {
     super();
     this.#context = context;
     this.#crashCheck = crashCheck;
     const { clock, log } = context;
-    this.#register = new QuarantineRegister(clock, log, {
-      publish: () => undefined,
-      onHint: () => undefined,
-    });
+    this.#register = new QuarantineRegister(clock, log, quarantine, { isShared: true });
   }
 
   /** The lane of a service; undefined while no server of it is known. */
--- a/packages/gateway/src/node/createGateway.ts
+++ b/packages/gateway/src/node/createGateway.ts
@@ -18,9 +18,12 @@
 import { HttpHealthCheck } from './httpHealthCheck.js';
 import { InstanceDirectory } from './instanceDirectory.js';
 import { MeshLoanCalls } from './meshLoanCalls.js';
+import { MeshNewsCalls } from './meshNewsCalls.js';
+import { NewsService } from './newsService.js';
 import { PrepaidService } from './prepaidService.js';
 import { ServerAgent } from './serverAgent.js';
 import { ServerDirectory } from './serverDirectory.js';
+import { SharedQuarantine } from './sharedQuarantine.js';
 import { StatusService } from './statusService.js';
 
 /**
@@ -91,18 +94,23 @@
   const configuration = new ConfigurationWatch(context);
   const health = new HttpHealthCheck(context, configuration, agent);
   const entry = new EntryService(context, agent);
-  const lanes = new BackendLanes(context, new ConnectionCheck(agent));
   const instances = new InstanceDirectory(context);
   const peers = new MeshClient();
-  const prepaid = new PrepaidService(context, randomUUID(), new MeshLoanCalls(peers));
+  const incarnation = randomUUID();
+  const news = new NewsService(context, incarnation, new MeshNewsCalls(peers));
+  const crashCheck = new ConnectionCheck(agent);
+  const lanes = new BackendLanes(context, crashCheck, new SharedQuarantine(news));
+  const prepaid = new PrepaidService(context, incarnation, new MeshLoanCalls(peers));
   kernel
     .register(configuration)
     .register(new ServerDirectory(context, health))
     .register(lanes)
-    .register(instances);
+    .register(instances)
+    .register(news);
   if (settings.listen.mesh) {
     const mesh = new MeshServer(settings.listen.mesh);
     mesh.handle('borrow', async (req) => Result.ok(await prepaid.lend(req)));
+    mesh.handle('exchangeNews', (message) => Result.ok(news.hear(message)));
     kernel.register(mesh);
   }
   kernel.register(prepaid).register(entry).register(new StatusService(context));
--- a/packages/kernel/src/runtime/eventCatalogue.ts
+++ b/packages/kernel/src/runtime/eventCatalogue.ts
@@ -67,6 +67,16 @@
     text: 'this router was sealed by its peers and goes on under a new incarnation',
     action: 'Look for pauses of the process or a partition just before; no action is needed.',
   },
+  'news-peer-lost': {
+    number: 302,
+    level: 'info',
+    text: 'another instance does not answer when it is told news; it hears them from others or later',
+  },
+  'news-peer-regained': {
+    number: 303,
+    level: 'info',
+    text: 'an instance that did not answer takes news again',
+  },
   'holder-registered': { number: 400, level: 'info', text: 'router registered in the journal' },
   'holder-lost': {
     number: 401,
--- a/packages/mesh/src/runtime/meshRouter.ts
+++ b/packages/mesh/src/runtime/meshRouter.ts
@@ -32,6 +32,7 @@
     recall: createProcedure(ports, 'recall'),
     pullConfiguration: createProcedure(ports, 'pullConfiguration'),
     borrow: createProcedure(ports, 'borrow'),
+    exchangeNews: createProcedure(ports, 'exchangeNews'),
     shareHints: createProcedure(ports, 'shareHints'),
   });
 }
@@ -51,8 +52,8 @@
   });
 }
 
-/** Procedures that need no addressee: a heartbeat teaches incarnations, a loan request names its lender's. */
-const UNADDRESSED: ReadonlySet<ProcedureName> = new Set(['heartbeat', 'borrow']);
+/** Procedures that need no addressee: a heartbeat teaches incarnations, a loan request names its lender's, news are for all. */
+const UNADDRESSED: ReadonlySet<ProcedureName> = new Set(['heartbeat', 'borrow', 'exchangeNews']);
 
 /**
  * A process that was replaced under the same address has none of its predecessor's memory. Were it
--- a/packages/mesh/src/runtime/schemas.ts
+++ b/packages/mesh/src/runtime/schemas.ts
@@ -1,9 +1,18 @@
 /** Schemas of the inputs that peers send. All lists and texts are bounded. */
 
-import type { Bill, JournalChange, JournalLine, LoanRequest, Outcome } from '@flamingocourse/core';
+import type {
+  Bill,
+  FleetNews,
+  JournalChange,
+  JournalLine,
+  LoanRequest,
+  NewsMessage,
+  Outcome,
+} from '@flamingocourse/core';
 import type { ZodType } from 'zod';
 import type { ProcedureInput, ProcedureName } from '../types/procedures.js';
 import type { PackedHeartbeat, PackedMember } from './heartbeatCodec.js';
+import { MAX_NEWS_PER_MESSAGE } from '@flamingocourse/core';
 import { z } from 'zod';
 
 const maxIdLength = 300;
@@ -14,6 +23,9 @@
 /** Accounts that one instance asks for. */
 const maxAccounts = 50_000;
 const maxHintLength = 65_536;
+/** Requests of one instance in flight at one server. */
+const maxInFlight = 1_024;
+const maxFingerprintLength = 64;
 /** Base64 of a kept answer; the body limit of the whole call is tighter still. */
 const maxKeptAnswerLength = 2 * 1024 * 1024;
 
@@ -97,6 +109,25 @@
   interest: z.array(id).max(maxAccounts),
 });
 
+const fingerprint = z.string().min(1).max(maxFingerprintLength);
+
+const newsSchema: ZodType<FleetNews> = z.discriminatedUnion('type', [
+  z.object({
+    type: z.literal('crashed'),
+    server: id,
+    inFlight: z.array(fingerprint).max(maxInFlight),
+  }),
+  z.object({ type: z.literal('finished'), fingerprint }),
+]);
+
+const newsMessageSchema: ZodType<NewsMessage> = z.object({
+  from: id,
+  known: z.record(id, count),
+  items: z
+    .array(z.object({ origin: id, seq: count, ageMs: z.number().min(0), news: newsSchema }))
+    .max(MAX_NEWS_PER_MESSAGE),
+});
+
 /** Input schema of each procedure. */
 export const inputSchemas: { [P in ProcedureName]: ZodType<ProcedureInput<P>> } = {
   heartbeat: heartbeatSchema,
@@ -106,6 +137,7 @@
   recall: z.object({ account: id, amount: tokens.min(0), forDataCentre: id }),
   pullConfiguration: z.object({ since: count }),
   borrow: loanRequestSchema,
+  exchangeNews: newsMessageSchema,
   shareHints: z.object({
     hints: z.array(z.object({ topic: id, body: z.string().max(maxHintLength) })).max(maxHints),
   }),
--- a/packages/mesh/src/types/procedures.ts
+++ b/packages/mesh/src/types/procedures.ts
@@ -10,6 +10,7 @@
   LoanAnswer,
   LoanRequest,
   MemberInfo,
+  NewsMessage,
   Tokens,
 } from '@flamingocourse/core';
 import type { Result } from 'true-myth';
@@ -62,6 +63,8 @@
   pullConfiguration: { input: { since: number }; output: ConfigurationUpdate };
   /** Asks a lender for tokens of prepaid budgets; the request itself names the lender's life. */
   borrow: { input: LoanRequest; output: LoanAnswer };
+  /** Tells news of the fleet and asks for what the caller lacks; news name the process that they come from. */
+  exchangeNews: { input: NewsMessage; output: NewsMessage };
   shareHints: { input: { hints: Hint[] }; output: 'taken' };
 }
 
--- a/packages/router/src/node/backends/serviceLane.ts
+++ b/packages/router/src/node/backends/serviceLane.ts
@@ -236,6 +236,11 @@
   }
 
   #tryPlace(id: number, waiter: Waiter, now: EpochMs): boolean {
+    // it may have been found out while the request waited.
+    if (this.#options.quarantine.judge(waiter.request.fingerprint) === 'quarantined') {
+      this.#settle(id, Result.err(quarantined()));
+      return true;
+    }
     const chosen = this.#choose(waiter, now);
     if (!chosen) return false;
     this.#settle(id, Result.ok(this.#dispatch(chosen, waiter, now)));
--- a/packages/router/src/node/meshAdapters.ts
+++ b/packages/router/src/node/meshAdapters.ts
@@ -5,6 +5,7 @@
   DataCentreId,
   IncarnationId,
   JournalLine,
+  QuarantineEvent,
   QuarantineState,
   Tokens,
 } from '@flamingocourse/core';
@@ -16,7 +17,7 @@
   ProcedureName,
   ProcedureOutput,
 } from '@flamingocourse/mesh';
-import type { QuarantineExchange } from '../types/backendPorts.js';
+import type { QuarantineExchange, QuarantineNews } from '../types/backendPorts.js';
 import type { AppendAnswer, MoneyPeerHandler, MoneyPeers, PeerFault } from '../types/moneyPorts.js';
 import type { Fleet } from '../types/fleet.js';
 import type { MeshHints } from './meshHints.js';
@@ -102,15 +103,15 @@
     this.#hints = hints;
   }
 
-  publish(state: QuarantineState): void {
+  publish(_event: QuarantineEvent, state: QuarantineState): void {
     this.#hints.publish(QUARANTINE_TOPIC, state);
   }
 
-  onHint(listener: (state: QuarantineState) => void): void {
+  onNews(listener: (news: QuarantineNews) => void): void {
     this.#hints.on(QUARANTINE_TOPIC, (value) => {
       const state = quarantineSchema.safeParse(value);
       // zod types an absent key as `undefined`; JSON has no such value, so the shapes agree.
-      if (state.success) listener(state.data as QuarantineState);
+      if (state.success) listener({ type: 'state', state: state.data as QuarantineState });
     });
   }
 }
--- a/packages/router/src/types/backendPorts.ts
+++ b/packages/router/src/types/backendPorts.ts
@@ -1,6 +1,13 @@
 /** Seams between placement and the outside. */
 
-import type { InstanceRecord, QuarantineState, ServerId, ServiceName } from '@flamingocourse/core';
+import type {
+  EpochMs,
+  InstanceRecord,
+  QuarantineEvent,
+  QuarantineState,
+  ServerId,
+  ServiceName,
+} from '@flamingocourse/core';
 
 /** The platform's lagging instance list. */
 export interface InstanceSource {
@@ -8,12 +15,23 @@
   list(instanceList: ServiceName): Promise<InstanceRecord[] | undefined>;
 }
 
-/** Hints about requests that crash their servers, to and from peers. */
+/** What peers tell of requests that crash their servers. */
+export type QuarantineNews =
+  /** All that a peer knows. */
+  | { type: 'state'; state: QuarantineState }
+  /** One thing that a peer saw, and when, by the clock of this process. */
+  | { type: 'event'; event: QuarantineEvent; at: EpochMs };
+
+/** News about requests that crash their servers, to and from peers. */
 export interface QuarantineExchange {
-  /** Sends news to the peers of the data centre; a lost hint only delays them. */
-  publish(state: QuarantineState): void;
+  /**
+   * Sends news to peers; a lost one only delays them.
+   *
+   * @param state all that is known after the event.
+   */
+  publish(event: QuarantineEvent, state: QuarantineState): void;
   /** Calls back with what peers have sent. */
-  onHint(listener: (state: QuarantineState) => void): void;
+  onNews(listener: (news: QuarantineNews) => void): void;
 }
 
 /** Operators' drains. */
--- a/test/gateway/fleet/prepaidFleet.ts
+++ b/test/gateway/fleet/prepaidFleet.ts
@@ -22,6 +22,8 @@
 import { LoanLink } from './loanLink.js';
 import { ProcessLife, StoreLink, StoreLoad, WayFaults } from './storeLink.js';
 
+const noQuarantine = { publish: () => undefined, onNews: () => undefined };
+
 /** Size of a fleet and what its callers ask for. */
 export interface FleetShape {
   dataCentres: number;
@@ -326,7 +328,7 @@
     const kernel = new Kernel()
       .register(new ConfigurationWatch(context))
       .register(new ServerDirectory(context, new NoHealthCheck()))
-      .register(new BackendLanes(context, new ConnectionCheck(new ServerAgent())))
+      .register(new BackendLanes(context, new ConnectionCheck(new ServerAgent()), noQuarantine))
       .register(new InstanceDirectory(context))
       .register(prepaid);
     instance.running = { prepaid, process, kernel };
--- a/test/routing/brokenOff.test.ts
+++ b/test/routing/brokenOff.test.ts
@@ -53,7 +53,7 @@
       notices,
     });
     pool.applyList([server], 0);
-    const exchange = { publish: () => undefined, onHint: () => undefined };
+    const exchange = { publish: () => undefined, onNews: () => undefined };
     this.register = new QuarantineRegister(this.clock, this.log, exchange);
     this.lane = new ServiceLane({
       pool,
--- a/test/routing/rateLimitedLane.test.ts
+++ b/test/routing/rateLimitedLane.test.ts
@@ -43,7 +43,7 @@
       chooser: new PowerOfTwoChooser(),
       quarantine: new QuarantineRegister(this.clock, new MemoryEventLog(), {
         publish: () => undefined,
-        onHint: () => undefined,
+        onNews: () => undefined,
       }),
       clock: this.clock,
       random: () => 0.5,
