fix(lab): a port that was found for somebody is not found for another one

Seen once, in a run of the new test (two of a fleet's gateways, EADDRINUSE on 127.0.0.1:28517): 18 gateways that start at the same time ask for 72 ports of 12,000 at random, and a port that is free when it is looked at may have been handed out a moment before. The chance of a pair is a fifth. Ports that were handed out are remembered by the process.

--- a/packages/lab/src/node/freePorts.ts
+++ b/packages/lab/src/node/freePorts.ts
@@ -11,6 +11,8 @@
 const LOWEST_PORT = 20_000;
 const HIGHEST_PORT = 32_000;
 const MAX_TRIES_PER_PORT = 50;
+/** Ports found earlier by this process: whoever asked for them may not listen yet. */
+const handedOut = new Set<number>();
 
 /**
  * Finds ports on loopback that nothing listens on now, all different.
@@ -25,7 +27,9 @@
       throw new RangeError(`no ${count} free ports from ${LOWEST_PORT} to ${HIGHEST_PORT}`);
     }
     const port = randomInt(LOWEST_PORT, HIGHEST_PORT);
-    if (!ports.has(port) && (await isFree(port))) ports.add(port);
+    if (handedOut.has(port)) continue;
+    handedOut.add(port);
+    if (await isFree(port)) ports.add(port);
   }
   return [...ports];
 }
