feat(gateway): requests that end servers are kept in the store, for instances that start when all who knew are gone

What callers would see: after a loss of all instances a request that had been found out ends three servers more; likewise at an instance that reaches the store and no peer. Class: as before, what an instance learns and others need; what must last lives in the store.

One object for each cause that is sure, written by those that had it in flight (not by all that heard of it), read by each process at its start, and after a crash by an instance that misses peers. That a request under which two servers ended finished after all is told at once: told later, others took it for as likely as the cause, and that one went on for longer.

--- a/packages/core/src/runtime/quarantine/crashEvidence.ts
+++ b/packages/core/src/runtime/quarantine/crashEvidence.ts
@@ -7,6 +7,7 @@
 import type {
   CrashRecord,
   Fingerprint,
+  ProvenCause,
   QuarantineEntry,
   QuarantineState,
 } from '../../types/quarantine.js';
@@ -46,6 +47,9 @@
   return endedUnder(entry, now).size >= LEAST_ENDED;
 }
 
+/** How sure it is that a request is the cause of the crashes that it was in. */
+type Proof = 'none' | 'unsure' | 'sure';
+
 /**
  * Milliseconds for which a request is refused as the cause of crashes; 0 where it is none by what is known.
  * Each instance that knows of the same crashes says the same, whoever saw them.
@@ -59,17 +63,41 @@
   now: EpochMs,
 ): number {
   const entry = state.entries[fingerprint];
-  if (!entry || !isOftenThere(entry, now)) return 0;
+  const proof = entry ? proofOf(state, fingerprint, entry, now) : 'none';
+  if (!entry || proof === 'none') return 0;
+  const crashes = countedCrashes(entry, now);
+  const sinceMs = now - (crashes.at(-1)?.at ?? -Infinity);
+  return Math.max(0, refusalMs(crashes, proof) - sinceMs);
+}
+
+/** Those of some requests that are surely causes, with the servers that prove it. */
+export function provenCauses(
+  state: QuarantineState,
+  fingerprints: readonly Fingerprint[],
+  now: EpochMs,
+): ProvenCause[] {
+  return fingerprints.flatMap((fingerprint) => {
+    const entry = state.entries[fingerprint];
+    if (!entry || proofOf(state, fingerprint, entry, now) !== 'sure') return [];
+    return [{ fingerprint, servers: [...endedUnder(entry, now)] }];
+  });
+}
+
+function proofOf(
+  state: QuarantineState,
+  fingerprint: Fingerprint,
+  entry: QuarantineEntry,
+  now: EpochMs,
+): Proof {
   const crashes = countedCrashes(entry, now);
   const ended = serversOf(crashes);
+  if (ended.size < LEAST_ENDED) return 'none';
   const rivals = rivalsOf(state, fingerprint, now);
-  if ([...ended].every((server) => isExplained(server, ended.size, rivals))) return 0;
+  if ([...ended].every((server) => isExplained(server, ended.size, rivals))) return 'none';
   const others = endedWithout(state, crashes, rivals);
   const wanted = LEAST_ENDED + Math.floor(others / OTHERS_FOR_ONE_MORE);
-  if (ended.size < Math.min(MOST_ENDED, wanted)) return 0;
-  const isUnsure = wanted > LEAST_ENDED || rivals.length > 0;
-  const sinceMs = now - (crashes.at(-1)?.at ?? -Infinity);
-  return Math.max(0, refusalMs(crashes, isUnsure) - sinceMs);
+  if (ended.size < Math.min(MOST_ENDED, wanted)) return 'none';
+  return wanted > LEAST_ENDED || rivals.length > 0 ? 'unsure' : 'sure';
 }
 
 /** Other requests under which as many servers ended as a cause needs, with these servers. */
@@ -109,9 +137,9 @@
   return [...since].filter((server) => !explained.some((ended) => ended.has(server))).length;
 }
 
-function refusalMs(crashes: readonly CrashRecord[], isUnsure: boolean): number {
+function refusalMs(crashes: readonly CrashRecord[], proof: Proof): number {
   if (hasReturned(crashes)) return LAST_REFUSAL_MS;
-  return isUnsure ? UNSURE_REFUSAL_MS : FIRST_REFUSAL_MS;
+  return proof === 'sure' ? FIRST_REFUSAL_MS : UNSURE_REFUSAL_MS;
 }
 
 /** Whether it was let run again after a refusal and ended a server then. */
--- a/packages/core/src/runtime/quarantine/index.ts
+++ b/packages/core/src/runtime/quarantine/index.ts
@@ -1,2 +1,2 @@
-export { refusedForMs } from './crashEvidence.js';
+export { provenCauses, refusedForMs } from './crashEvidence.js';
 export * from './quarantine.js';
--- a/packages/core/src/types/quarantine.ts
+++ b/packages/core/src/types/quarantine.ts
@@ -31,6 +31,13 @@
   releasedAt?: EpochMs;
 }
 
+/** A request that ends the servers that run it. */
+export interface ProvenCause {
+  fingerprint: Fingerprint;
+  /** Lives of servers that ended under it. */
+  servers: ServerId[];
+}
+
 /** Serialisable state. */
 export interface QuarantineState {
   entries: Record<Fingerprint, QuarantineEntry>;
--- a/packages/gateway/src/node/createGateway.ts
+++ b/packages/gateway/src/node/createGateway.ts
@@ -17,6 +17,7 @@
 import { GatewayMetrics } from './gatewayMetrics.js';
 import { HttpHealthCheck } from './httpHealthCheck.js';
 import { InstanceDirectory } from './instanceDirectory.js';
+import { KeptCauses } from './keptCauses.js';
 import { MeshLoanCalls } from './meshLoanCalls.js';
 import { MeshNewsCalls } from './meshNewsCalls.js';
 import { NewsService } from './newsService.js';
@@ -99,14 +100,17 @@
   const incarnation = randomUUID();
   const news = new NewsService(context, incarnation, new MeshNewsCalls(peers));
   const crashCheck = new ConnectionCheck(agent);
-  const lanes = new BackendLanes(context, crashCheck, new SharedQuarantine(news));
+  const causes = new KeptCauses(context);
+  const quarantine = new SharedQuarantine(clock, news, causes);
+  const lanes = new BackendLanes(context, crashCheck, quarantine);
   const prepaid = new PrepaidService(context, incarnation, new MeshLoanCalls(peers));
   kernel
     .register(configuration)
     .register(new ServerDirectory(context, health))
     .register(lanes)
     .register(instances)
-    .register(news);
+    .register(news)
+    .register(causes);
   if (settings.listen.mesh) {
     const mesh = new MeshServer(settings.listen.mesh);
     mesh.handle('borrow', async (req) => Result.ok(await prepaid.lend(req)));
--- a/packages/gateway/src/node/newsService.ts
+++ b/packages/gateway/src/node/newsService.ts
@@ -22,7 +22,7 @@
 /** Instances that are told at once. */
 const LISTENERS = 4;
 /** Milliseconds in which news gather before they are told. */
-const GATHER_MS = 20;
+const GATHER_MS = 10;
 /** Times that some instances are told of the same news. */
 const TELLINGS = 3;
 /** Least milliseconds between two comparisons with another instance. */
@@ -70,6 +70,11 @@
     this.#log = new NewsLog(incarnation);
   }
 
+  /** Whether some other instance did not answer when it was last told something. */
+  get missesPeers(): boolean {
+    return [...this.#peers.values()].some(({ contact }) => contact.isLost);
+  }
+
   /** Calls back with what other instances found out. */
   onNews(listener: (news: DatedNews) => void): void {
     this.#listeners.push(listener);
--- /dev/null
+++ b/packages/gateway/src/utils/causeSchema.ts
@@ -0,0 +1,12 @@
+/** Shape of the stored objects that name requests which end their servers. */
+
+import type { ProvenCause } from '@flamingocourse/core';
+import { z } from 'zod';
+
+const MAX_TEXT = 300;
+const MAX_SERVERS = 16;
+
+export const provenCauseSchema: z.ZodType<ProvenCause> = z.object({
+  fingerprint: z.string().min(1).max(MAX_TEXT),
+  servers: z.array(z.string().min(1).max(MAX_TEXT)).max(MAX_SERVERS),
+});
--- a/packages/router/src/node/backends/quarantineRegister.ts
+++ b/packages/router/src/node/backends/quarantineRegister.ts
@@ -92,6 +92,7 @@
       if (this.judge(fingerprint) !== 'quarantined') continue;
       const server = event.type === 'crashed' ? event.server : undefined;
       this.#log.write('request-quarantined', { fingerprint, server, evidence });
+      this.#exchange.quarantined?.(fingerprint, this.#state);
     }
   }
 }
--- a/packages/router/src/types/backendPorts.ts
+++ b/packages/router/src/types/backendPorts.ts
@@ -2,6 +2,7 @@
 
 import type {
   EpochMs,
+  Fingerprint,
   InstanceRecord,
   QuarantineEvent,
   QuarantineState,
@@ -30,6 +31,8 @@
    * @param state all that is known after the event.
    */
   publish(event: QuarantineEvent, state: QuarantineState): void;
+  /** A request is refused from now on, by what was seen here or told by peers. */
+  quarantined?(fingerprint: Fingerprint, state: QuarantineState): void;
   /** Calls back with what peers have sent. */
   onNews(listener: (news: QuarantineNews) => void): void;
 }
--- a/test/platform/usersStore.ts
+++ b/test/platform/usersStore.ts
@@ -48,6 +48,10 @@
     this.#tell({ kind, name, revision: this.#revision, spec: null, tombstone: true });
   }
 
+  names(kind: string): string[] {
+    return [...this.#kind(kind).keys()];
+  }
+
   value(kind: string, name: string): unknown {
     return this.#kind(kind).get(name)?.spec;
   }
@@ -90,6 +94,8 @@
     else if (req.method === 'GET') this.#list(res, kind, url.searchParams.get('after') ?? '');
     else {
       if (req.method === 'POST') this.#create(res, kind, body);
+      else if (req.method === 'DELETE')
+        this.#delete(res, kind, name ?? '', Number(url.searchParams.get('revision')));
       else this.#replace(res, kind, name ?? '', body);
       this.afterChange(kind);
     }
@@ -147,6 +153,16 @@
     this.#get(res, kind, name);
   }
 
+  #delete(res: ServerResponse, kind: string, name: string, revision: number): void {
+    const stored = this.#kind(kind).get(name);
+    if (!stored) send(res, 404, {});
+    else if (stored.revision !== revision) send(res, 409, toBody(stored));
+    else {
+      this.remove(kind, name);
+      send(res, 200, {});
+    }
+  }
+
   #replace(res: ServerResponse, kind: string, name: string, body: WrittenObject): void {
     const stored = this.#kind(kind).get(name);
     if (!stored) send(res, 404, {});
