fix(lab): processes that look for free ports at the same time start from different ones

Traced by a run of its own: six processes that find ports as the tests do and listen on them 0.3 or 1 s later met each other 16 times in 3,296 ports. Each chose at random of 12,000, and a port is free until somebody listens.

The error of a router that ended at its start shows the last line that it wrote. Replaces what remembered: a process does not come to the same port twice.

--- a/packages/lab/src/node/fleetRunner/routerProcess.ts
+++ b/packages/lab/src/node/fleetRunner/routerProcess.ts
@@ -3,7 +3,7 @@
 import type { ChildProcess } from 'node:child_process';
 import type { RouterCommand, RouterProcessState, RouterSlot } from '../../types/fleetRunner.js';
 import { spawn } from 'node:child_process';
-import { closeSync, openSync } from 'node:fs';
+import { closeSync, existsSync, openSync, readFileSync } from 'node:fs';
 import { setTimeout as delay } from 'node:timers/promises';
 import { LabError } from '../../utils/labError.js';
 
@@ -118,11 +118,19 @@
   #notReadyYet(late: boolean): LabError | undefined {
     const { instance, dataCentre } = this.slot;
     const where = `router ${dataCentre}/${instance}; see ${this.logFile}`;
-    if (this.#state === 'stopped') return new LabError('ended-early', `${where}: it has ended`);
+    if (this.#state === 'stopped') {
+      const said = lastLine(this.logFile);
+      return new LabError('ended-early', `${where}: it has ended; its last line: ${said}`);
+    }
     return late ? new LabError('not-ready', `${where}: /readyz does not answer 200`) : undefined;
   }
 }
 
+function lastLine(file: string): string {
+  const lines = existsSync(file) ? readFileSync(file, 'utf8').trimEnd().split('\n') : [];
+  return lines.at(-1) ?? 'none';
+}
+
 async function isReady(entryUrl: string): Promise<boolean> {
   try {
     const res = await fetch(`${entryUrl}/readyz`, { signal: AbortSignal.timeout(1_000) });
--- a/packages/lab/src/node/freePorts.ts
+++ b/packages/lab/src/node/freePorts.ts
@@ -1,6 +1,5 @@
 /** Ports for processes that must come back on the same address after a restart. */
 
-import { randomInt } from 'node:crypto';
 import { createServer } from 'node:net';
 
 /**
@@ -11,27 +10,29 @@
 const LOWEST_PORT = 20_000;
 const HIGHEST_PORT = 32_000;
 const MAX_TRIES_PER_PORT = 50;
-/** Ports found earlier by this process: whoever asked for them may not listen yet. */
-const handedOut = new Set<number>();
+/** Ports from the first of one process to the first of the next one, so that neighbours hardly meet. */
+const PORTS_PER_PROCESS = 397;
+
+let next = process.pid * PORTS_PER_PROCESS;
 
 /**
- * Finds ports on loopback that nothing listens on now, all different.
+ * Finds ports on loopback that nothing listens on now, all different, and other ones with each call: whoever
+ * asked for the earlier ones may not listen yet.
  *
  * @example
  * const [entry, mesh] = await findFreePorts(2);
  */
 export async function findFreePorts(count: number): Promise<number[]> {
-  const ports = new Set<number>();
-  for (let tries = 0; ports.size < count; tries += 1) {
+  const ports: number[] = [];
+  for (let tries = 0; ports.length < count; tries += 1) {
     if (tries > count * MAX_TRIES_PER_PORT) {
       throw new RangeError(`no ${count} free ports from ${LOWEST_PORT} to ${HIGHEST_PORT}`);
     }
-    const port = randomInt(LOWEST_PORT, HIGHEST_PORT);
-    if (handedOut.has(port)) continue;
-    handedOut.add(port);
-    if (await isFree(port)) ports.add(port);
+    const port = LOWEST_PORT + (next % (HIGHEST_PORT - LOWEST_PORT));
+    next += 1;
+    if (await isFree(port)) ports.push(port);
   }
-  return [...ports];
+  return ports;
 }
 
 function isFree(port: number): Promise<boolean> {
