feat(gateway): a request that is refused as a cause says when it is worth coming back

Now it names what is left of its refusal (ten minutes at first). The status stays: another one of the instance's own would say that the request is not allowed, and it is the promise that it has not run.

--- a/packages/router/src/node/backends/quarantineRegister.ts
+++ b/packages/router/src/node/backends/quarantineRegister.ts
@@ -15,6 +15,7 @@
   lifeOf,
   mergeQuarantines,
   reduceQuarantine,
+  refusedForMs,
 } from '@flamingocourse/core';
 
 /** Most fingerprints in the line of a crash. */
@@ -53,6 +54,12 @@
     return judgeFingerprint(this.#state, fingerprint, this.#clock.now());
   }
 
+  /** Milliseconds for which a request is refused still, where that is known. */
+  refusedForMs(fingerprint: Fingerprint): number | undefined {
+    const ms = refusedForMs(this.#state, fingerprint, this.#clock.now());
+    return ms > 0 ? Math.ceil(ms) : undefined;
+  }
+
   /** A server broke off everything that it ran for this router. */
   crashed(server: BackendServer, inFlight: Fingerprint[]): void {
     this.#log.write('backend-crashed', {
--- a/packages/router/src/node/backends/serviceLane.ts
+++ b/packages/router/src/node/backends/serviceLane.ts
@@ -106,7 +106,7 @@
   place(request: PlacementRequest): Promise<Result<Placement, Refusal>> {
     const now = this.#options.clock.now();
     const verdict = this.#options.quarantine.judge(request.fingerprint);
-    if (verdict === 'quarantined') return Promise.resolve(Result.err(quarantined()));
+    if (verdict === 'quarantined') return Promise.resolve(Result.err(this.#quarantined(request)));
     if (request.signal.aborted) return Promise.resolve(Result.err(gone()));
     if (!this.#hasServer(now)) return Promise.resolve(Result.err(noServer()));
     if (request.tried.length === 0) this.#retries = earnRetry(this.#retries);
@@ -238,7 +238,7 @@
   #tryPlace(id: number, waiter: Waiter, now: EpochMs): boolean {
     // it may have been found out while the request waited.
     if (this.#options.quarantine.judge(waiter.request.fingerprint) === 'quarantined') {
-      this.#settle(id, Result.err(quarantined()));
+      this.#settle(id, Result.err(this.#quarantined(waiter.request)));
       return true;
     }
     const chosen = this.#choose(waiter, now);
@@ -362,6 +362,12 @@
     this.#learning.answered(timing, this.#options.clock.now());
   }
 
+  #quarantined({ fingerprint }: PlacementRequest): Refusal {
+    const retryAfterMs = this.#options.quarantine.refusedForMs(fingerprint);
+    const detail = 'This request has crashed the servers that ran it; change it.';
+    return notRun('quarantined', detail, retryAfterMs);
+  }
+
   #refuseShed({ entry, reason, retryAfterMs }: ShedEntry): void {
     this.#learning.refused(entry.importance);
     this.#settle(entry.id, Result.err(notRun(reason, shedDetails[reason], retryAfterMs)));
@@ -387,10 +393,6 @@
   'deadline-passed': 'The deadline passed in the queue.',
 } as const;
 
-function quarantined(): Refusal {
-  return notRun('quarantined', 'This request has crashed the servers that ran it; change it.');
-}
-
 function noServer(): Refusal {
   const detail = 'No backend server can take the request now; retry soon.';
   return notRun('no-backend-server', detail, NO_SERVER_RETRY_MS);
--- a/test/platform/crashingRequest.test.ts
+++ b/test/platform/crashingRequest.test.ts
@@ -53,6 +53,9 @@
       const joined = await first.join(t, 'edge-new', { mesh: true });
       const answer = await joined.call({ path: '/draft/a', body: CRASHING_BODY });
       assert.equal(answer.status, 503);
+      // the caller is told when it is worth coming back.
+      const retryAfter = Number(answer.headers['retry-after']);
+      assert.ok(retryAfter > 30 && retryAfter <= 600, `${String(retryAfter)} s`);
       assert.equal(endedBy(fleet), ended);
       await joined.stop();
     });
