--- a/packages/gateway/src/node/createGateway.ts
+++ b/packages/gateway/src/node/createGateway.ts
@@ -101,7 +101,7 @@
   const news = new NewsService(context, incarnation, new MeshNewsCalls(peers));
   const crashCheck = new ConnectionCheck(agent);
   const causes = new KeptCauses(context);
-  const quarantine = new SharedQuarantine(clock, news, causes);
+  const quarantine = new SharedQuarantine(context, news, causes);
   const lanes = new BackendLanes(context, crashCheck, quarantine);
   const prepaid = new PrepaidService(context, incarnation, new MeshLoanCalls(peers));
   kernel
--- a/packages/gateway/src/node/gatewayMetrics.ts
+++ b/packages/gateway/src/node/gatewayMetrics.ts
@@ -52,6 +52,11 @@
     labelNames: ['account', 'why'],
     registers: [this.#registry],
   });
+  readonly #quarantined = new Counter({
+    name: 'flamingocourse_requests_quarantined_total',
+    help: 'requests that this instance began to refuse because servers end under them',
+    registers: [this.#registry],
+  });
   readonly #storeCalls = new Counter({
     name: 'flamingocourse_store_calls_total',
     help: 'calls to the object store by kind; failed ones are also in flamingocourse_store_calls_failed_total',
@@ -86,6 +91,11 @@
     this.#prepaidRefused.inc({ account, why });
   }
 
+  /** A request is refused from now on because servers end under it. */
+  quarantined(): void {
+    this.#quarantined.inc();
+  }
+
   /** An attempt goes to a server that names a rate limit. */
   rateLimitedAttempt(service: string): void {
     this.#rateLimitedAttempts.inc({ service });
--- a/packages/gateway/src/node/sharedQuarantine.ts
+++ b/packages/gateway/src/node/sharedQuarantine.ts
@@ -7,8 +7,8 @@
   QuarantineEvent,
   QuarantineState,
 } from '@flamingocourse/core';
-import type { Clock } from '@flamingocourse/kernel';
 import type { QuarantineExchange, QuarantineNews } from '@flamingocourse/router';
+import type { GatewayContext } from '../types/context.js';
 import type { KeptCauses } from './keptCauses.js';
 import type { NewsService } from './newsService.js';
 import { provenCauses } from '@flamingocourse/core';
@@ -23,14 +23,14 @@
 
 /** Carries the quarantine's events as news of the fleet, and its causes to the store. */
 export class SharedQuarantine implements QuarantineExchange {
-  readonly #clock: Clock;
+  readonly #context: GatewayContext;
   readonly #news: NewsService;
   readonly #causes: KeptCauses;
   /** Requests that this instance had in flight at a crash, the last ones last. */
   readonly #reported = new Set<Fingerprint>();
 
-  constructor(clock: Clock, news: NewsService, causes: KeptCauses) {
-    this.#clock = clock;
+  constructor(context: GatewayContext, news: NewsService, causes: KeptCauses) {
+    this.#context = context;
     this.#news = news;
     this.#causes = causes;
   }
@@ -46,6 +46,7 @@
 
   /** Those write it down that had it in flight themselves: a few, of however many instances. */
   quarantined(fingerprint: Fingerprint, state: QuarantineState): void {
+    this.#context.metrics.quarantined();
     if (this.#reported.has(fingerprint)) this.#keep([fingerprint], state);
   }
 
@@ -54,7 +55,7 @@
       listener({ type: 'event', event: toEvent(news), at });
     });
     this.#causes.onCause((cause) => {
-      const at = this.#clock.now();
+      const at = this.#now();
       for (const event of toCrashes(cause)) listener({ type: 'event', event, at });
     });
   }
@@ -70,7 +71,7 @@
   }
 
   #keep(fingerprints: readonly Fingerprint[], state: QuarantineState): void {
-    const causes = provenCauses(state, fingerprints, this.#clock.now());
+    const causes = provenCauses(state, fingerprints, this.#now());
     for (const cause of causes) this.#causes.keep(cause);
   }
 
@@ -84,6 +85,10 @@
       this.#reported.delete(oldest);
     }
   }
+
+  #now(): number {
+    return this.#context.clock.now();
+  }
 }
 
 function toEvent(news: FleetNews): QuarantineEvent {
--- a/packages/kernel/src/runtime/eventCatalogue.ts
+++ b/packages/kernel/src/runtime/eventCatalogue.ts
@@ -249,13 +249,14 @@
     number: 500,
     level: 'warn',
     text: 'a backend server broke off the requests that it ran',
-    action: 'Look at that server; the requests are run elsewhere, alone at first.',
+    action: 'Look at that server; the requests are run elsewhere.',
   },
   'request-quarantined': {
     number: 501,
     level: 'error',
     text: 'a request crashed the servers that ran it and is refused from now on',
-    action: 'Find the caller by the fingerprint and have the request changed.',
+    action:
+      'Find the caller by the fingerprint and have the request changed. The pass-through entry lets it run again after a while, and when it finished.',
   },
   'configuration-applied': {
     number: 600,
