test(soak): each fourth seed has a request that ends the engines that run it

Real processes that are killed, paused, stopped and cut off, beside a caller that sends one request each 150 ms which ends six engines (back after 150 ms under another id). Three seconds after the last fault, where three have ended, it may be sent on three times more (the users' bound). The engines of such runs are listed at their own address: a link in front of a server that ended takes connections still.

--- a/test/soak/runSoak.ts
+++ b/test/soak/runSoak.ts
@@ -14,6 +14,7 @@
 import { UsersStore } from '../platform/usersStore.js';
 import { configWith, until } from '../platform/world.js';
 import { SoakCallers } from './soakCallers.js';
+import { SoakCrashes } from './soakCrashes.js';
 import { SoakProcess } from './soakProcess.js';
 import { TOKENS_PER_EVENT, brokenPromises } from './soakPromises.js';
 
@@ -22,6 +23,10 @@
 const MANY_INSTANCES = 12;
 const DATA_CENTRES = ['hall-a', 'hall-b', 'hall-c'] as const;
 const LARGE_EVERY = 5;
+/** Each fourth seed has a request that ends the engines that run it. */
+const CRASHES_EVERY = 4;
+/** Milliseconds after the last fault in which all may still learn of such a request. */
+const LEARNING_MS = 3_000;
 const ACCOUNTS = ['kirk', 'spock'];
 /** Tokens of an account: some of a run's calls exceed them. */
 const LIMIT = 60_000;
@@ -59,7 +64,8 @@
  */
 export async function runSoak(seed: number, faultsMs: number): Promise<SoakReport> {
   const count = seed % LARGE_EVERY === 0 ? MANY_INSTANCES : INSTANCES;
-  const run = await SoakRun.start(count, createRandom(seed), createRandom(seed + 1));
+  const hasCrashes = seed % CRASHES_EVERY === 0;
+  const run = await SoakRun.start(count, hasCrashes, createRandom(seed), createRandom(seed + 1));
   try {
     await run.play(faultsMs);
     return { seed, ...run.report() };
@@ -82,10 +88,16 @@
     readonly links: { store: Link[]; servers: Link[] },
     readonly instances: SoakProcess[],
     readonly callers: SoakCallers,
+    readonly crashes: SoakCrashes | undefined,
     readonly cleanUps: (() => unknown)[],
   ) {}
 
-  static async start(count: number, random: Random, callersRandom: Random): Promise<SoakRun> {
+  static async start(
+    count: number,
+    hasCrashes: boolean,
+    random: Random,
+    callersRandom: Random,
+  ): Promise<SoakRun> {
     const cleanUps: (() => unknown)[] = [];
     const scope = {
       after: (cleanUp: unknown) => {
@@ -94,11 +106,12 @@
     };
     const directory = await mkdtemp(join(tmpdir(), 'flamingocourse-soak-'));
     const store = await new UsersStore().listen(scope);
-    const servers = await Promise.all(
-      ['p1', 'p2', 'e1', 'e2'].map((id) => new UsersServer(id).listen(scope)),
-    );
+    const engines = hasCrashes ? await SoakCrashes.startEngines(store, scope) : [];
+    const names = hasCrashes ? ['p1', 'p2'] : ['p1', 'p2', 'e1', 'e2'];
+    const linked = await Promise.all(names.map((name) => new UsersServer(name).listen(scope)));
+    const servers = [...linked, ...engines];
     const links = {
-      servers: await Promise.all(servers.map((server) => list(server, store))),
+      servers: await Promise.all(linked.map((server) => list(server, store))),
       store: await linksTo(store.url, count),
     };
     const ports = await findFreePorts(PORTS_EACH * count);
@@ -107,7 +120,11 @@
       return new SoakProcess(`edge-${String(at + 1)}`, directory, settings);
     });
     const callers = new SoakCallers(instances, ACCOUNTS, callersRandom);
-    const run = new SoakRun(random, directory, store, servers, links, instances, callers, cleanUps);
+    const crashes = hasCrashes
+      ? new SoakCrashes(engines, instances, ACCOUNTS[0] ?? '', callersRandom)
+      : undefined;
+    const parts = [random, directory, store, servers, links, instances, callers] as const;
+    const run = new SoakRun(...parts, crashes, cleanUps);
     run.#configure();
     await run.#startInstances();
     return run;
@@ -128,6 +145,7 @@
     const calling = setInterval(() => {
       this.callers.send();
     }, CALL_MS);
+    this.crashes?.start();
     const under = new Set<Promise<void>>();
     const lastAt = performance.now() + faultsMs;
     while (performance.now() < lastAt) {
@@ -136,8 +154,11 @@
       under.add(fault);
     }
     await Promise.all(under);
-    await delay(RECOVERY_MS);
+    await delay(LEARNING_MS);
+    this.crashes?.beginCalm();
+    await delay(RECOVERY_MS - LEARNING_MS);
     clearInterval(calling);
+    this.crashes?.stop();
     await this.callers.settle();
     await this.#lookAtRecovery();
   }
@@ -158,6 +179,7 @@
           limits: this.#limits,
         }),
         ...this.instances.flatMap(({ ownEnds }) => ownEnds.map((end) => `ended by itself: ${end}`)),
+        ...(this.crashes?.broken ?? []),
         ...(this.#recovered === '' ? [] : [this.#recovered]),
       ],
       output: this.instances.map(({ output }) => output).join('\n'),
@@ -174,6 +196,7 @@
   }
 
   async close(): Promise<void> {
+    this.crashes?.stop();
     this.callers.close();
     await Promise.all(this.instances.map((instance) => instance.end('SIGKILL')));
     await Promise.all([...this.links.store, ...this.links.servers].map((link) => link.close()));
