fix(gateway): connections of a server that ended may end one after the other

The check of a crash took a server for alive while another connection to it was open, and looked once. Two requests that are broken off by the same crash some milliseconds apart then made two questions: the first was answered with no and its request forgotten as a suspect, which may have been the cause. It looks up to three times, 20 ms apart.

--- a/packages/gateway/src/node/connectionCheck.ts
+++ b/packages/gateway/src/node/connectionCheck.ts
@@ -3,12 +3,17 @@
 import type { BackendServer } from '@flamingocourse/core';
 import type { ServerAgent } from './serverAgent.js';
 import { connect } from 'node:net';
+import { setTimeout as delay } from 'node:timers/promises';
 import { onTimeOver, pendingReads } from '@flamingocourse/kernel';
 import { CrashCheck } from '@flamingocourse/router';
 
 /** Milliseconds for the connection; a server that is out of reach has not shown that it ended. */
 const CONNECT_MS = 500;
 
+/** Looks at the other connections, and milliseconds between two of them. */
+const LOOKS = 3;
+const LOOK_MS = 20;
+
 /** How an address takes a connection. */
 type ConnectionEnd = 'taken' | 'refused' | 'out-of-reach';
 
@@ -27,12 +32,20 @@
   }
 
   override async hasEnded({ url }: BackendServer): Promise<boolean> {
-    // when a process ends, all of its connections do; their ends may not have been read yet.
-    await pendingReads();
     const { hostname, port } = new URL(url);
-    if (this.#agent.isConnectedTo(hostname, port)) return false;
+    if (await this.#staysConnected(hostname, port)) return false;
     return (await tryConnection(hostname, Number(port))) === 'refused';
   }
+
+  /** When a process ends all of its connections do, but their ends come one after the other. */
+  async #staysConnected(host: string, port: string): Promise<boolean> {
+    await pendingReads();
+    for (let looks = 1; looks < LOOKS && this.#agent.isConnectedTo(host, port); looks += 1) {
+      await delay(LOOK_MS);
+      await pendingReads();
+    }
+    return this.#agent.isConnectedTo(host, port);
+  }
 }
 
 function tryConnection(host: string, port: number): Promise<ConnectionEnd> {
--- a/test/gateway/connectionCheck.test.ts
+++ b/test/gateway/connectionCheck.test.ts
@@ -31,6 +31,18 @@
     hasEnded: true,
     opened: 0,
   },
+  {
+    name: 'a process whose connections end one after the other',
+    after: (server) => {
+      server.close();
+      setTimeout(() => {
+        server.closeAllConnections();
+      }, 10);
+    },
+    isInUse: true,
+    hasEnded: true,
+    opened: 0,
+  },
   {
     name: 'a server that only lost a connection',
     after: () => undefined,
