feat(gateway): a refused cause's line names its fingerprint

On-call could not get from the id of a refused request to the crashes that prove it: only failed attempts and crashes named the fingerprint.

--- a/packages/gateway/src/node/requestLine.ts
+++ b/packages/gateway/src/node/requestLine.ts
@@ -45,6 +45,7 @@
     reason: outcome.refusal?.reason,
     run: outcome.refusal?.run,
     detail: outcome.detail,
+    fingerprint: outcome.refusal?.reason === 'quarantined' ? progress?.fingerprint : undefined,
     made: progress?.made,
     tried: progress?.tried.join(' ') ?? undefined,
     server: progress?.server,
--- a/test/platform/crashingRequest.test.ts
+++ b/test/platform/crashingRequest.test.ts
@@ -57,6 +57,8 @@
       const retryAfter = Number(answer.headers['retry-after']);
       assert.ok(retryAfter > 30 && retryAfter <= 600, `${String(retryAfter)} s`);
       assert.equal(endedBy(fleet), ended);
+      const lines = joined.log.events.filter(({ event }) => event === 'request-ended');
+      assert.equal(lines.filter(({ fields }) => fields.fingerprint !== undefined).length, 1);
       await joined.stop();
     });
   });
