refactor(gateway): what a request is run with has a file of its own; no circle is left in the package

requestFlow.ts and serverAttempt.ts took types from each other. The types stand in types/requestRun.ts now; both import that. No behaviour changes.

--- a/packages/gateway/src/node/entryService.ts
+++ b/packages/gateway/src/node/entryService.ts
@@ -8,7 +8,7 @@
 import type { Arrival } from './arrivalWatch.js';
 import type { GatewayContext } from '../types/context.js';
 import type { Outcome } from '../types/outcome.js';
-import type { FlowParts, RoutedCall } from './requestFlow.js';
+import type { FlowParts, RoutedCall } from '../types/requestRun.js';
 import { createServer } from 'node:http';
 import { pickTarget } from '@flamingocourse/core';
 import { Service, describeError, onTimeOver, pendingReads } from '@flamingocourse/kernel';
--- a/packages/gateway/src/node/requestFlow.ts
+++ b/packages/gateway/src/node/requestFlow.ts
@@ -6,25 +6,12 @@
  * that an answer to another request never does.
  */
 
-import type {
-  NoticeView,
-  PrepaidReservation,
-  Refusal,
-  Route,
-  RouteTable,
-  RoutedAccount,
-  RoutedService,
-} from '@flamingocourse/core';
+import type { PrepaidReservation, Refusal } from '@flamingocourse/core';
 import type { Placement } from '@flamingocourse/router';
-import type { CallHead } from '../types/call.js';
-import type { GatewayContext } from '../types/context.js';
 import type { Outcome } from '../types/outcome.js';
+import type { FlowParts, Progress, RoutedCall } from '../types/requestRun.js';
 import type { FailedAttempt } from '../runtime/attemptJudgement.js';
-import type { BackendLane, BackendLanes } from './backendLanes.js';
-import type { PrepaidService } from './prepaidService.js';
-import type { ListView, ServerDirectory } from './serverDirectory.js';
-import type { ServerAgent } from './serverAgent.js';
-import type { CallerAnswer } from './callerAnswer.js';
+import type { BackendLane } from './backendLanes.js';
 import { createHash } from 'node:crypto';
 import { notRun } from '@flamingocourse/router';
 import { isStream, mayFollow, refuseFailed } from '../runtime/attemptJudgement.js';
@@ -36,60 +23,6 @@
 /** Milliseconds after which a caller may come back when no server could take its request. */
 const NO_SERVER_RETRY_MS = 300;
 
-/** What all requests of a process share. */
-export interface FlowParts {
-  context: GatewayContext;
-  lanes: BackendLanes;
-  prepaid: PrepaidService;
-  directory: ServerDirectory;
-  agent: ServerAgent;
-}
-
-/** A request whose route and account are known and whose body was read. */
-export interface RoutedCall {
-  head: CallHead;
-  body: Buffer;
-  table: RouteTable;
-  route: Route;
-  account: RoutedAccount | undefined;
-  service: RoutedService;
-  /** From when its time counts. */
-  arrivedAt: number;
-  /** When its time is over, by the caller's word and the route's limit. */
-  endsAt: number;
-  answer: CallerAnswer;
-  /** Aborted when the caller left or its time is over. */
-  signal: AbortSignal;
-}
-
-/** Progress of one request. */
-export interface Progress {
-  /** Servers whose attempt failed. */
-  tried: string[];
-  /** Server of the last attempt. */
-  server?: string;
-  /** State of the list by which that server was chosen. */
-  list?: ListView;
-  /** What that server had said of itself before the attempt. */
-  notice?: NoticeView | undefined;
-  /** When the last attempt got its place at that server. */
-  placedAt?: number;
-  /** When the last attempt was written to that server. */
-  sentAt?: number | undefined;
-  /** Attempts so far, all kinds. */
-  made: number;
-  /** Attempts so far that may have run. */
-  mayHaveRun: number;
-  /** Events of the stream that were passed on. */
-  events: number;
-  /** Event after which another server has to go on. */
-  resumeAfter: string | undefined;
-  /** Tokens charged to the account. */
-  charged: number;
-  /** Digest of what runs, the same whenever the caller sends it again. */
-  fingerprint: string;
-}
-
 /** Runs one request. */
 export class RequestFlow {
   readonly #parts: FlowParts;
--- a/packages/gateway/src/node/serverAttempt.ts
+++ b/packages/gateway/src/node/serverAttempt.ts
@@ -5,7 +5,7 @@
 import type { Relay, RelayEnd } from './answerRelay.js';
 import type { BackendLane } from './backendLanes.js';
 import type { AttemptFault, OpenAnswer } from './httpAttempt.js';
-import type { FlowParts, Progress, RoutedCall } from './requestFlow.js';
+import type { FlowParts, Progress, RoutedCall } from '../types/requestRun.js';
 import { EventTiming } from '@flamingocourse/core';
 import { isRepeatable, isStream, mayFollow } from '../runtime/attemptJudgement.js';
 import { enginePriority } from '../runtime/enginePriority.js';
