refactor: types that files took from each other stand below them; four of five circles are gone

Placement (core), membership (core), heartbeats (mesh) and the row of the routing measurement (lab): the types have files of their own, which import neither side. What is left is the lab's stand-in of the platform with its control handler.

--- a/packages/core/src/index.ts
+++ b/packages/core/src/index.ts
@@ -14,6 +14,8 @@
 export type * from './types/claim.js';
 export type * from './types/declaration.js';
 export type * from './types/member.js';
+export type * from './types/membership.js';
+export type * from './types/placement.js';
 export type * from './types/quarantine.js';
 export type * from './types/news.js';
 export * from './runtime/admission/index.js';
--- a/packages/core/src/runtime/membership/memberHealth.ts
+++ b/packages/core/src/runtime/membership/memberHealth.ts
@@ -2,7 +2,7 @@
 
 import type { EpochMs, IncarnationId } from '../../types/ids.js';
 import type { MemberInfo, PeerHealth } from '../../types/member.js';
-import type { KnownMember, MembershipState } from './membership.js';
+import type { KnownMember, MembershipState } from '../../types/membership.js';
 import { hash32 } from '../../utils/hash.js';
 
 /** Local peers up to which every router sends to every other in its data centre. */
--- a/packages/core/src/runtime/routing/quickEngineChooser.ts
+++ b/packages/core/src/runtime/routing/quickEngineChooser.ts
@@ -1,6 +1,7 @@
 /** Keeps long prompts away from slow engines. */
 
-import type { Candidate, ChoiceRequest, RandomSource } from './serverChooser.js';
+import type { Candidate, RandomSource } from '../../types/placement.js';
+import type { ChoiceRequest } from './serverChooser.js';
 import { isLongPrompt } from './promptLength.js';
 import { ServerChooser } from './serverChooser.js';
 
--- a/packages/core/src/runtime/routing/serverChooser.ts
+++ b/packages/core/src/runtime/routing/serverChooser.ts
@@ -1,31 +1,11 @@
 /** Choice of one backend server among those with room. */
 
-import type { ServerId, Tokens } from '../../types/ids.js';
-import type { CandidateQuery, ServerPool } from './serverPool.js';
+import type { Tokens } from '../../types/ids.js';
+import type { Candidate, CandidateQuery, RandomSource } from '../../types/placement.js';
+import type { ServerPool } from './serverPool.js';
 import { rendezvousRank } from '../../utils/hash.js';
 import { isLongPrompt } from './promptLength.js';
 
-/** A backend server that may get a request. */
-export interface Candidate {
-  id: ServerId;
-  idHash: number;
-  url: string;
-  /** Whether it stands in the router's own data centre. */
-  local: boolean;
-  /** Estimated requests running and waiting there now. */
-  load: number;
-  /** Requests that it takes at once. */
-  capacity: number;
-  /** Milliseconds that it takes for an event of a stream; undefined while not known. */
-  eventMs?: number | undefined;
-  hasRoom: boolean;
-  /**
-   * It takes few requests a second, one is due, and others got as many since its last one as if all
-   * shared alike.
-   */
-  owed: boolean;
-}
-
 /** What is known about a request when its server is chosen. */
 export interface ChoiceRequest {
   /** Hash of the first part of the prompt; requests with the same one share cached state. */
@@ -34,9 +14,6 @@
   promptTokens?: Tokens;
 }
 
-/** Returns a number from 0 (included) to 1 (excluded); seeded in tests. */
-export type RandomSource = () => number;
-
 export type ServerChooserName =
   'random' | 'round-robin' | 'least-loaded' | 'power-of-two' | 'prefix-affinity';
 
--- a/packages/core/src/runtime/routing/serverEntry.ts
+++ b/packages/core/src/runtime/routing/serverEntry.ts
@@ -4,7 +4,7 @@
 import type { BackendServer } from '../../types/member.js';
 import type { ConcurrencyLimit } from './concurrencyLimit.js';
 import type { ServerHealth, HealthSettings } from './serverHealth.js';
-import type { AttemptResult } from './serverPool.js';
+import type { AttemptResult } from '../../types/placement.js';
 import type { Reachability } from './reachability.js';
 import { hash32 } from '../../utils/hash.js';
 import { EnginePace } from './enginePace.js';
--- a/packages/core/src/runtime/routing/serverNotices.ts
+++ b/packages/core/src/runtime/routing/serverNotices.ts
@@ -1,7 +1,7 @@
 /** What backend servers say of themselves in their answers, as one instance has heard it. */
 
 import type { EpochMs, ServerId } from '../../types/ids.js';
-import type { RandomSource } from './serverChooser.js';
+import type { RandomSource } from '../../types/placement.js';
 import type { RateLimitView, ToldRateLimit } from './serverRateLimits.js';
 import type { ServerRateLimits } from './serverRateLimits.js';
 
--- a/packages/core/src/runtime/routing/serverPool.ts
+++ b/packages/core/src/runtime/routing/serverPool.ts
@@ -5,10 +5,10 @@
 
 import type { DataCentreId, EpochMs, ServerId } from '../../types/ids.js';
 import type { BackendServer } from '../../types/member.js';
+import type { AttemptResult, Candidate, CandidateQuery } from '../../types/placement.js';
 import type { ConcurrencyLimit, ConcurrencyLimitKind } from './concurrencyLimit.js';
 import type { LoadReport } from './loadEstimate.js';
-import type { Candidate } from './serverChooser.js';
-import type { AttemptEnd, HealthSettings } from './serverHealth.js';
+import type { HealthSettings } from './serverHealth.js';
 import type { RateLimitPace } from './serverRateLimits.js';
 import { rendezvousRank } from '../../utils/hash.js';
 import { createConcurrencyLimit } from './concurrencyLimit.js';
@@ -32,33 +32,6 @@
   notices?: ServerNotices;
 }
 
-/** What a caller of the pool says about one attempt. */
-export interface AttemptResult {
-  end: AttemptEnd;
-  /** First token, or for plain services the whole answer, in milliseconds. */
-  firstTokenMs?: number;
-  /** Target of the class, in milliseconds; adapts the concurrency limit. */
-  targetMs?: number;
-}
-
-/** Restrictions on the servers that may be chosen. */
-export interface CandidateQuery {
-  /** Servers that this request has tried already. */
-  tried?: ReadonlySet<ServerId>;
-  /** Whether the request has to run alone on its server (suspects of the quarantine). */
-  exclusive?: boolean;
-  /** Part of a server's places that may be used beyond its limit, from 0 to 1. @default 0 */
-  extra?: number;
-  /**
-   * `everywhere` lets the chooser see all data centres alike, so that requests with the same prefix
-   * meet at one server wherever they come in. @default 'near-first'
-   */
-  scope?: PlacementScope;
-}
-
-/** Which data centres a choice begins with. */
-export type PlacementScope = 'near-first' | 'everywhere';
-
 /** How many places a request may use; see the admission's reserve. */
 export interface PlacementRule {
   /** Part of all places that must stay free, from 0 to 1. */
--- a/packages/core/src/runtime/routing/serverRateLimits.ts
+++ b/packages/core/src/runtime/routing/serverRateLimits.ts
@@ -1,7 +1,7 @@
 /** Rate limits that backend servers name in their answers, as one instance has heard them. */
 
 import type { EpochMs, ServerId } from '../../types/ids.js';
-import type { RandomSource } from './serverChooser.js';
+import type { RandomSource } from '../../types/placement.js';
 import { sum } from '../../utils/sum.js';
 import { SendShare } from './sendShare.js';
 
--- a/packages/lab/src/runtime/routingExperiment/routingReport.ts
+++ b/packages/lab/src/runtime/routingExperiment/routingReport.ts
@@ -1,7 +1,7 @@
 /** Lays the routing measurement out as a report, one table for each scenario. */
 
 import type { ReportDocument, ReportTable } from '../../types/report.js';
-import type { RoutingMeasureRow } from './runRoutingMeasure.js';
+import type { RoutingMeasureRow } from './types.js';
 
 const PERCENT = 100;
 
--- a/packages/lab/src/runtime/routingExperiment/runRoutingMeasure.ts
+++ b/packages/lab/src/runtime/routingExperiment/runRoutingMeasure.ts
@@ -1,6 +1,6 @@
 /** The measurement `npm run measure -- routing`: all policies in all scenarios. */
 
-import type { ClassResult, RoutingExperimentResult } from './types.js';
+import type { ClassResult, RoutingExperimentResult, RoutingMeasureRow } from './types.js';
 import Table from 'cli-table3';
 import { measureCapacity } from './measureCapacity.js';
 import { createRoutingReport } from './routingReport.js';
@@ -19,15 +19,6 @@
   policies?: readonly string[];
 }
 
-/** Mean over the seeds of one policy in one scenario. */
-export interface RoutingMeasureRow {
-  policy: string;
-  scenario: string;
-  classes: ClassResult[];
-  usefulTokensPerSecond: number;
-  cacheHits: number;
-}
-
 /**
  * Runs the measurement and returns what it prints.
  *
--- a/packages/lab/src/runtime/routingExperiment/types.ts
+++ b/packages/lab/src/runtime/routingExperiment/types.ts
@@ -91,3 +91,12 @@
   /** Part of prompt prefixes found in a server's cache. */
   cacheHits: number;
 }
+
+/** Mean over the seeds of one policy in one scenario. */
+export interface RoutingMeasureRow {
+  policy: string;
+  scenario: string;
+  classes: ClassResult[];
+  usefulTokensPerSecond: number;
+  cacheHits: number;
+}
--- a/packages/mesh/src/runtime/heartbeatCodec.ts
+++ b/packages/mesh/src/runtime/heartbeatCodec.ts
@@ -4,7 +4,7 @@
  */
 
 import type { IncarnationId, MemberInfo } from '@flamingocourse/core';
-import type { HeartbeatMessage } from '../types/procedures.js';
+import type { HeartbeatMessage } from '../types/heartbeat.js';
 
 const states = ['starting', 'serving', 'leaving'] as const satisfies MemberInfo['state'][];
 
--- a/packages/mesh/src/types/procedures.ts
+++ b/packages/mesh/src/types/procedures.ts
@@ -9,30 +9,12 @@
   JournalState,
   LoanAnswer,
   LoanRequest,
-  MemberInfo,
   NewsMessage,
   Tokens,
 } from '@flamingocourse/core';
 import type { Result } from 'true-myth';
 import type { PackedHeartbeat } from '../runtime/heartbeatCodec.js';
 
-/** Second-hand evidence that a member lives; a higher beat is newer. */
-export interface MemberBeat {
-  incarnation: IncarnationId;
-  beat: number;
-  /** Milliseconds since the sender had evidence. */
-  ageMs: number;
-}
-
-/** What one router tells another at each beat, and gets as the answer. */
-export interface HeartbeatMessage {
-  info: MemberInfo;
-  /** Some members that the sender takes as alive. */
-  digest: MemberBeat[];
-  /** Members that the receiver may not know. */
-  members: MemberInfo[];
-}
-
 /** Information that only reduces refusals or shortens recovery; losing it harms no promise. */
 export interface Hint {
   /** Names the receiver inside the router, such as `quarantine`. */
