--- a/test/differential/differential.test.ts
+++ b/test/differential/differential.test.ts
@@ -102,9 +102,7 @@
 });
 
 test('whatever fails, what both serve is billed alike and nothing runs or is charged too often', (context) => {
-  // a member pays twice for one tow, or is told "not run" of a tow that is in the log: routers die
-  // in the midst of requests, are sealed while they live, lose replies and are cut off from the
-  // platform, and callers come back with the same key at any router.
+  // A tow is billed twice, or told 'not run' though it is in the log, when routers die, are sealed alive or cut off under retried requests.
   const counts = {
     servedByBoth: 0,
     inDoubt: 0,
--- a/test/differential/livingHolder.test.ts
+++ b/test/differential/livingHolder.test.ts
@@ -6,9 +6,7 @@
 const TICKET_KEY = 8;
 
 test('an answered request is billed although its router was sealed and the witness died', () => {
-  // a member's tow is in the log and on no invoice: the platform is out, the bill is kept by the
-  // one witness, which then dies; the platform comes back, and a peer seals the router, which
-  // lives and has the line, before it can write it. Nobody asks the router itself.
+  // A tow is in the log and on no invoice: the one witness of its bill died, and the living router that has it was sealed unasked.
   const fleet = new ReducerFleet(1_000);
   const request = { type: 'request', dies: 'none' } as const;
   const events: FleetEvent[] = [
--- a/test/money/moneyProperties.test.ts
+++ b/test/money/moneyProperties.test.ts
@@ -188,9 +188,7 @@
 );
 
 test('no interleaving of writes, lost replies, witnesses and seals overspends or loses a bill', () => {
-  // an account would be charged beyond its budget, or an answer that a caller has seen would be
-  // missing from the invoice; steps of three routers, of which any may be sealed while it believes
-  // that it still holds its slice, come in any order.
+  // An account is charged beyond its budget, or an answer that was seen is on no invoice, as a sealed router goes on with its slice.
   fc.assert(
     fc.property(fc.array(step, { minLength: 20, maxLength: 80, size: 'max' }), (steps) => {
       const world = new World();
--- a/test/prepaid/prepaidExperiment.test.ts
+++ b/test/prepaid/prepaidExperiment.test.ts
@@ -30,9 +30,7 @@
     assert.ok(refusedConnected < 0.01 * asked, `${String(refusedConnected)} of ${String(asked)}`);
   });
 
-  // foresters are refused for the rest of the day: all instances were killed when three quarters of it were
-  // over, and half of the rest went in doubt with them. Accounts that had sent several times their usual for
-  // a while could then serve hardly any of their callers.
+  // Callers are refused for the rest of a day whose last quarter began with a loss of all: half of what was left is in doubt.
   test('after a loss of all instances late in the day 98 in 100 are served', () => {
     const { asked, refusedConnected } = run(usual, { killsAt: [41] });
     assert.ok(refusedConnected < 0.02 * asked, `${String(refusedConnected)} of ${String(asked)}`);
--- a/test/routing/promptHolders.test.ts
+++ b/test/routing/promptHolders.test.ts
@@ -73,9 +73,7 @@
   return again;
 }
 
-// a report waits while its engine reads what another one has read already, and every note beside it
-// pauses meanwhile. Requests of one session come in at all instances, and leave the session's engine
-// when that is busier than the others.
+// A prompt that another engine has read is read again, and all streams beside it pause.
 describe('a prompt that was read elsewhere is copied from there', () => {
   for (const seed of [1, 2, 3]) {
     test(`less than half is read again, seed ${String(seed)}`, () => {
--- a/test/spec/orphanTicket.test.ts
+++ b/test/spec/orphanTicket.test.ts
@@ -10,9 +10,7 @@
 const MANY = 20;
 
 test('a retry of a ticket whose router was sealed before it ran gets an answer', async (context) => {
-  // a duty pilot takes a ticket, the router dies before the entry is sent, and is sealed; the retry
-  // reaches another router. The ticket provably did not run, so it is to run there. Nobody ever
-  // claimed the ticket, and a take-over of a claim that does not exist names the old ticket again.
+  // A ticket whose router died before it was sent is never run: its retry takes over a claim that nobody made.
   const server = await createPlainServiceStandIn({});
   const bench = await startBench({ ledger: [server.url] });
   context.after(() => Promise.all([bench.stop(), server.stop()]));
--- a/test/store/httpObjectStore.test.ts
+++ b/test/store/httpObjectStore.test.ts
@@ -70,9 +70,7 @@
   assert.equal((await b.list(notes)).unwrapOrElse(failTest).items.length, 0);
 });
 
-// an operator tops a budget up, sees an error and does it again: the budget is raised twice.
-// The write took effect, then its reply was lost; the client must say that the effect is unknown,
-// and reading back must show it.
+// A top-up is done twice: the write took effect, its reply was lost, and the client said that it had failed.
 const lostWrites: { name: string; run: Run; seen: string | undefined }[] = [
   { name: 'create', run: (s) => s.create(notes, 'new', { text: 'kept' }), seen: 'kept' },
   { name: 'update', run: (s, v) => s.update(notes, 'n', v, { text: 'kept' }), seen: 'kept' },
--- a/test/store/returnProbe.test.ts
+++ b/test/store/returnProbe.test.ts
@@ -44,9 +44,7 @@
   }
 });
 
-// A new key or a server's leaving stays unknown for seconds after the store is back: an instance was cut
-// off, one of its watches had just begun a long back-off when the cut ended, and another user of the same
-// client was answered meanwhile. Each waited for the store in its own way.
+// A new key or a server's leaving stays unknown for seconds after the store is back, as one watch of the client backs off still.
 describe('the return of the store', () => {
   for (const outage of ['refuse', 'silent'] as const) {
     test(`wakes a watch that backs off (${outage})`, async (t) => {
--- a/test/store/watch.test.ts
+++ b/test/store/watch.test.ts
@@ -119,9 +119,7 @@
   await until('heard again and again', () => heard >= 4);
 });
 
-// an operator applies a change while a data centre's watch is down and it never comes into force:
-// the watch broke, the change happened, the watch came back. It must resume where it was, and list
-// anew when the platform has forgotten that place.
+// A change that was made while a watch was down never comes into force.
 const breaks: readonly {
   name: string;
   faults: { outage: 'refuse' | 'silent' };
