fix(gateway): a stored cause is taken out wherever its request finished

Found by reading: only the instance in which the request finished took the object out, and only if it knew its version, so that a cause written by another one stayed and each new process refused it for ten minutes. Now whoever hears that it finished and knows the object takes it out. And one that was taken out by others can be written down again: what was written once was taken for written for good. Test with the fix; comments.

--- a/packages/core/src/runtime/quarantine/crashEvidence.ts
+++ b/packages/core/src/runtime/quarantine/crashEvidence.ts
@@ -112,7 +112,10 @@
   });
 }
 
-/** Whether another request was there that is as likely the cause. Two that always come together are both refused in the end. */
+/**
+ * Whether another request was there that is as likely the cause. Two that always come together are both refused
+ * in the end.
+ */
 function isExplained(
   server: ServerId,
   count: number,
--- a/packages/core/src/runtime/quarantine/quarantine.ts
+++ b/packages/core/src/runtime/quarantine/quarantine.ts
@@ -58,7 +58,8 @@
  * ones finish and are cleared. A suspect that was alone in a crash on another server is the cause.
  * One that had neighbours in its second crash is the cause only if no neighbour was a suspect too:
  * else two requests that crashed together at two routers could not be told apart, and the innocent
- * one would be refused for a day.
+ * one would be refused for a day. Of a crash that several routers report none saw all: it adds to the
+ * evidence only (`crashEvidence`).
  */
 export function reduceQuarantine(
   state: QuarantineState,
--- a/packages/gateway/src/node/keptCauses.ts
+++ b/packages/gateway/src/node/keptCauses.ts
@@ -38,8 +38,9 @@
   readonly #context: GatewayContext;
   readonly #contact: StoreContact;
   readonly #listeners: ((cause: ProvenCause) => void)[] = [];
-  /** Version of each cause's object, where it is known; undefined while it is written. */
-  readonly #known = new Map<Fingerprint, string | undefined>();
+  /** Version of each cause's object, where it is known. */
+  readonly #versions = new Map<Fingerprint, string>();
+  readonly #writing = new Set<Fingerprint>();
   #lookedAt = -Infinity;
   #stopped = false;
 
@@ -64,16 +65,17 @@
 
   /** Writes a cause down, as soon as the store takes it. */
   keep(cause: ProvenCause): void {
-    if (this.#known.has(cause.fingerprint)) return;
-    this.#known.set(cause.fingerprint, undefined);
-    void this.#create(cause);
+    const { fingerprint } = cause;
+    if (this.#versions.has(fingerprint) || this.#writing.has(fingerprint)) return;
+    this.#writing.add(fingerprint);
+    void this.#create(cause).finally(() => this.#writing.delete(fingerprint));
   }
 
   /** Takes a request out that is no cause after all. */
   forget(fingerprint: Fingerprint): void {
-    const version = this.#known.get(fingerprint);
+    const version = this.#versions.get(fingerprint);
     if (version === undefined) return;
-    this.#known.delete(fingerprint);
+    this.#versions.delete(fingerprint);
     void this.#remove(nameOf(fingerprint), version);
   }
 
@@ -96,7 +98,7 @@
     this.#contact.heard();
     const { items } = list.value;
     for (const { value, version } of items) {
-      this.#known.set(value.fingerprint, version);
+      this.#versions.set(value.fingerprint, version);
       for (const listener of this.#listeners) listener(value);
     }
     await this.#removeOldest(items);
@@ -108,7 +110,7 @@
     while (!this.#stopped) {
       const created = await store.create(causeCollection, nameOf(cause.fingerprint), cause);
       if (created.isOk) {
-        this.#known.set(cause.fingerprint, created.value.version);
+        this.#versions.set(cause.fingerprint, created.value.version);
         return;
       }
       if (created.error.code === 'exists') return;
--- a/packages/gateway/src/node/sharedQuarantine.ts
+++ b/packages/gateway/src/node/sharedQuarantine.ts
@@ -17,6 +17,7 @@
 const MAX_IN_FLIGHT = 256;
 /** Crashes with a request in flight after which the others have to hear at once that it finished. */
 const URGENT_CRASHES = 2;
+/** Requests of which an instance remembers that it had them in flight at a crash. */
 const MAX_REPORTED = 512;
 
 type Crash = Extract<QuarantineEvent, { type: 'crashed' }>;
@@ -52,6 +53,8 @@
 
   onNews(listener: (news: QuarantineNews) => void): void {
     this.#news.onNews(({ news, at }) => {
+      // whoever knows the stored cause takes it out, wherever its request finished.
+      if (news.type === 'finished') this.#causes.forget(news.fingerprint);
       listener({ type: 'event', event: toEvent(news), at });
     });
     this.#causes.onCause((cause) => {
--- a/test/gateway/keptCauses.test.ts
+++ b/test/gateway/keptCauses.test.ts
@@ -1,13 +1,24 @@
 import type { TestContext } from 'node:test';
-import type { ProvenCause } from '@flamingocourse/core';
+import type { NewsMessage, ProvenCause } from '@flamingocourse/core';
 import assert from 'node:assert/strict';
 import { test } from 'node:test';
 import { ManualClock, MemoryEventLog } from '@flamingocourse/kernel';
 import { MemoryObjectStore } from '@flamingocourse/store';
+import { Result } from 'true-myth';
 import { z } from 'zod';
 import { KeptCauses } from '../../packages/gateway/src/node/keptCauses.js';
+import { NewsService } from '../../packages/gateway/src/node/newsService.js';
+import { SharedQuarantine } from '../../packages/gateway/src/node/sharedQuarantine.js';
+import { NewsCalls } from '../../packages/gateway/src/types/newsCalls.js';
 import { contextOf } from './contextOf.js';
 
+/** Reaches nobody. */
+class NoCalls extends NewsCalls {
+  override exchange(): Promise<Result<NewsMessage, string>> {
+    return Promise.resolve(Result.err('nobody listens'));
+  }
+}
+
 const anything = { name: 'fleet-causes', schema: z.unknown() };
 const cause: ProvenCause = { fingerprint: 'a+b/c=', servers: ['s1', 's2@5', 's3'] };
 
@@ -62,6 +73,28 @@
   assert.deepEqual(await names(store), []);
 });
 
+// A request that finished at an instance that did not write it down stays refused by each process that starts.
+test('a request that finished at another instance is taken out as well', async (t) => {
+  const store = new MemoryObjectStore();
+  const context = contextOf(new ManualClock(), new MemoryEventLog(), store);
+  const { causes } = await start(t, store);
+  const news = new NewsService(context, 'life-1', new NoCalls());
+  new SharedQuarantine(context, news, causes).onNews(() => undefined);
+  causes.keep(cause);
+  await settle();
+  const { fingerprint } = cause;
+  const finished = {
+    origin: 'life-2',
+    seq: 1,
+    ageMs: 3,
+    news: { type: 'finished', fingerprint },
+  } as const;
+  news.hear({ from: 'edge-2', known: {}, items: [finished] });
+  await settle();
+  news.stop();
+  assert.deepEqual(await names(store), []);
+});
+
 // An entry of another writer keeps a process from reading the others.
 test('an entry that can not be read is passed over', async (t) => {
   const store = new MemoryObjectStore();
