--- a/packages/router/src/node/backends/serviceLane.ts
+++ b/packages/router/src/node/backends/serviceLane.ts
@@ -28,15 +28,14 @@
 } from '@flamingocourse/core';
 import { Result } from 'true-myth';
 import { notRun } from '../../utils/problem.js';
+import { gone, noServer, notTakenYet, quarantined, shedDetails } from './laneRefusals.js';
+import { healthEnd } from './healthEnd.js';
 import { InFlightRequests } from './inFlightRequests.js';
 import { LaneLearning } from './laneLearning.js';
 
-const NO_SERVER_RETRY_MS = 1_000;
 /** Requests that wait apart because no server that they may use has room. */
 const MAX_PARKED = 256;
 
-const NOT_TAKEN_YET = 'All backend servers rest or limit the requests a second; retry later.';
-
 /** The more important one comes first. */
 const importanceOrder = { first: 0, standard: 1, background: 2 } as const;
 const enginePriority = { first: 0, standard: 10, background: 20 } as const;
@@ -176,7 +175,7 @@
         continue;
       }
       queue.remove(id);
-      this.#settle(id, Result.err(notRun('overloaded', NOT_TAKEN_YET, Math.ceil(waitMs))));
+      this.#settle(id, Result.err(notTakenYet(waitMs)));
     }
   }
 
@@ -363,9 +362,7 @@
   }
 
   #quarantined({ fingerprint }: PlacementRequest): Refusal {
-    const retryAfterMs = this.#options.quarantine.refusedForMs(fingerprint);
-    const detail = 'This request has crashed the servers that ran it; change it.';
-    return notRun('quarantined', detail, retryAfterMs);
+    return quarantined(this.#options.quarantine.refusedForMs(fingerprint));
   }
 
   #refuseShed({ entry, reason, retryAfterMs }: ShedEntry): void {
@@ -386,36 +383,3 @@
     waiter.resolve(placed);
   }
 }
-
-const shedDetails = {
-  overloaded: 'The queue is full; retry later.',
-  'deadline-unreachable': 'The queue is too long for the deadline; retry later.',
-  'deadline-passed': 'The deadline passed in the queue.',
-} as const;
-
-function noServer(): Refusal {
-  const detail = 'No backend server can take the request now; retry soon.';
-  return notRun('no-backend-server', detail, NO_SERVER_RETRY_MS);
-}
-
-function gone(): Refusal {
-  return notRun('deadline-passed', 'The request was given up before it ran.');
-}
-
-/** A crash counts as a failure of the server; what crashed it is the quarantine's matter. */
-function healthEnd(how: AttemptEnd): AttemptResult['end'] {
-  switch (how) {
-    case 'crashed':
-    case 'broken':
-      return 'failed';
-    case 'timed-out':
-      return 'timeout';
-    case 'unreachable':
-      return 'cancelled';
-    case 'ok':
-    case 'failed':
-    case 'cancelled':
-    case 'leaving':
-      return how;
-  }
-}
