--- a/test/platform/fakeServer.ts
+++ b/test/platform/fakeServer.ts
@@ -34,6 +34,10 @@
   | 'reset'
   /** Holds the request until `release` is called, then streams. */
   | 'hold'
+  /** Streams the first event, and the others when `release` is called. */
+  | 'pause'
+  /** Answers with a body that exceeds the buffers of a connection. */
+  | 'large'
   | 'silent';
 
 /** When a crashing request ends the server. */
@@ -41,12 +45,16 @@
 
 /** Body of the requests that crash a server. */
 export const CRASHING_BODY = 'crash=1';
+/** Size of a large answer, in bytes. */
+export const LARGE_BYTES = 7 * 1024 * 1024;
 /** Milliseconds until a server has restarted after a crash. */
 const RESTART_MS = 150;
 /** Milliseconds that a request runs before its server crashes. */
 const CRASH_MS = 5;
 
 const MS_PER_SECOND = 1_000;
+/** Id of the last event of a stream. */
+const LAST_EVENT = 4;
 /** Path of the health check. */
 const HEALTH_PATH = '/health';
 
@@ -210,11 +218,17 @@
   #respond(req: IncomingMessage, res: ServerResponse): void {
     const own = this.#ownHeaders(req);
     const from = Number(req.headers['last-event-id'] ?? 0);
-    const stream = (): void => {
+    const begin = (): void => {
       res.writeHead(200, { ...own, 'content-type': 'text/event-stream' });
-      for (let id = from + 1; id <= 4; id += 1) res.write(event(id));
+    };
+    const finish = (first: number): void => {
+      for (let id = first; id <= LAST_EVENT; id += 1) res.write(event(id));
       res.end();
     };
+    const stream = (): void => {
+      begin();
+      finish(from + 1);
+    };
     switch (this.behaviour) {
       case 'answer':
         res.writeHead(200, own).end(`from ${this.id}`);
@@ -228,8 +242,18 @@
       case 'hold':
         this.#heldStreams.push(stream);
         return;
+      case 'pause':
+        begin();
+        res.write(event(from + 1));
+        this.#heldStreams.push(() => {
+          finish(from + 2);
+        });
+        return;
+      case 'large':
+        res.writeHead(200, own).end(Buffer.alloc(LARGE_BYTES, 'x'));
+        return;
       case 'break-stream':
-        res.writeHead(200, { ...own, 'content-type': 'text/event-stream' });
+        begin();
         res.write(`${event(from + 1)}id: ${String(from + 2)}\nda`);
         setTimeout(() => req.socket.resetAndDestroy(), 20);
         return;
--- a/test/platform/world.ts
+++ b/test/platform/world.ts
@@ -154,6 +154,11 @@
     return this.servers.filter(({ id }) => id.startsWith(kind)).flatMap((server) => server.seen);
   }
 
+  /** Port on which the gateway accepts callers. */
+  get entryPort(): number {
+    return this.#entryPort;
+  }
+
   /** Names of the logged events. */
   get events(): string[] {
     return this.log.events.map(({ event }) => event);
