feat(gateway): a request's line tells how far a stop was and what its connection had carried

The record of LOST fits a connection whose stream began before the stop and one that was not used before; lines of the two were alike. Now request-ended has `stoppingMs` (from the start of the stop to the reading) and `earlier` (requests read before on the connection), and entry-stop-aborts says how many requests the end of a stop ends. No behaviour changed.

--- a/packages/gateway/src/node/entryService.ts
+++ b/packages/gateway/src/node/entryService.ts
@@ -5,16 +5,16 @@
 import type { IncomingMessage, Server, ServerResponse } from 'node:http';
 import type { CallHead } from '../types/call.js';
 import type { ServerAgent } from './serverAgent.js';
-import type { Arrival } from './arrivalWatch.js';
 import type { GatewayContext } from '../types/context.js';
 import type { Outcome } from '../types/outcome.js';
-import type { FlowParts, RoutedCall } from '../types/requestRun.js';
+import type { FlowParts, IncomingCall, RoutedCall } from '../types/requestRun.js';
 import { createServer } from 'node:http';
 import { pickTarget } from '@flamingocourse/core';
 import { Service, describeError, onTimeout, waitForPendingReads } from '@flamingocourse/kernel';
 import { ArrivalWatch } from './arrivalWatch.js';
 import { BackendLanes } from './backendLanes.js';
 import { CallerAnswer } from './callerAnswer.js';
+import { CallerConnections } from './callerConnections.js';
 import { closeOnCallerEnd } from './closeOnCallerEnd.js';
 import { ConfigurationWatch } from './configurationWatch.js';
 import {
@@ -56,6 +56,7 @@
   readonly #agent: ServerAgent;
   readonly #server: Server;
   readonly #arrivals: ArrivalWatch;
+  readonly #connections: CallerConnections;
   readonly #running = new Set<AbortController>();
   #parts: FlowParts | undefined;
   #configuration: ConfigurationWatch | undefined;
@@ -70,6 +71,7 @@
     const server = createServer(options, (req, res) => void this.#handle(req, res));
     this.#server = closeOnCallerEnd(server);
     this.#arrivals = new ArrivalWatch(context, server);
+    this.#connections = new CallerConnections(server);
     this.#server.requestTimeout = 0;
   }
 
@@ -152,6 +154,9 @@
       if (now >= lastAt || (closed && this.#running.size === 0)) break;
       await new Promise((resolve) => setTimeout(resolve, STOP_CHECK_MS));
     }
+    if (this.#running.size > 0) {
+      this.#context.log.write('entry-stop-aborts', { running: this.#running.size });
+    }
     for (const controller of this.#running) controller.abort();
     this.#arrivals.stop();
     this.#server.closeAllConnections();
@@ -159,17 +164,23 @@
   }
 
   async #handle(req: IncomingMessage, res: ServerResponse): Promise<void> {
-    const arrival = this.#arrivals.read(req);
-    const answer = new CallerAnswer(res, () => this.#closesConnections);
+    const incoming: IncomingCall = {
+      req,
+      answer: new CallerAnswer(res, () => this.#closesConnections),
+      arrival: this.#arrivals.read(req),
+      earlier: this.#connections.countRequest(req),
+      stoppingMs: this.#stoppingMs(),
+    };
+    const { answer } = incoming;
     const decoded = this.#context.dialects.callers.decode(req);
     if (decoded.isErr) {
       const refusal: Refusal = { reason: 'bad-request', run: 'not-run', detail: decoded.error };
-      this.#recordEnd('none', undefined, answer, arrival, this.#refuse(answer, refusal));
+      this.#recordEnd('none', undefined, incoming, this.#refuse(answer, refusal));
       return;
     }
     const head = decoded.value;
     try {
-      await this.#route(req, head, answer, arrival);
+      await this.#route(head, incoming);
     } catch (err) {
       // a bug in this process must not leave the caller waiting.
       this.#kernel?.reportFailure(err, this.name);
@@ -181,16 +192,12 @@
         });
       } else answer.abort();
       const outcome: Outcome = { type: 'broken', detail: describeError(err) };
-      this.#recordEnd('none', head, answer, arrival, outcome);
+      this.#recordEnd('none', head, incoming, outcome);
     }
   }
 
-  async #route(
-    req: IncomingMessage,
-    head: CallHead,
-    answer: CallerAnswer,
-    arrival: Arrival,
-  ): Promise<void> {
+  async #route(head: CallHead, incoming: IncomingCall): Promise<void> {
+    const { req, answer, arrival } = incoming;
     const table = this.#configuration?.table;
     const route = table?.findRoute(head.host, head.path);
     const account = head.key === undefined ? undefined : table?.findAccount(head.key);
@@ -198,13 +205,12 @@
     // the body is always read, because a connection with unread bytes cannot be reused.
     const body = await readRequestBody(req, limit);
     const refuse = (refusal: Refusal): void => {
-      const outcome = this.#refuse(answer, refusal);
-      this.#recordEnd(route?.name ?? 'none', head, answer, arrival, outcome);
+      this.#recordEnd(route?.name ?? 'none', head, incoming, this.#refuse(answer, refusal));
     };
     const refusal = this.#checkConfiguration(table, route, account, arrival.readAt);
     if (refusal) refuse(refusal);
     else if (body.type === 'gone') {
-      this.#recordEnd(route?.name ?? 'none', head, answer, arrival, { type: 'gone' });
+      this.#recordEnd(route?.name ?? 'none', head, incoming, { type: 'gone' });
     } else if (body.type === 'too-large') refuse(bodyTooLarge(limit));
     else {
       const service = route && table?.service(pickTarget(route, this.#context.random()) ?? '');
@@ -213,13 +219,13 @@
       else {
         const arrivedAt = arrival.timeLimitStartsAt;
         const call = { head, body: body.bytes, table, route, account, service, arrivedAt, answer };
-        await this.#run(call, arrival);
+        await this.#run(call, incoming);
       }
     }
   }
 
   /** Runs a routed request until it ends, its caller disconnects or its deadline passes. */
-  async #run(call: Omit<RoutedCall, 'endsAt' | 'signal'>, arrival: Arrival): Promise<void> {
+  async #run(call: Omit<RoutedCall, 'endsAt' | 'signal'>, incoming: IncomingCall): Promise<void> {
     const { head, route, account, table, answer, arrivedAt } = call;
     const endsAt = arrivedAt + Math.min(head.waitMs ?? DEFAULT_WAIT_MS, route.timeoutMs);
     const controller = new AbortController();
@@ -235,7 +241,7 @@
     const flow = new RequestFlow(this.#flowParts(), { ...call, endsAt, signal: controller.signal });
     try {
       const outcome = await flow.run();
-      this.#recordEnd(route.name, head, answer, arrival, outcome, { flow, account, table });
+      this.#recordEnd(route.name, head, incoming, outcome, { flow, account, table });
     } finally {
       stopTimer();
       this.#running.delete(controller);
@@ -268,17 +274,22 @@
     return { type: 'refused', status, refusal };
   }
 
+  /** Milliseconds since the stop began; undefined before. */
+  #stoppingMs(): number | undefined {
+    if (this.#stoppingSince === undefined) return undefined;
+    return this.#context.clock.now() - this.#stoppingSince;
+  }
+
   #recordEnd(
     route: string,
     head: CallHead | undefined,
-    answer: CallerAnswer,
-    arrival: Arrival,
+    incoming: IncomingCall,
     outcome: Outcome,
     run?: { flow: RequestFlow; account: RoutedAccount | undefined; table: RouteTable },
   ): void {
     const { clock, log, metrics } = this.#context;
     const now = clock.now();
-    const ended = { route, head, answer, arrival, outcome, ...run, now };
+    const ended = { route, head, incoming, outcome, ...run, now };
     const doneMs = doneAfterMs(ended);
     const seconds = outcome.type === 'answered' ? doneMs / 1_000 : undefined;
     metrics.ended(route, outcome.refusal?.reason ?? outcome.type, seconds);
--- a/packages/gateway/src/node/requestLogLine.ts
+++ b/packages/gateway/src/node/requestLogLine.ts
@@ -4,16 +4,14 @@
 import type { EventFields } from '@flamingocourse/kernel';
 import type { CallHead } from '../types/call.js';
 import type { Outcome } from '../types/outcome.js';
-import type { Arrival } from './arrivalWatch.js';
-import type { CallerAnswer } from './callerAnswer.js';
+import type { IncomingCall } from '../types/requestRun.js';
 import type { RequestFlow } from './requestFlow.js';
 
 /** A finished request. */
 export interface EndedRequest {
   route: string;
   head: CallHead | undefined;
-  answer: CallerAnswer;
-  arrival: Arrival;
+  incoming: IncomingCall;
   outcome: Outcome;
   /** Undefined if the request was refused before it ran. */
   flow?: RequestFlow;
@@ -26,7 +24,7 @@
  * Returns the milliseconds from reading the request to the first event of a stream or the whole
  * response.
  */
-export function doneAfterMs({ answer, arrival, now }: EndedRequest): number {
+export function doneAfterMs({ incoming: { answer, arrival }, now }: EndedRequest): number {
   return (answer.firstEventAt ?? now) - arrival.readAt;
 }
 
@@ -36,7 +34,8 @@
  * @param configAgeMs milliseconds since the store last confirmed the configuration; -1 if unknown.
  */
 export function requestFields(ended: EndedRequest, configAgeMs = -1): EventFields {
-  const { route, head, answer, arrival, outcome, flow, account, table, now } = ended;
+  const { route, head, incoming, outcome, flow, account, table, now } = ended;
+  const { answer, arrival, earlier, stoppingMs } = incoming;
   const progress = flow?.progress;
   const { readAt } = arrival;
   return {
@@ -63,6 +62,8 @@
     sentMs: sinceMs(readAt, progress?.sentAt),
     firstMs: Math.round(doneAfterMs(ended)),
     totalMs: Math.round(now - readAt),
+    earlier,
+    stoppingMs: stoppingMs === undefined ? undefined : Math.round(stoppingMs),
     version: table?.config.version,
     configAgeMs: Math.round(configAgeMs),
   };
--- a/packages/gateway/src/types/requestRun.ts
+++ b/packages/gateway/src/types/requestRun.ts
@@ -7,6 +7,8 @@
   RoutedAccount,
   RoutedService,
 } from '@flamingocourse/core';
+import type { IncomingMessage } from 'node:http';
+import type { Arrival } from '../node/arrivalWatch.js';
 import type { BackendLanes } from '../node/backendLanes.js';
 import type { CallerAnswer } from '../node/callerAnswer.js';
 import type { PrepaidService } from '../node/prepaidService.js';
@@ -24,6 +26,17 @@
   agent: ServerAgent;
 }
 
+/** A request as it was read from its connection. */
+export interface IncomingCall {
+  req: IncomingMessage;
+  answer: CallerAnswer;
+  arrival: Arrival;
+  /** Requests that were read from the connection before this one. */
+  earlier: number;
+  /** Milliseconds from the start of a stop until the request was read; undefined without a stop. */
+  stoppingMs: number | undefined;
+}
+
 /** A request whose route and account are known and whose body has been read. */
 export interface RoutedCall {
   head: CallHead;
--- a/packages/kernel/src/runtime/eventCatalogue.ts
+++ b/packages/kernel/src/runtime/eventCatalogue.ts
@@ -37,6 +37,12 @@
   'gateway-started': { number: 110, level: 'info', text: 'the entry is serving' },
   'gateway-stopping': { number: 111, level: 'info', text: 'a graceful shutdown has begun' },
   'gateway-stopped': { number: 112, level: 'info', text: 'the entry has stopped' },
+  'entry-stop-aborts': {
+    number: 116,
+    level: 'warn',
+    text: 'requests still run at the end of a stop; they are ended with a final answer where that is possible',
+    action: 'If it happens often, allow a longer grace period for a stop.',
+  },
   'settings-reloaded': { number: 113, level: 'info', text: 'the settings file was reloaded' },
   'readiness-changed': {
     number: 114,
