fix(gateway): a connection has one request in progress, and no answer closes it before one that was read

What callers saw: of two requests that arrive together, both ran, and the answer of the second was lost where the first one's said that the connection closes (a stop, or an instance that sends callers elsewhere). Cause: Node hands over pipelined requests at once; each ran as if it had its connection for itself, and a closing answer ends the connection with the answers behind it. Evidence: 'a request behind one whose answer closes the connection': 1 ran, answered were [200] and nothing; now answered or not run. Why it holds: requests of a connection take turns, so what is behind a closing answer has not begun; and an answer does not close while another request was read behind it. The body is still read at once, so that the end of the connection is seen meanwhile.

--- a/packages/gateway/src/node/callerConnections.ts
+++ b/packages/gateway/src/node/callerConnections.ts
@@ -1,24 +1,89 @@
-/** State of each connection of a caller. */
+/** Order of the requests of each caller's connection, and when the connection is closed. */
 
-import type { IncomingMessage, Server } from 'node:http';
+import type { IncomingMessage, Server, ServerResponse } from 'node:http';
 import type { Socket } from 'node:net';
 
-/** Tracks the connections of the callers' listener. */
+interface ConnectionState {
+  /** Requests read so far. */
+  requests: number;
+  /** Requests that were read and whose responses are not written yet. */
+  open: number;
+  /** Whether a response has announced that the connection is closed after it. */
+  isClosing: boolean;
+  /** Resolves when the response to the last request read was written. */
+  lastEnded: Promise<void>;
+}
+
+/** A request's place among the requests of its connection. */
+export interface ConnectionTurn {
+  /** Requests that were read from the connection before this one. */
+  earlier: number;
+  /**
+   * Resolves once the responses to these were written: to false if the connection is closed after
+   * them, so that this request must not run.
+   */
+  begins: Promise<boolean>;
+}
+
+/**
+ * Lets each connection have one request in progress. Callers may send the next request before they
+ * have the response; if it ran at once, its response would be lost when the response before it
+ * closes the connection.
+ *
+ * @example
+ * const connections = new CallerConnections(server);
+ * const { begins } = connections.read(req, res);
+ * if (await begins) serve(req, res);
+ */
 export class CallerConnections {
-  /** Number of requests read from each connection. */
-  readonly #requests = new Map<Socket, number>();
+  readonly #states = new Map<Socket, ConnectionState>();
 
   constructor(server: Server) {
     server.on('connection', (socket: Socket) => {
-      this.#requests.set(socket, 0);
-      socket.once('close', () => this.#requests.delete(socket));
+      const lastEnded = Promise.resolve();
+      this.#states.set(socket, { requests: 0, open: 0, isClosing: false, lastEnded });
+      socket.once('close', () => this.#states.delete(socket));
     });
   }
 
-  /** Records that a request was read; returns how many its connection had before it. */
-  countRequest({ socket }: IncomingMessage): number {
-    const earlier = this.#requests.get(socket) ?? 0;
-    this.#requests.set(socket, earlier + 1);
-    return earlier;
+  /** Records that a request was read. */
+  read({ socket }: IncomingMessage, res: ServerResponse): ConnectionTurn {
+    const state = this.#states.get(socket);
+    if (!state) return { earlier: 0, begins: Promise.resolve(false) };
+    const { requests: earlier, lastEnded: before } = state;
+    state.requests += 1;
+    state.open += 1;
+    const ended = onceWritten(socket, res).then(() => {
+      state.open -= 1;
+    });
+    state.lastEnded = ended;
+    return { earlier, begins: before.then(() => !state.isClosing && !socket.destroyed) };
   }
+
+  /**
+   * Asks whether the response that is about to be written can be the last of its connection. It
+   * can't while another request was read after it, whose response would be lost.
+   */
+  closeAfterResponse({ socket }: IncomingMessage): boolean {
+    const state = this.#states.get(socket);
+    if (!state || state.open > 1) return false;
+    state.isClosing = true;
+    return true;
+  }
+}
+
+/** Resolves when a response was written or its connection is closed. */
+function onceWritten(socket: Socket, res: ServerResponse): Promise<void> {
+  return new Promise((resolve) => {
+    const end = (): void => {
+      res.off('finish', end);
+      res.off('close', end);
+      // a response behind another one is not told that its connection was closed.
+      socket.off('close', end);
+      resolve();
+    };
+    res.once('finish', end);
+    res.once('close', end);
+    socket.once('close', end);
+  });
 }
--- a/packages/gateway/src/node/entryService.ts
+++ b/packages/gateway/src/node/entryService.ts
@@ -4,6 +4,7 @@
 import type { Kernel } from '@flamingocourse/kernel';
 import type { IncomingMessage, Server, ServerResponse } from 'node:http';
 import type { CallHead } from '../types/call.js';
+import type { RequestBody } from './readRequestBody.js';
 import type { ServerAgent } from './serverAgent.js';
 import type { GatewayContext } from '../types/context.js';
 import type { Outcome } from '../types/outcome.js';
@@ -164,15 +165,23 @@
   }
 
   async #handle(req: IncomingMessage, res: ServerResponse): Promise<void> {
+    const turn = this.#connections.read(req, res);
+    const closesConnection = (): boolean =>
+      this.#closesConnections && this.#connections.closeAfterResponse(req);
     const incoming: IncomingCall = {
       req,
-      answer: new CallerAnswer(res, () => this.#closesConnections),
+      answer: new CallerAnswer(res, closesConnection),
       arrival: this.#arrivals.read(req),
-      earlier: this.#connections.countRequest(req),
+      earlier: turn.earlier,
       stoppingMs: this.#stoppingMs(),
     };
     const { answer } = incoming;
     const decoded = this.#context.dialects.callers.decode(req);
+    const body = await this.#readBody(req);
+    if (!(await turn.begins)) {
+      this.#recordEnd('none', decoded.unwrapOr(undefined), incoming, { type: 'gone' });
+      return;
+    }
     if (decoded.isErr) {
       const refusal: Refusal = { reason: 'bad-request', run: 'not-run', detail: decoded.error };
       this.#recordEnd('none', undefined, incoming, this.#refuse(answer, refusal));
@@ -180,7 +189,7 @@
     }
     const head = decoded.value;
     try {
-      await this.#route(head, incoming);
+      await this.#route(head, body, incoming);
     } catch (err) {
       // a bug in this process must not leave the caller waiting.
       this.#kernel?.reportFailure(err, this.name);
@@ -196,14 +205,20 @@
     }
   }
 
-  async #route(head: CallHead, incoming: IncomingCall): Promise<void> {
-    const { req, answer, arrival } = incoming;
+  /** Reads the body at once: a connection with unread bytes would not show that it was closed. */
+  #readBody(req: IncomingMessage): Promise<RequestBody> {
+    return readRequestBody(req, this.#maxBodyBytes);
+  }
+
+  get #maxBodyBytes(): number {
+    return this.#configuration?.table?.config.limits.maxBodyBytes ?? 0;
+  }
+
+  async #route(head: CallHead, body: RequestBody, incoming: IncomingCall): Promise<void> {
+    const { answer, arrival } = incoming;
     const table = this.#configuration?.table;
     const route = table?.findRoute(head.host, head.path);
     const account = head.key === undefined ? undefined : table?.findAccount(head.key);
-    const limit = table?.config.limits.maxBodyBytes ?? 0;
-    // the body is always read, because a connection with unread bytes cannot be reused.
-    const body = await readRequestBody(req, limit);
     const refuse = (refusal: Refusal): void => {
       this.#recordEnd(route?.name ?? 'none', head, incoming, this.#refuse(answer, refusal));
     };
@@ -211,7 +226,7 @@
     if (refusal) refuse(refusal);
     else if (body.type === 'gone') {
       this.#recordEnd(route?.name ?? 'none', head, incoming, { type: 'gone' });
-    } else if (body.type === 'too-large') refuse(bodyTooLarge(limit));
+    } else if (body.type === 'too-large') refuse(bodyTooLarge(this.#maxBodyBytes));
     else {
       const service = route && table?.service(pickTarget(route, this.#context.random()) ?? '');
       if (!table || !route || !service) refuse(notReady());
