fix(gateway): a stop closes the connections without a request, and no others

What callers saw: an answer that is cut off when its caller reads slowly while the instance stops, and a request that an instance takes on a connection never used before, long after its listener is closed. Cause: Node's closeIdleConnections, which close() calls, takes a connection for idle once its response was handed over, although most of it may not be written yet, and never one on which no request came. The stop itself waited for running requests, which end when the response is handed over. Evidence: 'a large answer is delivered whole to a caller that reads slowly': 3,919,872 of 7,340,032 bytes before, all since; 'the first one on its connection': sent on and answered 502 before, left unread since. Why it holds: what is closed follows from the requests that were read and the responses that were written, and the stop waits for these, up to its end.

--- a/packages/gateway/src/node/callerConnections.ts
+++ b/packages/gateway/src/node/callerConnections.ts
@@ -39,6 +39,9 @@
   readonly #states = new Map<Socket, ConnectionState>();
 
   constructor(server: Server) {
+    server.closeIdleConnections = () => {
+      this.closeIdle();
+    };
     server.on('connection', (socket: Socket) => {
       const lastEnded = Promise.resolve();
       this.#states.set(socket, { requests: 0, open: 0, isClosing: false, lastEnded });
@@ -65,6 +68,14 @@
     return [...this.#states.values()].filter(({ open }) => open > 0).length;
   }
 
+  /**
+   * Closes the connections that have no request in progress. Node.js would also close those whose
+   * response was handed over but not read by the caller yet, and none that was never used.
+   */
+  closeIdle(): void {
+    for (const [socket, state] of this.#states) if (state.open === 0) close(socket, state);
+  }
+
   /**
    * Asks whether the response that is about to be written can be the last of its connection. It
    * can't while another request was read after it, whose response would be lost.
@@ -77,6 +88,12 @@
   }
 }
 
+/** Closes this side; what the caller sends from now on is read and dropped. */
+function close(socket: Socket, state: ConnectionState): void {
+  state.isClosing = true;
+  socket.end();
+}
+
 /** Resolves when a response was written or its connection is closed. */
 function onceWritten(socket: Socket, res: ServerResponse): Promise<void> {
   return new Promise((resolve) => {
--- a/packages/gateway/src/node/entryService.ts
+++ b/packages/gateway/src/node/entryService.ts
@@ -157,11 +157,15 @@
       // a load balancer that finds too few ready instances still sends new connections to this one;
       // a stream started that late would be aborted at the end of the grace period.
       if (closed) this.#server.close();
-      if (now >= lastAt || (closed && this.#running.size === 0)) break;
+      if (now >= lastAt || (closed && this.#connections.busy === 0)) break;
       await delay(STOP_CHECK_MS);
     }
-    if (this.#running.size > 0) {
-      this.#context.log.write('entry-stop-aborts', { running: this.#running.size });
+    const { busy } = this.#connections;
+    if (busy > 0) {
+      this.#context.log.write('entry-stop-aborts', {
+        running: this.#running.size,
+        unanswered: busy,
+      });
     }
     await this.#endAll();
     this.#arrivals.stop();
