fix(gateway): a stopping instance accepts only what it can answer before its end

What callers saw: LOST, a request that was taken 7.5 s after SIGTERM, sent to a server 4 ms later and given up 47 ms after that (the users' record). Cause: a stop knew two states, and its only end was a deadline. A connection whose response began before the stop was kept after it, because its head had not announced a close, and idle ones were looked for each 50 ms; and nothing compared a request's time with the time left to the process. Ruled out: an instance that is behind or does not know of its stop (the record's request took 4 ms, and the connection was closed as the stop's end has it). Why it holds: StopSchedule states what a stop does in each phase, and each request passes it once, after its turn on the connection and with its deadline; a connection is closed by the response after which it has no request.

--- a/packages/gateway/src/node/callerConnections.ts
+++ b/packages/gateway/src/node/callerConnections.ts
@@ -37,6 +37,7 @@
  */
 export class CallerConnections {
   readonly #states = new Map<Socket, ConnectionState>();
+  #closesIdle = false;
 
   constructor(server: Server) {
     server.closeIdleConnections = () => {
@@ -56,10 +57,10 @@
     const { requests: earlier, lastEnded: before } = state;
     state.requests += 1;
     state.open += 1;
-    const ended = onceWritten(socket, res).then(() => {
+    state.lastEnded = onceWritten(socket, res).then(() => {
       state.open -= 1;
+      if (this.#closesIdle && state.open === 0) close(socket, state);
     });
-    state.lastEnded = ended;
     return { earlier, begins: before.then(() => !state.isClosing && !socket.destroyed) };
   }
 
@@ -69,10 +70,12 @@
   }
 
   /**
-   * Closes the connections that have no request in progress. Node.js would also close those whose
-   * response was handed over but not read by the caller yet, and none that was never used.
+   * Closes each connection as soon as it has no request in progress, also one whose last response
+   * did not announce it. Node.js would also close those whose response was handed over but not read
+   * by the caller yet, and none that was never used.
    */
   closeIdle(): void {
+    this.#closesIdle = true;
     for (const [socket, state] of this.#states) if (state.open === 0) close(socket, state);
   }
 
--- a/packages/gateway/src/node/entryService.ts
+++ b/packages/gateway/src/node/entryService.ts
@@ -6,6 +6,7 @@
 import type { CallHead } from '../types/call.js';
 import type { RequestBody } from './readRequestBody.js';
 import type { ServerAgent } from './serverAgent.js';
+import type { StopPhase } from '../runtime/stopSchedule.js';
 import type { GatewayContext } from '../types/context.js';
 import type { Outcome } from '../types/outcome.js';
 import type { EndCause, FlowParts, IncomingCall, RoutedCall } from '../types/requestRun.js';
@@ -24,6 +25,7 @@
   fitsMemory,
   notReady,
   promptTooLong,
+  stopping,
   unknownKey,
   unknownRoute,
 } from './entryRefusals.js';
@@ -32,6 +34,7 @@
 import { RequestFlow } from './requestFlow.js';
 import { doneAfterMs, requestFields } from './requestLogLine.js';
 import { ServerDirectory } from './serverDirectory.js';
+import { StopSchedule } from '../runtime/stopSchedule.js';
 
 /** Maximum size of a request head, in bytes; above what any configuration allows callers. */
 const MAX_HEAD_BYTES = 64 * 1024;
@@ -39,18 +42,10 @@
 const IDLE_MARGIN_MS = 1_000;
 /** Timeout of a request whose caller sends none, in milliseconds. */
 const DEFAULT_WAIT_MS = 30_000;
-/**
- * Milliseconds from the stop signal until the listener and idle connections are closed. The load
- * balancer checks readiness each second and needs two failures, so new connections arrive for up to
- * two seconds.
- */
-const DRAIN_MS = 2_600;
-/** Milliseconds between two checks whether these answers are written. */
-const FINAL_ANSWER_CHECK_MS = 5;
 /** Milliseconds between two checks whether the last request has ended. */
 const STOP_CHECK_MS = 50;
-/** Milliseconds before the end of the grace period at which the remaining requests are aborted. */
-const ABORT_MARGIN_MS = 600;
+/** Milliseconds between two checks whether the final answers are written. */
+const FINAL_ANSWER_CHECK_MS = 5;
 /** Maximum milliseconds in which the final answers of aborted requests are written. */
 const FINAL_ANSWERS_MS = 200;
 
@@ -67,7 +62,7 @@
   #parts: FlowParts | undefined;
   #configuration: ConfigurationWatch | undefined;
   #kernel: Kernel | undefined;
-  #stoppingSince: number | undefined;
+  readonly #stopSchedule = new StopSchedule();
 
   constructor(context: GatewayContext, agent: ServerAgent) {
     super();
@@ -88,7 +83,7 @@
 
   /** Whether the load balancer should send new connections to this instance. */
   get ready(): boolean {
-    if (this.#stoppingSince !== undefined) return false;
+    if (this.#stopSchedule.isStopping) return false;
     const hasServers = this.#parts?.lanes.hasServers ?? false;
     const isServing = this.#configuration?.table !== undefined && hasServers;
     return isServing && !this.#defersToOthers;
@@ -109,7 +104,7 @@
 
   /** Whether connections of callers are closed after the response. */
   get #closesConnections(): boolean {
-    return this.#stoppingSince !== undefined || this.#defersToOthers;
+    return this.#stopSchedule.isStopping || this.#defersToOthers;
   }
 
   /** Whether other instances can probably serve callers better than this one. */
@@ -144,22 +139,15 @@
 
   /** Reports not ready from now on. Requests in progress and late arrivals are still served. */
   beginStop(): void {
-    this.#stoppingSince ??= this.#context.clock.now();
+    this.#stopSchedule.begin(this.#context.settings.stopGraceMs, this.#context.clock.now());
   }
 
   override async stop(): Promise<void> {
     this.beginStop();
-    const since = this.#stoppingSince ?? 0;
-    const lastAt = since + this.#context.settings.stopGraceMs - ABORT_MARGIN_MS;
-    for (;;) {
-      const now = this.#context.clock.now();
-      const closed = now >= since + DRAIN_MS;
-      // a load balancer that finds too few ready instances still sends new connections to this one;
-      // a stream started that late would be aborted at the end of the grace period.
-      if (closed) this.#server.close();
-      if (now >= lastAt || (closed && this.#connections.busy === 0)) break;
-      await delay(STOP_CHECK_MS);
-    }
+    await this.#waitWhile((phase) => phase === 'draining');
+    // a load balancer that finds too few ready instances still sends new connections to this one.
+    this.#server.close();
+    await this.#waitWhile((phase) => phase === 'finishing' && this.#connections.busy > 0);
     const { busy } = this.#connections;
     if (busy > 0) {
       this.#context.log.write('entry-stop-aborts', {
@@ -173,6 +161,10 @@
     this.#agent.destroy();
   }
 
+  async #waitWhile(holds: (phase: StopPhase) => boolean): Promise<void> {
+    while (holds(this.#stopSchedule.phase(this.#context.clock.now()))) await delay(STOP_CHECK_MS);
+  }
+
   /** Ends all requests in progress, and waits until their final answers are written. */
   async #endAll(): Promise<void> {
     const until = this.#context.clock.now() + FINAL_ANSWERS_MS;
@@ -191,7 +183,7 @@
       answer: new CallerAnswer(res, closesConnection),
       arrival: this.#arrivals.read(req),
       earlier: turn.earlier,
-      stoppingMs: this.#stoppingMs(),
+      stoppingMs: this.#stopSchedule.sinceMs(this.#context.clock.now()),
     };
     const { answer } = incoming;
     const decoded = this.#context.dialects.callers.decode(req);
@@ -261,6 +253,10 @@
   async #run(call: Omit<RoutedCall, 'endsAt' | 'signal'>, incoming: IncomingCall): Promise<void> {
     const { head, route, account, table, answer, arrivedAt } = call;
     const endsAt = arrivedAt + Math.min(head.waitMs ?? DEFAULT_WAIT_MS, route.timeoutMs);
+    if (!this.#stopSchedule.accepts(endsAt, this.#context.clock.now())) {
+      this.#recordEnd(route.name, head, incoming, this.#refuse(answer, stopping()));
+      return;
+    }
     const controller = new AbortController();
     this.#running.add(controller);
     const endFor = (cause: EndCause) => (): void => {
@@ -307,12 +303,6 @@
     return { type: 'refused', status, refusal };
   }
 
-  /** Milliseconds since the stop began; undefined before. */
-  #stoppingMs(): number | undefined {
-    if (this.#stoppingSince === undefined) return undefined;
-    return this.#context.clock.now() - this.#stoppingSince;
-  }
-
   #recordEnd(
     route: string,
     head: CallHead | undefined,
