--- a/test/soak/runSoak.ts
+++ b/test/soak/runSoak.ts
@@ -2,7 +2,7 @@
 
 import type { Link } from '../../packages/lab/src/node/link/index.js';
 import type { Random } from '../../packages/lab/src/runtime/random.js';
-import type { Behaviour, RequestedPauseWindow } from '../platform/fakeServer.js';
+import type { RequestedPauseWindow } from '../platform/fakeServer.js';
 import { mkdtemp, rm } from 'node:fs/promises';
 import { tmpdir } from 'node:os';
 import { join } from 'node:path';
@@ -12,10 +12,11 @@
 import { createRandom } from '../../packages/lab/src/runtime/random.js';
 import { FakeServer } from '../platform/fakeServer.js';
 import { FakeStore } from '../platform/fakeStore.js';
-import { configWith } from '../platform/world.js';
 import { SoakCallers } from './soakCallers.js';
+import { SoakConfiguration } from './soakConfiguration.js';
 import { SoakCrashes } from './soakCrashes.js';
-import { PORTS_PER_INSTANCE, settingsOf, soakServices, untilReady } from './soakFleet.js';
+import { SoakFaults } from './soakFaults.js';
+import { PORTS_PER_INSTANCE, settingsOf, untilReady } from './soakFleet.js';
 import { SoakProcess } from './soakProcess.js';
 import { brokenPromises } from './soakPromises.js';
 
@@ -28,16 +29,10 @@
 /** Milliseconds after the last fault until all instances must refuse that request. */
 const CRASH_REFUSAL_MS = 3_000;
 const ACCOUNTS = ['kirk', 'spock'];
-/** Tokens of an account; the calls of a run need more in total. */
-const LIMIT = 60_000;
-const TOP_UP = 10_000;
-const MS_PER_SECOND = 1_000;
 /** Milliseconds between two calls. */
 const CALL_INTERVAL_MS = 25;
 /** Maximum milliseconds between two faults. */
 const MAX_FAULT_INTERVAL_MS = 900;
-/** Maximum duration of a fault in milliseconds. */
-const MAX_FAULT_MS = 1_800;
 /** Milliseconds after the last fault until callers must be served again. */
 const RECOVERY_MS = 6_000;
 /** Number of calls that check the recovery. */
@@ -76,9 +71,8 @@
 }
 
 class SoakRun {
-  readonly #faults: string[] = [];
-  readonly #limits = new Map(ACCOUNTS.map((account) => [account, LIMIT]));
-  #version = 7;
+  readonly #faults: SoakFaults;
+  readonly #configuration: SoakConfiguration;
   #recoveryFailure = '';
 
   private constructor(
@@ -91,7 +85,11 @@
     readonly callers: SoakCallers,
     readonly crashes: SoakCrashes | undefined,
     readonly cleanUps: (() => unknown)[],
-  ) {}
+  ) {
+    const configuration = new SoakConfiguration(store, ACCOUNTS);
+    this.#configuration = configuration;
+    this.#faults = new SoakFaults(random, { store, configuration, servers, links, instances });
+  }
 
   static async start(
     count: number,
@@ -126,7 +124,7 @@
       : undefined;
     const parts = [random, directory, store, servers, links, instances, callers] as const;
     const run = new SoakRun(...parts, crashes, cleanUps);
-    run.#configure();
+    run.#configuration.write();
     await run.#startInstances();
     return run;
   }
@@ -151,7 +149,7 @@
     const endAt = performance.now() + faultsMs;
     while (performance.now() < endAt) {
       await delay(this.random.int(50, MAX_FAULT_INTERVAL_MS));
-      const fault = this.#fault().finally(() => activeFaults.delete(fault));
+      const fault = this.#faults.inject().finally(() => activeFaults.delete(fault));
       activeFaults.add(fault);
     }
     await Promise.all(activeFaults);
@@ -170,14 +168,14 @@
     return {
       calls: answers.length,
       answered: answers.filter(({ status }) => status === 200).length,
-      faults: this.#faults,
+      faults: this.#faults.injected,
       broken: [
         ...brokenPromises({
           answers,
           arrivals,
           arrivalsOf: new Map(this.servers.map(({ id, seen }) => [id, seen])),
           pauses: this.#undisturbedPauses(),
-          limits: this.#limits,
+          limits: this.#configuration.limits,
         }),
         ...this.instances.flatMap(({ unexpectedExits }) =>
           unexpectedExits.map((exit) => `unexpected exit: ${exit}`),
@@ -218,148 +216,6 @@
     if (served >= MIN_RECOVERED_FRACTION * plain.length) return;
     this.#recoveryFailure = `after the faults, ${String(served)} of ${String(plain.length)} plain calls were served`;
   }
-
-  #fault(): Promise<void> {
-    const { random } = this;
-    const forMs = random.int(200, MAX_FAULT_MS);
-    const instance = random.pick(this.instances);
-    const at = this.instances.indexOf(instance);
-    const faults: { name: string; weight: number; run: () => Promise<void> }[] = [
-      { name: `kill ${instance.name}`, weight: 2, run: () => restart(instance, 'SIGKILL', forMs) },
-      { name: `stop ${instance.name}`, weight: 1, run: () => restart(instance, 'SIGTERM', forMs) },
-      { name: `pause ${instance.name}`, weight: 2, run: () => pause(instance, forMs) },
-      { name: 'kill all', weight: 1, run: () => this.#killAll(forMs) },
-      {
-        name: `store silent for ${instance.name}`,
-        weight: 2,
-        run: () => cut(this.links.store[at], 'silent', forMs),
-      },
-      {
-        name: `store resets ${instance.name}`,
-        weight: 1,
-        run: () => cut(this.links.store[at], 'reset', forMs),
-      },
-      { name: 'store silent', weight: 1, run: () => this.#storeFault('silent', forMs) },
-      { name: 'store down', weight: 1, run: () => this.#storeFault('down', forMs) },
-      {
-        name: 'a server is cut off',
-        weight: 2,
-        run: () => cut(random.pick(this.links.servers), 'silent', forMs),
-      },
-      {
-        name: 'a server is slow to reach',
-        weight: 1,
-        run: () => slow(random.pick(this.links.servers), forMs),
-      },
-      { name: 'a server fails', weight: 2, run: () => this.#misbehave(forMs) },
-      { name: 'a server requests a pause', weight: 2, run: () => this.#requestPause(forMs) },
-      { name: 'a server leaves and starts again', weight: 1, run: () => this.#leave(forMs) },
-      { name: 'a server limits requests', weight: 1, run: () => this.#limitRate(forMs) },
-      { name: 'top-up', weight: 1, run: () => this.#topUp() },
-    ];
-    const fault = random.pickWeighted(faults);
-    this.#faults.push(`${fault.name} for ${String(forMs)} ms`);
-    return fault.run();
-  }
-
-  async #killAll(forMs: number): Promise<void> {
-    await Promise.all(this.instances.map((instance) => restart(instance, 'SIGKILL', forMs)));
-  }
-
-  async #storeFault(fault: 'silent' | 'down', forMs: number): Promise<void> {
-    this.store.fault = fault;
-    await delay(forMs);
-    this.store.fault = 'none';
-  }
-
-  async #misbehave(forMs: number): Promise<void> {
-    const server = this.random.pick(this.servers);
-    const usual: Behaviour = server.id.startsWith('e') ? 'stream' : 'answer';
-    const failures: Behaviour[] = ['reset', 'shed', 'error', 'silent', 'other-id', 'no-proof'];
-    if (usual === 'stream') failures.push('break-stream');
-    server.behaviour = this.random.pick(failures);
-    await delay(forMs);
-    server.behaviour = usual;
-  }
-
-  async #requestPause(forMs: number): Promise<void> {
-    const server = this.random.pick(this.servers);
-    const usual: Behaviour = server.id.startsWith('e') ? 'stream' : 'answer';
-    server.rest = String(forMs / MS_PER_SECOND);
-    server.behaviour = 'shed';
-    await delay(forMs);
-    server.behaviour = usual;
-  }
-
-  /** The server announces that it is leaving, then starts again as a new incarnation. */
-  async #leave(forMs: number): Promise<void> {
-    const server = this.random.pick(this.servers);
-    if (server.saysLeaving) return;
-    server.saysLeaving = true;
-    await delay(forMs);
-    server.saysLeaving = false;
-    this.#version += 1;
-    const entry = this.store.value('servers', server.id) as Record<string, unknown>;
-    this.store.put('servers', server.id, { ...entry, born: this.#version });
-  }
-
-  async #limitRate(forMs: number): Promise<void> {
-    const server = this.random.pick(this.servers);
-    server.rateLimit = '5';
-    await delay(forMs);
-    server.rateLimit = undefined;
-  }
-
-  #topUp(): Promise<void> {
-    for (const [account, limit] of this.#limits) this.#limits.set(account, limit + TOP_UP);
-    this.#configure();
-    return Promise.resolve();
-  }
-
-  #configure(): void {
-    this.#version += 1;
-    const tenants = [...this.#limits].map(([name, prepaid]) => {
-      return { name, api_keys: [`key-of-${name}`], prepaid };
-    });
-    this.store.put(
-      'config',
-      'main',
-      configWith({ version: this.#version, tenants, services: soakServices() }),
-    );
-  }
-}
-
-async function restart(
-  instance: SoakProcess,
-  signal: 'SIGKILL' | 'SIGTERM',
-  forMs: number,
-): Promise<void> {
-  // One restart at a time, so that a stopped process is not started twice.
-  if (instance.busy) return;
-  instance.busy = true;
-  await instance.end(signal);
-  await delay(forMs);
-  await instance.start();
-  instance.busy = false;
-}
-
-async function pause(instance: SoakProcess, forMs: number): Promise<void> {
-  if (instance.hasOutput) instance.signal('SIGHUP');
-  instance.signal('SIGSTOP');
-  await delay(forMs);
-  instance.signal('SIGCONT');
-}
-
-async function cut(link: Link | undefined, mode: 'silent' | 'reset', forMs: number): Promise<void> {
-  link?.setCut(mode);
-  await delay(forMs);
-  link?.setCut('none');
-}
-
-async function slow(link: Link, forMs: number): Promise<void> {
-  link.setLatency(100);
-  await delay(forMs);
-  link.setLatency(0);
 }
 
 /** Registers a server in the store under the address of a link to it. */
--- /dev/null
+++ b/test/soak/soakConfiguration.ts
@@ -0,0 +1,46 @@
+/** Configuration that a run writes to the store: accounts with their limits, and services. */
+
+import type { FakeStore } from '../platform/fakeStore.js';
+import { configWith } from '../platform/world.js';
+import { soakServices } from './soakFleet.js';
+
+/** Tokens of an account; the calls of a run need more in total. */
+const LIMIT = 60_000;
+const TOP_UP = 10_000;
+
+export class SoakConfiguration {
+  /** Highest limit of each account so far. */
+  readonly limits: Map<string, number>;
+  readonly #store: FakeStore;
+  #version = 7;
+
+  constructor(store: FakeStore, accounts: readonly string[]) {
+    this.#store = store;
+    this.limits = new Map(accounts.map((account) => [account, LIMIT]));
+  }
+
+  /** Writes the next version to the store. */
+  write(): void {
+    this.#version += 1;
+    const tenants = [...this.limits].map(([name, prepaid]) => {
+      return { name, api_keys: [`key-of-${name}`], prepaid };
+    });
+    this.#store.put(
+      'config',
+      'main',
+      configWith({ version: this.#version, tenants, services: soakServices() }),
+    );
+  }
+
+  topUp(): void {
+    for (const [account, limit] of this.limits) this.limits.set(account, limit + TOP_UP);
+    this.write();
+  }
+
+  /** Writes the entry of a server that has started again, as a new incarnation. */
+  restartServer(id: string): void {
+    this.#version += 1;
+    const entry = this.#store.value('servers', id) as Record<string, unknown>;
+    this.#store.put('servers', id, { ...entry, born: this.#version });
+  }
+}
