test(soak): instances stop while callers use them, and no request may be lost by that

Cause: the soak stopped instances rarely, with short requests only, and checked nothing of a stop; a request that a stopping instance sent on and gave up went unseen.

What it does: each SIGTERM meets twelve connections that were opened 0.3 s before it: streams that go on during the stop and are followed by one request after another, requests pipelined behind a stream or sent while it runs, callers that go on until the connection is closed, slow readers of a large answer (read at the latest 3.2 s after the signal), first requests that come late. Seeds with the remainder 1 of 3 stop instances most of the time, singly and in turn over all, beside the other faults; kills and pauses are rare in them, as a stop near one is not checked.

What it checks: a request that reached a server and was sent or ran between SIGTERM and exit of an instance that was not killed, paused or continued from 3 s before the signal to the exit has a whole answer (also 502 or 504), and an answer that began is whole. Excused: the caller left; a server broke the connection itself; a stream sent at most 3 s after the signal that still ran at its server in the last sixth of the grace period; and, for answers that had begun only, a server that was cut off meanwhile, as nobody can deliver the rest. At most one run of a request that may run only once is checked as for all other requests.

Order of faults: seeds with the remainders 0 and 2 of 3 keep theirs; those with the remainder 1 get other faults. The callers of stops have their own generator and account. All seeds have longer routes and that account besides.

--- a/test/platform/fakeServer.ts
+++ b/test/platform/fakeServer.ts
@@ -16,12 +16,20 @@
   at: number;
   /** Whether the server started to process it; a rejected request did not run. */
   ran: boolean;
+  /** Monotonic time at which the answer had left the server or its connection was closed. */
+  endedAt: number | undefined;
+  /** Whether the server itself broke the connection. */
+  broke: boolean;
 }
 
 /** How a server answers one request. */
 export type Behaviour =
   | 'answer'
+  /** Answers after the time that the request asks for. */
+  | 'slow-answer'
   | 'stream'
+  /** Streams the first event at once, and the others over the time that the request asks for. */
+  | 'slow-stream'
   /** Resets the connection in the middle of the second event. */
   | 'break-stream'
   | 'shed'
@@ -69,6 +77,13 @@
 
 /** Header with which the soak's callers name the instance that they use. */
 export const USED_INSTANCE = 'x-used-instance';
+/** Header with which the soak's callers ask a server that answers as usual for one of `ASKABLE`. */
+export const ASKED_BEHAVIOUR = 'x-asked-behaviour';
+/** Header with the milliseconds that a slow answer or stream takes. */
+export const ASKED_MS = 'x-asked-ms';
+const ASKABLE = ['slow-answer', 'slow-stream', 'large'] as const satisfies Behaviour[];
+/** Milliseconds that a slow answer or stream takes if the request asks for no time. */
+const SLOW_MS = 2_000;
 
 export class FakeServer {
   readonly seen: SeenRequest[] = [];
@@ -99,6 +114,7 @@
   onRestart: () => void = () => undefined;
 
   readonly #heldStreams: (() => void)[] = [];
+  readonly #running = new Set<SeenRequest>();
   #http: Server | undefined;
   #isOver = false;
 
@@ -139,6 +155,7 @@
   async #crash(): Promise<void> {
     if (!this.#http) return;
     this.crashed += 1;
+    for (const request of this.#running) request.broke = true;
     this.#close();
     await delay(RESTART_MS);
     if (this.#isOver) return;
@@ -174,7 +191,9 @@
       return;
     }
     const ran = headers['x-expect-instance'] === this.id && this.behaviour !== 'shed';
-    this.seen.push({ method, url, headers, body: Buffer.concat(chunks).toString(), at, ran });
+    const body = Buffer.concat(chunks).toString();
+    const seen = { method, url, headers, body, at, ran, endedAt: undefined, broke: false };
+    this.#track(seen, res);
     res.on('close', () => {
       if (!res.writableFinished) this.dropped += 1;
     });
@@ -182,17 +201,34 @@
       res.writeHead(421, { 'x-instance-id': this.id }).end();
       return;
     }
-    if (this.crashes && Buffer.concat(chunks).toString().startsWith(CRASHING_BODY)) {
+    if (this.crashes && body.startsWith(CRASHING_BODY)) {
       if (this.crashes === 'after-head') {
         res.writeHead(200, this.#ownHeaders(req)).flushHeaders();
       }
       setTimeout(() => void this.#crash(), CRASH_MS);
       return;
     }
-    this.#respond(req, res);
+    const behaviour = this.#behaviourFor(req);
+    seen.broke = behaviour === 'reset' || behaviour === 'break-stream';
+    this.#respond(behaviour, req, res);
     this.afterAnswer();
   }
 
+  #track(request: SeenRequest, res: ServerResponse): void {
+    this.seen.push(request);
+    this.#running.add(request);
+    res.on('close', () => {
+      this.#running.delete(request);
+      request.endedAt = performance.now();
+    });
+  }
+
+  #behaviourFor({ headers }: IncomingMessage): Behaviour {
+    const isUsual = this.behaviour === 'answer' || this.behaviour === 'stream';
+    const asked = ASKABLE.find((each) => each === headers[ASKED_BEHAVIOUR]);
+    return isUsual && asked !== undefined ? asked : this.behaviour;
+  }
+
   /** Streams the answers of all held requests. */
   release(): void {
     for (const stream of this.#heldStreams.splice(0)) stream();
@@ -215,8 +251,9 @@
     };
   }
 
-  #respond(req: IncomingMessage, res: ServerResponse): void {
+  #respond(behaviour: Behaviour, req: IncomingMessage, res: ServerResponse): void {
     const own = this.#ownHeaders(req);
+    const slowMs = Number(req.headers[ASKED_MS] ?? SLOW_MS);
     const from = Number(req.headers['last-event-id'] ?? 0);
     const begin = (): void => {
       res.writeHead(200, { ...own, 'content-type': 'text/event-stream' });
@@ -229,16 +266,23 @@
       begin();
       finish(from + 1);
     };
-    switch (this.behaviour) {
+    switch (behaviour) {
       case 'answer':
         res.writeHead(200, own).end(`from ${this.id}`);
         return;
+      case 'slow-answer':
+        setTimeout(() => res.writeHead(200, own).end(`from ${this.id}`), slowMs);
+        return;
       case 'error':
         res.writeHead(500, own).end('failed');
         return;
       case 'stream':
         stream();
         return;
+      case 'slow-stream':
+        begin();
+        void writeSlowly(res, from + 1, slowMs);
+        return;
       case 'hold':
         this.#heldStreams.push(stream);
         return;
@@ -282,6 +326,16 @@
   }
 }
 
+/** Writes one event at once and the others evenly over the given time. */
+async function writeSlowly(res: ServerResponse, first: number, forMs: number): Promise<void> {
+  const pauseMs = forMs / Math.max(1, LAST_EVENT - first);
+  for (let id = first; id <= LAST_EVENT && !res.destroyed; id += 1) {
+    if (id > first) await delay(pauseMs);
+    res.write(event(id));
+  }
+  res.end();
+}
+
 /** One event of the stream. */
 export function event(id: number): string {
   return `id: ${String(id)}\ndata: piece ${String(id)}\n\n`;
--- a/test/soak/runSoak.ts
+++ b/test/soak/runSoak.ts
@@ -3,6 +3,7 @@
 import type { Link } from '../../packages/lab/src/node/link/index.js';
 import type { Random } from '../../packages/lab/src/runtime/random.js';
 import type { RequestedPauseWindow } from '../platform/fakeServer.js';
+import type { FaultProfile, FaultTargets } from './soakFaults.js';
 import { mkdtemp, rm } from 'node:fs/promises';
 import { tmpdir } from 'node:os';
 import { join } from 'node:path';
@@ -16,9 +17,11 @@
 import { SoakConfiguration } from './soakConfiguration.js';
 import { SoakCrashes } from './soakCrashes.js';
 import { SoakFaults } from './soakFaults.js';
-import { PORTS_PER_INSTANCE, settingsOf, untilReady } from './soakFleet.js';
+import { PORTS_PER_INSTANCE, STOP_GRACE_MS, settingsOf, untilReady } from './soakFleet.js';
 import { SoakProcess } from './soakProcess.js';
 import { brokenPromises } from './soakPromises.js';
+import { StopCallers } from './soakStopCallers.js';
+import { checkStops } from './soakStops.js';
 
 const INSTANCES = 3;
 /** Instances in a run of every fifth seed: so many that most of them borrow tokens from others. */
@@ -28,6 +31,8 @@
 const CRASHES_EVERY = 4;
 /** Milliseconds after the last fault until all instances must refuse that request. */
 const CRASH_REFUSAL_MS = 3_000;
+/** Profile of the faults, by the remainder of the seed. */
+const PROFILES: readonly FaultProfile[] = ['mixed', 'stops', 'mixed'];
 const ACCOUNTS = ['kirk', 'spock'];
 /** Milliseconds between two calls. */
 const CALL_INTERVAL_MS = 25;
@@ -45,6 +50,8 @@
   seed: number;
   calls: number;
   answered: number;
+  /** Requests that reached a server and met a stop. */
+  metStop: number;
   faults: string[];
   broken: string[];
   /** Output of the processes. */
@@ -59,9 +66,7 @@
  * const { broken } = await runSoak(7, 8_000);
  */
 export async function runSoak(seed: number, faultsMs: number): Promise<SoakReport> {
-  const count = seed % MANY_INSTANCES_EVERY === 0 ? MANY_INSTANCES : INSTANCES;
-  const hasCrashes = seed % CRASHES_EVERY === 0;
-  const run = await SoakRun.start(count, hasCrashes, createRandom(seed), createRandom(seed + 1));
+  const run = await SoakRun.start(planOf(seed));
   try {
     await run.play(faultsMs);
     return { seed, ...run.report() };
@@ -70,33 +75,55 @@
   }
 }
 
+/** What a run consists of, and its generators of random choices. */
+interface RunPlan {
+  instances: number;
+  hasCrashes: boolean;
+  profile: FaultProfile;
+  random: Random;
+  callersRandom: Random;
+  stopsRandom: Random;
+}
+
+function planOf(seed: number): RunPlan {
+  return {
+    instances: seed % MANY_INSTANCES_EVERY === 0 ? MANY_INSTANCES : INSTANCES,
+    hasCrashes: seed % CRASHES_EVERY === 0,
+    profile: PROFILES[seed % PROFILES.length] ?? 'mixed',
+    random: createRandom(seed),
+    callersRandom: createRandom(seed + 1),
+    stopsRandom: createRandom(seed + 2),
+  };
+}
+
+/** Parts of a run that faults are injected into or that are ended with it. */
+interface RunParts extends Omit<FaultTargets, 'configuration'> {
+  directory: string;
+  crashes: SoakCrashes | undefined;
+  cleanUps: (() => unknown)[];
+}
+
 class SoakRun {
+  readonly #random: Random;
+  readonly #parts: RunParts;
+  readonly #callers: SoakCallers;
+  readonly #stopCallers: StopCallers;
   readonly #faults: SoakFaults;
   readonly #configuration: SoakConfiguration;
   #recoveryFailure = '';
 
-  private constructor(
-    readonly random: Random,
-    readonly directory: string,
-    readonly store: FakeStore,
-    readonly servers: FakeServer[],
-    readonly links: { store: Link[]; servers: Link[] },
-    readonly instances: SoakProcess[],
-    readonly callers: SoakCallers,
-    readonly crashes: SoakCrashes | undefined,
-    readonly cleanUps: (() => unknown)[],
-  ) {
-    const configuration = new SoakConfiguration(store, ACCOUNTS);
+  private constructor({ random, callersRandom, stopsRandom, profile }: RunPlan, parts: RunParts) {
+    const configuration = new SoakConfiguration(parts.store, ACCOUNTS);
+    this.#random = random;
+    this.#parts = parts;
+    this.#callers = new SoakCallers(parts.instances, ACCOUNTS, callersRandom);
+    this.#stopCallers = new StopCallers(stopsRandom);
     this.#configuration = configuration;
-    this.#faults = new SoakFaults(random, { store, configuration, servers, links, instances });
+    this.#faults = new SoakFaults(random, { ...parts, configuration }, profile, this.#stopCallers);
   }
 
-  static async start(
-    count: number,
-    hasCrashes: boolean,
-    random: Random,
-    callersRandom: Random,
-  ): Promise<SoakRun> {
+  static async start(plan: RunPlan): Promise<SoakRun> {
+    const { hasCrashes, instances: count, callersRandom } = plan;
     const cleanUps: (() => unknown)[] = [];
     const scope = {
       after: (cleanUp: unknown) => {
@@ -118,12 +145,11 @@
       const settings = settingsOf(ports.slice(PORTS_PER_INSTANCE * at), url, at);
       return new SoakProcess(`edge-${String(at + 1)}`, directory, settings);
     });
-    const callers = new SoakCallers(instances, ACCOUNTS, callersRandom);
     const crashes = hasCrashes
       ? new SoakCrashes(engines, instances, ACCOUNTS[0] ?? '', callersRandom)
       : undefined;
-    const parts = [random, directory, store, servers, links, instances, callers] as const;
-    const run = new SoakRun(...parts, crashes, cleanUps);
+    const parts = { directory, store, servers, links, instances, crashes, cleanUps };
+    const run = new SoakRun(plan, parts);
     run.#configuration.write();
     await run.#startInstances();
     return run;
@@ -131,8 +157,8 @@
 
   async #startInstances(): Promise<void> {
     try {
-      await Promise.all(this.instances.map((instance) => instance.start()));
-      await Promise.all(this.instances.map(untilReady));
+      await Promise.all(this.#parts.instances.map((instance) => instance.start()));
+      await Promise.all(this.#parts.instances.map(untilReady));
     } catch (err) {
       await this.close();
       throw err;
@@ -142,74 +168,90 @@
   /** Sends calls continuously, injects overlapping faults, then checks the recovery. */
   async play(faultsMs: number): Promise<void> {
     const calling = setInterval(() => {
-      this.callers.send();
+      this.#callers.send();
     }, CALL_INTERVAL_MS);
-    this.crashes?.start();
+    this.#parts.crashes?.start();
     const activeFaults = new Set<Promise<void>>();
     const endAt = performance.now() + faultsMs;
     while (performance.now() < endAt) {
-      await delay(this.random.int(50, MAX_FAULT_INTERVAL_MS));
+      await delay(this.#random.int(50, MAX_FAULT_INTERVAL_MS));
       const fault = this.#faults.inject().finally(() => activeFaults.delete(fault));
       activeFaults.add(fault);
     }
     await Promise.all(activeFaults);
+    await this.#stopCallers.settle();
     await delay(CRASH_REFUSAL_MS);
-    this.crashes?.markFaultsEnded();
+    this.#parts.crashes?.markFaultsEnded();
     await delay(RECOVERY_MS - CRASH_REFUSAL_MS);
     clearInterval(calling);
-    this.crashes?.stop();
-    await this.callers.settle();
+    this.#parts.crashes?.stop();
+    await this.#callers.settle();
     await this.#checkRecovery();
   }
 
   report(): Omit<SoakReport, 'seed'> {
-    const { answers } = this.callers;
-    const arrivals = this.servers.flatMap(({ seen }) => seen);
+    const { answers: usual } = this.#callers;
+    const answers = [...usual, ...this.#stopCallers.answers];
+    const arrivals = this.#parts.servers.flatMap(({ id, seen }) =>
+      seen.map((request) => ({ ...request, server: id })),
+    );
+    const stops = checkStops({
+      answers,
+      arrivals,
+      instances: this.#parts.instances,
+      cuts: this.#faults.cuts,
+      graceMs: STOP_GRACE_MS,
+    });
     return {
-      calls: answers.length,
-      answered: answers.filter(({ status }) => status === 200).length,
+      calls: usual.length,
+      answered: usual.filter(({ status }) => status === 200).length,
+      metStop: stops.checked,
       faults: this.#faults.injected,
       broken: [
         ...brokenPromises({
           answers,
           arrivals,
-          arrivalsOf: new Map(this.servers.map(({ id, seen }) => [id, seen])),
+          arrivalsOf: new Map(this.#parts.servers.map(({ id, seen }) => [id, seen])),
           pauses: this.#undisturbedPauses(),
           limits: this.#configuration.limits,
         }),
-        ...this.instances.flatMap(({ unexpectedExits }) =>
+        ...stops.broken,
+        ...this.#parts.instances.flatMap(({ unexpectedExits }) =>
           unexpectedExits.map((exit) => `unexpected exit: ${exit}`),
         ),
-        ...(this.crashes?.broken ?? []),
+        ...(this.#parts.crashes?.broken ?? []),
         ...(this.#recoveryFailure === '' ? [] : [this.#recoveryFailure]),
       ],
-      output: this.instances.map(({ output }) => output).join('\n'),
+      output: this.#parts.instances.map(({ output }) => output).join('\n'),
     };
   }
 
   #undisturbedPauses(): RequestedPauseWindow[] {
-    return this.servers.flatMap(({ pauses }) => {
+    return this.#parts.servers.flatMap(({ pauses }) => {
       return pauses.filter(({ instance, from, until }) => {
-        const { disturbedAt = [] } = this.instances.find(({ name }) => name === instance) ?? {};
+        const { disturbedAt = [] } =
+          this.#parts.instances.find(({ name }) => name === instance) ?? {};
         return !disturbedAt.some((at) => at > from && at < until);
       });
     });
   }
 
   async close(): Promise<void> {
-    this.crashes?.stop();
-    this.callers.close();
-    await Promise.all(this.instances.map((instance) => instance.end('SIGKILL')));
-    await Promise.all([...this.links.store, ...this.links.servers].map((link) => link.close()));
-    for (const cleanUp of this.cleanUps) await cleanUp();
-    await rm(this.directory, { recursive: true, force: true });
+    this.#parts.crashes?.stop();
+    this.#callers.close();
+    await Promise.all(this.#parts.instances.map((instance) => instance.end('SIGKILL')));
+    await Promise.all(
+      [...this.#parts.links.store, ...this.#parts.links.servers].map((link) => link.close()),
+    );
+    for (const cleanUp of this.#parts.cleanUps) await cleanUp();
+    await rm(this.#parts.directory, { recursive: true, force: true });
   }
 
   async #checkRecovery(): Promise<void> {
-    const before = this.callers.answers.length;
-    for (let at = 0; at < RECOVERY_CALLS; at += 1) this.callers.send();
-    await this.callers.settle();
-    const plain = this.callers.answers
+    const before = this.#callers.answers.length;
+    for (let at = 0; at < RECOVERY_CALLS; at += 1) this.#callers.send();
+    await this.#callers.settle();
+    const plain = this.#callers.answers
       .slice(before)
       .filter(({ kind }) => kind === 'look' || kind === 'book');
     const served = plain.filter(({ status }) => status === 200).length;
--- a/test/soak/soakCallers.ts
+++ b/test/soak/soakCallers.ts
@@ -20,6 +20,14 @@
   answeredId: string | undefined;
   body: string;
   complete: boolean;
+  /** Instance that the caller used. */
+  instance: string;
+  /** Monotonic time at which the request was sent. */
+  sentAt: number;
+  /** Monotonic time at which the answer or the connection ended. */
+  endedAt: number;
+  /** Whether the caller closed the connection before the answer ended. */
+  left: boolean;
 }
 
 /** Milliseconds after which a caller closes the connection. */
@@ -86,6 +94,10 @@
         answeredId: undefined,
         body: '',
         complete: false,
+        instance: name,
+        sentAt: performance.now(),
+        endedAt: Infinity,
+        left: false,
       };
       const req = request({
         host: '127.0.0.1',
@@ -95,9 +107,13 @@
         headers,
         agent: this.#agent,
       });
-      const timer = setTimeout(() => req.destroy(), CALLER_TIMEOUT_MS);
+      const timer = setTimeout(() => {
+        answer.left = true;
+        req.destroy();
+      }, CALLER_TIMEOUT_MS);
       const end = (): void => {
         clearTimeout(timer);
+        answer.endedAt = performance.now();
         resolve(answer);
       };
       req.on('error', end);
--- a/test/soak/soakConfiguration.ts
+++ b/test/soak/soakConfiguration.ts
@@ -2,11 +2,14 @@
 
 import type { FakeStore } from '../platform/fakeStore.js';
 import { configWith } from '../platform/world.js';
-import { soakServices } from './soakFleet.js';
+import { soakRoutes, soakServices } from './soakFleet.js';
 
 /** Tokens of an account; the calls of a run need more in total. */
 const LIMIT = 60_000;
 const TOP_UP = 10_000;
+/** Account of the callers that meet stops, which must not run out of tokens. */
+export const STOP_ACCOUNT = 'uhura';
+const STOP_ACCOUNT_LIMIT = 10_000_000;
 
 export class SoakConfiguration {
   /** Highest limit of each account so far. */
@@ -22,14 +25,14 @@
   /** Writes the next version to the store. */
   write(): void {
     this.#version += 1;
-    const tenants = [...this.limits].map(([name, prepaid]) => {
+    const limits = [...this.limits, [STOP_ACCOUNT, STOP_ACCOUNT_LIMIT] as const];
+    const tenants = limits.map(([name, prepaid]) => {
       return { name, api_keys: [`key-of-${name}`], prepaid };
     });
-    this.#store.put(
-      'config',
-      'main',
-      configWith({ version: this.#version, tenants, services: soakServices() }),
-    );
+    const services = soakServices();
+    const routes = soakRoutes();
+    const config = configWith({ version: this.#version, tenants, services, routes });
+    this.#store.put('config', 'main', config);
   }
 
   topUp(): void {
--- a/test/soak/soakFaults.ts
+++ b/test/soak/soakFaults.ts
@@ -6,11 +6,16 @@
 import type { FakeStore } from '../platform/fakeStore.js';
 import type { SoakConfiguration } from './soakConfiguration.js';
 import type { SoakProcess } from './soakProcess.js';
+import type { StopCallers } from './soakStopCallers.js';
+import type { CutWindow } from './soakStops.js';
 import { setTimeout as delay } from 'node:timers/promises';
+import { STOP_LEAD_MS } from './soakStopCallers.js';
 
 const MS_PER_SECOND = 1_000;
 /** Maximum duration of a fault in milliseconds. */
 const MAX_FAULT_MS = 1_800;
+/** Maximum milliseconds between two instances that are stopped in turn. */
+const MAX_TURN_MS = 700;
 
 /** What faults are injected into. */
 export interface FaultTargets {
@@ -21,13 +26,56 @@
   instances: SoakProcess[];
 }
 
+/** Which faults a run consists of. */
+export type FaultProfile = 'mixed' | 'stops';
+
+const MIXED = {
+  kill: 2,
+  stop: 1,
+  pause: 2,
+  'kill all': 1,
+  'store silent for': 2,
+  'store resets': 1,
+  'store silent': 1,
+  'store down': 1,
+  'a server is cut off': 2,
+  'a server is slow to reach': 1,
+  'a server fails': 2,
+  'a server requests a pause': 2,
+  'a server leaves and starts again': 1,
+  'a server limits requests': 1,
+  'top-up': 1,
+  'stop all in turn': 0,
+};
+
+type FaultKind = keyof typeof MIXED;
+
+const WEIGHTS: Record<FaultProfile, Record<FaultKind, number>> = {
+  mixed: MIXED,
+  // Kills and pauses are rare, because a stop near one of them is not checked.
+  stops: { ...MIXED, kill: 1, stop: 8, pause: 1, 'kill all': 0, 'stop all in turn': 3 },
+};
+
+/** Faults whose description names the instance. */
+const OF_ONE_INSTANCE: ReadonlySet<FaultKind> = new Set([
+  'kill',
+  'stop',
+  'pause',
+  'store silent for',
+  'store resets',
+]);
+
 export class SoakFaults {
+  /** Times in which servers could not be reached. */
+  readonly cuts: CutWindow[] = [];
   /** Injected faults, one phrase each. */
   readonly injected: string[] = [];
 
   constructor(
     readonly random: Random,
     readonly targets: FaultTargets,
+    readonly profile: FaultProfile,
+    readonly stopCallers: StopCallers,
   ) {}
 
   /** Injects one fault and resolves when it has ended. */
@@ -36,43 +84,30 @@
     const { instances, links } = this.targets;
     const forMs = random.int(200, MAX_FAULT_MS);
     const instance = random.pick(instances);
-    const at = instances.indexOf(instance);
-    const faults: { name: string; weight: number; run: () => Promise<void> }[] = [
-      { name: `kill ${instance.name}`, weight: 2, run: () => restart(instance, 'SIGKILL', forMs) },
-      { name: `stop ${instance.name}`, weight: 1, run: () => restart(instance, 'SIGTERM', forMs) },
-      { name: `pause ${instance.name}`, weight: 2, run: () => pause(instance, forMs) },
-      { name: 'kill all', weight: 1, run: () => this.#killAll(forMs) },
-      {
-        name: `store silent for ${instance.name}`,
-        weight: 2,
-        run: () => cut(links.store[at], 'silent', forMs),
-      },
-      {
-        name: `store resets ${instance.name}`,
-        weight: 1,
-        run: () => cut(links.store[at], 'reset', forMs),
-      },
-      { name: 'store silent', weight: 1, run: () => this.#storeFault('silent', forMs) },
-      { name: 'store down', weight: 1, run: () => this.#storeFault('down', forMs) },
-      {
-        name: 'a server is cut off',
-        weight: 2,
-        run: () => cut(random.pick(links.servers), 'silent', forMs),
-      },
-      {
-        name: 'a server is slow to reach',
-        weight: 1,
-        run: () => slow(random.pick(links.servers), forMs),
-      },
-      { name: 'a server fails', weight: 2, run: () => this.#misbehave(forMs) },
-      { name: 'a server requests a pause', weight: 2, run: () => this.#requestPause(forMs) },
-      { name: 'a server leaves and starts again', weight: 1, run: () => this.#leave(forMs) },
-      { name: 'a server limits requests', weight: 1, run: () => this.#limitRate(forMs) },
-      { name: 'top-up', weight: 1, run: () => this.#topUp() },
-    ];
-    const fault = random.pickWeighted(faults);
-    this.injected.push(`${fault.name} for ${String(forMs)} ms`);
-    return fault.run();
+    const storeLink = links.store[instances.indexOf(instance)];
+    const runs: Record<FaultKind, () => Promise<void>> = {
+      kill: () => restart(instance, 'SIGKILL', forMs),
+      stop: () => this.#stop(instance, forMs),
+      pause: () => pause(instance, forMs),
+      'kill all': () => this.#killAll(forMs),
+      'store silent for': () => cut(storeLink, 'silent', forMs),
+      'store resets': () => cut(storeLink, 'reset', forMs),
+      'store silent': () => this.#storeFault('silent', forMs),
+      'store down': () => this.#storeFault('down', forMs),
+      'a server is cut off': () => this.#cutServer(forMs),
+      'a server is slow to reach': () => slow(random.pick(links.servers), forMs),
+      'a server fails': () => this.#misbehave(forMs),
+      'a server requests a pause': () => this.#requestPause(forMs),
+      'a server leaves and starts again': () => this.#leave(forMs),
+      'a server limits requests': () => this.#limitRate(forMs),
+      'top-up': () => this.#topUp(),
+      'stop all in turn': () => this.#stopInTurn(forMs),
+    };
+    const weights = Object.entries(WEIGHTS[this.profile]) as [FaultKind, number][];
+    const { kind } = random.pickWeighted(weights.map(([kind, weight]) => ({ kind, weight })));
+    const target = OF_ONE_INSTANCE.has(kind) ? ` ${instance.name}` : '';
+    this.injected.push(`${kind}${target} for ${String(forMs)} ms`);
+    return runs[kind]();
   }
 
   async #killAll(forMs: number): Promise<void> {
@@ -81,6 +116,35 @@
     );
   }
 
+  /** Stops an instance gracefully while callers use it, then starts it again. */
+  async #stop(instance: SoakProcess, forMs: number): Promise<void> {
+    if (instance.busy) return;
+    this.stopCallers.begin(instance);
+    await delay(STOP_LEAD_MS);
+    await restart(instance, 'SIGTERM', forMs);
+  }
+
+  /** Stops one instance after the other, without waiting until those before have started again. */
+  async #stopInTurn(forMs: number): Promise<void> {
+    const intervalMs = Math.min(forMs, MAX_TURN_MS);
+    await Promise.all(
+      this.targets.instances.map(async (instance, at) => {
+        await delay(at * intervalMs);
+        await this.#stop(instance, forMs);
+      }),
+    );
+  }
+
+  async #cutServer(forMs: number): Promise<void> {
+    const { links, servers } = this.targets;
+    const link = this.random.pick(links.servers);
+    const server = servers[links.servers.indexOf(link)]?.id ?? '';
+    const window = { server, from: performance.now(), until: Infinity };
+    this.cuts.push(window);
+    await cut(link, 'silent', forMs);
+    window.until = performance.now();
+  }
+
   async #storeFault(fault: 'silent' | 'down', forMs: number): Promise<void> {
     this.targets.store.fault = fault;
     await delay(forMs);
--- a/test/soak/soakFleet.ts
+++ b/test/soak/soakFleet.ts
@@ -6,6 +6,12 @@
 
 /** Ports of one instance: for callers, for readiness checks and for other instances. */
 export const PORTS_PER_INSTANCE = 3;
+/** Milliseconds that an instance has from SIGTERM to its exit. */
+export const STOP_GRACE_MS = 4_000;
+/** Path prefix of the routes with a long time limit. */
+export const LONG_PREFIX = '/long';
+/** Time limit of these routes in milliseconds; longer than a stop. */
+export const LONG_MS = 9_000;
 const DATA_CENTRES = ['hall-a', 'hall-b', 'hall-c'] as const;
 /** Number of data centres over which instances are spread in turn. */
 export const DATA_CENTRE_COUNT = DATA_CENTRES.length;
@@ -19,7 +25,7 @@
     store: { url: storeUrl, timeoutMs: 500, watchIdleMs: 1_000, configurationIdleMs: 1_000 },
     prepaid: { reportMs: 300, rideThroughSeconds: 3 },
     retries: { ratio: 0.2, slack: 54, windowMs: 10_000 },
-    stopGraceMs: 4_000,
+    stopGraceMs: STOP_GRACE_MS,
   };
 }
 
@@ -33,6 +39,17 @@
   });
 }
 
+/** Routes of the test configuration, each also with a long time limit. */
+export function soakRoutes(): object[] {
+  const { routes } = configWith() as { routes: { name: string; path_prefix: string }[] };
+  const long = routes.map((route) => {
+    const { name, path_prefix: prefix } = route;
+    const change = { path_prefix: `${LONG_PREFIX}${prefix}`, timeout_ms: LONG_MS };
+    return { ...route, ...change, name: `long-${name}` };
+  });
+  return [...routes, ...long];
+}
+
 /** Waits until a started process is ready; fails at once if it exits before that. */
 export async function untilReady(instance: SoakProcess): Promise<void> {
   const { name, settings, unexpectedExits } = instance;
--- a/test/soak/soakProcess.ts
+++ b/test/soak/soakProcess.ts
@@ -8,6 +8,13 @@
 /** Characters kept from the end of a process's output for the report. */
 const MAX_OUTPUT_CHARS = 200_000;
 
+/** A stop by SIGTERM, on the monotonic clock. */
+export interface StopWindow {
+  at: number;
+  /** Time at which the process was gone; `Infinity` while it runs. */
+  exitedAt: number;
+}
+
 export class SoakProcess {
   readonly port: number;
   /** Bundle that the next start runs. */
@@ -17,6 +24,9 @@
   busy = false;
   /** Times of all signals to the process, on the monotonic clock. */
   readonly disturbedAt: number[] = [];
+  /** Times of the signals that killed, paused or continued the process, on the monotonic clock. */
+  readonly harmedAt: number[] = [];
+  readonly stops: StopWindow[] = [];
   /** Exits that were not requested, with exit code or signal. */
   unexpectedExits: string[] = [];
   readonly #file: string;
@@ -64,7 +74,9 @@
 
   /** Sends a signal that does not end the process. */
   signal(signal: 'SIGSTOP' | 'SIGCONT' | 'SIGHUP'): void {
-    this.disturbedAt.push(performance.now());
+    const now = performance.now();
+    this.disturbedAt.push(now);
+    if (signal !== 'SIGHUP') this.harmedAt.push(now);
     this.#child?.kill(signal);
   }
 
@@ -73,10 +85,14 @@
     const child = this.#child;
     if (child?.exitCode !== null || child.signalCode !== null) return;
     this.#isExitExpected = true;
-    this.disturbedAt.push(performance.now());
+    const stop: StopWindow = { at: performance.now(), exitedAt: Infinity };
+    this.disturbedAt.push(stop.at);
+    if (signal === 'SIGKILL') this.harmedAt.push(stop.at);
+    else this.stops.push(stop);
     const exited = new Promise((resolve) => child.once('exit', resolve));
     child.kill('SIGCONT');
     child.kill(signal);
     await exited;
+    stop.exitedAt = performance.now();
   }
 }
