feat(lab): a link can refuse new connections while open ones live on

Cause: an instance can lose its servers in three ways: its connections hang, are reset, or live on while new ones are refused. The link had the first two. The new mode closes the listener, so that a new connection is refused as by a host on which nothing listens, and opens it again on the same port when the cut ends.

--- a/packages/lab/src/node/link/link.ts
+++ b/packages/lab/src/node/link/link.ts
@@ -5,7 +5,7 @@
 import { breakConnection } from './breakConnection.js';
 
 /** Effect of a cut on both ends of a connection; `none` means no cut. */
-export type CutMode = 'none' | 'silent' | 'reset';
+export type CutMode = 'none' | 'silent' | 'reset' | 'refuse-new';
 
 /** Address that a link forwards to. */
 export interface LinkTarget {
@@ -32,8 +32,9 @@
   port: number;
   /**
    * Cuts connections, or ends the cut with `none`. `silent` drops all bytes; `reset` resets open and
-   * new connections. With `from`, applies only to connections from that IP address: where each data
-   * centre has its own loopback address, this cuts one data centre off from one instance.
+   * new connections; `refuse-new` keeps open connections and refuses new ones. With `from`, applies only to connections from that IP address: where each data
+   * centre has its own loopback address, this cuts one data centre off from one instance. A port
+   * can't be closed to one address only: there, `refuse-new` resets new connections.
    */
   setCut(mode: CutMode, from?: string): void;
   setLatency(latencyMs: number): void;
@@ -46,6 +47,9 @@
 /** Key of the cut that applies to sources without their own entry. */
 const anySource = 'any';
 
+/** Milliseconds until a link tries again to listen on its port, if another socket holds it. */
+const relistenMs = 10;
+
 interface LinkState {
   /** Cut by source address. */
   cuts: Map<string, CutMode>;
@@ -54,6 +58,14 @@
   sockets: Map<Socket, string>;
 }
 
+/** A listener that can be closed and opened again on its port. */
+interface Listener {
+  port: number;
+  open(): void;
+  /** Refuses new connections; open ones live on. */
+  close(): void;
+}
+
 /**
  * Starts a relay.
  *
@@ -68,27 +80,29 @@
     latencyMs: options.latencyMs ?? 0,
     sockets: new Map(),
   };
-  const server = createServer((near) => {
+  const listener = await startListener(host, options.port ?? 0, (near) => {
     const { target } = options;
     accept(near, typeof target === 'function' ? target() : target, state);
   });
-  const port = await listen(server, host, options.port ?? 0);
+  const { port } = listener;
+  let isClosed = false;
   return {
     url: `http://${host}:${String(port)}`,
     port,
     setCut: (mode, from = anySource) => {
       setCut(state, mode, from);
+      if (state.cuts.get(anySource) === 'refuse-new' || isClosed) listener.close();
+      else listener.open();
     },
     setLatency: (latencyMs) => {
       state.latencyMs = latencyMs;
     },
-    close: () => {
+    close: async () => {
+      isClosed = true;
+      listener.close();
+      const closed = [...state.sockets.keys()].map((socket) => onceClosed(socket));
       breakMatching(state, () => true);
-      return new Promise((resolve) => {
-        server.close(() => {
-          resolve();
-        });
-      });
+      await Promise.all(closed);
     },
   };
 }
@@ -102,7 +116,7 @@
   // would drop them after its retransmissions, so they are reset here.
   breakMatching(state, (socket, source) => {
     const now = cutOf(state, source);
-    return now === 'reset' || (before.get(socket) === 'silent' && now === 'none');
+    return now === 'reset' || (before.get(socket) === 'silent' && now !== 'silent');
   });
 }
 
@@ -114,7 +128,7 @@
   const source = near.remoteAddress ?? '';
   track(near, source, state);
   const cut = cutOf(state, source);
-  if (cut === 'reset') {
+  if (cut === 'reset' || cut === 'refuse-new') {
     breakConnection(near);
     return;
   }
@@ -122,7 +136,10 @@
   if (cut === 'silent') return;
   const far = connect(target.port, target.host);
   track(far, source, state);
-  const isOpen = (): boolean => cutOf(state, source) === 'none';
+  const isOpen = (): boolean => {
+    const mode = cutOf(state, source);
+    return mode === 'none' || mode === 'refuse-new';
+  };
   relay(near, far, state, isOpen);
   relay(far, near, state, isOpen);
 }
@@ -181,6 +198,42 @@
   }
 }
 
+async function startListener(
+  host: string,
+  port: number,
+  onConnection: (socket: Socket) => void,
+): Promise<Listener> {
+  let server: Server | undefined = createServer(onConnection);
+  let retry: NodeJS.Timeout | undefined;
+  const listener: Listener = {
+    port: await listen(server, host, port),
+    open: () => {
+      clearTimeout(retry);
+      if (server) return;
+      const reopened = createServer(onConnection);
+      server = reopened;
+      // Another socket may hold the port for a moment.
+      listen(reopened, host, listener.port).catch(() => {
+        if (server !== reopened) return;
+        server = undefined;
+        retry = setTimeout(() => {
+          listener.open();
+        }, relistenMs);
+      });
+    },
+    close: () => {
+      clearTimeout(retry);
+      server?.close();
+      server = undefined;
+    },
+  };
+  return listener;
+}
+
+function onceClosed(socket: Socket): Promise<unknown> {
+  return new Promise((resolve) => socket.once('close', resolve));
+}
+
 function listen(server: Server, host: string, port: number): Promise<number> {
   return new Promise((resolve, reject) => {
     server.once('error', reject);
