--- a/test/soak/runSoak.ts
+++ b/test/soak/runSoak.ts
@@ -2,7 +2,8 @@
 
 import type { Link } from '../../packages/lab/src/node/link/index.js';
 import type { Random } from '../../packages/lab/src/runtime/random.js';
-import type { Behaviour, RequestedPauseWindow } from '../platform/fakeServer.js';
+import type { RequestedPauseWindow } from '../platform/fakeServer.js';
+import type { FaultProfile, FaultTargets } from './soakFaults.js';
 import { mkdtemp, rm } from 'node:fs/promises';
 import { tmpdir } from 'node:os';
 import { join } from 'node:path';
@@ -12,12 +13,15 @@
 import { createRandom } from '../../packages/lab/src/runtime/random.js';
 import { FakeServer } from '../platform/fakeServer.js';
 import { FakeStore } from '../platform/fakeStore.js';
-import { configWith } from '../platform/world.js';
 import { SoakCallers } from './soakCallers.js';
+import { SoakConfiguration } from './soakConfiguration.js';
 import { SoakCrashes } from './soakCrashes.js';
-import { PORTS_PER_INSTANCE, settingsOf, soakServices, untilReady } from './soakFleet.js';
+import { SoakFaults } from './soakFaults.js';
+import { PORTS_PER_INSTANCE, STOP_GRACE_MS, settingsOf, untilReady } from './soakFleet.js';
 import { SoakProcess } from './soakProcess.js';
 import { brokenPromises } from './soakPromises.js';
+import { StopCallers } from './soakStopCallers.js';
+import { checkStops } from './soakStops.js';
 
 const INSTANCES = 3;
 /** Instances in a run of every fifth seed: so many that most of them borrow tokens from others. */
@@ -27,17 +31,13 @@
 const CRASHES_EVERY = 4;
 /** Milliseconds after the last fault until all instances must refuse that request. */
 const CRASH_REFUSAL_MS = 3_000;
+/** Profile of the faults, by the remainder of the seed. */
+const PROFILES: readonly FaultProfile[] = ['mixed', 'stops', 'mixed'];
 const ACCOUNTS = ['kirk', 'spock'];
-/** Tokens of an account; the calls of a run need more in total. */
-const LIMIT = 60_000;
-const TOP_UP = 10_000;
-const MS_PER_SECOND = 1_000;
 /** Milliseconds between two calls. */
 const CALL_INTERVAL_MS = 25;
 /** Maximum milliseconds between two faults. */
 const MAX_FAULT_INTERVAL_MS = 900;
-/** Maximum duration of a fault in milliseconds. */
-const MAX_FAULT_MS = 1_800;
 /** Milliseconds after the last fault until callers must be served again. */
 const RECOVERY_MS = 6_000;
 /** Number of calls that check the recovery. */
@@ -50,6 +50,8 @@
   seed: number;
   calls: number;
   answered: number;
+  /** Requests that reached a server and met a stop. */
+  metStop: number;
   faults: string[];
   broken: string[];
   /** Output of the processes. */
@@ -64,9 +66,7 @@
  * const { broken } = await runSoak(7, 8_000);
  */
 export async function runSoak(seed: number, faultsMs: number): Promise<SoakReport> {
-  const count = seed % MANY_INSTANCES_EVERY === 0 ? MANY_INSTANCES : INSTANCES;
-  const hasCrashes = seed % CRASHES_EVERY === 0;
-  const run = await SoakRun.start(count, hasCrashes, createRandom(seed), createRandom(seed + 1));
+  const run = await SoakRun.start(planOf(seed));
   try {
     await run.play(faultsMs);
     return { seed, ...run.report() };
@@ -75,30 +75,55 @@
   }
 }
 
+/** What a run consists of, and its generators of random choices. */
+interface RunPlan {
+  instances: number;
+  hasCrashes: boolean;
+  profile: FaultProfile;
+  random: Random;
+  callersRandom: Random;
+  stopsRandom: Random;
+}
+
+function planOf(seed: number): RunPlan {
+  return {
+    instances: seed % MANY_INSTANCES_EVERY === 0 ? MANY_INSTANCES : INSTANCES,
+    hasCrashes: seed % CRASHES_EVERY === 0,
+    profile: PROFILES[seed % PROFILES.length] ?? 'mixed',
+    random: createRandom(seed),
+    callersRandom: createRandom(seed + 1),
+    stopsRandom: createRandom(seed + 2),
+  };
+}
+
+/** Parts of a run that faults are injected into or that are ended with it. */
+interface RunParts extends Omit<FaultTargets, 'configuration'> {
+  directory: string;
+  crashes: SoakCrashes | undefined;
+  cleanUps: (() => unknown)[];
+}
+
 class SoakRun {
-  readonly #faults: string[] = [];
-  readonly #limits = new Map(ACCOUNTS.map((account) => [account, LIMIT]));
-  #version = 7;
+  readonly #random: Random;
+  readonly #parts: RunParts;
+  readonly #callers: SoakCallers;
+  readonly #stopCallers: StopCallers;
+  readonly #faults: SoakFaults;
+  readonly #configuration: SoakConfiguration;
   #recoveryFailure = '';
 
-  private constructor(
-    readonly random: Random,
-    readonly directory: string,
-    readonly store: FakeStore,
-    readonly servers: FakeServer[],
-    readonly links: { store: Link[]; servers: Link[] },
-    readonly instances: SoakProcess[],
-    readonly callers: SoakCallers,
-    readonly crashes: SoakCrashes | undefined,
-    readonly cleanUps: (() => unknown)[],
-  ) {}
+  private constructor({ random, callersRandom, stopsRandom, profile }: RunPlan, parts: RunParts) {
+    const configuration = new SoakConfiguration(parts.store, ACCOUNTS);
+    this.#random = random;
+    this.#parts = parts;
+    this.#callers = new SoakCallers(parts.instances, ACCOUNTS, callersRandom);
+    this.#stopCallers = new StopCallers(stopsRandom);
+    this.#configuration = configuration;
+    this.#faults = new SoakFaults(random, { ...parts, configuration }, profile, this.#stopCallers);
+  }
 
-  static async start(
-    count: number,
-    hasCrashes: boolean,
-    random: Random,
-    callersRandom: Random,
-  ): Promise<SoakRun> {
+  static async start(plan: RunPlan): Promise<SoakRun> {
+    const { hasCrashes, instances: count, callersRandom } = plan;
     const cleanUps: (() => unknown)[] = [];
     const scope = {
       after: (cleanUp: unknown) => {
@@ -120,21 +145,20 @@
       const settings = settingsOf(ports.slice(PORTS_PER_INSTANCE * at), url, at);
       return new SoakProcess(`edge-${String(at + 1)}`, directory, settings);
     });
-    const callers = new SoakCallers(instances, ACCOUNTS, callersRandom);
     const crashes = hasCrashes
       ? new SoakCrashes(engines, instances, ACCOUNTS[0] ?? '', callersRandom)
       : undefined;
-    const parts = [random, directory, store, servers, links, instances, callers] as const;
-    const run = new SoakRun(...parts, crashes, cleanUps);
-    run.#configure();
+    const parts = { directory, store, servers, links, instances, crashes, cleanUps };
+    const run = new SoakRun(plan, parts);
+    run.#configuration.write();
     await run.#startInstances();
     return run;
   }
 
   async #startInstances(): Promise<void> {
     try {
-      await Promise.all(this.instances.map((instance) => instance.start()));
-      await Promise.all(this.instances.map(untilReady));
+      await Promise.all(this.#parts.instances.map((instance) => instance.start()));
+      await Promise.all(this.#parts.instances.map(untilReady));
     } catch (err) {
       await this.close();
       throw err;
@@ -144,222 +168,96 @@
   /** Sends calls continuously, injects overlapping faults, then checks the recovery. */
   async play(faultsMs: number): Promise<void> {
     const calling = setInterval(() => {
-      this.callers.send();
+      this.#callers.send();
     }, CALL_INTERVAL_MS);
-    this.crashes?.start();
+    this.#parts.crashes?.start();
     const activeFaults = new Set<Promise<void>>();
     const endAt = performance.now() + faultsMs;
     while (performance.now() < endAt) {
-      await delay(this.random.int(50, MAX_FAULT_INTERVAL_MS));
-      const fault = this.#fault().finally(() => activeFaults.delete(fault));
+      await delay(this.#random.int(50, MAX_FAULT_INTERVAL_MS));
+      const fault = this.#faults.inject().finally(() => activeFaults.delete(fault));
       activeFaults.add(fault);
     }
     await Promise.all(activeFaults);
+    await this.#stopCallers.settle();
     await delay(CRASH_REFUSAL_MS);
-    this.crashes?.markFaultsEnded();
+    this.#parts.crashes?.markFaultsEnded();
     await delay(RECOVERY_MS - CRASH_REFUSAL_MS);
     clearInterval(calling);
-    this.crashes?.stop();
-    await this.callers.settle();
+    this.#parts.crashes?.stop();
+    await this.#callers.settle();
     await this.#checkRecovery();
   }
 
   report(): Omit<SoakReport, 'seed'> {
-    const { answers } = this.callers;
-    const arrivals = this.servers.flatMap(({ seen }) => seen);
+    const { answers: usual } = this.#callers;
+    const answers = [...usual, ...this.#stopCallers.answers];
+    const arrivals = this.#parts.servers.flatMap(({ id, seen }) =>
+      seen.map((request) => ({ ...request, server: id })),
+    );
+    const stops = checkStops({
+      answers,
+      arrivals,
+      instances: this.#parts.instances,
+      cuts: this.#faults.cuts,
+      graceMs: STOP_GRACE_MS,
+    });
     return {
-      calls: answers.length,
-      answered: answers.filter(({ status }) => status === 200).length,
-      faults: this.#faults,
+      calls: usual.length,
+      answered: usual.filter(({ status }) => status === 200).length,
+      metStop: stops.checked,
+      faults: this.#faults.injected,
       broken: [
         ...brokenPromises({
           answers,
           arrivals,
-          arrivalsOf: new Map(this.servers.map(({ id, seen }) => [id, seen])),
+          arrivalsOf: new Map(this.#parts.servers.map(({ id, seen }) => [id, seen])),
           pauses: this.#undisturbedPauses(),
-          limits: this.#limits,
+          limits: this.#configuration.limits,
         }),
-        ...this.instances.flatMap(({ unexpectedExits }) =>
+        ...stops.broken,
+        ...this.#parts.instances.flatMap(({ unexpectedExits }) =>
           unexpectedExits.map((exit) => `unexpected exit: ${exit}`),
         ),
-        ...(this.crashes?.broken ?? []),
+        ...(this.#parts.crashes?.broken ?? []),
         ...(this.#recoveryFailure === '' ? [] : [this.#recoveryFailure]),
       ],
-      output: this.instances.map(({ output }) => output).join('\n'),
+      output: this.#parts.instances.map(({ output }) => output).join('\n'),
     };
   }
 
   #undisturbedPauses(): RequestedPauseWindow[] {
-    return this.servers.flatMap(({ pauses }) => {
+    return this.#parts.servers.flatMap(({ pauses }) => {
       return pauses.filter(({ instance, from, until }) => {
-        const { disturbedAt = [] } = this.instances.find(({ name }) => name === instance) ?? {};
+        const { disturbedAt = [] } =
+          this.#parts.instances.find(({ name }) => name === instance) ?? {};
         return !disturbedAt.some((at) => at > from && at < until);
       });
     });
   }
 
   async close(): Promise<void> {
-    this.crashes?.stop();
-    this.callers.close();
-    await Promise.all(this.instances.map((instance) => instance.end('SIGKILL')));
-    await Promise.all([...this.links.store, ...this.links.servers].map((link) => link.close()));
-    for (const cleanUp of this.cleanUps) await cleanUp();
-    await rm(this.directory, { recursive: true, force: true });
+    this.#parts.crashes?.stop();
+    this.#callers.close();
+    await Promise.all(this.#parts.instances.map((instance) => instance.end('SIGKILL')));
+    await Promise.all(
+      [...this.#parts.links.store, ...this.#parts.links.servers].map((link) => link.close()),
+    );
+    for (const cleanUp of this.#parts.cleanUps) await cleanUp();
+    await rm(this.#parts.directory, { recursive: true, force: true });
   }
 
   async #checkRecovery(): Promise<void> {
-    const before = this.callers.answers.length;
-    for (let at = 0; at < RECOVERY_CALLS; at += 1) this.callers.send();
-    await this.callers.settle();
-    const plain = this.callers.answers
+    const before = this.#callers.answers.length;
+    for (let at = 0; at < RECOVERY_CALLS; at += 1) this.#callers.send();
+    await this.#callers.settle();
+    const plain = this.#callers.answers
       .slice(before)
       .filter(({ kind }) => kind === 'look' || kind === 'book');
     const served = plain.filter(({ status }) => status === 200).length;
     if (served >= MIN_RECOVERED_FRACTION * plain.length) return;
     this.#recoveryFailure = `after the faults, ${String(served)} of ${String(plain.length)} plain calls were served`;
   }
-
-  #fault(): Promise<void> {
-    const { random } = this;
-    const forMs = random.int(200, MAX_FAULT_MS);
-    const instance = random.pick(this.instances);
-    const at = this.instances.indexOf(instance);
-    const faults: { name: string; weight: number; run: () => Promise<void> }[] = [
-      { name: `kill ${instance.name}`, weight: 2, run: () => restart(instance, 'SIGKILL', forMs) },
-      { name: `stop ${instance.name}`, weight: 1, run: () => restart(instance, 'SIGTERM', forMs) },
-      { name: `pause ${instance.name}`, weight: 2, run: () => pause(instance, forMs) },
-      { name: 'kill all', weight: 1, run: () => this.#killAll(forMs) },
-      {
-        name: `store silent for ${instance.name}`,
-        weight: 2,
-        run: () => cut(this.links.store[at], 'silent', forMs),
-      },
-      {
-        name: `store resets ${instance.name}`,
-        weight: 1,
-        run: () => cut(this.links.store[at], 'reset', forMs),
-      },
-      { name: 'store silent', weight: 1, run: () => this.#storeFault('silent', forMs) },
-      { name: 'store down', weight: 1, run: () => this.#storeFault('down', forMs) },
-      {
-        name: 'a server is cut off',
-        weight: 2,
-        run: () => cut(random.pick(this.links.servers), 'silent', forMs),
-      },
-      {
-        name: 'a server is slow to reach',
-        weight: 1,
-        run: () => slow(random.pick(this.links.servers), forMs),
-      },
-      { name: 'a server fails', weight: 2, run: () => this.#misbehave(forMs) },
-      { name: 'a server requests a pause', weight: 2, run: () => this.#requestPause(forMs) },
-      { name: 'a server leaves and starts again', weight: 1, run: () => this.#leave(forMs) },
-      { name: 'a server limits requests', weight: 1, run: () => this.#limitRate(forMs) },
-      { name: 'top-up', weight: 1, run: () => this.#topUp() },
-    ];
-    const fault = random.pickWeighted(faults);
-    this.#faults.push(`${fault.name} for ${String(forMs)} ms`);
-    return fault.run();
-  }
-
-  async #killAll(forMs: number): Promise<void> {
-    await Promise.all(this.instances.map((instance) => restart(instance, 'SIGKILL', forMs)));
-  }
-
-  async #storeFault(fault: 'silent' | 'down', forMs: number): Promise<void> {
-    this.store.fault = fault;
-    await delay(forMs);
-    this.store.fault = 'none';
-  }
-
-  async #misbehave(forMs: number): Promise<void> {
-    const server = this.random.pick(this.servers);
-    const usual: Behaviour = server.id.startsWith('e') ? 'stream' : 'answer';
-    const failures: Behaviour[] = ['reset', 'shed', 'error', 'silent', 'other-id', 'no-proof'];
-    if (usual === 'stream') failures.push('break-stream');
-    server.behaviour = this.random.pick(failures);
-    await delay(forMs);
-    server.behaviour = usual;
-  }
-
-  async #requestPause(forMs: number): Promise<void> {
-    const server = this.random.pick(this.servers);
-    const usual: Behaviour = server.id.startsWith('e') ? 'stream' : 'answer';
-    server.rest = String(forMs / MS_PER_SECOND);
-    server.behaviour = 'shed';
-    await delay(forMs);
-    server.behaviour = usual;
-  }
-
-  /** The server announces that it is leaving, then starts again as a new incarnation. */
-  async #leave(forMs: number): Promise<void> {
-    const server = this.random.pick(this.servers);
-    if (server.saysLeaving) return;
-    server.saysLeaving = true;
-    await delay(forMs);
-    server.saysLeaving = false;
-    this.#version += 1;
-    const entry = this.store.value('servers', server.id) as Record<string, unknown>;
-    this.store.put('servers', server.id, { ...entry, born: this.#version });
-  }
-
-  async #limitRate(forMs: number): Promise<void> {
-    const server = this.random.pick(this.servers);
-    server.rateLimit = '5';
-    await delay(forMs);
-    server.rateLimit = undefined;
-  }
-
-  #topUp(): Promise<void> {
-    for (const [account, limit] of this.#limits) this.#limits.set(account, limit + TOP_UP);
-    this.#configure();
-    return Promise.resolve();
-  }
-
-  #configure(): void {
-    this.#version += 1;
-    const tenants = [...this.#limits].map(([name, prepaid]) => {
-      return { name, api_keys: [`key-of-${name}`], prepaid };
-    });
-    this.store.put(
-      'config',
-      'main',
-      configWith({ version: this.#version, tenants, services: soakServices() }),
-    );
-  }
-}
-
-async function restart(
-  instance: SoakProcess,
-  signal: 'SIGKILL' | 'SIGTERM',
-  forMs: number,
-): Promise<void> {
-  // One restart at a time, so that a stopped process is not started twice.
-  if (instance.busy) return;
-  instance.busy = true;
-  await instance.end(signal);
-  await delay(forMs);
-  await instance.start();
-  instance.busy = false;
-}
-
-async function pause(instance: SoakProcess, forMs: number): Promise<void> {
-  if (instance.hasOutput) instance.signal('SIGHUP');
-  instance.signal('SIGSTOP');
-  await delay(forMs);
-  instance.signal('SIGCONT');
-}
-
-async function cut(link: Link | undefined, mode: 'silent' | 'reset', forMs: number): Promise<void> {
-  link?.setCut(mode);
-  await delay(forMs);
-  link?.setCut('none');
-}
-
-async function slow(link: Link, forMs: number): Promise<void> {
-  link.setLatency(100);
-  await delay(forMs);
-  link.setLatency(0);
 }
 
 /** Registers a server in the store under the address of a link to it. */
--- /dev/null
+++ b/test/soak/soakFaults.ts
@@ -0,0 +1,227 @@
+/** Faults of a run: chosen by a seeded generator and injected from outside the processes. */
+
+import type { Link } from '../../packages/lab/src/node/link/index.js';
+import type { Random } from '../../packages/lab/src/runtime/random.js';
+import type { Behaviour, FakeServer } from '../platform/fakeServer.js';
+import type { FakeStore } from '../platform/fakeStore.js';
+import type { SoakConfiguration } from './soakConfiguration.js';
+import type { SoakProcess } from './soakProcess.js';
+import type { StopCallers } from './soakStopCallers.js';
+import type { CutWindow } from './soakStops.js';
+import { setTimeout as delay } from 'node:timers/promises';
+import { STOP_LEAD_MS } from './soakStopCallers.js';
+
+const MS_PER_SECOND = 1_000;
+/** Maximum duration of a fault in milliseconds. */
+const MAX_FAULT_MS = 1_800;
+/** Maximum milliseconds between two instances that are stopped in turn. */
+const MAX_TURN_MS = 700;
+
+/** What faults are injected into. */
+export interface FaultTargets {
+  store: FakeStore;
+  configuration: SoakConfiguration;
+  servers: FakeServer[];
+  links: { store: Link[]; servers: Link[] };
+  instances: SoakProcess[];
+}
+
+/** Which faults a run consists of. */
+export type FaultProfile = 'mixed' | 'stops';
+
+const MIXED = {
+  kill: 2,
+  stop: 1,
+  pause: 2,
+  'kill all': 1,
+  'store silent for': 2,
+  'store resets': 1,
+  'store silent': 1,
+  'store down': 1,
+  'a server is cut off': 2,
+  'a server is slow to reach': 1,
+  'a server fails': 2,
+  'a server requests a pause': 2,
+  'a server leaves and starts again': 1,
+  'a server limits requests': 1,
+  'top-up': 1,
+  'stop all in turn': 0,
+};
+
+type FaultKind = keyof typeof MIXED;
+
+const WEIGHTS: Record<FaultProfile, Record<FaultKind, number>> = {
+  mixed: MIXED,
+  // Kills and pauses are rare, because a stop near one of them is not checked.
+  stops: { ...MIXED, kill: 1, stop: 8, pause: 1, 'kill all': 0, 'stop all in turn': 3 },
+};
+
+/** Faults whose description names the instance. */
+const OF_ONE_INSTANCE: ReadonlySet<FaultKind> = new Set([
+  'kill',
+  'stop',
+  'pause',
+  'store silent for',
+  'store resets',
+]);
+
+export class SoakFaults {
+  /** Times in which servers could not be reached. */
+  readonly cuts: CutWindow[] = [];
+  /** Injected faults, one phrase each. */
+  readonly injected: string[] = [];
+
+  constructor(
+    readonly random: Random,
+    readonly targets: FaultTargets,
+    readonly profile: FaultProfile,
+    readonly stopCallers: StopCallers,
+  ) {}
+
+  /** Injects one fault and resolves when it has ended. */
+  inject(): Promise<void> {
+    const { random } = this;
+    const { instances, links } = this.targets;
+    const forMs = random.int(200, MAX_FAULT_MS);
+    const instance = random.pick(instances);
+    const storeLink = links.store[instances.indexOf(instance)];
+    const runs: Record<FaultKind, () => Promise<void>> = {
+      kill: () => restart(instance, 'SIGKILL', forMs),
+      stop: () => this.#stop(instance, forMs),
+      pause: () => pause(instance, forMs),
+      'kill all': () => this.#killAll(forMs),
+      'store silent for': () => cut(storeLink, 'silent', forMs),
+      'store resets': () => cut(storeLink, 'reset', forMs),
+      'store silent': () => this.#storeFault('silent', forMs),
+      'store down': () => this.#storeFault('down', forMs),
+      'a server is cut off': () => this.#cutServer(forMs),
+      'a server is slow to reach': () => slow(random.pick(links.servers), forMs),
+      'a server fails': () => this.#misbehave(forMs),
+      'a server requests a pause': () => this.#requestPause(forMs),
+      'a server leaves and starts again': () => this.#leave(forMs),
+      'a server limits requests': () => this.#limitRate(forMs),
+      'top-up': () => this.#topUp(),
+      'stop all in turn': () => this.#stopInTurn(forMs),
+    };
+    const weights = Object.entries(WEIGHTS[this.profile]) as [FaultKind, number][];
+    const { kind } = random.pickWeighted(weights.map(([kind, weight]) => ({ kind, weight })));
+    const target = OF_ONE_INSTANCE.has(kind) ? ` ${instance.name}` : '';
+    this.injected.push(`${kind}${target} for ${String(forMs)} ms`);
+    return runs[kind]();
+  }
+
+  async #killAll(forMs: number): Promise<void> {
+    await Promise.all(
+      this.targets.instances.map((instance) => restart(instance, 'SIGKILL', forMs)),
+    );
+  }
+
+  /** Stops an instance gracefully while callers use it, then starts it again. */
+  async #stop(instance: SoakProcess, forMs: number): Promise<void> {
+    if (instance.busy) return;
+    this.stopCallers.begin(instance);
+    await delay(STOP_LEAD_MS);
+    await restart(instance, 'SIGTERM', forMs);
+  }
+
+  /** Stops one instance after the other, without waiting until those before have started again. */
+  async #stopInTurn(forMs: number): Promise<void> {
+    const intervalMs = Math.min(forMs, MAX_TURN_MS);
+    await Promise.all(
+      this.targets.instances.map(async (instance, at) => {
+        await delay(at * intervalMs);
+        await this.#stop(instance, forMs);
+      }),
+    );
+  }
+
+  async #cutServer(forMs: number): Promise<void> {
+    const { links, servers } = this.targets;
+    const link = this.random.pick(links.servers);
+    const server = servers[links.servers.indexOf(link)]?.id ?? '';
+    const window = { server, from: performance.now(), until: Infinity };
+    this.cuts.push(window);
+    await cut(link, 'silent', forMs);
+    window.until = performance.now();
+  }
+
+  async #storeFault(fault: 'silent' | 'down', forMs: number): Promise<void> {
+    this.targets.store.fault = fault;
+    await delay(forMs);
+    this.targets.store.fault = 'none';
+  }
+
+  async #misbehave(forMs: number): Promise<void> {
+    const server = this.random.pick(this.targets.servers);
+    const usual: Behaviour = server.id.startsWith('e') ? 'stream' : 'answer';
+    const failures: Behaviour[] = ['reset', 'shed', 'error', 'silent', 'other-id', 'no-proof'];
+    if (usual === 'stream') failures.push('break-stream');
+    server.behaviour = this.random.pick(failures);
+    await delay(forMs);
+    server.behaviour = usual;
+  }
+
+  async #requestPause(forMs: number): Promise<void> {
+    const server = this.random.pick(this.targets.servers);
+    const usual: Behaviour = server.id.startsWith('e') ? 'stream' : 'answer';
+    server.rest = String(forMs / MS_PER_SECOND);
+    server.behaviour = 'shed';
+    await delay(forMs);
+    server.behaviour = usual;
+  }
+
+  /** The server announces that it is leaving, then starts again as a new incarnation. */
+  async #leave(forMs: number): Promise<void> {
+    const server = this.random.pick(this.targets.servers);
+    if (server.saysLeaving) return;
+    server.saysLeaving = true;
+    await delay(forMs);
+    server.saysLeaving = false;
+    this.targets.configuration.restartServer(server.id);
+  }
+
+  async #limitRate(forMs: number): Promise<void> {
+    const server = this.random.pick(this.targets.servers);
+    server.rateLimit = '5';
+    await delay(forMs);
+    server.rateLimit = undefined;
+  }
+
+  #topUp(): Promise<void> {
+    this.targets.configuration.topUp();
+    return Promise.resolve();
+  }
+}
+
+async function restart(
+  instance: SoakProcess,
+  signal: 'SIGKILL' | 'SIGTERM',
+  forMs: number,
+): Promise<void> {
+  // One restart at a time, so that a stopped process is not started twice.
+  if (instance.busy) return;
+  instance.busy = true;
+  await instance.end(signal);
+  await delay(forMs);
+  await instance.start();
+  instance.busy = false;
+}
+
+async function pause(instance: SoakProcess, forMs: number): Promise<void> {
+  if (instance.hasOutput) instance.signal('SIGHUP');
+  instance.signal('SIGSTOP');
+  await delay(forMs);
+  instance.signal('SIGCONT');
+}
+
+async function cut(link: Link | undefined, mode: 'silent' | 'reset', forMs: number): Promise<void> {
+  link?.setCut(mode);
+  await delay(forMs);
+  link?.setCut('none');
+}
+
+async function slow(link: Link, forMs: number): Promise<void> {
+  link.setLatency(100);
+  await delay(forMs);
+  link.setLatency(0);
+}
