--- /dev/null
+++ b/test/platform/cutOff.test.ts
@@ -0,0 +1,86 @@
+import type { TestContext } from 'node:test';
+import type { CutMode, Link } from '../../packages/lab/src/node/link/index.js';
+import type { Answer } from './world.js';
+import assert from 'node:assert/strict';
+import { describe, test } from 'node:test';
+import { setTimeout as delay } from 'node:timers/promises';
+import { createLink } from '../../packages/lab/src/node/link/index.js';
+import { World } from './world.js';
+
+/** Milliseconds after a cut from which callers of the instance must be served. */
+const SETTLED_MS = 3_000;
+/** Calls of each kind after that. */
+const CALLS = 12;
+/** Calls of each kind at a time; more than there are open connections to the servers. */
+const AT_ONCE = 4;
+/** Milliseconds between calls, before the cut and after. */
+const INTERVAL_MS = 25;
+
+interface CutWorld {
+  cut: World;
+  links: Link[];
+}
+
+/** Starts two instances with mesh; the first reaches each server by a link of its own. */
+async function startWithLinks(t: TestContext): Promise<CutWorld> {
+  const other = await World.start(t, undefined, { mesh: true });
+  const links = new Map(
+    await Promise.all(
+      other.servers.map(async ({ address }) => {
+        const [host = '', port] = address.split(':');
+        const link = await createLink({ target: { host, port: Number(port) } });
+        t.after(() => link.close());
+        return [address, link] as const;
+      }),
+    ),
+  );
+  const url = await other.store.listenView(t, (kind, spec) => {
+    if (kind !== 'servers') return spec;
+    const entry = spec as { address: string };
+    const link = links.get(entry.address);
+    return { ...entry, address: `127.0.0.1:${String(link?.port)}` };
+  });
+  const cut = await other.join(t, 'edge-2', { mesh: true, store: { url } });
+  await cut.allKnow([cut, other]);
+  other.behave('e', 'stream');
+  return { cut, links: [...links.values()] };
+}
+
+const kinds = ['/look/', '/book/', '/draft/'];
+
+function callEach(world: World): Promise<Answer>[] {
+  return kinds.map((path) => (path === '/draft/' ? world.generate(path) : world.call({ path })));
+}
+
+// Guards against callers of an instance that lost its links to the servers, although its peers reach them.
+describe('an instance that is cut off from all servers', () => {
+  const cases: { name: string; mode: CutMode }[] = [
+    { name: 'in silence', mode: 'silent' },
+    { name: 'by resets', mode: 'reset' },
+    { name: 'for new connections only', mode: 'refuse-new' },
+  ];
+  for (const { name, mode } of cases) {
+    test(`${name}: serves its callers at the first attempt`, async (t) => {
+      const { cut, links } = await startWithLinks(t);
+      await Promise.all(callEach(cut));
+      for (const link of links) link.setCut(mode);
+      const until = performance.now() + SETTLED_MS;
+      const early: Promise<Answer>[] = [];
+      while (performance.now() < until) {
+        early.push(...callEach(cut));
+        await delay(INTERVAL_MS);
+      }
+      const answers: Promise<Answer>[] = [];
+      for (let at = 0; at < CALLS; at += 1) {
+        for (let count = 0; count < AT_ONCE; count += 1) answers.push(...callEach(cut));
+        await delay(INTERVAL_MS);
+      }
+      const statuses = (await Promise.all(answers)).map(({ status }) => status);
+      await Promise.all(early);
+      const served = statuses.filter((status) => status === 200).length;
+      const figures = `${String(served)} of ${String(statuses.length)} served`;
+      assert.ok(served * 3 >= statuses.length * 2, figures);
+      assert.equal(await cut.ready(), 200);
+    });
+  }
+});
