--- a/test/kernel/kernel.test.ts
+++ b/test/kernel/kernel.test.ts
@@ -1,5 +1,6 @@
 import assert from 'node:assert/strict';
 import { test } from 'node:test';
+import { setImmediate } from 'node:timers/promises';
 import { Kernel, KernelError, Service } from '@flamingocourse/kernel';
 
 class Recorder extends Service {
@@ -40,6 +41,35 @@
   assert.deepEqual(trace, ['+a', '-a']);
 });
 
+// Guards against a signal during the start, after which services go on starting and nobody stops them.
+test('a stop during the start leaves no service running', async () => {
+  const trace: string[] = [];
+  let finishStart = (): void => undefined;
+  class Slow extends Service {
+    override readonly name = 'b';
+    override async start(): Promise<void> {
+      await new Promise<void>((resolve) => (finishStart = resolve));
+      trace.push('+b');
+    }
+    override stop(): void {
+      trace.push('-b');
+    }
+  }
+  const kernel = new Kernel()
+    .register(new Recorder('a', [], trace))
+    .register(new Slow())
+    .register(new Recorder('c', ['b'], trace));
+  const started = kernel.start().catch(() => undefined);
+  await setImmediate();
+  const stopped = kernel.stop();
+  finishStart();
+  await Promise.all([started, stopped]);
+  const running = ['a', 'b', 'c'].filter(
+    (name) => trace.includes(`+${name}`) && !trace.includes(`-${name}`),
+  );
+  assert.deepEqual(running, []);
+});
+
 const wiringFaults = [
   {
     name: 'a cycle',
--- a/test/platform/rawCaller.ts
+++ b/test/platform/rawCaller.ts
@@ -39,8 +39,9 @@
     });
   }
 
-  static async connect(port: number): Promise<RawCaller> {
-    const socket = connect(port, '127.0.0.1');
+  /** @param allowHalfOpen whether the caller keeps its side open when the instance ends its own. */
+  static async connect(port: number, { allowHalfOpen = false } = {}): Promise<RawCaller> {
+    const socket = connect({ port, host: '127.0.0.1', allowHalfOpen });
     await once(socket, 'connect');
     return new RawCaller(socket);
   }
