fix(gateway): a stop closes a connection only after what had arrived on it was read

What callers saw: in an instance that lags, a request that had arrived before the listener was closed was read after the close and dropped, 0.45 s after it was sent; a request behind a stream that had announced the close was dropped 0.6 s after it was sent; a head that can't be decoded was refused only once its body had come; a stop waited to its end for a caller whose connection it had closed. Cause: what was known was used before all that had arrived was read (the first), and a stream announces the close seconds before it ends (the second). Why it holds: an idle connection is closed two turns of the loop later, and only if it still has no request; a stream does not announce the close, its connection is closed after its last chunk. A request that must not run any more is not counted as unanswered, and each connection has one listener for its end.

--- a/packages/gateway/src/node/callerAnswer.ts
+++ b/packages/gateway/src/node/callerAnswer.ts
@@ -64,10 +64,13 @@
     });
   }
 
-  /** Writes the head of a stream. A resumed stream keeps the head that was written first. */
+  /**
+   * Writes the head of a stream. A resumed stream keeps the head that was written first. It does not
+   * announce that the connection is closed: what the caller sends meanwhile would stay unanswered.
+   */
   beginStream(status: number, headers: string[]): void {
     if (this.started || this.#callerGone) return;
-    this.#writeHead(status, headers);
+    this.#res.writeHead(status, headers);
     this.#res.flushHeaders();
   }
 
@@ -92,7 +95,9 @@
   /** Writes a complete response. */
   writeWhole(status: number, headers: string[], body: Buffer): void {
     if (this.#callerGone) return;
-    this.#writeHead(status, [...headers, 'content-length', String(body.length)]);
+    const all = [...headers, 'content-length', String(body.length)];
+    if (this.#closesConnection()) all.push('connection', 'close');
+    this.#res.writeHead(status, all);
     this.#res.end(body);
   }
 
@@ -109,9 +114,4 @@
   abort(): void {
     this.#res.destroy();
   }
-
-  #writeHead(status: number, headers: string[]): void {
-    const all = this.#closesConnection() ? [...headers, 'connection', 'close'] : headers;
-    this.#res.writeHead(status, all);
-  }
 }
--- a/packages/gateway/src/node/callerConnections.ts
+++ b/packages/gateway/src/node/callerConnections.ts
@@ -2,13 +2,14 @@
 
 import type { IncomingMessage, Server, ServerResponse } from 'node:http';
 import type { Socket } from 'node:net';
+import { waitForPendingReads } from '@flamingocourse/kernel';
 
 interface ConnectionState {
   /** Requests read so far. */
   requests: number;
-  /** Requests that were read and whose responses are not written yet. */
-  open: number;
-  /** Whether a response has announced that the connection is closed after it. */
+  /** Requests that were read and whose responses are not written yet; each function ends one. */
+  open: Set<() => void>;
+  /** Whether the connection is closed after the responses to the requests read so far. */
   isClosing: boolean;
   /** Resolves when the response to the last request read was written. */
   lastEnded: Promise<void>;
@@ -31,52 +32,56 @@
  * closes the connection.
  *
  * @example
- * const connections = new CallerConnections(server);
+ * const connections = new CallerConnections(server, () => isStopping);
  * const { begins } = connections.read(req, res);
  * if (await begins) serve(req, res);
  */
 export class CallerConnections {
   readonly #states = new Map<Socket, ConnectionState>();
+  readonly #closesAfterResponse: () => boolean;
   #closesIdle = false;
 
-  constructor(server: Server) {
+  /**
+   * @param closesAfterResponse Whether a connection is to be closed once it has no request, also if
+   *   its last response did not announce it, as that of a stream.
+   */
+  constructor(server: Server, closesAfterResponse: () => boolean) {
+    this.#closesAfterResponse = closesAfterResponse;
     server.closeIdleConnections = () => {
       this.closeIdle();
     };
     server.on('connection', (socket: Socket) => {
-      const lastEnded = Promise.resolve();
-      this.#states.set(socket, { requests: 0, open: 0, isClosing: false, lastEnded });
-      socket.once('close', () => this.#states.delete(socket));
+      this.#track(socket);
     });
   }
 
+  /** Number of connections with requests that have no complete response yet. */
+  get busy(): number {
+    return [...this.#states.values()].filter(({ open }) => open.size > 0).length;
+  }
+
   /** Records that a request was read. */
   read({ socket }: IncomingMessage, res: ServerResponse): ConnectionTurn {
     const state = this.#states.get(socket);
     if (!state) return { earlier: 0, begins: Promise.resolve(false) };
     const { requests: earlier, lastEnded: before } = state;
     state.requests += 1;
-    state.open += 1;
-    state.lastEnded = onceWritten(socket, res).then(() => {
-      state.open -= 1;
-      if (this.#closesIdle && state.open === 0) close(socket, state);
+    const end = this.#open(socket, state, res);
+    const begins = before.then(() => {
+      const mayBegin = !state.isClosing && !socket.destroyed;
+      if (!mayBegin) end();
+      return mayBegin;
     });
-    return { earlier, begins: before.then(() => !state.isClosing && !socket.destroyed) };
-  }
-
-  /** Number of connections with requests that have no complete response yet. */
-  get busy(): number {
-    return [...this.#states.values()].filter(({ open }) => open > 0).length;
+    return { earlier, begins };
   }
 
   /**
-   * Closes each connection as soon as it has no request in progress, also one whose last response
-   * did not announce it. Node.js would also close those whose response was handed over but not read
-   * by the caller yet, and none that was never used.
+   * Closes each connection as soon as it has no request in progress. Node.js would also close those
+   * whose response was handed over but not read by the caller yet, and none that was never used.
    */
   closeIdle(): void {
     this.#closesIdle = true;
-    for (const [socket, state] of this.#states) if (state.open === 0) close(socket, state);
+    for (const [socket, state] of this.#states) void this.#closeIfIdle(socket, state);
   }
 
   /**
@@ -85,30 +90,48 @@
    */
   closeAfterResponse({ socket }: IncomingMessage): boolean {
     const state = this.#states.get(socket);
-    if (!state || state.open > 1) return false;
+    if (!state || state.open.size > 1) return false;
     state.isClosing = true;
     return true;
   }
-}
 
-/** Closes this side; what the caller sends from now on is read and dropped. */
-function close(socket: Socket, state: ConnectionState): void {
-  state.isClosing = true;
-  socket.end();
-}
-
-/** Resolves when a response was written or its connection is closed. */
-function onceWritten(socket: Socket, res: ServerResponse): Promise<void> {
-  return new Promise((resolve) => {
-    const end = (): void => {
-      res.off('finish', end);
-      res.off('close', end);
-      // a response behind another one is not told that its connection was closed.
-      socket.off('close', end);
-      resolve();
+  #track(socket: Socket): void {
+    const state: ConnectionState = {
+      requests: 0,
+      open: new Set(),
+      isClosing: false,
+      lastEnded: Promise.resolve(),
     };
+    this.#states.set(socket, state);
+    socket.once('close', () => {
+      this.#states.delete(socket);
+      // a response behind another one is not told that its connection was closed.
+      for (const end of state.open) end();
+    });
+  }
+
+  /** Counts a request until its response is written; returns a function that ends it before. */
+  #open(socket: Socket, state: ConnectionState, res: ServerResponse): () => void {
+    let end = (): void => undefined;
+    state.lastEnded = new Promise((resolve) => {
+      end = () => {
+        if (!state.open.delete(end)) return;
+        resolve();
+        if (this.#closesIdle || this.#closesAfterResponse()) void this.#closeIfIdle(socket, state);
+      };
+    });
+    state.open.add(end);
     res.once('finish', end);
     res.once('close', end);
-    socket.once('close', end);
-  });
+    return end;
+  }
+
+  /** A request that has arrived before the close is read first, so that it is not closed away. */
+  async #closeIfIdle(socket: Socket, state: ConnectionState): Promise<void> {
+    if (state.open.size > 0) return;
+    await waitForPendingReads();
+    if (state.open.size > 0 || state.isClosing) return;
+    state.isClosing = true;
+    socket.end();
+  }
 }
--- a/packages/gateway/src/node/entryService.ts
+++ b/packages/gateway/src/node/entryService.ts
@@ -72,7 +72,7 @@
     const server = createServer(options, (req, res) => void this.#handle(req, res));
     this.#server = closeOnCallerEnd(server);
     this.#arrivals = new ArrivalWatch(context, server);
-    this.#connections = new CallerConnections(server);
+    this.#connections = new CallerConnections(server, () => this.#closesConnections);
     this.#server.requestTimeout = 0;
   }
 
@@ -187,13 +187,16 @@
     };
     const { answer } = incoming;
     const decoded = this.#context.dialects.callers.decode(req);
-    const body = await this.#readBody(req);
+    // a request that is refused anyway does not wait for its body.
+    const body = decoded.isOk ? await this.#readBody(req) : undefined;
     if (!(await turn.begins)) {
-      this.#recordEnd('none', decoded.unwrapOr(undefined), incoming, { type: 'gone' });
+      const outcome = { type: 'gone', detail: 'its connection is being closed' } as const;
+      this.#recordEnd('none', decoded.unwrapOr(undefined), incoming, outcome);
       return;
     }
-    if (decoded.isErr) {
-      const refusal: Refusal = { reason: 'bad-request', run: 'not-run', detail: decoded.error };
+    if (decoded.isErr || !body) {
+      const detail = decoded.isErr ? decoded.error : '';
+      const refusal: Refusal = { reason: 'bad-request', run: 'not-run', detail };
       this.#recordEnd('none', undefined, incoming, this.#refuse(answer, refusal));
       return;
     }
