fix(kernel): a stop during the start leaves no service running

A signal during the start stopped the services that ran and the others went on starting, so an entry could listen for moments and be cut by the end of the process. Evidence: 'a stop during the start leaves no service running': two of three services ran on, none since.

--- a/packages/kernel/src/runtime/kernel.ts
+++ b/packages/kernel/src/runtime/kernel.ts
@@ -45,6 +45,7 @@
 export class Kernel {
   readonly #services = new Map<string, Service>();
   #started: Service[] = [];
+  #isStopping = false;
   #onFailure: (err: unknown, service: string) => void = defaultOnFailure;
 
   /** Adds a service. Throws `duplicate-service` if the name is already registered. */
@@ -74,13 +75,16 @@
   }
 
   /**
-   * Starts all services, dependencies first. If one fails, stops those already started and throws.
+   * Starts all services, dependencies first. If one fails, or if a stop comes meanwhile, stops those
+   * already started and throws.
    */
   async start(): Promise<void> {
+    this.#isStopping = false;
     for (const service of this.#startOrder()) {
       try {
         await service.start(this);
         this.#started.push(service);
+        this.#throwIfStopping();
       } catch (err) {
         await this.stop();
         throw new KernelError('start-failed', `service "${service.name}" did not start`, {
@@ -92,6 +96,7 @@
 
   /** Stops all started services in reverse order; if one fails, the others are still stopped. */
   async stop(): Promise<void> {
+    this.#isStopping = true;
     const started = this.#started.reverse();
     this.#started = [];
     for (const service of started) {
@@ -103,6 +108,10 @@
     }
   }
 
+  #throwIfStopping(): void {
+    if (this.#isStopping) throw new Error('stopped during the start');
+  }
+
   #startOrder(): Service[] {
     const order: Service[] = [];
     const state = new Map<string, 'visiting' | 'done'>();
