fix(gateway): no attempt begins that cannot end before its instance does

What callers saw: a request that waited for a place and got it 60 or 20 ms before the end of a stop was sent on and given up: 502 where 503, not run, was possible. Cause: the time left was compared once, when a request's turn began, and not before its attempts. Why it holds: each attempt passes the same comparison; only a response that has begun goes on regardless, because its caller can't have the rest elsewhere.

--- a/packages/gateway/src/node/entryService.ts
+++ b/packages/gateway/src/node/entryService.ts
@@ -253,10 +253,14 @@
   }
 
   /** Runs a routed request until it ends, its caller disconnects or its deadline passes. */
-  async #run(call: Omit<RoutedCall, 'endsAt' | 'signal'>, incoming: IncomingCall): Promise<void> {
+  async #run(
+    call: Omit<RoutedCall, 'endsAt' | 'mayBegin' | 'signal'>,
+    incoming: IncomingCall,
+  ): Promise<void> {
     const { head, route, account, table, answer, arrivedAt } = call;
     const endsAt = arrivedAt + Math.min(head.waitMs ?? DEFAULT_WAIT_MS, route.timeoutMs);
-    if (!this.#stopSchedule.accepts(endsAt, this.#context.clock.now())) {
+    const mayBegin = (): boolean => this.#stopSchedule.accepts(endsAt, this.#context.clock.now());
+    if (!mayBegin()) {
       this.#recordEnd(route.name, head, incoming, this.#refuse(answer, stopping()));
       return;
     }
@@ -270,7 +274,12 @@
     // under event loop lag, the request may belong to a caller that has already disconnected.
     await waitForPendingReads();
     if (answer.callerGone) controller.abort('caller-gone' satisfies EndCause);
-    const flow = new RequestFlow(this.#flowParts(), { ...call, endsAt, signal: controller.signal });
+    const flow = new RequestFlow(this.#flowParts(), {
+      ...call,
+      endsAt,
+      mayBegin,
+      signal: controller.signal,
+    });
     try {
       const outcome = await flow.run();
       this.#recordEnd(route.name, head, incoming, outcome, { flow, account, table });
--- a/packages/gateway/src/node/requestFlow.ts
+++ b/packages/gateway/src/node/requestFlow.ts
@@ -104,6 +104,10 @@
       const placed = await this.#place(lane);
       if (placed.type === 'refused') return this.#refuse(placed.refusal);
       const { placement } = placed;
+      if (!this.#mayBegin()) {
+        placement.end('cancelled');
+        return this.#refuse(cutByStop(this.#progress.mayHaveRun));
+      }
       const attempt = { parts: this.#parts, call: this.#call, progress: this.#progress };
       const end = await new ServerAttempt({ ...attempt, placement, lane }).run();
       if (end.type === 'answered') return end;
@@ -113,6 +117,11 @@
     }
   }
 
+  /** A response that has begun goes on for as long as it can; others may be had elsewhere. */
+  #mayBegin(): boolean {
+    return this.#call.answer.started || this.#call.mayBegin();
+  }
+
   async #place(
     lane: BackendLane,
   ): Promise<{ type: 'placed'; placement: Placement } | { type: 'refused'; refusal: Refusal }> {
--- a/packages/gateway/src/types/requestRun.ts
+++ b/packages/gateway/src/types/requestRun.ts
@@ -53,6 +53,8 @@
   /** Deadline, from the caller's timeout and the route's time limit. */
   endsAt: number;
   answer: CallerAnswer;
+  /** Whether there is time for another attempt before this instance ends. */
+  mayBegin: () => boolean;
   /** Aborted with an {@link EndCause}. */
   signal: AbortSignal;
 }
