test(soak): instances lose servers that others reach, and callers there must still be served

Cause: the soak cut servers off for all instances alike, so an instance that alone lost its servers went unseen.

What it does: each instance has its own link to each server (before the link that all use), and reads the store through a listener of its own whose view names that link as the server's address. Seeds with the remainder 2 of 3 cut one, some, most or all instances of a data centre off from some, most or all servers for 4 to 8 s, singly and in series of three (silent, reset, or new connections refused), beside the other faults; callers, store and peers still reach them. Such a run has 6 instances in two data centres, or 12 in three (each fifth seed); its faults last twice as long, its calls come each 15 ms, its accounts don't run out, and it has no requests that crash servers.

What it checks: while instances are cut off from all servers, from 3 s after the cut began, their share of served first attempts is at least two thirds of the others', unless no more than 10 + 1 in 50 of the first attempts at those that are cut off failed. An instance with a signal, a start or a cut from the store from 3 s before to the end of the cut counts on neither side. The excuse of the check of stops for answers that had begun holds for an instance's own silent and reset cuts as well.

Order of faults: seeds with the remainder 2 of 3 get other faults, seeds 8 and 20 and their like lose their crashing requests; the others keep theirs.

--- a/test/platform/fakeStore.ts
+++ b/test/platform/fakeStore.ts
@@ -16,7 +16,17 @@
   tombstone: boolean;
 }
 
+/** What readers of one listener see instead of a stored value. */
+export type StoreView = (kind: string, spec: unknown) => unknown;
+
+/** The answer to one request, through the view of its listener. */
+interface Reply {
+  res: ServerResponse;
+  view: StoreView;
+}
+
 const PAGE_SIZE = 2;
+const asStored: StoreView = (_kind, spec) => spec;
 
 /** Fault that the store currently simulates. */
 export type StoreFault = 'none' | 'silent' | 'down' | 'history-gone';
@@ -58,18 +68,23 @@
 
   /** Listens until the test ends. */
   async listen(t: Pick<TestContext, 'after'>): Promise<this> {
+    this.url = await this.listenView(t, asStored);
+    return this;
+  }
+
+  /** Listens on another port until the test ends; whoever reads there sees the view. Returns the URL. */
+  async listenView(t: Pick<TestContext, 'after'>, view: StoreView): Promise<string> {
     const server = createServer((req, res) => {
       this.calls.push(kindOf(req));
       if (this.fault === 'silent') return;
-      void this.#answer(req, res);
+      void this.#answer(req, { res, view });
     });
     await new Promise<void>((resolve) => server.listen(0, '127.0.0.1', resolve));
-    this.url = `http://127.0.0.1:${String((server.address() as AddressInfo).port)}`;
     t.after(() => {
       server.close();
       server.closeAllConnections();
     });
-    return this;
+    return `http://127.0.0.1:${String((server.address() as AddressInfo).port)}`;
   }
 
   #kind(kind: string): Map<string, Stored> {
@@ -83,40 +98,44 @@
     for (const wake of this.#waiting) wake();
   }
 
-  async #answer(req: IncomingMessage, res: ServerResponse): Promise<void> {
-    const url = new URL(req.url ?? '/', this.url);
+  async #answer(req: IncomingMessage, reply: Reply): Promise<void> {
+    const url = new URL(req.url ?? '/', 'http://localhost');
     const [, , , kind = '', name] = url.pathname.split('/').map(decodeURIComponent);
     const body = await readJson(req);
-    if (this.fault === 'down') send(res, 503, {});
-    else if (req.method === 'GET' && name !== undefined) this.#get(res, kind, name);
+    if (this.fault === 'down') send(reply.res, 503, {});
+    else if (req.method === 'GET' && name !== undefined) this.#get(reply, kind, name);
     else if (req.method === 'GET' && url.searchParams.has('watch'))
-      await this.#watch(res, kind, url);
-    else if (req.method === 'GET') this.#list(res, kind, url.searchParams.get('after') ?? '');
+      await this.#watch(reply, kind, url);
+    else if (req.method === 'GET') this.#list(reply, kind, url.searchParams.get('after') ?? '');
     else {
-      if (req.method === 'POST') this.#create(res, kind, body);
+      if (req.method === 'POST') this.#create(reply, kind, body);
       else if (req.method === 'DELETE')
-        this.#delete(res, kind, name ?? '', Number(url.searchParams.get('revision')));
-      else this.#replace(res, kind, name ?? '', body);
+        this.#delete(reply, kind, name ?? '', Number(url.searchParams.get('revision')));
+      else this.#replace(reply, kind, name ?? '', body);
       this.afterChange(kind);
     }
   }
 
-  #get(res: ServerResponse, kind: string, name: string): void {
+  #get(reply: Reply, kind: string, name: string): void {
     const stored = this.#kind(kind).get(name);
-    if (stored) send(res, 200, toBody(stored));
-    else send(res, 404, {});
+    if (stored) send(reply.res, 200, toBody(stored, kind, reply.view));
+    else send(reply.res, 404, {});
   }
 
-  #list(res: ServerResponse, kind: string, after: string): void {
+  #list(reply: Reply, kind: string, after: string): void {
     const all = [...this.#kind(kind).values()].sort((a, b) => (a.name < b.name ? -1 : 1));
     const rest = all.filter(({ name }) => name > after);
-    const items = rest.slice(0, PAGE_SIZE).map(toBody);
-    send(res, 200, { items, has_more: rest.length > PAGE_SIZE, store_revision: this.#revision });
+    const items = rest.slice(0, PAGE_SIZE).map((stored) => toBody(stored, kind, reply.view));
+    send(reply.res, 200, {
+      items,
+      has_more: rest.length > PAGE_SIZE,
+      store_revision: this.#revision,
+    });
   }
 
-  async #watch(res: ServerResponse, kind: string, url: URL): Promise<void> {
+  async #watch(reply: Reply, kind: string, url: URL): Promise<void> {
     if (this.fault === 'history-gone') {
-      send(res, 410, {});
+      send(reply.res, 410, {});
       return;
     }
     const since = Number(url.searchParams.get('watch'));
@@ -125,10 +144,10 @@
       this.#history.filter((change) => change.kind === kind && change.revision > since);
     while (newChanges().length === 0 && Date.now() < end) await this.#nextChange(end - Date.now());
     const events = newChanges().map((change) => ({
-      object: toBody(change),
+      object: toBody(change, kind, reply.view),
       tombstone: change.tombstone,
     }));
-    send(res, 200, { events, store_revision: this.#revision });
+    send(reply.res, 200, { events, store_revision: this.#revision });
   }
 
   #nextChange(withinMs: number): Promise<void> {
@@ -143,33 +162,34 @@
     });
   }
 
-  #create(res: ServerResponse, kind: string, body: WrittenObject): void {
+  #create(reply: Reply, kind: string, body: WrittenObject): void {
     const { name } = body.metadata;
     if (this.#kind(kind).has(name)) {
-      send(res, 409, {});
+      send(reply.res, 409, {});
       return;
     }
     this.put(kind, name, body.spec);
-    this.#get(res, kind, name);
+    this.#get(reply, kind, name);
   }
 
-  #delete(res: ServerResponse, kind: string, name: string, revision: number): void {
+  #delete(reply: Reply, kind: string, name: string, revision: number): void {
     const stored = this.#kind(kind).get(name);
-    if (!stored) send(res, 404, {});
-    else if (stored.revision !== revision) send(res, 409, toBody(stored));
+    if (!stored) send(reply.res, 404, {});
+    else if (stored.revision !== revision) send(reply.res, 409, toBody(stored, kind, reply.view));
     else {
       this.remove(kind, name);
-      send(res, 200, {});
+      send(reply.res, 200, {});
     }
   }
 
-  #replace(res: ServerResponse, kind: string, name: string, body: WrittenObject): void {
+  #replace(reply: Reply, kind: string, name: string, body: WrittenObject): void {
     const stored = this.#kind(kind).get(name);
-    if (!stored) send(res, 404, {});
-    else if (stored.revision !== body.metadata.revision) send(res, 409, toBody(stored));
+    if (!stored) send(reply.res, 404, {});
+    else if (stored.revision !== body.metadata.revision)
+      send(reply.res, 409, toBody(stored, kind, reply.view));
     else {
       this.put(kind, name, body.spec);
-      this.#get(res, kind, name);
+      this.#get(reply, kind, name);
     }
   }
 }
@@ -183,10 +203,10 @@
   spec: unknown;
 }
 
-function toBody({ name, revision, spec }: Stored): unknown {
+function toBody({ name, revision, spec }: Stored, kind: string, view: StoreView): unknown {
   return {
     metadata: { name, revision, create_rev: 1, finalizers: [], deleting: false },
-    spec,
+    spec: view(kind, spec),
     status: null,
   };
 }
--- a/test/soak/main.ts
+++ b/test/soak/main.ts
@@ -43,8 +43,11 @@
 await run(soak, process.argv.slice(2));
 
 async function runSeed(seed: number): Promise<void> {
-  const { calls, answered, metStop, faults, broken, output } = await runSoak(seed, FAULTS_MS);
-  const figures = `${String(calls)} calls, ${String(answered)} answered, ${String(metStop)} met a stop, ${String(faults.length)} faults`;
+  const { calls, answered, metStop, cutOff, servedCutOff, faults, broken, output } = await runSoak(
+    seed,
+    FAULTS_MS,
+  );
+  const figures = `${String(calls)} calls, ${String(answered)} answered, ${String(metStop)} met a stop, ${String(servedCutOff)} of ${String(cutOff)} answered while cut off, ${String(faults.length)} faults`;
   console.log(`seed ${String(seed)}: ${figures}, ${String(broken.length)} promises broken`);
   if (broken.length === 0) return;
   process.exitCode = 1;
--- a/test/soak/runSoak.ts
+++ b/test/soak/runSoak.ts
@@ -1,6 +1,5 @@
 /** One seeded run: real processes, stand-ins for the store and the servers, and injected faults. */
 
-import type { Link } from '../../packages/lab/src/node/link/index.js';
 import type { Random } from '../../packages/lab/src/runtime/random.js';
 import type { RequestedPauseWindow } from '../platform/fakeServer.js';
 import type { FaultProfile, FaultTargets } from './soakFaults.js';
@@ -9,15 +8,22 @@
 import { join } from 'node:path';
 import { setTimeout as delay } from 'node:timers/promises';
 import { findFreePorts } from '../../packages/lab/src/node/freePorts.js';
-import { createLink } from '../../packages/lab/src/node/link/index.js';
 import { createRandom } from '../../packages/lab/src/runtime/random.js';
 import { FakeServer } from '../platform/fakeServer.js';
 import { FakeStore } from '../platform/fakeStore.js';
 import { SoakCallers } from './soakCallers.js';
 import { SoakConfiguration } from './soakConfiguration.js';
 import { SoakCrashes } from './soakCrashes.js';
+import { checkCutOff } from './soakCutOff.js';
 import { SoakFaults } from './soakFaults.js';
-import { PORTS_PER_INSTANCE, STOP_GRACE_MS, settingsOf, untilReady } from './soakFleet.js';
+import {
+  DATA_CENTRE_COUNT,
+  PORTS_PER_INSTANCE,
+  STOP_GRACE_MS,
+  settingsOf,
+  untilReady,
+} from './soakFleet.js';
+import { SoakLinks } from './soakLinks.js';
 import { SoakProcess } from './soakProcess.js';
 import { brokenPromises } from './soakPromises.js';
 import { StopCallers } from './soakStopCallers.js';
@@ -32,10 +38,17 @@
 /** Milliseconds after the last fault until all instances must refuse that request. */
 const CRASH_REFUSAL_MS = 3_000;
 /** Profile of the faults, by the remainder of the seed. */
-const PROFILES: readonly FaultProfile[] = ['mixed', 'stops', 'mixed'];
+const PROFILES: readonly FaultProfile[] = ['mixed', 'stops', 'cuts'];
+/** Instances and data centres of a run with cuts, if it has not many. */
+const INSTANCES_IN_CUTS = 6;
+const CENTRES_IN_CUTS = 2;
+/** How much longer faults are injected in a run with cuts, which last longer than other faults. */
+const LONGER_IN_CUTS = 2;
 const ACCOUNTS = ['kirk', 'spock'];
 /** Milliseconds between two calls. */
 const CALL_INTERVAL_MS = 25;
+/** The same in a run with cuts, so that enough calls use the instances that are cut off. */
+const CALL_INTERVAL_IN_CUTS_MS = 15;
 /** Maximum milliseconds between two faults. */
 const MAX_FAULT_INTERVAL_MS = 900;
 /** Milliseconds after the last fault until callers must be served again. */
@@ -52,6 +65,9 @@
   answered: number;
   /** Requests that reached a server and met a stop. */
   metStop: number;
+  /** Calls to instances that were cut off from all servers, and those of them that were served. */
+  cutOff: number;
+  servedCutOff: number;
   faults: string[];
   broken: string[];
   /** Output of the processes. */
@@ -78,6 +94,7 @@
 /** What a run consists of, and its generators of random choices. */
 interface RunPlan {
   instances: number;
+  dataCentres: number;
   hasCrashes: boolean;
   profile: FaultProfile;
   random: Random;
@@ -86,10 +103,14 @@
 }
 
 function planOf(seed: number): RunPlan {
+  const profile = PROFILES[seed % PROFILES.length] ?? 'mixed';
+  const few = profile === 'cuts' ? INSTANCES_IN_CUTS : INSTANCES;
+  const hasFewCentres = profile === 'cuts' && seed % MANY_INSTANCES_EVERY !== 0;
   return {
-    instances: seed % MANY_INSTANCES_EVERY === 0 ? MANY_INSTANCES : INSTANCES,
-    hasCrashes: seed % CRASHES_EVERY === 0,
-    profile: PROFILES[seed % PROFILES.length] ?? 'mixed',
+    instances: seed % MANY_INSTANCES_EVERY === 0 ? MANY_INSTANCES : few,
+    dataCentres: hasFewCentres ? CENTRES_IN_CUTS : DATA_CENTRE_COUNT,
+    hasCrashes: seed % CRASHES_EVERY === 0 && profile !== 'cuts',
+    profile,
     random: createRandom(seed),
     callersRandom: createRandom(seed + 1),
     stopsRandom: createRandom(seed + 2),
@@ -112,8 +133,10 @@
   readonly #configuration: SoakConfiguration;
   #recoveryFailure = '';
 
-  private constructor({ random, callersRandom, stopsRandom, profile }: RunPlan, parts: RunParts) {
-    const configuration = new SoakConfiguration(parts.store, ACCOUNTS);
+  private constructor(plan: RunPlan, parts: RunParts) {
+    const { random, callersRandom, stopsRandom, profile } = plan;
+    const tokens = profile === 'cuts' ? 'ample' : 'scarce';
+    const configuration = new SoakConfiguration(parts.store, ACCOUNTS, tokens);
     this.#random = random;
     this.#parts = parts;
     this.#callers = new SoakCallers(parts.instances, ACCOUNTS, callersRandom);
@@ -136,19 +159,17 @@
     const names = hasCrashes ? ['p1', 'p2'] : ['p1', 'p2', 'e1', 'e2'];
     const linked = await Promise.all(names.map((name) => new FakeServer(name).listen(scope)));
     const servers = [...linked, ...engines];
-    const links = {
-      servers: await Promise.all(linked.map((server) => registerServer(server, store))),
-      store: await linksTo(store.url, count),
-    };
+    const links = await SoakLinks.create(store, linked, count, scope);
     const ports = await findFreePorts(PORTS_PER_INSTANCE * count);
-    const instances = links.store.map(({ url }, at) => {
-      const settings = settingsOf(ports.slice(PORTS_PER_INSTANCE * at), url, at);
+    const instances = links.instances.map(({ store: { url } }, at) => {
+      const own = ports.slice(PORTS_PER_INSTANCE * at);
+      const settings = settingsOf(own, url, at, plan.dataCentres);
       return new SoakProcess(`edge-${String(at + 1)}`, directory, settings);
     });
     const crashes = hasCrashes
       ? new SoakCrashes(engines, instances, ACCOUNTS[0] ?? '', callersRandom)
       : undefined;
-    const parts = { directory, store, servers, links, instances, crashes, cleanUps };
+    const parts = { directory, store, servers, linked, links, instances, crashes, cleanUps };
     const run = new SoakRun(plan, parts);
     run.#configuration.write();
     await run.#startInstances();
@@ -167,12 +188,16 @@
 
   /** Sends calls continuously, injects overlapping faults, then checks the recovery. */
   async play(faultsMs: number): Promise<void> {
-    const calling = setInterval(() => {
-      this.#callers.send();
-    }, CALL_INTERVAL_MS);
+    const isCuts = this.#faults.profile === 'cuts';
+    const calling = setInterval(
+      () => {
+        this.#callers.send();
+      },
+      isCuts ? CALL_INTERVAL_IN_CUTS_MS : CALL_INTERVAL_MS,
+    );
     this.#parts.crashes?.start();
     const activeFaults = new Set<Promise<void>>();
-    const endAt = performance.now() + faultsMs;
+    const endAt = performance.now() + faultsMs * (isCuts ? LONGER_IN_CUTS : 1);
     while (performance.now() < endAt) {
       await delay(this.#random.int(50, MAX_FAULT_INTERVAL_MS));
       const fault = this.#faults.inject().finally(() => activeFaults.delete(fault));
@@ -202,10 +227,17 @@
       cuts: this.#faults.cuts,
       graceMs: STOP_GRACE_MS,
     });
+    const cutOff = checkCutOff({
+      answers: usual,
+      cuts: this.#faults.instanceCuts,
+      instances: this.#parts.instances,
+    });
     return {
       calls: usual.length,
       answered: usual.filter(({ status }) => status === 200).length,
       metStop: stops.checked,
+      cutOff: cutOff.attempts,
+      servedCutOff: cutOff.served,
       faults: this.#faults.injected,
       broken: [
         ...brokenPromises({
@@ -216,6 +248,7 @@
           limits: this.#configuration.limits,
         }),
         ...stops.broken,
+        ...cutOff.broken,
         ...this.#parts.instances.flatMap(({ unexpectedExits }) =>
           unexpectedExits.map((exit) => `unexpected exit: ${exit}`),
         ),
@@ -240,9 +273,7 @@
     this.#parts.crashes?.stop();
     this.#callers.close();
     await Promise.all(this.#parts.instances.map((instance) => instance.end('SIGKILL')));
-    await Promise.all(
-      [...this.#parts.links.store, ...this.#parts.links.servers].map((link) => link.close()),
-    );
+    await this.#parts.links.close();
     for (const cleanUp of this.#parts.cleanUps) await cleanUp();
     await rm(this.#parts.directory, { recursive: true, force: true });
   }
@@ -259,21 +290,3 @@
     this.#recoveryFailure = `after the faults, ${String(served)} of ${String(plain.length)} plain calls were served`;
   }
 }
-
-/** Registers a server in the store under the address of a link to it. */
-async function registerServer(server: FakeServer, store: FakeStore): Promise<Link> {
-  const [link] = await linksTo(`http://${server.address}`, 1);
-  if (!link) throw new RangeError('no link was created');
-  const isEngine = server.id.startsWith('e');
-  server.behaviour = isEngine ? 'stream' : 'answer';
-  const address = `127.0.0.1:${String(link.port)}`;
-  const entry = server.entry(isEngine ? 'llm' : 'ledger', { address, slots: 16, born: 1 });
-  store.put('servers', server.id, entry);
-  return link;
-}
-
-function linksTo(url: string, count: number): Promise<Link[]> {
-  const { hostname: host, port } = new URL(url);
-  const target = { host, port: Number(port) };
-  return Promise.all(Array.from({ length: count }, () => createLink({ target })));
-}
--- a/test/soak/soakConfiguration.ts
+++ b/test/soak/soakConfiguration.ts
@@ -6,10 +6,11 @@
 
 /** Tokens of an account; the calls of a run need more in total. */
 const LIMIT = 60_000;
+/** Tokens of an account that does not run out of them. */
+const AMPLE_LIMIT = 10_000_000;
 const TOP_UP = 10_000;
 /** Account of the callers that meet stops, which must not run out of tokens. */
 export const STOP_ACCOUNT = 'uhura';
-const STOP_ACCOUNT_LIMIT = 10_000_000;
 
 export class SoakConfiguration {
   /** Highest limit of each account so far. */
@@ -17,15 +18,16 @@
   readonly #store: FakeStore;
   #version = 7;
 
-  constructor(store: FakeStore, accounts: readonly string[]) {
+  constructor(store: FakeStore, accounts: readonly string[], tokens: 'scarce' | 'ample') {
     this.#store = store;
-    this.limits = new Map(accounts.map((account) => [account, LIMIT]));
+    const limit = tokens === 'scarce' ? LIMIT : AMPLE_LIMIT;
+    this.limits = new Map(accounts.map((account) => [account, limit]));
   }
 
   /** Writes the next version to the store. */
   write(): void {
     this.#version += 1;
-    const limits = [...this.limits, [STOP_ACCOUNT, STOP_ACCOUNT_LIMIT] as const];
+    const limits = [...this.limits, [STOP_ACCOUNT, AMPLE_LIMIT] as const];
     const tenants = limits.map(([name, prepaid]) => {
       return { name, api_keys: [`key-of-${name}`], prepaid };
     });
--- a/test/soak/soakFaults.ts
+++ b/test/soak/soakFaults.ts
@@ -1,14 +1,17 @@
 /** Faults of a run: chosen by a seeded generator and injected from outside the processes. */
 
-import type { Link } from '../../packages/lab/src/node/link/index.js';
+import type { CutMode, Link } from '../../packages/lab/src/node/link/index.js';
 import type { Random } from '../../packages/lab/src/runtime/random.js';
 import type { Behaviour, FakeServer } from '../platform/fakeServer.js';
 import type { FakeStore } from '../platform/fakeStore.js';
 import type { SoakConfiguration } from './soakConfiguration.js';
+import type { InstanceCut } from './soakCuts.js';
+import type { SoakLinks } from './soakLinks.js';
 import type { SoakProcess } from './soakProcess.js';
 import type { StopCallers } from './soakStopCallers.js';
 import type { CutWindow } from './soakStops.js';
 import { setTimeout as delay } from 'node:timers/promises';
+import { SoakCuts } from './soakCuts.js';
 import { STOP_LEAD_MS } from './soakStopCallers.js';
 
 const MS_PER_SECOND = 1_000;
@@ -22,12 +25,14 @@
   store: FakeStore;
   configuration: SoakConfiguration;
   servers: FakeServer[];
-  links: { store: Link[]; servers: Link[] };
+  links: SoakLinks;
+  /** Servers behind links, in the order of the links. */
+  linked: FakeServer[];
   instances: SoakProcess[];
 }
 
 /** Which faults a run consists of. */
-export type FaultProfile = 'mixed' | 'stops';
+export type FaultProfile = 'mixed' | 'stops' | 'cuts';
 
 const MIXED = {
   kill: 2,
@@ -46,6 +51,8 @@
   'a server limits requests': 1,
   'top-up': 1,
   'stop all in turn': 0,
+  'instances lose servers': 0,
+  'instances lose servers in series': 0,
 };
 
 type FaultKind = keyof typeof MIXED;
@@ -54,6 +61,17 @@
   mixed: MIXED,
   // Kills and pauses are rare, because a stop near one of them is not checked.
   stops: { ...MIXED, kill: 1, stop: 8, pause: 1, 'kill all': 0, 'stop all in turn': 3 },
+  // Processes are disturbed rarely, because an instance that is does not count in a cut.
+  cuts: {
+    ...MIXED,
+    kill: 1,
+    stop: 2,
+    pause: 1,
+    'kill all': 0,
+    'store silent for': 1,
+    'instances lose servers': 14,
+    'instances lose servers in series': 10,
+  },
 };
 
 /** Faults whose description names the instance. */
@@ -65,9 +83,15 @@
   'store resets',
 ]);
 
+/** Faults that have times of their own. */
+const DESCRIBED_BY_CUTS: ReadonlySet<FaultKind> = new Set([
+  'instances lose servers',
+  'instances lose servers in series',
+]);
+
 export class SoakFaults {
-  /** Times in which servers could not be reached. */
-  readonly cuts: CutWindow[] = [];
+  readonly #serverCuts: CutWindow[] = [];
+  readonly #cuts: SoakCuts;
   /** Injected faults, one phrase each. */
   readonly injected: string[] = [];
 
@@ -76,7 +100,29 @@
     readonly targets: FaultTargets,
     readonly profile: FaultProfile,
     readonly stopCallers: StopCallers,
-  ) {}
+  ) {
+    const { links, instances, linked } = targets;
+    const ids = linked.map(({ id }) => id);
+    this.#cuts = new SoakCuts(random, links, instances, ids, (phrase) => {
+      this.injected.push(phrase);
+    });
+  }
+
+  /** Times in which instances did not reach servers that others reached. */
+  get instanceCuts(): readonly InstanceCut[] {
+    return this.#cuts.cuts;
+  }
+
+  /** Times in which the connections of instances to servers were broken. */
+  get cuts(): CutWindow[] {
+    const own = this.instanceCuts.filter(({ mode }) => mode !== 'refuse-new');
+    const ofInstances = own.flatMap(({ instances, servers, from, until }) =>
+      instances.flatMap((instance) =>
+        servers.map((server): CutWindow => ({ server, instance, from, until })),
+      ),
+    );
+    return [...this.#serverCuts, ...ofInstances];
+  }
 
   /** Injects one fault and resolves when it has ended. */
   inject(): Promise<void> {
@@ -84,14 +130,13 @@
     const { instances, links } = this.targets;
     const forMs = random.int(200, MAX_FAULT_MS);
     const instance = random.pick(instances);
-    const storeLink = links.store[instances.indexOf(instance)];
     const runs: Record<FaultKind, () => Promise<void>> = {
       kill: () => restart(instance, 'SIGKILL', forMs),
       stop: () => this.#stop(instance, forMs),
       pause: () => pause(instance, forMs),
       'kill all': () => this.#killAll(forMs),
-      'store silent for': () => cut(storeLink, 'silent', forMs),
-      'store resets': () => cut(storeLink, 'reset', forMs),
+      'store silent for': () => this.#cutStore(instance, 'silent', forMs),
+      'store resets': () => this.#cutStore(instance, 'reset', forMs),
       'store silent': () => this.#storeFault('silent', forMs),
       'store down': () => this.#storeFault('down', forMs),
       'a server is cut off': () => this.#cutServer(forMs),
@@ -102,11 +147,14 @@
       'a server limits requests': () => this.#limitRate(forMs),
       'top-up': () => this.#topUp(),
       'stop all in turn': () => this.#stopInTurn(forMs),
+      'instances lose servers': () => this.#cuts.cutOnce(),
+      'instances lose servers in series': () => this.#cuts.cutInSeries(),
     };
     const weights = Object.entries(WEIGHTS[this.profile]) as [FaultKind, number][];
     const { kind } = random.pickWeighted(weights.map(([kind, weight]) => ({ kind, weight })));
     const target = OF_ONE_INSTANCE.has(kind) ? ` ${instance.name}` : '';
-    this.injected.push(`${kind}${target} for ${String(forMs)} ms`);
+    if (!DESCRIBED_BY_CUTS.has(kind))
+      this.injected.push(`${kind}${target} for ${String(forMs)} ms`);
     return runs[kind]();
   }
 
@@ -136,15 +184,23 @@
   }
 
   async #cutServer(forMs: number): Promise<void> {
-    const { links, servers } = this.targets;
+    const { links, linked } = this.targets;
     const link = this.random.pick(links.servers);
-    const server = servers[links.servers.indexOf(link)]?.id ?? '';
+    const server = linked[links.servers.indexOf(link)]?.id ?? '';
     const window = { server, from: performance.now(), until: Infinity };
-    this.cuts.push(window);
+    this.#serverCuts.push(window);
     await cut(link, 'silent', forMs);
     window.until = performance.now();
   }
 
+  async #cutStore(instance: SoakProcess, mode: CutMode, forMs: number): Promise<void> {
+    const { links, instances } = this.targets;
+    const window = { from: performance.now(), until: Infinity };
+    instance.storeCuts.push(window);
+    await cut(links.instances[instances.indexOf(instance)]?.store, mode, forMs);
+    window.until = performance.now();
+  }
+
   async #storeFault(fault: 'silent' | 'down', forMs: number): Promise<void> {
     this.targets.store.fault = fault;
     await delay(forMs);
@@ -214,7 +270,7 @@
   instance.signal('SIGCONT');
 }
 
-async function cut(link: Link | undefined, mode: 'silent' | 'reset', forMs: number): Promise<void> {
+async function cut(link: Link | undefined, mode: CutMode, forMs: number): Promise<void> {
   link?.setCut(mode);
   await delay(forMs);
   link?.setCut('none');
--- a/test/soak/soakFleet.ts
+++ b/test/soak/soakFleet.ts
@@ -16,11 +16,19 @@
 /** Number of data centres over which instances are spread in turn. */
 export const DATA_CENTRE_COUNT = DATA_CENTRES.length;
 
-/** Settings of the instance with the given index, which uses the first three of `ports`. */
-export function settingsOf(ports: number[], storeUrl: string, at: number): SoakProcess['settings'] {
+/**
+ * Settings of the instance with the given index, which uses the first three of `ports`. Instances are
+ * spread over the given number of data centres in turn.
+ */
+export function settingsOf(
+  ports: number[],
+  storeUrl: string,
+  at: number,
+  dataCentres: number = DATA_CENTRE_COUNT,
+): SoakProcess['settings'] {
   const [entry = '', ready = '', mesh = ''] = ports.map((port) => `127.0.0.1:${String(port)}`);
   return {
-    dataCentre: DATA_CENTRES[at % DATA_CENTRES.length],
+    dataCentre: DATA_CENTRES[at % dataCentres],
     listen: { entry, ready, mesh },
     store: { url: storeUrl, timeoutMs: 500, watchIdleMs: 1_000, configurationIdleMs: 1_000 },
     prepaid: { reportMs: 300, rideThroughSeconds: 3 },
--- a/test/soak/soakProcess.ts
+++ b/test/soak/soakProcess.ts
@@ -27,6 +27,10 @@
   /** Times of the signals that killed, paused or continued the process, on the monotonic clock. */
   readonly harmedAt: number[] = [];
   readonly stops: StopWindow[] = [];
+  /** Times of all starts, on the monotonic clock. */
+  readonly startedAt: number[] = [];
+  /** Times in which the process did not reach the store, on the monotonic clock. */
+  readonly storeCuts: { from: number; until: number }[] = [];
   /** Exits that were not requested, with exit code or signal. */
   unexpectedExits: string[] = [];
   readonly #file: string;
@@ -50,6 +54,7 @@
     await writeFile(this.#file, JSON.stringify({ instance: this.name, ...this.settings }));
     this.#isExitExpected = false;
     this.#hasOutput = false;
+    this.startedAt.push(performance.now());
     const child = spawn(process.execPath, [this.bundle], {
       env: { ...process.env, FLAMINGOCOURSE_CONFIG: this.#file },
       stdio: ['ignore', 'pipe', 'pipe'],
--- a/test/soak/soakStops.test.ts
+++ b/test/soak/soakStops.test.ts
@@ -84,6 +84,11 @@
       answer: { status: 200 },
       seen: { cuts: [{ ...cut, server: 'p2' }] },
     },
+    {
+      name: 'a part of an answer while another instance was cut off',
+      answer: { status: 200 },
+      seen: { cuts: [{ ...cut, instance: 'edge-2' }] },
+    },
     {
       name: 'a refusal that is cut off',
       answer: { status: 503 },
@@ -118,6 +123,11 @@
       answer: { status: 200 },
       seen: { cuts: [cut] },
     },
+    {
+      name: 'a part of an answer while its instance was cut off from its server',
+      answer: { status: 200 },
+      seen: { cuts: [{ ...cut, instance: 'edge-1' }] },
+    },
   ];
   for (const each of cases) {
     test(each.name, () => {
--- a/test/soak/soakStops.ts
+++ b/test/soak/soakStops.ts
@@ -23,6 +23,8 @@
 /** Time during which a server could not be reached. */
 export interface CutWindow {
   server: string;
+  /** Instance that did not reach it; undefined for all. */
+  instance?: string;
   from: number;
   until: number;
 }
@@ -120,7 +122,8 @@
 /** Whether a server was cut off in the middle of its answer, which nobody can then deliver whole. */
 function wasCutOff({ answer, arrivals }: StoppedRequest, cuts: readonly CutWindow[]): boolean {
   return arrivals.some((arrival) =>
-    cuts.some(({ server, from, until }) => {
+    cuts.some(({ server, instance = answer.instance, from, until }) => {
+      if (instance !== answer.instance) return false;
       return server === arrival.server && from <= answer.endedAt && until >= arrival.at;
     }),
   );
