fix(soak): which instances a seed cuts off does not depend on the speed of the machine

Cause: a cut was passed over while another one lasted, by the clock. Now the times of the plan decide: each fault knows when it is planned, and a cut is passed over if the plan has instances cut off then.

--- a/test/soak/runSoak.ts
+++ b/test/soak/runSoak.ts
@@ -196,11 +196,14 @@
       isCuts ? CALL_INTERVAL_IN_CUTS_MS : CALL_INTERVAL_MS,
     );
     this.#parts.crashes?.start();
+    let plannedMs = 0;
     const activeFaults = new Set<Promise<void>>();
     const endAt = performance.now() + faultsMs * (isCuts ? LONGER_IN_CUTS : 1);
     while (performance.now() < endAt) {
-      await delay(this.#random.int(50, MAX_FAULT_INTERVAL_MS));
-      const fault = this.#faults.inject().finally(() => activeFaults.delete(fault));
+      const intervalMs = this.#random.int(50, MAX_FAULT_INTERVAL_MS);
+      plannedMs += intervalMs;
+      await delay(intervalMs);
+      const fault = this.#faults.inject(plannedMs).finally(() => activeFaults.delete(fault));
       activeFaults.add(fault);
     }
     await Promise.all(activeFaults);
--- a/test/soak/soakCuts.ts
+++ b/test/soak/soakCuts.ts
@@ -46,7 +46,9 @@
 
 export class SoakCuts {
   readonly cuts: InstanceCut[] = [];
-  #isActive = false;
+  #running = Promise.resolve();
+  /** Milliseconds of the plan until which instances are cut off. */
+  #plannedUntilMs = 0;
 
   constructor(
     readonly random: Random,
@@ -57,14 +59,20 @@
     readonly onCut: (phrase: string) => void,
   ) {}
 
-  /** Cuts instances off once; nothing if others are cut off, so that some always reach the servers. */
-  cutOnce(): Promise<void> {
-    return this.#run([this.#plan()]);
+  /**
+   * Cuts instances off once. Does nothing if others are cut off by the plan, so that some always reach
+   * the servers; this depends on the times of the plan only and not on how fast the machine is.
+   */
+  cutOnce(plannedMs: number): Promise<void> {
+    return this.#run([this.#plan()], plannedMs);
   }
 
   /** Cuts instances off several times, one after the other, each time others or in another way. */
-  cutInSeries(): Promise<void> {
-    return this.#run(Array.from({ length: CUTS_PER_SERIES }, () => this.#plan()));
+  cutInSeries(plannedMs: number): Promise<void> {
+    return this.#run(
+      Array.from({ length: CUTS_PER_SERIES }, () => this.#plan()),
+      plannedMs,
+    );
   }
 
   #plan(): CutPlan {
@@ -81,14 +89,20 @@
     };
   }
 
-  async #run(plans: readonly CutPlan[]): Promise<void> {
-    if (this.#isActive) return;
-    this.#isActive = true;
+  async #run(plans: readonly CutPlan[], plannedMs: number): Promise<void> {
+    if (plannedMs < this.#plannedUntilMs) return;
+    this.#plannedUntilMs = plannedMs;
+    for (const { forMs, gapMs } of plans) this.#plannedUntilMs += forMs + gapMs;
+    const before = this.#running;
+    this.#running = before.then(() => this.#cutEach(plans));
+    await this.#running;
+  }
+
+  async #cutEach(plans: readonly CutPlan[]): Promise<void> {
     for (const plan of plans) {
       await this.#cut(plan);
       await delay(plan.gapMs);
     }
-    this.#isActive = false;
   }
 
   async #cut({ forMs, cut: plan }: CutPlan): Promise<void> {
--- a/test/soak/soakFaults.ts
+++ b/test/soak/soakFaults.ts
@@ -124,8 +124,8 @@
     return [...this.#serverCuts, ...ofInstances];
   }
 
-  /** Injects one fault and resolves when it has ended. */
-  inject(): Promise<void> {
+  /** Injects the fault that is planned for this time of the run; resolves when it has ended. */
+  inject(plannedMs: number): Promise<void> {
     const { random } = this;
     const { instances, links } = this.targets;
     const forMs = random.int(200, MAX_FAULT_MS);
@@ -147,8 +147,8 @@
       'a server limits requests': () => this.#limitRate(forMs),
       'top-up': () => this.#topUp(),
       'stop all in turn': () => this.#stopInTurn(forMs),
-      'instances lose servers': () => this.#cuts.cutOnce(),
-      'instances lose servers in series': () => this.#cuts.cutInSeries(),
+      'instances lose servers': () => this.#cuts.cutOnce(plannedMs),
+      'instances lose servers in series': () => this.#cuts.cutInSeries(plannedMs),
     };
     const weights = Object.entries(WEIGHTS[this.profile]) as [FaultKind, number][];
     const { kind } = random.pickWeighted(weights.map(([kind, weight]) => ({ kind, weight })));
