--- a/packages/mesh/src/index.ts
+++ b/packages/mesh/src/index.ts
@@ -1,8 +1,12 @@
 export * from './node/meshClient.js';
 export * from './node/meshServer.js';
+export * from './node/openTunnel.js';
+export { acceptTunnel, refuseTunnel } from './node/tunnelAnswers.js';
 export * from './runtime/heartbeatCodec.js';
 export type { MeshRouter } from './runtime/meshRouter.js';
 export * from './runtime/schemas.js';
 export type * from './types/heartbeat.js';
 export type * from './types/procedures.js';
+export type * from './types/tunnels.js';
 export * from './utils/meshError.js';
+export * from './utils/tunnelError.js';
--- a/packages/mesh/src/node/meshClient.ts
+++ b/packages/mesh/src/node/meshClient.ts
@@ -4,13 +4,17 @@
 import type { TRPCUntypedClient } from '@trpc/client';
 import type { MeshRouter } from '../runtime/meshRouter.js';
 import type { ProcedureInput, ProcedureName, ProcedureOutput } from '../types/procedures.js';
+import type { TunnelOptions } from '../types/tunnels.js';
+import type { Socket } from 'node:net';
 import { Agent } from 'node:http';
 import { startTimeLimit } from '@flamingocourse/kernel';
 import { createTRPCUntypedClient, httpLink, TRPCClientError } from '@trpc/client';
 import { Result } from 'true-myth';
 import { MeshError } from '../utils/meshError.js';
+import { TunnelError } from '../utils/tunnelError.js';
 import { incarnationHeader, secretHeader } from './meshHeaders.js';
 import { createNodeFetch, TransportError } from './nodeFetch.js';
+import { openTunnel } from './openTunnel.js';
 
 const defaultTimeoutMs = 1_000;
 const defaultMaxPerPeer = 64;
@@ -110,7 +114,20 @@
     }
   }
 
-  /** Closes all connections; later calls fail without being sent. */
+  /**
+   * Opens a tunnel through a peer to a server. The socket belongs to the caller; `close` doesn't
+   * close it. For errors see {@link TunnelErrorCode}.
+   *
+   * @example
+   * const tunnel = await mesh.openTunnel({ peerUrl, target: 'server-7', timeoutMs: 250 });
+   * if (tunnel.isErr && tunnel.error.refusal === 'not-listed') askAnotherPeer();
+   */
+  async openTunnel(options: TunnelOptions): Promise<Result<Socket, TunnelError>> {
+    if (this.#closed) return Result.err(new TunnelError('unreachable', 'this client is closed'));
+    return openTunnel(options, this.#options);
+  }
+
+  /** Closes all connections of calls; later calls fail without being sent. */
   close(): void {
     this.#closed = true;
     this.#agent.destroy();
--- a/packages/mesh/src/node/meshServer.ts
+++ b/packages/mesh/src/node/meshServer.ts
@@ -4,13 +4,17 @@
 import type { AddressInfo } from 'node:net';
 import type { MeshCallContext } from '../runtime/meshRouter.js';
 import type { MeshHandler, ProcedureName } from '../types/procedures.js';
+import type { TunnelHandler } from '../types/tunnels.js';
+import type { Duplex } from 'node:stream';
 import { createHash, timingSafeEqual } from 'node:crypto';
 import { createServer } from 'node:http';
+import { Socket } from 'node:net';
 import { Service } from '@flamingocourse/kernel';
 import { createHTTPHandler } from '@trpc/server/adapters/standalone';
 import { createMeshRouter } from '../runtime/meshRouter.js';
 import { MeshError } from '../utils/meshError.js';
 import { incarnationHeader, secretHeader } from './meshHeaders.js';
+import { refuseTunnel } from './tunnelAnswers.js';
 
 const defaultMaxBodyBytes = 4 * 1024 * 1024;
 const defaultMaxConcurrent = 256;
@@ -55,6 +59,9 @@
   #isSelf: (incarnation: string) => boolean = () => false;
   #running = 0;
   #reportStatus: (() => RouterStatusReport) | undefined;
+  #connectHandler: TunnelHandler | undefined;
+  /** Sockets of CONNECT requests, which the HTTP server no longer manages. */
+  readonly #tunnelSockets = new Set<Socket>();
 
   constructor(options: MeshServerOptions) {
     super();
@@ -76,6 +83,17 @@
     Object.assign(this.#handlers, { [procedure]: handler });
   }
 
+  /**
+   * Sets the handler of CONNECT requests. Their sockets don't count as concurrent calls; the handler
+   * limits them itself.
+   *
+   * @example
+   * mesh.handleConnect(({ socket }) => refuseTunnel(socket, 'unavailable'));
+   */
+  handleConnect(handler: TunnelHandler): void {
+    this.#connectHandler = handler;
+  }
+
   /**
    * Sets the status report that the listener returns for any GET request, such as `/readyz` and
    * `/status`. Operators can query every router here, because the instance list contains this
@@ -98,6 +116,9 @@
     const server = createServer((req, res) => {
       this.#admit(req, res, handler);
     });
+    server.on('connect', (req, socket, head) => {
+      this.#connect(req, socket, head);
+    });
     server.keepAliveTimeout = keepAliveTimeoutMs;
     server.headersTimeout = headersTimeoutMs;
     server.requestTimeout = requestTimeoutMs;
@@ -114,6 +135,31 @@
         resolve();
       });
       server.closeAllConnections();
+      // a reset, because an orderly end could pass for the end of the server's answer.
+      for (const socket of this.#tunnelSockets) socket.resetAndDestroy();
+    });
+  }
+
+  #connect(req: IncomingMessage, socket: Duplex, head: Buffer): void {
+    if (!(socket instanceof Socket)) throw new TypeError('the mesh listener serves only TCP');
+    this.#trackTunnelSocket(socket);
+    const target = decodeTarget(req.url ?? '');
+    const trusted = isTrusted(req.headers[secretHeader], this.#options.secret);
+    if (!trusted) refuseTunnel(socket, 'not-trusted');
+    else if (target === undefined) refuseTunnel(socket, 'other');
+    else if (!this.#connectHandler) refuseTunnel(socket, 'not-listed');
+    else this.#connectHandler({ target, socket, head });
+  }
+
+  #trackTunnelSocket(socket: Socket): void {
+    this.#tunnelSockets.add(socket);
+    socket.setTimeout(0);
+    socket.setNoDelay(true);
+    socket.on('error', () => {
+      // followed by 'close'.
+    });
+    socket.once('close', () => {
+      this.#tunnelSockets.delete(socket);
     });
   }
 
@@ -181,6 +227,15 @@
   return typeof given === 'string' && timingSafeEqual(digest(given), digest(secret));
 }
 
+/** Decodes the target of a CONNECT request; undefined if it is malformed. */
+function decodeTarget(path: string): string | undefined {
+  try {
+    return decodeURIComponent(path);
+  } catch {
+    return undefined;
+  }
+}
+
 function digest(text: string): Buffer {
   return createHash('sha256').update(text).digest();
 }
