--- a/packages/gateway/src/node/createGateway.ts
+++ b/packages/gateway/src/node/createGateway.ts
@@ -24,6 +24,7 @@
 import { PrepaidService } from './prepaidService.js';
 import { ServerAgent } from './serverAgent.js';
 import { ServerDirectory } from './serverDirectory.js';
+import { ServerTunnels } from './serverTunnels.js';
 import { SharedQuarantine } from './sharedQuarantine.js';
 import { StatusService } from './statusService.js';
 
@@ -113,11 +114,12 @@
     .register(instances)
     .register(gossip)
     .register(causes);
+  const tunnels = new ServerTunnels(context);
   if (settings.listen.mesh) {
     const mesh = new MeshServer(settings.listen.mesh);
     mesh.handle('borrow', async (req) => Result.ok(await prepaid.lend(req)));
     mesh.handle('exchangeNews', (message) => Result.ok(gossip.handleMessage(message)));
-    kernel.register(mesh);
+    kernel.register(mesh).register(tunnels);
   }
   kernel.register(prepaid).register(entry).register(new StatusService(context));
   kernel.onFailure((err, service) => {
@@ -140,6 +142,7 @@
     async stop() {
       log.write('gateway-stopping', { running: entry.running });
       entry.beginStop();
+      tunnels.beginStop();
       prepaid.beginStop();
       await Promise.all([instances.leave(), kernel.stop()]);
       peers.close();
--- a/packages/gateway/src/node/gatewayMetrics.ts
+++ b/packages/gateway/src/node/gatewayMetrics.ts
@@ -71,6 +71,22 @@
     labelNames: ['kind'],
     registers: [this.#registry],
   });
+  readonly #tunnelsOpened = new Counter({
+    name: 'flamingocourse_tunnels_opened_total',
+    help: 'tunnels to servers opened for other instances',
+    registers: [this.#registry],
+  });
+  readonly #tunnelBytes = new Counter({
+    name: 'flamingocourse_tunnel_bytes_total',
+    help: 'bytes that closed tunnels carried, both directions together',
+    registers: [this.#registry],
+  });
+  readonly #tunnelsRefused = new Counter({
+    name: 'flamingocourse_tunnels_refused_total',
+    help: 'tunnels that other instances asked for and did not get, by reason',
+    labelNames: ['reason'],
+    registers: [this.#registry],
+  });
   readonly #gauges = new Map<string, Gauge>();
 
   /** Counts a finished request. `seconds` is undefined if no server answered it. */
@@ -104,6 +120,23 @@
     this.#rateLimitedAttempts.inc({ service });
   }
 
+  /** Counts a tunnel opened for another instance; `open` is the number of open ones. */
+  tunnelOpened(open: number): void {
+    this.#tunnelsOpened.inc();
+    this.#tunnelsOpen(open);
+  }
+
+  /** Counts a closed tunnel and the bytes that it carried; `open` is the number of open ones. */
+  tunnelClosed(bytes: number, open: number): void {
+    this.#tunnelBytes.inc(bytes);
+    this.#tunnelsOpen(open);
+  }
+
+  /** Counts a tunnel that another instance was refused. */
+  tunnelRefused(reason: string): void {
+    this.#tunnelsRefused.inc({ reason });
+  }
+
   /**
    * Replaces the store counters by the totals that the store's client has counted since the start.
    */
@@ -131,6 +164,10 @@
     gauge.set(labels, value);
   }
 
+  #tunnelsOpen(open: number): void {
+    this.gauge('tunnels_open', 'open tunnels to servers for other instances', open);
+  }
+
   /** Returns all metrics in the Prometheus text format. */
   text(): Promise<string> {
     return this.#registry.metrics();
--- a/packages/gateway/src/node/serverDirectory.ts
+++ b/packages/gateway/src/node/serverDirectory.ts
@@ -80,6 +80,11 @@
     return [...this.#servers.values()];
   }
 
+  /** Returns a server that may get requests; undefined if it is not listed. */
+  find(id: string): DirectoryServer | undefined {
+    return this.#servers.get(id);
+  }
+
   /** Number of servers that are used although their entry is missing from the list. */
   get keptCount(): number {
     return this.#kept.size;
--- a/packages/kernel/src/runtime/eventCatalogue.ts
+++ b/packages/kernel/src/runtime/eventCatalogue.ts
@@ -84,6 +84,21 @@
     level: 'info',
     text: 'an instance that did not answer gossip answers again',
   },
+  'tunnels-opened': {
+    number: 310,
+    level: 'info',
+    text: 'another instance reaches a server through this instance',
+  },
+  'tunnels-closed': {
+    number: 311,
+    level: 'info',
+    text: 'no other instance reaches this server through this instance any more',
+  },
+  'tunnel-refused': {
+    number: 312,
+    level: 'info',
+    text: 'another instance asked for a tunnel to a server and was refused; at most one line a second for each server',
+  },
   'holder-registered': { number: 400, level: 'info', text: 'router registered in the journal' },
   'holder-lost': {
     number: 401,
