--- a/test/gateway/serverTunnels.test.ts
+++ b/test/gateway/serverTunnels.test.ts
@@ -1,12 +1,16 @@
+import type { IncomingMessage } from 'node:http';
 import type { TestContext } from 'node:test';
 import type { Ends } from './tunnelWorld.js';
 import assert from 'node:assert/strict';
+import { fork } from 'node:child_process';
 import { randomBytes } from 'node:crypto';
 import { once } from 'node:events';
+import { request } from 'node:http';
 import { test } from 'node:test';
 import { setTimeout as delay } from 'node:timers/promises';
+import { MeshClient } from '@flamingocourse/mesh';
 import { MAX_TUNNELS } from '../../packages/gateway/src/node/serverTunnels.js';
-import { until } from '../platform/world.js';
+import { World, until } from '../platform/world.js';
 import { startHangingServer } from './hangingServer.js';
 import { digestOf, receive } from './socketFixtures.js';
 import { TunnelWorld } from './tunnelWorld.js';
@@ -245,3 +249,44 @@
   await until('given up', () => world.tunnels.open === 0);
   assert.deepEqual(world.lines('tunnel-refused'), []);
 });
+
+// Guards against requests that wait for a peer that has ended, and servers that work on for it.
+test('the end of the process of the peer ends the tunnel on both sides', async (t) => {
+  const world = await TunnelWorld.start(t);
+  const serverUrl = await world.addServer('s1');
+  const entry = new URL('tunnelPeerProcess.ts', import.meta.url);
+  const peer = fork(entry, [serverUrl]);
+  t.after(() => peer.kill('SIGKILL'));
+  const [peerUrl] = (await once(peer, 'message')) as [string];
+  const ends = await world.open('s1', peerUrl);
+  const received = [receive(ends.caller), receive(ends.server)];
+  ends.server.write('begun');
+  await until('begun', () => received[0]?.bytes === 5);
+  const from = performance.now();
+  peer.kill('SIGKILL');
+  await until('over', () => received.every(({ end }) => end !== 'open'));
+  assert.ok(performance.now() - from < 1_000);
+});
+
+// Guards against a gateway that does not open tunnels, or that opens them while it stops.
+test('a gateway with a mesh listener opens tunnels to its servers until it stops', async (t) => {
+  const world = await World.start(t, undefined, { mesh: true });
+  const client = new MeshClient();
+  const { port = 0 } = world.settings?.listen.mesh ?? {};
+  const peerUrl = `http://127.0.0.1:${String(port)}`;
+  const ask = (): ReturnType<MeshClient['openTunnel']> =>
+    client.openTunnel({ peerUrl, target: 'p1', timeoutMs: 2_000 });
+  const tunnel = await ask();
+  if (tunnel.isErr) throw tunnel.error;
+  const socket = tunnel.value;
+  const req = request({ path: '/health', createConnection: () => socket });
+  const [res] = (await once(req.end(), 'response')) as [IncomingMessage];
+  res.resume();
+  assert.equal(res.statusCode, 200);
+  const stopped = world.stop();
+  const refused = await ask();
+  assert.equal(refused.isErr && refused.error.refusal, 'unavailable');
+  socket.destroy();
+  await stopped;
+  assert.ok(world.events.includes('tunnels-closed'));
+});
--- a/test/gateway/tunnelWorld.ts
+++ b/test/gateway/tunnelWorld.ts
@@ -53,13 +53,13 @@
   readonly accepted: Socket[] = [];
   readonly #directory = new FixedDirectory(this.context, new UnusedHealthCheck());
   readonly #kernel = new Kernel();
-  readonly #t: TestContext;
+  readonly #t: Pick<TestContext, 'after'>;
 
-  private constructor(t: TestContext) {
+  private constructor(t: Pick<TestContext, 'after'>) {
     this.#t = t;
   }
 
-  static async start(t: TestContext): Promise<TunnelWorld> {
+  static async start(t: Pick<TestContext, 'after'>): Promise<TunnelWorld> {
     const world = new TunnelWorld(t);
     world.#kernel.register(world.#directory).register(world.mesh).register(world.tunnels);
     world.#kernel.onFailure((err) => {
@@ -79,8 +79,8 @@
     return this.#kernel.stop();
   }
 
-  /** Starts a server that accepts connections, and lists it. */
-  async addServer(id: string): Promise<void> {
+  /** Starts a server that accepts connections, and lists it; returns its URL. */
+  async addServer(id: string): Promise<string> {
     const server = createServer({ allowHalfOpen: true }, (socket) => {
       socket.on('error', () => undefined);
       this.#t.after(() => socket.destroy());
@@ -89,7 +89,9 @@
     server.listen(0, '127.0.0.1');
     await once(server, 'listening');
     this.#t.after(() => server.close());
-    this.list(id, `http://127.0.0.1:${String((server.address() as AddressInfo).port)}`);
+    const url = `http://127.0.0.1:${String((server.address() as AddressInfo).port)}`;
+    this.list(id, url);
+    return url;
   }
 
   /** Lists a server at a URL. */
@@ -99,16 +101,16 @@
   }
 
   /** Asks for a tunnel. */
-  async ask(target: string): ReturnType<MeshClient['openTunnel']> {
-    const options = { peerUrl: this.mesh.url, target, timeoutMs: TIMEOUT_MS, allowHalfOpen: true };
+  async ask(target: string, peerUrl = this.mesh.url): ReturnType<MeshClient['openTunnel']> {
+    const options = { peerUrl, target, timeoutMs: TIMEOUT_MS, allowHalfOpen: true };
     const tunnel = await this.client.openTunnel(options);
     if (tunnel.isOk) this.#t.after(() => tunnel.value.destroy());
     return tunnel;
   }
 
   /** Opens a tunnel and returns both ends. */
-  async open(target: string): Promise<Ends> {
-    const tunnel = await this.ask(target);
+  async open(target: string, peerUrl?: string): Promise<Ends> {
+    const tunnel = await this.ask(target, peerUrl);
     if (tunnel.isErr) throw tunnel.error;
     await until('accepted', () => this.accepted.length > 0);
     const server = this.accepted.shift();
