--- a/test/mesh/tunnel.test.ts
+++ b/test/mesh/tunnel.test.ts
@@ -198,6 +198,23 @@
   });
 }
 
+// Guards against connections that a refused caller keeps open.
+test('the connection of a refused caller is closed even if the caller does not close it', async (t) => {
+  const { server } = await startPeer(t);
+  const options = { port: Number(new URL(server.url).port), host: '127.0.0.1' };
+  const socket = connect({ ...options, allowHalfOpen: true });
+  t.after(() => socket.destroy());
+  const closed = new Promise((resolve) => socket.once('close', resolve));
+  const errors: Error[] = [];
+  socket.on('error', (err) => errors.push(err));
+  socket.write('CONNECT s1 HTTP/1.1\r\nHost: s1\r\n\r\n');
+  await once(socket.resume(), 'end');
+  const writes = setInterval(() => socket.write('more'), 5);
+  await Promise.race([closed, delay(TIMEOUT_MS)]);
+  clearInterval(writes);
+  assert.equal(errors.length, 1);
+});
+
 // Guards against a caller with the secret who is not trusted.
 test('a tunnel is opened for a caller with the secret', async (t) => {
   const { server } = await startPeer(t, { secret: 'a' });
