feat(core): a silent server can be restored by probes, and by a change of its path

'May be tried again' and 'is reachable' were one word: a pause ran out, the server counted as reachable, and a caller's request was spent on finding out. A pool may now be told that only an answer to a probe restores a silent server, not before its pause is over (a server may answer probes and leave requests), and that new connections take another path, after which what waits on older ones says nothing. Pools that name nothing work as before. Tests in test/routing/reachability.

--- a/packages/core/src/runtime/routing/loadEstimate.ts
+++ b/packages/core/src/runtime/routing/loadEstimate.ts
@@ -42,10 +42,11 @@
     return this.#inFlight.size;
   }
 
-  /** Start time of the oldest own attempt in flight. */
-  oldestStart(): EpochMs | undefined {
+  /** Start time of the oldest own attempt in flight that was started at `from` or later. */
+  oldestStart(from: EpochMs = -Infinity): EpochMs | undefined {
     let oldest: EpochMs | undefined;
     for (const startedAt of this.#inFlight.values()) {
+      if (startedAt < from) continue;
       if (oldest === undefined || startedAt < oldest) oldest = startedAt;
     }
     return oldest;
--- a/packages/core/src/runtime/routing/serverEntry.ts
+++ b/packages/core/src/runtime/routing/serverEntry.ts
@@ -5,11 +5,17 @@
 import type { ConcurrencyLimit } from './concurrencyLimit.js';
 import type { ServerHealth, HealthSettings } from './serverHealth.js';
 import type { AttemptResult } from '../../types/placement.js';
-import type { Reachability } from './reachability.js';
+import type { Reachability, RestoredBy } from './reachability.js';
 import { hash32 } from '../../utils/hash.js';
 import { EnginePace } from './enginePace.js';
 import { LoadEstimate } from './loadEstimate.js';
-import { REACHABLE, isReachable, recordSent, recordSilence } from './reachability.js';
+import {
+  REACHABLE,
+  isReachable,
+  recordProbeAnswer,
+  recordSent,
+  recordSilence,
+} from './reachability.js';
 import {
   createServerHealth,
   eject,
@@ -34,11 +40,21 @@
   #health: ServerHealth = createServerHealth();
   #reach: Reachability = REACHABLE;
   #lastReceivedAt: EpochMs = -Infinity;
+  /** When the path to the server last changed. */
+  #pathChangedAt: EpochMs = -Infinity;
   /** Shared by all servers of the pool. */
   readonly #limit: ConcurrencyLimit;
 
-  constructor(server: BackendServer, limit: ConcurrencyLimit, now: EpochMs) {
+  readonly #restoredBy: RestoredBy;
+
+  constructor(
+    server: BackendServer,
+    limit: ConcurrencyLimit,
+    restoredBy: RestoredBy,
+    now: EpochMs,
+  ) {
     this.server = server;
+    this.#restoredBy = restoredBy;
     this.idHash = hash32(server.id);
     this.#limit = limit;
     if (server.load) this.load.report(server.load, now);
@@ -53,6 +69,11 @@
     return isReachable(this.#reach, now);
   }
 
+  /** Whether it gets no requests before a probe is answered. */
+  get awaitsProbe(): boolean {
+    return this.#reach.awaitsProbe;
+  }
+
   /** Records that something was received from the server. */
   recordReceived(now: EpochMs): void {
     this.#lastReceivedAt = now;
@@ -66,12 +87,24 @@
 
   /** Records that a connection did not open, or that nothing is received on open ones. */
   recordSilence(now: EpochMs): void {
-    this.#reach = recordSilence(this.#reach, now);
+    this.#reach = recordSilence(this.#reach, now, this.#restoredBy);
+  }
+
+  /** Records that a probe of the server was answered. */
+  recordProbeAnswer(): void {
+    this.#reach = recordProbeAnswer(this.#reach);
+  }
+
+  /** Records that new connections take another path to the server, which is known to work. */
+  recordPathChange(now: EpochMs): void {
+    this.#reach = REACHABLE;
+    this.#pathChangedAt = now;
   }
 
   /** Milliseconds for which requests in flight have received nothing from the server. */
   silentMs(now: EpochMs): number {
-    const waitingSince = this.load.oldestStart();
+    // what waits on connections of an earlier path says nothing about the present one.
+    const waitingSince = this.load.oldestStart(this.#pathChangedAt);
     if (waitingSince === undefined) return 0;
     return now - Math.max(waitingSince, this.#lastReceivedAt);
   }
--- a/packages/core/src/runtime/routing/serverPool.ts
+++ b/packages/core/src/runtime/routing/serverPool.ts
@@ -13,6 +13,7 @@
 import { rendezvousRank } from '../../utils/hash.js';
 import { createConcurrencyLimit } from './concurrencyLimit.js';
 import { defaultHealthSettings } from './serverHealth.js';
+import type { RestoredBy } from './reachability.js';
 import { ServerEntry } from './serverEntry.js';
 import { ServerNotices } from './serverNotices.js';
 import { ServerRateLimits } from './serverRateLimits.js';
@@ -30,6 +31,8 @@
   health?: Partial<HealthSettings>;
   /** Status reported by the servers themselves. @default none */
   notices?: ServerNotices;
+  /** What shows that a silent server can be reached again. @default 'requests' */
+  restoredBy?: RestoredBy;
 }
 
 /** Which slots a request may use; see `ImportanceReserve`. A slot is room for one request. */
@@ -283,6 +286,22 @@
     this.#attempts.get(attempt)?.recordSilence(now);
   }
 
+  /** Servers that get no requests before a probe of them is answered. */
+  get awaitingProbe(): ServerId[] {
+    const waiting = [...this.#entries.values()].filter((entry) => entry.awaitsProbe);
+    return waiting.map(({ server }) => server.id);
+  }
+
+  /** Records that a probe of a server was answered. */
+  recordProbeAnswer(id: ServerId): void {
+    this.#entries.get(id)?.recordProbeAnswer();
+  }
+
+  /** Records that new connections take another path to a server, which is known to work. */
+  recordPathChange(id: ServerId, now: EpochMs): void {
+    this.#entries.get(id)?.recordPathChange(now);
+  }
+
   /**
    * Avoids servers that have requests in flight but have sent nothing for `silentMs`. Otherwise a
    * server that lost power would get new requests until the first of them reached its timeout.
@@ -337,7 +356,7 @@
   }
 
   #createEntry(server: BackendServer, now: EpochMs): ServerEntry {
-    return new ServerEntry(server, this.#limit, now);
+    return new ServerEntry(server, this.#limit, this.#options.restoredBy ?? 'requests', now);
   }
 
   /** Reachable servers that are neither leaving nor drained. */
--- a/test/routing/reachability.test.ts
+++ b/test/routing/reachability.test.ts
@@ -5,6 +5,7 @@
   REACHABLE,
   ServerPool,
   isReachable,
+  recordProbeAnswer,
   recordSent,
   recordSilence,
 } from '@flamingocourse/core';
@@ -98,3 +99,46 @@
   pool.recordReceived(waiting, 500);
   assert.deepEqual(openIds(pool, 510), ['dark', 'sound']);
 });
+
+// Guards against a partitioned instance that spends a caller's request on each server to learn that it is still cut off.
+describe('a silent server that probes restore', () => {
+  const silent = recordSilence(REACHABLE, 0, 'probes');
+  const cases = [
+    {
+      name: 'is not tried before a probe was answered',
+      state: silent,
+      now: 60_000,
+      expected: false,
+    },
+    {
+      name: 'is not tried before its pause is over',
+      state: recordProbeAnswer(silent),
+      now: 799,
+      expected: false,
+    },
+    {
+      name: 'is tried after both',
+      state: recordProbeAnswer(silent),
+      now: 800,
+      expected: true,
+    },
+  ];
+  for (const { name, state, now, expected } of cases) {
+    test(name, () => {
+      assert.equal(isReachable(state, now), expected);
+    });
+  }
+});
+
+// Guards against requests that wait on connections of a lost path and make the new path count as silent too.
+test('what waits since before a change of the path does not count as silence', () => {
+  const options = { dataCentre: 'hall-a', concurrencyPerServer: 6, restoredBy: 'probes' } as const;
+  const pool = new ServerPool(options);
+  pool.applyList([server('a')], 0);
+  pool.dispatch('a', 0);
+  assert.deepEqual(pool.avoidSilent(400, 400), ['a']);
+  pool.recordPathChange('a', 450);
+  assert.deepEqual([openIds(pool, 450), pool.avoidSilent(400, 2_000)], [['a'], []]);
+  pool.dispatch('a', 2_000);
+  assert.deepEqual(pool.avoidSilent(400, 2_400), ['a']);
+});
