fix(gateway): an instance that has lost its links to servers reaches them through its peers

Cause: nothing led to a server but the instance's own link, and what was known of a lost one was forgotten after 0.8 to 3.2 s, so that callers' requests, 250 ms of connect timeout each, four in turn, made the tests, and the instance was ready again in between. Not being ready does not help callers with open connections, or a data centre of which most instances are cut off. Ruled out: requests held on connections that hang (they are over before the rule counts). How: ServerPaths opens all connections to servers. The way that is known to work goes first, the next one (through a peer, own data centre first) 50 ms later or at once when it fails, the first that is open wins. A server that fell silent is asked for its health on both ways at once by the instance itself; only an answer counts. A tunnel carries bytes, so identity, tokens, choice, deadlines, retries, signatures and cancels stay where they were. When only a peer reaches a server, idle connections to all servers are closed and the others are asked as well. A process that refuses connections counts as crashed only if a peer is refused too. Why it holds: the path below an attempt has no say in what may run; one hop only, to servers of the peer's own list.

--- a/packages/gateway/src/node/backendLanes.ts
+++ b/packages/gateway/src/node/backendLanes.ts
@@ -3,7 +3,7 @@
  */
 
 import type { Kernel } from '@flamingocourse/kernel';
-import type { ServiceName } from '@flamingocourse/core';
+import type { ServerId, ServiceName } from '@flamingocourse/core';
 import type { GatewayContext } from '../types/context.js';
 import type { CrashCheck, QuarantineExchange } from '@flamingocourse/router';
 import type { DirectoryServer } from './serverDirectory.js';
@@ -18,6 +18,7 @@
 import { QuarantineRegister, ServiceLane } from '@flamingocourse/router';
 import { ConfigurationWatch } from './configurationWatch.js';
 import { ServerDirectory } from './serverDirectory.js';
+import { ServerPaths } from './serverPaths.js';
 import { RetryAllowance } from '../runtime/retryAllowance.js';
 
 /** Milliseconds between two checks of the queues for requests whose deadline has passed. */
@@ -50,7 +51,7 @@
 /** Service that keeps the lanes. Registered as `lanes`. */
 export class BackendLanes extends Service {
   override readonly name = 'lanes';
-  override readonly dependsOn = ['configuration', 'directory'];
+  override readonly dependsOn = ['configuration', 'directory', 'paths'];
   readonly #context: GatewayContext;
   readonly #register: QuarantineRegister;
   readonly #crashCheck: CrashCheck;
@@ -58,6 +59,7 @@
   #instances = 1;
   #timer: NodeJS.Timeout | undefined;
   #directory: ServerDirectory | undefined;
+  #paths: ServerPaths | undefined;
   #configuration: ConfigurationWatch | undefined;
 
   constructor(context: GatewayContext, crashCheck: CrashCheck, quarantine: QuarantineExchange) {
@@ -109,6 +111,10 @@
     this.#directory.onChange((servers) => {
       this.#apply(servers);
     });
+    this.#paths = kernel.get('paths', ServerPaths);
+    this.#paths.onRestored(({ id, service }, cause) => {
+      this.#restore(service, id, cause);
+    });
     this.#configuration.onChange(() => {
       this.#apply(this.#directory?.servers ?? []);
     });
@@ -133,10 +139,18 @@
       for (const server of lane.avoidSilent(silentMs)) {
         this.#context.log.write('server-silent', { service, server, silentMs });
       }
+      for (const server of lane.pool.awaitingProbe) this.#paths?.requireProbe(server);
       lane.pump();
     }
   }
 
+  #restore(service: ServiceName, id: ServerId, cause: 'answered' | 'path-changed'): void {
+    const lane = this.#lanes.get(service)?.lane;
+    if (cause === 'answered') lane?.pool.recordProbeAnswer(id);
+    else lane?.pool.recordPathChange(id, this.#context.clock.now());
+    lane?.pump();
+  }
+
   #apply(servers: DirectoryServer[]): void {
     const now = this.#context.clock.now();
     this.#context.notices.retain(new Set(servers.map(({ id }) => id)), now);
@@ -163,6 +177,7 @@
       dataCentre: settings.dataCentre,
       concurrencyPerServer: sharesPrompts ? slots : slots * PLAIN_QUEUE_FACTOR,
       limitKind: 'fixed',
+      restoredBy: 'probes',
       notices,
     });
     const lane = new ServiceLane({
--- a/packages/gateway/src/node/connectionCheck.ts
+++ b/packages/gateway/src/node/connectionCheck.ts
@@ -4,6 +4,7 @@
 
 import type { BackendServer } from '@flamingocourse/core';
 import type { ServerAgent } from './serverAgent.js';
+import type { ServerPaths } from './serverPaths.js';
 import { connect } from 'node:net';
 import { setTimeout as delay } from 'node:timers/promises';
 import { onTimeout, waitForPendingReads } from '@flamingocourse/kernel';
@@ -20,25 +21,33 @@
 /** Result of a connection attempt. */
 type ConnectResult = 'accepted' | 'refused' | 'unreachable';
 
+/** Asks peers whether they can connect to a server. */
+export type PeerCheck = Pick<ServerPaths, 'isOpenToPeers'>;
+
 /**
  * Checks whether other connections to the server are still open, and tries to open one if there is
- * none.
+ * none. In a partition the network may refuse connections, so a refusal counts only if peers can't
+ * connect either.
  *
  * @example
- * if (await new ConnectionCheck(agent).hasEnded(server)) suspectAllInFlight();
+ * if (await new ConnectionCheck(agent, paths).hasEnded(server)) suspectAllInFlight();
  */
 export class ConnectionCheck extends CrashCheck {
   readonly #agent: ServerAgent;
 
-  constructor(agent: ServerAgent) {
+  readonly #peers: PeerCheck;
+
+  constructor(agent: ServerAgent, peers: PeerCheck) {
     super();
     this.#agent = agent;
+    this.#peers = peers;
   }
 
-  override async hasEnded({ url }: BackendServer): Promise<boolean> {
-    const { hostname, port } = new URL(url);
+  override async hasEnded(server: BackendServer): Promise<boolean> {
+    const { hostname, port } = new URL(server.url);
     if (await this.#staysConnected(hostname, port)) return false;
-    return (await tryConnection(hostname, Number(port))) === 'refused';
+    if ((await tryConnection(hostname, Number(port))) !== 'refused') return false;
+    return !(await this.#peers.isOpenToPeers(server));
   }
 
   /**
--- a/packages/gateway/src/node/createGateway.ts
+++ b/packages/gateway/src/node/createGateway.ts
@@ -20,11 +20,13 @@
 import { StoredCrashCauses } from './storedCrashCauses.js';
 import { MeshLoanCalls } from './meshLoanCalls.js';
 import { MeshGossipCalls } from './meshGossipCalls.js';
+import { MeshTunnelCalls } from './meshTunnelCalls.js';
 import { GossipService } from './gossipService.js';
 import { PrepaidService } from './prepaidService.js';
 import { ServerAgent } from './serverAgent.js';
 import { ServerDirectory } from './serverDirectory.js';
 import { ServerTunnels } from './serverTunnels.js';
+import { ServerPaths } from './serverPaths.js';
 import { SharedQuarantine } from './sharedQuarantine.js';
 import { StatusService } from './statusService.js';
 
@@ -102,7 +104,8 @@
   const peers = new MeshClient();
   const incarnation = randomUUID();
   const gossip = new GossipService(context, incarnation, new MeshGossipCalls(peers));
-  const crashCheck = new ConnectionCheck(agent);
+  const paths = new ServerPaths(context, agent, new MeshTunnelCalls(peers));
+  const crashCheck = new ConnectionCheck(agent, paths);
   const causes = new StoredCrashCauses(context);
   const quarantine = new SharedQuarantine(context, gossip, causes);
   const lanes = new BackendLanes(context, crashCheck, quarantine);
@@ -110,6 +113,7 @@
   kernel
     .register(configuration)
     .register(new ServerDirectory(context, health))
+    .register(paths)
     .register(lanes)
     .register(instances)
     .register(gossip)
--- a/packages/gateway/src/node/serverAgent.ts
+++ b/packages/gateway/src/node/serverAgent.ts
@@ -3,6 +3,8 @@
 import type { Duplex } from 'node:stream';
 import { Agent } from 'node:http';
 import type { ClientRequest, IncomingMessage } from 'node:http';
+import type { NetConnectOpts } from 'node:net';
+import type { ServerConnector } from '../types/serverConnector.js';
 import { Socket } from 'node:net';
 
 /** Milliseconds before the server's keep-alive timeout at which an idle connection is closed. */
@@ -20,10 +22,36 @@
  * start of the next response; so a connection that receives such bytes is closed.
  */
 export class ServerAgent extends Agent {
+  #connector: ServerConnector | undefined;
+
   constructor() {
     super({ keepAlive: true, maxFreeSockets: 256, scheduling: 'lifo' });
   }
 
+  /** Opens all later connections by a connector instead of directly. */
+  connectBy(connector: ServerConnector): void {
+    this.#connector = connector;
+  }
+
+  override createConnection(
+    options: NetConnectOpts,
+    callback?: (err: Error | null, stream: Duplex) => void,
+  ): Duplex | null | undefined {
+    if (!this.#connector || !callback) return super.createConnection(options, callback);
+    void this.#connector(options).then((connected) => {
+      if (connected.isOk) callback(null, connected.value);
+      else (callback as (err: Error) => void)(connected.error);
+    });
+    return undefined;
+  }
+
+  /** Closes the idle connections to a server. */
+  closeIdle(url: string): void {
+    const { hostname: host, port } = new URL(url);
+    const name = this.getName({ host, port: Number(port) });
+    for (const socket of this.freeSockets[name] ?? []) socket.destroy();
+  }
+
   /** Returns whether the connection is kept for reuse. */
   override keepSocketAlive(stream: Duplex): boolean {
     if (!(stream instanceof Socket)) return false;
--- /dev/null
+++ b/packages/gateway/src/node/serverPaths.ts
@@ -0,0 +1,296 @@
+/** Paths to the backend servers: direct, or through a peer where the own link to a server is lost. */
+
+import type { FleetInstance, ServerId } from '@flamingocourse/core';
+import type { Kernel } from '@flamingocourse/kernel';
+import type { NetConnectOpts, Socket } from 'node:net';
+import type { GatewayContext } from '../types/context.js';
+import type { TunnelCalls } from '../types/tunnelCalls.js';
+import type { Way } from '../runtime/staggeredRace.js';
+import type { ServerAgent } from './serverAgent.js';
+import type { DirectoryServer } from './serverDirectory.js';
+import { setTimeout as delay } from 'node:timers/promises';
+import { Service } from '@flamingocourse/kernel';
+import { Result } from 'true-myth';
+import { ServerPath } from '../runtime/serverPath.js';
+import { staggeredRace } from '../runtime/staggeredRace.js';
+import { TunnelPeers } from '../runtime/tunnelPeers.js';
+import { ConfigurationWatch } from './configurationWatch.js';
+import { openDirect } from './directConnection.js';
+import { InstanceDirectory } from './instanceDirectory.js';
+import { answersOn } from './pathProbe.js';
+import { ServerDirectory } from './serverDirectory.js';
+
+/** Milliseconds that one way to a server has before the next one is tried beside it. */
+const STAGGER_MS = 50;
+/** Maximum number of peers that are asked for one connection. */
+const MAX_PEERS = 3;
+/** Milliseconds between two checks for probes that are due. */
+const CHECK_INTERVAL_MS = 50;
+/** Maximum number of probes that are begun at a check. */
+const MAX_PROBES_AT_ONCE = 16;
+/** Minimum milliseconds between two times at which all other servers are probed. */
+const DOUBT_INTERVAL_MS = 1_000;
+/** Milliseconds after the answer of a peer's tunnel in which a direct answer still counts. */
+const DIRECT_GRACE_MS = 60;
+
+/** Called when it is known that a server can be reached again. */
+export type PathListener = (server: DirectoryServer, cause: 'answered' | 'path-changed') => void;
+
+/** Service that opens connections to servers. Registered as `paths`. */
+export class ServerPaths extends Service {
+  override readonly name = 'paths';
+  override readonly dependsOn = ['configuration', 'directory', 'instances'];
+  readonly #context: GatewayContext;
+  readonly #agent: ServerAgent;
+  readonly #calls: TunnelCalls;
+  readonly #peers: TunnelPeers;
+  readonly #paths = new Map<ServerId, ServerPath>();
+  /** Servers by `host:port`. */
+  readonly #byAddress = new Map<string, DirectoryServer>();
+  readonly #servers = new Map<ServerId, DirectoryServer>();
+  /** Peer of each tunnel. */
+  readonly #tunnels = new WeakMap<Socket, FleetInstance>();
+  readonly #listeners: PathListener[] = [];
+  #instances: InstanceDirectory | undefined;
+  #configuration: ConfigurationWatch | undefined;
+  #timer: NodeJS.Timeout | undefined;
+  #doubtAgainAt = -Infinity;
+
+  constructor(context: GatewayContext, agent: ServerAgent, calls: TunnelCalls) {
+    super();
+    this.#context = context;
+    this.#agent = agent;
+    this.#calls = calls;
+    this.#peers = new TunnelPeers(context.settings.dataCentre, context.random);
+  }
+
+  /** Number of servers that are reached through a peer, and of those that are not reached. */
+  get counts(): { tunnel: number; none: number } {
+    const kinds = [...this.#paths.values()].map(({ kind }) => kind);
+    const count = (kind: string): number => kinds.filter((each) => each === kind).length;
+    return { tunnel: count('tunnel'), none: count('none') };
+  }
+
+  /** Calls `listener` when a server that did not answer can be reached again. */
+  onRestored(listener: PathListener): void {
+    this.#listeners.push(listener);
+  }
+
+  override start(kernel: Kernel): void {
+    this.#instances = kernel.get('instances', InstanceDirectory);
+    this.#configuration = kernel.get('configuration', ConfigurationWatch);
+    kernel.get('directory', ServerDirectory).onChange((servers) => {
+      this.#applyList(servers);
+    });
+    this.#agent.connectBy((options) => this.connect(options));
+    this.#timer = setInterval(() => {
+      this.#startDueProbes();
+    }, CHECK_INTERVAL_MS);
+  }
+
+  override stop(): void {
+    clearInterval(this.#timer);
+  }
+
+  /** Has a server probed that did not answer, unless that is under way. */
+  requireProbe(id: ServerId): void {
+    const path = this.#paths.get(id);
+    const server = this.#servers.get(id);
+    if (!path || !server || path.kind === 'none') return;
+    path.recordDoubt(this.#now());
+    this.#agent.closeIdle(server.url);
+  }
+
+  /** Whether a peer connects to a server that refuses connections of this instance. */
+  async isOpenToPeers({ id }: Pick<DirectoryServer, 'id'>): Promise<boolean> {
+    for (const peer of this.#peersInOrder().slice(0, MAX_PEERS - 1)) {
+      const opened = await this.#calls.open(peer, id);
+      if (opened.isOk) opened.value.destroy();
+      if (opened.isOk) return true;
+      if (opened.error === 'server-unreachable') return false;
+    }
+    return false;
+  }
+
+  /** Opens a connection by the path that is known to work, and by the others if it does not. */
+  async connect(options: NetConnectOpts): Promise<Result<Socket, NodeJS.ErrnoException>> {
+    const { host = '', port = 0 } = options as { host?: string; port?: number };
+    const server = this.#byAddress.get(`${host}:${String(port)}`);
+    const { connectMs } = this.#context.settings.servers;
+    if (!server) return openDirect(options, connectMs);
+    const path = this.#pathOf(server.id);
+    let directError: NodeJS.ErrnoException | undefined;
+    const direct: Way<Socket> = async () => {
+      const opened = await openDirect(options, connectMs);
+      if (opened.isErr) directError = opened.error;
+      return opened.mapErr(({ message }) => message);
+    };
+    const tunnels = this.#tunnelWays(server);
+    const isDirect = path.kind !== 'tunnel';
+    const ways = isDirect ? [direct, ...tunnels] : [...tunnels.slice(0, 2), direct];
+    const onUnused = (socket: Socket): void => {
+      socket.destroy();
+    };
+    const won = await staggeredRace(ways, { staggerMs: STAGGER_MS, onUnused });
+    if (won.isErr) return Result.err(directError ?? new Error(won.error));
+    const { value: socket, way } = won.value;
+    if (isDirect && way > 0) this.#recordTunnelOnly(server, path);
+    return Result.ok(socket);
+  }
+
+  /** Tunnels through different peers; the peers are chosen when the first of them is needed. */
+  #tunnelWays(server: DirectoryServer): Way<Socket>[] {
+    let peers: FleetInstance[] | undefined;
+    return Array.from({ length: MAX_PEERS }, (_, index) => async () => {
+      peers ??= this.#peersInOrder();
+      const peer = peers[index];
+      if (!peer) return Result.err('no further peer');
+      return this.#openTunnel(peer, server);
+    });
+  }
+
+  async #openTunnel(peer: FleetInstance, { id }: DirectoryServer): Promise<Result<Socket, string>> {
+    const opened = await this.#calls.open(peer, id);
+    if (opened.isErr) this.#peers.recordFailure(peer.name, this.#now());
+    else {
+      this.#peers.recordSuccess(peer.name);
+      this.#tunnels.set(opened.value, peer);
+    }
+    return opened.mapErr((fault) => `${peer.name}: ${fault}`);
+  }
+
+  #peersInOrder(): FleetInstance[] {
+    const { instance } = this.#context.settings;
+    const others = this.#instances?.all.filter(({ name }) => name !== instance) ?? [];
+    return this.#peers.inOrder(others, this.#now());
+  }
+
+  #startDueProbes(): void {
+    const now = this.#now();
+    let begun = 0;
+    for (const server of this.#servers.values()) {
+      const path = this.#pathOf(server.id);
+      if (!path.isProbeDue(now)) continue;
+      void this.#probe(server, path, path.recordProbeStart());
+      begun += 1;
+      if (begun >= MAX_PROBES_AT_ONCE) return;
+    }
+  }
+
+  /**
+   * Asks a server on both paths at the same time. A busy server is slow on both, so the direct path
+   * counts as lost only if the answer through a peer came first by some margin.
+   */
+  async #probe(server: DirectoryServer, path: ServerPath, isDoubted: boolean): Promise<void> {
+    const target = this.#configuration?.table?.service(server.service)?.healthPath;
+    const direct = this.#probeDirect(server, target);
+    const isTunnelKnown = path.kind === 'tunnel' && !isDoubted;
+    const tunnel = isTunnelKnown ? Promise.resolve(true) : this.#probeTunnel(server, target);
+    const answersDirectly = isTunnelKnown
+      ? await direct
+      : await Promise.race([
+          direct,
+          tunnel.then((works) => (works ? delay(DIRECT_GRACE_MS, false) : direct)),
+        ]);
+    const outcome = answersDirectly ? { direct: true } : { direct: false, tunnel: await tunnel };
+    this.#applyProbe(server, path, outcome);
+  }
+
+  async #probeDirect(server: DirectoryServer, target: string | undefined): Promise<boolean> {
+    const { hostname: host, port } = new URL(server.url);
+    const { connectMs } = this.#context.settings.servers;
+    const opened = await openDirect({ host, port: Number(port) }, connectMs);
+    return opened.isOk && this.#answers(opened.value, server, target);
+  }
+
+  async #probeTunnel(server: DirectoryServer, target: string | undefined): Promise<boolean> {
+    const onUnused = (socket: Socket): void => {
+      socket.destroy();
+    };
+    const won = await staggeredRace(this.#tunnelWays(server), { staggerMs: STAGGER_MS, onUnused });
+    return won.isOk && this.#answers(won.value.value, server, target);
+  }
+
+  async #answers(
+    socket: Socket,
+    server: DirectoryServer,
+    target: string | undefined,
+  ): Promise<boolean> {
+    if (target !== undefined) return answersOn(socket, this.#context, server, target);
+    socket.destroy();
+    return true;
+  }
+
+  #applyProbe(
+    server: DirectoryServer,
+    path: ServerPath,
+    outcome: { direct: boolean; tunnel?: boolean },
+  ): void {
+    const before = path.kind;
+    const hasChanged = path.recordProbe(outcome, this.#now());
+    if (!this.#servers.has(server.id)) return;
+    if (hasChanged) this.#recordChange(server, path, before, 'probe');
+    else if (path.kind !== 'none') this.#publish(server, 'answered');
+  }
+
+  #recordTunnelOnly(server: DirectoryServer, path: ServerPath): void {
+    const before = path.kind;
+    if (path.recordTunnelOnly(this.#now())) this.#recordChange(server, path, before, 'connection');
+  }
+
+  #recordChange(
+    server: DirectoryServer,
+    path: ServerPath,
+    from: string,
+    cause: 'probe' | 'connection',
+  ): void {
+    const { kind: to } = path;
+    const fields = { server: server.id, service: server.service, from, to, cause };
+    this.#context.log.write('server-path-changed', { ...fields, ...this.counts });
+    this.#agent.closeIdle(server.url);
+    if (to === 'tunnel') this.#doubtOthers();
+    if (to !== 'none') this.#publish(server, 'path-changed');
+  }
+
+  /**
+   * A server that only peers reach shows that this instance has lost links, possibly those to other
+   * servers as well. Their idle connections may be dead, so requests must not be sent on them.
+   */
+  #doubtOthers(): void {
+    const now = this.#now();
+    if (now < this.#doubtAgainAt) return;
+    this.#doubtAgainAt = now + DOUBT_INTERVAL_MS;
+    for (const server of this.#servers.values()) {
+      const path = this.#pathOf(server.id);
+      if (path.kind !== 'direct') continue;
+      path.recordDoubt(now);
+      this.#agent.closeIdle(server.url);
+    }
+  }
+
+  #publish(server: DirectoryServer, cause: 'answered' | 'path-changed'): void {
+    for (const listener of this.#listeners) listener(server, cause);
+  }
+
+  #applyList(servers: readonly DirectoryServer[]): void {
+    this.#byAddress.clear();
+    this.#servers.clear();
+    for (const server of servers) {
+      this.#byAddress.set(new URL(server.url).host, server);
+      this.#servers.set(server.id, server);
+    }
+    for (const id of this.#paths.keys()) if (!this.#servers.has(id)) this.#paths.delete(id);
+  }
+
+  #pathOf(id: ServerId): ServerPath {
+    const known = this.#paths.get(id);
+    if (known) return known;
+    const path = new ServerPath();
+    this.#paths.set(id, path);
+    return path;
+  }
+
+  #now(): number {
+    return this.#context.clock.now();
+  }
+}
--- a/packages/gateway/src/node/statusService.ts
+++ b/packages/gateway/src/node/statusService.ts
@@ -8,6 +8,7 @@
 import { Service } from '@flamingocourse/kernel';
 import { EntryService } from './entryService.js';
 import { ServerDirectory } from './serverDirectory.js';
+import { ServerPaths } from './serverPaths.js';
 
 const MS_PER_SECOND = 1_000;
 
@@ -17,11 +18,12 @@
 /** Service with the readiness and metrics listeners. Registered as `status`. */
 export class StatusService extends Service {
   override readonly name = 'status';
-  override readonly dependsOn = ['entry', 'directory'];
+  override readonly dependsOn = ['entry', 'directory', 'paths'];
   readonly #context: GatewayContext;
   readonly #servers: Server[] = [];
   #entry: EntryService | undefined;
   #directory: ServerDirectory | undefined;
+  #paths: ServerPaths | undefined;
   #wasReady: boolean | undefined;
 
   constructor(context: GatewayContext) {
@@ -32,6 +34,7 @@
   override async start(kernel: Kernel): Promise<void> {
     this.#entry = kernel.get('entry', EntryService);
     this.#directory = kernel.get('directory', ServerDirectory);
+    this.#paths = kernel.get('paths', ServerPaths);
     const { ready, metrics } = this.#context.settings.listen;
     await this.#listen(ready, (req, res) => {
       this.#answerReady(req, res);
@@ -76,6 +79,9 @@
     const { leaving, resting } = notices.counts(clock.now());
     metrics.gauge('servers_leaving', 'servers that said that they leave', leaving);
     metrics.gauge('servers_resting', 'servers that asked for rest', resting);
+    const paths = this.#paths?.counts ?? { tunnel: 0, none: 0 };
+    metrics.gauge('servers_through_peers', 'servers reached through a peer', paths.tunnel);
+    metrics.gauge('servers_without_path', 'servers that nobody is known to reach', paths.none);
     metrics.storeCalls(store.counters);
     const text = await metrics.text();
     res.writeHead(200, { 'content-type': 'text/plain; version=0.0.4' }).end(text);
--- a/packages/kernel/src/runtime/eventCatalogue.ts
+++ b/packages/kernel/src/runtime/eventCatalogue.ts
@@ -230,6 +230,12 @@
     text: 'requests wait at a server that sends nothing; it is avoided',
     action: 'Check the server and the network to it.',
   },
+  'server-path-changed': {
+    number: 522,
+    level: 'warn',
+    text: 'new connections to a server take another path: direct, through a peer (tunnel), or none is known to work',
+    action: 'Check the network between this instance and the server.',
+  },
   'server-kept': {
     number: 515,
     level: 'info',
--- a/test/gateway/connectionCheck.test.ts
+++ b/test/gateway/connectionCheck.test.ts
@@ -14,6 +14,8 @@
   after: (server: Server) => void;
   /** Whether another request is in flight at the server. */
   isInUse: boolean;
+  /** Whether a peer connects to the server. */
+  isOpenToPeers?: boolean;
   hasEnded: boolean;
   /** Number of connections that the check opens to the server. */
   opened: number;
@@ -32,6 +34,17 @@
     hasEnded: true,
     opened: 0,
   },
+  {
+    name: 'a process that refuses only this instance, as in a partition,',
+    after: (server) => {
+      server.close();
+      server.closeAllConnections();
+    },
+    isInUse: true,
+    isOpenToPeers: true,
+    hasEnded: false,
+    opened: 0,
+  },
   {
     name: 'a process whose connections end one after the other',
     after: (server) => {
@@ -60,7 +73,7 @@
   },
 ];
 
-for (const { name, after, isInUse, hasEnded, opened } of cases) {
+for (const { name, after, isInUse, isOpenToPeers, hasEnded, opened } of cases) {
   test(`${name} has ${hasEnded ? '' : 'not '}ended`, async (t) => {
     const { server, url } = await listen(t);
     const agent = new ServerAgent();
@@ -71,7 +84,8 @@
     let connections = 0;
     server.on('connection', () => (connections += 1));
     after(server);
-    const check = new ConnectionCheck(agent);
+    const peers = { isOpenToPeers: () => Promise.resolve(isOpenToPeers ?? false) };
+    const check = new ConnectionCheck(agent, peers);
     const [service, id, dataCentre, state] = ['llm', 's1', 'hall-a', 'live'] as const;
     assert.equal(await check.hasEnded({ service, id, dataCentre, state, url }), hasEnded);
     await new Promise((resolve) => setTimeout(resolve, 20));
--- a/test/gateway/fleet/prepaidFleet.ts
+++ b/test/gateway/fleet/prepaidFleet.ts
@@ -16,6 +16,8 @@
 import { PrepaidService } from '../../../packages/gateway/src/node/prepaidService.js';
 import { ServerAgent } from '../../../packages/gateway/src/node/serverAgent.js';
 import { ServerDirectory } from '../../../packages/gateway/src/node/serverDirectory.js';
+import { ServerPaths } from '../../../packages/gateway/src/node/serverPaths.js';
+import { NoTunnels } from '../noTunnels.js';
 import { createRandom } from '../../../packages/lab/src/runtime/random.js';
 import { testContext } from '../testContext.js';
 import type { Peer } from './loanLink.js';
@@ -326,10 +328,13 @@
     const context = { ...base, settings, notices, random };
     const calls = new LoanLink((peer) => this.#find(peer).running, process, random);
     const prepaid = new PrepaidService(context, `${name}-${String(processes)}`, calls);
+    const agent = new ServerAgent();
+    const paths = new ServerPaths(context, agent, new NoTunnels());
     const kernel = new Kernel()
       .register(new ConfigurationWatch(context))
       .register(new ServerDirectory(context, new NoHealthCheck()))
-      .register(new BackendLanes(context, new ConnectionCheck(new ServerAgent()), noQuarantine))
+      .register(paths)
+      .register(new BackendLanes(context, new ConnectionCheck(agent, paths), noQuarantine))
       .register(new InstanceDirectory(context))
       .register(prepaid);
     instance.running = { prepaid, process, kernel };
