feat(gateway): the rejections that a server survives are read from each answer, kept and logged

Cause: no code read `Server-Brittle`, nor told a rejection for want of room (503 with X-Not-Executed) from other answers. Evidence: serverDialect.test.ts, 'how many rejections a server survives by its answer' and 'a rejection for want of room', fail on the code before and pass now, for answers, failures and rejections; health checks go the same way. What is new in logs: changes brittle, brittle-changed, brittle-ended, brittle-invalid and brittle-full of server-notice, brittlePerSecond and brittlePauseMs in the view; gauge servers_brittle. Changed tests: two notices in rateLimitedLane and serverNotices get the new fields, nothing else. Why it holds: the header is decoded in one function of the platform, each answer and each health check passes recordNotice, and an answer without the header ends it.

--- a/packages/core/src/runtime/routing/index.ts
+++ b/packages/core/src/runtime/routing/index.ts
@@ -1,4 +1,5 @@
 export * from './attemptPlan.js';
+export * from './brittleServers.js';
 export * from './concurrencyLimit.js';
 export * from './enginePace.js';
 export * from './keptServers.js';
--- a/packages/core/src/runtime/routing/serverNotices.ts
+++ b/packages/core/src/runtime/routing/serverNotices.ts
@@ -2,14 +2,18 @@
 
 import type { EpochMs, ServerId } from '../../types/ids.js';
 import type { RandomSource } from '../../types/placement.js';
+import type { BrittlenessChange, BrittlenessView, ReportedBrittleness } from './brittleServers.js';
 import type { RateLimitView, ReportedRateLimit } from './serverRateLimits.js';
 import type { ServerRateLimits } from './serverRateLimits.js';
+import { BrittleServers } from './brittleServers.js';
 
 /** One incarnation of a server; what it reports applies to this incarnation only. */
 export interface ServerIncarnation {
   id: ServerId;
   /** Start time by the server's own clock; undefined if its entry does not contain it. */
   bornAt?: number | undefined;
+  /** Number of requests that it runs concurrently; undefined if its entry does not contain it. */
+  slots?: number | undefined;
 }
 
 /** Pause that a server requests in an answer, during which it accepts no requests. */
@@ -24,13 +28,16 @@
   leaving: boolean;
   rest: RequestedPause;
   rateLimit: ReportedRateLimit;
+  brittle: ReportedBrittleness;
+  /** Whether the server rejected the request for want of room. */
+  rejected: boolean;
 }
 
 /** Change of the known status caused by an answer, for the log. `rests` means a requested pause. */
-export type NoticeChange = 'leaving' | 'rests' | 'rest-invalid' | 'back';
+export type NoticeChange = 'leaving' | 'rests' | 'rest-invalid' | 'back' | BrittlenessChange;
 
 /** Status of one server at a given time, for the log. */
-export interface NoticeView extends Partial<RateLimitView> {
+export interface NoticeView extends Partial<RateLimitView>, Partial<BrittlenessView> {
   /** Milliseconds since it reported that it is leaving. */
   leavingMs?: number | undefined;
   /** Remaining milliseconds of its pause. */
@@ -64,7 +71,8 @@
 
 /**
  * Status reported by servers, by incarnation: whether a server is leaving (which the same
- * incarnation never revokes), until when it requests a pause, and its rate limit.
+ * incarnation never revokes), until when it requests a pause, its rate limit, and how many
+ * rejections it survives.
  *
  * @example
  * const notices = new ServerNotices(new ServerRateLimits(random), random);
@@ -73,25 +81,27 @@
  */
 export class ServerNotices {
   readonly rateLimits: ServerRateLimits;
+  readonly brittle: BrittleServers;
   readonly #random: RandomSource;
   readonly #servers = new Map<ServerId, KnownServer>();
 
   constructor(rateLimits: ServerRateLimits, random: RandomSource) {
     this.rateLimits = rateLimits;
+    this.brittle = new BrittleServers(random, () => rateLimits.sharers);
     this.#random = random;
   }
 
   /**
-   * Records what an answer reports about leaving and pauses. Rate limits are recorded separately,
-   * by {@link ServerRateLimits.record}.
+   * Records what an answer reports about leaving, pauses and brittleness. Rate limits are recorded
+   * separately, by {@link ServerRateLimits.record}.
    */
   record(
     incarnation: ServerIncarnation,
-    { leaving, rest }: ServerNotice,
+    { leaving, rest, brittle, rejected }: ServerNotice,
     now: EpochMs,
   ): NoticeChange[] {
     const server = this.#getOrCreate(incarnation);
-    const changes: NoticeChange[] = [];
+    const changes: NoticeChange[] = this.brittle.record(incarnation, brittle, rejected, now);
     if (leaving && server.leavingSince === undefined) {
       server.leavingSince = now;
       changes.push('leaving');
@@ -124,6 +134,7 @@
     return Math.max(
       now + this.restMs(incarnation, now),
       this.rateLimits.nextAt(incarnation.id, now),
+      this.brittle.nextAt(incarnation, now),
     );
   }
 
@@ -143,9 +154,11 @@
     const server = this.#find(incarnation);
     const limit = this.rateLimits.view(incarnation.id, now);
     const { leavingSince, rest } = server ?? {};
-    if (!limit && leavingSince === undefined && !rest) return undefined;
+    const brittle = this.brittle.view(incarnation, now);
+    if (!limit && !brittle && leavingSince === undefined && !rest) return undefined;
     return {
       ...limit,
+      ...brittle,
       leavingMs: leavingSince === undefined ? undefined : Math.round(now - leavingSince),
       restMs: rest && Math.round(this.restMs(incarnation, now)),
     };
@@ -163,6 +176,7 @@
   /** Removes unlisted servers of which no reported status can still apply. */
   retain(listed: ReadonlySet<ServerId>, now: EpochMs): void {
     this.rateLimits.retain(listed, now);
+    this.brittle.retain(listed, now);
     for (const [id, { leavingSince = -Infinity, rest }] of this.#servers) {
       const isOver = Math.max(leavingSince + MAX_PAUSE_MS, rest?.until ?? -Infinity) <= now;
       if (!listed.has(id) && isOver) this.#servers.delete(id);
--- a/packages/core/src/runtime/routing/serverRateLimits.ts
+++ b/packages/core/src/runtime/routing/serverRateLimits.ts
@@ -89,6 +89,11 @@
     this.#random = random;
   }
 
+  /** Number of instances that share each limit, including this one; undefined while unknown. */
+  get sharers(): number | undefined {
+    return this.#sharers;
+  }
+
   /** Number of servers with a rate limit. */
   get size(): number {
     return this.#limits.size;
--- a/packages/gateway/src/node/httpHealthCheck.ts
+++ b/packages/gateway/src/node/httpHealthCheck.ts
@@ -30,8 +30,9 @@
     this.#agent = agent;
   }
 
-  override async probe(id: ServerId, { service, url, bornAt }: ListedServer): Promise<ProbeResult> {
-    const incarnation = { id, bornAt };
+  override async probe(id: ServerId, server: ListedServer): Promise<ProbeResult> {
+    const { service, url, bornAt, slots } = server;
+    const incarnation = { id, bornAt, slots };
     const target = this.#configuration.table?.service(service)?.healthPath;
     if (target === undefined) return 'unknown';
     const { clock, dialects, notices, settings } = this.#context;
--- a/packages/gateway/src/node/recordNotice.ts
+++ b/packages/gateway/src/node/recordNotice.ts
@@ -1,6 +1,11 @@
-/** Records what a response says about its server: leaving, requested pause, rate limit. */
+/** Records what a response says about its server: leaving, requested pause, rate limit, brittleness. */
 
-import type { ServerIncarnation, ReportedRateLimit } from '@flamingocourse/core';
+import type {
+  NoticeChange,
+  ReportedRateLimit,
+  ServerIncarnation,
+  ServerNotice,
+} from '@flamingocourse/core';
 import type { ServerHead } from '../types/call.js';
 import type { GatewayContext } from '../types/context.js';
 
@@ -21,11 +26,18 @@
   const notice = dialects.servers.notice(head);
   recordRateLimit(context, server, notice.rateLimit, now);
   for (const change of notices.record(server, notice, now)) {
-    const said = notice.rest.type === 'invalid' ? notice.rest.text : undefined;
+    const said = invalidText(change, notice);
     log.write('server-notice', { server: server.id, change, said, ...notices.view(server, now) });
   }
 }
 
+/** Text of the value that could not be parsed, if that is the change. */
+function invalidText(change: NoticeChange, { rest, brittle }: ServerNotice): string | undefined {
+  if (change === 'rest-invalid' && rest.type === 'invalid') return rest.text;
+  if (change === 'brittle-invalid' && brittle.type === 'invalid') return brittle.text;
+  return undefined;
+}
+
 function recordRateLimit(
   { log, notices: { rateLimits } }: GatewayContext,
   { id: server }: ServerIncarnation,
--- a/packages/gateway/src/node/statusService.ts
+++ b/packages/gateway/src/node/statusService.ts
@@ -76,6 +76,8 @@
     const { leaving, resting } = notices.counts(clock.now());
     metrics.gauge('servers_leaving', 'servers that said that they leave', leaving);
     metrics.gauge('servers_resting', 'servers that asked for rest', resting);
+    const brittleHelp = 'servers that fail after too many rejections in a second';
+    metrics.gauge('servers_brittle', brittleHelp, notices.brittle.size);
     metrics.storeCalls(store.counters);
     const text = await metrics.text();
     res.writeHead(200, { 'content-type': 'text/plain; version=0.0.4' }).end(text);
--- a/packages/kernel/src/runtime/eventCatalogue.ts
+++ b/packages/kernel/src/runtime/eventCatalogue.ts
@@ -245,7 +245,7 @@
   'server-notice': {
     number: 519,
     level: 'info',
-    text: 'a server announced that it is leaving, requests a pause, or has ended a pause',
+    text: 'a server announced that it is leaving, brittle or full, requests a pause, or has ended a pause',
   },
   'entry-behind': {
     number: 520,
--- a/test/platform/serverDialect.test.ts
+++ b/test/platform/serverDialect.test.ts
@@ -1,4 +1,9 @@
-import type { ProbeResult, ReportedRateLimit, RequestedPause } from '@flamingocourse/core';
+import type {
+  ProbeResult,
+  ReportedBrittleness,
+  ReportedRateLimit,
+  RequestedPause,
+} from '@flamingocourse/core';
 import type { CallHead } from '@flamingocourse/gateway';
 import assert from 'node:assert/strict';
 import { describe, test } from 'node:test';
@@ -124,6 +129,43 @@
   }
 });
 
+describe('how many rejections a server survives by its answer', () => {
+  // Guards against a server that is not protected because its header is not read, or is read wrongly.
+  const cases: readonly { header: string | undefined; expected: ReportedBrittleness }[] = [
+    { header: undefined, expected: { type: 'none' } },
+    { header: '5', expected: { type: 'brittle', rejectionsPerSecond: 5 } },
+    { header: ' 0 ', expected: { type: 'brittle', rejectionsPerSecond: 0 } },
+    { header: '2.5', expected: { type: 'brittle', rejectionsPerSecond: 2.5 } },
+    ...['', '-1', 'NaN', '1e3', '5, 6', 'yes', '12345678'].map((header) => ({
+      header,
+      expected: { type: 'invalid' as const, text: header },
+    })),
+  ];
+  for (const { header, expected } of cases) {
+    for (const status of [200, 500, 503]) {
+      test(`${String(header)} with status ${String(status)}: ${expected.type}`, () => {
+        const headers = header === undefined ? {} : { 'server-brittle': header };
+        assert.deepEqual(servers.notice({ status, headers, rawHeaders: [] }).brittle, expected);
+      });
+    }
+  }
+});
+
+describe('a rejection for want of room', () => {
+  // Guards against rejections that are not counted, and failures that are counted as rejections.
+  const cases = [
+    { status: 503, headers: { 'x-not-executed': '1' }, rejected: true },
+    { status: 503, headers: {}, rejected: false },
+    { status: 421, headers: { 'x-not-executed': '1' }, rejected: false },
+    { status: 200, headers: {}, rejected: false },
+  ];
+  for (const { status, headers, rejected } of cases) {
+    test(`${String(status)}, ${JSON.stringify(headers)}: ${String(rejected)}`, () => {
+      assert.equal(servers.notice({ status, headers, rawHeaders: [] }).rejected, rejected);
+    });
+  }
+});
+
 describe('the pause that an answer asks for', () => {
   const cases: readonly { name: string; status?: number; texts: string[]; rest: RequestedPause }[] =
     [
--- a/test/routing/rateLimitedLane.test.ts
+++ b/test/routing/rateLimitedLane.test.ts
@@ -95,7 +95,9 @@
     test(name, async () => {
       const world = new LaneFixture();
       const rest = { type: 'rest', ms: 1_000 } as const;
-      world.notices.record({ id: 's1' }, { leaving: false, rest, rateLimit: { type: 'none' } }, 0);
+      const none = { type: 'none' } as const;
+      const notice = { leaving: false, rest, rateLimit: none, brittle: none, rejected: false };
+      world.notices.record({ id: 's1' }, notice, 0);
       assert.equal(await world.place({ startBy: startByMs }), end);
       assert.equal(world.lane.pool.capacity(0), 0);
       world.clock.advance(1_000);
--- a/test/routing/serverNotices.test.ts
+++ b/test/routing/serverNotices.test.ts
@@ -7,7 +7,9 @@
 const NEXT_INCARNATION: ServerIncarnation = { id: 'p1', bornAt: 200 };
 
 function notice(change: Partial<ServerNotice> = {}): ServerNotice {
-  return { leaving: false, rest: { type: 'none' }, rateLimit: { type: 'none' }, ...change };
+  const none = { type: 'none' } as const;
+  const quiet = { leaving: false, rest: none, rateLimit: none, brittle: none, rejected: false };
+  return { ...quiet, ...change };
 }
 
 const LEAVES = notice({ leaving: true });
