feat(routing): a brittle server gets no more than its slots take, and rejections are spread over time

What callers see: servers that say that they are brittle fall over one after the other while there are too many callers; requests that run there are lost. Now the servers stay up, and who cannot be served is refused at once with the time after which a place is free. Cause: an instance bounded its requests by twice the slots, each for itself, and counted the places in which a request waits; a rejected request went to the next full server, and all instances sent at once to one that was back. Where instances outnumber the slots, the surplus, chosen by chance, pauses when it hears the word. A rejection pauses the instance; mean and growth follow from the number of instances without a slot and from N, and one request then tests for room. A new start, or a new server while others are brittle, gets one request at a time, the instances' first ones spread over the same time. The lane refuses with the mechanism of rate limits, now for all servers with a pace. Why it holds: the surplus over the slots bounds what can be rejected, and its rate is a fifth of what the server survives.

--- a/packages/core/src/runtime/routing/index.ts
+++ b/packages/core/src/runtime/routing/index.ts
@@ -10,6 +10,7 @@
 export * from './reachability.js';
 export * from './retryBudget.js';
 export * from './sendPacer.js';
+export * from './sendPace.js';
 export * from './serverChooser.js';
 export * from './serverHealth.js';
 export * from './serverIncarnation.js';
--- a/packages/core/src/runtime/routing/loadEstimate.ts
+++ b/packages/core/src/runtime/routing/loadEstimate.ts
@@ -1,6 +1,7 @@
 /** Estimates the load of one backend server from delayed reports and the router's own attempts. */
 
 import type { EpochMs } from '../../types/ids.js';
+import type { RateLimitPace } from './serverRateLimits.js';
 
 /** A load report of a backend server. */
 export interface LoadReport {
@@ -17,6 +18,10 @@
 
 /** Maximum number of ended attempts kept, to subtract them from reports that include them. */
 const MAX_ENDED = 512;
+/** Expected remaining time of an attempt that takes longer than the mean, as a fraction of it. */
+const OVERDUE_FRACTION = 0.25;
+/** Weight of the last duration in the mean. */
+const DURATION_WEIGHT = 0.1;
 /** Age after which a report is ignored, in milliseconds. */
 const REPORT_STALE_MS = 10_000;
 
@@ -36,12 +41,18 @@
   #ended: Interval[] = [];
   #others = 0;
   #reportAt: EpochMs | undefined;
+  #meanMs: number | undefined;
 
   /** Number of attempts of this router in flight. */
   get own(): number {
     return this.#inFlight.size;
   }
 
+  /** Mean duration of recent answered attempts in milliseconds; undefined while unknown. */
+  get meanMs(): number | undefined {
+    return this.#meanMs;
+  }
+
   /** Start time of the oldest own attempt in flight. */
   oldestStart(): EpochMs | undefined {
     let oldest: EpochMs | undefined;
@@ -55,6 +66,26 @@
     this.#inFlight.set(attempt, now);
   }
 
+  /**
+   * Pace of requests while at most `most` own attempts may be in flight and none may be sent for
+   * `pauseMs`.
+   */
+  pace(most: number, pauseMs: number, now: EpochMs): RateLimitPace {
+    const meanMs = this.#meanMs ?? 0;
+    const endsInMs = (this.oldestStart() ?? now) + meanMs - now;
+    const nextEndMs = Math.max(endsInMs, OVERDUE_FRACTION * meanMs);
+    const firstMs = Math.max(pauseMs, this.own < most ? 0 : nextEndMs);
+    return { firstMs, intervalMs: Math.max(meanMs / most, pauseMs) };
+  }
+
+  /** Includes the duration of an attempt that was answered in the mean; call it before the end. */
+  recordDuration(attempt: number, now: EpochMs): void {
+    const startedAt = this.#inFlight.get(attempt);
+    if (startedAt === undefined) return;
+    const ms = now - startedAt;
+    this.#meanMs = (this.#meanMs ?? ms) + DURATION_WEIGHT * (ms - (this.#meanMs ?? ms));
+  }
+
   /** Ends an attempt; returns false if it had already ended. */
   end(attempt: number, now: EpochMs): boolean {
     const startedAt = this.#inFlight.get(attempt);
--- a/packages/core/src/runtime/routing/serverPool.ts
+++ b/packages/core/src/runtime/routing/serverPool.ts
@@ -11,6 +11,7 @@
 import type { HealthSettings } from './serverHealth.js';
 import type { RateLimitPace } from './serverRateLimits.js';
 import { rendezvousRank } from '../../utils/hash.js';
+import { combinePaces, slowerPace } from './sendPace.js';
 import { createConcurrencyLimit } from './concurrencyLimit.js';
 import { defaultHealthSettings } from './serverHealth.js';
 import { ServerEntry } from './serverEntry.js';
@@ -198,7 +199,7 @@
     const used = local.length > 0 ? local : candidates;
     const all = this.#openEntries(now).filter((entry) => this.#isLocal(entry) === local.length > 0);
     const places = all.reduce((sum, entry) => sum + this.#slots(entry, now), 0);
-    const free = used.reduce((sum, next) => sum + this.#freeSlots(next), 0);
+    const free = used.reduce((sum, next) => sum + this.#freeSlots(next, now), 0);
     return free > rule.keptFree * places;
   }
 
@@ -216,7 +217,7 @@
     return this.#openEntries(now).some((entry) => !tried?.has(entry.server.id));
   }
 
-  /** Whether the rate limit of any server allows a request now, with or without capacity. */
+  /** Whether any server may be sent a request now by its notices, with or without capacity. */
   maySend(tried: ReadonlySet<ServerId> | undefined, now: EpochMs): boolean {
     return this.#openEntries(now).some((entry) => {
       return !tried?.has(entry.server.id) && this.#maySend(entry, now);
@@ -224,12 +225,12 @@
   }
 
   /**
-   * When the next request can be sent while every server has a rate limit or has requested a pause;
-   * undefined if a server has neither, or if there is no server.
+   * When the next request can be sent while every server has a rate limit, is brittle or has
+   * requested a pause; undefined if a server has none of these, or if there is no server.
    */
   sendPace(now: EpochMs): RateLimitPace | undefined {
     const open = this.#openEntries(now);
-    if (open.length > 0) return this.#rateLimits.pace(open.map(({ server }) => server.id), now); // prettier-ignore
+    if (open.length > 0) return combinePaces(open.map((entry) => this.#paceOf(entry, now)));
     const restMs = this.pauseEndsInMs(now);
     return restMs === undefined ? undefined : { firstMs: restMs, intervalMs: 0 };
   }
@@ -304,6 +305,7 @@
     const entry = this.#attempts.get(attempt);
     if (!entry) return;
     this.#attempts.delete(attempt);
+    if (result.end === 'ok') entry.load.recordDuration(attempt, now);
     entry.load.end(attempt, now);
     if (entry.load.own === 0) entry.exclusive = false;
     entry.record(result, this.#health, now);
@@ -318,17 +320,43 @@
   }
 
   #maySend({ server }: ServerEntry, now: EpochMs): boolean {
-    return this.#rateLimits.nextAt(server.id, now) <= now;
+    return this.#notices.nextAt(server, now) <= now;
   }
 
-  /** Slots of a server; with a rate limit, 1 if a request may be sent now and 0 otherwise. */
+  /** Maximum own requests in flight at a brittle server; undefined for others. */
+  #maxInFlight(entry: ServerEntry, now: EpochMs): number | undefined {
+    return this.#notices.brittle.maxInFlight(entry.server, this.#serverSlots(entry), now);
+  }
+
+  /** Requests that a server runs at once. */
+  #serverSlots({ server }: ServerEntry): number {
+    return server.slots ?? this.#options.concurrencyPerServer;
+  }
+
+  /** Pace of a server that has a rate limit or is brittle; undefined for others. */
+  #paceOf(entry: ServerEntry, now: EpochMs): RateLimitPace | undefined {
+    const limitPace = this.#rateLimits.pace([entry.server.id], now);
+    const most = this.#maxInFlight(entry, now);
+    if (most === undefined) return limitPace;
+    const pauseMs = this.#notices.brittle.nextAt(entry.server, now) - now;
+    return slowerPace(limitPace, entry.load.pace(most, pauseMs, now));
+  }
+
+  /** Slots of a server; if a notice bounds it, only those that may be used now. */
   #slots(entry: ServerEntry, now: EpochMs): number {
-    if (!this.#rateLimits.has(entry.server.id)) return entry.capacity(this.#health, now);
-    return this.#maySend(entry, now) ? 1 : 0;
+    const isLimited = this.#rateLimits.has(entry.server.id);
+    const most = this.#maxInFlight(entry, now);
+    if (!isLimited && most === undefined) return entry.capacity(this.#health, now);
+    if (!this.#maySend(entry, now)) return 0;
+    return isLimited ? 1 : (most ?? 0);
   }
 
-  #freeSlots({ id, capacity, load }: Candidate): number {
-    return this.#rateLimits.has(id) ? 1 : Math.max(0, capacity - load);
+  #freeSlots({ id, capacity, load }: Candidate, now: EpochMs): number {
+    if (this.#rateLimits.has(id)) return 1;
+    const entry = this.#entries.get(id);
+    const most = entry && this.#maxInFlight(entry, now);
+    if (!entry || most === undefined) return Math.max(0, capacity - load);
+    return Math.max(0, most - entry.load.own);
   }
 
   /** Whether the other servers have received at least an equal share since its last request. */
@@ -391,7 +419,9 @@
   }
 
   #toCandidate(entry: ServerEntry, now: EpochMs, extra = 0): Candidate {
-    const capacity = entry.capacity(this.#health, now);
+    const most = this.#maxInFlight(entry, now);
+    const capacity =
+      most === undefined ? entry.capacity(this.#health, now) : this.#serverSlots(entry);
     const load = entry.load.total(now);
     // load reports are delayed. If one router refilled each free slot at once, another router would
     // see a full server in every report and wait for ever. So each router may always use a fair
@@ -406,7 +436,10 @@
       capacity,
       eventMs: entry.pace.eventMs,
       isDue: this.#rateLimits.has(entry.server.id) && this.#isBelowFairShare(entry),
-      hasRoom: load < capacity * (1 + extra) || entry.load.own < fairPart,
+      hasRoom:
+        most === undefined
+          ? load < capacity * (1 + extra) || entry.load.own < fairPart
+          : entry.load.own < most,
     };
   }
 
--- a/packages/gateway/src/node/requestFlow.ts
+++ b/packages/gateway/src/node/requestFlow.ts
@@ -207,10 +207,9 @@
   return status !== undefined && status >= 200 && status < 300;
 }
 
-/** Returns `retryAfterMs` of a refusal; while all servers pause, not before a pause ends. */
+/** Returns `retryAfterMs` of a refusal; not before a request can be sent again to any server. */
 function retryAfterMs({ lane: { pool } }: BackendLane, now: number): number {
-  const restMs = pool.hasOpenServer(undefined, now) ? undefined : pool.pauseEndsInMs(now);
-  return Math.max(NO_SERVER_RETRY_MS, Math.ceil(restMs ?? 0));
+  return Math.max(NO_SERVER_RETRY_MS, Math.ceil(pool.sendPace(now)?.firstMs ?? 0));
 }
 
 function noServers(): Refusal {
--- a/test/platform/fakeServer.ts
+++ b/test/platform/fakeServer.ts
@@ -67,6 +67,20 @@
   until: number;
 }
 
+/** Limits of a server that falls over when it rejects too many requests. */
+export interface Brittleness {
+  /** Rejections in one second that it survives. */
+  rejectionsPerSecond: number;
+  /** Requests that it runs and queues at most. */
+  places: number;
+  /** Requests that it runs at once. */
+  slots: number;
+  /** Milliseconds that a request runs. */
+  runMs: number;
+  /** Milliseconds from a fall until it is back. */
+  downMs: number;
+}
+
 /** Header with which the soak's callers name the instance that they use. */
 export const USED_INSTANCE = 'x-used-instance';
 
@@ -80,6 +94,10 @@
   behaviour: Behaviour = 'answer';
   /** Rate limit in requests per second that each answer reports. */
   rateLimit: string | undefined;
+  /** Limits that each answer reports while they are set. */
+  brittle: Brittleness | undefined;
+  /** Number of falls after too many rejections. */
+  falls = 0;
   /** Whether its health check reports that it is leaving. */
   leaving = false;
   /** Whether every answer reports that it is leaving. */
@@ -99,6 +117,11 @@
   onRestart: () => void = () => undefined;
 
   readonly #heldStreams: (() => void)[] = [];
+  /** Requests that a brittle server runs, and those that wait for a slot. */
+  #running = 0;
+  #queue: (() => void)[] = [];
+  /** Times of the rejections in the last second. */
+  #rejections: number[] = [];
   #http: Server | undefined;
   #isOver = false;
 
@@ -139,13 +162,46 @@
   async #crash(): Promise<void> {
     if (!this.#http) return;
     this.crashed += 1;
+    await this.#restart(RESTART_MS);
+  }
+
+  async #restart(downMs: number): Promise<void> {
     this.#close();
-    await delay(RESTART_MS);
+    this.#running = 0;
+    this.#queue = [];
+    this.#rejections = [];
+    await delay(downMs);
     if (this.#isOver) return;
     await this.#open(Number(this.address.split(':')[1]));
     this.onRestart();
   }
 
+  /** Rejects a request for want of room, and falls over if these were too many. */
+  #rejectAsFull(res: ServerResponse, { rejectionsPerSecond, downMs }: Brittleness): void {
+    const now = performance.now();
+    this.#rejections = [...this.#rejections.filter((at) => now - at < MS_PER_SECOND), now];
+    res.writeHead(503, { 'x-not-executed': '1' }).end();
+    if (this.#rejections.length <= rejectionsPerSecond || !this.#http) return;
+    this.falls += 1;
+    void this.#restart(downMs);
+  }
+
+  /** Runs a request when a slot is free; a fall in the meantime ends it. */
+  #runInSlot(res: ServerResponse, { slots, runMs }: Brittleness, respond: () => void): void {
+    const { falls } = this;
+    const run = (): void => {
+      this.#running += 1;
+      setTimeout(() => {
+        if (this.falls !== falls) return;
+        this.#running -= 1;
+        if (!res.destroyed) respond();
+        this.#queue.shift()?.();
+      }, runMs);
+    };
+    if (this.#running < slots) run();
+    else this.#queue.push(run);
+  }
+
   /** The entry that the server writes for itself into the list of servers. */
   entry(service: string, change: Record<string, unknown> = {}): Record<string, unknown> {
     const { address } = this;
@@ -167,6 +223,7 @@
     const at = performance.now();
     const { method = '', url = '', headers } = req;
     if (this.rateLimit !== undefined) res.setHeader('server-limit', this.rateLimit);
+    if (this.brittle) res.setHeader('server-brittle', String(this.brittle.rejectionsPerSecond));
     if (this.saysLeaving) res.setHeader('server-leaving', '1');
     if (url === HEALTH_PATH) {
       this.healthProbes += 1;
@@ -189,10 +246,25 @@
       setTimeout(() => void this.#crash(), CRASH_MS);
       return;
     }
+    if (this.brittle) {
+      this.#answerBrittle(req, res, this.brittle);
+      return;
+    }
     this.#respond(req, res);
     this.afterAnswer();
   }
 
+  #answerBrittle(req: IncomingMessage, res: ServerResponse, brittle: Brittleness): void {
+    if (this.#running + this.#queue.length >= brittle.places) {
+      this.#rejectAsFull(res, brittle);
+      return;
+    }
+    this.#runInSlot(res, brittle, () => {
+      this.#respond(req, res);
+      this.afterAnswer();
+    });
+  }
+
   /** Streams the answers of all held requests. */
   release(): void {
     for (const stream of this.#heldStreams.splice(0)) stream();
