--- a/packages/gateway/src/node/statusService.ts
+++ b/packages/gateway/src/node/statusService.ts
@@ -82,6 +82,8 @@
     const paths = this.#paths?.counts ?? { tunnel: 0, none: 0 };
     metrics.gauge('servers_through_peers', 'servers reached through a peer', paths.tunnel);
     metrics.gauge('servers_without_path', 'servers that nobody is known to reach', paths.none);
+    const brittleHelp = 'servers that fail after too many rejections in a second';
+    metrics.gauge('servers_brittle', brittleHelp, notices.brittle.size);
     metrics.storeCalls(store.counters);
     const text = await metrics.text();
     res.writeHead(200, { 'content-type': 'text/plain; version=0.0.4' }).end(text);
