test(platform): requests that crash servers are hardly sent once all instances must know of them

The tests held one such request that comes at each instance in turn each 100 ms, and counted the servers that crash in all. And the rule itself (at most three sends later than 3 s after the third server) was not asserted. Added as a table of four cases, each request at 400 ms: at 100 ms, instances that learn nothing from each other would still each have found the cause within the 3 s.

--- a/test/platform/crashingRequest.test.ts
+++ b/test/platform/crashingRequest.test.ts
@@ -5,6 +5,7 @@
 import type { CrashMoment } from './fakeServer.js';
 import { CRASHING_BODY, FakeServer } from './fakeServer.js';
 import { World, until } from './world.js';
+import { createRandom } from '../routing/fixtures/seededRandom.js';
 
 const INSTANCES = 6;
 const SERVERS = 8;
@@ -14,6 +15,21 @@
 /** Servers that one request may crash: three, and three more until all instances know of it. */
 const MAX_CRASHED = 6;
 
+/** Crashed servers after which the request must be stopped. */
+const PROVEN_CRASHES = 3;
+/** Milliseconds after that until every instance must know of it. */
+const KNOWN_WITHIN_MS = 3_000;
+/** Maximum number of times that the request may be sent after that. */
+const MAX_SENT_LATER = 3;
+/** Milliseconds for which the request is still repeated after that. */
+const WATCHED_MS = 4_000;
+/** Milliseconds between repeats so rare that the instances can't all find the cause on their own in time. */
+const RARE_REPEAT_MS = 400;
+/** Milliseconds in which each repeated request must have crashed enough servers. */
+const MAX_PROOF_MS = 15_000;
+/** Milliseconds between the stops of two instances. */
+const STOP_INTERVAL_MS = 600;
+
 /** How a request crashes the servers that run it. */
 interface Case {
   name: string;
@@ -98,6 +114,57 @@
   });
 });
 
+/** Requests that crash servers at the same time. */
+interface RepeatedCase {
+  name: string;
+  paths: string[];
+  moment: CrashMoment;
+  /** Whether instances are replaced in turn meanwhile. */
+  areReplaced?: boolean;
+}
+
+const repeatedCases: RepeatedCase[] = [
+  { name: 'one stream', paths: ['/chat/a'], moment: 'after-head' },
+  {
+    name: 'three streams',
+    paths: ['/chat/a', '/chat/a', '/chat/a'],
+    moment: 'after-head',
+  },
+  {
+    name: 'requests of each kind and of two services',
+    paths: ['/chat/a', '/draft/a', '/look/a', '/book/a'],
+    moment: 'before-head',
+  },
+  {
+    name: 'two streams, while instances are replaced',
+    paths: ['/chat/a', '/draft/a'],
+    moment: 'after-head',
+    areReplaced: true,
+  },
+];
+
+describe('requests that crash servers, each repeated at any instance', { concurrency: 2 }, () => {
+  for (const { name, paths, moment, areReplaced } of repeatedCases) {
+    // Guards against a request that is still sent to servers long after it has crashed three of them.
+    test(`are sent hardly ever once all instances must know of them: ${name}`, async (t) => {
+      await withFleet(t, moment, async (fleet) => {
+        const requests = paths.map((path, i) => {
+          return { path, body: `${CRASHING_BODY}&request=${String(i)}` };
+        });
+        const replaced = new AbortController();
+        const replacing = areReplaced ? replaceInTurn(t, fleet, replaced.signal) : undefined;
+        await Promise.all(requests.map((request, i) => repeatAnywhere(fleet, request, i + 1)));
+        replaced.abort();
+        await replacing;
+        for (const { body } of requests) {
+          const later = sentLater(fleet, body);
+          assert.ok(later <= MAX_SENT_LATER, `${body}: ${String(later)} times`);
+        }
+      });
+    });
+  }
+});
+
 /** Runs a check with a fleet, and stops the fleet while its store still answers. */
 async function withFleet(
   t: TestContext,
@@ -155,6 +222,59 @@
   }
 }
 
+/** Sends a request repeatedly, each time to any instance, until the time in which it is watched has passed. */
+async function repeatAnywhere(
+  fleet: readonly World[],
+  request: { path: string; body: string },
+  seed: number,
+): Promise<void> {
+  const random = createRandom(seed);
+  const end = performance.now() + MAX_PROOF_MS;
+  await delay(random() * RARE_REPEAT_MS);
+  for (;;) {
+    const proofAt = provenAt(fleet, request.body);
+    if (proofAt !== undefined && performance.now() > proofAt + KNOWN_WITHIN_MS + WATCHED_MS) return;
+    assert.ok(proofAt !== undefined || performance.now() < end, `${request.body}: no proof`);
+    void fleet[Math.floor(random() * fleet.length)]?.call(request);
+    await delay(RARE_REPEAT_MS);
+  }
+}
+
+/** Stops one instance after another, each when its successor is ready. */
+async function replaceInTurn(t: TestContext, fleet: World[], signal: AbortSignal): Promise<void> {
+  for (let i = 0; !signal.aborted; i += 1) {
+    const oldest = fleet[0];
+    assert.ok(oldest);
+    const joined = await oldest.join(t, `edge-new-${String(i)}`, { mesh: true });
+    fleet.push(joined);
+    fleet.shift();
+    await oldest.stop();
+    await delay(STOP_INTERVAL_MS);
+  }
+}
+
+/** Runs of a request at any server, in order. */
+function runsOf([first]: readonly World[], body: string): FakeServer['seen'] {
+  const seen = first?.servers.flatMap((server) => server.seen) ?? [];
+  return seen.filter((request) => request.ran && request.body === body).sort((a, b) => a.at - b.at);
+}
+
+/** When the request reached the last of the servers whose crashes prove that it is the cause. */
+function provenAt(fleet: readonly World[], body: string): number | undefined {
+  const firstAt = new Map<string, number>();
+  for (const { headers, at } of runsOf(fleet, body)) {
+    const server = String(headers['x-expect-instance']);
+    if (!firstAt.has(server)) firstAt.set(server, at);
+  }
+  return [...firstAt.values()][PROVEN_CRASHES - 1];
+}
+
+/** Number of times that the request was sent to a server when every instance had to know of it. */
+function sentLater(fleet: readonly World[], body: string): number {
+  const knownAt = (provenAt(fleet, body) ?? Infinity) + KNOWN_WITHIN_MS;
+  return runsOf(fleet, body).filter(({ at }) => at > knownAt).length;
+}
+
 /** Sends streams of other callers, one to each instance in each round. Returns their statuses. */
 async function sendOthers(fleet: readonly World[], rounds: number): Promise<number[]> {
   const sent: Promise<number>[] = [];
