fix(gateway): an instance whose whole data centre lost its links finds a peer elsewhere

Cause: the three peers that were asked were those of the own data centre, and a peer that could open a connection counted as good, though its own link was as dead. Why it holds: a peer is proven only by a server's answer through it, and then asked first; while nothing is known, one of another data centre comes second. With it: probes look only at the servers whose paths are or will be probed, not at the whole list each 50 ms.

--- a/packages/gateway/src/node/serverPaths.ts
+++ b/packages/gateway/src/node/serverPaths.ts
@@ -45,11 +45,11 @@
   readonly #calls: TunnelCalls;
   readonly #peers: TunnelPeers;
   readonly #paths = new Map<ServerId, ServerPath>();
+  /** Servers whose paths are or will be probed; a small part of all. */
+  readonly #watched = new Set<ServerId>();
   /** Servers by `host:port`. */
   readonly #byAddress = new Map<string, DirectoryServer>();
   readonly #servers = new Map<ServerId, DirectoryServer>();
-  /** Peer of each tunnel. */
-  readonly #tunnels = new WeakMap<Socket, FleetInstance>();
   readonly #listeners: PathListener[] = [];
   #instances: InstanceDirectory | undefined;
   #configuration: ConfigurationWatch | undefined;
@@ -97,8 +97,8 @@
     const path = this.#paths.get(id);
     const server = this.#servers.get(id);
     if (!path || !server || path.kind === 'none') return;
-    path.recordDoubt(this.#now());
-    this.#agent.closeIdle(server.url);
+    if (path.kind === 'tunnel') this.#peers.recordDoubt();
+    this.#doubt(server, path);
   }
 
   /** Whether a peer connects to a server that refuses connections of this instance. */
@@ -125,7 +125,7 @@
       if (opened.isErr) directError = opened.error;
       return opened.mapErr(({ message }) => message);
     };
-    const tunnels = this.#tunnelWays(server);
+    const tunnels = this.#waysThroughPeers((peer) => this.#openTunnel(peer, server));
     const isDirect = path.kind !== 'tunnel';
     const ways = isDirect ? [direct, ...tunnels] : [...tunnels.slice(0, 2), direct];
     const onUnused = (socket: Socket): void => {
@@ -138,24 +138,19 @@
     return Result.ok(socket);
   }
 
-  /** Tunnels through different peers; the peers are chosen when the first of them is needed. */
-  #tunnelWays(server: DirectoryServer): Way<Socket>[] {
+  /** Ways through different peers; the peers are chosen when the first of them is needed. */
+  #waysThroughPeers<T>(use: (peer: FleetInstance) => Promise<Result<T, string>>): Way<T>[] {
     let peers: FleetInstance[] | undefined;
-    return Array.from({ length: MAX_PEERS }, (_, index) => async () => {
+    return Array.from({ length: MAX_PEERS }, (_, index) => () => {
       peers ??= this.#peersInOrder();
       const peer = peers[index];
-      if (!peer) return Result.err('no further peer');
-      return this.#openTunnel(peer, server);
+      return peer ? use(peer) : Promise.resolve(Result.err('no further peer'));
     });
   }
 
   async #openTunnel(peer: FleetInstance, { id }: DirectoryServer): Promise<Result<Socket, string>> {
     const opened = await this.#calls.open(peer, id);
     if (opened.isErr) this.#peers.recordFailure(peer.name, this.#now());
-    else {
-      this.#peers.recordSuccess(peer.name);
-      this.#tunnels.set(opened.value, peer);
-    }
     return opened.mapErr((fault) => `${peer.name}: ${fault}`);
   }
 
@@ -168,15 +163,24 @@
   #startDueProbes(): void {
     const now = this.#now();
     let begun = 0;
-    for (const server of this.#servers.values()) {
-      const path = this.#pathOf(server.id);
-      if (!path.isProbeDue(now)) continue;
-      void this.#probe(server, path, path.recordProbeStart());
-      begun += 1;
-      if (begun >= MAX_PROBES_AT_ONCE) return;
+    for (const id of this.#watched) {
+      const path = this.#paths.get(id);
+      const server = this.#servers.get(id);
+      if (!path?.needsProbes || !server) this.#watched.delete(id);
+      else if (path.isProbeDue(now) && begun < MAX_PROBES_AT_ONCE) {
+        begun += 1;
+        void this.#probe(server, path, path.recordProbeStart());
+      }
     }
   }
 
+  /** Has a server probed; what lies idle on its present path may be dead. */
+  #doubt(server: DirectoryServer, path: ServerPath): void {
+    path.recordDoubt(this.#now());
+    this.#watched.add(server.id);
+    this.#agent.closeIdle(server.url);
+  }
+
   /**
    * Asks a server on both paths at the same time. A busy server is slow on both, so the direct path
    * counts as lost only if the answer through a peer came first by some margin.
@@ -203,12 +207,26 @@
     return opened.isOk && this.#answers(opened.value, server, target);
   }
 
+  /** Probes through several peers, because one may have lost its link to the server as well. */
   async #probeTunnel(server: DirectoryServer, target: string | undefined): Promise<boolean> {
-    const onUnused = (socket: Socket): void => {
-      socket.destroy();
-    };
-    const won = await staggeredRace(this.#tunnelWays(server), { staggerMs: STAGGER_MS, onUnused });
-    return won.isOk && this.#answers(won.value.value, server, target);
+    const ways = this.#waysThroughPeers((peer) => this.#probeThrough(peer, server, target));
+    const won = await staggeredRace(ways, { staggerMs: STAGGER_MS, onUnused: () => undefined });
+    return won.isOk;
+  }
+
+  async #probeThrough(
+    peer: FleetInstance,
+    server: DirectoryServer,
+    target: string | undefined,
+  ): Promise<Result<true, string>> {
+    const opened = await this.#openTunnel(peer, server);
+    if (opened.isErr) return Result.err(opened.error);
+    if (await this.#answers(opened.value, server, target)) {
+      this.#peers.recordProven(peer.name);
+      return Result.ok(true);
+    }
+    this.#peers.recordFailure(peer.name, this.#now());
+    return Result.err('the server did not answer');
   }
 
   async #answers(
@@ -246,6 +264,7 @@
   ): void {
     const { kind: to } = path;
     const fields = { server: server.id, service: server.service, from, to, cause };
+    this.#watched.add(server.id);
     this.#context.log.write('server-path-changed', { ...fields, ...this.counts });
     this.#agent.closeIdle(server.url);
     if (to === 'tunnel') this.#doubtOthers();
@@ -262,9 +281,7 @@
     this.#doubtAgainAt = now + DOUBT_INTERVAL_MS;
     for (const server of this.#servers.values()) {
       const path = this.#pathOf(server.id);
-      if (path.kind !== 'direct') continue;
-      path.recordDoubt(now);
-      this.#agent.closeIdle(server.url);
+      if (path.kind === 'direct') this.#doubt(server, path);
     }
   }
 
--- a/packages/gateway/src/runtime/serverPath.ts
+++ b/packages/gateway/src/runtime/serverPath.ts
@@ -39,6 +39,11 @@
     return this.#kind;
   }
 
+  /** Whether a probe is due, runs or will be due some time. */
+  get needsProbes(): boolean {
+    return this.#isProbing || this.#probeAt < Infinity;
+  }
+
   /** Records that the server did not answer on its present path, so that a probe is due at once. */
   recordDoubt(now: number): void {
     if (this.#isProbing) return;
--- a/test/gateway/tunnelPeers.test.ts
+++ b/test/gateway/tunnelPeers.test.ts
@@ -13,23 +13,59 @@
   peer('far', 'hall-b', 'http://far'),
   peer('mute', 'hall-a'),
   peer('near', 'hall-a', 'http://near'),
+  peer('near-2', 'hall-a', 'http://near-2'),
 ];
 
 describe('the peers for a tunnel', () => {
-  const cases: { name: string; failedAt?: number; now: number; names: string[] }[] = [
-    { name: 'are those that serve peers, the nearest first', now: 0, names: ['near', 'far'] },
+  const cases: {
+    name: string;
+    prepare?: (peers: TunnelPeers) => void;
+    now: number;
+    names: string[];
+  }[] = [
+    {
+      name: 'are those that serve peers, a near one first and a far one second',
+      now: 0,
+      names: ['near', 'far', 'near-2'],
+    },
     {
       name: 'are tried last after a failure',
-      failedAt: 0,
+      prepare: (peers) => {
+        peers.recordFailure('near', 0);
+      },
       now: 1_999,
-      names: ['far', 'near'],
+      names: ['near-2', 'far', 'near'],
+    },
+    {
+      name: 'are tried again later',
+      prepare: (peers) => {
+        peers.recordFailure('near', 0);
+      },
+      now: 2_000,
+      names: ['near', 'far', 'near-2'],
+    },
+    {
+      name: 'are tried first if a server answered through them',
+      prepare: (peers) => {
+        peers.recordProven('far');
+      },
+      now: 0,
+      names: ['far', 'near', 'near-2'],
+    },
+    {
+      name: 'are unknown again when a tunnel does not work any more',
+      prepare: (peers) => {
+        peers.recordProven('far');
+        peers.recordDoubt();
+      },
+      now: 0,
+      names: ['near', 'far', 'near-2'],
     },
-    { name: 'are tried again later', failedAt: 0, now: 2_000, names: ['near', 'far'] },
   ];
-  for (const { name, failedAt, now, names } of cases) {
+  for (const { name, prepare, now, names } of cases) {
     test(name, () => {
       const peers = new TunnelPeers('hall-a', () => 0.5);
-      if (failedAt !== undefined) peers.recordFailure('near', failedAt);
+      prepare?.(peers);
       assert.deepEqual(
         peers.inOrder(fleet, now).map((each) => each.name),
         names,
