fix(router): requests that ended or were removed are not subtracted twice from those in progress

Cause: the number in progress was that of all kept less that of all finished, and a finished one that is removed left the first and stayed in the second. It is now the size of the set of those that have not ended.

--- a/packages/router/src/node/entry/executionTable.ts
+++ b/packages/router/src/node/entry/executionTable.ts
@@ -28,13 +28,20 @@
   readonly #byNumber = new Map<number, Execution>();
   readonly #byKey = new Map<string, Execution>();
   readonly #finished: Execution[] = [];
+  readonly #running = new Set<Execution>();
 
   /** Number of requests that have not ended. */
   get running(): number {
-    return this.#byNumber.size - this.#finished.length;
+    return this.#running.size;
+  }
+
+  /** Requests that have not ended. */
+  get unfinished(): Execution[] {
+    return [...this.#running];
   }
 
   add(execution: Execution): void {
+    this.#running.add(execution);
     this.#byNumber.set(execution.ticket.number, execution);
     if (execution.keyDigest !== undefined) this.#byKey.set(execution.keyDigest, execution);
   }
@@ -50,6 +57,7 @@
   /** Marks an execution as ended and evicts finished ones that are too old or too many. */
   markFinished(execution: Execution, now: EpochMs): void {
     execution.finishedAt = now;
+    this.#running.delete(execution);
     this.#finished.push(execution);
     while (this.#isEvictable(this.#finished[0], now)) this.#delete(this.#finished.shift());
   }
@@ -61,7 +69,8 @@
 
   /** Removes all executions when the incarnation ends; returns those still running. */
   clear(): Execution[] {
-    const running = [...this.#byNumber.values()].filter((item) => item.finishedAt === undefined);
+    const running = this.unfinished;
+    this.#running.clear();
     this.#byNumber.clear();
     this.#byKey.clear();
     this.#finished.length = 0;
@@ -76,6 +85,7 @@
 
   #delete(execution: Execution | undefined): void {
     if (!execution) return;
+    this.#running.delete(execution);
     if (this.#byNumber.get(execution.ticket.number) === execution) {
       this.#byNumber.delete(execution.ticket.number);
     }
