fix(router): the end of a stop answers what still runs before it closes the connections

What callers saw: on the product's own interface, a connection closed without an answer when the server was slow or the claim of a key was not answered when a stop's time was over; such a request recorded its intent after the stop. Cause: as in the gateway, the stop ended nothing that ran and closed all connections. Why it holds: when the time is over, all requests are cancelled (their refusal says whether they may have run) and have 0.2 s to be answered; a claim that comes later binds its key to a ticket that never runs, so a retry elsewhere takes it over.

--- a/packages/router/src/node/entry/requestRunner.ts
+++ b/packages/router/src/node/entry/requestRunner.ts
@@ -14,8 +14,9 @@
 import type { CallerRequest } from './callerRequest.js';
 import type { Execution } from './executionTable.js';
 import type { AnswerEnd } from './liveAnswer.js';
+import { setTimeout as delay } from 'node:timers/promises';
 import { sameTicket } from '@flamingocourse/core';
-import { Service } from '@flamingocourse/kernel';
+import { Service, aborted } from '@flamingocourse/kernel';
 import { Result } from 'true-myth';
 import { Backends } from '../../types/backends.js';
 import { Fleet } from '../../types/fleet.js';
@@ -31,6 +32,8 @@
 const STOPPING_RETRY_MS = 200;
 const CLAIM_RETRY_MS = 2_000;
 const DRAIN_POLL_MS = 20;
+/** Maximum milliseconds in which requests that the end of a stop ends get their answers. */
+const FINAL_ANSWERS_MS = 200;
 const MAX_TAKEOVER_HOPS = 3;
 
 /** What the entry server does with a request. */
@@ -54,6 +57,8 @@
   #fleet!: Fleet;
   #executor!: Executor;
   #stopping = false;
+  /** Aborted when the time of a stop is over. */
+  readonly #stopOver = new AbortController();
   #incarnation = '';
 
   constructor(context: RouterContext, tickets: TicketCodec) {
@@ -85,14 +90,22 @@
     });
   }
 
-  /** Refuses new requests and waits for those in progress, for at most `stopTimeoutMs`. */
+  /**
+   * Refuses new requests and waits for those in progress, for at most `stopTimeoutMs`. Those that
+   * still run then are ended, so that their callers get a final answer.
+   */
   override async stop(): Promise<void> {
     this.#stopping = true;
-    const { clock, settings } = this.#context;
-    const latest = clock.now() + settings.stopTimeoutMs;
-    while (this.#table.running > 0 && clock.now() < latest) {
-      await new Promise((resolve) => setTimeout(resolve, DRAIN_POLL_MS));
-    }
+    await this.#waitUntilIdle(this.#context.settings.stopTimeoutMs);
+    this.#stopOver.abort();
+    for (const execution of this.#table.unfinished) execution.abort.abort();
+    await this.#waitUntilIdle(FINAL_ANSWERS_MS);
+  }
+
+  async #waitUntilIdle(forMs: number): Promise<void> {
+    const { clock } = this.#context;
+    const latest = clock.now() + forMs;
+    while (this.#table.running > 0 && clock.now() < latest) await delay(DRAIN_POLL_MS);
   }
 
   /** Number of requests that have not ended. */
@@ -170,7 +183,10 @@
   /** Binds the key of a non-idempotent request before anything is sent. */
   async #claimAndStart(request: CallerRequest, keyDigest: string): Promise<Handling> {
     const ticket = this.#money.nextTicket();
-    const answer = await this.#money.claim(keyDigest, request.bodyDigest, ticket);
+    const claim = this.#money.claim(keyDigest, request.bodyDigest, ticket);
+    const answer = await Promise.race([claim, aborted(this.#stopOver.signal)]);
+    // a claim that is answered later binds the key to a ticket that never runs.
+    if (!answer || this.#stopOver.signal.aborted) return refused(stoppingRefusal());
     switch (answer.type) {
       case 'own':
         return this.#startExecution(request, ticket, keyDigest);
@@ -289,7 +305,7 @@
 
   #newRequestRefusal(): Refusal | undefined {
     if (this.#stopping) {
-      return notRun('stopping', 'This router is stopping; retry at another.', STOPPING_RETRY_MS);
+      return stoppingRefusal();
     }
     if (this.#money.ready) return undefined;
     return notRun('not-ready', 'This router holds no budget yet; retry soon.', NOT_READY_RETRY_MS);
@@ -315,6 +331,10 @@
   }
 }
 
+function stoppingRefusal(): Refusal {
+  return notRun('stopping', 'This router is stopping; retry at another.', STOPPING_RETRY_MS);
+}
+
 function refused(refusal: Refusal): Handling {
   return { type: 'refused', refusal };
 }
