fix(gateway): a server at port 80 is reached through peers, probed and checked for a crash

What callers see: an instance that has lost its link to a server whose address names port 80 never reaches it again: no peer is asked, each probe of it fails, and it gets no requests before one succeeds. Cause: a URL object hides the default port of its scheme. The list was keyed by 'host' where connections are opened to 'host:80', and probes, tunnels and the crash check connected to port 0, which counts as refused. Why it holds: one function names host and port wherever a server's URL becomes an address below HTTP.

--- a/packages/gateway/src/node/connectionCheck.ts
+++ b/packages/gateway/src/node/connectionCheck.ts
@@ -9,6 +9,7 @@
 import { setTimeout as delay } from 'node:timers/promises';
 import { onTimeout, waitForPendingReads } from '@flamingocourse/kernel';
 import { CrashCheck } from '@flamingocourse/router';
+import { serverAddress } from '../utils/serverAddress.js';
 
 /** Connection timeout, in milliseconds. An unreachable server does not count as ended. */
 const CONNECT_MS = 500;
@@ -44,9 +45,9 @@
   }
 
   override async hasEnded(server: BackendServer): Promise<boolean> {
-    const { hostname, port } = new URL(server.url);
-    if (await this.#staysConnected(hostname, port)) return false;
-    if ((await tryConnection(hostname, Number(port))) !== 'refused') return false;
+    const { host, port } = serverAddress(server.url);
+    if (await this.#staysConnected(host, port)) return false;
+    if ((await tryConnection(host, port)) !== 'refused') return false;
     return !(await this.#peers.isOpenToPeers(server));
   }
 
@@ -54,7 +55,7 @@
    * Returns whether a connection stays open. All connections of a process that ends are closed, but
    * not at the same moment, so the check is repeated.
    */
-  async #staysConnected(host: string, port: string): Promise<boolean> {
+  async #staysConnected(host: string, port: number): Promise<boolean> {
     await waitForPendingReads();
     for (let checks = 1; checks < CHECKS && this.#agent.isConnectedTo(host, port); checks += 1) {
       await delay(CHECK_INTERVAL_MS);
--- a/packages/gateway/src/node/serverAgent.ts
+++ b/packages/gateway/src/node/serverAgent.ts
@@ -6,6 +6,7 @@
 import type { NetConnectOpts } from 'node:net';
 import type { ServerConnector } from '../types/serverConnector.js';
 import { Socket } from 'node:net';
+import { serverAddress } from '../utils/serverAddress.js';
 
 /** Milliseconds before the server's keep-alive timeout at which an idle connection is closed. */
 const IDLE_MARGIN_MS = 1_000;
@@ -47,8 +48,7 @@
 
   /** Closes the idle connections to a server. */
   closeIdle(url: string): void {
-    const { hostname: host, port } = new URL(url);
-    const name = this.getName({ host, port: Number(port) });
+    const name = this.getName(serverAddress(url));
     for (const socket of this.freeSockets[name] ?? []) socket.destroy();
   }
 
@@ -65,8 +65,8 @@
   }
 
   /** Returns whether any connection to an address is open, idle or in use. */
-  isConnectedTo(host: string, port: string): boolean {
-    const name = this.getName({ host, port: Number(port) });
+  isConnectedTo(host: string, port: number): boolean {
+    const name = this.getName({ host, port });
     const sockets = [...(this.sockets[name] ?? []), ...(this.freeSockets[name] ?? [])];
     return sockets.some((socket) => !socket.destroyed && !socket.connecting);
   }
--- a/packages/gateway/src/node/serverPaths.ts
+++ b/packages/gateway/src/node/serverPaths.ts
@@ -14,6 +14,7 @@
 import { ServerPath } from '../runtime/serverPath.js';
 import { staggeredRace } from '../runtime/staggeredRace.js';
 import { TunnelPeers } from '../runtime/tunnelPeers.js';
+import { serverAddress } from '../utils/serverAddress.js';
 import { ConfigurationWatch } from './configurationWatch.js';
 import { openDirect } from './directConnection.js';
 import { InstanceDirectory } from './instanceDirectory.js';
@@ -197,9 +198,8 @@
   }
 
   async #probeDirect(server: DirectoryServer, target: string | undefined): Promise<boolean> {
-    const { hostname: host, port } = new URL(server.url);
     const { connectMs } = this.#context.settings.servers;
-    const opened = await openDirect({ host, port: Number(port) }, connectMs);
+    const opened = await openDirect(serverAddress(server.url), connectMs);
     return opened.isOk && this.#answers(opened.value, server, target);
   }
 
@@ -276,7 +276,8 @@
     this.#byAddress.clear();
     this.#servers.clear();
     for (const server of servers) {
-      this.#byAddress.set(new URL(server.url).host, server);
+      const { host, port } = serverAddress(server.url);
+      this.#byAddress.set(`${host}:${String(port)}`, server);
       this.#servers.set(server.id, server);
     }
     for (const id of this.#paths.keys()) if (!this.#servers.has(id)) this.#paths.delete(id);
--- a/packages/gateway/src/node/serverTunnels.ts
+++ b/packages/gateway/src/node/serverTunnels.ts
@@ -10,6 +10,7 @@
 import { Service } from '@flamingocourse/kernel';
 import { MeshServer, acceptTunnel, refuseTunnel } from '@flamingocourse/mesh';
 import { StopSchedule } from '../runtime/stopSchedule.js';
+import { serverAddress } from '../utils/serverAddress.js';
 import { connectSocket } from './connectSocket.js';
 import { relaySockets } from './relaySockets.js';
 import { ServerDirectory } from './serverDirectory.js';
@@ -120,9 +121,8 @@
   }
 
   async #connect({ id, url }: DirectoryServer, caller: Socket): Promise<void> {
-    const { hostname: host, port } = new URL(url);
     const signal = abortedAtEnd(caller);
-    const options = { host, port: Number(port), timeoutMs: CONNECT_MS, signal };
+    const options = { ...serverAddress(url), timeoutMs: CONNECT_MS, signal };
     const connected = await connectSocket(options);
     if (connected.isOk) this.#carry(id, caller, connected.value);
     else if (connected.error === 'aborted') caller.destroy();
