fix(gateway): a crash is told from a partition by two peers, not by the first that fails

What callers see: requests in flight become suspects of a crash that was none, and run alone or not at all. Cause: a server that refuses an instance in a partition counted as crashed as soon as one peer could not connect, although peers of the same data centre are asked first and are the likeliest to be behind the same partition; a peer whose own connection timed out says 'server-unreachable' as well. Evidence: test/gateway/serverPaths, 'is open if a peer connects after one that cannot': false before, true since. Why it holds: a peer that connects proves that the process lives, whatever others say. A crash is known after two answers instead of one; a peer whose connection is refused answers at once.

--- a/packages/gateway/src/node/serverPaths.ts
+++ b/packages/gateway/src/node/serverPaths.ts
@@ -102,13 +102,15 @@
     this.#agent.closeIdle(server.url);
   }
 
-  /** Whether a peer connects to a server that refuses connections of this instance. */
+  /**
+   * Whether a peer connects to a server that refuses connections of this instance. A peer that can't
+   * may be behind the same partition, so the next one is asked as well.
+   */
   async isOpenToPeers({ id }: Pick<DirectoryServer, 'id'>): Promise<boolean> {
     for (const peer of this.#peersInOrder().slice(0, MAX_PEERS - 1)) {
       const opened = await this.#calls.open(peer, id);
       if (opened.isOk) opened.value.destroy();
       if (opened.isOk) return true;
-      if (opened.error === 'server-unreachable') return false;
     }
     return false;
   }
--- a/test/gateway/serverPaths.test.ts
+++ b/test/gateway/serverPaths.test.ts
@@ -43,3 +43,33 @@
     });
   }
 });
+
+// Guards against a peer behind the same partition whose failure makes all requests in flight suspects of a crash.
+describe('a server that refuses connections', () => {
+  type Peer = TunnelFault | 'opens';
+  const cases: { name: string; peers: [Peer, Peer]; isOpen: boolean }[] = [
+    { name: 'is open if the first peer connects', peers: ['opens', 'refused'], isOpen: true },
+    { name: 'is open if the second one does', peers: ['peer-unreachable', 'opens'], isOpen: true },
+    {
+      name: 'is open if a peer connects after one that cannot',
+      peers: ['server-unreachable', 'opens'],
+      isOpen: true,
+    },
+    {
+      name: 'is not open if no peer connects',
+      peers: ['server-unreachable', 'server-unreachable'],
+      isOpen: false,
+    },
+  ];
+  for (const { name, peers, isOpen } of cases) {
+    test(name, async (t) => {
+      const target = await listen(t, () => undefined);
+      const servers = [listedServer('s1', `http://127.0.0.1:${String(REFUSED_PORT)}`)];
+      const paths = await startPaths(t, servers, (peer) => {
+        const how = peer === 'edge-2' ? peers[0] : peers[1];
+        return how === 'opens' ? openTo(target) : Result.err(how);
+      });
+      assert.equal(await paths.isOpenToPeers({ id: 's1' }), isOpen);
+    });
+  }
+});
