fix(gateway): many unreachable servers are probed in turn

What callers see: an instance that has lost its links to more than some 500 servers uses only the first of its list through its peers for as long as the others are not back; the later ones get no requests, as no probe of them begins. Cause: 16 probes begin each 50 ms, each time from the start of the list. Lost servers are probed again after 1.6 s, by when the first 512 have taken all the room. Evidence: test/gateway/serverPaths, 'of many unreachable servers each one is probed': 512 of 1,000 in 6 s before, all since. Why it holds: a path goes to the end when its probe begins, and the order outlives changes of the list, so no server is probed twice while another one is due. The work of a check stays one pass over the list.

--- a/packages/gateway/src/node/serverPaths.ts
+++ b/packages/gateway/src/node/serverPaths.ts
@@ -45,6 +45,7 @@
   readonly #agent: ServerAgent;
   readonly #calls: TunnelCalls;
   readonly #peers: TunnelPeers;
+  /** Paths to all listed servers; those that were not probed for longest come first. */
   readonly #paths = new Map<ServerId, ServerPath>();
   /** Servers by `host:port`. */
   readonly #byAddress = new Map<string, DirectoryServer>();
@@ -171,9 +172,12 @@
   #startDueProbes(): void {
     const now = this.#now();
     let begun = 0;
-    for (const server of this.#servers.values()) {
-      const path = this.#pathOf(server.id);
-      if (!path.isProbeDue(now)) continue;
+    for (const [id, path] of this.#paths) {
+      const server = this.#servers.get(id);
+      if (!server || !path.isProbeDue(now)) continue;
+      // to the end, so that no server waits for others to be probed twice.
+      this.#paths.delete(id);
+      this.#paths.set(id, path);
       void this.#probe(server, path, path.recordProbeStart());
       begun += 1;
       if (begun >= MAX_PROBES_AT_ONCE) return;
@@ -281,6 +285,7 @@
       const { host, port } = serverAddress(server.url);
       this.#byAddress.set(`${host}:${String(port)}`, server);
       this.#servers.set(server.id, server);
+      this.#pathOf(server.id);
     }
     for (const id of this.#paths.keys()) if (!this.#servers.has(id)) this.#paths.delete(id);
   }
--- a/test/gateway/serverPaths.test.ts
+++ b/test/gateway/serverPaths.test.ts
@@ -5,6 +5,7 @@
 import { once } from 'node:events';
 import { connect, createServer } from 'node:net';
 import { describe, test } from 'node:test';
+import { setTimeout as delay } from 'node:timers/promises';
 import { Result } from 'true-myth';
 import { listedServer, startPaths } from './pathsWorld.js';
 
@@ -73,3 +74,19 @@
     });
   }
 });
+
+// Guards against servers late in the list that are never probed while many before them stay unreachable.
+test('of many unreachable servers each one is probed', async (t) => {
+  const ids = Array.from({ length: 1_000 }, (_, at) => `s${String(at)}`);
+  const servers = ids.map((id) => listedServer(id, `http://127.0.0.1:${String(REFUSED_PORT)}`));
+  const asked = new Set<string>();
+  const paths = await startPaths(t, servers, (_, server) => {
+    asked.add(server);
+    return Result.err('server-unreachable');
+  });
+  await delay(100);
+  for (const id of ids) paths.requireProbe(id);
+  // 16 probes each 50 ms take 3.2 s for one round.
+  await delay(6_000);
+  assert.equal(asked.size, ids.length);
+});
