fix(gateway): a tunnel that was not asked does not restore a silent server

What callers see: on an instance without links, requests go to a server that is known to be silent and has not answered since: its peer or the server itself was lost after the path had changed. They wait until it counts as silent again. Cause: a probe of a path that leads through a peer and isn't doubted asks only whether the direct one works again, and takes the tunnel for working. That assumption was published as an answer. It is wrong if the server falls silent shortly before the probe begins or while it runs, as a doubt that comes then is not kept.

--- a/packages/gateway/src/node/serverPaths.ts
+++ b/packages/gateway/src/node/serverPaths.ts
@@ -200,7 +200,7 @@
           tunnel.then((works) => (works ? delay(DIRECT_GRACE_MS, false) : direct)),
         ]);
     const outcome = answersDirectly ? { direct: true } : { direct: false, tunnel: await tunnel };
-    this.#applyProbe(server, path, outcome);
+    this.#applyProbe(server, path, outcome, answersDirectly || !isTunnelKnown);
   }
 
   async #probeDirect(server: DirectoryServer, target: string | undefined): Promise<boolean> {
@@ -227,16 +227,18 @@
     return true;
   }
 
+  /** @param wasAsked Whether the server was asked on the path that the outcome names. */
   #applyProbe(
     server: DirectoryServer,
     path: ServerPath,
     outcome: { direct: boolean; tunnel?: boolean },
+    wasAsked: boolean,
   ): void {
     const before = path.kind;
     const hasChanged = path.recordProbe(outcome, this.#now());
     if (!this.#servers.has(server.id)) return;
     if (hasChanged) this.#recordChange(server, path, before, 'probe');
-    else if (path.kind !== 'none') this.#publish(server, 'answered');
+    else if (path.kind !== 'none' && wasAsked) this.#publish(server, 'answered');
   }
 
   #recordTunnelOnly(server: DirectoryServer, path: ServerPath): void {
--- a/test/gateway/serverPaths.test.ts
+++ b/test/gateway/serverPaths.test.ts
@@ -90,3 +90,24 @@
   await delay(6_000);
   assert.equal(asked.size, ids.length);
 });
+
+// Guards against a silent server that counts as restored by a probe that did not ask for an answer on its path.
+test('a tunnel that was not asked does not count as an answer', async (t) => {
+  const silent = await listen(t, () => undefined);
+  let answers = true;
+  const target = await listen(t, (socket) => {
+    socket.on('data', () => {
+      if (answers) socket.end('HTTP/1.1 200 OK\r\ncontent-length: 0\r\n\r\n');
+    });
+  });
+  const servers = [listedServer('s1', `http://127.0.0.1:${String(silent)}`)];
+  const paths = await startPaths(t, servers, () => openTo(target));
+  const causes: string[] = [];
+  paths.onRestored((_, cause) => causes.push(cause));
+  await delay(100);
+  paths.requireProbe('s1');
+  while (causes.length === 0) await delay(20);
+  answers = false;
+  await delay(2_500);
+  assert.deepEqual(causes, ['path-changed']);
+});
