fix(gateway): a server that starts again elsewhere does not inherit the path to its old address

What callers see: requests to a server that started anew go through a peer although this instance reaches it, until the next probe (up to 1.6 s); and a probe of the old process that ends later counts as the new one's answer or loss, by which idle connections to all servers are closed. Cause: paths are kept by the server's id, and a probe's outcome was applied by id as well. Evidence: test/gateway/serverPaths, 'a server that starts again at another address has a new path': after the loss the tunnel was kept; during a probe the new server's path became a tunnel. Why it holds: another address or start time is another process, as it is for the pool; outcomes of a path that is no longer the listed one are dropped.

--- a/packages/gateway/src/node/serverPaths.ts
+++ b/packages/gateway/src/node/serverPaths.ts
@@ -234,14 +234,16 @@
     outcome: { direct: boolean; tunnel?: boolean },
     wasAsked: boolean,
   ): void {
+    // the server may have left or started again meanwhile.
+    if (this.#paths.get(server.id) !== path) return;
     const before = path.kind;
     const hasChanged = path.recordProbe(outcome, this.#now());
-    if (!this.#servers.has(server.id)) return;
     if (hasChanged) this.#recordChange(server, path, before, 'probe');
     else if (path.kind !== 'none' && wasAsked) this.#publish(server, 'answered');
   }
 
   #recordTunnelOnly(server: DirectoryServer, path: ServerPath): void {
+    if (this.#paths.get(server.id) !== path) return;
     const before = path.kind;
     if (path.recordTunnelOnly(this.#now())) this.#recordChange(server, path, before, 'connection');
   }
@@ -281,6 +283,11 @@
   }
 
   #applyList(servers: readonly DirectoryServer[]): void {
+    for (const server of servers) {
+      const known = this.#servers.get(server.id);
+      // what is known of the links to an earlier process says nothing about this one.
+      if (known && !isSameProcess(known, server)) this.#paths.delete(server.id);
+    }
     this.#byAddress.clear();
     this.#servers.clear();
     for (const server of servers) {
@@ -304,3 +311,7 @@
     return this.#context.clock.now();
   }
 }
+
+function isSameProcess(known: DirectoryServer, server: DirectoryServer): boolean {
+  return known.url === server.url && known.bornAt === server.bornAt;
+}
--- a/test/gateway/pathsWorld.ts
+++ b/test/gateway/pathsWorld.ts
@@ -1,6 +1,7 @@
 /** Paths to servers with a given list and scripted peers, without a store. */
 
 import type { TestContext } from 'node:test';
+import type { GatewayContext } from '@flamingocourse/gateway';
 import type { FleetInstance, RouteTable, ServerId } from '@flamingocourse/core';
 import type { Result } from 'true-myth';
 import type { Socket } from 'node:net';
@@ -89,12 +90,20 @@
   return { service: 'llm', id, dataCentre: 'hall-a', state: 'live', url, slots: 4 };
 }
 
+/** Running paths and what they depend on. */
+export interface PathsWorld {
+  paths: ServerPaths;
+  context: GatewayContext;
+  /** Publishes another list of servers. */
+  list: (servers: DirectoryServer[]) => void;
+}
+
 /** Starts the paths of `edge-1` to the servers, with three peers in its data centre. */
 export async function startPaths(
   t: TestContext,
   servers: DirectoryServer[],
   open: OpenTunnel,
-): Promise<ServerPaths> {
+): Promise<PathsWorld> {
   const context = testContext(new MonotonicClock(), new MemoryEventLog(), new MemoryObjectStore());
   const agent = new ServerAgent();
   const paths = new ServerPaths(context, agent, new ScriptedTunnels(open));
@@ -109,6 +118,9 @@
     await kernel.stop();
     agent.destroy();
   });
-  directory.list(servers);
-  return paths;
+  const list = (listed: DirectoryServer[]): void => {
+    directory.list(listed);
+  };
+  list(servers);
+  return { paths, context, list };
 }
--- a/test/gateway/serverPaths.test.ts
+++ b/test/gateway/serverPaths.test.ts
@@ -36,7 +36,7 @@
     test(`at port ${String(port)}`, async (t) => {
       const target = await listen(t, () => undefined);
       const servers = [listedServer('s1', `http://127.0.0.1:${String(port)}`)];
-      const paths = await startPaths(t, servers, () => openTo(target));
+      const { paths } = await startPaths(t, servers, () => openTo(target));
       const opened = await paths.connect({ host: '127.0.0.1', port });
       assert.ok(opened.isOk, 'no connection');
       opened.value.destroy();
@@ -66,7 +66,7 @@
     test(name, async (t) => {
       const target = await listen(t, () => undefined);
       const servers = [listedServer('s1', `http://127.0.0.1:${String(REFUSED_PORT)}`)];
-      const paths = await startPaths(t, servers, (peer) => {
+      const { paths } = await startPaths(t, servers, (peer) => {
         const how = peer === 'edge-2' ? peers[0] : peers[1];
         return how === 'opens' ? openTo(target) : Result.err(how);
       });
@@ -80,7 +80,7 @@
   const ids = Array.from({ length: 1_000 }, (_, at) => `s${String(at)}`);
   const servers = ids.map((id) => listedServer(id, `http://127.0.0.1:${String(REFUSED_PORT)}`));
   const asked = new Set<string>();
-  const paths = await startPaths(t, servers, (_, server) => {
+  const { paths } = await startPaths(t, servers, (_, server) => {
     asked.add(server);
     return Result.err('server-unreachable');
   });
@@ -101,7 +101,7 @@
     });
   });
   const servers = [listedServer('s1', `http://127.0.0.1:${String(silent)}`)];
-  const paths = await startPaths(t, servers, () => openTo(target));
+  const { paths } = await startPaths(t, servers, () => openTo(target));
   const causes: string[] = [];
   paths.onRestored((_, cause) => causes.push(cause));
   await delay(100);
@@ -111,3 +111,28 @@
   await delay(2_500);
   assert.deepEqual(causes, ['path-changed']);
 });
+
+// Guards against a server that starts again elsewhere and inherits what was known of the links to its old address.
+describe('a server that starts again at another address has a new path', () => {
+  for (const isProbed of [true, false]) {
+    test(isProbed ? 'while the old one is probed' : 'after the old one was lost', async (t) => {
+      const silent = await listen(t, () => undefined);
+      const target = await listen(t, (socket) => {
+        socket.on('data', () => socket.end('HTTP/1.1 200 OK\r\ncontent-length: 0\r\n\r\n'));
+      });
+      const before = [listedServer('s1', `http://127.0.0.1:${String(silent)}`)];
+      const { paths, list } = await startPaths(t, before, () => openTo(target));
+      const restored: string[] = [];
+      paths.onRestored(({ url }) => restored.push(url));
+      await delay(100);
+      paths.requireProbe('s1');
+      while (!isProbed && paths.counts.tunnel === 0) await delay(20);
+      if (isProbed) await delay(60);
+      const seen = restored.length;
+      list([listedServer('s1', `http://127.0.0.1:${String(target)}`)]);
+      assert.equal(paths.counts.tunnel, 0);
+      await delay(700);
+      assert.deepEqual([paths.counts.tunnel, restored.slice(seen)], [0, []]);
+    });
+  }
+});
