test(gateway): probes of a path count towards the rate limit of the server (known red)

Path probes are health checks, which count as requests by 'health checks count towards the rate limit of the server'. Seen: 6 in 3 s at a server that accepts one in two seconds from all instances together. Not fixed here: a doubted server whose limit allows no probe needs another proof, such as a connection that opens.

--- a/test/gateway/serverPaths.test.ts
+++ b/test/gateway/serverPaths.test.ts
@@ -7,6 +7,7 @@
 import { describe, test } from 'node:test';
 import { setTimeout as delay } from 'node:timers/promises';
 import { Result } from 'true-myth';
+import { FakeServer } from '../platform/fakeServer.js';
 import { listedServer, startPaths } from './pathsWorld.js';
 
 const REFUSED_PORT = 1;
@@ -136,3 +137,21 @@
     });
   }
 });
+
+// Guards against probes of a path above the rate limit of a server, which counts health checks as requests.
+test('probes of a path count towards the rate limit of the server', async (t) => {
+  const server = await new FakeServer('s1').listen(t);
+  const port = Number(server.address.split(':')[1]);
+  const servers = [listedServer('s1', `http://${server.address}`)];
+  const { paths, context } = await startPaths(t, servers, () => openTo(port));
+  const now = context.clock.now();
+  context.notices.rateLimits.setSharers(1, now);
+  context.notices.rateLimits.record('s1', { type: 'limit', perSecond: 0.5 }, now);
+  await delay(100);
+  for (let doubts = 0; doubts < 3; doubts += 1) {
+    paths.requireProbe('s1');
+    await delay(1_000);
+  }
+  // a request every two seconds, and the first one.
+  assert.ok(server.healthProbes <= 2, `${String(server.healthProbes)} health checks in 3 s`);
+});
