--- a/packages/gateway/src/node/serverPaths.ts
+++ b/packages/gateway/src/node/serverPaths.ts
@@ -14,6 +14,7 @@
 import { ServerPath } from '../runtime/serverPath.js';
 import { staggeredRace } from '../runtime/staggeredRace.js';
 import { TunnelPeers } from '../runtime/tunnelPeers.js';
+import { serverAddress } from '../utils/serverAddress.js';
 import { ConfigurationWatch } from './configurationWatch.js';
 import { openDirect } from './directConnection.js';
 import { InstanceDirectory } from './instanceDirectory.js';
@@ -44,6 +45,7 @@
   readonly #agent: ServerAgent;
   readonly #calls: TunnelCalls;
   readonly #peers: TunnelPeers;
+  /** Paths to all listed servers; those that were not probed for longest come first. */
   readonly #paths = new Map<ServerId, ServerPath>();
   /** Servers whose paths are or will be probed; a small part of all. */
   readonly #watched = new Set<ServerId>();
@@ -101,13 +103,15 @@
     this.#doubt(server, path);
   }
 
-  /** Whether a peer connects to a server that refuses connections of this instance. */
+  /**
+   * Whether a peer connects to a server that refuses connections of this instance. A peer that can't
+   * may be behind the same partition, so the next one is asked as well.
+   */
   async isOpenToPeers({ id }: Pick<DirectoryServer, 'id'>): Promise<boolean> {
     for (const peer of this.#peersInOrder().slice(0, MAX_PEERS - 1)) {
       const opened = await this.#calls.open(peer, id);
       if (opened.isOk) opened.value.destroy();
       if (opened.isOk) return true;
-      if (opened.error === 'server-unreachable') return false;
     }
     return false;
   }
@@ -169,6 +173,9 @@
       if (!path?.needsProbes || !server) this.#watched.delete(id);
       else if (path.isProbeDue(now) && begun < MAX_PROBES_AT_ONCE) {
         begun += 1;
+        // to the end, so that no server waits for others to be probed twice.
+        this.#watched.delete(id);
+        this.#watched.add(id);
         void this.#probe(server, path, path.recordProbeStart());
       }
     }
@@ -197,13 +204,12 @@
           tunnel.then((works) => (works ? delay(DIRECT_GRACE_MS, false) : direct)),
         ]);
     const outcome = answersDirectly ? { direct: true } : { direct: false, tunnel: await tunnel };
-    this.#applyProbe(server, path, outcome);
+    this.#applyProbe(server, path, outcome, answersDirectly || !isTunnelKnown);
   }
 
   async #probeDirect(server: DirectoryServer, target: string | undefined): Promise<boolean> {
-    const { hostname: host, port } = new URL(server.url);
     const { connectMs } = this.#context.settings.servers;
-    const opened = await openDirect({ host, port: Number(port) }, connectMs);
+    const opened = await openDirect(serverAddress(server.url), connectMs);
     return opened.isOk && this.#answers(opened.value, server, target);
   }
 
@@ -239,19 +245,23 @@
     return true;
   }
 
+  /** @param wasAsked Whether the server was asked on the path that the outcome names. */
   #applyProbe(
     server: DirectoryServer,
     path: ServerPath,
     outcome: { direct: boolean; tunnel?: boolean },
+    wasAsked: boolean,
   ): void {
+    // the server may have left or started again meanwhile.
+    if (this.#paths.get(server.id) !== path) return;
     const before = path.kind;
     const hasChanged = path.recordProbe(outcome, this.#now());
-    if (!this.#servers.has(server.id)) return;
     if (hasChanged) this.#recordChange(server, path, before, 'probe');
-    else if (path.kind !== 'none') this.#publish(server, 'answered');
+    else if (path.kind !== 'none' && wasAsked) this.#publish(server, 'answered');
   }
 
   #recordTunnelOnly(server: DirectoryServer, path: ServerPath): void {
+    if (this.#paths.get(server.id) !== path) return;
     const before = path.kind;
     if (path.recordTunnelOnly(this.#now())) this.#recordChange(server, path, before, 'connection');
   }
@@ -290,11 +300,18 @@
   }
 
   #applyList(servers: readonly DirectoryServer[]): void {
+    for (const server of servers) {
+      const known = this.#servers.get(server.id);
+      // what is known of the links to an earlier process says nothing about this one.
+      if (known && !isSameProcess(known, server)) this.#paths.delete(server.id);
+    }
     this.#byAddress.clear();
     this.#servers.clear();
     for (const server of servers) {
-      this.#byAddress.set(new URL(server.url).host, server);
+      const { host, port } = serverAddress(server.url);
+      this.#byAddress.set(`${host}:${String(port)}`, server);
       this.#servers.set(server.id, server);
+      this.#pathOf(server.id);
     }
     for (const id of this.#paths.keys()) if (!this.#servers.has(id)) this.#paths.delete(id);
   }
@@ -311,3 +328,7 @@
     return this.#context.clock.now();
   }
 }
+
+function isSameProcess(known: DirectoryServer, server: DirectoryServer): boolean {
+  return known.url === server.url && known.bornAt === server.bornAt;
+}
