fix(gateway): one connection that only a peer opened does not put all other servers in doubt

What callers saw: nothing yet; found by the review, by reading. A lost packet, or a server that starts again between two connects, closed the idle connections to all servers and had all of them probed.

--- a/packages/gateway/src/node/serverPaths.ts
+++ b/packages/gateway/src/node/serverPaths.ts
@@ -258,12 +258,16 @@
     const hasChanged = path.recordProbe(outcome, this.#now());
     if (hasChanged) this.#recordChange(server, path, before, 'probe');
     else if (path.kind !== 'none' && wasAsked) this.#publish(server, 'answered');
+    if (path.kind === 'tunnel' && wasAsked) this.#doubtOthers();
   }
 
   #recordTunnelOnly(server: DirectoryServer, path: ServerPath): void {
     if (this.#paths.get(server.id) !== path) return;
     const before = path.kind;
-    if (path.recordTunnelOnly(this.#now())) this.#recordChange(server, path, before, 'connection');
+    if (!path.recordTunnelOnly(this.#now())) return;
+    this.#recordChange(server, path, before, 'connection');
+    // a single lost packet would look the same, so the server is asked.
+    this.#doubt(server, path);
   }
 
   #recordChange(
@@ -277,7 +281,6 @@
     this.#watched.add(server.id);
     this.#context.log.write('server-path-changed', { ...fields, ...this.counts });
     this.#agent.closeIdle(server.url);
-    if (to === 'tunnel') this.#doubtOthers();
     if (to !== 'none') this.#publish(server, 'path-changed');
   }
 
