fix(gateway): a probe of a path keeps to the rate limit of its server

What callers saw: nothing yet; found by the review (6 health checks in 3 s at a server that takes one in two seconds).

--- a/packages/gateway/src/node/serverPaths.ts
+++ b/packages/gateway/src/node/serverPaths.ts
@@ -193,7 +193,7 @@
    * counts as lost only if the answer through a peer came first by some margin.
    */
   async #probe(server: DirectoryServer, path: ServerPath, isDoubted: boolean): Promise<void> {
-    const target = this.#configuration?.table?.service(server.service)?.healthPath;
+    const target = this.#takeHealthPath(server);
     const direct = this.#probeDirect(server, target);
     const isTunnelKnown = path.kind === 'tunnel' && !isDoubted;
     const tunnel = isTunnelKnown ? Promise.resolve(true) : this.#probeTunnel(server, target);
@@ -207,6 +207,19 @@
     this.#applyProbe(server, path, outcome, answersDirectly || !isTunnelKnown);
   }
 
+  /**
+   * Returns the path of the health check; undefined if the server has none, or if a request would
+   * exceed its rate limit. A connection that opens has to do then.
+   */
+  #takeHealthPath({ id, service, bornAt }: DirectoryServer): string | undefined {
+    const { notices } = this.#context;
+    const now = this.#now();
+    const incarnation = { id, bornAt };
+    if (notices.nextAt(incarnation, now) > now) return undefined;
+    notices.recordSent(incarnation, now);
+    return this.#configuration?.table?.service(service)?.healthPath;
+  }
+
   async #probeDirect(server: DirectoryServer, target: string | undefined): Promise<boolean> {
     const { connectMs } = this.#context.settings.servers;
     const opened = await openDirect(serverAddress(server.url), connectMs);
