--- a/packages/core/src/types/member.ts
+++ b/packages/core/src/types/member.ts
@@ -41,6 +41,8 @@
   state: 'live' | 'leaving';
   /** Start time of this server incarnation, by its own clock, if the list contains it. */
   bornAt?: number | undefined;
+  /** Version of the software that it runs, if the list contains it. */
+  softwareVersion?: string | undefined;
   /** Number of requests that it runs concurrently, if the list contains it. */
   slots?: number;
   /** Last load report and the time of the measurement. The report may be out of date. */
--- a/packages/core/src/types/routedConfig.ts
+++ b/packages/core/src/types/routedConfig.ts
@@ -92,4 +92,6 @@
    * restarted and has lost all its state.
    */
   bornAt?: number | undefined;
+  /** Version of the software that the server runs, if the entry states one. */
+  softwareVersion?: string | undefined;
 }
--- a/packages/gateway/src/node/serverAttempt.ts
+++ b/packages/gateway/src/node/serverAttempt.ts
@@ -70,6 +70,7 @@
     this.#progress.placedAt = this.#startedAt;
     this.#progress.sentAt = undefined;
     this.#progress.server = this.#placement.server.id;
+    this.#progress.serverVersion = this.#placement.server.softwareVersion;
     this.#progress.list = this.#parts.directory.view(this.#placement.server.id, this.#startedAt);
     const { notices, metrics } = this.#parts.context;
     this.#progress.notice = notices.view(this.#placement.server, this.#startedAt);
@@ -214,6 +215,7 @@
       request: head.id,
       fingerprint: this.#progress.fingerprint,
       server: server.id,
+      serverVersion: server.softwareVersion,
       ...this.#progress.list,
       ...this.#progress.notice,
       failed,
--- a/packages/gateway/src/types/call.ts
+++ b/packages/gateway/src/types/call.ts
@@ -36,6 +36,8 @@
   promptParts: PromptPart[];
   /** Id of the event after which a stream resumes. */
   resumeAfter: string | undefined;
+  /** Id of the caller's request that brought the first event of the resumed stream. */
+  resumes: string | undefined;
   headers: IncomingHttpHeaders;
   /** Alternating names and values as they were sent, for forwarding. */
   rawHeaders: string[];
--- a/packages/gateway/src/types/requestRun.ts
+++ b/packages/gateway/src/types/requestRun.ts
@@ -65,6 +65,8 @@
   tried: string[];
   /** Server of the last attempt. */
   server?: string;
+  /** Software version of that server, as listed when it was chosen. */
+  serverVersion?: string | undefined;
   /** State of the server list when that server was chosen. */
   list?: ListView;
   /** Notices in force for that server when the attempt started. */
--- a/test/platform/serverDialect.test.ts
+++ b/test/platform/serverDialect.test.ts
@@ -32,6 +32,7 @@
     waitMs: undefined,
     size: undefined,
     promptParts: [],
+    resumes: undefined,
     resumeAfter: undefined,
     headers: {},
     rawHeaders,
