--- a/test/platform/fakeServer.ts
+++ b/test/platform/fakeServer.ts
@@ -61,6 +61,8 @@
 const CRASH_MS = 5;
 
 const MS_PER_SECOND = 1_000;
+/** Software version of a server that is not given another one. */
+const FIRST_SOFTWARE = 'v1';
 /** Id of the last event of a stream. */
 const LAST_EVENT = 4;
 /** Path of the health check. */
@@ -120,6 +122,8 @@
   /** Seconds of the pause that it asks for when it rejects a request. */
   rest: string | undefined;
   address = '';
+  /** Version of its software; its events name it. */
+  software = FIRST_SOFTWARE;
   /** Called for each new connection. */
   onConnection: () => void = () => undefined;
   /** Called after an answer was written. */
@@ -193,6 +197,12 @@
     this.onRestart();
   }
 
+  /** Ends the process and starts it again at once, under the same id and with other software. */
+  async restartAs(software: string): Promise<void> {
+    this.software = software;
+    await this.#restart(0);
+  }
+
   /** Rejects a request for want of room, and falls over if these were too many. */
   #rejectAsFull(res: ServerResponse, { rejectionsPerSecond, downMs }: Brittleness): void {
     const now = performance.now();
@@ -226,7 +236,7 @@
       service,
       address,
       zone: 'hall-a',
-      version: 'v1',
+      version: this.software,
       slots: 4,
       state: 'ready',
       seq: 1,
@@ -336,7 +346,7 @@
       res.writeHead(200, { ...own, 'content-type': 'text/event-stream' });
     };
     const finish = (first: number): void => {
-      for (let id = first; id <= LAST_EVENT; id += 1) res.write(event(id));
+      for (let id = first; id <= LAST_EVENT; id += 1) res.write(event(id, this.software));
       res.end();
     };
     const stream = (): void => {
@@ -358,14 +368,14 @@
         return;
       case 'slow-stream':
         begin();
-        void writeSlowly(res, from + 1, slowMs);
+        void writeSlowly(res, from + 1, slowMs, this.software);
         return;
       case 'hold':
         this.#heldStreams.push(stream);
         return;
       case 'pause':
         begin();
-        res.write(event(from + 1));
+        res.write(event(from + 1, this.software));
         this.#heldStreams.push(() => {
           finish(from + 2);
         });
@@ -375,7 +385,7 @@
         return;
       case 'break-stream':
         begin();
-        res.write(`${event(from + 1)}id: ${String(from + 2)}\nda`);
+        res.write(`${event(from + 1, this.software)}id: ${String(from + 2)}\nda`);
         setTimeout(() => req.socket.resetAndDestroy(), 20);
         return;
       case 'shed':
@@ -404,16 +414,28 @@
 }
 
 /** Writes one event at once and the others evenly over the given time. */
-async function writeSlowly(res: ServerResponse, first: number, forMs: number): Promise<void> {
+async function writeSlowly(
+  res: ServerResponse,
+  first: number,
+  forMs: number,
+  software: string,
+): Promise<void> {
   const pauseMs = forMs / Math.max(1, LAST_EVENT - first);
   for (let id = first; id <= LAST_EVENT && !res.destroyed; id += 1) {
     if (id > first) await delay(pauseMs);
-    res.write(event(id));
+    res.write(event(id, software));
   }
   res.end();
 }
 
-/** One event of the stream. */
-export function event(id: number): string {
-  return `id: ${String(id)}\ndata: piece ${String(id)}\n\n`;
+/** One event of the stream of a server with this software. */
+export function event(id: number, software = FIRST_SOFTWARE): string {
+  return `id: ${String(id)}\ndata: piece ${String(id)} of ${software}\n\n`;
+}
+
+/** Software versions that the events of a body name, each once. */
+export function softwareOf(body: string): string[] {
+  return [
+    ...new Set([...body.matchAll(/^data: piece \d+ of (\S+)$/gm)].map(([, name = '']) => name)),
+  ];
 }
--- a/test/platform/gateway.test.ts
+++ b/test/platform/gateway.test.ts
@@ -3,7 +3,7 @@
 import { event } from './fakeServer.js';
 import { World, configWith, until } from './world.js';
 
-const wholeStream = [1, 2, 3, 4].map(event).join('');
+const wholeStream = [1, 2, 3, 4].map((id) => event(id)).join('');
 
 test('a request of each kind is passed on and answered', async (t) => {
   const world = await World.start(t);
