fix(core): a stream goes on in one answer only at the software version that began it

Cause: nothing between the adapter and the pool knew versions; a request carried one fact from attempt to attempt, the last event.

The condition stands in one place, the pool's choice of servers (entriesWith), as a property of the placement beside the servers that were tried: any version, one version, or a version that nobody knows, which goes on only where one version serves and served in the last minute. The first event that reaches the caller sets it. Ejected servers are judged among those that may go on, so a version whose last servers failed is still used. Where a server can start again under its id (its entry names its start), a lost or refused connection puts its listed version in doubt until an entry was confirmed 5.5 s later: three missed heartbeats and the reading of the list. Without room in time such a stream is refused at once, as not run.

Ruled out: a check in the retry loop (callers' later tries don't pass there).

--- a/packages/core/src/runtime/routing/index.ts
+++ b/packages/core/src/runtime/routing/index.ts
@@ -9,6 +9,7 @@
 export * from './quickEngineChooser.js';
 export * from './reachability.js';
 export * from './retryBudget.js';
+export * from './seenSoftware.js';
 export * from './sendPacer.js';
 export * from './sendPace.js';
 export * from './serverChooser.js';
--- a/packages/core/src/runtime/routing/serverEntry.ts
+++ b/packages/core/src/runtime/routing/serverEntry.ts
@@ -42,6 +42,8 @@
   #lastReceivedAt: EpochMs = -Infinity;
   /** When the path to the server last changed. */
   #pathChangedAt: EpochMs = -Infinity;
+  /** When a connection to the server was last lost or refused. */
+  #lostAt: EpochMs = -Infinity;
   /** Shared by all servers of the pool. */
   readonly #limit: ConcurrencyLimit;
 
@@ -101,6 +103,23 @@
     this.#pathChangedAt = now;
   }
 
+  /** Records that a connection to the server was lost or refused. */
+  recordLoss(now: EpochMs): void {
+    this.#lostAt = now;
+  }
+
+  /**
+   * Whether the server certainly runs the software that its entry names. A server that can start again
+   * under its id may do so with other software; after a lost connection, only an entry that was
+   * confirmed long enough afterwards shows that it did not.
+   *
+   * @param confirmedAt when the list of servers was last confirmed.
+   * @param doubtMs milliseconds after a loss within which a new entry may not be listed yet.
+   */
+  isSoftwareSure(confirmedAt: EpochMs, doubtMs: number): boolean {
+    return this.server.bornAt === undefined || confirmedAt - this.#lostAt > doubtMs;
+  }
+
   /** Milliseconds for which requests in flight have received nothing from the server. */
   silentMs(now: EpochMs): number {
     // what waits on connections of an earlier path says nothing about the present one.
--- a/packages/core/src/runtime/routing/serverPool.ts
+++ b/packages/core/src/runtime/routing/serverPool.ts
@@ -5,7 +5,12 @@
 
 import type { DataCentreId, EpochMs, ServerId } from '../../types/ids.js';
 import type { BackendServer } from '../../types/member.js';
-import type { AttemptResult, Candidate, CandidateQuery } from '../../types/placement.js';
+import type {
+  AttemptResult,
+  Candidate,
+  CandidateQuery,
+  StreamSoftware,
+} from '../../types/placement.js';
 import type { ConcurrencyLimit, ConcurrencyLimitKind } from './concurrencyLimit.js';
 import type { LoadReport } from './loadEstimate.js';
 import type { HealthSettings } from './serverHealth.js';
@@ -15,6 +20,7 @@
 import { createConcurrencyLimit } from './concurrencyLimit.js';
 import { defaultHealthSettings } from './serverHealth.js';
 import type { RestoredBy } from './reachability.js';
+import { SeenSoftware } from './seenSoftware.js';
 import { ServerEntry } from './serverEntry.js';
 import { ServerNotices } from './serverNotices.js';
 import { ServerRateLimits } from './serverRateLimits.js';
@@ -34,6 +40,10 @@
   notices?: ServerNotices;
   /** What shows that a silent server can be reached again. @default 'requests' */
   restoredBy?: RestoredBy;
+  /** Software versions of the service, shared with whatever else hears of them. @default none */
+  seenSoftware?: SeenSoftware;
+  /** Returns when the server list was last confirmed. @default always just now */
+  listConfirmedAt?: () => EpochMs;
 }
 
 /** Which slots a request may use; see `ImportanceReserve`. A slot is room for one request. */
@@ -46,6 +56,12 @@
 
 /** Maximum fraction of the pool that can be ejected at once. */
 const MAX_EJECTED_SHARE = 0.5;
+/**
+ * Milliseconds after a lost connection until which the entry of a server that started again may still be the
+ * old one: an entry that is not renewed expires after three heartbeats, and the list is read some time later.
+ */
+const SOFTWARE_DOUBT_MS = 5_500;
+const ANY_SOFTWARE: StreamSoftware = { type: 'any' };
 /** How long a server is held for a request that must run alone, in milliseconds. */
 const HOLD_MS = 5_000;
 
@@ -69,6 +85,7 @@
   readonly #limit: ConcurrencyLimit;
   readonly #notices: ServerNotices;
   readonly #rateLimits: ServerRateLimits;
+  readonly #seenSoftware: SeenSoftware;
   #sharers: number;
   #subset: ReadonlySet<ServerId> | undefined;
   #nextAttempt = 1;
@@ -80,6 +97,7 @@
     this.#sharers = options.sharers ?? 1;
     this.#notices = options.notices ?? new ServerNotices(new ServerRateLimits(() => 0), () => 0);
     this.#rateLimits = this.#notices.rateLimits;
+    this.#seenSoftware = options.seenSoftware ?? new SeenSoftware();
     const bounds = { max: options.concurrencyPerServer };
     this.#limit = createConcurrencyLimit(options.limitKind ?? 'aimd', bounds);
   }
@@ -110,15 +128,15 @@
    * The list is delayed. A server that reported that it is leaving gets no requests while the list
    * still shows it as live; otherwise each refresh would send requests to a server that refuses
    * them. The mark is cleared only when the list no longer contains the server, or shows another
-   * server process (another URL or start time) under its id.
+   * server process (another URL, start time or software) under its id.
    */
   applyList(servers: BackendServer[], now: EpochMs): void {
+    this.#observeSoftware([...this.servers, ...servers], now);
     const listed = new Set<ServerId>();
     for (const server of servers) {
       listed.add(server.id);
       const known = this.#entries.get(server.id);
-      const sameLife = known?.server.url === server.url && known.server.bornAt === server.bornAt;
-      if (sameLife) known.update(server, now);
+      if (known && isSameLife(known.server, server)) known.update(server, now);
       else this.#entries.set(server.id, this.#createEntry(server, now));
     }
     for (const [id, entry] of this.#entries) {
@@ -180,7 +198,7 @@
   /** Servers of all data centres with capacity for one more request. */
   candidates(query: CandidateQuery, now: EpochMs): Candidate[] {
     this.#releaseExpiredHold(now);
-    const open = this.#openEntries(now).filter((entry) => {
+    const open = this.#openEntries(now, query.software).filter((entry) => {
       return !query.tried?.has(entry.server.id) && this.#maySend(entry, now);
     });
     if (query.exclusive) return this.#exclusiveCandidates(open, now);
@@ -216,13 +234,21 @@
   /**
    * Whether any server may receive requests, with or without capacity; if not, waiting is useless.
    */
-  hasOpenServer(tried: ReadonlySet<ServerId> | undefined, now: EpochMs): boolean {
-    return this.#openEntries(now).some((entry) => !tried?.has(entry.server.id));
+  hasOpenServer(
+    tried: ReadonlySet<ServerId> | undefined,
+    now: EpochMs,
+    software = ANY_SOFTWARE,
+  ): boolean {
+    return this.#openEntries(now, software).some((entry) => !tried?.has(entry.server.id));
   }
 
   /** Whether any server may be sent a request now by its notices, with or without capacity. */
-  maySend(tried: ReadonlySet<ServerId> | undefined, now: EpochMs): boolean {
-    return this.#openEntries(now).some((entry) => {
+  maySend(
+    tried: ReadonlySet<ServerId> | undefined,
+    now: EpochMs,
+    software = ANY_SOFTWARE,
+  ): boolean {
+    return this.#openEntries(now, software).some((entry) => {
       return !tried?.has(entry.server.id) && this.#maySend(entry, now);
     });
   }
@@ -231,18 +257,18 @@
    * When the next request can be sent while every server has a rate limit, is brittle or has
    * requested a pause; undefined if a server has none of these, or if there is no server.
    */
-  sendPace(now: EpochMs): RateLimitPace | undefined {
-    const open = this.#openEntries(now);
+  sendPace(now: EpochMs, software = ANY_SOFTWARE): RateLimitPace | undefined {
+    const open = this.#openEntries(now, software);
     if (open.length > 0) return combinePaces(open.map((entry) => this.#paceOf(entry, now)));
-    const restMs = this.pauseEndsInMs(now);
+    const restMs = this.pauseEndsInMs(now, software);
     return restMs === undefined ? undefined : { firstMs: restMs, intervalMs: 0 };
   }
 
   /**
    * Milliseconds until the first requested pause ends; undefined if no server has requested one.
    */
-  pauseEndsInMs(now: EpochMs): number | undefined {
-    const pausesMs = this.#stayingEntries(now).map(({ server }) =>
+  pauseEndsInMs(now: EpochMs, software = ANY_SOFTWARE): number | undefined {
+    const pausesMs = this.#stayingEntries(now, software).map(({ server }) =>
       this.#notices.restMs(server, now),
     );
     const activeMs = pausesMs.filter((restMs) => restMs > 0);
@@ -287,6 +313,17 @@
     this.#attempts.get(attempt)?.recordSilence(now);
   }
 
+  /** Records that the connection of an attempt was lost or refused, so its server may have ended. */
+  recordLoss(attempt: number, now: EpochMs): void {
+    this.#attempts.get(attempt)?.recordLoss(now);
+  }
+
+  /** Software version that answers an attempt; undefined if that is not certain. */
+  softwareOf(attempt: number): string | undefined {
+    const entry = this.#attempts.get(attempt);
+    return entry && this.#isSoftwareSure(entry) ? entry.server.softwareVersion : undefined;
+  }
+
   /** Servers that get no requests before a probe of them is answered. */
   get awaitingProbe(): ServerId[] {
     const waiting = [...this.#entries.values()].filter((entry) => entry.awaitsProbe);
@@ -388,11 +425,11 @@
   }
 
   /** Reachable servers that are neither leaving nor drained. */
-  #stayingEntries(now: EpochMs): ServerEntry[] {
+  #stayingEntries(now: EpochMs, software = ANY_SOFTWARE): ServerEntry[] {
     // unreachable servers are always excluded, unlike ejected ones. If most servers are behind a
     // partition, the few others get all requests; if none is reachable, the caller is refused at
     // once. After a delay, a single request tests each unreachable server again.
-    return [...this.#entries.values()].filter(
+    return this.#entriesWith(software, now).filter(
       (entry) =>
         !this.#isLeaving(entry) &&
         !this.#drained.has(entry.server.id) &&
@@ -401,9 +438,44 @@
     );
   }
 
+  /**
+   * Servers at which a request may run, by the software that its stream belongs to. The only place that
+   * decides this, whichever attempt, caller's try or instance goes on with the stream.
+   */
+  #entriesWith(software: StreamSoftware, now: EpochMs): ServerEntry[] {
+    const entries = [...this.#entries.values()];
+    switch (software.type) {
+      case 'any':
+        return entries;
+      case 'version':
+        return entries.filter((entry) => {
+          return entry.server.softwareVersion === software.version && this.#isSoftwareSure(entry);
+        });
+      case 'unknown':
+        return this.#countSoftware(now) > 1 ? [] : entries;
+    }
+  }
+
+  #isSoftwareSure(entry: ServerEntry): boolean {
+    return entry.isSoftwareSure(this.#options.listConfirmedAt?.() ?? Infinity, SOFTWARE_DOUBT_MS);
+  }
+
+  /** Number of software versions that serve, or that served a short time ago. */
+  #countSoftware(now: EpochMs): number {
+    this.#observeSoftware(this.servers, now);
+    const [first] = this.servers;
+    return first ? this.#seenSoftware.versionsOf(first.service, now).length : 0;
+  }
+
+  #observeSoftware(servers: readonly BackendServer[], now: EpochMs): void {
+    for (const { service, softwareVersion = '' } of servers) {
+      this.#seenSoftware.observe(service, softwareVersion, now);
+    }
+  }
+
   /** Servers that are not leaving, drained, ejected or in a requested pause. */
-  #openEntries(now: EpochMs): ServerEntry[] {
-    const reachable = this.#stayingEntries(now).filter(({ server }) => {
+  #openEntries(now: EpochMs, software = ANY_SOFTWARE): ServerEntry[] {
+    const reachable = this.#stayingEntries(now, software).filter(({ server }) => {
       return this.#notices.restMs(server, now) === 0;
     });
     const healthy = reachable.filter((entry) => entry.share(this.#health, now) > 0);
@@ -470,3 +542,12 @@
     return entry.isSlowAmong([...this.#entries.values()], this.#health);
   }
 }
+
+/** Whether two entries under the same id describe the same server process. */
+function isSameLife(known: BackendServer, server: BackendServer): boolean {
+  return (
+    known.url === server.url &&
+    known.bornAt === server.bornAt &&
+    known.softwareVersion === server.softwareVersion
+  );
+}
--- a/packages/core/src/types/placement.ts
+++ b/packages/core/src/types/placement.ts
@@ -36,10 +36,24 @@
   targetMs?: number;
 }
 
+/**
+ * Software versions that may run a request. What two versions write does not fit together, so a stream
+ * belongs from its first event to its end to the version that made that event.
+ */
+export type StreamSoftware =
+  /** The request begins a stream, or its answer is no stream. */
+  | { type: 'any' }
+  /** Its stream has begun at a server of this version. */
+  | { type: 'version'; version: string }
+  /** Its stream has begun, and the version is not known. */
+  | { type: 'unknown' };
+
 /** Restrictions on the servers that can be chosen. */
 export interface CandidateQuery {
   /** Servers at which this request was already attempted. */
   tried?: ReadonlySet<ServerId>;
+  /** @default any */
+  software?: StreamSoftware;
   /** Whether the request must run alone on its server (quarantine suspects). */
   exclusive?: boolean;
   /** Fraction of a server's slots that may be used beyond its limit, from 0 to 1. @default 0 */
--- a/packages/core/src/types/refusal.ts
+++ b/packages/core/src/types/refusal.ts
@@ -18,6 +18,7 @@
   | 'deadline-unreachable'
   | 'deadline-passed'
   | 'no-backend-server'
+  | 'cannot-resume'
   | 'backend-failed'
   | 'quarantined'
   | 'stopping'
--- a/packages/gateway/src/node/backendLanes.ts
+++ b/packages/gateway/src/node/backendLanes.ts
@@ -179,6 +179,8 @@
       limitKind: 'fixed',
       restoredBy: 'probes',
       notices,
+      seenSoftware: this.#context.seenSoftware,
+      listConfirmedAt: () => clock.now() - (this.#directory?.ageMs(clock.now()) ?? Infinity),
     });
     const lane = new ServiceLane({
       pool,
--- a/packages/gateway/src/node/createGateway.ts
+++ b/packages/gateway/src/node/createGateway.ts
@@ -5,7 +5,7 @@
 import type { GatewaySettings } from '../types/gatewaySettings.js';
 import { randomUUID } from 'node:crypto';
 import { isDeepStrictEqual } from 'node:util';
-import { ServerNotices, ServerRateLimits } from '@flamingocourse/core';
+import { SeenSoftware, ServerNotices, ServerRateLimits } from '@flamingocourse/core';
 import { Kernel, describeError } from '@flamingocourse/kernel';
 import { MeshClient, MeshServer } from '@flamingocourse/mesh';
 import { Result } from 'true-myth';
@@ -93,6 +93,7 @@
     store,
     dialects,
     notices,
+    seenSoftware: new SeenSoftware(),
     random,
   };
   const kernel = new Kernel();
--- a/packages/gateway/src/node/entryService.ts
+++ b/packages/gateway/src/node/entryService.ts
@@ -246,7 +246,9 @@
       else if (!fitsMemory(head, service)) refuse(promptTooLong(service));
       else {
         const arrivedAt = arrival.timeLimitStartsAt;
-        const call = { head, body: body.bytes, table, route, account, service, arrivedAt, answer };
+        const software = { type: 'any' } as const;
+        const routed = { table, route, account, service, software };
+        const call = { head, body: body.bytes, ...routed, arrivedAt, answer };
         await this.#run(call, incoming);
       }
     }
--- a/packages/gateway/src/node/requestFlow.ts
+++ b/packages/gateway/src/node/requestFlow.ts
@@ -34,6 +34,7 @@
   constructor(parts: FlowParts, call: RoutedCall) {
     this.#parts = parts;
     this.#call = call;
+    const { software } = call;
     const { resumeAfter } = call.head;
     this.#progress = {
       tried: [],
@@ -41,6 +42,7 @@
       mayHaveRun: 0,
       events: 0,
       resumeAfter,
+      software,
       charged: 0,
       fingerprint: fingerprintOf(call),
     };
@@ -138,6 +140,7 @@
       ...(prefixKey === undefined ? {} : { prefixKey }),
       ...(head.size === undefined ? {} : { promptTokens: head.size.prompt }),
       tried: this.#progress.tried,
+      software: this.#progress.software,
       fingerprint: this.#progress.fingerprint,
       signal,
     });
--- a/packages/gateway/src/node/serverAttempt.ts
+++ b/packages/gateway/src/node/serverAttempt.ts
@@ -186,6 +186,7 @@
     const timing = new EventTiming();
     const end = await relayStream(relay, (events, lastId) => {
       this.#progress.events += events;
+      this.#bindStream();
       timing.observe(events, this.#now());
       if (lastId !== undefined) this.#progress.resumeAfter = lastId;
     });
@@ -197,6 +198,14 @@
     return end;
   }
 
+  /** Binds the stream to the software whose event the caller gets first. */
+  #bindStream(): void {
+    if (this.#progress.software.type !== 'any') return;
+    const version = this.#placement.software();
+    this.#progress.software =
+      version === undefined ? { type: 'unknown' } : { type: 'version', version };
+  }
+
   #interrupted(): AttemptEnd {
     this.#placement.end('cancelled');
     this.#parts.context.metrics.attempt(this.#call.service.name, 'interrupted');
--- a/packages/gateway/src/types/context.ts
+++ b/packages/gateway/src/types/context.ts
@@ -1,6 +1,6 @@
 /** Dependencies that the parts of the pipeline share. */
 
-import type { ListedServer, RoutedConfig, ServerNotices } from '@flamingocourse/core';
+import type { ListedServer, RoutedConfig, SeenSoftware, ServerNotices } from '@flamingocourse/core';
 import type { Clock, EventLog } from '@flamingocourse/kernel';
 import type { Collection, ObjectStore, StoreDialect } from '@flamingocourse/store';
 import type { GatewayMetrics } from '../node/gatewayMetrics.js';
@@ -29,6 +29,8 @@
   dialects: GatewayDialects;
   /** Notices that backend servers sent to this instance about themselves. */
   notices: ServerNotices;
+  /** Software versions of the backend servers that this instance has heard of lately. */
+  seenSoftware: SeenSoftware;
   /** Returns a random number from 0 (inclusive) to 1 (exclusive). */
   random: () => number;
 }
--- a/packages/gateway/src/types/requestRun.ts
+++ b/packages/gateway/src/types/requestRun.ts
@@ -6,6 +6,7 @@
   RouteTable,
   RoutedAccount,
   RoutedService,
+  StreamSoftware,
 } from '@flamingocourse/core';
 import type { IncomingMessage } from 'node:http';
 import type { Arrival } from '../node/arrivalWatch.js';
@@ -48,6 +49,8 @@
   route: Route;
   account: RoutedAccount | undefined;
   service: RoutedService;
+  /** Software versions that may run it, by what the caller already has of its stream. */
+  software: StreamSoftware;
   /** When the time limit of the request starts. */
   arrivedAt: number;
   /** Deadline, from the caller's timeout and the route's time limit. */
@@ -83,6 +86,8 @@
   events: number;
   /** Id of the event after which another server has to resume. */
   resumeAfter: string | undefined;
+  /** Software versions that may go on; narrowed by the first event. */
+  software: StreamSoftware;
   /** Tokens charged to the account. */
   charged: number;
   /** Digest of the request's content; the same when the caller repeats the request. */
--- a/packages/router/src/node/backends/laneRefusals.ts
+++ b/packages/router/src/node/backends/laneRefusals.ts
@@ -19,6 +19,16 @@
   return notRun('no-backend-server', detail, NO_SERVER_RETRY_MS);
 }
 
+/**
+ * Refusal for a stream that has begun and that no server may go on with.
+ *
+ * @param retryAfterMs milliseconds after which it may go on; undefined if that is not to be expected.
+ */
+export function cannotResumeRefusal(retryAfterMs?: number): Refusal {
+  const detail = 'No backend server of the software that began this stream can go on with it.';
+  return notRun('cannot-resume', detail, retryAfterMs);
+}
+
 /** Refusal for a request whose caller stopped waiting before it was placed. */
 export function cancelledRefusal(): Refusal {
   return notRun('deadline-passed', 'The request was given up before it ran.');
--- a/packages/router/src/node/backends/serviceLane.ts
+++ b/packages/router/src/node/backends/serviceLane.ts
@@ -13,6 +13,8 @@
   ServerChooser,
   ServerPool,
   ShedEntry,
+  RateLimitPace,
+  StreamSoftware,
 } from '@flamingocourse/core';
 import type { Clock } from '@flamingocourse/kernel';
 import type { PlacementOutcome, Placement, PlacementRequest } from '../../types/backends.js';
@@ -30,6 +32,7 @@
 import { notRun } from '../../utils/problem.js';
 import {
   cancelledRefusal,
+  cannotResumeRefusal,
   noServerRefusal,
   rateLimitedRefusal,
   quarantinedRefusal,
@@ -49,6 +52,10 @@
 const importanceOrder = { first: 0, standard: 1, background: 2 } as const;
 const enginePriority = { first: 0, standard: 10, background: 20 } as const;
 
+const ANY_SOFTWARE: StreamSoftware = { type: 'any' };
+/** Milliseconds after which the servers of one software version may have room again. */
+const RESUME_RETRY_MS = 300;
+
 /** Options of {@link ServiceLane}. */
 export interface ServiceLaneOptions {
   pool: ServerPool;
@@ -117,7 +124,9 @@
     const verdict = this.#options.quarantine.judge(request.fingerprint);
     if (verdict === 'quarantined') return Promise.resolve(Result.err(this.#quarantined(request)));
     if (request.signal.aborted) return Promise.resolve(Result.err(cancelledRefusal()));
-    if (!this.#hasServer(now)) return Promise.resolve(Result.err(noServerRefusal()));
+    if (!this.#hasServer(request, now)) {
+      return Promise.resolve(Result.err(this.#noServer(request, now)));
+    }
     if (request.tried.length === 0) this.#retries = earnRetry(this.#retries);
     return new Promise((resolve) => {
       const exclusive = verdict === 'suspect' && (this.#options.runsSuspectsAlone ?? true);
@@ -159,10 +168,18 @@
     this.#refuseTooLate(now);
   }
 
-  /** Whether any server accepts requests, now or after a pause. */
-  #hasServer(now: EpochMs): boolean {
+  /** Whether any server accepts a request, now or after a pause. */
+  #hasServer({ software }: PlacementRequest, now: EpochMs): boolean {
     const { pool } = this.#options;
-    return pool.hasOpenServer(undefined, now) || pool.pauseEndsInMs(now) !== undefined;
+    const isOpen = pool.hasOpenServer(undefined, now, software);
+    return isOpen || pool.pauseEndsInMs(now, software) !== undefined;
+  }
+
+  /** Refusal of a request that no server accepts. */
+  #noServer({ software }: PlacementRequest, now: EpochMs): Refusal {
+    const isBegun = software !== undefined && software.type !== 'any';
+    const hasOthers = this.#options.pool.hasOpenServer(undefined, now);
+    return isBegun && hasOthers ? cannotResumeRefusal() : noServerRefusal();
   }
 
   /** Refuses all waiting requests; called when the service is removed or the router stops. */
@@ -177,14 +194,16 @@
    * paused or rate limited.
    */
   #refuseTooLate(now: EpochMs): void {
-    const { pool, queue } = this.#options;
-    const pace = this.#waiters.size === 0 ? undefined : pool.sendPace(now);
-    if (!pace) return;
+    const { queue } = this.#options;
+    if (this.#waiters.size === 0) return;
     const inOrder = [...this.#waiters].toSorted(([, a], [, b]) => {
       return importanceOrder[a.request.importance] - importanceOrder[b.request.importance];
     });
+    const paceOf = this.#paces(now);
     let ahead = 0;
     for (const [id, { request }] of inOrder) {
+      const pace = paceOf(request);
+      if (!pace) continue;
       const waitMs = pace.firstMs + ahead * pace.intervalMs;
       if (now + waitMs <= (request.startBy ?? request.deadline)) {
         ahead += 1;
@@ -195,6 +214,17 @@
     }
   }
 
+  /** Returns a function that tells the pace of the servers that a request may use. */
+  #paces(now: EpochMs): (request: PlacementRequest) => RateLimitPace | undefined {
+    const { pool } = this.#options;
+    const ofAll = pool.sendPace(now);
+    return ({ software }) => {
+      return software === undefined || software.type === 'any'
+        ? ofAll
+        : pool.sendPace(now, software);
+    };
+  }
+
   #enqueue(waiter: Waiter): void {
     const id = this.#nextId;
     this.#nextId += 1;
@@ -232,8 +262,10 @@
       } else if (waiter.request.deadline <= now) {
         const refusal = notRun('deadline-passed', shedDetails['deadline-passed']);
         this.#settle(id, Result.err(refusal));
-      } else if (!this.#hasServer(now)) {
-        this.#settle(id, Result.err(noServerRefusal()));
+      } else if (!this.#hasServer(waiter.request, now)) {
+        this.#settle(id, Result.err(this.#noServer(waiter.request, now)));
+      } else if (waitsInVain(waiter.request, now)) {
+        this.#settle(id, Result.err(cannotResumeRefusal(RESUME_RETRY_MS)));
       } else {
         this.#tryPlace(id, waiter, now);
       }
@@ -265,16 +297,15 @@
   /** Prefers a server that the request has not tried. If it has tried all, any may have recovered. */
   #choose({ request, exclusive }: Waiter, now: EpochMs): Candidate | undefined {
     const { pool, chooser, random, scope = 'near-first' } = this.#options;
-    const { prefixKey, promptTokens } = request;
+    const { prefixKey, promptTokens, software = ANY_SOFTWARE } = request;
     const choice = {
       ...(prefixKey === undefined ? {} : { prefixHash: hash32(prefixKey) }),
       ...(promptTokens === undefined ? {} : { promptTokens }),
     };
     const { extra } = this.#statistics.ruleFor(request.importance);
     const tried = new Set(request.tried);
-    const query = pool.maySend(tried, now)
-      ? { tried, exclusive, extra, scope }
-      : { exclusive, extra, scope };
+    const rule = { exclusive, extra, scope, software };
+    const query = pool.maySend(tried, now, software) ? { ...rule, tried } : rule;
     return chooseServer(pool, chooser, choice, query, now, random);
   }
 
@@ -293,6 +324,7 @@
           ? undefined
           : this.#findPromptSource(prefixKey, server, request, now),
       priority: enginePriority[request.importance],
+      software: () => pool.softwareOf(attempt),
       recordReceived: () => {
         pool.recordReceived(attempt, this.#options.clock.now());
       },
@@ -349,6 +381,7 @@
     };
     const { pool, clock } = this.#options;
     if (how === 'unreachable') pool.recordUnreachable(attempt, clock.now());
+    if (how === 'unreachable' || how === 'broken') pool.recordLoss(attempt, clock.now());
     pool.settle(attempt, result, clock.now());
   }
 
@@ -412,3 +445,11 @@
     waiter.resolve(placed);
   }
 }
+
+/** Whether a stream that has begun waits for the few servers of its software until it would be late. */
+function waitsInVain(
+  { software = ANY_SOFTWARE, startBy }: PlacementRequest,
+  now: EpochMs,
+): boolean {
+  return software.type !== 'any' && startBy !== undefined && startBy <= now;
+}
--- a/packages/router/src/types/backends.ts
+++ b/packages/router/src/types/backends.ts
@@ -7,6 +7,7 @@
   Refusal,
   ServerId,
   ServiceName,
+  StreamSoftware,
   Tokens,
   WorkClassName,
 } from '@flamingocourse/core';
@@ -31,6 +32,8 @@
   promptTokens?: Tokens;
   /** Servers that this request has already tried. */
   tried: ServerId[];
+  /** Software versions that may run it. @default any */
+  software?: StreamSoftware;
   /** Digest of the request, used to identify requests that crash their servers. */
   fingerprint: string;
   /** Aborted when the caller no longer waits. */
@@ -61,6 +64,8 @@
   end(how: PlacementOutcome, firstTokenMs?: number): void;
   /** Records that a part of the answer has arrived. */
   recordReceived(): void;
+  /** Software version that answers; undefined if that is not certain. */
+  software(): string | undefined;
   /** Records that the server has begun to answer and so has read the prompt. */
   recordPromptRead(): void;
 }
