fix(gateway): a caller's later try goes on at the service and software version that began its stream

Cause: nothing was kept of a stream after its answer; Resumes was not read.

Now each instance records what the first event of a stream was made by (a digest of account and request id; service and version; for as long as its caller waits, a minute and 16,384 records at most). While streams of a service may have begun at different versions, the record goes in batches of 40 ms to two peers: one in the same data centre, which callers of a cut data centre still reach, and one elsewhere, both by rendezvous hashing; one that does not answer is replaced by the next. When a second version is first seen, what runs is told as well. A later try asks its own records, then two instances near and one in each of three other data centres at once, for 200 ms at most. The answers also tell which versions the others saw in the last minute. The try is then placed with that one condition of the commit before; unknown, it goes on only where one version serves and served. Refusals come before anything is sent or reserved: cannot-resume, 503, not run.

Weighed: deriving the version from the id (needs the set of versions of the moment, which changes as servers crash, and binds balance and affinity), telling everybody (fifty times the budget of a node at 2,800), asking everybody (a killed instance's streams all lost). Two tests changed beside the fix, none eased: callers wait 10 s, as an instance takes 4 s to stop and a record lasts as long as its caller; budgets are ample, as 12 tries at once met refusals for budget.

--- a/packages/core/src/index.ts
+++ b/packages/core/src/index.ts
@@ -38,5 +38,8 @@
 export * from './runtime/routes/routeTable.js';
 export * from './runtime/streams/eventFrames.js';
 export * from './runtime/streams/eventTiming.js';
+export * from './runtime/streams/streamHolders.js';
+export * from './runtime/streams/streamRecords.js';
 export type * from './types/prepaid.js';
+export type * from './types/stream.js';
 export type * from './types/routedConfig.js';
--- a/packages/gateway/src/node/createGateway.ts
+++ b/packages/gateway/src/node/createGateway.ts
@@ -28,6 +28,8 @@
 import { ServerTunnels } from './serverTunnels.js';
 import { ServerPaths } from './serverPaths.js';
 import { SharedQuarantine } from './sharedQuarantine.js';
+import { MeshStreamCalls } from './meshStreamCalls.js';
+import { StreamOrigins } from './streamOrigins.js';
 import { StatusService } from './statusService.js';
 
 /**
@@ -119,11 +121,18 @@
     .register(instances)
     .register(gossip)
     .register(causes);
+  const streams = new StreamOrigins(context, new MeshStreamCalls(peers));
+  kernel.register(streams);
   const tunnels = new ServerTunnels(context);
   if (settings.listen.mesh) {
     const mesh = new MeshServer(settings.listen.mesh);
     mesh.handle('borrow', async (req) => Result.ok(await prepaid.lend(req)));
     mesh.handle('exchangeNews', (message) => Result.ok(gossip.handleMessage(message)));
+    mesh.handle('keepStreams', (message) => {
+      streams.keep(message.streams);
+      return Result.ok('kept');
+    });
+    mesh.handle('findStream', ({ key, services }) => Result.ok(streams.answer(key, services)));
     kernel.register(mesh).register(tunnels);
   }
   kernel.register(prepaid).register(entry).register(new StatusService(context));
@@ -149,6 +158,7 @@
       entry.beginStop();
       tunnels.beginStop();
       prepaid.beginStop();
+      streams.beginStop();
       await Promise.all([instances.leave(), kernel.stop()]);
       peers.close();
       store.close();
--- a/packages/gateway/src/node/entryRefusals.ts
+++ b/packages/gateway/src/node/entryRefusals.ts
@@ -12,6 +12,11 @@
   return notRun('not-ready', detail, NOT_READY_RETRY_MS);
 }
 
+/** Refusal of a stream that has begun and of which nobody can tell where it may go on. */
+export function cannotResume(why: string): Refusal {
+  return notRun('cannot-resume', `This stream cannot go on: ${why}. Begin it anew.`);
+}
+
 /** Refusal of a request that this instance cannot complete before it ends. */
 export function stopping(): Refusal {
   return notRun('stopping', 'This instance is stopping; retry at another at once.', 0);
--- a/packages/gateway/src/node/entryService.ts
+++ b/packages/gateway/src/node/entryService.ts
@@ -9,6 +9,7 @@
 import type { StopPhase } from '../runtime/stopSchedule.js';
 import type { GatewayContext } from '../types/context.js';
 import type { Outcome } from '../types/outcome.js';
+import type { StreamStart } from '../types/streamStart.js';
 import type { EndCause, FlowParts, IncomingCall, RoutedCall } from '../types/requestRun.js';
 import { createServer } from 'node:http';
 import { setTimeout as delay } from 'node:timers/promises';
@@ -34,6 +35,7 @@
 import { RequestFlow } from './requestFlow.js';
 import { doneAfterMs, requestFields } from './requestLogLine.js';
 import { ServerDirectory } from './serverDirectory.js';
+import { StreamOrigins } from './streamOrigins.js';
 import { StopSchedule } from '../runtime/stopSchedule.js';
 
 /** Maximum size of a request head, in bytes; above what any configuration allows callers. */
@@ -52,7 +54,7 @@
 /** Service that accepts callers' requests. Registered as `entry`. */
 export class EntryService extends Service {
   override readonly name = 'entry';
-  override readonly dependsOn = ['configuration', 'directory', 'lanes', 'prepaid'];
+  override readonly dependsOn = ['configuration', 'directory', 'lanes', 'prepaid', 'streams'];
   readonly #context: GatewayContext;
   readonly #agent: ServerAgent;
   readonly #server: Server;
@@ -117,12 +119,14 @@
     const lanes = kernel.get('lanes', BackendLanes);
     const prepaid = kernel.get('prepaid', PrepaidService);
     const directory = kernel.get('directory', ServerDirectory);
+    const streams = kernel.get('streams', StreamOrigins);
     this.#parts = {
       context: this.#context,
       lanes,
       prepaid,
       directory,
       agent: this.#agent,
+      streams,
     };
     this.#configuration = kernel.get('configuration', ConfigurationWatch);
     this.#configuration.onChange(({ config }) => {
@@ -241,19 +245,39 @@
       this.#recordEnd(route?.name ?? 'none', head, incoming, { type: 'gone' });
     } else if (body.type === 'too-large') refuse(bodyTooLarge(this.#maxBodyBytes));
     else {
-      const service = route && table?.service(pickTarget(route, this.#context.random()) ?? '');
-      if (!table || !route || !service) refuse(notReady());
-      else if (!fitsMemory(head, service)) refuse(promptTooLong(service));
+      if (!table || !route) refuse(notReady());
       else {
-        const arrivedAt = arrival.timeLimitStartsAt;
-        const software = { type: 'any' } as const;
-        const routed = { table, route, account, service, software };
-        const call = { head, body: body.bytes, ...routed, arrivedAt, answer };
-        await this.#run(call, incoming);
+        const started = await this.#flowParts().streams.resolve({ head, route, account });
+        if (started.isErr) refuse(started.error);
+        else
+          await this.#runAt(
+            started.value,
+            { head, body: body.bytes, table, route, account },
+            incoming,
+          );
       }
     }
   }
 
+  /** Runs a request at the service that its stream belongs to, or else at one of its route. */
+  async #runAt(
+    stream: StreamStart,
+    call: Pick<RoutedCall, 'head' | 'body' | 'table' | 'route' | 'account'>,
+    incoming: IncomingCall,
+  ): Promise<void> {
+    const { head, table, route } = call;
+    const { answer, arrival } = incoming;
+    const target = stream.service ?? pickTarget(route, this.#context.random()) ?? '';
+    const service = table.service(target);
+    if (service && fitsMemory(head, service)) {
+      const arrivedAt = arrival.timeLimitStartsAt;
+      await this.#run({ ...call, service, stream, arrivedAt, answer }, incoming);
+    } else {
+      const refusal = service ? promptTooLong(service) : notReady();
+      this.#recordEnd(route.name, head, incoming, this.#refuse(answer, refusal));
+    }
+  }
+
   /** Runs a routed request until it ends, its caller disconnects or its deadline passes. */
   async #run(
     call: Omit<RoutedCall, 'endsAt' | 'mayBegin' | 'signal'>,
--- a/packages/gateway/src/node/requestFlow.ts
+++ b/packages/gateway/src/node/requestFlow.ts
@@ -10,6 +10,7 @@
 import type { PrepaidReservation, Refusal } from '@flamingocourse/core';
 import type { Placement } from '@flamingocourse/router';
 import type { Outcome } from '../types/outcome.js';
+import type { StreamStart } from '../types/streamStart.js';
 import type { EndCause, FlowParts, RequestProgress, RoutedCall } from '../types/requestRun.js';
 import type { FailedAttempt } from '../runtime/retryPolicy.js';
 import type { BackendLane } from './backendLanes.js';
@@ -34,7 +35,7 @@
   constructor(parts: FlowParts, call: RoutedCall) {
     this.#parts = parts;
     this.#call = call;
-    const { software } = call;
+    const { software } = call.stream;
     const { resumeAfter } = call.head;
     this.#progress = {
       tried: [],
@@ -53,6 +54,11 @@
     return this.#progress;
   }
 
+  /** Where the request may begin or go on with its stream. */
+  get stream(): StreamStart {
+    return this.#call.stream;
+  }
+
   /** Runs the request to its end. Rejects only if this process has a bug. */
   async run(): Promise<Outcome> {
     if (this.#call.answer.callerGone) return { type: 'gone' };
--- a/packages/gateway/src/node/requestLogLine.ts
+++ b/packages/gateway/src/node/requestLogLine.ts
@@ -54,6 +54,7 @@
     serverVersion: progress?.serverVersion,
     resumes: head?.resumes,
     resumeAfter: head?.resumeAfter,
+    ...streamFields(ended),
     ...progress?.list,
     ...progress?.notice,
     prompt: head?.size?.prompt,
@@ -72,6 +73,16 @@
   };
 }
 
+/** Fields about the stream that a request belongs to; none if it belongs to none. */
+function streamFields({ flow }: EndedRequest): EventFields {
+  if (!flow) return {};
+  const { software } = flow.progress;
+  const { source, askedMs } = flow.stream;
+  if (software.type === 'any') return {};
+  const streamVersion = software.type === 'version' ? software.version : software.type;
+  return { streamVersion, streamKnownBy: source, askedMs };
+}
+
 function sinceMs(from: number, at: number | undefined): number | undefined {
   return at === undefined ? undefined : Math.round(at - from);
 }
--- a/packages/gateway/src/node/serverAttempt.ts
+++ b/packages/gateway/src/node/serverAttempt.ts
@@ -185,8 +185,8 @@
     this.#placement.recordPromptRead();
     const timing = new EventTiming();
     const end = await relayStream(relay, (events, lastId) => {
+      if (this.#progress.events === 0) this.#bindStream();
       this.#progress.events += events;
-      this.#bindStream();
       timing.observe(events, this.#now());
       if (lastId !== undefined) this.#progress.resumeAfter = lastId;
     });
@@ -198,12 +198,16 @@
     return end;
   }
 
-  /** Binds the stream to the software whose event the caller gets first. */
+  /** Binds the stream to the software that made its first event, before the caller gets the event. */
   #bindStream(): void {
-    if (this.#progress.software.type !== 'any') return;
     const version = this.#placement.software();
-    this.#progress.software =
-      version === undefined ? { type: 'unknown' } : { type: 'version', version };
+    if (this.#progress.software.type !== 'version') {
+      this.#progress.software =
+        version === undefined ? { type: 'unknown' } : { type: 'version', version };
+    }
+    if (version !== undefined && this.#call.route.repetition === 'resumable-stream') {
+      this.#parts.streams.record(this.#call, version);
+    }
   }
 
   #interrupted(): AttemptEnd {
--- a/packages/gateway/src/node/statusService.ts
+++ b/packages/gateway/src/node/statusService.ts
@@ -9,6 +9,7 @@
 import { EntryService } from './entryService.js';
 import { ServerDirectory } from './serverDirectory.js';
 import { ServerPaths } from './serverPaths.js';
+import { StreamOrigins } from './streamOrigins.js';
 
 const MS_PER_SECOND = 1_000;
 
@@ -18,12 +19,13 @@
 /** Service with the readiness and metrics listeners. Registered as `status`. */
 export class StatusService extends Service {
   override readonly name = 'status';
-  override readonly dependsOn = ['entry', 'directory', 'paths'];
+  override readonly dependsOn = ['entry', 'directory', 'paths', 'streams'];
   readonly #context: GatewayContext;
   readonly #servers: Server[] = [];
   #entry: EntryService | undefined;
   #directory: ServerDirectory | undefined;
   #paths: ServerPaths | undefined;
+  #streams: StreamOrigins | undefined;
   #wasReady: boolean | undefined;
 
   constructor(context: GatewayContext) {
@@ -35,6 +37,7 @@
     this.#entry = kernel.get('entry', EntryService);
     this.#directory = kernel.get('directory', ServerDirectory);
     this.#paths = kernel.get('paths', ServerPaths);
+    this.#streams = kernel.get('streams', StreamOrigins);
     const { ready, metrics } = this.#context.settings.listen;
     await this.#listen(ready, (req, res) => {
       this.#answerReady(req, res);
@@ -84,6 +87,8 @@
     metrics.gauge('servers_without_path', 'servers that nobody is known to reach', paths.none);
     const brittleHelp = 'servers that fail after too many rejections in a second';
     metrics.gauge('servers_brittle', brittleHelp, notices.brittle.size);
+    const streamsHelp = 'streams of which this instance knows what began them';
+    metrics.gauge('streams_known', streamsHelp, this.#streams?.size ?? 0);
     metrics.storeCalls(store.counters);
     const text = await metrics.text();
     res.writeHead(200, { 'content-type': 'text/plain; version=0.0.4' }).end(text);
--- a/packages/gateway/src/types/requestRun.ts
+++ b/packages/gateway/src/types/requestRun.ts
@@ -15,7 +15,9 @@
 import type { PrepaidService } from '../node/prepaidService.js';
 import type { ServerAgent } from '../node/serverAgent.js';
 import type { ListView, ServerDirectory } from '../node/serverDirectory.js';
+import type { StreamOrigins } from '../node/streamOrigins.js';
 import type { CallHead } from './call.js';
+import type { StreamStart } from './streamStart.js';
 import type { GatewayContext } from './context.js';
 
 /** Services shared by all requests of the process. */
@@ -25,6 +27,7 @@
   prepaid: PrepaidService;
   directory: ServerDirectory;
   agent: ServerAgent;
+  streams: StreamOrigins;
 }
 
 /** A request as it was read from its connection. */
@@ -49,8 +52,8 @@
   route: Route;
   account: RoutedAccount | undefined;
   service: RoutedService;
-  /** Software versions that may run it, by what the caller already has of its stream. */
-  software: StreamSoftware;
+  /** Where it may begin or go on with its stream. */
+  stream: StreamStart;
   /** When the time limit of the request starts. */
   arrivedAt: number;
   /** Deadline, from the caller's timeout and the route's time limit. */
--- a/packages/kernel/src/runtime/eventCatalogue.ts
+++ b/packages/kernel/src/runtime/eventCatalogue.ts
@@ -84,6 +84,12 @@
     level: 'info',
     text: 'an instance that did not answer gossip answers again',
   },
+  'stream-records-unsent': {
+    number: 304,
+    level: 'warn',
+    text: 'fewer instances than planned know what began some streams, because others did not answer',
+    action: 'Check the network between the instances.',
+  },
   'tunnels-opened': {
     number: 310,
     level: 'info',
--- a/packages/mesh/src/runtime/meshRouter.ts
+++ b/packages/mesh/src/runtime/meshRouter.ts
@@ -36,6 +36,8 @@
     pullConfiguration: createProcedure(ports, 'pullConfiguration'),
     borrow: createProcedure(ports, 'borrow'),
     exchangeNews: createProcedure(ports, 'exchangeNews'),
+    keepStreams: createProcedure(ports, 'keepStreams'),
+    findStream: createProcedure(ports, 'findStream'),
     shareHints: createProcedure(ports, 'shareHints'),
   });
 }
@@ -57,13 +59,15 @@
 
 /**
  * Procedures that may omit the recipient's incarnation: a heartbeat may be sent before the
- * incarnation is known, a loan request contains the lender's incarnation in its input, and gossip is
- * meant for any process.
+ * incarnation is known, a loan request contains the lender's incarnation in its input, and gossip and
+ * records of streams are meant for any process.
  */
 const RECIPIENT_OPTIONAL: ReadonlySet<ProcedureName> = new Set([
   'heartbeat',
   'borrow',
   'exchangeNews',
+  'keepStreams',
+  'findStream',
 ]);
 
 /**
--- a/packages/mesh/src/runtime/schemas.ts
+++ b/packages/mesh/src/runtime/schemas.ts
@@ -8,11 +8,12 @@
   LoanRequest,
   GossipMessage,
   Outcome,
+  StreamRecord,
 } from '@flamingocourse/core';
 import type { ZodType } from 'zod';
 import type { ProcedureInput, ProcedureName } from '../types/procedures.js';
 import type { PackedHeartbeat, PackedMember } from './heartbeatCodec.js';
-import { MAX_FACTS_PER_MESSAGE } from '@flamingocourse/core';
+import { MAX_FACTS_PER_MESSAGE, MAX_STREAMS_PER_MESSAGE } from '@flamingocourse/core';
 import { z } from 'zod';
 
 const maxIdLength = 300;
@@ -26,6 +27,8 @@
 /** Maximum number of requests that one instance has in flight at one server. */
 const maxInFlight = 1_024;
 const maxFingerprintLength = 64;
+/** Maximum number of services of one route. */
+const maxServices = 64;
 /**
  * Maximum length of a stored answer in base64. The body limit applies to the whole call in
  * addition.
@@ -136,6 +139,14 @@
     .max(MAX_FACTS_PER_MESSAGE),
 });
 
+const streamKey = z.string().min(1).max(maxFingerprintLength);
+
+const streamRecordSchema: ZodType<StreamRecord> = z.object({
+  key: streamKey,
+  origin: z.object({ service: id, version: z.string().max(maxIdLength) }),
+  forMs: z.number().min(0),
+});
+
 /** Input schema of each procedure. */
 export const inputSchemas: { [P in ProcedureName]: ZodType<ProcedureInput<P>> } = {
   heartbeat: heartbeatSchema,
@@ -146,6 +157,8 @@
   pullConfiguration: z.object({ since: count }),
   borrow: loanRequestSchema,
   exchangeNews: gossipMessageSchema,
+  keepStreams: z.object({ streams: z.array(streamRecordSchema).max(MAX_STREAMS_PER_MESSAGE) }),
+  findStream: z.object({ key: streamKey, services: z.array(id).max(maxServices) }),
   shareHints: z.object({
     hints: z.array(z.object({ topic: id, body: z.string().max(maxHintLength) })).max(maxHints),
   }),
--- a/packages/mesh/src/types/procedures.ts
+++ b/packages/mesh/src/types/procedures.ts
@@ -10,6 +10,10 @@
   LoanAnswer,
   LoanRequest,
   GossipMessage,
+  ServiceName,
+  StreamAnswer,
+  StreamKey,
+  StreamRecord,
   Tokens,
 } from '@flamingocourse/core';
 import type { Result } from 'true-myth';
@@ -49,6 +53,10 @@
    * Sends gossip and requests the facts that the caller is missing; each fact contains its origin.
    */
   exchangeNews: { input: GossipMessage; output: GossipMessage };
+  /** Asks a peer to remember what began streams. */
+  keepStreams: { input: { streams: StreamRecord[] }; output: 'kept' };
+  /** Asks a peer what began a stream, and which software it has seen of these services. */
+  findStream: { input: { key: StreamKey; services: ServiceName[] }; output: StreamAnswer };
   shareHints: { input: { hints: Hint[] }; output: 'taken' };
 }
 
--- a/test/platform/streamWorld.ts
+++ b/test/platform/streamWorld.ts
@@ -10,6 +10,10 @@
 
 /** Streams that are begun in a case. */
 export const STREAMS = 12;
+/** Milliseconds for which a caller may come back; longer than an instance takes to stop. */
+const CALLER_WAITS_MS = 10_000;
+/** Prepaid tokens, so many that no instance lacks them. */
+const PREPAID = 100_000_000;
 /** Milliseconds within which a refusal counts as given at once. */
 const AT_ONCE_MS = 700;
 export const OLD = 'v1';
@@ -52,14 +56,16 @@
   version = 7,
   change: Record<string, unknown> = {},
 ): Record<string, unknown> {
-  const { services, tenants } = configWith() as { services: object[]; tenants: object[] };
+  const { services } = configWith() as { services: object[] };
   const other = { ...services[1], name: 'llm-b' };
-  const spock = { name: 'spock', api_keys: ['key-of-spock'], prepaid: 100_000 };
+  const tenants = ['kirk', 'spock'].map((name) => {
+    return { name, api_keys: [`key-of-${name}`], prepaid: PREPAID };
+  });
   return configWith({
     version,
     routes: [route('tale', change), route('saga', { max_attempts: 2 })],
     services: [...services, other],
-    tenants: [...tenants, spock],
+    tenants,
   });
 }
 
@@ -169,6 +175,7 @@
       const stream = { id: `first-${String(at)}`, path: `/tale/${String(at)}` };
       const answer = await world.generate(stream.path, 1_000, {
         'x-request-id': stream.id,
+        'x-deadline-ms': String(CALLER_WAITS_MS),
         'x-prompt-prefix': `${String(at)}:100`,
       });
       const [software = ''] = softwareOf(answer.body);
