test(soak): engines of several software versions, and callers that take their streams up elsewhere

Callers take a stream up again at any instance, up to four tries. From what they and the engines saw: no stream holds two versions, misses or repeats an event or ends early as whole; a cannot-resume ran nowhere; of 12 or more streams that are taken up at calm instances while two engines of their version serve, half the share of new ones goes on. The other promises compare a stream with what the version of its first event writes.

--- a/test/soak/runSoak.ts
+++ b/test/soak/runSoak.ts
@@ -28,6 +28,9 @@
 import { brokenPromises } from './soakPromises.js';
 import { StopCallers } from './soakStopCallers.js';
 import { checkStops } from './soakStops.js';
+import { checkStreams } from './soakStreamChecks.js';
+import { SoakStreams } from './soakStreams.js';
+import { SoakVersions, VERSIONED_ENGINES } from './soakVersions.js';
 
 const INSTANCES = 3;
 /** Instances in a run of every fifth seed: so many that most of them borrow tokens from others. */
@@ -35,6 +38,9 @@
 const MANY_INSTANCES_EVERY = 5;
 /** Every fourth seed has a request that crashes the engines that run it. */
 const CRASHES_EVERY = 4;
+/** Of five seeds, the one with this remainder has engines of several software versions. */
+const VERSIONS_REMAINDER = 2;
+const VERSIONS_EVERY = 5;
 /** Milliseconds after the last fault until all instances must refuse that request. */
 const CRASH_REFUSAL_MS = 3_000;
 /** Profile of the faults, by the remainder of the seed. */
@@ -68,6 +74,9 @@
   /** Calls to instances that were cut off from all servers, and those of them that were served. */
   cutOff: number;
   servedCutOff: number;
+  /** Streams that callers took up again while two servers of their version served, and those that went on. */
+  takenUp: number;
+  wentOn: number;
   faults: string[];
   broken: string[];
   /** Output of the processes. */
@@ -96,24 +105,31 @@
   instances: number;
   dataCentres: number;
   hasCrashes: boolean;
+  hasVersions: boolean;
   profile: FaultProfile;
   random: Random;
   callersRandom: Random;
   stopsRandom: Random;
+  streamsRandom: Random;
+  versionsRandom: Random;
 }
 
 function planOf(seed: number): RunPlan {
   const profile = PROFILES[seed % PROFILES.length] ?? 'mixed';
   const few = profile === 'cuts' ? INSTANCES_IN_CUTS : INSTANCES;
+  const hasCrashes = seed % CRASHES_EVERY === 0 && profile !== 'cuts';
   const hasFewCentres = profile === 'cuts' && seed % MANY_INSTANCES_EVERY !== 0;
   return {
     instances: seed % MANY_INSTANCES_EVERY === 0 ? MANY_INSTANCES : few,
     dataCentres: hasFewCentres ? CENTRES_IN_CUTS : DATA_CENTRE_COUNT,
-    hasCrashes: seed % CRASHES_EVERY === 0 && profile !== 'cuts',
+    hasCrashes,
+    hasVersions: seed % VERSIONS_EVERY === VERSIONS_REMAINDER && !hasCrashes,
     profile,
     random: createRandom(seed),
     callersRandom: createRandom(seed + 1),
     stopsRandom: createRandom(seed + 2),
+    streamsRandom: createRandom(seed + 3),
+    versionsRandom: createRandom(seed + 4),
   };
 }
 
@@ -121,6 +137,8 @@
 interface RunParts extends Omit<FaultTargets, 'configuration'> {
   directory: string;
   crashes: SoakCrashes | undefined;
+  /** Undefined in a run with one software version. */
+  versions: SoakVersions | undefined;
   cleanUps: (() => unknown)[];
 }
 
@@ -131,6 +149,7 @@
   readonly #stopCallers: StopCallers;
   readonly #faults: SoakFaults;
   readonly #configuration: SoakConfiguration;
+  readonly #streams: SoakStreams;
   #recoveryFailure = '';
 
   private constructor(plan: RunPlan, parts: RunParts) {
@@ -142,6 +161,7 @@
     this.#callers = new SoakCallers(parts.instances, ACCOUNTS, callersRandom);
     this.#stopCallers = new StopCallers(stopsRandom);
     this.#configuration = configuration;
+    this.#streams = new SoakStreams(parts.instances, plan.streamsRandom);
     this.#faults = new SoakFaults(random, { ...parts, configuration }, profile, this.#stopCallers);
   }
 
@@ -156,8 +176,12 @@
     const directory = await mkdtemp(join(tmpdir(), 'flamingocourse-soak-'));
     const store = await new FakeStore().listen(scope);
     const engines = hasCrashes ? await SoakCrashes.startEngines(store, scope) : [];
-    const names = hasCrashes ? ['p1', 'p2'] : ['p1', 'p2', 'e1', 'e2'];
+    const engineNames = plan.hasVersions ? Object.keys(VERSIONED_ENGINES) : ['e1', 'e2'];
+    const names = ['p1', 'p2', ...(hasCrashes ? [] : engineNames)];
     const linked = await Promise.all(names.map((name) => new FakeServer(name).listen(scope)));
+    if (plan.hasVersions) {
+      for (const server of linked) server.software = VERSIONED_ENGINES[server.id] ?? 'v1';
+    }
     const servers = [...linked, ...engines];
     const links = await SoakLinks.create(store, linked, count, scope);
     const ports = await findFreePorts(PORTS_PER_INSTANCE * count);
@@ -169,7 +193,15 @@
     const crashes = hasCrashes
       ? new SoakCrashes(engines, instances, ACCOUNTS[0] ?? '', callersRandom)
       : undefined;
-    const parts = { directory, store, servers, linked, links, instances, crashes, cleanUps };
+    const versions = plan.hasVersions
+      ? new SoakVersions(
+          store,
+          linked.filter(({ id }) => id.startsWith('e')),
+          plan.versionsRandom,
+        )
+      : undefined;
+    const own = { directory, store, servers, linked, links, instances };
+    const parts = { ...own, crashes, versions, cleanUps };
     const run = new SoakRun(plan, parts);
     run.#configuration.write();
     await run.#startInstances();
@@ -196,6 +228,8 @@
       isCuts ? CALL_INTERVAL_IN_CUTS_MS : CALL_INTERVAL_MS,
     );
     this.#parts.crashes?.start();
+    if (this.#parts.versions) this.#streams.start();
+    this.#parts.versions?.start();
     let plannedMs = 0;
     const activeFaults = new Set<Promise<void>>();
     const endAt = performance.now() + faultsMs * (isCuts ? LONGER_IN_CUTS : 1);
@@ -208,6 +242,8 @@
     }
     await Promise.all(activeFaults);
     await this.#stopCallers.settle();
+    await this.#parts.versions?.stop();
+    await this.#streams.stop();
     await delay(CRASH_REFUSAL_MS);
     this.#parts.crashes?.markFaultsEnded();
     await delay(RECOVERY_MS - CRASH_REFUSAL_MS);
@@ -235,13 +271,21 @@
       cuts: this.#faults.instanceCuts,
       instances: this.#parts.instances,
     });
+    const streams = checkStreams({
+      streams: this.#streams.streams,
+      arrivals,
+      serving: (software, from, until) => this.#parts.versions?.serving(software, from, until) ?? 0,
+      isCalm: (instance, from, until) => this.#isCalm(instance, from, until),
+    });
     return {
       calls: usual.length,
       answered: usual.filter(({ status }) => status === 200).length,
       metStop: stops.checked,
       cutOff: cutOff.attempts,
       servedCutOff: cutOff.served,
-      faults: this.#faults.injected,
+      takenUp: streams.takenUp,
+      wentOn: streams.wentOn,
+      faults: [...this.#faults.injected, ...(this.#parts.versions?.changes ?? [])],
       broken: [
         ...brokenPromises({
           answers,
@@ -252,6 +296,7 @@
         }),
         ...stops.broken,
         ...cutOff.broken,
+        ...streams.broken,
         ...this.#parts.instances.flatMap(({ unexpectedExits }) =>
           unexpectedExits.map((exit) => `unexpected exit: ${exit}`),
         ),
@@ -262,6 +307,21 @@
     };
   }
 
+  /** Whether an instance was neither disturbed nor cut off from the store or servers during a time. */
+  #isCalm(name: string, from: number, until: number): boolean {
+    const instance = this.#parts.instances.find((each) => each.name === name);
+    if (!instance) return false;
+    const cuts = this.#faults.instanceCuts.filter(({ instances }) => instances.includes(name));
+    const overlaps = (cut: { from: number; until: number }): boolean => {
+      return cut.from < until && cut.until > from;
+    };
+    return (
+      !instance.disturbedAt.some((at) => at > from && at < until) &&
+      !instance.startedAt.some((at) => at > from && at < until) &&
+      ![...instance.storeCuts, ...cuts].some(overlaps)
+    );
+  }
+
   #undisturbedPauses(): RequestedPauseWindow[] {
     return this.#parts.servers.flatMap(({ pauses }) => {
       return pauses.filter(({ instance, from, until }) => {
--- a/test/soak/soakPromises.ts
+++ b/test/soak/soakPromises.ts
@@ -2,7 +2,7 @@
 
 import type { RequestedPauseWindow, SeenRequest } from '../platform/fakeServer.js';
 import type { SeenAnswer } from './soakCallers.js';
-import { USED_INSTANCE, event } from '../platform/fakeServer.js';
+import { USED_INSTANCE, event, softwareOf } from '../platform/fakeServer.js';
 
 /** Tokens per event in the streams of the stand-ins. */
 export const TOKENS_PER_EVENT = 3;
@@ -65,7 +65,8 @@
   if (status === 401 || status === 404) broken.push(`${id} was refused with ${String(status)}`);
   const isStream = kind === 'chat' || kind === 'draft';
   if (status === 200 && isStream) {
-    const whole = Array.from({ length: EVENTS }, (_, at) => event(at + 1)).join('');
+    const [software] = softwareOf(body);
+    const whole = Array.from({ length: EVENTS }, (_, at) => event(at + 1, software)).join('');
     if (!whole.startsWith(body)) broken.push(`${id} got events out of order: ${body}`);
     if (complete && body !== whole) broken.push(`${id} was ended as complete after ${body}`);
   }
