fix(core): a lost connection puts a server's software in doubt only while its process may be another

The check that follows a broken connection tells now whether other connections to the server stay open: then its process is the one of before, and there is no doubt. A stream's beginning is in doubt only at a server that was found ended (it refuses connections at all instances). A stream that has begun goes on, as before, only at a server whose process is certain. The check's test names three results in place of two.

--- a/packages/core/src/runtime/routing/serverEntry.ts
+++ b/packages/core/src/runtime/routing/serverEntry.ts
@@ -44,6 +44,8 @@
   #pathChangedAt: EpochMs = -Infinity;
   /** When a connection to the server was last lost or refused. */
   #lostAt: EpochMs = -Infinity;
+  /** When the server was last found to have ended. */
+  #endedAt: EpochMs = -Infinity;
   /** Shared by all servers of the pool. */
   readonly #limit: ConcurrencyLimit;
 
@@ -108,18 +110,36 @@
     this.#lostAt = now;
   }
 
+  /** Records that the server is the same process as before the last lost connection. */
+  recordSameProcess(): void {
+    this.#lostAt = this.#endedAt;
+  }
+
+  /** Records that the server was found to have ended: it accepts no connections. */
+  recordEnd(now: EpochMs): void {
+    this.#endedAt = now;
+  }
+
   /**
-   * Whether the server certainly runs the software that its entry names. A server that can start again
-   * under its id may do so with other software; after a lost connection, only an entry that was
-   * confirmed long enough afterwards shows that it did not.
+   * Whether a stream that has begun elsewhere may go on here. A server that can start again under its id
+   * may do so with other software; after a lost connection, only an entry that was confirmed long
+   * enough afterwards shows that it did not.
    *
    * @param confirmedAt when the list of servers was last confirmed.
    * @param doubtMs milliseconds after a loss within which a new entry may not be listed yet.
    */
-  isSoftwareSure(confirmedAt: EpochMs, doubtMs: number): boolean {
+  mayGoOnHere(confirmedAt: EpochMs, doubtMs: number): boolean {
     return this.server.bornAt === undefined || confirmedAt - this.#lostAt > doubtMs;
   }
 
+  /**
+   * Whether a stream that begins here begins at the software that the entry names. A lost connection alone
+   * puts that in no doubt: a server that accepted another one at once had not ended.
+   */
+  isOriginSure(confirmedAt: EpochMs, doubtMs: number): boolean {
+    return this.server.bornAt === undefined || confirmedAt - this.#endedAt > doubtMs;
+  }
+
   /** Milliseconds for which requests in flight have received nothing from the server. */
   silentMs(now: EpochMs): number {
     // what waits on connections of an earlier path says nothing about the present one.
--- a/packages/core/src/runtime/routing/serverPool.ts
+++ b/packages/core/src/runtime/routing/serverPool.ts
@@ -318,10 +318,22 @@
     this.#attempts.get(attempt)?.recordLoss(now);
   }
 
+  /** Records that a server was found to have ended: it accepts no connections. */
+  recordEnd(id: ServerId, now: EpochMs): void {
+    this.#entries.get(id)?.recordEnd(now);
+  }
+
+  /** Records that a server which broke a connection is still the process that it was before. */
+  recordSameProcess(server: BackendServer): void {
+    const entry = this.#entries.get(server.id);
+    if (entry && isSameLife(entry.server, server)) entry.recordSameProcess();
+  }
+
   /** Software version that answers an attempt; undefined if that is not certain. */
   softwareOf(attempt: number): string | undefined {
     const entry = this.#attempts.get(attempt);
-    return entry && this.#isSoftwareSure(entry) ? entry.server.softwareVersion : undefined;
+    const isSure = entry?.isOriginSure(this.#listConfirmedAt, SOFTWARE_DOUBT_MS);
+    return isSure ? entry?.server.softwareVersion : undefined;
   }
 
   /** Servers that get no requests before a probe of them is answered. */
@@ -449,15 +461,16 @@
         return entries;
       case 'version':
         return entries.filter((entry) => {
-          return entry.server.softwareVersion === software.version && this.#isSoftwareSure(entry);
+          const isListed = entry.server.softwareVersion === software.version;
+          return isListed && entry.mayGoOnHere(this.#listConfirmedAt, SOFTWARE_DOUBT_MS);
         });
       case 'unknown':
         return this.#countSoftware(now) > 1 ? [] : entries;
     }
   }
 
-  #isSoftwareSure(entry: ServerEntry): boolean {
-    return entry.isSoftwareSure(this.#options.listConfirmedAt?.() ?? Infinity, SOFTWARE_DOUBT_MS);
+  get #listConfirmedAt(): EpochMs {
+    return this.#options.listConfirmedAt?.() ?? Infinity;
   }
 
   /** Number of software versions that serve, or that served a short time ago. */
--- a/packages/gateway/src/node/connectionCheck.ts
+++ b/packages/gateway/src/node/connectionCheck.ts
@@ -3,6 +3,7 @@
  */
 
 import type { BackendServer } from '@flamingocourse/core';
+import type { ServerAfterLoss } from '@flamingocourse/router';
 import type { ServerAgent } from './serverAgent.js';
 import type { ServerPaths } from './serverPaths.js';
 import { connect } from 'node:net';
@@ -31,7 +32,7 @@
  * connect either.
  *
  * @example
- * if (await new ConnectionCheck(agent, paths).hasEnded(server)) suspectAllInFlight();
+ * if ((await new ConnectionCheck(agent, paths).check(server)) === 'ended') suspectAllInFlight();
  */
 export class ConnectionCheck extends CrashCheck {
   readonly #agent: ServerAgent;
@@ -44,11 +45,11 @@
     this.#peers = peers;
   }
 
-  override async hasEnded(server: BackendServer): Promise<boolean> {
+  override async check(server: BackendServer): Promise<ServerAfterLoss> {
     const { host, port } = serverAddress(server.url);
-    if (await this.#staysConnected(host, port)) return false;
-    if ((await tryConnection(host, port)) !== 'refused') return false;
-    return !(await this.#peers.isOpenToPeers(server));
+    if (await this.#staysConnected(host, port)) return 'same-process';
+    if ((await tryConnection(host, port)) !== 'refused') return 'unclear';
+    return (await this.#peers.isOpenToPeers(server)) ? 'unclear' : 'ended';
   }
 
   /**
--- a/packages/router/src/node/backends/serviceLane.ts
+++ b/packages/router/src/node/backends/serviceLane.ts
@@ -332,7 +332,7 @@
         if (prefixKey !== undefined) this.#promptLocations.record(prefixKey, server.id);
       },
       end: (how, firstTokenMs) => {
-        this.#recordEnd(attempt, request, how, firstTokenMs);
+        this.#recordEnd(attempt, server, request, how, firstTokenMs);
         this.#reportCrash(server, attempt, request.fingerprint, how);
         if (how === 'ok' && firstTokenMs !== undefined) {
           this.#recordAnswer(
@@ -369,6 +369,7 @@
 
   #recordEnd(
     attempt: number,
+    server: BackendServer,
     { workClass }: PlacementRequest,
     how: PlacementOutcome,
     firstTokenMs: number | undefined,
@@ -382,6 +383,7 @@
     const { pool, clock } = this.#options;
     if (how === 'unreachable') pool.recordUnreachable(attempt, clock.now());
     if (how === 'unreachable' || how === 'broken') pool.recordLoss(attempt, clock.now());
+    if (how === 'unreachable') pool.recordEnd(server.id, clock.now());
     pool.settle(attempt, result, clock.now());
   }
 
@@ -403,9 +405,13 @@
 
   /** Checks whether a server that broke a connection has crashed, and records the crash. */
   async #checkForCrash(server: BackendServer): Promise<void> {
-    const hasEnded = await this.#options.crashCheck?.hasEnded(server);
+    const found = await this.#options.crashCheck?.check(server);
     const brokenRequests = this.#inFlight.takeBrokenRequests(server.id);
-    if (hasEnded) this.#recordCrash(server, brokenRequests);
+    const { pool, clock } = this.#options;
+    if (found === 'same-process') pool.recordSameProcess(server);
+    if (found !== 'ended') return;
+    pool.recordEnd(server.id, clock.now());
+    this.#recordCrash(server, brokenRequests);
   }
 
   #recordCrash(server: BackendServer, brokenRequests: string[]): void {
--- a/test/routing/streamSoftware.test.ts
+++ b/test/routing/streamSoftware.test.ts
@@ -112,12 +112,27 @@
       const attempt = pool.dispatch('a', 1_000);
       assert.equal(pool.softwareOf(attempt), 'v1');
       pool.recordLoss(attempt, 1_000);
+      assert.equal(pool.softwareOf(attempt), 'v1');
+      pool.recordEnd('a', 1_000);
       assert.equal(pool.softwareOf(attempt), ids === 'b' ? undefined : 'v1');
       assert.equal(idsFor(pool, OLD, 20_000), ids);
       assert.equal(idsFor(pool, ANY, 20_000), 'a b c');
     });
   }
 
+  test('is used at once if other connections to its process stay open', () => {
+    const pool = createPool({ listConfirmedAt: () => 1_000 });
+    const broke = server('a', 'v1', 7);
+    pool.applyList([broke, server('c', 'v2', 7)], 0);
+    pool.recordLoss(pool.dispatch('a', 1_000), 1_000);
+    pool.recordSameProcess(broke);
+    assert.equal(idsFor(pool, OLD, 1_001), 'a');
+    pool.recordEnd('a', 1_002);
+    pool.recordLoss(pool.dispatch('a', 1_002), 1_002);
+    pool.recordSameProcess(broke);
+    assert.equal(idsFor(pool, OLD, 1_003), '');
+  });
+
   test('is used again at once when its next life is listed, at the version of that life', () => {
     const pool = createPool({ listConfirmedAt: () => 1_100 });
     pool.applyList([server('a', 'v1', 7)], 0);
