--- a/test/soak/runSoak.ts
+++ b/test/soak/runSoak.ts
@@ -1,5 +1,6 @@
 /** One seeded run: real processes, stand-ins for the store and the servers, and injected faults. */
 
+import type { TestContext } from 'node:test';
 import type { Random } from '../../packages/lab/src/runtime/random.js';
 import type { RequestedPauseWindow } from '../platform/fakeServer.js';
 import type { FaultProfile, FaultTargets } from './soakFaults.js';
@@ -30,7 +31,7 @@
 import { checkStops } from './soakStops.js';
 import { checkStreams } from './soakStreamChecks.js';
 import { SoakStreams } from './soakStreams.js';
-import { SoakVersions, VERSIONED_ENGINES } from './soakVersions.js';
+import { SoakVersions } from './soakVersions.js';
 
 const INSTANCES = 3;
 /** Instances in a run of every fifth seed: so many that most of them borrow tokens from others. */
@@ -166,7 +167,7 @@
   }
 
   static async start(plan: RunPlan): Promise<SoakRun> {
-    const { hasCrashes, instances: count, callersRandom } = plan;
+    const { hasCrashes, hasVersions, instances: count, callersRandom } = plan;
     const cleanUps: (() => unknown)[] = [];
     const scope = {
       after: (cleanUp: unknown) => {
@@ -175,13 +176,9 @@
     };
     const directory = await mkdtemp(join(tmpdir(), 'flamingocourse-soak-'));
     const store = await new FakeStore().listen(scope);
-    const engines = hasCrashes ? await SoakCrashes.startEngines(store, scope) : [];
-    const engineNames = plan.hasVersions ? Object.keys(VERSIONED_ENGINES) : ['e1', 'e2'];
-    const names = ['p1', 'p2', ...(hasCrashes ? [] : engineNames)];
+    const engines = await startEngines(plan, store, scope);
+    const names = hasCrashes || hasVersions ? ['p1', 'p2'] : ['p1', 'p2', 'e1', 'e2'];
     const linked = await Promise.all(names.map((name) => new FakeServer(name).listen(scope)));
-    if (plan.hasVersions) {
-      for (const server of linked) server.software = VERSIONED_ENGINES[server.id] ?? 'v1';
-    }
     const servers = [...linked, ...engines];
     const links = await SoakLinks.create(store, linked, count, scope);
     const ports = await findFreePorts(PORTS_PER_INSTANCE * count);
@@ -193,12 +190,8 @@
     const crashes = hasCrashes
       ? new SoakCrashes(engines, instances, ACCOUNTS[0] ?? '', callersRandom)
       : undefined;
-    const versions = plan.hasVersions
-      ? new SoakVersions(
-          store,
-          linked.filter(({ id }) => id.startsWith('e')),
-          plan.versionsRandom,
-        )
+    const versions = hasVersions
+      ? new SoakVersions(store, engines, plan.versionsRandom)
       : undefined;
     const own = { directory, store, servers, linked, links, instances };
     const parts = { ...own, crashes, versions, cleanUps };
@@ -353,3 +346,13 @@
     this.#recoveryFailure = `after the faults, ${String(served)} of ${String(plain.length)} plain calls were served`;
   }
 }
+
+/** Starts the engines that are reached without links, if the run has any. */
+async function startEngines(
+  { hasCrashes, hasVersions }: RunPlan,
+  store: FakeStore,
+  scope: Pick<TestContext, 'after'>,
+): Promise<FakeServer[]> {
+  if (hasCrashes) return SoakCrashes.startEngines(store, scope);
+  return hasVersions ? SoakVersions.startEngines(store, scope) : [];
+}
--- a/test/soak/soakVersions.ts
+++ b/test/soak/soakVersions.ts
@@ -1,9 +1,10 @@
 /** Moves the engines of a run from one software version to another, and breaks their streams off. */
 
 import type { Random } from '../../packages/lab/src/runtime/random.js';
-import type { FakeServer } from '../platform/fakeServer.js';
+import type { TestContext } from 'node:test';
 import type { FakeStore } from '../platform/fakeStore.js';
 import { setTimeout as delay } from 'node:timers/promises';
+import { FakeServer } from '../platform/fakeServer.js';
 
 const SOFTWARE = ['v1', 'v2', 'v3'];
 /** Milliseconds between two changes; they overlap. */
@@ -15,8 +16,8 @@
 /** Maximum milliseconds for which the entry of an engine is missing. */
 const MAX_GONE_MS = 1_500;
 
-/** Engines of a run whose streams can break off, by their names and first software. */
-export const VERSIONED_ENGINES: Readonly<Record<string, string>> = {
+/** Engines of a run by their names, with their first software. */
+const ENGINES: Readonly<Record<string, string>> = {
   e1: 'v1',
   e2: 'v1',
   e3: 'v2',
@@ -55,6 +56,25 @@
     for (const engine of engines) this.#open(engine);
   }
 
+  /**
+   * Starts engines that the store lists under their own addresses. Behind a link, an engine that has
+   * ended would still accept connections, which no ended process does.
+   */
+  static async startEngines(
+    store: FakeStore,
+    scope: Pick<TestContext, 'after'>,
+  ): Promise<FakeServer[]> {
+    return Promise.all(
+      Object.entries(ENGINES).map(async ([name, software]) => {
+        const engine = await new FakeServer(name).listen(scope);
+        engine.software = software;
+        engine.behaviour = 'stream';
+        store.put('servers', name, engine.entry('llm', { slots: 16, born: 1 }));
+        return engine;
+      }),
+    );
+  }
+
   start(): void {
     void this.#run();
   }
