--- a/test/platform/streamRefusals.test.ts
+++ b/test/platform/streamRefusals.test.ts
@@ -22,7 +22,7 @@
 import { until } from './world.js';
 
 // Guards against a later try that goes on where its stream cannot go on, or is refused late or untruly.
-describe('a stream that cannot go on at its software version', () => {
+describe('a stream that cannot go on at its software version', { concurrency: 2 }, () => {
   test('is refused at once when its version is gone', async (t) => {
     const world = await startWorld(t, [OLD, NEW]);
     const [, other = world] = await joinAll(t, world, ['edge-2', 'edge-3']);
