refactor(gateway): names of the records of streams in the terms of the field

A record on its way was a parcel, and what peers answered was told; they are queued records and what was found. Names and comments of two files only; no behaviour and no test changed.

--- a/packages/gateway/src/node/streamOrigins.ts
+++ b/packages/gateway/src/node/streamOrigins.ts
@@ -1,6 +1,6 @@
 /**
  * Knows what began the streams that callers may take up again, at this instance or at another. While
- * streams of a service may have begun at different software versions, two other instances are told of each
+ * streams of a service may have begun at different software versions, two other instances get a record of each
  * stream, so that it can go on after its own instance was stopped, killed or cut off.
  */
 
@@ -32,7 +32,7 @@
 import { ServerDirectory } from './serverDirectory.js';
 import { StreamRecordSender } from './streamRecordSender.js';
 
-/** Instances that are told what began a stream. */
+/** Instances that get the record of a stream. */
 const COPIES = 2;
 /** Instances of this data centre, and other data centres, that are asked for a stream. */
 const ASKED_NEAR = 2;
@@ -59,7 +59,7 @@
   readonly #calls: StreamCalls;
   readonly #records = new StreamRecords();
   readonly #sender: StreamRecordSender;
-  /** Services whose streams other instances are told of. */
+  /** Services whose streams are recorded at other instances. */
   readonly #shared = new Set<ServiceName>();
   #holders: StreamHolders;
 
@@ -122,10 +122,10 @@
       return toStart(question, own, { source: own.type === 'unknown' ? 'nobody' : 'own' });
     }
     const askedAt = this.#now();
-    const told = await this.#ask(key, servicesOf(route));
+    const found = await this.#ask(key, servicesOf(route));
     const askedMs = Math.round(this.#now() - askedAt);
-    const source = told.type === 'unknown' ? 'nobody' : 'peer';
-    return toStart(question, told, { source, askedMs });
+    const source = found.type === 'unknown' ? 'nobody' : 'peer';
+    return toStart(question, found, { source, askedMs });
   }
 
   /** Keeps records of another instance. */
--- a/packages/gateway/src/node/streamRecordSender.ts
+++ b/packages/gateway/src/node/streamRecordSender.ts
@@ -13,7 +13,7 @@
 const AVOIDED_MS = 2_000;
 
 /** A record on its way to one instance. */
-interface Parcel {
+interface QueuedRecord {
   record: StreamRecord;
   /** Instances that may take its place, in order. */
   others: FleetInstance[];
@@ -28,7 +28,7 @@
 export class StreamRecordSender {
   readonly #context: GatewayContext;
   readonly #calls: StreamCalls;
-  readonly #batches = new Map<string, { peer: FleetInstance; parcels: Parcel[] }>();
+  readonly #batches = new Map<string, { peer: FleetInstance; queued: QueuedRecord[] }>();
   readonly #failedAt = new Map<string, number>();
   readonly #sending = new Set<Promise<void>>();
   #timer: NodeJS.Timeout | undefined;
@@ -53,11 +53,11 @@
   }
 
   /** Puts a record into the batch of the next instance. Its copies share the list of instances. */
-  #queue(parcel: Parcel): void {
-    const peer = parcel.others.shift();
+  #queue(next: QueuedRecord): void {
+    const peer = next.others.shift();
     if (!peer) return;
-    const batch = this.#batches.get(peer.name) ?? { peer, parcels: [] };
-    batch.parcels.push(parcel);
+    const batch = this.#batches.get(peer.name) ?? { peer, queued: [] };
+    batch.queued.push(next);
     this.#batches.set(peer.name, batch);
     this.#timer ??= setTimeout(() => {
       this.#sendBatches();
@@ -69,31 +69,31 @@
     this.#timer = undefined;
     const batches = [...this.#batches.values()];
     this.#batches.clear();
-    for (const { peer, parcels } of batches) {
-      for (let from = 0; from < parcels.length; from += MAX_STREAMS_PER_MESSAGE) {
-        const part = parcels.slice(from, from + MAX_STREAMS_PER_MESSAGE);
+    for (const { peer, queued } of batches) {
+      for (let from = 0; from < queued.length; from += MAX_STREAMS_PER_MESSAGE) {
+        const part = queued.slice(from, from + MAX_STREAMS_PER_MESSAGE);
         const sent = this.#sendTo(peer, part).finally(() => this.#sending.delete(sent));
         this.#sending.add(sent);
       }
     }
   }
 
-  async #sendTo(peer: FleetInstance, parcels: Parcel[]): Promise<void> {
+  async #sendTo(peer: FleetInstance, queued: QueuedRecord[]): Promise<void> {
     const kept = await this.#calls.keep(
       peer,
-      parcels.map(({ record }) => record),
+      queued.map(({ record }) => record),
     );
     if (kept.isOk) {
       this.#failedAt.delete(peer.name);
       return;
     }
     this.#failedAt.set(peer.name, this.#context.clock.now());
-    const lost = parcels.filter(({ others }) => others.length === 0);
+    const lost = queued.filter(({ others }) => others.length === 0);
     if (lost.length > 0) {
       const fields = { peer: peer.name, streams: lost.length, reason: kept.error };
       this.#context.log.write('stream-records-unsent', fields);
     }
-    for (const parcel of parcels) this.#queue(parcel);
+    for (const next of queued) this.#queue(next);
   }
 
   #answeringFirst(holders: readonly FleetInstance[]): FleetInstance[] {
