fix(gateway): a stream runs only over a connection whose process named the start of its server's entry

Streams that began there were recorded at the version of the old entry.

Cause: the entry was taken for the process. A lost connection put it in doubt for 5.5 s, at the instances that lost one; the others knew nothing. No later process can answer on that connection, so what was found holds as long as it does. Found another one, the entry is left out for such streams until the next is read.

Ruled out: a time rule on the age of the connection alone (refuses for 5.5 s after each new one), doubt told to peers (comes after the first request). The stand-ins of the soak name the start of their process, and one that leaves and starts again no longer writes the version of its entry in place of its own.

--- a/packages/core/src/runtime/routing/index.ts
+++ b/packages/core/src/runtime/routing/index.ts
@@ -17,5 +17,7 @@
 export * from './serverIncarnation.js';
 export * from './serverNotices.js';
 export * from './serverPool.js';
+export * from './serverProcess.js';
 export * from './serverRateLimits.js';
 export * from './serverSubset.js';
+export * from './streamSoftware.js';
--- a/packages/core/src/runtime/routing/serverEntry.ts
+++ b/packages/core/src/runtime/routing/serverEntry.ts
@@ -33,6 +33,8 @@
   listed = true;
   /** The server itself reported that it is leaving; the list cannot revoke this. */
   reportedLeaving = false;
+  /** Until when another process than the listed one is assumed under its id. */
+  replacedUntil: EpochMs = -Infinity;
   /** Number of the pool's last attempt that was sent to this server. */
   lastAttempt = 0;
   /** Whether a request that must run alone is in flight here. */
@@ -42,10 +44,6 @@
   #lastReceivedAt: EpochMs = -Infinity;
   /** When the path to the server last changed. */
   #pathChangedAt: EpochMs = -Infinity;
-  /** When a connection to the server was last lost or refused. */
-  #lostAt: EpochMs = -Infinity;
-  /** When the server was last found to have ended. */
-  #endedAt: EpochMs = -Infinity;
   /** Shared by all servers of the pool. */
   readonly #limit: ConcurrencyLimit;
 
@@ -105,41 +103,6 @@
     this.#pathChangedAt = now;
   }
 
-  /** Records that a connection to the server was lost or refused. */
-  recordLoss(now: EpochMs): void {
-    this.#lostAt = now;
-  }
-
-  /** Records that the server is the same process as before the last lost connection. */
-  recordSameProcess(): void {
-    this.#lostAt = this.#endedAt;
-  }
-
-  /** Records that the server was found to have ended: it accepts no connections. */
-  recordEnd(now: EpochMs): void {
-    this.#endedAt = now;
-  }
-
-  /**
-   * Whether a stream that has begun elsewhere may go on here. A server that can start again under its id
-   * may do so with other software; after a lost connection, only an entry that was confirmed long
-   * enough afterwards shows that it did not.
-   *
-   * @param confirmedAt when the list of servers was last confirmed.
-   * @param doubtMs milliseconds after a loss within which a new entry may not be listed yet.
-   */
-  mayGoOnHere(confirmedAt: EpochMs, doubtMs: number): boolean {
-    return this.server.bornAt === undefined || confirmedAt - this.#lostAt > doubtMs;
-  }
-
-  /**
-   * Whether a stream that begins here begins at the software that the entry names. A lost connection alone
-   * puts that in no doubt: a server that accepted another one at once had not ended.
-   */
-  isOriginSure(confirmedAt: EpochMs, doubtMs: number): boolean {
-    return this.server.bornAt === undefined || confirmedAt - this.#endedAt > doubtMs;
-  }
-
   /** Milliseconds for which requests in flight have received nothing from the server. */
   silentMs(now: EpochMs): number {
     // what waits on connections of an earlier path says nothing about the present one.
--- a/packages/core/src/runtime/routing/serverPool.ts
+++ b/packages/core/src/runtime/routing/serverPool.ts
@@ -24,6 +24,8 @@
 import { ServerEntry } from './serverEntry.js';
 import { ServerNotices } from './serverNotices.js';
 import { ServerRateLimits } from './serverRateLimits.js';
+import { MAX_ENTRY_DELAY_MS } from './serverProcess.js';
+import { ANY_SOFTWARE } from './streamSoftware.js';
 
 /** Options of a server pool. */
 export interface ServerPoolOptions {
@@ -42,8 +44,6 @@
   restoredBy?: RestoredBy;
   /** Software versions of the service, shared with whatever else hears of them. @default none */
   seenSoftware?: SeenSoftware;
-  /** Returns when the server list was last confirmed. @default always just now */
-  listConfirmedAt?: () => EpochMs;
 }
 
 /** Which slots a request may use; see `ImportanceReserve`. A slot is room for one request. */
@@ -56,12 +56,6 @@
 
 /** Maximum fraction of the pool that can be ejected at once. */
 const MAX_EJECTED_SHARE = 0.5;
-/**
- * Milliseconds after a lost connection until which the entry of a server that started again may still be the
- * old one: an entry that is not renewed expires after three heartbeats, and the list is read some time later.
- */
-const SOFTWARE_DOUBT_MS = 5_500;
-const ANY_SOFTWARE: StreamSoftware = { type: 'any' };
 /** How long a server is held for a request that must run alone, in milliseconds. */
 const HOLD_MS = 5_000;
 
@@ -313,27 +307,10 @@
     this.#attempts.get(attempt)?.recordSilence(now);
   }
 
-  /** Records that the connection of an attempt was lost or refused, so its server may have ended. */
-  recordLoss(attempt: number, now: EpochMs): void {
-    this.#attempts.get(attempt)?.recordLoss(now);
-  }
-
-  /** Records that a server was found to have ended: it accepts no connections. */
-  recordEnd(id: ServerId, now: EpochMs): void {
-    this.#entries.get(id)?.recordEnd(now);
-  }
-
-  /** Records that a server which broke a connection is still the process that it was before. */
-  recordSameProcess(server: BackendServer): void {
+  /** Records that another process than the listed one was found under the id of a server. */
+  recordReplaced(server: BackendServer, now: EpochMs): void {
     const entry = this.#entries.get(server.id);
-    if (entry && isSameLife(entry.server, server)) entry.recordSameProcess();
-  }
-
-  /** Software version that answers an attempt; undefined if that is not certain. */
-  softwareOf(attempt: number): string | undefined {
-    const entry = this.#attempts.get(attempt);
-    const isSure = entry?.isOriginSure(this.#listConfirmedAt, SOFTWARE_DOUBT_MS);
-    return isSure ? entry?.server.softwareVersion : undefined;
+    if (entry && isSameLife(entry.server, server)) entry.replacedUntil = now + MAX_ENTRY_DELAY_MS;
   }
 
   /** Servers that get no requests before a probe of them is answered. */
@@ -456,23 +433,18 @@
    */
   #entriesWith(software: StreamSoftware, now: EpochMs): ServerEntry[] {
     const entries = [...this.#entries.values()];
+    if (software.type === 'any') return entries;
+    const listed = entries.filter(({ replacedUntil }) => replacedUntil <= now);
     switch (software.type) {
-      case 'any':
-        return entries;
+      case 'begins':
+        return listed;
       case 'version':
-        return entries.filter((entry) => {
-          const isListed = entry.server.softwareVersion === software.version;
-          return isListed && entry.mayGoOnHere(this.#listConfirmedAt, SOFTWARE_DOUBT_MS);
-        });
+        return listed.filter(({ server }) => server.softwareVersion === software.version);
       case 'unknown':
-        return this.#countSoftware(now) > 1 ? [] : entries;
+        return this.#countSoftware(now) > 1 ? [] : listed;
     }
   }
 
-  get #listConfirmedAt(): EpochMs {
-    return this.#options.listConfirmedAt?.() ?? Infinity;
-  }
-
   /** Number of software versions that serve, or that served a short time ago. */
   #countSoftware(now: EpochMs): number {
     this.#observeSoftware(this.servers, now);
--- a/packages/core/src/types/placement.ts
+++ b/packages/core/src/types/placement.ts
@@ -41,8 +41,10 @@
  * belongs from its first event to its end to the version that made that event.
  */
 export type StreamSoftware =
-  /** The request begins a stream, or its answer is no stream. */
+  /** Its answer is no stream, or one that goes on nowhere else. */
   | { type: 'any' }
+  /** It begins a stream that may go on elsewhere, so the version of its first event must be certain. */
+  | { type: 'begins' }
   /** Its stream has begun at a server of this version. */
   | { type: 'version'; version: string }
   /** Its stream has begun, and the version is not known. */
--- a/packages/gateway/src/node/backendLanes.ts
+++ b/packages/gateway/src/node/backendLanes.ts
@@ -180,7 +180,6 @@
       restoredBy: 'probes',
       notices,
       seenSoftware: this.#context.seenSoftware,
-      listConfirmedAt: () => clock.now() - (this.#directory?.ageMs(clock.now()) ?? Infinity),
     });
     const lane = new ServiceLane({
       pool,
--- a/packages/gateway/src/node/connectionCheck.ts
+++ b/packages/gateway/src/node/connectionCheck.ts
@@ -3,7 +3,6 @@
  */
 
 import type { BackendServer } from '@flamingocourse/core';
-import type { ServerAfterLoss } from '@flamingocourse/router';
 import type { ServerAgent } from './serverAgent.js';
 import type { ServerPaths } from './serverPaths.js';
 import { connect } from 'node:net';
@@ -32,7 +31,7 @@
  * connect either.
  *
  * @example
- * if ((await new ConnectionCheck(agent, paths).check(server)) === 'ended') suspectAllInFlight();
+ * if (await new ConnectionCheck(agent, paths).hasEnded(server)) suspectAllInFlight();
  */
 export class ConnectionCheck extends CrashCheck {
   readonly #agent: ServerAgent;
@@ -45,11 +44,11 @@
     this.#peers = peers;
   }
 
-  override async check(server: BackendServer): Promise<ServerAfterLoss> {
+  override async hasEnded(server: BackendServer): Promise<boolean> {
     const { host, port } = serverAddress(server.url);
-    if (await this.#staysConnected(host, port)) return 'same-process';
-    if ((await tryConnection(host, port)) !== 'refused') return 'unclear';
-    return (await this.#peers.isOpenToPeers(server)) ? 'unclear' : 'ended';
+    if (await this.#staysConnected(host, port)) return false;
+    if ((await tryConnection(host, port)) !== 'refused') return false;
+    return !(await this.#peers.isOpenToPeers(server));
   }
 
   /**
--- a/packages/gateway/src/node/createGateway.ts
+++ b/packages/gateway/src/node/createGateway.ts
@@ -27,6 +27,7 @@
 import { ServerDirectory } from './serverDirectory.js';
 import { ServerTunnels } from './serverTunnels.js';
 import { ServerPaths } from './serverPaths.js';
+import { ServerProcesses } from './serverProcesses.js';
 import { SharedQuarantine } from './sharedQuarantine.js';
 import { MeshStreamCalls } from './meshStreamCalls.js';
 import { StreamOrigins } from './streamOrigins.js';
@@ -102,7 +103,9 @@
   const agent = new ServerAgent();
   const configuration = new ConfigurationWatch(context);
   const health = new HttpHealthCheck(context, configuration, agent);
-  const entry = new EntryService(context, agent);
+  const directory = new ServerDirectory(context, health);
+  const processes = new ServerProcesses(context, agent, () => directory.confirmedAt);
+  const entry = new EntryService(context, agent, processes);
   const instances = new InstanceDirectory(context);
   const peers = new MeshClient();
   const incarnation = randomUUID();
@@ -115,7 +118,7 @@
   const prepaid = new PrepaidService(context, incarnation, new MeshLoanCalls(peers));
   kernel
     .register(configuration)
-    .register(new ServerDirectory(context, health))
+    .register(directory)
     .register(paths)
     .register(lanes)
     .register(instances)
--- a/packages/gateway/src/node/entryService.ts
+++ b/packages/gateway/src/node/entryService.ts
@@ -35,6 +35,7 @@
 import { RequestFlow } from './requestFlow.js';
 import { doneAfterMs, requestFields } from './requestLogLine.js';
 import { ServerDirectory } from './serverDirectory.js';
+import type { ServerProcesses } from './serverProcesses.js';
 import { StreamOrigins } from './streamOrigins.js';
 import { StopSchedule } from '../runtime/stopSchedule.js';
 
@@ -57,6 +58,7 @@
   override readonly dependsOn = ['configuration', 'directory', 'lanes', 'prepaid', 'streams'];
   readonly #context: GatewayContext;
   readonly #agent: ServerAgent;
+  readonly #processes: ServerProcesses;
   readonly #server: Server;
   readonly #arrivals: ArrivalWatch;
   readonly #connections: CallerConnections;
@@ -66,10 +68,11 @@
   #kernel: Kernel | undefined;
   readonly #stopSchedule = new StopSchedule();
 
-  constructor(context: GatewayContext, agent: ServerAgent) {
+  constructor(context: GatewayContext, agent: ServerAgent, processes: ServerProcesses) {
     super();
     this.#context = context;
     this.#agent = agent;
+    this.#processes = processes;
     const options = { maxHeaderSize: MAX_HEAD_BYTES, noDelay: true };
     const server = createServer(options, (req, res) => void this.#handle(req, res));
     this.#server = closeOnCallerEnd(server);
@@ -126,6 +129,7 @@
       prepaid,
       directory,
       agent: this.#agent,
+      processes: this.#processes,
       streams,
     };
     this.#configuration = kernel.get('configuration', ConfigurationWatch);
--- a/packages/gateway/src/node/gatewayMetrics.ts
+++ b/packages/gateway/src/node/gatewayMetrics.ts
@@ -1,5 +1,6 @@
 /** Prometheus metrics of the process. */
 
+import type { ProcessVerdict } from '@flamingocourse/core';
 import type { CallCounters } from '@flamingocourse/store';
 import { Counter, Gauge, Histogram, Registry } from 'prom-client';
 
@@ -42,6 +43,12 @@
     labelNames: ['service', 'end'],
     registers: [this.#registry],
   });
+  readonly #processesAsked = new Counter({
+    name: 'flamingocourse_server_processes_asked_total',
+    help: 'questions which process is behind a connection to a server, by what was found',
+    labelNames: ['found'],
+    registers: [this.#registry],
+  });
   readonly #rateLimitedAttempts = new Counter({
     name: 'flamingocourse_rate_limited_attempts_total',
     help: 'attempts at servers that name a rate limit, by service',
@@ -115,6 +122,11 @@
     this.#quarantined.inc();
   }
 
+  /** Counts a question which process is behind a connection to a server. */
+  processAsked(found: ProcessVerdict | 'no-answer'): void {
+    this.#processesAsked.inc({ found });
+  }
+
   /** Counts an attempt at a server that reports a rate limit. */
   rateLimitedAttempt(service: string): void {
     this.#rateLimitedAttempts.inc({ service });
--- a/packages/gateway/src/node/httpAttempt.ts
+++ b/packages/gateway/src/node/httpAttempt.ts
@@ -29,6 +29,8 @@
    * event loop iteration. Nothing is sent if it returns false.
    */
   isWanted?: () => boolean;
+  /** Decides whether the request may be written to this connection; nothing is sent if not. */
+  accepts?: (connection: Socket) => boolean;
   /** Called when the request is written. */
   onSent?: () => void;
 }
@@ -38,6 +40,8 @@
   | 'not-connected'
   /** Connection refused: no process listens at the address. */
   | 'refused'
+  /** The connection, or the process behind it, may not be used for the request. */
+  | 'not-accepted'
   | 'broken'
   | 'timeout'
   | 'aborted';
@@ -131,12 +135,16 @@
       }
       settle(Result.ok({ head, body, drop, isBroken: () => broken }));
     });
-    onceConnected(req, () => {
+    onceConnected(req, (connection) => {
       if (settled) return;
       if (attempt.isWanted?.() === false) {
         abort();
         return;
       }
+      if (attempt.accepts?.(connection) === false) {
+        fail('not-accepted', 'the connection was not accepted');
+        return;
+      }
       sent = true;
       attempt.onSent?.();
       req.end(attempt.body);
@@ -146,16 +154,21 @@
 }
 
 /** Calls `listener` when the connection is open and all data that arrived by then has been read. */
-function onceConnected(req: ClientRequest, listener: () => void): void {
-  const connected = (): void => void waitForPendingReads().then(listener);
+function onceConnected(req: ClientRequest, listener: (connection: Socket) => void): void {
   req.once('socket', (socket: Socket) => {
+    const connected = (): void => {
+      void waitForPendingReads().then(() => {
+        listener(socket);
+      });
+    };
     if (socket.connecting) socket.once('connect', connected);
     else connected();
   });
 }
 
 function notSentReason(reason: AttemptFaultReason): AttemptFaultReason {
-  return reason === 'aborted' || reason === 'refused' ? reason : 'not-connected';
+  const isKept = reason === 'aborted' || reason === 'refused' || reason === 'not-accepted';
+  return isKept ? reason : 'not-connected';
 }
 
 /** Returns whether the response ends only with its connection, without a declared length. */
--- a/packages/gateway/src/node/requestLogLine.ts
+++ b/packages/gateway/src/node/requestLogLine.ts
@@ -78,7 +78,7 @@
   if (!flow) return {};
   const { software } = flow.progress;
   const { source, askedMs } = flow.stream;
-  if (software.type === 'any') return {};
+  if (software.type === 'any' || software.type === 'begins') return {};
   const streamVersion = software.type === 'version' ? software.version : software.type;
   return { streamVersion, streamKnownBy: source, askedMs };
 }
--- a/packages/gateway/src/node/serverAgent.ts
+++ b/packages/gateway/src/node/serverAgent.ts
@@ -52,6 +52,12 @@
     for (const socket of this.freeSockets[name] ?? []) socket.destroy();
   }
 
+  /** The idle connection that the next request to a server takes; undefined if it opens a new one. */
+  nextIdle(url: string): Duplex | undefined {
+    const idle = this.freeSockets[this.getName(serverAddress(url))] ?? [];
+    return idle.findLast((socket) => !socket.destroyed);
+  }
+
   /** Returns whether the connection is kept for reuse. */
   override keepSocketAlive(stream: Duplex): boolean {
     if (!(stream instanceof Socket)) return false;
--- a/packages/gateway/src/node/serverAttempt.ts
+++ b/packages/gateway/src/node/serverAttempt.ts
@@ -1,12 +1,15 @@
 /** One attempt of a request at one backend server: send it, check the response and forward it. */
 
+import type { Duplex } from 'node:stream';
+import type { ProcessVerdict } from '@flamingocourse/core';
 import type { Placement } from '@flamingocourse/router';
 import type { AttemptHistory, FailedAttempt } from '../runtime/retryPolicy.js';
 import type { Relay, RelayEnd } from './answerRelay.js';
 import type { BackendLane } from './backendLanes.js';
-import type { AttemptFault, OpenAnswer } from './httpAttempt.js';
+import type { AttemptFault, AttemptRequest, OpenAnswer } from './httpAttempt.js';
 import type { FlowParts, RequestProgress, RoutedCall } from '../types/requestRun.js';
 import { EventTiming } from '@flamingocourse/core';
+import { Result } from 'true-myth';
 import { isRepeatable, isStream, mayRetry } from '../runtime/retryPolicy.js';
 import { enginePriority } from '../runtime/enginePriority.js';
 import { recordNotice } from './recordNotice.js';
@@ -24,6 +27,9 @@
  */
 const MIN_WAIT_FRACTION = 0.6;
 
+/** Connections on which an attempt is tried if other requests take those that were asked. */
+const MAX_CONNECTIONS = 3;
+
 /** How an attempt ended. */
 export type AttemptEnd =
   | { type: 'answered'; status: number }
@@ -54,6 +60,8 @@
   readonly #placement: Placement;
   readonly #lane: BackendLane;
   #startedAt = 0;
+  /** Which process the request was sent to. */
+  #process: ProcessVerdict = 'listed';
 
   constructor({ parts, call, progress, placement, lane }: AttemptParts) {
     this.#parts = parts;
@@ -100,7 +108,43 @@
     }
   }
 
-  #open(): ReturnType<typeof openAttempt> {
+  /** Sends the request over a connection to the process that the list describes, where that matters. */
+  async #open(): Promise<Result<OpenAnswer, AttemptFault>> {
+    if (this.#progress.software.type === 'any') return this.#send();
+    const { processes } = this.#parts;
+    const { server } = this.#placement;
+    for (let tries = 0; tries < MAX_CONNECTIONS; tries += 1) {
+      const found = await processes.find(server, this.#call.signal);
+      if (found.isErr) {
+        // an idle connection may end just when it is used.
+        if (found.error.reason === 'broken') continue;
+        return Result.err({ ...found.error, sent: false });
+      }
+      if (found.value === 'other') this.#placement.recordReplaced();
+      if (!this.#mayRunAt(found.value)) return Result.err(notAccepted(found.value));
+      const opened = await this.#send((connection) => this.#accepts(connection));
+      if (opened.isOk || opened.error.reason !== 'not-accepted') return opened;
+    }
+    if (!this.#mayRunAt('unclear')) return Result.err(notAccepted('unclear'));
+    this.#process = 'unclear';
+    return this.#send();
+  }
+
+  /** Whether the request may be sent over a connection; others may have taken the one that was asked. */
+  #accepts(connection: Duplex): boolean {
+    const process = this.#parts.processes.verdictOn(connection, this.#placement.server);
+    if (process === undefined || !this.#mayRunAt(process)) return false;
+    this.#process = process;
+    return true;
+  }
+
+  /** A stream at an unclear process may only begin, or go on where one software version serves. */
+  #mayRunAt(process: ProcessVerdict): boolean {
+    if (process === 'unclear') return this.#progress.software.type !== 'version';
+    return process === 'listed';
+  }
+
+  #send(accepts?: AttemptRequest['accepts']): ReturnType<typeof openAttempt> {
     const { context, agent } = this.#parts;
     const { head, account, answer, body, service, signal, endsAt } = this.#call;
     const { server, promptSource: holder } = this.#placement;
@@ -123,6 +167,7 @@
       headMs: this.#headMs(),
       signal,
       isWanted: () => !answer.callerGone,
+      ...(accepts ? { accepts } : {}),
       onSent: () => {
         this.#progress.sentAt = this.#now();
       },
@@ -147,7 +192,10 @@
   #failToOpen(fault: AttemptFault): AttemptEnd {
     if (fault.sent) this.#progress.mayHaveRun += 1;
     if (fault.reason === 'aborted') return this.#interrupted();
-    if (!fault.sent) return this.#failed('not-sent', 'unreachable', fault.cause);
+    const isAnswering = fault.reason === 'not-accepted' || fault.reason === 'timeout';
+    if (!fault.sent) {
+      return this.#failed('not-sent', isAnswering ? 'cancelled' : 'unreachable', fault.cause);
+    }
     const how = fault.reason === 'timeout' ? 'timed-out' : 'broken';
     return this.#failed('unknown', how, fault.cause);
   }
@@ -200,7 +248,8 @@
 
   /** Binds the stream to the software that made its first event, before the caller gets the event. */
   #bindStream(): void {
-    const version = this.#placement.software();
+    const { softwareVersion } = this.#placement.server;
+    const version = this.#process === 'listed' ? softwareVersion : undefined;
     if (this.#progress.software.type !== 'version') {
       this.#progress.software =
         version === undefined ? { type: 'unknown' } : { type: 'version', version };
@@ -261,6 +310,14 @@
   }
 }
 
+function notAccepted(process: ProcessVerdict): AttemptFault {
+  const cause =
+    process === 'other'
+      ? 'another process than the listed one runs under its id'
+      : 'it is not clear whether the listed process runs';
+  return { reason: 'not-accepted', sent: false, cause };
+}
+
 /** Returns the inputs of the retry decision. */
 export function historyOf(
   call: RoutedCall,
--- a/packages/gateway/src/node/serverDirectory.ts
+++ b/packages/gateway/src/node/serverDirectory.ts
@@ -95,6 +95,12 @@
     return this.#reachability.ageMs(now);
   }
 
+  /** When the store last confirmed the list; -Infinity before the first time. */
+  get confirmedAt(): number {
+    const now = this.#context.clock.now();
+    return now - this.ageMs(now);
+  }
+
   /** Returns the state of the list at a time, for the log line of a request to server `id`. */
   view(id: string, now: number): ListView {
     const listAgeMs = Math.round(this.ageMs(now));
--- a/packages/gateway/src/node/streamOrigins.ts
+++ b/packages/gateway/src/node/streamOrigins.ts
@@ -22,7 +22,7 @@
 import type { StreamCalls } from '../types/streamCalls.js';
 import type { StreamStart } from '../types/streamStart.js';
 import { setTimeout as delay } from 'node:timers/promises';
-import { StreamHolders, StreamRecords } from '@flamingocourse/core';
+import { ANY_SOFTWARE, StreamHolders, StreamRecords } from '@flamingocourse/core';
 import { Service } from '@flamingocourse/kernel';
 import { Result } from 'true-myth';
 import { isStream } from '../runtime/retryPolicy.js';
@@ -42,7 +42,8 @@
 /** Milliseconds for which a caller waits that does not say how long. */
 const DEFAULT_WAIT_MS = 30_000;
 
-const ANYWHERE: StreamStart = { software: { type: 'any' } };
+const ANYWHERE: StreamStart = { software: ANY_SOFTWARE };
+const BEGINS: StreamStart = { software: { type: 'begins' } };
 
 /** A request that may take up a stream. */
 export interface StreamQuestion {
@@ -115,7 +116,7 @@
     const { head, route, account } = question;
     const { resumes, resumeAfter } = head;
     const takesUp = resumes !== undefined || resumeAfter !== undefined;
-    if (!isStream(route.repetition) || !takesUp) return Result.ok(ANYWHERE);
+    if (!isStream(route.repetition) || !takesUp) return Result.ok(startOn(route));
     const key = resumes === undefined ? undefined : streamKey(account, resumes);
     const own = this.#find(key);
     if (own.type !== 'unknown' || key === undefined) {
@@ -215,6 +216,11 @@
   return [...new Set(used)];
 }
 
+/** Where a request begins that has no event yet. */
+function startOn({ repetition }: Route): StreamStart {
+  return repetition === 'resumable-stream' ? BEGINS : ANYWHERE;
+}
+
 function toStart(
   { head, route }: StreamQuestion,
   knowledge: StreamKnowledge,
@@ -231,7 +237,7 @@
       return Result.err(cannotResume('its id was used for several streams'));
     case 'unknown':
       // a caller without an event may begin anywhere.
-      if (head.resumeAfter === undefined) return Result.ok({ ...ANYWHERE, ...from });
+      if (head.resumeAfter === undefined) return Result.ok({ ...startOn(route), ...from });
       if (services.length > 1) return Result.err(cannotResume('no instance knows it'));
       return Result.ok({ software: { type: 'unknown' }, ...from });
   }
--- a/packages/gateway/src/types/dialects.ts
+++ b/packages/gateway/src/types/dialects.ts
@@ -22,6 +22,14 @@
   abstract encodeRefusal(refusal: Refusal): EncodedRefusal;
 }
 
+/** Request for the state of a server. */
+export interface StateRequest {
+  /** Path and query. */
+  target: string;
+  /** Alternating names and values. */
+  headers: string[];
+}
+
 /** Wire format between this instance and backend servers. */
 export abstract class ServerDialect {
   /** Returns the headers of an attempt, as alternating names and values. */
@@ -34,6 +42,10 @@
   abstract notice(answer: ServerHead): ServerNotice;
   /** Returns the headers of a health check, as alternating names and values. */
   abstract healthHeaders(serverId: ServerId, host: string): string[];
+  /** Returns the request with which a server is asked for its state, which takes no slot. */
+  abstract stateRequest(serverId: ServerId, host: string): StateRequest;
+  /** Returns when the server started, by its own clock; undefined if its state does not tell. */
+  abstract bornAt(answer: ServerHead, body: string): number | undefined;
   /** Classifies the response to a health check of server `serverId`. */
   abstract judgeHealth(serverId: ServerId, answer: ServerHead): ProbeResult;
   /**
--- a/packages/gateway/src/types/requestRun.ts
+++ b/packages/gateway/src/types/requestRun.ts
@@ -15,6 +15,7 @@
 import type { PrepaidService } from '../node/prepaidService.js';
 import type { ServerAgent } from '../node/serverAgent.js';
 import type { ListView, ServerDirectory } from '../node/serverDirectory.js';
+import type { ServerProcesses } from '../node/serverProcesses.js';
 import type { StreamOrigins } from '../node/streamOrigins.js';
 import type { CallHead } from './call.js';
 import type { StreamStart } from './streamStart.js';
@@ -27,6 +28,7 @@
   prepaid: PrepaidService;
   directory: ServerDirectory;
   agent: ServerAgent;
+  processes: ServerProcesses;
   streams: StreamOrigins;
 }
 
--- a/packages/router/src/node/backends/serviceLane.ts
+++ b/packages/router/src/node/backends/serviceLane.ts
@@ -14,17 +14,18 @@
   ServerPool,
   ShedEntry,
   RateLimitPace,
-  StreamSoftware,
 } from '@flamingocourse/core';
 import type { Clock } from '@flamingocourse/kernel';
 import type { PlacementOutcome, Placement, PlacementRequest } from '../../types/backends.js';
 import type { CrashCheck } from '../../types/crashCheck.js';
 import type { QuarantineRegister } from './quarantineRegister.js';
 import {
+  ANY_SOFTWARE,
   chooseServer,
   PromptLocations,
   createRetryBudget,
   earnRetry,
+  hasBegun,
   hash32,
   spendRetry,
 } from '@flamingocourse/core';
@@ -52,7 +53,6 @@
 const importanceOrder = { first: 0, standard: 1, background: 2 } as const;
 const enginePriority = { first: 0, standard: 10, background: 20 } as const;
 
-const ANY_SOFTWARE: StreamSoftware = { type: 'any' };
 /** Milliseconds after which the servers of one software version may have room again. */
 const RESUME_RETRY_MS = 300;
 
@@ -177,9 +177,10 @@
 
   /** Refusal of a request that no server accepts. */
   #noServer({ software }: PlacementRequest, now: EpochMs): Refusal {
-    const isBegun = software !== undefined && software.type !== 'any';
     const hasOthers = this.#options.pool.hasOpenServer(undefined, now);
-    return isBegun && hasOthers ? cannotResumeRefusal() : noServerRefusal();
+    return hasBegun(software ?? ANY_SOFTWARE) && hasOthers
+      ? cannotResumeRefusal()
+      : noServerRefusal();
   }
 
   /** Refuses all waiting requests; called when the service is removed or the router stops. */
@@ -218,10 +219,8 @@
   #paces(now: EpochMs): (request: PlacementRequest) => RateLimitPace | undefined {
     const { pool } = this.#options;
     const ofAll = pool.sendPace(now);
-    return ({ software }) => {
-      return software === undefined || software.type === 'any'
-        ? ofAll
-        : pool.sendPace(now, software);
+    return ({ software = ANY_SOFTWARE }) => {
+      return hasBegun(software) ? pool.sendPace(now, software) : ofAll;
     };
   }
 
@@ -324,7 +323,9 @@
           ? undefined
           : this.#findPromptSource(prefixKey, server, request, now),
       priority: enginePriority[request.importance],
-      software: () => pool.softwareOf(attempt),
+      recordReplaced: () => {
+        pool.recordReplaced(server, this.#options.clock.now());
+      },
       recordReceived: () => {
         pool.recordReceived(attempt, this.#options.clock.now());
       },
@@ -332,7 +333,7 @@
         if (prefixKey !== undefined) this.#promptLocations.record(prefixKey, server.id);
       },
       end: (how, firstTokenMs) => {
-        this.#recordEnd(attempt, server, request, how, firstTokenMs);
+        this.#recordEnd(attempt, request, how, firstTokenMs);
         this.#reportCrash(server, attempt, request.fingerprint, how);
         if (how === 'ok' && firstTokenMs !== undefined) {
           this.#recordAnswer(
@@ -369,7 +370,6 @@
 
   #recordEnd(
     attempt: number,
-    server: BackendServer,
     { workClass }: PlacementRequest,
     how: PlacementOutcome,
     firstTokenMs: number | undefined,
@@ -382,8 +382,6 @@
     };
     const { pool, clock } = this.#options;
     if (how === 'unreachable') pool.recordUnreachable(attempt, clock.now());
-    if (how === 'unreachable' || how === 'broken') pool.recordLoss(attempt, clock.now());
-    if (how === 'unreachable') pool.recordEnd(server.id, clock.now());
     pool.settle(attempt, result, clock.now());
   }
 
@@ -405,13 +403,9 @@
 
   /** Checks whether a server that broke a connection has crashed, and records the crash. */
   async #checkForCrash(server: BackendServer): Promise<void> {
-    const found = await this.#options.crashCheck?.check(server);
+    const hasEnded = await this.#options.crashCheck?.hasEnded(server);
     const brokenRequests = this.#inFlight.takeBrokenRequests(server.id);
-    const { pool, clock } = this.#options;
-    if (found === 'same-process') pool.recordSameProcess(server);
-    if (found !== 'ended') return;
-    pool.recordEnd(server.id, clock.now());
-    this.#recordCrash(server, brokenRequests);
+    if (hasEnded) this.#recordCrash(server, brokenRequests);
   }
 
   #recordCrash(server: BackendServer, brokenRequests: string[]): void {
@@ -457,5 +451,5 @@
   { software = ANY_SOFTWARE, startBy }: PlacementRequest,
   now: EpochMs,
 ): boolean {
-  return software.type !== 'any' && startBy !== undefined && startBy <= now;
+  return hasBegun(software) && startBy !== undefined && startBy <= now;
 }
--- a/packages/router/src/types/backends.ts
+++ b/packages/router/src/types/backends.ts
@@ -64,8 +64,8 @@
   end(how: PlacementOutcome, firstTokenMs?: number): void;
   /** Records that a part of the answer has arrived. */
   recordReceived(): void;
-  /** Software version that answers; undefined if that is not certain. */
-  software(): string | undefined;
+  /** Records that another process than the listed one was found at the server. */
+  recordReplaced(): void;
   /** Records that the server has begun to answer and so has read the prompt. */
   recordPromptRead(): void;
 }
--- a/test/gateway/connectionCheck.test.ts
+++ b/test/gateway/connectionCheck.test.ts
@@ -2,7 +2,6 @@
 import type { Server } from 'node:http';
 import type { AddressInfo } from 'node:net';
 import assert from 'node:assert/strict';
-import type { ServerAfterLoss } from '@flamingocourse/router';
 import { once } from 'node:events';
 import { createServer, request } from 'node:http';
 import { test } from 'node:test';
@@ -17,7 +16,7 @@
   isInUse: boolean;
   /** Whether a peer connects to the server. */
   isOpenToPeers?: boolean;
-  found: ServerAfterLoss;
+  hasEnded: boolean;
   /** Number of connections that the check opens to the server. */
   opened: number;
 }
@@ -32,7 +31,7 @@
       server.closeAllConnections();
     },
     isInUse: true,
-    found: 'ended',
+    hasEnded: true,
     opened: 0,
   },
   {
@@ -43,7 +42,7 @@
     },
     isInUse: true,
     isOpenToPeers: true,
-    found: 'unclear',
+    hasEnded: false,
     opened: 0,
   },
   {
@@ -55,27 +54,27 @@
       }, 10);
     },
     isInUse: true,
-    found: 'ended',
+    hasEnded: true,
     opened: 0,
   },
   {
     name: 'a server that only lost a connection',
     after: () => undefined,
     isInUse: false,
-    found: 'unclear',
+    hasEnded: false,
     opened: 1,
   },
   {
     name: 'a server with another connection open',
     after: () => undefined,
     isInUse: true,
-    found: 'same-process',
+    hasEnded: false,
     opened: 0,
   },
 ];
 
-for (const { name, after, isInUse, isOpenToPeers, found, opened } of cases) {
-  test(`${name} is found: ${found}`, async (t) => {
+for (const { name, after, isInUse, isOpenToPeers, hasEnded, opened } of cases) {
+  test(`${name} has ${hasEnded ? '' : 'not '}ended`, async (t) => {
     const { server, url } = await listen(t);
     const agent = new ServerAgent();
     t.after(() => {
@@ -88,7 +87,7 @@
     const peers = { isOpenToPeers: () => Promise.resolve(isOpenToPeers ?? false) };
     const check = new ConnectionCheck(agent, peers);
     const [service, id, dataCentre, state] = ['llm', 's1', 'hall-a', 'live'] as const;
-    assert.equal(await check.check({ service, id, dataCentre, state, url }), found);
+    assert.equal(await check.hasEnded({ service, id, dataCentre, state, url }), hasEnded);
     await new Promise((resolve) => setTimeout(resolve, 20));
     assert.equal(connections, opened);
   });
--- a/test/platform/fakeServer.ts
+++ b/test/platform/fakeServer.ts
@@ -67,6 +67,8 @@
 const LAST_EVENT = 4;
 /** Path of the health check. */
 const HEALTH_PATH = '/health';
+/** Path at which a server tells its state. */
+const STATE_PATH = '/api/report';
 
 /** A pause that a server requested from an instance, in monotonic clock time. */
 export interface RequestedPauseWindow {
@@ -124,6 +126,10 @@
   address = '';
   /** Version of its software; its events name it. */
   software = FIRST_SOFTWARE;
+  /** Start of its process, which its entry and its state name; undefined if they name none. */
+  bornAt: number | undefined;
+  /** Number of requests for its state. */
+  stateRequests = 0;
   /** Called for each new connection. */
   onConnection: () => void = () => undefined;
   /** Called after an answer was written. */
@@ -200,6 +206,7 @@
   /** Ends the process and starts it again under the same id, with other software. */
   async restartAs(software: string): Promise<void> {
     this.software = software;
+    if (this.bornAt !== undefined) this.bornAt += 1;
     await this.#restart(RESTART_MS);
   }
 
@@ -240,6 +247,7 @@
       slots: 4,
       state: 'ready',
       seq: 1,
+      ...(this.bornAt === undefined ? {} : { born: this.bornAt }),
       ...change,
     };
   }
@@ -257,6 +265,13 @@
       res.writeHead(this.leaving ? 503 : 200, { 'x-instance-id': this.id }).end();
       return;
     }
+    if (url === STATE_PATH) {
+      this.stateRequests += 1;
+      if (this.behaviour === 'silent') return;
+      res.writeHead(200, { 'content-type': 'application/json' });
+      res.end(JSON.stringify({ stage: 'unified', waiting: 0, born: this.bornAt }));
+      return;
+    }
     const ran = headers['x-expect-instance'] === this.id && this.behaviour !== 'shed';
     const body = Buffer.concat(chunks).toString();
     const seen = { method, url, headers, body, at, ran, endedAt: undefined, broke: false };
--- a/test/platform/streamRefusals.test.ts
+++ b/test/platform/streamRefusals.test.ts
@@ -8,9 +8,9 @@
   beginStreams,
   begunAt,
   behave,
-  engines,
   joinAll,
   joinedOf,
+  nameStarts,
   resumedArrivals,
   startWorld,
   takeUp,
@@ -48,18 +48,37 @@
   test('is refused while the list still names the version that its server no longer runs', async (t) => {
     const world = await startWorld(t, [OLD, NEW]);
     world.store.remove('servers', 'e2');
-    for (const server of engines(world)) {
-      if (world.store.names('servers').includes(server.id)) {
-        world.store.put('servers', server.id, server.entry('llm', { born: 1_000 }));
-      }
-    }
-    await untilListed([world]);
+    await nameStarts(world);
     const begun = begunAt(await beginStreams(world), OLD);
     await world.server('e1').restartAs(NEW);
     const tries = await takeUpAll(world, begun);
     assert.deepEqual(joinedOf(tries), []);
   });
 
+  test('is refused by an instance that never used the server which came back as another version', async (t) => {
+    const world = await startWorld(t, [OLD, NEW]);
+    world.store.remove('servers', 'e2');
+    await nameStarts(world);
+    const [, other = world] = await joinAll(t, world, ['edge-2']);
+    const begun = begunAt(await beginStreams(world), OLD);
+    await world.server('e1').restartAs(NEW);
+    const tries = await takeUpAll(other, begun);
+    assert.deepEqual(joinedOf(tries), []);
+    assertRefused(tries);
+    assert.deepEqual(resumedArrivals(world), []);
+  });
+
+  test('is not joined if it began at a server which came back as another version', async (t) => {
+    const world = await startWorld(t, [OLD, NEW]);
+    await nameStarts(world);
+    const [, other = world] = await joinAll(t, world, ['edge-2']);
+    await world.server('e1').restartAs(NEW);
+    const begun = await beginStreams(other);
+    for (const instance of [other, world]) {
+      assert.deepEqual(joinedOf(await takeUpAll(instance, begun)), []);
+    }
+  });
+
   test('is refused after its server came back under its id with another version', async (t) => {
     const world = await startWorld(t, [OLD, NEW]);
     world.store.remove('servers', 'e2');
--- a/test/platform/streamWorld.ts
+++ b/test/platform/streamWorld.ts
@@ -95,6 +95,22 @@
   return server;
 }
 
+/** Lets the listed engines name their starts, so that they may start again under their ids. */
+export async function nameStarts(world: World): Promise<void> {
+  const listed = new Set(world.store.names('servers'));
+  const revisions = engines(world)
+    .filter(({ id }) => listed.has(id))
+    .map((server) => {
+      server.bornAt = 1_000;
+      return world.store.put('servers', server.id, server.entry('llm'));
+    });
+  await until('the entries were read', () =>
+    world.log.events.some(({ event, fields }) => {
+      return event === 'servers-changed' && Number(fields.version) >= Math.max(...revisions);
+    }),
+  );
+}
+
 /** Waits until each instance lists exactly the servers that the store lists. */
 export async function untilListed(fleet: readonly World[]): Promise<void> {
   await until('the servers are listed', () =>
--- a/test/routing/brokenConnections.test.ts
+++ b/test/routing/brokenConnections.test.ts
@@ -1,7 +1,6 @@
 import type { BackendServer } from '@flamingocourse/core';
 import type { Placement } from '@flamingocourse/router';
 import assert from 'node:assert/strict';
-import type { ServerAfterLoss } from '@flamingocourse/router';
 import { test } from 'node:test';
 import {
   AdmissionQueue,
@@ -31,9 +30,9 @@
     this.#ended = ended;
   }
 
-  override check(): Promise<ServerAfterLoss> {
+  override hasEnded(): Promise<boolean> {
     this.calls += 1;
-    return Promise.resolve(this.#ended ? 'ended' : 'unclear');
+    return Promise.resolve(this.#ended);
   }
 }
 
--- a/test/routing/streamSoftware.test.ts
+++ b/test/routing/streamSoftware.test.ts
@@ -1,13 +1,12 @@
 import type { BackendServer, StreamSoftware } from '@flamingocourse/core';
 import assert from 'node:assert/strict';
 import { describe, test } from 'node:test';
-import { SeenSoftware, ServerPool } from '@flamingocourse/core';
+import { MAX_ENTRY_DELAY_MS, SeenSoftware, ServerPool } from '@flamingocourse/core';
 
 const OLD: StreamSoftware = { type: 'version', version: 'v1' };
 const UNKNOWN: StreamSoftware = { type: 'unknown' };
 const ANY: StreamSoftware = { type: 'any' };
-/** Milliseconds for which a lost connection leaves a server's software in doubt. */
-const DOUBT_MS = 5_500;
+const BEGINS: StreamSoftware = { type: 'begins' };
 
 function server(id: string, softwareVersion?: string, bornAt?: number): BackendServer {
   const url = `http://${id}`;
@@ -37,7 +36,8 @@
   const single = both.slice(0, 2);
   const cases: { name: string; servers: BackendServer[]; software: StreamSoftware; ids: string }[] =
     [
-      { name: 'a new stream, two versions', servers: both, software: ANY, ids: 'a b c' },
+      { name: 'a request of no stream, two versions', servers: both, software: ANY, ids: 'a b c' },
+      { name: 'a new stream, two versions', servers: both, software: BEGINS, ids: 'a b c' },
       { name: 'a stream of v1, two versions', servers: both, software: OLD, ids: 'a b' },
       {
         name: 'a stream of v1, which is gone',
@@ -90,63 +90,66 @@
   });
 });
 
-// Guards against a stream that goes on at a server whose listed version is that of its life before.
-describe('a server that broke a connection and can start again under its id', () => {
-  const cases = [
-    { name: 'is left out at once', confirmedAt: 1_000, ids: 'b' },
-    {
-      name: 'is left out while a new entry may be on its way',
-      confirmedAt: 1_000 + DOUBT_MS,
-      ids: 'b',
-    },
-    {
-      name: 'is used when its entry was confirmed after that',
-      confirmedAt: 1_001 + DOUBT_MS,
-      ids: 'a b',
-    },
-  ];
-  for (const { name, confirmedAt, ids } of cases) {
+// Guards against a stream that begins or goes on at a server whose listed version is that of its process before.
+describe('a server at which another process than the listed one was found', () => {
+  const old = server('a', 'v1', 7);
+  const others = [server('b', 'v1', 7), server('c', 'v2', 7)];
+  const cases: { name: string; now: number; listed: BackendServer; old: string; begins: string }[] =
+    [
+      { name: 'is left out at once', now: 1_000, listed: old, old: 'b', begins: 'b c' },
+      {
+        name: 'is left out while a new entry may be on its way',
+        now: 1_000 + MAX_ENTRY_DELAY_MS - 1,
+        listed: old,
+        old: 'b',
+        begins: 'b c',
+      },
+      {
+        name: 'may be asked again after that',
+        now: 1_000 + MAX_ENTRY_DELAY_MS,
+        listed: old,
+        old: 'a b',
+        begins: 'a b c',
+      },
+      {
+        name: 'is used at once when its next process is listed',
+        now: 1_100,
+        listed: server('a', 'v1', 8),
+        old: 'b a',
+        begins: 'b c a',
+      },
+      {
+        name: 'is used at the version of its next process',
+        now: 1_100,
+        listed: server('a', 'v2', 8),
+        old: 'b',
+        begins: 'b c a',
+      },
+    ];
+  for (const { name, now, listed, old: idsForOld, begins } of cases) {
     test(name, () => {
-      const pool = createPool({ listConfirmedAt: () => confirmedAt });
-      pool.applyList([server('a', 'v1', 7), server('b', 'v1', 7), server('c', 'v2', 7)], 0);
-      const attempt = pool.dispatch('a', 1_000);
-      assert.equal(pool.softwareOf(attempt), 'v1');
-      pool.recordLoss(attempt, 1_000);
-      assert.equal(pool.softwareOf(attempt), 'v1');
-      pool.recordEnd('a', 1_000);
-      assert.equal(pool.softwareOf(attempt), ids === 'b' ? undefined : 'v1');
-      assert.equal(idsFor(pool, OLD, 20_000), ids);
-      assert.equal(idsFor(pool, ANY, 20_000), 'a b c');
+      const pool = createPool();
+      pool.applyList([old, ...others], 0);
+      pool.recordReplaced(old, 1_000);
+      pool.applyList([...others, listed], 1_100);
+      const sorted = (ids: string): string[] => ids.split(' ').toSorted();
+      assert.deepEqual(sorted(idsFor(pool, OLD, now)), sorted(idsForOld));
+      assert.deepEqual(sorted(idsFor(pool, BEGINS, now)), sorted(begins));
+      assert.equal(idsFor(pool, ANY, now).split(' ').length, 3);
     });
   }
 
-  test('is used at once if other connections to its process stay open', () => {
-    const pool = createPool({ listConfirmedAt: () => 1_000 });
-    const broke = server('a', 'v1', 7);
-    pool.applyList([broke, server('c', 'v2', 7)], 0);
-    pool.recordLoss(pool.dispatch('a', 1_000), 1_000);
-    pool.recordSameProcess(broke);
-    assert.equal(idsFor(pool, OLD, 1_001), 'a');
-    pool.recordEnd('a', 1_002);
-    pool.recordLoss(pool.dispatch('a', 1_002), 1_002);
-    pool.recordSameProcess(broke);
-    assert.equal(idsFor(pool, OLD, 1_003), '');
-  });
-
-  test('is used again at once when its next life is listed, at the version of that life', () => {
-    const pool = createPool({ listConfirmedAt: () => 1_100 });
-    pool.applyList([server('a', 'v1', 7)], 0);
-    pool.recordLoss(pool.dispatch('a', 1_000), 1_000);
-    pool.applyList([server('a', 'v1', 8)], 1_100);
-    assert.equal(idsFor(pool, OLD, 1_100), 'a');
-    pool.applyList([server('a', 'v2', 8)], 1_200);
-    assert.equal(idsFor(pool, OLD, 1_200), '');
+  test('does not count for a process that was listed meanwhile', () => {
+    const pool = createPool();
+    pool.applyList([server('a', 'v1', 8)], 0);
+    pool.recordReplaced(old, 1_000);
+    assert.equal(idsFor(pool, OLD, 1_000), 'a');
   });
 
-  test('is used at once if each of its starts has a new id', () => {
-    const pool = createPool({ listConfirmedAt: () => 1_000 });
-    pool.applyList([server('a', 'v1'), server('c', 'v2')], 0);
-    pool.recordLoss(pool.dispatch('a', 1_000), 1_000);
-    assert.equal(idsFor(pool, OLD, 1_001), 'a');
+  test('is left out for an unknown stream too', () => {
+    const pool = createPool();
+    pool.applyList([old, server('b', 'v1', 7)], 0);
+    pool.recordReplaced(old, 1_000);
+    assert.equal(idsFor(pool, UNKNOWN, 1_000), 'b');
   });
 });
--- a/test/soak/soakConfiguration.ts
+++ b/test/soak/soakConfiguration.ts
@@ -1,5 +1,6 @@
 /** Configuration that a run writes to the store: accounts with their limits, and services. */
 
+import type { FakeServer } from '../platform/fakeServer.js';
 import type { FakeStore } from '../platform/fakeStore.js';
 import { configWith } from '../platform/world.js';
 import { soakRoutes, soakServices } from './soakFleet.js';
@@ -43,9 +44,11 @@
   }
 
   /** Writes the entry of a server that has started again, as a new incarnation. */
-  restartServer(id: string): void {
+  restartServer(server: FakeServer): void {
     this.#version += 1;
-    const entry = this.#store.value('servers', id) as Record<string, unknown>;
-    this.#store.put('servers', id, { ...entry, born: this.#version });
+    server.bornAt = this.#version;
+    const entry = this.#store.value('servers', server.id) as Record<string, unknown>;
+    const { bornAt: born, software: version } = server;
+    this.#store.put('servers', server.id, { ...entry, born, version });
   }
 }
--- a/test/soak/soakCrashes.ts
+++ b/test/soak/soakCrashes.ts
@@ -90,7 +90,8 @@
 function registerAfterRestarts(engine: FakeServer, store: FakeStore): void {
   let registeredId = engine.id;
   const register = (): void => {
-    store.put('servers', engine.id, engine.entry('llm', { slots: 16, born: engine.crashed + 1 }));
+    engine.bornAt = engine.crashed + 1;
+    store.put('servers', engine.id, engine.entry('llm', { slots: 16 }));
   };
   engine.behaviour = 'stream';
   engine.crashes = 'after-head';
--- a/test/soak/soakFaults.ts
+++ b/test/soak/soakFaults.ts
@@ -233,7 +233,7 @@
     server.saysLeaving = true;
     await delay(forMs);
     server.saysLeaving = false;
-    this.targets.configuration.restartServer(server.id);
+    this.targets.configuration.restartServer(server);
   }
 
   async #limitRate(forMs: number): Promise<void> {
--- a/test/soak/soakLinks.ts
+++ b/test/soak/soakLinks.ts
@@ -68,7 +68,8 @@
   if (!server) throw new RangeError('a link has no server');
   const isEngine = server.id.startsWith('e');
   server.behaviour = isEngine ? 'stream' : 'answer';
-  const change = { address: local(port), slots: 16, born: 1 };
+  server.bornAt = 1;
+  const change = { address: local(port), slots: 16 };
   store.put('servers', server.id, server.entry(isEngine ? 'llm' : 'ledger', change));
 }
 
--- a/test/soak/soakVersions.ts
+++ b/test/soak/soakVersions.ts
@@ -46,7 +46,6 @@
   readonly #active = new Set<Promise<void>>();
   readonly #busy = new Set<FakeServer>();
   #isOver = false;
-  #starts = 1_000;
 
   constructor(
     readonly store: FakeStore,
@@ -69,7 +68,8 @@
         const engine = await new FakeServer(name).listen(scope);
         engine.software = software;
         engine.behaviour = 'stream';
-        store.put('servers', name, engine.entry('llm', { slots: 16, born: 1 }));
+        engine.bornAt = 1;
+        store.put('servers', name, engine.entry('llm', { slots: 16 }));
         return engine;
       }),
     );
@@ -136,9 +136,7 @@
   async #restart(engine: FakeServer, software: string, entryMs: number): Promise<void> {
     await engine.restartAs(software);
     await delay(entryMs);
-    this.#starts += 1;
-    const entry = this.store.value('servers', engine.id) as Record<string, unknown>;
-    this.store.put('servers', engine.id, { ...entry, version: software, born: this.#starts });
+    this.store.put('servers', engine.id, engine.entry('llm', { slots: 16 }));
   }
 
   async #remove(engine: FakeServer, forMs: number): Promise<void> {
