fix(router): a request that was placed at a server but never sent there is no evidence in its crash

Trace (r-2): its attempts ran at two servers and crashed them; between them it was placed at e4, which another request had just ended, and was not sent (connection refused). At that moment the check of e4 ended and took all placed requests as in flight, so r-2 counted three crashed servers with two runs, and was refused. The same would blame a request that crashes nothing, if it happens to it at three servers.

In flight is now what was sent. The own interface says so before it connects, as its attempts do not tell the moment; nothing changes there. Ruled out: the records of streams and the question for the process (neither is on that path). The unit test was red before ('b' a suspect), green now.

--- a/packages/gateway/src/node/serverAttempt.ts
+++ b/packages/gateway/src/node/serverAttempt.ts
@@ -170,6 +170,7 @@
       ...(accepts ? { accepts } : {}),
       onSent: () => {
         this.#progress.sentAt = this.#now();
+        this.#placement.recordSent();
       },
     });
   }
--- a/packages/router/src/node/backends/serviceLane.ts
+++ b/packages/router/src/node/backends/serviceLane.ts
@@ -314,7 +314,6 @@
     const attempt = pool.dispatch(chosen.id, now, exclusive);
     const server = pool.server(chosen.id);
     if (!server) throw new RangeError(`chosen server "${chosen.id}" is not in the pool`);
-    this.#inFlight.add(server.id, attempt, request.fingerprint);
     const { prefixKey } = request;
     return {
       server,
@@ -323,6 +322,9 @@
           ? undefined
           : this.#findPromptSource(prefixKey, server, request, now),
       priority: enginePriority[request.importance],
+      recordSent: () => {
+        this.#inFlight.add(server.id, attempt, request.fingerprint);
+      },
       recordReplaced: () => {
         pool.recordReplaced(server, this.#options.clock.now());
       },
--- a/packages/router/src/node/entry/chatWork.ts
+++ b/packages/router/src/node/entry/chatWork.ts
@@ -72,6 +72,7 @@
     execution.dispatched = true;
     const startedAt = this.context.clock.now();
     let firstTokenMs: number | undefined;
+    placement.recordSent();
     const end = await runEngineAttempt({
       url: placement.server.url,
       nonce: this.nonce(execution, progress.attempts),
--- a/packages/router/src/node/entry/plainWork.ts
+++ b/packages/router/src/node/entry/plainWork.ts
@@ -41,6 +41,7 @@
     const wasDispatched = execution.dispatched;
     execution.dispatched = true;
     const startedAt = this.context.clock.now();
+    placement.recordSent();
     const end = await runPlainAttempt({
       url: placement.server.url,
       nonce: this.nonce(execution, attempts),
--- a/packages/router/src/types/backends.ts
+++ b/packages/router/src/types/backends.ts
@@ -62,6 +62,8 @@
   priority: number;
   /** Releases the place. `firstTokenMs` is the time from the placement to the first token. */
   end(how: PlacementOutcome, firstTokenMs?: number): void;
+  /** Records that the request is sent; only from then on can it be the cause of a crash. */
+  recordSent(): void;
   /** Records that a part of the answer has arrived. */
   recordReceived(): void;
   /** Records that another process than the listed one was found at the server. */
