fix(gateway): a server that nobody reaches is probed through one peer a time, and not by all instances at once

Each instance probed a dead server directly and through three peers each 1.6 s, all in step after the same loss: reckoned at 7,000 connects a second at 2,800 instances (CAPACITY). Now two probes ask several peers, which is how a lost link is told from a dead server; the later ones ask one, the first and the second in the order in turn, so that one of another data centre is asked too. Each interval is up to a quarter shorter by chance, never longer, so the end of a partition is found as soon as before. Reckoned at 4,000 connects a second. Two unit tests, red before (no such plan, equal intervals).

--- a/packages/gateway/src/node/serverPaths.ts
+++ b/packages/gateway/src/node/serverPaths.ts
@@ -6,6 +6,7 @@
 import type { GatewayContext } from '../types/context.js';
 import type { TunnelCalls } from '../types/tunnelCalls.js';
 import type { Way } from '../runtime/staggeredRace.js';
+import type { ProbePlan } from '../runtime/serverPath.js';
 import type { ServerAgent } from './serverAgent.js';
 import type { DirectoryServer } from './serverDirectory.js';
 import { setTimeout as delay } from 'node:timers/promises';
@@ -192,11 +193,11 @@
    * Asks a server on both paths at the same time. A busy server is slow on both, so the direct path
    * counts as lost only if the answer through a peer came first by some margin.
    */
-  async #probe(server: DirectoryServer, path: ServerPath, isDoubted: boolean): Promise<void> {
+  async #probe(server: DirectoryServer, path: ServerPath, plan: ProbePlan): Promise<void> {
     const target = this.#takeHealthPath(server);
     const direct = this.#probeDirect(server, target);
-    const isTunnelKnown = path.kind === 'tunnel' && !isDoubted;
-    const tunnel = isTunnelKnown ? Promise.resolve(true) : this.#probeTunnel(server, target);
+    const isTunnelKnown = path.kind === 'tunnel' && !plan.isDoubted;
+    const tunnel = isTunnelKnown ? Promise.resolve(true) : this.#probeTunnel(server, target, plan.peers);
     const answersDirectly = isTunnelKnown
       ? await direct
       : await Promise.race([
@@ -227,9 +228,14 @@
   }
 
   /** Probes through several peers, because one may have lost its link to the server as well. */
-  async #probeTunnel(server: DirectoryServer, target: string | undefined): Promise<boolean> {
+  async #probeTunnel(
+    server: DirectoryServer,
+    target: string | undefined,
+    peers: readonly number[],
+  ): Promise<boolean> {
     const ways = this.#waysThroughPeers((peer) => this.#probeThrough(peer, server, target));
-    const won = await staggeredRace(ways, { staggerMs: STAGGER_MS, onUnused: () => undefined });
+    const used = ways.filter((_, place) => peers.includes(place));
+    const won = await staggeredRace(used, { staggerMs: STAGGER_MS, onUnused: () => undefined });
     return won.isOk;
   }
 
@@ -335,7 +341,7 @@
   #pathOf(id: ServerId): ServerPath {
     const known = this.#paths.get(id);
     if (known) return known;
-    const path = new ServerPath();
+    const path = new ServerPath(this.#context.random);
     this.#paths.set(id, path);
     return path;
   }
--- a/packages/gateway/src/runtime/serverPath.ts
+++ b/packages/gateway/src/runtime/serverPath.ts
@@ -1,5 +1,7 @@
 /** Decides by which path new connections to one server are opened, and when paths are probed. */
 
+import type { RandomSource } from '@flamingocourse/core';
+
 /** Path of new connections to a server. */
 export type PathKind =
   'direct' | 'tunnel' /** No path is known to work; the direct one is tried. */ | 'none';
@@ -16,12 +18,27 @@
 const MIN_PROBE_INTERVAL_MS = 400;
 /** Maximum of this time, in milliseconds; the end of a partition is detected within it. */
 const MAX_PROBE_INTERVAL_MS = 1_600;
+/** Fraction by which each interval is shortened at most, so that instances do not probe together. */
+const JITTER = 0.25;
+/** Probes through several peers that nobody answers; after them a server has probably ended. */
+const FULL_PROBES = 2;
+const SEVERAL_PEERS = [0, 1, 2];
+/** The second in the order is of another data centre, if the own one may have lost its links. */
+const PEERS_IN_TURN = [0, 1];
+
+/** What a probe has to do. */
+export interface ProbePlan {
+  /** Whether the present path is in doubt. Without doubt, a tunnel needs no probe itself. */
+  isDoubted: boolean;
+  /** Places of the peers that are asked, in the order of preference. */
+  peers: readonly number[];
+}
 
 /**
  * State of the paths to one server. Times are in milliseconds of a monotonic clock.
  *
  * @example
- * const path = new ServerPath();
+ * const path = new ServerPath(Math.random);
  * path.recordDoubt(now);
  * if (path.isProbeDue(now)) {
  *   path.recordProbeStart();
@@ -34,6 +51,13 @@
   #isDoubted = false;
   #isProbing = false;
   #intervalMs = MIN_PROBE_INTERVAL_MS;
+  /** Consecutive probes that nobody answered. */
+  #unanswered = 0;
+  readonly #random: RandomSource;
+
+  constructor(random: RandomSource) {
+    this.#random = random;
+  }
 
   get kind(): PathKind {
     return this.#kind;
@@ -55,16 +79,13 @@
     return !this.#isProbing && now >= this.#probeAt;
   }
 
-  /**
-   * Records that a probe begins.
-   *
-   * @returns Whether the present path is in doubt. Without doubt, a tunnel needs no probe itself.
-   */
-  recordProbeStart(): boolean {
+  /** Records that a probe begins; returns what it has to do. */
+  recordProbeStart(): ProbePlan {
     const isDoubted = this.#isDoubted;
     this.#isProbing = true;
     this.#isDoubted = false;
-    return isDoubted;
+    const turn = PEERS_IN_TURN[this.#unanswered % PEERS_IN_TURN.length] ?? 0;
+    return { isDoubted, peers: this.#unanswered < FULL_PROBES ? SEVERAL_PEERS : [turn] };
   }
 
   /** Records the result of a probe; returns whether the path has changed. */
@@ -82,12 +103,13 @@
     const hasChanged = kind !== this.#kind;
     this.#kind = kind;
     this.#isProbing = false;
+    this.#unanswered = kind === 'none' ? this.#unanswered + 1 : 0;
     if (kind === 'direct') {
       this.#probeAt = Infinity;
       this.#intervalMs = MIN_PROBE_INTERVAL_MS;
       return hasChanged;
     }
-    this.#probeAt = now + this.#intervalMs;
+    this.#probeAt = now + this.#intervalMs * (1 - JITTER * this.#random());
     this.#intervalMs = Math.min(MAX_PROBE_INTERVAL_MS, this.#intervalMs * 2);
     return hasChanged;
   }
--- a/test/gateway/serverPath.test.ts
+++ b/test/gateway/serverPath.test.ts
@@ -4,7 +4,7 @@
 import { ServerPath } from '../../packages/gateway/src/runtime/serverPath.js';
 
 function probed(outcomes: ProbeOutcome[], now = 0): ServerPath {
-  const path = new ServerPath();
+  const path = new ServerPath(() => 0);
   path.recordDoubt(now);
   for (const outcome of outcomes) {
     path.recordProbeStart();
@@ -56,7 +56,7 @@
 
 // Guards against a second probe of a server beside the first one.
 test('no probe is due while one runs', () => {
-  const path = new ServerPath();
+  const path = new ServerPath(() => 0);
   path.recordDoubt(0);
   assert.ok(path.isProbeDue(0));
   path.recordProbeStart();
@@ -68,13 +68,41 @@
 test('a tunnel that is in doubt is probed itself', () => {
   const path = probed([{ direct: false, tunnel: true }]);
   path.recordDoubt(100);
-  assert.deepEqual([path.isProbeDue(100), path.recordProbeStart()], [true, true]);
+  assert.deepEqual([path.isProbeDue(100), path.recordProbeStart().isDoubted], [true, true]);
   path.recordProbe({ direct: false, tunnel: true }, 150);
-  assert.ok(!path.recordProbeStart());
+  assert.ok(!path.recordProbeStart().isDoubted);
 });
 
 test('a connection that only a peer could open changes the path', () => {
-  const path = new ServerPath();
+  const path = new ServerPath(() => 0);
   assert.deepEqual([path.recordTunnelOnly(0), path.kind], [true, 'tunnel']);
   assert.equal(path.recordTunnelOnly(10), false);
 });
+
+// Guards against all instances that connect to a dead server through three peers each, again and again.
+test('a server that nobody reaches is probed through several peers twice, then through one in turn', () => {
+  const path = new ServerPath(() => 0);
+  path.recordDoubt(0);
+  const asked = Array.from({ length: 5 }, () => {
+    const { peers } = path.recordProbeStart();
+    path.recordProbe({ direct: false, tunnel: false }, 0);
+    return peers;
+  });
+  assert.deepEqual(asked, [[0, 1, 2], [0, 1, 2], [0], [1], [0]]);
+  path.recordProbeStart();
+  path.recordProbe({ direct: true }, 0);
+  path.recordDoubt(0);
+  assert.deepEqual(path.recordProbeStart(), { isDoubted: true, peers: [0, 1, 2] });
+});
+
+// Guards against instances that lost a server together and probe it at the same moments from then on.
+test('the intervals between probes differ between instances, and never exceed their maximum', () => {
+  const firstProbes = [0, 0.4, 1].map((share) => {
+    const path = new ServerPath(() => share);
+    path.recordDoubt(0);
+    path.recordProbeStart();
+    path.recordProbe({ direct: false, tunnel: true }, 0);
+    return Array.from({ length: 500 }, (_, now) => now).find((now) => path.isProbeDue(now));
+  });
+  assert.deepEqual(firstProbes, [400, 360, 300]);
+});
