test: three tests no longer depend on how fast a busy machine is

'The request of a caller that disconnects is cancelled' left 60 ms after sending, by the clock; under load the instance read the request later and rightly sent it to nobody. It leaves now when a server has the request. The test of a stop with a slow server began the stop 100 ms after sending, before its connection was accepted; it begins now when the router works on the request (its intent, or its claim, was asked for). What both check is unchanged.

--- a/test/entry/stop.test.ts
+++ b/test/entry/stop.test.ts
@@ -4,6 +4,7 @@
 import { afterEach, describe, test } from 'node:test';
 import { setTimeout as delay } from 'node:timers/promises';
 import { createPlainServiceStandIn, createServiceRecords } from '@flamingocourse/lab';
+import { until } from '../platform/world.js';
 import { call, startBench } from './fixtures/entryBench.js';
 
 const PATH = '/services/ledger/reservations';
@@ -22,6 +23,8 @@
     name: string;
     key: string | undefined;
     prepare: (router: EntryBench, server: PlainServiceStandIn) => void;
+    /** Whether the router works on the request. */
+    hasBegun: (router: EntryBench) => boolean;
   }[] = [
     {
       name: 'because its server is slow',
@@ -29,6 +32,7 @@
       prepare: (_router, server) => {
         server.setFaults({ slowMs: 1_000 });
       },
+      hasBegun: ({ money }) => money.intents.length > 0,
     },
     {
       name: 'because the claim of its key is not answered yet',
@@ -36,9 +40,10 @@
       prepare: (router) => {
         router.money.claimed = delay(1_000);
       },
+      hasBegun: ({ money }) => money.claimsAsked > 0,
     },
   ];
-  for (const { name, key, prepare } of cases) {
+  for (const { name, key, prepare, hasBegun } of cases) {
     test(`${name}: is answered, and sends nothing afterwards`, async () => {
       const records = createServiceRecords();
       const server = await createPlainServiceStandIn({ records });
@@ -54,7 +59,7 @@
         ({ status }) => status,
         () => 'closed without an answer',
       );
-      await delay(100);
+      await until('the request has begun', () => hasBegun(router));
       await router.stop();
       const stepsAtStop = router.money.steps.length;
       const got = await answer;
--- a/test/platform/gateway.test.ts
+++ b/test/platform/gateway.test.ts
@@ -146,7 +146,9 @@
 test('the request of a caller that disconnects is cancelled at the server', async (t) => {
   const world = await World.start(t);
   world.behave('p', 'silent');
-  await world.call({ path: '/book/1', leaveMs: 60 });
+  const caller = await world.sendOpen('/book/1');
+  await until('a server has the request', () => world.seen('p').length === 1);
+  caller.destroy();
   await until('cancelled', () => world.servers.some(({ dropped }) => dropped === 1));
 });
 
