test(soak): seeds with eight versioned engines, whose callers lose connections and take their streams up elsewhere

The check of the share that goes on had hardly anything to check: 0 to 2 streams a seed met the conditions of LOST, because with four engines of three versions two of one version seldom served undisturbed, and streams broke off only where an engine did. Two seeds in ten have eight engines now, and two callers in five lose their connection after an event, as clients do. Seeds with four engines draw as before.

--- a/test/soak/runSoak.ts
+++ b/test/soak/runSoak.ts
@@ -31,6 +31,7 @@
 import { checkStops } from './soakStops.js';
 import { checkStreams } from './soakStreamChecks.js';
 import { SoakStreams } from './soakStreams.js';
+import type { EngineCount } from './soakVersions.js';
 import { SoakVersions } from './soakVersions.js';
 
 const INSTANCES = 3;
@@ -39,8 +40,10 @@
 const MANY_INSTANCES_EVERY = 5;
 /** Every fourth seed has a request that crashes the engines that run it. */
 const CRASHES_EVERY = 4;
-/** Of five seeds, the one with this remainder has engines of several software versions. */
-const VERSIONS_REMAINDER = 2;
+/** Of five seeds, those with these remainders have so many engines of several software versions. */
+const ENGINES_BY_REMAINDER: Readonly<Record<number, EngineCount>> = { 2: 4, 3: 8 };
+/** With so many engines, callers lose their connections too, so that many streams are taken up again. */
+const MANY_ENGINES: EngineCount = 8;
 const VERSIONS_EVERY = 5;
 /** Milliseconds after the last fault until all instances must refuse that request. */
 const CRASH_REFUSAL_MS = 3_000;
@@ -106,7 +109,8 @@
   instances: number;
   dataCentres: number;
   hasCrashes: boolean;
-  hasVersions: boolean;
+  /** Engines of several software versions; undefined in a run with one version. */
+  versionedEngines: EngineCount | undefined;
   profile: FaultProfile;
   random: Random;
   callersRandom: Random;
@@ -124,7 +128,7 @@
     instances: seed % MANY_INSTANCES_EVERY === 0 ? MANY_INSTANCES : few,
     dataCentres: hasFewCentres ? CENTRES_IN_CUTS : DATA_CENTRE_COUNT,
     hasCrashes,
-    hasVersions: seed % VERSIONS_EVERY === VERSIONS_REMAINDER && !hasCrashes,
+    versionedEngines: hasCrashes ? undefined : ENGINES_BY_REMAINDER[seed % VERSIONS_EVERY],
     profile,
     random: createRandom(seed),
     callersRandom: createRandom(seed + 1),
@@ -162,12 +166,13 @@
     this.#callers = new SoakCallers(parts.instances, ACCOUNTS, callersRandom);
     this.#stopCallers = new StopCallers(stopsRandom);
     this.#configuration = configuration;
-    this.#streams = new SoakStreams(parts.instances, plan.streamsRandom);
+    const callersLeave = plan.versionedEngines === MANY_ENGINES;
+    this.#streams = new SoakStreams(parts.instances, plan.streamsRandom, callersLeave);
     this.#faults = new SoakFaults(random, { ...parts, configuration }, profile, this.#stopCallers);
   }
 
   static async start(plan: RunPlan): Promise<SoakRun> {
-    const { hasCrashes, hasVersions, instances: count, callersRandom } = plan;
+    const { hasCrashes, versionedEngines, instances: count, callersRandom } = plan;
     const cleanUps: (() => unknown)[] = [];
     const scope = {
       after: (cleanUp: unknown) => {
@@ -177,7 +182,8 @@
     const directory = await mkdtemp(join(tmpdir(), 'flamingocourse-soak-'));
     const store = await new FakeStore().listen(scope);
     const engines = await startEngines(plan, store, scope);
-    const names = hasCrashes || hasVersions ? ['p1', 'p2'] : ['p1', 'p2', 'e1', 'e2'];
+    const hasOwnEngines = hasCrashes || versionedEngines !== undefined;
+    const names = hasOwnEngines ? ['p1', 'p2'] : ['p1', 'p2', 'e1', 'e2'];
     const linked = await Promise.all(names.map((name) => new FakeServer(name).listen(scope)));
     const servers = [...linked, ...engines];
     const links = await SoakLinks.create(store, linked, count, scope);
@@ -190,7 +196,7 @@
     const crashes = hasCrashes
       ? new SoakCrashes(engines, instances, ACCOUNTS[0] ?? '', callersRandom)
       : undefined;
-    const versions = hasVersions
+    const versions = versionedEngines
       ? new SoakVersions(store, engines, plan.versionsRandom)
       : undefined;
     const own = { directory, store, servers, linked, links, instances };
@@ -349,10 +355,11 @@
 
 /** Starts the engines that are reached without links, if the run has any. */
 async function startEngines(
-  { hasCrashes, hasVersions }: RunPlan,
+  { hasCrashes, versionedEngines }: RunPlan,
   store: FakeStore,
   scope: Pick<TestContext, 'after'>,
 ): Promise<FakeServer[]> {
   if (hasCrashes) return SoakCrashes.startEngines(store, scope);
-  return hasVersions ? SoakVersions.startEngines(store, scope) : [];
+  if (versionedEngines === undefined) return [];
+  return SoakVersions.startEngines(store, scope, versionedEngines);
 }
--- a/test/soak/soakStreams.ts
+++ b/test/soak/soakStreams.ts
@@ -47,6 +47,10 @@
 const MAX_PAUSE_MS = 250;
 /** Milliseconds between two streams. */
 const INTERVAL_MS = 40;
+/** Probability that a caller loses its connection after an event, where callers do. */
+const LEAVING_FRACTION = 0.4;
+/** Maximum milliseconds from the first event until such a caller loses its connection. */
+const MAX_LEAVE_MS = 300;
 
 /**
  * Callers of resumable streams.
@@ -64,6 +68,8 @@
   constructor(
     readonly instances: readonly SoakProcess[],
     readonly random: Random,
+    /** Whether callers lose connections, too, and not only servers. */
+    readonly callersLeave = false,
   ) {}
 
   start(): void {
@@ -79,6 +85,12 @@
     await Promise.all(this.#active);
   }
 
+  /** Milliseconds after its first event at which a caller loses its connection; undefined if it does not. */
+  #leaveMs(): number | undefined {
+    if (!this.callersLeave || !this.random.chance(LEAVING_FRACTION)) return undefined;
+    return this.random.int(0, MAX_LEAVE_MS);
+  }
+
   async #call(): Promise<void> {
     this.#count += 1;
     const name = `s-${String(this.#count)}`;
@@ -93,7 +105,8 @@
         'x-deadline-ms': String(Math.floor(until - performance.now())),
         ...resumeHeaders(stream),
       };
-      stream.tries.push(await send(instance, `/draft/${name}`, headers));
+      const leaveMs = stream.tries.length === 0 ? this.#leaveMs() : undefined;
+      stream.tries.push(await send(instance, `/draft/${name}`, headers, leaveMs));
       const last = stream.tries.at(-1);
       if (last?.complete && last.status === 200) return;
       await delay(this.random.int(0, MAX_PAUSE_MS));
@@ -129,6 +142,7 @@
   { name, port }: SoakProcess,
   path: string,
   headers: Record<string, string>,
+  leaveMs: number | undefined,
 ): Promise<StreamTry> {
   return new Promise((resolve) => {
     const id = headers['x-request-id'] ?? '';
@@ -149,6 +163,7 @@
       status = res.statusCode ?? 0;
       res.setEncoding('utf8');
       res.on('data', (chunk: string) => (body += chunk));
+      if (leaveMs !== undefined) res.once('data', () => setTimeout(() => req.destroy(), leaveMs));
       // a broken answer is recorded as incomplete below.
       res.on('error', () => undefined);
       res.on('close', () => {
--- a/test/soak/soakVersions.ts
+++ b/test/soak/soakVersions.ts
@@ -16,13 +16,8 @@
 /** Maximum milliseconds for which the entry of an engine is missing. */
 const MAX_GONE_MS = 1_500;
 
-/** Engines of a run by their names, with their first software. */
-const ENGINES: Readonly<Record<string, string>> = {
-  e1: 'v1',
-  e2: 'v1',
-  e3: 'v2',
-  e4: 'v2',
-};
+/** Number of engines: hardly enough for two of each version, or enough for most streams to go on. */
+export type EngineCount = 4 | 8;
 
 /** A time in which an engine served one version. */
 interface ServedTime {
@@ -62,11 +57,13 @@
   static async startEngines(
     store: FakeStore,
     scope: Pick<TestContext, 'after'>,
+    count: EngineCount,
   ): Promise<FakeServer[]> {
     return Promise.all(
-      Object.entries(ENGINES).map(async ([name, software]) => {
+      Array.from({ length: count }, async (_, at) => {
+        const name = `e${String(at + 1)}`;
         const engine = await new FakeServer(name).listen(scope);
-        engine.software = software;
+        engine.software = at < count / 2 ? 'v1' : 'v2';
         engine.behaviour = 'stream';
         engine.bornAt = 1;
         store.put('servers', name, engine.entry('llm', { slots: 16 }));
