fix(gateway): a server whose process does not answer is avoided, as one that cannot be connected to

While an engine is silent (no power, or its links are lost), each resumable stream that it was chosen for asked its process and waited 250 ms before it went elsewhere, until other requests showed that it is silent: the question that ran out counted for nothing. It counts as silence now. Found by reading. The test is red without it.

--- a/packages/gateway/src/node/serverAttempt.ts
+++ b/packages/gateway/src/node/serverAttempt.ts
@@ -193,9 +193,9 @@
   #failToOpen(fault: AttemptFault): AttemptEnd {
     if (fault.sent) this.#progress.mayHaveRun += 1;
     if (fault.reason === 'aborted') return this.#interrupted();
-    const isAnswering = fault.reason === 'not-accepted' || fault.reason === 'timeout';
     if (!fault.sent) {
-      return this.#failed('not-sent', isAnswering ? 'cancelled' : 'unreachable', fault.cause);
+      const how = fault.reason === 'not-accepted' ? 'cancelled' : 'unreachable';
+      return this.#failed('not-sent', how, fault.cause);
     }
     const how = fault.reason === 'timeout' ? 'timed-out' : 'broken';
     return this.#failed('unknown', how, fault.cause);
--- a/packages/gateway/src/node/serverPaths.ts
+++ b/packages/gateway/src/node/serverPaths.ts
@@ -197,7 +197,9 @@
     const target = this.#takeHealthPath(server);
     const direct = this.#probeDirect(server, target);
     const isTunnelKnown = path.kind === 'tunnel' && !plan.isDoubted;
-    const tunnel = isTunnelKnown ? Promise.resolve(true) : this.#probeTunnel(server, target, plan.peers);
+    const tunnel = isTunnelKnown
+      ? Promise.resolve(true)
+      : this.#probeTunnel(server, target, plan.peers);
     const answersDirectly = isTunnelKnown
       ? await direct
       : await Promise.race([
--- a/test/platform/streamVersions.test.ts
+++ b/test/platform/streamVersions.test.ts
@@ -1,3 +1,4 @@
+import type { Answer } from './world.js';
 import assert from 'node:assert/strict';
 import { describe, test } from 'node:test';
 import { softwareOf } from './fakeServer.js';
@@ -10,6 +11,7 @@
   behave,
   joinAll,
   joinedOf,
+  nameStarts,
   startWorld,
   takeUpAll,
   untilListed,
@@ -47,6 +49,22 @@
   });
 });
 
+// Guards against streams that wait for a server which is silent, each for as long as its process is asked.
+test('a new stream goes elsewhere if the process of its server does not answer', async (t) => {
+  const world = await startWorld(t, [OLD, NEW]);
+  await nameStarts(world);
+  behave(world, 'stream');
+  const silent = world.server('e1');
+  silent.behaviour = 'silent';
+  const answers: Answer[] = [];
+  for (let round = 0; round < STREAMS; round += 1) {
+    answers.push(await world.generate(`/tale/${String(round)}`, 1_000));
+  }
+  assert.ok(answers.every(({ status, complete }) => status === 200 && complete));
+  assert.equal(silent.seen.length, 0);
+  assert.ok(silent.stateRequests <= 2, `asked ${String(silent.stateRequests)} times`);
+});
+
 // Guards against refusals of streams that may go on anywhere.
 describe('a stream that a caller takes up again while one software version serves', () => {
   test('goes on although nobody knows it', async (t) => {
