--- a/test/platform/streamVersions.test.ts
+++ b/test/platform/streamVersions.test.ts
@@ -1,4 +1,4 @@
-import type { Answer } from './world.js';
+import type { Answer, World } from './world.js';
 import assert from 'node:assert/strict';
 import { describe, test } from 'node:test';
 import { softwareOf } from './fakeServer.js';
@@ -18,16 +18,21 @@
   wentOn,
 } from './streamWorld.js';
 
+/** Sends streams that may go on in one answer, to engines that all break them off. */
+async function breakAll(world: World): Promise<Answer[]> {
+  behave(world, 'break-stream');
+  return Promise.all(
+    Array.from({ length: STREAMS }, (_, at) =>
+      world.generate(`/saga/${String(at)}`, 1_000, { 'x-prompt-prefix': `${String(at)}:100` }),
+    ),
+  );
+}
+
 // Guards against an answer whose events come from two software versions, which don't fit together.
 describe('a stream that goes on in one answer while two software versions serve', () => {
   test('goes on at the version that began it', async (t) => {
     const world = await startWorld(t, [OLD, NEW]);
-    behave(world, 'break-stream');
-    const answers = await Promise.all(
-      Array.from({ length: STREAMS }, (_, at) =>
-        world.generate(`/saga/${String(at)}`, 1_000, { 'x-prompt-prefix': `${String(at)}:100` }),
-      ),
-    );
+    const answers = await breakAll(world);
     const versions = answers.map(({ body }) => softwareOf(body).join(' and '));
     assert.deepEqual([...new Set(versions)].toSorted(), [OLD, NEW]);
     const twoEvents = answers.filter(({ body }) => body.split('\n\n').length === 3);
@@ -38,12 +43,7 @@
     const world = await startWorld(t, [OLD, NEW]);
     for (const id of ['e2', `${NEW}-b`]) world.store.remove('servers', id);
     await untilListed([world]);
-    behave(world, 'break-stream');
-    const answers = await Promise.all(
-      Array.from({ length: STREAMS }, (_, at) =>
-        world.generate(`/saga/${String(at)}`, 1_000, { 'x-prompt-prefix': `${String(at)}:100` }),
-      ),
-    );
+    const answers = await breakAll(world);
     const versions = answers.map(({ body }) => softwareOf(body).join(' and '));
     assert.deepEqual([...new Set(versions)].toSorted(), [OLD, NEW]);
   });
