fix(lab): a process finds free ports behind all those that others have claimed

A search for 4 ports gave up after 200 that were claimed or in use.

The search now ends after the whole range. The new test claims 1,000 ports in a row: RangeError before, passes now (twice). Ruled out: ports really in use (the whole test run listens on some hundreds at once).

--- a/packages/lab/src/node/freePorts.ts
+++ b/packages/lab/src/node/freePorts.ts
@@ -12,7 +12,6 @@
  */
 const LOWEST_PORT = 20_000;
 const HIGHEST_PORT = 32_000;
-const MAX_ATTEMPTS_PER_PORT = 50;
 /** Distance between the first ports of successive process ids, so that they rarely overlap. */
 const PORTS_PER_PROCESS = 397;
 /** Milliseconds after which the claim of a process that did not remove it is void. */
@@ -32,8 +31,8 @@
  */
 export async function findFreePorts(count: number): Promise<number[]> {
   const ports: number[] = [];
-  for (let attempts = 0; ports.length < count; attempts += 1) {
-    if (attempts > count * MAX_ATTEMPTS_PER_PORT) {
+  for (let looked = 0; ports.length < count; looked += 1) {
+    if (looked === HIGHEST_PORT - LOWEST_PORT) {
       throw new RangeError(`no ${count} free ports from ${LOWEST_PORT} to ${HIGHEST_PORT}`);
     }
     const port = LOWEST_PORT + (next % (HIGHEST_PORT - LOWEST_PORT));
--- a/test/lab/freePorts.test.ts
+++ b/test/lab/freePorts.test.ts
@@ -29,3 +29,19 @@
   const ports = [...(await findFreePorts(8)), ...(await findFreePorts(8))];
   assert.equal(new Set(ports).size, 16);
 });
+
+// Guards against a process that finds no port because another one holds all those it looks at first.
+test('ports are found behind a thousand that others have claimed in a row', async () => {
+  const [port = 0] = await findFreePorts(1);
+  const taken = Array.from(
+    { length: 1_000 },
+    (_, at) => 20_000 + ((port - 20_000 + 1 + at) % 12_000),
+  );
+  for (const one of taken) claimPort(one, Date.now());
+  const found = await findFreePorts(4);
+  assert.equal(found.length, 4);
+  assert.deepEqual(
+    found.filter((one) => taken.includes(one)),
+    [],
+  );
+});
