fix(paths): a peer carries a connection only if the own one does not open soon after

Probes of a path already leave the direct one 60 ms more, as a busy server is slow on both; connections did not.

They do now: a tunnel that opens first waits 60 ms for the direct connection, which is then taken and the tunnel closed. It holds only for a path that counts as direct, so that a cut costs 60 ms more on the connections before it is recorded. Table of the race: five new rows (the first is red without the grace). Not covered: a direct connection whose SYN was dropped opens a second later; a stream through a peer still ends with that peer.

--- a/packages/gateway/src/node/serverPaths.ts
+++ b/packages/gateway/src/node/serverPaths.ts
@@ -32,7 +32,7 @@
 const MAX_PROBES_AT_ONCE = 16;
 /** Minimum milliseconds between two times at which all other servers are probed. */
 const DOUBT_INTERVAL_MS = 1_000;
-/** Milliseconds after the answer of a peer's tunnel in which a direct answer still counts. */
+/** Milliseconds after a peer's tunnel has opened or answered in which the direct path still counts. */
 const DIRECT_GRACE_MS = 60;
 
 /** Called when it is known that a server can be reached again. */
@@ -136,9 +136,11 @@
     const onUnused = (socket: Socket): void => {
       socket.destroy();
     };
-    const won = await staggeredRace(ways, { staggerMs: STAGGER_MS, onUnused });
+    const firstGraceMs = isDirect ? DIRECT_GRACE_MS : 0;
+    const won = await staggeredRace(ways, { staggerMs: STAGGER_MS, firstGraceMs, onUnused });
     if (won.isErr) return Result.err(directError ?? new Error(won.error));
     const { value: socket, way } = won.value;
+    if (socket.destroyed) return Result.err(new Error('the tunnel was closed'));
     if (isDirect && way > 0) this.#recordTunnelOnly(server, path);
     return Result.ok(socket);
   }
--- a/test/gateway/staggeredRace.test.ts
+++ b/test/gateway/staggeredRace.test.ts
@@ -69,6 +69,58 @@
   }
 });
 
+// Guards against a peer that carries a connection which a busy machine would have opened itself a little later.
+describe('a staggered race that prefers its first way', () => {
+  const cases: { name: string; steps: Step[]; result: string; unused: string[] }[] = [
+    {
+      name: 'takes it if it works soon after another',
+      steps: [{ afterMs: 70 }, { afterMs: 1 }],
+      result: 'way 0',
+      unused: ['way 1'],
+    },
+    {
+      name: 'takes the other if the first one hangs',
+      steps: [{ afterMs: 400 }, { afterMs: 1 }],
+      result: 'way 1',
+      unused: ['way 0'],
+    },
+    {
+      name: 'takes the other if the first one has failed',
+      steps: [{ afterMs: 1, fails: true }, { afterMs: 1 }],
+      result: 'way 1',
+      unused: [],
+    },
+    {
+      name: 'takes the other once the first one fails',
+      steps: [{ afterMs: 50, fails: true }, { afterMs: 1 }],
+      result: 'way 1',
+      unused: [],
+    },
+    {
+      name: 'begins no third way meanwhile',
+      steps: [{ afterMs: 400 }, { afterMs: 1 }, { afterMs: 1 }],
+      result: 'way 1',
+      unused: ['way 0'],
+    },
+  ];
+  for (const { name, steps, result, unused } of cases) {
+    test(name, async () => {
+      const started: string[] = [];
+      const closed: string[] = [];
+      const ways = steps.map((step, at) => wayOf(`way ${String(at)}`, step, started));
+      const won = await staggeredRace(ways, {
+        staggerMs: STAGGER_MS,
+        firstGraceMs: 200,
+        onUnused: (value) => closed.push(value),
+      });
+      assert.equal(won.isOk ? won.value.value : won.error, result);
+      await delay(300);
+      assert.deepEqual(closed, unused);
+      assert.equal(started.length, 2);
+    });
+  }
+});
+
 // Guards against connections that are opened by the slower way and never closed.
 test('a result that comes after the first one is handed over to be closed', async () => {
   const unused: string[] = [];
