fix(paths): a server that is listed while links are lost is probed at once

Seen in the log of a test that was written for crashes behind a tunnel: an instance was cut off in silence and served through a peer; its servers restarted under new ids, and all later requests to them ended with 504, for seconds. A new server counts as reached directly until a probe or a connection says otherwise; where a connection opens and stays silent (a cut behind something that accepts, as the lab's link) only a silent service was probed.

While other servers are reached through a peer, a newly listed one is probed at once, as doubtOthers does for known ones: one probe a new server. Ruled out that known paths were lost: e1's and e2's own entries kept 'tunnel' until they went.

--- a/packages/gateway/src/node/serverPaths.ts
+++ b/packages/gateway/src/node/serverPaths.ts
@@ -331,13 +331,17 @@
       // what is known of the links to an earlier process says nothing about this one.
       if (known && !isSameProcess(known, server)) this.#paths.delete(server.id);
     }
+    const hasLostLinks = this.counts.tunnel > 0;
     this.#byAddress.clear();
     this.#servers.clear();
     for (const server of servers) {
       const { host, port } = serverAddress(server.url);
       this.#byAddress.set(`${host}:${String(port)}`, server);
       this.#servers.set(server.id, server);
-      this.#pathOf(server.id);
+      const isNew = !this.#paths.has(server.id);
+      const path = this.#pathOf(server.id);
+      // the link to it may be lost as well.
+      if (isNew && hasLostLinks) this.#doubt(server, path);
     }
     for (const id of this.#paths.keys()) if (!this.#servers.has(id)) this.#paths.delete(id);
   }
--- a/test/gateway/serverPaths.test.ts
+++ b/test/gateway/serverPaths.test.ts
@@ -138,6 +138,22 @@
   }
 });
 
+// Guards against requests to a server that starts while the links are lost, on a connection that stays silent.
+test('the path to a server that is listed while others are reached through a peer is probed', async (t) => {
+  const silent = await listen(t, () => undefined);
+  const target = await listen(t, (socket) => {
+    socket.on('data', () => socket.end('HTTP/1.1 200 OK\r\ncontent-length: 0\r\n\r\n'));
+  });
+  const first = listedServer('s1', `http://127.0.0.1:${String(silent)}`);
+  const { paths, list } = await startPaths(t, [first], () => openTo(target));
+  await delay(100);
+  paths.requireProbe('s1');
+  while (paths.counts.tunnel === 0) await delay(20);
+  list([first, listedServer('s2', first.url)]);
+  await delay(700);
+  assert.equal(paths.counts.tunnel, 2);
+});
+
 // Guards against probes of a path above the rate limit of a server, which counts health checks as requests.
 test('probes of a path count towards the rate limit of the server', async (t) => {
   const server = await new FakeServer('s1').listen(t);
