fix(quarantine): crashes of servers that are reached through a peer count

A lost connection counts as a crash if the server's address refuses this instance and no peer connects; behind a tunnel the own attempt meets silence, so no crash ever counted, and peers did not tell a refusal from silence.

A peer answers 'server-refused' now (424 on the mesh) if the server's address refused it. Compatible in a rolling update: an old instance takes 424 for 'other', an old peer's 502 counts as not known, as before. Innocent: a tunnel lost with its peer (the next peer connects), a partition that refuses peers while one still connects, no peer that knows (rows of the table).

--- a/packages/gateway/src/node/connectSocket.ts
+++ b/packages/gateway/src/node/connectSocket.ts
@@ -15,8 +15,8 @@
   signal: AbortSignal;
 }
 
-/** Why a connection was not opened; `aborted` means by the signal. */
-export type ConnectFault = 'failed' | 'timeout' | 'aborted';
+/** Why a connection was not opened: `refused` by its address, `aborted` by the signal. */
+export type ConnectFault = 'refused' | 'failed' | 'timeout' | 'aborted';
 
 /**
  * Connects to an address. The socket is half-open, and its errors are handled; each is followed by
@@ -47,8 +47,8 @@
       end(Result.ok(socket));
     });
     // after the connection was opened, 'close' follows.
-    socket.on('error', () => {
-      end(Result.err('failed'));
+    socket.on('error', ({ code }: NodeJS.ErrnoException) => {
+      end(Result.err(code === 'ECONNREFUSED' ? 'refused' : 'failed'));
     });
   });
 }
--- a/packages/gateway/src/node/connectionCheck.ts
+++ b/packages/gateway/src/node/connectionCheck.ts
@@ -22,13 +22,13 @@
 /** Result of a connection attempt. */
 type ConnectResult = 'accepted' | 'refused' | 'unreachable';
 
-/** Asks peers whether they can connect to a server. */
-export type PeerCheck = Pick<ServerPaths, 'isOpenToPeers'>;
+/** Knows by which path a server is reached, and asks peers whether they can connect to it. */
+export type PeerCheck = Pick<ServerPaths, 'isTunnelled' | 'askPeers'>;
 
 /**
  * Checks whether other connections to the server are still open, and tries to open one if there is
  * none. In a partition the network may refuse connections, so a refusal counts only if peers can't
- * connect either.
+ * connect either. A server that is reached through peers has ended if it refuses theirs.
  *
  * @example
  * if (await new ConnectionCheck(agent, paths).hasEnded(server)) suspectAllInFlight();
@@ -47,8 +47,9 @@
   override async hasEnded(server: BackendServer): Promise<boolean> {
     const { host, port } = serverAddress(server.url);
     if (await this.#staysConnected(host, port)) return false;
+    if (this.#peers.isTunnelled(server)) return (await this.#peers.askPeers(server)) === 'refused';
     if ((await tryConnection(host, port)) !== 'refused') return false;
-    return !(await this.#peers.isOpenToPeers(server));
+    return (await this.#peers.askPeers(server)) !== 'accepted';
   }
 
   /**
--- a/packages/gateway/src/node/meshTunnelCalls.ts
+++ b/packages/gateway/src/node/meshTunnelCalls.ts
@@ -32,5 +32,5 @@
 
 function toFault({ code, refusal }: TunnelError): TunnelFault {
   if (code !== 'refused') return 'peer-unreachable';
-  return refusal === 'server-unreachable' ? 'server-unreachable' : 'refused';
+  return refusal === 'server-refused' || refusal === 'server-unreachable' ? refusal : 'refused';
 }
--- a/packages/gateway/src/node/serverPaths.ts
+++ b/packages/gateway/src/node/serverPaths.ts
@@ -38,6 +38,9 @@
 /** Called when it is known that a server can be reached again. */
 export type PathListener = (server: DirectoryServer, cause: 'answered' | 'path-changed') => void;
 
+/** What peers know of a server; `refused` means that it refused one, and accepted none. */
+export type PeerAnswer = 'accepted' | 'refused' | 'unknown';
+
 /** Service that opens connections to servers. Registered as `paths`. */
 export class ServerPaths extends Service {
   override readonly name = 'paths';
@@ -104,17 +107,26 @@
     this.#doubt(server, path);
   }
 
+  /** Whether new connections to a server are opened through a peer. */
+  isTunnelled({ id }: Pick<DirectoryServer, 'id'>): boolean {
+    return this.#paths.get(id)?.kind === 'tunnel';
+  }
+
   /**
-   * Whether a peer connects to a server that refuses connections of this instance. A peer that can't
-   * may be behind the same partition, so the next one is asked as well.
+   * Asks peers whether a server accepts their connections. A peer that can't connect may be behind
+   * the same partition, so the next one is asked as well.
    */
-  async isOpenToPeers({ id }: Pick<DirectoryServer, 'id'>): Promise<boolean> {
+  async askPeers({ id }: Pick<DirectoryServer, 'id'>): Promise<PeerAnswer> {
+    let answer: PeerAnswer = 'unknown';
     for (const peer of this.#peersInOrder().slice(0, MAX_PEERS - 1)) {
       const opened = await this.#calls.open(peer, id);
-      if (opened.isOk) opened.value.destroy();
-      if (opened.isOk) return true;
+      if (opened.isOk) {
+        opened.value.destroy();
+        return 'accepted';
+      }
+      if (opened.error === 'server-refused') answer = 'refused';
     }
-    return false;
+    return answer;
   }
 
   /** Opens a connection by the path that is known to work, and by the others if it does not. */
--- a/packages/gateway/src/node/serverTunnels.ts
+++ b/packages/gateway/src/node/serverTunnels.ts
@@ -34,6 +34,7 @@
   'no-room': 'unavailable',
   'not-listed': 'not-listed',
   leaving: 'not-listed',
+  'connect-refused': 'server-refused',
   'connect-failed': 'server-unreachable',
   'connect-timeout': 'server-unreachable',
 };
@@ -126,10 +127,7 @@
     const connected = await connectSocket(options);
     if (connected.isOk) this.#carry(id, caller, connected.value);
     else if (connected.error === 'aborted') caller.destroy();
-    else {
-      const reason = connected.error === 'timeout' ? 'connect-timeout' : 'connect-failed';
-      this.#refuse(id, caller, reason);
-    }
+    else this.#refuse(id, caller, `connect-${connected.error}`);
   }
 
   #carry(id: string, caller: Socket, server: Socket): void {
--- a/packages/gateway/src/node/tunnelLog.ts
+++ b/packages/gateway/src/node/tunnelLog.ts
@@ -4,7 +4,13 @@
 
 /** Why a tunnel was refused. */
 export type TunnelRefusalReason =
-  'stopping' | 'no-room' | 'not-listed' | 'leaving' | 'connect-failed' | 'connect-timeout';
+  | 'stopping'
+  | 'no-room'
+  | 'not-listed'
+  | 'leaving'
+  | 'connect-refused'
+  | 'connect-failed'
+  | 'connect-timeout';
 
 /** Milliseconds between two lines about refused tunnels to the same server. */
 const REFUSED_LINE_MS = 1_000;
--- a/packages/gateway/src/types/tunnelCalls.ts
+++ b/packages/gateway/src/types/tunnelCalls.ts
@@ -4,8 +4,12 @@
 import type { Socket } from 'node:net';
 import type { Result } from 'true-myth';
 
-/** Why there is no tunnel. `server-unreachable`: the peer answered that it can't connect either. */
-export type TunnelFault = 'server-unreachable' | 'refused' | 'peer-unreachable';
+/**
+ * Why there is no tunnel. `server-refused`: the peer answered that the server's address refuses its
+ * connections; `server-unreachable`: that it can't connect for another reason; `refused`: that it
+ * opens no tunnel.
+ */
+export type TunnelFault = 'server-refused' | 'server-unreachable' | 'refused' | 'peer-unreachable';
 
 /** Calls to peers for tunnels. */
 export abstract class TunnelCalls {
--- a/packages/mesh/src/node/tunnelAnswers.ts
+++ b/packages/mesh/src/node/tunnelAnswers.ts
@@ -8,6 +8,7 @@
   other: 400,
   'not-trusted': 403,
   'not-listed': 404,
+  'server-refused': 424,
   'server-unreachable': 502,
   unavailable: 503,
 };
--- a/packages/mesh/src/types/tunnels.ts
+++ b/packages/mesh/src/types/tunnels.ts
@@ -4,11 +4,12 @@
 
 /**
  * Why a peer refused a tunnel. `unavailable`: it has no room or is stopping. `not-listed`: it
- * doesn't list the server. `server-unreachable`: it could not connect to the server. `not-trusted`:
- * the shared secret doesn't match. `other`: any other answer.
+ * doesn't list the server. `server-refused`: the server's address refused its connection.
+ * `server-unreachable`: it could not connect to the server for another reason. `not-trusted`: the
+ * shared secret doesn't match. `other`: any other answer.
  */
 export type TunnelRefusal =
-  'unavailable' | 'not-listed' | 'server-unreachable' | 'not-trusted' | 'other';
+  'unavailable' | 'not-listed' | 'server-refused' | 'server-unreachable' | 'not-trusted' | 'other';
 
 /** A CONNECT request of a trusted peer, not answered yet. */
 export interface TunnelRequest {
--- a/test/gateway/connectionCheck.test.ts
+++ b/test/gateway/connectionCheck.test.ts
@@ -5,6 +5,7 @@
 import { once } from 'node:events';
 import { createServer, request } from 'node:http';
 import { test } from 'node:test';
+import type { PeerAnswer } from '../../packages/gateway/src/node/serverPaths.js';
 import { ConnectionCheck } from '../../packages/gateway/src/node/connectionCheck.js';
 import { ServerAgent } from '../../packages/gateway/src/node/serverAgent.js';
 
@@ -14,8 +15,10 @@
   after: (server: Server) => void;
   /** Whether another request is in flight at the server. */
   isInUse: boolean;
-  /** Whether a peer connects to the server. */
-  isOpenToPeers?: boolean;
+  /** What peers say of the server. @default 'unknown' */
+  peers?: PeerAnswer;
+  /** Whether the server is reached through peers. */
+  isTunnelled?: boolean;
   hasEnded: boolean;
   /** Number of connections that the check opens to the server. */
   opened: number;
@@ -41,7 +44,46 @@
       server.closeAllConnections();
     },
     isInUse: true,
-    isOpenToPeers: true,
+    peers: 'accepted',
+    hasEnded: false,
+    opened: 0,
+  },
+  {
+    name: 'a process that refuses this instance and its peers',
+    after: (server) => {
+      server.close();
+      server.closeAllConnections();
+    },
+    isInUse: true,
+    peers: 'refused',
+    hasEnded: true,
+    opened: 0,
+  },
+  {
+    name: 'a process that is reached through peers and refuses them',
+    after: () => undefined,
+    isInUse: false,
+    peers: 'refused',
+    isTunnelled: true,
+    hasEnded: true,
+    opened: 0,
+  },
+  {
+    name: 'a process that is reached through peers and accepts one',
+    after: () => undefined,
+    isInUse: false,
+    peers: 'accepted',
+    isTunnelled: true,
+    hasEnded: false,
+    opened: 0,
+  },
+  {
+    name: 'a process of which no peer knows, behind a partition that refuses,',
+    after: (server) => {
+      server.close();
+    },
+    isInUse: false,
+    isTunnelled: true,
     hasEnded: false,
     opened: 0,
   },
@@ -73,7 +115,8 @@
   },
 ];
 
-for (const { name, after, isInUse, isOpenToPeers, hasEnded, opened } of cases) {
+for (const { name, after, isInUse, peers = 'unknown', isTunnelled = false, ...is } of cases) {
+  const { hasEnded, opened } = is;
   test(`${name} has ${hasEnded ? '' : 'not '}ended`, async (t) => {
     const { server, url } = await listen(t);
     const agent = new ServerAgent();
@@ -84,8 +127,10 @@
     let connections = 0;
     server.on('connection', () => (connections += 1));
     after(server);
-    const peers = { isOpenToPeers: () => Promise.resolve(isOpenToPeers ?? false) };
-    const check = new ConnectionCheck(agent, peers);
+    const check = new ConnectionCheck(agent, {
+      askPeers: () => Promise.resolve(peers),
+      isTunnelled: () => isTunnelled,
+    });
     const [service, id, dataCentre, state] = ['llm', 's1', 'hall-a', 'live'] as const;
     assert.equal(await check.hasEnded({ service, id, dataCentre, state, url }), hasEnded);
     await new Promise((resolve) => setTimeout(resolve, 20));
--- a/test/gateway/serverPaths.test.ts
+++ b/test/gateway/serverPaths.test.ts
@@ -7,6 +7,7 @@
 import { describe, test } from 'node:test';
 import { setTimeout as delay } from 'node:timers/promises';
 import { Result } from 'true-myth';
+import type { PeerAnswer } from '../../packages/gateway/src/node/serverPaths.js';
 import { FakeServer } from '../platform/fakeServer.js';
 import { listedServer, startPaths } from './pathsWorld.js';
 
@@ -49,21 +50,39 @@
 // Guards against a peer behind the same partition whose failure makes all requests in flight suspects of a crash.
 describe('a server that refuses connections', () => {
   type Peer = TunnelFault | 'opens';
-  const cases: { name: string; peers: [Peer, Peer]; isOpen: boolean }[] = [
-    { name: 'is open if the first peer connects', peers: ['opens', 'refused'], isOpen: true },
-    { name: 'is open if the second one does', peers: ['peer-unreachable', 'opens'], isOpen: true },
+  const cases: { name: string; peers: [Peer, Peer]; answer: PeerAnswer }[] = [
+    {
+      name: 'is open if the first peer connects',
+      peers: ['opens', 'refused'],
+      answer: 'accepted',
+    },
+    {
+      name: 'is open if the second one does',
+      peers: ['peer-unreachable', 'opens'],
+      answer: 'accepted',
+    },
     {
       name: 'is open if a peer connects after one that cannot',
       peers: ['server-unreachable', 'opens'],
-      isOpen: true,
+      answer: 'accepted',
+    },
+    {
+      name: 'is open if a peer connects after one that is refused',
+      peers: ['server-refused', 'opens'],
+      answer: 'accepted',
+    },
+    {
+      name: 'has refused if it refused the only peer that answers',
+      peers: ['server-refused', 'peer-unreachable'],
+      answer: 'refused',
     },
     {
-      name: 'is not open if no peer connects',
+      name: 'is not known to be open if no peer connects',
       peers: ['server-unreachable', 'server-unreachable'],
-      isOpen: false,
+      answer: 'unknown',
     },
   ];
-  for (const { name, peers, isOpen } of cases) {
+  for (const { name, peers, answer } of cases) {
     test(name, async (t) => {
       const target = await listen(t, () => undefined);
       const servers = [listedServer('s1', `http://127.0.0.1:${String(REFUSED_PORT)}`)];
@@ -71,7 +90,7 @@
         const how = peer === 'edge-2' ? peers[0] : peers[1];
         return how === 'opens' ? openTo(target) : Result.err(how);
       });
-      assert.equal(await paths.isOpenToPeers({ id: 's1' }), isOpen);
+      assert.equal(await paths.askPeers({ id: 's1' }), answer);
     });
   }
 });
--- a/test/gateway/serverTunnels.test.ts
+++ b/test/gateway/serverTunnels.test.ts
@@ -150,8 +150,8 @@
     prepare: (world) => {
       world.list('s1', 'http://127.0.0.1:1');
     },
-    refusal: 'server-unreachable',
-    reason: 'connect-failed',
+    refusal: 'server-refused',
+    reason: 'connect-refused',
   },
   {
     name: 'to a server that does not accept connections',
--- a/test/mesh/tunnel.test.ts
+++ b/test/mesh/tunnel.test.ts
@@ -157,6 +157,13 @@
       refuseTunnel(socket, 'unavailable');
     },
   },
+  {
+    name: 'by a peer whose connection the server refused',
+    refusal: 'server-refused',
+    handler: ({ socket }) => {
+      refuseTunnel(socket, 'server-refused');
+    },
+  },
   {
     name: 'by a peer that cannot reach the server',
     refusal: 'server-unreachable',
--- a/test/platform/cutOff.test.ts
+++ b/test/platform/cutOff.test.ts
@@ -5,6 +5,7 @@
 import { describe, test } from 'node:test';
 import { setTimeout as delay } from 'node:timers/promises';
 import { createLink } from '../../packages/lab/src/node/link/index.js';
+import { CRASHING_BODY } from './fakeServer.js';
 import { World } from './world.js';
 
 /** Milliseconds after a cut from which callers of the instance must be served. */
@@ -35,7 +36,7 @@
     ),
   );
   const url = await other.store.listenView(t, (kind, spec) => {
-    if (kind !== 'servers') return spec;
+    if (kind !== 'servers' || spec === null) return spec;
     const entry = spec as { address: string };
     const link = links.get(entry.address);
     return { ...entry, address: `127.0.0.1:${String(link?.port)}` };
@@ -46,6 +47,12 @@
   return { cut, links: [...links.values()] };
 }
 
+/** Crashes of servers that show a request to be their cause. */
+const PROVEN_CRASHES = 3;
+/** Times that the request is sent; its callers try again at this instance only. */
+const REPEATS = 12;
+const REPEAT_MS = 400;
+
 const kinds = ['/look/', '/book/', '/draft/'];
 
 function callEach(world: World): Promise<Answer>[] {
@@ -84,3 +91,31 @@
     });
   }
 });
+
+// Guards against a request that crashes servers without end, because their crashes are not seen behind a tunnel.
+test('a request that crashes servers is stopped by an instance that reaches them through a peer', async (t) => {
+  const { cut, links } = await startWithLinks(t);
+  const engines = cut.servers.filter(({ name }) => name.startsWith('e'));
+  for (const server of engines) {
+    let listed = server.id;
+    server.crashes = 'before-head';
+    server.onRestart = () => {
+      cut.store.remove('servers', listed);
+      listed = server.id;
+      cut.store.put('servers', listed, server.entry('llm'));
+    };
+  }
+  for (const link of links) link.setCut('silent');
+  while (!isTunnelled(cut, engines.length)) await Promise.all(callEach(cut));
+  for (let sent = 0; sent < REPEATS; sent += 1) {
+    void cut.call({ path: '/draft/a', body: CRASHING_BODY });
+    await delay(REPEAT_MS);
+  }
+  const crashed = engines.reduce((sum, server) => sum + server.crashed, 0);
+  assert.ok(crashed > 0 && crashed <= PROVEN_CRASHES, `${String(crashed)} servers crashed`);
+});
+
+function isTunnelled({ log }: World, servers: number): boolean {
+  const { fields } = log.events.findLast(({ event }) => event === 'server-path-changed') ?? {};
+  return Number(fields?.tunnel) >= servers;
+}
