--- a/test/differential/livingHolder.test.ts
+++ b/test/differential/livingHolder.test.ts
@@ -6,9 +6,7 @@
 const TICKET_KEY = 8;
 
 test('bills an answered request although its router was sealed and the witness crashed', () => {
-  // Guards against a request that ran and is on no invoice: the only witness of its bill crashed,
-  // and the router that still has the bill was sealed while alive, without being asked for its
-  // lines.
+  // Guards against a bill lost with its only witness, as the living router that has it was sealed and not asked for its lines.
   const fleet = new ReducerFleet(1_000);
   const request = { type: 'request', crashPoint: 'none' } as const;
   const events: FleetEvent[] = [
--- a/test/entry/refusals.test.ts
+++ b/test/entry/refusals.test.ts
@@ -111,9 +111,7 @@
   assert.equal(res.headers.get('retry-after'), '2');
 });
 
-// A request ran at one router and its reply was lost. Another router refuses the retry for an
-// unrelated reason. If that refusal said "not run", the caller could send the request with a new
-// key, and it would run twice.
+// Guards against "not run" said of a retry whose first try ran at another router and lost its reply.
 const unchecked = [
   { name: 'a key whose claim has not been read', key: true, run: 'unknown' },
   { name: 'neither key nor ticket', key: false, run: 'not-run' },
--- a/test/gateway/charge.test.ts
+++ b/test/gateway/charge.test.ts
@@ -3,9 +3,7 @@
 import { describe, test } from 'node:test';
 import { chargeOf } from '@flamingocourse/gateway';
 
-// Guards against charging the prompt of requests that delivered nothing. When servers lost half of all
-// answers, accounts were refused for the rest of the day although barely half of their budget
-// had been answered.
+// Guards against accounts refused for prompts of requests that delivered nothing.
 describe('the charge of a request', () => {
   const stream: ChargedRequest = {
     prompt: 900,
--- a/test/gateway/reportPeriod.test.ts
+++ b/test/gateway/reportPeriod.test.ts
@@ -19,9 +19,7 @@
   }
 });
 
-// Guards against refusing requests for two seconds after another instance has returned tokens, because
-// this instance trusted an older page. In a large fleet, frequent fetches by every instance would exceed the
-// store's rate limit.
+// Guards against refusals by an older page after tokens were returned, and against a store flooded by fetches of all instances.
 describe('how long a page with too few tokens is trusted', () => {
   const cases = [
     { periodMs: 2_000, instances: 1, trustMs: 36 },
--- a/test/mesh/configuration.test.ts
+++ b/test/mesh/configuration.test.ts
@@ -155,9 +155,7 @@
   await untilInTime('in force', others, () => others.every((r) => tokensOf(r, 'club') === 7));
 });
 
-// Guards against old settings that return: a router restarts, the platform gives it a stale list,
-// and it passes this list on to its peers. The newer state of the peers must win in both
-// directions.
+// Guards against old settings that return: a restarted router gets a stale list and passes it on to its peers.
 test('a stale list after a restart reverts nothing', async (t) => {
   const platform = new MemoryObjectStore();
   await declare(platform, 'club', 1);
--- a/test/mesh/fleet.test.ts
+++ b/test/mesh/fleet.test.ts
@@ -136,9 +136,7 @@
   assert.ok(pull.isOk);
 });
 
-// Guards against a router that seals all its peers after its machine was suspended: on resume, it
-// had received nothing for minutes and considered all peers gone before the first heartbeat
-// arrived.
+// Guards against a router that seals all its peers on resume, as it heard of none while its machine was suspended.
 test('a router that resumes after a pause does not consider its peers gone', () => {
   const table = new MembershipTable(createMember('r1'), times, []);
   const message = { info: createMember('r2'), digest: [], members: [] };
--- a/test/money/journal.test.ts
+++ b/test/money/journal.test.ts
@@ -107,9 +107,7 @@
 });
 
 test('a paused holder that resumes after it was sealed cannot write lines', () => {
-  // Guards against an answer that is never billed: the holder pauses, a peer seals it, and its
-  // slice returns to the pool. Then the holder resumes and bills from a slice that it no longer
-  // has.
+  // Guards against an answer that is never billed: a holder was sealed in a pause and bills from a slice that it no longer has.
   const held = apply(journalWith('a'), linesOf('a', take(500)));
   const sealing = startSeal(held, 'a').unwrapOr(held);
   assert.equal(inDoubt(sealing, KIRK), 500);
@@ -129,6 +127,7 @@
   // sealed while the transfer line of a is only at a witness. Until the line arrives, the slice of
   // b is negative.
   let state = apply(journalWith('a', 'b'), linesOf('a', take(1_000)));
+  // Guards against tokens lost without being spent: b bills from a transfer whose line is only at a witness, and is sealed.
   state = apply(state, linesOf('b', { type: 'bill', bill: billOf('b', 1, 60) }));
   assert.equal(checkInvariant(state), undefined);
   state = startSeal(state, 'b').unwrapOr(state);
--- a/test/money/killPoints.test.ts
+++ b/test/money/killPoints.test.ts
@@ -52,9 +52,7 @@
 
 for (const { crashesAfter, platform, billed } of killPoints) {
   test(`a crash after ${crashesAfter} with the platform ${platform} leaves ${billed} tokens billed`, () => {
-    // Guards against a request that is billed twice, a bill for a request that was not completed,
-    // and tokens lost in a crash. The router crashes at this step, and a peer seals it with the
-    // lines of the witness. After that, the whole slice except the bill is free again.
+    // Guards against a request that is billed twice or without an answer, and tokens lost in a crash at this step.
     const { journal: started, spender } = start();
     let journal = started;
     let witness = createWitness();
--- a/test/money/moneyFaults.test.ts
+++ b/test/money/moneyFaults.test.ts
@@ -14,9 +14,7 @@
 
 for (const seed of [1, 2, 3]) {
   test(`random partitions, outages and lost replies: every kept bill is stored once, no overspend (seed ${seed})`, async (t) => {
-    // Guards against accounts charged twice, answers that are not billed, and spending beyond the
-    // budget. Routers are partitioned and reconnected and the store fails while clients send
-    // requests.
+    // Guards against accounts charged twice, answers not billed and overspending when routers are cut off and the store fails.
     const world = new MoneyWorld(LIMIT, 'avoid-false-refusals');
     for (const name of ['router-1', 'router-2', 'router-3']) world.add(name);
     world.add('router-4', 'dc-b');
--- a/test/money/moneyService.test.ts
+++ b/test/money/moneyService.test.ts
@@ -121,9 +121,7 @@
 
 for (const { after, platform, billed, found } of isolations) {
   test(`A is isolated after ${after} (store fault: ${platform}), and B seals it: ${found}`, async () => {
-    // Guards against a request that runs twice and against lost tokens of a failed router. A is
-    // isolated, B seals it and resolves the ticket. Then A reconnects and bills an in-flight
-    // request.
+    // Guards against a request that runs twice, and lost tokens, when a sealed router reconnects and bills.
     await withRouters(2, 1_000, async (world, [a, b]) => {
       assert.ok(a && b);
       await until(() => world.journal().holders[a.incarnation]?.witnesses.length === 1);
@@ -234,6 +232,7 @@
   // same time, each recalls tokens from the other, and both pause their refills in favour of the
   // other.
   const world = new MoneyWorld(200_000_000, 'avoid-false-refusals');
+  // Guards against refusals while the ledger has enough tokens, as two data centres wait for each other's refill.
   for (const name of ['a-1', 'a-2', 'b-1', 'b-2']) world.add(`router-${name}`, `dc-${name[0]}`);
   await world.start();
   let refused = 0;
--- a/test/prepaid/prepaidBudgets.test.ts
+++ b/test/prepaid/prepaidBudgets.test.ts
@@ -206,9 +206,7 @@
   assert.deepEqual(outlook.get('shop'), { limitPart: 500, beyond: 300, groups: 2 });
 });
 
-// Guards against callers refused with 503 while two fifths of their budget are unused: the first
-// instances to start were granted half of it before the others had joined, and could not return
-// any.
+// Guards against callers refused while budget is unused that the first instances were granted and could not return.
 describe('returnSurplus', () => {
   const outlook = new Map([['shop', { limitPart: 500, beyond: 0, groups: 2 }]]);
 
--- a/test/prepaid/prepaidExperiment.test.ts
+++ b/test/prepaid/prepaidExperiment.test.ts
@@ -22,9 +22,7 @@
 
 const usual = new PrepaidSizing();
 
-// Load modelled on a day of the third customer: reports of about 9,000 tokens and notes of 1,100 at
-// seven instances, a few large accounts, some accounts at one instance only, limits of 1.3 times
-// the demand.
+// Guards against budgets refused although enough is left, with few large accounts and some used at one instance only.
 describe('the budgets of a day', () => {
   test('refuse less than 1 % of the demand without faults', () => {
     const { requested, refusedConnected } = run(usual, {});
--- a/test/prepaid/prepaidPage.test.ts
+++ b/test/prepaid/prepaidPage.test.ts
@@ -122,9 +122,7 @@
   assert.equal(applyReport(page, left), page, 'sent again it changes nothing');
 });
 
-// Guards against a removed instance that holds its tokens for ever, and against spending that is
-// counted twice: an instance that comes back after an hour reports tokens that are already charged
-// as in doubt.
+// Guards against a removed instance that holds its tokens for ever, or whose tokens are charged twice when it comes back.
 describe('a writer that was dropped', () => {
   const before = pageOf(report('a', 1, { wants: 400 }), report('b', 1, { wants: 100 }));
   const page = dropWriter(before, 'a');
--- a/test/routing/attempts.test.ts
+++ b/test/routing/attempts.test.ts
@@ -22,9 +22,7 @@
 }
 
 describe('after a failed attempt', () => {
-  // Guards against duplicate reservations, and against reporting `not-run` for a reservation that
-  // was made: the connection failed after the request was sent, and the request was retried or
-  // assumed not to have run.
+  // Guards against duplicate reservations, and `not-run` said of one that was made, after a connection failed with the request sent.
   const cases = [
     { idempotent: false, made: 1, provablyNotRun: false, expected: 'outcome-unknown/unknown' },
     { idempotent: false, made: 1, provablyNotRun: true, expected: 'retry' },
--- a/test/routing/quickEngineChooser.test.ts
+++ b/test/routing/quickEngineChooser.test.ts
@@ -7,9 +7,7 @@
 const affinity = new PrefixAffinityChooser(1.5);
 const quick = new QuickEngineChooser(affinity);
 
-// Guards against late streams: if long prompts go to all engines equally, a slow engine needs more
-// than 300 ms for the three prompt chunks between two events. A pause of that length makes the
-// stream late.
+// Guards against streams made late by long prompts, which all engines get alike although some are slow.
 describe('long prompts and streams on engines of different speeds', () => {
   const speeds = [1, 1, 1.3, 1, 1, 1.3, 1, 1];
   for (const seed of [1, 2, 3]) {
--- a/test/routing/serverPool.test.ts
+++ b/test/routing/serverPool.test.ts
@@ -192,9 +192,7 @@
     return pool.capacity(1e9);
   }
 
-  // Guards against hours in which nearly all requests miss their deadline: operators declared more
-  // concurrent requests than fit into the memory of the servers. Timeouts must count, because
-  // almost nothing is answered.
+  // Guards against a limit that stays above what a server can run because its timeouts do not count.
   const cases = [
     {
       name: 'answers within the target leave it unchanged',
--- a/test/spec/walk.test.ts
+++ b/test/spec/walk.test.ts
@@ -13,9 +13,7 @@
 
 for (const scope of scopes) {
   test(`every state of "${scope.name}" within ${scope.maxDepth} steps satisfies the invariants`, () => {
-    // Guards against an overdrawn account, an answer billed twice or never, a non-idempotent request
-    // that runs twice, and a request reported as "not run" although it ran. The walk takes the steps
-    // of routers, stores and sealers in every order.
+    // Guards against overspending, answers billed twice or never, and requests that run twice or ran although reported as `not-run`.
     const result = walk(scope);
     assert.equal(result.violation, undefined, JSON.stringify(result.trace));
     assert.notEqual(result.end, 'states');
--- a/test/store/httpObjectStore.test.ts
+++ b/test/store/httpObjectStore.test.ts
@@ -93,9 +93,7 @@
   });
 }
 
-// Guards against slow refusals during an outage, when each request waits for the whole timeout.
-// After a few failures the circuit must refuse calls immediately, and it must close soon after the
-// outage.
+// Guards against refusals that are slow in an outage, as each request waits for the whole timeout.
 test('during an outage the circuit refuses calls immediately, and closes after it', async (t) => {
   const platform = await startStandIn(t);
   const store = connect(t, platform.urls['dc-a'], { timeoutMs: 60 });
--- a/test/store/link.test.ts
+++ b/test/store/link.test.ts
@@ -50,9 +50,7 @@
   assert.equal((await store.get(notes, 'n')).unwrapOrElse(failTest).value.text, text);
 });
 
-// Guards against a process that never exits and keeps a core busy: a connection was reset while its
-// own end was still being sent. The runtime refuses this, and the process then waits forever for
-// it.
+// Guards against a process that never exits because a connection was reset while its own end was still being sent.
 describe('a connection that is broken closes without an error', () => {
   const cases = [
     { name: 'while it is open', before: () => undefined },
--- a/test/store/recoveryProbe.test.ts
+++ b/test/store/recoveryProbe.test.ts
@@ -88,9 +88,7 @@
   }
 }
 
-// Guards against a loop that floods the store with calls: an answer that cannot be parsed counts as
-// a failure and starts a probe, the answer to the probe wakes the watch, and the watch repeats its
-// call.
+// Guards against a watch that floods the store: an unusable answer starts a probe, whose answer wakes the watch again.
 test('a watch whose answers are unusable backs off although the store is reachable', async (t) => {
   const platform = await startStandIn(t);
   const dialect = new UnusableAnswerDialect();
--- a/test/store/watch.test.ts
+++ b/test/store/watch.test.ts
@@ -52,9 +52,7 @@
   }
 }
 
-// Guards against a removed server that is handled as one whose entry expired in an outage: the
-// batch pause plus the full idle time of a watch came within 50 ms of the silence that counts as an
-// outage.
+// Guards against a removed server that is taken for one whose entry expired in an outage, as the watch was idle for too long.
 test('the idle time of a watch includes the pause in which changes are batched', async (t) => {
   const dialect = new OneChangeDialect();
   const store = connect(t, 'http://127.0.0.1:1', { dialect });
