test: the runner names every test, also the last ones of a file

KNOWN-RED.txt had: the lines of a test file are lost at its end. A listed failure whose name is lost, or an unlisted one beside it, can't be told apart then. Tried and dropped: the report to a standard stream that is a file, a reporter that writes synchronously; both still lost the end in some runs, as the events never came to them.

The runner now uses run() of node:test, reads names from its events, and exits when the report is written. Each test file's process exits by itself, by a module loaded before it: once its tests are over and its loop is empty, or a second after (a server left open), by process.exit, so that Node's clean-up of handles, which can loop, is not reached.

--- a/scripts/runTests.mjs
+++ b/scripts/runTests.mjs
@@ -3,16 +3,20 @@
 // A failure of a test that KNOWN-RED.txt lists is printed and does not fail the run. Any other failure
 // does, and so does a listed test that passes, so that its line gets removed. A flaky test is listed
 // as "sometimes: NAME" and may pass or fail.
-import { spawnSync } from 'node:child_process';
+import { existsSync, readdirSync, readFileSync } from 'node:fs';
+import { resolve } from 'node:path';
+import process from 'node:process';
+import { pipeline } from 'node:stream/promises';
+import { run } from 'node:test';
+import { spec } from 'node:test/reporters';
 import { ensureInstalled } from './ensureInstalled.mjs';
-import { existsSync, mkdtempSync, readdirSync, readFileSync, rmSync } from 'node:fs';
-import { tmpdir } from 'node:os';
-import { join } from 'node:path';
 
 ensureInstalled();
 
 const KNOWN_RED_FILE = 'KNOWN-RED.txt';
 const SOMETIMES = 'sometimes: ';
+/** Milliseconds after which a test fails that hangs, and a file of tests. */
+const TIMEOUT_MS = 120_000;
 
 const filters = process.argv.slice(2);
 const files = readdirSync('test', { recursive: true })
@@ -26,32 +30,30 @@
 }
 
 const knownRed = readKnownRed();
-const directory = mkdtempSync(join(tmpdir(), 'flamingocourse-tests-'));
-const tapFile = join(directory, 'results.tap');
-const concurrency = process.env.TEST_CONCURRENCY ?? '6';
-const run = spawnSync(
-  process.execPath,
-  [
-    '--conditions=@flamingocourse/source',
-    '--import=tsx',
-    '--test',
-    `--test-concurrency=${concurrency}`,
-    '--test-reporter=spec',
-    '--test-reporter-destination=stdout',
-    '--test-reporter=tap',
-    `--test-reporter-destination=${tapFile}`,
-    // A hanging test must fail here; otherwise CI shows nothing until its own timeout.
-    '--test-timeout=120000',
-    // After the last test, Node 20 can loop forever while it cleans up the handles of exited child
-    // processes (seen in test/process: the main thread stays in CleanupHandles).
-    '--test-force-exit',
-    ...files,
-  ],
-  { stdio: 'inherit' },
+const results = { passed: new Set(), failed: new Set() };
+let hasFailed = false;
+// `run` passes these to the process of each file.
+process.execArgv.push(
+  '--conditions=@flamingocourse/source',
+  '--import=tsx',
+  '--import=./scripts/exitAfterTests.mjs',
+  `--test-timeout=${String(TIMEOUT_MS)}`,
 );
-const results = readResults(tapFile);
-rmSync(directory, { recursive: true });
-process.exit(exitCode(run.status ?? 1, results));
+const events = run({
+  files: files.map((file) => resolve(file)),
+  concurrency: Number(process.env.TEST_CONCURRENCY ?? '6'),
+  timeout: TIMEOUT_MS,
+});
+events.on('test:pass', ({ name }) => {
+  results.passed.add(name);
+});
+events.on('test:fail', ({ name, details }) => {
+  hasFailed = true;
+  // a group that fails only because one of its tests failed is not counted.
+  if (details.error.failureType !== 'subtestsFailed') results.failed.add(name);
+});
+await pipeline(events, new spec(), process.stdout, { end: false });
+process.exit(exitCode(hasFailed ? 1 : 0, results));
 
 /** Map from the name of a test that may fail to its line. */
 function readKnownRed() {
@@ -66,26 +68,6 @@
   return first.startsWith(SOMETIMES) ? first.slice(SOMETIMES.length) : first;
 }
 
-/**
- * Names of passed and failed tests in a TAP report. A group that fails only because one of its tests
- * failed is not counted.
- */
-function readResults(file) {
-  const passed = new Set();
-  const failed = new Set();
-  let last;
-  for (const line of readFileSync(file, 'utf8').split('\n')) {
-    const result = /^\s*(not ok|ok) \d+ - (.*?)(?: # .*)?$/.exec(line);
-    if (result) {
-      last = result[2];
-      (result[1] === 'ok' ? passed : failed).add(last);
-    } else if (/^\s*failureType: 'subtestsFailed'$/.test(line)) {
-      failed.delete(last);
-    }
-  }
-  return { passed, failed };
-}
-
 function exitCode(status, { passed, failed }) {
   const nowPassing = [...knownRed]
     .filter(([name, line]) => !line.startsWith(SOMETIMES) && passed.has(name) && !failed.has(name))
