--- a/test/soak/soakSeeds.test.ts
+++ b/test/soak/soakSeeds.test.ts
@@ -8,6 +8,7 @@
 const cases: { seed: number; showed: string }[] = [
   { seed: 17, showed: 'streams joined at a server that came back as another version, in kills' },
   { seed: 47, showed: 'streams joined at a server that came back as another version, in cuts' },
+  { seed: 220, showed: 'a stream that ended with the peer through which it went' },
 ];
 
 // Guards against promises that real processes break under faults which overlap.
