--- a/test/soak/soakProcess.ts
+++ b/test/soak/soakProcess.ts
@@ -66,8 +66,7 @@
     child.stdout.on('data', keep);
     child.stderr.on('data', keep);
     child.on('exit', (code, signal) => {
-      if (!this.#isExitExpected)
-        this.unexpectedExits.push(`${this.name}: ${String(code ?? signal)}`);
+      if (!this.#isExitExpected) this.unexpectedExits.push(this.#describeExit(code ?? signal));
     });
     this.#child = child;
   }
@@ -85,6 +84,14 @@
     this.#child?.kill(signal);
   }
 
+  #describeExit(code: unknown): string {
+    const now = performance.now();
+    const since = (times: readonly number[]): string =>
+      String(Math.round(now - (times.at(-1) ?? 0)));
+    const output = this.#hasOutput ? 'with' : 'without';
+    return `${this.name}: ${String(code)}, ${since(this.startedAt)} ms after its start, ${output} output, last signal ${since(this.disturbedAt)} ms ago`;
+  }
+
   /** Ends the process and resolves once it has exited; a paused process is continued first. */
   async end(signal: 'SIGKILL' | 'SIGTERM'): Promise<void> {
     const child = this.#child;
