refactor(gateway): the check of a lost connection opens one as everybody else

tryConnection opened a connection with a time limit of its own, beside openDirect, which does the same and names the error's code. Behaviour is the same: accepted and closed, ECONNREFUSED refused, anything else unreachable. Its table passes unchanged.

--- a/packages/gateway/src/node/connectionCheck.ts
+++ b/packages/gateway/src/node/connectionCheck.ts
@@ -5,11 +5,11 @@
 import type { BackendServer } from '@flamingocourse/core';
 import type { ServerAgent } from './serverAgent.js';
 import type { ServerPaths } from './serverPaths.js';
-import { connect } from 'node:net';
 import { setTimeout as delay } from 'node:timers/promises';
-import { onTimeout, waitForPendingReads } from '@flamingocourse/kernel';
+import { waitForPendingReads } from '@flamingocourse/kernel';
 import { CrashCheck } from '@flamingocourse/router';
 import { serverAddress } from '../utils/serverAddress.js';
+import { openDirect } from './directConnection.js';
 
 /** Connection timeout, in milliseconds. An unreachable server does not count as ended. */
 const CONNECT_MS = 500;
@@ -66,22 +66,9 @@
   }
 }
 
-function tryConnection(host: string, port: number): Promise<ConnectResult> {
-  return new Promise((resolve) => {
-    const socket = connect({ host, port });
-    const end = (how: ConnectResult): void => {
-      stopTimer();
-      resolve(how);
-      socket.destroy();
-    };
-    const stopTimer = onTimeout(CONNECT_MS, () => {
-      end('unreachable');
-    });
-    socket.once('connect', () => {
-      end('accepted');
-    });
-    socket.on('error', ({ code }: NodeJS.ErrnoException) => {
-      end(code === 'ECONNREFUSED' ? 'refused' : 'unreachable');
-    });
-  });
+async function tryConnection(host: string, port: number): Promise<ConnectResult> {
+  const opened = await openDirect({ host, port }, CONNECT_MS);
+  if (opened.isErr) return opened.error.code === 'ECONNREFUSED' ? 'refused' : 'unreachable';
+  opened.value.destroy();
+  return 'accepted';
 }
