--- a/packages/gateway/src/node/requestLogLine.ts
+++ b/packages/gateway/src/node/requestLogLine.ts
@@ -6,6 +6,7 @@
 import type { Outcome } from '../types/outcome.js';
 import type { IncomingCall } from '../types/requestRun.js';
 import type { RequestFlow } from './requestFlow.js';
+import { hasBegun } from '@flamingocourse/core';
 
 /** A finished request. */
 export interface EndedRequest {
@@ -78,7 +79,7 @@
   if (!flow) return {};
   const { software } = flow.progress;
   const { source, askedMs } = flow.stream;
-  if (software.type === 'any' || software.type === 'begins') return {};
+  if (!hasBegun(software)) return {};
   const streamVersion = software.type === 'version' ? software.version : software.type;
   return { streamVersion, streamKnownBy: source, askedMs };
 }
