refactor(paths): one number of peers for a connection and for a probe

SEVERAL_PEERS listed the places of the three peers that MAX_PEERS counted in another file; a change of one would have left probes without ways, or ways unused. The list is derived from the number now; the number is the same.

--- a/packages/gateway/src/node/serverPaths.ts
+++ b/packages/gateway/src/node/serverPaths.ts
@@ -12,7 +12,7 @@
 import { setTimeout as delay } from 'node:timers/promises';
 import { Service } from '@flamingocourse/kernel';
 import { Result } from 'true-myth';
-import { ServerPath } from '../runtime/serverPath.js';
+import { MAX_PEERS, ServerPath } from '../runtime/serverPath.js';
 import { staggeredRace } from '../runtime/staggeredRace.js';
 import { TunnelPeers } from '../runtime/tunnelPeers.js';
 import { serverAddress } from '../utils/serverAddress.js';
@@ -24,8 +24,6 @@
 
 /** Milliseconds that one way to a server has before the next one is tried beside it. */
 const STAGGER_MS = 50;
-/** Maximum number of peers that are asked for one connection. */
-const MAX_PEERS = 3;
 /** Milliseconds between two checks for probes that are due. */
 const CHECK_INTERVAL_MS = 50;
 /** Maximum number of probes that are begun at a check. */
--- a/packages/gateway/src/runtime/serverPath.ts
+++ b/packages/gateway/src/runtime/serverPath.ts
@@ -22,7 +22,9 @@
 const JITTER = 0.25;
 /** Probes through several peers that nobody answers; after them a server has probably ended. */
 const FULL_PROBES = 2;
-const SEVERAL_PEERS = [0, 1, 2];
+/** Maximum number of peers that are asked for one connection or in one probe. */
+export const MAX_PEERS = 3;
+const SEVERAL_PEERS = Array.from({ length: MAX_PEERS }, (_, place) => place);
 /** The second in the order is of another data centre, if the own one may have lost its links. */
 const PEERS_IN_TURN = [0, 1];
 
