--- a/test/platform/crashingRequest.test.ts
+++ b/test/platform/crashingRequest.test.ts
@@ -4,6 +4,7 @@
 import { setTimeout as delay } from 'node:timers/promises';
 import type { CrashMoment } from './fakeServer.js';
 import { CRASHING_BODY, FakeServer } from './fakeServer.js';
+import { restartUnder } from './restartUnder.js';
 import { World, until } from './world.js';
 import { createRandom } from '../routing/fixtures/seededRandom.js';
 
@@ -198,20 +199,6 @@
   return fleet;
 }
 
-/** Adds a server to the list, and adds it again under its new id after each crash. */
-function restartUnder({ store }: World, server: FakeServer, moment: CrashMoment): void {
-  const service = server.name.startsWith('p') ? 'ledger' : 'llm';
-  let listed = server.id;
-  server.behaviour = service === 'llm' ? 'stream' : 'answer';
-  server.crashes = moment;
-  store.put('servers', server.id, server.entry(service));
-  server.onRestart = () => {
-    store.remove('servers', listed);
-    listed = server.id;
-    store.put('servers', server.id, server.entry(service));
-  };
-}
-
 /** Sends the request repeatedly, each time to the next instance. */
 async function sendRounds(fleet: readonly World[], path: string, rounds: number): Promise<void> {
   for (let round = 0; round < rounds; round += 1) {
--- a/test/platform/cutOff.test.ts
+++ b/test/platform/cutOff.test.ts
@@ -6,6 +6,7 @@
 import { setTimeout as delay } from 'node:timers/promises';
 import { createLink } from '../../packages/lab/src/node/link/index.js';
 import { CRASHING_BODY } from './fakeServer.js';
+import { restartUnder } from './restartUnder.js';
 import { World } from './world.js';
 
 /** Milliseconds after a cut from which callers of the instance must be served. */
@@ -96,15 +97,7 @@
 test('a request that crashes servers is stopped by an instance that reaches them through a peer', async (t) => {
   const { cut, links } = await startWithLinks(t);
   const engines = cut.servers.filter(({ name }) => name.startsWith('e'));
-  for (const server of engines) {
-    let listed = server.id;
-    server.crashes = 'before-head';
-    server.onRestart = () => {
-      cut.store.remove('servers', listed);
-      listed = server.id;
-      cut.store.put('servers', listed, server.entry('llm'));
-    };
-  }
+  for (const server of engines) restartUnder(cut, server, 'before-head');
   for (const link of links) link.setCut('silent');
   while (!isTunnelled(cut, engines.length)) await Promise.all(callEach(cut));
   for (let sent = 0; sent < REPEATS; sent += 1) {
