--- a/test/platform/rawCaller.ts
+++ b/test/platform/rawCaller.ts
@@ -26,12 +26,16 @@
   readonly socket: Socket;
   /** Resolves when the connection is closed. */
   readonly closed: Promise<unknown>;
+  /** Resolves when the first answer has begun or the connection is closed. */
+  readonly ended: Promise<unknown>;
   #received = '';
   #bytes = 0;
 
   private constructor(socket: Socket) {
     this.socket = socket;
     this.closed = new Promise((resolve) => socket.once('close', resolve));
+    const answered = new Promise((resolve) => socket.once('data', resolve));
+    this.ended = Promise.race([this.closed, answered]);
     socket.on('error', () => undefined);
     socket.on('data', (chunk: Buffer) => {
       this.#bytes += chunk.length;
