fix(gateway): connections that wait to be accepted come before the work of others

Most new connections of a data centre went to one instance with a third of a processor.

Cause: Node 20 accepts one connection in an iteration of its loop. An iteration did the whole work of the request that it had read, so connections waited in the operating system for as many requests as were before them, where nothing counts their time; the limit of a request started when it was read.

Fix: the listener takes its connections paused. An iteration is short, the queue is found empty often, and the earliest time at which a connection can have been opened is near. From 150 ms on the limit starts then.

Ruled out: limits known but acted on late (the test with open connections is green without this); the link. It also ends a wrong count: the first request of a connection that had been idle counted from the connection's opening.

--- a/packages/gateway/src/node/arrivalWatch.ts
+++ b/packages/gateway/src/node/arrivalWatch.ts
@@ -1,25 +1,28 @@
-/** Measures the lag of the callers' listener in reading requests after they arrive. */
+/** Reads callers' connections in order, and measures how long requests wait before they are read. */
 
 import type { IncomingMessage, Server } from 'node:http';
 import type { Socket } from 'node:net';
 import type { GatewayContext } from '../types/context.js';
 import { ArrivalBounds } from '../runtime/arrivalBounds.js';
+import { ConnectionIntake } from '../runtime/connectionIntake.js';
 
 const MS_PER_SECOND = 1_000;
 /** Milliseconds between measurements while no request arrives. */
-const MARK_INTERVAL_MS = 100;
+const MARK_INTERVAL_MS = 50;
 /** Unread time of a request, in milliseconds, from which the instance counts as lagging. */
 const LAG_THRESHOLD_MS = 500;
+/**
+ * Unread time of a request, in milliseconds, from which its time limit starts before it was read. In
+ * an idle process the bound is up to two measurements old.
+ */
+const COUNTED_UNREAD_MS = 150;
 
 /** A connection from which no request was read yet. */
 interface NewConnection {
   /** Earliest time at which it can have been opened. */
-  earliest: number;
-  /**
-   * The same, on the assumption that no other connection was waiting to be accepted before it, which
-   * cannot be verified.
-   */
-  ifNoneWaited: number;
+  openedFrom: number;
+  /** When the process began to read it; undefined before. */
+  readFrom: number | undefined;
 }
 
 /** When a request was read. */
@@ -27,15 +30,13 @@
   readAt: number;
   /** Upper bound of the milliseconds between its arrival and its reading. */
   unreadMs: number;
-  /**
-   * Start of its time limit: when it was read, or in a lagging instance the event loop iteration in
-   * which it arrived.
-   */
+  /** Start of its time limit: when it was read, or the earliest time at which it can have arrived. */
   timeLimitStartsAt: number;
 }
 
 /**
- * Computes how long callers' requests may have been unread, and logs when the instance lags.
+ * Takes over a server's new connections, reads or closes them as {@link ConnectionIntake} decides,
+ * computes how long callers' requests may have been unread, and logs when the instance lags.
  *
  * @example
  * const arrivals = new ArrivalWatch(context, server);
@@ -45,21 +46,31 @@
 export class ArrivalWatch {
   readonly #context: GatewayContext;
   readonly #bounds: ArrivalBounds;
+  readonly #intake = new ConnectionIntake<Socket>();
+  /** Lets the server read a connection. */
+  readonly #read: (socket: Socket) => void;
   /** Connections from which no request was read yet. */
   readonly #newConnections = new WeakMap<Socket, NewConnection>();
   #timer: NodeJS.Timeout | undefined;
   #isMarkScheduled = false;
   #laggingSince: number | undefined;
   #worstMs = 0;
+  /** Connections closed unread since the lag began. */
+  #closed = 0;
 
+  /** @param server A server that does not listen yet and has all its listeners for connections. */
   constructor(context: GatewayContext, server: Server) {
     this.#context = context;
     this.#bounds = new ArrivalBounds(context.clock.now());
+    const readers = server.listeners('connection');
+    server.removeAllListeners('connection');
+    this.#read = (socket) => {
+      for (const reader of readers) reader.call(server, socket);
+      socket.resume();
+    };
+    Object.assign(server, { pauseOnConnect: true });
     server.on('connection', (socket: Socket) => {
-      this.#bounds.accepted();
-      const { connectionsFrom, requestsFrom } = this.#bounds;
-      this.#newConnections.set(socket, { earliest: connectionsFrom, ifNoneWaited: requestsFrom });
-      this.#scheduleMark();
+      this.#accept(socket);
     });
   }
 
@@ -76,17 +87,35 @@
   /** Records that a request was read. Call it once per request, immediately. */
   read({ socket }: IncomingMessage): Arrival {
     const readAt = this.#context.clock.now();
-    const { requestsFrom } = this.#bounds;
-    const opened = this.#newConnections.get(socket) ?? {
-      earliest: requestsFrom,
-      ifNoneWaited: requestsFrom,
-    };
+    const earliest = this.#earliestArrival(this.#newConnections.get(socket));
     this.#newConnections.delete(socket);
-    const unreadMs = readAt - opened.earliest;
+    const unreadMs = readAt - earliest;
     this.#scheduleMark();
     this.#observe(unreadMs, readAt);
-    const isLate = readAt - opened.ifNoneWaited >= LAG_THRESHOLD_MS;
-    return { readAt, unreadMs, timeLimitStartsAt: isLate ? opened.ifNoneWaited : readAt };
+    return {
+      readAt,
+      unreadMs,
+      timeLimitStartsAt: unreadMs >= COUNTED_UNREAD_MS ? earliest : readAt,
+    };
+  }
+
+  /** A connection that was read in vain before the last iteration cannot have had the request then. */
+  #earliestArrival(connection: NewConnection | undefined): number {
+    const { requestsFrom } = this.#bounds;
+    if (connection?.readFrom === undefined || connection.readFrom < requestsFrom) {
+      return requestsFrom;
+    }
+    return Math.min(connection.openedFrom, requestsFrom);
+  }
+
+  #accept(socket: Socket): void {
+    this.#bounds.accepted();
+    const openedFrom = this.#bounds.connectionsFrom;
+    this.#newConnections.set(socket, { openedFrom, readFrom: undefined });
+    // without a listener, an error of a connection that is not read yet would end the process.
+    socket.on('error', () => undefined);
+    this.#intake.add(socket, openedFrom);
+    this.#scheduleMark();
   }
 
   /** Records the end of this event loop iteration, right before the next poll for I/O. */
@@ -95,17 +124,41 @@
     this.#isMarkScheduled = true;
     setImmediate(() => {
       this.#isMarkScheduled = false;
-      const wasAccepting = this.#bounds.isAccepting;
-      this.#bounds.beforePoll(this.#context.clock.now());
+      const now = this.#context.clock.now();
+      const { isAccepting } = this.#bounds;
+      this.#bounds.beforePoll(now);
+      this.#readConnections(isAccepting, now);
       // the next iteration shows whether more connections are waiting.
-      if (wasAccepting) this.#scheduleMark();
+      if (isAccepting || !this.#intake.isEmpty) this.#scheduleMark();
       else this.#endLag();
     });
   }
 
+  #readConnections(isAccepting: boolean, now: number): void {
+    const { read, close } = this.#intake.next({ isAccepting, now });
+    for (const socket of read) this.#readConnection(socket, now);
+    if (close.length === 0) return;
+    this.#context.metrics.closedUnread(close.length);
+    this.#closed += close.length;
+    for (const socket of close) {
+      const { openedFrom = now } = this.#newConnections.get(socket) ?? {};
+      this.#recordLag(now - openedFrom, now);
+      socket.destroy();
+    }
+  }
+
+  #readConnection(socket: Socket, now: number): void {
+    const connection = this.#newConnections.get(socket);
+    if (connection) connection.readFrom = now;
+    this.#read(socket);
+  }
+
   #observe(unreadMs: number, now: number): void {
     this.#context.metrics.unread(unreadMs / MS_PER_SECOND);
-    if (unreadMs < LAG_THRESHOLD_MS) return;
+    if (unreadMs >= LAG_THRESHOLD_MS) this.#recordLag(unreadMs, now);
+  }
+
+  #recordLag(unreadMs: number, now: number): void {
     this.#worstMs = Math.max(this.#worstMs, unreadMs);
     if (this.#laggingSince !== undefined) return;
     this.#laggingSince = now;
@@ -117,8 +170,10 @@
     const now = this.#context.clock.now();
     if (now - this.#bounds.requestsFrom >= LAG_THRESHOLD_MS) return;
     const forMs = Math.round(now - this.#laggingSince);
-    this.#context.log.write('entry-caught-up', { forMs, worstMs: Math.round(this.#worstMs) });
+    const worstMs = Math.round(this.#worstMs);
+    this.#context.log.write('entry-caught-up', { forMs, worstMs, closedUnread: this.#closed });
     this.#laggingSince = undefined;
     this.#worstMs = 0;
+    this.#closed = 0;
   }
 }
--- a/packages/gateway/src/node/entryService.ts
+++ b/packages/gateway/src/node/entryService.ts
@@ -76,8 +76,8 @@
     const options = { maxHeaderSize: MAX_HEAD_BYTES, noDelay: true };
     const server = createServer(options, (req, res) => void this.#handle(req, res));
     this.#server = closeOnCallerEnd(server);
-    this.#arrivals = new ArrivalWatch(context, server);
     this.#connections = new CallerConnections(server, () => this.#closesConnections);
+    this.#arrivals = new ArrivalWatch(context, server);
     this.#server.requestTimeout = 0;
   }
 
--- a/packages/gateway/src/node/gatewayMetrics.ts
+++ b/packages/gateway/src/node/gatewayMetrics.ts
@@ -37,6 +37,11 @@
     buckets: LATENCY_BUCKETS,
     registers: [this.#registry],
   });
+  readonly #closedUnread = new Counter({
+    name: 'flamingocourse_connections_closed_unread_total',
+    help: 'connections of callers that waited too long to be read and were closed without reading',
+    registers: [this.#registry],
+  });
   readonly #attempts = new Counter({
     name: 'flamingocourse_attempts_total',
     help: 'attempts at servers by service and end',
@@ -102,6 +107,11 @@
     if (seconds !== undefined) this.#latency.observe({ route }, seconds);
   }
 
+  /** Counts connections that were closed without reading, for lack of processor time. */
+  closedUnread(count: number): void {
+    this.#closedUnread.inc(count);
+  }
+
   /** Records the upper bound of the time for which a request was unread. */
   unread(seconds: number): void {
     this.#unread.observe(seconds);
