fix(retries): whoever does not know how many share the fleet's slack has no share

Cause: the slack was divided by the number of instances, which was 1 until the list was read; a start forgot what the life before had taken; newcomers used a share before the others had read of them; the share of the rest grew as soon as one was removed. Class: what an instance does not know, it takes for the favourable value.

Fix: FleetShare. A share counts once the reader has found itself in each list for a window and twice the greatest age of a list (32 s in a small fleet, 520 s at 2,800 instances), divided by the largest count of that time; a list that is too old, or without the reader, ends it. Any two that use the right in one window have then counted each other. Before that an instance repeats within its part of its own requests, as ever.

--- a/packages/gateway/src/node/backendLanes.ts
+++ b/packages/gateway/src/node/backendLanes.ts
@@ -17,8 +17,10 @@
 import { Service, waitForPendingReads } from '@flamingocourse/kernel';
 import { QuarantineRegister, ServiceLane } from '@flamingocourse/router';
 import { ConfigurationWatch } from './configurationWatch.js';
+import { InstanceDirectory } from './instanceDirectory.js';
 import { ServerDirectory } from './serverDirectory.js';
 import { ServerPaths } from './serverPaths.js';
+import { FleetShare } from '../runtime/fleetShare.js';
 import { RetryAllowance } from '../runtime/retryAllowance.js';
 
 /** Milliseconds between two checks of the queues for requests whose deadline has passed. */
@@ -51,12 +53,12 @@
 /** Service that keeps the lanes. Registered as `lanes`. */
 export class BackendLanes extends Service {
   override readonly name = 'lanes';
-  override readonly dependsOn = ['configuration', 'directory', 'paths'];
+  override readonly dependsOn = ['configuration', 'directory', 'instances', 'paths'];
   readonly #context: GatewayContext;
   readonly #register: QuarantineRegister;
   readonly #crashCheck: CrashCheck;
   readonly #lanes = new Map<ServiceName, BackendLane & { silentMs: number }>();
-  #instances = 1;
+  readonly #share = new FleetShare();
   #timer: NodeJS.Timeout | undefined;
   #directory: ServerDirectory | undefined;
   #paths: ServerPaths | undefined;
@@ -98,11 +100,9 @@
     }
   }
 
-  /** Sets the number of instances that share the fleet's retries and the servers' rate limits. */
+  /** Sets the number of instances that share the servers' rate limits. */
   setInstances(count: number): void {
-    this.#instances = Math.max(1, count);
-    for (const { retries } of this.#lanes.values()) retries.setInstances(this.#instances);
-    this.#context.notices.rateLimits.setSharers(this.#instances, this.#context.clock.now());
+    this.#context.notices.rateLimits.setSharers(count, this.#context.clock.now());
   }
 
   override start(kernel: Kernel): void {
@@ -111,6 +111,9 @@
     this.#directory.onChange((servers) => {
       this.#apply(servers);
     });
+    kernel.get('instances', InstanceDirectory).onRead((read) => {
+      this.#share.observe(read);
+    });
     this.#paths = kernel.get('paths', ServerPaths);
     this.#paths.onRestored(({ id, service }, cause) => {
       this.#restore(service, id, cause);
@@ -194,7 +197,9 @@
       scope: sharesPrompts ? 'everywhere' : 'near-first',
       runsSuspectsAlone: false,
     });
-    const retries = new RetryAllowance({ ...settings.retries, instances: this.#instances });
+    const divisor = (windowMs: number, at: number): number | undefined =>
+      this.#share.divisor(windowMs, at);
+    const retries = new RetryAllowance({ ...settings.retries, divisor });
     const silentMs = sharesPrompts ? ENGINE_SILENT_MS : PLAIN_SILENT_MS;
     const created = { lane, retries, silentMs };
     this.#lanes.set(service, created);
--- a/packages/gateway/src/node/instanceDirectory.ts
+++ b/packages/gateway/src/node/instanceDirectory.ts
@@ -2,6 +2,7 @@
 
 import type { FleetInstance } from '@flamingocourse/core';
 import type { Collection, PlatformError as StoreError } from '@flamingocourse/store';
+import type { InstanceListRead } from '../runtime/fleetShare.js';
 import type { GatewayContext } from '../types/context.js';
 import type { Kernel } from '@flamingocourse/kernel';
 import type { Result } from 'true-myth';
@@ -10,6 +11,7 @@
 import { setTimeout as delay } from 'node:timers/promises';
 import { isDeepStrictEqual } from 'node:util';
 import { Service } from '@flamingocourse/kernel';
+import { readIntervalMs } from '../runtime/instanceListAge.js';
 import { storedInstancesSchema } from '../utils/instanceSchemas.js';
 import { StoredObject } from './storedObject.js';
 
@@ -30,13 +32,6 @@
 const SECOND_READ_MS = 600;
 /** Number of reads after which instances that started at the same time are known. */
 const READS_TO_SETTLE = 2;
-/** Minimum milliseconds between two reads of the directory. */
-const MIN_READ_INTERVAL_MS = 4_000;
-/**
- * Milliseconds between reads, per instance; so the read rate of a large fleet does not depend on
- * its size.
- */
-const READ_INTERVAL_MS_PER_INSTANCE = 45;
 /** Milliseconds between retries while the store is unreachable. */
 const STORE_RETRY_MS = 500;
 /**
@@ -55,6 +50,7 @@
   readonly #context: GatewayContext;
   readonly #ownObject: StoredObject<StoredInstances>;
   readonly #listeners: (() => void)[] = [];
+  readonly #readListeners: ((read: InstanceListRead) => void)[] = [];
   #instances: FleetInstance[] = [];
   #timer: NodeJS.Timeout | undefined;
   #lastReadAt = -Infinity;
@@ -95,6 +91,11 @@
     this.#listeners.push(listener);
   }
 
+  /** Calls `listener` after each successful read, also if it finds no change. */
+  onRead(listener: (read: InstanceListRead) => void): void {
+    this.#readListeners.push(listener);
+  }
+
   override start(kernel: Kernel): void {
     this.#joining = this.#join().catch((err: unknown) => {
       kernel.reportFailure(err, this.name);
@@ -171,17 +172,21 @@
 
   async #read(): Promise<void> {
     const { store, random } = this.#context;
-    this.#lastReadAt = this.#now();
+    const at = this.#now();
+    this.#lastReadAt = at;
     const list = await store.list(instanceCollection, { stale: true });
     if (list.isErr) this.#logFailure('look', list.error);
     else {
       this.#reads += 1;
-      this.#update(
-        list.value.items.flatMap(({ name: dataCentre, value }) => toInstances(dataCentre, value)),
-      );
+      const listed = list.value.items.flatMap(({ name, value }) => toInstances(name, value));
+      const { instance } = this.#context.settings;
+      const listsReader = listed.some(({ name }) => name === instance);
+      for (const listener of this.#readListeners)
+        listener({ at, count: listed.length, listsReader });
+      this.#update(listed);
     }
-    const intervalMs = Math.max(MIN_READ_INTERVAL_MS, READ_INTERVAL_MS_PER_INSTANCE * this.count);
-    this.#scheduleRead(list.isErr ? STORE_RETRY_MS : intervalMs * (0.75 + 0.5 * random()));
+    const intervalMs = readIntervalMs(this.count) * (0.75 + 0.5 * random());
+    this.#scheduleRead(list.isErr ? STORE_RETRY_MS : intervalMs);
   }
 
   #update(listed: FleetInstance[]): void {
--- a/packages/gateway/src/runtime/retryAllowance.ts
+++ b/packages/gateway/src/runtime/retryAllowance.ts
@@ -1,6 +1,7 @@
 /**
  * This instance's share of the retries that the whole fleet may send to a service. Each instance
- * stays within its own share, so the fleet's limit holds even while instances are partitioned.
+ * stays within its own share, so the fleet's limit holds even while instances are partitioned. An
+ * instance that does not know how many share the slack retries within a part of its own requests.
  */
 
 /** Retry limits of the whole fleet. */
@@ -15,8 +16,8 @@
 
 /** Options of a retry allowance. */
 export interface RetryAllowanceOptions extends RetryBounds {
-  /** Number of instances that share the slack. */
-  instances: number;
+  /** Parts into which the slack is divided; undefined if this instance has none. */
+  divisor: (windowMs: number, now: number) => number | undefined;
 }
 
 /**
@@ -34,23 +35,19 @@
  */
 export class RetryAllowance {
   #bounds: RetryBounds;
-  #instances: number;
+  readonly #divisor: RetryAllowanceOptions['divisor'];
   readonly #requests: number[] = [];
   readonly #taken: number[] = [];
 
   constructor(options: RetryAllowanceOptions) {
     this.#bounds = options;
-    this.#instances = options.instances;
+    this.#divisor = options.divisor;
   }
 
   setBounds(bounds: RetryBounds): void {
     this.#bounds = bounds;
   }
 
-  setInstances(count: number): void {
-    this.#instances = count;
-  }
-
   /** Number of timestamps in memory. Bounded by the window, even if no retry is ever requested. */
   get timestampCount(): number {
     return this.#requests.length + this.#taken.length;
@@ -65,7 +62,7 @@
   /** Takes one retry from the allowance. Returns false if none is left in the window. */
   take(now: number): boolean {
     this.#dropExpired(now);
-    if (this.#taken.length >= this.#maxRetries()) return false;
+    if (this.#taken.length >= this.#maxRetries(now)) return false;
     this.#taken.push(now);
     return true;
   }
@@ -76,9 +73,10 @@
     dropUntil(this.#taken, from);
   }
 
-  #maxRetries(): number {
-    const { ratio, slack } = this.#bounds;
-    return Math.floor(SAFETY_FACTOR * (ratio * this.#requests.length + slack / this.#instances));
+  #maxRetries(now: number): number {
+    const { ratio, slack, windowMs } = this.#bounds;
+    const ownSlack = slack / (this.#divisor(windowMs, now) ?? Infinity);
+    return Math.floor(SAFETY_FACTOR * (ratio * this.#requests.length + ownSlack));
   }
 }
 
--- a/test/platform/world.ts
+++ b/test/platform/world.ts
@@ -18,6 +18,9 @@
 export const HOST = 'shop.example';
 export const KEY = 'key-of-kirk';
 
+/** An instance that has just started has no part of the slack, and these tests are about other things. */
+const ENOUGH_RETRIES = { ratio: 10 };
+
 const route = {
   hostname: HOST,
   timeout_ms: 1_500,
@@ -89,6 +92,7 @@
 interface SettingsChange {
   store?: Partial<GatewaySettings['store']>;
   prepaid?: Partial<GatewaySettings['prepaid']>;
+  retries?: Partial<GatewaySettings['retries']>;
   /** Whether the instance serves its peers. */
   mesh?: boolean;
   dataCentre?: string;
@@ -261,6 +265,7 @@
       'test.jsonc',
     );
     if (settings.isErr) throw new Error(settings.error);
+    Object.assign(settings.value.retries, ENOUGH_RETRIES, change.retries);
     const gateway = createGateway({
       settings: settings.value,
       dialects: createPlatformDialects(),
