--- a/packages/gateway/src/node/backendLanes.ts
+++ b/packages/gateway/src/node/backendLanes.ts
@@ -58,7 +58,8 @@
   readonly #register: QuarantineRegister;
   readonly #crashCheck: CrashCheck;
   readonly #lanes = new Map<ServiceName, BackendLane & { silentMs: number }>();
-  readonly #share = new FleetShare();
+  /** Parts of the fleet's retries. */
+  readonly #share: FleetShare;
   #timer: NodeJS.Timeout | undefined;
   #directory: ServerDirectory | undefined;
   #paths: ServerPaths | undefined;
@@ -68,7 +69,8 @@
     super();
     this.#context = context;
     this.#crashCheck = crashCheck;
-    const { clock, log } = context;
+    const { clock, log, settings } = context;
+    this.#share = new FleetShare(settings.retries.windowMs);
     this.#register = new QuarantineRegister(clock, log, quarantine, { isShared: true });
   }
 
@@ -95,6 +97,7 @@
 
   /** Applies changed retry limits from the settings. */
   applySettings(): void {
+    this.#share.setWindow(this.#context.settings.retries.windowMs);
     for (const { retries } of this.#lanes.values()) {
       retries.setBounds(this.#context.settings.retries);
     }
@@ -197,8 +200,7 @@
       scope: sharesPrompts ? 'everywhere' : 'near-first',
       runsSuspectsAlone: false,
     });
-    const divisor = (windowMs: number, at: number): number | undefined =>
-      this.#share.divisor(windowMs, at);
+    const divisor = (at: number): number | undefined => this.#share.divisor(at);
     const retries = new RetryAllowance({ ...settings.retries, divisor });
     const silentMs = sharesPrompts ? ENGINE_SILENT_MS : PLAIN_SILENT_MS;
     const created = { lane, retries, silentMs };
--- a/packages/gateway/src/runtime/fleetShare.ts
+++ b/packages/gateway/src/runtime/fleetShare.ts
@@ -23,31 +23,48 @@
  * the same window have counted each other, because the divisor is the largest count of that time.
  *
  * @example
+ * const share = new FleetShare(10_000);
  * share.observe({ at: readAt, count: 7, listsReader: true });
- * const slack = total / (share.divisor(windowMs, now) ?? Infinity);
+ * const slack = total / (share.divisor(now) ?? Infinity);
  */
 export class FleetShare {
   /** Reads without a gap, the oldest first. */
   #reads: InstanceListRead[] = [];
+  #windowMs: number;
+
+  /** @param windowMs Length of the windows in which the right is counted. */
+  constructor(windowMs: number) {
+    this.#windowMs = windowMs;
+  }
+
+  setWindow(windowMs: number): void {
+    this.#windowMs = windowMs;
+  }
+
+  /** Largest number of instances that was read lately; undefined if none was. */
+  get largestCount(): number | undefined {
+    const counts = this.#reads.map(({ count }) => count);
+    return counts.length === 0 ? undefined : Math.max(...counts);
+  }
 
   /** Records a successful read. */
   observe(read: InstanceListRead): void {
     if (!read.listsReader || this.#isTooOld(read.at)) this.#reads = [];
-    if (read.listsReader) this.#reads.push(read);
+    if (!read.listsReader) return;
+    this.#reads.push(read);
+    this.#dropBefore(read.at - this.#knownMs);
   }
 
-  /**
-   * Returns the number of parts of a right that is counted in windows of this length; undefined if
-   * this instance has no share.
-   */
-  divisor(windowMs: number, now: number): number | undefined {
+  /** Returns the number of parts; undefined if this instance has no share. */
+  divisor(now: number): number | undefined {
     const [first] = this.#reads;
-    if (!first || this.#isTooOld(now)) return undefined;
-    const counts = this.#reads.map(({ count }) => count);
-    const knownMs = windowMs + 2 * (maxListAgeMs(Math.max(...counts)) + STALE_READ_MS);
-    if (now - first.at < knownMs) return undefined;
-    this.#dropBefore(now - knownMs);
-    return Math.max(...this.#reads.map(({ count }) => count));
+    if (!first || this.#isTooOld(now) || now - first.at < this.#knownMs) return undefined;
+    return this.largestCount;
+  }
+
+  /** Milliseconds for which this instance has to be listed before its share counts. */
+  get #knownMs(): number {
+    return this.#windowMs + 2 * (maxListAgeMs(this.largestCount ?? 0) + STALE_READ_MS);
   }
 
   #isTooOld(now: number): boolean {
--- a/packages/gateway/src/runtime/retryAllowance.ts
+++ b/packages/gateway/src/runtime/retryAllowance.ts
@@ -17,7 +17,7 @@
 /** Options of a retry allowance. */
 export interface RetryAllowanceOptions extends RetryBounds {
   /** Parts into which the slack is divided; undefined if this instance has none. */
-  divisor: (windowMs: number, now: number) => number | undefined;
+  divisor: (now: number) => number | undefined;
 }
 
 /**
@@ -74,8 +74,8 @@
   }
 
   #maxRetries(now: number): number {
-    const { ratio, slack, windowMs } = this.#bounds;
-    const ownSlack = slack / (this.#divisor(windowMs, now) ?? Infinity);
+    const { ratio, slack } = this.#bounds;
+    const ownSlack = slack / (this.#divisor(now) ?? Infinity);
     return Math.floor(SAFETY_FACTOR * (ratio * this.#requests.length + ownSlack));
   }
 }
--- a/test/gateway/fleetShare.test.ts
+++ b/test/gateway/fleetShare.test.ts
@@ -70,9 +70,9 @@
   ];
   for (const { name, steps, now, divisor } of cases) {
     test(name, () => {
-      const share = new FleetShare();
+      const share = new FleetShare(WINDOW_MS);
       for (const step of steps) share.observe({ listsReader: true, ...step });
-      assert.equal(share.divisor(WINDOW_MS, now), divisor);
+      assert.equal(share.divisor(now), divisor);
     });
   }
 });
@@ -85,7 +85,7 @@
 
 /** One process: it has its own knowledge, and nothing of the process before it. */
 class Process {
-  readonly share = new FleetShare();
+  readonly share = new FleetShare(WINDOW_MS);
   nextReadAt: number;
   cutUntil = -1;
 
@@ -158,7 +158,7 @@
     }
     for (const process of processes) {
       if (now - (usedAt.get(process) ?? -Infinity) <= WINDOW_MS) continue;
-      const divisor = process.share.divisor(WINDOW_MS, now);
+      const divisor = process.share.divisor(now);
       // a process uses its share now and then, so that windows overlap in all ways.
       if (divisor === undefined || random.chance(0.5)) continue;
       usedAt.set(process, now);
