fix(rate-limits): a server's limit stays divided by the instances that were listed lately

What could be seen: a server that gets more than its limit, because the share of the rest grew as soon as one instance was removed from the list (it may still be sending), and because in a fleet that starts the first list holds only those that joined earlier. The same class as the retries: a right divided by a number of another moment.

Fix: the same record of reads divides both. The count is the largest of the last reads, and none is set before the list is settled; until then the cautious default holds. The strict share of the retries (none at all until all have read of it) is not taken over here: it would refuse callers of limited servers for the first half minute of each process, and the limit's own reserve (0.6 used) covers newcomers.

--- a/packages/gateway/src/node/backendLanes.ts
+++ b/packages/gateway/src/node/backendLanes.ts
@@ -58,7 +58,7 @@
   readonly #register: QuarantineRegister;
   readonly #crashCheck: CrashCheck;
   readonly #lanes = new Map<ServiceName, BackendLane & { silentMs: number }>();
-  /** Parts of the fleet's retries. */
+  /** Into how many parts the fleet's retries and the servers' rate limits are divided. */
   readonly #share: FleetShare;
   #timer: NodeJS.Timeout | undefined;
   #directory: ServerDirectory | undefined;
@@ -103,19 +103,16 @@
     }
   }
 
-  /** Sets the number of instances that share the servers' rate limits. */
-  setInstances(count: number): void {
-    this.#context.notices.rateLimits.setSharers(count, this.#context.clock.now());
-  }
-
   override start(kernel: Kernel): void {
     this.#directory = kernel.get('directory', ServerDirectory);
     this.#configuration = kernel.get('configuration', ConfigurationWatch);
     this.#directory.onChange((servers) => {
       this.#apply(servers);
     });
-    kernel.get('instances', InstanceDirectory).onRead((read) => {
+    const instances = kernel.get('instances', InstanceDirectory);
+    instances.onRead((read) => {
       this.#share.observe(read);
+      this.#shareRateLimits(instances.isSettled);
     });
     this.#paths = kernel.get('paths', ServerPaths);
     this.#paths.onRestored(({ id, service }, cause) => {
@@ -150,6 +147,13 @@
     }
   }
 
+  /** While a fleet starts, a list without the others does not count. */
+  #shareRateLimits(isListSettled: boolean): void {
+    const { largestCount } = this.#share;
+    if (!isListSettled || largestCount === undefined) return;
+    this.#context.notices.rateLimits.setSharers(largestCount, this.#context.clock.now());
+  }
+
   #restore(service: ServiceName, id: ServerId, cause: 'answered' | 'path-changed'): void {
     const lane = this.#lanes.get(service)?.lane;
     if (cause === 'answered') lane?.pool.recordProbeAnswer(id);
--- a/packages/gateway/src/node/prepaidService.ts
+++ b/packages/gateway/src/node/prepaidService.ts
@@ -20,7 +20,6 @@
 import { Service, startTimeLimit } from '@flamingocourse/kernel';
 import { notRun } from '@flamingocourse/router';
 import { Result } from 'true-myth';
-import { BackendLanes } from './backendLanes.js';
 import { ConfigurationWatch } from './configurationWatch.js';
 import { InstanceDirectory } from './instanceDirectory.js';
 import { Lenders } from './lenders.js';
@@ -82,7 +81,7 @@
 /** Service for prepaid budgets. Registered as `prepaid`. */
 export class PrepaidService extends Service {
   override readonly name = 'prepaid';
-  override readonly dependsOn = ['configuration', 'lanes', 'instances'];
+  override readonly dependsOn = ['configuration', 'instances'];
   readonly #context: GatewayContext;
   readonly #store: StoreTokens;
   readonly #loanRequests: LoanRequestHandler;
@@ -150,11 +149,9 @@
   }
 
   override start(kernel: Kernel): void {
-    const lanes = kernel.get('lanes', BackendLanes);
     this.#instances = kernel.get('instances', InstanceDirectory);
     this.#configuration = kernel.get('configuration', ConfigurationWatch);
     this.#instances.onChange(() => {
-      lanes.setInstances(this.#instances?.count ?? 1);
       this.#updateRole();
     });
     this.#configuration.onChange((table) => {
