--- a/test/platform/crashingRequest.test.ts
+++ b/test/platform/crashingRequest.test.ts
@@ -2,14 +2,13 @@
 import assert from 'node:assert/strict';
 import { describe, test } from 'node:test';
 import { setTimeout as delay } from 'node:timers/promises';
-import type { CrashMoment } from './fakeServer.js';
-import { CRASHING_BODY, FakeServer } from './fakeServer.js';
-import { restartUnder } from './restartUnder.js';
-import { World, until } from './world.js';
+import type { CrashMoment, FakeServer } from './fakeServer.js';
+import { CRASHING_BODY } from './fakeServer.js';
+import { INSTANCES, withFleet } from './crashFleet.js';
+import type { World } from './world.js';
+import { until } from './world.js';
 import { createRandom } from '../routing/fixtures/seededRandom.js';
 
-const INSTANCES = 6;
-const SERVERS = 8;
 /** Rounds in which the caller sends the request to each instance once. */
 const ROUNDS = 6;
 const REPEAT_MS = 100;
@@ -166,39 +165,6 @@
   }
 });
 
-/** Runs a check with a fleet, and stops the fleet while its store still answers. */
-async function withFleet(
-  t: TestContext,
-  moment: CrashMoment,
-  check: (fleet: World[]) => Promise<void>,
-): Promise<void> {
-  const fleet = await startFleet(t, moment);
-  try {
-    await check(fleet);
-  } finally {
-    await Promise.all(fleet.map((instance) => instance.stop()));
-  }
-}
-
-/** Starts instances in two data centres, and servers of both services that such a request crashes. */
-async function startFleet(t: TestContext, moment: CrashMoment): Promise<World[]> {
-  const first = await World.start(t, undefined, { mesh: true });
-  for (const kind of ['p', 'e']) {
-    for (let i = 3; i <= SERVERS; i += 1) {
-      const server = await new FakeServer(`${kind}${String(i)}`).listen(t);
-      first.servers.push(server);
-    }
-  }
-  for (const server of first.servers) restartUnder(first, server, moment);
-  const names = Array.from({ length: INSTANCES - 1 }, (_, i) => `edge-${String(i + 2)}`);
-  const others = names.map((name, i) => {
-    return first.join(t, name, { mesh: true, dataCentre: i % 2 === 0 ? 'hall-b' : 'hall-a' });
-  });
-  const fleet = [first, ...(await Promise.all(others))];
-  await first.allKnow(fleet);
-  return fleet;
-}
-
 /** Sends the request repeatedly, each time to the next instance. */
 async function sendRounds(fleet: readonly World[], path: string, rounds: number): Promise<void> {
   for (let round = 0; round < rounds; round += 1) {
--- a/test/platform/fakeServer.ts
+++ b/test/platform/fakeServer.ts
@@ -136,6 +136,8 @@
   afterAnswer: () => void = () => undefined;
   /** When requests that start with `CRASHING_BODY` crash the server; undefined if they are answered. */
   crashes: CrashMoment | undefined;
+  /** Part of a prompt that crashes the server at that moment; undefined if none does. */
+  crashingPart: string | undefined;
   /** Number of crashes of this server. */
   crashed = 0;
   /** Called when the server has restarted under a new id. */
@@ -283,7 +285,7 @@
       res.writeHead(421, { 'x-instance-id': this.id }).end();
       return;
     }
-    if (this.crashes && body.startsWith(CRASHING_BODY)) {
+    if (this.crashes && this.#isCrashing(body, headers)) {
       if (this.crashes === 'after-head') {
         res.writeHead(200, this.#ownHeaders(req)).flushHeaders();
       }
@@ -331,6 +333,12 @@
     });
   }
 
+  #isCrashing(body: string, headers: IncomingHttpHeaders): boolean {
+    if (body.startsWith(CRASHING_BODY)) return true;
+    const parts = String(headers['x-prompt-prefix'] ?? '').split(',');
+    return parts.some((part) => part.split(':')[0] === this.crashingPart);
+  }
+
   /** Streams the answers of all held requests. */
   release(): void {
     for (const stream of this.#heldStreams.splice(0)) stream();
