fix(quarantine): a part keeps enough crashes that a quick succession of them counts

Cause: a fingerprint kept its last 8 crashes. Engines that ended every 120 ms fill these with one second, in which the crashes of one occasion (0.3 s) leave three to count, and four are wanted. Fix: 32 for a part; 8 servers go into the store, as before.

--- a/packages/core/src/runtime/quarantine/crashEvidence.ts
+++ b/packages/core/src/runtime/quarantine/crashEvidence.ts
@@ -34,6 +34,9 @@
 /** Crashes of other servers count from this many milliseconds before its first crash. */
 const LOOK_BACK_MS = 10_000;
 
+/** Maximum number of crashed servers that are stored with a proven cause. */
+const MAX_STORED_SERVERS = 8;
+
 const MS_PER_MINUTE = 60_000;
 /** How long a request stays a suspect, in milliseconds. */
 export const SUSPECT_MS = 10 * MS_PER_MINUTE;
@@ -121,7 +124,8 @@
   return fingerprints.flatMap((fingerprint) => {
     const entry = state.entries[fingerprint];
     if (!entry || !isWorthStoring(state, fingerprint, entry, now)) return [];
-    return [{ fingerprint, servers: [...serversOf(countedCrashes(entry, now))] }];
+    const servers = [...serversOf(countedCrashes(entry, now))].slice(-MAX_STORED_SERVERS);
+    return [{ fingerprint, servers }];
   });
 }
 
--- a/packages/core/src/runtime/quarantine/quarantine.ts
+++ b/packages/core/src/runtime/quarantine/quarantine.ts
@@ -17,6 +17,7 @@
   QuarantineVerdict,
 } from '../../types/quarantine.js';
 import { SUSPECT_MS, countedCrashes, hasManyCrashes, refusedForMs } from './crashEvidence.js';
+import { isPartFingerprint } from './partFingerprint.js';
 
 /**
  * Maximum number of fingerprints; above it those with the fewest crashes are removed first. A crash
@@ -28,6 +29,8 @@
  */
 const ENTRIES_AFTER_BOUND = 3_072;
 const MAX_CRASHES = 8;
+/** The same for a part of prompts, of whose crashes those of one occasion count once. */
+const MAX_CRASHES_OF_PART = 32;
 /** Consecutive crashes that quarantine a request even if the service has a single server. */
 const CRASHES_ON_ONE_SERVER = 3;
 /** How long a quarantine lasts, in milliseconds. */
@@ -139,7 +142,8 @@
     const entry = entries[fingerprint] ?? { crashes: [] };
     if (entry.crashes.some((crash) => crash.server === server)) continue;
     const crashes = [...countedCrashes(entry, now), { server, at: now }].toSorted(byTime);
-    entries[fingerprint] = { ...entry, crashes: crashes.slice(-MAX_CRASHES) };
+    const max = isPartFingerprint(fingerprint) ? MAX_CRASHES_OF_PART : MAX_CRASHES;
+    entries[fingerprint] = { ...entry, crashes: crashes.slice(-max) };
   }
   return limitEntries({ entries }, now);
 }
--- a/test/routing/promptPartEvidence.test.ts
+++ b/test/routing/promptPartEvidence.test.ts
@@ -35,6 +35,11 @@
 describe('a part of prompts in flight at crashes', () => {
   const cases: { name: string; events: Event[]; refused: string[] }[] = [
     { name: 'is refused after four', events: crashes(4, [bad]), refused: [bad] },
+    {
+      name: 'is refused if servers crash in quick succession, one after the other',
+      events: crashes(40, [bad], 100),
+      refused: [bad],
+    },
     { name: 'is not refused after three', events: crashes(3, [bad]), refused: [] },
     {
       name: 'is refused beside a part with which requests go on',
