fix(gateway): an overloaded instance closes connections as it accepts them

Cause: a connection that is known to be too old was given a socket and a parser first. Fix: while the next one would be closed anyway, the server closes it at accept.

--- a/packages/gateway/src/node/arrivalWatch.ts
+++ b/packages/gateway/src/node/arrivalWatch.ts
@@ -49,6 +49,8 @@
   readonly #intake = new ConnectionIntake<Socket>();
   /** Lets the server read a connection. */
   readonly #read: (socket: Socket) => void;
+  /** Makes the server close new connections as soon as it accepts them, or not. */
+  readonly #closeAtAccept: (closes: boolean) => void;
   /** Connections from which no request was read yet. */
   readonly #newConnections = new WeakMap<Socket, NewConnection>();
   #timer: NodeJS.Timeout | undefined;
@@ -72,6 +74,12 @@
     server.on('connection', (socket: Socket) => {
       this.#accept(socket);
     });
+    server.on('drop', () => {
+      this.#recordDropped();
+    });
+    this.#closeAtAccept = (closes) => {
+      server.maxConnections = closes ? 1 : 0;
+    };
   }
 
   start(): void {
@@ -118,6 +126,22 @@
     this.#scheduleMark();
   }
 
+  /** A connection was closed when it was accepted, which costs far less than to create its socket. */
+  #recordDropped(): void {
+    const now = this.#context.clock.now();
+    const openedFrom = this.#bounds.connectionsFrom;
+    this.#bounds.accepted();
+    this.#intake.recordClosed(now);
+    this.#recordClosed([openedFrom], now);
+    this.#scheduleMark();
+  }
+
+  #recordClosed(openedFrom: readonly number[], now: number): void {
+    this.#context.metrics.closedUnread(openedFrom.length);
+    this.#closed += openedFrom.length;
+    for (const from of openedFrom) this.#recordLag(now - from, now);
+  }
+
   /** Records the end of this event loop iteration, right before the next poll for I/O. */
   #scheduleMark(): void {
     if (this.#isMarkScheduled) return;
@@ -128,6 +152,7 @@
       const { isAccepting } = this.#bounds;
       this.#bounds.beforePoll(now);
       this.#readConnections(isAccepting, now);
+      this.#closeAtAccept(this.#intake.wouldClose(this.#bounds.connectionsFrom, now));
       // the next iteration shows whether more connections are waiting.
       if (isAccepting || !this.#intake.isEmpty) this.#scheduleMark();
       else this.#endLag();
@@ -138,13 +163,9 @@
     const { read, close } = this.#intake.next({ isAccepting, now });
     for (const socket of read) this.#readConnection(socket, now);
     if (close.length === 0) return;
-    this.#context.metrics.closedUnread(close.length);
-    this.#closed += close.length;
-    for (const socket of close) {
-      const { openedFrom = now } = this.#newConnections.get(socket) ?? {};
-      this.#recordLag(now - openedFrom, now);
-      socket.destroy();
-    }
+    const openedFrom = close.map((socket) => this.#newConnections.get(socket)?.openedFrom ?? now);
+    this.#recordClosed(openedFrom, now);
+    for (const socket of close) socket.destroy();
   }
 
   #readConnection(socket: Socket, now: number): void {
--- a/packages/gateway/src/runtime/connectionIntake.ts
+++ b/packages/gateway/src/runtime/connectionIntake.ts
@@ -59,6 +59,11 @@
     this.#unread.push({ connection, openedFrom });
   }
 
+  /** Records that a connection was closed when it was accepted. */
+  recordClosed(now: number): void {
+    this.#lastTooOldAt = now;
+  }
+
   /**
    * Returns what to do at the end of an iteration of the event loop.
    *
@@ -71,21 +76,23 @@
     return { read: this.#takeToRead(now), close };
   }
 
+  /** Whether a connection would be closed at once if it was accepted now. */
+  wouldClose(openedFrom: number, now: number): boolean {
+    return this.#isOverloaded(now) && isTooOld(openedFrom, now);
+  }
+
   #isOverloaded(now: number): boolean {
     return now - (this.#behindSince ?? now) > OVERLOADED_AFTER_MS;
   }
 
   #closeTooOld(now: number): T[] {
-    const isTooOld = ({ openedFrom }: UnreadConnection<T>): boolean => {
-      return now - openedFrom > MAX_UNREAD_MS;
-    };
-    if (this.#unread.some(isTooOld)) {
+    const tooOld = this.#unread.filter(({ openedFrom }) => isTooOld(openedFrom, now));
+    if (tooOld.length > 0) {
       this.#behindSince ??= now;
       this.#lastTooOldAt = now;
     } else if (now - this.#lastTooOldAt > CAUGHT_UP_AFTER_MS) this.#behindSince = undefined;
     if (!this.#isOverloaded(now)) return [];
-    const tooOld = this.#unread.filter(isTooOld);
-    this.#unread = this.#unread.filter((unread) => !isTooOld(unread));
+    this.#unread = this.#unread.filter(({ openedFrom }) => !isTooOld(openedFrom, now));
     return tooOld.map(({ connection }) => connection);
   }
 
@@ -97,3 +104,7 @@
     return taken.map(({ connection }) => connection);
   }
 }
+
+function isTooOld(openedFrom: number, now: number): boolean {
+  return now - openedFrom > MAX_UNREAD_MS;
+}
