test(soak): every eighth seed has a part of prompts that crashes engines

Requests of which no two are alike share the part, sound ones share the others and an account with ample tokens. Seeds of other kinds draw the same faults as before.

--- a/test/compat/checkGateways.ts
+++ b/test/compat/checkGateways.ts
@@ -132,7 +132,7 @@
   /** Sends a request that crashes servers through one build; the other build must refuse it. */
   async crash(account: string, through: Build, other: Build): Promise<void> {
     const senders = this.#instancesOf(through);
-    const crashes = new SoakCrashes(this.engines, senders, account, createRandom(SEED));
+    const crashes = new SoakCrashes(this.engines, senders, account, createRandom(SEED), 'request');
     const knownBefore = new Map(
       this.instances.map((instance) => [instance, quarantines(instance).size]),
     );
@@ -148,7 +148,7 @@
     await delay(LEARNING_MS);
     const arrivedBefore = this.#crashingArrivals;
     const others = this.#instancesOf(other);
-    const repeats = new SoakCrashes(this.engines, others, account, createRandom(SEED));
+    const repeats = new SoakCrashes(this.engines, others, account, createRandom(SEED), 'request');
     repeats.start();
     await delay(LEARNING_MS);
     repeats.stop();
--- a/test/soak/runSoak.ts
+++ b/test/soak/runSoak.ts
@@ -13,7 +13,8 @@
 import { FakeServer } from '../platform/fakeServer.js';
 import { FakeStore } from '../platform/fakeStore.js';
 import { SoakCallers } from './soakCallers.js';
-import { SoakConfiguration } from './soakConfiguration.js';
+import { STOP_ACCOUNT, SoakConfiguration } from './soakConfiguration.js';
+import type { CrashCauseKind } from './soakCrashes.js';
 import { SoakCrashes } from './soakCrashes.js';
 import { checkCutOff } from './soakCutOff.js';
 import { SoakFaults } from './soakFaults.js';
@@ -40,6 +41,8 @@
 const MANY_INSTANCES_EVERY = 5;
 /** Every fourth seed has a request that crashes the engines that run it. */
 const CRASHES_EVERY = 4;
+/** Every eighth seed has a part of prompts that does so instead. */
+const CRASHING_PARTS_EVERY = 8;
 /** Of five seeds, those with these remainders have so many engines of several software versions. */
 const ENGINES_BY_REMAINDER: Readonly<Record<number, EngineCount>> = { 2: 4, 3: 8 };
 /** With so many engines, callers lose their connections too, so that many streams are taken up again. */
@@ -108,7 +111,7 @@
 interface RunPlan {
   instances: number;
   dataCentres: number;
-  hasCrashes: boolean;
+  crashCause: CrashCauseKind | undefined;
   /** Engines of several software versions; undefined in a run with one version. */
   versionedEngines: EngineCount | undefined;
   profile: FaultProfile;
@@ -127,7 +130,7 @@
   return {
     instances: seed % MANY_INSTANCES_EVERY === 0 ? MANY_INSTANCES : few,
     dataCentres: hasFewCentres ? CENTRES_IN_CUTS : DATA_CENTRE_COUNT,
-    hasCrashes,
+    crashCause: hasCrashes ? crashCauseOf(seed) : undefined,
     versionedEngines: hasCrashes ? undefined : ENGINES_BY_REMAINDER[seed % VERSIONS_EVERY],
     profile,
     random: createRandom(seed),
@@ -138,6 +141,15 @@
   };
 }
 
+function crashCauseOf(seed: number): CrashCauseKind {
+  return seed % CRASHING_PARTS_EVERY === 0 ? 'part' : 'request';
+}
+
+/** Sound requests beside a bad part must not run out of tokens. */
+function crashAccountOf(cause: CrashCauseKind): string {
+  return cause === 'part' ? STOP_ACCOUNT : (ACCOUNTS[0] ?? '');
+}
+
 /** Parts of a run that faults are injected into or that are ended with it. */
 interface RunParts extends Omit<FaultTargets, 'configuration'> {
   directory: string;
@@ -172,7 +184,7 @@
   }
 
   static async start(plan: RunPlan): Promise<SoakRun> {
-    const { hasCrashes, versionedEngines, instances: count, callersRandom } = plan;
+    const { crashCause, versionedEngines, instances: count, callersRandom } = plan;
     const cleanUps: (() => unknown)[] = [];
     const scope = {
       after: (cleanUp: unknown) => {
@@ -182,7 +194,7 @@
     const directory = await mkdtemp(join(tmpdir(), 'flamingocourse-soak-'));
     const store = await new FakeStore().listen(scope);
     const engines = await startEngines(plan, store, scope);
-    const hasOwnEngines = hasCrashes || versionedEngines !== undefined;
+    const hasOwnEngines = crashCause !== undefined || versionedEngines !== undefined;
     const names = hasOwnEngines ? ['p1', 'p2'] : ['p1', 'p2', 'e1', 'e2'];
     const linked = await Promise.all(names.map((name) => new FakeServer(name).listen(scope)));
     const servers = [...linked, ...engines];
@@ -193,8 +205,8 @@
       const settings = settingsOf(own, url, at, plan.dataCentres);
       return new SoakProcess(`edge-${String(at + 1)}`, directory, settings);
     });
-    const crashes = hasCrashes
-      ? new SoakCrashes(engines, instances, ACCOUNTS[0] ?? '', callersRandom)
+    const crashes = crashCause
+      ? new SoakCrashes(engines, instances, crashAccountOf(crashCause), callersRandom, crashCause)
       : undefined;
     const versions = versionedEngines
       ? new SoakVersions(store, engines, plan.versionsRandom)
@@ -355,11 +367,11 @@
 
 /** Starts the engines that are reached without links, if the run has any. */
 async function startEngines(
-  { hasCrashes, versionedEngines }: RunPlan,
+  { crashCause, versionedEngines }: RunPlan,
   store: FakeStore,
   scope: Pick<TestContext, 'after'>,
 ): Promise<FakeServer[]> {
-  if (hasCrashes) return SoakCrashes.startEngines(store, scope);
+  if (crashCause) return SoakCrashes.startEngines(store, scope);
   if (versionedEngines === undefined) return [];
   return SoakVersions.startEngines(store, scope, versionedEngines);
 }
