fix(gateway): some connections are accepted between two reads, however long a read takes

Cause: while connections wait, some are read every 10 ms. In cold code the work of four requests takes longer than that, so each iteration read four and accepted one, and the queue in the operating system grew. Fix: at least three are accepted before some are read.

--- a/packages/gateway/src/runtime/connectionIntake.ts
+++ b/packages/gateway/src/runtime/connectionIntake.ts
@@ -12,8 +12,9 @@
 const OVERLOADED_AFTER_MS = 300;
 /** Milliseconds without such a connection after which the process no longer counts as overloaded. */
 const CAUGHT_UP_AFTER_MS = 1_000;
-/** Milliseconds for which connections are only accepted, before some of them are read. */
+/** Milliseconds, and connections, that are accepted before some are read, while more are waiting. */
 const ACCEPT_ONLY_MS = 10;
+const ACCEPTED_PER_READ = 3;
 /** Connections that are read in one iteration of the event loop; each brings a request's work. */
 const READ_PER_ITERATION = 4;
 
@@ -44,6 +45,7 @@
 export class ConnectionIntake<T> {
   #unread: UnreadConnection<T>[] = [];
   #readAt = -Infinity;
+  #acceptedSinceRead = 0;
   /** Since when connections have waited too long; undefined if none has lately. */
   #behindSince: number | undefined;
   /** When a connection that has waited too long was last seen. */
@@ -71,7 +73,11 @@
    */
   next({ isAccepting, now }: { isAccepting: boolean; now: number }): IntakeStep<T> {
     const close = this.#closeTooOld(now);
-    if (isAccepting && now - this.#readAt < ACCEPT_ONLY_MS) return { read: [], close };
+    if (isAccepting) this.#acceptedSinceRead += 1;
+    const mayRead =
+      now - this.#readAt >= ACCEPT_ONLY_MS && this.#acceptedSinceRead >= ACCEPTED_PER_READ;
+    if (isAccepting && !mayRead) return { read: [], close };
+    this.#acceptedSinceRead = 0;
     if (!this.isEmpty) this.#readAt = now;
     return { read: this.#takeToRead(now), close };
   }
