test(soak): instances with a small share of a processor, and restarts in series under failing servers

Seeds of the remainder 7 of eleven get a profile of their own, so all others draw the same faults as before.

--- a/test/soak/main.ts
+++ b/test/soak/main.ts
@@ -45,8 +45,8 @@
 async function runSeed(seed: number): Promise<void> {
   const report = await runSoak(seed, FAULTS_MS);
   const { calls, answered, metStop, cutOff, servedCutOff, takenUp, wentOn } = report;
-  const { faults, broken, output } = report;
-  const figures = `${String(calls)} calls, ${String(answered)} answered, ${String(metStop)} met a stop, ${String(servedCutOff)} of ${String(cutOff)} answered while cut off, ${String(wentOn)} of ${String(takenUp)} streams went on, ${String(faults.length)} faults`;
+  const { faults, broken, output, scarce } = report;
+  const figures = `${String(calls)} calls, ${String(answered)} answered, ${String(metStop)} met a stop, ${String(servedCutOff)} of ${String(cutOff)} answered while cut off, ${String(wentOn)} of ${String(takenUp)} streams went on, ${String(scarce.held)} of ${String(scarce.sent)} held while the processor was scarce, ${String(faults.length)} faults`;
   console.log(`seed ${String(seed)}: ${figures}, ${String(broken.length)} promises broken`);
   if (broken.length === 0) return;
   process.exitCode = 1;
--- a/test/soak/runSoak.ts
+++ b/test/soak/runSoak.ts
@@ -12,6 +12,7 @@
 import { createRandom } from '../../packages/lab/src/runtime/random.js';
 import { FakeServer } from '../platform/fakeServer.js';
 import { FakeStore } from '../platform/fakeStore.js';
+import type { SeenAnswer } from './soakCallers.js';
 import { SoakCallers } from './soakCallers.js';
 import { STOP_ACCOUNT, SoakConfiguration } from './soakConfiguration.js';
 import type { CrashCauseKind } from './soakCrashes.js';
@@ -28,6 +29,7 @@
 import { SoakLinks } from './soakLinks.js';
 import { SoakProcess } from './soakProcess.js';
 import { brokenPromises } from './soakPromises.js';
+import { brokenRepeats } from './soakRepeats.js';
 import { StopCallers } from './soakStopCallers.js';
 import { checkStops } from './soakStops.js';
 import { checkStreams } from './soakStreamChecks.js';
@@ -43,6 +45,9 @@
 const CRASHES_EVERY = 4;
 /** Every eighth seed has a part of prompts that does so instead. */
 const CRASHING_PARTS_EVERY = 8;
+/** Of eleven seeds, the one with this remainder has instances with a small share of a processor. */
+const SCARCE_EVERY = 11;
+const SCARCE_REMAINDER = 7;
 /** Of five seeds, those with these remainders have so many engines of several software versions. */
 const ENGINES_BY_REMAINDER: Readonly<Record<number, EngineCount>> = { 2: 4, 3: 8 };
 /** With so many engines, callers lose their connections too, so that many streams are taken up again. */
@@ -84,6 +89,8 @@
   /** Streams that callers took up again while two servers of their version served, and those that went on. */
   takenUp: number;
   wentOn: number;
+  /** Requests to instances with a small share of a processor, and those held past their time limit. */
+  scarce: { sent: number; due: number; held: number };
   faults: string[];
   broken: string[];
   /** Output of the processes. */
@@ -123,7 +130,7 @@
 }
 
 function planOf(seed: number): RunPlan {
-  const profile = PROFILES[seed % PROFILES.length] ?? 'mixed';
+  const profile = profileOf(seed);
   const few = profile === 'cuts' ? INSTANCES_IN_CUTS : INSTANCES;
   const hasCrashes = seed % CRASHES_EVERY === 0 && profile !== 'cuts';
   const hasFewCentres = profile === 'cuts' && seed % MANY_INSTANCES_EVERY !== 0;
@@ -141,6 +148,11 @@
   };
 }
 
+function profileOf(seed: number): FaultProfile {
+  if (seed % SCARCE_EVERY === SCARCE_REMAINDER) return 'scarce';
+  return PROFILES[seed % PROFILES.length] ?? 'mixed';
+}
+
 function crashCauseOf(seed: number): CrashCauseKind {
   return seed % CRASHING_PARTS_EVERY === 0 ? 'part' : 'request';
 }
@@ -296,6 +308,7 @@
       servedCutOff: cutOff.served,
       takenUp: streams.takenUp,
       wentOn: streams.wentOn,
+      scarce: this.#faults.scarcity.figures,
       faults: [...this.#faults.injected, ...(this.#parts.versions?.changes ?? [])],
       broken: [
         ...brokenPromises({
@@ -305,6 +318,8 @@
           pauses: this.#undisturbedPauses(),
           limits: this.#configuration.limits,
         }),
+        ...this.#brokenRepeats(answers),
+        ...this.#faults.scarcity.broken,
         ...stops.broken,
         ...cutOff.broken,
         ...streams.broken,
@@ -318,6 +333,17 @@
     };
   }
 
+  #brokenRepeats(answers: readonly SeenAnswer[]): string[] {
+    const plain = this.#parts.servers.filter(({ name }) => name.startsWith('p'));
+    const sentAt = answers
+      .filter(({ kind }) => kind === 'look' || kind === 'book')
+      .map((answer) => answer.sentAt);
+    return brokenRepeats(
+      plain.flatMap(({ seen }) => seen),
+      [...sentAt, ...this.#faults.scarcity.sentAt],
+    );
+  }
+
   /** Whether an instance was neither disturbed nor cut off from the store or servers during a time. */
   #isCalm(name: string, from: number, until: number): boolean {
     const instance = this.#parts.instances.find((each) => each.name === name);
--- a/test/soak/soakFaults.ts
+++ b/test/soak/soakFaults.ts
@@ -11,7 +11,9 @@
 import type { StopCallers } from './soakStopCallers.js';
 import type { CutWindow } from './soakStops.js';
 import { setTimeout as delay } from 'node:timers/promises';
+import { STOP_ACCOUNT } from './soakConfiguration.js';
 import { SoakCuts } from './soakCuts.js';
+import { SoakScarcity } from './soakScarcity.js';
 import { STOP_LEAD_MS } from './soakStopCallers.js';
 
 const MS_PER_SECOND = 1_000;
@@ -32,7 +34,7 @@
 }
 
 /** Which faults a run consists of. */
-export type FaultProfile = 'mixed' | 'stops' | 'cuts';
+export type FaultProfile = 'mixed' | 'stops' | 'cuts' | 'scarce';
 
 const MIXED = {
   kill: 2,
@@ -53,6 +55,8 @@
   'stop all in turn': 0,
   'instances lose servers': 0,
   'instances lose servers in series': 0,
+  'scarce processor': 0,
+  'restarts while servers fail': 0,
 };
 
 type FaultKind = keyof typeof MIXED;
@@ -72,6 +76,7 @@
     'instances lose servers': 14,
     'instances lose servers in series': 10,
   },
+  scarce: { ...MIXED, 'kill all': 0, 'scarce processor': 10, 'restarts while servers fail': 8 },
 };
 
 /** Faults whose description names the instance. */
@@ -81,6 +86,7 @@
   'pause',
   'store silent for',
   'store resets',
+  'scarce processor',
 ]);
 
 /** Faults that have times of their own. */
@@ -92,6 +98,7 @@
 export class SoakFaults {
   readonly #serverCuts: CutWindow[] = [];
   readonly #cuts: SoakCuts;
+  readonly scarcity: SoakScarcity;
   /** Injected faults, one phrase each. */
   readonly injected: string[] = [];
 
@@ -103,6 +110,7 @@
   ) {
     const { links, instances, linked } = targets;
     const ids = linked.map(({ id }) => id);
+    this.scarcity = new SoakScarcity(random);
     this.#cuts = new SoakCuts(random, links, instances, ids, (phrase) => {
       this.injected.push(phrase);
     });
@@ -149,6 +157,8 @@
       'stop all in turn': () => this.#stopInTurn(forMs),
       'instances lose servers': () => this.#cuts.cutOnce(plannedMs),
       'instances lose servers in series': () => this.#cuts.cutInSeries(plannedMs),
+      'scarce processor': () => this.scarcity.play(instance, STOP_ACCOUNT, forMs),
+      'restarts while servers fail': () => this.#restartWhileServersFail(forMs),
     };
     const weights = Object.entries(WEIGHTS[this.profile]) as [FaultKind, number][];
     const { kind } = random.pickWeighted(weights.map(([kind, weight]) => ({ kind, weight })));
@@ -183,6 +193,17 @@
     );
   }
 
+  /** All plain servers answer 500 while each instance starts again, one after the other. */
+  async #restartWhileServersFail(forMs: number): Promise<void> {
+    const plain = this.targets.servers.filter(({ name }) => name.startsWith('p'));
+    for (const server of plain) server.behaviour = 'error';
+    for (const instance of this.targets.instances) {
+      await restart(instance, 'SIGKILL', Math.min(forMs, MAX_TURN_MS));
+      await delay(Math.min(forMs, MAX_TURN_MS));
+    }
+    for (const server of plain) server.behaviour = 'answer';
+  }
+
   async #cutServer(forMs: number): Promise<void> {
     const { links, linked } = this.targets;
     const link = this.random.pick(links.servers);
--- a/test/soak/soakProcess.ts
+++ b/test/soak/soakProcess.ts
@@ -71,6 +71,11 @@
     this.#child = child;
   }
 
+  /** Process id; undefined before the first start. */
+  get pid(): number | undefined {
+    return this.#child?.pid;
+  }
+
   /** Whether the process has written output; before that, Node is starting and handles no signal. */
   get hasOutput(): boolean {
     return this.#hasOutput;
