fix(gateway): an overloaded instance closes all connections that wait to be accepted at once

Cause: Node accepts one connection in an iteration of its loop, also only to close it. A process whose code is still cold spends over 10 ms of its 12 in 100 on each, so the queue in the operating system moved more slowly than new connections came, and whoever stood behind in it was closed unread after two seconds.

Mend: an overloaded instance whose next connection would be closed closes its listening socket and opens it again, so the operating system resets all that wait, in one step; their callers go elsewhere at once, and the processor is left for those that come next. Failing to open it again is logged and tried until it works.

--- a/packages/gateway/src/node/arrivalWatch.ts
+++ b/packages/gateway/src/node/arrivalWatch.ts
@@ -5,6 +5,7 @@
 import type { GatewayContext } from '../types/context.js';
 import { ArrivalBounds } from '../runtime/arrivalBounds.js';
 import { ConnectionIntake } from '../runtime/connectionIntake.js';
+import { reopenListener } from './reopenListener.js';
 
 const MS_PER_SECOND = 1_000;
 /** Milliseconds between measurements while no request arrives. */
@@ -49,16 +50,19 @@
   readonly #intake = new ConnectionIntake<Socket>();
   /** Lets the server read a connection. */
   readonly #read: (socket: Socket) => void;
-  /** Makes the server close new connections as soon as it accepts them, or not. */
-  readonly #closeAtAccept: (closes: boolean) => void;
+  /** Closes all connections that wait to be accepted, at once. */
+  readonly #shedWaiting: () => void;
   /** Connections from which no request was read yet. */
   readonly #newConnections = new WeakMap<Socket, NewConnection>();
   #timer: NodeJS.Timeout | undefined;
   #isMarkScheduled = false;
+  #isStopping = false;
   #laggingSince: number | undefined;
   #worstMs = 0;
   /** Connections closed unread since the lag began. */
   #closed = 0;
+  /** Times at which all connections that waited to be accepted were closed since the lag began. */
+  #sheds = 0;
 
   /** @param server A server that does not listen yet and has all its listeners for connections. */
   constructor(context: GatewayContext, server: Server) {
@@ -74,11 +78,13 @@
     server.on('connection', (socket: Socket) => {
       this.#accept(socket);
     });
-    server.on('drop', () => {
-      this.#recordDropped();
-    });
-    this.#closeAtAccept = (closes) => {
-      server.maxConnections = closes ? 1 : 0;
+    this.#shedWaiting = () => {
+      reopenListener(server, {
+        isWanted: () => !this.#isStopping,
+        onFailure: ({ message }) => {
+          context.log.write('entry-not-listening', { reason: message });
+        },
+      });
     };
   }
 
@@ -88,6 +94,11 @@
     }, MARK_INTERVAL_MS);
   }
 
+  /** No connections are accepted from now on. */
+  beginStop(): void {
+    this.#isStopping = true;
+  }
+
   stop(): void {
     clearInterval(this.#timer);
   }
@@ -126,14 +137,13 @@
     this.#scheduleMark();
   }
 
-  /** A connection was closed when it was accepted, which costs far less than to create its socket. */
-  #recordDropped(): void {
-    const now = this.#context.clock.now();
-    const openedFrom = this.#bounds.connectionsFrom;
-    this.#bounds.accepted();
+  /** Closes the connections that wait to be accepted; how many they are is not known. */
+  #shed(now: number): void {
+    this.#shedWaiting();
+    this.#bounds.shed(now);
     this.#intake.recordClosed(now);
-    this.#recordClosed([openedFrom], now);
-    this.#scheduleMark();
+    this.#sheds += 1;
+    this.#context.metrics.shedWaiting();
   }
 
   #recordClosed(openedFrom: readonly number[], now: number): void {
@@ -152,7 +162,9 @@
       const { isAccepting } = this.#bounds;
       this.#bounds.beforePoll(now);
       this.#readConnections(isAccepting, now);
-      this.#closeAtAccept(this.#intake.wouldClose(this.#bounds.connectionsFrom, now));
+      if (isAccepting && this.#intake.wouldClose(this.#bounds.connectionsFrom, now)) {
+        this.#shed(now);
+      }
       // the next iteration shows whether more connections are waiting.
       if (isAccepting || !this.#intake.isEmpty) this.#scheduleMark();
       else this.#endLag();
@@ -192,9 +204,15 @@
     if (now - this.#bounds.requestsFrom >= LAG_THRESHOLD_MS) return;
     const forMs = Math.round(now - this.#laggingSince);
     const worstMs = Math.round(this.#worstMs);
-    this.#context.log.write('entry-caught-up', { forMs, worstMs, closedUnread: this.#closed });
+    this.#context.log.write('entry-caught-up', {
+      forMs,
+      worstMs,
+      closedUnread: this.#closed,
+      sheds: this.#sheds,
+    });
     this.#laggingSince = undefined;
     this.#worstMs = 0;
     this.#closed = 0;
+    this.#sheds = 0;
   }
 }
--- a/packages/gateway/src/node/entryService.ts
+++ b/packages/gateway/src/node/entryService.ts
@@ -46,6 +46,7 @@
 } from './entryRefusals.js';
 import { PrepaidService } from './prepaidService.js';
 import { readRequestBody } from './readRequestBody.js';
+import { LISTEN_BACKLOG } from './reopenListener.js';
 import { RequestFlow } from './requestFlow.js';
 import { doneAfterMs, requestFields } from './requestLogLine.js';
 import { ServerDirectory } from './serverDirectory.js';
@@ -161,7 +162,7 @@
     const { host, port } = this.#context.settings.listen.entry;
     await new Promise<void>((resolve, reject) => {
       this.#server.once('error', reject);
-      this.#server.listen({ host, port, backlog: 1024 }, resolve);
+      this.#server.listen({ host, port, backlog: LISTEN_BACKLOG }, resolve);
     });
     this.#arrivals.start();
   }
@@ -175,6 +176,7 @@
     this.beginStop();
     await this.#waitWhile((phase) => phase === 'draining');
     // a load balancer that finds too few ready instances still sends new connections to this one.
+    this.#arrivals.beginStop();
     this.#server.close();
     await this.#waitWhile((phase) => phase === 'finishing' && this.#connections.busy > 0);
     const { busy } = this.#connections;
--- a/packages/gateway/src/node/gatewayMetrics.ts
+++ b/packages/gateway/src/node/gatewayMetrics.ts
@@ -42,6 +42,11 @@
     help: 'connections of callers that waited too long to be read and were closed without reading',
     registers: [this.#registry],
   });
+  readonly #sheds = new Counter({
+    name: 'flamingocourse_accept_queue_resets_total',
+    help: 'times at which all connections of callers that waited to be accepted were closed',
+    registers: [this.#registry],
+  });
   readonly #attempts = new Counter({
     name: 'flamingocourse_attempts_total',
     help: 'attempts at servers by service and end',
@@ -112,6 +117,11 @@
     this.#closedUnread.inc(count);
   }
 
+  /** Counts a time at which all connections that waited to be accepted were closed. */
+  shedWaiting(): void {
+    this.#sheds.inc();
+  }
+
   /** Records the upper bound of the time for which a request was unread. */
   unread(seconds: number): void {
     this.#unread.observe(seconds);
--- a/packages/gateway/src/runtime/arrivalBounds.ts
+++ b/packages/gateway/src/runtime/arrivalBounds.ts
@@ -44,6 +44,12 @@
     this.#accepting = true;
   }
 
+  /** Records that all connections that waited to be accepted were closed. */
+  shed(now: number): void {
+    this.#accepting = false;
+    this.#acceptedUpTo = now;
+  }
+
   /**
    * Records that the event loop is about to poll. All data present at the previous poll has been
    * read.
--- a/packages/kernel/src/runtime/eventCatalogue.ts
+++ b/packages/kernel/src/runtime/eventCatalogue.ts
@@ -286,6 +286,12 @@
     level: 'info',
     text: 'the event loop no longer lags; requests of callers are read in time',
   },
+  'entry-not-listening': {
+    number: 523,
+    level: 'error',
+    text: 'the address for callers could not be opened again; it is tried until it can',
+    action: 'Check which other process listens at this address.',
+  },
   'backend-crashed': {
     number: 500,
     level: 'warn',
--- a/test/soak/soakSeeds.test.ts
+++ b/test/soak/soakSeeds.test.ts
@@ -8,6 +8,8 @@
 const cases: { seed: number; showed: string }[] = [
   { seed: 17, showed: 'streams joined at a server that came back as another version, in kills' },
   { seed: 47, showed: 'streams joined at a server that came back as another version, in cuts' },
+  { seed: 40, showed: 'requests held past their timeout by instances with little processor time' },
+  { seed: 62, showed: 'requests held past their timeout by an instance that has just started' },
   { seed: 220, showed: 'a stream that ended with the peer through which it went' },
 ];
 
