refactor(routing): one place says whether a server may be sent something, and from when

Five places asked whether a server is leaving, drained, outside the subset, out of reach, of another version, resting or paced: the pool in four methods, the health check, the probes of paths, and the questions to processes.

SendRules binds everything that an instance sends (requests, repeats, health checks, probes); ServerGate adds what concerns one request of one service. What a request may use is one value (ServerBounds), passed from the flow to the pool, in place of the software alone.

Behaviour as before, but for one thing: a question to a process counts as something sent to a server that asked for rest, as the request that it precedes did already.

--- a/packages/core/src/runtime/routing/serverPool.ts
+++ b/packages/core/src/runtime/routing/serverPool.ts
@@ -9,7 +9,7 @@
   AttemptResult,
   Candidate,
   CandidateQuery,
-  StreamSoftware,
+  ServerBounds,
 } from '../../types/placement.js';
 import type { ConcurrencyLimit, ConcurrencyLimitKind } from './concurrencyLimit.js';
 import type { LoadReport } from './loadEstimate.js';
@@ -25,7 +25,9 @@
 import { ServerNotices } from './serverNotices.js';
 import { ServerRateLimits } from './serverRateLimits.js';
 import { MAX_ENTRY_DELAY_MS } from './serverProcess.js';
-import { ANY_SOFTWARE } from './streamSoftware.js';
+import { ANY_SERVER } from './serverBounds.js';
+import { SendRules } from './sendRules.js';
+import { ServerGate } from './serverGate.js';
 
 /** Options of a server pool. */
 export interface ServerPoolOptions {
@@ -38,8 +40,8 @@
   /** Routers that share the servers of this data centre, including this one. @default 1 */
   sharers?: number;
   health?: Partial<HealthSettings>;
-  /** Status reported by the servers themselves. @default none */
-  notices?: ServerNotices;
+  /** What binds everything that is sent to servers. @default no rules */
+  rules?: SendRules;
   /** What shows that a silent server can be reached again. @default 'requests' */
   restoredBy?: RestoredBy;
   /** Software versions of the service, shared with whatever else hears of them. @default none */
@@ -72,16 +74,14 @@
 export class ServerPool {
   readonly #entries = new Map<ServerId, ServerEntry>();
   readonly #attempts = new Map<number, ServerEntry>();
-  readonly #drained = new Set<ServerId>();
   readonly #options: ServerPoolOptions;
   readonly #health: HealthSettings;
   /** Shared by all servers: one server alone has too few answers to adapt in time. */
   readonly #limit: ConcurrencyLimit;
+  readonly #gate: ServerGate;
   readonly #notices: ServerNotices;
   readonly #rateLimits: ServerRateLimits;
-  readonly #seenSoftware: SeenSoftware;
   #sharers: number;
-  #subset: ReadonlySet<ServerId> | undefined;
   #nextAttempt = 1;
   #heldServer: { entry: ServerEntry; until: EpochMs } | undefined;
 
@@ -89,9 +89,10 @@
     this.#options = options;
     this.#health = { ...defaultHealthSettings, ...options.health };
     this.#sharers = options.sharers ?? 1;
-    this.#notices = options.notices ?? new ServerNotices(new ServerRateLimits(() => 0), () => 0);
+    const rules = options.rules ?? new SendRules(noNotices());
+    this.#gate = new ServerGate(rules, options.seenSoftware ?? new SeenSoftware());
+    this.#notices = rules.notices;
     this.#rateLimits = this.#notices.rateLimits;
-    this.#seenSoftware = options.seenSoftware ?? new SeenSoftware();
     const bounds = { max: options.concurrencyPerServer };
     this.#limit = createConcurrencyLimit(options.limitKind ?? 'aimd', bounds);
   }
@@ -113,7 +114,7 @@
 
   /** Restricts new requests to some of the servers; `undefined` removes the restriction. */
   setSubset(ids: ReadonlySet<ServerId> | undefined): void {
-    this.#subset = ids;
+    this.#gate.setSubset(ids);
   }
 
   /**
@@ -125,7 +126,7 @@
    * server process (another URL, start time or software) under its id.
    */
   applyList(servers: BackendServer[], now: EpochMs): void {
-    this.#observeSoftware([...this.servers, ...servers], now);
+    this.#gate.observeSoftware([...this.servers, ...servers], now);
     const listed = new Set<ServerId>();
     for (const server of servers) {
       listed.add(server.id);
@@ -149,8 +150,7 @@
 
   /** Starts or ends an operator's drain of a server; applies regardless of the list. */
   setDrained(id: ServerId, drained: boolean): void {
-    if (drained) this.#drained.add(id);
-    else this.#drained.delete(id);
+    this.#gate.setDrained(id, drained);
   }
 
   /** Applies a load report of a server. */
@@ -175,7 +175,7 @@
     now: EpochMs,
   ): BackendServer | undefined {
     const others = [...this.#entries.values()].filter((entry) => {
-      return !except.has(entry.server.id) && !this.#isLeaving(entry) && entry.reachable(now);
+      return !except.has(entry.server.id) && this.#canBeRead(entry, now);
     });
     const [first, ...rest] = others;
     if (!first) return undefined;
@@ -186,13 +186,13 @@
   /** Whether a prompt can be copied from a server: it is listed, reachable and not leaving. */
   canCopyFrom(id: ServerId, now: EpochMs): boolean {
     const entry = this.#entries.get(id);
-    return entry !== undefined && entry.reachable(now) && !this.#isLeaving(entry);
+    return entry !== undefined && this.#canBeRead(entry, now);
   }
 
   /** Servers of all data centres with capacity for one more request. */
   candidates(query: CandidateQuery, now: EpochMs): Candidate[] {
     this.#releaseExpiredHold(now);
-    const open = this.#openEntries(now, query.software).filter((entry) => {
+    const open = this.#openEntries(now, query.bounds).filter((entry) => {
       return !query.tried?.has(entry.server.id) && this.#maySend(entry, now);
     });
     if (query.exclusive) return this.#exclusiveCandidates(open, now);
@@ -231,18 +231,14 @@
   hasOpenServer(
     tried: ReadonlySet<ServerId> | undefined,
     now: EpochMs,
-    software = ANY_SOFTWARE,
+    bounds = ANY_SERVER,
   ): boolean {
-    return this.#openEntries(now, software).some((entry) => !tried?.has(entry.server.id));
+    return this.#openEntries(now, bounds).some((entry) => !tried?.has(entry.server.id));
   }
 
   /** Whether any server may be sent a request now by its notices, with or without capacity. */
-  maySend(
-    tried: ReadonlySet<ServerId> | undefined,
-    now: EpochMs,
-    software = ANY_SOFTWARE,
-  ): boolean {
-    return this.#openEntries(now, software).some((entry) => {
+  maySend(tried: ReadonlySet<ServerId> | undefined, now: EpochMs, bounds = ANY_SERVER): boolean {
+    return this.#openEntries(now, bounds).some((entry) => {
       return !tried?.has(entry.server.id) && this.#maySend(entry, now);
     });
   }
@@ -251,19 +247,19 @@
    * When the next request can be sent while every server has a rate limit, is brittle or has
    * requested a pause; undefined if a server has none of these, or if there is no server.
    */
-  sendPace(now: EpochMs, software = ANY_SOFTWARE): RateLimitPace | undefined {
-    const open = this.#openEntries(now, software);
+  sendPace(now: EpochMs, bounds = ANY_SERVER): RateLimitPace | undefined {
+    const open = this.#openEntries(now, bounds);
     if (open.length > 0) return combinePaces(open.map((entry) => this.#paceOf(entry, now)));
-    const restMs = this.pauseEndsInMs(now, software);
+    const restMs = this.pauseEndsInMs(now, bounds);
     return restMs === undefined ? undefined : { firstMs: restMs, intervalMs: 0 };
   }
 
   /**
    * Milliseconds until the first requested pause ends; undefined if no server has requested one.
    */
-  pauseEndsInMs(now: EpochMs, software = ANY_SOFTWARE): number | undefined {
-    const pausesMs = this.#stayingEntries(now, software).map(({ server }) =>
-      this.#notices.restMs(server, now),
+  pauseEndsInMs(now: EpochMs, bounds = ANY_SERVER): number | undefined {
+    const pausesMs = this.#stayingEntries(now, bounds).map((entry) =>
+      this.#gate.restMs(entry, now),
     );
     const activeMs = pausesMs.filter((restMs) => restMs > 0);
     return activeMs.length === 0 ? undefined : Math.min(...activeMs);
@@ -357,15 +353,13 @@
     if (this.#isSlow(entry)) entry.eject(this.#health, now);
   }
 
-  /**
-   * Whether a server is leaving, by the list or by its own report; the report outlives its entry.
-   */
-  #isLeaving({ leaving, server }: ServerEntry): boolean {
-    return leaving || this.#notices.isLeaving(server);
+  /** Whether its memory of prompts can be read by another server. */
+  #canBeRead(entry: ServerEntry, now: EpochMs): boolean {
+    return entry.reachable(now) && this.#gate.closedBy(entry) === undefined;
   }
 
-  #maySend({ server }: ServerEntry, now: EpochMs): boolean {
-    return this.#notices.nextAt(server, now) <= now;
+  #maySend(entry: ServerEntry, now: EpochMs): boolean {
+    return this.#gate.nextAt(entry, now) <= now;
   }
 
   /** Maximum own requests in flight at a brittle server; undefined for others. */
@@ -413,55 +407,22 @@
     return new ServerEntry(server, this.#limit, this.#options.restoredBy ?? 'requests', now);
   }
 
-  /** Reachable servers that are neither leaving nor drained. */
-  #stayingEntries(now: EpochMs, software = ANY_SOFTWARE): ServerEntry[] {
+  /** Servers to which a request may be sent, now or after a pause. */
+  #stayingEntries(now: EpochMs, bounds: ServerBounds): ServerEntry[] {
+    // a version that only the list shows counts as well.
+    if (bounds.software.type === 'unknown') this.#gate.observeSoftware(this.servers, now);
     // unreachable servers are always excluded, unlike ejected ones. If most servers are behind a
     // partition, the few others get all requests; if none is reachable, the caller is refused at
     // once. After a delay, a single request tests each unreachable server again.
-    return this.#entriesWith(software, now).filter(
-      (entry) =>
-        !this.#isLeaving(entry) &&
-        !this.#drained.has(entry.server.id) &&
-        (this.#subset?.has(entry.server.id) ?? true) &&
-        entry.reachable(now),
-    );
-  }
-
-  /**
-   * Servers at which a request may run, by the software that its stream belongs to. The only place that
-   * decides this, whichever attempt, caller's try or instance goes on with the stream.
-   */
-  #entriesWith(software: StreamSoftware, now: EpochMs): ServerEntry[] {
-    const entries = [...this.#entries.values()];
-    if (software.type === 'any') return entries;
-    const listed = entries.filter(({ replacedUntil }) => replacedUntil <= now);
-    switch (software.type) {
-      case 'begins':
-        return listed;
-      case 'version':
-        return listed.filter(({ server }) => server.softwareVersion === software.version);
-      case 'unknown':
-        return this.#countSoftware(now) > 1 ? [] : listed;
-    }
-  }
-
-  /** Number of software versions that serve, or that served a short time ago. */
-  #countSoftware(now: EpochMs): number {
-    this.#observeSoftware(this.servers, now);
-    const [first] = this.servers;
-    return first ? this.#seenSoftware.versionsOf(first.service, now).length : 0;
-  }
-
-  #observeSoftware(servers: readonly BackendServer[], now: EpochMs): void {
-    for (const { service, softwareVersion = '' } of servers) {
-      this.#seenSoftware.observe(service, softwareVersion, now);
-    }
+    return [...this.#entries.values()].filter((entry) => {
+      return this.#gate.obstacle(entry, bounds, now) === undefined;
+    });
   }
 
   /** Servers that are not leaving, drained, ejected or in a requested pause. */
-  #openEntries(now: EpochMs, software = ANY_SOFTWARE): ServerEntry[] {
-    const reachable = this.#stayingEntries(now, software).filter(({ server }) => {
-      return this.#notices.restMs(server, now) === 0;
+  #openEntries(now: EpochMs, bounds = ANY_SERVER): ServerEntry[] {
+    const reachable = this.#stayingEntries(now, bounds).filter((entry) => {
+      return this.#gate.restMs(entry, now) === 0;
     });
     const healthy = reachable.filter((entry) => entry.share(this.#health, now) > 0);
     // if most servers seem unhealthy, the network or the requests are more likely at fault.
@@ -528,6 +489,10 @@
   }
 }
 
+function noNotices(): ServerNotices {
+  return new ServerNotices(new ServerRateLimits(() => 0), () => 0);
+}
+
 /** Whether two entries under the same id describe the same server process. */
 function isSameLife(known: BackendServer, server: BackendServer): boolean {
   return (
--- a/packages/core/src/types/placement.ts
+++ b/packages/core/src/types/placement.ts
@@ -50,12 +50,17 @@
   /** Its stream has begun, and the version is not known. */
   | { type: 'unknown' };
 
+/** Which servers may run a request, whichever attempt of it. */
+export interface ServerBounds {
+  software: StreamSoftware;
+}
+
 /** Restrictions on the servers that can be chosen. */
 export interface CandidateQuery {
   /** Servers at which this request was already attempted. */
   tried?: ReadonlySet<ServerId>;
-  /** @default any */
-  software?: StreamSoftware;
+  /** @default any server */
+  bounds?: ServerBounds;
   /** Whether the request must run alone on its server (quarantine suspects). */
   exclusive?: boolean;
   /** Fraction of a server's slots that may be used beyond its limit, from 0 to 1. @default 0 */
--- a/packages/gateway/src/node/backendLanes.ts
+++ b/packages/gateway/src/node/backendLanes.ts
@@ -151,7 +151,7 @@
   #shareRateLimits(isListSettled: boolean): void {
     const { largestCount } = this.#share;
     if (!isListSettled || largestCount === undefined) return;
-    this.#context.notices.rateLimits.setSharers(largestCount, this.#context.clock.now());
+    this.#context.rules.notices.rateLimits.setSharers(largestCount, this.#context.clock.now());
   }
 
   #restore(service: ServiceName, id: ServerId, cause: 'answered' | 'path-changed'): void {
@@ -163,7 +163,7 @@
 
   #apply(servers: DirectoryServer[]): void {
     const now = this.#context.clock.now();
-    this.#context.notices.retain(new Set(servers.map(({ id }) => id)), now);
+    this.#context.rules.notices.retain(new Set(servers.map(({ id }) => id)), now);
     const byService = new Map<ServiceName, DirectoryServer[]>();
     for (const server of servers) {
       byService.set(server.service, [...(byService.get(server.service) ?? []), server]);
@@ -181,14 +181,14 @@
   #getOrCreate(service: ServiceName, slots: number): BackendLane {
     const known = this.#lanes.get(service);
     if (known) return known;
-    const { clock, random, settings, notices } = this.#context;
+    const { clock, random, settings, rules } = this.#context;
     const sharesPrompts = this.#configuration?.table?.service(service)?.generates ?? false;
     const pool = new ServerPool({
       dataCentre: settings.dataCentre,
       concurrencyPerServer: sharesPrompts ? slots : slots * PLAIN_QUEUE_FACTOR,
       limitKind: 'fixed',
       restoredBy: 'probes',
-      notices,
+      rules,
       seenSoftware: this.#context.seenSoftware,
     });
     const lane = new ServiceLane({
--- a/packages/gateway/src/node/createGateway.ts
+++ b/packages/gateway/src/node/createGateway.ts
@@ -5,7 +5,7 @@
 import type { GatewaySettings } from '../types/gatewaySettings.js';
 import { randomUUID } from 'node:crypto';
 import { isDeepStrictEqual } from 'node:util';
-import { SeenSoftware, ServerNotices, ServerRateLimits } from '@flamingocourse/core';
+import { SeenSoftware, SendRules, ServerNotices, ServerRateLimits } from '@flamingocourse/core';
 import { Kernel, describeError } from '@flamingocourse/kernel';
 import { MeshClient, MeshServer } from '@flamingocourse/mesh';
 import { Result } from 'true-myth';
@@ -88,6 +88,7 @@
   });
   const metrics = new GatewayMetrics();
   const notices = new ServerNotices(new ServerRateLimits(random), random);
+  const rules = new SendRules(notices);
   const context: GatewayContext = {
     settings,
     clock,
@@ -95,7 +96,7 @@
     metrics,
     store,
     dialects,
-    notices,
+    rules,
     seenSoftware: new SeenSoftware(),
     random,
   };
--- a/packages/gateway/src/node/httpHealthCheck.ts
+++ b/packages/gateway/src/node/httpHealthCheck.ts
@@ -31,16 +31,16 @@
   }
 
   override async probe(id: ServerId, server: ListedServer): Promise<ProbeResult> {
-    const { service, url, bornAt, slots } = server;
-    const incarnation = { id, bornAt, slots };
+    const { service, url, bornAt, slots, dataCentre } = server;
+    const checked = { id, bornAt, slots, service, dataCentre };
     const target = this.#configuration.table?.service(service)?.healthPath;
     if (target === undefined) return 'unknown';
-    const { clock, dialects, notices, settings } = this.#context;
+    const { clock, dialects, rules, settings } = this.#context;
     const now = clock.now();
-    if (notices.isLeaving(incarnation)) return 'leaving';
+    if (rules.closedBy(checked) === 'leaving') return 'leaving';
     // a health check counts towards the rate limit of the server, as a request does.
-    if (notices.nextAt(incarnation, now) > now) return 'unknown';
-    notices.recordSent(incarnation, now);
+    if (rules.nextAt(checked, now) > now) return 'unknown';
+    rules.recordSent(checked, now);
     const opened = await openAttempt({
       url,
       method: 'GET',
@@ -55,7 +55,7 @@
     if (opened.isErr) return opened.error.reason === 'refused' ? 'gone' : 'unknown';
     opened.value.body.resume();
     const result = dialects.servers.judgeHealth(id, opened.value.head);
-    if (result !== 'gone') recordNotice(this.#context, incarnation, opened.value.head);
+    if (result !== 'gone') recordNotice(this.#context, checked, opened.value.head);
     return result;
   }
 }
--- a/packages/gateway/src/node/recordNotice.ts
+++ b/packages/gateway/src/node/recordNotice.ts
@@ -21,7 +21,8 @@
   server: ServerIncarnation,
   head: ServerHead,
 ): void {
-  const { clock, dialects, log, notices } = context;
+  const { clock, dialects, log, rules } = context;
+  const { notices } = rules;
   const now = clock.now();
   const notice = dialects.servers.notice(head);
   recordRateLimit(context, server, notice.rateLimit, now);
@@ -39,11 +40,12 @@
 }
 
 function recordRateLimit(
-  { log, notices: { rateLimits } }: GatewayContext,
+  { log, rules }: GatewayContext,
   { id: server }: ServerIncarnation,
   reported: ReportedRateLimit,
   now: number,
 ): void {
+  const { rateLimits } = rules.notices;
   const before = rateLimits.view(server, now);
   const change = rateLimits.record(server, reported, now);
   if (change === undefined) return;
--- a/packages/gateway/src/node/requestFlow.ts
+++ b/packages/gateway/src/node/requestFlow.ts
@@ -148,7 +148,7 @@
       ...(prefixKey === undefined ? {} : { prefixKey }),
       ...(head.size === undefined ? {} : { promptTokens: head.size.prompt }),
       tried: this.#progress.tried,
-      software: this.#progress.software,
+      bounds: { software: this.#progress.software },
       fingerprint: this.#progress.fingerprint,
       partFingerprints: sharedParts(head.promptParts).map(({ id }) => partFingerprint(id)),
       signal,
--- a/packages/gateway/src/node/serverAttempt.ts
+++ b/packages/gateway/src/node/serverAttempt.ts
@@ -86,8 +86,8 @@
     this.#progress.server = this.#placement.server.id;
     this.#progress.serverVersion = this.#placement.server.softwareVersion;
     this.#progress.list = this.#parts.directory.view(this.#placement.server.id, this.#startedAt);
-    const { notices, metrics } = this.#parts.context;
-    this.#progress.notice = notices.view(this.#placement.server, this.#startedAt);
+    const { rules, metrics } = this.#parts.context;
+    this.#progress.notice = rules.notices.view(this.#placement.server, this.#startedAt);
     if (this.#progress.notice?.limitPerSecond !== undefined)
       metrics.rateLimitedAttempt(this.#call.service.name);
     const opened = await this.#open();
--- a/packages/gateway/src/node/serverPaths.ts
+++ b/packages/gateway/src/node/serverPaths.ts
@@ -223,16 +223,15 @@
   }
 
   /**
-   * Returns the path of the health check; undefined if the server has none, or if a request would
-   * exceed its rate limit. A connection that opens has to do then.
+   * Returns the path of the health check; undefined if the server has none, or if nothing may be sent
+   * to it now. A connection that opens has to do then.
    */
-  #takeHealthPath({ id, service, bornAt }: DirectoryServer): string | undefined {
-    const { notices } = this.#context;
+  #takeHealthPath(server: DirectoryServer): string | undefined {
+    const { rules } = this.#context;
     const now = this.#now();
-    const incarnation = { id, bornAt };
-    if (notices.nextAt(incarnation, now) > now) return undefined;
-    notices.recordSent(incarnation, now);
-    return this.#configuration?.table?.service(service)?.healthPath;
+    if (rules.nextAt(server, now) > now) return undefined;
+    rules.recordSent(server, now);
+    return this.#configuration?.table?.service(server.service)?.healthPath;
   }
 
   async #probeDirect(server: DirectoryServer, target: string | undefined): Promise<boolean> {
--- a/packages/gateway/src/node/serverProcesses.ts
+++ b/packages/gateway/src/node/serverProcesses.ts
@@ -72,10 +72,10 @@
     server: BackendServer,
     signal: AbortSignal,
   ): Promise<Result<ProcessVerdict, AttemptFault>> {
-    const { clock, dialects, metrics, notices, settings } = this.#context;
+    const { clock, dialects, metrics, rules, settings } = this.#context;
     const { id, url } = server;
     // a server with a rate limit may count this as a request.
-    notices.rateLimits.take(id, clock.now());
+    rules.recordSent(server, clock.now());
     const { target, headers } = dialects.servers.stateRequest(id, new URL(url).host);
     const opened = await openAttempt({
       url,
--- a/packages/gateway/src/node/statusService.ts
+++ b/packages/gateway/src/node/statusService.ts
@@ -64,7 +64,8 @@
   }
 
   async #answerMetrics(res: ServerResponse): Promise<void> {
-    const { metrics, log, store, clock, notices } = this.#context;
+    const { metrics, log, store, clock, rules } = this.#context;
+    const { notices } = rules;
     const { rateLimits } = notices;
     metrics.gauge('requests_running', 'requests in progress', this.#entry?.running ?? 0);
     metrics.gauge('log_lines_dropped', 'log lines dropped', log.dropped);
--- a/packages/gateway/src/types/context.ts
+++ b/packages/gateway/src/types/context.ts
@@ -1,6 +1,6 @@
 /** Dependencies that the parts of the pipeline share. */
 
-import type { ListedServer, RoutedConfig, SeenSoftware, ServerNotices } from '@flamingocourse/core';
+import type { ListedServer, RoutedConfig, SeenSoftware, SendRules } from '@flamingocourse/core';
 import type { Clock, EventLog } from '@flamingocourse/kernel';
 import type { Collection, ObjectStore, StoreDialect } from '@flamingocourse/store';
 import type { GatewayMetrics } from '../node/gatewayMetrics.js';
@@ -27,8 +27,8 @@
   metrics: GatewayMetrics;
   store: ObjectStore;
   dialects: GatewayDialects;
-  /** Notices that backend servers sent to this instance about themselves. */
-  notices: ServerNotices;
+  /** What binds everything that this instance sends to backend servers. */
+  rules: SendRules;
   /** Software versions of the backend servers that this instance has heard of lately. */
   seenSoftware: SeenSoftware;
   /** Returns a random number from 0 (inclusive) to 1 (exclusive). */
--- a/packages/router/src/node/backends/serviceLane.ts
+++ b/packages/router/src/node/backends/serviceLane.ts
@@ -21,7 +21,7 @@
 import type { CrashCheck } from '../../types/crashCheck.js';
 import type { QuarantineRegister } from './quarantineRegister.js';
 import {
-  ANY_SOFTWARE,
+  ANY_SERVER,
   chooseServer,
   PromptLocations,
   createRetryBudget,
@@ -172,18 +172,16 @@
   }
 
   /** Whether any server accepts a request, now or after a pause. */
-  #hasServer({ software }: PlacementRequest, now: EpochMs): boolean {
+  #hasServer({ bounds }: PlacementRequest, now: EpochMs): boolean {
     const { pool } = this.#options;
-    const isOpen = pool.hasOpenServer(undefined, now, software);
-    return isOpen || pool.pauseEndsInMs(now, software) !== undefined;
+    const isOpen = pool.hasOpenServer(undefined, now, bounds);
+    return isOpen || pool.pauseEndsInMs(now, bounds) !== undefined;
   }
 
   /** Refusal of a request that no server accepts. */
-  #noServer({ software }: PlacementRequest, now: EpochMs): Refusal {
+  #noServer({ bounds = ANY_SERVER }: PlacementRequest, now: EpochMs): Refusal {
     const hasOthers = this.#options.pool.hasOpenServer(undefined, now);
-    return hasBegun(software ?? ANY_SOFTWARE) && hasOthers
-      ? cannotResumeRefusal()
-      : noServerRefusal();
+    return hasBegun(bounds.software) && hasOthers ? cannotResumeRefusal() : noServerRefusal();
   }
 
   /** Refuses all waiting requests; called when the service is removed or the router stops. */
@@ -222,8 +220,8 @@
   #paces(now: EpochMs): (request: PlacementRequest) => RateLimitPace | undefined {
     const { pool } = this.#options;
     const ofAll = pool.sendPace(now);
-    return ({ software = ANY_SOFTWARE }) => {
-      return hasBegun(software) ? pool.sendPace(now, software) : ofAll;
+    return ({ bounds = ANY_SERVER }) => {
+      return hasBegun(bounds.software) ? pool.sendPace(now, bounds) : ofAll;
     };
   }
 
@@ -300,15 +298,15 @@
   /** Prefers a server that the request has not tried. If it has tried all, any may have recovered. */
   #choose({ request, exclusive }: Waiter, now: EpochMs): Candidate | undefined {
     const { pool, chooser, random, scope = 'near-first' } = this.#options;
-    const { prefixKey, promptTokens, software = ANY_SOFTWARE } = request;
+    const { prefixKey, promptTokens, bounds = ANY_SERVER } = request;
     const choice = {
       ...(prefixKey === undefined ? {} : { prefixHash: hash32(prefixKey) }),
       ...(promptTokens === undefined ? {} : { promptTokens }),
     };
     const { extra } = this.#statistics.ruleFor(request.importance);
     const tried = new Set(request.tried);
-    const rule = { exclusive, extra, scope, software };
-    const query = pool.maySend(tried, now, software) ? { ...rule, tried } : rule;
+    const rule = { exclusive, extra, scope, bounds };
+    const query = pool.maySend(tried, now, bounds) ? { ...rule, tried } : rule;
     return chooseServer(pool, chooser, choice, query, now, random);
   }
 
@@ -461,9 +459,6 @@
 }
 
 /** Whether a stream that has begun waits for the few servers of its software until it would be late. */
-function waitsInVain(
-  { software = ANY_SOFTWARE, startBy }: PlacementRequest,
-  now: EpochMs,
-): boolean {
-  return hasBegun(software) && startBy !== undefined && startBy <= now;
+function waitsInVain({ bounds = ANY_SERVER, startBy }: PlacementRequest, now: EpochMs): boolean {
+  return hasBegun(bounds.software) && startBy !== undefined && startBy <= now;
 }
--- a/packages/router/src/types/backends.ts
+++ b/packages/router/src/types/backends.ts
@@ -8,7 +8,7 @@
   Refusal,
   ServerId,
   ServiceName,
-  StreamSoftware,
+  ServerBounds,
   Tokens,
   WorkClassName,
 } from '@flamingocourse/core';
@@ -33,8 +33,8 @@
   promptTokens?: Tokens;
   /** Servers that this request has already tried. */
   tried: ServerId[];
-  /** Software versions that may run it. @default any */
-  software?: StreamSoftware;
+  /** Servers that may run it. @default any */
+  bounds?: ServerBounds;
   /** Digest of the request, used to identify requests that crash their servers. */
   fingerprint: Fingerprint;
   /** Fingerprints of the parts of its prompt that other requests may share. */
--- a/test/gateway/httpHealthCheck.test.ts
+++ b/test/gateway/httpHealthCheck.test.ts
@@ -28,17 +28,17 @@
     state: 'live',
     slots: 4,
   };
-  context.notices.rateLimits.setSharers(1, clock.now());
-  context.notices.rateLimits.record('p1', { type: 'limit', perSecond: 0.5 }, clock.now());
+  context.rules.notices.rateLimits.setSharers(1, clock.now());
+  context.rules.notices.rateLimits.record('p1', { type: 'limit', perSecond: 0.5 }, clock.now());
   server.rateLimit = '0.5';
   assert.equal(await check.probe('p1', listed), 'unknown', 'no health check is due yet');
   assert.equal(server.healthProbes, 0);
-  clock.advance(context.notices.rateLimits.nextAt('p1', clock.now()) - clock.now());
+  clock.advance(context.rules.notices.rateLimits.nextAt('p1', clock.now()) - clock.now());
   assert.equal(await check.probe('p1', listed), 'staying');
   assert.equal(await check.probe('p1', listed), 'unknown', 'the next is not due yet');
   assert.equal(server.healthProbes, 1);
   server.rateLimit = undefined;
-  clock.advance(context.notices.rateLimits.nextAt('p1', clock.now()) - clock.now());
+  clock.advance(context.rules.notices.rateLimits.nextAt('p1', clock.now()) - clock.now());
   assert.equal(await check.probe('p1', listed), 'staying');
   assert.equal(await check.probe('p1', listed), 'staying', 'the limit has ended');
   assert.equal(server.healthProbes, 3);
--- a/test/gateway/serverPaths.test.ts
+++ b/test/gateway/serverPaths.test.ts
@@ -180,8 +180,8 @@
   const servers = [listedServer('s1', `http://${server.address}`)];
   const { paths, context } = await startPaths(t, servers, () => openTo(port));
   const now = context.clock.now();
-  context.notices.rateLimits.setSharers(1, now);
-  context.notices.rateLimits.record('s1', { type: 'limit', perSecond: 0.5 }, now);
+  context.rules.notices.rateLimits.setSharers(1, now);
+  context.rules.notices.rateLimits.record('s1', { type: 'limit', perSecond: 0.5 }, now);
   await delay(100);
   for (let doubts = 0; doubts < 3; doubts += 1) {
     paths.requireProbe('s1');
--- a/test/gateway/testContext.ts
+++ b/test/gateway/testContext.ts
@@ -3,7 +3,7 @@
 import type { GatewayContext } from '@flamingocourse/gateway';
 import type { Clock, EventLog } from '@flamingocourse/kernel';
 import type { ObjectStore } from '@flamingocourse/store';
-import { SeenSoftware, ServerNotices, ServerRateLimits } from '@flamingocourse/core';
+import { SeenSoftware, SendRules, ServerNotices, ServerRateLimits } from '@flamingocourse/core';
 import { parseGatewaySettings } from '@flamingocourse/gateway';
 import { createPlatformDialects } from '@flamingocourse/platform-adapter';
 import { GatewayMetrics } from '../../packages/gateway/src/node/gatewayMetrics.js';
@@ -29,7 +29,7 @@
     store,
     dialects: createPlatformDialects(),
     seenSoftware: new SeenSoftware(),
-    notices: new ServerNotices(new ServerRateLimits(() => 0.5), () => 0.5),
+    rules: new SendRules(new ServerNotices(new ServerRateLimits(() => 0.5), () => 0.5)),
     random: () => 0.5,
   };
 }
--- a/test/routing/brittleServers.test.ts
+++ b/test/routing/brittleServers.test.ts
@@ -1,7 +1,13 @@
 import type { ReportedBrittleness, ServerIncarnation } from '@flamingocourse/core';
 import assert from 'node:assert/strict';
 import { describe, test } from 'node:test';
-import { BrittleServers, ServerPool, ServerNotices, ServerRateLimits } from '@flamingocourse/core';
+import {
+  BrittleServers,
+  ServerPool,
+  SendRules,
+  ServerNotices,
+  ServerRateLimits,
+} from '@flamingocourse/core';
 
 const SLOTS = 6;
 const INCARNATION: ServerIncarnation = { id: 'p1', bornAt: 100, slots: SLOTS };
@@ -179,7 +185,7 @@
     dataCentre: 'dc-a',
     concurrencyPerServer: 12,
     limitKind: 'fixed',
-    notices,
+    rules: new SendRules(notices),
   });
   const server = { service: 'ledger', dataCentre: 'dc-a', state: 'live', slots: SLOTS } as const;
   const listed = ['p1', 'p2'].map((id) => ({ ...server, id, url: `http://${id}` }));
@@ -220,7 +226,7 @@
     dataCentre: 'dc-a',
     concurrencyPerServer: 12,
     limitKind: 'fixed',
-    notices,
+    rules: new SendRules(notices),
   });
   const server = { ...INCARNATION, service: 'ledger', dataCentre: 'dc-a', url: 'http://p1' };
   pool.applyList([{ ...server, slots: SLOTS, state: 'live' }], 0);
--- a/test/routing/brokenConnections.test.ts
+++ b/test/routing/brokenConnections.test.ts
@@ -5,6 +5,7 @@
 import {
   AdmissionQueue,
   PowerOfTwoChooser,
+  SendRules,
   ServerNotices,
   ServerPool,
   ServerRateLimits,
@@ -50,7 +51,7 @@
       dataCentre: 'dc-a',
       concurrencyPerServer: 8,
       limitKind: 'fixed',
-      notices,
+      rules: new SendRules(notices),
     });
     pool.applyList([server], 0);
     const exchange = { publish: () => undefined, onUpdate: () => undefined };
--- a/test/routing/rateLimitedLane.test.ts
+++ b/test/routing/rateLimitedLane.test.ts
@@ -5,6 +5,7 @@
 import {
   AdmissionQueue,
   PowerOfTwoChooser,
+  SendRules,
   ServerNotices,
   ServerPool,
   ServerRateLimits,
@@ -33,7 +34,7 @@
       dataCentre: 'dc-a',
       concurrencyPerServer: SLOTS,
       limitKind: 'fixed',
-      notices: this.notices,
+      rules: new SendRules(this.notices),
     });
     pool.applyList([server], 0);
     this.limits.setSharers(1, 0);
--- a/test/routing/streamSoftware.test.ts
+++ b/test/routing/streamSoftware.test.ts
@@ -25,8 +25,8 @@
 }
 
 function idsFor(pool: ServerPool, software: StreamSoftware, now: number): string {
-  const ids = pool.candidates({ software }, now).map(({ id }) => id);
-  assert.equal(pool.hasOpenServer(undefined, now, software), ids.length > 0);
+  const ids = pool.candidates({ bounds: { software } }, now).map(({ id }) => id);
+  assert.equal(pool.hasOpenServer(undefined, now, { software }), ids.length > 0);
   return ids.join(' ');
 }
 
