refactor(membership): the share of a fleet's right knows the names of those who have it

FleetShare divided by a number; a right that can't be divided (what a cold server takes from all instances together) needs to know who is first. Its property test reads names; the counts and bounds are as they were.

--- a/packages/core/src/runtime/membership/index.ts
+++ b/packages/core/src/runtime/membership/index.ts
@@ -1,2 +1,4 @@
+export * from './fleetShare.js';
+export * from './instanceListAge.js';
 export * from './memberHealth.js';
 export * from './membership.js';
--- a/packages/gateway/src/node/backendLanes.ts
+++ b/packages/gateway/src/node/backendLanes.ts
@@ -9,6 +9,7 @@
 import type { DirectoryServer } from './serverDirectory.js';
 import {
   AdmissionQueue,
+  FleetShare,
   PrefixAffinityChooser,
   QuickEngineChooser,
   ServerPool,
@@ -20,7 +21,6 @@
 import { InstanceDirectory } from './instanceDirectory.js';
 import { ServerDirectory } from './serverDirectory.js';
 import { ServerPaths } from './serverPaths.js';
-import { FleetShare } from '../runtime/fleetShare.js';
 import { RetryAllowance } from '../runtime/retryAllowance.js';
 
 /** Milliseconds between two checks of the queues for requests whose deadline has passed. */
--- a/packages/gateway/src/node/instanceDirectory.ts
+++ b/packages/gateway/src/node/instanceDirectory.ts
@@ -1,8 +1,7 @@
 /** Directory of the fleet's instances: each registers itself in the store and reads the others. */
 
-import type { FleetInstance } from '@flamingocourse/core';
+import type { FleetInstance, InstanceListRead } from '@flamingocourse/core';
 import type { Collection, PlatformError as StoreError } from '@flamingocourse/store';
-import type { InstanceListRead } from '../runtime/fleetShare.js';
 import type { GatewayContext } from '../types/context.js';
 import type { Kernel } from '@flamingocourse/kernel';
 import type { Result } from 'true-myth';
@@ -11,7 +10,7 @@
 import { setTimeout as delay } from 'node:timers/promises';
 import { isDeepStrictEqual } from 'node:util';
 import { Service } from '@flamingocourse/kernel';
-import { readIntervalMs } from '../runtime/instanceListAge.js';
+import { readIntervalMs } from '@flamingocourse/core';
 import { storedInstancesSchema } from '../utils/instanceSchemas.js';
 import { StoredObject } from './storedObject.js';
 
@@ -179,10 +178,12 @@
     else {
       this.#reads += 1;
       const listed = list.value.items.flatMap(({ name, value }) => toInstances(name, value));
-      const { instance } = this.#context.settings;
-      const listsReader = listed.some(({ name }) => name === instance);
-      for (const listener of this.#readListeners)
-        listener({ at, count: listed.length, listsReader });
+      const read = {
+        at,
+        names: listed.map(({ name }) => name),
+        reader: this.#context.settings.instance,
+      };
+      for (const listener of this.#readListeners) listener(read);
       this.#update(listed);
     }
     const intervalMs = readIntervalMs(this.count) * (0.75 + 0.5 * random());
--- a/test/gateway/fleetShare.test.ts
+++ b/test/routing/fleetShare.test.ts
@@ -1,7 +1,6 @@
 import assert from 'node:assert/strict';
 import { describe, test } from 'node:test';
-import { FleetShare } from '../../packages/gateway/src/runtime/fleetShare.js';
-import { readIntervalMs } from '../../packages/gateway/src/runtime/instanceListAge.js';
+import { FleetShare, readIntervalMs } from '@flamingocourse/core';
 import { createRandom } from '../../packages/lab/src/runtime/random.js';
 
 const WINDOW_MS = 10_000;
@@ -71,7 +70,10 @@
   for (const { name, steps, now, divisor } of cases) {
     test(name, () => {
       const share = new FleetShare(WINDOW_MS);
-      for (const step of steps) share.observe({ listsReader: true, ...step });
+      for (const { at, count, listsReader = true } of steps) {
+        const names = Array.from({ length: count }, (_, n) => `edge-${String(n + 1)}`);
+        share.observe({ at, names, reader: listsReader ? 'edge-1' : 'edge-0' });
+      }
       assert.equal(share.divisor(now), divisor);
     });
   }
@@ -90,7 +92,7 @@
   cutUntil = -1;
 
   constructor(
-    readonly instance: number,
+    readonly instance: string,
     now: number,
   ) {
     this.nextReadAt = now;
@@ -104,9 +106,9 @@
   const eventChance = (STEP_MS / EVENT_INTERVAL_MS) * (readIntervalMs(7) / readIntervalMs(size));
   const forMs = 8 * (WINDOW_MS + 4 * readIntervalMs(size) + 2 * MAX_STALE_MS);
   let nextInstance = size;
-  const listed = new Set<number>(Array.from({ length: size }, (_, at) => at));
-  const listings: { at: number; names: ReadonlySet<number> }[] = [
-    { at: -60_000, names: new Set(listed) },
+  const listed = new Set<string>(Array.from({ length: size }, (_, at) => `edge-${String(at)}`));
+  const listings: { at: number; names: readonly string[] }[] = [
+    { at: -60_000, names: [...listed] },
   ];
   let processes = [...listed].map((instance) => new Process(instance, -random.int(0, 5_000)));
   /** Part of the right that each process has used, at the last time at which it used it. */
@@ -114,7 +116,7 @@
   const usedAt = new Map<Process, number>();
   let largest = 0;
   const changed = (now: number): void => {
-    listings.push({ at: now, names: new Set(listed) });
+    listings.push({ at: now, names: [...listed] });
   };
   const lose = (process: Process): void => {
     processes = processes.filter((each) => each !== process);
@@ -141,8 +143,9 @@
         const count = kind === 'join' ? 1 : random.int(1, size);
         for (let at = 0; at < count; at += 1) {
           nextInstance += 1;
-          listed.add(nextInstance);
-          processes.push(new Process(nextInstance, now));
+          const name = `edge-${String(nextInstance)}`;
+          listed.add(name);
+          processes.push(new Process(name, now));
         }
         changed(now);
       }
@@ -150,10 +153,9 @@
     for (const process of processes) {
       if (now < process.nextReadAt || now < process.cutUntil) continue;
       const seenAt = now - random.int(0, MAX_STALE_MS);
-      const { names } = listings.findLast(({ at }) => at <= seenAt) ?? { names: listed };
-      const listsReader = names.has(process.instance);
-      process.share.observe({ at: now, count: names.size, listsReader });
-      const intervalMs = readIntervalMs(names.size) * (0.75 + 0.5 * random.fraction());
+      const { names } = listings.findLast(({ at }) => at <= seenAt) ?? { names: [...listed] };
+      process.share.observe({ at: now, names, reader: process.instance });
+      const intervalMs = readIntervalMs(names.length) * (0.75 + 0.5 * random.fraction());
       process.nextReadAt = now + intervalMs;
     }
     for (const process of processes) {
