feat(routing): operators evacuate a data centre, and its servers get nothing new

A watch of its own keeps what is evacuated; SendRules closes the servers of such a data centre for requests, repeats, resumed streams, health checks, probes and tunnels; an instance is not ready and refuses with 'not run' before it has read the list; a known evacuation stays through outages and dropped history and ends only by the store's word. Where only evacuated servers may run a request, it is refused at once with a time to come back, and the instance stays ready, as no other would serve it. A tunnel that is open carries the answer of what runs and is reset at the next bytes from its caller, because an instance that cannot know would send on it.

Without the setting (deployments whose sheet names no such time) the store is not asked.

Weighed: a list read in intervals costs as much as a watch for the same bound; stale reads cost a tenth, but how old they may be is not said; so a watch, reopened half a second before the time is over: 0.22 calls a second for each instance, until watches are shared.

--- a/packages/core/src/runtime/routing/index.ts
+++ b/packages/core/src/runtime/routing/index.ts
@@ -2,6 +2,7 @@
 export * from './brittleServers.js';
 export * from './concurrencyLimit.js';
 export * from './enginePace.js';
+export * from './evacuations.js';
 export * from './keptServers.js';
 export * from './loadEstimate.js';
 export * from './promptLocations.js';
--- a/packages/core/src/runtime/routing/sendRules.ts
+++ b/packages/core/src/runtime/routing/sendRules.ts
@@ -2,6 +2,7 @@
 
 import type { DataCentreId, EpochMs, ServiceName } from '../../types/ids.js';
 import type { ServerIncarnation, ServerNotices } from './serverNotices.js';
+import { Evacuations } from './evacuations.js';
 
 /** A server as the rules for sending see it. */
 export interface SendTarget extends ServerIncarnation {
@@ -10,7 +11,9 @@
 }
 
 /** Why nothing may be sent to a server for an unknown time. */
-export type ClosedReason = /** It reported that it is leaving. */ 'leaving';
+export type ClosedReason =
+  | /** It reported that it is leaving. */ 'leaving'
+  | /** An operator has evacuated its data centre. */ 'evacuated';
 
 /**
  * The rules that bind requests, repeats, resumed streams, health checks and probes alike, for all
@@ -24,14 +27,18 @@
  */
 export class SendRules {
   readonly notices: ServerNotices;
+  readonly evacuations: Evacuations;
 
-  constructor(notices: ServerNotices) {
+  /** @param evacuations Data centres to whose servers nothing may be sent. */
+  constructor(notices: ServerNotices, evacuations = new Evacuations()) {
     this.notices = notices;
+    this.evacuations = evacuations;
   }
 
   /** Why nothing may be sent to a server for an unknown time; undefined if something may be. */
   closedBy(server: SendTarget): ClosedReason | undefined {
-    return this.notices.isLeaving(server) ? 'leaving' : undefined;
+    if (this.notices.isLeaving(server)) return 'leaving';
+    return this.evacuations.has(server.dataCentre) ? 'evacuated' : undefined;
   }
 
   /** When this instance may send the next request to a server; infinite if that is not known. */
--- a/packages/core/src/runtime/routing/serverPool.ts
+++ b/packages/core/src/runtime/routing/serverPool.ts
@@ -27,6 +27,7 @@
 import { MAX_ENTRY_DELAY_MS } from './serverProcess.js';
 import { ANY_SERVER } from './serverBounds.js';
 import { SendRules } from './sendRules.js';
+import type { SendObstacle } from './serverGate.js';
 import { ServerGate } from './serverGate.js';
 
 /** Options of a server pool. */
@@ -58,6 +59,8 @@
 
 /** Maximum fraction of the pool that can be ejected at once. */
 const MAX_EJECTED_SHARE = 0.5;
+/** Obstacles that somebody has chosen, the most telling first. */
+const CHOSEN_OBSTACLES: readonly SendObstacle[] = ['evacuated', 'other-software'];
 /** How long a server is held for a request that must run alone, in milliseconds. */
 const HOLD_MS = 5_000;
 
@@ -236,6 +239,16 @@
     return this.#openEntries(now, bounds).some((entry) => !tried?.has(entry.server.id));
   }
 
+  /** Why no server may run a request, now or later; undefined if one may, or if there is none. */
+  closedBy(now: EpochMs, bounds = ANY_SERVER): SendObstacle | undefined {
+    const obstacles = [...this.#entries.values()].map((entry) => {
+      return this.#gate.obstacle(entry, bounds, now);
+    });
+    if (obstacles.includes(undefined)) return undefined;
+    // the reason that somebody has chosen tells callers more than a server that is lost.
+    return CHOSEN_OBSTACLES.find((each) => obstacles.includes(each)) ?? obstacles[0];
+  }
+
   /** Whether any server may be sent a request now by its notices, with or without capacity. */
   maySend(tried: ReadonlySet<ServerId> | undefined, now: EpochMs, bounds = ANY_SERVER): boolean {
     return this.#openEntries(now, bounds).some((entry) => {
--- a/packages/core/src/types/refusal.ts
+++ b/packages/core/src/types/refusal.ts
@@ -18,6 +18,8 @@
   | 'deadline-unreachable'
   | 'deadline-passed'
   | 'no-backend-server'
+  /** An operator has evacuated the data centres of all servers that may run it. */
+  | 'evacuated'
   | 'cannot-resume'
   | 'backend-failed'
   | 'quarantined'
--- a/packages/gateway/src/node/backendLanes.ts
+++ b/packages/gateway/src/node/backendLanes.ts
@@ -18,6 +18,7 @@
 import { Service, waitForPendingReads } from '@flamingocourse/kernel';
 import { QuarantineRegister, ServiceLane } from '@flamingocourse/router';
 import { ConfigurationWatch } from './configurationWatch.js';
+import { EvacuationWatch } from './evacuationWatch.js';
 import { InstanceDirectory } from './instanceDirectory.js';
 import { ServerDirectory } from './serverDirectory.js';
 import { ServerPaths } from './serverPaths.js';
@@ -53,7 +54,7 @@
 /** Service that keeps the lanes. Registered as `lanes`. */
 export class BackendLanes extends Service {
   override readonly name = 'lanes';
-  override readonly dependsOn = ['configuration', 'directory', 'instances', 'paths'];
+  override readonly dependsOn = ['configuration', 'directory', 'evacuations', 'instances', 'paths'];
   readonly #context: GatewayContext;
   readonly #register: QuarantineRegister;
   readonly #crashCheck: CrashCheck;
@@ -79,9 +80,12 @@
     return this.#lanes.get(service);
   }
 
-  /** Whether any server could take a request. */
+  /** Whether any server could take a request, or none can by an operator's will. */
   get hasServers(): boolean {
-    const now = this.#context.clock.now();
+    const { clock, rules } = this.#context;
+    const now = clock.now();
+    // no other instance would serve callers better, so they are refused here.
+    if (rules.evacuations.all.length > 0 && this.#lanes.size > 0) return true;
     return [...this.#lanes.values()].some(({ lane }) => lane.pool.hasOpenServer(undefined, now));
   }
 
@@ -109,6 +113,9 @@
     this.#directory.onChange((servers) => {
       this.#apply(servers);
     });
+    kernel.get('evacuations', EvacuationWatch).onChange(() => {
+      for (const { lane } of this.#lanes.values()) lane.pump();
+    });
     const instances = kernel.get('instances', InstanceDirectory);
     instances.onRead((read) => {
       this.#share.observe(read);
--- a/packages/gateway/src/node/createGateway.ts
+++ b/packages/gateway/src/node/createGateway.ts
@@ -14,6 +14,7 @@
 import { ConnectionCheck } from './connectionCheck.js';
 import { ConfigurationWatch } from './configurationWatch.js';
 import { EntryService } from './entryService.js';
+import { EvacuationWatch } from './evacuationWatch.js';
 import { GatewayMetrics } from './gatewayMetrics.js';
 import { HttpHealthCheck } from './httpHealthCheck.js';
 import { InstanceDirectory } from './instanceDirectory.js';
@@ -119,6 +120,7 @@
   const prepaid = new PrepaidService(context, incarnation, new MeshLoanCalls(peers));
   kernel
     .register(configuration)
+    .register(new EvacuationWatch(context))
     .register(directory)
     .register(paths)
     .register(lanes)
--- a/packages/gateway/src/node/entryService.ts
+++ b/packages/gateway/src/node/entryService.ts
@@ -33,6 +33,7 @@
 import { CallerConnections } from './callerConnections.js';
 import { closeOnCallerEnd } from './closeOnCallerEnd.js';
 import { ConfigurationWatch } from './configurationWatch.js';
+import { EvacuationWatch } from './evacuationWatch.js';
 import {
   bodyTooLarge,
   cutByStop,
@@ -77,7 +78,14 @@
 /** Service that accepts callers' requests. Registered as `entry`. */
 export class EntryService extends Service {
   override readonly name = 'entry';
-  override readonly dependsOn = ['configuration', 'directory', 'lanes', 'prepaid', 'streams'];
+  override readonly dependsOn = [
+    'configuration',
+    'directory',
+    'evacuations',
+    'lanes',
+    'prepaid',
+    'streams',
+  ];
   readonly #context: GatewayContext;
   readonly #agent: ServerAgent;
   readonly #processes: ServerProcesses;
@@ -87,6 +95,7 @@
   readonly #running = new Set<AbortController>();
   #parts: FlowParts | undefined;
   #configuration: ConfigurationWatch | undefined;
+  #evacuations: EvacuationWatch | undefined;
   #kernel: Kernel | undefined;
   readonly #stopSchedule = new StopSchedule();
 
@@ -112,10 +121,15 @@
   get ready(): boolean {
     if (this.#stopSchedule.isStopping) return false;
     const hasServers = this.#parts?.lanes.hasServers ?? false;
-    const isServing = this.#configuration?.table !== undefined && hasServers;
+    const isServing = this.#mayChooseServers && hasServers;
     return isServing && !this.#defersToOthers;
   }
 
+  /** Whether it is known where requests may go: the configuration, and what is evacuated. */
+  get #mayChooseServers(): boolean {
+    return this.#configuration?.table !== undefined && this.#evacuations?.isKnown === true;
+  }
+
   /**
    * Whether a partition separates this instance from the servers. Callers are then better served by
    * the instances of another data centre, to which the load balancer sends them when none here is
@@ -154,6 +168,7 @@
       processes: this.#processes,
       streams,
     };
+    this.#evacuations = kernel.get('evacuations', EvacuationWatch);
     this.#configuration = kernel.get('configuration', ConfigurationWatch);
     this.#configuration.onChange(({ config }) => {
       this.#server.keepAliveTimeout = config.limits.idleMs + IDLE_MARGIN_MS;
@@ -368,7 +383,7 @@
     account: RoutedAccount | undefined,
     now: number,
   ): Refusal | undefined {
-    if (!table) return notReady();
+    if (!table || !this.#mayChooseServers) return notReady();
     // without contact to the store, a newer configuration may exist that has the route or the key.
     const fresh = this.#configuration?.isFresh(now) ?? false;
     if (!route) return fresh ? unknownRoute() : notReady();
--- a/packages/gateway/src/node/relaySockets.ts
+++ b/packages/gateway/src/node/relaySockets.ts
@@ -11,6 +11,12 @@
 /** Milliseconds of silence after which the other end is probed, so that a vanished one is noticed. */
 const KEEP_ALIVE_MS = 5_000;
 
+/** Options of {@link relaySockets}. */
+export interface RelayOptions {
+  /** Asked for each chunk from the left socket; once it returns false, both are reset. */
+  mayPass?: () => boolean;
+}
+
 /**
  * Carries bytes both ways until both sockets are closed. An orderly end of one direction is passed
  * on as such. Any other end of a socket is passed on as a reset, because a response without a length
@@ -21,7 +27,13 @@
  * @example
  * relaySockets(caller, server);
  */
-export function relaySockets(left: Socket, right: Socket): void {
+export function relaySockets(left: Socket, right: Socket, { mayPass }: RelayOptions = {}): void {
+  // ahead of the pipe's own listener, so that nothing of the chunk is passed on.
+  left.on('data', () => {
+    if (mayPass?.() !== false) return;
+    reset(right);
+    reset(left);
+  });
   passOn(left, right);
   passOn(right, left);
 }
--- a/packages/gateway/src/node/serverTunnels.ts
+++ b/packages/gateway/src/node/serverTunnels.ts
@@ -34,6 +34,7 @@
   'no-room': 'unavailable',
   'not-listed': 'not-listed',
   leaving: 'not-listed',
+  evacuated: 'not-listed',
   'connect-refused': 'server-refused',
   'connect-failed': 'server-unreachable',
   'connect-timeout': 'server-unreachable',
@@ -113,7 +114,7 @@
     if (this.#stopSchedule.isStopping) return 'stopping';
     if (this.open >= MAX_TUNNELS) return 'no-room';
     if (!server) return 'not-listed';
-    return server.state === 'leaving' ? 'leaving' : undefined;
+    return server.state === 'leaving' ? 'leaving' : this.#context.rules.closedBy(server);
   }
 
   #refuse(server: string, socket: Socket, reason: TunnelRefusalReason): void {
@@ -121,16 +122,17 @@
     refuseTunnel(socket, refusalOfReason[reason]);
   }
 
-  async #connect({ id, url }: DirectoryServer, caller: Socket): Promise<void> {
+  async #connect(server: DirectoryServer, caller: Socket): Promise<void> {
     const signal = abortedAtEnd(caller);
+    const { id, url } = server;
     const options = { ...serverAddress(url), timeoutMs: CONNECT_MS, signal };
     const connected = await connectSocket(options);
-    if (connected.isOk) this.#carry(id, caller, connected.value);
+    if (connected.isOk) this.#carry(server, caller, connected.value);
     else if (connected.error === 'aborted') caller.destroy();
     else this.#refuse(id, caller, `connect-${connected.error}`);
   }
 
-  #carry(id: string, caller: Socket, server: Socket): void {
+  #carry({ id, dataCentre }: DirectoryServer, caller: Socket, server: Socket): void {
     // the caller's connection has carried its request before.
     const before = caller.bytesRead - caller.readableLength;
     this.#log.opened(id);
@@ -138,7 +140,9 @@
       this.#log.closed(id, caller.bytesRead - before + server.bytesRead);
     });
     acceptTunnel(caller);
-    relaySockets(caller, server);
+    // an instance that cannot know of an evacuation would send its next request through here.
+    const { evacuations } = this.#context.rules;
+    relaySockets(caller, server, { mayPass: () => !evacuations.has(dataCentre) });
   }
 }
 
--- a/packages/gateway/src/node/statusService.ts
+++ b/packages/gateway/src/node/statusService.ts
@@ -7,6 +7,7 @@
 import { createServer } from 'node:http';
 import { Service } from '@flamingocourse/kernel';
 import { EntryService } from './entryService.js';
+import { EvacuationWatch } from './evacuationWatch.js';
 import { ServerDirectory } from './serverDirectory.js';
 import { ServerPaths } from './serverPaths.js';
 import { StreamOrigins } from './streamOrigins.js';
@@ -19,11 +20,12 @@
 /** Service with the readiness and metrics listeners. Registered as `status`. */
 export class StatusService extends Service {
   override readonly name = 'status';
-  override readonly dependsOn = ['entry', 'directory', 'paths', 'streams'];
+  override readonly dependsOn = ['entry', 'directory', 'evacuations', 'paths', 'streams'];
   readonly #context: GatewayContext;
   readonly #servers: Server[] = [];
   #entry: EntryService | undefined;
   #directory: ServerDirectory | undefined;
+  #evacuations: EvacuationWatch | undefined;
   #paths: ServerPaths | undefined;
   #streams: StreamOrigins | undefined;
   #wasReady: boolean | undefined;
@@ -36,6 +38,7 @@
   override async start(kernel: Kernel): Promise<void> {
     this.#entry = kernel.get('entry', EntryService);
     this.#directory = kernel.get('directory', ServerDirectory);
+    this.#evacuations = kernel.get('evacuations', EvacuationWatch);
     this.#paths = kernel.get('paths', ServerPaths);
     this.#streams = kernel.get('streams', StreamOrigins);
     const { ready, metrics } = this.#context.settings.listen;
@@ -80,6 +83,11 @@
     metrics.gauge('server_rate_limits_per_second', limitHelp, rateLimits.perSecond);
     const ownHelp = 'requests a second that this instance may send to them';
     metrics.gauge('server_rate_limit_share_per_second', ownHelp, rateLimits.ownPerSecond);
+    const evacuatedHelp = 'data centres to whose servers nothing new is sent';
+    metrics.gauge('data_centres_evacuated', evacuatedHelp, rules.evacuations.all.length);
+    const evacuationsHelp = 'seconds since the store confirmed what is evacuated';
+    const evacuationsAgeMs = this.#evacuations?.ageMs(clock.now()) ?? Infinity;
+    metrics.gauge('evacuations_age_seconds', evacuationsHelp, evacuationsAgeMs / MS_PER_SECOND);
     const { leaving, resting } = notices.counts(clock.now());
     metrics.gauge('servers_leaving', 'servers that said that they leave', leaving);
     metrics.gauge('servers_resting', 'servers that asked for rest', resting);
--- a/packages/gateway/src/node/tunnelLog.ts
+++ b/packages/gateway/src/node/tunnelLog.ts
@@ -8,6 +8,7 @@
   | 'no-room'
   | 'not-listed'
   | 'leaving'
+  | 'evacuated'
   | 'connect-refused'
   | 'connect-failed'
   | 'connect-timeout';
--- a/packages/gateway/src/types/context.ts
+++ b/packages/gateway/src/types/context.ts
@@ -15,6 +15,8 @@
   /** Collection that holds the configuration, as the object `configurationName`. */
   configuration: Collection<RoutedConfig>;
   configurationName: string;
+  /** One object per evacuated data centre, named by it; what an object holds does not matter. */
+  evacuations: Collection<unknown>;
   /** One object per backend server, named by the server's id. */
   serverList: Collection<ListedServer>;
 }
--- a/packages/gateway/src/types/gatewaySettings.ts
+++ b/packages/gateway/src/types/gatewaySettings.ts
@@ -50,6 +50,15 @@
     /** Length of the sliding window, in milliseconds. */
     windowMs: number;
   };
+  /** Regions of the data centres, by their names; empty if they are not known. */
+  regions: Readonly<Record<string, string>>;
+  /** Absent where operators evacuate no data centres. */
+  evacuation?:
+    | {
+        /** Milliseconds within which an evacuation must take effect here. */
+        applyMs: number;
+      }
+    | undefined;
   servers: {
     /**
      * Milliseconds after an outage of the store for which servers with an expired entry are kept.
--- a/packages/gateway/src/utils/gatewaySettingsSchema.ts
+++ b/packages/gateway/src/utils/gatewaySettingsSchema.ts
@@ -53,6 +53,11 @@
     slack: z.number().min(0),
     windowMs: milliseconds,
   }),
+  regions: z
+    .record(z.string(), z.string())
+    .default({})
+    .describe('the region of each data centre, by the name of the data centre'),
+  evacuation: z.object({ applyMs: milliseconds.min(1_000) }).optional(),
   servers: z
     .object({
       // live servers rewrite their entries within two seconds after the store is back.
--- a/packages/kernel/src/runtime/eventCatalogue.ts
+++ b/packages/kernel/src/runtime/eventCatalogue.ts
@@ -292,6 +292,17 @@
     text: 'the address for callers could not be opened again; it is tried until it can',
     action: 'Check which other process listens at this address.',
   },
+  'evacuation-began': {
+    number: 524,
+    level: 'warn',
+    text: 'an operator evacuated a data centre; nothing new is sent to its servers',
+    action: 'If the data centre is not known, check the name of the entry.',
+  },
+  'evacuation-ended': {
+    number: 525,
+    level: 'info',
+    text: 'an operator took an evacuation back',
+  },
   'backend-crashed': {
     number: 500,
     level: 'warn',
--- a/packages/router/src/node/backends/laneRefusals.ts
+++ b/packages/router/src/node/backends/laneRefusals.ts
@@ -19,6 +19,12 @@
   return notRun('no-backend-server', detail, NO_SERVER_RETRY_MS);
 }
 
+/** Refusal for a request all whose servers are in data centres that an operator has evacuated. */
+export function evacuatedRefusal(): Refusal {
+  const detail = 'All servers that may run the request are in evacuated data centres; retry later.';
+  return notRun('evacuated', detail, NO_SERVER_RETRY_MS);
+}
+
 /**
  * Refusal for a stream that has begun and that no server may go on with.
  *
--- a/packages/router/src/node/backends/serviceLane.ts
+++ b/packages/router/src/node/backends/serviceLane.ts
@@ -35,6 +35,7 @@
 import {
   cancelledRefusal,
   cannotResumeRefusal,
+  evacuatedRefusal,
   noServerRefusal,
   rateLimitedRefusal,
   quarantinedRefusal,
@@ -180,7 +181,9 @@
 
   /** Refusal of a request that no server accepts. */
   #noServer({ bounds = ANY_SERVER }: PlacementRequest, now: EpochMs): Refusal {
-    const hasOthers = this.#options.pool.hasOpenServer(undefined, now);
+    const { pool } = this.#options;
+    if (pool.closedBy(now, bounds) === 'evacuated') return evacuatedRefusal();
+    const hasOthers = pool.hasOpenServer(undefined, now);
     return hasBegun(bounds.software) && hasOthers ? cannotResumeRefusal() : noServerRefusal();
   }
 
--- a/packages/router/src/utils/problem.ts
+++ b/packages/router/src/utils/problem.ts
@@ -19,6 +19,7 @@
   'deadline-unreachable': 503,
   'deadline-passed': 504,
   'no-backend-server': 503,
+  evacuated: 503,
   'cannot-resume': 503,
   'backend-failed': 502,
   quarantined: 422,
--- a/test/gateway/propagation.test.ts
+++ b/test/gateway/propagation.test.ts
@@ -5,6 +5,7 @@
   WATCH_REOPEN_MS,
   CONFIGURATION_BATCH_MS,
 } from '../../packages/gateway/src/node/configurationWatch.js';
+import { EVACUATION_REOPEN_MS } from '../../packages/gateway/src/node/evacuationWatch.js';
 import { SERVER_LIST_BATCH_MS } from '../../packages/gateway/src/node/serverDirectory.js';
 
 /** Milliseconds that a healthy store takes to return a list over a link of 7 Mbit/s. */
@@ -15,6 +16,8 @@
   { name: 'of today', inTouchMs: 3_000, leavingMs: 2_000, applyMs: 2_000 },
   { name: 'grown', inTouchMs: 4_000, leavingMs: 3_000, applyMs: 3_000 },
 ];
+/** Milliseconds within which an evacuation must take effect, where operators evacuate. */
+const EVACUATE_MS = 5_000;
 
 // Guards against requests handled by state that is seconds old. The delays from a change to its effect had
 // not been added up.
@@ -59,3 +62,9 @@
     }
   });
 }
+
+// Guards against an evacuation that takes effect late because the watch had become silent just before it.
+test('an evacuation takes effect in time after a call that hung', () => {
+  const hangMs = EVACUATE_MS - EVACUATION_REOPEN_MS;
+  assert.ok(hangMs + LIST_MS <= EVACUATE_MS, `${String(hangMs + LIST_MS)} ms`);
+});
--- a/test/gateway/serverTunnels.test.ts
+++ b/test/gateway/serverTunnels.test.ts
@@ -290,3 +290,27 @@
   await stopped;
   assert.ok(world.events.includes('tunnels-closed'));
 });
+
+// Guards against requests that reach an evacuated data centre through an instance that knows of it.
+test('a tunnel to an evacuated data centre is refused', async (t) => {
+  const world = await TunnelWorld.start(t);
+  await world.addServer('s1');
+  world.context.rules.evacuations.begin('hall-a', 0);
+  const refused = await world.ask('s1');
+  assert.equal(refused.isErr && refused.error.refusal, 'not-listed');
+});
+
+// Guards against further requests through a tunnel that was open when its data centre was evacuated.
+test('an open tunnel to an evacuated data centre ends its answer and takes no request', async (t) => {
+  const { world, ends } = await openOne(t);
+  const atServer = receive(ends.server);
+  const atCaller = receive(ends.caller);
+  ends.caller.write('first request');
+  await until('arrived', () => atServer.bytes === 13);
+  world.context.rules.evacuations.begin('hall-a', 0);
+  ends.server.write('its answer');
+  await until('answered', () => atCaller.bytes === 10);
+  ends.caller.write('second request');
+  await until('closed', () => atCaller.end !== 'open');
+  assert.equal(atServer.bytes, 13);
+});
--- a/test/platform/world.ts
+++ b/test/platform/world.ts
@@ -96,6 +96,8 @@
   /** Whether the instance serves its peers. */
   mesh?: boolean;
   dataCentre?: string;
+  regions?: Record<string, string>;
+  evacuation?: { applyMs: number };
 }
 
 export class World {
@@ -260,6 +262,8 @@
         },
         prepaid: { reportMs: 100, ...change.prepaid },
         retries: { ratio: 0.2, slack: 54, windowMs: 10_000 },
+        ...(change.regions ? { regions: change.regions } : {}),
+        ...(change.evacuation ? { evacuation: change.evacuation } : {}),
         stopGraceMs: 4_000,
       }),
       'test.jsonc',
