feat(routing): all instances together keep to what cold servers take

A cold server's bound (its service's rate times the allowed overshoot, and the slack) holds for the sum of all instances, also of those that cannot reach each other, in any second. At 75 instances an equal share is under one request in four seconds, so the right is not divided: who is first for a server in the rendezvous order of all that were listed lately has all of it (FleetShare, whose third user this is), and whoever does not know has none.

Entries and answers say who is cold; a report is never shortened; a value that is no time counts as the service's own; servers of an evacuation that ends are taken for cold until they had time to say so. Warm servers carry the callers meanwhile; with all cold, who cannot be sent in time is refused at once with the time at which the first is warm.

Weighed: equal shares (nobody sends at 75), a share of time (needs a common clock).

Run: property test at 7 (300 seeds), 75 (60) and 2,800 (2): never two users in a window; the rule by the last list alone breaks it.

--- a/packages/core/src/runtime/routing/index.ts
+++ b/packages/core/src/runtime/routing/index.ts
@@ -1,5 +1,6 @@
 export * from './attemptPlan.js';
 export * from './brittleServers.js';
+export * from './coldServers.js';
 export * from './concurrencyLimit.js';
 export * from './enginePace.js';
 export * from './evacuations.js';
--- a/packages/core/src/runtime/routing/sendRules.ts
+++ b/packages/core/src/runtime/routing/sendRules.ts
@@ -2,6 +2,8 @@
 
 import type { DataCentreId, EpochMs, ServiceName } from '../../types/ids.js';
 import type { ServerIncarnation, ServerNotices } from './serverNotices.js';
+import type { ColdSend } from './coldServers.js';
+import { ColdServers } from './coldServers.js';
 import { Evacuations } from './evacuations.js';
 
 /** A server as the rules for sending see it. */
@@ -28,11 +30,13 @@
 export class SendRules {
   readonly notices: ServerNotices;
   readonly evacuations: Evacuations;
+  readonly cold: ColdServers;
 
   /** @param evacuations Data centres to whose servers nothing may be sent. */
-  constructor(notices: ServerNotices, evacuations = new Evacuations()) {
+  constructor(notices: ServerNotices, evacuations = new Evacuations(), cold = new ColdServers()) {
     this.notices = notices;
     this.evacuations = evacuations;
+    this.cold = cold;
   }
 
   /** Why nothing may be sent to a server for an unknown time; undefined if something may be. */
@@ -43,11 +47,18 @@
 
   /** When this instance may send the next request to a server; infinite if that is not known. */
   nextAt(server: SendTarget, now: EpochMs): EpochMs {
-    return this.closedBy(server) === undefined ? this.notices.nextAt(server, now) : Infinity;
+    if (this.closedBy(server) !== undefined) return Infinity;
+    return Math.max(this.notices.nextAt(server, now), this.cold.nextAt(server, now));
+  }
+
+  /** Records a request that is about to be sent to a server. */
+  take(server: SendTarget, now: EpochMs): ColdSend {
+    this.notices.recordSent(server, now);
+    return this.cold.take(server, now);
   }
 
   /** Records anything sent to a server outside a pool, such as a health check. */
   recordSent(server: SendTarget, now: EpochMs): void {
-    this.notices.recordSent(server, now);
+    this.cold.recordSent(this.take(server, now), now);
   }
 }
--- a/packages/core/src/runtime/routing/serverNotices.ts
+++ b/packages/core/src/runtime/routing/serverNotices.ts
@@ -3,6 +3,7 @@
 import type { EpochMs, ServerId } from '../../types/ids.js';
 import type { RandomSource } from '../../types/placement.js';
 import type { BrittlenessChange, BrittlenessView, ReportedBrittleness } from './brittleServers.js';
+import type { ReportedCold } from './coldServers.js';
 import type { RateLimitView, ReportedRateLimit } from './serverRateLimits.js';
 import type { ServerRateLimits } from './serverRateLimits.js';
 import { BrittleServers } from './brittleServers.js';
@@ -29,6 +30,8 @@
   rest: RequestedPause;
   rateLimit: ReportedRateLimit;
   brittle: ReportedBrittleness;
+  /** How much longer it stays cold. */
+  cold: ReportedCold;
   /** Whether the server rejected the request for want of room. */
   rejected: boolean;
 }
--- a/packages/core/src/runtime/routing/serverPool.ts
+++ b/packages/core/src/runtime/routing/serverPool.ts
@@ -12,6 +12,7 @@
   ServerBounds,
 } from '../../types/placement.js';
 import type { ConcurrencyLimit, ConcurrencyLimitKind } from './concurrencyLimit.js';
+import type { ColdSend } from './coldServers.js';
 import type { LoadReport } from './loadEstimate.js';
 import type { HealthSettings } from './serverHealth.js';
 import type { RateLimitPace } from './serverRateLimits.js';
@@ -57,6 +58,12 @@
   extra: number;
 }
 
+/** An attempt in flight. */
+interface Attempt {
+  entry: ServerEntry;
+  send: ColdSend;
+}
+
 /** Maximum fraction of the pool that can be ejected at once. */
 const MAX_EJECTED_SHARE = 0.5;
 /** Obstacles that somebody has chosen, the most telling first. */
@@ -76,7 +83,7 @@
  */
 export class ServerPool {
   readonly #entries = new Map<ServerId, ServerEntry>();
-  readonly #attempts = new Map<number, ServerEntry>();
+  readonly #attempts = new Map<number, Attempt>();
   readonly #options: ServerPoolOptions;
   readonly #health: HealthSettings;
   /** Shared by all servers: one server alone has too few answers to adapt in time. */
@@ -297,8 +304,7 @@
     entry.load.start(attempt, now);
     entry.recordSent(now);
     entry.lastAttempt = attempt;
-    this.#notices.recordSent(entry.server, now);
-    this.#attempts.set(attempt, entry);
+    this.#attempts.set(attempt, { entry, send: this.#gate.rules.take(entry.server, now) });
     if (exclusive) {
       entry.exclusive = true;
       if (this.#heldServer?.entry === entry) this.#heldServer = undefined;
@@ -306,14 +312,20 @@
     return attempt;
   }
 
+  /** Records that the request of an attempt was written to its connection. */
+  recordSent(attempt: number, now: EpochMs): void {
+    const send = this.#attempts.get(attempt)?.send;
+    if (send) this.#gate.rules.cold.recordSent(send, now);
+  }
+
   /** Records that part of an answer arrived, so the server is reachable. */
   recordReceived(attempt: number, now: EpochMs): void {
-    this.#attempts.get(attempt)?.recordReceived(now);
+    this.#attempts.get(attempt)?.entry.recordReceived(now);
   }
 
   /** Records that the connection for an attempt did not open. */
   recordUnreachable(attempt: number, now: EpochMs): void {
-    this.#attempts.get(attempt)?.recordSilence(now);
+    this.#attempts.get(attempt)?.entry.recordSilence(now);
   }
 
   /** Records that another process than the listed one was found under the id of a server. */
@@ -356,9 +368,11 @@
 
   /** Records the end of an attempt; a second call for the same attempt has no effect. */
   settle(attempt: number, result: AttemptResult, now: EpochMs): void {
-    const entry = this.#attempts.get(attempt);
-    if (!entry) return;
+    const known = this.#attempts.get(attempt);
+    if (!known) return;
+    const { entry, send } = known;
     this.#attempts.delete(attempt);
+    this.#gate.rules.cold.recordEnd(send);
     if (result.end === 'ok') entry.load.recordDuration(attempt, now);
     entry.load.end(attempt, now);
     if (entry.load.own === 0) entry.exclusive = false;
@@ -387,19 +401,29 @@
 
   /** Pace of a server that has a rate limit or is brittle; undefined for others. */
   #paceOf(entry: ServerEntry, now: EpochMs): RateLimitPace | undefined {
-    const limitPace = this.#rateLimits.pace([entry.server.id], now);
+    const limitPace = slowerPace(
+      this.#rateLimits.pace([entry.server.id], now),
+      this.#coldPaceOf(entry, now),
+    );
     const most = this.#maxInFlight(entry, now);
     if (most === undefined) return limitPace;
     const pauseMs = this.#notices.brittle.nextAt(entry.server, now) - now;
     return slowerPace(limitPace, entry.load.pace(most, pauseMs, now));
   }
 
+  #coldPaceOf({ server }: ServerEntry, now: EpochMs): RateLimitPace | undefined {
+    const { cold } = this.#gate.rules;
+    if (!cold.isCold(server.id, now)) return undefined;
+    const firstMs = Math.max(0, cold.nextAt(server, now) - now);
+    return { firstMs, intervalMs: cold.intervalMs(server, now) };
+  }
+
   /** Slots of a server; if a notice bounds it, only those that may be used now. */
   #slots(entry: ServerEntry, now: EpochMs): number {
     const isLimited = this.#rateLimits.has(entry.server.id);
     const most = this.#maxInFlight(entry, now);
-    if (!isLimited && most === undefined) return entry.capacity(this.#health, now);
     if (!this.#maySend(entry, now)) return 0;
+    if (!isLimited && most === undefined) return entry.capacity(this.#health, now);
     return isLimited ? 1 : (most ?? 0);
   }
 
--- a/packages/core/src/types/routedConfig.ts
+++ b/packages/core/src/types/routedConfig.ts
@@ -1,5 +1,6 @@
 /** Configuration of the pass-through entry: routes by host and path, services and accounts. */
 
+import type { ColdService, ReportedCold } from '../runtime/routing/coldServers.js';
 import type { AccountId, DataCentreId, ServiceName, Tokens } from './ids.js';
 
 /** Whether, and how, requests of a route may be repeated. */
@@ -46,6 +47,8 @@
   copiesPrompts: boolean;
   /** Tokens that fit into the memory of a server; absent if unknown. */
   memoryTokens?: Tokens;
+  /** What its cold servers take; absent if unknown. */
+  cold?: ColdService;
   /** Maximum number of tokens in one stream event. */
   tokensPerEvent: number;
 }
@@ -92,6 +95,8 @@
    * restarted and has lost all its state.
    */
   bornAt?: number | undefined;
+  /** How much longer it stays cold, as of the last change of its entry. */
+  cold?: ReportedCold | undefined;
   /** Version of the software that the server runs, if the entry states one. */
   softwareVersion?: string | undefined;
 }
--- a/packages/gateway/src/node/backendLanes.ts
+++ b/packages/gateway/src/node/backendLanes.ts
@@ -3,7 +3,7 @@
  */
 
 import type { Kernel } from '@flamingocourse/kernel';
-import type { ServerId, ServiceName } from '@flamingocourse/core';
+import type { ColdService, RoutedConfig, ServerId, ServiceName } from '@flamingocourse/core';
 import type { GatewayContext } from '../types/context.js';
 import type { CrashCheck, QuarantineExchange } from '@flamingocourse/router';
 import type { DirectoryServer } from './serverDirectory.js';
@@ -113,7 +113,8 @@
     this.#directory.onChange((servers) => {
       this.#apply(servers);
     });
-    kernel.get('evacuations', EvacuationWatch).onChange(() => {
+    kernel.get('evacuations', EvacuationWatch).onChange((ended) => {
+      this.#assumeCold(ended);
       for (const { lane } of this.#lanes.values()) lane.pump();
     });
     const instances = kernel.get('instances', InstanceDirectory);
@@ -125,7 +126,8 @@
     this.#paths.onRestored(({ id, service }, cause) => {
       this.#restore(service, id, cause);
     });
-    this.#configuration.onChange(() => {
+    this.#configuration.onChange(({ config }) => {
+      this.#context.rules.cold.setServices(coldServicesOf(config));
       this.#apply(this.#directory?.servers ?? []);
     });
     this.#timer = setInterval(() => {
@@ -161,6 +163,15 @@
     this.#context.rules.notices.rateLimits.setSharers(largestCount, this.#context.clock.now());
   }
 
+  /** Servers of a data centre that was evacuated may be cold, and their entries say so later. */
+  #assumeCold(dataCentres: readonly string[]): void {
+    const { clock, rules } = this.#context;
+    const servers = this.#directory?.servers ?? [];
+    for (const server of servers) {
+      if (dataCentres.includes(server.dataCentre)) rules.cold.assume(server, clock.now());
+    }
+  }
+
   #restore(service: ServiceName, id: ServerId, cause: 'answered' | 'path-changed'): void {
     const lane = this.#lanes.get(service)?.lane;
     if (cause === 'answered') lane?.pool.recordProbeAnswer(id);
@@ -170,7 +181,9 @@
 
   #apply(servers: DirectoryServer[]): void {
     const now = this.#context.clock.now();
-    this.#context.rules.notices.retain(new Set(servers.map(({ id }) => id)), now);
+    const listedIds = new Set(servers.map(({ id }) => id));
+    this.#context.rules.notices.retain(listedIds, now);
+    this.#context.rules.cold.retain(listedIds, now);
     const byService = new Map<ServiceName, DirectoryServer[]>();
     for (const server of servers) {
       byService.set(server.service, [...(byService.get(server.service) ?? []), server]);
@@ -219,3 +232,7 @@
     return created;
   }
 }
+
+function coldServicesOf({ services }: RoutedConfig): Map<ServiceName, ColdService> {
+  return new Map(services.flatMap(({ name, cold }) => (cold ? [[name, cold] as const] : [])));
+}
--- a/packages/gateway/src/node/createGateway.ts
+++ b/packages/gateway/src/node/createGateway.ts
@@ -5,7 +5,16 @@
 import type { GatewaySettings } from '../types/gatewaySettings.js';
 import { randomUUID } from 'node:crypto';
 import { isDeepStrictEqual } from 'node:util';
-import { SeenSoftware, SendRules, ServerNotices, ServerRateLimits } from '@flamingocourse/core';
+import {
+  COLD_WINDOW_MS,
+  ColdServers,
+  Evacuations,
+  FleetShare,
+  SeenSoftware,
+  SendRules,
+  ServerNotices,
+  ServerRateLimits,
+} from '@flamingocourse/core';
 import { Kernel, describeError } from '@flamingocourse/kernel';
 import { MeshClient, MeshServer } from '@flamingocourse/mesh';
 import { Result } from 'true-myth';
@@ -89,7 +98,12 @@
   });
   const metrics = new GatewayMetrics();
   const notices = new ServerNotices(new ServerRateLimits(random), random);
-  const rules = new SendRules(notices);
+  const coldShare = new FleetShare(COLD_WINDOW_MS);
+  const cold = new ColdServers(
+    () => settings.coldServers,
+    (id, now) => coldShare.isOwner(id, now),
+  );
+  const rules = new SendRules(notices, new Evacuations(), cold);
   const context: GatewayContext = {
     settings,
     clock,
@@ -109,6 +123,9 @@
   const processes = new ServerProcesses(context, agent, () => directory.confirmedAt);
   const entry = new EntryService(context, agent, processes);
   const instances = new InstanceDirectory(context);
+  instances.onRead((read) => {
+    coldShare.observe(read);
+  });
   const peers = new MeshClient();
   const incarnation = randomUUID();
   const gossip = new GossipService(context, incarnation, new MeshGossipCalls(peers));
--- a/packages/gateway/src/node/serverDirectory.ts
+++ b/packages/gateway/src/node/serverDirectory.ts
@@ -1,17 +1,20 @@
 /** Watches the list of backend servers in the store. */
 
-import type { BackendServer, ListedServer } from '@flamingocourse/core';
+import type { BackendServer, ListedServer, ReportedCold } from '@flamingocourse/core';
 import type { Kernel } from '@flamingocourse/kernel';
 import type { ObjectList, Subscription, WatchEvent } from '@flamingocourse/store';
 import type { GatewayContext } from '../types/context.js';
 import type { HealthCheck } from '../types/healthCheck.js';
 import { KeptServers } from '@flamingocourse/core';
+import { isDeepStrictEqual } from 'node:util';
 import { Service } from '@flamingocourse/kernel';
+import { recordCold } from './recordNotice.js';
 import { StoreReachability } from './storeReachability.js';
 
 /** A backend server with the capacity from its entry in the list. */
 export interface DirectoryServer extends BackendServer {
   slots: number;
+  cold?: ReportedCold | undefined;
 }
 
 /** State of the list when a server was chosen, for the log. */
@@ -171,7 +174,13 @@
 
   #put(id: string, value: ListedServer): void {
     this.#endKept(id, 'its entry is back');
+    const before = this.#servers.get(id);
     this.#servers.set(id, { id, ...value });
+    // an entry that is only read again says nothing new.
+    const isSame = before?.url === value.url && isDeepStrictEqual(before.cold, value.cold);
+    if (value.cold && !isSame) {
+      recordCold(this.#context, { id, service: value.service }, value.cold, 'entry');
+    }
   }
 
   #onMissing(id: string, now: number): void {
--- a/packages/gateway/src/node/statusService.ts
+++ b/packages/gateway/src/node/statusService.ts
@@ -88,6 +88,8 @@
     const evacuationsHelp = 'seconds since the store confirmed what is evacuated';
     const evacuationsAgeMs = this.#evacuations?.ageMs(clock.now()) ?? Infinity;
     metrics.gauge('evacuations_age_seconds', evacuationsHelp, evacuationsAgeMs / MS_PER_SECOND);
+    const coldHelp = 'servers that are cold';
+    metrics.gauge('servers_cold', coldHelp, rules.cold.count(clock.now()));
     const { leaving, resting } = notices.counts(clock.now());
     metrics.gauge('servers_leaving', 'servers that said that they leave', leaving);
     metrics.gauge('servers_resting', 'servers that asked for rest', resting);
--- a/packages/gateway/src/types/gatewaySettings.ts
+++ b/packages/gateway/src/types/gatewaySettings.ts
@@ -1,5 +1,6 @@
 /** Settings of a gateway process. */
 
+import type { ColdBound } from '@flamingocourse/core';
 import type { UnansweredPolicy } from '../runtime/charge.js';
 
 /** An address to listen on. */
@@ -59,6 +60,8 @@
         applyMs: number;
       }
     | undefined;
+  /** Bound on what all instances together send to a cold server; absent where there is none. */
+  coldServers?: ColdBound | undefined;
   servers: {
     /**
      * Milliseconds after an outage of the store for which servers with an expired entry are kept.
--- a/packages/gateway/src/utils/gatewaySettingsSchema.ts
+++ b/packages/gateway/src/utils/gatewaySettingsSchema.ts
@@ -58,6 +58,7 @@
     .default({})
     .describe('the region of each data centre, by the name of the data centre'),
   evacuation: z.object({ applyMs: milliseconds.min(1_000) }).optional(),
+  coldServers: z.object({ overshoot: z.number().min(0), slack: z.number().min(0) }).optional(),
   servers: z
     .object({
       // live servers rewrite their entries within two seconds after the store is back.
--- a/packages/kernel/src/runtime/eventCatalogue.ts
+++ b/packages/kernel/src/runtime/eventCatalogue.ts
@@ -303,6 +303,17 @@
     level: 'info',
     text: 'an operator took an evacuation back',
   },
+  'server-cold': {
+    number: 526,
+    level: 'info',
+    text: 'a server is cold; one instance sends it few requests, the others none, until it is warm',
+  },
+  'server-cold-invalid': {
+    number: 527,
+    level: 'warn',
+    text: 'a server states a cold time that cannot be read; that of its service is used',
+    action: 'Check the software of the server.',
+  },
   'backend-crashed': {
     number: 500,
     level: 'warn',
--- a/packages/router/src/node/backends/serviceLane.ts
+++ b/packages/router/src/node/backends/serviceLane.ts
@@ -328,6 +328,7 @@
           : this.#findPromptSource(prefixKey, server, request, now),
       priority: enginePriority[request.importance],
       recordSent: () => {
+        pool.recordSent(attempt, this.#options.clock.now());
         this.#inFlight.add(server.id, attempt, causesOf(request));
       },
       recordReplaced: () => {
--- a/test/platform/world.ts
+++ b/test/platform/world.ts
@@ -98,6 +98,7 @@
   dataCentre?: string;
   regions?: Record<string, string>;
   evacuation?: { applyMs: number };
+  coldServers?: { overshoot: number; slack: number };
 }
 
 export class World {
@@ -263,6 +264,7 @@
         prepaid: { reportMs: 100, ...change.prepaid },
         retries: { ratio: 0.2, slack: 54, windowMs: 10_000 },
         ...(change.regions ? { regions: change.regions } : {}),
+        ...(change.coldServers ? { coldServers: change.coldServers } : {}),
         ...(change.evacuation ? { evacuation: change.evacuation } : {}),
         stopGraceMs: 4_000,
       }),
--- a/test/routing/fleetShare.test.ts
+++ b/test/routing/fleetShare.test.ts
@@ -1,6 +1,6 @@
 import assert from 'node:assert/strict';
 import { describe, test } from 'node:test';
-import { FleetShare, readIntervalMs } from '@flamingocourse/core';
+import { FleetShare, readIntervalMs, rendezvousOwner } from '@flamingocourse/core';
 import { createRandom } from '../../packages/lab/src/runtime/random.js';
 
 const WINDOW_MS = 10_000;
@@ -82,6 +82,8 @@
 /** Milliseconds between two steps of the simulation, and between two events of a small fleet. */
 const STEP_MS = 1_000;
 const EVENT_INTERVAL_MS = 25_000;
+/** A right that is not divided. */
+const KEY = 'p1';
 /** Longest time by which a read is stale. */
 const MAX_STALE_MS = 3_000;
 
@@ -90,6 +92,8 @@
   readonly share = new FleetShare(WINDOW_MS);
   nextReadAt: number;
   cutUntil = -1;
+  /** Names in the last list that was read. */
+  lastRead: readonly string[] = [];
 
   constructor(
     readonly instance: string,
@@ -99,8 +103,21 @@
   }
 }
 
+/** Part of a right that a process may use; undefined for none. */
+type PartOf = (process: Process, now: number) => number | undefined;
+
+const divided: PartOf = ({ share }, now) => {
+  const divisor = share.divisor(now);
+  return divisor === undefined ? undefined : 1 / divisor;
+};
+const undivided: PartOf = ({ share }, now) => (share.isOwner(KEY, now) ? 1 : undefined);
+/** A faulty rule: whoever is first in the last list has the right at once. */
+const undividedAtOnce: PartOf = ({ instance, lastRead }) => {
+  return rendezvousOwner(KEY, lastRead) === instance ? 1 : undefined;
+};
+
 /** Plays joins, losses, restarts, cuts and stale lists, and returns the largest sum used in a window. */
-function largestSum(size: number, seed: number): number {
+function largestSum(size: number, seed: number, partOf: PartOf): number {
   const random = createRandom(seed);
   // events are as frequent as reads are, so that instances know the fleet at times.
   const eventChance = (STEP_MS / EVENT_INTERVAL_MS) * (readIntervalMs(7) / readIntervalMs(size));
@@ -155,16 +172,17 @@
       const seenAt = now - random.int(0, MAX_STALE_MS);
       const { names } = listings.findLast(({ at }) => at <= seenAt) ?? { names: [...listed] };
       process.share.observe({ at: now, names, reader: process.instance });
+      process.lastRead = names;
       const intervalMs = readIntervalMs(names.length) * (0.75 + 0.5 * random.fraction());
       process.nextReadAt = now + intervalMs;
     }
     for (const process of processes) {
       if (now - (usedAt.get(process) ?? -Infinity) <= WINDOW_MS) continue;
-      const divisor = process.share.divisor(now);
+      const part = partOf(process, now);
       // a process uses its share now and then, so that windows overlap in all ways.
-      if (divisor === undefined || random.chance(0.5)) continue;
+      if (part === undefined || random.chance(0.5)) continue;
       usedAt.set(process, now);
-      uses.push({ at: now, part: 1 / divisor });
+      uses.push({ at: now, part });
     }
     while ((uses[0]?.at ?? now) < now - WINDOW_MS) uses.shift();
     const sum = uses.reduce((total, { part }) => total + part, 0);
@@ -183,7 +201,7 @@
     test(`with ${String(size)} instances`, () => {
       let best = 0;
       for (let seed = 1; seed <= seeds; seed += 1) {
-        const largest = largestSum(size, seed);
+        const largest = largestSum(size, seed, divided);
         assert.ok(largest <= 1 + 1e-9, `seed ${String(seed)}: ${String(largest)}`);
         best = Math.max(best, largest);
       }
@@ -192,3 +210,28 @@
     });
   }
 });
+
+// Guards against two instances that both take the whole right of a cold server, after starts, joins, losses and old lists.
+describe('in no window do two processes use a right that is not divided', () => {
+  for (const { size, seeds } of [
+    { size: 7, seeds: 300 },
+    { size: 75, seeds: 60 },
+    { size: 2_800, seeds: 2 },
+  ]) {
+    test(`with ${String(size)} instances`, () => {
+      let used = 0;
+      for (let seed = 1; seed <= seeds; seed += 1) {
+        const largest = largestSum(size, seed, undivided);
+        assert.ok(largest <= 1, `seed ${String(seed)}: ${String(largest)}`);
+        used = Math.max(used, largest);
+      }
+      // a right that nobody ever uses would pass as well.
+      assert.equal(used, 1);
+    });
+  }
+
+  test('which a rule by the last list alone would break', () => {
+    const sums = Array.from({ length: 40 }, (_, at) => largestSum(7, at + 1, undividedAtOnce));
+    assert.ok(Math.max(...sums) > 1);
+  });
+});
--- a/test/routing/rateLimitedLane.test.ts
+++ b/test/routing/rateLimitedLane.test.ts
@@ -97,7 +97,14 @@
       const world = new LaneFixture();
       const rest = { type: 'rest', ms: 1_000 } as const;
       const none = { type: 'none' } as const;
-      const notice = { leaving: false, rest, rateLimit: none, brittle: none, rejected: false };
+      const notice = {
+        leaving: false,
+        rest,
+        rateLimit: none,
+        brittle: none,
+        cold: none,
+        rejected: false,
+      };
       world.notices.record({ id: 's1' }, notice, 0);
       assert.equal(await world.place({ startBy: startByMs }), end);
       assert.equal(world.lane.pool.capacity(0), 0);
--- a/test/routing/serverGate.test.ts
+++ b/test/routing/serverGate.test.ts
@@ -16,6 +16,7 @@
   rest: { type: 'none' },
   rateLimit: { type: 'none' },
   brittle: { type: 'none' },
+  cold: { type: 'none' },
   rejected: false,
 } as const;
 
--- a/test/routing/serverNotices.test.ts
+++ b/test/routing/serverNotices.test.ts
@@ -8,7 +8,14 @@
 
 function notice(change: Partial<ServerNotice> = {}): ServerNotice {
   const none = { type: 'none' } as const;
-  const quiet = { leaving: false, rest: none, rateLimit: none, brittle: none, rejected: false };
+  const quiet = {
+    leaving: false,
+    rest: none,
+    rateLimit: none,
+    brittle: none,
+    cold: none,
+    rejected: false,
+  };
   return { ...quiet, ...change };
 }
 
