feat(routing): requests run only at the homes of their route and client account

Nothing read the homes of a route or a client account: a request could reach a server in any region, and its body any peer that carried its connection.

ServerBounds carries the data centres that are homes of both (a region that is unknown is no home), so the gate binds the first attempt, repeats, resumed streams, and the servers from which prompts are copied. A peer carries connections to a server only in that server's region, so no body reaches an instance in another one, also not on a connection that is reused. Homes that are no list allow no region, and one bounded line names the routes and accounts; an empty list binds nothing. Without a home that serves, callers are refused at once as not run.

Ruled out: other ways of a body (streams' records, loans and news of the fleet hold none).

--- a/packages/core/src/runtime/routing/serverGate.ts
+++ b/packages/core/src/runtime/routing/serverGate.ts
@@ -10,6 +10,8 @@
 /** Why a request may not be sent to a server for an unknown time. */
 export type SendObstacle =
   | ClosedReason
+  /** The request must not run in its region. */
+  | 'outside-homes'
   /** An operator has taken it out of service. */
   | 'drained'
   /** Other instances send to it. */
@@ -57,6 +59,7 @@
 
   /** Why a request may not be sent to a server for an unknown time; undefined if it may. */
   obstacle(entry: ServerEntry, bounds: ServerBounds, now: EpochMs): SendObstacle | undefined {
+    if (bounds.homes?.has(entry.server.dataCentre) === false) return 'outside-homes';
     const closed = this.closedBy(entry);
     if (closed !== undefined) return closed;
     if (this.#drained.has(entry.server.id)) return 'drained';
--- a/packages/core/src/runtime/routing/serverPool.ts
+++ b/packages/core/src/runtime/routing/serverPool.ts
@@ -67,7 +67,7 @@
 /** Maximum fraction of the pool that can be ejected at once. */
 const MAX_EJECTED_SHARE = 0.5;
 /** Obstacles that somebody has chosen, the most telling first. */
-const CHOSEN_OBSTACLES: readonly SendObstacle[] = ['evacuated', 'other-software'];
+const CHOSEN_OBSTACLES: readonly SendObstacle[] = ['evacuated', 'other-software', 'outside-homes'];
 /** How long a server is held for a request that must run alone, in milliseconds. */
 const HOLD_MS = 5_000;
 
@@ -183,9 +183,10 @@
     prefixHash: number,
     except: ReadonlySet<ServerId>,
     now: EpochMs,
+    bounds = ANY_SERVER,
   ): BackendServer | undefined {
     const others = [...this.#entries.values()].filter((entry) => {
-      return !except.has(entry.server.id) && this.#canBeRead(entry, now);
+      return !except.has(entry.server.id) && this.#canBeRead(entry, bounds, now);
     });
     const [first, ...rest] = others;
     if (!first) return undefined;
@@ -194,9 +195,9 @@
   }
 
   /** Whether a prompt can be copied from a server: it is listed, reachable and not leaving. */
-  canCopyFrom(id: ServerId, now: EpochMs): boolean {
+  canCopyFrom(id: ServerId, now: EpochMs, bounds = ANY_SERVER): boolean {
     const entry = this.#entries.get(id);
-    return entry !== undefined && this.#canBeRead(entry, now);
+    return entry !== undefined && this.#canBeRead(entry, bounds, now);
   }
 
   /** Servers of all data centres with capacity for one more request. */
@@ -380,9 +381,10 @@
     if (this.#isSlow(entry)) entry.eject(this.#health, now);
   }
 
-  /** Whether its memory of prompts can be read by another server. */
-  #canBeRead(entry: ServerEntry, now: EpochMs): boolean {
-    return entry.reachable(now) && this.#gate.closedBy(entry) === undefined;
+  /** Whether its memory of prompts can be read by another server, for a request with such bounds. */
+  #canBeRead(entry: ServerEntry, { homes }: ServerBounds, now: EpochMs): boolean {
+    const isHome = homes?.has(entry.server.dataCentre) ?? true;
+    return isHome && entry.reachable(now) && this.#gate.closedBy(entry) === undefined;
   }
 
   #maySend(entry: ServerEntry, now: EpochMs): boolean {
--- a/packages/core/src/types/placement.ts
+++ b/packages/core/src/types/placement.ts
@@ -1,7 +1,7 @@
 /** Types used when a backend server is chosen for a request. */
 
 import type { AttemptEnd } from '../runtime/routing/serverHealth.js';
-import type { ServerId } from './ids.js';
+import type { DataCentreId, ServerId } from './ids.js';
 
 /** Returns a number from 0 (included) to 1 (excluded); seeded in tests. */
 export type RandomSource = () => number;
@@ -53,6 +53,8 @@
 /** Which servers may run a request, whichever attempt of it. */
 export interface ServerBounds {
   software: StreamSoftware;
+  /** Data centres in which it may run; undefined means all. */
+  homes?: ReadonlySet<DataCentreId> | undefined;
 }
 
 /** Restrictions on the servers that can be chosen. */
--- a/packages/core/src/types/routedConfig.ts
+++ b/packages/core/src/types/routedConfig.ts
@@ -6,6 +6,9 @@
 /** Whether, and how, requests of a route may be repeated. */
 export type Repetition = 'idempotent' | 'once' | 'resumable-stream' | 'once-stream';
 
+/** Regions in which requests may run; `invalid` if they cannot be read, so that none is allowed. */
+export type Homes = readonly string[] | 'invalid';
+
 /** A service of a route with its share of the traffic. */
 export interface RouteTarget {
   service: ServiceName;
@@ -29,6 +32,8 @@
   /** Whether requests need no API key. */
   open: boolean;
   targets: RouteTarget[];
+  /** Absent if requests may run in any region. */
+  homes?: Homes;
 }
 
 /** A service to which requests are forwarded. */
@@ -57,6 +62,8 @@
 export interface RoutedAccount {
   name: AccountId;
   keys: string[];
+  /** Absent if its requests may run in any region. */
+  homes?: Homes;
   /** Overrides the route's priority. */
   priority?: number;
   /** Total tokens that may be used; absent if the account has no limit. */
--- a/packages/gateway/src/node/configurationWatch.ts
+++ b/packages/gateway/src/node/configurationWatch.ts
@@ -27,6 +27,9 @@
  */
 export const CONFIGURATION_BATCH_MS = 400;
 
+/** Maximum number of logged characters of names from outside. */
+const MAX_LOGGED_LENGTH = 200;
+
 /** Service that keeps the configuration up to date. Registered as `configuration`. */
 export class ConfigurationWatch extends Service {
   override readonly name = 'configuration';
@@ -119,9 +122,20 @@
       routes: value.routes.length,
       accounts: value.accounts.length,
     });
+    this.#logInvalidHomes(value);
     for (const listener of this.#listeners) listener(table);
   }
 
+  #logInvalidHomes({ version, routes, accounts }: RoutedConfig): void {
+    const names = [
+      ...routes.filter(({ homes }) => homes === 'invalid').map(({ name }) => `route ${name}`),
+      ...accounts.filter(({ homes }) => homes === 'invalid').map(({ name }) => `account ${name}`),
+    ];
+    if (names.length === 0) return;
+    const objects = names.join(', ').slice(0, MAX_LOGGED_LENGTH);
+    this.#context.log.write('homes-invalid', { version, count: names.length, objects });
+  }
+
   #logInvalid(version: string): void {
     const inForce = this.#table?.config.version;
     this.#context.log.write('configuration-invalid', { storeVersion: version, inForce });
--- a/packages/gateway/src/node/requestFlow.ts
+++ b/packages/gateway/src/node/requestFlow.ts
@@ -18,6 +18,7 @@
 import { partFingerprint } from '@flamingocourse/core';
 import { notRun } from '@flamingocourse/router';
 import { isStream, mayRetry, refusalAfterFailure } from '../runtime/retryPolicy.js';
+import { homesOf } from '../runtime/homes.js';
 import { affinityKey } from '../runtime/affinityKey.js';
 import { chargeOf } from '../runtime/charge.js';
 import { importanceOf, effectivePriority } from '../runtime/requestPriority.js';
@@ -136,6 +137,7 @@
     lane: BackendLane,
   ): Promise<{ type: 'placed'; placement: Placement } | { type: 'refused'; refusal: Refusal }> {
     const { head, route, account, arrivedAt, endsAt, signal, service } = this.#call;
+    const { regions } = this.#parts.context.settings;
     const prefixKey = affinityKey(head.promptParts);
     const placed = await lane.lane.place({
       service: service.name,
@@ -148,7 +150,7 @@
       ...(prefixKey === undefined ? {} : { prefixKey }),
       ...(head.size === undefined ? {} : { promptTokens: head.size.prompt }),
       tried: this.#progress.tried,
-      bounds: { software: this.#progress.software },
+      bounds: { software: this.#progress.software, homes: homesOf(route, account, regions) },
       fingerprint: this.#progress.fingerprint,
       partFingerprints: sharedParts(head.promptParts).map(({ id }) => partFingerprint(id)),
       signal,
--- a/packages/gateway/src/node/serverPaths.ts
+++ b/packages/gateway/src/node/serverPaths.ts
@@ -12,6 +12,7 @@
 import { setTimeout as delay } from 'node:timers/promises';
 import { Service } from '@flamingocourse/kernel';
 import { Result } from 'true-myth';
+import { mayCarry } from '../runtime/homes.js';
 import { MAX_PEERS, ServerPath } from '../runtime/serverPath.js';
 import { staggeredRace } from '../runtime/staggeredRace.js';
 import { TunnelPeers } from '../runtime/tunnelPeers.js';
@@ -114,10 +115,10 @@
    * Asks peers whether a server accepts their connections. A peer that can't connect may be behind
    * the same partition, so the next one is asked as well.
    */
-  async askPeers({ id }: Pick<DirectoryServer, 'id'>): Promise<PeerAnswer> {
+  async askPeers(server: Pick<DirectoryServer, 'id' | 'dataCentre'>): Promise<PeerAnswer> {
     let answer: PeerAnswer = 'unknown';
-    for (const peer of this.#peersInOrder().slice(0, MAX_PEERS - 1)) {
-      const opened = await this.#calls.open(peer, id);
+    for (const peer of this.#peersInOrder(server).slice(0, MAX_PEERS - 1)) {
+      const opened = await this.#calls.open(peer, server.id);
       if (opened.isOk) {
         opened.value.destroy();
         return 'accepted';
@@ -140,7 +141,7 @@
       if (opened.isErr) directError = opened.error;
       return opened.mapErr(({ message }) => message);
     };
-    const tunnels = this.#waysThroughPeers((peer) => this.#openTunnel(peer, server));
+    const tunnels = this.#waysThroughPeers(server, (peer) => this.#openTunnel(peer, server));
     const isDirect = path.kind !== 'tunnel';
     const ways = isDirect ? [direct, ...tunnels] : [...tunnels.slice(0, 2), direct];
     const onUnused = (socket: Socket): void => {
@@ -156,10 +157,13 @@
   }
 
   /** Ways through different peers; the peers are chosen when the first of them is needed. */
-  #waysThroughPeers<T>(use: (peer: FleetInstance) => Promise<Result<T, string>>): Way<T>[] {
+  #waysThroughPeers<T>(
+    server: DirectoryServer,
+    use: (peer: FleetInstance) => Promise<Result<T, string>>,
+  ): Way<T>[] {
     let peers: FleetInstance[] | undefined;
     return Array.from({ length: MAX_PEERS }, (_, index) => () => {
-      peers ??= this.#peersInOrder();
+      peers ??= this.#peersInOrder(server);
       const peer = peers[index];
       return peer ? use(peer) : Promise.resolve(Result.err('no further peer'));
     });
@@ -171,9 +175,13 @@
     return opened.mapErr((fault) => `${peer.name}: ${fault}`);
   }
 
-  #peersInOrder(): FleetInstance[] {
-    const { instance } = this.#context.settings;
-    const others = this.#instances?.all.filter(({ name }) => name !== instance) ?? [];
+  /** Peers that may carry requests to a server. */
+  #peersInOrder({ dataCentre }: Pick<DirectoryServer, 'dataCentre'>): FleetInstance[] {
+    const { instance, regions } = this.#context.settings;
+    const all = this.#instances?.all ?? [];
+    const others = all.filter((peer) => {
+      return peer.name !== instance && mayCarry(peer.dataCentre, dataCentre, regions);
+    });
     return this.#peers.inOrder(others, this.#now());
   }
 
@@ -246,7 +254,9 @@
     target: string | undefined,
     peers: readonly number[],
   ): Promise<boolean> {
-    const ways = this.#waysThroughPeers((peer) => this.#probeThrough(peer, server, target));
+    const ways = this.#waysThroughPeers(server, (peer) => {
+      return this.#probeThrough(peer, server, target);
+    });
     const used = ways.filter((_, place) => peers.includes(place));
     const won = await staggeredRace(used, { staggerMs: STAGGER_MS, onUnused: () => undefined });
     return won.isOk;
--- a/packages/kernel/src/runtime/eventCatalogue.ts
+++ b/packages/kernel/src/runtime/eventCatalogue.ts
@@ -314,6 +314,12 @@
     text: 'a server states a cold time that cannot be read; that of its service is used',
     action: 'Check the software of the server.',
   },
+  'homes-invalid': {
+    number: 528,
+    level: 'error',
+    text: 'homes of routes or client accounts are no list of regions; their requests are refused',
+    action: 'Write a list of regions, or none.',
+  },
   'backend-crashed': {
     number: 500,
     level: 'warn',
--- a/packages/router/src/node/backends/laneRefusals.ts
+++ b/packages/router/src/node/backends/laneRefusals.ts
@@ -19,6 +19,12 @@
   return notRun('no-backend-server', detail, NO_SERVER_RETRY_MS);
 }
 
+/** Refusal for a request that may run in no region in which there are servers. */
+export function noHomeRefusal(): Refusal {
+  const detail = 'No backend server is in a region in which the request may run; retry later.';
+  return notRun('no-backend-server', detail, NO_SERVER_RETRY_MS);
+}
+
 /** Refusal for a request all whose servers are in data centres that an operator has evacuated. */
 export function evacuatedRefusal(): Refusal {
   const detail = 'All servers that may run the request are in evacuated data centres; retry later.';
--- a/packages/router/src/node/backends/serviceLane.ts
+++ b/packages/router/src/node/backends/serviceLane.ts
@@ -12,6 +12,7 @@
   Refusal,
   RetryBudget,
   ServerChooser,
+  ServerBounds,
   ServerPool,
   ShedEntry,
   RateLimitPace,
@@ -36,6 +37,7 @@
   cancelledRefusal,
   cannotResumeRefusal,
   evacuatedRefusal,
+  noHomeRefusal,
   noServerRefusal,
   rateLimitedRefusal,
   quarantinedRefusal,
@@ -182,7 +184,9 @@
   /** Refusal of a request that no server accepts. */
   #noServer({ bounds = ANY_SERVER }: PlacementRequest, now: EpochMs): Refusal {
     const { pool } = this.#options;
-    if (pool.closedBy(now, bounds) === 'evacuated') return evacuatedRefusal();
+    const closedBy = pool.closedBy(now, bounds);
+    if (closedBy === 'evacuated') return evacuatedRefusal();
+    if (closedBy === 'outside-homes') return noHomeRefusal();
     const hasOthers = pool.hasOpenServer(undefined, now);
     return hasBegun(bounds.software) && hasOthers ? cannotResumeRefusal() : noServerRefusal();
   }
@@ -224,7 +228,7 @@
     const { pool } = this.#options;
     const ofAll = pool.sendPace(now);
     return ({ bounds = ANY_SERVER }) => {
-      return hasBegun(bounds.software) ? pool.sendPace(now, bounds) : ofAll;
+      return isBound(bounds) ? pool.sendPace(now, bounds) : ofAll;
     };
   }
 
@@ -366,17 +370,17 @@
   #findPromptSource(
     prefixKey: string,
     { id }: BackendServer,
-    { tried }: PlacementRequest,
+    { tried, bounds }: PlacementRequest,
     now: EpochMs,
   ): BackendServer | undefined {
     const { pool } = this.#options;
     const known = this.#promptLocations.find(prefixKey);
     if (known === id) return undefined;
     // A server that just failed this request may be down, and the copy would wait for it.
-    if (known !== undefined && !tried.includes(known) && pool.canCopyFrom(known, now)) {
+    if (known !== undefined && !tried.includes(known) && pool.canCopyFrom(known, now, bounds)) {
       return pool.server(known);
     }
-    return pool.likelyPromptServer(hash32(prefixKey), new Set([id, ...tried]), now);
+    return pool.likelyPromptServer(hash32(prefixKey), new Set([id, ...tried]), now, bounds);
   }
 
   #recordEnd(
@@ -466,3 +470,8 @@
 function waitsInVain({ bounds = ANY_SERVER, startBy }: PlacementRequest, now: EpochMs): boolean {
   return hasBegun(bounds.software) && startBy !== undefined && startBy <= now;
 }
+
+/** Whether a request may not run at every server. */
+function isBound({ software, homes }: ServerBounds): boolean {
+  return homes !== undefined || hasBegun(software);
+}
--- a/test/gateway/serverPaths.test.ts
+++ b/test/gateway/serverPaths.test.ts
@@ -90,7 +90,7 @@
         const how = peer === 'edge-2' ? peers[0] : peers[1];
         return how === 'opens' ? openTo(target) : Result.err(how);
       });
-      assert.equal(await paths.askPeers({ id: 's1' }), answer);
+      assert.equal(await paths.askPeers({ id: 's1', dataCentre: 'hall-a' }), answer);
     });
   }
 });
