fix(gateway): bytes of servers that do not end are bounded, in and before every kind of answer

Callers and instances (read, then shown by the table of this commit; it was not run on the code before): the body of a rejection, of another server's 421, of a failure that is tried again, and of a health answer was drained for as long as the server sent, so each held a connection and processor time for ever; an event of a stream that does not end was gathered without bound, and copied anew with each chunk; each of many whole answers could hold 8 MB of an instance of 160; interim answers had no bound.

Each ends as broken (may have run) with a closed connection, as before.

--- a/packages/core/src/runtime/streams/eventFrames.ts
+++ b/packages/core/src/runtime/streams/eventFrames.ts
@@ -13,6 +13,8 @@
 const LINE_FEED = 0x0a;
 const CARRIAGE_RETURN = 0x0d;
 const NOTHING = Buffer.alloc(0);
+/** Maximum size of one event, in bytes. */
+const MAX_EVENT_BYTES = 256 * 1024;
 
 /**
  * Splits one stream into complete events.
@@ -41,6 +43,11 @@
     return this.#rest.length > 0;
   }
 
+  /** Whether the incomplete event is longer than any event; no more may be added. */
+  get isTooLong(): boolean {
+    return this.#rest.length > MAX_EVENT_BYTES;
+  }
+
   /** Adds a chunk; returns the events that are complete now. */
   push(chunk: Buffer): EventBytes {
     const data = this.#rest.length === 0 ? chunk : Buffer.concat([this.#rest, chunk]);
--- a/packages/gateway/src/node/answerRelay.ts
+++ b/packages/gateway/src/node/answerRelay.ts
@@ -1,12 +1,10 @@
 /** Forwards a server's response to the caller. */
 
 import type { CallerAnswer } from './callerAnswer.js';
+import type { AnswerBuffers } from '../runtime/answerBuffers.js';
 import type { OpenAnswer } from './httpAttempt.js';
 import { EventFrames } from '@flamingocourse/core';
 
-/** Maximum size of a response that is buffered before it is forwarded, in bytes. */
-const MAX_WHOLE_BYTES = 8 * 1024 * 1024;
-
 /** Arguments of a relay. */
 export interface Relay {
   open: OpenAnswer;
@@ -14,6 +12,8 @@
   /** Headers for the caller. */
   headers: string[];
   signal: AbortSignal;
+  /** Counts what is held of this and other responses. */
+  buffers: AnswerBuffers;
   /** Called for each chunk of a stream. */
   onChunk: () => void;
   now: () => number;
@@ -37,8 +37,8 @@
  * the caller and the request can be retried at another server.
  */
 export async function relayWhole(relay: Relay): Promise<RelayEnd> {
-  const { open, answer, headers, signal, now } = relay;
-  const end = await readAnswer(open, signal, now);
+  const { open, answer, headers } = relay;
+  const end = await readAnswer(relay);
   if (end.type === 'whole') answer.writeWhole(open.head.status, headers, end.body);
   return end;
 }
@@ -47,22 +47,23 @@
  * Reads a response completely.
  *
  * @example
- * const end = await readAnswer(open, signal);
+ * const end = await readAnswer({ open, signal, buffers, now });
  * if (end.type === 'whole') use(end.body);
  */
-export async function readAnswer(
-  open: OpenAnswer,
-  signal: AbortSignal,
-  now: () => number = () => performance.now(),
-): Promise<Exclude<RelayEnd, { type: 'whole' }> | WholeAnswer> {
+export async function readAnswer({
+  buffers,
+  ...read
+}: Pick<Relay, 'open' | 'signal' | 'buffers' | 'now'>): Promise<
+  Exclude<RelayEnd, { type: 'whole' }> | WholeAnswer
+> {
   const chunks: Buffer[] = [];
-  let size = 0;
-  const end = await readBody({ open, signal, now }, (chunk) => {
-    size += chunk.length;
-    if (size > MAX_WHOLE_BYTES) return false;
+  const held = buffers.open();
+  const end = await readBody(read, (chunk) => {
+    if (!held.add(chunk.length)) return false;
     chunks.push(chunk);
     return true;
   });
+  held.release();
   return end.type === 'whole' ? { ...end, body: Buffer.concat(chunks) } : end;
 }
 
@@ -81,6 +82,7 @@
   const end = await readBody(relay, (chunk) => {
     relay.onChunk();
     const { bytes, events } = frames.push(chunk);
+    if (frames.isTooLong) return false;
     if (events === 0) return true;
     onEvents(events, frames.lastId);
     if (!answer.write(bytes, events, relay.now())) pauseUntilDrained(relay);
--- a/packages/gateway/src/node/createGateway.ts
+++ b/packages/gateway/src/node/createGateway.ts
@@ -19,6 +19,7 @@
 import { MeshClient, MeshServer } from '@flamingocourse/mesh';
 import { Result } from 'true-myth';
 import { HttpObjectStore, defaultCircuitOptions } from '@flamingocourse/store';
+import { AnswerBuffers } from '../runtime/answerBuffers.js';
 import { BackendLanes } from './backendLanes.js';
 import { ConnectionCheck } from './connectionCheck.js';
 import { ConfigurationWatch } from './configurationWatch.js';
@@ -113,6 +114,7 @@
     dialects,
     rules,
     seenSoftware: new SeenSoftware(),
+    buffers: new AnswerBuffers(),
     random,
   };
   const kernel = new Kernel();
--- a/packages/gateway/src/node/httpAttempt.ts
+++ b/packages/gateway/src/node/httpAttempt.ts
@@ -7,6 +7,9 @@
 import { onTimeout, waitForPendingReads } from '@flamingocourse/kernel';
 import { Result } from 'true-myth';
 
+/** Maximum number of interim responses (1xx) before the response. */
+const MAX_INTERIM_ANSWERS = 16;
+
 /** A request to send to a server. */
 export interface AttemptRequest {
   /** `http://host:port` of the server. */
@@ -110,6 +113,11 @@
       signal.removeEventListener('abort', abort);
       fail('broken', 'connection closed');
     });
+    let interim = 0;
+    req.on('information', () => {
+      interim += 1;
+      if (interim > MAX_INTERIM_ANSWERS) fail('broken', 'too many interim responses');
+    });
     let broken = false;
     req.on('error', (err: NodeJS.ErrnoException) => {
       broken = true;
--- a/packages/gateway/src/node/httpHealthCheck.ts
+++ b/packages/gateway/src/node/httpHealthCheck.ts
@@ -6,6 +6,7 @@
 import type { ServerAgent } from './serverAgent.js';
 import { HealthCheck } from '../types/healthCheck.js';
 import { recordNotice } from './recordNotice.js';
+import { discardAnswer } from './discardAnswer.js';
 import { openAttempt } from './httpAttempt.js';
 
 /** Response timeout in milliseconds; a busy server may queue the health check. */
@@ -53,7 +54,7 @@
       signal: AbortSignal.timeout(RESPONSE_TIMEOUT_MS),
     });
     if (opened.isErr) return opened.error.reason === 'refused' ? 'gone' : 'unknown';
-    opened.value.body.resume();
+    discardAnswer(opened.value);
     const result = dialects.servers.judgeHealth(id, opened.value.head);
     if (result !== 'gone') recordNotice(this.#context, checked, opened.value.head);
     return result;
--- a/packages/gateway/src/node/serverAttempt.ts
+++ b/packages/gateway/src/node/serverAttempt.ts
@@ -15,6 +15,7 @@
 import { recordNotice } from './recordNotice.js';
 import { sharedPartIds } from './requestLogLine.js';
 import { relayStream, relayWhole } from './answerRelay.js';
+import { discardAnswer } from './discardAnswer.js';
 import { openAttempt } from './httpAttempt.js';
 
 /**
@@ -102,10 +103,10 @@
         this.#progress.mayHaveRun += 1;
         return this.#relay(opened.value);
       case 'not-run':
-        opened.value.body.resume();
+        discardAnswer(opened.value);
         return this.#failed('refused', 'cancelled', `status ${opened.value.head.status}`);
       case 'other-server':
-        opened.value.body.resume();
+        discardAnswer(opened.value);
         return this.#failed('other-server', 'leaving', 'the address belongs to another server');
       case 'spoilt':
         opened.value.drop();
@@ -211,7 +212,7 @@
     const { answer } = this.#call;
     const { status } = open.head;
     if (status >= 500 && !answer.started && this.#mayRetry('server-error')) {
-      open.body.resume();
+      discardAnswer(open);
       return this.#failed('server-error', 'ok', `status ${status}`);
     }
     const end = await this.#relayBody(open);
@@ -231,7 +232,8 @@
     const onChunk = (): void => {
       this.#placement.recordReceived();
     };
-    const relay = { open, answer, headers, signal, onChunk, now: () => this.#now() };
+    const { buffers } = this.#parts.context;
+    const relay = { open, answer, headers, signal, onChunk, buffers, now: () => this.#now() };
     if (!isStream(route.repetition) || open.head.status >= 500) return relayWhole(relay);
     return this.#relayEvents(relay);
   }
--- a/packages/gateway/src/types/context.ts
+++ b/packages/gateway/src/types/context.ts
@@ -5,6 +5,7 @@
 import type { Collection, ObjectStore, StoreDialect } from '@flamingocourse/store';
 import type { GatewayMetrics } from '../node/gatewayMetrics.js';
 import type { CallerDialect, ServerDialect } from './dialects.js';
+import type { AnswerBuffers } from '../runtime/answerBuffers.js';
 import type { GatewaySettings } from './gatewaySettings.js';
 
 /** Adapters for the platform that the router runs on. */
@@ -33,6 +34,8 @@
   rules: SendRules;
   /** Software versions of the backend servers that this instance has heard of lately. */
   seenSoftware: SeenSoftware;
+  /** Counts the bytes of answers that are held until they are complete. */
+  buffers: AnswerBuffers;
   /** Returns a random number from 0 (inclusive) to 1 (exclusive). */
   random: () => number;
 }
--- /dev/null
+++ b/test/gateway/answerBuffers.test.ts
@@ -0,0 +1,47 @@
+import assert from 'node:assert/strict';
+import { describe, test } from 'node:test';
+import { AnswerBuffers } from '../../packages/gateway/src/runtime/answerBuffers.js';
+
+const KB = 1024;
+const MB = 1024 * KB;
+const CHUNK = 64 * KB;
+
+describe('the memory of answers that are held', () => {
+  test('has a bound for each', () => {
+    const held = new AnswerBuffers(64 * MB).open();
+    let bytes = 0;
+    while (held.add(CHUNK)) bytes += CHUNK;
+    assert.equal(bytes, 8 * MB);
+  });
+
+  // Guards against an instance that is ended for its memory because many servers send without end.
+  test('has a bound for all together, which answers of usual size do not feel', () => {
+    const buffers = new AnswerBuffers(32 * MB);
+    const endless = Array.from({ length: 200 }, () => ({ held: buffers.open(), given: false }));
+    let most = 0;
+    for (let round = 0; round < 300; round += 1) {
+      const usual = buffers.open();
+      assert.equal(usual.add(20 * KB), true, `round ${String(round)}`);
+      for (const answer of endless) {
+        if (answer.given || answer.held.add(CHUNK)) continue;
+        answer.given = true;
+        answer.held.release();
+      }
+      most = Math.max(most, buffers.total);
+      usual.release();
+    }
+    assert.ok(most <= 32 * MB + 200 * CHUNK, String(most));
+    assert.ok(endless.every(({ given }) => given));
+    assert.equal(buffers.total, 0);
+  });
+
+  test('is released once, whatever comes afterwards', () => {
+    const buffers = new AnswerBuffers();
+    const held = buffers.open();
+    held.add(KB);
+    held.release();
+    held.release();
+    assert.equal(held.add(KB), false);
+    assert.equal(buffers.total, 0);
+  });
+});
--- a/test/gateway/httpAttempt.test.ts
+++ b/test/gateway/httpAttempt.test.ts
@@ -5,6 +5,7 @@
 import { setTimeout as delay } from 'node:timers/promises';
 import { describe, test } from 'node:test';
 import { ServerAgent, openAttempt, readAnswer } from '@flamingocourse/gateway';
+import { AnswerBuffers } from '../../packages/gateway/src/runtime/answerBuffers.js';
 
 const whole = 'HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok';
 const unframed = 'HTTP/1.1 200 OK\r\n\r\nok';
@@ -46,7 +47,12 @@
     signal,
   });
   if (opened.isErr) return opened.error.sent ? 'maybe run' : 'not sent';
-  const end = await readAnswer(opened.value, signal);
+  const end = await readAnswer({
+    open: opened.value,
+    signal,
+    buffers: new AnswerBuffers(),
+    now: () => performance.now(),
+  });
   return end.type === 'whole' ? end.body.toString() : end.type;
 }
 
--- a/test/gateway/testContext.ts
+++ b/test/gateway/testContext.ts
@@ -6,6 +6,7 @@
 import { SeenSoftware, SendRules, ServerNotices, ServerRateLimits } from '@flamingocourse/core';
 import { parseGatewaySettings } from '@flamingocourse/gateway';
 import { createPlatformDialects } from '@flamingocourse/platform-adapter';
+import { AnswerBuffers } from '../../packages/gateway/src/runtime/answerBuffers.js';
 import { GatewayMetrics } from '../../packages/gateway/src/node/gatewayMetrics.js';
 
 /** Returns a context with default settings and without network. */
@@ -29,6 +30,7 @@
     store,
     dialects: createPlatformDialects(),
     seenSoftware: new SeenSoftware(),
+    buffers: new AnswerBuffers(),
     rules: new SendRules(new ServerNotices(new ServerRateLimits(() => 0.5), () => 0.5)),
     random: () => 0.5,
   };
