feat(store): calls are counted by kind and collection, in the metrics and in the log

A line each 15 s and a counter tell the collection, so that a watch of servers and one of the configuration can be told apart, also after a process is gone.

--- a/packages/gateway/src/node/gatewayMetrics.ts
+++ b/packages/gateway/src/node/gatewayMetrics.ts
@@ -1,7 +1,7 @@
 /** Prometheus metrics of the process. */
 
 import type { ProcessVerdict } from '@flamingocourse/core';
-import type { CallCounters } from '@flamingocourse/store';
+import type { CallCounters, CollectionCalls } from '@flamingocourse/store';
 import { Counter, Gauge, Histogram, Registry } from 'prom-client';
 
 /**
@@ -82,6 +82,12 @@
     labelNames: ['kind'],
     registers: [this.#registry],
   });
+  readonly #collectionCalls = new Counter({
+    name: 'flamingocourse_store_collection_calls_total',
+    help: 'calls to the object store by kind and by the collection that they concern',
+    labelNames: ['kind', 'collection'],
+    registers: [this.#registry],
+  });
   readonly #storeFailures = new Counter({
     name: 'flamingocourse_store_calls_failed_total',
     help: 'calls to the object store that got no useful answer, by kind',
@@ -181,6 +187,14 @@
     }
   }
 
+  /** Replaces the counters by collection in the same way. */
+  collectionCalls(calls: readonly CollectionCalls[]): void {
+    this.#collectionCalls.reset();
+    for (const { kind, collection, sent } of calls) {
+      this.#collectionCalls.inc({ kind, collection }, sent);
+    }
+  }
+
   /** Sets a gauge; `name` ends with its unit. */
   gauge(name: string, help: string, value: number, labels: Record<string, string> = {}): void {
     let gauge = this.#gauges.get(name);
--- a/packages/gateway/src/node/statusService.ts
+++ b/packages/gateway/src/node/statusService.ts
@@ -13,6 +13,8 @@
 import { StreamOrigins } from './streamOrigins.js';
 
 const MS_PER_SECOND = 1_000;
+/** Milliseconds between two lines about the calls to the store. */
+const STORE_CALLS_INTERVAL_MS = 15_000;
 
 /** Path of the metrics endpoint. */
 export const METRICS_PATH = '/metrics';
@@ -29,6 +31,7 @@
   #paths: ServerPaths | undefined;
   #streams: StreamOrigins | undefined;
   #wasReady: boolean | undefined;
+  #timer: NodeJS.Timeout | undefined;
 
   constructor(context: GatewayContext) {
     super();
@@ -42,6 +45,9 @@
     this.#paths = kernel.get('paths', ServerPaths);
     this.#streams = kernel.get('streams', StreamOrigins);
     const { ready, metrics } = this.#context.settings.listen;
+    this.#timer = setInterval(() => {
+      this.#logStoreCalls();
+    }, STORE_CALLS_INTERVAL_MS);
     await this.#listen(ready, (req, res) => {
       this.#answerReady(req, res);
     });
@@ -52,12 +58,22 @@
   }
 
   override stop(): void {
+    clearInterval(this.#timer);
+    this.#logStoreCalls();
     for (const server of this.#servers) {
       server.close();
       server.closeAllConnections();
     }
   }
 
+  /** What this process asked the store since its start, so that what is dear can be seen afterwards. */
+  #logStoreCalls(): void {
+    const calls = this.#context.store.collectionCalls
+      .toSorted((a, b) => b.sent - a.sent)
+      .map(({ kind, collection, sent }) => `${kind} ${collection} ${String(sent)}`);
+    this.#context.log.write('store-calls', { calls: calls.join(', ') });
+  }
+
   #answerReady(req: IncomingMessage, res: ServerResponse): void {
     const known = req.url === this.#context.dialects.callers.readyPath;
     const ready = this.#entry?.ready ?? false;
@@ -101,6 +117,7 @@
     const streamsHelp = 'streams of which this instance knows what began them';
     metrics.gauge('streams_known', streamsHelp, this.#streams?.size ?? 0);
     metrics.storeCalls(store.counters);
+    metrics.collectionCalls(store.collectionCalls);
     const text = await metrics.text();
     res.writeHead(200, { 'content-type': 'text/plain; version=0.0.4' }).end(text);
   }
--- a/packages/kernel/src/runtime/eventCatalogue.ts
+++ b/packages/kernel/src/runtime/eventCatalogue.ts
@@ -320,6 +320,11 @@
     text: 'homes of routes or client accounts are no list of regions; their requests are refused',
     action: 'Write a list of regions, or none.',
   },
+  'store-calls': {
+    number: 529,
+    level: 'info',
+    text: 'calls to the object store since the start, by kind and collection',
+  },
   'backend-crashed': {
     number: 500,
     level: 'warn',
--- a/packages/store/src/node/httpObjectStore.ts
+++ b/packages/store/src/node/httpObjectStore.ts
@@ -76,7 +76,7 @@
 /** Reasons for the end of a watch that may mean an outage of the store. */
 const OUTAGE_REASONS: ReadonlySet<WatchEndReason> = new Set(['silent', 'broken', 'refused']);
 
-type Request = StoreRequest & { kind: CallKind };
+type Request = StoreRequest & { kind: CallKind; collection?: string };
 
 /**
  * Client of the Object API. During an outage of the platform its circuit breaker fails calls
@@ -131,7 +131,10 @@
     let after: string | undefined;
     do {
       const request = this.#dialect.list(collection.name, after, options.stale);
-      const answer = await this.#call({ kind: 'list', ...request }, options);
+      const answer = await this.#call(
+        { kind: 'list', collection: collection.name, ...request },
+        options,
+      );
       const page = answer.andThen((reply) => this.#dialect.parseList(reply));
       if (page.isErr) return Result.err(page.error);
       // a watch from the first page's version also delivers the changes made between two pages.
@@ -170,7 +173,10 @@
     options: CallOptions = {},
   ): PlatformResult<'removed'> {
     const request = this.#dialect.remove(collection.name, name, version);
-    const answer = await this.#call({ kind: 'remove', ...request }, options);
+    const answer = await this.#call(
+      { kind: 'remove', collection: collection.name, ...request },
+      options,
+    );
     return answer.map(() => 'removed' as const);
   }
 
@@ -184,7 +190,7 @@
       random: this.#options.random ?? Math.random,
       isUnreachable: () => this.#probe.isUnreachable,
       onOpen: () => {
-        this.countSent('watch');
+        this.countSent('watch', collection.name);
       },
       onAnswer: (by) => {
         this.#recordAnswer(by as ObjectWatch<unknown>);
@@ -233,7 +239,7 @@
     request: Request,
     options: CallOptions,
   ): PlatformResult<VersionedObject<T>> {
-    const answer = await this.#call(request, options);
+    const answer = await this.#call({ ...request, collection: collection.name }, options);
     return answer
       .andThen((reply) => this.#dialect.parseObject(reply))
       .andThen((object) => checkObject(collection, object));
@@ -249,7 +255,7 @@
   }
 
   async #call(request: Request, options: CallOptions): PlatformResult<HttpAnswer> {
-    const { kind, path, ...rest } = request;
+    const { kind, path, collection, ...rest } = request;
     const { state, admitted } = admitCall(this.#circuit, this.#clock.now());
     this.#circuit = state;
     if (!admitted) {
@@ -257,7 +263,7 @@
         new PlatformError('unreachable', 'the circuit breaker is open; call not sent'),
       );
     }
-    this.countSent(kind);
+    this.countSent(kind, collection);
     const answer = await exchange({
       ...rest,
       url: new URL(path, this.#options.url),
--- a/packages/store/src/runtime/objectStore.ts
+++ b/packages/store/src/runtime/objectStore.ts
@@ -7,6 +7,7 @@
   CallKind,
   CallOptions,
   Collection,
+  CollectionCalls,
   ObjectList,
   ReadOptions,
   Subscription,
@@ -28,6 +29,7 @@
  */
 export abstract class ObjectStore {
   readonly #counters = createCounters();
+  readonly #sentTo = new Map<string, CollectionCalls>();
 
   /** Reads one object. Errors: `not-found`, `unreachable`, `throttled`, `invalid`, `too-large`. */
   abstract get<T>(
@@ -84,8 +86,18 @@
     return structuredClone(this.#counters);
   }
 
-  protected countSent(kind: CallKind): void {
+  /** Numbers of calls sent so far, by kind and collection. */
+  get collectionCalls(): readonly CollectionCalls[] {
+    return [...this.#sentTo.values()].map((calls) => ({ ...calls }));
+  }
+
+  /** @param collection Name of the collection; probes and lists of instances have none. */
+  protected countSent(kind: CallKind, collection = 'none'): void {
     this.#counters[kind].sent += 1;
+    const key = `${kind} ${collection}`;
+    const known = this.#sentTo.get(key);
+    if (known) known.sent += 1;
+    else this.#sentTo.set(key, { kind, collection, sent: 1 });
   }
 
   protected countFailed(kind: CallKind): void {
--- a/packages/store/src/types/objects.ts
+++ b/packages/store/src/types/objects.ts
@@ -92,5 +92,12 @@
 /** Kinds of calls, as the platform counts them. */
 export type CallKind = 'get' | 'list' | 'create' | 'update' | 'remove' | 'watch' | 'instances';
 
+/** Calls of one kind that were sent for one collection since the start. */
+export interface CollectionCalls {
+  kind: CallKind;
+  collection: string;
+  sent: number;
+}
+
 /** Numbers of calls sent and failed since the start, by kind. */
 export type CallCounters = Record<CallKind, { sent: number; failed: number }>;
--- a/test/store/httpObjectStore.test.ts
+++ b/test/store/httpObjectStore.test.ts
@@ -180,3 +180,21 @@
     'the entrance for operators is not affected',
   );
 });
+
+// Guards against calls of which nobody can say afterwards who made them.
+test('calls are counted by kind and collection', async (t) => {
+  const platform = await startStandIn(t);
+  const store = connect(t, platform.urls['dc-a']);
+  await store.create(notes, 'n', { text: 'a' });
+  await store.get(notes, 'n');
+  await store.get(notes, 'n');
+  await store.list(notes);
+  assert.deepEqual(
+    store.collectionCalls.map(({ kind, collection, sent }) => [kind, collection, sent]),
+    [
+      ['create', notes.name, 1],
+      ['get', notes.name, 2],
+      ['list', notes.name, 1],
+    ],
+  );
+});
