--- a/test/gateway/fleet/prepaidFleet.ts
+++ b/test/gateway/fleet/prepaidFleet.ts
@@ -5,13 +5,14 @@
 import type { EventFields } from '@flamingocourse/kernel';
 import { syncBuiltinESMExports } from 'node:module';
 import { setImmediate as turn, setTimeout as delay } from 'node:timers/promises';
-import { ServerNotices, ServerRateLimits } from '@flamingocourse/core';
+import { SendRules, ServerNotices, ServerRateLimits } from '@flamingocourse/core';
 import { HealthCheck } from '@flamingocourse/gateway';
 import { Kernel, ManualClock, MemoryEventLog } from '@flamingocourse/kernel';
 import { MemoryObjectStore } from '@flamingocourse/store';
 import { BackendLanes } from '../../../packages/gateway/src/node/backendLanes.js';
 import { ConnectionCheck } from '../../../packages/gateway/src/node/connectionCheck.js';
 import { ConfigurationWatch } from '../../../packages/gateway/src/node/configurationWatch.js';
+import { EvacuationWatch } from '../../../packages/gateway/src/node/evacuationWatch.js';
 import { InstanceDirectory } from '../../../packages/gateway/src/node/instanceDirectory.js';
 import { PrepaidService } from '../../../packages/gateway/src/node/prepaidService.js';
 import { ServerAgent } from '../../../packages/gateway/src/node/serverAgent.js';
@@ -325,13 +326,14 @@
     const listen = { ...base.settings.listen, mesh: { host: name, port: 7_340 } };
     const settings = { ...base.settings, instance: name, dataCentre, listen };
     const notices = new ServerNotices(new ServerRateLimits(random), random);
-    const context = { ...base, settings, notices, random };
+    const context = { ...base, settings, rules: new SendRules(notices), random };
     const calls = new LoanLink((peer) => this.#find(peer).running, process, random);
     const prepaid = new PrepaidService(context, `${name}-${String(processes)}`, calls);
     const agent = new ServerAgent();
     const paths = new ServerPaths(context, agent, new NoTunnels());
     const kernel = new Kernel()
       .register(new ConfigurationWatch(context))
+      .register(new EvacuationWatch(context))
       .register(new ServerDirectory(context, new NoHealthCheck()))
       .register(paths)
       .register(new BackendLanes(context, new ConnectionCheck(agent, paths), noQuarantine))
