test(soak): some seeds evacuate a data centre now and then

Each thirteenth seed lists one plain server in a data centre of its own that is evacuated again and again; a request that a calm instance sends there later than the evacuation must take effect breaks the run. Other seeds keep their faults, as these draw from a generator of their own.

--- a/test/soak/runSoak.ts
+++ b/test/soak/runSoak.ts
@@ -18,6 +18,7 @@
 import type { CrashCauseKind } from './soakCrashes.js';
 import { SoakCrashes } from './soakCrashes.js';
 import { checkCutOff } from './soakCutOff.js';
+import { SoakEvacuations, brokenEvacuations } from './soakEvacuations.js';
 import { SoakFaults } from './soakFaults.js';
 import {
   DATA_CENTRE_COUNT,
@@ -55,6 +56,9 @@
 const VERSIONS_EVERY = 5;
 /** Milliseconds after the last fault until all instances must refuse that request. */
 const CRASH_REFUSAL_MS = 3_000;
+/** Of thirteen seeds, the one with this remainder evacuates a data centre now and then. */
+const EVACUATIONS_EVERY = 13;
+const EVACUATIONS_REMAINDER = 5;
 /** Profile of the faults, by the remainder of the seed. */
 const PROFILES: readonly FaultProfile[] = ['mixed', 'stops', 'cuts'];
 /** Instances and data centres of a run with cuts, if it has not many. */
@@ -127,6 +131,8 @@
   stopsRandom: Random;
   streamsRandom: Random;
   versionsRandom: Random;
+  /** Undefined in a run without evacuations. */
+  evacuationsRandom: Random | undefined;
 }
 
 function planOf(seed: number): RunPlan {
@@ -145,6 +151,8 @@
     stopsRandom: createRandom(seed + 2),
     streamsRandom: createRandom(seed + 3),
     versionsRandom: createRandom(seed + 4),
+    evacuationsRandom:
+      seed % EVACUATIONS_EVERY === EVACUATIONS_REMAINDER ? createRandom(seed + 5) : undefined,
   };
 }
 
@@ -168,6 +176,7 @@
   crashes: SoakCrashes | undefined;
   /** Undefined in a run with one software version. */
   versions: SoakVersions | undefined;
+  evacuations: SoakEvacuations | undefined;
   cleanUps: (() => unknown)[];
 }
 
@@ -223,8 +232,13 @@
     const versions = versionedEngines
       ? new SoakVersions(store, engines, plan.versionsRandom)
       : undefined;
+    const [, secondPlain] = linked;
+    const evacuations =
+      plan.evacuationsRandom && secondPlain
+        ? new SoakEvacuations(store, secondPlain, plan.evacuationsRandom)
+        : undefined;
     const own = { directory, store, servers, linked, links, instances };
-    const parts = { ...own, crashes, versions, cleanUps };
+    const parts = { ...own, crashes, versions, evacuations, cleanUps };
     const run = new SoakRun(plan, parts);
     run.#configuration.write();
     await run.#startInstances();
@@ -253,6 +267,7 @@
     this.#parts.crashes?.start();
     if (this.#parts.versions) this.#streams.start();
     this.#parts.versions?.start();
+    this.#parts.evacuations?.start();
     let plannedMs = 0;
     const activeFaults = new Set<Promise<void>>();
     const endAt = performance.now() + faultsMs * (isCuts ? LONGER_IN_CUTS : 1);
@@ -266,6 +281,7 @@
     await Promise.all(activeFaults);
     await this.#stopCallers.settle();
     await this.#parts.versions?.stop();
+    await this.#parts.evacuations?.stop();
     await this.#streams.stop();
     await delay(CRASH_REFUSAL_MS);
     this.#parts.crashes?.markFaultsEnded();
@@ -320,6 +336,7 @@
         }),
         ...this.#brokenRepeats(answers),
         ...this.#faults.scarcity.broken,
+        ...this.#brokenEvacuations(),
         ...stops.broken,
         ...cutOff.broken,
         ...streams.broken,
@@ -333,6 +350,18 @@
     };
   }
 
+  #brokenEvacuations(): string[] {
+    const { evacuations } = this.#parts;
+    if (!evacuations) return [];
+    const { server, windows } = evacuations;
+    return brokenEvacuations(server.seen, windows, server.name, (instance, from, until) => {
+      const hadStore = !this.#faults.storeFaults.some((fault) => {
+        return fault.from < until && fault.until > from;
+      });
+      return hadStore && this.#isCalm(instance, from, until);
+    });
+  }
+
   #brokenRepeats(answers: readonly SeenAnswer[]): string[] {
     const plain = this.#parts.servers.filter(({ name }) => name.startsWith('p'));
     const sentAt = answers
--- a/test/soak/soakFaults.ts
+++ b/test/soak/soakFaults.ts
@@ -99,6 +99,8 @@
   readonly #serverCuts: CutWindow[] = [];
   readonly #cuts: SoakCuts;
   readonly scarcity: SoakScarcity;
+  /** Times in which the store did not serve anybody. */
+  readonly storeFaults: { from: number; until: number }[] = [];
   /** Injected faults, one phrase each. */
   readonly injected: string[] = [];
 
@@ -223,9 +225,12 @@
   }
 
   async #storeFault(fault: 'silent' | 'down', forMs: number): Promise<void> {
+    const window = { from: performance.now(), until: Infinity };
+    this.storeFaults.push(window);
     this.targets.store.fault = fault;
     await delay(forMs);
     this.targets.store.fault = 'none';
+    window.until = performance.now();
   }
 
   async #misbehave(forMs: number): Promise<void> {
--- a/test/soak/soakFleet.ts
+++ b/test/soak/soakFleet.ts
@@ -1,6 +1,7 @@
 /** Settings, services and readiness of the processes that the soak and the compatibility check start. */
 
 import type { SoakProcess } from './soakProcess.js';
+import { EVACUATION_APPLY_MS } from './soakEvacuations.js';
 import { configWith, until } from '../platform/world.js';
 import { TOKENS_PER_EVENT } from './soakPromises.js';
 
@@ -33,6 +34,7 @@
     store: { url: storeUrl, timeoutMs: 500, watchIdleMs: 1_000, configurationIdleMs: 1_000 },
     prepaid: { reportMs: 300, rideThroughSeconds: 3 },
     retries: { ratio: 0.2, slack: 54, windowMs: 10_000 },
+    evacuation: { applyMs: EVACUATION_APPLY_MS },
     stopGraceMs: STOP_GRACE_MS,
   };
 }
