--- a/test/soak/soakEvacuations.ts
+++ b/test/soak/soakEvacuations.ts
@@ -8,6 +8,8 @@
 
 /** Milliseconds within which an evacuation must take effect, as in the settings of the instances. */
 export const EVACUATION_APPLY_MS = 1_500;
+/** Milliseconds for which an instance must have been calm; a store that is back is found within these. */
+const CALM_MS = 2_500;
 /** Data centre of the server; nothing else is there. */
 const DATA_CENTRE = 'hall-z';
 /** Bounds of the milliseconds that an evacuation stands, and between two of them. */
@@ -38,7 +40,11 @@
     const sent = arrivals.filter(({ headers, at }) => {
       const isLate = at > from + EVACUATION_APPLY_MS && at < until;
       const instance = String(headers[USED_INSTANCE]);
-      return isLate && headers['x-expect-instance'] === server && isCalm(instance, from, at);
+      return (
+        isLate &&
+        headers['x-expect-instance'] === server &&
+        isCalm(instance, Math.max(from, at - CALM_MS), at)
+      );
     });
     if (sent.length === 0) return [];
     return [`${String(sent.length)} requests reached ${server} in an evacuated data centre`];
