--- a/packages/gateway/src/node/configurationWatch.ts
+++ b/packages/gateway/src/node/configurationWatch.ts
@@ -6,6 +6,7 @@
 import type { GatewayContext } from '../types/context.js';
 import { RouteTable } from '@flamingocourse/core';
 import { Service } from '@flamingocourse/kernel';
+import { reportThrown } from './reportThrown.js';
 import { StoreReachability } from './storeReachability.js';
 
 /**
@@ -72,13 +73,9 @@
     this.#subscription = store.watch(dialects.configuration, {
       idleMs: settings.store.configurationIdleMs - WATCH_REOPEN_MS,
       batchMs: CONFIGURATION_BATCH_MS,
-      onEvent: (event) => {
-        try {
-          this.#onEvent(event);
-        } catch (err) {
-          kernel.reportFailure(err, this.name);
-        }
-      },
+      onEvent: reportThrown(kernel, this.name, (event) => {
+        this.#onEvent(event);
+      }),
       onUpToDate: () => {
         this.#reachability.recordAnswer();
       },
--- a/packages/gateway/src/node/evacuationWatch.ts
+++ b/packages/gateway/src/node/evacuationWatch.ts
@@ -4,6 +4,7 @@
 import type { Subscription, WatchEvent } from '@flamingocourse/store';
 import type { GatewayContext } from '../types/context.js';
 import { Service } from '@flamingocourse/kernel';
+import { reportThrown } from './reportThrown.js';
 import { StoreReachability } from './storeReachability.js';
 
 /**
@@ -52,13 +53,9 @@
     if (settings.evacuation === undefined) return;
     this.#subscription = store.watch(dialects.evacuations, {
       idleMs: settings.evacuation.applyMs - EVACUATION_REOPEN_MS,
-      onEvent: (event) => {
-        try {
-          this.#onEvent(event);
-        } catch (err) {
-          kernel.reportFailure(err, this.name);
-        }
-      },
+      onEvent: reportThrown(kernel, this.name, (event) => {
+        this.#onEvent(event);
+      }),
       onUpToDate: () => {
         this.#reachability.recordAnswer({ evacuated: this.#context.rules.evacuations.all.length });
       },
--- a/packages/gateway/src/node/serverDirectory.ts
+++ b/packages/gateway/src/node/serverDirectory.ts
@@ -9,6 +9,7 @@
 import { isDeepStrictEqual } from 'node:util';
 import { Service } from '@flamingocourse/kernel';
 import { recordCold } from './recordNotice.js';
+import { reportThrown } from './reportThrown.js';
 import { StoreReachability } from './storeReachability.js';
 
 /** A backend server with the capacity from its entry in the list. */
@@ -119,13 +120,9 @@
     const { store, dialects } = this.#context;
     this.#subscription = store.watch(dialects.serverList, {
       batchMs: SERVER_LIST_BATCH_MS,
-      onEvent: (event) => {
-        try {
-          this.#onEvent(event);
-        } catch (err) {
-          kernel.reportFailure(err, this.name);
-        }
-      },
+      onEvent: reportThrown(kernel, this.name, (event) => {
+        this.#onEvent(event);
+      }),
       onUpToDate: () => {
         this.#reachability.recordAnswer({ servers: this.#servers.size });
       },
--- a/test/platform/evacuation.test.ts
+++ b/test/platform/evacuation.test.ts
@@ -1,9 +1,10 @@
 import type { TestContext } from 'node:test';
-import type { Answer } from './world.js';
+import type { Answer, World } from './world.js';
 import assert from 'node:assert/strict';
 import { describe, test } from 'node:test';
 import { setTimeout as delay } from 'node:timers/promises';
-import { KEY, World, configWith, until } from './world.js';
+import { failures, startInTwo } from './twoCentres.js';
+import { KEY, configWith, until } from './world.js';
 
 /** Milliseconds within which an evacuation must take effect. */
 const APPLY_MS = 1_500;
@@ -20,19 +21,8 @@
 const tenants = [{ name: 'kirk', api_keys: [KEY], prepaid: 50_000_000 }];
 const kinds = ['/look/', '/book/', '/chat/', '/draft/'];
 
-/** One server of each kind in each of two data centres. */
-async function startInTwo(t: TestContext): Promise<World> {
-  const world = await World.start(t, configWith({ tenants }), settings);
-  world.behave('e', 'stream');
-  for (const id of ['p2', 'e2']) {
-    const service = id === 'p2' ? 'ledger' : 'llm';
-    world.store.put('servers', id, world.server(id).entry(service, { zone: 'hall-b' }));
-  }
-  await until('listed', () => {
-    const last = world.log.events.findLast(({ event }) => event === 'servers-changed');
-    return last?.fields.servers === 4;
-  });
-  return world;
+function start(t: TestContext): Promise<World> {
+  return startInTwo(t, configWith({ tenants }), settings);
 }
 
 /** Has callers send requests of all kinds for a time. */
@@ -76,7 +66,7 @@
   ];
   for (const { name, then, spec = {} } of cases) {
     test(name, async (t) => {
-      const world = await startInTwo(t);
+      const world = await start(t);
       const before = await callFor(world, 400);
       assert.ok(reachedB(world, 0) > 0);
       world.store.put('evacuations', 'hall-b', spec);
@@ -94,7 +84,7 @@
 
 // Guards against an instance that serves callers before it knows what is evacuated.
 test('an instance that starts while an evacuation stands sends nothing there', async (t) => {
-  const world = await startInTwo(t);
+  const world = await start(t);
   evacuate(world);
   await until('known', () => world.events.includes('evacuation-began'));
   const from = performance.now();
@@ -106,7 +96,7 @@
 
 // Guards against a data centre that gets nothing any more after its evacuation was taken back.
 test('an evacuation ends with its entry', async (t) => {
-  const world = await startInTwo(t);
+  const world = await start(t);
   evacuate(world);
   await until('known', () => world.events.includes('evacuation-began'));
   world.store.remove('evacuations', 'hall-b');
@@ -118,7 +108,7 @@
 
 // Guards against requests that wait until their deadline although no server may take them.
 test('with all data centres evacuated, callers are refused at once and told when to come back', async (t) => {
-  const world = await startInTwo(t);
+  const world = await start(t);
   evacuate(world);
   world.store.put('evacuations', 'hall-a', {});
   await until('known', () => {
@@ -147,7 +137,7 @@
 
 // Guards against streams that break off because their data centre is evacuated.
 test('work that runs in an evacuated data centre goes on', async (t) => {
-  const world = await startInTwo(t);
+  const world = await start(t);
   world.behave('e', 'pause');
   const calls = Array.from({ length: 6 }, (_, at) => {
     return world.generate('/chat/1', 1_000, { 'x-prompt-prefix': `a${String(at)}:900,b2:100` });
@@ -164,14 +154,9 @@
 
 // Guards against an evacuated data centre that gets what failed elsewhere.
 describe('what fails elsewhere does not go to an evacuated data centre', () => {
-  const cases = [
-    { name: 'a repeated request', kind: 'p', behaviour: 'reset', path: '/look/1' },
-    { name: 'a request that was not run', kind: 'p', behaviour: 'shed', path: '/book/1' },
-    { name: 'a resumed stream', kind: 'e', behaviour: 'break-stream', path: '/draft/1' },
-  ] as const;
-  for (const { name, kind, behaviour, path } of cases) {
+  for (const { name, kind, behaviour, path } of failures) {
     test(name, async (t) => {
-      const world = await startInTwo(t);
+      const world = await start(t);
       evacuate(world);
       await until('known', () => world.events.includes('evacuation-began'));
       world.behave(kind, behaviour);
--- a/test/platform/homes.test.ts
+++ b/test/platform/homes.test.ts
@@ -2,7 +2,8 @@
 import type { Answer } from './world.js';
 import assert from 'node:assert/strict';
 import { describe, test } from 'node:test';
-import { KEY, World, configWith, until } from './world.js';
+import { failures, startInTwo } from './twoCentres.js';
+import { KEY, World, configWith } from './world.js';
 
 const settings = {
   dataCentre: 'hall-a',
@@ -30,22 +31,8 @@
   return { ...config, routes, tenants };
 }
 
-/** The first server of a kind is in the north with the instance, the second in the south. */
-async function startInTwo(
-  t: TestContext,
-  homes: Pick<HomesCase, 'route' | 'account'>,
-): Promise<World> {
-  const world = await World.start(t, configOf(homes), settings);
-  world.behave('e', 'stream');
-  for (const id of ['p2', 'e2']) {
-    const service = id === 'p2' ? 'ledger' : 'llm';
-    world.store.put('servers', id, world.server(id).entry(service, { zone: 'hall-b' }));
-  }
-  await until('listed in two', () => {
-    const lists = world.log.events.filter(({ event }) => event === 'servers-changed');
-    return lists.length >= 2 && lists.at(-1)?.fields.cause === 'changed';
-  });
-  return world;
+function start(t: TestContext, homes: Pick<HomesCase, 'route' | 'account'>): Promise<World> {
+  return startInTwo(t, configOf(homes), settings);
 }
 
 function callAll(world: World): Promise<Answer[]> {
@@ -79,7 +66,7 @@
   ];
   for (const { name, route, account, reached } of cases) {
     test(name, async (t) => {
-      const world = await startInTwo(t, { route, account });
+      const world = await start(t, { route, account });
       const sentAt = performance.now();
       const answers = await callAll(world);
       assert.deepEqual(reachedIn(world), reached);
@@ -94,14 +81,9 @@
 
 // Guards against repeats and resumed streams that leave the homes of their request.
 describe('what fails at home goes nowhere else', () => {
-  const cases = [
-    { name: 'a repeated request', kind: 'p', behaviour: 'reset', path: '/look/1' },
-    { name: 'a request that was not run', kind: 'p', behaviour: 'shed', path: '/book/1' },
-    { name: 'a resumed stream', kind: 'e', behaviour: 'break-stream', path: '/draft/1' },
-  ] as const;
-  for (const { name, kind, behaviour, path } of cases) {
+  for (const { name, kind, behaviour, path } of failures) {
     test(name, async (t) => {
-      const world = await startInTwo(t, { route: ['south'] });
+      const world = await start(t, { route: ['south'] });
       world.behave(kind, behaviour);
       await Promise.all(Array.from({ length: 6 }, () => world.generate(path)));
       assert.deepEqual(reachedIn(world), [`${kind}2`]);
--- a/test/platform/world.ts
+++ b/test/platform/world.ts
@@ -89,7 +89,7 @@
 }
 
 /** Settings of a gateway that differ from those of the other tests. */
-interface SettingsChange {
+export interface SettingsChange {
   store?: Partial<GatewaySettings['store']>;
   prepaid?: Partial<GatewaySettings['prepaid']>;
   retries?: Partial<GatewaySettings['retries']>;
