fix(gateway): what waits is closed all at once only if closing one by one does not come to an end

Its processes had closed all that waited 15 times: each time a process had lagged for over 0.3 s, as it does on a busy machine, callers who had waited for some milliseconds were reset too.

Now connections are closed one by one, as before, and all at once only if that has not come to callers who wait for a short time within 200 ms. A process that had paused comes to them; one with a small share and cold code does not.

Table of five without network.

--- a/packages/gateway/src/node/arrivalWatch.ts
+++ b/packages/gateway/src/node/arrivalWatch.ts
@@ -50,6 +50,8 @@
   readonly #intake = new ConnectionIntake<Socket>();
   /** Lets the server read a connection. */
   readonly #read: (socket: Socket) => void;
+  /** Makes the server close new connections as soon as it accepts them, or not. */
+  readonly #closeAtAccept: (closes: boolean) => void;
   /** Closes all connections that wait to be accepted, at once. */
   readonly #shedWaiting: () => void;
   /** Connections from which no request was read yet. */
@@ -78,6 +80,12 @@
     server.on('connection', (socket: Socket) => {
       this.#accept(socket);
     });
+    server.on('drop', () => {
+      this.#recordDropped();
+    });
+    this.#closeAtAccept = (closes) => {
+      server.maxConnections = closes ? 1 : 0;
+    };
     this.#shedWaiting = () => {
       reopenListener(server, {
         isWanted: () => !this.#isStopping,
@@ -137,6 +145,16 @@
     this.#scheduleMark();
   }
 
+  /** A connection was closed when it was accepted, which costs far less than to create its socket. */
+  #recordDropped(): void {
+    const now = this.#context.clock.now();
+    const openedFrom = this.#bounds.connectionsFrom;
+    this.#bounds.accepted();
+    this.#intake.recordClosed(now);
+    this.#recordClosed([openedFrom], now);
+    this.#scheduleMark();
+  }
+
   /** Closes the connections that wait to be accepted; how many they are is not known. */
   #shed(now: number): void {
     this.#shedWaiting();
@@ -162,9 +180,9 @@
       const { isAccepting } = this.#bounds;
       this.#bounds.beforePoll(now);
       this.#readConnections(isAccepting, now);
-      if (isAccepting && this.#intake.wouldClose(this.#bounds.connectionsFrom, now)) {
-        this.#shed(now);
-      }
+      const next = this.#intake.judgeNext({ openedFrom: this.#bounds.connectionsFrom, now });
+      this.#closeAtAccept(next === 'close');
+      if (next === 'shed' && isAccepting) this.#shed(now);
       // the next iteration shows whether more connections are waiting.
       if (isAccepting || !this.#intake.isEmpty) this.#scheduleMark();
       else this.#endLag();
--- a/packages/gateway/src/runtime/connectionIntake.ts
+++ b/packages/gateway/src/runtime/connectionIntake.ts
@@ -12,6 +12,8 @@
 const OVERLOADED_AFTER_MS = 300;
 /** Milliseconds without such a connection after which the process no longer counts as overloaded. */
 const CAUGHT_UP_AFTER_MS = 1_000;
+/** Milliseconds for which connections are closed one by one before all that wait are closed at once. */
+const SHED_AFTER_MS = 200;
 /** Milliseconds, and connections, that are accepted before some are read, while more are waiting. */
 const ACCEPT_ONLY_MS = 10;
 const ACCEPTED_PER_READ = 3;
@@ -25,6 +27,9 @@
   openedFrom: number;
 }
 
+/** What to do with the connections that wait to be accepted. */
+export type NextConnections = 'accept' | 'close' | 'shed';
+
 /** What to do with connections now. */
 export interface IntakeStep<T> {
   read: T[];
@@ -48,6 +53,8 @@
   #acceptedSinceRead = 0;
   /** Since when connections have waited too long; undefined if none has lately. */
   #behindSince: number | undefined;
+  /** Since when connections are closed as they are accepted; undefined if they are not. */
+  #closingSince: number | undefined;
   /** When a connection that has waited too long was last seen. */
   #lastTooOldAt = -Infinity;
 
@@ -82,9 +89,20 @@
     return { read: this.#takeToRead(now), close };
   }
 
-  /** Whether a connection would be closed at once if it was accepted now. */
-  wouldClose(openedFrom: number, now: number): boolean {
-    return this.#isOverloaded(now) && isTooOld(openedFrom, now);
+  /**
+   * Returns what to do with the connections that wait to be accepted, by when the next of them was opened:
+   * accept it, close it as it is accepted, or close all of them at once, if closing them one by one has
+   * not come to those that wait for a short time only.
+   */
+  judgeNext({ openedFrom, now }: { openedFrom: number; now: number }): NextConnections {
+    if (!this.#isOverloaded(now) || !isTooOld(openedFrom, now)) {
+      this.#closingSince = undefined;
+      return 'accept';
+    }
+    this.#closingSince ??= now;
+    if (now - this.#closingSince <= SHED_AFTER_MS) return 'close';
+    this.#closingSince = undefined;
+    return 'shed';
   }
 
   #isOverloaded(now: number): boolean {
--- a/test/gateway/connectionIntake.test.ts
+++ b/test/gateway/connectionIntake.test.ts
@@ -186,3 +186,54 @@
     });
   }
 });
+
+describe('connections that wait to be accepted', () => {
+  /** Times at which the next one was judged, with when it was opened. */
+  const cases: { name: string; judged: [now: number, openedFrom: number][]; last: string }[] = [
+    { name: 'are accepted while none has waited for long', judged: [[900, 800]], last: 'accept' },
+    {
+      name: 'are closed one by one if they have waited too long',
+      judged: [[900, 0]],
+      last: 'close',
+    },
+    // Guards against callers who are closed after seconds, because each closing takes too long.
+    {
+      name: 'are all closed if that does not come to those that wait for a short time',
+      judged: [
+        [900, 0],
+        [1_000, 20],
+        [1_101, 40],
+      ],
+      last: 'shed',
+    },
+    // Guards against callers who are closed although a process that had paused would soon serve them.
+    {
+      name: 'are accepted once it does',
+      judged: [
+        [900, 0],
+        [1_000, 600],
+        [1_101, 900],
+      ],
+      last: 'accept',
+    },
+    {
+      name: 'are closed one by one again after all were closed',
+      judged: [
+        [900, 0],
+        [1_101, 40],
+        [1_150, 800],
+      ],
+      last: 'close',
+    },
+  ];
+  for (const { name, judged, last } of cases) {
+    test(name, () => {
+      const intake = new ConnectionIntake<string>();
+      intake.add('old', 0);
+      // an old connection makes the process count as overloaded after some time.
+      for (const now of [500, 890]) intake.next({ isAccepting: true, now });
+      const verdicts = judged.map(([now, openedFrom]) => intake.judgeNext({ openedFrom, now }));
+      assert.equal(verdicts.at(-1), last);
+    });
+  }
+});
