fix(gateway): evacuations that changed settings allow begin with the next start

Read, not seen: an instance whose settings name the time of evacuations only after a reload would have taken itself for one that has not read them yet, and refused everybody until its restart. The setting needs a restart now, as the store's address does, and the reload says so. With it, answers that are held may have 48 MB in place of 32, as six of 7 MB at a time are usual for a service with large answers. Run: the new test, and answerBuffers.

--- a/packages/gateway/src/node/createGateway.ts
+++ b/packages/gateway/src/node/createGateway.ts
@@ -52,7 +52,15 @@
 const MAX_CIRCUIT_PAUSE_MS = 400;
 
 /** Settings that are read only at start. */
-const restartSettings = ['instance', 'dataCentre', 'listen', 'store', 'logLevel'] as const;
+const restartSettings = [
+  'instance',
+  'dataCentre',
+  'listen',
+  'store',
+  // the watch of evacuations begins at the start.
+  'evacuation',
+  'logLevel',
+] as const;
 
 /** Options of a gateway. */
 export interface GatewayOptions {
--- a/packages/gateway/src/runtime/answerBuffers.ts
+++ b/packages/gateway/src/runtime/answerBuffers.ts
@@ -3,7 +3,7 @@
 /** Maximum size of one answer that is held, in bytes. */
 const MAX_ANSWER_BYTES = 8 * 1024 * 1024;
 /** Maximum size of all of them together, in bytes; the smallest instance has 160 MB. */
-const MAX_TOTAL_BYTES = 32 * 1024 * 1024;
+const MAX_TOTAL_BYTES = 48 * 1024 * 1024;
 
 /** What one answer holds. */
 export interface HeldAnswer {
--- a/test/platform/evacuation.test.ts
+++ b/test/platform/evacuation.test.ts
@@ -1,10 +1,11 @@
+import type { GatewaySettings } from '@flamingocourse/gateway';
 import type { TestContext } from 'node:test';
-import type { Answer, World } from './world.js';
+import type { Answer } from './world.js';
 import assert from 'node:assert/strict';
 import { describe, test } from 'node:test';
 import { setTimeout as delay } from 'node:timers/promises';
 import { failures, startInTwo } from './twoCentres.js';
-import { KEY, configWith, until } from './world.js';
+import { KEY, World, configWith, until } from './world.js';
 
 /** Milliseconds within which an evacuation must take effect. */
 const APPLY_MS = 1_500;
@@ -166,3 +167,12 @@
     });
   }
 });
+
+// Guards against an instance that waits for a watch which it never began, after its settings have changed.
+test('evacuations that are allowed by changed settings begin with the next start', async (t) => {
+  const world = await World.start(t);
+  const next = { ...world.settings, evacuation: { applyMs: APPLY_MS } } as GatewaySettings;
+  assert.deepEqual(world.reload(next), ['evacuation']);
+  assert.equal(await world.ready(), 200);
+  assert.equal((await world.call({ path: '/look/1' })).status, 200);
+});
