--- a/scripts/runTests.mjs
+++ b/scripts/runTests.mjs
@@ -1,9 +1,12 @@
 // Runs every test file, or those whose path contains one of the given filters.
 //
+// Soak runs start dozens of processes, so they come after all other files and alone.
+//
 // A failure of a test that KNOWN-RED.txt lists is printed and does not fail the run. Any other failure
 // does, and so does a listed test that passes, so that its line gets removed. A flaky test is listed
 // as "sometimes: NAME" and may pass or fail.
 import { existsSync, readdirSync, readFileSync } from 'node:fs';
+import { availableParallelism } from 'node:os';
 import { resolve } from 'node:path';
 import process from 'node:process';
 import { pipeline } from 'node:stream/promises';
@@ -16,7 +19,10 @@
 const KNOWN_RED_FILE = 'KNOWN-RED.txt';
 const SOMETIMES = 'sometimes: ';
 /** Milliseconds after which a test fails that hangs, and a file of tests. */
-const TIMEOUT_MS = 120_000;
+const HANG_MS = 900_000;
+const MAX_FILES_AT_ONCE = 6;
+/** Files that run at a time for each processor; the rest is for the processes that they start. */
+const FILES_PER_PROCESSOR = 0.75;
 
 const filters = process.argv.slice(2);
 const files = readdirSync('test', { recursive: true })
@@ -37,24 +43,37 @@
   '--conditions=@flamingocourse/source',
   '--import=tsx',
   '--import=./scripts/exitAfterTests.mjs',
-  `--test-timeout=${String(TIMEOUT_MS)}`,
+  `--test-timeout=${String(HANG_MS)}`,
 );
-const events = run({
-  files: files.map((file) => resolve(file)),
-  concurrency: Number(process.env.TEST_CONCURRENCY ?? '6'),
-  timeout: TIMEOUT_MS,
-});
-events.on('test:pass', ({ name }) => {
-  results.passed.add(name);
-});
-events.on('test:fail', ({ name, details }) => {
-  hasFailed = true;
-  // a group that fails only because one of its tests failed is not counted.
-  if (details.error.failureType !== 'subtestsFailed') results.failed.add(name);
-});
-await pipeline(events, new spec(), process.stdout, { end: false });
+const isSoak = (file) => file.startsWith('test/soak/');
+await runFiles(files.filter((file) => !isSoak(file)));
+await runFiles(files.filter(isSoak));
 process.exit(exitCode(hasFailed ? 1 : 0, results));
 
+async function runFiles(chosen) {
+  if (chosen.length === 0) return;
+  const events = run({
+    files: chosen.map((file) => resolve(file)),
+    concurrency: Number(process.env.TEST_CONCURRENCY ?? filesAtOnce()),
+    timeout: HANG_MS,
+  });
+  events.on('test:pass', ({ name }) => {
+    results.passed.add(name);
+  });
+  events.on('test:fail', ({ name, details }) => {
+    hasFailed = true;
+    // a group that fails only because one of its tests failed is not counted.
+    if (details.error.failureType !== 'subtestsFailed') results.failed.add(name);
+  });
+  await pipeline(events, new spec(), process.stdout, { end: false });
+}
+
+/** Fewer on a small machine, where tests of real processes would wait for the processor. */
+function filesAtOnce() {
+  const count = Math.floor(availableParallelism() * FILES_PER_PROCESSOR);
+  return Math.min(MAX_FILES_AT_ONCE, Math.max(1, count));
+}
+
 /** Map from the name of a test that may fail to its line. */
 function readKnownRed() {
   if (!existsSync(KNOWN_RED_FILE)) return new Map();
