feat(gateway): one instance of a data centre watches the store for the others

Now a watch follows the store through a peer where it can. The order of the peers is a rendezvous hash of their names; one for each 32 instances of a data centre is a watcher, of which the first asks the store and the others follow it; below six instances each asks by itself as before, since a watcher asks more often than for itself alone.

Nothing rests on who watches. A watcher that does not hear from the store says so at once.

Ruled out: relaying in a chain without an order (circles where views differ); the watcher alone by agreement (a right that somebody would have to keep); passing on a large configuration (18 times half a megabyte at 10 Mbit/s).

--- a/packages/gateway/src/node/configurationWatch.ts
+++ b/packages/gateway/src/node/configurationWatch.ts
@@ -76,8 +76,8 @@
       onEvent: reportThrown(kernel, this.name, (event) => {
         this.#onEvent(event);
       }),
-      onUpToDate: () => {
-        this.#reachability.recordAnswer();
+      onUpToDate: (ageMs) => {
+        this.#reachability.recordAnswer({}, ageMs);
       },
       onBreak: (reason) => {
         this.#reachability.recordFailure(reason);
--- a/packages/gateway/src/node/createGateway.ts
+++ b/packages/gateway/src/node/createGateway.ts
@@ -29,6 +29,7 @@
 import { HttpHealthCheck } from './httpHealthCheck.js';
 import { InstanceDirectory } from './instanceDirectory.js';
 import { StoredCrashCauses } from './storedCrashCauses.js';
+import { MeshFollowCalls } from './meshFollowCalls.js';
 import { MeshLoanCalls } from './meshLoanCalls.js';
 import { MeshGossipCalls } from './meshGossipCalls.js';
 import { MeshTunnelCalls } from './meshTunnelCalls.js';
@@ -41,6 +42,7 @@
 import { ServerProcesses } from './serverProcesses.js';
 import { SharedQuarantine } from './sharedQuarantine.js';
 import { MeshStreamCalls } from './meshStreamCalls.js';
+import { StoreRelay } from './storeRelay.js';
 import { StreamOrigins } from './streamOrigins.js';
 import { StatusService } from './statusService.js';
 
@@ -96,11 +98,24 @@
 export function createGateway(options: GatewayOptions): Gateway {
   const { dialects, clock, log, random } = options;
   const settings = { ...options.settings };
+  const peers = new MeshClient();
+  const relay = new StoreRelay({
+    instance: settings.instance,
+    configurationIdleMs: settings.store.configurationIdleMs,
+    clock,
+    log,
+    calls: new MeshFollowCalls(peers),
+    instances: () => instances.inDataCentre,
+    onFailure: (err) => {
+      kernel.reportFailure(err, 'relay');
+    },
+  });
   const store = new HttpObjectStore({
     url: settings.store.url,
     timeoutMs: settings.store.timeoutMs,
     watchIdleMs: settings.store.watchIdleMs,
     dialect: dialects.store,
+    relay,
     circuit: { ...defaultCircuitOptions, maxPauseMs: MAX_CIRCUIT_PAUSE_MS },
     clock,
     random,
@@ -136,7 +151,6 @@
   instances.onRead((read) => {
     coldShare.observe(read);
   });
-  const peers = new MeshClient();
   const incarnation = randomUUID();
   const gossip = new GossipService(context, incarnation, new MeshGossipCalls(peers));
   const paths = new ServerPaths(context, agent, new MeshTunnelCalls(peers));
@@ -159,6 +173,7 @@
   const tunnels = new ServerTunnels(context);
   if (settings.listen.mesh) {
     const mesh = new MeshServer(settings.listen.mesh);
+    mesh.handle('followStore', (request) => relay.answer(request));
     mesh.handle('borrow', async (req) => Result.ok(await prepaid.lend(req)));
     mesh.handle('exchangeNews', (message) => Result.ok(gossip.handleMessage(message)));
     mesh.handle('keepStreams', (message) => {
@@ -188,6 +203,7 @@
     },
     async stop() {
       log.write('gateway-stopping', { running: entry.running });
+      relay.beginStop();
       entry.beginStop();
       tunnels.beginStop();
       prepaid.beginStop();
--- a/packages/gateway/src/node/evacuationWatch.ts
+++ b/packages/gateway/src/node/evacuationWatch.ts
@@ -56,8 +56,9 @@
       onEvent: reportThrown(kernel, this.name, (event) => {
         this.#onEvent(event);
       }),
-      onUpToDate: () => {
-        this.#reachability.recordAnswer({ evacuated: this.#context.rules.evacuations.all.length });
+      onUpToDate: (ageMs) => {
+        const evacuated = this.#context.rules.evacuations.all.length;
+        this.#reachability.recordAnswer({ evacuated }, ageMs);
       },
       onBreak: (reason) => {
         this.#reachability.recordFailure(reason);
--- a/packages/gateway/src/node/instanceDirectory.ts
+++ b/packages/gateway/src/node/instanceDirectory.ts
@@ -51,6 +51,7 @@
   readonly #listeners: (() => void)[] = [];
   readonly #readListeners: ((read: InstanceListRead) => void)[] = [];
   #instances: FleetInstance[] = [];
+  #inDataCentre: FleetInstance[] = [];
   #timer: NodeJS.Timeout | undefined;
   #lastReadAt = -Infinity;
   #wasListed = false;
@@ -71,6 +72,11 @@
     return this.#instances;
   }
 
+  /** Instances of the own data centre, this one included. */
+  get inDataCentre(): readonly FleetInstance[] {
+    return this.#inDataCentre;
+  }
+
   /** Number of instances in the fleet; at least 1. */
   get count(): number {
     return Math.max(1, this.#instances.length);
@@ -199,6 +205,8 @@
     const isSame = isDeepStrictEqual(instances, this.#instances);
     if (isSame && this.#reads !== READS_TO_SETTLE) return;
     this.#instances = instances;
+    const { dataCentre } = this.#context.settings;
+    this.#inDataCentre = instances.filter((each) => each.dataCentre === dataCentre);
     if (!isSame) this.#context.log.write('instances-changed', { instances: instances.length });
     for (const listener of this.#listeners) listener();
   }
--- a/packages/gateway/src/node/reachabilityTracker.ts
+++ b/packages/gateway/src/node/reachabilityTracker.ts
@@ -41,11 +41,15 @@
     return now - this.#answeredAt;
   }
 
-  /** Records an answer; logs `regained` if the party was lost. */
-  recordAnswer(fields: EventFields = {}): void {
+  /**
+   * Records an answer; logs `regained` if the party was lost.
+   *
+   * @param ageMs milliseconds since the party answered, if a peer passed the answer on.
+   */
+  recordAnswer(fields: EventFields = {}, ageMs = 0): void {
     const now = this.#context.clock.now();
     const silentMs = this.#silentMs(now);
-    this.#answeredAt = now;
+    this.#answeredAt = Math.max(this.#answeredAt, now - ageMs);
     if (this.#unreachableSince === undefined) return;
     const lostMs = Math.round(now - this.#unreachableSince);
     this.#unreachableSince = undefined;
--- a/packages/gateway/src/node/serverDirectory.ts
+++ b/packages/gateway/src/node/serverDirectory.ts
@@ -123,8 +123,8 @@
       onEvent: reportThrown(kernel, this.name, (event) => {
         this.#onEvent(event);
       }),
-      onUpToDate: () => {
-        this.#reachability.recordAnswer({ servers: this.#servers.size });
+      onUpToDate: (ageMs) => {
+        this.#reachability.recordAnswer({ servers: this.#servers.size }, ageMs);
       },
       onBreak: (reason) => {
         this.#reachability.recordFailure(reason);
--- a/packages/gateway/src/node/storeReachability.ts
+++ b/packages/gateway/src/node/storeReachability.ts
@@ -8,7 +8,7 @@
  *
  * @example
  * const reachability = new StoreReachability(context, 'directory');
- * store.watch(servers, { onEvent, onUpToDate: () => reachability.recordAnswer(), onBreak: (reason) => reachability.recordFailure(reason) });
+ * store.watch(servers, { onEvent, onUpToDate: (ageMs) => reachability.recordAnswer({}, ageMs), onBreak: (reason) => reachability.recordFailure(reason) });
  */
 export class StoreReachability extends ReachabilityTracker {
   /** @param user the service that uses the store, for the log. */
--- /dev/null
+++ b/packages/gateway/src/runtime/watcherChoice.ts
@@ -0,0 +1,92 @@
+/** Which instances of a data centre watch the store for the others. */
+
+import type { FleetInstance } from '@flamingocourse/core';
+import { hash32, rendezvousRank } from '@flamingocourse/core';
+
+/**
+ * Instances of a data centre below which each watches the store by itself. A watcher asks the store
+ * more often than it would for itself alone, so that its word stays fresh.
+ */
+export const MIN_SHARED_INSTANCES = 6;
+/** Maximum number of instances that one watcher serves. */
+const INSTANCES_PER_WATCHER = 32;
+/** Milliseconds for which a watcher that did not answer is not asked again. */
+const FAILED_MS = 20_000;
+/** Watchers without an answer after which an instance watches by itself. */
+const MAX_FAILED = 3;
+
+const keyHash = hash32('store watch');
+
+/** Instances that have a mesh address, in the order in which they watch for the others. */
+interface Ranking {
+  of: readonly FleetInstance[];
+  ranked: readonly FleetInstance[];
+  /** Number of watchers; the first asks the store, the others follow it. */
+  watchers: number;
+}
+
+/**
+ * Chooses the watcher of one instance. All instances compute the same order, so those that know the
+ * same instances have the same watchers, and the same stand-ins for one that does not answer.
+ *
+ * Whoever is followed asks the store, or follows an instance that comes before it in the order. The
+ * order depends on the names alone, so no two can follow each other, whatever they know.
+ *
+ * @example
+ * const choice = new WatcherChoice('edge-4');
+ * choice.choose(instances, now)?.name; // 'edge-1'
+ * choice.recordFailure('edge-1', now);
+ */
+export class WatcherChoice {
+  readonly #self: string;
+  /** When each instance that did not answer may be asked again. */
+  readonly #failedUntil = new Map<string, number>();
+  #ranking: Ranking = { of: [], ranked: [], watchers: 0 };
+
+  constructor(self: string) {
+    this.#self = self;
+  }
+
+  /**
+   * Returns the instance to follow; undefined if this one has to ask the store.
+   *
+   * @param isFollowed whether others follow this instance.
+   */
+  choose(
+    instances: readonly FleetInstance[],
+    isFollowed: boolean,
+    now: number,
+  ): FleetInstance | undefined {
+    for (const [name, until] of this.#failedUntil) if (until <= now) this.#failedUntil.delete(name);
+    if (this.#failedUntil.size >= MAX_FAILED) return undefined;
+    if (this.#ranking.of !== instances) this.#ranking = rank(instances);
+    const { ranked, watchers } = this.#ranking;
+    if (ranked.length < MIN_SHARED_INSTANCES) return undefined;
+    const isWatcher = ranked.slice(0, watchers).some(({ name }) => name === this.#self);
+    if (isFollowed && !isWatcher) return undefined;
+    const order = isWatcher ? ranked.slice(0, 1) : this.#orderOfFollower();
+    const chosen = order.find(({ name }) => !this.#failedUntil.has(name));
+    return chosen?.name === this.#self ? undefined : chosen;
+  }
+
+  recordFailure(name: string, now: number): void {
+    this.#failedUntil.set(name, now + FAILED_MS);
+  }
+
+  /** The own watcher, then the other watchers, then those that stand in for them. */
+  #orderOfFollower(): FleetInstance[] {
+    const { ranked, watchers } = this.#ranking;
+    const first = hash32(this.#self) % watchers;
+    const standIns = ranked.slice(watchers);
+    return [...ranked.slice(first, watchers), ...ranked.slice(0, first), ...standIns];
+  }
+}
+
+function rank(instances: readonly FleetInstance[]): Ranking {
+  const ranked = instances
+    .filter(({ meshUrl }) => meshUrl !== undefined)
+    .map((instance) => ({ instance, rank: rendezvousRank(keyHash, hash32(instance.name)) }))
+    .sort((a, b) => b.rank - a.rank || (a.instance.name < b.instance.name ? -1 : 1))
+    .map(({ instance }) => instance);
+  return { of: instances, ranked, watchers: Math.ceil(ranked.length / INSTANCES_PER_WATCHER) };
+}
--- /dev/null
+++ b/packages/gateway/src/utils/followAnswerSchema.ts
@@ -0,0 +1,33 @@
+/** Schema of what another instance passes on from the store. */
+
+import type { FollowAnswer, PassedOnChange } from '@flamingocourse/core';
+import { z } from 'zod';
+
+const MAX_NAME_LENGTH = 300;
+/** Maximum digits of a version. */
+const MAX_DIGITS = 32;
+
+const name = z.string().min(1).max(MAX_NAME_LENGTH);
+const version = z.string().max(MAX_DIGITS).regex(/^\d+$/);
+
+/** The value is checked by the schema of its collection. */
+const changeSchema: z.ZodType<PassedOnChange> = z.discriminatedUnion('type', [
+  z.object({ type: z.literal('removed'), name }),
+  z
+    .object({
+      type: z.literal('changed'),
+      object: z.object({ name, version, value: z.unknown().optional() }),
+    })
+    .transform(({ type, object }) => ({ type, object: { ...object, value: object.value } })),
+]);
+
+export const followAnswerSchema: z.ZodType<FollowAnswer> = z.object({
+  collections: z.record(
+    name,
+    z.union([
+      z.literal('ask-store'),
+      z.object({ version, ageMs: z.number().min(0), changes: z.array(changeSchema) }),
+    ]),
+  ),
+  heldMs: z.number().min(0),
+});
--- a/packages/kernel/src/runtime/eventCatalogue.ts
+++ b/packages/kernel/src/runtime/eventCatalogue.ts
@@ -62,6 +62,16 @@
     action: 'Check the store and the network to it.',
   },
   'store-regained': { number: 201, level: 'info', text: 'the store answers again' },
+  'watcher-followed': {
+    number: 202,
+    level: 'info',
+    text: 'this instance follows the store through another instance of its data centre',
+  },
+  'watcher-lost': {
+    number: 203,
+    level: 'info',
+    text: 'the instance that was followed does not pass on the store; the next one is followed, or the store is asked',
+  },
   'peer-health-changed': {
     number: 300,
     level: 'info',
--- a/packages/mesh/src/node/meshClient.ts
+++ b/packages/mesh/src/node/meshClient.ts
@@ -42,8 +42,8 @@
   /** `http://host:port` of the peer's mesh listener. */
   meshUrl: string;
   /**
-   * Incarnation of the peer that the call is meant for; optional only for heartbeats, loans and
-   * gossip.
+   * Incarnation of the peer that the call is meant for; optional only for heartbeats, loans, gossip
+   * and questions about the store.
    */
   incarnation?: IncarnationId;
 }
--- a/packages/mesh/src/runtime/schemas.ts
+++ b/packages/mesh/src/runtime/schemas.ts
@@ -29,6 +29,9 @@
 const maxFingerprintLength = 64;
 /** Maximum number of services of one route. */
 const maxServices = 64;
+/** Maximum number of collections that an instance follows. */
+const maxCollections = 16;
+const maxVersionDigits = 32;
 /**
  * Maximum length of a stored answer in base64. The body limit applies to the whole call in
  * addition.
@@ -152,6 +155,12 @@
   heartbeat: heartbeatSchema,
   appendLines: linesSchema,
   keepLines: linesSchema,
+  followStore: z.object({
+    positions: z
+      .record(id, z.string().max(maxVersionDigits).regex(/^\d+$/))
+      .refine((positions) => Object.keys(positions).length <= maxCollections),
+    waitMs: z.number().min(0),
+  }),
   fenceHolder: z.object({ holder: id }),
   recall: z.object({ account: id, amount: tokens.min(0), forDataCentre: id }),
   pullConfiguration: z.object({ since: count }),
--- a/packages/mesh/src/types/procedures.ts
+++ b/packages/mesh/src/types/procedures.ts
@@ -4,6 +4,8 @@
   AccountId,
   ConfigurationUpdate,
   DataCentreId,
+  FollowAnswer,
+  FollowRequest,
   IncarnationId,
   JournalLine,
   JournalState,
@@ -45,6 +47,8 @@
     input: { account: AccountId; amount: Tokens; forDataCentre: DataCentreId };
     output: { amount: Tokens };
   };
+  /** Asks a peer that watches the store what changed in it, and waits for a change. */
+  followStore: { input: FollowRequest; output: FollowAnswer };
   /** Requests the changes of the configuration after the revision `since`. */
   pullConfiguration: { input: { since: number }; output: ConfigurationUpdate };
   /** Asks a lender for tokens of prepaid budgets; the request contains the lender's incarnation. */
--- a/packages/store/src/node/httpObjectStore.ts
+++ b/packages/store/src/node/httpObjectStore.ts
@@ -3,6 +3,7 @@
 import type { InstanceRecord } from '@flamingocourse/core';
 import type { Clock, HttpAnswer } from '@flamingocourse/kernel';
 import type { ZodType } from 'zod';
+import type { ChangeRelay } from '../runtime/changeRelay.js';
 import type { CircuitOptions } from '../runtime/circuit.js';
 import type { PlatformResult } from '../runtime/objectStore.js';
 import type {
@@ -64,6 +65,8 @@
   circuit?: CircuitOptions;
   /** Milliseconds without data after which a watch is reopened. @default 2000 */
   watchIdleMs?: number;
+  /** Through which watches follow the store where they can. @default each asks the store */
+  relay?: ChangeRelay;
   clock?: Clock;
   /** Numbers from 0 to 1 for the jitter of back-offs. @default Math.random */
   random?: () => number;
@@ -187,6 +190,7 @@
       url: this.#options.url,
       agent: this.#watchAgent,
       idleMs: options.idleMs ?? this.#options.watchIdleMs ?? defaultWatchIdleMs,
+      relay: this.#options.relay,
       random: this.#options.random ?? Math.random,
       isUnreachable: () => this.#probe.isUnreachable,
       onOpen: () => {
--- a/packages/store/src/node/objectWatch.ts
+++ b/packages/store/src/node/objectWatch.ts
@@ -5,6 +5,7 @@
 
 import type { Steps } from '@flamingocourse/kernel';
 import type { Agent } from 'node:http';
+import type { ChangeRelay } from '../runtime/changeRelay.js';
 import type { PlatformResult } from '../runtime/objectStore.js';
 import type { Collection, ObjectList, WatchOptions } from '../types/objects.js';
 import type { StoreDialect, WatchEndReason, WireChange } from '../runtime/storeDialect.js';
@@ -23,6 +24,8 @@
   url: string;
   agent: Agent;
   idleMs: number;
+  /** Follows the store through peers where it can. */
+  relay?: ChangeRelay | undefined;
   random: () => number;
   /**
    * Whether the store is unreachable. Then only probes are sent: other calls would hang or cost.
@@ -44,6 +47,8 @@
   /** The call in flight, if any. */
   #call: AbortController | undefined;
   #version: string | undefined;
+  /** Whether only a list of the store shows what the watch may have missed. */
+  #needsList: boolean;
   #failures = 0;
   /** Whether changes arrived since the last pause. */
   #hasChanged = false;
@@ -56,6 +61,7 @@
     readonly ports: WatchPorts<T>,
   ) {
     this.#version = options.from;
+    this.#needsList = options.from === undefined;
     void startProcess(() => this.#run(), ports.onFailure);
   }
 
@@ -76,11 +82,8 @@
 
   *#run(): Steps<void> {
     while (!this.#abort.signal.aborted) {
-      if (this.ports.isUnreachable()) this.#recordFailure('the store is unreachable');
-      else {
-        if (this.#version === undefined) yield* awaitPromise(this.#list());
-        if (this.#version !== undefined) yield* awaitPromise(this.#follow());
-      }
+      yield* awaitPromise(this.#followPeers());
+      yield* this.#askStore();
       const pauseMs = this.#pauseMs();
       this.#isBackingOff = this.#failures > 0;
       if (pauseMs > 0) yield* takeWithin(this.#wakeSignal, pauseMs);
@@ -88,6 +91,16 @@
     }
   }
 
+  *#askStore(): Steps<void> {
+    if (this.#abort.signal.aborted) return;
+    if (this.ports.isUnreachable()) {
+      this.#recordFailure('the store is unreachable');
+      return;
+    }
+    if (this.#needsList) yield* awaitPromise(this.#list());
+    if (!this.#needsList) yield* awaitPromise(this.#follow());
+  }
+
   #pauseMs(): number {
     const changed = this.#hasChanged;
     this.#hasChanged = false;
@@ -105,25 +118,42 @@
       return;
     }
     this.#version = list.value.version;
+    this.#needsList = false;
     this.#failures = 0;
+    this.ports.relay?.recordList(this.collection.name, list.value.version);
     this.options.onEvent({ type: 'listed', list: list.value });
-    this.options.onUpToDate?.();
+    this.options.onUpToDate?.(0);
+  }
+
+  /** Follows the store through peers, as long as they hear from it. */
+  async #followPeers(): Promise<void> {
+    if (this.#version === undefined) return;
+    await this.ports.relay?.follow({
+      collection: this.collection.name,
+      version: this.#version,
+      signal: this.#abort.signal,
+      onChanges: (changes, version, ageMs) => {
+        this.#deliverChanges(changes, version, ageMs);
+      },
+    });
   }
 
   async #follow(): Promise<void> {
     this.ports.onOpen();
-    const { dialect, url, agent, idleMs } = this.ports;
+    const { dialect, url, agent, relay } = this.ports;
+    const { name } = this.collection;
+    const idleMs = relay?.idleMs(name, this.ports.idleMs) ?? this.ports.idleMs;
     this.#call = new AbortController();
     const end = await dialect.follow({
       url,
-      collection: this.collection.name,
+      collection: name,
       version: this.#version ?? '0',
       agent,
       signal: AbortSignal.any([this.#abort.signal, this.#call.signal]),
       // counted from the last answer: the pause plus the full idle time would look like an outage.
       idleMs: idleMs - this.#batchPauseMs,
       onChanges: (changes, version) => {
-        this.#deliverChanges(changes, version);
+        this.#receiveChanges(changes, version);
       },
     });
     this.#call = undefined;
@@ -135,22 +165,32 @@
     // too-old: the platform's history no longer has the missed changes. silent: a platform that
     // keeps watches open, even new ones, and sends nothing would hide all changes. A list contains
     // them.
-    if (end === 'too-old' || end === 'silent') this.#version = undefined;
+    if (end === 'too-old' || end === 'silent') this.#needsList = true;
     this.ports.onBreak(end);
     this.#recordFailure(end);
   }
 
   #recordFailure(reason: string): void {
     this.#failures += 1;
+    this.ports.relay?.recordSilence(this.collection.name);
     this.options.onBreak?.(reason);
   }
 
-  #deliverChanges(changes: WireChange[], version: string): void {
+  /** Takes an answer of the store itself. */
+  #receiveChanges(changes: WireChange[], version: string): void {
     if (this.#abort.signal.aborted) return;
     this.ports.onAnswer(this);
+    this.#hasChanged ||= changes.length > 0;
+    const { name } = this.collection;
+    this.ports.relay?.recordChanges(name, this.#version ?? '0', version, changes);
+    this.#deliverChanges(changes, version, 0);
+  }
+
+  #deliverChanges(changes: WireChange[], version: string, ageMs: number): void {
+    if (this.#abort.signal.aborted) return;
     this.#failures = 0;
+    this.#needsList = false;
     this.#version = version;
-    this.#hasChanged ||= changes.length > 0;
     for (const change of latestChanges(changes)) {
       if (change.type === 'removed') {
         this.options.onEvent({ type: 'removed', name: change.name, version });
@@ -160,6 +200,6 @@
       if (checked.isOk) this.options.onEvent({ type: 'changed', object: checked.value });
       else this.options.onEvent({ type: 'invalid', name: change.object.name, version });
     }
-    this.options.onUpToDate?.();
+    this.options.onUpToDate?.(ageMs);
   }
 }
--- a/packages/store/src/types/objects.ts
+++ b/packages/store/src/types/objects.ts
@@ -63,8 +63,12 @@
    */
   batchMs?: number;
   onEvent: (event: WatchEvent<T>) => void;
-  /** Called whenever the store confirms that all changes so far were delivered. */
-  onUpToDate?: () => void;
+  /**
+   * Called whenever the store confirms that all changes so far were delivered.
+   *
+   * @param ageMs milliseconds since it did, if the word came through a peer; 0 otherwise.
+   */
+  onUpToDate?: (ageMs: number) => void;
   /** Called when the watch fails; it is retried after a back-off. */
   onBreak?: (reason: string) => void;
 }
--- a/test/gateway/directoryWorld.ts
+++ b/test/gateway/directoryWorld.ts
@@ -98,7 +98,7 @@
 
   /** Makes the store confirm that nothing changed. */
   hear(): void {
-    this.#store.options?.onUpToDate?.();
+    this.#store.options?.onUpToDate?.(0);
   }
 
   /** Breaks the watch, as after too long a silence. */
--- a/test/gateway/fleet/storeLink.ts
+++ b/test/gateway/fleet/storeLink.ts
@@ -161,9 +161,9 @@
 
   override watch<T>(collection: Collection<T>, options: WatchOptions<T>): Subscription {
     const subscription = this.#objects.watch(collection, options);
-    options.onUpToDate?.();
+    options.onUpToDate?.(0);
     const timer = setInterval(() => {
-      if (!this.#process.faults.isStoreCut) options.onUpToDate?.();
+      if (!this.#process.faults.isStoreCut) options.onUpToDate?.(0);
     }, WATCH_SIGNAL_MS);
     return {
       stop: () => {
