--- a/packages/gateway/src/node/createGateway.ts
+++ b/packages/gateway/src/node/createGateway.ts
@@ -183,7 +183,7 @@
     mesh.handle('findStream', ({ key, services }) => Result.ok(streams.answer(key, services)));
     kernel.register(mesh).register(tunnels);
   }
-  kernel.register(prepaid).register(entry).register(new StatusService(context));
+  kernel.register(prepaid).register(entry).register(new StatusService(context, relay));
   kernel.onFailure((err, service) => {
     log.write('service-failed', { service, error: describeError(err) });
   });
--- a/packages/gateway/src/node/statusService.ts
+++ b/packages/gateway/src/node/statusService.ts
@@ -4,6 +4,7 @@
 import type { IncomingMessage, Server, ServerResponse } from 'node:http';
 import type { GatewayContext } from '../types/context.js';
 import type { Listen } from '../types/gatewaySettings.js';
+import type { StoreRelay } from './storeRelay.js';
 import { createServer } from 'node:http';
 import { Service } from '@flamingocourse/kernel';
 import { EntryService } from './entryService.js';
@@ -24,6 +25,7 @@
   override readonly name = 'status';
   override readonly dependsOn = ['entry', 'directory', 'evacuations', 'paths', 'streams'];
   readonly #context: GatewayContext;
+  readonly #relay: StoreRelay;
   readonly #servers: Server[] = [];
   #entry: EntryService | undefined;
   #directory: ServerDirectory | undefined;
@@ -33,9 +35,10 @@
   #wasReady: boolean | undefined;
   #timer: NodeJS.Timeout | undefined;
 
-  constructor(context: GatewayContext) {
+  constructor(context: GatewayContext, relay: StoreRelay) {
     super();
     this.#context = context;
+    this.#relay = relay;
   }
 
   override async start(kernel: Kernel): Promise<void> {
@@ -116,6 +119,10 @@
     metrics.gauge('servers_brittle', brittleHelp, notices.brittle.size);
     const streamsHelp = 'streams of which this instance knows what began them';
     metrics.gauge('streams_known', streamsHelp, this.#streams?.size ?? 0);
+    const followersHelp = 'instances that wait for changes of the store at this one';
+    metrics.gauge('store_followers', followersHelp, this.#relay.followers);
+    const followsHelp = '1 while this instance follows the store through another one';
+    metrics.gauge('store_follows', followsHelp, this.#relay.watcher === undefined ? 0 : 1);
     metrics.storeCalls(store.counters);
     metrics.collectionCalls(store.collectionCalls);
     const text = await metrics.text();
--- a/packages/gateway/src/runtime/watcherChoice.ts
+++ b/packages/gateway/src/runtime/watcherChoice.ts
@@ -7,7 +7,7 @@
  * Instances of a data centre below which each watches the store by itself. A watcher asks the store
  * more often than it would for itself alone, so that its word stays fresh.
  */
-export const MIN_SHARED_INSTANCES = 6;
+export const MIN_SHARED_INSTANCES = 4;
 /** Maximum number of instances that one watcher serves. */
 const INSTANCES_PER_WATCHER = 32;
 /** Milliseconds for which a watcher that did not answer is not asked again. */
