--- a/packages/gateway/src/node/peerFollower.ts
+++ b/packages/gateway/src/node/peerFollower.ts
@@ -10,11 +10,11 @@
 import { isNewer } from '@flamingocourse/store';
 
 /** Milliseconds for which a call waits for changes at the watcher. */
-const WAIT_MS = 700;
+export const WAIT_MS = 700;
 /** The same for a call of an instance that others follow, as its word gets older on the way to them. */
 const FOLLOWED_WAIT_MS = 350;
 /** Milliseconds beyond that for the way there and back, and for a pause of the watcher. */
-const ANSWER_MARGIN_MS = 250;
+export const ANSWER_MARGIN_MS = 250;
 /** Minimum milliseconds between two calls. */
 const MIN_INTERVAL_MS = 50;
 
--- a/packages/gateway/src/node/storeRelay.ts
+++ b/packages/gateway/src/node/storeRelay.ts
@@ -15,9 +15,9 @@
  * Age of the word that a watcher has for its followers, as a part of the time in which a
  * configuration must take effect.
  */
-const FRESH_PART = 0.4;
+export const FRESH_PART = 0.4;
 /** Milliseconds of silence beyond the awaited answer after which a call to the store is broken. */
-const SILENCE_MS = 400;
+export const SILENCE_MS = 400;
 /** Milliseconds beyond the freshest word until a follower asks the store by itself. */
 const FOLLOWER_MARGIN_MS = 1_300;
 /** Minimum milliseconds for which a call to the store waits. */
--- a/test/gateway/propagation.test.ts
+++ b/test/gateway/propagation.test.ts
@@ -6,7 +6,9 @@
   CONFIGURATION_BATCH_MS,
 } from '../../packages/gateway/src/node/configurationWatch.js';
 import { EVACUATION_REOPEN_MS } from '../../packages/gateway/src/node/evacuationWatch.js';
+import { ANSWER_MARGIN_MS, WAIT_MS } from '../../packages/gateway/src/node/peerFollower.js';
 import { SERVER_LIST_BATCH_MS } from '../../packages/gateway/src/node/serverDirectory.js';
+import { FRESH_PART, SILENCE_MS } from '../../packages/gateway/src/node/storeRelay.js';
 
 /** Milliseconds that a healthy store takes to return a list over a link of 7 Mbit/s. */
 const LIST_MS = 100;
@@ -60,6 +62,18 @@
         assert.ok(hangMs + LIST_MS <= inTouchMs, `${String(hangMs + LIST_MS)} ms`);
       });
     }
+
+    // an instance that follows another is in touch itself, so the whole time is that of its own bound.
+    const watchers = [
+      { fault: 'stopped', foundMs: WAIT_MS + ANSWER_MARGIN_MS },
+      { fault: 'was cut off', foundMs: FRESH_PART * configurationIdleMs + SILENCE_MS },
+    ];
+    for (const { fault, foundMs } of watchers) {
+      test(`through a watcher that ${fault}: in time through the next one`, () => {
+        const ms = foundMs + LIST_MS;
+        assert.ok(ms <= Math.min(applyMs, leavingMs), `${String(ms)} ms`);
+      });
+    }
   });
 }
 
--- a/test/gateway/storeRelay.test.ts
+++ b/test/gateway/storeRelay.test.ts
@@ -8,7 +8,10 @@
 import { Result } from 'true-myth';
 import { StoreRelay } from '../../packages/gateway/src/node/storeRelay.js';
 import { ChangeLog } from '../../packages/gateway/src/runtime/changeLog.js';
-import { MIN_SHARED_INSTANCES, WatcherChoice } from '../../packages/gateway/src/runtime/watcherChoice.js';
+import {
+  MIN_SHARED_INSTANCES,
+  WatcherChoice,
+} from '../../packages/gateway/src/runtime/watcherChoice.js';
 import { FollowCalls } from '../../packages/gateway/src/types/followCalls.js';
 import { followAnswerSchema } from '../../packages/gateway/src/utils/followAnswerSchema.js';
 import { failTest } from '../store/fixtures.js';
