--- a/test/platform/fakeStore.ts
+++ b/test/platform/fakeStore.ts
@@ -139,7 +139,12 @@
       return;
     }
     const since = Number(url.searchParams.get('watch'));
-    const end = Date.now() + Number(url.searchParams.get('wait_ms'));
+    const waitMs = Number(url.searchParams.get('wait_ms'));
+    if (!Number.isInteger(waitMs)) {
+      send(reply.res, 400, {});
+      return;
+    }
+    const end = Date.now() + waitMs;
     const newChanges = (): Change[] =>
       this.#history.filter((change) => change.kind === kind && change.revision > since);
     while (newChanges().length === 0 && Date.now() < end) await this.#nextChange(end - Date.now());
