--- a/packages/core/src/runtime/routing/serverPool.ts
+++ b/packages/core/src/runtime/routing/serverPool.ts
@@ -17,7 +17,7 @@
 import type { HealthSettings } from './serverHealth.js';
 import type { RateLimitPace } from './serverRateLimits.js';
 import { rendezvousRank } from '../../utils/hash.js';
-import { combinePaces, slowerPace } from './sendPace.js';
+import { combinePaces } from './sendPace.js';
 import { createConcurrencyLimit } from './concurrencyLimit.js';
 import { defaultHealthSettings } from './serverHealth.js';
 import type { RestoredBy } from './reachability.js';
@@ -30,6 +30,7 @@
 import { SendRules } from './sendRules.js';
 import type { SendObstacle } from './serverGate.js';
 import { ServerGate } from './serverGate.js';
+import { ServerRoom } from './serverRoom.js';
 
 /** Options of a server pool. */
 export interface ServerPoolOptions {
@@ -89,8 +90,7 @@
   /** Shared by all servers: one server alone has too few answers to adapt in time. */
   readonly #limit: ConcurrencyLimit;
   readonly #gate: ServerGate;
-  readonly #notices: ServerNotices;
-  readonly #rateLimits: ServerRateLimits;
+  readonly #room: ServerRoom;
   #sharers: number;
   #nextAttempt = 1;
   #heldServer: { entry: ServerEntry; until: EpochMs } | undefined;
@@ -101,9 +101,9 @@
     this.#sharers = options.sharers ?? 1;
     const rules = options.rules ?? new SendRules(noNotices());
     this.#gate = new ServerGate(rules, options.seenSoftware ?? new SeenSoftware());
-    this.#notices = rules.notices;
-    this.#rateLimits = this.#notices.rateLimits;
-    const bounds = { max: options.concurrencyPerServer };
+    const { concurrencyPerServer } = options;
+    this.#room = new ServerRoom({ gate: this.#gate, health: this.#health, concurrencyPerServer });
+    const bounds = { max: concurrencyPerServer };
     this.#limit = createConcurrencyLimit(options.limitKind ?? 'aimd', bounds);
   }
 
@@ -204,7 +204,7 @@
   candidates(query: CandidateQuery, now: EpochMs): Candidate[] {
     this.#releaseExpiredHold(now);
     const open = this.#openEntries(now, query.bounds).filter((entry) => {
-      return !query.tried?.has(entry.server.id) && this.#maySend(entry, now);
+      return !query.tried?.has(entry.server.id) && this.#room.maySend(entry, now);
     });
     if (query.exclusive) return this.#exclusiveCandidates(open, now);
     return open
@@ -224,7 +224,7 @@
     const local = candidates.filter((candidate) => candidate.local);
     const used = local.length > 0 ? local : candidates;
     const all = this.#openEntries(now).filter((entry) => this.#isLocal(entry) === local.length > 0);
-    const places = all.reduce((sum, entry) => sum + this.#slots(entry, now), 0);
+    const places = all.reduce((sum, entry) => sum + this.#room.slots(entry, now), 0);
     const free = used.reduce((sum, next) => sum + this.#freeSlots(next, now), 0);
     return free > rule.keptFree * places;
   }
@@ -260,7 +260,7 @@
   /** Whether any server may be sent a request now by its notices, with or without capacity. */
   maySend(tried: ReadonlySet<ServerId> | undefined, now: EpochMs, bounds = ANY_SERVER): boolean {
     return this.#openEntries(now, bounds).some((entry) => {
-      return !tried?.has(entry.server.id) && this.#maySend(entry, now);
+      return !tried?.has(entry.server.id) && this.#room.maySend(entry, now);
     });
   }
 
@@ -270,7 +270,7 @@
    */
   sendPace(now: EpochMs, bounds = ANY_SERVER): RateLimitPace | undefined {
     const open = this.#openEntries(now, bounds);
-    if (open.length > 0) return combinePaces(open.map((entry) => this.#paceOf(entry, now)));
+    if (open.length > 0) return combinePaces(open.map((entry) => this.#room.pace(entry, now)));
     const restMs = this.pauseEndsInMs(now, bounds);
     return restMs === undefined ? undefined : { firstMs: restMs, intervalMs: 0 };
   }
@@ -288,7 +288,7 @@
 
   /** Number of slots of all open servers. */
   capacity(now: EpochMs): number {
-    return this.#openEntries(now).reduce((sum, entry) => sum + this.#slots(entry, now), 0);
+    return this.#openEntries(now).reduce((sum, entry) => sum + this.#room.slots(entry, now), 0);
   }
 
   /** Own attempts in flight at a server. */
@@ -387,54 +387,9 @@
     return isHome && entry.reachable(now) && this.#gate.closedBy(entry) === undefined;
   }
 
-  #maySend(entry: ServerEntry, now: EpochMs): boolean {
-    return this.#gate.nextAt(entry, now) <= now;
-  }
-
-  /** Maximum own requests in flight at a brittle server; undefined for others. */
-  #maxInFlight(entry: ServerEntry, now: EpochMs): number | undefined {
-    return this.#notices.brittle.maxInFlight(entry.server, this.#serverSlots(entry), now);
-  }
-
-  /** Requests that a server runs at once. */
-  #serverSlots({ server }: ServerEntry): number {
-    return server.slots ?? this.#options.concurrencyPerServer;
-  }
-
-  /** Pace of a server that has a rate limit or is brittle; undefined for others. */
-  #paceOf(entry: ServerEntry, now: EpochMs): RateLimitPace | undefined {
-    const limitPace = slowerPace(
-      this.#rateLimits.pace([entry.server.id], now),
-      this.#coldPaceOf(entry, now),
-    );
-    const most = this.#maxInFlight(entry, now);
-    if (most === undefined) return limitPace;
-    const pauseMs = this.#notices.brittle.nextAt(entry.server, now) - now;
-    return slowerPace(limitPace, entry.load.pace(most, pauseMs, now));
-  }
-
-  #coldPaceOf({ server }: ServerEntry, now: EpochMs): RateLimitPace | undefined {
-    const { cold } = this.#gate.rules;
-    if (!cold.isCold(server.id, now)) return undefined;
-    const firstMs = Math.max(0, cold.nextAt(server, now) - now);
-    return { firstMs, intervalMs: cold.intervalMs(server, now) };
-  }
-
-  /** Slots of a server; if a notice bounds it, only those that may be used now. */
-  #slots(entry: ServerEntry, now: EpochMs): number {
-    const isLimited = this.#rateLimits.has(entry.server.id);
-    const most = this.#maxInFlight(entry, now);
-    if (!this.#maySend(entry, now)) return 0;
-    if (!isLimited && most === undefined) return entry.capacity(this.#health, now);
-    return isLimited ? 1 : (most ?? 0);
-  }
-
   #freeSlots({ id, capacity, load }: Candidate, now: EpochMs): number {
-    if (this.#rateLimits.has(id)) return 1;
     const entry = this.#entries.get(id);
-    const most = entry && this.#maxInFlight(entry, now);
-    if (!entry || most === undefined) return Math.max(0, capacity - load);
-    return Math.max(0, most - entry.load.own);
+    return entry ? this.#room.freeSlots(entry, capacity, load, now) : Math.max(0, capacity - load);
   }
 
   /** Whether the other servers have received at least an equal share since its last request. */
@@ -495,9 +450,9 @@
   }
 
   #toCandidate(entry: ServerEntry, now: EpochMs, extra = 0): Candidate {
-    const most = this.#maxInFlight(entry, now);
+    const most = this.#room.maxInFlight(entry, now);
     const capacity =
-      most === undefined ? entry.capacity(this.#health, now) : this.#serverSlots(entry);
+      most === undefined ? entry.capacity(this.#health, now) : this.#room.declaredSlots(entry);
     const load = entry.load.total(now);
     // load reports are delayed. If one router refilled each free slot at once, another router would
     // see a full server in every report and wait for ever. So each router may always use a fair
@@ -511,7 +466,7 @@
       load,
       capacity,
       eventMs: entry.pace.eventMs,
-      isDue: this.#rateLimits.has(entry.server.id) && this.#isBelowFairShare(entry),
+      isDue: this.#room.isLimited(entry) && this.#isBelowFairShare(entry),
       hasRoom:
         most === undefined
           ? load < capacity * (1 + extra) || entry.load.own < fairPart
