refactor(gateway): two circles of modules fewer

requestFlow, requestLogLine and serverAttempt imported each other because of the ids of shared parts, which live with the shared parts now; requestRun and streamOrigins because of what all requests use, which has a file of its own. Types and names only; typecheck and lint pass.

--- a/packages/gateway/src/node/entryService.ts
+++ b/packages/gateway/src/node/entryService.ts
@@ -10,13 +10,8 @@
 import type { GatewayContext } from '../types/context.js';
 import type { Outcome } from '../types/outcome.js';
 import type { StreamStart } from '../types/streamStart.js';
-import type {
-  EndCause,
-  FlowParts,
-  IncomingCall,
-  RequestLimit,
-  RoutedCall,
-} from '../types/requestRun.js';
+import type { FlowParts } from '../types/flowParts.js';
+import type { EndCause, IncomingCall, RequestLimit, RoutedCall } from '../types/requestRun.js';
 import { createServer } from 'node:http';
 import { setTimeout as delay } from 'node:timers/promises';
 import { pickTarget } from '@flamingocourse/core';
--- a/packages/gateway/src/node/requestLogLine.ts
+++ b/packages/gateway/src/node/requestLogLine.ts
@@ -7,7 +7,7 @@
 import type { IncomingCall } from '../types/requestRun.js';
 import type { RequestFlow } from './requestFlow.js';
 import { hasBegun } from '@flamingocourse/core';
-import { sharedParts } from '../runtime/sharedParts.js';
+import { sharedPartIds } from '../runtime/sharedParts.js';
 
 /** A finished request. */
 export interface EndedRequest {
@@ -76,12 +76,6 @@
   };
 }
 
-/** Ids of the parts of the prompt that other requests may share; undefined if there are none. */
-export function sharedPartIds({ promptParts }: CallHead): string | undefined {
-  const ids = sharedParts(promptParts).map(({ id }) => id);
-  return ids.length > 0 ? ids.join(' ') : undefined;
-}
-
 /** Fields about the stream that a request belongs to; none if it belongs to none. */
 function streamFields({ flow }: EndedRequest): EventFields {
   if (!flow) return {};
--- a/packages/gateway/src/runtime/sharedParts.ts
+++ b/packages/gateway/src/runtime/sharedParts.ts
@@ -1,6 +1,6 @@
 /** Parts of a prompt that requests share. */
 
-import type { PromptPart } from '../types/call.js';
+import type { CallHead, PromptPart } from '../types/call.js';
 
 /** Maximum number of parts of a prompt that are judged as causes of crashes, and logged. */
 const MAX_PARTS = 8;
@@ -14,3 +14,9 @@
 export function sharedParts(parts: readonly PromptPart[]): PromptPart[] {
   return parts.slice(0, -1).slice(0, MAX_PARTS);
 }
+
+/** Ids of the parts of the prompt that other requests may share; undefined if there are none. */
+export function sharedPartIds({ promptParts }: CallHead): string | undefined {
+  const ids = sharedParts(promptParts).map(({ id }) => id);
+  return ids.length > 0 ? ids.join(' ') : undefined;
+}
--- /dev/null
+++ b/packages/gateway/src/types/flowParts.ts
@@ -0,0 +1,20 @@
+/** What all requests of the process use. */
+
+import type { BackendLanes } from '../node/backendLanes.js';
+import type { PrepaidService } from '../node/prepaidService.js';
+import type { ServerAgent } from '../node/serverAgent.js';
+import type { ServerDirectory } from '../node/serverDirectory.js';
+import type { ServerProcesses } from '../node/serverProcesses.js';
+import type { StreamOrigins } from '../node/streamOrigins.js';
+import type { GatewayContext } from './context.js';
+
+/** Services shared by all requests of the process. */
+export interface FlowParts {
+  context: GatewayContext;
+  lanes: BackendLanes;
+  prepaid: PrepaidService;
+  directory: ServerDirectory;
+  agent: ServerAgent;
+  processes: ServerProcesses;
+  streams: StreamOrigins;
+}
--- a/packages/gateway/src/types/requestRun.ts
+++ b/packages/gateway/src/types/requestRun.ts
@@ -10,27 +10,10 @@
 } from '@flamingocourse/core';
 import type { IncomingMessage } from 'node:http';
 import type { Arrival } from '../node/arrivalWatch.js';
-import type { BackendLanes } from '../node/backendLanes.js';
 import type { CallerAnswer } from '../node/callerAnswer.js';
-import type { PrepaidService } from '../node/prepaidService.js';
-import type { ServerAgent } from '../node/serverAgent.js';
-import type { ListView, ServerDirectory } from '../node/serverDirectory.js';
-import type { ServerProcesses } from '../node/serverProcesses.js';
-import type { StreamOrigins } from '../node/streamOrigins.js';
+import type { ListView } from '../node/serverDirectory.js';
 import type { CallHead } from './call.js';
 import type { StreamStart } from './streamStart.js';
-import type { GatewayContext } from './context.js';
-
-/** Services shared by all requests of the process. */
-export interface FlowParts {
-  context: GatewayContext;
-  lanes: BackendLanes;
-  prepaid: PrepaidService;
-  directory: ServerDirectory;
-  agent: ServerAgent;
-  processes: ServerProcesses;
-  streams: StreamOrigins;
-}
 
 /** A request as it was read from its connection. */
 export interface IncomingCall {
