fix(gateway): a watcher that the store turns away leaves no data centre without one

Of 20 instances of one data centre 18 asked the store by themselves for 20 s: three stand-ins in a row had said that the store does not answer them, and after three an instance gave up for 20 s. A single waiting call that the store cut off also counted as no answer.

--- a/packages/gateway/src/node/meshFollowCalls.ts
+++ b/packages/gateway/src/node/meshFollowCalls.ts
@@ -3,6 +3,7 @@
 import type { FleetInstance, FollowAnswer, FollowRequest } from '@flamingocourse/core';
 import type { MeshClient } from '@flamingocourse/mesh';
 import { Result } from 'true-myth';
+import type { FollowFault } from '../types/followCalls.js';
 import { FollowCalls } from '../types/followCalls.js';
 import { followAnswerSchema } from '../utils/followAnswerSchema.js';
 
@@ -20,12 +21,16 @@
     request: FollowRequest,
     timeoutMs: number,
     signal: AbortSignal,
-  ): Promise<Result<FollowAnswer, string>> {
-    if (meshUrl === undefined) return Result.err('it serves no peers');
+  ): Promise<Result<FollowAnswer, FollowFault>> {
+    if (meshUrl === undefined) return fault('it serves no peers', true);
     const options = { timeoutMs, signal };
     const answer = await this.#mesh.call({ meshUrl }, 'followStore', request, options);
-    if (answer.isErr) return Result.err(answer.error.message);
+    if (answer.isErr) return fault(answer.error.message, answer.error.code === 'refused');
     const parsed = followAnswerSchema.safeParse(answer.value);
-    return parsed.success ? Result.ok(parsed.data) : Result.err('its answer is malformed');
+    return parsed.success ? Result.ok(parsed.data) : fault('its answer is malformed', true);
   }
 }
+
+function fault(reason: string, isRefusal: boolean): Result<FollowAnswer, FollowFault> {
+  return Result.err({ reason, isRefusal });
+}
--- a/packages/gateway/src/node/peerFollower.ts
+++ b/packages/gateway/src/node/peerFollower.ts
@@ -3,7 +3,7 @@
 import type { FleetInstance, FollowAnswer, FollowedCollection } from '@flamingocourse/core';
 import type { Clock, EventLog } from '@flamingocourse/kernel';
 import type { RelayedWatch, WireChange } from '@flamingocourse/store';
-import type { FollowCalls } from '../types/followCalls.js';
+import type { FollowCalls, FollowFault } from '../types/followCalls.js';
 import type { WatcherChoice } from '../runtime/watcherChoice.js';
 import type { WatchKnowledge } from '../runtime/watchKnowledge.js';
 import { setTimeout as delay } from 'node:timers/promises';
@@ -136,9 +136,9 @@
     else this.#apply(peer, asked, answer.value, sentAt);
   }
 
-  #lose({ name }: FleetInstance, reason: string): void {
+  #lose({ name }: FleetInstance, { reason, isRefusal }: FollowFault): void {
     const { choice, log } = this.#ports;
-    choice.recordFailure(name, this.#now());
+    choice.recordFailure(name, isRefusal ? 'refused' : 'silent', this.#now());
     this.#watcher = undefined;
     log.write('watcher-lost', { watcher: name, reason });
   }
--- a/packages/gateway/src/node/storeRelay.ts
+++ b/packages/gateway/src/node/storeRelay.ts
@@ -58,7 +58,7 @@
     super();
     this.#clock = ports.clock;
     this.#freshMs = FRESH_PART * configurationIdleMs;
-    this.#duty = new WatchDuty(ports.clock, this.#knowledge);
+    this.#duty = new WatchDuty(ports.clock, this.#knowledge, this.#freshMs);
     this.#follower = new PeerFollower({
       ...ports,
       knowledge: this.#knowledge,
--- a/packages/gateway/src/node/watchDuty.ts
+++ b/packages/gateway/src/node/watchDuty.ts
@@ -22,13 +22,16 @@
 export class WatchDuty {
   readonly #clock: Clock;
   readonly #knowledge: WatchKnowledge;
+  readonly #freshMs: number;
   readonly #wakers = new Set<() => void>();
   #askedAt = -Infinity;
   #isStopped = false;
 
-  constructor(clock: Clock, knowledge: WatchKnowledge) {
+  /** @param freshMs age of the word from which a watch without an answer of the store counts. */
+  constructor(clock: Clock, knowledge: WatchKnowledge, freshMs: number) {
     this.#clock = clock;
     this.#knowledge = knowledge;
+    this.#freshMs = freshMs;
   }
 
   /** Whether peers follow the store through this instance. */
@@ -60,8 +63,8 @@
     this.#askedAt = beganAt;
     for (;;) {
       if (this.#isStopped) return Result.err('this instance is stopping');
-      if (this.#knowledge.isSilent) return Result.err('the store does not answer here');
       const now = this.#clock.now();
+      if (this.#hearsNothing(request, now)) return Result.err('the store does not answer here');
       const collections = this.#collections(request, now);
       if (now >= endsAt || Object.values(collections).some(isNews)) {
         this.#askedAt = now;
@@ -71,6 +74,14 @@
     }
   }
 
+  /** A single call that breaks is sent again at once, so it does not count yet. */
+  #hearsNothing({ positions }: FollowRequest, now: number): boolean {
+    return Object.keys(positions).some((name) => {
+      const { isSilent, ageMs } = this.#knowledge.of(name, now);
+      return isSilent && ageMs > this.#freshMs;
+    });
+  }
+
   #collections({ positions }: FollowRequest, now: number): FollowAnswer['collections'] {
     const known = Object.entries(positions).flatMap(([name, version]) => {
       const followed = this.#followed(name, version, now);
--- a/packages/gateway/src/runtime/watchKnowledge.ts
+++ b/packages/gateway/src/runtime/watchKnowledge.ts
@@ -11,6 +11,17 @@
   isSilent: boolean;
 }
 
+/** What is known of a collection at one time. */
+export interface CollectionKnowledge {
+  /** Undefined before the first answer of the store. */
+  version: string | undefined;
+  /** Milliseconds since the store confirmed that version. */
+  ageMs: number;
+  log: ChangeLog;
+  /** Whether the last call of this process to the store got no answer. */
+  isSilent: boolean;
+}
+
 /**
  * Changes and ages of the watched collections.
  *
@@ -21,15 +32,9 @@
 export class WatchKnowledge {
   readonly #collections = new Map<string, Known>();
 
-  /** Whether the store ceased to answer a watch of this process. */
-  get isSilent(): boolean {
-    return [...this.#collections.values()].some(({ isSilent }) => isSilent);
-  }
-
-  /** Knowledge of a collection; its version is undefined before the first answer. */
-  of(name: string, now: number): { version: string | undefined; ageMs: number; log: ChangeLog } {
-    const { log, confirmedAt } = this.#known(name);
-    return { version: log.version, ageMs: now - confirmedAt, log };
+  of(name: string, now: number): CollectionKnowledge {
+    const { log, confirmedAt, isSilent } = this.#known(name);
+    return { version: log.version, ageMs: now - confirmedAt, log, isSilent };
   }
 
   recordList(name: string, version: string, now: number): void {
--- a/packages/gateway/src/runtime/watcherChoice.ts
+++ b/packages/gateway/src/runtime/watcherChoice.ts
@@ -10,10 +10,17 @@
 export const MIN_SHARED_INSTANCES = 4;
 /** Maximum number of instances that one watcher serves. */
 const INSTANCES_PER_WATCHER = 32;
-/** Milliseconds for which a watcher that did not answer is not asked again. */
-const FAILED_MS = 20_000;
-/** Watchers without an answer after which an instance watches by itself. */
-const MAX_FAILED = 3;
+/**
+ * Milliseconds for which a watcher is not asked again, by how it failed. `silent`: it did not answer,
+ * so that asking it again would cost the time of a whole call; `refused`: it answered at once that it
+ * passes nothing on.
+ */
+const FAILED_MS: Record<WatcherFailure, number> = { silent: 20_000, refused: 5_000 };
+/** Failed watchers after which an instance watches by itself. */
+const MAX_FAILED: Record<WatcherFailure, number> = { silent: 3, refused: 6 };
+
+/** How a watcher failed. */
+export type WatcherFailure = 'silent' | 'refused';
 
 const keyHash = hash32('store watch');
 
@@ -35,12 +42,12 @@
  * @example
  * const choice = new WatcherChoice('edge-4');
  * choice.choose(instances, now)?.name; // 'edge-1'
- * choice.recordFailure('edge-1', now);
+ * choice.recordFailure('edge-1', 'silent', now);
  */
 export class WatcherChoice {
   readonly #self: string;
-  /** When each instance that did not answer may be asked again. */
-  readonly #failedUntil = new Map<string, number>();
+  /** How each instance failed, and when it may be asked again. */
+  readonly #failed = new Map<string, { how: WatcherFailure; until: number }>();
   #ranking: Ranking = { of: [], ranked: [], watchers: 0 };
 
   constructor(self: string) {
@@ -57,20 +64,25 @@
     isFollowed: boolean,
     now: number,
   ): FleetInstance | undefined {
-    for (const [name, until] of this.#failedUntil) if (until <= now) this.#failedUntil.delete(name);
-    if (this.#failedUntil.size >= MAX_FAILED) return undefined;
+    for (const [name, { until }] of this.#failed) if (until <= now) this.#failed.delete(name);
+    if (this.#hasFailedOften) return undefined;
     if (this.#ranking.of !== instances) this.#ranking = rank(instances);
     const { ranked, watchers } = this.#ranking;
     if (ranked.length < MIN_SHARED_INSTANCES) return undefined;
     const isWatcher = ranked.slice(0, watchers).some(({ name }) => name === this.#self);
     if (isFollowed && !isWatcher) return undefined;
     const order = isWatcher ? ranked.slice(0, 1) : this.#orderOfFollower();
-    const chosen = order.find(({ name }) => !this.#failedUntil.has(name));
+    const chosen = order.find(({ name }) => !this.#failed.has(name));
     return chosen?.name === this.#self ? undefined : chosen;
   }
 
-  recordFailure(name: string, now: number): void {
-    this.#failedUntil.set(name, now + FAILED_MS);
+  recordFailure(name: string, how: WatcherFailure, now: number): void {
+    this.#failed.set(name, { how, until: now + FAILED_MS[how] });
+  }
+
+  get #hasFailedOften(): boolean {
+    const silent = [...this.#failed.values()].filter(({ how }) => how === 'silent').length;
+    return silent >= MAX_FAILED.silent || this.#failed.size >= MAX_FAILED.refused;
   }
 
   /** The own watcher, then the other watchers, then those that stand in for them. */
--- a/test/gateway/followStore.test.ts
+++ b/test/gateway/followStore.test.ts
@@ -148,6 +148,17 @@
       for (const { faults } of fleet.processes) faults.isPaused = false;
     },
   },
+  {
+    name: 'the store turns a third of the instances away',
+    begin: (fleet, watcher) => {
+      const away = fleet.processes.filter((each, n) => each === watcher || n % 3 === 0);
+      for (const { faults } of away) faults.isStoreCut = true;
+      return away;
+    },
+    end: (fleet) => {
+      for (const { faults } of fleet.processes) faults.isStoreCut = false;
+    },
+  },
   {
     name: 'all are lost and start again together',
     begin: (fleet) => {
