--- a/packages/gateway/src/node/peerFollower.ts
+++ b/packages/gateway/src/node/peerFollower.ts
@@ -124,12 +124,18 @@
     const positions = Object.fromEntries([...asked].map(([name, { version }]) => [name, version]));
     const sentAt = this.#now();
     const firstDueMs = Math.min(...[...asked.values()].map(({ dueAt }) => dueAt)) - sentAt;
-    const waitMs = this.#ports.isFollowed() ? FOLLOWED_WAIT_MS : WAIT_MS;
-    const timeoutMs = Math.max(1, Math.min(waitMs + ANSWER_MARGIN_MS, firstDueMs));
+    const longestMs = this.#ports.isFollowed() ? FOLLOWED_WAIT_MS : WAIT_MS;
+    // a watcher that answers in time must not seem silent because a watch is due before that.
+    const waitMs = Math.max(0, Math.min(longestMs, firstDueMs));
     const call = new AbortController();
     this.#call = call;
     const request = { positions, waitMs };
-    const answer = await this.#ports.calls.follow(peer, request, timeoutMs, call.signal);
+    const answer = await this.#ports.calls.follow(
+      peer,
+      request,
+      waitMs + ANSWER_MARGIN_MS,
+      call.signal,
+    );
     this.#call = undefined;
     if (call.signal.aborted) return;
     if (answer.isErr) this.#lose(peer, answer.error);
--- a/test/gateway/storeRelay.test.ts
+++ b/test/gateway/storeRelay.test.ts
@@ -48,16 +48,17 @@
 
   override async follow(
     peer: FleetInstance,
-    _request: FollowRequest,
+    { waitMs }: FollowRequest,
     timeoutMs: number,
   ): Promise<Result<FollowAnswer, FollowFault>> {
     this.asked.push(peer.name);
-    await delay(Math.min(timeoutMs, ANSWER_MS));
-    if (timeoutMs < ANSWER_MS) return Result.err({ reason: 'no answer in time', isRefusal: false });
+    const heldMs = Math.min(waitMs, ANSWER_MS);
+    await delay(Math.min(timeoutMs, heldMs));
+    if (timeoutMs < heldMs) return Result.err({ reason: 'no answer in time', isRefusal: false });
     const answer = (this.answers.length > 1 ? this.answers.shift() : this.answers[0]) ?? 'nothing';
     return Result.ok({
       collections: answer === 'nothing' ? {} : { notes: answer },
-      heldMs: ANSWER_MS,
+      heldMs,
     });
   }
 }
@@ -165,6 +166,16 @@
     });
   }
 
+  test('does not take a watcher for silent because it is due itself', async (t) => {
+    const world = new RelayWorld(t, new ScriptedCalls(['nothing']));
+    await world.advance(2_600);
+    assert.equal(world.hasEnded, true);
+    assert.deepEqual(
+      world.log.events.filter(({ event }) => event === 'watcher-lost'),
+      [],
+    );
+  });
+
   test('asks the store as soon as others follow this instance', async (t) => {
     const world = new RelayWorld(t, new ScriptedCalls([{ version: '8', ageMs: 0, changes: [] }]));
     await world.advance(1_000);
