--- a/test/gateway/storeRelay.test.ts
+++ b/test/gateway/storeRelay.test.ts
@@ -36,7 +36,7 @@
 type Answer = FollowAnswer['collections'][string] | 'nothing';
 
 /** Milliseconds for which the scripted peers hold a call. */
-const ANSWER_MS = 500;
+const ANSWER_MS = 650;
 
 /** Answers each call with the next of these, the last one for ever. */
 class ScriptedCalls extends FollowCalls {
@@ -142,7 +142,7 @@
       {
         name: 'asks the store if the peer says so',
         answers: ['ask-store'],
-        ms: 600,
+        ms: 700,
         ended: true,
         heard: [],
       },
