refactor(core): lenders and watchers share one rendezvous order

Found by reading: `WatcherChoice` sorted instances by their rendezvous score again, as `lenders.ts` does. `rendezvousOrder` stands beside `rendezvousOwner` now and both call it; it computes each score once, where lenders.ts did in each comparison.

Behaviour as it was, but for equal scores, which the name decides as for the owner: that takes two names of one 32-bit hash. `FleetShare.#isFirst` stays: it ends at the first instance that comes before its own, and sorting all was measured too slow there.

Ran: the tests of this order, of watchers, of the fleet's tokens and loans.

--- a/packages/core/src/runtime/prepaid/lenders.ts
+++ b/packages/core/src/runtime/prepaid/lenders.ts
@@ -4,7 +4,7 @@
 
 import type { AccountId, DataCentreId } from '../../types/ids.js';
 import type { FleetInstance } from '../../types/prepaid.js';
-import { hash32, rendezvousRank } from '../../utils/hash.js';
+import { rendezvousOrder } from '../../utils/hash.js';
 
 /**
  * Maximum number of instances that all hold tokens from the store. So few instances rarely cause
@@ -38,7 +38,7 @@
   const peers = instances.filter((instance) => {
     return instance.dataCentre === dataCentre && instance.meshUrl !== undefined;
   });
-  return byRank(peers, dataCentre);
+  return rendezvousOrder(dataCentre, peers);
 }
 
 /**
@@ -51,11 +51,5 @@
   lenders: readonly FleetInstance[],
   account: AccountId,
 ): FleetInstance[] {
-  return byRank(lenders, account);
-}
-
-function byRank(instances: readonly FleetInstance[], key: string): FleetInstance[] {
-  const keyHash = hash32(key);
-  const rank = ({ name }: FleetInstance): number => rendezvousRank(keyHash, hash32(name));
-  return instances.toSorted((a, b) => rank(b) - rank(a));
+  return rendezvousOrder(account, lenders);
 }
--- a/packages/core/src/utils/hash.ts
+++ b/packages/core/src/utils/hash.ts
@@ -50,3 +50,18 @@
   }
   return owner;
 }
+
+/**
+ * Orders items by their score for a key, the owner first. The order depends on the names alone, also
+ * where scores are equal.
+ *
+ * @example
+ * rendezvousOrder('dc-a', instances)[0]; // the instance that rendezvousOwner names
+ */
+export function rendezvousOrder<T extends { name: string }>(key: string, items: readonly T[]): T[] {
+  const keyHash = hash32(key);
+  return items
+    .map((item) => ({ item, score: rendezvousRank(keyHash, hash32(item.name)) }))
+    .sort((a, b) => b.score - a.score || (a.item.name < b.item.name ? -1 : 1))
+    .map(({ item }) => item);
+}
--- a/packages/gateway/src/runtime/watcherChoice.ts
+++ b/packages/gateway/src/runtime/watcherChoice.ts
@@ -1,7 +1,7 @@
 /** Which instances of a data centre watch the store for the others. */
 
 import type { FleetInstance } from '@flamingocourse/core';
-import { hash32, rendezvousRank } from '@flamingocourse/core';
+import { hash32, rendezvousOrder } from '@flamingocourse/core';
 
 /**
  * Instances of a data centre below which each watches the store by itself. A watcher asks the store
@@ -25,7 +25,8 @@
 /** How a watcher failed. */
 export type WatcherFailure = 'silent' | 'refused';
 
-const keyHash = hash32('store watch');
+/** Key of the order in which instances watch the store. */
+const ORDER_KEY = 'store watch';
 
 /** Instances that have a mesh address, in the order in which they watch for the others. */
 interface Ranking {
@@ -98,11 +99,8 @@
 }
 
 function rank(instances: readonly FleetInstance[]): Ranking {
-  const ranked = instances
-    .filter(({ meshUrl }) => meshUrl !== undefined)
-    .map((instance) => ({ instance, rank: rendezvousRank(keyHash, hash32(instance.name)) }))
-    .sort((a, b) => b.rank - a.rank || (a.instance.name < b.instance.name ? -1 : 1))
-    .map(({ instance }) => instance);
+  const peers = instances.filter(({ meshUrl }) => meshUrl !== undefined);
+  const ranked = rendezvousOrder(ORDER_KEY, peers);
   const each = Math.max(INSTANCES_PER_WATCHER, Math.ceil(Math.sqrt(ranked.length)));
   return { of: instances, ranked, watchers: Math.ceil(ranked.length / each) };
 }
