refactor(gateway): the tests of followed watches without state that nobody reads

Found by reading: the scripted peers kept whom they were asked by, the fleet counted calls between peers and kept each age; no test read them. A comment in PeerFollower said that the time on the way counts twice: all of it counts once. No assertion changes.

--- a/packages/gateway/src/node/peerFollower.ts
+++ b/packages/gateway/src/node/peerFollower.ts
@@ -159,7 +159,7 @@
   ): void {
     if (this.#watcher !== name) this.#ports.log.write('watcher-followed', { watcher: name });
     this.#watcher = name;
-    // the time on the way counts twice, as it is not known which part was there and which back.
+    // all of the time on the way counts, as it is not known which part of it was the way back.
     const onTheWayMs = Math.max(0, this.#now() - sentAt - heldMs);
     for (const [collection, answer] of Object.entries(collections)) {
       const followed = asked.get(collection);
--- a/test/gateway/fleet/followFleet.ts
+++ b/test/gateway/fleet/followFleet.ts
@@ -49,7 +49,6 @@
   knownAt: Map<number, number>;
   /** Versions of all events, in order. */
   versions: number[];
-  ageMs: number;
   /** When it asked the store. */
   callsAt: number[];
   end: () => void;
@@ -126,7 +125,6 @@
     { name }: FleetInstance,
     request: FollowRequest,
   ): Promise<Result<FollowAnswer, FollowFault>> {
-    this.fleet.peerCalls += 1;
     await delay(PEER_LATENCY_MS);
     const process = this.fleet.find(name);
     if (!process || process.hasEnded) return Result.err({ reason: 'refused', isRefusal: true });
@@ -149,7 +147,6 @@
   readonly clock = new ManualClock(1_000_000);
   readonly log = new MemoryEventLog();
   readonly table = new ObjectTable();
-  peerCalls = 0;
   readonly #t: TestContext;
   readonly #processes = new Map<string, FollowProcess>();
   readonly #views = new Map<string, readonly FleetInstance[]>();
@@ -212,7 +209,6 @@
     const process = {
       name,
       faults,
-      ageMs: 0,
       callsAt: [],
       versions: [],
       hasEnded: false,
@@ -292,9 +288,6 @@
           process.versions.push(Number(event.object.version));
           this.#learn(process, event.object.value.writtenAt);
         },
-        onUpToDate: (ageMs) => {
-          process.ageMs = ageMs;
-        },
       },
       {
         list: () => this.#list(process),
--- a/test/gateway/storeRelay.test.ts
+++ b/test/gateway/storeRelay.test.ts
@@ -43,8 +43,6 @@
 
 /** Answers each call with the next of these, the last one for ever. */
 class ScriptedCalls extends FollowCalls {
-  readonly asked: string[] = [];
-
   constructor(readonly answers: Answer[]) {
     super();
   }
@@ -54,7 +52,6 @@
     { waitMs }: FollowRequest,
     timeoutMs: number,
   ): Promise<Result<FollowAnswer, FollowFault>> {
-    this.asked.push(peer.name);
     const heldMs = Math.min(waitMs, ANSWER_MS);
     await delay(Math.min(timeoutMs, heldMs));
     if (timeoutMs < heldMs) return Result.err({ reason: 'no answer in time', isRefusal: false });
