fix(mesh): direct calls keep the limit of calls to a peer, as their comment says

Found by reading: `callDirect` said that its limits are those of `call`, but only checked whether the client is closed, by a copy of that check. `call` no longer accepts a procedure that tRPC does not serve: the type says `RoutedProcedure`; before, `call(peer, 'followStore', ...)` compiled and got 404.

The test fails on the code before (a second call beyond the limit).

--- a/packages/mesh/src/node/directCalls.ts
+++ b/packages/mesh/src/node/directCalls.ts
@@ -3,17 +3,18 @@
  * others follow would spend most of its control time there.
  */
 
-import type { IncomingMessage, ServerResponse } from 'node:http';
-import type { Agent } from 'node:http';
-import type { MeshHandler, ProcedureInput, ProcedureOutput } from '../types/procedures.js';
+import type { Agent, IncomingMessage, ServerResponse } from 'node:http';
+import type {
+  DirectProcedure,
+  MeshHandler,
+  ProcedureInput,
+  ProcedureOutput,
+} from '../types/procedures.js';
 import { exchange } from '@flamingocourse/kernel';
 import { Result } from 'true-myth';
 import { inputSchemas } from '../runtime/schemas.js';
 import { MeshError } from '../utils/meshError.js';
 
-/** Procedures that are called directly. */
-export type DirectProcedure = 'followStore';
-
 /** Path of a procedure; tRPC has no procedure with a slash in its name. */
 const PATHS: Readonly<Record<string, DirectProcedure>> = { '/direct/followStore': 'followStore' };
 const MAX_INPUT_BYTES = 16_384;
--- a/packages/mesh/src/node/meshClient.ts
+++ b/packages/mesh/src/node/meshClient.ts
@@ -3,10 +3,15 @@
 import type { IncarnationId } from '@flamingocourse/core';
 import type { TRPCUntypedClient } from '@trpc/client';
 import type { MeshRouter } from '../runtime/meshRouter.js';
-import type { ProcedureInput, ProcedureName, ProcedureOutput } from '../types/procedures.js';
+import type {
+  DirectProcedure,
+  ProcedureInput,
+  ProcedureName,
+  ProcedureOutput,
+  RoutedProcedure,
+} from '../types/procedures.js';
 import type { TunnelOptions } from '../types/tunnels.js';
 import type { Socket } from 'node:net';
-import type { DirectProcedure } from './directCalls.js';
 import { Agent } from 'node:http';
 import { startTimeLimit } from '@flamingocourse/kernel';
 import { createTRPCUntypedClient, httpLink, TRPCClientError } from '@trpc/client';
@@ -85,18 +90,15 @@
   }
 
   /** Calls a procedure of a peer. For errors see {@link MeshErrorCode}. */
-  async call<P extends ProcedureName>(
+  async call<P extends RoutedProcedure>(
     target: MeshTarget,
     procedure: P,
     input: ProcedureInput<P>,
     options: MeshCallOptions = {},
   ): Promise<Result<ProcedureOutput<P>, MeshError>> {
-    if (this.#closed)
-      return Result.err(new MeshError('refused', 'this client is closed; not sent'));
-    const peer = this.#peerClient(target.meshUrl);
-    if (peer.running >= (this.#options.maxPerPeer ?? defaultMaxPerPeer)) {
-      return Result.err(new MeshError('refused', `too many calls to ${target.meshUrl}; not sent`));
-    }
+    const admitted = this.#admit(target.meshUrl);
+    if (admitted.isErr) return Result.err(admitted.error);
+    const peer = admitted.value;
     const timeoutMs = options.timeoutMs ?? this.#options.timeoutMs ?? defaultTimeoutMs;
     const limit = startTimeLimit(timeoutMs, options.signal);
     peer.running += 1;
@@ -123,17 +125,23 @@
     input: ProcedureInput<P>,
     options: MeshCallOptions = {},
   ): Promise<Result<ProcedureOutput<P>, MeshError>> {
-    if (this.#closed)
-      return Result.err(new MeshError('refused', 'this client is closed; not sent'));
+    const admitted = this.#admit(meshUrl);
+    if (admitted.isErr) return Result.err(admitted.error);
+    const peer = admitted.value;
     const { secret, timeoutMs = defaultTimeoutMs } = this.#options;
-    return callDirect(procedure, input, {
-      meshUrl,
-      agent: this.#agent,
-      headers: secret === undefined ? {} : { [secretHeader]: secret },
-      timeoutMs: options.timeoutMs ?? timeoutMs,
-      maxAnswerBytes,
-      signal: options.signal,
-    });
+    peer.running += 1;
+    try {
+      return await callDirect(procedure, input, {
+        meshUrl,
+        agent: this.#agent,
+        headers: secret === undefined ? {} : { [secretHeader]: secret },
+        timeoutMs: options.timeoutMs ?? timeoutMs,
+        maxAnswerBytes,
+        signal: options.signal,
+      });
+    } finally {
+      peer.running -= 1;
+    }
   }
 
   /**
@@ -156,6 +164,17 @@
     this.#clients.clear();
   }
 
+  /** The peer of a call that may be sent; the error says that it was not. */
+  #admit(meshUrl: string): Result<PeerClient, MeshError> {
+    if (this.#closed)
+      return Result.err(new MeshError('refused', 'this client is closed; not sent'));
+    const peer = this.#peerClient(meshUrl);
+    if (peer.running >= (this.#options.maxPerPeer ?? defaultMaxPerPeer)) {
+      return Result.err(new MeshError('refused', `too many calls to ${meshUrl}; not sent`));
+    }
+    return Result.ok(peer);
+  }
+
   #peerClient(meshUrl: string): PeerClient {
     const known = this.#clients.get(meshUrl);
     if (known) return known;
--- a/packages/mesh/src/node/meshServer.ts
+++ b/packages/mesh/src/node/meshServer.ts
@@ -3,9 +3,8 @@
 import type { IncomingMessage, RequestListener, Server, ServerResponse } from 'node:http';
 import type { AddressInfo } from 'node:net';
 import type { MeshCallContext } from '../runtime/meshRouter.js';
-import type { MeshHandler, ProcedureName } from '../types/procedures.js';
+import type { DirectProcedure, MeshHandler, ProcedureName } from '../types/procedures.js';
 import type { TunnelHandler } from '../types/tunnels.js';
-import type { DirectProcedure } from './directCalls.js';
 import type { Duplex } from 'node:stream';
 import { createHash, timingSafeEqual } from 'node:crypto';
 import { createServer } from 'node:http';
--- a/packages/mesh/src/runtime/meshRouter.ts
+++ b/packages/mesh/src/runtime/meshRouter.ts
@@ -3,7 +3,7 @@
  * into URLs.
  */
 
-import type { MeshHandler, ProcedureName } from '../types/procedures.js';
+import type { MeshHandler, ProcedureName, RoutedProcedure } from '../types/procedures.js';
 import { initTRPC, TRPCError } from '@trpc/server';
 import { inputSchemas } from './schemas.js';
 
@@ -45,7 +45,7 @@
 /** Type of the router, for typed clients. */
 export type MeshRouter = ReturnType<typeof createMeshRouter>;
 
-function createProcedure<P extends ProcedureName>(ports: MeshRouterPorts, procedure: P) {
+function createProcedure<P extends RoutedProcedure>(ports: MeshRouterPorts, procedure: P) {
   return trpc.procedure.input(inputSchemas[procedure]).mutation(async ({ ctx, input }) => {
     if (!ctx.trusted) throw refusal('UNAUTHORIZED', 'the mesh secret does not match');
     checkRecipient(ports, procedure, ctx.to);
--- a/packages/mesh/src/types/procedures.ts
+++ b/packages/mesh/src/types/procedures.ts
@@ -66,6 +66,12 @@
 
 export type ProcedureName = keyof MeshProcedures;
 
+/** Procedures that are called directly, without tRPC. */
+export type DirectProcedure = 'followStore';
+
+/** Procedures that are called through tRPC. */
+export type RoutedProcedure = Exclude<ProcedureName, DirectProcedure>;
+
 export type ProcedureInput<P extends ProcedureName> = MeshProcedures[P]['input'];
 
 export type ProcedureOutput<P extends ProcedureName> = MeshProcedures[P]['output'];
--- a/packages/router/src/node/meshAdapters.ts
+++ b/packages/router/src/node/meshAdapters.ts
@@ -14,7 +14,7 @@
   MeshError,
   MeshServer,
   ProcedureInput,
-  ProcedureName,
+  RoutedProcedure,
   ProcedureOutput,
 } from '@flamingocourse/mesh';
 import type { QuarantineExchange, QuarantineUpdate } from '../types/backendPorts.js';
@@ -63,7 +63,7 @@
     return given.map((answer) => answer.amount);
   }
 
-  async #call<P extends ProcedureName>(
+  async #call<P extends RoutedProcedure>(
     incarnation: IncarnationId,
     procedure: P,
     input: ProcedureInput<P>,
--- a/test/mesh/directCalls.test.ts
+++ b/test/mesh/directCalls.test.ts
@@ -110,6 +110,23 @@
     assert.equal(answer.isErr && answer.error.code, 'unreachable');
   });
 
+  test('beyond the limit of calls to a peer is not sent', async (t) => {
+    const server = await startServer(t);
+    server.handle('followStore', () => new Promise(() => undefined));
+    const client = new MeshClient({ timeoutMs: 200, maxPerPeer: 1 });
+    t.after(() => {
+      client.close();
+    });
+    const target = { meshUrl: server.url };
+    const first = client.callDirect(target, 'followStore', question);
+    const second = await client.callDirect(target, 'followStore', question);
+    assert.equal(second.isErr && second.error.code, 'refused');
+    const waited = await first;
+    assert.equal(waited.isErr && waited.error.code, 'timeout');
+    const third = await client.callDirect(target, 'followStore', question);
+    assert.equal(third.isErr && third.error.code, 'timeout');
+  });
+
   test('with the secret is served', async (t) => {
     const server = await startServer(t, { secret: 'of the fleet' });
     server.handle('followStore', () => Result.ok({ collections: {}, heldMs: 0 }));
