feat(gateway): interfaces for scarce capacity, uneven servers and an overloaded data centre

Two deployments have load that instances decide about one by one today, on load reports of which a fourth figure makes all unreadable, without regard to who asks or how urgent it is.

This commit holds types and abstract classes of the parts, and AdaptiveLoad, which says whether a deployment calls for them: by the terms in its settings, or because a server reported its speed. Nothing acts on it yet, so all deployments are served as before.

--- a/packages/core/src/types/placement.ts
+++ b/packages/core/src/types/placement.ts
@@ -19,6 +19,10 @@
   capacity: number;
   /** Milliseconds per stream event; undefined while unknown. */
   eventMs?: number | undefined;
+  /** How long work takes there now, as a multiple of the usual; absent if its service reports no speeds. */
+  slowdown?: number | undefined;
+  /** Expected milliseconds until a request that is sent now is answered; absent while unknown. */
+  expectedMs?: number | undefined;
   hasRoom: boolean;
   /**
    * Whether it has a rate limit, may receive a request now, and the other servers have received at
--- a/packages/gateway/src/node/createGateway.ts
+++ b/packages/gateway/src/node/createGateway.ts
@@ -22,6 +22,7 @@
 import { AnswerBuffers } from '../runtime/answerBuffers.js';
 import { BackendLanes } from './backendLanes.js';
 import { ConnectionCheck } from './connectionCheck.js';
+import { AdaptiveLoad } from '../runtime/adaptiveLoad.js';
 import { ConfigurationWatch } from './configurationWatch.js';
 import { EntryService } from './entryService.js';
 import { EvacuationWatch } from './evacuationWatch.js';
@@ -137,6 +138,7 @@
     dialects,
     rules,
     seenSoftware: new SeenSoftware(),
+    adaptiveLoad: new AdaptiveLoad(() => dialects.needsAdaptiveLoad(settings.terms)),
     buffers: new AnswerBuffers(),
     random,
   };
--- a/packages/gateway/src/types/call.ts
+++ b/packages/gateway/src/types/call.ts
@@ -79,4 +79,15 @@
 export interface ReportedLoad {
   running: number;
   waiting: number;
+  /** Requests that it runs at once; absent if the report does not tell. */
+  slots?: number;
+  /** How long work takes there at this moment, as a multiple of the usual; absent if not reported. */
+  slowdown?: number;
 }
+
+/** What the load header of a response says. */
+export type LoadReading =
+  | { type: 'none' }
+  | { type: 'load'; load: ReportedLoad }
+  /** `text` is the beginning of what could not be read, for the log. */
+  | { type: 'invalid'; text: string };
--- a/packages/gateway/src/types/context.ts
+++ b/packages/gateway/src/types/context.ts
@@ -5,6 +5,7 @@
 import type { Collection, ObjectStore, StoreDialect } from '@flamingocourse/store';
 import type { GatewayMetrics } from '../node/gatewayMetrics.js';
 import type { CallerDialect, ServerDialect } from './dialects.js';
+import type { AdaptiveLoad } from '../runtime/adaptiveLoad.js';
 import type { AnswerBuffers } from '../runtime/answerBuffers.js';
 import type { GatewaySettings } from './gatewaySettings.js';
 
@@ -20,6 +21,8 @@
   evacuations: Collection<unknown>;
   /** One object per backend server, named by the server's id. */
   serverList: Collection<ListedServer>;
+  /** Whether the terms of a deployment call for the parts that adapt to scarce room. */
+  needsAdaptiveLoad: (terms: readonly string[]) => boolean;
 }
 
 /** Objects shared by all services of the process; none of them has to be started. */
@@ -34,6 +37,8 @@
   rules: SendRules;
   /** Software versions of the backend servers that this instance has heard of lately. */
   seenSoftware: SeenSoftware;
+  /** Whether the deployment calls for the parts that adapt to scarce room and uneven servers. */
+  adaptiveLoad: AdaptiveLoad;
   /** Counts the bytes of answers that are held until they are complete. */
   buffers: AnswerBuffers;
   /** Returns a random number from 0 (inclusive) to 1 (exclusive). */
--- a/packages/gateway/src/types/gatewaySettings.ts
+++ b/packages/gateway/src/types/gatewaySettings.ts
@@ -51,6 +51,8 @@
     /** Length of the sliding window, in milliseconds. */
     windowMs: number;
   };
+  /** Terms that are in force for the deployment, as its platform names them. */
+  terms: readonly string[];
   /** Regions of the data centres, by their names; empty if they are not known. */
   regions: Readonly<Record<string, string>>;
   /** Absent where operators evacuate no data centres. */
--- a/packages/gateway/src/utils/gatewaySettingsSchema.ts
+++ b/packages/gateway/src/utils/gatewaySettingsSchema.ts
@@ -57,6 +57,10 @@
     .record(z.string(), z.string())
     .default({})
     .describe('the region of each data centre, by the name of the data centre'),
+  terms: z
+    .array(z.string())
+    .default([])
+    .describe('the terms that are in force for the deployment, as its platform names them'),
   evacuation: z.object({ applyMs: milliseconds.min(1_000) }).optional(),
   coldServers: z.object({ overshoot: z.number().min(0), slack: z.number().min(0) }).optional(),
   servers: z
--- a/test/gateway/testContext.ts
+++ b/test/gateway/testContext.ts
@@ -4,7 +4,7 @@
 import type { Clock, EventLog } from '@flamingocourse/kernel';
 import type { ObjectStore } from '@flamingocourse/store';
 import { SeenSoftware, SendRules, ServerNotices, ServerRateLimits } from '@flamingocourse/core';
-import { parseGatewaySettings } from '@flamingocourse/gateway';
+import { AdaptiveLoad, parseGatewaySettings } from '@flamingocourse/gateway';
 import { createPlatformDialects } from '@flamingocourse/platform-adapter';
 import { AnswerBuffers } from '../../packages/gateway/src/runtime/answerBuffers.js';
 import { GatewayMetrics } from '../../packages/gateway/src/node/gatewayMetrics.js';
@@ -30,6 +30,7 @@
     store,
     dialects: createPlatformDialects(),
     seenSoftware: new SeenSoftware(),
+    adaptiveLoad: new AdaptiveLoad(() => false),
     buffers: new AnswerBuffers(),
     rules: new SendRules(new ServerNotices(new ServerRateLimits(() => 0.5), () => 0.5)),
     random: () => 0.5,
