feat(gateway): callers refused for tokens come back once they can be served

Early in an outage other instances may still serve the caller, so it is sent there at once as before. If callers still arrive three seconds later, the load balancer has found no better instance: all are cut off, and a caller is asked to wait for a third of its time, 5 s at most, spread over a quarter of it. Only where the deployment calls for adaptive load.

Ruled out: no Retry-After at all, because the outage may end within the caller's time.

--- a/packages/gateway/src/node/prepaidService.ts
+++ b/packages/gateway/src/node/prepaidService.ts
@@ -25,9 +25,12 @@
 import { Lenders } from './lenders.js';
 import { LoanRequestHandler } from './loanRequestHandler.js';
 import { StoreTokens } from './storeTokens.js';
+import { TokenShortage } from '../runtime/tokenShortage.js';
 
 /** Retry delay in milliseconds for a caller that was refused because no tokens were available. */
 const TOKENS_RETRY_MS = 400;
+/** Milliseconds that a caller still waits if that is not known. */
+const UNKNOWN_LEFT_MS = 0;
 
 /**
  * Milliseconds that a request waits for tokens. An exchange takes 4 to 40 ms. If it takes longer, one side is
@@ -93,6 +96,7 @@
   #actingLenderUntil = -Infinity;
   #timer: NodeJS.Timeout | undefined;
   #stopping = false;
+  readonly #shortage = new TokenShortage();
   /** Time of the last refusal because no source of tokens was reachable. */
   #unreachableRefusalAt = -Infinity;
 
@@ -182,11 +186,13 @@
    * at once.
    *
    * @param signal ends the wait for tokens; the request is then refused.
+   * @param endsAt when the caller stops waiting for its answer; decides when it should come back.
    */
   async reserve(
     account: AccountId,
     amount: Tokens,
     signal: AbortSignal,
+    endsAt?: number,
   ): Promise<Result<PrepaidReservation, Refusal>> {
     const sources = this.#sources(account);
     sources[0]?.observe(account, amount, this.#now());
@@ -194,7 +200,7 @@
     if (held) return Result.ok(held);
     const why = await this.#fetch(sources, account, amount, signal);
     const fetched = this.#reserveHeld(account, amount);
-    return fetched ? Result.ok(fetched) : Result.err(this.#refuse(account, amount, why));
+    return fetched ? Result.ok(fetched) : Result.err(this.#refuse(account, amount, why, endsAt));
   }
 
   /** Ends a reservation with the number of used tokens. */
@@ -306,7 +312,7 @@
     else if (!isDeepStrictEqual(before, limits)) this.#store.reportSoon();
   }
 
-  #refuse(account: AccountId, amount: Tokens, why: RefusalReason): Refusal {
+  #refuse(account: AccountId, amount: Tokens, why: RefusalReason, endsAt?: number): Refusal {
     const [source = this.#store] = this.#sources(account);
     const limit = this.#limit(account);
     const { available, left, ageMs, inDoubt } = source.view(account, limit, this.#now());
@@ -331,7 +337,16 @@
       return notRun('budget-exhausted', 'The prepaid budget does not cover this request.');
     }
     const detail = 'The tokens to cover this request cannot be had here now; retry soon.';
-    return notRun('budget-unreachable', detail, TOKENS_RETRY_MS);
+    return notRun('budget-unreachable', detail, this.#retryAfterMs(why, endsAt));
+  }
+
+  #retryAfterMs(why: RefusalReason, endsAt: number | undefined): number {
+    const { adaptiveLoad, random } = this.#context;
+    if (!adaptiveLoad.isOn) return TOKENS_RETRY_MS;
+    const now = this.#now();
+    const leftMs = endsAt === undefined ? UNKNOWN_LEFT_MS : endsAt - now;
+    const isAway = why === 'away';
+    return this.#shortage.retryAfterMs({ isAway, leftMs, random: random() }, now);
   }
 
   /**
--- a/packages/gateway/src/node/requestFlow.ts
+++ b/packages/gateway/src/node/requestFlow.ts
@@ -81,12 +81,12 @@
     | { type: 'held'; reservation: PrepaidReservation | undefined }
     | { type: 'refused'; refusal: Refusal }
   > {
-    const { account, head, signal } = this.#call;
+    const { account, head, signal, endsAt } = this.#call;
     if (account?.prepaid === undefined || head.size === undefined) {
       return { type: 'held', reservation: undefined };
     }
     const most = head.size.prompt + head.size.most;
-    const reserved = await this.#parts.prepaid.reserve(account.name, most, signal);
+    const reserved = await this.#parts.prepaid.reserve(account.name, most, signal, endsAt);
     return reserved.isOk
       ? { type: 'held', reservation: reserved.value }
       : { type: 'refused', refusal: reserved.error };
