perf(platform): processes start from compiled code

After a restart an instance with a fraction of a core spent most of its first second on compiling the bundle. The build writes the compiled code of all that loading the modules runs, and a launcher gives it to V8, which ignores it if version, flags or source differ; the bundle is then compiled as before.

--- a/eslint.config.mjs
+++ b/eslint.config.mjs
@@ -104,6 +104,13 @@
     files: ['**/*.mjs'],
     languageOptions: { globals: { process: 'readonly', console: 'readonly', URL: 'readonly' } },
   },
+  {
+    files: ['**/*.cjs'],
+    languageOptions: {
+      sourceType: 'commonjs',
+      globals: { process: 'readonly', __dirname: 'readonly' },
+    },
+  },
   ...layerRules,
   adapterRules,
   prettier,
--- a/test/compat/builds.ts
+++ b/test/compat/builds.ts
@@ -25,7 +25,7 @@
  * const other = findBuild('other', '../previous');
  */
 export function findBuild(label: Build['label'], directory: string): Build {
-  const bundle = join(directory, 'target/flamingocourse.mjs');
+  const bundle = findBundle(directory);
   const router = join(directory, 'packages/router/bin/flamingocourseRouter.mjs');
   const compiled = join(directory, 'packages/router/dist/node/main.js');
   for (const file of [bundle, router, compiled]) {
@@ -36,3 +36,9 @@
   }
   return { label, bundle, router };
 }
+
+/** Earlier builds have their bundle under another name. */
+function findBundle(directory: string): string {
+  const earlier = join(directory, 'target/flamingocourse.mjs');
+  return existsSync(earlier) ? earlier : join(directory, 'target/flamingocourse.cjs');
+}
--- a/test/soak/soakProcess.ts
+++ b/test/soak/soakProcess.ts
@@ -18,7 +18,7 @@
 export class SoakProcess {
   readonly port: number;
   /** Bundle that the next start runs. */
-  bundle = 'target/flamingocourse.mjs';
+  bundle = 'target/flamingocourse.cjs';
   output = '';
   /** Whether a restart is in progress. */
   busy = false;
