feat(gateway): instances that are all cut off keep the callers whose tokens they hold

With every instance cut off from the store and its lenders, one refused request for a single account took an instance out of rotation for 3 s.

An instance now leaves for missing tokens only while at least half of its requests of the last 1.5 to 3 s were refused for it, where the deployment calls for adaptive load. A single instance that is cut off still serves the accounts whose tokens it holds; the others' callers are sent elsewhere one by one.

--- a/packages/gateway/src/node/prepaidService.ts
+++ b/packages/gateway/src/node/prepaidService.ts
@@ -25,6 +25,7 @@
 import { Lenders } from './lenders.js';
 import { LoanRequestHandler } from './loanRequestHandler.js';
 import { StoreTokens } from './storeTokens.js';
+import { RefusedShare } from '../runtime/refusedShare.js';
 import { TokenShortage } from '../runtime/tokenShortage.js';
 
 /** Retry delay in milliseconds for a caller that was refused because no tokens were available. */
@@ -67,6 +68,8 @@
  * reachable. A load balancer that probes each second and needs two failed probes has diverted them by then.
  */
 const DIVERT_MS = 3_000;
+/** Share of refused requests from which an instance diverts its callers while the deployment adapts to its load. */
+const DIVERT_SHARE = 0.5;
 
 /** Why a request was refused for missing tokens. */
 type RefusalReason =
@@ -97,6 +100,8 @@
   #timer: NodeJS.Timeout | undefined;
   #stopping = false;
   readonly #shortage = new TokenShortage();
+  /** Share of requests that were refused because no source of tokens was reachable. */
+  readonly #refusedShare = new RefusedShare();
   /** Time of the last refusal because no source of tokens was reachable. */
   #unreachableRefusalAt = -Infinity;
 
@@ -145,7 +150,18 @@
    * uses them as before.
    */
   get shouldDivertCallers(): boolean {
-    return this.#now() - this.#unreachableRefusalAt < DIVERT_MS && this.#areSourcesUnreachable;
+    const now = this.#now();
+    const wasRefused = now - this.#unreachableRefusalAt < DIVERT_MS;
+    return wasRefused && this.#areSourcesUnreachable && this.#refusesMany(now);
+  }
+
+  /**
+   * Whether too many requests are refused for the rest to be served here. If all instances are cut off and
+   * each sent its callers away for the few accounts without tokens, whole data centres would leave the tokens
+   * of the other accounts unused, and the last one would get all requests.
+   */
+  #refusesMany(now: number): boolean {
+    return !this.#context.adaptiveLoad.isOn || this.#refusedShare.at(now) >= DIVERT_SHARE;
   }
 
   get #areSourcesUnreachable(): boolean {
@@ -196,11 +212,22 @@
   ): Promise<Result<PrepaidReservation, Refusal>> {
     const sources = this.#sources(account);
     sources[0]?.observe(account, amount, this.#now());
+    const reserved = await this.#holdOrFetch(sources, account, amount, signal);
+    this.#refusedShare.record(reserved.isErr && reserved.error === 'away', this.#now());
+    return reserved.mapErr((why) => this.#refuse(account, amount, why, endsAt));
+  }
+
+  async #holdOrFetch(
+    sources: readonly TokenSource[],
+    account: AccountId,
+    amount: Tokens,
+    signal: AbortSignal,
+  ): Promise<Result<PrepaidReservation, RefusalReason>> {
     const held = this.#reserveHeld(account, amount);
     if (held) return Result.ok(held);
     const why = await this.#fetch(sources, account, amount, signal);
     const fetched = this.#reserveHeld(account, amount);
-    return fetched ? Result.ok(fetched) : Result.err(this.#refuse(account, amount, why, endsAt));
+    return fetched ? Result.ok(fetched) : Result.err(why);
   }
 
   /** Ends a reservation with the number of used tokens. */
