refactor(gateway): refusals for missing tokens in a module of their own

What a refusal says, when its caller comes back and whether callers are diverted now stands together. No change of behaviour.

--- a/packages/gateway/src/node/prepaidService.ts
+++ b/packages/gateway/src/node/prepaidService.ts
@@ -13,25 +13,19 @@
 } from '@flamingocourse/core';
 import type { Kernel } from '@flamingocourse/kernel';
 import type { GatewayContext } from '../types/context.js';
+import type { TokenRefusalReason } from './tokenRefusals.js';
 import type { LoanCalls } from '../types/loans.js';
 import type { TokenSource } from '../types/tokenSource.js';
 import { isDeepStrictEqual } from 'node:util';
 import { PrepaidHolder, PrepaidSizing, chooseLenders, rankLenders } from '@flamingocourse/core';
 import { Service, startTimeLimit } from '@flamingocourse/kernel';
-import { notRun } from '@flamingocourse/router';
 import { Result } from 'true-myth';
 import { ConfigurationWatch } from './configurationWatch.js';
 import { InstanceDirectory } from './instanceDirectory.js';
 import { Lenders } from './lenders.js';
 import { LoanRequestHandler } from './loanRequestHandler.js';
 import { StoreTokens } from './storeTokens.js';
-import { RefusedShare } from '../runtime/refusedShare.js';
-import { TokenShortage } from '../runtime/tokenShortage.js';
-
-/** Retry delay in milliseconds for a caller that was refused because no tokens were available. */
-const TOKENS_RETRY_MS = 400;
-/** Milliseconds that a caller still waits if that is not known. */
-const UNKNOWN_LEFT_MS = 0;
+import { TokenRefusals } from './tokenRefusals.js';
 
 /**
  * Milliseconds that a request waits for tokens. An exchange takes 4 to 40 ms. If it takes longer, one side is
@@ -63,27 +57,6 @@
  */
 const INITIAL_LENDING_SHARE = 0.2;
 
-/**
- * Milliseconds for which callers are diverted after a request was refused because no source of tokens was
- * reachable. A load balancer that probes each second and needs two failed probes has diverted them by then.
- */
-const DIVERT_MS = 3_000;
-/** Share of refused requests from which an instance diverts its callers while the deployment adapts to its load. */
-const DIVERT_SHARE = 0.5;
-
-/** Why a request was refused for missing tokens. */
-type RefusalReason =
-  /** No source answered its last call. */
-  | 'away'
-  /** All instances together exceed the rate limit of the store. */
-  | 'throttled'
-  /** A recent answer of the source shows too few tokens. */
-  | 'short'
-  /** The tokens were requested but did not arrive in time. */
-  | 'not-had'
-  /** The other instances are not known yet. */
-  | 'unknown-fleet';
-
 /** Service for prepaid budgets. Registered as `prepaid`. */
 export class PrepaidService extends Service {
   override readonly name = 'prepaid';
@@ -99,15 +72,12 @@
   #actingLenderUntil = -Infinity;
   #timer: NodeJS.Timeout | undefined;
   #stopping = false;
-  readonly #shortage = new TokenShortage();
-  /** Share of requests that were refused because no source of tokens was reachable. */
-  readonly #refusedShare = new RefusedShare();
-  /** Time of the last refusal because no source of tokens was reachable. */
-  #unreachableRefusalAt = -Infinity;
+  readonly #refusals: TokenRefusals;
 
   constructor(context: GatewayContext, incarnation: string, calls: LoanCalls) {
     super();
     this.#context = context;
+    this.#refusals = new TokenRefusals(context);
     const { rideThroughSeconds } = context.settings.prepaid;
     const sizing = new PrepaidSizing({ rideThroughSeconds });
     const holder = this.#createHolder(incarnation, sizing, 'stay');
@@ -150,18 +120,7 @@
    * uses them as before.
    */
   get shouldDivertCallers(): boolean {
-    const now = this.#now();
-    const wasRefused = now - this.#unreachableRefusalAt < DIVERT_MS;
-    return wasRefused && this.#areSourcesUnreachable && this.#refusesMany(now);
-  }
-
-  /**
-   * Whether too many requests are refused for the rest to be served here. If all instances are cut off and
-   * each sent its callers away for the few accounts without tokens, whole data centres would leave the tokens
-   * of the other accounts unused, and the last one would get all requests.
-   */
-  #refusesMany(now: number): boolean {
-    return !this.#context.adaptiveLoad.isOn || this.#refusedShare.at(now) >= DIVERT_SHARE;
+    return this.#areSourcesUnreachable && this.#refusals.callForDiversion(this.#now());
   }
 
   get #areSourcesUnreachable(): boolean {
@@ -213,7 +172,7 @@
     const sources = this.#sources(account);
     sources[0]?.observe(account, amount, this.#now());
     const reserved = await this.#holdOrFetch(sources, account, amount, signal);
-    this.#refusedShare.record(reserved.isErr && reserved.error === 'away', this.#now());
+    this.#refusals.recordOutcome(reserved.isErr ? reserved.error : undefined, this.#now());
     return reserved.mapErr((why) => this.#refuse(account, amount, why, endsAt));
   }
 
@@ -222,7 +181,7 @@
     account: AccountId,
     amount: Tokens,
     signal: AbortSignal,
-  ): Promise<Result<PrepaidReservation, RefusalReason>> {
+  ): Promise<Result<PrepaidReservation, TokenRefusalReason>> {
     const held = this.#reserveHeld(account, amount);
     if (held) return Result.ok(held);
     const why = await this.#fetch(sources, account, amount, signal);
@@ -262,7 +221,7 @@
     account: AccountId,
     amount: Tokens,
     signal: AbortSignal,
-  ): Promise<RefusalReason> {
+  ): Promise<TokenRefusalReason> {
     if (sources.length === 0) return 'unknown-fleet';
     const limit = startTimeLimit(FETCH_WAIT_MS, signal);
     try {
@@ -277,7 +236,7 @@
     sources: readonly TokenSource[],
     account: AccountId,
     amount: Tokens,
-  ): Promise<RefusalReason> {
+  ): Promise<TokenRefusalReason> {
     for (const source of sources) {
       const outlook = source.fetchOutlook(account, amount);
       if (outlook === 'away') continue;
@@ -339,51 +298,11 @@
     else if (!isDeepStrictEqual(before, limits)) this.#store.reportSoon();
   }
 
-  #refuse(account: AccountId, amount: Tokens, why: RefusalReason, endsAt?: number): Refusal {
+  #refuse(account: AccountId, amount: Tokens, why: TokenRefusalReason, endsAt?: number): Refusal {
     const [source = this.#store] = this.#sources(account);
     const limit = this.#limit(account);
-    const { available, left, ageMs, inDoubt } = source.view(account, limit, this.#now());
-    const usedUp = this.#isUsedUp(left, amount);
-    if (why === 'away' && !usedUp) this.#unreachableRefusalAt = this.#now();
-    this.#context.metrics.prepaidRefused(account, usedUp ? 'used-up' : why);
-    this.#context.log.write('prepaid-refused', {
-      account,
-      amount,
-      why,
-      source: source.name,
-      free: source.free(account),
-      held: source.held(account),
-      available,
-      left,
-      limit: Number.isFinite(limit) ? limit : undefined,
-      inDoubt,
-      pageAgeMs: Number.isFinite(ageMs) ? Math.round(ageMs) : undefined,
-      usedUp,
-    });
-    if (usedUp) {
-      return notRun('budget-exhausted', 'The prepaid budget does not cover this request.');
-    }
-    const detail = 'The tokens to cover this request cannot be had here now; retry soon.';
-    return notRun('budget-unreachable', detail, this.#retryAfterMs(why, endsAt));
-  }
-
-  #retryAfterMs(why: RefusalReason, endsAt: number | undefined): number {
-    const { adaptiveLoad, random } = this.#context;
-    if (!adaptiveLoad.isOn) return TOKENS_RETRY_MS;
-    const now = this.#now();
-    const leftMs = endsAt === undefined ? UNKNOWN_LEFT_MS : endsAt - now;
-    const isAway = why === 'away';
-    return this.#shortage.retryAfterMs({ isAway, leftMs, random: random() }, now);
-  }
-
-  /**
-   * Whether the budget certainly cannot cover the amount, wherever the remaining tokens are held. Spending
-   * only grows, so older information proves this too. The configuration must be recent, however, because an
-   * instance that is cut off from the store may not know of a raised limit.
-   */
-  #isUsedUp(left: Tokens | undefined, amount: Tokens): boolean {
-    const isFresh = this.#configuration?.isFresh(this.#now()) ?? false;
-    return isFresh && left !== undefined && left < amount;
+    const isLimitFresh = this.#configuration?.isFresh(this.#now()) ?? false;
+    return this.#refusals.refuse({ account, amount, why, source, limit, isLimitFresh, endsAt });
   }
 
   #limit(account: AccountId): Tokens {
