feat(gateway): instances exchange demand and pressure through a collector

Callers: no change yet; nothing reads the view. An instance knows today only its own requests, so what an account gets depends on where its requests enter (docs/design/hard-load.md, measurements).

Each instance reports to a collector of its data centre, chosen by rendezvous order, over the new direct mesh procedure shareConditions; first collectors exchange sums between data centres. Reports expire after 3 s, a silent collector is replaced by the next in the order, and an instance that has no answer uses its own view. An instance to which others report, reports only to one before it in the order, so sums are never counted in a circle. Builds without the procedure count as silent. Nothing is sent while AdaptiveLoad is off.

The bounds of the test are 6 and 22 calls in 10 s and 2 KB a second for an instance that is not a first collector.

--- /dev/null
+++ b/packages/core/src/runtime/conditions/index.ts
@@ -0,0 +1,4 @@
+export * from './collectorOrder.js';
+export * from './conditionTable.js';
+export * from './demandSums.js';
+export * from './packedSums.js';
--- a/packages/core/src/types/fleetConditions.ts
+++ b/packages/core/src/types/fleetConditions.ts
@@ -60,3 +60,23 @@
   /** Sum over all instances that were heard of. */
   demand: Record<ServiceName, ServiceDemand>;
 }
+
+/** Which instances a sum covers. */
+export type ConditionScope = 'members' | 'data-centre' | 'fleet';
+
+/**
+ * Sums over one instance, those that report to a collector, a data centre or the fleet. Collectors and
+ * those that report to them exchange these.
+ */
+export interface ConditionSums {
+  /** Instance that sends the sums. */
+  from: string;
+  dataCentre: DataCentreId;
+  scope: ConditionScope;
+  /** Milliseconds since they were made. */
+  ageMs: number;
+  dataCentres: DataCentreCondition[];
+  /** Instances of the sender's data centre, the most pressed ones first; not all in a large one. */
+  peers: InstanceCondition[];
+  demand: Record<ServiceName, ServiceDemand>;
+}
--- a/packages/gateway/src/node/createGateway.ts
+++ b/packages/gateway/src/node/createGateway.ts
@@ -14,6 +14,8 @@
   SendRules,
   ServerNotices,
   ServerRateLimits,
+  packSums,
+  unpackSums,
 } from '@flamingocourse/core';
 import { Kernel, describeError } from '@flamingocourse/kernel';
 import { MeshClient, MeshServer } from '@flamingocourse/mesh';
@@ -25,11 +27,13 @@
 import { AdaptiveLoad } from '../runtime/adaptiveLoad.js';
 import { ConfigurationWatch } from './configurationWatch.js';
 import { EntryService } from './entryService.js';
+import { FleetConditionsService } from './fleetConditionsService.js';
 import { EvacuationWatch } from './evacuationWatch.js';
 import { GatewayMetrics } from './gatewayMetrics.js';
 import { HttpHealthCheck } from './httpHealthCheck.js';
 import { InstanceDirectory } from './instanceDirectory.js';
 import { StoredCrashCauses } from './storedCrashCauses.js';
+import { MeshConditionCalls } from './meshConditionCalls.js';
 import { MeshFollowCalls } from './meshFollowCalls.js';
 import { MeshLoanCalls } from './meshLoanCalls.js';
 import { MeshGossipCalls } from './meshGossipCalls.js';
@@ -155,6 +159,7 @@
   });
   const incarnation = randomUUID();
   const gossip = new GossipService(context, incarnation, new MeshGossipCalls(peers));
+  const conditions = new FleetConditionsService(context, new MeshConditionCalls(peers));
   const paths = new ServerPaths(context, agent, new MeshTunnelCalls(peers));
   const crashCheck = new ConnectionCheck(agent, paths);
   const causes = new StoredCrashCauses(context);
@@ -169,6 +174,7 @@
     .register(lanes)
     .register(instances)
     .register(gossip)
+    .register(conditions)
     .register(causes);
   const streams = new StreamOrigins(context, new MeshStreamCalls(peers));
   kernel.register(streams);
@@ -178,6 +184,7 @@
     mesh.handle('followStore', (request) => relay.answer(request));
     mesh.handle('borrow', async (req) => Result.ok(await prepaid.lend(req)));
     mesh.handle('exchangeNews', (message) => Result.ok(gossip.handleMessage(message)));
+    mesh.handle('shareConditions', (sums) => conditions.answer(unpackSums(sums)).map(packSums));
     mesh.handle('keepStreams', (message) => {
       streams.keep(message.streams);
       return Result.ok('kept');
--- a/packages/gateway/src/types/fleetConditions.ts
+++ b/packages/gateway/src/types/fleetConditions.ts
@@ -1,12 +1,36 @@
 /** Interfaces of the exchange of demand and pressure between the instances of a fleet. */
 
-import type { FleetInstance, FleetView, InstanceReport, PressureLevel } from '@flamingocourse/core';
+import type {
+  ConditionSums,
+  FleetInstance,
+  FleetView,
+  PressureLevel,
+  ServiceDemand,
+  ServiceName,
+} from '@flamingocourse/core';
 import type { Result } from 'true-myth';
 
 /** Source of the own instance's pressure. */
 export abstract class PressureSource {
   /** The present pressure of this instance. */
   abstract pressure(now: number): PressureLevel;
+  /** Whether this instance takes itself for ready. */
+  isReady(): boolean {
+    return true;
+  }
+}
+
+/** Pressure of an instance that does not measure it. */
+export class AlwaysCalm extends PressureSource {
+  override pressure(): PressureLevel {
+    return 'calm';
+  }
+}
+
+/** Source of what was asked of this instance. */
+export abstract class DemandSource {
+  /** What was asked of each service lately. */
+  abstract demand(now: number): Record<ServiceName, ServiceDemand>;
 }
 
 /** What this instance knows of demand and pressure in the fleet. */
@@ -15,14 +39,14 @@
   abstract view(now: number): FleetView;
 }
 
-/** Sends reports to the collector of a data centre. */
+/** Sends sums to a collector. */
 export abstract class ConditionCalls {
   /**
-   * Sends reports and returns what the collector knows of the fleet. Never rejects and returns
-   * within a bounded time; the error says why there is no answer.
+   * Sends sums and returns what the collector knows. Never rejects and returns within a bounded
+   * time; the error says why there is no answer.
    */
-  abstract report(
+  abstract share(
     collector: FleetInstance,
-    reports: readonly InstanceReport[],
-  ): Promise<Result<FleetView, string>>;
+    sums: ConditionSums,
+  ): Promise<Result<ConditionSums, string>>;
 }
--- a/packages/kernel/src/runtime/eventCatalogue.ts
+++ b/packages/kernel/src/runtime/eventCatalogue.ts
@@ -100,6 +100,17 @@
     text: 'fewer instances than planned know what began some streams, because others did not answer',
     action: 'Check the network between the instances.',
   },
+  'conditions-lost': {
+    number: 305,
+    level: 'warn',
+    text: 'no collector of reports answers; this instance divides overloaded services by what it sees itself',
+    action: 'Check the network between the instances of this data centre.',
+  },
+  'conditions-regained': {
+    number: 306,
+    level: 'info',
+    text: 'this instance has the sums of the fleet again',
+  },
   'tunnels-opened': {
     number: 310,
     level: 'info',
--- a/packages/mesh/src/node/directCalls.ts
+++ b/packages/mesh/src/node/directCalls.ts
@@ -16,7 +16,10 @@
 import { MeshError } from '../utils/meshError.js';
 
 /** Path of a procedure; tRPC has no procedure with a slash in its name. */
-const PATHS: Readonly<Record<string, DirectProcedure>> = { '/direct/followStore': 'followStore' };
+const PATHS: Readonly<Record<string, DirectProcedure>> = {
+  '/direct/followStore': 'followStore',
+  '/direct/shareConditions': 'shareConditions',
+};
 const MAX_INPUT_BYTES = 16_384;
 
 const statusInvalid = 400;
--- a/packages/mesh/src/node/meshServer.ts
+++ b/packages/mesh/src/node/meshServer.ts
@@ -211,8 +211,14 @@
     res: ServerResponse,
   ): Promise<void> {
     const isTrustedCall = isTrusted(req.headers[secretHeader], this.#options.secret);
-    const handler = this.#handlers[procedure];
-    return answerDirect({ procedure, req, res, isTrusted: isTrustedCall, handler });
+    const call = { req, res, isTrusted: isTrustedCall };
+    const { followStore, shareConditions } = this.#handlers;
+    switch (procedure) {
+      case 'followStore':
+        return answerDirect({ ...call, procedure, handler: followStore });
+      case 'shareConditions':
+        return answerDirect({ ...call, procedure, handler: shareConditions });
+    }
   }
 
   #sendStatus(res: ServerResponse): void {
--- a/packages/mesh/src/runtime/schemas.ts
+++ b/packages/mesh/src/runtime/schemas.ts
@@ -13,7 +13,11 @@
 import type { ZodType } from 'zod';
 import type { ProcedureInput, ProcedureName } from '../types/procedures.js';
 import type { PackedHeartbeat, PackedMember } from './heartbeatCodec.js';
-import { MAX_FACTS_PER_MESSAGE, MAX_STREAMS_PER_MESSAGE } from '@flamingocourse/core';
+import {
+  MAX_FACTS_PER_MESSAGE,
+  MAX_STREAMS_PER_MESSAGE,
+  packedSumsSchema,
+} from '@flamingocourse/core';
 import { z } from 'zod';
 
 const maxIdLength = 300;
@@ -168,6 +172,7 @@
   exchangeNews: gossipMessageSchema,
   keepStreams: z.object({ streams: z.array(streamRecordSchema).max(MAX_STREAMS_PER_MESSAGE) }),
   findStream: z.object({ key: streamKey, services: z.array(id).max(maxServices) }),
+  shareConditions: packedSumsSchema,
   shareHints: z.object({
     hints: z.array(z.object({ topic: id, body: z.string().max(maxHintLength) })).max(maxHints),
   }),
--- a/packages/mesh/src/types/procedures.ts
+++ b/packages/mesh/src/types/procedures.ts
@@ -12,6 +12,7 @@
   LoanAnswer,
   LoanRequest,
   GossipMessage,
+  PackedSums,
   ServiceName,
   StreamAnswer,
   StreamKey,
@@ -61,13 +62,15 @@
   keepStreams: { input: { streams: StreamRecord[] }; output: 'kept' };
   /** Asks a peer what began a stream, and which software it has seen of these services. */
   findStream: { input: { key: StreamKey; services: ServiceName[] }; output: StreamAnswer };
+  /** Reports demand and pressure to a collector, which answers with what it knows of the fleet. */
+  shareConditions: { input: PackedSums; output: PackedSums };
   shareHints: { input: { hints: Hint[] }; output: 'taken' };
 }
 
 export type ProcedureName = keyof MeshProcedures;
 
 /** Procedures that are called directly, without tRPC. */
-export type DirectProcedure = 'followStore';
+export type DirectProcedure = 'followStore' | 'shareConditions';
 
 /** Procedures that are called through tRPC. */
 export type RoutedProcedure = Exclude<ProcedureName, DirectProcedure>;
