feat(core): levels, capacity and admission of fair shares by account

Callers: no change yet. What an account gets of an overloaded service depends today on where its requests enter; a queue makes all of them late.

Reports carry the lateness of what was served, because the level has to be lowered by it.

--- a/packages/core/src/index.ts
+++ b/packages/core/src/index.ts
@@ -37,6 +37,7 @@
 export * from './runtime/configStore/index.js';
 export * from './runtime/membership/index.js';
 export * from './runtime/quarantine/index.js';
+export * from './runtime/fairShare/index.js';
 export * from './runtime/gossip/index.js';
 export * from './runtime/prepaid/index.js';
 export * from './runtime/routes/routeTable.js';
--- a/packages/core/src/runtime/conditions/demandSums.ts
+++ b/packages/core/src/runtime/conditions/demandSums.ts
@@ -24,7 +24,13 @@
 
 /** Demand for a service that nobody asks for. */
 export function noDemand(): ServiceDemand {
-  return { accounts: {}, rest: { accounts: 0, room: noRoom() }, served: 0, crowded: false };
+  return {
+    accounts: {},
+    rest: { accounts: 0, room: noRoom() },
+    served: 0,
+    lateness: 0,
+    crowded: false,
+  };
 }
 
 /**
@@ -98,7 +104,7 @@
 function sumOf(demands: readonly ServiceDemand[]): ServiceDemand {
   const sum = noDemand();
   const accounts = new Map<AccountId, RoomByImportance>();
-  for (const { accounts: named, rest, served, crowded } of demands) {
+  for (const { accounts: named, rest, served, lateness, crowded } of demands) {
     for (const [account, room] of Object.entries(named)) {
       const known = accounts.get(account) ?? noRoom();
       addRoom(known, room);
@@ -106,7 +112,11 @@
     }
     sum.rest.accounts = Math.max(sum.rest.accounts, rest.accounts);
     addRoom(sum.rest.room, rest.room);
+    const before = sum.served;
     sum.served += served;
+    if (sum.served > 0) {
+      sum.lateness = (before * sum.lateness + served * lateness) / sum.served;
+    }
     sum.crowded ||= crowded;
   }
   sum.accounts = Object.fromEntries(accounts);
--- a/packages/core/src/runtime/conditions/packedSums.ts
+++ b/packages/core/src/runtime/conditions/packedSums.ts
@@ -37,11 +37,21 @@
   dcs: z.array(z.tuple([name, count, count, count, count, amount])).max(MAX_DATA_CENTRES),
   /** A name alone stands for an instance that is calm and ready, whose age is that of the sums. */
   peers: z.array(z.union([name, z.tuple([name, level, z.boolean(), amount])])).max(MAX_NAMED_PEERS),
-  /** Service, served room, whether it is crowded, named accounts, other accounts and their room. */
+  /** Service, served room, lateness, whether it is crowded, named accounts, other accounts and their room. */
   demand: z
-    .array(z.tuple([name, amount, z.boolean(), z.array(z.tuple([accountName, room])), count, room]))
+    .array(
+      z.tuple([
+        name,
+        amount,
+        amount,
+        z.boolean(),
+        z.array(z.tuple([accountName, room])),
+        count,
+        room,
+      ]),
+    )
     .max(MAX_REPORTED_SERVICES)
-    .refine((services) => services.every(([, , , named]) => named.length <= MAX_NAMED_ACCOUNTS)),
+    .refine((services) => services.every(([, , , , named]) => named.length <= MAX_NAMED_ACCOUNTS)),
 });
 
 /** Message between instances. */
@@ -124,17 +134,26 @@
 
 function packDemand(
   service: string,
-  { accounts, rest, served, crowded }: ServiceDemand,
+  { accounts, rest, served, lateness, crowded }: ServiceDemand,
 ): PackedSums['demand'][number] {
   const named = Object.entries(accounts).map(([account, each]): [string, number[]] => {
     return [account, packRoom(each)];
   });
-  return [service, rounded(served), crowded, named, rest.accounts, packRoom(rest.room)];
+  return [
+    service,
+    rounded(served),
+    rounded(lateness),
+    crowded,
+    named,
+    rest.accounts,
+    packRoom(rest.room),
+  ];
 }
 
 function unpackDemand([
   service,
   served,
+  lateness,
   crowded,
   named,
   accounts,
@@ -142,7 +161,7 @@
 ]: PackedSums['demand'][number]): [string, ServiceDemand] {
   const rooms = named.map(([account, each]) => [account, unpackRoom(each)] as const);
   const rest = { accounts, room: unpackRoom(others) };
-  return [service, { accounts: Object.fromEntries(rooms), rest, served, crowded }];
+  return [service, { accounts: Object.fromEntries(rooms), rest, served, lateness, crowded }];
 }
 
 function packRoom(unpacked: RoomByImportance): number[] {
--- a/packages/core/src/types/fleetConditions.ts
+++ b/packages/core/src/types/fleetConditions.ts
@@ -20,6 +20,8 @@
   rest: { accounts: number; room: RoomByImportance };
   /** Room that requests got, in slots. */
   served: number;
+  /** How long the served requests waited, as a part of their targets; the mean by room. */
+  lateness: number;
   /** Whether requests waited longer than their targets allow. */
   crowded: boolean;
 }
--- a/test/gateway/fleet/conditionsFleet.ts
+++ b/test/gateway/fleet/conditionsFleet.ts
@@ -1,11 +1,12 @@
 /** The services that exchange demand and pressure of a whole fleet, on a manual clock. */
 
 import type { ConditionSums, FleetInstance, ServiceDemand } from '@flamingocourse/core';
+import type { DemandSource } from '@flamingocourse/gateway';
 import type { TestContext } from 'node:test';
 import { syncBuiltinESMExports } from 'node:module';
 import { setImmediate as turn, setTimeout as delay } from 'node:timers/promises';
 import { packSums, packedSumsSchema, unpackSums } from '@flamingocourse/core';
-import { AdaptiveLoad, ConditionCalls, DemandSource } from '@flamingocourse/gateway';
+import { AdaptiveLoad, ConditionCalls } from '@flamingocourse/gateway';
 import { Kernel, ManualClock, MemoryEventLog } from '@flamingocourse/kernel';
 import { MemoryObjectStore } from '@flamingocourse/store';
 import { Result } from 'true-myth';
@@ -19,6 +20,13 @@
 const CALL_TIMEOUT_MS = 300;
 const STEP_MS = 5;
 
+/** A store that is down: whatever is asked of it fails. */
+const lostStore = new Proxy(new MemoryObjectStore(), {
+  get: (_store, name) => {
+    throw new Error(`the store is down: ${String(name)}`);
+  },
+});
+
 export const SERVICE = 'writer';
 
 /** Demand of one account, in slots. */
@@ -28,14 +36,14 @@
   });
   const rest = { accounts: 0, room: { first: 0, standard: 0, background: 0 } };
   const served = Object.values(accounts).reduce((sum, each) => sum + each, 0);
-  return { accounts: Object.fromEntries(rooms), rest, served, crowded };
+  return { accounts: Object.fromEntries(rooms), rest, served, lateness: 0, crowded };
 }
 
 /** A demand that a test sets. */
-export class SetDemand extends DemandSource {
+export class SetDemand implements DemandSource {
   current: Record<string, ServiceDemand> = {};
 
-  override demand(): Record<string, ServiceDemand> {
+  demand(): Record<string, ServiceDemand> {
     return this.current;
   }
 }
@@ -218,7 +226,7 @@
   }
 
   async #startProcess(instance: FleetInstance): Promise<void> {
-    const base = testContext(this.clock, this.log, new MemoryObjectStore());
+    const base = testContext(this.clock, this.log, lostStore);
     const { name, dataCentre } = instance;
     const context = {
       ...base,
