feat(gateway): accounts share overloaded services, whichever instances they enter through

RoomService asks AccountRoomSharing after the token reservation and before the first place. It admits a fraction of the requests of accounts above the level; a refusal is immediate, overloaded and not run, and no retry inside the same request is asked about again. Work is estimated by route from answers, waits from the time before the place and the first byte beyond the usual one.

Events 307 and 308, the counter flamingocourse_account_share_refused_total and four gauges show it.

--- a/packages/gateway/src/node/createGateway.ts
+++ b/packages/gateway/src/node/createGateway.ts
@@ -40,6 +40,7 @@
 import { MeshTunnelCalls } from './meshTunnelCalls.js';
 import { GossipService } from './gossipService.js';
 import { PrepaidService } from './prepaidService.js';
+import { RoomService } from './roomService.js';
 import { ServerAgent } from './serverAgent.js';
 import { ServerDirectory } from './serverDirectory.js';
 import { ServerTunnels } from './serverTunnels.js';
@@ -160,6 +161,7 @@
   const incarnation = randomUUID();
   const gossip = new GossipService(context, incarnation, new MeshGossipCalls(peers));
   const conditions = new FleetConditionsService(context, new MeshConditionCalls(peers));
+  const room = new RoomService(context, conditions);
   const paths = new ServerPaths(context, agent, new MeshTunnelCalls(peers));
   const crashCheck = new ConnectionCheck(agent, paths);
   const causes = new StoredCrashCauses(context);
@@ -175,6 +177,7 @@
     .register(instances)
     .register(gossip)
     .register(conditions)
+    .register(room)
     .register(causes);
   const streams = new StreamOrigins(context, new MeshStreamCalls(peers));
   kernel.register(streams);
--- a/packages/gateway/src/node/entryService.ts
+++ b/packages/gateway/src/node/entryService.ts
@@ -44,6 +44,7 @@
 import { readRequestBody } from './readRequestBody.js';
 import { LISTEN_BACKLOG } from './reopenListener.js';
 import { RequestFlow } from './requestFlow.js';
+import { RoomService } from './roomService.js';
 import { doneAfterMs, requestFields } from './requestLogLine.js';
 import { ServerDirectory } from './serverDirectory.js';
 import type { ServerProcesses } from './serverProcesses.js';
@@ -80,6 +81,7 @@
     'lanes',
     'prepaid',
     'streams',
+    'room',
   ];
   readonly #context: GatewayContext;
   readonly #agent: ServerAgent;
@@ -154,6 +156,7 @@
     const prepaid = kernel.get('prepaid', PrepaidService);
     const directory = kernel.get('directory', ServerDirectory);
     const streams = kernel.get('streams', StreamOrigins);
+    const room = kernel.get('room', RoomService);
     this.#parts = {
       context: this.#context,
       lanes,
@@ -162,6 +165,7 @@
       agent: this.#agent,
       processes: this.#processes,
       streams,
+      room,
     };
     this.#evacuations = kernel.get('evacuations', EvacuationWatch);
     this.#configuration = kernel.get('configuration', ConfigurationWatch);
--- a/packages/gateway/src/node/gatewayMetrics.ts
+++ b/packages/gateway/src/node/gatewayMetrics.ts
@@ -71,6 +71,12 @@
     labelNames: ['account', 'why'],
     registers: [this.#registry],
   });
+  readonly #shareRefused = new Counter({
+    name: 'flamingocourse_account_share_refused_total',
+    help: 'requests refused because their account has used its fair share of an overloaded service',
+    labelNames: ['service', 'account'],
+    registers: [this.#registry],
+  });
   readonly #quarantined = new Counter({
     name: 'flamingocourse_requests_quarantined_total',
     help: 'requests that this instance began to refuse because servers end under them',
@@ -143,6 +149,11 @@
     this.#prepaidRefused.inc({ account, why });
   }
 
+  /** Counts a request that was refused by its account's fair share of an overloaded service. */
+  shareRefused(service: string, account: string): void {
+    this.#shareRefused.inc({ service, account });
+  }
+
   /** Counts a request that is refused from now on because it crashes backend servers. */
   quarantined(): void {
     this.#quarantined.inc();
--- a/packages/gateway/src/node/requestFlow.ts
+++ b/packages/gateway/src/node/requestFlow.ts
@@ -70,13 +70,27 @@
     if (reserved.type === 'refused') return this.#refuse(reserved.refusal);
     let outcome: Outcome | undefined;
     try {
-      outcome = await this.#sendWithRetries();
+      outcome = await this.#sendWithinShare();
       return outcome;
     } finally {
       this.#settle(reserved.reservation, outcome);
     }
   }
 
+  /** Asks once for the request's part of an overloaded service; its retries are not asked about. */
+  async #sendWithinShare(): Promise<Outcome> {
+    const { room } = this.#parts;
+    const ticket = room.ask(this.#call);
+    if (ticket.refusal) return this.#refuse(ticket.refusal);
+    let outcome: Outcome | undefined;
+    try {
+      outcome = await this.#sendWithRetries();
+      return outcome;
+    } finally {
+      room.recordEnd(ticket, this.#call, this.#progress, outcome);
+    }
+  }
+
   async #reserve(): Promise<
     | { type: 'held'; reservation: PrepaidReservation | undefined }
     | { type: 'refused'; refusal: Refusal }
--- a/packages/gateway/src/node/serverAttempt.ts
+++ b/packages/gateway/src/node/serverAttempt.ts
@@ -219,6 +219,7 @@
     const end = await this.#relayBody(open);
     if (end.type === 'whole') {
       const now = this.#now();
+      this.#progress.firstByteAt = end.firstByteAt;
       this.#placement.end('ok', (end.firstByteAt ?? now) - this.#startedAt);
       this.#parts.context.metrics.attempt(this.#call.service.name, 'answered');
       return { type: 'answered', status };
--- a/packages/gateway/src/node/statusService.ts
+++ b/packages/gateway/src/node/statusService.ts
@@ -9,6 +9,7 @@
 import { Service } from '@flamingocourse/kernel';
 import { EntryService } from './entryService.js';
 import { EvacuationWatch } from './evacuationWatch.js';
+import { RoomService } from './roomService.js';
 import { ServerDirectory } from './serverDirectory.js';
 import { ServerPaths } from './serverPaths.js';
 import { StreamOrigins } from './streamOrigins.js';
@@ -23,7 +24,7 @@
 /** Service with the readiness and metrics listeners. Registered as `status`. */
 export class StatusService extends Service {
   override readonly name = 'status';
-  override readonly dependsOn = ['entry', 'directory', 'evacuations', 'paths', 'streams'];
+  override readonly dependsOn = ['entry', 'directory', 'evacuations', 'paths', 'streams', 'room'];
   readonly #context: GatewayContext;
   readonly #relay: StoreRelay;
   readonly #servers: Server[] = [];
@@ -32,6 +33,7 @@
   #evacuations: EvacuationWatch | undefined;
   #paths: ServerPaths | undefined;
   #streams: StreamOrigins | undefined;
+  #room: RoomService | undefined;
   #wasReady: boolean | undefined;
   #timer: NodeJS.Timeout | undefined;
 
@@ -47,6 +49,7 @@
     this.#evacuations = kernel.get('evacuations', EvacuationWatch);
     this.#paths = kernel.get('paths', ServerPaths);
     this.#streams = kernel.get('streams', StreamOrigins);
+    this.#room = kernel.get('room', RoomService);
     const { ready, metrics } = this.#context.settings.listen;
     this.#timer = setInterval(() => {
       this.#logStoreCalls();
@@ -123,6 +126,7 @@
     metrics.gauge('store_followers', followersHelp, this.#relay.followers);
     const followsHelp = '1 while this instance follows the store through another one';
     metrics.gauge('store_follows', followsHelp, this.#relay.watcher === undefined ? 0 : 1);
+    this.#room?.setGauges();
     metrics.storeCalls(store.counters);
     metrics.collectionCalls(store.collectionCalls);
     const text = await metrics.text();
--- a/packages/gateway/src/types/fleetConditions.ts
+++ b/packages/gateway/src/types/fleetConditions.ts
@@ -28,9 +28,9 @@
 }
 
 /** Source of what was asked of this instance. */
-export abstract class DemandSource {
+export interface DemandSource {
   /** What was asked of each service lately. */
-  abstract demand(now: number): Record<ServiceName, ServiceDemand>;
+  demand(now: number): Record<ServiceName, ServiceDemand>;
 }
 
 /** What this instance knows of demand and pressure in the fleet. */
--- a/packages/gateway/src/types/flowParts.ts
+++ b/packages/gateway/src/types/flowParts.ts
@@ -2,6 +2,7 @@
 
 import type { BackendLanes } from '../node/backendLanes.js';
 import type { PrepaidService } from '../node/prepaidService.js';
+import type { RoomService } from '../node/roomService.js';
 import type { ServerAgent } from '../node/serverAgent.js';
 import type { ServerDirectory } from '../node/serverDirectory.js';
 import type { ServerProcesses } from '../node/serverProcesses.js';
@@ -17,4 +18,5 @@
   agent: ServerAgent;
   processes: ServerProcesses;
   streams: StreamOrigins;
+  room: RoomService;
 }
--- a/packages/gateway/src/types/requestRun.ts
+++ b/packages/gateway/src/types/requestRun.ts
@@ -70,6 +70,8 @@
   placedAt?: number;
   /** When the request was last written to that server. */
   sentAt?: number | undefined;
+  /** When the first byte of the last attempt's complete answer arrived. */
+  firstByteAt?: number | undefined;
   /** Attempts so far, whether or not they ran. */
   made: number;
   /** Attempts so far that may have run. */
--- a/packages/gateway/src/types/roomSharing.ts
+++ b/packages/gateway/src/types/roomSharing.ts
@@ -21,11 +21,13 @@
    * its part; undefined if the request may wait for a place.
    */
   abstract admit(request: RoomRequest, now: number): Refusal | undefined;
-  /** Records that a request got an answer, and how long it had waited for its place. */
+  /** Records that a request got an answer, and how long it had waited for it beyond its work. */
   abstract recordServed(
     request: RoomRequest,
     waitedMs: number,
     targetMs: number,
     now: number,
   ): void;
+  /** Records that a request that went on got no place at a server in time. */
+  abstract recordUnplaced(request: RoomRequest, now: number): void;
 }
--- a/packages/kernel/src/runtime/eventCatalogue.ts
+++ b/packages/kernel/src/runtime/eventCatalogue.ts
@@ -106,11 +106,14 @@
     text: 'no collector of reports answers; this instance divides overloaded services by what it sees itself',
     action: 'Check the network between the instances of this data centre.',
   },
-  'conditions-regained': {
-    number: 306,
-    level: 'info',
-    text: 'this instance has the sums of the fleet again',
+  'conditions-regained': { number: 306, level: 'info', text: 'the view of the fleet is back' },
+  'accounts-limited': {
+    number: 307,
+    level: 'warn',
+    text: 'a service is overloaded; accounts that ask for more than the level get only that much',
+    action: 'Add servers to the service, or have the named accounts send less.',
   },
+  'accounts-unlimited': { number: 308, level: 'info', text: 'a service limits no account now' },
   'tunnels-opened': {
     number: 310,
     level: 'info',
