--- a/packages/core/src/types/fleetConditions.ts
+++ b/packages/core/src/types/fleetConditions.ts
@@ -20,6 +20,8 @@
   rest: { accounts: number; room: RoomByImportance };
   /** Room that requests got, in slots. */
   served: number;
+  /** How long the served requests waited, as a part of their targets; the mean by room. */
+  lateness: number;
   /** Whether requests waited longer than their targets allow. */
   crowded: boolean;
 }
@@ -60,3 +62,23 @@
   /** Sum over all instances that were heard of. */
   demand: Record<ServiceName, ServiceDemand>;
 }
+
+/** Which instances a sum covers. */
+export type ConditionScope = 'members' | 'data-centre' | 'fleet';
+
+/**
+ * Sums over one instance, those that report to a collector, a data centre or the fleet. Collectors and
+ * those that report to them exchange these.
+ */
+export interface ConditionSums {
+  /** Instance that sends the sums. */
+  from: string;
+  dataCentre: DataCentreId;
+  scope: ConditionScope;
+  /** Milliseconds since they were made. */
+  ageMs: number;
+  dataCentres: DataCentreCondition[];
+  /** Instances of the sender's data centre, the most pressed ones first; not all in a large one. */
+  peers: InstanceCondition[];
+  demand: Record<ServiceName, ServiceDemand>;
+}
