refactor(gateway): decide about readiness in a module of its own

EntryReadiness gets what entryService.ts held on readiness and on closing callers' connections; no change of behaviour.

--- a/packages/gateway/src/node/entryService.ts
+++ b/packages/gateway/src/node/entryService.ts
@@ -28,6 +28,7 @@
 import { CallerConnections } from './callerConnections.js';
 import { closeOnCallerEnd } from './closeOnCallerEnd.js';
 import { ConfigurationWatch } from './configurationWatch.js';
+import { EntryReadiness } from './entryReadiness.js';
 import { EvacuationWatch } from './evacuationWatch.js';
 import {
   bodyTooLarge,
@@ -90,19 +91,20 @@
   readonly #running = new Set<AbortController>();
   #parts: FlowParts | undefined;
   #configuration: ConfigurationWatch | undefined;
-  #evacuations: EvacuationWatch | undefined;
   #kernel: Kernel | undefined;
   readonly #stopSchedule = new StopSchedule();
+  readonly #readiness: EntryReadiness;
 
   constructor(context: GatewayContext, agent: ServerAgent, processes: ServerProcesses) {
     super();
     this.#context = context;
     this.#agent = agent;
     this.#processes = processes;
+    this.#readiness = new EntryReadiness(context, this.#stopSchedule);
     const options = { maxHeaderSize: MAX_HEAD_BYTES, noDelay: true };
     const server = createServer(options, (req, res) => void this.#handle(req, res));
     this.#server = closeOnCallerEnd(server);
-    this.#connections = new CallerConnections(server, () => this.#closesConnections);
+    this.#connections = new CallerConnections(server, () => this.#readiness.closesConnections);
     this.#arrivals = new ArrivalWatch(context, server);
     this.#server.requestTimeout = 0;
   }
@@ -114,38 +116,7 @@
 
   /** Whether the load balancer should send new connections to this instance. */
   get ready(): boolean {
-    if (this.#stopSchedule.isStopping) return false;
-    const hasServers = this.#parts?.lanes.hasServers ?? false;
-    const isServing = this.#mayChooseServers && hasServers;
-    return isServing && !this.#defersToOthers;
-  }
-
-  /** Whether it is known where requests may go: the configuration, and what is evacuated. */
-  get #mayChooseServers(): boolean {
-    return this.#configuration?.table !== undefined && this.#evacuations?.isKnown === true;
-  }
-
-  /**
-   * Whether a partition separates this instance from the servers. Callers are then better served by
-   * the instances of another data centre, to which the load balancer sends them when none here is
-   * ready. An instance that lost only the store and its peers keeps serving, because the same may
-   * have happened to all instances.
-   */
-  get #isPartitioned(): boolean {
-    const unreachable = this.#parts?.lanes.unreachable ?? 'little';
-    if (unreachable === 'service') return true;
-    const fresh = this.#configuration?.isFresh(this.#context.clock.now()) ?? false;
-    return unreachable === 'most' && !fresh;
-  }
-
-  /** Whether connections of callers are closed after the response. */
-  get #closesConnections(): boolean {
-    return this.#stopSchedule.isStopping || this.#defersToOthers;
-  }
-
-  /** Whether other instances can probably serve callers better than this one. */
-  get #defersToOthers(): boolean {
-    return this.#isPartitioned || (this.#parts?.prepaid.shouldDivertCallers ?? false);
+    return this.#readiness.ready;
   }
 
   override async start(kernel: Kernel): Promise<void> {
@@ -163,9 +134,11 @@
       processes: this.#processes,
       streams,
     };
-    this.#evacuations = kernel.get('evacuations', EvacuationWatch);
-    this.#configuration = kernel.get('configuration', ConfigurationWatch);
-    this.#configuration.onChange(({ config }) => {
+    const configuration = kernel.get('configuration', ConfigurationWatch);
+    const evacuations = kernel.get('evacuations', EvacuationWatch);
+    this.#readiness.begin({ configuration, evacuations, lanes, prepaid });
+    this.#configuration = configuration;
+    configuration.onChange(({ config }) => {
       this.#server.keepAliveTimeout = config.limits.idleMs + IDLE_MARGIN_MS;
       this.#server.headersTimeout = config.limits.headMs;
     });
@@ -218,7 +191,7 @@
   async #handle(req: IncomingMessage, res: ServerResponse): Promise<void> {
     const turn = this.#connections.read(req, res);
     const closesConnection = (): boolean =>
-      this.#closesConnections && this.#connections.closeAfterResponse(req);
+      this.#readiness.closesConnections && this.#connections.closeAfterResponse(req);
     const incoming: IncomingCall = {
       req,
       answer: new CallerAnswer(res, closesConnection),
@@ -378,7 +351,7 @@
     account: RoutedAccount | undefined,
     now: number,
   ): Refusal | undefined {
-    if (!table || !this.#mayChooseServers) return notReady();
+    if (!table || !this.#readiness.mayChooseServers) return notReady();
     // without contact to the store, a newer configuration may exist that has the route or the key.
     const fresh = this.#configuration?.isFresh(now) ?? false;
     if (!route) return fresh ? unknownRoute() : notReady();
