feat(gateway): refuse connections that waited too long, where time allows it

701 attempts of callers ended with a connection that was closed before the request was read; these callers learn no reason and all retry at once.

While adaptive load is on, an overloaded instance answers one such connection for every two that it reads with a final 503 (not run, Retry-After spread over 0.1 to 0.2 s, connection: close), written without the request pipeline; the newest get it. The others are closed as before.

--- a/packages/gateway/src/node/arrivalWatch.ts
+++ b/packages/gateway/src/node/arrivalWatch.ts
@@ -6,6 +6,8 @@
 import type { InstancePressure } from '../runtime/instancePressure.js';
 import { ArrivalBounds } from '../runtime/arrivalBounds.js';
 import { ConnectionIntake } from '../runtime/connectionIntake.js';
+import { overloaded } from './entryRefusals.js';
+import { refuseUnread } from './refuseUnread.js';
 import { reopenListener } from './reopenListener.js';
 
 const MS_PER_SECOND = 1_000;
@@ -49,7 +51,7 @@
   readonly #context: GatewayContext;
   readonly #pressure: InstancePressure;
   readonly #bounds: ArrivalBounds;
-  readonly #intake = new ConnectionIntake<Socket>();
+  readonly #intake: ConnectionIntake<Socket>;
   /** Lets the server read a connection. */
   readonly #read: (socket: Socket) => void;
   /** Makes the server close new connections as soon as it accepts them, or not. */
@@ -65,6 +67,8 @@
   #worstMs = 0;
   /** Connections closed unread since the lag began. */
   #closed = 0;
+  /** Connections refused unread since the lag began. */
+  #refused = 0;
   /** Times at which all connections that waited to be accepted were closed since the lag began. */
   #sheds = 0;
 
@@ -72,6 +76,7 @@
   constructor(context: GatewayContext, server: Server, pressure: InstancePressure) {
     this.#context = context;
     this.#pressure = pressure;
+    this.#intake = new ConnectionIntake(() => context.adaptiveLoad.isOn);
     this.#bounds = new ArrivalBounds(context.clock.now());
     const readers = server.listeners('connection');
     server.removeAllListeners('connection');
@@ -171,6 +176,10 @@
   #recordClosed(openedFrom: readonly number[], now: number): void {
     this.#context.metrics.closedUnread(openedFrom.length);
     this.#closed += openedFrom.length;
+    this.#recordUnserved(openedFrom, now);
+  }
+
+  #recordUnserved(openedFrom: readonly number[], now: number): void {
     this.#pressure.observeClosed(openedFrom.length, now);
     for (const from of openedFrom) this.#recordLag(now - from, now);
   }
@@ -195,14 +204,28 @@
   }
 
   #readConnections(isAccepting: boolean, now: number): void {
-    const { read, close } = this.#intake.next({ isAccepting, now });
+    const { read, refuse, close } = this.#intake.next({ isAccepting, now });
     for (const socket of read) this.#readConnection(socket, now);
+    if (refuse.length > 0) this.#refuseConnections(refuse, now);
     if (close.length === 0) return;
-    const openedFrom = close.map((socket) => this.#newConnections.get(socket)?.openedFrom ?? now);
-    this.#recordClosed(openedFrom, now);
+    this.#recordClosed(this.#openedFrom(close, now), now);
     for (const socket of close) socket.destroy();
   }
 
+  #refuseConnections(sockets: readonly Socket[], now: number): void {
+    const { dialects, metrics, random } = this.#context;
+    metrics.refusedUnread(sockets.length);
+    this.#refused += sockets.length;
+    this.#recordUnserved(this.#openedFrom(sockets, now), now);
+    for (const socket of sockets) {
+      refuseUnread(socket, dialects.callers.encodeRefusal(overloaded(random())));
+    }
+  }
+
+  #openedFrom(sockets: readonly Socket[], now: number): number[] {
+    return sockets.map((socket) => this.#newConnections.get(socket)?.openedFrom ?? now);
+  }
+
   #readConnection(socket: Socket, now: number): void {
     const connection = this.#newConnections.get(socket);
     if (connection) connection.readFrom = now;
@@ -232,11 +255,13 @@
       forMs,
       worstMs,
       closedUnread: this.#closed,
+      refusedUnread: this.#refused,
       sheds: this.#sheds,
     });
     this.#laggingSince = undefined;
     this.#worstMs = 0;
     this.#closed = 0;
+    this.#refused = 0;
     this.#sheds = 0;
   }
 }
