--- a/packages/gateway/src/node/createGateway.ts
+++ b/packages/gateway/src/node/createGateway.ts
@@ -42,6 +42,7 @@
 import { GossipService } from './gossipService.js';
 import { InstancePressure } from '../runtime/instancePressure.js';
 import { PrepaidService } from './prepaidService.js';
+import { ReportedPressure } from '../runtime/reportedPressure.js';
 import { RoomService } from './roomService.js';
 import { RotationControl } from './rotationControl.js';
 import { ServerAgent } from './serverAgent.js';
@@ -82,7 +83,7 @@
   /** Returns a random number from 0 (inclusive) to 1 (exclusive). */
   random: () => number;
   /** What is known of the other instances' pressure; without it this one stays in rotation. */
-  conditions?: FleetConditions;
+  conditions?: Pick<FleetConditions, 'view'>;
 }
 
 /** A gateway process. */
@@ -164,10 +165,7 @@
     pressure,
     conditions: options.conditions ?? conditions,
   });
-  conditions.setPressureSource({
-    pressure: (now) => pressure.pressure(now),
-    isReady: () => !rotation.isOut,
-  });
+  conditions.setPressureSource(new ReportedPressure(pressure, () => !rotation.isOut));
   const entry = new EntryService(context, agent, processes, pressure);
   const instances = new InstanceDirectory(context);
   instances.onRead((read) => {
--- a/packages/gateway/src/node/rotationControl.ts
+++ b/packages/gateway/src/node/rotationControl.ts
@@ -19,7 +19,7 @@
 export interface RotationParts {
   pressure: InstancePressure;
   /** What is known of the other instances; without it this instance stays in rotation. */
-  conditions: FleetConditions | undefined;
+  conditions: Pick<FleetConditions, 'view'> | undefined;
 }
 
 /**
