fix(core): the capacity recovers from an estimate at the onset of an overload

The estimate follows served room upwards within 250 ms instead of 800 ms, also when nobody waits and more is served than chance explains, and falls faster while requests wait. A refusal as overloaded tells in its log line whether it came from the account's share or from the queue.

--- a/packages/core/src/runtime/fairShare/serviceCapacity.ts
+++ b/packages/core/src/runtime/fairShare/serviceCapacity.ts
@@ -8,13 +8,13 @@
 /** Waits from which accounts begin to be limited; a short burst makes some requests wait, too. */
 const BEGIN_LATENESS = 0.5;
 /** Waits at which the capacity is neither lowered nor raised: servers are busy and few requests wait. */
-const AIM_LATENESS = 0.11;
+const AIM_LATENESS = 0.1;
 /** Part by which less is admitted at once, for each target time that requests wait above the aim. */
 const DRAIN_GAIN = 0.3;
 /** The most that is held back to drain a queue. */
 const MAX_DRAIN = 0.6;
 /** Fraction a second by which the estimate falls, for each target time above the aim. */
-const FALL_GAIN = 0.08;
+const FALL_GAIN = 0.12;
 /** Fraction a second by which the estimate rises when nobody waits. */
 const RISE_RATE = 0.02;
 /** The same after a time without waits, so that an estimate that is far too low ends soon. */
@@ -26,10 +26,12 @@
  * Milliseconds over which the estimate follows what is served while all servers are busy. Downwards it
  * is slow, because waits are known a second late: the queue may be drained by then and servers idle.
  */
-const FOLLOW_UP_MS = 800;
+const FOLLOW_UP_MS = 250;
 const FOLLOW_DOWN_MS = 4_000;
 /** Part of the demand above which an estimate limits nothing and is dropped. */
 const UNLIMITED = 1.1;
+/** Served room is a mean over a second; this factor is seldom reached by chance. */
+const CHANCE = 1.15;
 const MAX_LATENESS = 2;
 const SECOND_MS = 1_000;
 
@@ -66,6 +68,10 @@
       this.#estimate = this.#followed(demand.served, seconds);
     } else if (this.#estimate !== undefined) {
       this.#estimate *= 1 + seconds * this.#rate(now);
+      // what is served is never more than the capacity, apart from chance.
+      if (this.#lateness < AIM_LATENESS && demand.served > CHANCE * this.#estimate) {
+        this.#estimate = this.#followed(demand.served, seconds);
+      }
       if (this.#estimate > UNLIMITED * totalDemand(demand)) this.#estimate = undefined;
     }
   }
--- a/packages/gateway/src/node/requestLogLine.ts
+++ b/packages/gateway/src/node/requestLogLine.ts
@@ -48,7 +48,7 @@
     status: outcome.status,
     reason: outcome.refusal?.reason,
     run: outcome.refusal?.run,
-    detail: outcome.detail,
+    detail: outcome.detail ?? overloadDetail(outcome),
     fingerprint: outcome.refusal?.reason === 'quarantined' ? progress?.fingerprint : undefined,
     made: progress?.made,
     tried: progress?.tried.join(' ') ?? undefined,
@@ -89,3 +89,8 @@
 function sinceMs(from: number, at: number | undefined): number | undefined {
   return at === undefined ? undefined : Math.round(at - from);
 }
+
+/** Tells a refusal by an account's share from one by the queue. */
+function overloadDetail({ refusal }: Outcome): string | undefined {
+  return refusal?.reason === 'overloaded' ? refusal.detail : undefined;
+}
