perf(kernel): log lines of 50 ms take one write

A profile of the bundle (98 engines, 4 plain servers, 2,100 requests on new connections) shows 10.2 s of processor time, of which 962 ms are the log and 530 ms of these the write of each line. Lines of info are now joined for 50 ms; warnings, errors and the end of the process write at once, a kill loses the lines of that time.

--- a/packages/kernel/src/node/eventLog.ts
+++ b/packages/kernel/src/node/eventLog.ts
@@ -5,6 +5,7 @@
 import sonicBoom from 'sonic-boom';
 import winston from 'winston';
 import { eventCatalogue } from '../runtime/eventCatalogue.js';
+import { LineBatch } from './lineBatch.js';
 
 /** Fields of one occurrence of an event. */
 export type EventFields = Record<string, string | number | boolean | undefined>;
@@ -35,7 +36,8 @@
 
 /**
  * `stderr`: written immediately, which blocks the process while a full pipe is not read. `stdout`:
- * written in the background; when the bounded buffer is full, lines are dropped and counted.
+ * written in the background, at most 50 ms later, warnings and errors at once; when the bounded buffer
+ * is full, lines are dropped and counted.
  */
 export type LogOutput = 'stderr' | 'stdout';
 
@@ -55,6 +57,7 @@
 export class WinstonEventLog extends EventLog {
   readonly #logger;
   #background: sonicBoom.SonicBoom | undefined;
+  #batch: LineBatch | undefined;
   #dropped = 0;
 
   constructor(options: EventLogOptions = {}) {
@@ -76,6 +79,8 @@
       name: event,
       ...fields,
     });
+    // the process may end right after a warning or an error.
+    if (definition.level === 'warn' || definition.level === 'error') this.#batch?.flush();
   }
 
   get dropped(): number {
@@ -85,6 +90,7 @@
   override close(): Promise<void> {
     const output = this.#background;
     if (!output) return Promise.resolve();
+    this.#batch?.flush();
     return new Promise((resolve) => {
       setTimeout(resolve, CLOSE_TIMEOUT_MS);
       // emitted when the buffer is empty; sonic-boom's own flush does not wait for a write in
@@ -101,8 +107,8 @@
       maxLength: MAX_BUFFERED_BYTES,
     });
     this.#background = output;
-    output.on('drop', () => {
-      this.#dropped += 1;
+    output.on('drop', (lines: string) => {
+      this.#dropped += lines.split('\n').length - 1;
     });
     output.on('error', () => {
       this.#dropped += 1;
@@ -113,10 +119,12 @@
       reportedDropped = this.#dropped;
       this.write('log-lines-dropped', { dropped: reportedDropped });
     });
+    const batch = new LineBatch((lines) => output.write(lines));
+    this.#batch = batch;
     const stream = new Writable({
       decodeStrings: false,
       write: (line: string, _encoding, done) => {
-        output.write(line);
+        batch.add(line);
         done();
       },
     });
