feat(routing): expected slowdown of a server from its aging speed reports

Callers saw nothing yet: no dialect reports a speed, so every candidate has none.

ServerSpeed keeps the last reports and the mean of one server process; SpeedPersistence learns, for all servers of a pool, how much of a deviation from the mean remains after some time. Candidate.slowdown is mean + (last - mean) x persistence(age). Another process under the id starts without a speed.

--- a/packages/core/src/runtime/routing/index.ts
+++ b/packages/core/src/runtime/routing/index.ts
@@ -24,5 +24,7 @@
 export * from './serverPool.js';
 export * from './serverProcess.js';
 export * from './serverRateLimits.js';
+export * from './serverSpeed.js';
 export * from './serverSubset.js';
+export * from './speedPersistence.js';
 export * from './streamSoftware.js';
--- a/packages/core/src/runtime/routing/loadEstimate.ts
+++ b/packages/core/src/runtime/routing/loadEstimate.ts
@@ -9,6 +9,10 @@
   waiting: number;
   /** When the load was measured, by the server's clock. */
   at: EpochMs;
+  /** Requests that the server runs at once; absent if it does not tell. */
+  slots?: number;
+  /** How long work takes there, as a multiple of the usual; absent if it does not tell. */
+  slowdown?: number;
 }
 
 interface Interval {
--- a/packages/core/src/runtime/routing/serverEntry.ts
+++ b/packages/core/src/runtime/routing/serverEntry.ts
@@ -8,7 +8,10 @@
 import type { Reachability, RestoredBy } from './reachability.js';
 import { hash32 } from '../../utils/hash.js';
 import { EnginePace } from './enginePace.js';
+import type { LoadReport } from './loadEstimate.js';
+import type { SpeedPersistence } from './speedPersistence.js';
 import { LoadEstimate } from './loadEstimate.js';
+import { ServerSpeed } from './serverSpeed.js';
 import {
   REACHABLE,
   isReachable,
@@ -24,12 +27,22 @@
   recordAttempt,
 } from './serverHealth.js';
 
+/** What the servers of a pool share. */
+export interface SharedByServers {
+  limit: ConcurrencyLimit;
+  restoredBy: RestoredBy;
+  /** How fast their speed reports become outdated. */
+  persistence: SpeedPersistence;
+}
+
 /** State that a pool keeps for one server; not part of the public interface. */
 export class ServerEntry {
   server: BackendServer;
   readonly idHash: number;
   readonly load = new LoadEstimate();
   readonly pace = new EnginePace();
+  /** How fast the server process works, as far as it reports it. */
+  speed: ServerSpeed;
   listed = true;
   /** The server itself reported that it is leaving; the list cannot revoke this. */
   reportedLeaving = false;
@@ -44,22 +57,14 @@
   #lastReceivedAt: EpochMs = -Infinity;
   /** When the path to the server last changed. */
   #pathChangedAt: EpochMs = -Infinity;
-  /** Shared by all servers of the pool. */
-  readonly #limit: ConcurrencyLimit;
+  readonly #shared: SharedByServers;
 
-  readonly #restoredBy: RestoredBy;
-
-  constructor(
-    server: BackendServer,
-    limit: ConcurrencyLimit,
-    restoredBy: RestoredBy,
-    now: EpochMs,
-  ) {
+  constructor(server: BackendServer, shared: SharedByServers, now: EpochMs) {
     this.server = server;
-    this.#restoredBy = restoredBy;
+    this.#shared = shared;
     this.idHash = hash32(server.id);
-    this.#limit = limit;
-    if (server.load) this.load.report(server.load, now);
+    this.speed = new ServerSpeed(shared.persistence);
+    if (server.load) this.reportLoad(server.load, now);
   }
 
   get leaving(): boolean {
@@ -89,7 +94,7 @@
 
   /** Records that a connection did not open, or that nothing is received on open ones. */
   recordSilence(now: EpochMs): void {
-    this.#reach = recordSilence(this.#reach, now, this.#restoredBy);
+    this.#reach = recordSilence(this.#reach, now, this.#shared.restoredBy);
   }
 
   /** Records that a probe of the server was answered. */
@@ -113,13 +118,25 @@
 
   update(server: BackendServer, now: EpochMs): void {
     this.server = server;
-    if (server.load) this.load.report(server.load, now);
+    if (server.load) this.reportLoad(server.load, now);
+  }
+
+  /** Applies a load report of the server. */
+  reportLoad(report: LoadReport, now: EpochMs): void {
+    this.load.report(report, now);
+    if (report.slowdown !== undefined) this.speed.report(report.slowdown, Math.min(report.at, now));
+  }
+
+  /** Records until when another process than the listed one is assumed; its speed is unknown. */
+  recordReplaced(until: EpochMs): void {
+    this.replacedUntil = until;
+    this.speed = new ServerSpeed(this.#shared.persistence);
   }
 
   /** Current concurrency limit of the server; at least one, so that it can be probed. */
   capacity(settings: HealthSettings, now: EpochMs): number {
     const share = this.share(settings, now);
-    return Math.max(1, Math.floor(this.#limit.value * share));
+    return Math.max(1, Math.floor(this.#shared.limit.value * share));
   }
 
   share(settings: HealthSettings, now: EpochMs): number {
@@ -134,8 +151,9 @@
     // timeouts count as well. With answers alone, a server so slow that almost nothing ends in time
     // would seem healthy: only its few fast answers would be counted, and its limit would stay too
     // high.
-    if (end === 'timeout') this.#limit.sample(Infinity, targetMs, now);
-    if (end === 'ok' && firstTokenMs !== undefined) this.#limit.sample(firstTokenMs, targetMs, now);
+    if (end === 'timeout') this.#shared.limit.sample(Infinity, targetMs, now);
+    if (end === 'ok' && firstTokenMs !== undefined)
+      this.#shared.limit.sample(firstTokenMs, targetMs, now);
   }
 
   eject(settings: HealthSettings, now: EpochMs): void {
--- a/packages/core/src/runtime/routing/serverPool.ts
+++ b/packages/core/src/runtime/routing/serverPool.ts
@@ -11,7 +11,7 @@
   CandidateQuery,
   ServerBounds,
 } from '../../types/placement.js';
-import type { ConcurrencyLimit, ConcurrencyLimitKind } from './concurrencyLimit.js';
+import type { ConcurrencyLimitKind } from './concurrencyLimit.js';
 import type { ColdSend } from './coldServers.js';
 import type { LoadReport } from './loadEstimate.js';
 import type { HealthSettings } from './serverHealth.js';
@@ -22,6 +22,7 @@
 import { defaultHealthSettings } from './serverHealth.js';
 import type { RestoredBy } from './reachability.js';
 import { SeenSoftware } from './seenSoftware.js';
+import type { SharedByServers } from './serverEntry.js';
 import { ServerEntry } from './serverEntry.js';
 import { ServerNotices } from './serverNotices.js';
 import { ServerRateLimits } from './serverRateLimits.js';
@@ -31,6 +32,7 @@
 import type { SendObstacle } from './serverGate.js';
 import { ServerGate } from './serverGate.js';
 import { ServerRoom } from './serverRoom.js';
+import { SpeedPersistence } from './speedPersistence.js';
 
 /** Options of a server pool. */
 export interface ServerPoolOptions {
@@ -87,8 +89,8 @@
   readonly #attempts = new Map<number, Attempt>();
   readonly #options: ServerPoolOptions;
   readonly #health: HealthSettings;
-  /** Shared by all servers: one server alone has too few answers to adapt in time. */
-  readonly #limit: ConcurrencyLimit;
+  /** One server alone has too few answers to adapt in time. */
+  readonly #shared: SharedByServers;
   readonly #gate: ServerGate;
   readonly #room: ServerRoom;
   #sharers: number;
@@ -104,7 +106,11 @@
     const { concurrencyPerServer } = options;
     this.#room = new ServerRoom({ gate: this.#gate, health: this.#health, concurrencyPerServer });
     const bounds = { max: concurrencyPerServer };
-    this.#limit = createConcurrencyLimit(options.limitKind ?? 'aimd', bounds);
+    this.#shared = {
+      limit: createConcurrencyLimit(options.limitKind ?? 'aimd', bounds),
+      restoredBy: options.restoredBy ?? 'requests',
+      persistence: new SpeedPersistence(),
+    };
   }
 
   /** Servers in the list. */
@@ -165,7 +171,7 @@
 
   /** Applies a load report of a server. */
   reportLoad(id: ServerId, report: LoadReport, now: EpochMs): void {
-    this.#entries.get(id)?.load.report(report, now);
+    this.#entries.get(id)?.reportLoad(report, now);
   }
 
   /** Records the milliseconds per event in the fastest section of a stream. */
@@ -332,7 +338,7 @@
   /** Records that another process than the listed one was found under the id of a server. */
   recordReplaced(server: BackendServer, now: EpochMs): void {
     const entry = this.#entries.get(server.id);
-    if (entry && isSameLife(entry.server, server)) entry.replacedUntil = now + MAX_ENTRY_DELAY_MS;
+    if (entry && isSameLife(entry.server, server)) entry.recordReplaced(now + MAX_ENTRY_DELAY_MS);
   }
 
   /** Servers that get no requests before a probe of them is answered. */
@@ -398,7 +404,7 @@
   }
 
   #createEntry(server: BackendServer, now: EpochMs): ServerEntry {
-    return new ServerEntry(server, this.#limit, this.#options.restoredBy ?? 'requests', now);
+    return new ServerEntry(server, this.#shared, now);
   }
 
   /** Servers to which a request may be sent, now or after a pause. */
@@ -466,6 +472,7 @@
       load,
       capacity,
       eventMs: entry.pace.eventMs,
+      slowdown: entry.speed.expected(now),
       isDue: this.#room.isLimited(entry) && this.#isBelowFairShare(entry),
       hasRoom:
         most === undefined
