feat(gateway): load reports with a fourth figure are read, also from health checks

Callers saw nothing of it directly: an instance ignored every load header that was not three figures, so a server that reported its speed was chosen by the instance's own requests alone.

Health checks record load and speed as responses do. A speed report turns on AdaptiveLoad. The load in a response that belongs to another server or to no request of ours is no longer used.

--- a/packages/core/src/runtime/routing/serverEntry.ts
+++ b/packages/core/src/runtime/routing/serverEntry.ts
@@ -27,6 +27,9 @@
   recordAttempt,
 } from './serverHealth.js';
 
+/** Minimum time between two log lines about unreadable load reports of one server, in milliseconds. */
+const INVALID_LOAD_LOG_MS = 60_000;
+
 /** What the servers of a pool share. */
 export interface SharedByServers {
   limit: ConcurrencyLimit;
@@ -57,6 +60,7 @@
   #lastReceivedAt: EpochMs = -Infinity;
   /** When the path to the server last changed. */
   #pathChangedAt: EpochMs = -Infinity;
+  #invalidLoadLoggedAt: EpochMs = -Infinity;
   readonly #shared: SharedByServers;
 
   constructor(server: BackendServer, shared: SharedByServers, now: EpochMs) {
@@ -127,6 +131,13 @@
     if (report.slowdown !== undefined) this.speed.report(report.slowdown, Math.min(report.at, now));
   }
 
+  /** Whether to log that its load report can't be read: not again for a minute. */
+  mayLogInvalidLoad(now: EpochMs): boolean {
+    if (now - this.#invalidLoadLoggedAt < INVALID_LOAD_LOG_MS) return false;
+    this.#invalidLoadLoggedAt = now;
+    return true;
+  }
+
   /** Records until when another process than the listed one is assumed; its speed is unknown. */
   recordReplaced(until: EpochMs): void {
     this.replacedUntil = until;
--- a/packages/core/src/runtime/routing/serverPool.ts
+++ b/packages/core/src/runtime/routing/serverPool.ts
@@ -174,6 +174,11 @@
     this.#entries.get(id)?.reportLoad(report, now);
   }
 
+  /** Whether to log that the load report of a server can't be read; seldom, as each response has one. */
+  mayLogInvalidLoad(id: ServerId, now: EpochMs): boolean {
+    return this.#entries.get(id)?.mayLogInvalidLoad(now) ?? false;
+  }
+
   /** Records the milliseconds per event in the fastest section of a stream. */
   observePace(id: ServerId, quickestMs: number): void {
     this.#entries.get(id)?.pace.observe(quickestMs);
--- a/packages/gateway/src/node/createGateway.ts
+++ b/packages/gateway/src/node/createGateway.ts
@@ -145,7 +145,9 @@
   const kernel = new Kernel();
   const agent = new ServerAgent();
   const configuration = new ConfigurationWatch(context);
-  const health = new HttpHealthCheck(context, configuration, agent);
+  const health = new HttpHealthCheck(context, configuration, agent, (service) => {
+    return lanes.find(service)?.lane.pool;
+  });
   const directory = new ServerDirectory(context, health);
   const processes = new ServerProcesses(context, agent, () => directory.confirmedAt);
   const entry = new EntryService(context, agent, processes);
--- a/packages/gateway/src/node/httpHealthCheck.ts
+++ b/packages/gateway/src/node/httpHealthCheck.ts
@@ -1,10 +1,19 @@
 /** HTTP health check at the path that the configuration names. */
 
-import type { ListedServer, ServerId, ProbeResult } from '@flamingocourse/core';
+import type {
+  ListedServer,
+  ProbeResult,
+  SendTarget,
+  ServerId,
+  ServerPool,
+  ServiceName,
+} from '@flamingocourse/core';
+import type { ServerHead } from '../types/call.js';
 import type { GatewayContext } from '../types/context.js';
 import type { ConfigurationWatch } from './configurationWatch.js';
 import type { ServerAgent } from './serverAgent.js';
 import { HealthCheck } from '../types/healthCheck.js';
+import { recordLoad } from './recordLoad.js';
 import { recordNotice } from './recordNotice.js';
 import { discardAnswer } from './discardAnswer.js';
 import { openAttempt } from './httpAttempt.js';
@@ -17,15 +26,24 @@
  * Sends health checks over the connections that requests use as well.
  *
  * @example
- * const result = await new HttpHealthCheck(context, configuration, agent).probe('p1', server);
+ * const health = new HttpHealthCheck(context, configuration, agent, findPool);
+ * const result = await health.probe('p1', server);
  */
 export class HttpHealthCheck extends HealthCheck {
   readonly #context: GatewayContext;
   readonly #configuration: ConfigurationWatch;
   readonly #agent: ServerAgent;
+  readonly #findPool: (service: ServiceName) => ServerPool | undefined;
 
-  constructor(context: GatewayContext, configuration: ConfigurationWatch, agent: ServerAgent) {
+  /** @param findPool finds the servers of a service, which learn the load in the response. */
+  constructor(
+    context: GatewayContext,
+    configuration: ConfigurationWatch,
+    agent: ServerAgent,
+    findPool: (service: ServiceName) => ServerPool | undefined,
+  ) {
     super();
+    this.#findPool = findPool;
     this.#context = context;
     this.#configuration = configuration;
     this.#agent = agent;
@@ -56,7 +74,12 @@
     if (opened.isErr) return opened.error.reason === 'refused' ? 'gone' : 'unknown';
     discardAnswer(opened.value);
     const result = dialects.servers.judgeHealth(id, opened.value.head);
-    if (result !== 'gone') recordNotice(this.#context, checked, opened.value.head);
+    if (result !== 'gone') this.#record(checked, opened.value.head);
     return result;
   }
+
+  #record(server: SendTarget, head: ServerHead): void {
+    recordLoad(this.#context, this.#findPool(server.service), server, head);
+    recordNotice(this.#context, server, head);
+  }
 }
--- /dev/null
+++ b/packages/gateway/src/node/recordLoad.ts
@@ -0,0 +1,32 @@
+/** Records the load and speed that a response reports about its server. */
+
+import type { SendTarget, ServerPool } from '@flamingocourse/core';
+import type { ServerHead } from '../types/call.js';
+import type { GatewayContext } from '../types/context.js';
+
+/**
+ * Records the load and speed in a response. Only for responses that the server itself sent.
+ *
+ * @param pool servers of the service; undefined while none is listed.
+ * @example
+ * recordLoad(context, lane.pool, server, answer.head);
+ */
+export function recordLoad(
+  context: GatewayContext,
+  pool: ServerPool | undefined,
+  { id, service }: Pick<SendTarget, 'id' | 'service'>,
+  head: ServerHead,
+): void {
+  const { adaptiveLoad, clock, dialects, log } = context;
+  const now = clock.now();
+  const reading = dialects.servers.load(head);
+  if (reading.type === 'none') return;
+  const unread = reading.type === 'load' ? reading.ignored : reading.text;
+  if (unread !== undefined && pool?.mayLogInvalidLoad(id, now)) {
+    const used = reading.type === 'load' ? Object.keys(reading.load).join(' ') : '';
+    log.write('server-load-invalid', { server: id, service, text: unread, used });
+  }
+  if (reading.type === 'invalid') return;
+  if (reading.load.slowdown !== undefined) adaptiveLoad.recordSpeedReport();
+  pool?.reportLoad(id, { ...reading.load, at: now }, now);
+}
--- a/packages/gateway/src/node/serverAttempt.ts
+++ b/packages/gateway/src/node/serverAttempt.ts
@@ -14,6 +14,7 @@
 import { isRepeatable, isStream, mayRetry } from '../runtime/retryPolicy.js';
 import { enginePriority } from '../runtime/enginePriority.js';
 import { sharedPartIds } from '../runtime/sharedParts.js';
+import { recordLoad } from './recordLoad.js';
 import { recordNotice } from './recordNotice.js';
 import { relayStream, relayWhole } from './answerRelay.js';
 import { discardAnswer } from './discardAnswer.js';
@@ -95,10 +96,9 @@
     const opened = await this.#open();
     if (opened.isErr) return this.#failToOpen(opened.error);
     this.#placement.recordReceived();
-    this.#recordLoad(opened.value);
     const verdict = this.#parts.context.dialects.servers.judge(this.#call.head, opened.value.head);
     // a response from another server says nothing about this one.
-    if (verdict === 'answered' || verdict === 'not-run') this.#recordNotice(opened.value);
+    if (verdict === 'answered' || verdict === 'not-run') this.#recordReports(opened.value);
     switch (verdict) {
       case 'answered':
         this.#progress.mayHaveRun += 1;
@@ -312,15 +312,11 @@
     return mayRetry(failed, historyOf(this.#call, this.#progress, this.#now()));
   }
 
-  #recordLoad(open: OpenAnswer): void {
-    const load = this.#parts.context.dialects.servers.load(open.head);
-    const now = this.#now();
-    const { id } = this.#placement.server;
-    if (load) this.#lane.lane.pool.reportLoad(id, { ...load, at: now }, now);
-  }
-
-  #recordNotice({ head }: OpenAnswer): void {
-    recordNotice(this.#parts.context, this.#placement.server, head);
+  #recordReports({ head }: OpenAnswer): void {
+    const { context } = this.#parts;
+    const { server } = this.#placement;
+    recordLoad(context, this.#lane.lane.pool, server, head);
+    recordNotice(context, server, head);
   }
 
   #now(): number {
--- a/packages/gateway/src/types/call.ts
+++ b/packages/gateway/src/types/call.ts
@@ -88,6 +88,7 @@
 /** What the load header of a response says. */
 export type LoadReading =
   | { type: 'none' }
-  | { type: 'load'; load: ReportedLoad }
+  /** `ignored` is the beginning of a header of which some figures could not be read, for the log. */
+  | { type: 'load'; load: ReportedLoad; ignored?: string }
   /** `text` is the beginning of what could not be read, for the log. */
   | { type: 'invalid'; text: string };
--- a/packages/gateway/src/types/dialects.ts
+++ b/packages/gateway/src/types/dialects.ts
@@ -3,7 +3,7 @@
 import type { Refusal, ServerId, ServerNotice, ProbeResult } from '@flamingocourse/core';
 import type { IncomingMessage, OutgoingHttpHeaders } from 'node:http';
 import type { Result } from 'true-myth';
-import type { AttemptDetails, CallHead, HeadVerdict, ServerHead, ReportedLoad } from './call.js';
+import type { AttemptDetails, CallHead, HeadVerdict, LoadReading, ServerHead } from './call.js';
 
 /** HTTP response that carries a refusal. */
 export interface EncodedRefusal {
@@ -36,8 +36,8 @@
   abstract attemptHeaders(head: CallHead, details: AttemptDetails): string[];
   /** Classifies the head of a response. */
   abstract judge(head: CallHead, answer: ServerHead): HeadVerdict;
-  /** Returns the load of the server, if the response reports it. */
-  abstract load(answer: ServerHead): ReportedLoad | undefined;
+  /** Returns the load and speed of the server, if the response reports them. */
+  abstract load(answer: ServerHead): LoadReading;
   /** Returns what the response says about its server: leaving, requested pause and rate limit. */
   abstract notice(answer: ServerHead): ServerNotice;
   /** Returns the headers of a health check, as alternating names and values. */
--- a/packages/kernel/src/runtime/eventCatalogue.ts
+++ b/packages/kernel/src/runtime/eventCatalogue.ts
@@ -335,6 +335,12 @@
     level: 'info',
     text: 'calls to the object store since the start, by kind and collection',
   },
+  'server-load-invalid': {
+    number: 530,
+    level: 'warn',
+    text: 'a server reports its load in a form that cannot be read; the fields in `used` are used',
+    action: 'Check the software of the server.',
+  },
   'backend-crashed': {
     number: 500,
     level: 'warn',
--- a/test/gateway/httpHealthCheck.test.ts
+++ b/test/gateway/httpHealthCheck.test.ts
@@ -1,6 +1,8 @@
-import type { ListedServer } from '@flamingocourse/core';
+import type { Candidate, ListedServer } from '@flamingocourse/core';
+import { ServerPool } from '@flamingocourse/core';
 import assert from 'node:assert/strict';
-import { test } from 'node:test';
+import type { TestContext } from 'node:test';
+import { describe, test } from 'node:test';
 import { ManualClock, MemoryEventLog } from '@flamingocourse/kernel';
 import { MemoryObjectStore } from '@flamingocourse/store';
 import type { ConfigurationWatch } from '../../packages/gateway/src/node/configurationWatch.js';
@@ -9,6 +11,14 @@
 import { FakeServer } from '../platform/fakeServer.js';
 import { testContext } from './testContext.js';
 
+/** What three health checks left behind. */
+interface ProbedWorld {
+  candidate: Candidate | undefined;
+  /** Lines about unreadable load reports. */
+  logged: number;
+  isOn: boolean;
+}
+
 // guards against health checks above the rate limit: each instance checked a server twice a second
 // although the server accepts fewer requests from all instances together.
 test('health checks count towards the rate limit of the server', async (t) => {
@@ -20,7 +30,8 @@
   t.after(() => {
     agent.destroy();
   });
-  const check = new HttpHealthCheck(context, { table } as unknown as ConfigurationWatch, agent);
+  const configuration = { table } as unknown as ConfigurationWatch;
+  const check = new HttpHealthCheck(context, configuration, agent, () => undefined);
   const listed: ListedServer = {
     service: 'ledger',
     dataCentre: 'hall-a',
@@ -43,3 +54,49 @@
   assert.equal(await check.probe('p1', listed), 'staying', 'the limit has ended');
   assert.equal(server.healthProbes, 3);
 });
+
+describe('a health check reports the load and speed of its server', () => {
+  async function probe(t: TestContext, load: string): Promise<ProbedWorld> {
+    const server = await new FakeServer('p1').listen(t);
+    server.load = load;
+    const clock = new ManualClock();
+    const log = new MemoryEventLog();
+    const context = testContext(clock, log, new MemoryObjectStore());
+    const table = { service: () => ({ healthPath: '/health' }) };
+    const agent = new ServerAgent();
+    t.after(() => {
+      agent.destroy();
+    });
+    const pool = new ServerPool({ dataCentre: 'hall-a', concurrencyPerServer: 8 });
+    const url = `http://${server.address}`;
+    const listed = {
+      service: 'ledger',
+      dataCentre: 'hall-a',
+      url,
+      state: 'live',
+      slots: 4,
+    } as const;
+    pool.applyList([{ ...listed, id: 'p1' }], clock.now());
+    const configuration = { table } as unknown as ConfigurationWatch;
+    const check = new HttpHealthCheck(context, configuration, agent, () => pool);
+    for (let n = 0; n < 3; n += 1) assert.equal(await check.probe('p1', listed), 'staying');
+    const logged = log.events.filter(({ event }) => event === 'server-load-invalid');
+    const candidate = pool.candidates({}, clock.now())[0];
+    return { candidate, logged: logged.length, isOn: context.adaptiveLoad.isOn };
+  }
+  const cases = [
+    { load: '3,1,4', expected: { load: 4, slowdown: undefined, logged: 0, isOn: false } },
+    { load: '3,1,4,250', expected: { load: 4, slowdown: 2.5, logged: 0, isOn: true } },
+    { load: '3,1,4,0', expected: { load: 4, slowdown: undefined, logged: 1, isOn: false } },
+    { load: 'busy', expected: { load: 0, slowdown: undefined, logged: 1, isOn: false } },
+  ];
+  for (const { load, expected } of cases) {
+    // Guards against servers whose speed is unknown while they get no requests, against a line in the log
+    // for each response, and against new behaviour where no server reports a speed.
+    test(load, async (t) => {
+      const { candidate, logged, isOn } = await probe(t, load);
+      const seen = { load: candidate?.load, slowdown: candidate?.slowdown, logged, isOn };
+      assert.deepEqual(seen, expected);
+    });
+  }
+});
--- a/test/platform/fakeServer.ts
+++ b/test/platform/fakeServer.ts
@@ -113,6 +113,8 @@
   behaviour: Behaviour = 'answer';
   /** Rate limit in requests per second that each answer reports. */
   rateLimit: string | undefined;
+  /** Load that answers and health checks report. @default answers report one of three figures */
+  load: string | undefined;
   /** Limits that each answer reports while they are set. */
   brittle: Brittleness | undefined;
   /** Number of falls after too many rejections. */
@@ -264,6 +266,7 @@
     if (this.saysLeaving) res.setHeader('server-leaving', '1');
     if (url === HEALTH_PATH) {
       this.healthProbes += 1;
+      if (this.load !== undefined) res.setHeader('x-server-load', this.load);
       res.writeHead(this.leaving ? 503 : 200, { 'x-instance-id': this.id }).end();
       return;
     }
@@ -357,7 +360,7 @@
     return {
       'x-request-id': String(headers['x-request-id']),
       'x-response-signature': `proof-of-${this.id}`,
-      'x-server-load': '1,0,4',
+      'x-server-load': this.load ?? '1,0,4',
     };
   }
 
