feat(routing): plain servers are chosen by expected time while they report speeds

Callers waited at a server that was slow at the moment: it got requests by its load alone.

ServerTiming expects, per server process: measured mean time x reported slowdown relative to its mean, as far as response times show it, x queue, with the requests of other instances returning to their mean. ExpectedTimeChooser picks the lowest; with more than 24 instances of two random servers. Without speed reports each choice is the same as before (test).

The building of candidates and the hold for exclusive requests moved out of ServerPool.

--- a/packages/core/src/runtime/routing/loadEstimate.ts
+++ b/packages/core/src/runtime/routing/loadEstimate.ts
@@ -101,15 +101,20 @@
     return true;
   }
 
-  /** Applies a report; a report older than the previous one is ignored. */
-  report(report: LoadReport, now: EpochMs): void {
+  /**
+   * Applies a report; a report older than the previous one is ignored.
+   *
+   * @returns the requests of other routers in it; undefined if it is ignored.
+   */
+  report(report: LoadReport, now: EpochMs): number | undefined {
     // clocks of instances differ, so the time is clamped: not in the future, not older than the
     // limit.
     const at = Math.max(Math.min(report.at, now), now - REPORT_STALE_MS);
-    if (this.#reportAt !== undefined && at < this.#reportAt) return;
+    if (this.#reportAt !== undefined && at < this.#reportAt) return undefined;
     this.#reportAt = at;
     this.#others = Math.max(0, report.running + report.waiting - this.#ownAt(at));
     this.#ended = this.#ended.filter((interval) => interval.endedAt > at);
+    return this.#others;
   }
 
   /** Requests of other routers at the time of the last report. */
--- a/packages/core/src/runtime/routing/serverChooser.ts
+++ b/packages/core/src/runtime/routing/serverChooser.ts
@@ -1,7 +1,12 @@
 /** Chooses one backend server among those with free capacity. */
 
 import type { Tokens } from '../../types/ids.js';
-import type { Candidate, CandidateQuery, RandomSource } from '../../types/placement.js';
+import type {
+  Candidate,
+  CandidateQuery,
+  PlacementScope,
+  RandomSource,
+} from '../../types/placement.js';
 import type { ServerPool } from './serverPool.js';
 import { rendezvousRank } from '../../utils/hash.js';
 import { isLongPrompt } from './promptLength.js';
@@ -20,6 +25,10 @@
 /** Strategy that picks a server from at least one candidate. */
 export abstract class ServerChooser {
   abstract readonly name: ServerChooserName;
+
+  /** Which data centres are considered; undefined leaves it to the query. */
+  scope?(candidates: readonly Candidate[]): PlacementScope | undefined;
+
   abstract pick(
     candidates: readonly [Candidate, ...Candidate[]],
     request: ChoiceRequest,
@@ -135,7 +144,8 @@
   const due = candidates.find((candidate) => candidate.isDue);
   if (due && !isLongPrompt(request)) return due;
   const local = candidates.filter((candidate) => candidate.local);
-  const nearFirst = query.scope !== 'everywhere' && local.length > 0;
+  const scope = chooser.scope?.(candidates) ?? query.scope;
+  const nearFirst = scope !== 'everywhere' && local.length > 0;
   const [first, ...rest] = nearFirst ? local : candidates;
   return first && chooser.pick([first, ...rest], request, random);
 }
--- a/packages/core/src/runtime/routing/serverEntry.ts
+++ b/packages/core/src/runtime/routing/serverEntry.ts
@@ -9,9 +9,9 @@
 import { hash32 } from '../../utils/hash.js';
 import { EnginePace } from './enginePace.js';
 import type { LoadReport } from './loadEstimate.js';
-import type { SpeedPersistence } from './speedPersistence.js';
 import { LoadEstimate } from './loadEstimate.js';
-import { ServerSpeed } from './serverSpeed.js';
+import type { ServiceTiming } from './serverTiming.js';
+import { ServerTiming } from './serverTiming.js';
 import {
   REACHABLE,
   isReachable,
@@ -34,8 +34,7 @@
 export interface SharedByServers {
   limit: ConcurrencyLimit;
   restoredBy: RestoredBy;
-  /** How fast their speed reports become outdated. */
-  persistence: SpeedPersistence;
+  timing: ServiceTiming;
 }
 
 /** State that a pool keeps for one server; not part of the public interface. */
@@ -44,8 +43,8 @@
   readonly idHash: number;
   readonly load = new LoadEstimate();
   readonly pace = new EnginePace();
-  /** How fast the server process works, as far as it reports it. */
-  speed: ServerSpeed;
+  /** Lost with the server process. */
+  timing: ServerTiming;
   listed = true;
   /** The server itself reported that it is leaving; the list cannot revoke this. */
   reportedLeaving = false;
@@ -67,7 +66,7 @@
     this.server = server;
     this.#shared = shared;
     this.idHash = hash32(server.id);
-    this.speed = new ServerSpeed(shared.persistence);
+    this.timing = new ServerTiming(shared.timing);
     if (server.load) this.reportLoad(server.load, now);
   }
 
@@ -127,8 +126,8 @@
 
   /** Applies a load report of the server. */
   reportLoad(report: LoadReport, now: EpochMs): void {
-    this.load.report(report, now);
-    if (report.slowdown !== undefined) this.speed.report(report.slowdown, Math.min(report.at, now));
+    const others = this.load.report(report, now);
+    if (others !== undefined) this.timing.report(report, others, now);
   }
 
   /** Whether to log that its load report can't be read: not again for a minute. */
@@ -138,10 +137,10 @@
     return true;
   }
 
-  /** Records until when another process than the listed one is assumed; its speed is unknown. */
+  /** Records until when another process than the listed one is assumed; its timing is unknown. */
   recordReplaced(until: EpochMs): void {
     this.replacedUntil = until;
-    this.speed = new ServerSpeed(this.#shared.persistence);
+    this.timing = new ServerTiming(this.#shared.timing);
   }
 
   /** Current concurrency limit of the server; at least one, so that it can be probed. */
--- a/packages/core/src/runtime/routing/serverPool.ts
+++ b/packages/core/src/runtime/routing/serverPool.ts
@@ -26,6 +26,9 @@
 import { ServerEntry } from './serverEntry.js';
 import { ServerNotices } from './serverNotices.js';
 import { ServerRateLimits } from './serverRateLimits.js';
+import type { PoolState } from './candidateViews.js';
+import { CandidateViews } from './candidateViews.js';
+import { ExclusiveHold } from './exclusiveHold.js';
 import { MAX_ENTRY_DELAY_MS } from './serverProcess.js';
 import { ANY_SERVER } from './serverBounds.js';
 import { SendRules } from './sendRules.js';
@@ -33,6 +36,8 @@
 import { ServerGate } from './serverGate.js';
 import { ServerRoom } from './serverRoom.js';
 import { SpeedPersistence } from './speedPersistence.js';
+import { SpeedTrust } from './speedTrust.js';
+import { RequestTime } from './requestTime.js';
 
 /** Options of a server pool. */
 export interface ServerPoolOptions {
@@ -47,6 +52,8 @@
   health?: Partial<HealthSettings>;
   /** What binds everything that is sent to servers. @default no rules */
   rules?: SendRules;
+  /** Whether all requests are alike, so that their response times tell how fast a server is. @default false */
+  timesAnswers?: boolean;
   /** What shows that a silent server can be reached again. @default 'requests' */
   restoredBy?: RestoredBy;
   /** Software versions of the service, shared with whatever else hears of them. @default none */
@@ -71,8 +78,6 @@
 const MAX_EJECTED_SHARE = 0.5;
 /** Obstacles that somebody has chosen, the most telling first. */
 const CHOSEN_OBSTACLES: readonly SendObstacle[] = ['evacuated', 'other-software', 'outside-homes'];
-/** How long a server is held for a request that must run alone, in milliseconds. */
-const HOLD_MS = 5_000;
 
 /**
  * Backend servers of one service.
@@ -95,7 +100,8 @@
   readonly #room: ServerRoom;
   #sharers: number;
   #nextAttempt = 1;
-  #heldServer: { entry: ServerEntry; until: EpochMs } | undefined;
+  readonly #hold = new ExclusiveHold();
+  readonly #views: CandidateViews;
 
   constructor(options: ServerPoolOptions) {
     this.#options = options;
@@ -109,8 +115,14 @@
     this.#shared = {
       limit: createConcurrencyLimit(options.limitKind ?? 'aimd', bounds),
       restoredBy: options.restoredBy ?? 'requests',
-      persistence: new SpeedPersistence(),
+      timing: {
+        persistence: new SpeedPersistence(),
+        requestTime: new RequestTime(),
+        trust: new SpeedTrust(),
+      },
     };
+    const { dataCentre } = options;
+    this.#views = new CandidateViews({ dataCentre, health: this.#health, room: this.#room });
   }
 
   /** Servers in the list. */
@@ -213,14 +225,18 @@
 
   /** Servers of all data centres with capacity for one more request. */
   candidates(query: CandidateQuery, now: EpochMs): Candidate[] {
-    this.#releaseExpiredHold(now);
+    this.#hold.releaseExpired(now);
     const open = this.#openEntries(now, query.bounds).filter((entry) => {
       return !query.tried?.has(entry.server.id) && this.#room.maySend(entry, now);
     });
-    if (query.exclusive) return this.#exclusiveCandidates(open, now);
+    const state = this.#state();
+    if (query.exclusive) {
+      const idle = this.#hold.idleServers(open, (entry) => this.#views.isLocal(entry), now);
+      return idle.map((entry) => this.#views.view(entry, state, now));
+    }
     return open
-      .filter((entry) => !entry.exclusive && entry !== this.#heldServer?.entry)
-      .map((entry) => this.#toCandidate(entry, now, query.extra))
+      .filter((entry) => !entry.exclusive && !this.#hold.holds(entry))
+      .map((entry) => this.#views.view(entry, state, now, query.extra))
       .filter((candidate) => candidate.hasRoom);
   }
 
@@ -234,9 +250,13 @@
     if (rule.keptFree <= 0) return true;
     const local = candidates.filter((candidate) => candidate.local);
     const used = local.length > 0 ? local : candidates;
-    const all = this.#openEntries(now).filter((entry) => this.#isLocal(entry) === local.length > 0);
+    const all = this.#openEntries(now).filter((entry) => {
+      return this.#views.isLocal(entry) === local.length > 0;
+    });
     const places = all.reduce((sum, entry) => sum + this.#room.slots(entry, now), 0);
-    const free = used.reduce((sum, next) => sum + this.#freeSlots(next, now), 0);
+    const free = used.reduce((sum, next) => {
+      return sum + this.#views.freeSlots(this.#entries.get(next.id), next, now);
+    }, 0);
     return free > rule.keptFree * places;
   }
 
@@ -313,13 +333,15 @@
     this.#nextAttempt += 1;
     const entry = this.#entries.get(id);
     if (!entry) return attempt;
+    if (this.#options.timesAnswers)
+      entry.timing.start(attempt, this.#views.timingState(entry), now);
     entry.load.start(attempt, now);
     entry.recordSent(now);
     entry.lastAttempt = attempt;
     this.#attempts.set(attempt, { entry, send: this.#gate.rules.take(entry.server, now) });
     if (exclusive) {
       entry.exclusive = true;
-      if (this.#heldServer?.entry === entry) this.#heldServer = undefined;
+      this.#hold.release(entry);
     }
     return attempt;
   }
@@ -387,6 +409,7 @@
     this.#gate.rules.cold.recordEnd(send);
     if (result.end === 'ok') entry.load.recordDuration(attempt, now);
     entry.load.end(attempt, now);
+    entry.timing.end(attempt, result.end === 'ok' ? result.firstTokenMs : undefined);
     if (entry.load.own === 0) entry.exclusive = false;
     entry.record(result, this.#health, now);
     if (this.#isSlow(entry)) entry.eject(this.#health, now);
@@ -398,14 +421,12 @@
     return isHome && entry.reachable(now) && this.#gate.closedBy(entry) === undefined;
   }
 
-  #freeSlots({ id, capacity, load }: Candidate, now: EpochMs): number {
-    const entry = this.#entries.get(id);
-    return entry ? this.#room.freeSlots(entry, capacity, load, now) : Math.max(0, capacity - load);
-  }
-
-  /** Whether the other servers have received at least an equal share since its last request. */
-  #isBelowFairShare({ lastAttempt }: ServerEntry): boolean {
-    return this.#nextAttempt - 1 - lastAttempt >= this.#entries.size;
+  #state(): PoolState {
+    return {
+      sharers: this.#sharers,
+      attempts: this.#nextAttempt - 1,
+      servers: this.#entries.size,
+    };
   }
 
   #createEntry(server: BackendServer, now: EpochMs): ServerEntry {
@@ -436,60 +457,6 @@
     return tooFew ? reachable : healthy;
   }
 
-  #exclusiveCandidates(open: ServerEntry[], now: EpochMs): Candidate[] {
-    const held = this.#heldServer?.entry;
-    const idle = open.filter((entry) => entry.load.own === 0);
-    const free = idle.filter((entry) => entry === held || entry.load.others(now) === 0);
-    if (free.length > 0) return free.map((entry) => this.#toCandidate(entry, now));
-    if (!held) this.#holdServer(open, now);
-    return [];
-  }
-
-  /** Reserves the least loaded server for the exclusive request: it gets no other requests. */
-  #holdServer(open: ServerEntry[], now: EpochMs): void {
-    // never the only server: other requests would wait for a request that may crash it.
-    if (open.length < 2) return;
-    const local = open.filter((entry) => this.#isLocal(entry));
-    const among = local.length > 0 ? local : open;
-    const sorted = among.toSorted((a, b) => a.load.own - b.load.own);
-    const least = sorted[0];
-    if (least) this.#heldServer = { entry: least, until: now + HOLD_MS };
-  }
-
-  #releaseExpiredHold(now: EpochMs): void {
-    if (this.#heldServer && this.#heldServer.until <= now) this.#heldServer = undefined;
-  }
-
-  #toCandidate(entry: ServerEntry, now: EpochMs, extra = 0): Candidate {
-    const most = this.#room.maxInFlight(entry, now);
-    const capacity =
-      most === undefined ? entry.capacity(this.#health, now) : this.#room.declaredSlots(entry);
-    const load = entry.load.total(now);
-    // load reports are delayed. If one router refilled each free slot at once, another router would
-    // see a full server in every report and wait for ever. So each router may always use a fair
-    // share.
-    const fairPart = this.#isLocal(entry) ? Math.ceil(capacity / this.#sharers) : 0;
-    return {
-      id: entry.server.id,
-      idHash: entry.idHash,
-      url: entry.server.url,
-      local: this.#isLocal(entry),
-      load,
-      capacity,
-      eventMs: entry.pace.eventMs,
-      slowdown: entry.speed.expected(now),
-      isDue: this.#room.isLimited(entry) && this.#isBelowFairShare(entry),
-      hasRoom:
-        most === undefined
-          ? load < capacity * (1 + extra) || entry.load.own < fairPart
-          : entry.load.own < most,
-    };
-  }
-
-  #isLocal(entry: ServerEntry): boolean {
-    return entry.server.dataCentre === this.#options.dataCentre;
-  }
-
   #isSlow(entry: ServerEntry): boolean {
     return entry.isSlowAmong([...this.#entries.values()], this.#health);
   }
--- a/packages/core/src/runtime/routing/serverSpeed.ts
+++ b/packages/core/src/runtime/routing/serverSpeed.ts
@@ -9,6 +9,8 @@
 const MEAN_TIME_MS = 20_000;
 /** Maximum weight of one report in the mean; a report after a long pause is still only one. */
 const MAX_MEAN_WEIGHT = 0.1;
+/** Maximum relative deviation that is compared. */
+const MAX_DEVIATION = 2;
 /** A server works at its usual speed unless its reports say otherwise. */
 const USUAL = 1;
 
@@ -46,6 +48,11 @@
     this.#persistence = persistence;
   }
 
+  /** Long-term mean of the reports. */
+  get mean(): number {
+    return this.#mean;
+  }
+
   /** The last report; undefined before the first. */
   last(now: EpochMs): SpeedReport | undefined {
     const last = this.#reports.at(-1);
@@ -56,15 +63,15 @@
   report(slowdown: number, at: EpochMs): void {
     const last = this.#reports.at(-1);
     if (last && at < last.at) return;
-    const later = slowdown - this.#mean;
+    const later = this.#deviation(slowdown);
     for (const report of this.#reports) {
-      const earlier = report.slowdown - this.#mean;
+      const earlier = this.#deviation(report.slowdown);
       this.#persistence.compare({ earlier, later, gapMs: at - report.at });
     }
     // reports arrive in bursts, so each counts for the time since the one before.
     const sinceMs = last ? at - last.at : Infinity;
     const weight = Math.min(MAX_MEAN_WEIGHT, 1 - Math.exp(-sinceMs / MEAN_TIME_MS));
-    this.#mean += weight * later;
+    this.#mean += weight * (slowdown - this.#mean);
     this.#reports.push({ slowdown, at });
     if (this.#reports.length > COMPARED_REPORTS) this.#reports.shift();
   }
@@ -75,4 +82,9 @@
     if (!last) return undefined;
     return this.#mean + (last.slowdown - this.#mean) * this.#persistence.at(last.ageMs);
   }
+
+  /** Relative to the mean and bounded, so that one server with odd figures doesn't decide for all. */
+  #deviation(slowdown: number): number {
+    return Math.min(MAX_DEVIATION, slowdown / this.#mean - 1);
+  }
 }
--- a/packages/gateway/src/node/backendLanes.ts
+++ b/packages/gateway/src/node/backendLanes.ts
@@ -9,6 +9,7 @@
 import type { DirectoryServer } from './serverDirectory.js';
 import {
   AdmissionQueue,
+  ExpectedTimeChooser,
   FleetShare,
   PrefixAffinityChooser,
   QuickEngineChooser,
@@ -207,6 +208,7 @@
       dataCentre: settings.dataCentre,
       concurrencyPerServer: sharesPrompts ? slots : slots * PLAIN_QUEUE_FACTOR,
       limitKind: 'fixed',
+      timesAnswers: !sharesPrompts,
       restoredBy: 'probes',
       rules,
       seenSoftware: this.#context.seenSoftware,
@@ -216,7 +218,9 @@
       queue: new AdmissionQueue({ maxSize: MAX_WAITING }),
       chooser: sharesPrompts
         ? new QuickEngineChooser(new PrefixAffinityChooser(AFFINITY_BOUND))
-        : createServerChooser('power-of-two'),
+        : new ExpectedTimeChooser(createServerChooser('power-of-two'), () => {
+            return this.#share.largestCount ?? 1;
+          }),
       quarantine: this.#register,
       crashCheck: this.#crashCheck,
       clock,
