--- a/packages/core/src/runtime/admission/importanceReserve.ts
+++ b/packages/core/src/runtime/admission/importanceReserve.ts
@@ -4,7 +4,7 @@
  */
 
 import type { Importance } from '../../types/declaration.js';
-import type { PlacementRule } from '../routing/serverPool.js';
+import type { PlacementRule } from '../routing/serverPoolOptions.js';
 
 /** Settings of a reserve. */
 export interface ImportanceReserveSettings {
--- a/packages/core/src/runtime/routing/index.ts
+++ b/packages/core/src/runtime/routing/index.ts
@@ -26,6 +26,7 @@
 export * from './serverIncarnation.js';
 export * from './serverNotices.js';
 export * from './serverPool.js';
+export * from './serverPoolOptions.js';
 export * from './serverProcess.js';
 export * from './serverRateLimits.js';
 export * from './serverSpeed.js';
--- a/packages/core/src/runtime/routing/serverPool.ts
+++ b/packages/core/src/runtime/routing/serverPool.ts
@@ -3,82 +3,41 @@
  * requests; a {@link ServerChooser} picks one of them.
  */
 
-import type { DataCentreId, EpochMs, ServerId } from '../../types/ids.js';
+import type { EpochMs, ServerId } from '../../types/ids.js';
 import type { BackendServer } from '../../types/member.js';
-import type {
-  AttemptResult,
-  Candidate,
-  CandidateQuery,
-  ServerBounds,
-} from '../../types/placement.js';
-import type { ConcurrencyLimitKind } from './concurrencyLimit.js';
+import type { AttemptResult, Candidate, CandidateQuery } from '../../types/placement.js';
 import type { ColdSend } from './coldServers.js';
 import type { LoadReport } from './loadEstimate.js';
 import type { HealthSettings } from './serverHealth.js';
 import type { RateLimitPace } from './serverRateLimits.js';
-import { rendezvousRank } from '../../utils/hash.js';
 import { combinePaces } from './sendPace.js';
 import { createConcurrencyLimit } from './concurrencyLimit.js';
 import { defaultHealthSettings } from './serverHealth.js';
-import type { RestoredBy } from './reachability.js';
 import { SeenSoftware } from './seenSoftware.js';
 import type { SharedByServers } from './serverEntry.js';
 import { ServerEntry } from './serverEntry.js';
-import { ServerNotices } from './serverNotices.js';
-import { ServerRateLimits } from './serverRateLimits.js';
 import type { PoolState } from './candidateViews.js';
 import { CandidateViews } from './candidateViews.js';
+import type { PlacementRule, ServerPoolOptions } from './serverPoolOptions.js';
+import { withoutNotices } from './serverPoolOptions.js';
+import { OpenServers } from './openServers.js';
 import { ExclusiveHold } from './exclusiveHold.js';
 import { MAX_ENTRY_DELAY_MS } from './serverProcess.js';
 import { ANY_SERVER } from './serverBounds.js';
-import { SendRules } from './sendRules.js';
 import type { SendObstacle } from './serverGate.js';
 import { ServerGate } from './serverGate.js';
+import type { SpeedReport } from './serverSpeed.js';
 import { ServerRoom } from './serverRoom.js';
 import { SpeedPersistence } from './speedPersistence.js';
 import { SpeedTrust } from './speedTrust.js';
 import { RequestTime } from './requestTime.js';
 
-/** Options of a server pool. */
-export interface ServerPoolOptions {
-  /** Data centre of this router. */
-  dataCentre: DataCentreId;
-  /** Declared maximum of concurrent requests per server. */
-  concurrencyPerServer: number;
-  /** @default 'aimd' */
-  limitKind?: ConcurrencyLimitKind;
-  /** Routers that share the servers of this data centre, including this one. @default 1 */
-  sharers?: number;
-  health?: Partial<HealthSettings>;
-  /** What binds everything that is sent to servers. @default no rules */
-  rules?: SendRules;
-  /** Whether all requests are alike, so that their response times tell how fast a server is. @default false */
-  timesAnswers?: boolean;
-  /** What shows that a silent server can be reached again. @default 'requests' */
-  restoredBy?: RestoredBy;
-  /** Software versions of the service, shared with whatever else hears of them. @default none */
-  seenSoftware?: SeenSoftware;
-}
-
-/** Which slots a request may use; see `ImportanceReserve`. A slot is room for one request. */
-export interface PlacementRule {
-  /** Fraction of all slots that must stay free, from 0 to 1. */
-  keptFree: number;
-  /** Fraction of a server's slots that may be used beyond its limit, from 0 to 1. */
-  extra: number;
-}
-
 /** An attempt in flight. */
 interface Attempt {
   entry: ServerEntry;
   send: ColdSend;
 }
 
-/** Maximum fraction of the pool that can be ejected at once. */
-const MAX_EJECTED_SHARE = 0.5;
-/** Obstacles that somebody has chosen, the most telling first. */
-const CHOSEN_OBSTACLES: readonly SendObstacle[] = ['evacuated', 'other-software', 'outside-homes'];
-
 /**
  * Backend servers of one service.
  *
@@ -101,16 +60,19 @@
   #sharers: number;
   #nextAttempt = 1;
   readonly #hold = new ExclusiveHold();
+  readonly #servers: OpenServers;
   readonly #views: CandidateViews;
 
   constructor(options: ServerPoolOptions) {
     this.#options = options;
     this.#health = { ...defaultHealthSettings, ...options.health };
     this.#sharers = options.sharers ?? 1;
-    const rules = options.rules ?? new SendRules(noNotices());
+    const rules = options.rules ?? withoutNotices();
     this.#gate = new ServerGate(rules, options.seenSoftware ?? new SeenSoftware());
+    const health = this.#health;
+    this.#servers = new OpenServers({ entries: this.#entries, gate: this.#gate, health });
     const { concurrencyPerServer } = options;
-    this.#room = new ServerRoom({ gate: this.#gate, health: this.#health, concurrencyPerServer });
+    this.#room = new ServerRoom({ gate: this.#gate, health, concurrencyPerServer });
     const bounds = { max: concurrencyPerServer };
     this.#shared = {
       limit: createConcurrencyLimit(options.limitKind ?? 'aimd', bounds),
@@ -122,7 +84,7 @@
       },
     };
     const { dataCentre } = options;
-    this.#views = new CandidateViews({ dataCentre, health: this.#health, room: this.#room });
+    this.#views = new CandidateViews({ dataCentre, health, room: this.#room });
   }
 
   /** Servers in the list. */
@@ -186,6 +148,11 @@
     this.#entries.get(id)?.reportLoad(report, now);
   }
 
+  /** The last speed report of each server that has sent one. */
+  speedReports(now: EpochMs): SpeedReport[] {
+    return [...this.#entries.values()].flatMap(({ timing }) => timing.lastSpeed(now) ?? []);
+  }
+
   /** Whether to log that the load report of a server can't be read; seldom, as each response has one. */
   mayLogInvalidLoad(id: ServerId, now: EpochMs): boolean {
     return this.#entries.get(id)?.mayLogInvalidLoad(now) ?? false;
@@ -208,25 +175,19 @@
     now: EpochMs,
     bounds = ANY_SERVER,
   ): BackendServer | undefined {
-    const others = [...this.#entries.values()].filter((entry) => {
-      return !except.has(entry.server.id) && this.#canBeRead(entry, bounds, now);
-    });
-    const [first, ...rest] = others;
-    if (!first) return undefined;
-    const rank = ({ idHash }: ServerEntry): number => rendezvousRank(prefixHash, idHash);
-    return rest.reduce((best, next) => (rank(next) > rank(best) ? next : best), first).server;
+    return this.#servers.likelyPromptServer(prefixHash, except, now, bounds);
   }
 
   /** Whether a prompt can be copied from a server: it is listed, reachable and not leaving. */
   canCopyFrom(id: ServerId, now: EpochMs, bounds = ANY_SERVER): boolean {
     const entry = this.#entries.get(id);
-    return entry !== undefined && this.#canBeRead(entry, bounds, now);
+    return entry !== undefined && this.#servers.canBeRead(entry, bounds, now);
   }
 
   /** Servers of all data centres with capacity for one more request. */
   candidates(query: CandidateQuery, now: EpochMs): Candidate[] {
     this.#hold.releaseExpired(now);
-    const open = this.#openEntries(now, query.bounds).filter((entry) => {
+    const open = this.#servers.open(now, query.bounds).filter((entry) => {
       return !query.tried?.has(entry.server.id) && this.#room.maySend(entry, now);
     });
     const state = this.#state();
@@ -250,7 +211,7 @@
     if (rule.keptFree <= 0) return true;
     const local = candidates.filter((candidate) => candidate.local);
     const used = local.length > 0 ? local : candidates;
-    const all = this.#openEntries(now).filter((entry) => {
+    const all = this.#servers.open(now).filter((entry) => {
       return this.#views.isLocal(entry) === local.length > 0;
     });
     const places = all.reduce((sum, entry) => sum + this.#room.slots(entry, now), 0);
@@ -275,22 +236,17 @@
     now: EpochMs,
     bounds = ANY_SERVER,
   ): boolean {
-    return this.#openEntries(now, bounds).some((entry) => !tried?.has(entry.server.id));
+    return this.#servers.open(now, bounds).some((entry) => !tried?.has(entry.server.id));
   }
 
   /** Why no server may run a request, now or later; undefined if one may, or if there is none. */
   closedBy(now: EpochMs, bounds = ANY_SERVER): SendObstacle | undefined {
-    const obstacles = [...this.#entries.values()].map((entry) => {
-      return this.#gate.obstacle(entry, bounds, now);
-    });
-    if (obstacles.includes(undefined)) return undefined;
-    // the reason that somebody has chosen tells callers more than a server that is lost.
-    return CHOSEN_OBSTACLES.find((each) => obstacles.includes(each)) ?? obstacles[0];
+    return this.#servers.closedBy(now, bounds);
   }
 
   /** Whether any server may be sent a request now by its notices, with or without capacity. */
   maySend(tried: ReadonlySet<ServerId> | undefined, now: EpochMs, bounds = ANY_SERVER): boolean {
-    return this.#openEntries(now, bounds).some((entry) => {
+    return this.#servers.open(now, bounds).some((entry) => {
       return !tried?.has(entry.server.id) && this.#room.maySend(entry, now);
     });
   }
@@ -300,7 +256,7 @@
    * requested a pause; undefined if a server has none of these, or if there is no server.
    */
   sendPace(now: EpochMs, bounds = ANY_SERVER): RateLimitPace | undefined {
-    const open = this.#openEntries(now, bounds);
+    const open = this.#servers.open(now, bounds);
     if (open.length > 0) return combinePaces(open.map((entry) => this.#room.pace(entry, now)));
     const restMs = this.pauseEndsInMs(now, bounds);
     return restMs === undefined ? undefined : { firstMs: restMs, intervalMs: 0 };
@@ -310,16 +266,12 @@
    * Milliseconds until the first requested pause ends; undefined if no server has requested one.
    */
   pauseEndsInMs(now: EpochMs, bounds = ANY_SERVER): number | undefined {
-    const pausesMs = this.#stayingEntries(now, bounds).map((entry) =>
-      this.#gate.restMs(entry, now),
-    );
-    const activeMs = pausesMs.filter((restMs) => restMs > 0);
-    return activeMs.length === 0 ? undefined : Math.min(...activeMs);
+    return this.#servers.pauseEndsInMs(now, bounds);
   }
 
   /** Number of slots of all open servers. */
   capacity(now: EpochMs): number {
-    return this.#openEntries(now).reduce((sum, entry) => sum + this.#room.slots(entry, now), 0);
+    return this.#servers.open(now).reduce((sum, entry) => sum + this.#room.slots(entry, now), 0);
   }
 
   /** Own attempts in flight at a server. */
@@ -415,12 +367,6 @@
     if (this.#isSlow(entry)) entry.eject(this.#health, now);
   }
 
-  /** Whether its memory of prompts can be read by another server, for a request with such bounds. */
-  #canBeRead(entry: ServerEntry, { homes }: ServerBounds, now: EpochMs): boolean {
-    const isHome = homes?.has(entry.server.dataCentre) ?? true;
-    return isHome && entry.reachable(now) && this.#gate.closedBy(entry) === undefined;
-  }
-
   #state(): PoolState {
     return {
       sharers: this.#sharers,
@@ -433,39 +379,11 @@
     return new ServerEntry(server, this.#shared, now);
   }
 
-  /** Servers to which a request may be sent, now or after a pause. */
-  #stayingEntries(now: EpochMs, bounds: ServerBounds): ServerEntry[] {
-    // a version that only the list shows counts as well.
-    if (bounds.software.type === 'unknown') this.#gate.observeSoftware(this.servers, now);
-    // unreachable servers are always excluded, unlike ejected ones. If most servers are behind a
-    // partition, the few others get all requests; if none is reachable, the caller is refused at
-    // once. After a delay, a single request tests each unreachable server again.
-    return [...this.#entries.values()].filter((entry) => {
-      return this.#gate.obstacle(entry, bounds, now) === undefined;
-    });
-  }
-
-  /** Servers that are not leaving, drained, ejected or in a requested pause. */
-  #openEntries(now: EpochMs, bounds = ANY_SERVER): ServerEntry[] {
-    const reachable = this.#stayingEntries(now, bounds).filter((entry) => {
-      return this.#gate.restMs(entry, now) === 0;
-    });
-    const healthy = reachable.filter((entry) => entry.share(this.#health, now) > 0);
-    // if most servers seem unhealthy, the network or the requests are more likely at fault.
-    // Ejecting them would move all load to the few others and overload these as well.
-    const tooFew = healthy.length < reachable.length * (1 - MAX_EJECTED_SHARE);
-    return tooFew ? reachable : healthy;
-  }
-
   #isSlow(entry: ServerEntry): boolean {
     return entry.isSlowAmong([...this.#entries.values()], this.#health);
   }
 }
 
-function noNotices(): ServerNotices {
-  return new ServerNotices(new ServerRateLimits(() => 0), () => 0);
-}
-
 /** Whether two entries under the same id describe the same server process. */
 function isSameLife(known: BackendServer, server: BackendServer): boolean {
   return (
--- a/test/routing/serverSpeed.test.ts
+++ b/test/routing/serverSpeed.test.ts
@@ -115,6 +115,12 @@
         pool.applyList([{ ...listed, bornAt: 2 }], 10);
       },
     },
+    {
+      name: 'ends if a connection shows another process',
+      change: (pool) => {
+        pool.recordReplaced(listed, 10);
+      },
+    },
   ];
   for (const { name, change, expected } of cases) {
     // Guards against a restarted server that is avoided for the speed of its predecessor.
@@ -124,6 +130,7 @@
       pool.reportLoad('p1', { running: 0, waiting: 0, at: 10, slowdown: 2.5 }, 10);
       change(pool);
       assert.equal(pool.candidates({}, 10)[0]?.slowdown, expected);
+      assert.equal(pool.speedReports(10)[0]?.slowdown, expected);
     });
   }
 });
