--- a/packages/gateway/src/node/backendLanes.ts
+++ b/packages/gateway/src/node/backendLanes.ts
@@ -81,6 +81,11 @@
     return this.#lanes.get(service);
   }
 
+  /** The services, each with its servers. */
+  get pools(): [ServiceName, ServerPool][] {
+    return [...this.#lanes].map(([service, { lane }]) => [service, lane.pool]);
+  }
+
   /** Whether any server could take a request, or none can by an operator's will. */
   get hasServers(): boolean {
     const { clock, rules } = this.#context;
--- a/packages/gateway/src/node/statusService.ts
+++ b/packages/gateway/src/node/statusService.ts
@@ -7,10 +7,12 @@
 import type { StoreRelay } from './storeRelay.js';
 import { createServer } from 'node:http';
 import { Service } from '@flamingocourse/kernel';
+import { BackendLanes } from './backendLanes.js';
 import { EntryService } from './entryService.js';
 import { EvacuationWatch } from './evacuationWatch.js';
 import { ServerDirectory } from './serverDirectory.js';
 import { ServerPaths } from './serverPaths.js';
+import { setSpeedMetrics } from './speedMetrics.js';
 import { StreamOrigins } from './streamOrigins.js';
 
 const MS_PER_SECOND = 1_000;
@@ -23,13 +25,14 @@
 /** Service with the readiness and metrics listeners. Registered as `status`. */
 export class StatusService extends Service {
   override readonly name = 'status';
-  override readonly dependsOn = ['entry', 'directory', 'evacuations', 'paths', 'streams'];
+  override readonly dependsOn = ['entry', 'directory', 'evacuations', 'lanes', 'paths', 'streams'];
   readonly #context: GatewayContext;
   readonly #relay: StoreRelay;
   readonly #servers: Server[] = [];
   #entry: EntryService | undefined;
   #directory: ServerDirectory | undefined;
   #evacuations: EvacuationWatch | undefined;
+  #lanes: BackendLanes | undefined;
   #paths: ServerPaths | undefined;
   #streams: StreamOrigins | undefined;
   #wasReady: boolean | undefined;
@@ -45,6 +48,7 @@
     this.#entry = kernel.get('entry', EntryService);
     this.#directory = kernel.get('directory', ServerDirectory);
     this.#evacuations = kernel.get('evacuations', EvacuationWatch);
+    this.#lanes = kernel.get('lanes', BackendLanes);
     this.#paths = kernel.get('paths', ServerPaths);
     this.#streams = kernel.get('streams', StreamOrigins);
     const { ready, metrics } = this.#context.settings.listen;
@@ -123,6 +127,9 @@
     metrics.gauge('store_followers', followersHelp, this.#relay.followers);
     const followsHelp = '1 while this instance follows the store through another one';
     metrics.gauge('store_follows', followsHelp, this.#relay.watcher === undefined ? 0 : 1);
+    for (const [service, pool] of this.#lanes?.pools ?? []) {
+      setSpeedMetrics(metrics, service, pool, clock.now());
+    }
     metrics.storeCalls(store.counters);
     metrics.collectionCalls(store.collectionCalls);
     const text = await metrics.text();
