--- a/packages/core/src/runtime/routing/serverEntry.ts
+++ b/packages/core/src/runtime/routing/serverEntry.ts
@@ -8,7 +8,10 @@
 import type { Reachability, RestoredBy } from './reachability.js';
 import { hash32 } from '../../utils/hash.js';
 import { EnginePace } from './enginePace.js';
+import type { LoadReport } from './loadEstimate.js';
 import { LoadEstimate } from './loadEstimate.js';
+import type { ServiceTiming } from './serverTiming.js';
+import { ServerTiming } from './serverTiming.js';
 import {
   REACHABLE,
   isReachable,
@@ -24,12 +27,24 @@
   recordAttempt,
 } from './serverHealth.js';
 
+/** Minimum time between two log lines about unreadable load reports of one server, in milliseconds. */
+const INVALID_LOAD_LOG_MS = 60_000;
+
+/** What the servers of a pool share. */
+export interface SharedByServers {
+  limit: ConcurrencyLimit;
+  restoredBy: RestoredBy;
+  timing: ServiceTiming;
+}
+
 /** State that a pool keeps for one server; not part of the public interface. */
 export class ServerEntry {
   server: BackendServer;
   readonly idHash: number;
   readonly load = new LoadEstimate();
   readonly pace = new EnginePace();
+  /** Lost with the server process. */
+  timing: ServerTiming;
   listed = true;
   /** The server itself reported that it is leaving; the list cannot revoke this. */
   reportedLeaving = false;
@@ -44,22 +59,15 @@
   #lastReceivedAt: EpochMs = -Infinity;
   /** When the path to the server last changed. */
   #pathChangedAt: EpochMs = -Infinity;
-  /** Shared by all servers of the pool. */
-  readonly #limit: ConcurrencyLimit;
+  #invalidLoadLoggedAt: EpochMs = -Infinity;
+  readonly #shared: SharedByServers;
 
-  readonly #restoredBy: RestoredBy;
-
-  constructor(
-    server: BackendServer,
-    limit: ConcurrencyLimit,
-    restoredBy: RestoredBy,
-    now: EpochMs,
-  ) {
+  constructor(server: BackendServer, shared: SharedByServers, now: EpochMs) {
     this.server = server;
-    this.#restoredBy = restoredBy;
+    this.#shared = shared;
     this.idHash = hash32(server.id);
-    this.#limit = limit;
-    if (server.load) this.load.report(server.load, now);
+    this.timing = new ServerTiming(shared.timing);
+    if (server.load) this.reportLoad(server.load, now);
   }
 
   get leaving(): boolean {
@@ -89,7 +97,7 @@
 
   /** Records that a connection did not open, or that nothing is received on open ones. */
   recordSilence(now: EpochMs): void {
-    this.#reach = recordSilence(this.#reach, now, this.#restoredBy);
+    this.#reach = recordSilence(this.#reach, now, this.#shared.restoredBy);
   }
 
   /** Records that a probe of the server was answered. */
@@ -113,13 +121,32 @@
 
   update(server: BackendServer, now: EpochMs): void {
     this.server = server;
-    if (server.load) this.load.report(server.load, now);
+    if (server.load) this.reportLoad(server.load, now);
+  }
+
+  /** Applies a load report of the server. */
+  reportLoad(report: LoadReport, now: EpochMs): void {
+    const others = this.load.report(report, now);
+    if (others !== undefined) this.timing.report(report, others, now);
+  }
+
+  /** Whether to log that its load report can't be read: not again for a minute. */
+  mayLogInvalidLoad(now: EpochMs): boolean {
+    if (now - this.#invalidLoadLoggedAt < INVALID_LOAD_LOG_MS) return false;
+    this.#invalidLoadLoggedAt = now;
+    return true;
+  }
+
+  /** Records until when another process than the listed one is assumed; its timing is unknown. */
+  recordReplaced(until: EpochMs): void {
+    this.replacedUntil = until;
+    this.timing = new ServerTiming(this.#shared.timing);
   }
 
   /** Current concurrency limit of the server; at least one, so that it can be probed. */
   capacity(settings: HealthSettings, now: EpochMs): number {
     const share = this.share(settings, now);
-    return Math.max(1, Math.floor(this.#limit.value * share));
+    return Math.max(1, Math.floor(this.#shared.limit.value * share));
   }
 
   share(settings: HealthSettings, now: EpochMs): number {
@@ -134,8 +161,9 @@
     // timeouts count as well. With answers alone, a server so slow that almost nothing ends in time
     // would seem healthy: only its few fast answers would be counted, and its limit would stay too
     // high.
-    if (end === 'timeout') this.#limit.sample(Infinity, targetMs, now);
-    if (end === 'ok' && firstTokenMs !== undefined) this.#limit.sample(firstTokenMs, targetMs, now);
+    if (end === 'timeout') this.#shared.limit.sample(Infinity, targetMs, now);
+    if (end === 'ok' && firstTokenMs !== undefined)
+      this.#shared.limit.sample(firstTokenMs, targetMs, now);
   }
 
   eject(settings: HealthSettings, now: EpochMs): void {
--- a/packages/gateway/src/node/backendLanes.ts
+++ b/packages/gateway/src/node/backendLanes.ts
@@ -9,6 +9,7 @@
 import type { DirectoryServer } from './serverDirectory.js';
 import {
   AdmissionQueue,
+  ExpectedTimeChooser,
   FleetShare,
   PrefixAffinityChooser,
   QuickEngineChooser,
@@ -80,6 +81,11 @@
     return this.#lanes.get(service);
   }
 
+  /** The services, each with its servers. */
+  get pools(): [ServiceName, ServerPool][] {
+    return [...this.#lanes].map(([service, { lane }]) => [service, lane.pool]);
+  }
+
   /** Whether any server could take a request, or none can by an operator's will. */
   get hasServers(): boolean {
     const { clock, rules } = this.#context;
@@ -207,6 +213,7 @@
       dataCentre: settings.dataCentre,
       concurrencyPerServer: sharesPrompts ? slots : slots * PLAIN_QUEUE_FACTOR,
       limitKind: 'fixed',
+      timesAnswers: !sharesPrompts,
       restoredBy: 'probes',
       rules,
       seenSoftware: this.#context.seenSoftware,
@@ -216,7 +223,9 @@
       queue: new AdmissionQueue({ maxSize: MAX_WAITING }),
       chooser: sharesPrompts
         ? new QuickEngineChooser(new PrefixAffinityChooser(AFFINITY_BOUND))
-        : createServerChooser('power-of-two'),
+        : new ExpectedTimeChooser(createServerChooser('power-of-two'), () => {
+            return this.#share.largestCount ?? 1;
+          }),
       quarantine: this.#register,
       crashCheck: this.#crashCheck,
       clock,
