fix(gateway): accounts are not limited because an instance is short of processor time

A wait at a server counts now only if the server itself reported no free slot, or reports no load, and a deadline that passes no longer counts as a want of room: it passes in a busy instance as well. What waits for a place counts as before.

--- a/packages/gateway/src/node/roomService.ts
+++ b/packages/gateway/src/node/roomService.ts
@@ -78,14 +78,16 @@
   recordEnd(
     { request, askedAt }: RoomTicket,
     { route }: RoutedCall,
-    { placedAt, firstByteAt, made }: Readonly<RequestProgress>,
+    { placedAt, firstByteAt, made, serverWasFull }: Readonly<RequestProgress>,
     outcome: Outcome | undefined,
   ): void {
     if (!this.#context.adaptiveLoad.isOn) return;
     const now = this.#context.clock.now();
     if (outcome?.type === 'answered' && placedAt !== undefined) {
       const firstByteMs = (firstByteAt ?? now) - placedAt;
-      const atServerMs = this.#estimates.waitAtServerMs(route.name, firstByteMs);
+      // a busy instance reads an answer late; that is no wait at a server with a free slot.
+      const atServerMs =
+        serverWasFull === false ? 0 : this.#estimates.waitAtServerMs(route.name, firstByteMs);
       const waitedMs = placedAt - askedAt + atServerMs;
       this.#sharing.recordServed(request, waitedMs, route.targetMs, now);
       this.#estimates.record(route.name, { workMs: now - placedAt, firstByteMs });
@@ -135,13 +137,12 @@
   }
 }
 
-/** Whether a request ended because it waited too long, or because too many waited. */
+/** Whether a request was refused because too many waited. */
 function isForWantOfRoom(outcome: Outcome | undefined): boolean {
   if (outcome?.type !== 'refused') return false;
   const { reason } = outcome.refusal ?? {};
-  return (
-    reason === 'overloaded' || reason === 'deadline-unreachable' || reason === 'deadline-passed'
-  );
+  // a deadline that passes may as well be due to this instance.
+  return reason === 'overloaded' || reason === 'deadline-unreachable';
 }
 
 function rounded(value: number): number {
--- a/packages/gateway/src/node/serverAttempt.ts
+++ b/packages/gateway/src/node/serverAttempt.ts
@@ -13,6 +13,7 @@
 import { Result } from 'true-myth';
 import { isRepeatable, isStream, mayRetry } from '../runtime/retryPolicy.js';
 import { enginePriority } from '../runtime/enginePriority.js';
+import { isServerFull } from '../runtime/isServerFull.js';
 import { sharedPartIds } from '../runtime/sharedParts.js';
 import { recordLoad } from './recordLoad.js';
 import { recordNotice } from './recordNotice.js';
@@ -316,7 +317,8 @@
   #recordReports({ head }: OpenAnswer): void {
     const { context } = this.#parts;
     const { server } = this.#placement;
-    recordLoad(context, this.#lane.lane.pool, server, head);
+    const load = recordLoad(context, this.#lane.lane.pool, server, head);
+    this.#progress.serverWasFull = isServerFull(load, server.slots);
     recordNotice(context, server, head);
   }
 
--- a/packages/gateway/src/types/requestRun.ts
+++ b/packages/gateway/src/types/requestRun.ts
@@ -70,6 +70,8 @@
   placedAt?: number;
   /** When the request was last written to that server. */
   sentAt?: number | undefined;
+  /** Whether that server had no free slot when it answered; undefined if it did not tell. */
+  serverWasFull?: boolean | undefined;
   /** When the first byte of the last attempt's complete answer arrived. */
   firstByteAt?: number | undefined;
   /** Attempts so far, whether or not they ran. */
