--- a/packages/core/src/runtime/routing/speedPersistence.ts
+++ b/packages/core/src/runtime/routing/speedPersistence.ts
@@ -15,6 +15,18 @@
  */
 const FORGETTING = 0.999;
 
+interface Point {
+  ageMs: number;
+  value: number;
+}
+
+const START: Point = { ageMs: 0, value: 1 };
+/** What is assumed at the centre of each class. */
+const ASSUMED_POINTS: readonly Point[] = GAP_LIMITS_MS.map((limitMs, index) => {
+  const ageMs = (limitMs + (GAP_LIMITS_MS[index - 1] ?? 0)) / 2;
+  return { ageMs, value: Math.exp(-ageMs / ASSUMED_TIME_CONSTANT_MS) };
+});
+
 interface GapClass {
   /** Products of the deviations of both reports. */
   together: number;
@@ -34,40 +46,40 @@
 export class SpeedPersistence {
   readonly #classes: GapClass[] = GAP_LIMITS_MS.map(() => ({ together: 0, earlier: 0 }));
 
+  /** Computed once after each change, as choices are far more frequent than reports. */
+  #points: Point[] | undefined;
+
   /** Records the deviations from the mean in two reports of one server. */
   compare({ earlier, later, gapMs }: { earlier: number; later: number; gapMs: number }): void {
     const found = this.#classes[GAP_LIMITS_MS.findIndex((limitMs) => gapMs < limitMs)];
     if (!found) return;
+    this.#points = undefined;
     found.together = found.together * FORGETTING + earlier * later;
     found.earlier = found.earlier * FORGETTING + earlier * earlier;
   }
 
   /** Fraction of a deviation that remains after `ageMs`, from 0 to 1; never rises with the age. */
   at(ageMs: number): number {
-    let before = { ageMs: 0, value: 1 };
-    for (const [index, limitMs] of GAP_LIMITS_MS.entries()) {
-      const value = Math.min(before.value, this.#learned(index));
-      const centreMs = (limitMs + (GAP_LIMITS_MS[index - 1] ?? 0)) / 2;
-      if (ageMs <= centreMs) return interpolate(before, { ageMs: centreMs, value }, ageMs);
-      before = { ageMs: centreMs, value };
+    this.#points ??= this.#learnedPoints();
+    let before = START;
+    for (const point of this.#points) {
+      if (ageMs <= point.ageMs) return interpolate(before, point, ageMs);
+      before = point;
     }
     return before.value * Math.exp((before.ageMs - ageMs) / ASSUMED_TIME_CONSTANT_MS);
   }
 
-  #learned(index: number): number {
-    const { together, earlier } = this.#classes[index] ?? { together: 0, earlier: 0 };
-    const centreMs = ((GAP_LIMITS_MS[index] ?? 0) + (GAP_LIMITS_MS[index - 1] ?? 0)) / 2;
-    const assumed = Math.exp(-centreMs / ASSUMED_TIME_CONSTANT_MS);
-    const value = (together + ASSUMPTION_WEIGHT * assumed) / (earlier + ASSUMPTION_WEIGHT);
-    return Math.min(1, Math.max(0, value));
+  #learnedPoints(): Point[] {
+    let most = 1;
+    return ASSUMED_POINTS.map(({ ageMs, value: assumed }, index) => {
+      const { together, earlier } = this.#classes[index] ?? { together: 0, earlier: 0 };
+      const value = (together + ASSUMPTION_WEIGHT * assumed) / (earlier + ASSUMPTION_WEIGHT);
+      most = Math.min(most, Math.max(0, value));
+      return { ageMs, value: most };
+    });
   }
 }
 
-interface Point {
-  ageMs: number;
-  value: number;
-}
-
 function interpolate(from: Point, to: Point, ageMs: number): number {
   const part = Math.max(0, ageMs - from.ageMs) / (to.ageMs - from.ageMs);
   return from.value + (to.value - from.value) * part;
