feat(routing): what engines have cached, weighed against waits and copies

Callers saw prompts wait at the engine that owns them by hash although another one would have read them sooner, and read again although a third one had them cached: the bound on the owner's load compares neither prompt length, speed nor caches.

Adds estimates of cached prompt parts (by chain, engine process and age), learned reading speeds and waits, and the sum of reading, waiting, copying, evicting and charges by which a chooser takes the cheapest engine. It compares the owner, the engines that had the prompt, and four at random. Nothing uses it yet.

--- a/packages/core/src/index.ts
+++ b/packages/core/src/index.ts
@@ -21,6 +21,7 @@
 export type * from './types/fleetConditions.js';
 export type * from './types/gossip.js';
 export type * from './types/placementCost.js';
+export type * from './types/promptPart.js';
 export * from './runtime/admission/index.js';
 export * from './runtime/routing/index.js';
 export * from './utils/hash.js';
--- a/packages/core/src/runtime/routing/serverChooser.ts
+++ b/packages/core/src/runtime/routing/serverChooser.ts
@@ -1,7 +1,13 @@
 /** Chooses one backend server among those with free capacity. */
 
-import type { Tokens } from '../../types/ids.js';
-import type { Candidate, CandidateQuery, RandomSource } from '../../types/placement.js';
+import type { EpochMs, ServerId, Tokens } from '../../types/ids.js';
+import type { PromptPart } from '../../types/promptPart.js';
+import type {
+  Candidate,
+  CandidateQuery,
+  RandomSource,
+  ServerBounds,
+} from '../../types/placement.js';
 import type { ServerPool } from './serverPool.js';
 import { rendezvousRank } from '../../utils/hash.js';
 import { isLongPrompt } from './promptLength.js';
@@ -12,14 +18,27 @@
   prefixHash?: number;
   /** Number of tokens in the prompt. */
   promptTokens?: Tokens;
+  /** Parts of the prompt, in order. */
+  parts?: readonly PromptPart[];
+  /** Server that all instances prefer for the prompt. @default the candidate with the prefix's hash */
+  owner?: ServerId | undefined;
+  /** Servers that the request has tried. */
+  tried?: readonly ServerId[];
+  /** Servers that may run it. */
+  bounds?: ServerBounds | undefined;
+  /** Present time; choosers that weigh cached prompts need it. */
+  now?: EpochMs;
 }
 
 export type ServerChooserName =
   'random' | 'round-robin' | 'least-loaded' | 'power-of-two' | 'prefix-affinity';
 
+/** Name of a chooser, including those that need more than a name to be created. */
+export type ChooserKind = ServerChooserName | 'cheapest';
+
 /** Strategy that picks a server from at least one candidate. */
 export abstract class ServerChooser {
-  abstract readonly name: ServerChooserName;
+  abstract readonly name: ChooserKind;
   abstract pick(
     candidates: readonly [Candidate, ...Candidate[]],
     request: ChoiceRequest,
--- a/packages/core/src/types/placementCost.ts
+++ b/packages/core/src/types/placementCost.ts
@@ -15,8 +15,11 @@
   copyMs: number;
   /** Reading again, later, what the placement drives out of the server's memory. */
   displacedMs: number;
-  /** Sending the request to another data centre, with the bytes that are charged for it. */
-  crossMs: number;
+  /**
+   * What is charged, as time: bytes of the request to another data centre, and tokens that are read
+   * again although another server keeps them, or is the one that should.
+   */
+  chargedMs: number;
   totalMs: number;
 }
 
