feat(gateway): engines are chosen by the sum of reading and waiting where a deployment calls for it

Generations went to the owner of their prompt up to a bound on its load, whatever waiting there cost against reading the prompt elsewhere, and were copied from another engine whether or not that was cheaper than reading.

While AdaptiveLoad is on, the lane of a generating service takes the engine with the least sum and copies only where that is cheaper than reading; the first event of a stream corrects the estimates. The terms stand in the request's log line, and counters say how many prompt tokens were found, copied and read, and how many estimates were wrong. Prompts are copied from no server outside the regions of the request.

--- a/packages/core/src/types/routedConfig.ts
+++ b/packages/core/src/types/routedConfig.ts
@@ -52,6 +52,10 @@
   copiesPrompts: boolean;
   /** Tokens that fit into the memory of a server; absent if unknown. */
   memoryTokens?: Tokens;
+  /** Bytes that are copied for each cached token; absent if unknown. */
+  tokenBytes?: number | undefined;
+  /** Bytes that a server's link carries in a millisecond; absent if unknown. */
+  linkBytesPerMs?: number | undefined;
   /** What its cold servers take; absent if unknown. */
   cold?: ColdService;
   /** Maximum number of tokens in one stream event. */
--- a/packages/gateway/src/index.ts
+++ b/packages/gateway/src/index.ts
@@ -7,6 +7,7 @@
 export * from './runtime/affinityKey.js';
 export * from './runtime/charge.js';
 export * from './runtime/enginePriority.js';
+export * from './runtime/placementFields.js';
 export * from './runtime/reportPeriod.js';
 export * from './runtime/retryAllowance.js';
 export * from './runtime/retryPolicy.js';
--- a/packages/gateway/src/node/backendLanes.ts
+++ b/packages/gateway/src/node/backendLanes.ts
@@ -3,16 +3,26 @@
  */
 
 import type { Kernel } from '@flamingocourse/kernel';
-import type { ColdService, RoutedConfig, ServerId, ServiceName } from '@flamingocourse/core';
+import type {
+  ColdService,
+  EngineTerms,
+  RoutedConfig,
+  RoutedService,
+  ServerId,
+  ServiceName,
+} from '@flamingocourse/core';
 import type { GatewayContext } from '../types/context.js';
-import type { CrashCheck, QuarantineExchange } from '@flamingocourse/router';
+import type { CrashCheck, QuarantineExchange, ServiceLaneOptions } from '@flamingocourse/router';
 import type { DirectoryServer } from './serverDirectory.js';
 import {
   AdmissionQueue,
   FleetShare,
+  CheapestChooser,
   PrefixAffinityChooser,
+  PromptPlacement,
   QuickEngineChooser,
   ServerPool,
+  SwitchedChooser,
   createServerChooser,
 } from '@flamingocourse/core';
 import { Service, waitForPendingReads } from '@flamingocourse/kernel';
@@ -214,9 +224,9 @@
     const lane = new ServiceLane({
       pool,
       queue: new AdmissionQueue({ maxSize: MAX_WAITING }),
-      chooser: sharesPrompts
-        ? new QuickEngineChooser(new PrefixAffinityChooser(AFFINITY_BOUND))
-        : createServerChooser('power-of-two'),
+      ...(sharesPrompts
+        ? this.#engineChoice(service, pool)
+        : { chooser: createServerChooser('power-of-two') }),
       quarantine: this.#register,
       crashCheck: this.#crashCheck,
       clock,
@@ -231,6 +241,30 @@
     this.#lanes.set(service, created);
     return created;
   }
+
+  /** Cached prompts are weighed against waits only where a deployment calls for it. */
+  #engineChoice(
+    service: ServiceName,
+    pool: ServerPool,
+  ): Pick<ServiceLaneOptions, 'chooser' | 'prompts'> {
+    const { adaptiveLoad } = this.#context;
+    const isOn = (): boolean => adaptiveLoad.isOn;
+    const usual = new QuickEngineChooser(new PrefixAffinityChooser(AFFINITY_BOUND));
+    const costs = new PromptPlacement(pool, () => {
+      return engineTerms(this.#configuration?.table?.service(service));
+    });
+    const chooser = new CheapestChooser(costs, usual);
+    return {
+      chooser: new SwitchedChooser(isOn, chooser, usual),
+      prompts: { costs, chooser, isOn },
+    };
+  }
+}
+
+/** What a service's engines have in common, from the configuration in force. */
+function engineTerms(service: RoutedService | undefined): EngineTerms {
+  const { copiesPrompts = false, memoryTokens, tokenBytes, linkBytesPerMs } = service ?? {};
+  return { copiesPrompts, memoryTokens, tokenBytes, linkBytesPerMs };
 }
 
 function coldServicesOf({ services }: RoutedConfig): Map<ServiceName, ColdService> {
--- a/packages/gateway/src/node/gatewayMetrics.ts
+++ b/packages/gateway/src/node/gatewayMetrics.ts
@@ -1,6 +1,6 @@
 /** Prometheus metrics of the process. */
 
-import type { ProcessVerdict } from '@flamingocourse/core';
+import type { ProcessVerdict, PromptReading } from '@flamingocourse/core';
 import type { CallCounters, CollectionCalls } from '@flamingocourse/store';
 import { Counter, Gauge, Histogram, Registry } from 'prom-client';
 
@@ -65,6 +65,18 @@
     labelNames: ['service'],
     registers: [this.#registry],
   });
+  readonly #promptTokens = new Counter({
+    name: 'flamingocourse_prompt_tokens_total',
+    help: 'tokens of prompts by service and by how the server came by them, where caches are weighed',
+    labelNames: ['service', 'how'],
+    registers: [this.#registry],
+  });
+  readonly #wrongEstimates = new Counter({
+    name: 'flamingocourse_prompt_estimates_wrong_total',
+    help: 'parts of prompts that were believed to be cached and were read, by service',
+    labelNames: ['service'],
+    registers: [this.#registry],
+  });
   readonly #prepaidRefused = new Counter({
     name: 'flamingocourse_prepaid_refused_total',
     help: 'requests refused for want of tokens, by client account and why the tokens were not had',
@@ -138,6 +150,14 @@
     this.#attempts.inc({ service, end });
   }
 
+  /** Counts where the tokens of a prompt came from. */
+  promptRead(service: string, reading: PromptReading): void {
+    this.#promptTokens.inc({ service, how: 'found' }, reading.foundTokens);
+    this.#promptTokens.inc({ service, how: 'copied' }, reading.copiedTokens);
+    this.#promptTokens.inc({ service, how: 'read' }, reading.readTokens);
+    this.#wrongEstimates.inc({ service }, reading.wrongParts);
+  }
+
   /** Counts a request that was refused because no tokens were available. */
   prepaidRefused(account: string, why: string): void {
     this.#prepaidRefused.inc({ account, why });
--- a/packages/gateway/src/node/requestLogLine.ts
+++ b/packages/gateway/src/node/requestLogLine.ts
@@ -7,6 +7,7 @@
 import type { IncomingCall } from '../types/requestRun.js';
 import type { RequestFlow } from './requestFlow.js';
 import { hasBegun } from '@flamingocourse/core';
+import { placementFields } from '../runtime/placementFields.js';
 import { sharedPartIds } from '../runtime/sharedParts.js';
 
 /** A finished request. */
@@ -59,6 +60,7 @@
     ...streamFields(ended),
     ...progress?.list,
     ...progress?.notice,
+    ...placementFields(progress?.plan),
     prompt: head?.size?.prompt,
     parts: head && sharedPartIds(head),
     events: answer.events,
--- a/packages/gateway/src/node/serverAttempt.ts
+++ b/packages/gateway/src/node/serverAttempt.ts
@@ -87,6 +87,7 @@
     this.#progress.sentAt = undefined;
     this.#progress.server = this.#placement.server.id;
     this.#progress.serverVersion = this.#placement.server.softwareVersion;
+    this.#progress.plan = this.#placement.plan;
     this.#progress.list = this.#parts.directory.view(this.#placement.server.id, this.#startedAt);
     const { rules, metrics } = this.#parts.context;
     this.#progress.notice = rules.notices.view(this.#placement.server, this.#startedAt);
@@ -244,6 +245,7 @@
     const timing = new EventTiming();
     let hasSurvived = false;
     const end = await relayStream(relay, (events, lastId) => {
+      if (events > 0 && relay.open.head.status < 300) this.#recordFirstEvent();
       if (this.#progress.events === 0) this.#bindStream();
       this.#progress.events += events;
       const now = this.#now();
@@ -263,6 +265,11 @@
     return end;
   }
 
+  #recordFirstEvent(): void {
+    const reading = this.#placement.recordFirstEvent();
+    if (reading) this.#parts.context.metrics.promptRead(this.#call.service.name, reading);
+  }
+
   /** Binds the stream to the software that made its first event, before the caller gets the event. */
   #bindStream(): void {
     const { softwareVersion } = this.#placement.server;
--- a/packages/gateway/src/types/call.ts
+++ b/packages/gateway/src/types/call.ts
@@ -1,13 +1,9 @@
 /** Requests and responses of the pass-through pipeline, independent of their format on the wire. */
 
-import type { Tokens } from '@flamingocourse/core';
+import type { PromptPart, Tokens } from '@flamingocourse/core';
 import type { IncomingHttpHeaders } from 'node:http';
 
-/** A part of a prompt. Requests with the same part can reuse state cached at a server. */
-export interface PromptPart {
-  id: string;
-  tokens: Tokens;
-}
+export type { PromptPart } from '@flamingocourse/core';
 
 /** Size of a text generation, in tokens. */
 export interface GenerationSize {
--- a/packages/gateway/src/types/requestRun.ts
+++ b/packages/gateway/src/types/requestRun.ts
@@ -2,6 +2,7 @@
 
 import type {
   NoticeView,
+  PlacementPlan,
   Route,
   RouteTable,
   RoutedAccount,
@@ -66,6 +67,8 @@
   list?: ListView;
   /** Notices in force for that server when the attempt started. */
   notice?: NoticeView | undefined;
+  /** What that server was chosen by; undefined if cached prompts are not weighed. */
+  plan?: PlacementPlan | undefined;
   /** When the last attempt was assigned to that server. */
   placedAt?: number;
   /** When the request was last written to that server. */
--- a/packages/router/src/index.ts
+++ b/packages/router/src/index.ts
@@ -21,6 +21,7 @@
 export * from './utils/digest.js';
 export * from './node/fleet/configurationService.js';
 export * from './node/fleet/fleetService.js';
+export type * from './node/backends/lanePrompts.js';
 export * from './node/backends/serviceLane.js';
 export * from './node/backends/quarantineRegister.js';
 export * from './utils/problem.js';
--- a/packages/router/src/node/backends/serviceLane.ts
+++ b/packages/router/src/node/backends/serviceLane.ts
@@ -24,11 +24,9 @@
 import {
   ANY_SERVER,
   chooseServer,
-  PromptLocations,
   createRetryBudget,
   earnRetry,
   hasBegun,
-  hash32,
   spendRetry,
 } from '@flamingocourse/core';
 import { Result } from 'true-myth';
@@ -44,6 +42,8 @@
   shedDetails,
 } from './laneRefusals.js';
 import { toHealthOutcome } from './healthOutcome.js';
+import type { WeighedPrompts } from './lanePrompts.js';
+import { LanePrompts } from './lanePrompts.js';
 import { InFlightRequests } from './inFlightRequests.js';
 import { LaneStatistics } from './laneStatistics.js';
 
@@ -79,6 +79,8 @@
    * @default true
    */
   runsSuspectsAlone?: boolean;
+  /** How cached prompts are weighed against waits; without it, they are not. */
+  prompts?: WeighedPrompts;
 }
 
 interface Waiter {
@@ -96,12 +98,13 @@
   readonly #parked = new Set<number>();
   readonly #inFlight = new InFlightRequests();
   readonly #statistics = new LaneStatistics();
-  readonly #promptLocations = new PromptLocations();
+  readonly #prompts: LanePrompts;
   #retries: RetryBudget = createRetryBudget();
   #nextId = 1;
 
   constructor(options: ServiceLaneOptions) {
     this.#options = options;
+    this.#prompts = new LanePrompts(options.pool, options.prompts);
   }
 
   get waiting(): number {
@@ -305,11 +308,8 @@
   /** Prefers a server that the request has not tried. If it has tried all, any may have recovered. */
   #choose({ request, exclusive }: Waiter, now: EpochMs): Candidate | undefined {
     const { pool, chooser, random, scope = 'near-first' } = this.#options;
-    const { prefixKey, promptTokens, bounds = ANY_SERVER } = request;
-    const choice = {
-      ...(prefixKey === undefined ? {} : { prefixHash: hash32(prefixKey) }),
-      ...(promptTokens === undefined ? {} : { promptTokens }),
-    };
+    const { bounds = ANY_SERVER } = request;
+    const choice = this.#prompts.choiceOf(request, now);
     const { extra } = this.#statistics.ruleFor(request.importance);
     const tried = new Set(request.tried);
     const rule = { exclusive, extra, scope, bounds };
@@ -318,25 +318,25 @@
   }
 
   #dispatch(chosen: Candidate, waiter: Waiter, now: EpochMs): Placement {
-    const { pool } = this.#options;
+    const { pool, clock } = this.#options;
     const { request, exclusive, arrivedAt } = waiter;
     const attempt = pool.dispatch(chosen.id, now, exclusive);
     const server = pool.server(chosen.id);
     if (!server) throw new RangeError(`chosen server "${chosen.id}" is not in the pool`);
-    const { prefixKey } = request;
+    const prompt = this.#prompts.place(chosen, server, request, now);
     return {
       server,
-      promptSource:
-        prefixKey === undefined
-          ? undefined
-          : this.#findPromptSource(prefixKey, server, request, now),
+      promptSource: prompt.source,
+      plan: prompt.plan,
       priority: enginePriority[request.importance],
       recordSent: () => {
-        pool.recordSent(attempt, this.#options.clock.now());
+        pool.recordSent(attempt, clock.now());
+        prompt.recordSent(clock.now());
         this.#inFlight.add(server.id, attempt, causesOf(request));
       },
       recordReplaced: () => {
-        pool.recordReplaced(server, this.#options.clock.now());
+        pool.recordReplaced(server, clock.now());
+        this.#prompts.dropServer(server.id);
       },
       recordReceived: () => {
         pool.recordReceived(attempt, this.#options.clock.now());
@@ -345,9 +345,11 @@
         this.#options.quarantine.recordFinished(request.partFingerprints ?? []);
       },
       recordPromptRead: () => {
-        if (prefixKey !== undefined) this.#promptLocations.record(prefixKey, server.id);
+        this.#prompts.recordRead(request, server.id);
       },
+      recordFirstEvent: () => prompt.recordFirstEvent(clock.now()),
       end: (how, firstTokenMs) => {
+        prompt.end();
         this.#recordEnd(attempt, request, how, firstTokenMs);
         this.#reportCrash(server, attempt, causesOf(request), how);
         if (how === 'ok' && firstTokenMs !== undefined) {
@@ -363,26 +365,6 @@
     };
   }
 
-  /**
-   * Finds a server from which another server can copy a prompt instead of reading it: the server
-   * that last read it for this instance, or else the server that all instances prefer for it.
-   */
-  #findPromptSource(
-    prefixKey: string,
-    { id }: BackendServer,
-    { tried, bounds }: PlacementRequest,
-    now: EpochMs,
-  ): BackendServer | undefined {
-    const { pool } = this.#options;
-    const known = this.#promptLocations.find(prefixKey);
-    if (known === id) return undefined;
-    // A server that just failed this request may be down, and the copy would wait for it.
-    if (known !== undefined && !tried.includes(known) && pool.canCopyFrom(known, now, bounds)) {
-      return pool.server(known);
-    }
-    return pool.likelyPromptServer(hash32(prefixKey), new Set([id, ...tried]), now, bounds);
-  }
-
   #recordEnd(
     attempt: number,
     { workClass }: PlacementRequest,
@@ -425,6 +407,7 @@
 
   #recordCrash(server: BackendServer, brokenRequests: readonly Fingerprint[]): void {
     const others = this.#inFlight.takeAll(server.id);
+    this.#prompts.dropServer(server.id);
     this.#options.quarantine.recordCrash(server, [...new Set([...brokenRequests, ...others])]);
   }
 
--- a/packages/router/src/types/backends.ts
+++ b/packages/router/src/types/backends.ts
@@ -5,6 +5,9 @@
   EpochMs,
   Fingerprint,
   Importance,
+  PlacementPlan,
+  PromptPart,
+  PromptReading,
   Refusal,
   ServerId,
   ServiceName,
@@ -31,6 +34,8 @@
   prefixKey?: string;
   /** Number of tokens of the prompt, if the request has one. */
   promptTokens?: Tokens;
+  /** Parts of the prompt, in order. */
+  promptParts?: readonly PromptPart[];
   /** Servers that this request has already tried. */
   tried: ServerId[];
   /** Servers that may run it. @default any */
@@ -61,6 +66,8 @@
   server: BackendServer;
   /** Another server that probably has the shared parts of the prompt in its cache. */
   promptSource: BackendServer | undefined;
+  /** What the server was chosen by; undefined if cached prompts are not weighed. */
+  plan?: PlacementPlan | undefined;
   /** Value of the engine's `priority` field; requests with lower values run first. */
   priority: number;
   /** Releases the place. `firstTokenMs` is the time from the placement to the first token. */
@@ -75,6 +82,8 @@
   recordSurvived(): void;
   /** Records that the server has begun to answer and so has read the prompt. */
   recordPromptRead(): void;
+  /** Records the first event of a stream; returns what it says about the prompt. */
+  recordFirstEvent(): PromptReading | undefined;
 }
 
 /** Places attempts on backend servers. The service is registered as `backends`. */
--- a/test/routing/promptPlacement.test.ts
+++ b/test/routing/promptPlacement.test.ts
@@ -210,7 +210,12 @@
 describe('a server that restarted', () => {
   const cases = [
     { name: 'is listed with another start', restart: (i: Instance) => i.born.set(OTHER, 9_000) },
-    { name: 'crashed', restart: (i: Instance) => { i.costs.belief.dropServer(OTHER); } },
+    {
+      name: 'crashed',
+      restart: (i: Instance) => {
+        i.costs.belief.dropServer(OTHER);
+      },
+    },
   ];
   for (const { name, restart } of cases) {
     test(`${name}: keeps nothing that this instance sent`, () => {
