--- a/test/platform/world.ts
+++ b/test/platform/world.ts
@@ -99,6 +99,7 @@
   regions?: Record<string, string>;
   evacuation?: { applyMs: number };
   coldServers?: { overshoot: number; slack: number };
+  terms?: readonly string[];
 }
 
 export class World {
@@ -265,6 +266,7 @@
         retries: { ratio: 0.2, slack: 54, windowMs: 10_000 },
         ...(change.regions ? { regions: change.regions } : {}),
         ...(change.coldServers ? { coldServers: change.coldServers } : {}),
+        ...(change.terms ? { terms: change.terms } : {}),
         ...(change.evacuation ? { evacuation: change.evacuation } : {}),
         stopGraceMs: 4_000,
       }),
