fix(routing): copied tokens are not charged as read again

A placement with a copy still carried the charge for reading the copied tokens again, so it looked dearer than it is and requests were kept at a busy owner although a copy to an idle engine was cheaper. The sum with a copy is now that of the same engine if it kept the copied tokens, plus the copy.

test/routing/prompt*: 70 passed; the new check of the charge fails on the code before.

--- a/packages/core/src/runtime/routing/placementSum.ts
+++ b/packages/core/src/runtime/routing/placementSum.ts
@@ -83,22 +83,25 @@
 /**
  * Returns the sum with a copy of tokens that another server keeps; undefined if reading them is
  * cheaper.
+ *
+ * @param cost the sum without the copy.
+ * @param after the sum of the same server if it kept the copied tokens too.
  */
 export function withCopy(
   cost: PlacementCost,
-  copiedTokens: Tokens,
-  msPerToken: number,
+  after: PlacementCost,
   terms: EngineTerms,
   crosses: boolean,
 ): PlacementCost | undefined {
-  if (copiedTokens <= 0) return undefined;
-  const bytes = copiedTokens * (terms.tokenBytes ?? USUAL_TOKEN_BYTES);
+  const bytes = (after.keptTokens - cost.keptTokens) * (terms.tokenBytes ?? USUAL_TOKEN_BYTES);
+  if (bytes <= 0) return undefined;
   const linkMs = bytes / (terms.linkBytesPerMs ?? USUAL_LINK_BYTES_PER_MS);
   const copyMs = COPY_SETUP_MS + linkMs + (crosses ? CROSS_DELAY_MS + crossingMs(bytes) : 0);
-  const savedMs = Math.min(cost.readMs, copiedTokens * msPerToken);
-  if (copyMs >= savedMs) return undefined;
-  const readMs = cost.readMs - savedMs;
-  return { ...cost, readMs, copyMs, totalMs: cost.totalMs - savedMs + copyMs };
+  const { readMs, chargedMs } = after;
+  if (copyMs >= cost.readMs - readMs) return undefined;
+  const { waitMs, displacedMs } = cost;
+  const totalMs = readMs + waitMs + copyMs + displacedMs + chargedMs;
+  return { ...cost, readMs, chargedMs, copyMs, totalMs };
 }
 
 /** Bounds a reported slowdown; without a report, work takes the usual time. */
--- a/packages/core/src/runtime/routing/promptPlacement.ts
+++ b/packages/core/src/runtime/routing/promptPlacement.ts
@@ -7,7 +7,7 @@
 import type { ServerIncarnation } from './serverNotices.js';
 import { LearnedShare } from './learnedShare.js';
 import { PromptBelief } from './promptBelief.js';
-import { boundedSlowdown, placementSum, withCopy } from './placementSum.js';
+import { placementSum, withCopy } from './placementSum.js';
 import { ReadingSpeed } from './readingSpeed.js';
 import { UnreadTokens } from './unreadTokens.js';
 import { UsualWaits } from './usualWaits.js';
@@ -86,18 +86,18 @@
 
   /** What a placement at a server costs, with a copy if that is cheaper than reading. */
   plan(candidate: Candidate, prompt: PreparedPrompt, now: EpochMs): PlacementPlan {
-    const cost = this.#cost(candidate, prompt, now);
+    const ownTokens = prompt.kept.get(candidate.id) ?? prompt.keptElsewhere;
+    const cost = this.#cost(candidate, prompt, ownTokens, now);
     const terms = this.#terms();
     let best: PlacementPlan = { cost, copiedTokens: 0 };
     if (!terms.copiesPrompts || cost.readMs === 0) return best;
-    const msPerToken = boundedSlowdown(candidate.slowdown) / this.speed.ofServer(candidate.id);
     for (const [source, keptTokens] of prompt.kept) {
       if (!this.#isSource(source, candidate.id, prompt.query, now)) continue;
-      const copiedTokens = keptTokens - cost.keptTokens;
+      const after = this.#cost(candidate, prompt, Math.max(ownTokens, keptTokens), now);
       const crosses = this.#dataCentre(source) !== this.#dataCentre(candidate.id);
-      const copied = withCopy(cost, copiedTokens, msPerToken, terms, crosses);
+      const copied = withCopy(cost, after, terms, crosses);
       if (!copied || copied.totalMs >= best.cost.totalMs) continue;
-      best = { cost: copied, copyFrom: source, copiedTokens };
+      best = { cost: copied, copyFrom: source, copiedTokens: keptTokens - ownTokens };
     }
     return best;
   }
@@ -117,13 +117,18 @@
     this.#requestTokens += REQUEST_WEIGHT * (promptTokens - this.#requestTokens);
   }
 
-  #cost(candidate: Candidate, prompt: PreparedPrompt, now: EpochMs): PlacementCost {
+  #cost(
+    candidate: Candidate,
+    prompt: PreparedPrompt,
+    keptTokens: Tokens,
+    now: EpochMs,
+  ): PlacementCost {
     const { id, load, capacity, local, slowdown } = candidate;
     const { promptTokens } = prompt.query;
     return placementSum({
       server: id,
       promptTokens,
-      keptTokens: prompt.kept.get(id) ?? prompt.keptElsewhere,
+      keptTokens,
       keptAnywhere: id === prompt.query.owner ? 0 : prompt.keptAnywhere,
       usualTokensPerMs: this.speed.usual,
       tokensPerMs: this.speed.ofServer(id),
--- a/test/routing/promptPlacement.test.ts
+++ b/test/routing/promptPlacement.test.ts
@@ -281,6 +281,8 @@
       const plan = instance.costs.plan(target, prompt, 500);
       assert.equal(plan.copyFrom, copies ? at : undefined);
       assert.equal(plan.cost.copyMs > 0, copies);
+      // tokens that are copied are not read again, so they are not charged.
+      assert.equal(plan.cost.chargedMs < 50, copies);
     });
   }
 
