--- a/packages/gateway/src/node/backendLanes.ts
+++ b/packages/gateway/src/node/backendLanes.ts
@@ -3,17 +3,28 @@
  */
 
 import type { Kernel } from '@flamingocourse/kernel';
-import type { ColdService, RoutedConfig, ServerId, ServiceName } from '@flamingocourse/core';
+import type {
+  ColdService,
+  EngineTerms,
+  RoutedConfig,
+  RoutedService,
+  ServerChooser,
+  ServerId,
+  ServiceName,
+} from '@flamingocourse/core';
 import type { GatewayContext } from '../types/context.js';
-import type { CrashCheck, QuarantineExchange } from '@flamingocourse/router';
+import type { CrashCheck, QuarantineExchange, ServiceLaneOptions } from '@flamingocourse/router';
 import type { DirectoryServer } from './serverDirectory.js';
 import {
   AdmissionQueue,
   ExpectedTimeChooser,
   FleetShare,
+  CheapestChooser,
   PrefixAffinityChooser,
+  PromptPlacement,
   QuickEngineChooser,
   ServerPool,
+  SwitchedChooser,
   createServerChooser,
 } from '@flamingocourse/core';
 import { Service, waitForPendingReads } from '@flamingocourse/kernel';
@@ -221,11 +232,7 @@
     const lane = new ServiceLane({
       pool,
       queue: new AdmissionQueue({ maxSize: MAX_WAITING }),
-      chooser: sharesPrompts
-        ? new QuickEngineChooser(new PrefixAffinityChooser(AFFINITY_BOUND))
-        : new ExpectedTimeChooser(createServerChooser('power-of-two'), () => {
-            return this.#share.largestCount ?? 1;
-          }),
+      ...(sharesPrompts ? this.#engineChoice(service, pool) : { chooser: this.#plainChooser() }),
       quarantine: this.#register,
       crashCheck: this.#crashCheck,
       clock,
@@ -240,6 +247,37 @@
     this.#lanes.set(service, created);
     return created;
   }
+
+  /** By expected time while servers report their speed. */
+  #plainChooser(): ServerChooser {
+    return new ExpectedTimeChooser(createServerChooser('power-of-two'), () => {
+      return this.#share.largestCount ?? 1;
+    });
+  }
+
+  /** Cached prompts are weighed against waits only where a deployment calls for it. */
+  #engineChoice(
+    service: ServiceName,
+    pool: ServerPool,
+  ): Pick<ServiceLaneOptions, 'chooser' | 'prompts'> {
+    const { adaptiveLoad } = this.#context;
+    const isOn = (): boolean => adaptiveLoad.isOn;
+    const usual = new QuickEngineChooser(new PrefixAffinityChooser(AFFINITY_BOUND));
+    const costs = new PromptPlacement(pool, () => {
+      return engineTerms(this.#configuration?.table?.service(service));
+    });
+    const chooser = new CheapestChooser(costs, usual);
+    return {
+      chooser: new SwitchedChooser(isOn, chooser, usual),
+      prompts: { costs, chooser, isOn },
+    };
+  }
+}
+
+/** What a service's engines have in common, from the configuration in force. */
+function engineTerms(service: RoutedService | undefined): EngineTerms {
+  const { copiesPrompts = false, memoryTokens, tokenBytes, linkBytesPerMs } = service ?? {};
+  return { copiesPrompts, memoryTokens, tokenBytes, linkBytesPerMs };
 }
 
 function coldServicesOf({ services }: RoutedConfig): Map<ServiceName, ColdService> {
--- a/test/platform/world.ts
+++ b/test/platform/world.ts
@@ -99,7 +99,7 @@
   regions?: Record<string, string>;
   evacuation?: { applyMs: number };
   coldServers?: { overshoot: number; slack: number };
-  terms?: string[];
+  terms?: readonly string[];
   conditions?: FleetConditions;
 }
 
