revert: refusals of connections that waited too long

A fixed refusal costs 0.32 to 0.39 ms of processor time, closing a connection unread 0.07 to 0.08, and processor time is what an overloaded instance has too little of.

--- a/packages/gateway/src/node/arrivalWatch.ts
+++ b/packages/gateway/src/node/arrivalWatch.ts
@@ -6,8 +6,6 @@
 import type { InstancePressure } from '../runtime/instancePressure.js';
 import { ArrivalBounds } from '../runtime/arrivalBounds.js';
 import { ConnectionIntake } from '../runtime/connectionIntake.js';
-import { overloaded } from './entryRefusals.js';
-import { refuseUnread } from './refuseUnread.js';
 import { reopenListener } from './reopenListener.js';
 
 const MS_PER_SECOND = 1_000;
@@ -51,7 +49,7 @@
   readonly #context: GatewayContext;
   readonly #pressure: InstancePressure;
   readonly #bounds: ArrivalBounds;
-  readonly #intake: ConnectionIntake<Socket>;
+  readonly #intake = new ConnectionIntake<Socket>();
   /** Lets the server read a connection. */
   readonly #read: (socket: Socket) => void;
   /** Makes the server close new connections as soon as it accepts them, or not. */
@@ -67,8 +65,6 @@
   #worstMs = 0;
   /** Connections closed unread since the lag began. */
   #closed = 0;
-  /** Connections refused unread since the lag began. */
-  #refused = 0;
   /** Times at which all connections that waited to be accepted were closed since the lag began. */
   #sheds = 0;
 
@@ -76,7 +72,6 @@
   constructor(context: GatewayContext, server: Server, pressure: InstancePressure) {
     this.#context = context;
     this.#pressure = pressure;
-    this.#intake = new ConnectionIntake(() => context.adaptiveLoad.isOn);
     this.#bounds = new ArrivalBounds(context.clock.now());
     const readers = server.listeners('connection');
     server.removeAllListeners('connection');
@@ -176,10 +171,6 @@
   #recordClosed(openedFrom: readonly number[], now: number): void {
     this.#context.metrics.closedUnread(openedFrom.length);
     this.#closed += openedFrom.length;
-    this.#recordUnserved(openedFrom, now);
-  }
-
-  #recordUnserved(openedFrom: readonly number[], now: number): void {
     this.#pressure.observeClosed(openedFrom.length, now);
     for (const from of openedFrom) this.#recordLag(now - from, now);
   }
@@ -204,28 +195,14 @@
   }
 
   #readConnections(isAccepting: boolean, now: number): void {
-    const { read, refuse, close } = this.#intake.next({ isAccepting, now });
+    const { read, close } = this.#intake.next({ isAccepting, now });
     for (const socket of read) this.#readConnection(socket, now);
-    if (refuse.length > 0) this.#refuseConnections(refuse, now);
     if (close.length === 0) return;
-    this.#recordClosed(this.#openedFrom(close, now), now);
+    const openedFrom = close.map((socket) => this.#newConnections.get(socket)?.openedFrom ?? now);
+    this.#recordClosed(openedFrom, now);
     for (const socket of close) socket.destroy();
   }
 
-  #refuseConnections(sockets: readonly Socket[], now: number): void {
-    const { dialects, metrics, random } = this.#context;
-    metrics.refusedUnread(sockets.length);
-    this.#refused += sockets.length;
-    this.#recordUnserved(this.#openedFrom(sockets, now), now);
-    for (const socket of sockets) {
-      refuseUnread(socket, dialects.callers.encodeRefusal(overloaded(random())));
-    }
-  }
-
-  #openedFrom(sockets: readonly Socket[], now: number): number[] {
-    return sockets.map((socket) => this.#newConnections.get(socket)?.openedFrom ?? now);
-  }
-
   #readConnection(socket: Socket, now: number): void {
     const connection = this.#newConnections.get(socket);
     if (connection) connection.readFrom = now;
@@ -255,13 +232,11 @@
       forMs,
       worstMs,
       closedUnread: this.#closed,
-      refusedUnread: this.#refused,
       sheds: this.#sheds,
     });
     this.#laggingSince = undefined;
     this.#worstMs = 0;
     this.#closed = 0;
-    this.#refused = 0;
     this.#sheds = 0;
   }
 }
--- a/packages/gateway/src/node/entryRefusals.ts
+++ b/packages/gateway/src/node/entryRefusals.ts
@@ -7,18 +7,6 @@
 
 /** `retryAfterMs` of an instance whose configuration cannot decide about a request. */
 const NOT_READY_RETRY_MS = 500;
-/** Least `retryAfterMs` of an overloaded instance; spread up to twice, so that retries come apart. */
-const OVERLOADED_RETRY_MS = 100;
-
-/**
- * Refusal of a request that waited so long to be read that others would be late in turn.
- *
- * @param spread a random number from 0 (inclusive) to 1 (exclusive).
- */
-export function overloaded(spread: number): Refusal {
-  const detail = 'This instance is overloaded; it did not read the request. Retry at another.';
-  return notRun('overloaded', detail, Math.round(OVERLOADED_RETRY_MS * (1 + spread)));
-}
 
 export function notReady(): Refusal {
   const detail = 'This instance has no fresh configuration; retry soon.';
--- a/packages/gateway/src/node/gatewayMetrics.ts
+++ b/packages/gateway/src/node/gatewayMetrics.ts
@@ -42,11 +42,6 @@
     help: 'connections of callers that waited too long to be read and were closed without reading',
     registers: [this.#registry],
   });
-  readonly #refusedUnread = new Counter({
-    name: 'flamingocourse_connections_refused_unread_total',
-    help: 'connections of callers that waited too long to be read and were refused without reading',
-    registers: [this.#registry],
-  });
   readonly #sheds = new Counter({
     name: 'flamingocourse_accept_queue_resets_total',
     help: 'times at which all connections of callers that waited to be accepted were closed',
@@ -151,11 +146,6 @@
     this.#closedUnread.inc(count);
   }
 
-  /** Counts connections that were refused without reading, for lack of processor time. */
-  refusedUnread(count: number): void {
-    this.#refusedUnread.inc(count);
-  }
-
   /** Counts a time at which all connections that waited to be accepted were closed. */
   shedWaiting(): void {
     this.#sheds.inc();
--- a/packages/gateway/src/runtime/connectionIntake.ts
+++ b/packages/gateway/src/runtime/connectionIntake.ts
@@ -1,4 +1,4 @@
-/** Decides when new connections of callers are read, and which are refused or closed unread. */
+/** Decides when new connections of callers are read, and which are closed without being read. */
 
 /**
  * Milliseconds for which a new connection may wait to be read while the process is overloaded. A
@@ -19,13 +19,6 @@
 const ACCEPTED_PER_READ = 3;
 /** Connections that are read in one iteration of the event loop; each brings a request's work. */
 const READ_PER_ITERATION = 4;
-/**
- * Connections that are refused unread for each one that is read, and most of them at a time. A refusal
- * takes 0.15 to 0.35 ms of a processor more than closing, a request 0.9 ms and more, so refusals take
- * less than a tenth of a process that is far behind.
- */
-const REFUSED_PER_READ = 0.5;
-const MAX_REFUSED = 8;
 
 /** An accepted connection from which nothing was read. */
 interface UnreadConnection<T> {
@@ -40,8 +33,6 @@
 /** What to do with connections now. */
 export interface IntakeStep<T> {
   read: T[];
-  /** Connections that get a final refusal without being read. */
-  refuse: T[];
   /** Connections to close without reading. */
   close: T[];
 }
@@ -57,9 +48,6 @@
  * const { read, close } = intake.next({ isAccepting: true, now: clock.now() });
  */
 export class ConnectionIntake<T> {
-  readonly #refuses: () => boolean;
-  /** Connections that may be refused now. */
-  #refusals = 0;
   #unread: UnreadConnection<T>[] = [];
   #readAt = -Infinity;
   #acceptedSinceRead = 0;
@@ -70,11 +58,6 @@
   /** When a connection that has waited too long was last seen. */
   #lastTooOldAt = -Infinity;
 
-  /** @param refuses whether connections that waited too long are refused where time allows it. */
-  constructor(refuses: () => boolean = () => false) {
-    this.#refuses = refuses;
-  }
-
   /** Whether no connection waits to be read. */
   get isEmpty(): boolean {
     return this.#unread.length === 0;
@@ -96,21 +79,19 @@
    * @param isAccepting whether the iteration accepted a connection, so that more may be waiting.
    */
   next({ isAccepting, now }: { isAccepting: boolean; now: number }): IntakeStep<T> {
-    const { refuse, close } = this.#divideTooOld(this.#takeTooOld(now));
+    const close = this.#closeTooOld(now);
     if (isAccepting) this.#acceptedSinceRead += 1;
     const mayRead =
       now - this.#readAt >= ACCEPT_ONLY_MS && this.#acceptedSinceRead >= ACCEPTED_PER_READ;
-    if (isAccepting && !mayRead) return { read: [], refuse, close };
+    if (isAccepting && !mayRead) return { read: [], close };
     this.#acceptedSinceRead = 0;
     if (!this.isEmpty) this.#readAt = now;
-    const read = this.#takeToRead(now);
-    this.#refusals = Math.min(MAX_REFUSED, this.#refusals + read.length * REFUSED_PER_READ);
-    return { read, refuse, close };
+    return { read: this.#takeToRead(now), close };
   }
 
   /**
    * Returns what to do with the connections that wait to be accepted, by when the next of them was opened:
-   * accept it, to read or to refuse it, close it as it is accepted, or close all of them at once, if closing them one by one has
+   * accept it, close it as it is accepted, or close all of them at once, if closing them one by one has
    * not come to those that wait for a short time only.
    */
   judgeNext({ openedFrom, now }: { openedFrom: number; now: number }): NextConnections {
@@ -119,7 +100,7 @@
       return 'accept';
     }
     this.#closingSince ??= now;
-    if (now - this.#closingSince <= SHED_AFTER_MS) return this.#mayRefuse ? 'accept' : 'close';
+    if (now - this.#closingSince <= SHED_AFTER_MS) return 'close';
     this.#closingSince = undefined;
     return 'shed';
   }
@@ -128,19 +109,7 @@
     return now - (this.#behindSince ?? now) > OVERLOADED_AFTER_MS;
   }
 
-  get #mayRefuse(): boolean {
-    return this.#refusals >= 1 && this.#refuses();
-  }
-
-  /** The newest are refused: their callers have the most time left for a retry. */
-  #divideTooOld(tooOld: T[]): { refuse: T[]; close: T[] } {
-    const count = this.#refuses() ? Math.min(tooOld.length, Math.floor(this.#refusals)) : 0;
-    this.#refusals -= count;
-    const closed = tooOld.length - count;
-    return { refuse: tooOld.slice(closed), close: tooOld.slice(0, closed) };
-  }
-
-  #takeTooOld(now: number): T[] {
+  #closeTooOld(now: number): T[] {
     const tooOld = this.#unread.filter(({ openedFrom }) => isTooOld(openedFrom, now));
     if (tooOld.length > 0) {
       this.#behindSince ??= now;
--- a/test/gateway/connectionIntake.test.ts
+++ b/test/gateway/connectionIntake.test.ts
@@ -102,8 +102,6 @@
 const ACCEPT_MS = 0.25;
 const SERVE_MS = 1.5;
 const CLOSE_MS = 0.1;
-/** Measured with a warm process: 0.32 to 0.39 ms for accepting and refusing, 0.19 for accepting and closing. */
-const REFUSE_MS = 0.3;
 /** Share of a processor, and the turn of the operating system in which the process gets it. */
 const SHARE = 0.12;
 const TURN_MS = 100;
@@ -114,8 +112,6 @@
 
 /** Fraction of what it can serve that has to be served in time. */
 const CAPACITY_FRACTION = 0.9;
-/** The same where refusals may take a tenth. */
-const REFUSING_FRACTION = 0.9 * CAPACITY_FRACTION;
 
 /** Requests that the process can serve in a second if it closes all others unread. */
 function capacityAt(perSecond: number): number {
@@ -125,19 +121,18 @@
 
 interface Ended {
   served: number[];
-  refused: number[];
   closed: number[];
 }
 
 /** Plays new connections at a constant rate to a process with a small share of a processor. */
-function play(perSecond: number, refuses = false): Ended {
+function play(perSecond: number): Ended {
   const bounds = new ArrivalBounds(0);
-  const intake = new ConnectionIntake<number>(() => refuses);
+  const intake = new ConnectionIntake<number>();
   const opened = Array.from(
     { length: (LOAD_MS / 1_000) * perSecond },
     (_, at) => (at * 1_000) / perSecond,
   );
-  const ended: Ended = { served: [], refused: [], closed: [] };
+  const ended: Ended = { served: [], closed: [] };
   let used = 0;
   let now = 0;
   const work = (ms: number): void => {
@@ -164,11 +159,7 @@
       ended.served.push(now - at);
     }
     bounds.beforePoll(now);
-    const { read, refuse, close } = intake.next({ isAccepting, now });
-    for (const at of refuse) {
-      work(REFUSE_MS);
-      ended.refused.push(now - at);
-    }
+    const { read, close } = intake.next({ isAccepting, now });
     for (const at of close) {
       work(CLOSE_MS);
       ended.closed.push(now - at);
@@ -196,34 +187,6 @@
   }
 });
 
-// Guards against refusals that take the processor time of the requests that could be served.
-describe('the same instance refuses unread where time allows it', () => {
-  const cases = [
-    { perSecond: 40, refusedShare: 0 },
-    { perSecond: 60, refusedShare: 0.9 },
-    { perSecond: 160, refusedShare: 0.1 },
-    { perSecond: 240, refusedShare: 0.03 },
-  ];
-  for (const { perSecond, refusedShare } of cases) {
-    test(`${String(perSecond)} a second: nearly as many are served in time`, () => {
-      const { served, refused, closed } = play(perSecond, true);
-      const inTime = served.filter((ms) => ms <= TARGET_MS).length;
-      const seconds = LOAD_MS / 1_000;
-      const capacity = Math.min(perSecond * seconds, seconds * capacityAt(perSecond));
-      assert.ok(
-        inTime >= REFUSING_FRACTION * capacity,
-        `${String(inTime)} in time of ${String(capacity)}`,
-      );
-      const unserved = refused.length + closed.length;
-      assert.ok(
-        refused.length >= refusedShare * unserved,
-        `${String(refused.length)} refused of ${String(unserved)}`,
-      );
-      assert.equal([...served, ...refused, ...closed].filter((ms) => ms > HELD_MS).length, 0);
-    });
-  }
-});
-
 describe('connections that wait to be accepted', () => {
   /** Times at which the next one was judged, with when it was opened. */
   const cases: { name: string; judged: [now: number, openedFrom: number][]; last: string }[] = [
