feat(gateway): engines serve urgent requests first while adaptive load is on

The place of a request now follows its urgency (the account's over the route's) and then its length. The less urgent earn promotions with the sends of the classes above them, so that they keep 10 and 5 in 100. A stream that has begun goes first. Without adaptive load the order is that of the length, as before.

--- a/packages/gateway/src/index.ts
+++ b/packages/gateway/src/index.ts
@@ -6,6 +6,7 @@
 export * from './runtime/adaptiveLoad.js';
 export * from './runtime/affinityKey.js';
 export * from './runtime/charge.js';
+export * from './runtime/engineOrder.js';
 export * from './runtime/enginePriority.js';
 export * from './runtime/reportPeriod.js';
 export * from './runtime/retryAllowance.js';
--- a/packages/gateway/src/node/backendLanes.ts
+++ b/packages/gateway/src/node/backendLanes.ts
@@ -22,6 +22,7 @@
 import { InstanceDirectory } from './instanceDirectory.js';
 import { ServerDirectory } from './serverDirectory.js';
 import { ServerPaths } from './serverPaths.js';
+import { EngineOrder } from '../runtime/engineOrder.js';
 import { RetryAllowance } from '../runtime/retryAllowance.js';
 
 /** Milliseconds between two checks of the queues for requests whose deadline has passed. */
@@ -49,6 +50,8 @@
 export interface BackendLane {
   lane: ServiceLane;
   retries: RetryAllowance;
+  /** Order of requests at engines while adaptive load is on. */
+  engineOrder: EngineOrder;
 }
 
 /** Service that keeps the lanes. Registered as `lanes`. */
@@ -227,7 +230,7 @@
     const divisor = (at: number): number | undefined => this.#share.divisor(at);
     const retries = new RetryAllowance({ ...settings.retries, divisor });
     const silentMs = sharesPrompts ? ENGINE_SILENT_MS : PLAIN_SILENT_MS;
-    const created = { lane, retries, silentMs };
+    const created = { lane, retries, engineOrder: new EngineOrder(), silentMs };
     this.#lanes.set(service, created);
     return created;
   }
--- a/packages/gateway/src/node/serverAttempt.ts
+++ b/packages/gateway/src/node/serverAttempt.ts
@@ -7,12 +7,14 @@
 import type { Relay, RelayEnd } from './answerRelay.js';
 import type { BackendLane } from './backendLanes.js';
 import type { AttemptFault, AttemptRequest, OpenAnswer } from './httpAttempt.js';
+import type { GenerationSize } from '../types/call.js';
 import type { FlowParts } from '../types/flowParts.js';
 import type { RequestProgress, RoutedCall } from '../types/requestRun.js';
 import { EventTiming } from '@flamingocourse/core';
 import { Result } from 'true-myth';
 import { isRepeatable, isStream, mayRetry } from '../runtime/retryPolicy.js';
 import { enginePriority } from '../runtime/enginePriority.js';
+import { effectivePriority, importanceOf } from '../runtime/requestPriority.js';
 import { sharedPartIds } from '../runtime/sharedParts.js';
 import { recordNotice } from './recordNotice.js';
 import { relayStream, relayWhole } from './answerRelay.js';
@@ -164,7 +166,7 @@
         serverId: server.id,
         leftMs: Math.max(1, Math.floor(endsAt - this.#startedAt)),
         account: account?.name,
-        priority: head.size && enginePriority(head.size),
+        priority: head.size && this.#enginePlace(head.size),
         resumeAfter: this.#progress.resumeAfter,
         copyFrom: service.copiesPrompts && holder ? new URL(holder.url).host : undefined,
         bodyBytes: body.length,
@@ -183,6 +185,16 @@
     });
   }
 
+  /** Place in the queue of the engine. A stream that has begun goes first: its caller sees a pause. */
+  #enginePlace(size: GenerationSize): number {
+    const { adaptiveLoad } = this.#parts.context;
+    if (!adaptiveLoad.isOn) return enginePriority(size);
+    const { engineOrder } = this.#lane;
+    if (this.#progress.resumeAfter !== undefined) return engineOrder.next('first', 0);
+    const { route, account } = this.#call;
+    return engineOrder.next(importanceOf(effectivePriority(route, account)), size.prompt);
+  }
+
   /**
    * Timeout for the response head, in milliseconds; undefined if no retry can follow, so that only
    * the deadline applies.
