refactor(router): pieces of the service lane in modules of their own

Its options, the recognition of crashes, the properties of waiting requests and the servers that these may use are now modules of their own.

--- /dev/null
+++ b/packages/router/src/node/backends/laneCrashes.ts
@@ -0,0 +1,53 @@
+/** Recognises requests in flight that may have crashed a server of a lane. */
+
+import type { BackendServer, Fingerprint, ServerId } from '@flamingocourse/core';
+import type { PlacementOutcome } from '../../types/backends.js';
+import type { CrashCheck } from '../../types/crashCheck.js';
+import type { QuarantineRegister } from './quarantineRegister.js';
+import { InFlightRequests } from './inFlightRequests.js';
+
+/** Reports to the quarantine which requests were in flight at a server when it crashed. */
+export class LaneCrashes {
+  readonly #inFlight = new InFlightRequests();
+  readonly #quarantine: QuarantineRegister;
+  readonly #crashCheck: CrashCheck | undefined;
+
+  /** @param crashCheck checks servers that break connections; without it, these are only failures. */
+  constructor(quarantine: QuarantineRegister, crashCheck: CrashCheck | undefined) {
+    this.#quarantine = quarantine;
+    this.#crashCheck = crashCheck;
+  }
+
+  /** Records that an attempt was sent; only from then on can it be the cause of a crash. */
+  recordSent(server: ServerId, attempt: number, causes: readonly Fingerprint[]): void {
+    this.#inFlight.add(server, attempt, causes);
+  }
+
+  /** Records the end of an attempt. */
+  recordEnd(
+    server: BackendServer,
+    attempt: number,
+    causes: readonly Fingerprint[],
+    how: PlacementOutcome,
+  ): void {
+    const isFirstReport = this.#inFlight.remove(server.id, attempt);
+    if (how === 'ok') this.#quarantine.recordFinished(causes);
+    if (!isFirstReport) return;
+    if (how === 'crashed') this.#recordCrash(server, causes);
+    if (how === 'broken' && this.#inFlight.recordBrokenRequest(server.id, causes)) {
+      void this.#checkForCrash(server);
+    }
+  }
+
+  /** Checks whether a server that broke a connection has crashed, and records the crash. */
+  async #checkForCrash(server: BackendServer): Promise<void> {
+    const hasEnded = await this.#crashCheck?.hasEnded(server);
+    const brokenRequests = this.#inFlight.takeBrokenRequests(server.id);
+    if (hasEnded) this.#recordCrash(server, brokenRequests);
+  }
+
+  #recordCrash(server: BackendServer, brokenRequests: readonly Fingerprint[]): void {
+    const others = this.#inFlight.takeAll(server.id);
+    this.#quarantine.recordCrash(server, [...new Set([...brokenRequests, ...others])]);
+  }
+}
--- /dev/null
+++ b/packages/router/src/node/backends/laneOptions.ts
@@ -0,0 +1,32 @@
+/** Options of a lane. */
+
+import type {
+  AdmissionQueue,
+  PlacementScope,
+  ServerChooser,
+  ServerPool,
+} from '@flamingocourse/core';
+import type { Clock } from '@flamingocourse/kernel';
+import type { CrashCheck } from '../../types/crashCheck.js';
+import type { QuarantineRegister } from './quarantineRegister.js';
+
+/** Options of a `ServiceLane`. */
+export interface ServiceLaneOptions {
+  pool: ServerPool;
+  queue: AdmissionQueue;
+  chooser: ServerChooser;
+  quarantine: QuarantineRegister;
+  clock: Clock;
+  random: () => number;
+  /** Checks servers that break connections; without it, a broken connection is only a failure. */
+  crashCheck?: CrashCheck;
+  /** @default 'near-first' */
+  scope?: PlacementScope;
+  /**
+   * Whether a request that was in flight during a crash runs alone at a server until it is cleared.
+   * Set it to false if servers run dozens of requests at once: an idle server is then almost never
+   * available, and a stream that has to continue at another server would wait for one.
+   * @default true
+   */
+  runsSuspectsAlone?: boolean;
+}
--- a/packages/router/src/node/backends/serviceLane.ts
+++ b/packages/router/src/node/backends/serviceLane.ts
@@ -1,33 +1,25 @@
 /** Queue and servers of one service: decides when and to which server each request is sent. */
 
 import type {
-  AdmissionQueue,
   AttemptResult,
   BackendServer,
   Candidate,
   EpochMs,
   Fingerprint,
-  PlacementScope,
   QueueEntry,
   Refusal,
   RetryBudget,
-  ServerChooser,
-  ServerBounds,
   ServerPool,
   ShedEntry,
-  RateLimitPace,
 } from '@flamingocourse/core';
-import type { Clock } from '@flamingocourse/kernel';
 import type { PlacementOutcome, Placement, PlacementRequest } from '../../types/backends.js';
-import type { CrashCheck } from '../../types/crashCheck.js';
-import type { QuarantineRegister } from './quarantineRegister.js';
+import type { Waiter } from './waiter.js';
 import {
   ANY_SERVER,
   chooseServer,
   PromptLocations,
   createRetryBudget,
   earnRetry,
-  hasBegun,
   hash32,
   spendRetry,
 } from '@flamingocourse/core';
@@ -36,16 +28,17 @@
 import {
   cancelledRefusal,
   cannotResumeRefusal,
-  evacuatedRefusal,
-  noHomeRefusal,
   noServerRefusal,
   rateLimitedRefusal,
   quarantinedRefusal,
   shedDetails,
 } from './laneRefusals.js';
 import { toHealthOutcome } from './healthOutcome.js';
-import { InFlightRequests } from './inFlightRequests.js';
+import type { ServiceLaneOptions } from './laneOptions.js';
+import { LaneCrashes } from './laneCrashes.js';
 import { LaneStatistics } from './laneStatistics.js';
+import { findTooLate, hasServer, noServer } from './laneServers.js';
+import { causesOf, waitsInVain } from './waiter.js';
 
 /**
  * Maximum number of requests that wait outside the queue because no server that they may use has
@@ -53,48 +46,18 @@
  */
 const MAX_PARKED = 256;
 
-/** Sort order of waiting requests; lower values come first. */
-const importanceOrder = { first: 0, standard: 1, background: 2 } as const;
 const enginePriority = { first: 0, standard: 10, background: 20 } as const;
 
 /** Milliseconds after which the servers of one software version may have room again. */
 const RESUME_RETRY_MS = 300;
 
-/** Options of {@link ServiceLane}. */
-export interface ServiceLaneOptions {
-  pool: ServerPool;
-  queue: AdmissionQueue;
-  chooser: ServerChooser;
-  quarantine: QuarantineRegister;
-  clock: Clock;
-  random: () => number;
-  /** Checks servers that break connections; without it, a broken connection is only a failure. */
-  crashCheck?: CrashCheck;
-  /** @default 'near-first' */
-  scope?: PlacementScope;
-  /**
-   * Whether a request that was in flight during a crash runs alone at a server until it is cleared.
-   * Set it to false if servers run dozens of requests at once: an idle server is then almost never
-   * available, and a stream that has to continue at another server would wait for one.
-   * @default true
-   */
-  runsSuspectsAlone?: boolean;
-}
-
-interface Waiter {
-  request: PlacementRequest;
-  exclusive: boolean;
-  arrivedAt: EpochMs;
-  resolve(placed: Result<Placement, Refusal>): void;
-}
-
 /** Waiting requests and servers of one service. */
 export class ServiceLane {
   readonly #options: ServiceLaneOptions;
   readonly #waiters = new Map<number, Waiter>();
   /** Waiting requests for which no suitable server is free yet; tried before the queue. */
   readonly #parked = new Set<number>();
-  readonly #inFlight = new InFlightRequests();
+  readonly #crashes: LaneCrashes;
   readonly #statistics = new LaneStatistics();
   readonly #promptLocations = new PromptLocations();
   #retries: RetryBudget = createRetryBudget();
@@ -102,6 +65,7 @@
 
   constructor(options: ServiceLaneOptions) {
     this.#options = options;
+    this.#crashes = new LaneCrashes(options.quarantine, options.crashCheck);
   }
 
   get waiting(): number {
@@ -129,8 +93,8 @@
     const cause = quarantine.findQuarantined(causesOf(request));
     if (cause !== undefined) return Promise.resolve(Result.err(this.#quarantined(cause)));
     if (request.signal.aborted) return Promise.resolve(Result.err(cancelledRefusal()));
-    if (!this.#hasServer(request, now)) {
-      return Promise.resolve(Result.err(this.#noServer(request, now)));
+    if (!hasServer(this.#options.pool, request, now)) {
+      return Promise.resolve(Result.err(noServer(this.#options.pool, request, now)));
     }
     if (request.tried.length === 0) this.#retries = earnRetry(this.#retries);
     return new Promise((resolve) => {
@@ -174,23 +138,6 @@
     this.#refuseTooLate(now);
   }
 
-  /** Whether any server accepts a request, now or after a pause. */
-  #hasServer({ bounds }: PlacementRequest, now: EpochMs): boolean {
-    const { pool } = this.#options;
-    const isOpen = pool.hasOpenServer(undefined, now, bounds);
-    return isOpen || pool.pauseEndsInMs(now, bounds) !== undefined;
-  }
-
-  /** Refusal of a request that no server accepts. */
-  #noServer({ bounds = ANY_SERVER }: PlacementRequest, now: EpochMs): Refusal {
-    const { pool } = this.#options;
-    const closedBy = pool.closedBy(now, bounds);
-    if (closedBy === 'evacuated') return evacuatedRefusal();
-    if (closedBy === 'outside-homes') return noHomeRefusal();
-    const hasOthers = pool.hasOpenServer(undefined, now);
-    return hasBegun(bounds.software) && hasOthers ? cannotResumeRefusal() : noServerRefusal();
-  }
-
   /** Refuses all waiting requests; called when the service is removed or the router stops. */
   clear(): void {
     for (const id of this.#waiters.keys()) this.#settle(id, Result.err(noServerRefusal()));
@@ -203,35 +150,13 @@
    * paused or rate limited.
    */
   #refuseTooLate(now: EpochMs): void {
-    const { queue } = this.#options;
-    if (this.#waiters.size === 0) return;
-    const inOrder = [...this.#waiters].toSorted(([, a], [, b]) => {
-      return importanceOrder[a.request.importance] - importanceOrder[b.request.importance];
-    });
-    const paceOf = this.#paces(now);
-    let ahead = 0;
-    for (const [id, { request }] of inOrder) {
-      const pace = paceOf(request);
-      if (!pace) continue;
-      const waitMs = pace.firstMs + ahead * pace.intervalMs;
-      if (now + waitMs <= (request.startBy ?? request.deadline)) {
-        ahead += 1;
-        continue;
-      }
+    const { queue, pool } = this.#options;
+    for (const { id, waitMs } of findTooLate(this.#waiters, pool, now)) {
       queue.remove(id);
       this.#settle(id, Result.err(rateLimitedRefusal(waitMs)));
     }
   }
 
-  /** Returns a function that tells the pace of the servers that a request may use. */
-  #paces(now: EpochMs): (request: PlacementRequest) => RateLimitPace | undefined {
-    const { pool } = this.#options;
-    const ofAll = pool.sendPace(now);
-    return ({ bounds = ANY_SERVER }) => {
-      return isBound(bounds) ? pool.sendPace(now, bounds) : ofAll;
-    };
-  }
-
   #enqueue(waiter: Waiter): void {
     const id = this.#nextId;
     this.#nextId += 1;
@@ -269,8 +194,8 @@
       } else if (waiter.request.deadline <= now) {
         const refusal = notRun('deadline-passed', shedDetails['deadline-passed']);
         this.#settle(id, Result.err(refusal));
-      } else if (!this.#hasServer(waiter.request, now)) {
-        this.#settle(id, Result.err(this.#noServer(waiter.request, now)));
+      } else if (!hasServer(this.#options.pool, waiter.request, now)) {
+        this.#settle(id, Result.err(noServer(this.#options.pool, waiter.request, now)));
       } else if (waitsInVain(waiter.request, now)) {
         this.#settle(id, Result.err(cannotResumeRefusal(RESUME_RETRY_MS)));
       } else {
@@ -333,7 +258,7 @@
       priority: enginePriority[request.importance],
       recordSent: () => {
         pool.recordSent(attempt, this.#options.clock.now());
-        this.#inFlight.add(server.id, attempt, causesOf(request));
+        this.#crashes.recordSent(server.id, attempt, causesOf(request));
       },
       recordReplaced: () => {
         pool.recordReplaced(server, this.#options.clock.now());
@@ -349,7 +274,7 @@
       },
       end: (how, firstTokenMs) => {
         this.#recordEnd(attempt, request, how, firstTokenMs);
-        this.#reportCrash(server, attempt, causesOf(request), how);
+        this.#crashes.recordEnd(server, attempt, causesOf(request), how);
         if (how === 'ok' && firstTokenMs !== undefined) {
           this.#recordAnswer(
             request,
@@ -400,34 +325,6 @@
     pool.settle(attempt, result, clock.now());
   }
 
-  #reportCrash(
-    server: BackendServer,
-    attempt: number,
-    causes: readonly Fingerprint[],
-    how: PlacementOutcome,
-  ): void {
-    const { quarantine } = this.#options;
-    const isFirstReport = this.#inFlight.remove(server.id, attempt);
-    if (how === 'ok') quarantine.recordFinished(causes);
-    if (!isFirstReport) return;
-    if (how === 'crashed') this.#recordCrash(server, causes);
-    if (how === 'broken' && this.#inFlight.recordBrokenRequest(server.id, causes)) {
-      void this.#checkForCrash(server);
-    }
-  }
-
-  /** Checks whether a server that broke a connection has crashed, and records the crash. */
-  async #checkForCrash(server: BackendServer): Promise<void> {
-    const hasEnded = await this.#options.crashCheck?.hasEnded(server);
-    const brokenRequests = this.#inFlight.takeBrokenRequests(server.id);
-    if (hasEnded) this.#recordCrash(server, brokenRequests);
-  }
-
-  #recordCrash(server: BackendServer, brokenRequests: readonly Fingerprint[]): void {
-    const others = this.#inFlight.takeAll(server.id);
-    this.#options.quarantine.recordCrash(server, [...new Set([...brokenRequests, ...others])]);
-  }
-
   #recordAnswer(
     { workClass, importance }: PlacementRequest,
     waitedMs: number,
@@ -460,18 +357,3 @@
     waiter.resolve(placed);
   }
 }
-
-/** What may crash a server that runs the request: the whole of it, or a part that others share. */
-function causesOf({ fingerprint, partFingerprints = [] }: PlacementRequest): Fingerprint[] {
-  return [fingerprint, ...partFingerprints];
-}
-
-/** Whether a stream that has begun waits for the few servers of its software until it would be late. */
-function waitsInVain({ bounds = ANY_SERVER, startBy }: PlacementRequest, now: EpochMs): boolean {
-  return hasBegun(bounds.software) && startBy !== undefined && startBy <= now;
-}
-
-/** Whether a request may not run at every server. */
-function isBound({ software, homes }: ServerBounds): boolean {
-  return homes !== undefined || hasBegun(software);
-}
