feat(router): requests enter a server's queue only while it can meet their target

Callers of a crowded service were all answered late: a lane filled each server's queue to a fixed length, whatever the target, and refused only what could not meet its time limit.

While adaptive load is on, a server gets a request if it can still meet the target there, or if it has a free slot. What waits for long is a standing queue: late requests are then refused at once, the least urgent first, with a Retry-After that callers honour, and never while all are late. An engine without memory for the tokens of a request is no candidate.

--- a/packages/core/src/runtime/admission/queueDiscipline.ts
+++ b/packages/core/src/runtime/admission/queueDiscipline.ts
@@ -18,10 +18,14 @@
 export type QueueDisciplineName = 'fifo' | 'importance-deadline';
 
 /**
- * Whether a request of this importance can be placed now. `isMinimumShareTurn` means that it is due
- * by the minimum share of its importance, so no reserve applies.
+ * Whether a request can be placed now. `isMinimumShareTurn` means that it is due by the minimum share
+ * of its importance, so no reserve applies.
  */
-export type PlacementTest = (importance: Importance, isMinimumShareTurn: boolean) => boolean;
+export type PlacementTest = (
+  importance: Importance,
+  isMinimumShareTurn: boolean,
+  entry: QueueEntry,
+) => boolean;
 
 /** An ordered set of waiting requests. */
 export abstract class QueueDiscipline {
@@ -56,7 +60,7 @@
   }
 
   override take(canPlace: PlacementTest): QueueEntry | undefined {
-    const index = this.#queue.findIndex((entry) => canPlace(entry.importance, false));
+    const index = this.#queue.findIndex((entry) => canPlace(entry.importance, false, entry));
     return index < 0 ? undefined : this.#queue.splice(index, 1)[0];
   }
 
@@ -184,9 +188,9 @@
   #nextLane(canPlace: PlacementTest): Lane | undefined {
     const waiting = this.#lanes.filter((lane) => lane.queue.length > 0);
     const dueLane = waiting.findLast(
-      (lane) => this.#isDueByMinimumShare(lane) && canPlace(lane.importance, true),
+      (lane) => this.#isDueByMinimumShare(lane) && mayTakeFirst(lane, true, canPlace),
     );
-    return dueLane ?? waiting.find((lane) => canPlace(lane.importance, false));
+    return dueLane ?? waiting.find((lane) => mayTakeFirst(lane, false, canPlace));
   }
 
   #isDueByMinimumShare(lane: Lane): boolean {
@@ -216,6 +220,14 @@
   }
 }
 
+function mayTakeFirst(
+  { importance, queue: [first] }: Lane,
+  isMinimumShareTurn: boolean,
+  canPlace: PlacementTest,
+): boolean {
+  return first !== undefined && canPlace(importance, isMinimumShareTurn, first);
+}
+
 function insertionIndex(queue: QueueEntry[], entry: QueueEntry): number {
   let low = 0;
   let high = queue.length;
--- a/packages/core/src/runtime/routing/loadEstimate.ts
+++ b/packages/core/src/runtime/routing/loadEstimate.ts
@@ -114,6 +114,11 @@
     return fresh ? this.#others : 0;
   }
 
+  /** Milliseconds since the last report was measured; undefined before the first. */
+  ageMs(now: EpochMs): number | undefined {
+    return this.#reportAt === undefined ? undefined : now - this.#reportAt;
+  }
+
   total(now: EpochMs): number {
     return this.own + this.others(now);
   }
--- a/packages/core/src/runtime/routing/serverPool.ts
+++ b/packages/core/src/runtime/routing/serverPool.ts
@@ -210,7 +210,7 @@
     return open
       .filter((entry) => !entry.exclusive && entry !== this.#heldServer?.entry)
       .map((entry) => this.#toCandidate(entry, now, query.extra))
-      .filter((candidate) => candidate.hasRoom);
+      .filter((candidate) => candidate.hasRoom && (query.accepts?.(candidate) ?? true));
   }
 
   /**
@@ -464,6 +464,7 @@
       url: entry.server.url,
       local: this.#isLocal(entry),
       load,
+      loadAgeMs: entry.load.ageMs(now),
       capacity,
       eventMs: entry.pace.eventMs,
       isDue: this.#room.isLimited(entry) && this.#isBelowFairShare(entry),
--- a/packages/core/src/types/placement.ts
+++ b/packages/core/src/types/placement.ts
@@ -15,6 +15,8 @@
   local: boolean;
   /** Estimated number of requests running and waiting there now. */
   load: number;
+  /** Milliseconds since the load report that the estimate starts from; absent without one. */
+  loadAgeMs?: number | undefined;
   /** Maximum number of concurrent requests. */
   capacity: number;
   /** Milliseconds per stream event; undefined while unknown. */
@@ -76,6 +78,8 @@
    * prefix reach the same server whichever router receives them. @default 'near-first'
    */
   scope?: PlacementScope;
+  /** Whether a server with room may get the request. @default all may */
+  accepts?: ((candidate: Candidate) => boolean) | undefined;
 }
 
 /** Which data centres are considered first. */
--- a/packages/gateway/src/node/requestFlow.ts
+++ b/packages/gateway/src/node/requestFlow.ts
@@ -149,7 +149,7 @@
       // target.
       ...(this.#progress.mayHaveRun === 0 ? { startBy: arrivedAt + route.targetMs } : {}),
       ...(prefixKey === undefined ? {} : { prefixKey }),
-      ...(head.size === undefined ? {} : { promptTokens: head.size.prompt }),
+      ...(head.size === undefined ? {} : { promptTokens: head.size.prompt, outputTokens: head.size.most }),
       tried: this.#progress.tried,
       bounds: { software: this.#progress.software, homes: homesOf(route, account, regions) },
       fingerprint: this.#progress.fingerprint,
--- a/packages/kernel/src/runtime/eventCatalogue.ts
+++ b/packages/kernel/src/runtime/eventCatalogue.ts
@@ -335,6 +335,11 @@
     level: 'info',
     text: 'calls to the object store since the start, by kind and collection',
   },
+  'queue-standing-changed': {
+    number: 530,
+    level: 'info',
+    text: 'a queue that makes requests of a service late has formed or drained; meanwhile late ones are refused',
+  },
   'backend-crashed': {
     number: 500,
     level: 'warn',
--- a/packages/router/src/index.ts
+++ b/packages/router/src/index.ts
@@ -22,5 +22,6 @@
 export * from './node/fleet/configurationService.js';
 export * from './node/fleet/fleetService.js';
 export * from './node/backends/serviceLane.js';
+export type { AdmissionEvent, AdmissionPorts } from './node/backends/laneAdmission.js';
 export * from './node/backends/quarantineRegister.js';
 export * from './utils/problem.js';
--- a/packages/router/src/node/backends/laneOptions.ts
+++ b/packages/router/src/node/backends/laneOptions.ts
@@ -8,6 +8,7 @@
 } from '@flamingocourse/core';
 import type { Clock } from '@flamingocourse/kernel';
 import type { CrashCheck } from '../../types/crashCheck.js';
+import type { AdmissionPorts } from './laneAdmission.js';
 import type { QuarantineRegister } from './quarantineRegister.js';
 
 /** Options of a `ServiceLane`. */
@@ -29,4 +30,6 @@
    * @default true
    */
   runsSuspectsAlone?: boolean;
+  /** Admission to the servers' queues while adaptive load is on. @default it is never on */
+  admission?: AdmissionPorts;
 }
--- a/packages/router/src/node/backends/laneRefusals.ts
+++ b/packages/router/src/node/backends/laneRefusals.ts
@@ -46,6 +46,16 @@
   return notRun('deadline-passed', 'The request was given up before it ran.');
 }
 
+/**
+ * Refusal for a request whose target no server can meet while others wait for the room.
+ *
+ * @param retryAfterMs milliseconds after which a retry can be served.
+ */
+export function lateRefusal(retryAfterMs: number): Refusal {
+  const detail = 'All backend servers are busy for longer than the target; retry later.';
+  return notRun('overloaded', detail, retryAfterMs);
+}
+
 /**
  * Refusal for a request that all servers' pauses or rate limits would delay for too long.
  *
--- a/packages/router/src/node/backends/laneServers.ts
+++ b/packages/router/src/node/backends/laneServers.ts
@@ -65,6 +65,21 @@
   return found;
 }
 
+/**
+ * Finds the late requests that make room for others, the least urgent first. If all are late, none
+ * is refused: servers would be idle, and a late response is worth something.
+ */
+export function findLate(
+  waiters: ReadonlyMap<number, Waiter>,
+  isLate: (waiter: Waiter) => boolean,
+): [number, Waiter][] {
+  const late = [...waiters].filter(([, waiter]) => isLate(waiter));
+  if (late.length === waiters.size) return [];
+  return late.toSorted(([, a], [, b]) => {
+    return importanceOrder[b.request.importance] - importanceOrder[a.request.importance];
+  });
+}
+
 /** Returns a function that tells the pace of the servers that a request may use. */
 function paces(
   pool: ServerPool,
--- a/packages/router/src/node/backends/serviceLane.ts
+++ b/packages/router/src/node/backends/serviceLane.ts
@@ -29,15 +29,17 @@
   cancelledRefusal,
   cannotResumeRefusal,
   noServerRefusal,
+  lateRefusal,
   rateLimitedRefusal,
   quarantinedRefusal,
   shedDetails,
 } from './laneRefusals.js';
 import { toHealthOutcome } from './healthOutcome.js';
 import type { ServiceLaneOptions } from './laneOptions.js';
+import { LaneAdmission, neverOn } from './laneAdmission.js';
 import { LaneCrashes } from './laneCrashes.js';
 import { LaneStatistics } from './laneStatistics.js';
-import { findTooLate, hasServer, noServer } from './laneServers.js';
+import { findLate, findTooLate, hasServer, noServer } from './laneServers.js';
 import { causesOf, waitsInVain } from './waiter.js';
 
 /**
@@ -58,6 +60,7 @@
   /** Waiting requests for which no suitable server is free yet; tried before the queue. */
   readonly #parked = new Set<number>();
   readonly #crashes: LaneCrashes;
+  readonly #admission: LaneAdmission;
   readonly #statistics = new LaneStatistics();
   readonly #promptLocations = new PromptLocations();
   #retries: RetryBudget = createRetryBudget();
@@ -66,6 +69,7 @@
   constructor(options: ServiceLaneOptions) {
     this.#options = options;
     this.#crashes = new LaneCrashes(options.quarantine, options.crashCheck);
+    this.#admission = new LaneAdmission(options.pool, options.admission ?? neverOn);
   }
 
   get waiting(): number {
@@ -125,19 +129,45 @@
     const now = this.#options.clock.now();
     const { queue, pool } = this.#options;
     for (const shed of queue.expire(now)) this.#refuseShed(shed);
+    this.#refuseLate(now);
     this.#pumpParked(now);
     for (;;) {
-      const { entry, shed } = queue.take(now, (importance, isMinimumShareTurn) =>
-        pool.hasRoom(this.#statistics.ruleFor(importance, isMinimumShareTurn), now),
-      );
+      const { entry, shed } = queue.take(now, (importance, isMinimumShareTurn, { id }) => {
+        const rule = this.#statistics.ruleFor(importance, isMinimumShareTurn);
+        return pool.hasRoom(rule, now) && this.#mayTake(id, isMinimumShareTurn, now);
+      });
       for (const item of shed) this.#refuseShed(item);
       if (!entry) break;
       const waiter = this.#waiters.get(entry.id);
       if (waiter && !this.#tryPlace(entry.id, waiter, now)) this.#park(entry.id, waiter, now);
     }
+    this.#admission.observe(this.#waiters.size > 0, now);
     this.#refuseTooLate(now);
   }
 
+  #mayTake(id: number, isMinimumShareTurn: boolean, now: EpochMs): boolean {
+    const waiter = this.#waiters.get(id);
+    return waiter === undefined || this.#admission.mayTake(waiter, isMinimumShareTurn, now);
+  }
+
+  /** Refuses late requests while a queue is standing and others need the room. */
+  #refuseLate(now: EpochMs): void {
+    const admission = this.#admission;
+    if (!admission.isStanding(now)) return;
+    for (const [id, waiter] of findLate(this.#waiters, (each) => admission.isLate(each, 0, now))) {
+      this.#options.queue.remove(id);
+      this.#refuseAsLate(id, waiter, now);
+    }
+  }
+
+  #refuseAsLate(id: number, waiter: Waiter, now: EpochMs): void {
+    const { queue, random } = this.#options;
+    const drainMs = queue.retryAfterMs(now);
+    const retryMs = this.#admission.retryAfterMs(waiter, drainMs, random(), now);
+    this.#statistics.recordRefusal(waiter.request.importance);
+    this.#settle(id, Result.err(lateRefusal(retryMs)));
+  }
+
   /** Refuses all waiting requests; called when the service is removed or the router stops. */
   clear(): void {
     for (const id of this.#waiters.keys()) this.#settle(id, Result.err(noServerRefusal()));
@@ -169,7 +199,13 @@
       this.#park(id, waiter, waiter.arrivedAt);
       return;
     }
-    const offered = this.#options.queue.offer(this.#toEntry(id, waiter), waiter.arrivedAt);
+    const entry = this.#toEntry(id, waiter);
+    const aheadMs = this.#options.queue.predictWaitMs(entry, waiter.arrivedAt);
+    if (aheadMs > 0 && this.#admission.refuses(waiter, aheadMs, waiter.arrivedAt)) {
+      this.#refuseAsLate(id, waiter, waiter.arrivedAt);
+      return;
+    }
+    const offered = this.#options.queue.offer(entry, waiter.arrivedAt);
     for (const shed of offered.shed) this.#refuseShed(shed);
   }
 
@@ -228,7 +264,8 @@
   }
 
   /** Prefers a server that the request has not tried. If it has tried all, any may have recovered. */
-  #choose({ request, exclusive }: Waiter, now: EpochMs): Candidate | undefined {
+  #choose(waiter: Waiter, now: EpochMs): Candidate | undefined {
+    const { request, exclusive } = waiter;
     const { pool, chooser, random, scope = 'near-first' } = this.#options;
     const { prefixKey, promptTokens, bounds = ANY_SERVER } = request;
     const choice = {
@@ -239,13 +276,15 @@
     const tried = new Set(request.tried);
     const rule = { exclusive, extra, scope, bounds };
     const query = pool.maySend(tried, now, bounds) ? { ...rule, tried } : rule;
-    return chooseServer(pool, chooser, choice, query, now, random);
+    const bounded = { ...query, ...this.#admission.bound(waiter, query, now) };
+    return chooseServer(pool, chooser, choice, bounded, now, random);
   }
 
   #dispatch(chosen: Candidate, waiter: Waiter, now: EpochMs): Placement {
     const { pool } = this.#options;
     const { request, exclusive, arrivedAt } = waiter;
     const attempt = pool.dispatch(chosen.id, now, exclusive);
+    this.#admission.recordPlaced(attempt, chosen, waiter, now);
     const server = pool.server(chosen.id);
     if (!server) throw new RangeError(`chosen server "${chosen.id}" is not in the pool`);
     const { prefixKey } = request;
@@ -274,6 +313,7 @@
       },
       end: (how, firstTokenMs) => {
         this.#recordEnd(attempt, request, how, firstTokenMs);
+        this.#admission.recordEnd(attempt);
         this.#crashes.recordEnd(server, attempt, causesOf(request), how);
         if (how === 'ok' && firstTokenMs !== undefined) {
           this.#recordAnswer(
@@ -333,6 +373,7 @@
   ): void {
     const timing = { workClass, importance, waitedMs, firstTokenMs, serviceMs };
     this.#statistics.recordAnswer(timing, this.#options.clock.now());
+    this.#admission.recordAnswer(workClass, firstTokenMs, serviceMs);
   }
 
   #quarantined(cause: Fingerprint): Refusal {
--- a/packages/router/src/node/backends/waiter.ts
+++ b/packages/router/src/node/backends/waiter.ts
@@ -9,6 +9,8 @@
 export interface Waiter {
   request: PlacementRequest;
   exclusive: boolean;
+  /** Whether it was last looked at because its importance is due by its minimum share. */
+  isMinimumShareTurn?: boolean;
   arrivedAt: EpochMs;
   resolve(placed: Result<Placement, Refusal>): void;
 }
--- a/packages/router/src/types/backends.ts
+++ b/packages/router/src/types/backends.ts
@@ -31,6 +31,8 @@
   prefixKey?: string;
   /** Number of tokens of the prompt, if the request has one. */
   promptTokens?: Tokens;
+  /** Maximum number of tokens of the response, if it is a generation. */
+  outputTokens?: Tokens;
   /** Servers that this request has already tried. */
   tried: ServerId[];
   /** Servers that may run it. @default any */
