--- a/packages/core/src/runtime/routing/candidateViews.ts
+++ b/packages/core/src/runtime/routing/candidateViews.ts
@@ -52,6 +52,7 @@
       url: entry.server.url,
       local: this.isLocal(entry),
       load,
+      loadAgeMs: entry.load.ageMs(now),
       capacity,
       eventMs: entry.pace.eventMs,
       slowdown: entry.timing.slowdown(now),
--- a/packages/core/src/runtime/routing/serverPool.ts
+++ b/packages/core/src/runtime/routing/serverPool.ts
@@ -198,7 +198,7 @@
     return open
       .filter((entry) => !entry.exclusive && !this.#hold.holds(entry))
       .map((entry) => this.#views.view(entry, state, now, query.extra))
-      .filter((candidate) => candidate.hasRoom);
+      .filter((candidate) => candidate.hasRoom && (query.accepts?.(candidate) ?? true));
   }
 
   /**
--- a/packages/gateway/src/node/requestFlow.ts
+++ b/packages/gateway/src/node/requestFlow.ts
@@ -165,7 +165,11 @@
       ...(prefixKey === undefined ? {} : { prefixKey }),
       ...(head.size === undefined
         ? {}
-        : { promptTokens: head.size.prompt, promptParts: head.promptParts }),
+        : {
+            promptTokens: head.size.prompt,
+            outputTokens: head.size.most,
+            promptParts: head.promptParts,
+          }),
       tried: this.#progress.tried,
       bounds: { software: this.#progress.software, homes: homesOf(route, account, regions) },
       fingerprint: this.#progress.fingerprint,
--- a/packages/router/src/index.ts
+++ b/packages/router/src/index.ts
@@ -22,6 +22,8 @@
 export * from './node/fleet/configurationService.js';
 export * from './node/fleet/fleetService.js';
 export type * from './node/backends/lanePrompts.js';
+export type { ServiceLaneOptions } from './node/backends/laneOptions.js';
 export * from './node/backends/serviceLane.js';
+export type { AdmissionEvent, AdmissionPorts } from './node/backends/laneAdmission.js';
 export * from './node/backends/quarantineRegister.js';
 export * from './utils/problem.js';
--- a/packages/router/src/node/backends/serviceLane.ts
+++ b/packages/router/src/node/backends/serviceLane.ts
@@ -1,32 +1,24 @@
 /** Queue and servers of one service: decides when and to which server each request is sent. */
 
 import type {
-  AdmissionQueue,
   AttemptResult,
   BackendServer,
   Candidate,
   EpochMs,
   Fingerprint,
-  PlacementScope,
   QueueEntry,
   Refusal,
   RetryBudget,
-  ServerChooser,
-  ServerBounds,
   ServerPool,
   ShedEntry,
-  RateLimitPace,
 } from '@flamingocourse/core';
-import type { Clock } from '@flamingocourse/kernel';
 import type { PlacementOutcome, Placement, PlacementRequest } from '../../types/backends.js';
-import type { CrashCheck } from '../../types/crashCheck.js';
-import type { QuarantineRegister } from './quarantineRegister.js';
+import type { Waiter } from './waiter.js';
 import {
   ANY_SERVER,
   chooseServer,
   createRetryBudget,
   earnRetry,
-  hasBegun,
   spendRetry,
 } from '@flamingocourse/core';
 import { Result } from 'true-myth';
@@ -34,18 +26,20 @@
 import {
   cancelledRefusal,
   cannotResumeRefusal,
-  evacuatedRefusal,
-  noHomeRefusal,
   noServerRefusal,
+  lateRefusal,
   rateLimitedRefusal,
   quarantinedRefusal,
   shedDetails,
 } from './laneRefusals.js';
 import { toHealthOutcome } from './healthOutcome.js';
-import type { WeighedPrompts } from './lanePrompts.js';
 import { LanePrompts } from './lanePrompts.js';
-import { InFlightRequests } from './inFlightRequests.js';
+import type { ServiceLaneOptions } from './laneOptions.js';
+import { LaneAdmission, neverOn } from './laneAdmission.js';
+import { LaneCrashes } from './laneCrashes.js';
 import { LaneStatistics } from './laneStatistics.js';
+import { findLate, findTooLate, hasServer, noServer } from './laneServers.js';
+import { causesOf, waitsInVain } from './waiter.js';
 
 /**
  * Maximum number of requests that wait outside the queue because no server that they may use has
@@ -53,50 +47,19 @@
  */
 const MAX_PARKED = 256;
 
-/** Sort order of waiting requests; lower values come first. */
-const importanceOrder = { first: 0, standard: 1, background: 2 } as const;
 const enginePriority = { first: 0, standard: 10, background: 20 } as const;
 
 /** Milliseconds after which the servers of one software version may have room again. */
 const RESUME_RETRY_MS = 300;
 
-/** Options of {@link ServiceLane}. */
-export interface ServiceLaneOptions {
-  pool: ServerPool;
-  queue: AdmissionQueue;
-  chooser: ServerChooser;
-  quarantine: QuarantineRegister;
-  clock: Clock;
-  random: () => number;
-  /** Checks servers that break connections; without it, a broken connection is only a failure. */
-  crashCheck?: CrashCheck;
-  /** @default 'near-first' */
-  scope?: PlacementScope;
-  /**
-   * Whether a request that was in flight during a crash runs alone at a server until it is cleared.
-   * Set it to false if servers run dozens of requests at once: an idle server is then almost never
-   * available, and a stream that has to continue at another server would wait for one.
-   * @default true
-   */
-  runsSuspectsAlone?: boolean;
-  /** How cached prompts are weighed against waits; without it, they are not. */
-  prompts?: WeighedPrompts;
-}
-
-interface Waiter {
-  request: PlacementRequest;
-  exclusive: boolean;
-  arrivedAt: EpochMs;
-  resolve(placed: Result<Placement, Refusal>): void;
-}
-
 /** Waiting requests and servers of one service. */
 export class ServiceLane {
   readonly #options: ServiceLaneOptions;
   readonly #waiters = new Map<number, Waiter>();
   /** Waiting requests for which no suitable server is free yet; tried before the queue. */
   readonly #parked = new Set<number>();
-  readonly #inFlight = new InFlightRequests();
+  readonly #crashes: LaneCrashes;
+  readonly #admission: LaneAdmission;
   readonly #statistics = new LaneStatistics();
   readonly #prompts: LanePrompts;
   #retries: RetryBudget = createRetryBudget();
@@ -105,6 +68,10 @@
   constructor(options: ServiceLaneOptions) {
     this.#options = options;
     this.#prompts = new LanePrompts(options.pool, options.prompts);
+    this.#crashes = new LaneCrashes(options.quarantine, options.crashCheck, (server) => {
+      this.#prompts.dropServer(server);
+    });
+    this.#admission = new LaneAdmission(options.pool, options.admission ?? neverOn);
   }
 
   get waiting(): number {
@@ -132,8 +99,8 @@
     const cause = quarantine.findQuarantined(causesOf(request));
     if (cause !== undefined) return Promise.resolve(Result.err(this.#quarantined(cause)));
     if (request.signal.aborted) return Promise.resolve(Result.err(cancelledRefusal()));
-    if (!this.#hasServer(request, now)) {
-      return Promise.resolve(Result.err(this.#noServer(request, now)));
+    if (!hasServer(this.#options.pool, request, now)) {
+      return Promise.resolve(Result.err(noServer(this.#options.pool, request, now)));
     }
     if (request.tried.length === 0) this.#retries = earnRetry(this.#retries);
     return new Promise((resolve) => {
@@ -164,34 +131,43 @@
     const now = this.#options.clock.now();
     const { queue, pool } = this.#options;
     for (const shed of queue.expire(now)) this.#refuseShed(shed);
+    this.#refuseLate(now);
     this.#pumpParked(now);
     for (;;) {
-      const { entry, shed } = queue.take(now, (importance, isMinimumShareTurn) =>
-        pool.hasRoom(this.#statistics.ruleFor(importance, isMinimumShareTurn), now),
-      );
+      const { entry, shed } = queue.take(now, (importance, isMinimumShareTurn, { id }) => {
+        const rule = this.#statistics.ruleFor(importance, isMinimumShareTurn);
+        return pool.hasRoom(rule, now) && this.#mayTake(id, isMinimumShareTurn, now);
+      });
       for (const item of shed) this.#refuseShed(item);
       if (!entry) break;
       const waiter = this.#waiters.get(entry.id);
       if (waiter && !this.#tryPlace(entry.id, waiter, now)) this.#park(entry.id, waiter, now);
     }
+    this.#admission.observe(this.#waiters.size > 0, now);
     this.#refuseTooLate(now);
   }
 
-  /** Whether any server accepts a request, now or after a pause. */
-  #hasServer({ bounds }: PlacementRequest, now: EpochMs): boolean {
-    const { pool } = this.#options;
-    const isOpen = pool.hasOpenServer(undefined, now, bounds);
-    return isOpen || pool.pauseEndsInMs(now, bounds) !== undefined;
+  #mayTake(id: number, isMinimumShareTurn: boolean, now: EpochMs): boolean {
+    const waiter = this.#waiters.get(id);
+    return waiter === undefined || this.#admission.mayTake(waiter, isMinimumShareTurn, now);
+  }
+
+  /** Refuses late requests while a queue is standing and others need the room. */
+  #refuseLate(now: EpochMs): void {
+    const admission = this.#admission;
+    if (!admission.isStanding(now)) return;
+    for (const [id, waiter] of findLate(this.#waiters, (each) => admission.isLate(each, 0, now))) {
+      this.#options.queue.remove(id);
+      this.#refuseAsLate(id, waiter, now);
+    }
   }
 
-  /** Refusal of a request that no server accepts. */
-  #noServer({ bounds = ANY_SERVER }: PlacementRequest, now: EpochMs): Refusal {
-    const { pool } = this.#options;
-    const closedBy = pool.closedBy(now, bounds);
-    if (closedBy === 'evacuated') return evacuatedRefusal();
-    if (closedBy === 'outside-homes') return noHomeRefusal();
-    const hasOthers = pool.hasOpenServer(undefined, now);
-    return hasBegun(bounds.software) && hasOthers ? cannotResumeRefusal() : noServerRefusal();
+  #refuseAsLate(id: number, waiter: Waiter, now: EpochMs): void {
+    const { queue, random } = this.#options;
+    const drainMs = queue.retryAfterMs(now);
+    const retryMs = this.#admission.retryAfterMs(waiter, drainMs, random(), now);
+    this.#statistics.recordRefusal(waiter.request.importance);
+    this.#settle(id, Result.err(lateRefusal(retryMs)));
   }
 
   /** Refuses all waiting requests; called when the service is removed or the router stops. */
@@ -206,35 +182,13 @@
    * paused or rate limited.
    */
   #refuseTooLate(now: EpochMs): void {
-    const { queue } = this.#options;
-    if (this.#waiters.size === 0) return;
-    const inOrder = [...this.#waiters].toSorted(([, a], [, b]) => {
-      return importanceOrder[a.request.importance] - importanceOrder[b.request.importance];
-    });
-    const paceOf = this.#paces(now);
-    let ahead = 0;
-    for (const [id, { request }] of inOrder) {
-      const pace = paceOf(request);
-      if (!pace) continue;
-      const waitMs = pace.firstMs + ahead * pace.intervalMs;
-      if (now + waitMs <= (request.startBy ?? request.deadline)) {
-        ahead += 1;
-        continue;
-      }
+    const { queue, pool } = this.#options;
+    for (const { id, waitMs } of findTooLate(this.#waiters, pool, now)) {
       queue.remove(id);
       this.#settle(id, Result.err(rateLimitedRefusal(waitMs)));
     }
   }
 
-  /** Returns a function that tells the pace of the servers that a request may use. */
-  #paces(now: EpochMs): (request: PlacementRequest) => RateLimitPace | undefined {
-    const { pool } = this.#options;
-    const ofAll = pool.sendPace(now);
-    return ({ bounds = ANY_SERVER }) => {
-      return isBound(bounds) ? pool.sendPace(now, bounds) : ofAll;
-    };
-  }
-
   #enqueue(waiter: Waiter): void {
     const id = this.#nextId;
     this.#nextId += 1;
@@ -247,7 +201,13 @@
       this.#park(id, waiter, waiter.arrivedAt);
       return;
     }
-    const offered = this.#options.queue.offer(this.#toEntry(id, waiter), waiter.arrivedAt);
+    const entry = this.#toEntry(id, waiter);
+    const aheadMs = this.#options.queue.predictWaitMs(entry, waiter.arrivedAt);
+    if (aheadMs > 0 && this.#admission.refuses(waiter, aheadMs, waiter.arrivedAt)) {
+      this.#refuseAsLate(id, waiter, waiter.arrivedAt);
+      return;
+    }
+    const offered = this.#options.queue.offer(entry, waiter.arrivedAt);
     for (const shed of offered.shed) this.#refuseShed(shed);
   }
 
@@ -272,8 +232,8 @@
       } else if (waiter.request.deadline <= now) {
         const refusal = notRun('deadline-passed', shedDetails['deadline-passed']);
         this.#settle(id, Result.err(refusal));
-      } else if (!this.#hasServer(waiter.request, now)) {
-        this.#settle(id, Result.err(this.#noServer(waiter.request, now)));
+      } else if (!hasServer(this.#options.pool, waiter.request, now)) {
+        this.#settle(id, Result.err(noServer(this.#options.pool, waiter.request, now)));
       } else if (waitsInVain(waiter.request, now)) {
         this.#settle(id, Result.err(cannotResumeRefusal(RESUME_RETRY_MS)));
       } else {
@@ -306,7 +266,8 @@
   }
 
   /** Prefers a server that the request has not tried. If it has tried all, any may have recovered. */
-  #choose({ request, exclusive }: Waiter, now: EpochMs): Candidate | undefined {
+  #choose(waiter: Waiter, now: EpochMs): Candidate | undefined {
+    const { request, exclusive } = waiter;
     const { pool, chooser, random, scope = 'near-first' } = this.#options;
     const { bounds = ANY_SERVER } = request;
     const choice = this.#prompts.choiceOf(request, now);
@@ -314,13 +275,15 @@
     const tried = new Set(request.tried);
     const rule = { exclusive, extra, scope, bounds };
     const query = pool.maySend(tried, now, bounds) ? { ...rule, tried } : rule;
-    return chooseServer(pool, chooser, choice, query, now, random);
+    const bounded = { ...query, ...this.#admission.bound(waiter, query, now) };
+    return chooseServer(pool, chooser, choice, bounded, now, random);
   }
 
   #dispatch(chosen: Candidate, waiter: Waiter, now: EpochMs): Placement {
     const { pool, clock } = this.#options;
     const { request, exclusive, arrivedAt } = waiter;
     const attempt = pool.dispatch(chosen.id, now, exclusive);
+    this.#admission.recordPlaced(attempt, chosen, waiter, now);
     const server = pool.server(chosen.id);
     if (!server) throw new RangeError(`chosen server "${chosen.id}" is not in the pool`);
     const prompt = this.#prompts.place(chosen, server, request, now);
@@ -332,7 +295,7 @@
       recordSent: () => {
         pool.recordSent(attempt, clock.now());
         prompt.recordSent(clock.now());
-        this.#inFlight.add(server.id, attempt, causesOf(request));
+        this.#crashes.recordSent(server.id, attempt, causesOf(request));
       },
       recordReplaced: () => {
         pool.recordReplaced(server, clock.now());
@@ -351,7 +314,8 @@
       end: (how, firstTokenMs) => {
         prompt.end();
         this.#recordEnd(attempt, request, how, firstTokenMs);
-        this.#reportCrash(server, attempt, causesOf(request), how);
+        this.#admission.recordEnd(attempt);
+        this.#crashes.recordEnd(server, attempt, causesOf(request), how);
         if (how === 'ok' && firstTokenMs !== undefined) {
           this.#recordAnswer(
             request,
@@ -382,35 +346,6 @@
     pool.settle(attempt, result, clock.now());
   }
 
-  #reportCrash(
-    server: BackendServer,
-    attempt: number,
-    causes: readonly Fingerprint[],
-    how: PlacementOutcome,
-  ): void {
-    const { quarantine } = this.#options;
-    const isFirstReport = this.#inFlight.remove(server.id, attempt);
-    if (how === 'ok') quarantine.recordFinished(causes);
-    if (!isFirstReport) return;
-    if (how === 'crashed') this.#recordCrash(server, causes);
-    if (how === 'broken' && this.#inFlight.recordBrokenRequest(server.id, causes)) {
-      void this.#checkForCrash(server);
-    }
-  }
-
-  /** Checks whether a server that broke a connection has crashed, and records the crash. */
-  async #checkForCrash(server: BackendServer): Promise<void> {
-    const hasEnded = await this.#options.crashCheck?.hasEnded(server);
-    const brokenRequests = this.#inFlight.takeBrokenRequests(server.id);
-    if (hasEnded) this.#recordCrash(server, brokenRequests);
-  }
-
-  #recordCrash(server: BackendServer, brokenRequests: readonly Fingerprint[]): void {
-    const others = this.#inFlight.takeAll(server.id);
-    this.#prompts.dropServer(server.id);
-    this.#options.quarantine.recordCrash(server, [...new Set([...brokenRequests, ...others])]);
-  }
-
   #recordAnswer(
     { workClass, importance }: PlacementRequest,
     waitedMs: number,
@@ -419,6 +354,7 @@
   ): void {
     const timing = { workClass, importance, waitedMs, firstTokenMs, serviceMs };
     this.#statistics.recordAnswer(timing, this.#options.clock.now());
+    this.#admission.recordAnswer(workClass, firstTokenMs, serviceMs);
   }
 
   #quarantined(cause: Fingerprint): Refusal {
@@ -443,18 +379,3 @@
     waiter.resolve(placed);
   }
 }
-
-/** What may crash a server that runs the request: the whole of it, or a part that others share. */
-function causesOf({ fingerprint, partFingerprints = [] }: PlacementRequest): Fingerprint[] {
-  return [fingerprint, ...partFingerprints];
-}
-
-/** Whether a stream that has begun waits for the few servers of its software until it would be late. */
-function waitsInVain({ bounds = ANY_SERVER, startBy }: PlacementRequest, now: EpochMs): boolean {
-  return hasBegun(bounds.software) && startBy !== undefined && startBy <= now;
-}
-
-/** Whether a request may not run at every server. */
-function isBound({ software, homes }: ServerBounds): boolean {
-  return homes !== undefined || hasBegun(software);
-}
--- a/packages/router/src/types/backends.ts
+++ b/packages/router/src/types/backends.ts
@@ -36,6 +36,8 @@
   promptTokens?: Tokens;
   /** Parts of the prompt, in order. */
   promptParts?: readonly PromptPart[];
+  /** Maximum number of tokens of the response, if it is a generation. */
+  outputTokens?: Tokens;
   /** Servers that this request has already tried. */
   tried: ServerId[];
   /** Servers that may run it. @default any */
