--- a/packages/router/src/node/backends/laneAdmission.ts
+++ b/packages/router/src/node/backends/laneAdmission.ts
@@ -97,6 +97,7 @@
 
   /** Records whether requests wait after all that could be sent were. */
   observe(waits: boolean, now: EpochMs): void {
+    if (!this.isOn) return;
     this.#standing.observe(waits, now);
     const isStanding = this.#standing.isStanding(now);
     if (isStanding === this.#wasStanding) return;
