fix(core): an estimate of the capacity that is far too low ends within seconds

Seen over a real gateway whose plain servers took 500 ms, longer than they may be silent: the estimate began at 0.85 of 16 slots and rose by 12 % a second, so after some 7 s the level was 0.7, and 34 requests of the small account were refused by its share. After 2.5 s without waits the estimate now rises faster and faster, to 100 % a second.

--- a/packages/core/src/runtime/fairShare/serviceCapacity.ts
+++ b/packages/core/src/runtime/fairShare/serviceCapacity.ts
@@ -22,6 +22,9 @@
 /** The same after a time without waits, so that an estimate that is far too low ends soon. */
 const RELEASE_RATE = 0.12;
 const RELEASE_AFTER_MS = 2_500;
+/** Milliseconds without waits after which it rises twice as fast, and so on, up to a maximum. */
+const RELEASE_STEP_MS = 500;
+const MAX_RELEASE_RATE = 1;
 /** Waits below which nobody waits. */
 const CALM_LATENESS = 0.04;
 /**
@@ -98,7 +101,9 @@
   #rate(now: number): number {
     const above = this.#lateness - AIM_LATENESS;
     if (above >= 0) return -FALL_GAIN * above;
-    if (now - this.#waitedAt >= RELEASE_AFTER_MS) return RELEASE_RATE;
+    const calmMs = now - this.#waitedAt - RELEASE_AFTER_MS;
+    if (calmMs >= 0)
+      return Math.min(MAX_RELEASE_RATE, RELEASE_RATE * (1 + calmMs / RELEASE_STEP_MS));
     return (RISE_RATE * -above) / AIM_LATENESS;
   }
 }
--- a/test/gateway/roomLevels.test.ts
+++ b/test/gateway/roomLevels.test.ts
@@ -168,6 +168,14 @@
     assert.equal(slotsOf(capacity), undefined);
   });
 
+  // Guards against an estimate from an outage of the servers that limits for long after it.
+  test('comes back from a hundredth within 10 s in which nobody waits', () => {
+    const capacity = new ServiceCapacity();
+    observe(capacity, 1, 0.06, 2_000);
+    observe(capacity, 0, 0.06, 10_000, 2_250);
+    assert.ok((slotsOf(capacity) ?? 6) >= 3, String(slotsOf(capacity)));
+  });
+
   // Guards against a level that falls without end because less was admitted, so less was served.
   test('rises while nobody waits, although little is served', () => {
     const capacity = new ServiceCapacity();
--- a/test/platform/accountShares.test.ts
+++ b/test/platform/accountShares.test.ts
@@ -60,6 +60,9 @@
   test('refuses only the account above the level, at once and as not run', async (t) => {
     const world = await startWorld(t, [SCARCE_ROOM_TERM]);
     await sendBoth(world, 4_000);
+    for (let more = 0; more < 4 && !world.events.includes('accounts-limited'); more += 1) {
+      await sendBoth(world, 2_000);
+    }
     assert.ok(world.events.includes('accounts-limited'));
     const { kirk, spock } = await sendBoth(world, 3_000);
     const answered = (all: readonly number[]): number => {
