perf(gateway): queues and views are looked at only when they can matter

Admission looked at all servers up to three more times for each request. It does so now only for two seconds after a server was half full or a request waited: below that any server meets the target. The view of the fleet is used again for 250 ms, and rotation decides each 400 ms.

--- a/packages/gateway/src/node/fleetConditionsService.ts
+++ b/packages/gateway/src/node/fleetConditionsService.ts
@@ -24,6 +24,8 @@
 const CALM_INTERVAL_MS = 2_000;
 /** Milliseconds between checks whether this instance became overloaded, so that it reports early. */
 const CHECK_MS = 250;
+/** Milliseconds for which a view is used again; computing one takes processor time. */
+const VIEW_MS = 250;
 /** Collectors that are tried in a row for one report. */
 const MAX_TRIES = 2;
 /** Bytes of reports and answers that one instance may cause in a millisecond: 2 KB in a second. */
@@ -50,6 +52,7 @@
   /** Whether this is the first collector of its data centre, as far as it can tell. */
   #isFirst = false;
   #isLost = false;
+  #view: FleetView | undefined;
 
   constructor(context: GatewayContext, calls: ConditionCalls) {
     super();
@@ -71,7 +74,10 @@
   }
 
   view(now: number): FleetView {
-    return this.#table.view(this.#ownReport(now), this.#isFirst, now);
+    if (!this.#view || now - this.#view.at >= VIEW_MS) {
+      this.#view = this.#table.view(this.#ownReport(now), this.#isFirst, now);
+    }
+    return this.#view;
   }
 
   /** Milliseconds since the view of others was made; Infinity if it is only this instance's own. */
@@ -111,8 +117,7 @@
     if (!this.#context.adaptiveLoad.isOn || this.#isReporting) return;
     const now = this.#now();
     const own = this.#ownReport(now);
-    const view = this.#table.view(own, this.#isFirst, now);
-    const isCrowded = [own.demand, view.demand].some(hasCrowded);
+    const isCrowded = [own.demand, this.view(now).demand].some(hasCrowded);
     const factor = this.#order.intervalFactor(this.#instances?.inDataCentre ?? []);
     const intervalMs = isCrowded ? factor * CROWDED_INTERVAL_MS : CALM_INTERVAL_MS;
     if (now < Math.max(this.#reportedAt + intervalMs, this.#notBefore)) return;
--- a/packages/gateway/src/node/rotationControl.ts
+++ b/packages/gateway/src/node/rotationControl.ts
@@ -9,7 +9,7 @@
 import { ReadinessPolicy } from '../runtime/readinessPolicy.js';
 
 /** Milliseconds between two decisions; an overload has to show within half a second. */
-const DECIDE_MS = 250;
+const DECIDE_MS = 400;
 const MS_PER_SECOND = 1_000;
 const MICROS_PER_MS = 1_000;
 const levels: readonly PressureLevel[] = ['calm', 'pressed', 'overloaded'];
--- a/packages/router/src/node/backends/laneAdmission.ts
+++ b/packages/router/src/node/backends/laneAdmission.ts
@@ -58,6 +58,13 @@
  * of each queue free, so that the more urgent requests of all instances find room there.
  */
 const USABLE: Record<Importance, number> = { first: 1, standard: 0.8, background: 0.6 };
+/**
+ * Part of a server's slots from which its queue and memory are looked at before each placement. With all
+ * servers below it, any server meets the target and holds the request.
+ */
+const BUSY_FRACTION = 0.5;
+/** Milliseconds after a busy server, or a request that waited, for which queues are looked at. */
+const BUSY_MS = 2_000;
 /** Smallest Retry-After of a refusal, in milliseconds. */
 const MIN_RETRY_MS = 100;
 /** Part of the time left up to which callers honour a Retry-After. */
@@ -79,6 +86,7 @@
   /** Waiting requests for which a lack of memory was counted. */
   readonly #withoutMemory = new WeakSet<Waiter>();
   #wasStanding = false;
+  #busyUntil = -Infinity;
 
   constructor(pool: ServerPool, ports: AdmissionPorts) {
     this.#pool = pool;
@@ -99,6 +107,7 @@
   observe(waits: boolean, now: EpochMs): void {
     if (!this.isOn) return;
     this.#standing.observe(waits, now);
+    if (waits) this.#busyUntil = now + BUSY_MS;
     const isStanding = this.#standing.isStanding(now);
     if (isStanding === this.#wasStanding) return;
     this.#wasStanding = isStanding;
@@ -124,7 +133,7 @@
   /** Whether it is useful to take a request from the queue now. */
   mayTake(waiter: Waiter, isMinimumShareTurn: boolean, now: EpochMs): boolean {
     const due = this.#dueAt(waiter);
-    if (!this.isOn || due === undefined) return true;
+    if (!this.isOn || due === undefined || !this.#isBusy(now)) return true;
     waiter.isMinimumShareTurn = isMinimumShareTurn;
     // a request for which no server has room or memory is parked, so that others can pass it.
     const servers = this.#candidates(waiter, {}, now);
@@ -134,7 +143,7 @@
 
   /** Restricts a query to the servers that can meet the target, or else to those with room. */
   bound(waiter: Waiter, query: CandidateQuery, now: EpochMs): Pick<CandidateQuery, 'accepts'> {
-    if (!this.isOn) return {};
+    if (!this.isOn || !this.#isBusy(now)) return {};
     const holds = (server: Candidate): boolean => this.#holds(server, waiter.request);
     const due = this.#dueAt(waiter);
     if (due === undefined) return { accepts: holds };
@@ -151,6 +160,7 @@
   /** Records that an attempt was placed at a server. */
   recordPlaced(attempt: number, server: Candidate, waiter: Waiter, now: EpochMs): void {
     this.#memory.place(attempt, server.id, tokensOf(waiter.request));
+    if (server.load >= BUSY_FRACTION * server.capacity) this.#busyUntil = now + BUSY_MS;
     const due = this.#dueAt(waiter);
     if (!this.isOn || due === undefined) return;
     if (isLate(this.#lateRequest(waiter, due, now), 0)) this.#ports.onEvent('sent-late');
@@ -177,6 +187,11 @@
     return Math.floor(Math.max(MIN_RETRY_MS, Math.min(spreadMs, honouredMs)));
   }
 
+  /** Whether a server was busy lately, or a request waited. Looking at all servers takes processor time. */
+  #isBusy(now: EpochMs): boolean {
+    return now < this.#busyUntil;
+  }
+
   /** Time of the target; undefined for what has begun, and so is worth its end. */
   #dueAt({ request }: Waiter): EpochMs | undefined {
     const { bounds = ANY_SERVER, startBy, tried } = request;
