--- a/packages/gateway/src/node/fleetConditionsService.ts
+++ b/packages/gateway/src/node/fleetConditionsService.ts
@@ -138,6 +138,7 @@
     for (let tries = 0; tries < MAX_TRIES; tries += 1) {
       const collector = this.#collector();
       this.#isFirst = collector === undefined;
+      this.#view = undefined;
       if (collector === undefined) {
         await this.#askDataCentres(own, intervalMs);
         break;
@@ -148,6 +149,7 @@
       if (answer.isErr) continue;
       bytes += estimatedBytes(answer.value);
       this.#table.recordAnswer(answer.value, this.#now());
+      this.#view = undefined;
       break;
     }
     this.#notBefore = startedAt + bytes / MAX_BYTES_PER_MS;
