--- a/packages/gateway/src/node/backendLanes.ts
+++ b/packages/gateway/src/node/backendLanes.ts
@@ -29,7 +29,6 @@
 } from '@flamingocourse/core';
 import { Service, waitForPendingReads } from '@flamingocourse/kernel';
 import { QuarantineRegister, ServiceLane } from '@flamingocourse/router';
-import { admissionPorts } from './admissionPorts.js';
 import { ConfigurationWatch } from './configurationWatch.js';
 import { EvacuationWatch } from './evacuationWatch.js';
 import { InstanceDirectory } from './instanceDirectory.js';
@@ -243,9 +242,6 @@
       random,
       scope: sharesPrompts ? 'everywhere' : 'near-first',
       runsSuspectsAlone: false,
-      admission: admissionPorts(this.#context, service, () => {
-        return this.#configuration?.table?.service(service)?.memoryTokens;
-      }),
     });
     const divisor = (at: number): number | undefined => this.#share.divisor(at);
     const retries = new RetryAllowance({ ...settings.retries, divisor });
--- a/packages/gateway/src/node/gatewayMetrics.ts
+++ b/packages/gateway/src/node/gatewayMetrics.ts
@@ -82,12 +82,6 @@
     labelNames: ['service'],
     registers: [this.#registry],
   });
-  readonly #admissions = new Counter({
-    name: 'flamingocourse_queue_decisions_total',
-    help: 'requests that were sent late, refused because they would be late, or waited for engine memory, by service',
-    labelNames: ['service', 'decision'],
-    registers: [this.#registry],
-  });
   readonly #prepaidRefused = new Counter({
     name: 'flamingocourse_prepaid_refused_total',
     help: 'requests refused for want of tokens, by client account and why the tokens were not had',
@@ -180,17 +174,6 @@
     this.#wrongEstimates.inc({ service }, reading.wrongParts);
   }
 
-  /** Counts a request whose target was at risk, by what was decided about it. */
-  admission(service: string, decision: string): void {
-    this.#admissions.inc({ service, decision });
-  }
-
-  /** Records whether a queue makes all requests of a service late. */
-  standingQueue(service: string, isStanding: boolean): void {
-    const help = 'whether a queue makes all requests of a service late (1) or not (0)';
-    this.gauge('queue_standing', help, Number(isStanding), { service });
-  }
-
   /** Counts a request that was refused because no tokens were available. */
   prepaidRefused(account: string, why: string): void {
     this.#prepaidRefused.inc({ account, why });
--- a/packages/kernel/src/runtime/eventCatalogue.ts
+++ b/packages/kernel/src/runtime/eventCatalogue.ts
@@ -365,11 +365,6 @@
     text: 'a server reports its load in a form that cannot be read; the fields in `used` are used',
     action: 'Check the software of the server.',
   },
-  'queue-standing-changed': {
-    number: 531,
-    level: 'info',
-    text: 'a queue that makes requests of a service late has formed or drained; meanwhile late ones are refused',
-  },
   'backend-crashed': {
     number: 500,
     level: 'warn',
