refactor(core): the order of pressure levels stands once

It stood in four places: the table of reports, the packed message, the pressure of an instance and its gauge. Peers send the position of a level, so a copy in another order would have changed what they read.

--- a/packages/core/src/runtime/conditions/conditionTable.ts
+++ b/packages/core/src/runtime/conditions/conditionTable.ts
@@ -6,19 +6,17 @@
   FleetView,
   InstanceCondition,
   InstanceReport,
-  PressureLevel,
 } from '../../types/fleetConditions.js';
 import type { DataCentreId } from '../../types/ids.js';
 import { boundDemand, sumDemands } from './demandSums.js';
 import { MAX_NAMED_PEERS } from './packedSums.js';
+import { comparePressure } from './pressureLevels.js';
 
 /** Milliseconds after which a report no longer counts. */
 export const REPORT_LIFETIME_MS = 3_000;
 /** Maximum number of reports that are held; far above the number of instances that report to one. */
 const MAX_HELD = 1_024;
 
-const pressureOrder: Record<PressureLevel, number> = { calm: 0, pressed: 1, overloaded: 2 };
-
 interface Held {
   sums: ConditionSums;
   /** When the sums were made, by the own clock. */
@@ -172,7 +170,7 @@
 function mostPressed(peers: readonly InstanceCondition[]): InstanceCondition[] {
   return peers
     .toSorted((a, b) => {
-      const byPressure = pressureOrder[b.pressure] - pressureOrder[a.pressure];
+      const byPressure = comparePressure(b.pressure, a.pressure);
       return byPressure || Number(a.ready) - Number(b.ready) || (a.instance < b.instance ? -1 : 1);
     })
     .slice(0, MAX_NAMED_PEERS);
--- a/packages/core/src/runtime/conditions/packedSums.ts
+++ b/packages/core/src/runtime/conditions/packedSums.ts
@@ -9,6 +9,7 @@
 } from '../../types/fleetConditions.js';
 import { z } from 'zod';
 import { MAX_NAMED_ACCOUNTS, MAX_REPORTED_SERVICES, importances, noRoom } from './demandSums.js';
+import { pressureLevels } from './pressureLevels.js';
 
 /** Instances that one message names; most of them have little pressure and need no name. */
 export const MAX_NAMED_PEERS = 32;
@@ -60,8 +61,6 @@
 /** Length of a message without entries, with the headers of HTTP. */
 const MESSAGE_BYTES = 250;
 
-const levels = ['calm', 'pressed', 'overloaded'] as const;
-
 /**
  * Packs sums that are already bounded.
  *
@@ -119,7 +118,7 @@
   if (pressure === 'calm' && ready) return instance;
   const packed: PackedSums['peers'][number] = [
     instance,
-    levels.indexOf(pressure),
+    pressureLevels.indexOf(pressure),
     ready,
     Math.round(ageMs),
   ];
@@ -129,7 +128,7 @@
 function unpackPeer(peer: PackedSums['peers'][number]): InstanceCondition {
   if (typeof peer === 'string') return { instance: peer, pressure: 'calm', ready: true, ageMs: 0 };
   const [instance, at, ready, age] = peer;
-  return { instance, pressure: levels[at] ?? 'calm', ready, ageMs: age };
+  return { instance, pressure: pressureLevels[at] ?? 'calm', ready, ageMs: age };
 }
 
 function packDemand(
--- a/packages/gateway/src/node/rotationControl.ts
+++ b/packages/gateway/src/node/rotationControl.ts
@@ -5,6 +5,7 @@
 import type { GatewayContext } from '../types/context.js';
 import type { InstancePressure } from '../runtime/instancePressure.js';
 import type { RotationDecision, RotationReason } from '../runtime/readinessPolicy.js';
+import { pressureLevels } from '@flamingocourse/core';
 import { Service } from '@flamingocourse/kernel';
 import { ReadinessPolicy } from '../runtime/readinessPolicy.js';
 
@@ -12,7 +13,6 @@
 const DECIDE_MS = 400;
 const MS_PER_SECOND = 1_000;
 const MICROS_PER_MS = 1_000;
-const levels: readonly PressureLevel[] = ['calm', 'pressed', 'overloaded'];
 const reasons: readonly RotationReason[] = ['relief', 'diversion'];
 
 /** What {@link RotationControl} needs. */
@@ -123,7 +123,7 @@
   #setGauges({ reason }: RotationDecision): void {
     const { metrics } = this.#context;
     const help = '0 calm, 1 pressed, 2 overloaded';
-    metrics.gauge('instance_pressure', help, levels.indexOf(this.#level));
+    metrics.gauge('instance_pressure', help, pressureLevels.indexOf(this.#level));
     for (const why of reasons) {
       const outHelp = '1 while this instance is out of rotation, by why';
       metrics.gauge('out_of_rotation', outHelp, Number(reason === why), { why });
--- a/packages/gateway/src/runtime/instancePressure.ts
+++ b/packages/gateway/src/runtime/instancePressure.ts
@@ -1,6 +1,7 @@
 /** Judges by the waiting of callers how much processor time an instance has left. */
 
 import type { PressureLevel } from '@flamingocourse/core';
+import { comparePressure, pressureLevels } from '@flamingocourse/core';
 import { PressureSource } from '../types/fleetConditions.js';
 import { ProcessorUse } from './processorUse.js';
 
@@ -23,8 +24,6 @@
 /** Milliseconds with fewer signs after which a level is left. */
 const HOLD_MS = 500;
 
-const levels: readonly PressureLevel[] = ['calm', 'pressed', 'overloaded'];
-
 /** Signs that came at about the same time. */
 interface Group {
   at: number;
@@ -83,7 +82,7 @@
     this.#forget(now);
     const seen = this.#levelBySigns(now);
     if (seen === 'overloaded') this.#processor.recordLate(now);
-    const step = levels.indexOf(seen) - levels.indexOf(this.#level);
+    const step = comparePressure(seen, this.#level);
     if (step >= 0) {
       this.#level = seen;
       this.#lowerSince = undefined;
@@ -107,7 +106,7 @@
   }
 
   #fall(now: number): void {
-    this.#level = levels[levels.indexOf(this.#level) - 1] ?? 'calm';
+    this.#level = pressureLevels[pressureLevels.indexOf(this.#level) - 1] ?? 'calm';
     this.#lowerSince = now;
   }
 
@@ -115,7 +114,7 @@
     const requests = this.#sum('requests');
     const isNear = this.#processor.isNearLimit(now);
     const reaches = (count: number, share: number, level: PressureLevel): boolean => {
-      const isLowered = isNear || levels.indexOf(this.#level) >= levels.indexOf(level);
+      const isLowered = isNear || comparePressure(this.#level, level) >= 0;
       return count > 0 && count >= requests * share * (isLowered ? LOWER : 1);
     };
     const late = this.#sum('late');
