--- a/review/lib/fleet.mjs
+++ b/review/lib/fleet.mjs
@@ -95,6 +95,9 @@
 /** Runs a case; whatever is thrown means that it couldn't run. */
 export async function runCase(folder, body) {
   const c = new Case(folder);
+  for (const signal of ['SIGTERM', 'SIGINT']) {
+    process.once(signal, () => void c.end(2, `could not run: ended by ${signal}`));
+  }
   const timer = setTimeout(() => void c.end(2, 'could not run: time is over'), 110_000);
   try {
     const { broken, verdict } = await body(c);
