--- a/review/lib/fleet.mjs
+++ b/review/lib/fleet.mjs
@@ -239,7 +239,9 @@
     const chunks = [];
     const end = (result) => {
       clearTimeout(timer);
-      const what = `${result.status || result.error} ${result.note ?? ''}`.trim();
+      const text =
+        result.status >= 300 ? Buffer.concat(chunks).toString('latin1').slice(0, 160) : '';
+      const what = `${result.status || result.error} ${result.note ?? ''} ${text}`.trim();
       if (!quiet) c.log(`client got for id ${id}: ${what}`);
       resolve({ id, body: Buffer.concat(chunks).toString('latin1'), ...result });
     };
