--- a/review/4/case.mjs
+++ b/review/4/case.mjs
@@ -1,23 +1,23 @@
-// Two software versions serve side by side and nothing changes for over a minute. Then one instance is
-// killed; its streams can't be taken up again elsewhere, though the servers that began them still serve.
+// All instances are killed at the end of a release of servers. Streams that clients take up again then
+// go on at another software version than the one that began them.
 import { performance } from 'node:perf_hooks';
 import { setTimeout as delay } from 'node:timers/promises';
 import { EventStream, Server } from '../lib/server.mjs';
 import { Store } from '../lib/store.mjs';
 import { call, configuration, runCase } from '../lib/fleet.mjs';
 
+const OLD = '1.4';
+const NEW = '1.5';
 const EVENTS = 14;
 const STEP_MS = 200;
+const STREAMS = 40;
 /** Time limit of a client for a stream, over all its tries. */
-const CLIENT_MS = 15_000;
+const CLIENT_MS = 4_000;
 /** A client takes its stream up again after this time, a few times. */
-const RETRY_MS = 300;
-const TRIES = 4;
-/** Streams at each instance at the moment of a kill. */
-const STREAMS = 20;
-/** Seconds from the start until the kills; the same is done at both. */
-const KILLS_S = [10, 85];
-const ZONES = ['hall-a', 'hall-a', 'hall-a', 'hall-b', 'hall-b', 'hall-c', 'hall-c'];
+const RETRY_MS = 400;
+const TRIES = 5;
+/** Time between two steps of the release. */
+const STEP_OF_RELEASE_MS = 250;
 
 /** Three parts: one that all share, one of a subject, one of the request itself. */
 function promptOf(number) {
@@ -28,13 +28,8 @@
 
 await runCase(import.meta.dirname, async (c) => {
   const store = c.closeAtEnd(await new Store().listen());
-  for (const [id, version] of [
-    ['e-1', '1.4'],
-    ['e-2', '1.4'],
-    ['f-1', '1.5'],
-    ['f-2', '1.5'],
-  ]) {
-    const server = new Server({ id, service: 'floki-llm', version, log: () => undefined });
+  const openEngine = async (id, version) => {
+    const server = new Server({ id, service: 'floki-llm', version, log: c.log });
     server.slots = 64;
     server.handle = (request, channel) => {
       channel.run(request);
@@ -43,39 +38,32 @@
     };
     c.closeAtEnd(await server.listen());
     store.put('servers', id, server.entry());
-  }
-  const { routes, ...others } = configuration();
-  // the chat is a stream that may be resumed here, with its time limit of 15 s.
-  const resumable = routes.map((route) =>
-    route.name === 'field-chat' ? { ...route, resume_streams: true, max_attempts: 2 } : route,
-  );
-  const plain = new Server({ id: 'p-1', service: 'logbok-app', log: () => undefined });
-  c.closeAtEnd(await plain.listen());
-  store.put('servers', 'p-1', plain.entry());
-  store.put('config', 'main', { ...others, routes: resumable });
-  const startedAt = performance.now();
+    c.log(`server ${id} of version ${version} is listed`);
+    return server;
+  };
+  const old = new Map();
+  for (const id of ['e-1', 'e-2', 'e-3', 'e-4']) old.set(id, await openEngine(id, OLD));
+  store.put('config', 'main', configuration());
   const instances = [];
-  for (const [at, zone] of ZONES.entries()) {
-    instances.push(await c.instance(`edge-${zone}-${at + 1}`, store.port, { zone }));
+  for (const zone of ['hall-a', 'hall-b', 'hall-c']) {
+    const instance = await c.instance(`edge-${zone}-1`, store.port, { zone });
+    instances.push(instance);
+    await instance.start();
   }
-  await Promise.all(instances.map((instance) => instance.start()));
+  await delay(2_500);
 
-  let streams = 0;
-  const isDown = new Set();
-  const stream = async (home, round) => {
-    streams += 1;
-    const number = streams;
+  /** Versions that made the events of each stream, by the id of its first try. */
+  const versionsOf = new Map();
+  const client = async (number) => {
     const first = `s${number}-1`;
     const until = performance.now() + CLIENT_MS;
-    const result = { round, home: home.name, events: [], began: false, takenUp: 0, wentOn: 0 };
+    const events = [];
+    versionsOf.set(first, events);
     for (let tries = 1; tries <= TRIES && performance.now() < until; tries += 1) {
-      const up = instances.filter((instance) => !isDown.has(instance));
-      const instance = tries === 1 ? home : up[(number + tries) % up.length];
-      const last = result.events.at(-1);
-      const got = await call(c, instance, {
+      const last = events.at(-1);
+      const got = await call(c, instances[(number + tries) % instances.length], {
         id: `s${number}-${tries}`,
-        path: '/chat/ask',
-        quiet: tries === 1,
+        path: '/bill/draft',
         waitMs: Math.floor(until - performance.now()),
         headers: {
           'X-Model': 'm',
@@ -84,58 +72,52 @@
           ...(last === undefined ? {} : { 'Last-Event-Id': last.id, Resumes: first }),
         },
       });
-      const found = [...got.body.matchAll(/id: (\d+)\ndata: \S+ of (\S+)\n\n/g)];
-      for (const [, id, version] of found) result.events.push({ id, version });
-      if (last === undefined) result.began ||= found.length > 0;
-      else {
-        result.takenUp = 1;
-        if (found.length > 0) result.wentOn = 1;
+      for (const [, id, version] of got.body.matchAll(/id: (\d+)\ndata: \S+ of (\S+)\n\n/g)) {
+        events.push({ id, version });
       }
       if (got.status === 200 && got.complete) break;
       await delay(RETRY_MS);
     }
-    return result;
+    c.log(`stream ${first} holds ${events.map(({ id, version }) => `${id}@${version}`).join(' ')}`);
   };
 
-  const stamps = [];
-  const stamp = async (instance) => {
-    const got = await call(c, instance, { path: '/launch/entry', quiet: true });
-    return got.status === 200;
-  };
-  const results = [];
-  for (const [round, atS] of KILLS_S.entries()) {
-    // no streams meanwhile: launch entries only, as in a quiet hour.
-    while (performance.now() - startedAt < atS * 1_000) {
-      for (const instance of instances) stamps.push(stamp(instance));
-      await delay(1_000);
-    }
-    for (const instance of instances) {
-      for (let at = 0; at < STREAMS; at += 1) results.push(stream(instance, round));
-    }
-    await delay(1_000);
-    const killed = instances[round];
-    if (c.trouble) {
-      isDown.add(killed);
-      killed.signal('SIGKILL');
-      await killed.exited();
-      await delay(2_000);
-      await killed.start();
-      isDown.delete(killed);
+  /** Replaces servers one by one: the new one starts first; the old one leaves without draining. */
+  const release = async (pairs) => {
+    for (const [leaving, coming] of pairs) {
+      await openEngine(coming, NEW);
+      await delay(STEP_OF_RELEASE_MS);
+      store.remove('servers', old.get(leaving).id);
+      c.log(`the entry of ${leaving} is removed; it serves on`);
+      await delay(STEP_OF_RELEASE_MS);
     }
-  }
-  const all = await Promise.all(results);
-  const verdicts = KILLS_S.map((atS, round) => {
-    const own = all.filter((each) => each.round === round);
-    const began = own.filter((each) => each.began).length / own.length;
-    const takenUp = own.filter((each) => each.takenUp > 0).length;
-    const wentOn = own.filter((each) => each.wentOn > 0).length;
-    const broken = takenUp >= 12 && wentOn / takenUp < began / 2;
-    const text = `at ${atS} s ${(100 * began).toFixed(0)} in 100 of ${own.length} new streams began, ${wentOn} of ${takenUp} taken up went on`;
-    return { broken, text };
-  });
-  const joined = all.filter(({ events }) => new Set(events.map(({ version }) => version)).size > 1);
-  return {
-    broken: verdicts.some(({ broken }) => broken),
-    verdict: `${verdicts.map(({ text }) => text).join('; ')}; ${joined.length} streams of two versions`,
   };
+  // a first release of half of the servers, and a while later one of the others.
+  await release([
+    ['e-1', 'f-1'],
+    ['e-2', 'f-2'],
+  ]);
+  await delay(3_000);
+
+  const streams = [];
+  for (let number = 1; number <= STREAMS; number += 1) {
+    streams.push(client(number));
+    await delay(10);
+  }
+  await delay(200);
+  await release([
+    ['e-3', 'f-3'],
+    ['e-4', 'f-4'],
+  ]);
+  if (c.trouble) {
+    for (const instance of instances) instance.signal('SIGKILL');
+    await Promise.all(instances.map((instance) => instance.exited()));
+    await Promise.all(instances.map((instance) => instance.start()));
+  }
+  await Promise.all(streams);
+
+  const all = [...versionsOf.values()];
+  const begun = all.filter((events) => events.length > 0).length;
+  const joined = all.filter((events) => new Set(events.map(({ version }) => version)).size > 1);
+  const verdict = `${begun} streams began, ${joined.length} of them hold events of two software versions`;
+  return { broken: joined.length > 2, verdict };
 });
