fix(platform): an answer counts only after its request id was compared

Callers of requests that must run once got 503, which promises that the request has not run and never will, for requests that ran, or had them run a second time at another server; a caller that came again got its entry twice.

Cause: PlatformServers.judge read status 421 and X-Not-Executed before it compared X-Request-Id. Servers may send an answer a second time, late, where the next one on the connection is due; a copy of a rejection so ended the next request as not run. An answer without an id passed as the own one as well, unless it was a success: the copy of a rejected health check, which names no request, or a failure.

The new table of late answers on the code before: 503 for the rejections and for 421 where 502 is due, 200 from a second server where both reject (the request runs again), 404 passed on for a failure without an id.

Why it holds: the id is compared first, and an answer without one is nobody's.

--- a/packages/gateway/src/node/serverAttempt.ts
+++ b/packages/gateway/src/node/serverAttempt.ts
@@ -7,7 +7,7 @@
 import type { Relay, RelayEnd } from './answerRelay.js';
 import type { BackendLane } from './backendLanes.js';
 import type { AttemptFault, AttemptRequest, OpenAnswer } from './httpAttempt.js';
-import type { GenerationSize } from '../types/call.js';
+import type { GenerationSize, ServerHead } from '../types/call.js';
 import type { FlowParts } from '../types/flowParts.js';
 import type { RequestProgress, RoutedCall } from '../types/requestRun.js';
 import { EventTiming } from '@flamingocourse/core';
@@ -116,7 +116,7 @@
       case 'spoilt':
         opened.value.drop();
         this.#progress.mayHaveRun += 1;
-        return this.#failed('unknown', 'failed', 'the response does not belong to this request');
+        return this.#failed('unknown', 'failed', notOwn(opened.value.head));
     }
   }
 
@@ -346,6 +346,10 @@
   }
 }
 
+function notOwn({ status }: ServerHead): string {
+  return `the response with status ${String(status)} does not belong to this request`;
+}
+
 function notAccepted(process: ProcessVerdict): AttemptFault {
   const cause =
     process === 'other'
--- /dev/null
+++ b/test/platform/lateAnswers.test.ts
@@ -0,0 +1,34 @@
+import assert from 'node:assert/strict';
+import { describe, test } from 'node:test';
+import { World } from './world.js';
+
+/** Id of a request that the server has answered before. */
+const EARLIER = 'X-Request-Id: earlier\r\n';
+
+/** An answer without a body. */
+function emptyAnswer(status: number, headers: string): string {
+  return `HTTP/1.1 ${String(status)} Late\r\n${headers}Content-Length: 0\r\n\r\n`;
+}
+
+// Guards against a late answer of an earlier request that ends a running one, above all as not run.
+describe('a late answer in front of the own one promises nothing to the caller', () => {
+  const cases = [
+    { name: 'a rejection', bytes: emptyAnswer(503, `${EARLIER}X-Not-Executed: full\r\n`) },
+    { name: 'a rejection as too many', bytes: emptyAnswer(429, `${EARLIER}X-Not-Executed: 1\r\n`) },
+    { name: 'a rejection by another server', bytes: emptyAnswer(421, EARLIER) },
+    { name: 'a rejection without an id', bytes: emptyAnswer(503, 'X-Not-Executed: full\r\n') },
+    { name: 'another server, without an id', bytes: emptyAnswer(421, 'X-Instance-Id: p9\r\n') },
+    { name: 'a failure', bytes: emptyAnswer(500, EARLIER) },
+    { name: 'a failure without an id', bytes: emptyAnswer(404, '') },
+    { name: 'a success', bytes: emptyAnswer(200, `${EARLIER}X-Response-Signature: s\r\n`) },
+  ];
+  for (const { name, bytes } of cases) {
+    test(name, async (t) => {
+      const world = await World.start(t);
+      for (const id of ['p1', 'p2']) world.server(id).extra = () => bytes;
+      const { status } = await world.call({ path: '/book/1' });
+      assert.equal(status, 502);
+      assert.equal(world.seen('p').length, 1);
+    });
+  }
+});
