fix(gateway): a further attempt never uses a connection that answered its request

A request that must run once, rejected by a full server and sent there again, ran twice or got 503 although it ran.

Cause: the further attempt has the same request id, and an idle connection may be the one of the first attempt. It takes a single server that is left to try, and a wait of the second attempt (room, or a requested pause), so that the connection is idle by then.

Why it holds: connections that brought an answer to the request are closed, if idle, right before each further attempt is sent, in the same turn in which the agent picks the connection; those in use by others are never picked.

--- a/packages/gateway/src/node/requestFlow.ts
+++ b/packages/gateway/src/node/requestFlow.ts
@@ -43,6 +43,7 @@
     const { resumeAfter } = call.head;
     this.#progress = {
       tried: [],
+      answeredOn: new Set(),
       made: 0,
       mayHaveRun: 0,
       events: 0,
--- a/packages/gateway/src/node/serverAgent.ts
+++ b/packages/gateway/src/node/serverAgent.ts
@@ -46,16 +46,18 @@
     return undefined;
   }
 
-  /** Closes the idle connections to a server. */
-  closeIdle(url: string): void {
-    const name = this.getName(serverAddress(url));
-    for (const socket of this.freeSockets[name] ?? []) socket.destroy();
+  /** Closes idle connections to a server, all of them or those that match. */
+  closeIdle(url: string, matches: (connection: Duplex) => boolean = () => true): void {
+    for (const socket of this.#idle(url)) if (matches(socket)) socket.destroy();
   }
 
   /** The idle connection that the next request to a server takes; undefined if it opens a new one. */
   nextIdle(url: string): Duplex | undefined {
-    const idle = this.freeSockets[this.getName(serverAddress(url))] ?? [];
-    return idle.findLast((socket) => !socket.destroyed);
+    return this.#idle(url).findLast((socket) => !socket.destroyed);
+  }
+
+  #idle(url: string): readonly Duplex[] {
+    return this.freeSockets[this.getName(serverAddress(url))] ?? [];
   }
 
   /** Returns whether the connection is kept for reuse. */
--- a/packages/gateway/src/node/serverAttempt.ts
+++ b/packages/gateway/src/node/serverAttempt.ts
@@ -100,6 +100,7 @@
     const opened = await this.#open();
     if (opened.isErr) return this.#failToOpen(opened.error);
     this.#placement.recordReceived();
+    this.#progress.answeredOn.add(opened.value.body.socket);
     const verdict = this.#parts.context.dialects.servers.judge(this.#call.head, opened.value.head);
     // a response from another server says nothing about this one.
     if (verdict === 'answered' || verdict === 'not-run') this.#recordReports(opened.value);
@@ -160,6 +161,10 @@
     const { context, agent } = this.#parts;
     const { head, account, answer, body, service, signal, endsAt } = this.#call;
     const { server, promptSource: holder } = this.#placement;
+    const { answeredOn } = this.#progress;
+    // a late copy of an earlier answer would bear the id that this attempt has as well.
+    if (answeredOn.size > 0)
+      agent.closeIdle(server.url, (connection) => answeredOn.has(connection));
     return openAttempt({
       url: server.url,
       method: head.method,
--- a/packages/gateway/src/types/requestRun.ts
+++ b/packages/gateway/src/types/requestRun.ts
@@ -10,6 +10,7 @@
   StreamSoftware,
 } from '@flamingocourse/core';
 import type { IncomingMessage } from 'node:http';
+import type { Duplex } from 'node:stream';
 import type { Arrival } from '../node/arrivalWatch.js';
 import type { CallerAnswer } from '../node/callerAnswer.js';
 import type { ListView } from '../node/serverDirectory.js';
@@ -59,6 +60,8 @@
 export interface RequestProgress {
   /** Servers whose attempt failed. */
   tried: string[];
+  /** Connections on which an attempt was answered. */
+  answeredOn: Set<Duplex>;
   /** Server of the last attempt. */
   server?: string;
   /** Software version of that server, as listed when it was chosen. */
--- a/test/platform/fakeServer.ts
+++ b/test/platform/fakeServer.ts
@@ -134,8 +134,8 @@
   stateRequests = 0;
   /** Called for each new connection. */
   onConnection: () => void = () => undefined;
-  /** Bytes that it sends in front of its next answer, for the request that has just arrived. */
-  extra: ((req: IncomingMessage) => string) | undefined;
+  /** Bytes that it sends in front of its answer, for a request that has arrived. */
+  extra: (req: IncomingMessage) => string = () => '';
   /** Called after an answer was written. */
   afterAnswer: () => void = () => undefined;
   /** When requests that start with `CRASHING_BODY` crash the server; undefined if they are answered. */
@@ -230,12 +230,6 @@
     res.writeHead(503, { 'x-not-executed': '1', ...idOf(res.req) }).end();
   }
 
-  /** The request arrives first, so the instance waits for its answer when it reads these bytes. */
-  #sendExtra(req: IncomingMessage): void {
-    if (this.extra) req.socket.write(this.extra(req));
-    this.extra = undefined;
-  }
-
   /** Runs a request when a slot is free; a fall in the meantime ends it. */
   #runInSlot(res: ServerResponse, { slots, runMs }: Brittleness, respond: () => void): void {
     const { falls } = this;
@@ -289,7 +283,8 @@
       res.end(JSON.stringify({ stage: 'unified', waiting: 0, born: this.bornAt }));
       return;
     }
-    this.#sendExtra(req);
+    // the request has arrived, so the instance waits for its answer when it reads these bytes.
+    req.socket.write(this.extra(req));
     const ran = headers['x-expect-instance'] === this.id && this.behaviour !== 'shed';
     const body = Buffer.concat(chunks).toString();
     const seen = { method, url, headers, body, at, ran, endedAt: undefined, broke: false };
--- a/test/platform/lateAnswers.test.ts
+++ b/test/platform/lateAnswers.test.ts
@@ -1,6 +1,7 @@
+import type { Socket } from 'node:net';
 import assert from 'node:assert/strict';
 import { describe, test } from 'node:test';
-import { World } from './world.js';
+import { World, until } from './world.js';
 
 /** Id of a request that the server has answered before. */
 const EARLIER = 'X-Request-Id: earlier\r\n';
@@ -32,3 +33,39 @@
     });
   }
 });
+
+// Guards against a late copy of a rejection that ends a further attempt of the same request, whose id it bears.
+describe('a late copy of a rejection does not end a further attempt of its request', () => {
+  for (const path of ['/book/1', '/look/1']) {
+    test(path, async (t) => {
+      const world = await World.start(t);
+      const server = world.server('p1');
+      world.store.remove('servers', 'p2');
+      await until('one is left', () => {
+        return (
+          world.log.events.findLast(({ event }) => event === 'servers-changed')?.fields.servers ===
+          3
+        );
+      });
+      let rejectedOn: Socket | undefined;
+      server.behaviour = 'shed';
+      // the further attempt waits, so the connection of the first one is idle by then.
+      server.rest = '0.05';
+      server.afterAnswer = () => (server.behaviour = 'answer');
+      server.extra = ({ socket, headers }) => {
+        if (rejectedOn !== socket) {
+          rejectedOn ??= socket;
+          return '';
+        }
+        const id = `X-Request-Id: ${String(headers['x-request-id'])}\r\n`;
+        return emptyAnswer(503, `${id}X-Not-Executed: full\r\n`);
+      };
+      const { status, body } = await world.call({ path });
+      assert.deepEqual({ status, body }, { status: 200, body: 'from p1' });
+      assert.deepEqual(
+        server.seen.map(({ ran }) => ran),
+        [false, true],
+      );
+    });
+  }
+});
