fix(gateway): an answer that names a request is no answer to a health check

A sound server could be dropped as gone, or take no more requests as one that leaves, because of a late copy of an answer to a request: judgeHealth takes 421 as the word of another server, and load and notices were recorded of any answer that was not.

ServerDialect.answersCheck tells so; an answer that names a request says nothing of its server here, and its connection, which is one answer behind, is closed. For the state of a process it matters most: the start of a process decides where streams may go on.

The new cases failed on the code before: 'gone' and 'leaving' for 'unknown', a load of 18 for 0, and 'listed' for an error where the state was asked for.

--- a/packages/gateway/src/node/httpHealthCheck.ts
+++ b/packages/gateway/src/node/httpHealthCheck.ts
@@ -72,9 +72,14 @@
       signal: AbortSignal.timeout(RESPONSE_TIMEOUT_MS),
     });
     if (opened.isErr) return opened.error.reason === 'refused' ? 'gone' : 'unknown';
+    const { head } = opened.value;
+    if (!dialects.servers.answersCheck(head)) {
+      opened.value.drop();
+      return 'unknown';
+    }
     discardAnswer(opened.value);
-    const result = dialects.servers.judgeHealth(id, opened.value.head);
-    if (result !== 'gone') this.#record(checked, opened.value.head);
+    const result = dialects.servers.judgeHealth(id, head);
+    if (result !== 'gone') this.#record(checked, head);
     return result;
   }
 
--- a/packages/gateway/src/node/serverProcesses.ts
+++ b/packages/gateway/src/node/serverProcesses.ts
@@ -98,7 +98,7 @@
     const stopTimer = onTimeout(ANSWER_MS, () => {
       opened.value.drop();
     });
-    const text = await readText(body);
+    const text = dialects.servers.answersCheck(head) ? await readText(body) : undefined;
     stopTimer();
     if (text === undefined) {
       opened.value.drop();
--- a/packages/gateway/src/types/dialects.ts
+++ b/packages/gateway/src/types/dialects.ts
@@ -44,6 +44,11 @@
   abstract healthHeaders(serverId: ServerId, host: string): string[];
   /** Returns the request with which a server is asked for its state, which takes no slot. */
   abstract stateRequest(serverId: ServerId, host: string): StateRequest;
+  /**
+   * Returns whether a response can be to a health check or a request for the state, which name no request.
+   * Only then the other methods may read it as such.
+   */
+  abstract answersCheck(answer: ServerHead): boolean;
   /** Returns when the server started, by its own clock; undefined if its state does not tell. */
   abstract bornAt(answer: ServerHead, body: string): number | undefined;
   /** Classifies the response to a health check of server `serverId`. */
--- a/test/gateway/httpHealthCheck.test.ts
+++ b/test/gateway/httpHealthCheck.test.ts
@@ -5,6 +5,7 @@
 import { describe, test } from 'node:test';
 import { ManualClock, MemoryEventLog } from '@flamingocourse/kernel';
 import { MemoryObjectStore } from '@flamingocourse/store';
+import type { GatewayContext } from '../../packages/gateway/src/types/context.js';
 import type { ConfigurationWatch } from '../../packages/gateway/src/node/configurationWatch.js';
 import { HttpHealthCheck } from '../../packages/gateway/src/node/httpHealthCheck.js';
 import { ServerAgent } from '../../packages/gateway/src/node/serverAgent.js';
@@ -19,26 +20,41 @@
   isOn: boolean;
 }
 
-// guards against health checks above the rate limit: each instance checked a server twice a second
-// although the server accepts fewer requests from all instances together.
-test('health checks count towards the rate limit of the server', async (t) => {
-  const server = await new FakeServer('p1').listen(t);
+/** A health check over its own connections, and what it reports to. */
+interface Checking {
+  check: HttpHealthCheck;
+  pool: ServerPool;
+  context: GatewayContext;
+  clock: ManualClock;
+  log: MemoryEventLog;
+}
+
+function checking(t: TestContext): Checking {
   const clock = new ManualClock();
-  const context = testContext(clock, new MemoryEventLog(), new MemoryObjectStore());
-  const table = { service: () => ({ healthPath: '/health' }) };
+  const log = new MemoryEventLog();
+  const context = testContext(clock, log, new MemoryObjectStore());
   const agent = new ServerAgent();
   t.after(() => {
     agent.destroy();
   });
+  const table = { service: () => ({ healthPath: '/health' }) };
   const configuration = { table } as unknown as ConfigurationWatch;
-  const check = new HttpHealthCheck(context, configuration, agent, () => undefined);
-  const listed: ListedServer = {
-    service: 'ledger',
-    dataCentre: 'hall-a',
-    url: `http://${server.address}`,
-    state: 'live',
-    slots: 4,
-  };
+  const pool = new ServerPool({ dataCentre: 'hall-a', concurrencyPerServer: 8 });
+  const check = new HttpHealthCheck(context, configuration, agent, () => pool);
+  return { check, pool, context, clock, log };
+}
+
+function listedAt({ address }: FakeServer): ListedServer {
+  const url = `http://${address}`;
+  return { service: 'ledger', dataCentre: 'hall-a', url, state: 'live', slots: 4 };
+}
+
+// guards against health checks above the rate limit: each instance checked a server twice a second
+// although the server accepts fewer requests from all instances together.
+test('health checks count towards the rate limit of the server', async (t) => {
+  const server = await new FakeServer('p1').listen(t);
+  const { check, context, clock } = checking(t);
+  const listed = listedAt(server);
   context.rules.notices.rateLimits.setSharers(1, clock.now());
   context.rules.notices.rateLimits.record('p1', { type: 'limit', perSecond: 0.5 }, clock.now());
   server.rateLimit = '0.5';
@@ -59,26 +75,9 @@
   async function probe(t: TestContext, load: string): Promise<ProbedWorld> {
     const server = await new FakeServer('p1').listen(t);
     server.load = load;
-    const clock = new ManualClock();
-    const log = new MemoryEventLog();
-    const context = testContext(clock, log, new MemoryObjectStore());
-    const table = { service: () => ({ healthPath: '/health' }) };
-    const agent = new ServerAgent();
-    t.after(() => {
-      agent.destroy();
-    });
-    const pool = new ServerPool({ dataCentre: 'hall-a', concurrencyPerServer: 8 });
-    const url = `http://${server.address}`;
-    const listed = {
-      service: 'ledger',
-      dataCentre: 'hall-a',
-      url,
-      state: 'live',
-      slots: 4,
-    } as const;
+    const { check, pool, context, clock, log } = checking(t);
+    const listed = listedAt(server);
     pool.applyList([{ ...listed, id: 'p1' }], clock.now());
-    const configuration = { table } as unknown as ConfigurationWatch;
-    const check = new HttpHealthCheck(context, configuration, agent, () => pool);
     for (let n = 0; n < 3; n += 1) assert.equal(await check.probe('p1', listed), 'staying');
     const logged = log.events.filter(({ event }) => event === 'server-load-invalid');
     const candidate = pool.candidates({}, clock.now())[0];
@@ -100,3 +99,28 @@
     });
   }
 });
+
+// Guards against a late answer to a request that makes a server look gone, leaving or overloaded.
+describe('a late answer to a request is no answer to a health check', () => {
+  const cases = [
+    { name: 'from another server', status: 421, headers: '' },
+    { name: 'of a server that leaves', status: 200, headers: 'Server-Leaving: 1\r\n' },
+    { name: 'that reports a load', status: 200, headers: 'X-Server-Load: 9,9,4\r\n' },
+    { name: 'a failure', status: 503, headers: '' },
+  ];
+  for (const { name, status, headers } of cases) {
+    test(name, async (t) => {
+      const server = await new FakeServer('p1').listen(t);
+      const head = `HTTP/1.1 ${String(status)} Late\r\nX-Request-Id: earlier\r\n`;
+      server.extra = () => `${head}X-Instance-Id: p1\r\n${headers}Content-Length: 0\r\n\r\n`;
+      const { check, pool, context, clock } = checking(t);
+      const listed = listedAt(server);
+      pool.applyList([{ ...listed, id: 'p1' }], clock.now());
+      assert.equal(await check.probe('p1', listed), 'unknown');
+      assert.equal(pool.candidates({}, clock.now())[0]?.load, 0);
+      assert.equal(context.rules.closedBy({ ...listed, id: 'p1', bornAt: undefined }), undefined);
+      server.extra = () => '';
+      assert.equal(await check.probe('p1', listed), 'staying');
+    });
+  }
+});
--- a/test/gateway/serverProcesses.test.ts
+++ b/test/gateway/serverProcesses.test.ts
@@ -65,6 +65,13 @@
 }
 
 const cases: Case[] = [
+  {
+    name: 'a late answer to a request',
+    answer: (res) => res.setHeader('x-request-id', 'earlier').end('{"born":7}'),
+    bornAt: 7,
+    found: 'error: broken',
+    asked: 2,
+  },
   {
     name: 'a server that starts under a new id each time is not asked',
     answer: (res) => res.end('{"born":8}'),
--- a/test/platform/fakeServer.ts
+++ b/test/platform/fakeServer.ts
@@ -267,6 +267,8 @@
     for await (const chunk of req) chunks.push(chunk as Buffer);
     const at = performance.now();
     const { method = '', url = '', headers } = req;
+    // the request has arrived, so the instance waits for its answer when it reads these bytes.
+    req.socket.write(this.extra(req));
     if (this.rateLimit !== undefined) res.setHeader('server-limit', this.rateLimit);
     if (this.brittle) res.setHeader('server-brittle', String(this.brittle.rejectionsPerSecond));
     if (this.saysLeaving) res.setHeader('server-leaving', '1');
@@ -283,8 +285,6 @@
       res.end(JSON.stringify({ stage: 'unified', waiting: 0, born: this.bornAt }));
       return;
     }
-    // the request has arrived, so the instance waits for its answer when it reads these bytes.
-    req.socket.write(this.extra(req));
     const ran = headers['x-expect-instance'] === this.id && this.behaviour !== 'shed';
     const body = Buffer.concat(chunks).toString();
     const seen = { method, url, headers, body, at, ran, endedAt: undefined, broke: false };
