fix(gateway): a new process knows at which software versions streams may have begun

Cause: a stream that no instance knows may go on where one version has served in the last minute, and a new process took for that what it had seen itself: the list as it is now. What ran before its start was in no instance any more and nowhere else. Ruled out: records of streams that were lost on the way (nobody was left to ask), a version that was read wrongly (the log named the right one at both ends).

Now the store holds, for each service whose streams may be taken up, the versions at which streams may have begun. A stream begins only at a version that is recorded, and a stream that nobody knows goes on only where the record, read since the process started, holds no other version, and the list of the last minute shows none. A version that the list has not shown for a minute is removed in two conditional writes, between which the list must have been confirmed; who lists it again in between changes the object, so the removal fails. A write that is late or lost so makes the system refuse streams, never join them.

--- a/packages/core/src/index.ts
+++ b/packages/core/src/index.ts
@@ -17,6 +17,7 @@
 export type * from './types/membership.js';
 export type * from './types/placement.js';
 export type * from './types/quarantine.js';
+export type * from './types/softwareRecord.js';
 export type * from './types/follow.js';
 export type * from './types/fleetConditions.js';
 export type * from './types/gossip.js';
--- a/packages/core/src/runtime/routing/seenSoftware.ts
+++ b/packages/core/src/runtime/routing/seenSoftware.ts
@@ -6,7 +6,7 @@
  * Milliseconds for which a version counts after it was last seen. A stream that began at it may still be
  * taken up; longer than any caller waits.
  */
-const REMEMBERED_MS = 60_000;
+export const SOFTWARE_REMEMBERED_MS = 60_000;
 
 /**
  * Remembers which software versions served each service a short time ago.
@@ -23,13 +23,13 @@
     const versions = this.#lastSeenAt.get(service) ?? new Map<string, EpochMs>();
     this.#lastSeenAt.set(service, versions);
     versions.set(version, Math.max(now, versions.get(version) ?? -Infinity));
-    for (const [name, at] of versions) if (now - at > REMEMBERED_MS) versions.delete(name);
+    for (const [name, at] of versions) if (now - at > SOFTWARE_REMEMBERED_MS) versions.delete(name);
   }
 
   /** Versions that were seen lately, each once. */
   versionsOf(service: ServiceName, now: EpochMs): string[] {
     return [...(this.#lastSeenAt.get(service) ?? [])]
-      .filter(([, at]) => now - at <= REMEMBERED_MS)
+      .filter(([, at]) => now - at <= SOFTWARE_REMEMBERED_MS)
       .map(([version]) => version);
   }
 }
--- a/packages/core/src/runtime/routing/serverGate.ts
+++ b/packages/core/src/runtime/routing/serverGate.ts
@@ -4,6 +4,7 @@
 import type { BackendServer } from '../../types/member.js';
 import type { ServerBounds } from '../../types/placement.js';
 import type { ClosedReason, SendRules } from './sendRules.js';
+import type { RecordedSoftware } from './recordedSoftware.js';
 import type { SeenSoftware } from './seenSoftware.js';
 import type { ServerEntry } from './serverEntry.js';
 
@@ -20,23 +21,30 @@
   | 'other-software'
   | 'unreachable';
 
+/** What is known of the software of the servers. */
+export interface KnownSoftware {
+  seen: SeenSoftware;
+  /** Undefined where nothing is recorded and streams begin anywhere. */
+  recorded?: RecordedSoftware;
+}
+
 /**
  * The one place that decides whether a request may be sent to a server, for its first attempt, its
  * repeats and its resumed stream. Health of the server is not part of it.
  *
  * @example
- * const gate = new ServerGate(rules, seenSoftware);
+ * const gate = new ServerGate(rules, { seen, recorded });
  * if (gate.obstacle(entry, bounds, now) === undefined && gate.nextAt(entry, now) <= now) send();
  */
 export class ServerGate {
   readonly rules: SendRules;
-  readonly #seenSoftware: SeenSoftware;
+  readonly #software: KnownSoftware;
   readonly #drained = new Set<ServerId>();
   #subset: ReadonlySet<ServerId> | undefined;
 
-  constructor(rules: SendRules, seenSoftware: SeenSoftware) {
+  constructor(rules: SendRules, software: KnownSoftware) {
     this.rules = rules;
-    this.#seenSoftware = seenSoftware;
+    this.#software = software;
   }
 
   /** Restricts new requests to some of the servers; `undefined` removes the restriction. */
@@ -53,7 +61,7 @@
   /** Records the software of listed servers. */
   observeSoftware(servers: readonly BackendServer[], now: EpochMs): void {
     for (const { service, softwareVersion = '' } of servers) {
-      this.#seenSoftware.observe(service, softwareVersion, now);
+      this.#software.seen.observe(service, softwareVersion, now);
     }
   }
 
@@ -92,7 +100,11 @@
     if (software.type === 'any') return true;
     if (replacedUntil > now) return false;
     if (software.type === 'version') return server.softwareVersion === software.version;
+    const { seen, recorded } = this.#software;
+    const { service, softwareVersion = '' } = server;
+    // only what is recorded lets a later process tell where a stream may have begun.
+    if (recorded?.has(service, softwareVersion) === false) return false;
     if (software.type === 'begins') return true;
-    return this.#seenSoftware.versionsOf(server.service, now).length <= 1;
+    return seen.versionsOf(service, now).length <= 1;
   }
 }
--- a/packages/core/src/runtime/routing/serverPool.ts
+++ b/packages/core/src/runtime/routing/serverPool.ts
@@ -68,7 +68,7 @@
     this.#health = { ...defaultHealthSettings, ...options.health };
     this.#sharers = options.sharers ?? 1;
     const rules = options.rules ?? withoutNotices();
-    this.#gate = new ServerGate(rules, options.seenSoftware ?? new SeenSoftware());
+    this.#gate = new ServerGate(rules, options.software ?? { seen: new SeenSoftware() });
     const health = this.#health;
     this.#servers = new OpenServers({ entries: this.#entries, gate: this.#gate, health });
     const { concurrencyPerServer } = options;
--- a/packages/core/src/runtime/routing/serverPoolOptions.ts
+++ b/packages/core/src/runtime/routing/serverPoolOptions.ts
@@ -3,7 +3,7 @@
 import type { DataCentreId } from '../../types/ids.js';
 import type { ConcurrencyLimitKind } from './concurrencyLimit.js';
 import type { RestoredBy } from './reachability.js';
-import type { SeenSoftware } from './seenSoftware.js';
+import type { KnownSoftware } from './serverGate.js';
 import type { HealthSettings } from './serverHealth.js';
 import { SendRules } from './sendRules.js';
 import { ServerNotices } from './serverNotices.js';
@@ -27,7 +27,7 @@
   /** What shows that a silent server can be reached again. @default 'requests' */
   restoredBy?: RestoredBy;
   /** Software versions of the service, shared with whatever else hears of them. @default none */
-  seenSoftware?: SeenSoftware;
+  software?: KnownSoftware;
 }
 
 /** Which slots a request may use; see `ImportanceReserve`. A slot is room for one request. */
--- a/packages/gateway/src/node/backendLanes.ts
+++ b/packages/gateway/src/node/backendLanes.ts
@@ -230,7 +230,7 @@
       timesAnswers: !sharesPrompts,
       restoredBy: 'probes',
       rules,
-      seenSoftware: this.#context.seenSoftware,
+      software: this.#context.software,
     });
     const lane = new ServiceLane({
       pool,
--- a/packages/gateway/src/node/createGateway.ts
+++ b/packages/gateway/src/node/createGateway.ts
@@ -10,6 +10,7 @@
   ColdServers,
   Evacuations,
   FleetShare,
+  RecordedSoftware,
   SeenSoftware,
   SendRules,
   ServerNotices,
@@ -52,6 +53,7 @@
 import { ServerProcesses } from './serverProcesses.js';
 import { SharedQuarantine } from './sharedQuarantine.js';
 import { MeshStreamCalls } from './meshStreamCalls.js';
+import { SoftwareRecords } from './softwareRecords.js';
 import { StoreRelay } from './storeRelay.js';
 import { StreamOrigins } from './streamOrigins.js';
 import { StatusService } from './statusService.js';
@@ -148,7 +150,7 @@
     store,
     dialects,
     rules,
-    seenSoftware: new SeenSoftware(),
+    software: { seen: new SeenSoftware(), recorded: new RecordedSoftware() },
     adaptiveLoad: new AdaptiveLoad(() => dialects.needsAdaptiveLoad(settings.terms)),
     buffers: new AnswerBuffers(),
     random,
@@ -194,7 +196,7 @@
     .register(room)
     .register(causes);
   const streams = new StreamOrigins(context, new MeshStreamCalls(peers));
-  kernel.register(streams);
+  kernel.register(new SoftwareRecords(context)).register(streams);
   const tunnels = new ServerTunnels(context);
   if (settings.listen.mesh) {
     const mesh = new MeshServer(settings.listen.mesh);
--- a/packages/gateway/src/node/streamOrigins.ts
+++ b/packages/gateway/src/node/streamOrigins.ts
@@ -30,6 +30,7 @@
 import { cannotResume } from './entryRefusals.js';
 import { InstanceDirectory } from './instanceDirectory.js';
 import { ServerDirectory } from './serverDirectory.js';
+import { SoftwareRecords } from './softwareRecords.js';
 import { StreamRecordSender } from './streamRecordSender.js';
 
 /** Instances that get the record of a stream. */
@@ -55,7 +56,7 @@
 /** Service that knows what began streams. Registered as `streams`. */
 export class StreamOrigins extends Service {
   override readonly name = 'streams';
-  override readonly dependsOn = ['directory', 'instances'];
+  override readonly dependsOn = ['directory', 'instances', 'software'];
   readonly #context: GatewayContext;
   readonly #calls: StreamCalls;
   readonly #records = new StreamRecords();
@@ -63,6 +64,7 @@
   /** Services whose streams are recorded at other instances. */
   readonly #shared = new Set<ServiceName>();
   #holders: StreamHolders;
+  #software: SoftwareRecords | undefined;
 
   constructor(context: GatewayContext, calls: StreamCalls) {
     super();
@@ -78,6 +80,7 @@
   }
 
   override start(kernel: Kernel): void {
+    this.#software = kernel.get('software', SoftwareRecords);
     const instances = kernel.get('instances', InstanceDirectory);
     instances.onChange(() => {
       this.#holders = new StreamHolders(instances.all, this.#self);
@@ -85,7 +88,7 @@
     kernel.get('directory', ServerDirectory).onChange((servers) => {
       const services = new Set(servers.map(({ service }) => service));
       for (const { service, softwareVersion = '' } of servers) {
-        this.#context.seenSoftware.observe(service, softwareVersion, this.#now());
+        this.#context.software.seen.observe(service, softwareVersion, this.#now());
       }
       for (const service of services) this.#updateShared(service);
     });
@@ -116,6 +119,7 @@
     const { head, route, account } = question;
     const { resumes, resumeAfter } = head;
     const takesUp = resumes !== undefined || resumeAfter !== undefined;
+    if (route.repetition === 'resumable-stream') await this.#software?.settled(servicesOf(route));
     if (!isStream(route.repetition) || !takesUp) return Result.ok(startOn(route));
     const key = resumes === undefined ? undefined : streamKey(account, resumes);
     const own = this.#find(key);
@@ -134,15 +138,15 @@
     const now = this.#now();
     for (const record of streams) {
       this.#records.add(record, 'peer', now);
-      this.#context.seenSoftware.observe(record.origin.service, record.origin.version, now);
+      this.#context.software.seen.observe(record.origin.service, record.origin.version, now);
     }
   }
 
   /** Answers another instance. */
   answer(key: StreamKey, services: readonly ServiceName[]): StreamAnswer {
-    const { seenSoftware } = this.#context;
+    const { seen } = this.#context.software;
     const now = this.#now();
-    const software = services.map((name) => [name, seenSoftware.versionsOf(name, now)] as const);
+    const software = services.map((name) => [name, seen.versionsOf(name, now)] as const);
     return { knowledge: this.#records.find(key, now), software: Object.fromEntries(software) };
   }
 
@@ -170,7 +174,7 @@
     const { knowledge, software } = answer.value;
     const now = this.#now();
     for (const [service, versions] of Object.entries(software)) {
-      for (const version of versions) this.#context.seenSoftware.observe(service, version, now);
+      for (const version of versions) this.#context.software.seen.observe(service, version, now);
     }
     return knowledge;
   }
@@ -182,7 +186,7 @@
   /** Tells other instances of all streams of a service once a second version of its software is seen. */
   #updateShared(service: ServiceName): void {
     const now = this.#now();
-    const isMixed = this.#context.seenSoftware.versionsOf(service, now).length > 1;
+    const isMixed = this.#context.software.seen.versionsOf(service, now).length > 1;
     if (isMixed === this.#shared.has(service)) return;
     if (!isMixed) {
       this.#shared.delete(service);
--- a/packages/gateway/src/types/context.ts
+++ b/packages/gateway/src/types/context.ts
@@ -1,6 +1,6 @@
 /** Dependencies that the parts of the pipeline share. */
 
-import type { ListedServer, RoutedConfig, SeenSoftware, SendRules } from '@flamingocourse/core';
+import type { KnownSoftware, ListedServer, RoutedConfig, SendRules } from '@flamingocourse/core';
 import type { Clock, EventLog } from '@flamingocourse/kernel';
 import type { Collection, ObjectStore, StoreDialect } from '@flamingocourse/store';
 import type { GatewayMetrics } from '../node/gatewayMetrics.js';
@@ -35,8 +35,8 @@
   dialects: GatewayDialects;
   /** What binds everything that this instance sends to backend servers. */
   rules: SendRules;
-  /** Software versions of the backend servers that this instance has heard of lately. */
-  seenSoftware: SeenSoftware;
+  /** Software versions of the backend servers: those heard of lately, and those recorded for later processes. */
+  software: Required<KnownSoftware>;
   /** Whether the deployment calls for the parts that adapt to scarce room and uneven servers. */
   adaptiveLoad: AdaptiveLoad;
   /** Counts the bytes of answers that are held until they are complete. */
--- a/packages/kernel/src/runtime/eventCatalogue.ts
+++ b/packages/kernel/src/runtime/eventCatalogue.ts
@@ -276,6 +276,22 @@
     level: 'info',
     text: 'a server whose entry was missing is listed again or no longer used',
   },
+  'software-recorded': {
+    number: 531,
+    level: 'info',
+    text: 'the listed software versions of a service are recorded in the store, so that streams may begin at them',
+  },
+  'software-unrecorded': {
+    number: 532,
+    level: 'warn',
+    text: 'the record of the software of a service could not be changed; streams begin only at versions that it holds',
+    action: 'Check the store; the change is tried again until it succeeds.',
+  },
+  'software-retired': {
+    number: 533,
+    level: 'info',
+    text: 'a software version that no server has run for long was removed from the record of its service',
+  },
   'server-entry-invalid': {
     number: 513,
     level: 'warn',
--- a/test/gateway/testContext.ts
+++ b/test/gateway/testContext.ts
@@ -3,7 +3,13 @@
 import type { GatewayContext } from '@flamingocourse/gateway';
 import type { Clock, EventLog } from '@flamingocourse/kernel';
 import type { ObjectStore } from '@flamingocourse/store';
-import { SeenSoftware, SendRules, ServerNotices, ServerRateLimits } from '@flamingocourse/core';
+import {
+  RecordedSoftware,
+  SeenSoftware,
+  SendRules,
+  ServerNotices,
+  ServerRateLimits,
+} from '@flamingocourse/core';
 import { AdaptiveLoad, parseGatewaySettings } from '@flamingocourse/gateway';
 import { createPlatformDialects } from '@flamingocourse/platform-adapter';
 import { AnswerBuffers } from '../../packages/gateway/src/runtime/answerBuffers.js';
@@ -29,7 +35,7 @@
     metrics: new GatewayMetrics(),
     store,
     dialects: createPlatformDialects(),
-    seenSoftware: new SeenSoftware(),
+    software: { seen: new SeenSoftware(), recorded: new RecordedSoftware() },
     adaptiveLoad: new AdaptiveLoad(() => false),
     buffers: new AnswerBuffers(),
     rules: new SendRules(new ServerNotices(new ServerRateLimits(() => 0.5), () => 0.5)),
--- a/test/routing/streamSoftware.test.ts
+++ b/test/routing/streamSoftware.test.ts
@@ -72,7 +72,7 @@
 
   test('an unknown stream goes nowhere if a peer has seen another version', () => {
     const seenSoftware = new SeenSoftware();
-    const pool = createPool({ seenSoftware });
+    const pool = createPool({ software: { seen: seenSoftware } });
     pool.applyList(single, 0);
     seenSoftware.observe('llm', 'v2', 10);
     assert.equal(idsFor(pool, UNKNOWN, 20), '');
