--- /dev/null
+++ b/test/platform/foreignEntries.test.ts
@@ -0,0 +1,73 @@
+import assert from 'node:assert/strict';
+import { describe, test } from 'node:test';
+import { createPlatformDialects } from '@flamingocourse/platform-adapter';
+import { World, until } from './world.js';
+
+const { serverList } = createPlatformDialects();
+/** Requests that are sent at each look. */
+const REQUESTS = 10;
+
+const addresses = {
+  usable: ['127.0.0.1:8080', '10.128.0.9:80', '10.0.0.1:1', '10.0.0.1:65535', 'llm-1.example:8080'],
+  unusable: [
+    '127.0.0.1:82270',
+    '127.0.0.1:65536',
+    '127.0.0.1:0',
+    '127.0.0.1:08080',
+    '127.0.0.1:',
+    '127.0.0.1',
+    ':8080',
+    'a%zz:80',
+    '[x]:80',
+    '?:80',
+    '#:80',
+    'a/b:80',
+    'user@127.0.0.1:80',
+    '127.0.0.256:80',
+    '0x7f.1:80',
+    '::1:80',
+    '127.0.0.1:80 ',
+    '127.0.0.1:80\r\nX-Injected: 1',
+    '',
+  ],
+};
+
+// Guards against an address that is found to be unusable only where a request or a connection needs it.
+describe('the address in an entry of the list of servers', () => {
+  const cases = Object.entries(addresses).flatMap(([kind, texts]) => {
+    return texts.map((address) => ({ address, isUsable: kind === 'usable' }));
+  });
+  for (const { address, isUsable } of cases) {
+    test(`${JSON.stringify(address)} is ${isUsable ? 'used' : 'no address'}`, () => {
+      const entry = { service: 'a', address, zone: 'z', version: 'v', slots: 1, state: 'ready' };
+      const parsed = serverList.schema.safeParse(entry);
+      assert.equal(parsed.success, isUsable);
+      if (parsed.success) assert.equal(parsed.data.url, `http://${address}`);
+    });
+  }
+});
+
+// Guards against one unusable entry that freezes the list at all instances and keeps new ones from starting.
+describe('beside an entry of another writer with an unusable address', () => {
+  for (const address of ['127.0.0.1:82270', 'a%zz:80', '?:80']) {
+    test(`${JSON.stringify(address)}: a server that drains gets no requests, and a new instance serves`, async (t) => {
+      const world = await World.start(t);
+      world.store.put('servers', 'other', world.server('p1').entry('ledger', { address }));
+      const drained = world.server('p1').entry('ledger', { state: 'draining' });
+      const version = String(world.store.put('servers', 'p1', drained));
+      await until('the entries were read', () => {
+        return world.log.events.some(({ event, fields }) => {
+          return event === 'servers-changed' && fields.version === version;
+        });
+      });
+      const fresh = await world.join(t, 'edge-2');
+      for (const instance of [world, fresh]) {
+        for (let sent = 0; sent < REQUESTS; sent += 1) {
+          assert.equal((await instance.call({ path: '/book/1' })).status, 200);
+        }
+      }
+      assert.equal(world.server('p1').seen.length, 0);
+      assert.ok(!world.events.includes('service-failed'));
+    });
+  }
+});
