fix(gateway): a listener that throws keeps no other one from its event

Listeners of the kernel calls each of them, and reports what one throws as a failure of the service. The seven loops of the gateway use it: list of servers, configuration, evacuations, instances (both), paths, news and causes of crashes. In the instance directory a listener that threw also ended the reading of the list for good, as the next read was scheduled behind it. The loops of the own interface (drainRelay, configurationService, fleetService, meshHints) have the same form and are not changed here.

The new test of the directory failed on the code before: the second listener heard nothing of two changes.

--- a/packages/gateway/src/node/backendLanes.ts
+++ b/packages/gateway/src/node/backendLanes.ts
@@ -143,7 +143,7 @@
       this.#shareRateLimits(instances.isSettled);
     });
     this.#paths = kernel.get('paths', ServerPaths);
-    this.#paths.onRestored(({ id, service }, cause) => {
+    this.#paths.onRestored(({ server: { id, service }, cause }) => {
       this.#restore(service, id, cause);
     });
     this.#configuration.onChange(({ config }) => {
--- a/packages/gateway/src/node/configurationWatch.ts
+++ b/packages/gateway/src/node/configurationWatch.ts
@@ -5,7 +5,7 @@
 import type { Subscription, VersionedObject, WatchEvent } from '@flamingocourse/store';
 import type { GatewayContext } from '../types/context.js';
 import { RouteTable } from '@flamingocourse/core';
-import { Service } from '@flamingocourse/kernel';
+import { Listeners, Service } from '@flamingocourse/kernel';
 import { reportThrown } from './reportThrown.js';
 import { StoreReachability } from './storeReachability.js';
 
@@ -35,7 +35,7 @@
 export class ConfigurationWatch extends Service {
   override readonly name = 'configuration';
   readonly #context: GatewayContext;
-  readonly #listeners: ((table: RouteTable) => void)[] = [];
+  readonly #listeners = new Listeners<RouteTable>(this.name);
   #table: RouteTable | undefined;
   readonly #reachability: StoreReachability;
   #subscription: Subscription | undefined;
@@ -64,11 +64,12 @@
 
   /** Calls `listener` with the current configuration, if there is one, and each new one. */
   onChange(listener: (table: RouteTable) => void): void {
-    this.#listeners.push(listener);
+    this.#listeners.add(listener);
     if (this.#table) listener(this.#table);
   }
 
   override start(kernel: Kernel): void {
+    this.#listeners.reportTo(kernel);
     const { store, dialects, settings } = this.#context;
     this.#subscription = store.watch(dialects.configuration, {
       idleMs: settings.store.configurationIdleMs - WATCH_REOPEN_MS,
@@ -120,7 +121,7 @@
       accounts: value.accounts.length,
     });
     this.#logInvalidHomes(value);
-    for (const listener of this.#listeners) listener(table);
+    this.#listeners.notify(table);
   }
 
   #logInvalidHomes({ version, routes, accounts }: RoutedConfig): void {
--- a/packages/gateway/src/node/evacuationWatch.ts
+++ b/packages/gateway/src/node/evacuationWatch.ts
@@ -3,7 +3,7 @@
 import type { Kernel } from '@flamingocourse/kernel';
 import type { Subscription, WatchEvent } from '@flamingocourse/store';
 import type { GatewayContext } from '../types/context.js';
-import { Service } from '@flamingocourse/kernel';
+import { Listeners, Service } from '@flamingocourse/kernel';
 import { reportThrown } from './reportThrown.js';
 import { StoreReachability } from './storeReachability.js';
 
@@ -22,7 +22,7 @@
 export class EvacuationWatch extends Service {
   override readonly name = 'evacuations';
   readonly #context: GatewayContext;
-  readonly #listeners: ((ended: readonly string[]) => void)[] = [];
+  readonly #listeners = new Listeners<readonly string[]>(this.name);
   readonly #reachability: StoreReachability;
   #isRead = false;
   #subscription: Subscription | undefined;
@@ -45,10 +45,11 @@
 
   /** Calls `listener` after each change, with the data centres that are no longer evacuated. */
   onChange(listener: (ended: readonly string[]) => void): void {
-    this.#listeners.push(listener);
+    this.#listeners.add(listener);
   }
 
   override start(kernel: Kernel): void {
+    this.#listeners.reportTo(kernel);
     const { store, dialects, settings } = this.#context;
     if (settings.evacuation === undefined) return;
     this.#subscription = store.watch(dialects.evacuations, {
@@ -110,7 +111,7 @@
       const name = dataCentre.slice(0, MAX_NAME_LENGTH);
       log.write('evacuation-ended', { dataCentre: name, forMs: Math.round(forMs) });
     }
-    for (const listener of this.#listeners) listener(ended);
+    this.#listeners.notify(ended);
   }
 
   /** A misspelled name evacuates nothing, which its operator has to see. */
--- a/packages/gateway/src/node/gossipService.ts
+++ b/packages/gateway/src/node/gossipService.ts
@@ -16,7 +16,7 @@
 import type { GatewayContext } from '../types/context.js';
 import type { GossipCalls } from '../types/gossipCalls.js';
 import { GossipLog, chooseGossipPeers } from '@flamingocourse/core';
-import { Service } from '@flamingocourse/kernel';
+import { Listeners, Service } from '@flamingocourse/kernel';
 import { ReachabilityTracker } from './reachabilityTracker.js';
 import { InstanceDirectory } from './instanceDirectory.js';
 
@@ -58,7 +58,7 @@
   readonly #calls: GossipCalls;
   readonly #log: GossipLog;
   readonly #peers = new Map<string, Peer>();
-  readonly #listeners: ((fact: DatedFact) => void)[] = [];
+  readonly #listeners = new Listeners<DatedFact>(this.name);
   #instances: InstanceDirectory | undefined;
   #gossipTimer: NodeJS.Timeout | undefined;
   #syncTimer: NodeJS.Timeout | undefined;
@@ -80,7 +80,7 @@
 
   /** Calls the listener with each new fact from another instance. */
   onFact(listener: (fact: DatedFact) => void): void {
-    this.#listeners.push(listener);
+    this.#listeners.add(listener);
   }
 
   /**
@@ -101,6 +101,7 @@
   }
 
   override start(kernel: Kernel): void {
+    this.#listeners.reportTo(kernel);
     this.#instances = kernel.get('instances', InstanceDirectory);
     this.#instances.onChange(() => {
       this.#removeGonePeers();
@@ -202,7 +203,7 @@
   #applyItems(items: GossipMessage['items']): void {
     const facts = this.#log.receive(items, this.#now());
     if (facts.length === 0) return;
-    for (const fact of facts) for (const listener of this.#listeners) listener(fact);
+    for (const fact of facts) this.#listeners.notify(fact);
     this.#startGossip();
   }
 
--- a/packages/gateway/src/node/instanceDirectory.ts
+++ b/packages/gateway/src/node/instanceDirectory.ts
@@ -9,7 +9,7 @@
 import type { ChangeOutcome } from './storedObject.js';
 import { setTimeout as delay } from 'node:timers/promises';
 import { isDeepStrictEqual } from 'node:util';
-import { Service } from '@flamingocourse/kernel';
+import { Listeners, Service } from '@flamingocourse/kernel';
 import { readIntervalMs } from '@flamingocourse/core';
 import { storedInstancesSchema } from '../utils/instanceSchemas.js';
 import { StoredObject } from './storedObject.js';
@@ -48,8 +48,8 @@
   override readonly name = 'instances';
   readonly #context: GatewayContext;
   readonly #ownObject: StoredObject<StoredInstances>;
-  readonly #listeners: (() => void)[] = [];
-  readonly #readListeners: ((read: InstanceListRead) => void)[] = [];
+  readonly #listeners = new Listeners(this.name);
+  readonly #readListeners = new Listeners<InstanceListRead>(this.name);
   #instances: FleetInstance[] = [];
   #inDataCentre: FleetInstance[] = [];
   #timer: NodeJS.Timeout | undefined;
@@ -93,15 +93,17 @@
 
   /** Calls `listener` after each change, and once when the list is settled. */
   onChange(listener: () => void): void {
-    this.#listeners.push(listener);
+    this.#listeners.add(listener);
   }
 
   /** Calls `listener` after each successful read, also if it finds no change. */
   onRead(listener: (read: InstanceListRead) => void): void {
-    this.#readListeners.push(listener);
+    this.#readListeners.add(listener);
   }
 
   override start(kernel: Kernel): void {
+    this.#listeners.reportTo(kernel);
+    this.#readListeners.reportTo(kernel);
     this.#joining = this.#join().catch((err: unknown) => {
       kernel.reportFailure(err, this.name);
     });
@@ -189,7 +191,7 @@
         names: listed.map(({ name }) => name),
         reader: this.#context.settings.instance,
       };
-      for (const listener of this.#readListeners) listener(read);
+      this.#readListeners.notify(read);
       this.#update(listed);
     }
     const intervalMs = readIntervalMs(this.count) * (0.75 + 0.5 * random());
@@ -208,7 +210,7 @@
     const { dataCentre } = this.#context.settings;
     this.#inDataCentre = instances.filter((each) => each.dataCentre === dataCentre);
     if (!isSame) this.#context.log.write('instances-changed', { instances: instances.length });
-    for (const listener of this.#listeners) listener();
+    this.#listeners.notify();
   }
 
   #self(): FleetInstance {
--- a/packages/gateway/src/node/serverDirectory.ts
+++ b/packages/gateway/src/node/serverDirectory.ts
@@ -7,7 +7,7 @@
 import type { HealthCheck } from '../types/healthCheck.js';
 import { KeptServers } from '@flamingocourse/core';
 import { isDeepStrictEqual } from 'node:util';
-import { Service } from '@flamingocourse/kernel';
+import { Listeners, Service } from '@flamingocourse/kernel';
 import { recordCold } from './recordNotice.js';
 import { reportThrown } from './reportThrown.js';
 import { StoreReachability } from './storeReachability.js';
@@ -65,7 +65,7 @@
   /** Servers that are used although their entry is missing from the list. */
   readonly #kept = new KeptServers();
   readonly #health: HealthCheck;
-  readonly #listeners: ((servers: DirectoryServer[]) => void)[] = [];
+  readonly #listeners = new Listeners<DirectoryServer[]>(this.name);
   readonly #reachability: StoreReachability;
   #subscription: Subscription | undefined;
   #timer: NodeJS.Timeout | undefined;
@@ -113,10 +113,11 @@
 
   /** Calls `listener` with all servers after each change. */
   onChange(listener: (servers: DirectoryServer[]) => void): void {
-    this.#listeners.push(listener);
+    this.#listeners.add(listener);
   }
 
   override start(kernel: Kernel): void {
+    this.#listeners.reportTo(kernel);
     const { store, dialects } = this.#context;
     this.#subscription = store.watch(dialects.serverList, {
       batchMs: SERVER_LIST_BATCH_MS,
@@ -260,7 +261,7 @@
       version: this.#version,
       silentMs: Number.isFinite(silentMs) ? Math.round(silentMs ?? 0) : undefined,
     });
-    for (const listener of this.#listeners) listener(servers);
+    this.#listeners.notify(servers);
   }
 }
 
--- a/packages/gateway/src/node/serverPaths.ts
+++ b/packages/gateway/src/node/serverPaths.ts
@@ -10,7 +10,7 @@
 import type { ServerAgent } from './serverAgent.js';
 import type { DirectoryServer } from './serverDirectory.js';
 import { setTimeout as delay } from 'node:timers/promises';
-import { Service } from '@flamingocourse/kernel';
+import { Listeners, Service } from '@flamingocourse/kernel';
 import { Result } from 'true-myth';
 import { mayCarry } from '../runtime/homes.js';
 import { MAX_PEERS, ServerPath } from '../runtime/serverPath.js';
@@ -34,8 +34,11 @@
 /** Milliseconds after a peer's tunnel has opened or answered in which the direct path still counts. */
 const DIRECT_GRACE_MS = 60;
 
-/** Called when it is known that a server can be reached again. */
-export type PathListener = (server: DirectoryServer, cause: 'answered' | 'path-changed') => void;
+/** It is known that a server can be reached again. */
+export interface RestoredServer {
+  server: DirectoryServer;
+  cause: 'answered' | 'path-changed';
+}
 
 /** What peers know of a server; `refused` means that it refused one, and accepted none. */
 export type PeerAnswer = 'accepted' | 'refused' | 'unknown';
@@ -55,7 +58,7 @@
   /** Servers by `host:port`. */
   readonly #byAddress = new Map<string, DirectoryServer>();
   readonly #servers = new Map<ServerId, DirectoryServer>();
-  readonly #listeners: PathListener[] = [];
+  readonly #listeners = new Listeners<RestoredServer>(this.name);
   #instances: InstanceDirectory | undefined;
   #configuration: ConfigurationWatch | undefined;
   #timer: NodeJS.Timeout | undefined;
@@ -77,11 +80,12 @@
   }
 
   /** Calls `listener` when a server that did not answer can be reached again. */
-  onRestored(listener: PathListener): void {
-    this.#listeners.push(listener);
+  onRestored(listener: (restored: RestoredServer) => void): void {
+    this.#listeners.add(listener);
   }
 
   override start(kernel: Kernel): void {
+    this.#listeners.reportTo(kernel);
     this.#instances = kernel.get('instances', InstanceDirectory);
     this.#configuration = kernel.get('configuration', ConfigurationWatch);
     kernel.get('directory', ServerDirectory).onChange((servers) => {
@@ -340,8 +344,8 @@
     }
   }
 
-  #publish(server: DirectoryServer, cause: 'answered' | 'path-changed'): void {
-    for (const listener of this.#listeners) listener(server, cause);
+  #publish(server: DirectoryServer, cause: RestoredServer['cause']): void {
+    this.#listeners.notify({ server, cause });
   }
 
   #applyList(servers: readonly DirectoryServer[]): void {
--- a/packages/gateway/src/node/storedCrashCauses.ts
+++ b/packages/gateway/src/node/storedCrashCauses.ts
@@ -5,10 +5,11 @@
  */
 
 import type { Fingerprint, ProvenCrashCause } from '@flamingocourse/core';
+import type { Kernel } from '@flamingocourse/kernel';
 import type { Collection, PlatformErrorCode, VersionedObject } from '@flamingocourse/store';
 import type { GatewayContext } from '../types/context.js';
 import { setTimeout as delay } from 'node:timers/promises';
-import { Service } from '@flamingocourse/kernel';
+import { Listeners, Service } from '@flamingocourse/kernel';
 import { crashCauseSchema } from '../utils/crashCauseSchema.js';
 import { StoreReachability } from './storeReachability.js';
 
@@ -38,7 +39,7 @@
   override readonly name = 'causes';
   readonly #context: GatewayContext;
   readonly #reachability: StoreReachability;
-  readonly #listeners: ((cause: ProvenCrashCause) => void)[] = [];
+  readonly #listeners = new Listeners<ProvenCrashCause>(this.name);
   /** Known versions of the stored objects. */
   readonly #versions = new Map<Fingerprint, string>();
   readonly #creating = new Set<Fingerprint>();
@@ -53,10 +54,11 @@
 
   /** Calls the listener with each cause that is read from the store. */
   onCause(listener: (cause: ProvenCrashCause) => void): void {
-    this.#listeners.push(listener);
+    this.#listeners.add(listener);
   }
 
-  override start(): void {
+  override start(kernel: Kernel): void {
+    this.#listeners.reportTo(kernel);
     void this.#readWithRetries();
   }
 
@@ -100,7 +102,7 @@
     const { items } = list.value;
     for (const { value, version } of items) {
       this.#versions.set(value.fingerprint, version);
-      for (const listener of this.#listeners) listener(value);
+      this.#listeners.notify(value);
     }
     await this.#removeOldest(items);
     return 'read';
--- a/packages/kernel/src/index.ts
+++ b/packages/kernel/src/index.ts
@@ -8,5 +8,6 @@
 export * from './runtime/clock.js';
 export * from './runtime/eventCatalogue.js';
 export * from './runtime/kernel.js';
+export * from './runtime/listeners.js';
 export * from './runtime/metricCatalogue.js';
 export * from './utils/layerError.js';
--- a/test/gateway/directoryWorld.ts
+++ b/test/gateway/directoryWorld.ts
@@ -48,6 +48,8 @@
   readonly #healthCheck = new ScriptedHealthCheck(this.clock);
   readonly #directory: ServerDirectory;
   readonly #t: TestContext;
+  /** What was thrown in the process and reported. */
+  readonly failures: unknown[] = [];
   #version = 0;
 
   private constructor(t: TestContext) {
@@ -62,7 +64,9 @@
   static start(t: TestContext, ids: readonly string[]): DirectoryWorld {
     t.mock.timers.enable({ apis: ['setInterval', 'setTimeout'] });
     const world = new DirectoryWorld(t);
-    world.#directory.start(new Kernel());
+    const kernel = new Kernel();
+    kernel.onFailure((err) => world.failures.push(err));
+    world.#directory.start(kernel);
     t.after(() => {
       world.#directory.stop();
     });
@@ -75,6 +79,13 @@
     return this.#directory.servers.map(({ id }) => id);
   }
 
+  /** Calls `listener` with the ids of all servers after each change. */
+  onChange(listener: (ids: string[]) => void): void {
+    this.#directory.onChange((servers) => {
+      listener(servers.map(({ id }) => id));
+    });
+  }
+
   get now(): number {
     return this.clock.now();
   }
--- a/test/gateway/serverDirectory.test.ts
+++ b/test/gateway/serverDirectory.test.ts
@@ -75,3 +75,17 @@
   await world.runTo(10_000);
   assert.deepEqual(world.used, ['p1']);
 });
+
+// Guards against a part of the process that fails at a list and keeps all others from this list and later ones.
+test('a list reaches all parts of the process although one of them fails', (t) => {
+  const world = DirectoryWorld.start(t, ['p1', 'p2']);
+  const heard: string[] = [];
+  world.onChange(() => {
+    throw new TypeError('Invalid URL');
+  });
+  world.onChange((ids) => heard.push(ids.join()));
+  world.list(['p1', 'p2', 'p3']);
+  world.list(['p1', 'p2', 'p3', 'p4']);
+  assert.deepEqual(heard, ['p1,p2,p3', 'p1,p2,p3,p4']);
+  assert.deepEqual(world.failures.map(String), Array(2).fill('TypeError: Invalid URL'));
+});
--- a/test/gateway/serverPaths.test.ts
+++ b/test/gateway/serverPaths.test.ts
@@ -123,7 +123,7 @@
   const servers = [listedServer('s1', `http://127.0.0.1:${String(silent)}`)];
   const { paths } = await startPaths(t, servers, () => openTo(target));
   const causes: string[] = [];
-  paths.onRestored((_, cause) => causes.push(cause));
+  paths.onRestored(({ cause }) => causes.push(cause));
   await delay(100);
   paths.requireProbe('s1');
   while (causes.length === 0) await delay(20);
@@ -143,7 +143,7 @@
       const before = [listedServer('s1', `http://127.0.0.1:${String(silent)}`)];
       const { paths, list } = await startPaths(t, before, () => openTo(target));
       const restored: string[] = [];
-      paths.onRestored(({ url }) => restored.push(url));
+      paths.onRestored(({ server: { url } }) => restored.push(url));
       await delay(100);
       paths.requireProbe('s1');
       while (!isProbed && paths.counts.tunnel === 0) await delay(20);
--- a/test/gateway/storedCrashCauses.test.ts
+++ b/test/gateway/storedCrashCauses.test.ts
@@ -2,7 +2,7 @@
 import type { GossipMessage, ProvenCrashCause } from '@flamingocourse/core';
 import assert from 'node:assert/strict';
 import { test } from 'node:test';
-import { ManualClock, MemoryEventLog } from '@flamingocourse/kernel';
+import { Kernel, ManualClock, MemoryEventLog } from '@flamingocourse/kernel';
 import { MemoryObjectStore } from '@flamingocourse/store';
 import { Result } from 'true-myth';
 import { z } from 'zod';
@@ -30,7 +30,7 @@
   t.after(() => {
     causes.stop();
   });
-  causes.start();
+  causes.start(new Kernel());
   await settle();
   return { causes, found };
 }
