fix(core): a listed software version counts however long ago the list changed

With two software versions in service and a list of servers that had not changed for a minute, streams of a killed instance could not be taken up: each try got 503 cannot-resume, though servers of their version were sound (LOST).

Cause: a version counted for 60 s after it was last observed, and it was observed when the list changed. After a quiet minute the service counted as one of no version at all, so instances shared no records of new streams, while the check of a stream that nobody knows looked at the list and found two.

A version counts now as long as the list shows it, and for a minute after. The list is applied in one place (SoftwareRecords), so StreamOrigins no longer observes it as well.

--- a/packages/core/src/runtime/routing/seenSoftware.ts
+++ b/packages/core/src/runtime/routing/seenSoftware.ts
@@ -9,16 +9,24 @@
 export const SOFTWARE_REMEMBERED_MS = 60_000;
 
 /**
- * Remembers which software versions served each service a short time ago.
+ * Remembers which software versions serve each service, and which did a short time ago.
  *
  * @example
- * seen.observe('llm', 'v1', now);
- * seen.versionsOf('llm', now); // ['v1']
+ * seen.list('llm', ['v1'], now);
+ * seen.observe('llm', 'v2', now);
+ * seen.versionsOf('llm', now); // ['v1', 'v2']
  */
 export class SeenSoftware {
+  readonly #listed = new Map<ServiceName, ReadonlySet<string>>();
   readonly #lastSeenAt = new Map<ServiceName, Map<string, EpochMs>>();
 
-  /** Records that a server of this version is listed, or was until now. */
+  /** Applies the versions that the list shows from now on; they count until it shows them no longer. */
+  list(service: ServiceName, versions: ReadonlySet<string>, now: EpochMs): void {
+    for (const version of this.#listed.get(service) ?? []) this.observe(service, version, now);
+    this.#listed.set(service, versions);
+  }
+
+  /** Records that a server of this version serves, or did until now. */
   observe(service: ServiceName, version: string, now: EpochMs): void {
     const versions = this.#lastSeenAt.get(service) ?? new Map<string, EpochMs>();
     this.#lastSeenAt.set(service, versions);
@@ -26,10 +34,11 @@
     for (const [name, at] of versions) if (now - at > SOFTWARE_REMEMBERED_MS) versions.delete(name);
   }
 
-  /** Versions that were seen lately, each once. */
+  /** Versions that are listed or were seen lately, each once. */
   versionsOf(service: ServiceName, now: EpochMs): string[] {
-    return [...(this.#lastSeenAt.get(service) ?? [])]
+    const seen = [...(this.#lastSeenAt.get(service) ?? [])]
       .filter(([, at]) => now - at <= SOFTWARE_REMEMBERED_MS)
       .map(([version]) => version);
+    return [...new Set([...(this.#listed.get(service) ?? []), ...seen])];
   }
 }
--- a/packages/gateway/src/node/softwareRecords.ts
+++ b/packages/gateway/src/node/softwareRecords.ts
@@ -82,6 +82,8 @@
   }
 
   #applyList(servers: readonly DirectoryServer[]): void {
+    const { clock, software } = this.#context;
+    const { recorded, seen } = software;
     const versions = new Map<ServiceName, Set<string>>();
     for (const service of this.#services) versions.set(service, new Set());
     for (const { service, softwareVersion = '' } of servers) {
@@ -89,7 +91,8 @@
       versions.set(service, (versions.get(service) ?? new Set()).add(softwareVersion));
     }
     for (const [service, listed] of versions) {
-      this.#context.software.recorded.list(service, listed);
+      seen.list(service, listed, clock.now());
+      recorded.list(service, listed);
       this.#records.get(service)?.updateMissed();
     }
     this.#recordAll();
--- a/packages/gateway/src/node/streamOrigins.ts
+++ b/packages/gateway/src/node/streamOrigins.ts
@@ -87,9 +87,6 @@
     });
     kernel.get('directory', ServerDirectory).onChange((servers) => {
       const services = new Set(servers.map(({ service }) => service));
-      for (const { service, softwareVersion = '' } of servers) {
-        this.#context.software.seen.observe(service, softwareVersion, this.#now());
-      }
       for (const service of services) this.#updateShared(service);
     });
   }
--- a/test/routing/streamSoftware.test.ts
+++ b/test/routing/streamSoftware.test.ts
@@ -90,6 +90,17 @@
   });
 });
 
+// Guards against two versions that count as one after the list has not changed for a minute, so that instances share
+// no records of streams any more.
+test('a listed version counts however long ago the list changed', () => {
+  const seen = new SeenSoftware();
+  seen.list('llm', new Set(['v1', 'v2']), 0);
+  assert.deepEqual(seen.versionsOf('llm', 10_000_000), ['v1', 'v2']);
+  seen.list('llm', new Set(['v2']), 10_000_000);
+  assert.deepEqual(seen.versionsOf('llm', 10_060_000), ['v2', 'v1']);
+  assert.deepEqual(seen.versionsOf('llm', 10_060_001), ['v2']);
+});
+
 // Guards against a stream that begins or goes on at a server whose listed version is that of its process before.
 describe('a server at which another process than the listed one was found', () => {
   const old = server('a', 'v1', 7);
