fix(gateway): an attempt whose answer can't be passed on is ended

After a server had answered a stream that goes on with its own 500, its instance refused nearly all requests of the service with 503 whenever few requests came, and was not ready until it was restarted, while sound servers stood idle. A 3xx or 4xx there ended the caller's stream as if it were complete, with pieces missing.

Cause: a stream that goes on has its head written, and ServerAttempt passed any status of 500 or more on as a whole answer. Writing a second head throws, and Placement.end was never called, so the attempt counted as in flight for as long as the process lived; its server looked silent at each check in which nothing else came from it. Statuses from 300 to 499 were taken for the rest of the stream.

Only a 2xx is the rest of a stream now; any other answer is a failed attempt, which is repeated where that is allowed, and else breaks the stream off. Whatever an attempt throws, it is ended first.

Evidence: all four cases of the new test failed on the code before: ERR_HTTP_HEADERS_SENT and server-silent for 500 and 504, an answer that looks complete for 404 and 302.

--- a/packages/gateway/src/node/requestFlow.ts
+++ b/packages/gateway/src/node/requestFlow.ts
@@ -20,6 +20,7 @@
 import { notRun } from '@flamingocourse/router';
 import { isStream, mayRetry, refusalAfterFailure } from '../runtime/retryPolicy.js';
 import { homesOf } from '../runtime/homes.js';
+import { isSuccess } from '../runtime/isSuccess.js';
 import { affinityKey } from '../runtime/affinityKey.js';
 import { chargeOf } from '../runtime/charge.js';
 import { importanceOf, effectivePriority } from '../runtime/requestPriority.js';
@@ -248,10 +249,6 @@
     .digest('base64');
 }
 
-function isSuccess(status: number | undefined): boolean {
-  return status !== undefined && status >= 200 && status < 300;
-}
-
 /** Returns `retryAfterMs` of a refusal; not before a request can be sent again to any server. */
 function retryAfterMs({ lane: { pool } }: BackendLane, now: number): number {
   return Math.max(NO_SERVER_RETRY_MS, Math.ceil(pool.sendPace(now)?.firstMs ?? 0));
--- a/packages/gateway/src/node/serverAttempt.ts
+++ b/packages/gateway/src/node/serverAttempt.ts
@@ -15,6 +15,7 @@
 import { isRepeatable, isStream, mayRetry } from '../runtime/retryPolicy.js';
 import { enginePriority } from '../runtime/enginePriority.js';
 import { isServerFull } from '../runtime/isServerFull.js';
+import { isSuccess } from '../runtime/isSuccess.js';
 import { effectivePriority, importanceOf } from '../runtime/requestPriority.js';
 import { sharedPartIds } from '../runtime/sharedParts.js';
 import { recordLoad } from './recordLoad.js';
@@ -72,6 +73,7 @@
   readonly #placement: Placement;
   readonly #lane: BackendLane;
   #startedAt = 0;
+  #hasEnded = false;
   /** Which process the request was sent to. */
   #process: ProcessVerdict = 'listed';
 
@@ -85,6 +87,16 @@
 
   /** Runs until the last byte of the response, or until the attempt has failed. */
   async run(): Promise<AttemptEnd> {
+    try {
+      return await this.#run();
+    } catch (err) {
+      // an attempt that stays in flight would make its server look silent from then on.
+      if (!this.#hasEnded) this.#end('broken');
+      throw err;
+    }
+  }
+
+  async #run(): Promise<AttemptEnd> {
     this.#startedAt = this.#now();
     this.#progress.made += 1;
     this.#progress.placedAt = this.#startedAt;
@@ -231,7 +243,9 @@
   async #relay(open: OpenAnswer): Promise<AttemptEnd> {
     const { answer } = this.#call;
     const { status } = open.head;
-    if (status >= 500 && !answer.started && this.#mayRetry('server-error')) {
+    // a caller who has the head of a stream can't be given another one.
+    const mayPassOn = !answer.started || isSuccess(status);
+    if (!mayPassOn || (status >= 500 && this.#mayRetry('server-error'))) {
       discardAnswer(open);
       return this.#failed('server-error', 'ok', `status ${status}`);
     }
@@ -239,7 +253,7 @@
     if (end.type === 'whole') {
       const now = this.#now();
       this.#progress.firstByteAt = end.firstByteAt;
-      this.#placement.end('ok', (end.firstByteAt ?? now) - this.#startedAt);
+      this.#end('ok', (end.firstByteAt ?? now) - this.#startedAt);
       this.#parts.context.metrics.attempt(this.#call.service.name, 'answered');
       return { type: 'answered', status };
     }
@@ -302,8 +316,13 @@
     }
   }
 
+  #end(...how: Parameters<Placement['end']>): void {
+    this.#hasEnded = true;
+    this.#placement.end(...how);
+  }
+
   #interrupted(): AttemptEnd {
-    this.#placement.end('cancelled');
+    this.#end('cancelled');
     this.#parts.context.metrics.attempt(this.#call.service.name, 'interrupted');
     return { type: 'interrupted' };
   }
@@ -313,7 +332,7 @@
     const { context } = this.#parts;
     const { head, service, answer, endsAt } = this.#call;
     const { server } = this.#placement;
-    this.#placement.end(how);
+    this.#end(how);
     this.#progress.tried.push(server.id);
     context.metrics.attempt(service.name, failed);
     context.log.write('attempt-failed', {
