--- a/test/platform/leftAttempts.test.ts
+++ b/test/platform/leftAttempts.test.ts
@@ -32,6 +32,8 @@
     { name: 'a time limit of a stream that goes on', path: '/draft/1', line: '504 No' },
     { name: 'a 404 for a stream that goes on', path: '/draft/1', line: '404 No' },
     { name: 'a redirect of a stream that goes on', path: '/draft/1', line: '302 No' },
+    { name: 'a status below 100', path: '/book/1', line: '042 What' },
+    { name: 'a status of three zeros', path: '/look/1', line: '000 What' },
   ];
   for (const { name, path, line } of cases) {
     test(name, async (t) => {
