--- a/packages/core/src/runtime/routing/seenSoftware.ts
+++ b/packages/core/src/runtime/routing/seenSoftware.ts
@@ -21,9 +21,9 @@
   readonly #lastSeenAt = new Map<ServiceName, Map<string, EpochMs>>();
 
   /** Applies the versions that the list shows from now on; they count until it shows them no longer. */
-  list(service: ServiceName, versions: ReadonlySet<string>, now: EpochMs): void {
+  list(service: ServiceName, versions: Iterable<string>, now: EpochMs): void {
     for (const version of this.#listed.get(service) ?? []) this.observe(service, version, now);
-    this.#listed.set(service, versions);
+    this.#listed.set(service, new Set(versions));
   }
 
   /** Records that a server of this version serves, or did until now. */
--- a/packages/gateway/src/node/serverAttempt.ts
+++ b/packages/gateway/src/node/serverAttempt.ts
@@ -173,10 +173,7 @@
     const { context, agent } = this.#parts;
     const { head, account, answer, body, service, signal, endsAt } = this.#call;
     const { server, promptSource: holder } = this.#placement;
-    const { answeredOn } = this.#progress;
-    // a late copy of an earlier answer would bear the id that this attempt has as well.
-    if (answeredOn.size > 0)
-      agent.closeIdle(server.url, (connection) => answeredOn.has(connection));
+    this.#closeAnswered();
     return openAttempt({
       url: server.url,
       method: head.method,
@@ -204,6 +201,14 @@
     });
   }
 
+  /** A late copy of an earlier answer to this request bears the id that a further attempt has as well. */
+  #closeAnswered(): void {
+    const { answeredOn } = this.#progress;
+    if (answeredOn.size === 0) return;
+    const { server } = this.#placement;
+    this.#parts.agent.closeIdle(server.url, (connection) => answeredOn.has(connection));
+  }
+
   /** Place in the queue of the engine. A stream that has begun goes first: its caller sees a pause. */
   #enginePlace(size: GenerationSize): number {
     const { adaptiveLoad } = this.#parts.context;
--- a/test/routing/streamSoftware.test.ts
+++ b/test/routing/streamSoftware.test.ts
@@ -94,9 +94,9 @@
 // no records of streams any more.
 test('a listed version counts however long ago the list changed', () => {
   const seen = new SeenSoftware();
-  seen.list('llm', new Set(['v1', 'v2']), 0);
+  seen.list('llm', ['v1', 'v2'], 0);
   assert.deepEqual(seen.versionsOf('llm', 10_000_000), ['v1', 'v2']);
-  seen.list('llm', new Set(['v2']), 10_000_000);
+  seen.list('llm', ['v2'], 10_000_000);
   assert.deepEqual(seen.versionsOf('llm', 10_060_000), ['v2', 'v1']);
   assert.deepEqual(seen.versionsOf('llm', 10_060_001), ['v2']);
 });
