--- a/packages/gateway/src/node/softwareRecords.ts
+++ b/packages/gateway/src/node/softwareRecords.ts
@@ -109,14 +109,23 @@
 
   /** Tries until all listed versions of a service are recorded. */
   async #record(service: ServiceName): Promise<void> {
-    while (!this.#stopped && this.#context.software.recorded.unrecorded(service).length > 0) {
-      const attempt = this.#attempt(service);
-      this.#attempts.set(service, attempt);
-      const isDone = await attempt;
+    try {
+      while (!this.#stopped && this.#context.software.recorded.unrecorded(service).length > 0) {
+        const attempt = this.#attempt(service);
+        this.#attempts.set(service, attempt);
+        const isDone = await attempt;
+        if (!isDone) await this.#pause(service);
+      }
+    } finally {
       this.#attempts.delete(service);
-      if (!isDone) await delay(RETRY_MS * (0.5 + this.#context.random()));
+      this.#running.delete(service);
     }
-    this.#running.delete(service);
+  }
+
+  /** Requests do not wait for a version between two attempts. */
+  async #pause(service: ServiceName): Promise<void> {
+    this.#attempts.delete(service);
+    await delay(RETRY_MS * (0.5 + this.#context.random()));
   }
 
   async #attempt(service: ServiceName): Promise<boolean> {
