feat(gateway): a report's line says for which demand tokens are held, and what borrowers lack

The lines of two twins could not tell tokens that are held for callers from tokens that are held for nobody: prepaid-reported had what is held and lent, but neither the demand behind it nor the wants of borrowers that a lender still asks the store for. It has both now, as rate and unmet.

--- a/packages/core/src/runtime/prepaid/loanBook.ts
+++ b/packages/core/src/runtime/prepaid/loanBook.ts
@@ -83,6 +83,12 @@
     return sum([...this.#borrowers.values()].flatMap(({ loans }) => heldOf(loans)));
   }
 
+  /** Tokens of all accounts that borrowers asked for with their last reports and that were not lent. */
+  get unmet(): Tokens {
+    const loans = [...this.#borrowers.values()].flatMap((borrower) => [...borrower.loans.values()]);
+    return sum(loans.map(({ unmet }) => unmet));
+  }
+
   /** Tokens of an account that the borrower holds. */
   held(borrower: string, account: AccountId): Tokens {
     return this.#borrowers.get(borrower)?.loans.get(account)?.held ?? 0;
--- a/packages/gateway/src/node/storeTokens.ts
+++ b/packages/gateway/src/node/storeTokens.ts
@@ -303,8 +303,10 @@
       accounts: accounts.length,
       spent: sum(Object.values(report.entries).map((entry) => entry.spent)),
       held: sum(accounts.map((account) => this.#holder.held(account))),
+      rate: Math.round(sum(accounts.map((account) => this.#holder.rate(account, this.#now())))),
       borrowers: book.borrowers,
       lent: book.lent,
+      unmet: book.unmet,
       ...pageTotals(page, this.#options.limits()),
     });
     metrics.gauge('prepaid_lent_tokens', 'tokens lent to other instances', book.lent);
