fix(core): an instance that borrows tokens holds no reserve for borrowers

Cause: the holder of loans at a borrower was sized like a lender's, with a fifth of an account for borrowers that it does not have.

A holder has a reserve now only if it is created with a sizing for it, which only the lender's is. The test failed before.

--- a/packages/core/src/runtime/prepaid/prepaidHolder.ts
+++ b/packages/core/src/runtime/prepaid/prepaidHolder.ts
@@ -33,7 +33,7 @@
   /** Identifies the process; different for each process of the instance. */
   process: string;
   sizing: PrepaidSizing;
-  /** Decides how many tokens to hold for borrowers. @default sizing */
+  /** Decides how many tokens to hold for borrowers; absent if this holder does not lend. */
   lendingSizing?: PrepaidSizing;
   /**
    * Milliseconds after which the instance reports even if nothing has changed, so that its group
@@ -107,7 +107,7 @@
   readonly instance: string;
   readonly #process: string;
   readonly #sizing: PrepaidSizing;
-  readonly #lendingSizing: PrepaidSizing;
+  readonly #lendingSizing: PrepaidSizing | undefined;
   readonly #maxReportIntervalMs: number;
   readonly #callerAffinity: CallerAffinity;
   readonly #holdings = new Map<AccountId, Holding>();
@@ -133,7 +133,7 @@
     this.instance = instance;
     this.#process = process;
     this.#sizing = sizing;
-    this.#lendingSizing = lendingSizing ?? sizing;
+    this.#lendingSizing = lendingSizing;
     this.#maxReportIntervalMs = maxReportIntervalMs;
     this.#callerAffinity = callerAffinity;
   }
@@ -382,7 +382,7 @@
       typicalRequest: this.#typicalRequest,
     };
     const own = this.#sizing.target({ ...input, rate: ownRate, spread });
-    if (fetchers >= instances) return own + lending.unmet;
+    if (!this.#lendingSizing || fetchers >= instances) return own + lending.unmet;
     const lender = { ...input, rate: lending.rate, instances: fetchers };
     return own + this.#lendingSizing.target(lender) + lending.unmet;
   }
--- a/packages/gateway/src/node/prepaidService.ts
+++ b/packages/gateway/src/node/prepaidService.ts
@@ -4,7 +4,7 @@
   AccountId,
   LoanAnswer,
   LoanRequest,
-  CallerAffinity,
+  PrepaidHolderOptions,
   PrepaidLimits,
   PrepaidReservation,
   Refusal,
@@ -80,14 +80,22 @@
     this.#refusals = new TokenRefusals(context);
     const { rideThroughSeconds } = context.settings.prepaid;
     const sizing = new PrepaidSizing({ rideThroughSeconds });
-    const holder = this.#createHolder(incarnation, sizing, 'stay');
+    const lendingSizing = new PrepaidSizing({
+      rideThroughSeconds: LENDING_RESERVE_SECONDS,
+      evenFraction: INITIAL_LENDING_SHARE,
+    });
+    const holder = this.#createHolder({ process: incarnation, sizing, lendingSizing });
     const unallocatedSeconds = rideThroughSeconds + LOAN_REPORT_SECONDS;
     const loanSizing = new PrepaidSizing({ rideThroughSeconds, unallocatedSeconds });
     this.#lenders = new Lenders({
       context,
       calls,
       createHolder: (name) => {
-        return this.#createHolder(`${incarnation}-${name}`, loanSizing, 'pass-by');
+        return this.#createHolder({
+          process: `${incarnation}-${name}`,
+          sizing: loanSizing,
+          callerAffinity: 'pass-by',
+        });
       },
       onUnavailable: () => {
         this.#instances?.readSoon();
@@ -272,22 +280,11 @@
   }
 
   #createHolder(
-    process: string,
-    sizing: PrepaidSizing,
-    callerAffinity: CallerAffinity,
+    options: Omit<PrepaidHolderOptions, 'instance' | 'maxReportIntervalMs'>,
   ): PrepaidHolder {
     const { instance, prepaid } = this.#context.settings;
-    return new PrepaidHolder({
-      instance,
-      process,
-      sizing,
-      lendingSizing: new PrepaidSizing({
-        rideThroughSeconds: LENDING_RESERVE_SECONDS,
-        evenFraction: INITIAL_LENDING_SHARE,
-      }),
-      maxReportIntervalMs: prepaid.silentMs / REPORTS_WITHIN_SILENCE,
-      callerAffinity,
-    });
+    const maxReportIntervalMs = prepaid.silentMs / REPORTS_WITHIN_SILENCE;
+    return new PrepaidHolder({ ...options, instance, maxReportIntervalMs });
   }
 
   /** Starts to hold tokens at the first limits, and reports soon after limits have changed. */
--- a/test/prepaid/prepaidHolder.test.ts
+++ b/test/prepaid/prepaidHolder.test.ts
@@ -7,6 +7,7 @@
   PrepaidSizing,
   applyReport,
   createPrepaidPage,
+  defaultPrepaidSizing,
   dropWriter,
 } from '@flamingocourse/core';
 
@@ -198,3 +199,13 @@
   const rate = holder.rate('shop', 22_000);
   assert.ok(rate >= 1_000, `${String(rate)} tokens a second`);
 });
+
+// Guards against instances that borrow tokens for borrowers of their own, of which they have none.
+test('a holder that does not lend wants no tokens to lend', () => {
+  const holder = createHolder('pass-by');
+  const accounts = new Map([['shop', { remaining: 50_000, othersRate: 0 }]]);
+  const view = { isRegistered: true, instances: 20, fetchers: 1, accounts };
+  const report = holder.buildReport(view, 10);
+  const evenPart = (defaultPrepaidSizing.evenFraction * 50_000) / 20;
+  assert.ok((report?.entries.shop?.wants ?? 0) <= evenPart);
+});
