fix(gateway): a lender that has lost the store sizes loans by what it last read

Its second cause: a failed exchange drops the copies of the page and of the grants, as a write may have changed them. What was dropped for writing was dropped for knowing too: until the store answered again a lender told its borrowers that no other instance had any demand, that whole limits were left, and that it was the only lender.

The copy is still read again before anything is written. For sizes, and for the upper bound of what is left (spending only grows), the value that was last read stays. What could be fetched is still unknown while the store is away, so that borrowers do not ask for it.

--- a/packages/gateway/src/node/prepaidGrants.ts
+++ b/packages/gateway/src/node/prepaidGrants.ts
@@ -74,9 +74,9 @@
     return this.#group;
   }
 
-  /** The shared object as last read. */
+  /** The shared object as last read; may be out of date. */
   get known(): PrepaidBudgets {
-    return this.#budgets.value ?? createPrepaidBudgets();
+    return this.#budgets.lastKnown ?? createPrepaidBudgets();
   }
 
   /** Number of instances in all groups; at least 1. */
--- a/packages/gateway/src/node/prepaidPages.ts
+++ b/packages/gateway/src/node/prepaidPages.ts
@@ -74,9 +74,14 @@
     this.#maintainedAt = this.#now();
   }
 
-  /** The group's page as last read. */
+  /** The group's page as last read; may be out of date. */
   get page(): PrepaidPage | undefined {
-    return this.#own?.page.value;
+    return this.#own?.page.lastKnown;
+  }
+
+  /** Whether no call has failed since the page was read. */
+  get isCurrent(): boolean {
+    return this.#own?.page.value !== undefined;
   }
 
   get version(): string | undefined {
@@ -123,7 +128,7 @@
     return this.#grants.left(account, limit, this.page);
   }
 
-  /** Drops all copies, because a write with an unknown outcome may have changed the objects. */
+  /** Requires all objects to be read again, because a write with an unknown outcome may have changed them. */
   forget(): void {
     this.#grants.forget();
     this.#own?.page.forget();
--- a/packages/gateway/src/node/storeTokens.ts
+++ b/packages/gateway/src/node/storeTokens.ts
@@ -167,12 +167,11 @@
   }
 
   override view(account: AccountId, limit: Tokens, now: EpochMs): SourceView {
-    // after a failed exchange the remaining tokens are unknown.
     const isKnown = this.#pages.page !== undefined;
     // tokens spent since the last report are not in the page yet.
     const left = this.#pages.left(account, limit) - this.#holder.unreported(account);
     return {
-      available: isKnown ? this.#pages.available(account, limit) : undefined,
+      available: this.#pages.isCurrent ? this.#pages.available(account, limit) : undefined,
       left: isKnown ? left : undefined,
       ageMs: this.#pages.ageMs(now),
       inDoubt: this.#pages.page?.accounts[account]?.inDoubt,
--- a/packages/gateway/src/node/storedObject.ts
+++ b/packages/gateway/src/node/storedObject.ts
@@ -32,6 +32,7 @@
   readonly #name: string;
   readonly #initial: () => T;
   #seen: VersionedObject<T> | undefined;
+  #lastKnown: T | undefined;
   #seenAt = -Infinity;
   #conflicts = 0;
 
@@ -48,6 +49,11 @@
     return this.#seen?.value;
   }
 
+  /** The last read or written value, also if the object has to be read again before it is changed. */
+  get lastKnown(): T | undefined {
+    return this.#lastKnown;
+  }
+
   get version(): string | undefined {
     return this.#seen?.version;
   }
@@ -64,7 +70,10 @@
     return conflicts;
   }
 
-  /** Drops the copy, because a write with an unknown outcome may have changed the object. */
+  /**
+   * Requires the object to be read again before it is changed, because a write with an unknown outcome may
+   * have changed it.
+   */
   forget(): void {
     this.#seen = undefined;
   }
@@ -128,6 +137,7 @@
 
   #keep(seen: VersionedObject<T>, now: number): void {
     this.#seen = seen;
+    this.#lastKnown = seen.value;
     this.#seenAt = now;
   }
 
