fix(core): a lender forgets what borrowers asked for once they no longer ask

What a borrower wanted and did not get is added to what its lender wants from the store. A report leaves out the accounts of which nothing has changed, so a borrower that wanted nothing more, or that had turned to another lender, left its last want standing: until its demand had changed by a quarter, and for ten minutes if it was gone. After a cut, when borrowers ask several lenders in turn, each of them asked the store for the same tokens.

The test failed before: 25,000 tokens were still wanted after a report without the account.

--- a/packages/core/src/runtime/prepaid/loanBook.ts
+++ b/packages/core/src/runtime/prepaid/loanBook.ts
@@ -140,6 +140,8 @@
     for (const [account, entry] of Object.entries(report.entries)) {
       this.#apply(borrower, account, entry, urgent[account] ?? 0);
     }
+    // a report leaves out the accounts of which the borrower wants no more tokens.
+    this.#clearUnmet(borrower, report.entries);
     if (report.last) this.#chargeBorrower(instance, borrower);
     for (const account of Object.keys(report.entries)) this.#updateLending(account);
     return 'taken';
@@ -178,6 +180,16 @@
     }
   }
 
+  /**
+   * Drops the unmet requests of borrowers that have not reported for `silentMs` milliseconds. A borrower
+   * repeats them with each report, unless it stopped or asks another lender.
+   */
+  dropUnmetOfSilent(silentMs: number, now: EpochMs): void {
+    for (const borrower of this.#borrowers.values()) {
+      if (now - borrower.reportedAt >= silentMs) this.#clearUnmet(borrower, {});
+    }
+  }
+
   /**
    * Removes borrowers that have not reported for `silentMs` milliseconds, charges their loans and
    * returns their names.
@@ -215,6 +227,14 @@
     loan.unmet = Math.max(0, wants - lent);
   }
 
+  #clearUnmet({ loans }: Borrower, except: PrepaidReport['entries']): void {
+    for (const [account, loan] of loans) {
+      if (except[account] !== undefined || loan.unmet === 0) continue;
+      loan.unmet = 0;
+      this.#updateLending(account);
+    }
+  }
+
   #loan({ loans }: Borrower, account: AccountId): Loan {
     const known = loans.get(account);
     if (known) return known;
--- a/test/prepaid/loanBook.test.ts
+++ b/test/prepaid/loanBook.test.ts
@@ -160,3 +160,41 @@
     ]);
   });
 });
+
+// Guards against a lender that keeps asking the store for tokens that its borrowers no longer want.
+describe('what borrowers asked for and did not get', () => {
+  const cases = [
+    {
+      name: 'counts until they report without it',
+      next: (book: LoanBook) => book.applyReport({ ...report(2, {}), entries: {} }, {}, 1),
+      expected: 0,
+    },
+    {
+      name: 'counts while they ask for it again',
+      next: (book: LoanBook) => book.applyReport(report(2, { keeps: 5_000, wants: 8_000 }), {}, 1),
+      expected: 5_500,
+    },
+    {
+      name: 'counts while they report',
+      next: (book: LoanBook) => {
+        book.dropUnmetOfSilent(6_000, 5_999);
+      },
+      expected: 25_000,
+    },
+    {
+      name: 'does not count once they are silent',
+      next: (book: LoanBook) => {
+        book.dropUnmetOfSilent(6_000, 6_000);
+      },
+      expected: 0,
+    },
+  ];
+  for (const { name, next, expected } of cases) {
+    test(name, () => {
+      const { book } = lender();
+      book.applyReport(report(1, { wants: 30_000 }), {}, 0);
+      next(book);
+      assert.equal(book.unmet, expected);
+    });
+  }
+});
