fix(gateway): lenders that pause for a moment are not replaced

Cause: one call without an answer in 230 ms made a borrower ask the next instance, and any want, also for later requests, made that instance hold tokens from the store for six seconds at least. After a loss of all, each process is slow at the same time: the lines show 15 lenders taken for lost in twelve seconds, nearly all with 'no answer within 230 ms', and all answered again.

A lender is replaced now after 0.4 s without an answer since the first failed call, which a second call has to confirm. An instance begins to stand in only for requests that wait for tokens; while it does, any want keeps it doing so.

The bound is three times the partition that holdings are meant to bridge.

--- a/packages/gateway/src/node/lenders.ts
+++ b/packages/gateway/src/node/lenders.ts
@@ -54,8 +54,8 @@
   }
 
   /**
-   * Borrows from the listed lenders. While none of them answers, also borrows from the next instance in
-   * the ranking.
+   * Borrows from the listed lenders. While all of them are lost, also borrows from the next instance in the
+   * ranking.
    *
    * @param ranked all instances that could be lenders, the most preferred first.
    */
@@ -63,8 +63,8 @@
     const { instance } = this.#options.context.settings;
     const others = ranked.filter(({ name }) => name !== instance).slice(0, MAX_LENDERS);
     const staying = listed.filter(({ name }) => !this.#loans.get(name)?.isStopping);
-    const isReached = staying.some(({ name }) => !this.#loans.get(name)?.isUnreachable);
-    const next = isReached ? undefined : others.find((other) => this.#mayAnswer(other));
+    const isAnyLeft = staying.some(({ name }) => !this.#loans.get(name)?.isLost);
+    const next = isAnyLeft ? undefined : others.find((other) => this.#mayAnswer(other));
     this.#inUse = next ? [...staying, next] : staying;
     for (const lender of this.#inUse) this.#startLoans(lender);
     this.#dropEmpty();
--- a/packages/gateway/src/node/loanTokens.ts
+++ b/packages/gateway/src/node/loanTokens.ts
@@ -24,6 +24,11 @@
 
 /** Milliseconds for which an answer with too few tokens is trusted; the lender is not asked again meanwhile. */
 const SHORTAGE_TRUST_MS = 250;
+/**
+ * Milliseconds without an answer after the first failed call, after which another instance is asked to lend. A
+ * lender that is only slow for a moment answers sooner.
+ */
+const LOST_AFTER_MS = 400;
 /** First and longest delay in milliseconds before an unresponsive lender is retried. */
 const FIRST_RETRY_MS = 200;
 const MAX_RETRY_MS = 1_600;
@@ -98,6 +103,11 @@
     return this.#reachability.isUnreachable;
   }
 
+  /** Whether the lender has been unreachable for so long that another one should be asked. */
+  get isLost(): boolean {
+    return this.#reachability.unreachableMs(this.#now()) >= LOST_AFTER_MS;
+  }
+
   /** Whether the lender announced that it is stopping. */
   get isStopping(): boolean {
     return this.#isStopping;
--- a/packages/gateway/src/node/prepaidService.ts
+++ b/packages/gateway/src/node/prepaidService.ts
@@ -205,11 +205,23 @@
 
   /** Lends to another instance. An instance that is asked for a loan stands in for unreachable lenders. */
   async lend(request: LoanRequest): Promise<LoanAnswer> {
-    if (asksForTokens(request)) this.#actingLenderUntil = this.#now() + ACTING_LENDER_MS;
+    if (this.#isNeededAsLender(request)) {
+      this.#actingLenderUntil = this.#now() + ACTING_LENDER_MS;
+    }
     if (!this.#isLender) this.#updateRole();
     return this.#loanRequests.lend(request, this.#store);
   }
 
+  /**
+   * Whether a borrower needs this instance to hold tokens. An instance begins to do so only for requests that wait,
+   * because each instance that does adds a writer to the stored page.
+   */
+  #isNeededAsLender({ report, urgent }: LoanRequest): boolean {
+    if (Object.keys(urgent).length > 0) return true;
+    const isActing = this.#now() < this.#actingLenderUntil;
+    return isActing && Object.values(report.entries).some(({ wants }) => wants > 0);
+  }
+
   #dropLostBorrowers(): void {
     const lost = this.#loanRequests.dropLostBorrowers();
     if (lost.length > 0) void this.#instances?.remove(lost);
@@ -314,8 +326,3 @@
     return this.#context.clock.now();
   }
 }
-
-/** Whether a borrower asks for tokens, rather than only returning some. */
-function asksForTokens({ report }: LoanRequest): boolean {
-  return Object.values(report.entries).some(({ wants }) => wants > 0);
-}
--- a/packages/gateway/src/node/reachabilityTracker.ts
+++ b/packages/gateway/src/node/reachabilityTracker.ts
@@ -36,6 +36,11 @@
     return this.#unreachableSince !== undefined;
   }
 
+  /** Milliseconds since the first call that failed after the last answer; 0 if the last call did not fail. */
+  unreachableMs(now: number): number {
+    return this.#unreachableSince === undefined ? 0 : now - this.#unreachableSince;
+  }
+
   /** Milliseconds since the last answer; infinite before the first one. */
   ageMs(now: number): number {
     return now - this.#answeredAt;
--- a/test/gateway/fleet/prepaidFleet.ts
+++ b/test/gateway/fleet/prepaidFleet.ts
@@ -1,11 +1,11 @@
 /** The budget services of a whole fleet with one store, on a manual clock. */
 
 import type { TestContext } from 'node:test';
-import type { AccountId, PrepaidReservation, Tokens } from '@flamingocourse/core';
+import type { AccountId, PrepaidPage, PrepaidReservation, Tokens } from '@flamingocourse/core';
 import type { EventFields } from '@flamingocourse/kernel';
 import { syncBuiltinESMExports } from 'node:module';
 import { setImmediate as turn, setTimeout as delay } from 'node:timers/promises';
-import { SendRules, ServerNotices, ServerRateLimits } from '@flamingocourse/core';
+import { SendRules, ServerNotices, ServerRateLimits, heldPrepaid } from '@flamingocourse/core';
 import { HealthCheck } from '@flamingocourse/gateway';
 import { Kernel, ManualClock, MemoryEventLog } from '@flamingocourse/kernel';
 import { MemoryObjectStore } from '@flamingocourse/store';
@@ -18,6 +18,7 @@
 import { ServerAgent } from '../../../packages/gateway/src/node/serverAgent.js';
 import { ServerDirectory } from '../../../packages/gateway/src/node/serverDirectory.js';
 import { ServerPaths } from '../../../packages/gateway/src/node/serverPaths.js';
+import { prepaidPageSchema } from '../../../packages/gateway/src/utils/prepaidSchemas.js';
 import { NoTunnels } from '../noTunnels.js';
 import { createRandom } from '../../../packages/lab/src/runtime/random.js';
 import { testContext } from '../testContext.js';
@@ -148,6 +149,17 @@
     return this.#instances.map(({ name }) => name);
   }
 
+  /** Average tokens per second that callers ask for, at the maximum of each request. */
+  get demand(): number {
+    return this.#shape.requestsPerSecond * meanRequest();
+  }
+
+  /** Tokens of all accounts that the instances hold, as the store shows them. */
+  get held(): Tokens {
+    const accounts = this.#pages().flatMap((page) => Object.values(page.accounts));
+    return accounts.reduce((sum, account) => sum + heldPrepaid(account), 0);
+  }
+
   /** Number of store calls so far with this prefix, such as `update prepaid`. */
   storeCalls(beginning = ''): number {
     const counted = [...this.#load.calls].filter(([call]) => call.startsWith(beginning));
@@ -343,6 +355,11 @@
     await kernel.start();
   }
 
+  #pages(): PrepaidPage[] {
+    const pages = this.#objects.table.list('prepaid-pages');
+    return pages.map(({ json }) => prepaidPageSchema.parse(JSON.parse(json)));
+  }
+
   #find(name: string): Instance {
     const found = this.#instances.find((instance) => instance.name === name);
     if (!found) throw new RangeError(`no instance ${name}`);
--- a/test/gateway/prepaidFleet.test.ts
+++ b/test/gateway/prepaidFleet.test.ts
@@ -1,6 +1,7 @@
 import type { TestContext } from 'node:test';
 import assert from 'node:assert/strict';
 import { test } from 'node:test';
+import { defaultPrepaidSizing } from '@flamingocourse/core';
 import { PrepaidFleet } from './fleet/prepaidFleet.js';
 
 /** The size of a large deployment, in which all requests of one account arrive at a single instance. */
@@ -17,6 +18,10 @@
 const EXTRA_LATENCY_MS = 60;
 /** Milliseconds after a partition until calls that were made during it have timed out and are made again. */
 const HANGING_MS = 1_500;
+/** Milliseconds of a pause in which a borrower's call times out. */
+const SHORT_PAUSE_MS = 400;
+/** Demand that instances may hold tokens for, in seconds: three times the partition that they should bridge. */
+const MAX_HELD_SECONDS = 3 * defaultPrepaidSizing.rideThroughSeconds;
 /**
  * Fraction of requests that may be refused for missing tokens while the store answers and the budgets are
  * almost unspent.
@@ -86,6 +91,44 @@
   assert.equal(writers.length, 2 * GROWN.dataCentres);
 });
 
+// Guards against writers of a page that are added whenever the lenders of a data centre are slow for a moment.
+test('lenders that pause for a moment are not replaced', async (t) => {
+  const fleet = await PrepaidFleet.start(t, { ...GROWN, atOneInstance: 0 });
+  await fleet.advance(4_000);
+  await fleet.serve(4_000);
+  const lenders = fleet.names.filter((name) => fleet.reportsOf(name) > 0);
+  for (let pause = 0; pause < 5; pause += 1) {
+    for (const name of lenders) fleet.faults(name).isPeerCut = true;
+    await fleet.serve(SHORT_PAUSE_MS);
+    for (const name of lenders) fleet.faults(name).isPeerCut = false;
+    await fleet.serve(2_000);
+  }
+  assert.deepEqual(
+    fleet.names.filter((name) => fleet.reportsOf(name) > 0),
+    lenders,
+  );
+});
+
+// Guards against budgets that are in doubt after a loss of all instances although no caller had any use for the
+// tokens: after a partition, several lenders asked for the demand of the same callers.
+test('instances hold no more than callers may need while they are cut off, also after a partition', async (t) => {
+  const shape = { ...GROWN, atOneInstance: 0, requestsPerSecond: 240, callers: 300 };
+  const fleet = await PrepaidFleet.start(t, { ...shape, budgetSeconds: 60 });
+  await fleet.advance(4_000);
+  await fleet.serve(8_000);
+  for (const name of fleet.names) fleet.setIsolated(name, true);
+  await fleet.serve(8_000);
+  for (const name of fleet.names) fleet.setIsolated(name, false);
+  for (let second = 1; second <= 8; second += 1) {
+    await fleet.serve(1_000);
+    const heldSeconds = fleet.held / fleet.demand;
+    assert.ok(
+      heldSeconds <= MAX_HELD_SECONDS,
+      `${heldSeconds.toFixed(1)} s after ${String(second)} s`,
+    );
+  }
+});
+
 /**
  * Starts a fleet and cuts off a third of it, including the busy instance, for three seconds. Returns when
  * calls that were in flight at the end of the partition have ended.
