fix(kernel): JSON of other processes is parsed with a bounded depth

An entry of another writer with any field nested 100,000 levels deep ended the watch of each instance that read it: a server that drained went on getting requests, a new server none, and with cold_remaining_ms an instance that started afterwards served nothing.

Cause: JSON.parse takes any depth, and code that recurses into the value throws RangeError: JSON.stringify in the log of changes for peers, in the answers to them and in the text of a cold server's field, isDeepStrictEqual in the list.

Class: a value from outside whose shape is bounded only where somebody walks it. So the depth is bounded where text becomes a value, for the store's answers of all collections, for what peers and servers send, and for callers of the own interface (refused as a bad request, since a body that is passed on can't be cut). What is deeper than 100 levels becomes null, so an unknown field does no harm and a known one is of another type, which its schema refuses.

The eight new cases (four fields, arrays and objects) failed before; each reached its limit waiting for the list.

--- a/packages/kernel/src/index.ts
+++ b/packages/kernel/src/index.ts
@@ -11,3 +11,4 @@
 export * from './runtime/listeners.js';
 export * from './runtime/metricCatalogue.js';
 export * from './utils/layerError.js';
+export * from './utils/parseJsonText.js';
--- a/packages/mesh/src/node/directCalls.ts
+++ b/packages/mesh/src/node/directCalls.ts
@@ -10,7 +10,7 @@
   ProcedureInput,
   ProcedureOutput,
 } from '../types/procedures.js';
-import { exchange } from '@flamingocourse/kernel';
+import { exchange, parseJsonText } from '@flamingocourse/kernel';
 import { Result } from 'true-myth';
 import { inputSchemas } from '../runtime/schemas.js';
 import { MeshError } from '../utils/meshError.js';
@@ -134,7 +134,7 @@
 
 function parseJson(text: string): Result<unknown, unknown> {
   try {
-    return Result.ok(JSON.parse(text) as unknown);
+    return Result.ok(parseJsonText(text));
   } catch (err) {
     return Result.err(err);
   }
--- a/packages/mesh/src/node/nodeFetch.ts
+++ b/packages/mesh/src/node/nodeFetch.ts
@@ -7,7 +7,7 @@
 import type { TransportFault } from '@flamingocourse/kernel';
 import type { Agent } from 'node:http';
 import type { MeshRouter } from '../runtime/meshRouter.js';
-import { exchange } from '@flamingocourse/kernel';
+import { exchange, parseJsonText } from '@flamingocourse/kernel';
 
 /** Error of a call that got no complete answer, or that the peer refused with status 429. */
 export class TransportError extends Error {
@@ -64,6 +64,6 @@
 function createAnswer(status: number, body: string): FetchAnswer {
   return {
     ok: status < 300,
-    json: () => Promise.resolve(JSON.parse(body) as unknown),
+    json: () => Promise.resolve(parseJsonText(body)),
   };
 }
--- a/packages/router/src/node/backends/engineAttempt.ts
+++ b/packages/router/src/node/backends/engineAttempt.ts
@@ -9,6 +9,7 @@
 import type { EventSourceMessage } from 'eventsource-parser';
 import type { ClientRequest, IncomingMessage } from 'node:http';
 import { Agent, request as httpRequest } from 'node:http';
+import { parseJsonText } from '@flamingocourse/kernel';
 import { createParser } from 'eventsource-parser';
 import { z } from 'zod';
 
@@ -258,7 +259,7 @@
 
 function parseChunk(data: string): Chunk | undefined {
   try {
-    return chunkSchema.safeParse(JSON.parse(data)).data;
+    return chunkSchema.safeParse(parseJsonText(data)).data;
   } catch {
     return undefined;
   }
--- a/packages/router/src/node/backends/loadProbe.ts
+++ b/packages/router/src/node/backends/loadProbe.ts
@@ -1,7 +1,7 @@
 /** Asks a backend server for its load and whether it is leaving. */
 
 import { Agent } from 'node:http';
-import { exchange } from '@flamingocourse/kernel';
+import { exchange, parseJsonText } from '@flamingocourse/kernel';
 import { z } from 'zod';
 
 const PROBE_TIMEOUT_MS = 1_000;
@@ -43,7 +43,7 @@
 
 function parseLoad(text: string): ProbedLoad {
   try {
-    const { running, waiting, asOf } = loadSchema.parse(JSON.parse(text));
+    const { running, waiting, asOf } = loadSchema.parse(parseJsonText(text));
     return { type: 'load', report: { running, waiting, at: asOf } };
   } catch {
     return { type: 'unknown' };
--- a/packages/router/src/node/entry/callerRequest.ts
+++ b/packages/router/src/node/entry/callerRequest.ts
@@ -9,6 +9,7 @@
 } from '@flamingocourse/core';
 import type { IncomingMessage } from 'node:http';
 import type { Configuration } from '../../types/configuration.js';
+import { MAX_JSON_DEPTH, isDeeperThan } from '@flamingocourse/kernel';
 import { Result } from 'true-myth';
 import { z } from 'zod';
 import { apiKeyDigest, digest } from '../../utils/digest.js';
@@ -281,7 +282,10 @@
 
 function parseJson(body: Buffer): Result<unknown, Refusal> {
   try {
-    return Result.ok(JSON.parse(body.toString('utf8')) as unknown);
+    const value: unknown = JSON.parse(body.toString('utf8'));
+    return isDeeperThan(value, MAX_JSON_DEPTH)
+      ? Result.err(notRun('bad-request', 'The body is nested too deeply.'))
+      : Result.ok(value);
   } catch (err) {
     return Result.err(notRun('bad-request', `The body is not valid JSON: ${String(err)}`));
   }
--- a/packages/router/src/node/meshHints.ts
+++ b/packages/router/src/node/meshHints.ts
@@ -5,6 +5,7 @@
 
 import type { MeshClient, MeshServer } from '@flamingocourse/mesh';
 import type { Fleet } from '../types/fleet.js';
+import { parseJsonText } from '@flamingocourse/kernel';
 import { Result } from 'true-myth';
 
 /** Sends hints to peers and delivers received hints to listeners. */
@@ -51,7 +52,7 @@
 
 function parseBody(body: string): unknown {
   try {
-    return JSON.parse(body) as unknown;
+    return parseJsonText(body);
   } catch {
     return undefined;
   }
--- a/packages/store/src/node/wireFormat.ts
+++ b/packages/store/src/node/wireFormat.ts
@@ -4,6 +4,7 @@
 import type { CallKind, Collection, VersionedObject } from '../types/objects.js';
 import type { WireObject } from '../runtime/storeDialect.js';
 import type { HttpAnswer, TransportFault } from '@flamingocourse/kernel';
+import { parseJsonText } from '@flamingocourse/kernel';
 import { Result } from 'true-myth';
 import { z } from 'zod';
 import { PlatformError } from '../utils/platformError.js';
@@ -44,10 +45,10 @@
 
 const writeKinds: readonly CallKind[] = ['create', 'update', 'remove'];
 
-/** Parses JSON text and validates it with a schema. Error: `invalid`. */
+/** Parses JSON text of bounded depth and validates it with a schema. Error: `invalid`. */
 export function parseJson<T>(text: string, schema: ZodType<T>): Result<T, PlatformError> {
   try {
-    const parsed = schema.safeParse(JSON.parse(text));
+    const parsed = schema.safeParse(parseJsonText(text));
     if (parsed.success) return Result.ok(parsed.data);
     return Result.err(
       new PlatformError('invalid', 'the answer does not match the schema', { cause: parsed.error }),
--- a/test/platform/fakeStore.ts
+++ b/test/platform/fakeStore.ts
@@ -25,6 +25,11 @@
   view: StoreView;
 }
 
+/** JSON text that stands in answers as it is, for values that `JSON.stringify` can't write. */
+export class RawJson {
+  constructor(readonly text: string) {}
+}
+
 const PAGE_SIZE = 2;
 const asStored: StoreView = (_kind, spec) => spec;
 
@@ -224,7 +229,15 @@
 }
 
 function send(res: ServerResponse, status: number, body: unknown): void {
-  const text = JSON.stringify(body);
+  const text = toJson(body);
   res.writeHead(status, { 'content-type': 'application/json', 'content-length': text.length });
   res.end(text);
 }
+
+function toJson(body: unknown): string {
+  const texts: string[] = [];
+  const text = JSON.stringify(body, (_name, value: unknown) => {
+    return value instanceof RawJson ? `@raw-${String(texts.push(value.text) - 1)}@` : value;
+  });
+  return text.replaceAll(/"@raw-(\d+)@"/g, (_match, at: string) => texts[Number(at)] ?? 'null');
+}
--- a/test/platform/foreignEntries.test.ts
+++ b/test/platform/foreignEntries.test.ts
@@ -1,11 +1,15 @@
+import type { TestContext } from 'node:test';
 import assert from 'node:assert/strict';
 import { describe, test } from 'node:test';
 import { createPlatformDialects } from '@flamingocourse/platform-adapter';
+import { RawJson } from './fakeStore.js';
 import { World, until } from './world.js';
 
 const { serverList } = createPlatformDialects();
 /** Requests that are sent at each look. */
 const REQUESTS = 10;
+/** Levels of nesting at which code that recurses into a value throws. */
+const DEPTH = 100_000;
 
 const addresses = {
   usable: ['127.0.0.1:8080', '10.128.0.9:80', '10.0.0.1:1', '10.0.0.1:65535', 'llm-1.example:8080'],
@@ -51,23 +55,44 @@
 describe('beside an entry of another writer with an unusable address', () => {
   for (const address of ['127.0.0.1:82270', 'a%zz:80', '?:80']) {
     test(`${JSON.stringify(address)}: a server that drains gets no requests, and a new instance serves`, async (t) => {
-      const world = await World.start(t);
-      world.store.put('servers', 'other', world.server('p1').entry('ledger', { address }));
-      const drained = world.server('p1').entry('ledger', { state: 'draining' });
-      const version = String(world.store.put('servers', 'p1', drained));
-      await until('the entries were read', () => {
-        return world.log.events.some(({ event, fields }) => {
-          return event === 'servers-changed' && fields.version === version;
-        });
-      });
-      const fresh = await world.join(t, 'edge-2');
-      for (const instance of [world, fresh]) {
-        for (let sent = 0; sent < REQUESTS; sent += 1) {
-          assert.equal((await instance.call({ path: '/book/1' })).status, 200);
-        }
-      }
-      assert.equal(world.server('p1').seen.length, 0);
-      assert.ok(!world.events.includes('service-failed'));
+      await serveBeside(t, { address });
     });
   }
 });
+
+// Guards against an entry that ends the watch of every instance without a line in the log, because code that
+// recurses into its value throws.
+describe('beside an entry of another writer that is nested too deeply', { concurrency: 4 }, () => {
+  const shapes = [
+    { shape: 'arrays', value: new RawJson('['.repeat(DEPTH) + ']'.repeat(DEPTH)) },
+    { shape: 'objects', value: new RawJson('{"a":'.repeat(DEPTH) + '1' + '}'.repeat(DEPTH)) },
+  ];
+  for (const field of ['unknown', 'cold_remaining_ms', 'address', 'slots']) {
+    for (const { shape, value } of shapes) {
+      test(`${field} of ${shape}: a server that drains gets no requests, and a new instance serves`, async (t) => {
+        await serveBeside(t, { service: 'shelf', [field]: value });
+      });
+    }
+  }
+});
+
+/** Checks that the list is followed while another writer's entry of server p1 has these fields. */
+async function serveBeside(t: TestContext, fields: Record<string, unknown>): Promise<void> {
+  const world = await World.start(t);
+  world.store.put('servers', 'other', world.server('p1').entry('ledger', fields));
+  const drained = world.server('p1').entry('ledger', { state: 'draining' });
+  const version = String(world.store.put('servers', 'p1', drained));
+  await until('the entries were read', () => {
+    return world.log.events.some(({ event, fields }) => {
+      return event === 'servers-changed' && fields.version === version;
+    });
+  });
+  const fresh = await world.join(t, 'edge-2');
+  for (const instance of [world, fresh]) {
+    for (let sent = 0; sent < REQUESTS; sent += 1) {
+      assert.equal((await instance.call({ path: '/book/1' })).status, 200);
+    }
+  }
+  assert.equal(world.server('p1').seen.length, 0);
+  assert.ok(!world.events.includes('service-failed'));
+}
