fix(store): a watch goes on after one of its receivers threw, and the error is logged

What a receiver throws (the log of changes for peers, a service that applies an event) ended the process of the watch, and the gateway and the router gave the store client no handler for it; with the Object API's stream it went on as an uncaught exception.

A round that throws is reported as a failure of the store service now, and the collection is listed again, since the changes of that round may have been received in part. The same holds for changes that peers pass on.

--- a/packages/gateway/src/node/createGateway.ts
+++ b/packages/gateway/src/node/createGateway.ts
@@ -133,6 +133,9 @@
     circuit: { ...defaultCircuitOptions, maxPauseMs: MAX_CIRCUIT_PAUSE_MS },
     clock,
     random,
+    onFailure: (err) => {
+      kernel.reportFailure(err, 'store');
+    },
   });
   const metrics = new GatewayMetrics();
   const notices = new ServerNotices(new ServerRateLimits(random), random);
--- a/packages/router/src/node/createRouter.ts
+++ b/packages/router/src/node/createRouter.ts
@@ -51,6 +51,9 @@
     url: settings.platform.url,
     timeoutMs: settings.platform.timeoutMs,
     clock,
+    onFailure: (err) => {
+      kernel.reportFailure(err, 'store');
+    },
   });
   const client = new MeshClient({ secret: settings.fleetSecret });
   const fleet = (): Fleet => kernel.get('fleet', Fleet);
--- a/packages/store/src/node/objectWatch.ts
+++ b/packages/store/src/node/objectWatch.ts
@@ -49,6 +49,8 @@
   #version: string | undefined;
   /** Whether only a list of the store shows what the watch may have missed. */
   #needsList: boolean;
+  /** Aborted once a receiver threw: changes may be missing until the next list. */
+  #receiving = new AbortController();
   #failures = 0;
   /** Whether changes arrived since the last pause. */
   #hasChanged = false;
@@ -82,8 +84,7 @@
 
   *#run(): Steps<void> {
     while (!this.#abort.signal.aborted) {
-      yield* awaitPromise(this.#followPeers());
-      yield* this.#askStore();
+      yield* this.#step();
       const pauseMs = this.#pauseMs();
       this.#isBackingOff = this.#failures > 0;
       if (pauseMs > 0) yield* takeWithin(this.#wakeSignal, pauseMs);
@@ -91,14 +92,24 @@
     }
   }
 
+  /** One round of following. What a receiver of changes throws must not end the watch. */
+  *#step(): Steps<void> {
+    try {
+      yield* awaitPromise(this.#followPeers());
+      yield* this.#askStore();
+    } catch (err) {
+      this.#handleThrown(err);
+    }
+  }
+
   *#askStore(): Steps<void> {
     if (this.#abort.signal.aborted) return;
     if (this.ports.isUnreachable()) {
       this.#recordFailure('the store is unreachable');
       return;
     }
-    if (this.#needsList) yield* awaitPromise(this.#list());
-    if (!this.#needsList) yield* awaitPromise(this.#follow());
+    if (this.#needsList || this.#hasThrown) yield* awaitPromise(this.#list());
+    if (!this.#needsList && !this.#hasThrown) yield* awaitPromise(this.#follow());
   }
 
   #pauseMs(): number {
@@ -119,6 +130,7 @@
     }
     this.#version = list.value.version;
     this.#needsList = false;
+    if (this.#hasThrown) this.#receiving = new AbortController();
     this.#failures = 0;
     this.ports.relay?.recordList(this.collection.name, list.value.version);
     this.options.onEvent({ type: 'listed', list: list.value });
@@ -127,13 +139,15 @@
 
   /** Follows the store through peers, as long as they hear from it. */
   async #followPeers(): Promise<void> {
-    if (this.#version === undefined) return;
+    if (this.#version === undefined || this.#hasThrown) return;
     await this.ports.relay?.follow({
       collection: this.collection.name,
       version: this.#version,
-      signal: this.#abort.signal,
+      signal: AbortSignal.any([this.#abort.signal, this.#receiving.signal]),
       onChanges: (changes, version, ageMs) => {
-        this.#deliverChanges(changes, version, ageMs);
+        this.#attempt(() => {
+          this.#deliverChanges(changes, version, ageMs);
+        });
       },
     });
   }
@@ -149,11 +163,13 @@
       collection: name,
       version: this.#version ?? '0',
       agent,
-      signal: AbortSignal.any([this.#abort.signal, this.#call.signal]),
+      signal: AbortSignal.any([this.#abort.signal, this.#receiving.signal, this.#call.signal]),
       // counted from the last answer: the pause plus the full idle time would look like an outage.
       idleMs: idleMs - this.#batchPauseMs,
       onChanges: (changes, version) => {
-        this.#receiveChanges(changes, version);
+        this.#attempt(() => {
+          this.#receiveChanges(changes, version);
+        });
       },
     });
     this.#call = undefined;
@@ -176,6 +192,26 @@
     this.options.onBreak?.(reason);
   }
 
+  get #hasThrown(): boolean {
+    return this.#receiving.signal.aborted;
+  }
+
+  #attempt(receive: () => void): void {
+    if (this.#hasThrown) return;
+    try {
+      receive();
+    } catch (err) {
+      this.#handleThrown(err);
+    }
+  }
+
+  /** Reports an error, and ends the call so that the collection is listed again. */
+  #handleThrown(err: unknown): void {
+    this.#receiving.abort();
+    this.#recordFailure('failed');
+    this.ports.onFailure(err);
+  }
+
   /** Takes an answer of the store itself. */
   #receiveChanges(changes: WireChange[], version: string): void {
     if (this.#abort.signal.aborted) return;
--- a/test/entry/refusals.test.ts
+++ b/test/entry/refusals.test.ts
@@ -79,6 +79,13 @@
     status: 400,
     reason: 'bad-request',
   },
+  {
+    // Guards against an internal error where the body is walked to find its prefix.
+    name: 'a body that is nested too deeply',
+    body: { model: 'chat', messages: [{ role: 'user', content: deepArray(200) }] },
+    status: 400,
+    reason: 'bad-request',
+  },
   {
     name: 'a body that is too large',
     body: { model: 'chat', messages: [{ role: 'user', content: 'x'.repeat(70_000) }] },
@@ -144,3 +151,8 @@
   assert.deepEqual(money.steps, ['reserve', 'claim', 'give-up']);
   assert.equal(money.claims.size, 0);
 });
+
+/** Arrays within each other. */
+function deepArray(levels: number): unknown {
+  return levels === 0 ? [] : [deepArray(levels - 1)];
+}
--- a/test/store/watch.test.ts
+++ b/test/store/watch.test.ts
@@ -211,3 +211,28 @@
   await store.create(notes, 'b', { text: '3' });
   assert.deepEqual(replay(events), { a: '2', b: '3' });
 });
+
+// Guards against a watch that ends without a word when one of its receivers throws.
+describe('a watch whose receiver throws once', () => {
+  for (const thrownAt of ['listed', 'changed', 'removed'] as const) {
+    test(`at the first event of type ${thrownAt} reports it, and knows all that follows`, async (t) => {
+      const platform = await startStandIn(t);
+      const first = platform.table.create('orders', 'a', '{"text":"1"}').unwrapOrElse(failTest);
+      const failures: unknown[] = [];
+      const store = connect(t, platform.urls['dc-a'], { onFailure: (err) => failures.push(err) });
+      const events: WatchEvent<Note>[] = [];
+      store.watch(notes, {
+        onEvent: (event) => {
+          if (event.type === thrownAt && failures.length === 0) throw new Error('thrown once');
+          events.push(event);
+        },
+      });
+      await until('listed', () => events.length + failures.length > 0);
+      platform.table.create('orders', 'b', '{"text":"2"}');
+      platform.table.remove('orders', 'a', first.version);
+      platform.table.create('orders', 'c', '{"text":"3"}');
+      await until('all changes', () => knows(events, { b: '2', c: '3' }));
+      assert.equal(failures.length, 1);
+    });
+  }
+});
