fix(gateway): an instance that loses every conflict has its report written by another one

Cause: a conditional update is won by whoever is quickest. A slow instance holds its copy longest and can lose every conflict for as long as the others write, whatever its number of tries. Class: an optimistic update without a bound for the slowest writer. Back-off only thins the others out, and a queue needs a writer that all depend on.

After three conflicts the report goes to an instance whose reports the page took meanwhile: it has just shown that it wins. A report is applied once whoever writes it, as its number decides. A first report says which process it replaces, or one that arrives late could replace a newer process. If nobody answers in half a second, the instance goes on alone.

Ruled out: leaving reports without spending out (they ask for tokens that requests wait for). Not covered: the object of all grants and the list of instances, which are changed as before.

The test failed before: no report in six seconds.

--- a/packages/core/src/runtime/prepaid/prepaidPage.ts
+++ b/packages/core/src/runtime/prepaid/prepaidPage.ts
@@ -2,6 +2,7 @@
 
 import type { AccountId, Tokens } from '../../types/ids.js';
 import type {
+  ForwardedReport,
   PrepaidAccount,
   PrepaidPage,
   PrepaidReport,
@@ -30,6 +31,29 @@
   return report.seq > 1 && page.writers[report.instance]?.incarnation !== report.incarnation;
 }
 
+/**
+ * Whether a page may apply a report that another instance writes: the reporting process is listed, or
+ * its predecessor still is if this is its first report.
+ *
+ * @example
+ * canApplyForwarded(page, { group: '0', report, replaces: 'edge-3-1/1' });
+ */
+export function canApplyForwarded(
+  page: PrepaidPage,
+  { report, replaces }: ForwardedReport,
+): boolean {
+  const listed = page.writers[report.instance]?.incarnation;
+  return listed === (report.seq === 1 ? replaces : report.incarnation);
+}
+
+/** Names of the instances of which `after` contains a report that `before` does not. */
+export function reportersBetween(before: PrepaidPage, after: PrepaidPage): string[] {
+  return Object.keys(after.writers).filter((name) => {
+    const [old, now] = [before.writers[name], after.writers[name]];
+    return old?.incarnation !== now?.incarnation || old?.seq !== now?.seq;
+  });
+}
+
 /**
  * Applies a report and allocates the requested tokens within the group's grant.
  *
--- a/packages/core/src/types/prepaid.ts
+++ b/packages/core/src/types/prepaid.ts
@@ -95,6 +95,23 @@
   entries: Record<AccountId, PrepaidReportEntry>;
 }
 
+/**
+ * Outcome of writing a report. `taken`: the page contains it. `busy`: all attempts conflicted with other
+ * writers, so it has to be sent again. `fenced`: the page no longer knows the process and refuses it.
+ */
+export type PrepaidReportOutcome = 'taken' | 'busy' | 'fenced';
+
+/** A report that another instance of the group writes for the reporting one. */
+export interface ForwardedReport {
+  group: string;
+  report: PrepaidReport;
+  /**
+   * Incarnation that the page listed for the instance before its process's first report; absent if it
+   * listed none. A first report that arrives late would otherwise replace a newer process.
+   */
+  replaces?: IncarnationId | undefined;
+}
+
 /** Input from which a holder decides how many tokens to hold, independent of their source. */
 export interface PrepaidView {
   /** Whether the source of the tokens has applied a report of this process. */
--- a/packages/gateway/src/node/createGateway.ts
+++ b/packages/gateway/src/node/createGateway.ts
@@ -205,6 +205,7 @@
     const mesh = new MeshServer(settings.listen.mesh);
     mesh.handle('followStore', (request) => relay.answer(request));
     mesh.handle('borrow', async (req) => Result.ok(await prepaid.lend(req)));
+    mesh.handle('writeReport', (forwarded) => prepaid.writeFor(forwarded));
     mesh.handle('exchangeNews', (message) => Result.ok(gossip.handleMessage(message)));
     mesh.handle('shareConditions', (sums) => conditions.answer(unpackSums(sums)).map(packSums));
     mesh.handle('keepStreams', (message) => {
--- a/packages/gateway/src/node/meshLoanCalls.ts
+++ b/packages/gateway/src/node/meshLoanCalls.ts
@@ -1,6 +1,12 @@
-/** Sends loan requests over the mesh. */
+/** Calls the other instances that share prepaid budgets over the mesh. */
 
-import type { FleetInstance, LoanAnswer, LoanRequest } from '@flamingocourse/core';
+import type {
+  FleetInstance,
+  ForwardedReport,
+  LoanAnswer,
+  LoanRequest,
+  PrepaidReportOutcome,
+} from '@flamingocourse/core';
 import type { MeshClient } from '@flamingocourse/mesh';
 import { Result } from 'true-myth';
 import { LoanCalls } from '../types/loans.js';
@@ -11,7 +17,13 @@
  */
 const CALL_TIMEOUT_MS = 230;
 
-/** Asks lenders at the address of their mesh listener. */
+/**
+ * Timeout in milliseconds for a report that another instance writes. It finishes an exchange of its own first, and
+ * may meet conflicts itself.
+ */
+const WRITE_TIMEOUT_MS = 500;
+
+/** Calls instances at the address of their mesh listener. */
 export class MeshLoanCalls extends LoanCalls {
   readonly #mesh: MeshClient;
 
@@ -30,4 +42,15 @@
     });
     return answer.mapErr(({ message }) => message);
   }
+
+  override async write(
+    { meshUrl }: FleetInstance,
+    forwarded: ForwardedReport,
+  ): Promise<Result<PrepaidReportOutcome, string>> {
+    if (meshUrl === undefined) return Result.err('it serves no peers');
+    const outcome = await this.#mesh.call({ meshUrl }, 'writeReport', forwarded, {
+      timeoutMs: WRITE_TIMEOUT_MS,
+    });
+    return outcome.mapErr(({ message }) => message);
+  }
 }
--- a/packages/gateway/src/node/prepaidPages.ts
+++ b/packages/gateway/src/node/prepaidPages.ts
@@ -2,23 +2,28 @@
 
 import type {
   AccountId,
+  ForwardedReport,
   PrepaidLimits,
   PrepaidOutlook,
   PrepaidPage,
   PrepaidReport,
+  PrepaidReportOutcome,
   Tokens,
 } from '@flamingocourse/core';
 import type { Collection, PlatformError as StoreError } from '@flamingocourse/store';
 import type { Unit } from 'true-myth';
 import type { GatewayContext } from '../types/context.js';
+import type { ChangeOutcome } from './storedObject.js';
 import {
   MemberFailureDetector,
   applyReport,
+  canApplyForwarded,
   createPrepaidPage,
   dropWriter,
   hasReport,
   isFenced,
   prepaidShortfalls,
+  reportersBetween,
   membersOf,
   nextGroup,
   returnSurplus,
@@ -41,11 +46,14 @@
  */
 const UNREACHABLE_TIMEOUT_MS = 500;
 
-/**
- * Outcome of sending a report. `taken`: the page contains it. `busy`: all attempts conflicted with other
- * writers, so it has to be sent again. `fenced`: the page no longer knows this process and refuses it.
- */
-export type SendOutcome = 'taken' | 'busy' | 'fenced';
+/** Consecutive conflicts after which another instance is asked to write a report. */
+const CONFLICTS_BEFORE_FORWARDING = 3;
+
+/** Asks an instance to write a report of this one. Undefined if it does not answer. */
+export type ForwardReport = (
+  writer: string,
+  forwarded: ForwardedReport,
+) => Promise<PrepaidReportOutcome | undefined>;
 
 /** A page that this instance checks for lost members. */
 interface WatchedPage {
@@ -64,12 +72,14 @@
 export class PrepaidPages {
   readonly #context: GatewayContext;
   readonly #grants: PrepaidGrants;
+  readonly #forward: ForwardReport;
   #own: WatchedPage | undefined;
   #next: WatchedPage | undefined;
   #maintainedAt: number;
 
-  constructor(context: GatewayContext) {
+  constructor(context: GatewayContext, forward: ForwardReport) {
     this.#context = context;
+    this.#forward = forward;
     this.#grants = new PrepaidGrants(context);
     this.#maintainedAt = this.#now();
   }
@@ -152,7 +162,7 @@
   async send(
     report: PrepaidReport,
     limits: PrepaidLimits,
-  ): Promise<Result<SendOutcome, StoreError>> {
+  ): Promise<Result<PrepaidReportOutcome, StoreError>> {
     const own = this.#own;
     if (!own?.page.value) return Result.ok('busy');
     // other instances have usually reported since the last read. A write on that copy would conflict and
@@ -166,14 +176,72 @@
       if (asked.isErr) return Result.err(asked.error);
       if (asked.value === 'busy') this.#logBusy('grants');
     }
-    const sent = await own.page.change((page) => this.#apply(page, report, limits), this.#now());
-    if (sent.isErr) return Result.err(sent.error);
+    const written = await this.#writeOrForward(own, report, limits);
+    if (written.isErr) return Result.err(written.error);
+    return this.#afterWrite(own, report, written.value, limits);
+  }
+
+  /**
+   * Writes a report for another instance of the group, whose own writes conflict with those of faster
+   * ones.
+   */
+  async sendFor(
+    forwarded: ForwardedReport,
+    limits: PrepaidLimits,
+  ): Promise<Result<PrepaidReportOutcome, StoreError>> {
+    const { report } = forwarded;
+    const own = this.#own;
+    const seen = own?.page.value;
+    if (!own || !seen) return Result.ok('busy');
+    if (canApplyForwarded(seen, forwarded)) {
+      const asked = await this.#grants.ask(seen, prepaidShortfalls(seen, report), limits);
+      if (asked.isErr) return Result.err(asked.error);
+    }
+    const written = await own.page.change((page) => {
+      return canApplyForwarded(page, forwarded) ? this.#apply(page, report, limits) : page;
+    }, this.#now());
+    if (written.isErr) return Result.err(written.error);
+    return this.#afterWrite(own, report, written.value, limits);
+  }
+
+  /**
+   * Writes a report. After some conflicts, asks an instance whose reports were applied meanwhile to write
+   * it: a slow instance could otherwise lose every conflict for as long as the others report.
+   */
+  async #writeOrForward(
+    { group, page }: WatchedPage,
+    report: PrepaidReport,
+    limits: PrepaidLimits,
+  ): Promise<Result<ChangeOutcome, StoreError>> {
+    const apply = (value: PrepaidPage): PrepaidPage => this.#apply(value, report, limits);
+    const before = page.value ?? createPrepaidPage();
+    const alone = await page.change(apply, this.#now(), CONFLICTS_BEFORE_FORWARDING);
+    if (alone.isErr || alone.value !== 'busy') return alone;
+    const after = page.value ?? before;
+    const writer = reportersBetween(before, after).find((name) => name !== report.instance);
+    const replaces = after.writers[report.instance]?.incarnation;
+    // the page shows nothing of a last report, so its outcome would be unknown.
+    if (writer !== undefined && !report.last) {
+      const outcome = await this.#forward(writer, { group, report, replaces });
+      this.#context.log.write('prepaid-forwarded', { group, writer, seq: report.seq, outcome });
+      const read = await page.read(this.#now());
+      if (read.isErr) return Result.err(read.error);
+    }
+    return page.change(apply, this.#now());
+  }
+
+  async #afterWrite(
+    own: WatchedPage,
+    report: PrepaidReport,
+    outcome: ChangeOutcome,
+    limits: PrepaidLimits,
+  ): Promise<Result<PrepaidReportOutcome, StoreError>> {
     const { value } = own.page;
-    if (sent.value === 'busy') {
+    if (outcome === 'busy' || !value) {
       this.#logBusy('page');
       return Result.ok('busy');
     }
-    if (sent.value === 'unchanged') {
+    if (outcome === 'unchanged') {
       return Result.ok(hasReport(value, report) ? 'taken' : 'fenced');
     }
     const returned = await this.#grants.takeReturns(own.group, value, limits);
--- a/packages/gateway/src/node/prepaidService.ts
+++ b/packages/gateway/src/node/prepaidService.ts
@@ -2,10 +2,12 @@
 
 import type {
   AccountId,
+  ForwardedReport,
   LoanAnswer,
   LoanRequest,
   PrepaidHolderOptions,
   PrepaidLimits,
+  PrepaidReportOutcome,
   PrepaidReservation,
   Refusal,
   RouteTable,
@@ -116,6 +118,7 @@
       book: this.#loanRequests.book,
       limits: () => this.#table?.prepaid,
       fleetSize: () => this.#instances?.count ?? 1,
+      forward: (writer, forwarded) => this.#forward(calls, writer, forwarded),
       onExchange: () => {
         this.#dropLostBorrowers();
       },
@@ -222,6 +225,22 @@
     return isActing && Object.values(report.entries).some(({ wants }) => wants > 0);
   }
 
+  /** Writes a report for another instance of the group. */
+  writeFor(forwarded: ForwardedReport): Promise<Result<PrepaidReportOutcome, string>> {
+    return this.#store.writeFor(forwarded);
+  }
+
+  async #forward(
+    calls: LoanCalls,
+    name: string,
+    forwarded: ForwardedReport,
+  ): Promise<PrepaidReportOutcome | undefined> {
+    const writer = this.#instances?.all.find((instance) => instance.name === name);
+    if (!writer) return undefined;
+    const outcome = await calls.write(writer, forwarded);
+    return outcome.unwrapOr(undefined);
+  }
+
   #dropLostBorrowers(): void {
     const lost = this.#loanRequests.dropLostBorrowers();
     if (lost.length > 0) void this.#instances?.remove(lost);
--- a/packages/gateway/src/node/storeTokens.ts
+++ b/packages/gateway/src/node/storeTokens.ts
@@ -3,20 +3,24 @@
 import type {
   AccountId,
   EpochMs,
+  ForwardedReport,
   LoanBook,
   PrepaidHolder,
   PrepaidLimits,
   PrepaidPage,
   PrepaidReport,
+  PrepaidReportOutcome,
   PrepaidReservation,
   PrepaidView,
   Tokens,
 } from '@flamingocourse/core';
 import type { PlatformError as StoreError } from '@flamingocourse/store';
 import type { GatewayContext } from '../types/context.js';
+import type { ForwardReport } from './prepaidPages.js';
 import type { FetchOutlook, SourceView } from '../types/tokenSource.js';
 import { heldPrepaid, sum, viewOfPage } from '@flamingocourse/core';
 import { aborted } from '@flamingocourse/kernel';
+import { Result } from 'true-myth';
 import { shortageTrustMs, reportPeriodMs, withReportJitter } from '../runtime/reportPeriod.js';
 import { TokenSource } from '../types/tokenSource.js';
 import { PrepaidPages } from './prepaidPages.js';
@@ -57,6 +61,8 @@
   fleetSize: () => number;
   /** The loans made from these tokens. */
   book: LoanBook;
+  /** Asks another instance to write a report of this one. */
+  forward: ForwardReport;
   /** Called at each successful exchange. */
   onExchange: () => void;
 }
@@ -88,7 +94,7 @@
     super();
     this.#options = options;
     this.#holder = options.holder;
-    this.#pages = new PrepaidPages(options.context);
+    this.#pages = new PrepaidPages(options.context, options.forward);
     this.#reachability = new StoreReachability(options.context, 'prepaid');
   }
 
@@ -198,6 +204,25 @@
     return { ...view, accounts: new Map(nothing) };
   }
 
+  /** Writes a report for another instance of the group. The error says why it was not tried. */
+  async writeFor(forwarded: ForwardedReport): Promise<Result<PrepaidReportOutcome, string>> {
+    while (this.#running) await this.#running;
+    const limits = this.#options.limits();
+    if (!limits || this.#phase === 'idle' || forwarded.group !== this.#pages.group) {
+      return Result.err('this instance does not write that page');
+    }
+    let outcome: PrepaidReportOutcome = 'busy';
+    this.#running = this.#pages.sendFor(forwarded, limits).then((sent) => {
+      if (sent.isErr) return this.#fail(sent.error);
+      outcome = sent.value;
+      return 'done';
+    });
+    await this.#running.finally(() => {
+      this.#running = undefined;
+    });
+    return Result.ok(outcome);
+  }
+
   /** Whether this instance is stopping. */
   get isStopping(): boolean {
     return this.#stopping;
--- a/packages/gateway/src/node/storedObject.ts
+++ b/packages/gateway/src/node/storedObject.ts
@@ -119,12 +119,14 @@
    * Applies a change to the last read value, and repeats it on the new value after each conflict.
    *
    * @param reduce returns the value itself if nothing has to change.
+   * @param maxConflicts consecutive conflicts after which the change fails with `busy`.
    */
   async change(
     reduce: (value: T) => T,
     now: number,
+    maxConflicts = MAX_CONFLICTS,
   ): Promise<Result<ChangeOutcome, PlatformError>> {
-    for (let tries = 0; tries < MAX_CONFLICTS; tries += 1) {
+    for (let tries = 0; tries < maxConflicts; tries += 1) {
       const value = this.value ?? this.#initial();
       const next = reduce(value);
       if (next === value) return Result.ok('unchanged');
--- a/packages/kernel/src/runtime/eventCatalogue.ts
+++ b/packages/kernel/src/runtime/eventCatalogue.ts
@@ -210,6 +210,11 @@
     level: 'info',
     text: 'a change of shared budgets was postponed to the next exchange: each attempt conflicted with another writer',
   },
+  'prepaid-forwarded': {
+    number: 430,
+    level: 'info',
+    text: 'another instance was asked to write a report, because all own attempts conflicted with other writers',
+  },
   'prepaid-throttled': {
     number: 429,
     level: 'warn',
--- a/packages/mesh/src/runtime/meshRouter.ts
+++ b/packages/mesh/src/runtime/meshRouter.ts
@@ -35,6 +35,7 @@
     recall: createProcedure(ports, 'recall'),
     pullConfiguration: createProcedure(ports, 'pullConfiguration'),
     borrow: createProcedure(ports, 'borrow'),
+    writeReport: createProcedure(ports, 'writeReport'),
     exchangeNews: createProcedure(ports, 'exchangeNews'),
     keepStreams: createProcedure(ports, 'keepStreams'),
     findStream: createProcedure(ports, 'findStream'),
@@ -59,12 +60,13 @@
 
 /**
  * Procedures that may omit the recipient's incarnation: a heartbeat may be sent before the
- * incarnation is known, a loan request contains the lender's incarnation in its input, and gossip and
- * records of streams are meant for any process.
+ * incarnation is known, a loan request contains the lender's incarnation in its input, and forwarded
+ * reports, gossip and records of streams are meant for any process.
  */
 const RECIPIENT_OPTIONAL: ReadonlySet<ProcedureName> = new Set([
   'heartbeat',
   'borrow',
+  'writeReport',
   'exchangeNews',
   'keepStreams',
   'findStream',
--- a/packages/mesh/src/runtime/schemas.ts
+++ b/packages/mesh/src/runtime/schemas.ts
@@ -8,6 +8,7 @@
   LoanRequest,
   GossipMessage,
   Outcome,
+  PrepaidReport,
   StreamRecord,
 } from '@flamingocourse/core';
 import type { ZodType } from 'zod';
@@ -105,23 +106,25 @@
 
 const nonNegative = z.number().min(0);
 
+const prepaidReportSchema: ZodType<PrepaidReport> = z.object({
+  instance: id,
+  incarnation: id,
+  seq: count,
+  last: z.boolean(),
+  entries: z.record(
+    id,
+    z.object({
+      spent: nonNegative,
+      keeps: nonNegative,
+      wants: nonNegative,
+      rate: z.number().min(0),
+    }),
+  ),
+});
+
 const loanRequestSchema: ZodType<LoanRequest> = z.object({
   lender: id.optional(),
-  report: z.object({
-    instance: id,
-    incarnation: id,
-    seq: count,
-    last: z.boolean(),
-    entries: z.record(
-      id,
-      z.object({
-        spent: nonNegative,
-        keeps: nonNegative,
-        wants: nonNegative,
-        rate: z.number().min(0),
-      }),
-    ),
-  }),
+  report: prepaidReportSchema,
   urgent: z.record(id, nonNegative),
   typicalRequest: nonNegative,
   interest: z.array(id).max(maxAccounts),
@@ -169,6 +172,7 @@
   recall: z.object({ account: id, amount: tokens.min(0), forDataCentre: id }),
   pullConfiguration: z.object({ since: count }),
   borrow: loanRequestSchema,
+  writeReport: z.object({ group: id, report: prepaidReportSchema, replaces: id.optional() }),
   exchangeNews: gossipMessageSchema,
   keepStreams: z.object({ streams: z.array(streamRecordSchema).max(MAX_STREAMS_PER_MESSAGE) }),
   findStream: z.object({ key: streamKey, services: z.array(id).max(maxServices) }),
--- a/packages/mesh/src/types/procedures.ts
+++ b/packages/mesh/src/types/procedures.ts
@@ -6,6 +6,7 @@
   DataCentreId,
   FollowAnswer,
   FollowRequest,
+  ForwardedReport,
   IncarnationId,
   JournalLine,
   JournalState,
@@ -13,6 +14,7 @@
   LoanRequest,
   GossipMessage,
   PackedSums,
+  PrepaidReportOutcome,
   ServiceName,
   StreamAnswer,
   StreamKey,
@@ -54,6 +56,8 @@
   pullConfiguration: { input: { since: number }; output: ConfigurationUpdate };
   /** Asks a lender for tokens of prepaid budgets; the request contains the lender's incarnation. */
   borrow: { input: LoanRequest; output: LoanAnswer };
+  /** Asks an instance of the same group to write the caller's report of prepaid budgets. */
+  writeReport: { input: ForwardedReport; output: PrepaidReportOutcome };
   /**
    * Sends gossip and requests the facts that the caller is missing; each fact contains its origin.
    */
--- a/test/gateway/fleet/loanLink.ts
+++ b/test/gateway/fleet/loanLink.ts
@@ -1,6 +1,12 @@
-/** Delivers one instance's loan requests to its lenders in memory, with latency and faults. */
+/** Delivers one instance's calls to the others in memory, with latency and faults. */
 
-import type { FleetInstance, LoanAnswer, LoanRequest } from '@flamingocourse/core';
+import type {
+  FleetInstance,
+  ForwardedReport,
+  LoanAnswer,
+  LoanRequest,
+  PrepaidReportOutcome,
+} from '@flamingocourse/core';
 import type { PrepaidService } from '../../../packages/gateway/src/node/prepaidService.js';
 import type { TestProcess } from './storeLink.js';
 import { setTimeout as delay } from 'node:timers/promises';
@@ -33,20 +39,33 @@
     this.#random = random;
   }
 
-  override async ask(
+  override ask({ name }: FleetInstance, request: LoanRequest): Promise<Result<LoanAnswer, string>> {
+    return this.#call(name, async (prepaid) => {
+      return Result.ok(await prepaid.lend(structuredClone(request)));
+    });
+  }
+
+  override write(
     { name }: FleetInstance,
-    request: LoanRequest,
-  ): Promise<Result<LoanAnswer, string>> {
+    forwarded: ForwardedReport,
+  ): Promise<Result<PrepaidReportOutcome, string>> {
+    return this.#call(name, (prepaid) => prepaid.writeFor(structuredClone(forwarded)));
+  }
+
+  async #call<T>(
+    name: string,
+    run: (prepaid: PrepaidService) => Promise<Result<T, string>>,
+  ): Promise<Result<T, string>> {
     if (this.#process.hasEnded()) return never();
     await delay(LATENCY_MS);
     const peer = this.#find(name);
     if (!peer) return Result.err('connection refused');
     if (this.#isCutFrom(peer) || this.#process.hasEnded()) return giveUp();
-    const answer = await peer.prepaid.lend(structuredClone(request));
+    const answer = await run(peer.prepaid);
     const isLost = this.#random() < this.#process.faults.lostAnswers;
     if (isLost || this.#isCutFrom(peer) || peer.process.hasEnded()) return giveUp();
     await delay(LATENCY_MS);
-    return Result.ok(structuredClone(answer));
+    return answer.map((value) => structuredClone(value));
   }
 
   #isCutFrom({ process }: Peer): boolean {
@@ -54,7 +73,7 @@
   }
 }
 
-async function giveUp(): Promise<Result<LoanAnswer, string>> {
+async function giveUp<T>(): Promise<Result<T, string>> {
   await delay(CALL_TIMEOUT_MS);
   return Result.err('no answer in time');
 }
--- a/test/gateway/prepaidFleet.test.ts
+++ b/test/gateway/prepaidFleet.test.ts
@@ -20,6 +20,8 @@
 const HANGING_MS = 1_500;
 /** Milliseconds of a pause in which a borrower's call times out. */
 const SHORT_PAUSE_MS = 400;
+/** Milliseconds within which an instance's spending must reach the store while the store answers. */
+const MAX_REPORT_GAP_MS = 6_000;
 /** Demand that instances may hold tokens for, in seconds: three times the partition that they should bridge. */
 const MAX_HELD_SECONDS = 3 * defaultPrepaidSizing.rideThroughSeconds;
 /**
@@ -54,6 +56,21 @@
   assert.equal(refusedAsAway(fleet) - before, 0);
 });
 
+// Guards against an instance that gets no tokens for as long as faster writers of its page go on reporting.
+test('an instance that loses every conflict reports through another one', async (t) => {
+  const shape = { ...GROWN, instancesPerDataCentre: 4, requestsPerSecond: 60, atOneInstance: 0.2 };
+  const fleet = await PrepaidFleet.start(t, { ...shape, seed: 5 });
+  await fleet.advance(4_000);
+  await fleet.serve(4_000);
+  const [writer = ''] = fleet.names.filter((name) => fleet.reportsOf(name) > 0);
+  fleet.faults(writer).losesConflicts = true;
+  for (let span = 0; span < 5; span += 1) {
+    const before = fleet.reportsOf(writer);
+    await fleet.serve(MAX_REPORT_GAP_MS);
+    assert.ok(fleet.reportsOf(writer) > before, `no report within ${String(MAX_REPORT_GAP_MS)} ms`);
+  }
+});
+
 // Guards against taking a store that throttles for a second as unreachable. Most instances did, and refused
 // all requests beyond the tokens that they held.
 test('a store that throttles is not taken for unreachable', async (t) => {
--- a/test/gateway/storeTokens.test.ts
+++ b/test/gateway/storeTokens.test.ts
@@ -42,6 +42,7 @@
     limits: () => new Map([['shop', LIMIT]]),
     fleetSize: () => 20,
     book: new LoanBook(holder),
+    forward: () => Promise.resolve(undefined),
     onExchange: () => undefined,
   });
 }
--- a/test/prepaid/prepaidPage.test.ts
+++ b/test/prepaid/prepaidPage.test.ts
@@ -3,6 +3,7 @@
 import { describe, test } from 'node:test';
 import {
   applyReport,
+  canApplyForwarded,
   createPrepaidPage,
   dropWriter,
   hasReport,
@@ -161,3 +162,47 @@
   const page = pageOf(report('a', 1, { wants: 400 }), report('a', 1, { wants: 100 }, 'a-2'));
   assert.equal(isFenced(page, report('a', 2, { spent: 50, keeps: 350 })), true);
 });
+
+// Guards against a forwarded first report that arrives late and replaces a newer process, which would lose its tokens.
+describe('a page takes a forwarded report', () => {
+  const listed = (incarnation?: string): PrepaidPage => ({
+    ...createPrepaidPage(),
+    writers: incarnation === undefined ? {} : { a: { incarnation, seq: 3 } },
+  });
+  const cases = [
+    { name: 'of the listed process', page: listed('a-1'), seq: 4, isTaken: true },
+    {
+      name: 'of a process that is not listed any more',
+      page: listed('a-2'),
+      seq: 4,
+      isTaken: false,
+    },
+    { name: 'that is the first of an instance', page: listed(), seq: 1, isTaken: true },
+    {
+      name: 'that is the first after the process that it replaces',
+      page: listed('a-0'),
+      seq: 1,
+      replaces: 'a-0',
+      isTaken: true,
+    },
+    {
+      name: 'that is the first, before a newer process',
+      page: listed('a-2'),
+      seq: 1,
+      replaces: 'a-0',
+      isTaken: false,
+    },
+    {
+      name: 'that is the first, before an unknown one',
+      page: listed('a-2'),
+      seq: 1,
+      isTaken: false,
+    },
+  ];
+  for (const { name, page, seq, replaces, isTaken } of cases) {
+    test(`${name}: ${String(isTaken)}`, () => {
+      const report = { instance: 'a', incarnation: 'a-1', seq, last: false, entries: {} };
+      assert.equal(canApplyForwarded(page, { group: '0', report, replaces }), isTaken);
+    });
+  }
+});
