fix(gateway): an instance that asks another one to write its report writes for nobody meanwhile

Found in the reading of the change: two instances that lose to each other may each ask the other one. Each waits for its own exchange before it writes for somebody else, and that exchange waits for the other's answer, so both lose the half second of the call's timeout while requests wait a quarter.

It refuses at once now, and the other one goes on alone. The test failed before (it reached its limit of 5 s).

--- a/packages/gateway/src/node/storeTokens.ts
+++ b/packages/gateway/src/node/storeTokens.ts
@@ -89,12 +89,16 @@
   /** Until this time the store is not asked on behalf of single requests, because it throttled a call. */
   #throttledUntil = -Infinity;
   #stopping = false;
+  /** Whether another instance was asked to write a report of this one. */
+  #isForwarding = false;
 
   constructor(options: StoreTokensOptions) {
     super();
     this.#options = options;
     this.#holder = options.holder;
-    this.#pages = new PrepaidPages(options.context, options.forward);
+    this.#pages = new PrepaidPages(options.context, (writer, forwarded) => {
+      return this.#forward(writer, forwarded);
+    });
     this.#reachability = new StoreReachability(options.context, 'prepaid');
   }
 
@@ -206,6 +210,8 @@
 
   /** Writes a report for another instance of the group. The error says why it was not tried. */
   async writeFor(forwarded: ForwardedReport): Promise<Result<PrepaidReportOutcome, string>> {
+    // two instances that ask each other would both wait for their timeout.
+    if (this.#isForwarding) return Result.err('this instance asks another one itself');
     while (this.#running) await this.#running;
     const limits = this.#options.limits();
     if (!limits || this.#phase === 'idle' || forwarded.group !== this.#pages.group) {
@@ -223,6 +229,16 @@
     return Result.ok(outcome);
   }
 
+  async #forward(
+    writer: string,
+    forwarded: ForwardedReport,
+  ): Promise<PrepaidReportOutcome | undefined> {
+    this.#isForwarding = true;
+    return this.#options.forward(writer, forwarded).finally(() => {
+      this.#isForwarding = false;
+    });
+  }
+
   /** Whether this instance is stopping. */
   get isStopping(): boolean {
     return this.#stopping;
--- a/test/gateway/storeTokens.test.ts
+++ b/test/gateway/storeTokens.test.ts
@@ -1,9 +1,13 @@
+import type { Collection, PlatformResult, VersionedObject } from '@flamingocourse/store';
+import type { ForwardReport } from '../../packages/gateway/src/node/prepaidPages.js';
 import assert from 'node:assert/strict';
+import { EventEmitter, once } from 'node:events';
 import { test } from 'node:test';
 import { LoanBook, PrepaidHolder, PrepaidSizing } from '@flamingocourse/core';
 import { ManualClock, MemoryEventLog } from '@flamingocourse/kernel';
 import { MemoryObjectStore } from '@flamingocourse/store';
 import { StoreTokens } from '../../packages/gateway/src/node/storeTokens.js';
+import { prepaidPageSchema } from '../../packages/gateway/src/utils/prepaidSchemas.js';
 import { testContext } from './testContext.js';
 
 const LIMIT = 1_000_000;
@@ -28,7 +32,57 @@
   await tokens.stop();
 });
 
-function createTokens(store: MemoryObjectStore): StoreTokens {
+/** A store in which another instance changes the page just before each update. */
+class ContestedStore extends MemoryObjectStore {
+  override update<T>(
+    collection: Collection<T>,
+    name: string,
+    version: string,
+    value: T,
+  ): PlatformResult<VersionedObject<T>> {
+    if (collection.name === 'prepaid-pages') this.#changePage(name);
+    return super.update(collection, name, version, value);
+  }
+
+  #changePage(name: string): void {
+    const object = this.table.get('prepaid-pages', name);
+    const page = prepaidPageSchema.parse(JSON.parse(object?.json ?? ''));
+    const seq = (page.writers['edge-2']?.seq ?? 0) + 1;
+    const writers = { ...page.writers, 'edge-2': { incarnation: 'edge-2-1', seq } };
+    this.table.update(
+      'prepaid-pages',
+      name,
+      object?.version ?? '',
+      JSON.stringify({ ...page, writers }),
+    );
+  }
+}
+
+// Guards against two instances that each wait for the other one to write their reports.
+test('an instance that asks another one to write writes for nobody meanwhile', async () => {
+  const store = new ContestedStore();
+  writeBudgets(store);
+  const calls = new EventEmitter();
+  const asked = once(calls, 'asked');
+  const tokens = createTokens(store, async (writer) => {
+    calls.emit('asked', writer);
+    await once(calls, 'released');
+    return undefined;
+  });
+  tokens.hold();
+  const fetched = tokens.fetch('shop', 1_000, new AbortController().signal);
+  assert.deepEqual(await asked, ['edge-2']);
+  const report = { instance: 'edge-2', incarnation: 'edge-2-1', seq: 9, last: false, entries: {} };
+  const written = await tokens.writeFor({ group: '0', report });
+  assert.equal(written.isErr, true);
+  calls.emit('released');
+  await fetched;
+});
+
+function createTokens(
+  store: MemoryObjectStore,
+  forward: ForwardReport = () => Promise.resolve(undefined),
+): StoreTokens {
   const context = testContext(new ManualClock(), new MemoryEventLog(), store);
   const holder = new PrepaidHolder({
     instance: 'edge-1',
@@ -42,7 +96,7 @@
     limits: () => new Map([['shop', LIMIT]]),
     fleetSize: () => 20,
     book: new LoanBook(holder),
-    forward: () => Promise.resolve(undefined),
+    forward,
     onExchange: () => undefined,
   });
 }
