--- a/packages/core/src/runtime/prepaid/prepaidBudgets.ts
+++ b/packages/core/src/runtime/prepaid/prepaidBudgets.ts
@@ -8,7 +8,7 @@
   PrepaidPage,
 } from '../../types/prepaid.js';
 import { sum } from '../../utils/sum.js';
-import { emptyPrepaidAccount, netGrant, unallocatedPrepaid } from './prepaidPage.js';
+import { emptyPrepaidAccount, netGrant, prepaidRate, unallocatedPrepaid } from './prepaidPage.js';
 
 /** Limit of each account, from the current configuration. An account without one is not limited. */
 export type PrepaidLimits = ReadonlyMap<AccountId, Tokens>;
@@ -155,8 +155,10 @@
 
 /**
  * Grants a group its shortfall of each account, or the fair grant if that is larger, so that it
- * does not have to ask again for each request. Also applies the returns and the spending that the
- * group's page shows.
+ * does not have to ask again for each request. Also applies the returns, the spending and the demand that
+ * the group's page shows.
+ *
+ * @param reported the page with the report that asks, for its demand.
  *
  * @example
  * const next = grantPrepaid(budgets, '0', page, prepaidShortfalls(page, report), limits);
@@ -167,6 +169,7 @@
   page: PrepaidPage,
   shortfalls: ReadonlyMap<AccountId, Tokens>,
   limits: PrepaidLimits,
+  reported = page,
 ): PrepaidBudgets {
   const known = mergePage(budgets, group, page);
   const groups = countGroups(known);
@@ -177,7 +180,8 @@
       Math.min(ungranted, Math.max(shortfall, fairGrant(ungranted, groups))),
     );
     const before = grants[account]?.[group] ?? NO_GRANT;
-    const after = { ...before, granted: before.granted + grant };
+    const rate = prepaidRate(reported.accounts[account]);
+    const after = { ...before, granted: before.granted + grant, rate };
     if (grant > 0) grants[account] = { ...grants[account], [group]: after };
   }
   return { ...known, grants };
@@ -237,20 +241,44 @@
 export function prepaidOutlook(
   budgets: PrepaidBudgets,
   limits: PrepaidLimits,
+  group: string,
 ): Map<AccountId, PrepaidOutlook> {
   const groups = countGroups(budgets);
   return new Map(
     [...limits].map(([account, limit]) => {
-      const beyond = ungrantedPrepaid(budgets, account, limit) / groups;
-      return [account, { limitPart: limit / groups, beyond, groups }];
+      const ungranted = ungrantedPrepaid(budgets, account, limit);
+      const others = grantsOfOthers(budgets, account, group);
+      const unspent = sum(others.map((grant) => Math.max(0, netGrant(grant) - grant.gone)));
+      const othersRate = sum(others.map(({ rate = 0 }) => rate));
+      const outlook = {
+        limitPart: limit / groups,
+        beyond: ungranted / groups,
+        elsewhere: ungranted + unspent,
+        othersRate,
+        groups,
+      };
+      return [account, outlook];
     }),
   );
 }
 
-/** Merges the returns and the spending that the page shows, by maximum. */
+/** Grants of an account to groups that have members, other than one group. */
+function grantsOfOthers(
+  { grants, members }: PrepaidBudgets,
+  account: AccountId,
+  group: string,
+): PrepaidGrant[] {
+  const groups = new Set(Object.values(members));
+  return Object.entries(grants[account] ?? {}).flatMap(([name, grant]) => {
+    return name !== group && groups.has(name) ? [grant] : [];
+  });
+}
+
+/** Merges the returns and the spending that the page shows, by maximum, and its demand. */
 function mergePage(budgets: PrepaidBudgets, group: string, page: PrepaidPage): PrepaidBudgets {
   const grants = { ...budgets.grants };
-  for (const [name, { returned, spent, inDoubt }] of Object.entries(page.accounts)) {
+  for (const [name, account] of Object.entries(page.accounts)) {
+    const { returned, spent, inDoubt } = account;
     const before = grants[name]?.[group];
     // Without a grant to the group, its page has no tokens of the account.
     if (!before) continue;
@@ -258,6 +286,7 @@
       ...before,
       returned: Math.max(before.returned, returned),
       gone: Math.max(before.gone, spent + inDoubt),
+      rate: prepaidRate(account),
     };
     grants[name] = { ...grants[name], [group]: after };
   }
--- a/packages/core/src/types/prepaid.ts
+++ b/packages/core/src/types/prepaid.ts
@@ -49,6 +49,8 @@
   returned: Tokens;
   /** Spent or in doubt at the group as of its last exchange, so it may be out of date. */
   gone: Tokens;
+  /** Demand at the group in tokens per second as of its last exchange; absent if it wrote none. */
+  rate?: number | undefined;
 }
 
 /**
@@ -69,6 +71,10 @@
   limitPart: Tokens;
   /** Tokens that no group holds, divided by the number of groups. */
   beyond: Tokens;
+  /** Tokens that no group holds, and those of other groups that are neither spent nor in doubt as far as known. */
+  elsewhere: Tokens;
+  /** Demand at other groups in tokens per second, as of their last exchanges. */
+  othersRate: number;
   /** Number of groups that share the account. */
   groups: number;
 }
--- a/packages/gateway/src/node/prepaidGrants.ts
+++ b/packages/gateway/src/node/prepaidGrants.ts
@@ -6,6 +6,7 @@
   PrepaidLimits,
   PrepaidOutlook,
   PrepaidPage,
+  PrepaidReport,
   Tokens,
 } from '@flamingocourse/core';
 import type { CallOptions, Collection, PlatformError as StoreError } from '@flamingocourse/store';
@@ -14,13 +15,16 @@
 import type { ChangeOutcome } from './storedObject.js';
 import { setTimeout as delay } from 'node:timers/promises';
 import {
+  applyReport,
   createPrepaidBudgets,
   grantPrepaid,
   hasReturns,
   joinGroup,
   leaveGroup,
   maxRemainingPrepaid,
+  membersOf,
   prepaidOutlook,
+  prepaidShortfalls,
   sum,
   ungrantedPrepaid,
   wantedGrants,
@@ -84,9 +88,10 @@
     return Math.max(1, Object.keys(this.known.members).length);
   }
 
-  /** Number of groups that have members; at least 1. */
-  get groups(): number {
-    return Math.max(1, new Set(Object.values(this.known.members)).size);
+  /** Number of instances in other groups. */
+  get instancesElsewhere(): number {
+    const { members } = this.known;
+    return Object.keys(members).length - membersOf(this.known, this.#group).length;
   }
 
   /** Returns the number of conflicts since the last call, for the log, and resets it. */
@@ -96,7 +101,7 @@
 
   /** Inputs for sizing a report, as far as the group's page does not contain them. */
   outlook(limits: PrepaidLimits): Map<AccountId, PrepaidOutlook> {
-    return prepaidOutlook(this.known, limits);
+    return prepaidOutlook(this.known, limits, this.#group);
   }
 
   /** Tokens of an account that no group holds, according to the last read. */
@@ -144,16 +149,20 @@
     return Result.ok();
   }
 
-  /** Requests grants for the group's shortfall, for accounts that may have tokens left. */
+  /** Requests grants for what a report asks for and the page lacks, of accounts that may have tokens left. */
   async ask(
     page: PrepaidPage,
-    shortfalls: ReadonlyMap<AccountId, Tokens>,
+    report: PrepaidReport,
     limits: PrepaidLimits,
   ): Promise<Result<ChangeOutcome, StoreError>> {
+    const shortfalls = prepaidShortfalls(page, report);
+    const reported = applyReport(page, report);
     let wanted = new Map<AccountId, Tokens>();
     const asked = await this.#budgets.change((known) => {
       wanted = wantedGrants(known, this.#group, page, shortfalls, limits);
-      return wanted.size === 0 ? known : grantPrepaid(known, this.#group, page, wanted, limits);
+      return wanted.size === 0
+        ? known
+        : grantPrepaid(known, this.#group, page, wanted, limits, reported);
     }, this.#now());
     if (asked.isOk && asked.value === 'written') {
       this.#context.log.write('prepaid-granted', {
--- a/packages/gateway/src/node/prepaidPages.ts
+++ b/packages/gateway/src/node/prepaidPages.ts
@@ -22,7 +22,6 @@
   dropWriter,
   hasReport,
   isFenced,
-  prepaidShortfalls,
   reportersBetween,
   membersOf,
   nextGroup,
@@ -107,9 +106,9 @@
     return this.#grants.instances;
   }
 
-  /** Number of groups that have members; at least 1. */
-  get groups(): number {
-    return this.#grants.groups;
+  /** Number of instances in other groups. */
+  get instancesElsewhere(): number {
+    return this.#grants.instancesElsewhere;
   }
 
   /** Returns the number of conflicts since the last call, for the log, and resets it. */
@@ -172,7 +171,7 @@
     const seen = read.value;
     if (isFenced(seen, report)) return Result.ok('fenced');
     if (!hasReport(seen, report)) {
-      const asked = await this.#grants.ask(seen, prepaidShortfalls(seen, report), limits);
+      const asked = await this.#grants.ask(seen, report, limits);
       if (asked.isErr) return Result.err(asked.error);
       if (asked.value === 'busy') this.#logBusy('grants');
     }
@@ -194,7 +193,7 @@
     const seen = own?.page.value;
     if (!own || !seen) return Result.ok('busy');
     if (canApplyForwarded(seen, forwarded)) {
-      const asked = await this.#grants.ask(seen, prepaidShortfalls(seen, report), limits);
+      const asked = await this.#grants.ask(seen, report, limits);
       if (asked.isErr) return Result.err(asked.error);
     }
     const written = await own.page.change((page) => {
--- a/packages/gateway/src/node/storeTokens.ts
+++ b/packages/gateway/src/node/storeTokens.ts
@@ -197,8 +197,13 @@
   get outlook(): PrepaidView {
     const limits = this.#options.limits() ?? new Map<AccountId, Tokens>();
     const page = this.#pages.page ?? { accounts: {}, writers: {} };
-    const instances = Math.ceil(this.#options.fleetSize() / this.#pages.groups);
-    const view = viewOfPage(page, this.#pages.outlook(limits), this.#holder, instances);
+    const view = viewOfPage(
+      page,
+      this.#pages.outlook(limits),
+      this.#holder,
+      this.#options.fleetSize(),
+      this.#pages.instancesElsewhere,
+    );
     if (this.#phase !== 'retiring') return view;
     const nothing = [...view.accounts.keys()].map(
       (account): [AccountId, typeof EMPTY_ACCOUNT_VIEW] => {
--- a/packages/gateway/src/utils/prepaidSchemas.ts
+++ b/packages/gateway/src/utils/prepaidSchemas.ts
@@ -23,6 +23,9 @@
   members: z.record(z.string(), z.string()),
   grants: z.record(
     z.string(),
-    z.record(z.string(), z.object({ granted: tokens, returned: tokens, gone: tokens })),
+    z.record(
+      z.string(),
+      z.object({ granted: tokens, returned: tokens, gone: tokens, rate: z.number().optional() }),
+    ),
   ),
 });
--- a/packages/lab/src/runtime/prepaidExperiment/runPrepaidExperiment.ts
+++ b/packages/lab/src/runtime/prepaidExperiment/runPrepaidExperiment.ts
@@ -155,7 +155,7 @@
 
   #exchange(instance: string, now: number): void {
     const { limits } = this.#load;
-    const outlook = prepaidOutlook(this.#budgets, limits);
+    const outlook = prepaidOutlook(this.#budgets, limits, GROUP);
     const holder = this.#holder(instance);
     const report = holder.beginReport(this.#page, outlook, now * 1_000);
     if (!report) return;
@@ -166,7 +166,10 @@
       this.#budgets = grantPrepaid(this.#budgets, GROUP, this.#page, grants, limits);
     }
     const granted = takeGrants(this.#page, this.#budgets, GROUP);
-    this.#page = returnSurplus(applyReport(granted, report), prepaidOutlook(this.#budgets, limits));
+    this.#page = returnSurplus(
+      applyReport(granted, report),
+      prepaidOutlook(this.#budgets, limits, GROUP),
+    );
     holder.confirm(this.#page);
   }
 
--- a/test/gateway/fleet/prepaidFleet.ts
+++ b/test/gateway/fleet/prepaidFleet.ts
@@ -117,11 +117,14 @@
   readonly #instances: Instance[] = [];
   readonly #accounts: { name: AccountId; weight: number }[];
   #callers: Caller[] = [];
+  /** Number of the instance at which all requests of the first account may arrive. */
+  #busyInstance: number;
   #nextRequestAt = Infinity;
 
   private constructor(t: TestContext, shape: FleetShape) {
     this.#t = t;
     this.#shape = shape;
+    this.#busyInstance = shape.busyInstance ?? 0;
     this.#random = createRandom(shape.seed);
     this.#load = new StoreLoad(this.clock, WRITES_PER_SECOND);
     this.#accounts = Array.from({ length: shape.accounts }, (_, n) => {
@@ -188,6 +191,19 @@
     return this.#find(name).log.events.filter(({ event }) => event === 'prepaid-reported').length;
   }
 
+  /** Instances that spend from the budgets of a group. */
+  membersOf(group: string): string[] {
+    return this.#instances.flatMap(({ name, log }) => {
+      const joined = log.events.findLast(({ event }) => event === 'prepaid-group-joined');
+      return joined?.fields.group === group ? [name] : [];
+    });
+  }
+
+  /** From now on, requests of the first account that arrive at one instance arrive at this one. */
+  setBusyInstance(name: string): void {
+    this.#busyInstance = this.#instances.findIndex((instance) => instance.name === name);
+  }
+
   tally(account: AccountId): AccountTally {
     const tally = this.tallies.get(account);
     if (!tally) throw new RangeError(`no account ${account}`);
@@ -270,7 +286,7 @@
       return;
     }
     const [instance, account] = this.#random.chance(this.#shape.atOneInstance ?? 0)
-      ? [this.#instances[this.#shape.busyInstance ?? 0], this.#accounts[0]]
+      ? [this.#instances[this.#busyInstance], this.#accounts[0]]
       : [this.#random.pickWeighted(this.#instances), this.#random.pickWeighted(this.#accounts)];
     if (instance?.running && account) void this.#ask(instance, account.name, most);
   }
--- a/test/gateway/prepaidFleet.test.ts
+++ b/test/gateway/prepaidFleet.test.ts
@@ -14,6 +14,18 @@
   atOneInstance: 0.14,
   seed: 27,
 };
+/** Two lenders in each data centre, more than one group takes. */
+const TWO_GROUPS = {
+  dataCentres: 6,
+  instancesPerDataCentre: 3,
+  accounts: 24,
+  requestsPerSecond: 150,
+  budgetSeconds: 30,
+};
+/** Milliseconds of a partition that instances should bridge. */
+const BRIDGED_MS = 7_000;
+/** Fraction of requests that may be refused at an isolated instance that holds what it needs. */
+const MAX_REFUSED_ALONE = 0.1;
 /** Additional latency to the store, in milliseconds, of the instance with these requests. */
 const EXTRA_LATENCY_MS = 60;
 /** Milliseconds after a partition until calls that were made during it have timed out and are made again. */
@@ -102,6 +114,29 @@
   }
 });
 
+// Guards against refusing the requests of an account that is hardly spent: they arrive at an instance of a group with
+// few members, which sized its tokens by those of its own group.
+describe('an instance of a second group that gets most requests of an account serves them while isolated', () => {
+  for (const atOneInstance of [0.3, 0.6]) {
+    for (const seed of [5, 27]) {
+      test(`${String(atOneInstance)} of all requests, seed ${String(seed)}`, async (t) => {
+        const fleet = await PrepaidFleet.start(t, { ...TWO_GROUPS, atOneInstance, seed });
+        await fleet.advance(6_000);
+        const [busy = ''] = fleet.membersOf('1');
+        fleet.setBusyInstance(busy);
+        await fleet.serve(8_000);
+        fleet.setIsolated(busy, true);
+        const before = { ...fleet.tally('club-0') };
+        await fleet.serve(BRIDGED_MS);
+        const { asked, refused, committed, limit } = fleet.tally('club-0');
+        assert.ok(committed < 0.6 * limit, 'much of the budget is left');
+        const part = (refused - before.refused) / (asked - before.asked);
+        assert.ok(part <= MAX_REFUSED_ALONE, `${part.toFixed(3)} of its requests were refused`);
+      });
+    }
+  }
+});
+
 // Guards against taking a store that throttles for a second as unreachable. Most instances did, and refused
 // all requests beyond the tokens that they held.
 test('a store that throttles is not taken for unreachable', async (t) => {
--- a/test/prepaid/prepaidBudgets.test.ts
+++ b/test/prepaid/prepaidBudgets.test.ts
@@ -201,14 +201,36 @@
   assert.equal(maxRemainingPrepaid(granted, 'shop', 1_000), 1_000);
 });
 
-test('prepaidOutlook divides the limit and the ungranted tokens by the number of groups', () => {
-  const outlook = prepaidOutlook(grant(budgetsOf('a', 'b', 'c'), '0', 400), limits);
-  assert.deepEqual(outlook.get('shop'), { limitPart: 500, beyond: 300, groups: 2 });
+// Guards against an instance that holds too few tokens, because it knows only those and the demand of its own group.
+describe('prepaidOutlook', () => {
+  const granted = grant(budgetsOf('a', 'b', 'c'), '0', 400);
+  const shares = { a: { held: 50, rate: 30 } };
+  const spent = pageWith({ granted: 400, spent: 100, inDoubt: 20, shares });
+  const budgets = grantPrepaid(granted, '0', spent, new Map(), limits);
+  const cases = [
+    { name: 'a group that was granted nothing', group: '1', elsewhere: 880, othersRate: 30 },
+    { name: 'the group that was granted something', group: '0', elsewhere: 600, othersRate: 0 },
+  ];
+  for (const { name, group, elsewhere, othersRate } of cases) {
+    test(`shows the tokens and the demand elsewhere to ${name}`, () => {
+      const known = { limitPart: 500, beyond: 300, groups: 2 };
+      const outlook = prepaidOutlook(budgets, limits, group).get('shop');
+      assert.deepEqual(outlook, { ...known, elsewhere, othersRate });
+    });
+  }
+
+  test('leaves out groups without members', () => {
+    const left = leaveGroup(budgets, ['a', 'b']);
+    const { elsewhere, othersRate } = prepaidOutlook(left, limits, '1').get('shop') ?? {};
+    assert.deepEqual({ elsewhere, othersRate }, { elsewhere: 600, othersRate: 0 });
+  });
 });
 
 // Guards against callers refused while budget is unused that the first instances were granted and could not return.
 describe('returnSurplus', () => {
-  const outlook = new Map([['shop', { limitPart: 500, beyond: 0, groups: 2 }]]);
+  const outlook = new Map([
+    ['shop', { limitPart: 500, beyond: 0, elsewhere: 0, othersRate: 0, groups: 2 }],
+  ]);
 
   test('returns tokens that another group can then be granted', () => {
     const granted = grant(budgetsOf('a', 'b', 'c'), '0', 1_000);
@@ -234,7 +256,8 @@
   ];
   for (const { name, change } of kept) {
     test(`returns nothing ${name}`, () => {
-      const shop = { limitPart: 500, beyond: 0, groups: 2, ...change };
+      const known = { limitPart: 500, beyond: 0, elsewhere: 0, othersRate: 0, groups: 2 };
+      const shop = { ...known, ...change };
       const page = pageWith({ granted: 1_000, spent: 200 });
       assert.deepEqual(returnSurplus(page, new Map([['shop', shop]])), page);
     });
--- a/test/prepaid/prepaidHolder.test.ts
+++ b/test/prepaid/prepaidHolder.test.ts
@@ -13,7 +13,8 @@
 
 const MAX_REPORT_INTERVAL_MS = 120_000;
 
-const outlook = new Map([['shop', { limitPart: 50_000, beyond: 0, groups: 1 }]]);
+const known = { limitPart: 50_000, beyond: 0, elsewhere: 0, othersRate: 0, groups: 1 };
+const outlook = new Map([['shop', known]]);
 
 function createHolder(callerAffinity?: CallerAffinity): PrepaidHolder {
   const sizing = new PrepaidSizing();
--- a/test/prepaid/prepaidWorld.test.ts
+++ b/test/prepaid/prepaidWorld.test.ts
@@ -211,7 +211,11 @@
     const budgets = this.#seen[at]?.value;
     if (!page || !budgets) return;
     const without = dropWriter(page.value, INSTANCES[at] ?? '');
-    page.write(page.version, returnSurplus(without, prepaidOutlook(budgets, this.limits)), result);
+    page.write(
+      page.version,
+      returnSurplus(without, prepaidOutlook(budgets, this.limits, groupOf(at))),
+      result,
+    );
   }
 
   #report(at: number, result: WriteResult, last = false): void {
@@ -220,7 +224,7 @@
     const budgets = this.#seen[at]?.value;
     if (!holder || !page || !budgets) return;
     if (holder.isForgotten(page.value)) holder.startNewIncarnation();
-    const outlook = prepaidOutlook(budgets, this.limits);
+    const outlook = prepaidOutlook(budgets, this.limits, groupOf(at));
     const report = holder.beginReport(page.value, outlook, this.#now, last);
     if (!report) return;
     if (hasReport(page.value, report)) holder.confirm(page.value);
@@ -235,7 +239,7 @@
       this.#grant(at, shortfall, result);
     const budgets = this.#seen[at]?.value ?? seen.value;
     const applied = applyReport(takeGrants(page.value, budgets, groupOf(at)), report);
-    const next = returnSurplus(applied, prepaidOutlook(budgets, this.limits));
+    const next = returnSurplus(applied, prepaidOutlook(budgets, this.limits, groupOf(at)));
     if (page.write(page.version, next, result)) holder.confirm(next);
   }
 
