--- a/packages/core/src/runtime/streams/streamHolders.ts
+++ b/packages/core/src/runtime/streams/streamHolders.ts
@@ -5,6 +5,9 @@
 import type { StreamKey } from '../../types/stream.js';
 import { hash32, rendezvousRank } from '../../utils/hash.js';
 
+/** Instances of a single data centre that have to answer: two that are cut off together have one other each. */
+const MIN_REACHED = 2;
+
 interface Ranked {
   instance: FleetInstance;
   rank: number;
@@ -61,6 +64,43 @@
     return chosen.map(({ instance }) => instance);
   }
 
+  /**
+   * Whether the instances that answered show that this one is not cut off, alone or with others: one of each
+   * other data centre, or two of the own one if there is no other.
+   *
+   * @param answered names of instances.
+   */
+  areReached(answered: ReadonlySet<string>): boolean {
+    const hasAnswered = ({ name }: FleetInstance): boolean => answered.has(name);
+    if (this.#far.size > 0) {
+      return [...this.#far.values()].every((instances) => instances.some(hasAnswered));
+    }
+    const near = this.#near.filter(hasAnswered).length;
+    return near > 0 && near >= Math.min(MIN_REACHED, this.#near.length);
+  }
+
+  /**
+   * Instances to ask for a stream after others have not answered: of each other data centre without an answer
+   * the preferred one that was not asked, and the remaining ones of a single data centre.
+   *
+   * @param asked names of instances, as well as `answered`.
+   */
+  toAskNext(
+    key: StreamKey,
+    asked: ReadonlySet<string>,
+    answered: ReadonlySet<string>,
+  ): FleetInstance[] {
+    const isOpen = ({ instance }: Ranked): boolean => !asked.has(instance.name);
+    if (this.#far.size === 0) {
+      const near = this.#ranked(this.#near, key).filter(isOpen);
+      return near.slice(0, MIN_REACHED).map(({ instance }) => instance);
+    }
+    return [...this.#far.values()].flatMap((instances) => {
+      if (instances.some(({ name }) => answered.has(name))) return [];
+      return this.#ranked(instances, key).find(isOpen)?.instance ?? [];
+    });
+  }
+
   /** The first instance of each other data centre. */
   #farFirst(key: StreamKey): Ranked[] {
     const keyHash = hash32(key);
--- a/packages/gateway/src/node/softwareRecords.ts
+++ b/packages/gateway/src/node/softwareRecords.ts
@@ -6,7 +6,7 @@
 import type { DirectoryServer } from './serverDirectory.js';
 import { setTimeout as delay } from 'node:timers/promises';
 import { rendezvousOrder } from '@flamingocourse/core';
-import { Service } from '@flamingocourse/kernel';
+import { Service, SharedReads } from '@flamingocourse/kernel';
 import { ConfigurationWatch } from './configurationWatch.js';
 import { InstanceDirectory } from './instanceDirectory.js';
 import { ServerDirectory } from './serverDirectory.js';
@@ -18,7 +18,7 @@
 const SPREAD_MS = 1;
 /** Milliseconds between two looks for versions to remove. */
 const RETIRE_CHECK_MS = 1_000;
-/** Maximum milliseconds for which a request waits for a version to be recorded. */
+/** Maximum milliseconds for which a request waits for a record to be written or read. */
 const MAX_WAIT_MS = 250;
 
 /**
@@ -37,6 +37,7 @@
   /** Attempts under way. */
   readonly #attempts = new Map<ServiceName, Promise<boolean>>();
   readonly #running = new Set<ServiceName>();
+  readonly #reads = new Map<ServiceName, SharedReads<boolean>>();
   #configuration: ConfigurationWatch | undefined;
   #instances: InstanceDirectory | undefined;
   #directory: ServerDirectory | undefined;
@@ -81,6 +82,15 @@
     await Promise.race([Promise.all(attempts), timeout]);
   }
 
+  /**
+   * Reads the record of a service anew, so that it shows all versions at which streams may have begun before
+   * this call. Returns whether the store answered; does not wait for long.
+   */
+  async refresh(service: ServiceName): Promise<boolean> {
+    const timeout = delay(MAX_WAIT_MS, false, { ref: false });
+    return Promise.race([this.#readsOf(service).read(), timeout]);
+  }
+
   #applyList(servers: readonly DirectoryServer[]): void {
     const { clock, software } = this.#context;
     const { recorded, seen } = software;
@@ -151,6 +161,14 @@
     }
   }
 
+  #readsOf(service: ServiceName): SharedReads<boolean> {
+    const known = this.#reads.get(service);
+    if (known) return known;
+    const reads = new SharedReads(async () => (await this.#recordOf(service).refresh()).isOk);
+    this.#reads.set(service, reads);
+    return reads;
+  }
+
   /** Number of instances that remove versions of a service before this one. */
   #turnFor(service: ServiceName): number {
     const { instance } = this.#context.settings;
--- a/packages/gateway/src/node/storedSoftwareRecord.ts
+++ b/packages/gateway/src/node/storedSoftwareRecord.ts
@@ -77,6 +77,14 @@
     return Result.ok('saved');
   }
 
+  /** Reads the record again, and notes the versions that it holds and the list does not show. */
+  async refresh(): Promise<Result<'read', string>> {
+    const read = await this.#object.read(this.#now());
+    if (read.isErr) return Result.err(read.error.message);
+    this.updateMissed();
+    return Result.ok('read');
+  }
+
   /** Notes which recorded versions the list does not show, from now on or no longer. */
   updateMissed(): void {
     const now = this.#now();
--- a/packages/gateway/src/node/streamOrigins.ts
+++ b/packages/gateway/src/node/streamOrigins.ts
@@ -31,18 +31,18 @@
 import { InstanceDirectory } from './instanceDirectory.js';
 import { ServerDirectory } from './serverDirectory.js';
 import { SoftwareRecords } from './softwareRecords.js';
+import type { StreamFinding } from './streamInquiry.js';
+import { StreamInquiry } from './streamInquiry.js';
 import { StreamRecordSender } from './streamRecordSender.js';
 
 /** Instances that get the record of a stream. */
 const COPIES = 2;
-/** Instances of this data centre, and other data centres, that are asked for a stream. */
-const ASKED_NEAR = 2;
-const ASKED_FAR = 3;
 /** Maximum milliseconds for which a stopping instance waits for answers. */
 const FLUSH_MS = 150;
 /** Milliseconds for which a caller waits that does not say how long. */
 const DEFAULT_WAIT_MS = 30_000;
 
+const NOBODY_KNOWS: StreamKnowledge = { type: 'unknown' };
 const ANYWHERE: StreamStart = { software: ANY_SOFTWARE };
 const BEGINS: StreamStart = { software: { type: 'begins' } };
 
@@ -120,14 +120,38 @@
     if (!isStream(route.repetition) || !takesUp) return Result.ok(startOn(route));
     const key = resumes === undefined ? undefined : streamKey(account, resumes);
     const own = this.#find(key);
-    if (own.type !== 'unknown' || key === undefined) {
-      return toStart(question, own, { source: own.type === 'unknown' ? 'nobody' : 'own' });
-    }
+    if (own.type !== 'unknown') return toStart(question, own, { source: 'own' });
+    return this.#resolveElsewhere(question, key);
+  }
+
+  /** Decides by what other instances and the store know now. */
+  async #resolveElsewhere(
+    question: StreamQuestion,
+    key: StreamKey | undefined,
+  ): Promise<Result<StreamStart, Refusal>> {
     const askedAt = this.#now();
-    const found = await this.#ask(key, servicesOf(route));
-    const askedMs = Math.round(this.#now() - askedAt);
-    const source = found.type === 'unknown' ? 'nobody' : 'peer';
-    return toStart(question, found, { source, askedMs });
+    const finding = await this.#findElsewhere(question, key);
+    const source = finding.type === 'known' || finding.type === 'ambiguous' ? 'peer' : 'nobody';
+    return toStart(question, finding, { source, askedMs: Math.round(this.#now() - askedAt) });
+  }
+
+  /**
+   * Asks the instances that may know a stream. If none does, the stream can have begun only at versions
+   * that the store records now, or that a fleet within reach has seen. What this instance last read of them
+   * proves nothing, because it may be cut off, alone or with the instances that answer it.
+   */
+  async #findElsewhere(
+    { head, route }: StreamQuestion,
+    key: StreamKey | undefined,
+  ): Promise<StreamFinding> {
+    const services = servicesOf(route);
+    const inquiry = key === undefined ? undefined : this.#inquiry({ key, services });
+    const only = head.resumeAfter === undefined ? undefined : this.#onlyService(route);
+    const read = only === undefined ? undefined : this.#software?.refresh(only);
+    const knowledge = (await inquiry?.ask()) ?? NOBODY_KNOWS;
+    if (knowledge.type !== 'unknown' || only === undefined) return knowledge;
+    if (await read) return knowledge;
+    return (await inquiry?.askOthers()) ?? { type: 'unreached' };
   }
 
   /** Keeps records of another instance. */
@@ -147,33 +171,16 @@
     return { knowledge: this.#records.find(key, now), software: Object.fromEntries(software) };
   }
 
-  /** Asks all holders at once; the first that knows the stream decides, the others only if none does. */
-  async #ask(key: StreamKey, services: ServiceName[]): Promise<StreamKnowledge> {
-    const peers = this.#holders.toAsk(key, ASKED_NEAR, ASKED_FAR);
-    const answers = peers.map((peer) => this.#askPeer(peer, key, services));
-    const none: StreamKnowledge = { type: 'unknown' };
-    const known = answers.map(async (answer) => {
-      const knowledge = await answer;
-      if (knowledge.type === 'unknown') throw new UnknownStream();
-      return knowledge;
-    });
-    return Promise.any(known).catch(() => none);
-  }
-
-  async #askPeer(
-    peer: FleetInstance,
-    key: StreamKey,
-    services: ServiceName[],
-  ): Promise<StreamKnowledge> {
-    const answer = await this.#calls.find(peer, key, services);
-    // without an answer the stream stays unknown, which the log line of the request tells.
-    if (answer.isErr) return { type: 'unknown' };
-    const { knowledge, software } = answer.value;
-    const now = this.#now();
-    for (const [service, versions] of Object.entries(software)) {
-      for (const version of versions) this.#context.software.seen.observe(service, version, now);
-    }
-    return knowledge;
+  #inquiry(stream: { key: StreamKey; services: ServiceName[] }): StreamInquiry {
+    return new StreamInquiry(this.#context, this.#calls, this.#holders, stream);
+  }
+
+  /** The service at which an unknown stream may go on; undefined if it may have begun at two versions. */
+  #onlyService(route: Route): ServiceName | undefined {
+    const [service, ...others] = servicesOf(route);
+    if (route.repetition !== 'resumable-stream' || service === undefined) return undefined;
+    const isMixed = this.#context.software.seen.versionsOf(service, this.#now()).length > 1;
+    return isMixed || others.length > 0 ? undefined : service;
   }
 
   #find(key: StreamKey | undefined): StreamKnowledge {
@@ -208,9 +215,6 @@
   }
 }
 
-/** An instance does not know a stream; ends only its own question. */
-class UnknownStream extends Error {}
-
 /** Services that a route leads to. */
 function servicesOf({ targets }: Route): ServiceName[] {
   const used = targets.filter(({ weight }) => weight > 0).map(({ service }) => service);
@@ -224,18 +228,20 @@
 
 function toStart(
   { head, route }: StreamQuestion,
-  knowledge: StreamKnowledge,
+  finding: StreamFinding,
   from: Pick<StreamStart, 'source' | 'askedMs'>,
 ): Result<StreamStart, Refusal> {
   const services = servicesOf(route);
-  switch (knowledge.type) {
+  switch (finding.type) {
     case 'known': {
-      const { service, version } = knowledge.origin;
+      const { service, version } = finding.origin;
       if (!services.includes(service)) return Result.err(cannotResume('its route has changed'));
       return Result.ok({ software: { type: 'version', version }, service, ...from });
     }
     case 'ambiguous':
       return Result.err(cannotResume('its id was used for several streams'));
+    case 'unreached':
+      return Result.err(cannotResume('instances that may know it do not answer'));
     case 'unknown':
       // a caller without an event may begin anywhere.
       if (head.resumeAfter === undefined) return Result.ok({ ...startOn(route), ...from });
--- a/packages/kernel/src/index.ts
+++ b/packages/kernel/src/index.ts
@@ -10,5 +10,6 @@
 export * from './runtime/kernel.js';
 export * from './runtime/listeners.js';
 export * from './runtime/metricCatalogue.js';
+export * from './runtime/sharedReads.js';
 export * from './utils/layerError.js';
 export * from './utils/parseJsonText.js';
--- a/test/platform/fakeStore.ts
+++ b/test/platform/fakeStore.ts
@@ -41,6 +41,8 @@
   /** Object kind of each call so far. */
   readonly calls: string[] = [];
   url = '';
+  /** What readers at `url` see. */
+  view: StoreView = asStored;
   /** Called after a request that changes an object was answered. */
   afterChange: (kind: string) => void = () => undefined;
   #revision = 10;
@@ -73,7 +75,7 @@
 
   /** Listens until the test ends. */
   async listen(t: Pick<TestContext, 'after'>): Promise<this> {
-    this.url = await this.listenView(t, asStored);
+    this.url = await this.listenView(t, (kind, spec) => this.view(kind, spec));
     return this;
   }
 
--- a/test/streams/streamHolders.test.ts
+++ b/test/streams/streamHolders.test.ts
@@ -103,3 +103,62 @@
     }
   });
 });
+
+// Guards against a part of the fleet that is cut off together and takes itself for the whole.
+describe('the fleet is reached', () => {
+  const cases: { name: string; sizes: number[]; answered: string[]; reached: boolean }[] = [
+    { name: 'if nobody answers', sizes: [2, 2], answered: [], reached: false },
+    {
+      name: 'if only the own data centre answers',
+      sizes: [3, 2],
+      answered: ['0-1', '0-2'],
+      reached: false,
+    },
+    {
+      name: 'if one data centre is missing',
+      sizes: [2, 2, 2],
+      answered: ['0-1', '1-0'],
+      reached: false,
+    },
+    {
+      name: 'if each other data centre answers',
+      sizes: [2, 2, 2],
+      answered: ['1-1', '2-0'],
+      reached: true,
+    },
+    {
+      name: 'if one of many in a single data centre answers',
+      sizes: [4],
+      answered: ['0-1'],
+      reached: false,
+    },
+    {
+      name: 'if two of many in a single data centre answer',
+      sizes: [4],
+      answered: ['0-1', '0-3'],
+      reached: true,
+    },
+    { name: 'if the only other instance answers', sizes: [2], answered: ['0-1'], reached: true },
+    { name: 'if there is no other instance', sizes: [1], answered: [], reached: false },
+  ];
+  for (const { name, sizes, answered, reached } of cases) {
+    test(`${name}: ${String(reached)}`, () => {
+      const fleet = fleetOf(sizes);
+      const holders = new StreamHolders(fleet, { name: 'edge-0-0', dataCentre: 'dc-0' });
+      const names = new Set(answered.map((suffix) => `edge-${suffix}`));
+      assert.equal(holders.areReached(names), reached);
+    });
+  }
+
+  test('by others in place of those that do not answer', () => {
+    const holders = new StreamHolders(fleetOf([2, 3, 3]), { name: 'edge-0-0', dataCentre: 'dc-0' });
+    const asked = holders.toAsk('stream', NEAR, FAR).map(({ name }) => name);
+    const answered = asked.filter((name) => name.startsWith('edge-1'));
+    const next = holders.toAskNext('stream', new Set(asked), new Set(answered));
+    assert.deepEqual(
+      next.map(({ dataCentre }) => dataCentre),
+      ['dc-2'],
+    );
+    assert.ok(!asked.includes(next[0]?.name ?? ''));
+  });
+});
