--- a/packages/gateway/src/node/storeTokens.ts
+++ b/packages/gateway/src/node/storeTokens.ts
@@ -21,7 +21,12 @@
 import { heldPrepaid, sum, viewOfPage } from '@flamingocourse/core';
 import { aborted } from '@flamingocourse/kernel';
 import { Result } from 'true-myth';
-import { shortageTrustMs, reportPeriodMs, withReportJitter } from '../runtime/reportPeriod.js';
+import {
+  reportPeriodMs,
+  shortageTrustMs,
+  unmetTrustMs,
+  withReportJitter,
+} from '../runtime/reportPeriod.js';
 import { TokenSource } from '../types/tokenSource.js';
 import { PrepaidPages } from './prepaidPages.js';
 import { StoreReachability } from './storeReachability.js';
@@ -35,11 +40,6 @@
 const THROTTLED_MS = 500;
 /** Milliseconds between attempts while the store is unreachable. Short, because tokens run out meanwhile. */
 const UNREACHABLE_RETRY_MS = 200;
-/**
- * Milliseconds after its last report for which a borrower's unmet requests count. It repeats them with each
- * report, so this is three of its reports.
- */
-const UNMET_TRUST_MS = 6_000;
 /** Maximum exchanges in which a stopping instance tries to leave, because its time to stop is bounded. */
 const MAX_STOP_ATTEMPTS = 3;
 /** Outcome of one exchange with the store. */
@@ -305,7 +305,8 @@
     // the store is reachable, even if the report fails because of conflicts with other writers.
     this.#reachability.recordAnswer();
     if (this.#holder.isForgotten(opened.value)) this.#renew(opened.value);
-    this.#options.book.dropUnmetOfSilent(UNMET_TRUST_MS, this.#now());
+    const { book, context } = this.#options;
+    book.dropUnmetOfSilent(unmetTrustMs(context.settings.prepaid.reportMs), this.#now());
     const report = this.#holder.buildReport(this.outlook, this.#now(), last);
     if (report) {
       const sent = await this.#pages.send(report, limits);
--- a/packages/gateway/src/runtime/reportPeriod.ts
+++ b/packages/gateway/src/runtime/reportPeriod.ts
@@ -61,3 +61,20 @@
 export function withReportJitter(ms: number, random: () => number): number {
   return ms * (1 - REPORT_JITTER / 2 + REPORT_JITTER * random());
 }
+
+/** Reports of a borrower in which it repeats what it lacks; one or two of them may be lost. */
+const UNMET_REPORTS = 3;
+/** Minimum of that time in milliseconds, as an exchange with a slow lender may take a second. */
+const MIN_UNMET_TRUST_MS = 6_000;
+
+/**
+ * Milliseconds after its last report for which a borrower's unmet requests count.
+ *
+ * @param reportMs milliseconds between two reports of a borrower.
+ *
+ * @example
+ * unmetTrustMs(2_000); // 6000
+ */
+export function unmetTrustMs(reportMs: number): number {
+  return Math.max(MIN_UNMET_TRUST_MS, UNMET_REPORTS * reportMs);
+}
--- a/test/gateway/storeTokens.test.ts
+++ b/test/gateway/storeTokens.test.ts
@@ -2,7 +2,7 @@
 import type { ForwardReport } from '../../packages/gateway/src/node/prepaidPages.js';
 import assert from 'node:assert/strict';
 import { EventEmitter, once } from 'node:events';
-import { test } from 'node:test';
+import { describe, test } from 'node:test';
 import { LoanBook, PrepaidHolder, PrepaidSizing } from '@flamingocourse/core';
 import { ManualClock, MemoryEventLog } from '@flamingocourse/kernel';
 import { MemoryObjectStore } from '@flamingocourse/store';
@@ -79,26 +79,70 @@
   await fetched;
 });
 
-function createTokens(
+// Guards against a lender that forgets between two reports of a borrower what it lacks, where reports are seldom.
+describe('what a silent borrower lacks is asked for', () => {
+  const cases = [
+    { reportMs: 2_000, silentMs: 5_000, kept: true },
+    { reportMs: 2_000, silentMs: 7_000, kept: false },
+    { reportMs: 5_000, silentMs: 7_000, kept: true },
+    { reportMs: 5_000, silentMs: 16_000, kept: false },
+  ];
+  for (const { reportMs, silentMs, kept } of cases) {
+    test(`${String(silentMs)} ms after a report each ${String(reportMs)} ms: ${String(kept)}`, async () => {
+      const store = new MemoryObjectStore();
+      writeBudgets(store);
+      const clock = new ManualClock();
+      const { tokens, book } = createLender(store, { clock, reportMs });
+      tokens.hold();
+      const wants = { spent: 0, keeps: 0, wants: 2 * LIMIT, rate: 0 };
+      const report = { instance: 'edge-3', incarnation: 'edge-3-1', seq: 1, last: false };
+      book.applyReport({ ...report, entries: { shop: wants } }, {}, clock.now());
+      clock.advance(silentMs);
+      await tokens.fetch('shop', 1_000, new AbortController().signal);
+      assert.equal(book.unmet > 0, kept);
+      await tokens.stop();
+    });
+  }
+});
+
+function createTokens(store: MemoryObjectStore, forward?: ForwardReport): StoreTokens {
+  return createLender(store, { forward }).tokens;
+}
+
+interface LenderOptions {
+  clock?: ManualClock;
+  reportMs?: number;
+  forward?: ForwardReport | undefined;
+}
+
+function createLender(
   store: MemoryObjectStore,
-  forward: ForwardReport = () => Promise.resolve(undefined),
-): StoreTokens {
-  const context = testContext(new ManualClock(), new MemoryEventLog(), store);
+  { clock = new ManualClock(), reportMs, forward }: LenderOptions,
+): { tokens: StoreTokens; book: LoanBook } {
+  const base = testContext(clock, new MemoryEventLog(), store);
+  const { prepaid } = base.settings;
+  const settings = {
+    ...base.settings,
+    prepaid: { ...prepaid, reportMs: reportMs ?? prepaid.reportMs },
+  };
+  const context = { ...base, settings };
   const holder = new PrepaidHolder({
     instance: 'edge-1',
     process: 'edge-1-1',
     sizing: new PrepaidSizing(),
     maxReportIntervalMs: 120_000,
   });
-  return new StoreTokens({
+  const book = new LoanBook(holder);
+  const tokens = new StoreTokens({
     context,
     holder,
     limits: () => new Map([['shop', LIMIT]]),
     fleetSize: () => 20,
-    book: new LoanBook(holder),
-    forward,
+    book,
+    forward: forward ?? (() => Promise.resolve(undefined)),
     onExchange: () => undefined,
   });
+  return { tokens, book };
 }
 
 /** Writes budgets of one account, of which `edge-2` has spent most. */
