--- a/test/mesh/mesh.test.ts
+++ b/test/mesh/mesh.test.ts
@@ -14,6 +14,8 @@
 import { createLink } from '../../packages/lab/src/node/link/index.js';
 
 const self = 'dc-a/ruter-1é/0123456789ab';
+/** Depth at which a recursive parser overflows its stack. */
+const NESTED = 400_000;
 const bill: JournalLine = {
   holder: self,
   seq: 1,
@@ -53,6 +55,28 @@
   return client;
 }
 
+// Guards against a listener that ends with the process, or stops, after one call whose input is nested very deeply.
+for (const where of ['the input', 'a field', 'an unknown field']) {
+  test(`a call is refused and the next one answered if ${where} is nested 400,000 deep`, async (t) => {
+    const { server, target } = await startServer(t);
+    server.handle('keepLines', () => Promise.resolve(Result.ok({ kept: [] })) as never);
+    const deep = '['.repeat(NESTED) + ']'.repeat(NESTED);
+    const inputs: Record<string, string> = {
+      'the input': deep,
+      'a field': `{"lines":${deep}}`,
+      'an unknown field': `{"lines":[],"more":${deep}}`,
+    };
+    const post = async (body: string): Promise<number> => {
+      const headers = { 'content-type': 'application/json' };
+      const res = await fetch(`${target.meshUrl}/keepLines`, { method: 'POST', headers, body });
+      return res.status;
+    };
+    const status = await post(inputs[where] ?? '');
+    assert.ok(status === 400 || status === 412, String(status));
+    assert.equal(await post('{}'), 400);
+  });
+}
+
 test('lines arrive as they were sent', async (t) => {
   const { server, target } = await startServer(t);
   const kept: JournalLine[] = [];
