--- a/test/platform/streamCuts.test.ts
+++ b/test/platform/streamCuts.test.ts
@@ -50,7 +50,7 @@
 // takes peers that do not answer for peers that do not know the stream.
 describe(
   'a stream of a new version, taken up at an instance that is cut off',
-  { concurrency: 4 },
+  { concurrency: 2 },
   () => {
     const cases: { name: string; apart: string[]; mode: CutMode; lost?: Lost; waitMs?: number }[] =
       [
@@ -88,7 +88,7 @@
 );
 
 // Guards against refusing streams that may go on, because an instance that knows little takes everything for unknown.
-describe('a stream goes on while one version serves', { concurrency: 4 }, () => {
+describe('a stream goes on while one version serves', { concurrency: 2 }, () => {
   test('at its own instance, which is cut off', async (t) => {
     const world = await startWorld(t, [OLD]);
     const fleet = await joinFleet(t, world, ['edge-2']);
