--- a/packages/core/src/runtime/prepaid/prepaidSizing.ts
+++ b/packages/core/src/runtime/prepaid/prepaidSizing.ts
@@ -44,11 +44,6 @@
   deviationFactor: number;
   /** Fraction of the allocatable tokens that is split evenly before any demand is known. */
   evenFraction: number;
-  /**
-   * Whether this fraction of the tokens beyond the known demand is split evenly, too, as far as an instance
-   * can use it.
-   */
-  spreadsSurplus: boolean;
   /** Typical requests per instance whose tokens stay unallocated. */
   unallocatedRequests: number;
 }
@@ -57,7 +52,6 @@
   rideThroughSeconds: 9.5,
   deviationFactor: 1.3,
   evenFraction: 0.05,
-  spreadsSurplus: true,
   unallocatedRequests: 2,
 };
 
@@ -113,8 +107,7 @@
 
   /** Returns the number of free tokens that an instance should hold. */
   target(input: PrepaidSizingInput): Tokens {
-    const { evenFraction, rideThroughSeconds, spreadsSurplus, unallocatedRequests } =
-      this.#settings;
+    const { evenFraction, rideThroughSeconds } = this.#settings;
     const { fleetRate, instances, spread = instances, typicalRequest } = input;
     const allocatable = this.#allocatable(input);
     if (fleetRate <= 0) return Math.floor((allocatable * evenFraction) / instances);
@@ -125,12 +118,7 @@
       typicalRequest,
     );
     const all = this.#withSafetyMargin(fleetDemand, spread, typicalRequest);
-    const byDemand = own * Math.min(1, allocatable / all);
-    if (!spreadsSurplus) return Math.floor(byDemand);
-    // callers may move to an instance that has had none of them.
-    const surplus = Math.max(0, allocatable - all);
-    const usable = Math.max(all / instances, unallocatedRequests * typicalRequest);
-    return Math.floor(Math.max(byDemand, Math.min(usable, (surplus * evenFraction) / instances)));
+    return Math.floor(own * Math.min(1, allocatable / all));
   }
 
   /** Adds the safety margin to the demand of one instance. */
--- a/packages/gateway/src/node/prepaidService.ts
+++ b/packages/gateway/src/node/prepaidService.ts
@@ -85,7 +85,6 @@
     const lendingSizing = new PrepaidSizing({
       rideThroughSeconds: LENDING_RESERVE_SECONDS,
       evenFraction: INITIAL_LENDING_SHARE,
-      spreadsSurplus: false,
     });
     const holder = this.#createHolder({ process: incarnation, sizing, lendingSizing });
     const unallocatedSeconds = rideThroughSeconds + LOAN_REPORT_SECONDS;
--- a/test/platform/streamCuts.test.ts
+++ b/test/platform/streamCuts.test.ts
@@ -103,6 +103,8 @@
     const { inTouch, apart } = await joinFleet(t, world, ['edge-2', 'edge-4']);
     const [, begins = world] = inTouch;
     const begun = await beginStreams(begins);
+    // an instance that has had no request of the account holds none of its tokens.
+    await beginStreams(apart[0] ?? world, MIXED_STREAMS, STREAMS);
     await begins.stop();
     await untilKnows(apart[0] ?? world, inTouch.length + apart.length - 1);
     world.store.fault = 'silent';
