--- a/packages/core/src/runtime/prepaid/prepaidBudgets.ts
+++ b/packages/core/src/runtime/prepaid/prepaidBudgets.ts
@@ -244,12 +244,16 @@
   group: string,
 ): Map<AccountId, PrepaidOutlook> {
   const groups = countGroups(budgets);
+  const others = groupsOf(budgets);
+  others.delete(group);
   return new Map(
     [...limits].map(([account, limit]) => {
       const ungranted = ungrantedPrepaid(budgets, account, limit);
-      const others = grantsOfOthers(budgets, account, group);
-      const unspent = sum(others.map((grant) => Math.max(0, netGrant(grant) - grant.gone)));
-      const othersRate = sum(others.map(({ rate = 0 }) => rate));
+      const grants = Object.entries(budgets.grants[account] ?? {}).flatMap(([name, grant]) => {
+        return others.has(name) ? [grant] : [];
+      });
+      const unspent = sum(grants.map((grant) => Math.max(0, netGrant(grant) - grant.gone)));
+      const othersRate = sum(grants.map(({ rate = 0 }) => rate));
       const outlook = {
         limitPart: limit / groups,
         beyond: ungranted / groups,
@@ -262,18 +266,6 @@
   );
 }
 
-/** Grants of an account to groups that have members, other than one group. */
-function grantsOfOthers(
-  { grants, members }: PrepaidBudgets,
-  account: AccountId,
-  group: string,
-): PrepaidGrant[] {
-  const groups = new Set(Object.values(members));
-  return Object.entries(grants[account] ?? {}).flatMap(([name, grant]) => {
-    return name !== group && groups.has(name) ? [grant] : [];
-  });
-}
-
 /** Merges the returns and the spending that the page shows, by maximum, and its demand. */
 function mergePage(budgets: PrepaidBudgets, group: string, page: PrepaidPage): PrepaidBudgets {
   const grants = { ...budgets.grants };
@@ -294,5 +286,10 @@
 }
 
 function countGroups(budgets: PrepaidBudgets): number {
-  return Math.max(1, new Set(Object.values(budgets.members)).size);
+  return Math.max(1, groupsOf(budgets).size);
+}
+
+/** Groups that have members. */
+function groupsOf({ members }: PrepaidBudgets): Set<string> {
+  return new Set(Object.values(members));
 }
--- a/packages/core/src/runtime/streams/streamHolders.ts
+++ b/packages/core/src/runtime/streams/streamHolders.ts
@@ -81,7 +81,7 @@
 
   /**
    * Instances to ask for a stream after others have not answered: of each other data centre without an answer
-   * the preferred one that was not asked, and the remaining ones of a single data centre.
+   * the preferred one that was not asked, or two more of a single data centre.
    *
    * @param asked names of instances, as well as `answered`.
    */
--- a/packages/gateway/src/node/prepaidGrants.ts
+++ b/packages/gateway/src/node/prepaidGrants.ts
@@ -156,13 +156,12 @@
     limits: PrepaidLimits,
   ): Promise<Result<ChangeOutcome, StoreError>> {
     const shortfalls = prepaidShortfalls(page, report);
-    const reported = applyReport(page, report);
     let wanted = new Map<AccountId, Tokens>();
     const asked = await this.#budgets.change((known) => {
       wanted = wantedGrants(known, this.#group, page, shortfalls, limits);
       return wanted.size === 0
         ? known
-        : grantPrepaid(known, this.#group, page, wanted, limits, reported);
+        : grantPrepaid(known, this.#group, page, wanted, limits, applyReport(page, report));
     }, this.#now());
     if (asked.isOk && asked.value === 'written') {
       this.#context.log.write('prepaid-granted', {
--- a/packages/gateway/src/node/softwareRecords.ts
+++ b/packages/gateway/src/node/softwareRecords.ts
@@ -6,7 +6,7 @@
 import type { DirectoryServer } from './serverDirectory.js';
 import { setTimeout as delay } from 'node:timers/promises';
 import { rendezvousOrder } from '@flamingocourse/core';
-import { Service, SharedReads } from '@flamingocourse/kernel';
+import { Service } from '@flamingocourse/kernel';
 import { ConfigurationWatch } from './configurationWatch.js';
 import { InstanceDirectory } from './instanceDirectory.js';
 import { ServerDirectory } from './serverDirectory.js';
@@ -37,7 +37,6 @@
   /** Attempts under way. */
   readonly #attempts = new Map<ServiceName, Promise<boolean>>();
   readonly #running = new Set<ServiceName>();
-  readonly #reads = new Map<ServiceName, SharedReads<boolean>>();
   #configuration: ConfigurationWatch | undefined;
   #instances: InstanceDirectory | undefined;
   #directory: ServerDirectory | undefined;
@@ -88,7 +87,7 @@
    */
   async refresh(service: ServiceName): Promise<boolean> {
     const timeout = delay(MAX_WAIT_MS, false, { ref: false });
-    return Promise.race([this.#readsOf(service).read(), timeout]);
+    return Promise.race([this.#recordOf(service).refresh(), timeout]);
   }
 
   #applyList(servers: readonly DirectoryServer[]): void {
@@ -161,14 +160,6 @@
     }
   }
 
-  #readsOf(service: ServiceName): SharedReads<boolean> {
-    const known = this.#reads.get(service);
-    if (known) return known;
-    const reads = new SharedReads(async () => (await this.#recordOf(service).refresh()).isOk);
-    this.#reads.set(service, reads);
-    return reads;
-  }
-
   /** Number of instances that remove versions of a service before this one. */
   #turnFor(service: ServiceName): number {
     const { instance } = this.#context.settings;
--- a/packages/gateway/src/node/storedSoftwareRecord.ts
+++ b/packages/gateway/src/node/storedSoftwareRecord.ts
@@ -10,6 +10,7 @@
   withServing,
   withoutVersion,
 } from '@flamingocourse/core';
+import { SharedReads } from '@flamingocourse/kernel';
 import { Result } from 'true-myth';
 import { softwareRecordSchema } from '../utils/softwareRecordSchema.js';
 import { StoredObject } from './storedObject.js';
@@ -53,6 +54,7 @@
   readonly #context: GatewayContext;
   readonly #service: ServiceName;
   readonly #object: StoredObject<SoftwareRecord>;
+  readonly #reads = new SharedReads(() => this.#read());
   readonly #missed = new Map<string, MissedVersion>();
 
   constructor(context: GatewayContext, service: ServiceName) {
@@ -65,9 +67,8 @@
   /** Records versions that are listed. Afterwards streams may begin at those that are listed still. */
   async save(listings: readonly SoftwareListing[]): Promise<Result<'saved', string>> {
     const versions = listings.map(({ version }) => version);
-    const read = await this.#object.read(this.#now());
+    const read = await this.#read();
     if (read.isErr) return Result.err(read.error.message);
-    this.updateMissed();
     const changed = await this.#object.change((seen) => withServing(seen, versions), this.#now());
     if (changed.isErr) return Result.err(changed.error.message);
     if (changed.value === 'busy') return Result.err('other instances changed it at the same time');
@@ -77,12 +78,9 @@
     return Result.ok('saved');
   }
 
-  /** Reads the record again, and notes the versions that it holds and the list does not show. */
-  async refresh(): Promise<Result<'read', string>> {
-    const read = await this.#object.read(this.#now());
-    if (read.isErr) return Result.err(read.error.message);
-    this.updateMissed();
-    return Result.ok('read');
+  /** Reads the record anew, in a read that begins after this call. Returns whether the store answered. */
+  async refresh(): Promise<boolean> {
+    return (await this.#reads.read()).isOk;
   }
 
   /** Notes which recorded versions the list does not show, from now on or no longer. */
@@ -110,6 +108,13 @@
     }
   }
 
+  /** Reads the record, and notes the versions that it holds and the list does not show. */
+  async #read(): Promise<Result<SoftwareRecord, PlatformError>> {
+    const read = await this.#object.read(this.#now());
+    if (read.isOk) this.updateMissed();
+    return read;
+  }
+
   async #retireOne(version: string, missed: MissedVersion, listConfirmedAt: number): Promise<void> {
     const { announced } = missed;
     const holds = announced !== undefined && announced.version === this.#object.version;
--- a/packages/gateway/src/node/streamInquiry.ts
+++ b/packages/gateway/src/node/streamInquiry.ts
@@ -13,7 +13,8 @@
 /** Instances of this data centre, and other data centres, that are asked for a stream. */
 const ASKED_NEAR = 2;
 const ASKED_FAR = 3;
-const NOBODY_KNOWS: StreamKnowledge = { type: 'unknown' };
+/** Knowledge of a stream that is known nowhere. */
+export const NOBODY_KNOWS: StreamKnowledge = { type: 'unknown' };
 
 /** What instances know of a stream, or `unreached` if some that may know it could not be asked. */
 export type StreamFinding = StreamKnowledge | { type: 'unreached' };
--- a/packages/gateway/src/node/streamOrigins.ts
+++ b/packages/gateway/src/node/streamOrigins.ts
@@ -21,6 +21,7 @@
 import type { RoutedCall } from '../types/requestRun.js';
 import type { StreamCalls } from '../types/streamCalls.js';
 import type { StreamStart } from '../types/streamStart.js';
+import type { StreamFinding } from './streamInquiry.js';
 import { setTimeout as delay } from 'node:timers/promises';
 import { ANY_SOFTWARE, StreamHolders, StreamRecords } from '@flamingocourse/core';
 import { Service } from '@flamingocourse/kernel';
@@ -31,8 +32,7 @@
 import { InstanceDirectory } from './instanceDirectory.js';
 import { ServerDirectory } from './serverDirectory.js';
 import { SoftwareRecords } from './softwareRecords.js';
-import type { StreamFinding } from './streamInquiry.js';
-import { StreamInquiry } from './streamInquiry.js';
+import { NOBODY_KNOWS, StreamInquiry } from './streamInquiry.js';
 import { StreamRecordSender } from './streamRecordSender.js';
 
 /** Instances that get the record of a stream. */
@@ -42,7 +42,6 @@
 /** Milliseconds for which a caller waits that does not say how long. */
 const DEFAULT_WAIT_MS = 30_000;
 
-const NOBODY_KNOWS: StreamKnowledge = { type: 'unknown' };
 const ANYWHERE: StreamStart = { software: ANY_SOFTWARE };
 const BEGINS: StreamStart = { software: { type: 'begins' } };
 
@@ -184,7 +183,7 @@
   }
 
   #find(key: StreamKey | undefined): StreamKnowledge {
-    return key === undefined ? { type: 'unknown' } : this.#records.find(key, this.#now());
+    return key === undefined ? NOBODY_KNOWS : this.#records.find(key, this.#now());
   }
 
   /** Tells other instances of all streams of a service once a second version of its software is seen. */
