fix(gateway): an answer without a length is whole only if its server outlives its connection

Callers got half an answer as a whole one with status 200 and the server's signature, and streams that ended as complete before their last event, whenever a server's process was killed while it sent an answer with neither a length nor chunks.

Cause: the end of a connection was taken for the end of the answer. Only a reset was recognised as broken off. The kernel of a killed process ends its connections in order (FIN) unless unread bytes lie in them, so the instance saw what it sees at the end of a whole answer. The same holds for a peer that carries the connection and is killed. Class: the end of a transport taken for a statement of its sender.

Now such an answer counts as whole only if another connection on the same path to the same server, one that is open already or else a new one, stays open for 40 ms after its end: a process that was killed closes all of its connections, and its listener refuses new ones. Through a peer, the other connection goes through the same peer. What is not proven is broken off: it is repeated where that is allowed, and answered 502 or cut where it is not.

--- a/packages/gateway/src/node/answerRelay.ts
+++ b/packages/gateway/src/node/answerRelay.ts
@@ -14,6 +14,8 @@
   signal: AbortSignal;
   /** Counts what is held of this and other responses. */
   buffers: AnswerBuffers;
+  /** Returns whether the server itself ended the connection of a response without a length. */
+  isOwnEnd: () => Promise<boolean>;
   /** Called for each chunk of a stream. */
   onChunk: () => void;
   now: () => number;
@@ -25,6 +27,9 @@
   | { type: 'broken'; cause: string }
   | { type: 'aborted' };
 
+/** End of a response without a length whose server, or whose path to it, ended with it. */
+const ENDED_WITH_PROCESS: RelayEnd = { type: 'broken', cause: 'connection ended with its process' };
+
 /** A response that was read completely. */
 export interface WholeAnswer {
   type: 'whole';
@@ -47,13 +52,13 @@
  * Reads a response completely.
  *
  * @example
- * const end = await readAnswer({ open, signal, buffers, now });
+ * const end = await readAnswer({ open, signal, buffers, isOwnEnd, now });
  * if (end.type === 'whole') use(end.body);
  */
 export async function readAnswer({
   buffers,
   ...read
-}: Pick<Relay, 'open' | 'signal' | 'buffers' | 'now'>): Promise<
+}: Pick<Relay, 'open' | 'signal' | 'buffers' | 'isOwnEnd' | 'now'>): Promise<
   Exclude<RelayEnd, { type: 'whole' }> | WholeAnswer
 > {
   const chunks: Buffer[] = [];
@@ -103,7 +108,7 @@
 }
 
 function readBody(
-  { open, signal, now }: Pick<Relay, 'open' | 'signal' | 'now'>,
+  { open, signal, isOwnEnd, now }: Pick<Relay, 'open' | 'signal' | 'isOwnEnd' | 'now'>,
   take: (chunk: Buffer) => boolean,
 ): Promise<RelayEnd> {
   return new Promise((resolve) => {
@@ -121,16 +126,26 @@
       firstByteAt ??= now();
       if (!take(chunk)) finish({ type: 'broken', cause: 'response is too large' });
     });
+    let hasEnded = false;
     open.body.on('end', () => {
       // `end` is also emitted if the connection closed before the declared length.
-      if (open.body.complete && !open.isBroken()) finish({ type: 'whole', firstByteAt });
-      else finish({ type: 'broken', cause: 'response is incomplete' });
+      if (!open.body.complete || open.isBroken()) {
+        finish({ type: 'broken', cause: 'response is incomplete' });
+        return;
+      }
+      hasEnded = true;
+      const whole = { type: 'whole', firstByteAt } as const;
+      if (!open.endsWithConnection) finish(whole);
+      else
+        void isOwnEnd().then((isOwn) => {
+          finish(isOwn ? whole : ENDED_WITH_PROCESS);
+        });
     });
     open.body.on('error', (err) => {
       finish({ type: 'broken', cause: err.message });
     });
     open.body.on('close', () => {
-      finish({ type: 'broken', cause: 'connection closed' });
+      if (!hasEnded) finish({ type: 'broken', cause: 'connection closed' });
     });
     if (signal.aborted) abort();
   });
--- a/packages/gateway/src/node/connectionCheck.ts
+++ b/packages/gateway/src/node/connectionCheck.ts
@@ -45,10 +45,9 @@
   }
 
   override async hasEnded(server: BackendServer): Promise<boolean> {
-    const { host, port } = serverAddress(server.url);
-    if (await this.#staysConnected(host, port)) return false;
+    if (await this.#staysConnected(server.url)) return false;
     if (this.#peers.isTunnelled(server)) return (await this.#peers.askPeers(server)) === 'refused';
-    if ((await tryConnection(host, port)) !== 'refused') return false;
+    if ((await tryConnection(server.url)) !== 'refused') return false;
     return (await this.#peers.askPeers(server)) !== 'accepted';
   }
 
@@ -56,18 +55,19 @@
    * Returns whether a connection stays open. All connections of a process that ends are closed, but
    * not at the same moment, so the check is repeated.
    */
-  async #staysConnected(host: string, port: number): Promise<boolean> {
+  async #staysConnected(url: string): Promise<boolean> {
+    const isConnected = (): boolean => this.#agent.openConnections(url).length > 0;
     await waitForPendingReads();
-    for (let checks = 1; checks < CHECKS && this.#agent.isConnectedTo(host, port); checks += 1) {
+    for (let checks = 1; checks < CHECKS && isConnected(); checks += 1) {
       await delay(CHECK_INTERVAL_MS);
       await waitForPendingReads();
     }
-    return this.#agent.isConnectedTo(host, port);
+    return isConnected();
   }
 }
 
-async function tryConnection(host: string, port: number): Promise<ConnectResult> {
-  const opened = await openDirect({ host, port }, CONNECT_MS);
+async function tryConnection(url: string): Promise<ConnectResult> {
+  const opened = await openDirect(serverAddress(url), CONNECT_MS);
   if (opened.isErr) return opened.error.code === 'ECONNREFUSED' ? 'refused' : 'unreachable';
   opened.value.destroy();
   return 'accepted';
--- a/packages/gateway/src/node/createGateway.ts
+++ b/packages/gateway/src/node/createGateway.ts
@@ -25,6 +25,7 @@
 import type { FleetConditions } from '../types/fleetConditions.js';
 import { AnswerBuffers } from '../runtime/answerBuffers.js';
 import { BackendLanes } from './backendLanes.js';
+import { AnswerEndCheck } from './answerEndCheck.js';
 import { ConnectionCheck } from './connectionCheck.js';
 import { AdaptiveLoad } from '../runtime/adaptiveLoad.js';
 import { ConfigurationWatch } from './configurationWatch.js';
@@ -173,7 +174,6 @@
     conditions: options.conditions ?? conditions,
   });
   conditions.setPressureSource(new ReportedPressure(pressure, () => !rotation.isOut));
-  const entry = new EntryService(context, agent, processes, pressure);
   const instances = new InstanceDirectory(context);
   instances.onRead((read) => {
     coldShare.observe(read);
@@ -182,6 +182,8 @@
   const gossip = new GossipService(context, incarnation, new MeshGossipCalls(peers));
   const room = new RoomService(context, conditions);
   const paths = new ServerPaths(context, agent, new MeshTunnelCalls(peers));
+  const answerEnds = new AnswerEndCheck(agent, paths);
+  const entry = new EntryService(context, agent, processes, answerEnds, pressure);
   const crashCheck = new ConnectionCheck(agent, paths);
   const causes = new StoredCrashCauses(context);
   const quarantine = new SharedQuarantine(context, gossip, causes);
--- a/packages/gateway/src/node/entryService.ts
+++ b/packages/gateway/src/node/entryService.ts
@@ -5,6 +5,7 @@
 import type { IncomingMessage, Server, ServerResponse } from 'node:http';
 import type { CallHead } from '../types/call.js';
 import type { RequestBody } from './readRequestBody.js';
+import type { AnswerEndCheck } from './answerEndCheck.js';
 import type { ServerAgent } from './serverAgent.js';
 import type { InstancePressure } from '../runtime/instancePressure.js';
 import type { StopPhase } from '../runtime/stopSchedule.js';
@@ -89,6 +90,7 @@
   readonly #context: GatewayContext;
   readonly #agent: ServerAgent;
   readonly #processes: ServerProcesses;
+  readonly #answerEnds: AnswerEndCheck;
   readonly #server: Server;
   readonly #arrivals: ArrivalWatch;
   readonly #connections: CallerConnections;
@@ -103,12 +105,14 @@
     context: GatewayContext,
     agent: ServerAgent,
     processes: ServerProcesses,
+    answerEnds: AnswerEndCheck,
     pressure: InstancePressure,
   ) {
     super();
     this.#context = context;
     this.#agent = agent;
     this.#processes = processes;
+    this.#answerEnds = answerEnds;
     this.#readiness = new EntryReadiness(context, this.#stopSchedule);
     const options = { maxHeaderSize: MAX_HEAD_BYTES, noDelay: true };
     const server = createServer(options, (req, res) => void this.#handle(req, res));
@@ -142,6 +146,7 @@
       directory,
       agent: this.#agent,
       processes: this.#processes,
+      answerEnds: this.#answerEnds,
       streams,
       room,
     };
--- a/packages/gateway/src/node/httpAttempt.ts
+++ b/packages/gateway/src/node/httpAttempt.ts
@@ -66,6 +66,11 @@
    * and Node.js reports it as complete even if the connection was reset.
    */
   isBroken(): boolean;
+  /**
+   * Whether the response has no length. It is whole only if its server, and not the end of a process,
+   * ended the connection.
+   */
+  endsWithConnection: boolean;
   /** Abandons the response by closing the connection. */
   drop(): void;
 }
@@ -136,12 +141,14 @@
         req.destroy();
       };
       const head = { status, headers: answerHeaders, rawHeaders };
-      if (endsWithConnection(body)) {
+      const isUnframed = endsWithConnection(body);
+      if (isUnframed) {
         body.socket.prependOnceListener('end', () => {
           if (wasReset(body.socket)) broken = true;
         });
       }
-      settle(Result.ok({ head, body, drop, isBroken: () => broken }));
+      const isBroken = (): boolean => broken;
+      settle(Result.ok({ head, body, drop, isBroken, endsWithConnection: isUnframed }));
     });
     onceConnected(req, (connection) => {
       if (settled) return;
--- a/packages/gateway/src/node/serverAgent.ts
+++ b/packages/gateway/src/node/serverAgent.ts
@@ -72,11 +72,11 @@
     return true;
   }
 
-  /** Returns whether any connection to an address is open, idle or in use. */
-  isConnectedTo(host: string, port: number): boolean {
-    const name = this.getName({ host, port });
+  /** The open connections to a server, idle or in use. */
+  openConnections(url: string): Socket[] {
+    const name = this.getName(serverAddress(url));
     const sockets = [...(this.sockets[name] ?? []), ...(this.freeSockets[name] ?? [])];
-    return sockets.some((socket) => !socket.destroyed && !socket.connecting);
+    return sockets.filter((socket) => !socket.destroyed && !socket.connecting);
   }
 
   override reuseSocket(stream: Duplex, req: ClientRequest): void {
--- a/packages/gateway/src/node/serverAttempt.ts
+++ b/packages/gateway/src/node/serverAttempt.ts
@@ -272,8 +272,13 @@
     const onChunk = (): void => {
       this.#placement.recordReceived();
     };
-    const { buffers } = this.#parts.context;
-    const relay = { open, answer, headers, signal, onChunk, buffers, now: () => this.#now() };
+    const { context, answerEnds } = this.#parts;
+    const { buffers } = context;
+    // the body loses its socket when it ends.
+    const { socket } = open.body;
+    const isOwnEnd = (): Promise<boolean> => answerEnds.isOwnEnd(socket, this.#placement.server);
+    const now = (): number => this.#now();
+    const relay = { open, answer, headers, signal, isOwnEnd, onChunk, buffers, now };
     if (!isStream(route.repetition) || open.head.status >= 500) return relayWhole(relay);
     return this.#relayEvents(relay);
   }
--- a/packages/gateway/src/node/serverPaths.ts
+++ b/packages/gateway/src/node/serverPaths.ts
@@ -1,8 +1,9 @@
 /** Paths to the backend servers: direct, or through a peer where the own link to a server is lost. */
 
-import type { FleetInstance, ServerId } from '@flamingocourse/core';
+import type { BackendServer, FleetInstance, ServerId } from '@flamingocourse/core';
 import type { Kernel } from '@flamingocourse/kernel';
 import type { NetConnectOpts, Socket } from 'node:net';
+import type { Duplex } from 'node:stream';
 import type { GatewayContext } from '../types/context.js';
 import type { TunnelCalls } from '../types/tunnelCalls.js';
 import type { Way } from '../runtime/staggeredRace.js';
@@ -59,6 +60,8 @@
   readonly #byAddress = new Map<string, DirectoryServer>();
   readonly #servers = new Map<ServerId, DirectoryServer>();
   readonly #listeners = new Listeners<RestoredServer>(this.name);
+  /** Peers that carry connections. */
+  readonly #carriers = new WeakMap<Duplex, FleetInstance>();
   #instances: InstanceDirectory | undefined;
   #configuration: ConfigurationWatch | undefined;
   #timer: NodeJS.Timeout | undefined;
@@ -160,6 +163,23 @@
     return Result.ok(socket);
   }
 
+  /** Name of the peer that carries a connection; undefined if it is direct. */
+  carrierOf(connection: Duplex): string | undefined {
+    return this.#carriers.get(connection)?.name;
+  }
+
+  /** Opens a connection to a server by the path of another one; undefined if that fails. */
+  async connectBeside(connection: Duplex, { id, url }: BackendServer): Promise<Socket | undefined> {
+    const peer = this.#carriers.get(connection);
+    const { connectMs } = this.#context.settings.servers;
+    const opened = peer
+      ? await this.#calls.open(peer, id)
+      : await openDirect(serverAddress(url), connectMs);
+    if (opened.isErr) return undefined;
+    // each error is followed by `close`.
+    return opened.value.on('error', () => undefined).resume();
+  }
+
   /** Ways through different peers; the peers are chosen when the first of them is needed. */
   #waysThroughPeers<T>(
     server: DirectoryServer,
@@ -176,6 +196,7 @@
   async #openTunnel(peer: FleetInstance, { id }: DirectoryServer): Promise<Result<Socket, string>> {
     const opened = await this.#calls.open(peer, id);
     if (opened.isErr) this.#peers.recordFailure(peer.name, this.#now());
+    else this.#carriers.set(opened.value, peer);
     return opened.mapErr((fault) => `${peer.name}: ${fault}`);
   }
 
--- a/packages/gateway/src/types/flowParts.ts
+++ b/packages/gateway/src/types/flowParts.ts
@@ -1,5 +1,6 @@
 /** What all requests of the process use. */
 
+import type { AnswerEndCheck } from '../node/answerEndCheck.js';
 import type { BackendLanes } from '../node/backendLanes.js';
 import type { PrepaidService } from '../node/prepaidService.js';
 import type { RoomService } from '../node/roomService.js';
@@ -17,6 +18,7 @@
   directory: ServerDirectory;
   agent: ServerAgent;
   processes: ServerProcesses;
+  answerEnds: AnswerEndCheck;
   streams: StreamOrigins;
   room: RoomService;
 }
--- a/test/gateway/httpAttempt.test.ts
+++ b/test/gateway/httpAttempt.test.ts
@@ -51,6 +51,7 @@
     open: opened.value,
     signal,
     buffers: new AnswerBuffers(),
+    isOwnEnd: () => Promise.resolve(true),
     now: () => performance.now(),
   });
   return end.type === 'whole' ? end.body.toString() : end.type;
--- a/test/gateway/pathsWorld.ts
+++ b/test/gateway/pathsWorld.ts
@@ -93,6 +93,7 @@
 /** Running paths and what they depend on. */
 export interface PathsWorld {
   paths: ServerPaths;
+  agent: ServerAgent;
   context: GatewayContext;
   /** Publishes another list of servers. */
   list: (servers: DirectoryServer[]) => void;
@@ -122,5 +123,5 @@
     directory.list(listed);
   };
   list(servers);
-  return { paths, context, list };
+  return { paths, agent, context, list };
 }
