fix(gateway): a failure answered to a request for a stream is passed on whole, with no events after it

A caller of a stream whose server answered with a status from 300 to 499 got the status without the body and a broken connection; on a route whose streams may be resumed, events of another server could follow under that status (MIXED), as the head of the failure was written at once and the missing events were taken for a stream that broke off.

Cause: whether an answer is a stream was decided by its route, and only statuses from 500 on were read as a whole. Only a success has events, and a failure is read to its end before any of it is passed on, as on other routes.

--- a/packages/gateway/src/node/serverAttempt.ts
+++ b/packages/gateway/src/node/serverAttempt.ts
@@ -279,7 +279,9 @@
     const isOwnEnd = (): Promise<boolean> => answerEnds.isOwnEnd(socket, this.#placement.server);
     const now = (): number => this.#now();
     const relay = { open, answer, headers, signal, isOwnEnd, onChunk, buffers, now };
-    if (!isStream(route.repetition) || open.head.status >= 500) return relayWhole(relay);
+    // a failure has no events, and its head must not be followed by those of another server.
+    const hasEvents = isStream(route.repetition) && isSuccess(open.head.status);
+    if (!hasEvents) return relayWhole(relay);
     return this.#relayEvents(relay);
   }
 
@@ -288,7 +290,7 @@
     const timing = new EventTiming();
     let hasSurvived = false;
     const end = await relayStream(relay, (events, lastId) => {
-      if (events > 0 && relay.open.head.status < 300) this.#recordFirstEvent();
+      if (events > 0) this.#recordFirstEvent();
       if (this.#progress.events === 0) this.#bindStream();
       this.#progress.events += events;
       const now = this.#now();
--- a/test/platform/lateAnswers.test.ts
+++ b/test/platform/lateAnswers.test.ts
@@ -69,3 +69,25 @@
     });
   }
 });
+
+// Guards against a failure without events whose head is sent at once and followed by events of another server, or cut.
+describe('a failure that a server answers to a request for a stream is passed on whole', () => {
+  for (const path of ['/chat/1', '/draft/1']) {
+    test(path, async (t) => {
+      const world = await World.start(t);
+      world.behave('e', 'hold');
+      for (const id of ['e1', 'e2']) {
+        world.server(id).extra = ({ headers }) => {
+          const own = `X-Request-Id: ${String(headers['x-request-id'])}\r\nX-Response-Signature: s\r\n`;
+          return `HTTP/1.1 404 Not Found\r\n${own}Content-Length: 7\r\n\r\nno such`;
+        };
+      }
+      const { status, body, complete } = await world.generate(path);
+      assert.deepEqual(
+        { status, body, complete },
+        { status: 404, body: 'no such', complete: true },
+      );
+      assert.equal(world.seen('e').length, 1);
+    });
+  }
+});
