fix(router): an answer of a plain service without a length is whole only if its server outlives it

A server that runs accepts a connection and keeps it; one that was killed refuses it. Answers with a length or in chunks are not delayed. The check of connections that stay open is one function of the kernel now, which the gateway's checks of crashes and of ends use as well.

--- a/packages/gateway/src/node/answerEndCheck.ts
+++ b/packages/gateway/src/node/answerEndCheck.ts
@@ -2,16 +2,9 @@
 
 import type { Duplex } from 'node:stream';
 import type { BackendServer } from '@flamingocourse/core';
-import type { Socket } from 'node:net';
 import type { ServerAgent } from './serverAgent.js';
 import type { ServerPaths } from './serverPaths.js';
-import { setTimeout as delay } from 'node:timers/promises';
-import { waitForPendingReads } from '@flamingocourse/kernel';
-
-/** Number of times that a connection must be found open. */
-const CHECKS = 3;
-/** Milliseconds between two checks. */
-const CHECK_INTERVAL_MS = 20;
+import { staysOpen } from '@flamingocourse/kernel';
 
 /** Knows by which path a connection was opened, and opens another one by the same path. */
 export type ConnectionPaths = Pick<ServerPaths, 'carrierOf' | 'connectBeside'>;
@@ -39,25 +32,11 @@
     const others = this.#agent.openConnections(server.url).filter((connection) => {
       return connection !== ended && this.#paths.carrierOf(connection) === carrier;
     });
-    if (await staysOpen(others)) return true;
+    if (await staysOpen(() => others)) return true;
     const opened = await this.#paths.connectBeside(ended, server);
     if (opened === undefined) return false;
-    const isOpen = await staysOpen([opened]);
+    const isOpen = await staysOpen(() => [opened]);
     opened.destroy();
     return isOpen;
   }
 }
-
-/** Whether one of the connections stays open; those of a process that ends are closed one after the other. */
-async function staysOpen(connections: readonly (Duplex | Socket)[]): Promise<boolean> {
-  await waitForPendingReads();
-  for (let checks = 1; checks < CHECKS && connections.some(isOpen); checks += 1) {
-    await delay(CHECK_INTERVAL_MS);
-    await waitForPendingReads();
-  }
-  return connections.some(isOpen);
-}
-
-function isOpen({ destroyed, readableEnded }: Duplex): boolean {
-  return !destroyed && !readableEnded;
-}
--- a/packages/gateway/src/node/connectionCheck.ts
+++ b/packages/gateway/src/node/connectionCheck.ts
@@ -5,8 +5,7 @@
 import type { BackendServer } from '@flamingocourse/core';
 import type { ServerAgent } from './serverAgent.js';
 import type { ServerPaths } from './serverPaths.js';
-import { setTimeout as delay } from 'node:timers/promises';
-import { waitForPendingReads } from '@flamingocourse/kernel';
+import { staysOpen } from '@flamingocourse/kernel';
 import { CrashCheck } from '@flamingocourse/router';
 import { serverAddress } from '../utils/serverAddress.js';
 import { openDirect } from './directConnection.js';
@@ -14,11 +13,6 @@
 /** Connection timeout, in milliseconds. An unreachable server does not count as ended. */
 const CONNECT_MS = 500;
 
-/** Number of checks of the other connections. */
-const CHECKS = 3;
-/** Milliseconds between two checks. */
-const CHECK_INTERVAL_MS = 20;
-
 /** Result of a connection attempt. */
 type ConnectResult = 'accepted' | 'refused' | 'unreachable';
 
@@ -45,25 +39,11 @@
   }
 
   override async hasEnded(server: BackendServer): Promise<boolean> {
-    if (await this.#staysConnected(server.url)) return false;
+    if (await staysOpen(() => this.#agent.openConnections(server.url))) return false;
     if (this.#peers.isTunnelled(server)) return (await this.#peers.askPeers(server)) === 'refused';
     if ((await tryConnection(server.url)) !== 'refused') return false;
     return (await this.#peers.askPeers(server)) !== 'accepted';
   }
-
-  /**
-   * Returns whether a connection stays open. All connections of a process that ends are closed, but
-   * not at the same moment, so the check is repeated.
-   */
-  async #staysConnected(url: string): Promise<boolean> {
-    const isConnected = (): boolean => this.#agent.openConnections(url).length > 0;
-    await waitForPendingReads();
-    for (let checks = 1; checks < CHECKS && isConnected(); checks += 1) {
-      await delay(CHECK_INTERVAL_MS);
-      await waitForPendingReads();
-    }
-    return isConnected();
-  }
 }
 
 async function tryConnection(url: string): Promise<ConnectResult> {
--- a/packages/kernel/src/index.ts
+++ b/packages/kernel/src/index.ts
@@ -2,6 +2,7 @@
 export * from './node/httpExchange.js';
 export * from './node/metrics.js';
 export * from './node/resetAwareSocket.js';
+export * from './node/staysOpen.js';
 export * from './node/waitForPendingReads.js';
 export * from './node/timeLimit.js';
 export * from './runtime/channel.js';
--- a/packages/router/src/node/backends/plainAttempt.ts
+++ b/packages/router/src/node/backends/plainAttempt.ts
@@ -2,9 +2,13 @@
 
 import type { IncomingMessage } from 'node:http';
 import { Agent, request as httpRequest } from 'node:http';
+import { connect } from 'node:net';
+import { hasLostPeer, staysOpen } from '@flamingocourse/kernel';
 
 /** Largest answer of a plain service that is forwarded, in bytes. */
 const MAX_ANSWER_BYTES = 4 * 1_048_576;
+/** Milliseconds in which a server must accept a connection to count as running. */
+const CONNECT_MS = 250;
 
 /** How a call to a plain service ended. */
 export type PlainOutcome =
@@ -79,13 +83,14 @@
       );
     });
     req.on('response', (res) => {
-      readAnswer(res, settle);
+      readAnswer(res, attempt.url, settle);
     });
     req.end(attempt.body);
   });
 }
 
-function readAnswer(res: IncomingMessage, settle: (end: PlainOutcome) => void): void {
+function readAnswer(res: IncomingMessage, url: string, settle: (end: PlainOutcome) => void): void {
+  const isProvenWhole = watchEnd(res, url);
   const parts: Buffer[] = [];
   let size = 0;
   res.on('data', (part: Buffer) => {
@@ -94,20 +99,53 @@
     else parts.push(part);
   });
   res.on('close', () => {
-    if (!res.complete) {
-      settle({ type: 'crashed', detail: 'the connection broke before the answer was complete' });
-      return;
-    }
-    const body = Buffer.concat(parts);
-    if (res.statusCode === 503 && body.includes('"leaving"')) {
-      settle({ type: 'leaving' });
-      return;
-    }
-    settle({
-      type: 'done',
-      status: res.statusCode ?? 502,
-      contentType: res.headers['content-type'] ?? 'application/octet-stream',
-      body,
+    void isProvenWhole().then((isWhole) => {
+      if (isWhole) settle(outcomeOf(res, Buffer.concat(parts)));
+      else
+        settle({ type: 'crashed', detail: 'the connection broke before the answer was complete' });
     });
   });
 }
+
+function outcomeOf(res: IncomingMessage, body: Buffer): PlainOutcome {
+  if (res.statusCode === 503 && body.includes('"leaving"')) return { type: 'leaving' };
+  return {
+    type: 'done',
+    status: res.statusCode ?? 502,
+    contentType: res.headers['content-type'] ?? 'application/octet-stream',
+    body,
+  };
+}
+
+/**
+ * Returns a function that tells, after the end of an answer, whether it is whole. One with neither a length
+ * nor chunks ends with its connection, as the connections of a killed process do. So it is whole only if
+ * the connection was not reset and the server still runs.
+ */
+function watchEnd(res: IncomingMessage, url: string): () => Promise<boolean> {
+  const { 'content-length': length, 'transfer-encoding': encoding } = res.headers;
+  if (length !== undefined || encoding !== undefined) return () => Promise.resolve(res.complete);
+  const { socket } = res;
+  let isReset = false;
+  socket.prependOnceListener('end', () => (isReset = hasLostPeer(socket)));
+  return async () => res.complete && !isReset && (await isRunning(url));
+}
+
+/** Whether a server accepts a connection and keeps it open. */
+async function isRunning(url: string): Promise<boolean> {
+  const { hostname, port } = new URL(url);
+  const socket = connect(Number(port), hostname).setTimeout(CONNECT_MS);
+  const isConnected = await new Promise<boolean>((resolve) => {
+    socket.once('connect', () => {
+      resolve(true);
+    });
+    socket.once('timeout', () => socket.destroy());
+    socket.on('error', () => undefined);
+    socket.once('close', () => {
+      resolve(false);
+    });
+  });
+  const isOpen = isConnected && (await staysOpen(() => [socket.resume()]));
+  socket.destroy();
+  return isOpen;
+}
--- a/test/entry/plainCalls.test.ts
+++ b/test/entry/plainCalls.test.ts
@@ -1,7 +1,10 @@
 import type { PlainServiceStandIn } from '@flamingocourse/lab';
+import type { AddressInfo, Server, Socket } from 'node:net';
 import type { EntryBench } from './fixtures/entryBench.js';
 import assert from 'node:assert/strict';
-import { afterEach, test } from 'node:test';
+import { once } from 'node:events';
+import { createServer } from 'node:net';
+import { afterEach, describe, test } from 'node:test';
 import { createPlainServiceStandIn, createServiceRecords } from '@flamingocourse/lab';
 import { HmacTicketCodec } from '@flamingocourse/router';
 import { call, startBench } from './fixtures/entryBench.js';
@@ -180,3 +183,54 @@
     assert.equal(runs(), 0);
   });
 }
+
+// Guards against half of an answer without a length that is passed on as whole, because its server ended.
+describe('an answer without a length', () => {
+  const head = 'HTTP/1.1 200 OK\r\nConnection: close\r\n\r\n';
+  const cases: { name: string; end: (socket: Socket, server: Server) => void; isWhole: boolean }[] =
+    [
+      { name: 'is whole where its server goes on', end: (socket) => socket.end(), isWhole: true },
+      {
+        name: 'is not where its server has ended',
+        end: (socket, server) => {
+          server.close();
+          socket.end();
+        },
+        isWhole: false,
+      },
+      {
+        name: 'is not where its connection was reset',
+        end: (socket) => socket.resetAndDestroy(),
+        isWhole: false,
+      },
+    ];
+  for (const { name, end, isWhole } of cases) {
+    test(name, async () => {
+      const server = createServer((socket) => {
+        socket.on('error', () => undefined);
+        socket.once('data', (bytes: Buffer) => {
+          const isCall = bytes.toString().startsWith('POST');
+          socket.write(`${head}half`, () => {
+            if (isCall) end(socket, server);
+            else socket.end();
+          });
+        });
+      });
+      server.listen(0, '127.0.0.1');
+      await once(server, 'listening');
+      const { port } = server.address() as AddressInfo;
+      const router = await startBench({ ledger: [`http://127.0.0.1:${String(port)}`] });
+      cleanUps.push(
+        () => router.stop(),
+        async () => {
+          server.close();
+          return Promise.resolve();
+        },
+      );
+      const res = await call(router, PATH, { body: { item: 'bed-1', key: 'a' } });
+      const body = await res.text();
+      if (isWhole) assert.deepEqual([res.status, body], [200, 'half']);
+      else assert.equal((JSON.parse(body) as Problem).run, 'unknown');
+    });
+  }
+});
