fix(gateway): the end of an answer without a body is not checked

An answer with neither a length nor chunks that has no body, such as a 204, ends with its head and leaves its connection open. The check of answers that end with their connection would have delayed it by 40 ms and could have opened a connection to the server. Now it runs only if the connection has ended, or was destroyed, when the answer did; a connection that was destroyed without an end counts as well.

--- a/packages/gateway/src/node/answerRelay.ts
+++ b/packages/gateway/src/node/answerRelay.ts
@@ -135,7 +135,7 @@
       }
       hasEnded = true;
       const whole = { type: 'whole', firstByteAt } as const;
-      if (!open.endsWithConnection) finish(whole);
+      if (!open.endedWithConnection()) finish(whole);
       else
         void isOwnEnd().then((isOwn) => {
           finish(isOwn ? whole : ENDED_WITH_PROCESS);
--- a/packages/gateway/src/node/httpAttempt.ts
+++ b/packages/gateway/src/node/httpAttempt.ts
@@ -67,10 +67,10 @@
    */
   isBroken(): boolean;
   /**
-   * Whether the response has no length. It is whole only if its server, and not the end of a process,
-   * ended the connection.
+   * Returns whether only the end of the connection ended the response. It is whole only if its server, and
+   * not the end of a process, ended the connection.
    */
-  endsWithConnection: boolean;
+  endedWithConnection(): boolean;
   /** Abandons the response by closing the connection. */
   drop(): void;
 }
@@ -141,14 +141,24 @@
         req.destroy();
       };
       const head = { status, headers: answerHeaders, rawHeaders };
-      const isUnframed = endsWithConnection(body);
+      let endedWithConnection = false;
+      const isUnframed = hasNoLength(body);
+      const { socket: connection } = body;
       if (isUnframed) {
-        body.socket.prependOnceListener('end', () => {
-          if (wasReset(body.socket)) broken = true;
+        connection.prependOnceListener('end', () => {
+          endedWithConnection = true;
+          if (wasReset(connection)) broken = true;
         });
       }
-      const isBroken = (): boolean => broken;
-      settle(Result.ok({ head, body, drop, isBroken, endsWithConnection: isUnframed }));
+      settle(
+        Result.ok({
+          head,
+          body,
+          drop,
+          isBroken: () => broken,
+          endedWithConnection: () => endedWithConnection || (isUnframed && connection.destroyed),
+        }),
+      );
     });
     onceConnected(req, (connection) => {
       if (settled) return;
@@ -186,8 +196,8 @@
   return isKept ? reason : 'not-connected';
 }
 
-/** Returns whether the response ends only with its connection, without a declared length. */
-function endsWithConnection({ headers }: IncomingMessage): boolean {
+/** Returns whether the response declares no length, so that it ends with its connection if it has a body. */
+function hasNoLength({ headers }: IncomingMessage): boolean {
   return headers['content-length'] === undefined && headers['transfer-encoding'] === undefined;
 }
 
--- a/packages/router/src/node/backends/plainAttempt.ts
+++ b/packages/router/src/node/backends/plainAttempt.ts
@@ -126,9 +126,9 @@
   const { 'content-length': length, 'transfer-encoding': encoding } = res.headers;
   if (length !== undefined || encoding !== undefined) return () => Promise.resolve(res.complete);
   const { socket } = res;
-  let isReset = false;
-  socket.prependOnceListener('end', () => (isReset = hasLostPeer(socket)));
-  return async () => res.complete && !isReset && (await isRunning(url));
+  let end: 'none' | 'reset' | 'in-order' = 'none';
+  socket.prependOnceListener('end', () => (end = hasLostPeer(socket) ? 'reset' : 'in-order'));
+  return async () => res.complete && (end === 'none' || (end === 'in-order' && isRunning(url)));
 }
 
 /** Whether a server accepts a connection and keeps it open. */
