fix(gateway): a stop is timed from when SIGTERM can have arrived, not from when it is handled

Callers saw requests that were sent more than 3 s after SIGTERM taken and passed on, and cut without an answer when the process was killed at the end of its grace period, non-idempotent ones among them.

Cause: StopSchedule began when the signal was handled. A process that was behind by more than 0.6 s (its END_MARGIN_MS) then planned its last answers for after the kill, and kept accepting requests of any time limit until 2.6 s after the handling.

Signals are delivered by the first poll of the event loop after their arrival, as data is, so the poll before the one that delivers a signal is a lower bound of its arrival. ArrivalWatch records the polls already. The bound can only shorten a stop: by at most 0.1 s in an idle process, and by the length of an iteration in one that is behind. Tunnels of peers end by the same time.

--- a/packages/gateway/src/node/arrivalWatch.ts
+++ b/packages/gateway/src/node/arrivalWatch.ts
@@ -105,6 +105,14 @@
     }, MARK_INTERVAL_MS);
   }
 
+  /**
+   * Earliest time at which a signal that is handled now can have arrived. Signals are delivered like data,
+   * by the event loop's first poll after their arrival.
+   */
+  get signalsFrom(): number {
+    return this.#bounds.requestsFrom;
+  }
+
   /** No connections are accepted from now on. */
   beginStop(): void {
     this.#isStopping = true;
--- a/packages/gateway/src/node/createGateway.ts
+++ b/packages/gateway/src/node/createGateway.ts
@@ -242,8 +242,7 @@
     async stop() {
       log.write('gateway-stopping', { running: entry.running });
       relay.beginStop();
-      entry.beginStop();
-      tunnels.beginStop();
+      tunnels.beginStop(settings.stopGraceMs, entry.beginStop());
       prepaid.beginStop();
       streams.beginStop();
       await Promise.all([instances.leave(), kernel.stop()]);
--- a/packages/gateway/src/node/entryService.ts
+++ b/packages/gateway/src/node/entryService.ts
@@ -167,9 +167,16 @@
     this.#arrivals.start();
   }
 
-  /** Reports not ready from now on. Requests in progress and late arrivals are still served. */
-  beginStop(): void {
-    this.#stopSchedule.begin(this.#context.settings.stopGraceMs, this.#context.clock.now());
+  /**
+   * Reports not ready from now on. Requests in progress and late arrivals are still served.
+   *
+   * @returns earliest time at which the stop can have been requested. An instance that lags handles the
+   *   signal late, but is killed a fixed time after the signal was sent.
+   */
+  beginStop(): number {
+    const since = this.#arrivals.signalsFrom;
+    this.#stopSchedule.begin(this.#context.settings.stopGraceMs, since);
+    return since;
   }
 
   override async stop(): Promise<void> {
--- a/packages/gateway/src/node/serverTunnels.ts
+++ b/packages/gateway/src/node/serverTunnels.ts
@@ -79,10 +79,11 @@
    * Accepts no tunnels from now on. Open ones may last until the end of the stop, as requests of
    * callers may; the first call decides.
    *
-   * @param graceMs Milliseconds until the process is killed.
+   * @param graceMs Milliseconds from the request to stop until the process is killed.
+   * @param since When the stop was requested.
    */
-  beginStop(graceMs = this.#context.settings.stopGraceMs): void {
-    this.#stopSchedule.begin(graceMs, this.#context.clock.now());
+  beginStop(graceMs = this.#context.settings.stopGraceMs, since = this.#context.clock.now()): void {
+    this.#stopSchedule.begin(graceMs, since);
   }
 
   override async stop(): Promise<void> {
--- a/packages/gateway/src/runtime/stopSchedule.ts
+++ b/packages/gateway/src/runtime/stopSchedule.ts
@@ -31,11 +31,11 @@
   #since = Infinity;
   #endsAt = Infinity;
 
-  /** Begins the stop of a process that is killed after `graceMs`; only the first call counts. */
-  begin(graceMs: number, now: number): void {
+  /** Begins the stop of a process that is killed `graceMs` after `since`; only the first call counts. */
+  begin(graceMs: number, since: number): void {
     if (this.isStopping) return;
-    this.#since = now;
-    this.#endsAt = now + graceMs - END_MARGIN_MS;
+    this.#since = since;
+    this.#endsAt = since + graceMs - END_MARGIN_MS;
   }
 
   get isStopping(): boolean {
