fix(gateway): a stop ends only when accepted connections are read, and none is read after it

Callers saw non-idempotent requests sent on by an instance that had already stopped serving, and cut when its process exited, with no log line.

Cause: a stop waited for requests that were read, but not for connections that were accepted and not read yet. These were still read while the other services stopped, and their requests ran if their time limits fitted into the grace period, until the process exited.

Evidence: one real process, paused for 2.7 s while SIGTERM and 8 non-idempotent requests arrive, so that its listener is closed at once.

The stop now ends once no accepted connection waits to be read, what had arrived on them is read, and all of it is answered. At the end of the grace period the connections still unread are closed.

--- a/packages/gateway/src/node/arrivalWatch.ts
+++ b/packages/gateway/src/node/arrivalWatch.ts
@@ -118,8 +118,15 @@
     this.#isStopping = true;
   }
 
+  /** Whether accepted connections wait to be read. */
+  get hasUnread(): boolean {
+    return !this.#intake.isEmpty;
+  }
+
+  /** Closes the connections that wait to be read, since nothing would answer their requests any more. */
   stop(): void {
     clearInterval(this.#timer);
+    for (const socket of this.#intake.takeAll()) socket.destroy();
   }
 
   /** Records that a request was read. Call it once per request, immediately. */
--- a/packages/gateway/src/node/entryService.ts
+++ b/packages/gateway/src/node/entryService.ts
@@ -185,7 +185,7 @@
     // a load balancer that finds too few ready instances still sends new connections to this one.
     this.#arrivals.beginStop();
     this.#server.close();
-    await this.#waitWhile((phase) => phase === 'finishing' && this.#connections.busy > 0);
+    await this.#waitForAnswers();
     const { busy } = this.#connections;
     if (busy > 0) {
       this.#context.log.write('entry-stop-aborts', {
@@ -199,10 +199,27 @@
     this.#agent.destroy();
   }
 
+  /** Whether requests have no complete answer yet, or may come on accepted connections. */
+  #owesAnswers(): boolean {
+    return this.#connections.busy > 0 || this.#arrivals.hasUnread;
+  }
+
   async #waitWhile(holds: (phase: StopPhase) => boolean): Promise<void> {
     while (holds(this.#stopSchedule.phase(this.#context.clock.now()))) await delay(STOP_CHECK_MS);
   }
 
+  /** Waits until no request is left to answer, or until the stop is over. */
+  async #waitForAnswers(): Promise<void> {
+    while (this.#stopSchedule.phase(this.#context.clock.now()) === 'finishing') {
+      if (this.#owesAnswers()) await delay(STOP_CHECK_MS);
+      else {
+        // a request that has arrived on a connection that was just accepted is counted once it is read.
+        await waitForPendingReads();
+        if (!this.#owesAnswers()) return;
+      }
+    }
+  }
+
   /** Ends all requests in progress, and waits until their final answers are written. */
   async #endAll(): Promise<void> {
     const until = this.#context.clock.now() + FINAL_ANSWERS_MS;
--- a/packages/gateway/src/runtime/connectionIntake.ts
+++ b/packages/gateway/src/runtime/connectionIntake.ts
@@ -68,6 +68,11 @@
     this.#unread.push({ connection, openedFrom });
   }
 
+  /** Removes and returns all connections that wait to be read. */
+  takeAll(): T[] {
+    return this.#unread.splice(0).map(({ connection }) => connection);
+  }
+
   /** Records that a connection was closed when it was accepted. */
   recordClosed(now: number): void {
     this.#lastTooOldAt = now;
--- a/test/soak/lateSignal.test.ts
+++ b/test/soak/lateSignal.test.ts
@@ -1,5 +1,6 @@
 import type { TestContext } from 'node:test';
 import type { SeenAnswer } from './soakCallers.js';
+import type { LongCall } from './soakConnection.js';
 import type { SeenRequest } from '../platform/fakeServer.js';
 import assert from 'node:assert/strict';
 import { execFileSync } from 'node:child_process';
@@ -14,7 +15,7 @@
 import { until } from '../platform/world.js';
 import { SoakConfiguration } from './soakConfiguration.js';
 import { SoakConnection } from './soakConnection.js';
-import { PORTS_PER_INSTANCE, STOP_GRACE_MS, settingsOf, untilReady } from './soakFleet.js';
+import { LONG_MS, PORTS_PER_INSTANCE, STOP_GRACE_MS, settingsOf, untilReady } from './soakFleet.js';
 import { SoakProcess } from './soakProcess.js';
 
 /** Milliseconds after SIGTERM from which a request that may outlast the stop must not be sent on. */
@@ -22,6 +23,15 @@
 /** Milliseconds that a server takes for an answer; longer than the stop. */
 const SLOW_MS = STOP_GRACE_MS + 1_000;
 
+/** Grace period in which a request with the usual time limit can end, also if it is read late. */
+const LONG_GRACE_MS = LONG_MS + 3_000;
+/** Milliseconds by which an instance is behind whose listener is closed as soon as it handles the signal. */
+const BEHIND_AT_CLOSE_MS = 2_700;
+/** Callers that connect and send while the instance is behind. */
+const WAITING_CALLERS = 8;
+/** Milliseconds of a short answer; longer than an instance without requests takes to exit. */
+const QUICK_MS = 400;
+
 interface StoppedRequests {
   /** A request that ran when the signal was sent. */
   running: SeenAnswer | undefined;
@@ -36,7 +46,7 @@
   const { instance, server } = await startInstance(t);
   const running = new SoakConnection(instance);
   const late = new SoakConnection(instance);
-  running.send(slowCall('running'));
+  running.send(call('running', SLOW_MS));
   await until('the first request has arrived', () => server.seen.length === 1);
   const { pid = 0 } = instance;
   process.kill(pid, 'SIGSTOP');
@@ -45,7 +55,7 @@
   await delay(behindMs);
   const exited = instance.end('SIGTERM');
   await delay(signalledAt + SENT_ON_UNTIL_MS - performance.now());
-  late.send(slowCall('late'));
+  late.send(call('late', SLOW_MS));
   await delay(signalledAt + STOP_GRACE_MS - performance.now());
   await instance.end('SIGKILL');
   await exited;
@@ -56,6 +66,7 @@
 
 async function startInstance(
   t: TestContext,
+  stopGraceMs = STOP_GRACE_MS,
 ): Promise<{ instance: SoakProcess; server: FakeServer }> {
   const directory = await mkdtemp(join(tmpdir(), 'flamingocourse-late-signal-'));
   const store = await new FakeStore().listen(t);
@@ -63,7 +74,8 @@
   store.put('servers', server.id, server.entry('ledger'));
   new SoakConfiguration(store, [], 'ample').write();
   const ports = await findFreePorts(PORTS_PER_INSTANCE);
-  const instance = new SoakProcess('edge-1', directory, settingsOf(ports, store.url, 0));
+  const settings = { ...settingsOf(ports, store.url, 0), stopGraceMs };
+  const instance = new SoakProcess('edge-1', directory, settings);
   t.after(async () => {
     await instance.end('SIGKILL');
     await rm(directory, { recursive: true, force: true });
@@ -73,20 +85,20 @@
   return { instance, server };
 }
 
-function slowCall(id: string): Parameters<SoakConnection['send']>[0] {
-  return { id, kind: 'book', asks: { behaviour: 'slow-answer', forMs: SLOW_MS } };
+function call(id: string, forMs: number): LongCall {
+  return { id, kind: 'book', asks: { behaviour: 'slow-answer', forMs } };
 }
 
 function idOf({ headers }: SeenRequest): string {
   return String(headers['x-request-id']);
 }
 
+before(() => {
+  execFileSync(process.execPath, ['scripts/bundle.mjs']);
+});
+
 // Guards against an instance that counts its grace period from when it handles the signal, and is killed before its last answers.
 describe('an instance that handles SIGTERM late', () => {
-  before(() => {
-    execFileSync(process.execPath, ['scripts/bundle.mjs']);
-  });
-
   const cases = [{ behindMs: 0 }, { behindMs: 700 }, { behindMs: 1_200 }];
   for (const { behindMs } of cases) {
     test(`by ${String(behindMs)} ms answers what runs, and sends on nothing it can't answer`, async (t) => {
@@ -97,3 +109,27 @@
     });
   }
 });
+
+// Guards against a connection that is accepted before a stop, read after it, and cut with its running request.
+test('an instance sends on nothing that it reads after it has stopped serving', async (t) => {
+  const { instance, server } = await startInstance(t, LONG_GRACE_MS);
+  // its exit takes longer once it has tokens to return.
+  await until('the instance has joined', () => instance.output.includes('prepaid-group-joined'));
+  // with an open connection to the server, it sends a request on as soon as it has read it.
+  const first = new SoakConnection(instance);
+  first.send(call('first', 0));
+  await first.answered();
+  const { pid = 0 } = instance;
+  process.kill(pid, 'SIGSTOP');
+  process.kill(pid, 'SIGTERM');
+  const callers = Array.from({ length: WAITING_CALLERS }, () => new SoakConnection(instance));
+  for (const [at, caller] of callers.entries())
+    caller.send(call(`waiting-${String(at)}`, QUICK_MS));
+  await delay(BEHIND_AT_CLOSE_MS);
+  await instance.end('SIGTERM');
+  await Promise.all(callers.map((caller) => caller.closed()));
+  const answers = [first, ...callers].flatMap((caller) => caller.answers);
+  const answered = answers.filter(({ complete }) => complete).map(({ id }) => id);
+  const unanswered = server.seen.map(idOf).filter((id) => !answered.includes(id));
+  assert.deepEqual(unanswered, []);
+});
