fix(store): a call does not take the response to another call for its own

What callers saw: a `get` of object b returned object a, and a conditional update that the store had refused with 409 returned success, when a duplicate of an earlier response arrived where the next response on the connection was expected. An update that counts as done although it was refused would let an instance use budget tokens that it was not granted.

Cause: responses of the store bear no id, and the client compared nothing in them, neither the object's name nor its version.

A duplicate on an idle connection was discarded and changed nothing, and a response after its call's timeout finds its connection closed.

Why it works: `get`, `create` and `update` accept an object of the requested name only, and `update` only a version newer than the one that it was conditional on, because each write gets a number from the store's one counter. Anything else is `unreachable`, for writes with the effect `unknown`, so that the object is read again. The current object in a refusal with 409 counts for the object of the call only.

Not covered: a duplicate with the name of the object and a version newer than the condition, lists, deletions, and refusals such as 404 or 409, which name no object.

--- a/packages/gateway/src/node/storedObject.ts
+++ b/packages/gateway/src/node/storedObject.ts
@@ -144,7 +144,8 @@
   }
 
   #parse(current: VersionedObject<unknown> | undefined): VersionedObject<T> | undefined {
-    if (!current) return undefined;
+    // the refusal may be a duplicate of one to a call about another object.
+    if (current?.name !== this.#name) return undefined;
     const parsed = this.#collection.schema.safeParse(current.value);
     return parsed.success ? { ...current, value: parsed.data } : undefined;
   }
--- a/packages/store/src/node/httpObjectStore.ts
+++ b/packages/store/src/node/httpObjectStore.ts
@@ -21,6 +21,7 @@
   StoreDialect,
   StoreRequest,
   WatchEndReason,
+  WireObject,
 } from '../runtime/storeDialect.js';
 import { Agent } from 'node:http';
 import { exchange, SystemClock } from '@flamingocourse/kernel';
@@ -32,6 +33,7 @@
   recordOutcome,
 } from '../runtime/circuit.js';
 import { ObjectStore } from '../runtime/objectStore.js';
+import { isNewer } from '../utils/isNewer.js';
 import { PlatformError } from '../utils/platformError.js';
 import { ObjectApiDialect } from './objectApiDialect.js';
 import { ObjectWatch } from './objectWatch.js';
@@ -39,6 +41,7 @@
 import {
   checkObject,
   faultToError,
+  foreignAnswer,
   parseJson,
   wireInstanceListSchema,
   wireInstanceSchema,
@@ -123,7 +126,9 @@
     options: ReadOptions = {},
   ): PlatformResult<VersionedObject<T>> {
     const request = this.#dialect.get(collection.name, name, options.stale);
-    return this.#callObject(collection, { kind: 'get', ...request }, options);
+    return this.#callObject(collection, { kind: 'get', ...request }, options, (object) => {
+      return object.name === name;
+    });
   }
 
   override async list<T>(
@@ -155,7 +160,9 @@
     options: CallOptions = {},
   ): PlatformResult<VersionedObject<T>> {
     const request = this.#dialect.create(collection.name, name, value);
-    return this.#callObject(collection, { kind: 'create', ...request }, options);
+    return this.#callObject(collection, { kind: 'create', ...request }, options, (object) => {
+      return object.name === name;
+    });
   }
 
   override async update<T>(
@@ -166,7 +173,9 @@
     options: CallOptions = {},
   ): PlatformResult<VersionedObject<T>> {
     const request = this.#dialect.update(collection.name, name, version, value);
-    return this.#callObject(collection, { kind: 'update', ...request }, options);
+    return this.#callObject(collection, { kind: 'update', ...request }, options, (object) => {
+      return object.name === name && isNewer(object.version, version);
+    });
   }
 
   override async remove(
@@ -238,14 +247,19 @@
     this.#probeAgent.destroy();
   }
 
+  /** @param isOwn whether the object of a response can be that of this call. */
   async #callObject<T>(
     collection: Collection<T>,
     request: Request,
     options: CallOptions,
+    isOwn: (object: WireObject) => boolean,
   ): PlatformResult<VersionedObject<T>> {
     const answer = await this.#call({ ...request, collection: collection.name }, options);
     return answer
       .andThen((reply) => this.#dialect.parseObject(reply))
+      .andThen((object) => {
+        return isOwn(object) ? Result.ok(object) : Result.err(foreignAnswer(request.kind, object));
+      })
       .andThen((object) => checkObject(collection, object));
   }
 
--- a/packages/store/src/node/wireFormat.ts
+++ b/packages/store/src/node/wireFormat.ts
@@ -87,6 +87,16 @@
   return new PlatformError('unreachable', `no answer to ${kind}: ${reason}`, { cause, effect });
 }
 
+/**
+ * Error of a call whose connection delivered the response to an earlier call. What the store did with
+ * this one is not known.
+ */
+export function foreignAnswer(kind: CallKind, { name, version }: WireObject): PlatformError {
+  const effect = writeKinds.includes(kind) ? 'unknown' : 'none';
+  const message = `the response to ${kind} belongs to another call: ${name} at version ${version}`;
+  return new PlatformError('unreachable', message, { effect });
+}
+
 /** Converts a status other than success into an error. */
 export function statusToError(kind: CallKind, answer: HttpAnswer): PlatformError {
   const message = `the platform answered ${kind} with ${String(answer.status)}`;
