fix(gateway): bytes on a kept connection before a request is written do not make its server unreachable

What callers saw: 503 with `no-backend-server` from a healthy server. A duplicate response that arrived on a kept connection after a request had taken it, and before the request was written, ended the attempt as not sent, which is right; but the server then counted as one that cannot be reached and got no requests for 800 ms.

Cause: `openAttempt` reported each request that was not sent as `not-connected`, also on a connection that had been open for long. `ServerAttempt` takes that as silence of the server.

Why it works: a kept connection that fails before the request is written has the reason `unusable`. The request is sent to the same server on another connection.

--- a/packages/gateway/src/node/httpAttempt.ts
+++ b/packages/gateway/src/node/httpAttempt.ts
@@ -45,6 +45,11 @@
   | 'refused'
   /** The connection, or the process behind it, may not be used for the request. */
   | 'not-accepted'
+  /**
+   * A connection kept from earlier requests received bytes or ended before the request was written.
+   * That says nothing about whether a new connection would open.
+   */
+  | 'unusable'
   | 'broken'
   | 'timeout'
   | 'aborted';
@@ -99,7 +104,7 @@
       resolve(result);
     };
     const fail = (reason: AttemptFaultReason, cause: string): void => {
-      settle(Result.err({ reason: sent ? reason : notSentReason(reason), sent, cause }));
+      settle(Result.err({ reason: sent ? reason : notSentReason(reason, req), sent, cause }));
       req.destroy();
     };
     const abort = (): void => {
@@ -191,9 +196,12 @@
   });
 }
 
-function notSentReason(reason: AttemptFaultReason): AttemptFaultReason {
-  const isKept = reason === 'aborted' || reason === 'refused' || reason === 'not-accepted';
-  return isKept ? reason : 'not-connected';
+function notSentReason(
+  reason: AttemptFaultReason,
+  { reusedSocket }: ClientRequest,
+): AttemptFaultReason {
+  if (reason === 'aborted' || reason === 'refused' || reason === 'not-accepted') return reason;
+  return reusedSocket ? 'unusable' : 'not-connected';
 }
 
 /** Returns whether the response declares no length, so that it ends with its connection if it has a body. */
--- a/packages/gateway/src/node/serverAttempt.ts
+++ b/packages/gateway/src/node/serverAttempt.ts
@@ -142,7 +142,7 @@
       const found = await processes.find(server, this.#call.signal);
       if (found.isErr) {
         // an idle connection may end just when it is used.
-        if (found.error.reason === 'broken') continue;
+        if (found.error.reason === 'broken' || found.error.reason === 'unusable') continue;
         return Result.err({ ...found.error, sent: false });
       }
       if (found.value === 'other') this.#placement.recordReplaced();
@@ -238,8 +238,11 @@
     if (fault.sent) this.#progress.mayHaveRun += 1;
     if (fault.reason === 'aborted') return this.#interrupted();
     if (!fault.sent) {
-      const how = fault.reason === 'not-accepted' ? 'cancelled' : 'unreachable';
-      return this.#failed('not-sent', how, fault.cause);
+      return this.#failed(
+        'not-sent',
+        showsSilence(fault) ? 'unreachable' : 'cancelled',
+        fault.cause,
+      );
     }
     const how = fault.reason === 'timeout' ? 'timed-out' : 'broken';
     return this.#failed('unknown', how, fault.cause);
@@ -386,6 +389,11 @@
   return `the response with status ${String(status)} does not belong to this request`;
 }
 
+/** Whether a request that was not sent shows that its server cannot be reached. */
+function showsSilence({ reason }: AttemptFault): boolean {
+  return reason !== 'not-accepted' && reason !== 'unusable';
+}
+
 function notAccepted(process: ProcessVerdict): AttemptFault {
   const cause =
     process === 'other'
--- a/test/gateway/httpAttempt.test.ts
+++ b/test/gateway/httpAttempt.test.ts
@@ -33,13 +33,10 @@
   return `http://127.0.0.1:${String((server.address() as AddressInfo).port)}`;
 }
 
-async function send(
-  url: string,
-  agent: ServerAgent,
-  isOwnEnd = (): Promise<boolean> => Promise.resolve(true),
-): Promise<string> {
-  const signal = new AbortController().signal;
-  const opened = await openAttempt({
+const signal = new AbortController().signal;
+
+function open(url: string, agent: ServerAgent): ReturnType<typeof openAttempt> {
+  return openAttempt({
     url,
     method: 'POST',
     target: '/',
@@ -50,6 +47,14 @@
     headMs: 1_000,
     signal,
   });
+}
+
+async function send(
+  url: string,
+  agent: ServerAgent,
+  isOwnEnd = (): Promise<boolean> => Promise.resolve(true),
+): Promise<string> {
+  const opened = await open(url, agent);
   if (opened.isErr) return opened.error.sent ? 'maybe run' : 'not sent';
   const end = await readAnswer({
     open: opened.value,
@@ -101,6 +106,36 @@
   agent.destroy();
 });
 
+describe('bytes that arrive before a request is written', () => {
+  // Guards against a healthy server that gets no requests for a time, as if it could not be reached.
+  const cases = [
+    { name: 'a response', bytes: whole },
+    { name: 'the rest of a response', bytes: whole.slice(20) },
+  ];
+  for (const { name, bytes } of cases) {
+    test(`${name}: the connection is unusable, and the server is not unreachable`, async (t) => {
+      const agent = new ServerAgent();
+      t.after(() => {
+        agent.destroy();
+      });
+      let connection: Socket | undefined;
+      const url = await serve(t, (socket) => {
+        connection = socket;
+        socket.write(whole);
+      });
+      assert.equal(await send(url, agent), 'ok');
+      await delay(10);
+      connection?.write(bytes);
+      const opened = await open(url, agent);
+      assert.deepEqual(opened.isErr && { reason: opened.error.reason, sent: opened.error.sent }, {
+        reason: 'unusable',
+        sent: false,
+      });
+      assert.equal(await send(url, agent), 'ok');
+    });
+  }
+});
+
 test('a request to a closed port was not sent', async (t) => {
   const url = await serve(t, () => undefined);
   const closed = url.replace(/\d+$/, '1');
