test(gateway): a late duplicate of a health check hides for one check at most that a server is leaving

Responses to health checks and to questions for a server's state bear no request id, so a duplicate of one passes for a later one on the same connection. Connections end with their process, so it describes the same process. Held on the unchanged code: a duplicate that says `staying` delays the news that the server is leaving by one check, and a duplicate of a state tells a health check nothing.

--- a/test/gateway/httpHealthCheck.test.ts
+++ b/test/gateway/httpHealthCheck.test.ts
@@ -124,3 +124,29 @@
     });
   }
 });
+
+/** Responses that a server sent earlier to a check or to a question for its state; they bear no request id. */
+const staying = 'HTTP/1.1 200 OK\r\nX-Instance-Id: p1\r\nContent-Length: 0\r\n\r\n';
+const state =
+  'HTTP/1.1 200 OK\r\nContent-Type: application/json\r\nContent-Length: 10\r\n\r\n{"born":7}';
+
+// Guards against a duplicate of an earlier check that hides for longer than one check that a server is leaving.
+describe('a late duplicate without an id in front of the response to a health check', () => {
+  const cases = [
+    { name: 'of an earlier check delays the news by one check', bytes: staying, first: 'staying' },
+    { name: 'of a state tells nothing', bytes: state, first: 'unknown' },
+  ];
+  for (const { name, bytes, first } of cases) {
+    test(name, async (t) => {
+      const server = await new FakeServer('p1').listen(t);
+      const { check } = checking(t);
+      const listed = listedAt(server);
+      assert.equal(await check.probe('p1', listed), 'staying');
+      server.leaving = true;
+      server.extra = () => bytes;
+      assert.equal(await check.probe('p1', listed), first);
+      server.extra = () => '';
+      assert.equal(await check.probe('p1', listed), 'leaving');
+    });
+  }
+});
