fix(core): in a fleet of one data centre, unknown streams go on without the store only if all instances answer

What callers saw: in a fleet of five instances of one data centre, three were cut off together from the store and from the other two.

Cause: without an answer of the store, two answers of a single data centre counted as the whole fleet. Instances that are cut off together answer each other, so any three of them passed.

Why this works: a stream can have begun at a version that the asking instance does not know only through an instance that is in touch with the store. If all instances answer, each names the versions that it has seen; if one does not, it may be the one in touch, and the request is refused as not executed. An instance that serves no peers cannot be asked, so a fleet with one is not reached either. The rest of the data centre is asked at once, so the wait of the caller stays at two rounds of 200 ms; a peer that is asked last may also know the stream.

Cost: while the store is away, a fleet of one data centre with a killed instance that is still listed refuses streams that nobody knows. Fleets of several data centres decide as before.

--- a/packages/core/src/runtime/streams/streamHolders.ts
+++ b/packages/core/src/runtime/streams/streamHolders.ts
@@ -5,9 +5,6 @@
 import type { StreamKey } from '../../types/stream.js';
 import { hash32, rendezvousRank } from '../../utils/hash.js';
 
-/** Instances of a single data centre that have to answer: two that are cut off together have one other each. */
-const MIN_REACHED = 2;
-
 interface Ranked {
   instance: FleetInstance;
   rank: number;
@@ -24,6 +21,8 @@
 export class StreamHolders {
   readonly #near: FleetInstance[] = [];
   readonly #far = new Map<DataCentreId, FleetInstance[]>();
+  /** Data centres with instances that serve no peers, so nobody can ask them. */
+  readonly #withoutMesh = new Set<DataCentreId>();
   readonly #hashes = new Map<FleetInstance, number>();
 
   /** @param self this instance; it holds what it knows anyway. */
@@ -32,7 +31,11 @@
     self: Pick<FleetInstance, 'name' | 'dataCentre'>,
   ) {
     for (const instance of instances) {
-      if (instance.name === self.name || instance.meshUrl === undefined) continue;
+      if (instance.name === self.name) continue;
+      if (instance.meshUrl === undefined) {
+        this.#withoutMesh.add(instance.dataCentre);
+        continue;
+      }
       this.#hashes.set(instance, hash32(instance.name));
       if (instance.dataCentre === self.dataCentre) this.#near.push(instance);
       else this.#far.set(instance.dataCentre, [...this.#farIn(instance.dataCentre), instance]);
@@ -66,7 +69,8 @@
 
   /**
    * Whether the instances that answered show that this one is not cut off, alone or with others: one of each
-   * other data centre, or two of the own one if there is no other.
+   * other data centre, or all of the own one if no other can be asked. In a single data centre any number of
+   * instances can be cut off together, and one that is missing may still be in touch with the store.
    *
    * @param answered names of instances.
    */
@@ -75,13 +79,13 @@
     if (this.#far.size > 0) {
       return [...this.#far.values()].every((instances) => instances.some(hasAnswered));
     }
-    const near = this.#near.filter(hasAnswered).length;
-    return near > 0 && near >= Math.min(MIN_REACHED, this.#near.length);
+    if (this.#withoutMesh.size > 0) return false;
+    return this.#near.length > 0 && this.#near.every(hasAnswered);
   }
 
   /**
    * Instances to ask for a stream after others have not answered: of each other data centre without an answer
-   * the preferred one that was not asked, or two more of a single data centre.
+   * the preferred one that was not asked, or the rest of a single data centre.
    *
    * @param asked names of instances, as well as `answered`.
    */
@@ -93,7 +97,7 @@
     const isOpen = ({ instance }: Ranked): boolean => !asked.has(instance.name);
     if (this.#far.size === 0) {
       const near = this.#ranked(this.#near, key).filter(isOpen);
-      return near.slice(0, MIN_REACHED).map(({ instance }) => instance);
+      return near.map(({ instance }) => instance);
     }
     return [...this.#far.values()].flatMap((instances) => {
       if (instances.some(({ name }) => answered.has(name))) return [];
--- a/test/streams/streamHolders.test.ts
+++ b/test/streams/streamHolders.test.ts
@@ -136,6 +136,18 @@
       name: 'if two of many in a single data centre answer',
       sizes: [4],
       answered: ['0-1', '0-3'],
+      reached: false,
+    },
+    {
+      name: 'if most of a single data centre answer',
+      sizes: [7],
+      answered: ['0-1', '0-2', '0-3', '0-4', '0-5'],
+      reached: false,
+    },
+    {
+      name: 'if all of a single data centre answer',
+      sizes: [4],
+      answered: ['0-1', '0-2', '0-3'],
       reached: true,
     },
     { name: 'if the only other instance answers', sizes: [2], answered: ['0-1'], reached: true },
@@ -150,6 +162,13 @@
     });
   }
 
+  test('not if an instance of a single data centre serves no peers', () => {
+    const meshless = { name: 'edge-0-9', dataCentre: 'dc-0' };
+    const self = { name: 'edge-0-0', dataCentre: 'dc-0' };
+    const holders = new StreamHolders([...fleetOf([3]), meshless], self);
+    assert.equal(holders.areReached(new Set(['edge-0-1', 'edge-0-2'])), false);
+  });
+
   test('by others in place of those that do not answer', () => {
     const holders = new StreamHolders(fleetOf([2, 3, 3]), { name: 'edge-0-0', dataCentre: 'dc-0' });
     const asked = holders.toAsk('stream', NEAR, FAR).map(({ name }) => name);
@@ -161,4 +180,13 @@
     );
     assert.ok(!asked.includes(next[0]?.name ?? ''));
   });
+
+  test('by all others of a single data centre', () => {
+    const holders = new StreamHolders(fleetOf([6]), { name: 'edge-0-0', dataCentre: 'dc-0' });
+    const asked = holders.toAsk('stream', NEAR, FAR).map(({ name }) => name);
+    const next = holders.toAskNext('stream', new Set(asked), new Set(asked));
+    const all = new Set([...asked, ...next.map(({ name }) => name)]);
+    assert.equal(all.size, 5);
+    assert.ok(holders.areReached(all));
+  });
 });
