fix(gateway): a stream that began at a process of uncertain version does not go on elsewhere

What callers saw: a server restarted under its id with a new software version, and its state named no start, while the list still showed the old version. Streams that no instance knows went on at such a process as well.

Cause: the first event of a process that names no start left the software of the stream unknown, and unknown streams may go on wherever the instance knows a single version. The version of this process is not in that list. For the same reason nothing was recorded for later tries.

Why this works: such a stream is bound to a version that no server has, and is recorded like any other, always at two peers, because other instances would let it go on at the only version of their lists. It may begin at such a process, as before, but no stream goes on there.

Cost: a server whose state never names its start, while its entry does, delivers streams that cannot be resumed until 5.5 s after its connection was opened.

Remaining: an instance that is lost within the 40 ms before its records are sent, or that is cut off from its peers, has told nobody, so a later try at another instance can still join the stream until the entry of the server is read.

--- a/packages/core/src/runtime/routing/streamSoftware.ts
+++ b/packages/core/src/runtime/routing/streamSoftware.ts
@@ -4,6 +4,11 @@
 
 /** A request that any server may run. */
 export const ANY_SOFTWARE: StreamSoftware = { type: 'any' };
+/**
+ * Version of a stream that began at a process whose software is not certain. No server has this version, so the
+ * stream goes on nowhere.
+ */
+export const UNCERTAIN_VERSION = '(uncertain)';
 
 /**
  * Whether a stream has begun, so that not every server may go on with it.
--- a/packages/gateway/src/node/serverAttempt.ts
+++ b/packages/gateway/src/node/serverAttempt.ts
@@ -10,7 +10,7 @@
 import type { GenerationSize, ServerHead } from '../types/call.js';
 import type { FlowParts } from '../types/flowParts.js';
 import type { RequestProgress, RoutedCall } from '../types/requestRun.js';
-import { EventTiming } from '@flamingocourse/core';
+import { EventTiming, UNCERTAIN_VERSION } from '@flamingocourse/core';
 import { Result } from 'true-myth';
 import { isRepeatable, isStream, mayRetry } from '../runtime/retryPolicy.js';
 import { enginePriority } from '../runtime/enginePriority.js';
@@ -163,9 +163,9 @@
     return true;
   }
 
-  /** A stream at an unclear process may only begin, or go on where one software version serves. */
+  /** A stream may begin at an unclear process, but not go on there: the process may run any version. */
   #mayRunAt(process: ProcessVerdict): boolean {
-    if (process === 'unclear') return this.#progress.software.type !== 'version';
+    if (process === 'unclear') return this.#progress.software.type === 'begins';
     return process === 'listed';
   }
 
@@ -321,7 +321,7 @@
   /** Binds the stream to the software that made its first event, before the caller gets the event. */
   #bindStream(): void {
     const { softwareVersion } = this.#placement.server;
-    const version = this.#process === 'listed' ? softwareVersion : undefined;
+    const version = this.#process === 'listed' ? softwareVersion : UNCERTAIN_VERSION;
     if (this.#progress.software.type !== 'version') {
       this.#progress.software =
         version === undefined ? { type: 'unknown' } : { type: 'version', version };
--- a/packages/gateway/src/node/streamOrigins.ts
+++ b/packages/gateway/src/node/streamOrigins.ts
@@ -23,7 +23,12 @@
 import type { StreamStart } from '../types/streamStart.js';
 import type { StreamFinding } from './streamInquiry.js';
 import { setTimeout as delay } from 'node:timers/promises';
-import { ANY_SOFTWARE, StreamHolders, StreamRecords } from '@flamingocourse/core';
+import {
+  ANY_SOFTWARE,
+  StreamHolders,
+  StreamRecords,
+  UNCERTAIN_VERSION,
+} from '@flamingocourse/core';
 import { Service } from '@flamingocourse/kernel';
 import { Result } from 'true-myth';
 import { isStream } from '../runtime/retryPolicy.js';
@@ -107,7 +112,9 @@
     const record = { key: streamKey(account, head.resumes ?? head.id), origin, forMs };
     this.#records.add(record, 'own', this.#now());
     this.#updateShared(service.name);
-    if (this.#shared.has(service.name) || servicesOf(route).length > 1) this.#send(record, COPIES);
+    const isMixed = this.#shared.has(service.name) || servicesOf(route).length > 1;
+    // an instance that does not know it would let it go on at the only version of the list.
+    if (isMixed || version === UNCERTAIN_VERSION) this.#send(record, COPIES);
   }
 
   /** Decides where a request may begin or go on with its stream. The refusal says that nothing ran. */
@@ -158,7 +165,8 @@
     const now = this.#now();
     for (const record of streams) {
       this.#records.add(record, 'peer', now);
-      this.#context.software.seen.observe(record.origin.service, record.origin.version, now);
+      const { service, version } = record.origin;
+      if (version !== UNCERTAIN_VERSION) this.#context.software.seen.observe(service, version, now);
     }
   }
 
--- a/test/platform/fakeServer.ts
+++ b/test/platform/fakeServer.ts
@@ -130,6 +130,8 @@
   software = FIRST_SOFTWARE;
   /** Start of its process, which its entry and its state name; undefined if they name none. */
   bornAt: number | undefined;
+  /** Whether its state names its start. */
+  statesStart = true;
   /** Number of requests for its state. */
   stateRequests = 0;
   /** Called for each new connection. */
@@ -282,7 +284,8 @@
       this.stateRequests += 1;
       if (this.behaviour === 'silent') return;
       res.writeHead(200, { 'content-type': 'application/json' });
-      res.end(JSON.stringify({ stage: 'unified', waiting: 0, born: this.bornAt }));
+      const born = this.statesStart ? this.bornAt : undefined;
+      res.end(JSON.stringify({ stage: 'unified', waiting: 0, born }));
       return;
     }
     const ran = headers['x-expect-instance'] === this.id && this.behaviour !== 'shed';
