fix(core): each byte of an incomplete event is copied and examined a bounded number of times

Callers saw connections closed unread and responses 15 s after their time limit at an instance that got one event in chunks of one byte: its event loop stood still. EventFrames concatenated the event so far with each chunk and searched all of it again, so the work grew with the square of the event's size, up to 256 KiB.

The incomplete event is kept in a buffer that doubles, and the search goes on where it ended, two bytes earlier for a boundary that two chunks share.

--- a/packages/core/src/runtime/streams/eventFrames.ts
+++ b/packages/core/src/runtime/streams/eventFrames.ts
@@ -15,16 +15,23 @@
 const NOTHING = Buffer.alloc(0);
 /** Maximum size of one event, in bytes. */
 const MAX_EVENT_BYTES = 256 * 1024;
+/** Smallest buffer of an incomplete event, in bytes. */
+const MIN_BUFFER_BYTES = 1024;
+/** Bytes before the end of an event, of which the next chunk may contain the last: LF, CR. */
+const MAX_BOUNDARY_PART_BYTES = 2;
 
 /**
- * Splits one stream into complete events.
+ * Splits one stream into complete events. Each byte is copied and examined a bounded number of times,
+ * however small the chunks are.
  *
  * @example
  * const whole = frames.push(chunk);
  * if (whole.events > 0) res.write(whole.bytes);
  */
 export class EventFrames {
-  #rest: Buffer = NOTHING;
+  /** Its beginning holds the incomplete event. */
+  #buffer: Buffer = NOTHING;
+  #length = 0;
   #lastId: string | undefined;
   #total = 0;
 
@@ -40,34 +47,51 @@
 
   /** Whether bytes of an incomplete event are buffered. */
   get isOpen(): boolean {
-    return this.#rest.length > 0;
+    return this.#length > 0;
   }
 
   /** Whether the incomplete event is longer than any event; no more may be added. */
   get isTooLong(): boolean {
-    return this.#rest.length > MAX_EVENT_BYTES;
+    return this.#length > MAX_EVENT_BYTES;
   }
 
   /** Adds a chunk; returns the events that are complete now. */
   push(chunk: Buffer): EventBytes {
-    const data = this.#rest.length === 0 ? chunk : Buffer.concat([this.#rest, chunk]);
+    const examined = Math.max(0, this.#length - MAX_BOUNDARY_PART_BYTES);
+    const data = this.#length === 0 ? chunk : this.#append(chunk);
     let end = 0;
     let events = 0;
     for (;;) {
-      const next = endOfEvent(data, end);
+      const next = endOfEvent(data, Math.max(end, examined));
       if (next < 0) break;
       this.#noteId(data.subarray(end, next));
       end = next;
       events += 1;
     }
-    this.#rest = end === data.length ? NOTHING : data.subarray(end);
     this.#total += events;
+    // the buffer belongs to whoever writes the complete events.
+    if (events > 0) this.dropOpen();
+    if (this.#length === 0 && end < data.length) this.#append(data.subarray(end));
     return { bytes: data.subarray(0, end), events };
   }
 
   /** Discards the incomplete event of a connection that ended early. */
   dropOpen(): void {
-    this.#rest = NOTHING;
+    this.#buffer = NOTHING;
+    this.#length = 0;
+  }
+
+  /** Adds bytes to the incomplete event; returns all of it. */
+  #append(bytes: Buffer): Buffer {
+    const length = this.#length + bytes.length;
+    if (length > this.#buffer.length) {
+      const grown = Buffer.allocUnsafeSlow(Math.max(MIN_BUFFER_BYTES, 2 * length));
+      this.#buffer.copy(grown, 0, 0, this.#length);
+      this.#buffer = grown;
+    }
+    bytes.copy(this.#buffer, this.#length);
+    this.#length = length;
+    return this.#buffer.subarray(0, length);
   }
 
   #noteId(event: Buffer): void {
--- a/test/gateway/eventFrames.test.ts
+++ b/test/gateway/eventFrames.test.ts
@@ -2,6 +2,9 @@
 import { describe, test } from 'node:test';
 import { EventFrames } from '@flamingocourse/core';
 
+/** Milliseconds in which an event of the maximum size must be read. */
+const MAX_EVENT_MS = 500;
+
 const stream = 'id: 1\ndata: one\n\nid: 2\r\ndata: two\r\n\r\nid: 3\ndata: three\n\n';
 
 describe('an event stream', () => {
@@ -30,4 +33,19 @@
     assert.equal(frames.lastId, '7');
     assert.equal(frames.isOpen, true);
   });
+
+  // Guards against an instance that serves nobody while it reads an event in small chunks: if each
+  // chunk cost a copy of the event so far, an event of the maximum size would take 15 s and more.
+  for (const unit of ['x', 'x\n', 'x\r\n']) {
+    test(`of ${JSON.stringify(unit)} without end is given up soon`, () => {
+      const frames = new EventFrames();
+      const chunk = Buffer.from(unit);
+      const startedAt = performance.now();
+      let bytes = frames.push(Buffer.from('data: ')).bytes.length;
+      while (!frames.isTooLong) bytes += frames.push(chunk).bytes.length;
+      const tookMs = performance.now() - startedAt;
+      assert.equal(bytes, 0);
+      assert.ok(tookMs < MAX_EVENT_MS, `${String(Math.round(tookMs))} ms`);
+    });
+  }
 });
