--- a/test/platform/fakeServer.ts
+++ b/test/platform/fakeServer.ts
@@ -1,7 +1,7 @@
 /** A fake backend server, either plain or a model engine. */
 
 import type { IncomingHttpHeaders, IncomingMessage, Server, ServerResponse } from 'node:http';
-import type { AddressInfo } from 'node:net';
+import type { AddressInfo, Socket } from 'node:net';
 import type { TestContext } from 'node:test';
 import { createServer } from 'node:http';
 import { setTimeout as delay } from 'node:timers/promises';
@@ -20,8 +20,13 @@
   endedAt: number | undefined;
   /** Whether the server itself broke the connection. */
   broke: boolean;
+  /** HTTP status that the server sent; undefined if it sent none. */
+  status?: number;
 }
 
+/** Status of a response that precedes the end of its request: a failure, or a rejection that did not run. */
+export type EarlyStatus = 500 | 503;
+
 /** How a server answers one request. */
 export type Behaviour =
   | 'answer'
@@ -135,7 +140,15 @@
   /** Number of requests for its state. */
   stateRequests = 0;
   /** Called for each new connection. */
-  onConnection: () => void = () => undefined;
+  onConnection: (socket: Socket) => void = () => undefined;
+  /** Called for each request before its body is read. */
+  onRequest: (req: IncomingMessage, res: ServerResponse) => void = () => undefined;
+  /** Status with which it responds before it has read the body; undefined if it reads the body first. */
+  earlyStatus: (req: IncomingMessage) => EarlyStatus | undefined = () => undefined;
+  /** Body of its usual answer to the request with an id. */
+  bodyFor: (requestId: string) => string = () => `from ${this.id}`;
+  /** Whether its events name the request that they belong to. */
+  namesRequests = false;
   /** Bytes that it sends in front of its answer, for a request that has arrived. */
   extra: (req: IncomingMessage) => string = () => '';
   /** Called after an answer was written. */
@@ -179,8 +192,8 @@
     const server = createServer((req, res) => {
       void this.#answer(req, res);
     });
-    server.on('connection', () => {
-      this.onConnection();
+    server.on('connection', (socket) => {
+      this.onConnection(socket);
     });
     await new Promise<void>((resolve) => server.listen(port, '127.0.0.1', resolve));
     this.#http = server;
@@ -265,6 +278,12 @@
   }
 
   async #answer(req: IncomingMessage, res: ServerResponse): Promise<void> {
+    this.onRequest(req, res);
+    const early = this.earlyStatus(req);
+    if (early !== undefined && req.headers['x-expect-instance'] === this.id) {
+      this.#answerEarly(early, req, res);
+      return;
+    }
     const chunks: Buffer[] = [];
     for await (const chunk of req) chunks.push(chunk as Buffer);
     const at = performance.now();
@@ -316,10 +335,21 @@
     this.afterAnswer();
   }
 
+  /** Responds before the body has arrived; the HTTP server then reads the body and keeps the connection. */
+  #answerEarly(status: EarlyStatus, req: IncomingMessage, res: ServerResponse): void {
+    const { method = '', url = '', headers } = req;
+    const at = performance.now();
+    const ran = status === 500;
+    this.#track({ method, url, headers, body: '', at, ran, endedAt: undefined, broke: false }, res);
+    if (ran) res.writeHead(status, this.#ownHeaders(req)).end('failed');
+    else this.#reject(res);
+  }
+
   #track(request: SeenRequest, res: ServerResponse): void {
     this.seen.push(request);
     this.#running.add(request);
     res.on('close', () => {
+      if (res.headersSent) request.status = res.statusCode;
       this.#running.delete(request);
       request.endedAt = performance.now();
     });
@@ -378,12 +408,15 @@
   #respond(behaviour: Behaviour, req: IncomingMessage, res: ServerResponse): void {
     const own = this.#ownHeaders(req);
     const slowMs = Number(req.headers[ASKED_MS] ?? SLOW_MS);
+    const { 'x-request-id': requestId } = idOf(req);
+    const eventOf = (id: number): string =>
+      event(id, this.software, this.namesRequests ? requestId : undefined);
     const from = Number(req.headers['last-event-id'] ?? 0);
     const begin = (): void => {
       res.writeHead(200, { ...own, 'content-type': 'text/event-stream' });
     };
     const finish = (first: number): void => {
-      for (let id = first; id <= LAST_EVENT; id += 1) res.write(event(id, this.software));
+      for (let id = first; id <= LAST_EVENT; id += 1) res.write(eventOf(id));
       res.end();
     };
     const stream = (): void => {
@@ -392,10 +425,10 @@
     };
     switch (behaviour) {
       case 'answer':
-        res.writeHead(200, own).end(`from ${this.id}`);
+        res.writeHead(200, own).end(this.bodyFor(requestId));
         return;
       case 'slow-answer':
-        setTimeout(() => res.writeHead(200, own).end(`from ${this.id}`), slowMs);
+        setTimeout(() => res.writeHead(200, own).end(this.bodyFor(requestId)), slowMs);
         return;
       case 'error':
         res.writeHead(500, own).end('failed');
@@ -405,14 +438,14 @@
         return;
       case 'slow-stream':
         begin();
-        void writeSlowly(res, from + 1, slowMs, this.software);
+        void writeSlowly(res, from + 1, slowMs, eventOf);
         return;
       case 'hold':
         this.#heldStreams.push(stream);
         return;
       case 'pause':
         begin();
-        if (from < LAST_EVENT) res.write(event(from + 1, this.software));
+        if (from < LAST_EVENT) res.write(eventOf(from + 1));
         this.#heldStreams.push(() => {
           finish(from + 2);
         });
@@ -422,7 +455,7 @@
         return;
       case 'break-stream':
         begin();
-        if (from < LAST_EVENT) res.write(event(from + 1, this.software));
+        if (from < LAST_EVENT) res.write(eventOf(from + 1));
         if (from + 1 < LAST_EVENT) res.write(`id: ${String(from + 2)}\nda`);
         setTimeout(() => req.socket.resetAndDestroy(), 20);
         return;
@@ -461,24 +494,27 @@
   res: ServerResponse,
   first: number,
   forMs: number,
-  software: string,
+  eventOf: (id: number) => string,
 ): Promise<void> {
   const pauseMs = forMs / Math.max(1, LAST_EVENT - first);
   for (let id = first; id <= LAST_EVENT && !res.destroyed; id += 1) {
     if (id > first) await delay(pauseMs);
-    res.write(event(id, software));
+    res.write(eventOf(id));
   }
   res.end();
 }
 
-/** One event of the stream of a server with this software. */
-export function event(id: number, software = FIRST_SOFTWARE): string {
-  return `id: ${String(id)}\ndata: piece ${String(id)} of ${software}\n\n`;
+/** One event of the stream of a server with this software; it may name its request. */
+export function event(id: number, software = FIRST_SOFTWARE, requestId?: string): string {
+  const owner = requestId === undefined ? '' : ` for ${requestId}`;
+  return `id: ${String(id)}\ndata: piece ${String(id)} of ${software}${owner}\n\n`;
 }
 
 /** Software versions that the events of a body name, each once. */
 export function softwareOf(body: string): string[] {
   return [
-    ...new Set([...body.matchAll(/^data: piece \d+ of (\S+)$/gm)].map(([, name = '']) => name)),
+    ...new Set(
+      [...body.matchAll(/^data: piece \d+ of (\S+)(?: for \S+)?$/gm)].map(([, name = '']) => name),
+    ),
   ];
 }
--- a/test/soak/main.ts
+++ b/test/soak/main.ts
@@ -3,7 +3,7 @@
 import { writeFile } from 'node:fs/promises';
 import { tmpdir } from 'node:os';
 import { join } from 'node:path';
-import { command, number, option, optional, run } from 'cmd-ts';
+import { command, number, option, optional, run, string } from 'cmd-ts';
 import { runSoak } from './runSoak.js';
 
 /** Duration of the faults in a run, in milliseconds. */
@@ -23,9 +23,14 @@
       type: optional(number),
       description: 'run new seeds for this time',
     }),
+    bundle: option({
+      long: 'bundle',
+      type: optional(string),
+      description: 'router to start; default: the bundle of this checkout',
+    }),
   },
-  handler: async ({ seed, seeds = 8, minutes }) => {
-    if (seed !== undefined) return runSeed(seed);
+  handler: async ({ seed, seeds = 8, minutes, bundle }) => {
+    if (seed !== undefined) return runSeed(seed, bundle);
     const first = Math.floor(Date.now() / 1_000);
     const endAt = minutes === undefined ? Infinity : Date.now() + minutes * MS_PER_MINUTE;
     const seedLimit = minutes === undefined ? seeds : Infinity;
@@ -33,7 +38,7 @@
     const worker = async (): Promise<void> => {
       while (next < seedLimit && Date.now() < endAt) {
         next += 1;
-        await runSeed(first + next);
+        await runSeed(first + next, bundle);
       }
     };
     await Promise.all(Array.from({ length: CONCURRENT_RUNS }, worker));
@@ -42,11 +47,11 @@
 
 await run(soak, process.argv.slice(2));
 
-async function runSeed(seed: number): Promise<void> {
-  const report = await runSoak(seed, FAULTS_MS);
+async function runSeed(seed: number, bundle: string | undefined): Promise<void> {
+  const report = await runSoak(seed, FAULTS_MS, bundle);
   const { calls, answered, metStop, cutOff, servedCutOff, takenUp, wentOn } = report;
-  const { faults, broken, output, scarce } = report;
-  const figures = `${String(calls)} calls, ${String(answered)} answered, ${String(metStop)} met a stop, ${String(servedCutOff)} of ${String(cutOff)} answered while cut off, ${String(wentOn)} of ${String(takenUp)} streams went on, ${String(scarce.held)} of ${String(scarce.sent)} held while the processor was scarce, ${String(faults.length)} faults`;
+  const { faults, broken, output, scarce, copies } = report;
+  const figures = `${String(calls)} calls, ${String(answered)} answered, ${String(metStop)} met a stop, ${String(servedCutOff)} of ${String(cutOff)} answered while cut off, ${String(wentOn)} of ${String(takenUp)} streams went on, ${String(scarce.held)} of ${String(scarce.sent)} held while the processor was scarce, ${String(copies)} duplicate responses, ${String(faults.length)} faults`;
   console.log(`seed ${String(seed)}: ${figures}, ${String(broken.length)} promises broken`);
   if (broken.length === 0) return;
   process.exitCode = 1;
--- a/test/soak/runSoak.ts
+++ b/test/soak/runSoak.ts
@@ -29,6 +29,7 @@
 } from './soakFleet.js';
 import { SoakLinks } from './soakLinks.js';
 import { SoakProcess } from './soakProcess.js';
+import { isSilenceSeed, runSilences } from './soakSilenceRun.js';
 import { brokenPromises } from './soakPromises.js';
 import { brokenRepeats } from './soakRepeats.js';
 import { StopCallers } from './soakStopCallers.js';
@@ -95,6 +96,8 @@
   wentOn: number;
   /** Requests to instances with a small share of a processor, and those held past their time limit. */
   scarce: { sent: number; due: number; held: number };
+  /** Duplicate responses that servers sent. */
+  copies: number;
   faults: string[];
   broken: string[];
   /** Output of the processes. */
@@ -105,11 +108,17 @@
  * Runs one seed. Faults and calls use separate random generators, so the same seed injects the same
  * faults however long the calls take.
  *
+ * @param bundle Router to start. @default the bundle of this checkout
  * @example
  * const { broken } = await runSoak(7, 8_000);
  */
-export async function runSoak(seed: number, faultsMs: number): Promise<SoakReport> {
-  const run = await SoakRun.start(planOf(seed));
+export async function runSoak(
+  seed: number,
+  faultsMs: number,
+  bundle?: string,
+): Promise<SoakReport> {
+  if (isSilenceSeed(seed)) return runSilences(seed, faultsMs, bundle);
+  const run = await SoakRun.start(planOf(seed), bundle);
   try {
     await run.play(faultsMs);
     return { seed, ...run.report() };
@@ -204,7 +213,7 @@
     this.#faults = new SoakFaults(random, { ...parts, configuration }, profile, this.#stopCallers);
   }
 
-  static async start(plan: RunPlan): Promise<SoakRun> {
+  static async start(plan: RunPlan, bundle: string | undefined): Promise<SoakRun> {
     const { crashCause, versionedEngines, instances: count, callersRandom } = plan;
     const cleanUps: (() => unknown)[] = [];
     const scope = {
@@ -224,7 +233,9 @@
     const instances = links.instances.map(({ store: { url } }, at) => {
       const own = ports.slice(PORTS_PER_INSTANCE * at);
       const settings = settingsOf(own, url, at, plan.dataCentres);
-      return new SoakProcess(`edge-${String(at + 1)}`, directory, settings);
+      const instance = new SoakProcess(`edge-${String(at + 1)}`, directory, settings);
+      if (bundle !== undefined) instance.bundle = bundle;
+      return instance;
     });
     const crashes = crashCause
       ? new SoakCrashes(engines, instances, crashAccountOf(crashCause), callersRandom, crashCause)
@@ -325,6 +336,7 @@
       takenUp: streams.takenUp,
       wentOn: streams.wentOn,
       scarce: this.#faults.scarcity.figures,
+      copies: 0,
       faults: [...this.#faults.injected, ...(this.#parts.versions?.changes ?? [])],
       broken: [
         ...brokenPromises({
--- a/test/soak/soakCallers.ts
+++ b/test/soak/soakCallers.ts
@@ -18,6 +18,8 @@
   status: number;
   /** Request id in the answer. */
   answeredId: string | undefined;
+  /** Signature of the server in the answer. */
+  signature?: string | undefined;
   body: string;
   complete: boolean;
   /** Instance that the caller used. */
@@ -35,7 +37,16 @@
 /** Deadline that a caller sends with a request, in milliseconds. */
 const DEADLINE_MS = 1_500;
 
+/** Parts of a request that a run chooses. */
+export interface CallShape {
+  headers: Record<string, string>;
+  /** Bytes of the request body in addition to the id. */
+  bodyBytes: number;
+}
+
 export class SoakCallers {
+  /** Called once for each request. */
+  shape: (kind: CallKind) => CallShape = () => ({ headers: {}, bodyBytes: 0 });
   readonly answers: SeenAnswer[] = [];
   /** Callers reuse open connections until the instance closes them. */
   readonly #agent = new Agent({ keepAlive: true, maxSockets: 32 });
@@ -78,6 +89,7 @@
     { name, port }: SoakProcess,
     call: Pick<SeenAnswer, 'id' | 'kind' | 'account' | 'prompt'>,
   ): Promise<SeenAnswer> {
+    const shape = this.shape(call.kind);
     const generates = call.kind === 'chat' || call.kind === 'draft';
     const headers = {
       host: HOST,
@@ -86,6 +98,7 @@
       authorization: `Token key-of-${call.account}`,
       [USED_INSTANCE]: name,
       ...(generates ? { 'x-model': 'm', 'x-token-usage': `${String(call.prompt)},80` } : {}),
+      ...shape.headers,
     };
     return new Promise((resolve) => {
       const answer: SeenAnswer = {
@@ -120,6 +133,7 @@
       req.on('response', (res) => {
         answer.status = res.statusCode ?? 0;
         answer.answeredId = res.headers['x-request-id']?.toString();
+        answer.signature = res.headers['x-response-signature']?.toString();
         res.setEncoding('utf8');
         res.on('data', (chunk: string) => (answer.body += chunk));
         // A broken answer is recorded as incomplete below.
@@ -129,7 +143,7 @@
           end();
         });
       });
-      req.end(`id=${call.id}`);
+      req.end(`id=${call.id}${'x'.repeat(shape.bodyBytes)}`);
     });
   }
 }
--- a/test/soak/soakConfiguration.ts
+++ b/test/soak/soakConfiguration.ts
@@ -16,6 +16,8 @@
 export class SoakConfiguration {
   /** Highest limit of each account so far. */
   readonly limits: Map<string, number>;
+  /** Parts of the configuration that differ from the usual ones. */
+  overrides: Record<string, unknown> = {};
   readonly #store: FakeStore;
   #version = 7;
 
@@ -34,7 +36,8 @@
     });
     const services = soakServices();
     const routes = soakRoutes();
-    const config = configWith({ version: this.#version, tenants, services, routes });
+    const parts = { version: this.#version, tenants, services, routes, ...this.overrides };
+    const config = configWith(parts);
     this.#store.put('config', 'main', config);
   }
 
--- a/test/soak/soakPromises.ts
+++ b/test/soak/soakPromises.ts
@@ -24,6 +24,8 @@
   pauses: readonly RequestedPauseWindow[];
   /** Highest limit of each account during the run. */
   limits: ReadonlyMap<string, number>;
+  /** Whether events name the request that they belong to. */
+  namesRequests?: boolean;
 }
 
 /**
@@ -35,7 +37,9 @@
 export function brokenPromises(seen: RunObservations): string[] {
   const runs = countRuns(seen.arrivals);
   return [
-    ...seen.answers.flatMap((answer) => brokenByAnswer(answer, runs.get(answer.id) ?? 0)),
+    ...seen.answers.flatMap((answer) => {
+      return brokenByAnswer(answer, runs.get(answer.id) ?? 0, seen.namesRequests ?? false);
+    }),
     ...exceededBudgets(seen),
     ...forwardedKeys(seen.arrivals),
     ...brokenPauses(seen),
@@ -52,7 +56,7 @@
   return runs;
 }
 
-function brokenByAnswer(answer: SeenAnswer, runs: number): string[] {
+function brokenByAnswer(answer: SeenAnswer, runs: number, namesRequests: boolean): string[] {
   const { id, kind, status, answeredId, body, complete } = answer;
   const broken: string[] = [];
   const once = kind === 'book' || kind === 'chat';
@@ -66,7 +70,9 @@
   const isStream = kind === 'chat' || kind === 'draft';
   if (status === 200 && isStream) {
     const [software] = softwareOf(body);
-    const whole = Array.from({ length: EVENTS }, (_, at) => event(at + 1, software)).join('');
+    const owner = namesRequests ? id : undefined;
+    const events = Array.from({ length: EVENTS }, (_, at) => event(at + 1, software, owner));
+    const whole = events.join('');
     if (!whole.startsWith(body)) broken.push(`${id} got events out of order: ${body}`);
     if (complete && body !== whole) broken.push(`${id} was ended as complete after ${body}`);
   }
--- a/test/soak/soakStreamChecks.ts
+++ b/test/soak/soakStreamChecks.ts
@@ -60,7 +60,13 @@
   const isInOrder = ids.every((id, at) => id === at + 1);
   const isWhole = ids.length === LAST_EVENT;
   const saysWhole = tries.some(({ status, complete }) => status === 200 && complete);
+  const foreign = tries.flatMap(({ id, events: own }) => {
+    return own.flatMap(({ request = id }) =>
+      request === id ? [] : [`${id} got events of ${request}`],
+    );
+  });
   return [
+    ...new Set(foreign),
     ...(software.length > 1 ? [`${name} holds events of ${software.join(' and ')}`] : []),
     ...(isInOrder ? [] : [`${name} got events out of order: ${ids.join()}`]),
     ...(saysWhole && !isWhole ? [`${name} was ended as complete after ${ids.join()}`] : []),
--- a/test/soak/soakStreams.ts
+++ b/test/soak/soakStreams.ts
@@ -13,6 +13,8 @@
   id: number;
   /** Software version that it names. */
   software: string;
+  /** Request that it names; undefined if it names none. */
+  request?: string;
 }
 
 /** One request for a stream. */
@@ -176,7 +178,9 @@
 
 function parse(status: number, body: string): Pick<StreamTry, 'events' | 'reason'> {
   if (status !== 200) return { events: [], reason: /"reason":"([^"]*)"/.exec(body)?.[1] };
-  const whole = [...body.matchAll(/^id: (\d+)\ndata: piece \d+ of (\S+)\n\n/gm)];
-  const events = whole.map(([, id, software = '']) => ({ id: Number(id), software }));
+  const whole = [...body.matchAll(/^id: (\d+)\ndata: piece \d+ of (\S+)(?: for (\S+))?\n\n/gm)];
+  const events = whole.map(([, id, software = '', request]) => {
+    return { id: Number(id), software, ...(request === undefined ? {} : { request }) };
+  });
   return { events, reason: undefined };
 }
