test(soak): copies of responses and the checks of responses, as units

The profile with duplicate responses is only of use if the copies keep the framing of other responses, and if its checks see foreign bodies, foreign events, early ends and statuses that no server gave.

--- a/test/soak/soakStreamChecks.test.ts
+++ b/test/soak/soakStreamChecks.test.ts
@@ -61,6 +61,11 @@
       tries: [tryOf('1', { events: events(1, 3, 'v1'), complete: true })],
       broken: ['1 was ended as complete after 1,2,3'],
     },
+    {
+      name: 'sees an event of another request',
+      tries: [tryOf('1', { events: [{ id: 1, software: 'v1', request: '7' }] })],
+      broken: ['1 got events of 7'],
+    },
     { name: 'accepts a refusal', tries: [begun, refused], broken: [] },
     {
       name: 'sees a refusal that is not true',
