test(soak): servers outlive requests whose body breaks off, and deadlines vary

Slow streams of up to 1.2 s with a deadline of 1.5 s were refused mostly, so that few reached a server.

--- a/test/platform/fakeServer.ts
+++ b/test/platform/fakeServer.ts
@@ -284,8 +284,8 @@
       this.#answerEarly(early, req, res);
       return;
     }
-    const chunks: Buffer[] = [];
-    for await (const chunk of req) chunks.push(chunk as Buffer);
+    const body = await readBody(req);
+    if (body === undefined) return;
     const at = performance.now();
     const { method = '', url = '', headers } = req;
     // the request has arrived, so the instance waits for its answer when it reads these bytes.
@@ -308,7 +308,6 @@
       return;
     }
     const ran = headers['x-expect-instance'] === this.id && this.behaviour !== 'shed';
-    const body = Buffer.concat(chunks).toString();
     const seen = { method, url, headers, body, at, ran, endedAt: undefined, broke: false };
     this.#track(seen, res);
     res.on('close', () => {
@@ -484,6 +483,18 @@
   }
 }
 
+/** Reads a body; undefined if the connection closes before its end. */
+async function readBody(req: IncomingMessage): Promise<string | undefined> {
+  const chunks: Buffer[] = [];
+  try {
+    for await (const chunk of req) chunks.push(chunk as Buffer);
+  } catch (err) {
+    if (req.complete) throw err;
+    return undefined;
+  }
+  return Buffer.concat(chunks).toString();
+}
+
 /** The header with which every answer names its request. */
 function idOf({ headers }: IncomingMessage): { 'x-request-id': string } {
   return { 'x-request-id': String(headers['x-request-id']) };
--- a/test/soak/soakServer.ts
+++ b/test/soak/soakServer.ts
@@ -74,6 +74,7 @@
   }
 
   #command(command: ServerCommand): void {
+    if (!this.process.connected) throw new Error(`the process of ${this.name} ended`);
     this.process.send(command);
   }
 }
--- a/test/soak/soakSilenceChanges.ts
+++ b/test/soak/soakSilenceChanges.ts
@@ -7,10 +7,10 @@
 /** Values of `idle_timeout_ms`: shorter than a silence, and longer. */
 const IDLE_TIMEOUTS_MS = [300, 800, 2_000, 15_000];
 /** Values of `timeout_ms`: shorter than a silence, and longer. */
-const ROUTE_TIMEOUTS_MS = [700, 1_500, 2_300, 4_000];
+const ROUTE_TIMEOUTS_MS = [900, 1_500, 2_300, 4_000];
 const MAX_BODY_BYTES = 1_000_000;
 const HEADER_TIMEOUT_MS = 3_000;
-/** Time in which a silence can be judged by the usual time limit, in milliseconds. */
+/** Value before the first change, in milliseconds. */
 const USUAL_IDLE_MS = 15_000;
 /** Suffix of the services to which routes move. */
 export const OTHER_SUFFIX = '-2';
--- a/test/soak/soakSilenceRun.ts
+++ b/test/soak/soakSilenceRun.ts
@@ -49,7 +49,9 @@
 /** Fraction of the calls whose server takes time, and how much, in milliseconds. */
 const SLOW_FRACTION = 0.5;
 const SLOW_ANSWER_MS = { min: 10, max: 400 };
-const SLOW_STREAM_MS = { min: 50, max: 1_200 };
+const SLOW_STREAM_MS = { min: 50, max: 700 };
+/** Deadlines of the calls in milliseconds: hardly longer than a silence, and longer. */
+const DEADLINES_MS = [1_500, 2_400];
 
 /** Whether a seed selects a run with silences and duplicate responses. */
 export function isSilenceSeed(seed: number): boolean {
@@ -261,11 +263,12 @@
   return (kind) => {
     const isLarge = random.chance(LARGE_FRACTION);
     const bodyBytes = isLarge ? random.int(LARGE_BYTES.min, LARGE_BYTES.max) : 0;
-    if (!random.chance(SLOW_FRACTION)) return { headers: {}, bodyBytes };
+    const deadline = { 'x-deadline-ms': String(random.pick(DEADLINES_MS)) };
+    if (!random.chance(SLOW_FRACTION)) return { headers: deadline, bodyBytes };
     const isPlain = kind === 'look' || kind === 'book';
     const { min, max } = isPlain ? SLOW_ANSWER_MS : SLOW_STREAM_MS;
     const behaviour = isPlain ? 'slow-answer' : 'slow-stream';
-    const headers = { [ASKED_BEHAVIOUR]: behaviour, [ASKED_MS]: String(random.int(min, max)) };
-    return { headers, bodyBytes };
+    const asked = { [ASKED_BEHAVIOUR]: behaviour, [ASKED_MS]: String(random.int(min, max)) };
+    return { headers: { ...deadline, ...asked }, bodyBytes };
   };
 }
