fix(store): an update that changes nothing is not taken for the response to another call

A conditional update whose value is the stored one keeps the version (the store's page: a PUT that changes nothing does not increase the revision). The check against duplicates, which asked for a newer version, would have reported it as unreachable with an unknown effect, and the writer would have read the object again. Such a response now counts if its value is the one that was written: then a duplicate of a read says the same.

--- a/packages/store/src/node/httpObjectStore.ts
+++ b/packages/store/src/node/httpObjectStore.ts
@@ -24,6 +24,7 @@
   WireObject,
 } from '../runtime/storeDialect.js';
 import { Agent } from 'node:http';
+import { isDeepStrictEqual } from 'node:util';
 import { exchange, SystemClock } from '@flamingocourse/kernel';
 import { Result } from 'true-myth';
 import {
@@ -174,7 +175,7 @@
   ): PlatformResult<VersionedObject<T>> {
     const request = this.#dialect.update(collection.name, name, version, value);
     return this.#callObject(collection, { kind: 'update', ...request }, options, (object) => {
-      return object.name === name && isNewer(object.version, version);
+      return object.name === name && isWritten(object, version, value);
     });
   }
 
@@ -351,6 +352,13 @@
   }
 }
 
+/** Whether an object can be what a conditional update left; one that changes nothing keeps the version. */
+function isWritten(object: WireObject, condition: string, value: unknown): boolean {
+  if (isNewer(object.version, condition)) return true;
+  const written: unknown = JSON.parse(JSON.stringify(value));
+  return object.version === condition && isDeepStrictEqual(object.value, written);
+}
+
 /** Whether an answer shows that the store serves calls. "Not found" is such an answer. */
 function showsServing({ status }: HttpAnswer): boolean {
   return status < 300 || status === 404;
--- a/test/store/duplicateAnswers.test.ts
+++ b/test/store/duplicateAnswers.test.ts
@@ -74,7 +74,7 @@
     if (method === 'PUT') {
       const next = JSON.parse(body) as { metadata: { resourceVersion: string }; value: Note };
       if (Number(next.metadata.resourceVersion) !== known.revision) return [409, {}];
-      this.put(name, next.value.text);
+      if (next.value.text !== known.text) this.put(name, next.value.text);
     }
     return [200, this.#object(name)];
   }
@@ -157,3 +157,12 @@
   await delay(IDLE_MS);
   assert.equal(await read(store, 'b'), 'b=2');
 });
+
+// Guards against an update that counts as lost because it changed nothing, so that the store kept the version.
+test('an update that changes nothing succeeds', async (t) => {
+  const server = await new DuplicatingStore().listen(t);
+  const store = connect(t, server.url);
+  server.put('a', '1');
+  const updated = await store.update(notes, 'a', A_VERSION, { text: '1' });
+  assert.equal(outcome(updated), 'a=1');
+});
