fix(router): a class is not refused for long after a stall of its servers

Cause: the expected time of a class is its mean and two deviations. Then each request is refused and no answer corrects it; it halves within 20 s, and the next fast answer raises the deviation and undoes the decay (1,172 ms before an answer of 2 ms, 1,451 ms after it).

While no request of the class runs, the mean judges a request instead. So one request at a time shows whether the class has recovered, and each answer corrects the estimate. While others run, nothing changes.

--- a/packages/core/src/runtime/admission/serviceTime.ts
+++ b/packages/core/src/runtime/admission/serviceTime.ts
@@ -48,6 +48,18 @@
  */
 export function cautiousServiceMs(known: ServiceTime | undefined, now: EpochMs): number {
   if (!known) return 0;
-  const faded = 0.5 ** (Math.max(0, now - known.at) / HALF_LIFE_MS);
-  return (known.meanMs + DEVIATION_FACTOR * known.deviationMs) * faded;
+  return (known.meanMs + DEVIATION_FACTOR * known.deviationMs) * decay(known, now);
+}
+
+/**
+ * Mean time of the class, in milliseconds; 0 while unknown. It decays like the cautious time. A few
+ * late answers raise it much less, so a request that is judged by it can show that the class has
+ * recovered.
+ */
+export function meanServiceMs(known: ServiceTime | undefined, now: EpochMs): number {
+  return known ? known.meanMs * decay(known, now) : 0;
+}
+
+function decay({ at }: ServiceTime, now: EpochMs): number {
+  return 0.5 ** (Math.max(0, now - at) / HALF_LIFE_MS);
 }
--- a/packages/router/src/node/backends/laneStatistics.ts
+++ b/packages/router/src/node/backends/laneStatistics.ts
@@ -1,7 +1,12 @@
 /** Statistics of a lane's work classes: service times and whether targets are met. */
 
 import type { EpochMs, Importance, PlacementRule, ServiceTime } from '@flamingocourse/core';
-import { cautiousServiceMs, ImportanceReserve, recordServiceTime } from '@flamingocourse/core';
+import {
+  cautiousServiceMs,
+  ImportanceReserve,
+  meanServiceMs,
+  recordServiceTime,
+} from '@flamingocourse/core';
 
 /** Timing of an attempt that returned its answer, in milliseconds. */
 export interface AnswerTiming {
@@ -19,6 +24,8 @@
 export class LaneStatistics {
   readonly #reserve = new ImportanceReserve();
   readonly #serviceTimes = new Map<string, ServiceTime>();
+  /** Attempts that run, by their class. */
+  readonly #running = new Map<string, Set<number>>();
   #targets = new Map<string, number>();
 
   /** Sets the first-token targets of the classes, in milliseconds. */
@@ -31,9 +38,25 @@
     return this.#targets.get(workClass);
   }
 
-  /** Expected time from placement to the end of a request of the class, in milliseconds. */
+  /**
+   * Expected time from placement to the end of a request of the class, in milliseconds. While none
+   * runs it is the mean: after a stall the cautious time can exceed the deadlines of the class, and
+   * if every request was refused, no answer could correct it.
+   */
   serviceMs(workClass: string, now: EpochMs): number {
-    return cautiousServiceMs(this.#serviceTimes.get(workClass), now);
+    const known = this.#serviceTimes.get(workClass);
+    return this.#running.has(workClass) ? cautiousServiceMs(known, now) : meanServiceMs(known, now);
+  }
+
+  recordPlaced(workClass: string, attempt: number): void {
+    const attempts = this.#running.get(workClass) ?? new Set();
+    this.#running.set(workClass, attempts.add(attempt));
+  }
+
+  recordEnd(workClass: string, attempt: number): void {
+    const attempts = this.#running.get(workClass);
+    attempts?.delete(attempt);
+    if (attempts?.size === 0) this.#running.delete(workClass);
   }
 
   /** Rule that decides which places a request of this importance may use. */
--- a/packages/router/src/node/backends/serviceLane.ts
+++ b/packages/router/src/node/backends/serviceLane.ts
@@ -284,6 +284,7 @@
     const { request, exclusive, arrivedAt } = waiter;
     const attempt = pool.dispatch(chosen.id, now, exclusive);
     this.#admission.recordPlaced(attempt, chosen, waiter, now);
+    this.#statistics.recordPlaced(request.workClass, attempt);
     const server = pool.server(chosen.id);
     if (!server) throw new RangeError(`chosen server "${chosen.id}" is not in the pool`);
     const prompt = this.#prompts.place(chosen, server, request, now);
@@ -314,6 +315,7 @@
       end: (how, firstTokenMs) => {
         prompt.end();
         this.#recordEnd(attempt, request, how, firstTokenMs);
+        this.#statistics.recordEnd(request.workClass, attempt);
         this.#admission.recordEnd(attempt);
         this.#crashes.recordEnd(server, attempt, causesOf(request), how);
         if (how === 'ok' && firstTokenMs !== undefined) {
