--- a/packages/core/src/runtime/streams/eventFrames.ts
+++ b/packages/core/src/runtime/streams/eventFrames.ts
@@ -15,6 +15,8 @@
 const NOTHING = Buffer.alloc(0);
 /** Maximum size of one event, in bytes. */
 const MAX_EVENT_BYTES = 256 * 1024;
+/** Bytes for which each chunk counts in addition, because even an empty one takes processor time. */
+const CHUNK_COST_BYTES = 64;
 /** Smallest buffer of an incomplete event, in bytes. */
 const MIN_BUFFER_BYTES = 1024;
 /** Bytes before the end of an event, of which the next chunk may contain the last: LF, CR. */
@@ -32,6 +34,8 @@
   /** Its beginning holds the incomplete event. */
   #buffer: Buffer = NOTHING;
   #length = 0;
+  /** Chunks since the last complete event. */
+  #chunks = 0;
   #lastId: string | undefined;
   #total = 0;
 
@@ -50,13 +54,14 @@
     return this.#length > 0;
   }
 
-  /** Whether the incomplete event is longer than any event; no more may be added. */
+  /** Whether the incomplete event is longer, or in more chunks, than any event; no more may be added. */
   get isTooLong(): boolean {
-    return this.#length > MAX_EVENT_BYTES;
+    return this.#length + CHUNK_COST_BYTES * this.#chunks > MAX_EVENT_BYTES;
   }
 
   /** Adds a chunk; returns the events that are complete now. */
   push(chunk: Buffer): EventBytes {
+    this.#chunks += 1;
     const examined = Math.max(0, this.#length - MAX_BOUNDARY_PART_BYTES);
     const data = this.#length === 0 ? chunk : this.#append(chunk);
     let end = 0;
@@ -79,6 +84,7 @@
   dropOpen(): void {
     this.#buffer = NOTHING;
     this.#length = 0;
+    this.#chunks = 0;
   }
 
   /** Adds bytes to the incomplete event; returns all of it. */
--- a/test/gateway/eventFrames.test.ts
+++ b/test/gateway/eventFrames.test.ts
@@ -4,6 +4,8 @@
 
 /** Milliseconds in which an event of the maximum size must be read. */
 const MAX_EVENT_MS = 500;
+/** Chunks of which an event may consist at most. */
+const MAX_EVENT_CHUNKS = 4096;
 
 const stream = 'id: 1\ndata: one\n\nid: 2\r\ndata: two\r\n\r\nid: 3\ndata: three\n\n';
 
@@ -42,9 +44,11 @@
       const chunk = Buffer.from(unit);
       const startedAt = performance.now();
       let bytes = frames.push(Buffer.from('data: ')).bytes.length;
-      while (!frames.isTooLong) bytes += frames.push(chunk).bytes.length;
+      let chunks = 0;
+      for (; !frames.isTooLong; chunks += 1) bytes += frames.push(chunk).bytes.length;
       const tookMs = performance.now() - startedAt;
       assert.equal(bytes, 0);
+      assert.ok(chunks <= MAX_EVENT_CHUNKS, `${String(chunks)} chunks`);
       assert.ok(tookMs < MAX_EVENT_MS, `${String(Math.round(tookMs))} ms`);
     });
   }
