fix(gateway): held responses are copied into blocks, and tiny chunks count as more than their size

Cause: each chunk was kept as a Buffer, which takes a hundred bytes of heap beside its contents and keeps alive the 64 KiB into which its connection was read; only the contents were counted.

ByteCollector copies chunks into blocks.

--- a/packages/gateway/src/node/answerRelay.ts
+++ b/packages/gateway/src/node/answerRelay.ts
@@ -1,9 +1,10 @@
 /** Forwards a server's response to the caller. */
 
 import type { CallerAnswer } from './callerAnswer.js';
-import type { AnswerBuffers } from '../runtime/answerBuffers.js';
+import type { BodyBuffers } from '../runtime/heldBytes.js';
 import type { OpenAnswer } from './httpAttempt.js';
 import { EventFrames } from '@flamingocourse/core';
+import { ByteCollector } from '@flamingocourse/kernel';
 
 /** Arguments of a relay. */
 export interface Relay {
@@ -13,7 +14,7 @@
   headers: string[];
   signal: AbortSignal;
   /** Counts what is held of this and other responses. */
-  buffers: AnswerBuffers;
+  buffers: BodyBuffers;
   /** Returns whether the server itself ended the connection of a response without a length. */
   isOwnEnd: () => Promise<boolean>;
   /** Called for each chunk of a stream. */
@@ -61,15 +62,15 @@
 }: Pick<Relay, 'open' | 'signal' | 'buffers' | 'isOwnEnd' | 'now'>): Promise<
   Exclude<RelayEnd, { type: 'whole' }> | WholeAnswer
 > {
-  const chunks: Buffer[] = [];
+  const bytes = new ByteCollector();
   const held = buffers.open();
   const end = await readBody(read, (chunk) => {
-    if (!held.add(chunk.length)) return false;
-    chunks.push(chunk);
+    if (!held.addChunk(chunk.length)) return false;
+    bytes.add(chunk);
     return true;
   });
   held.release();
-  return end.type === 'whole' ? { ...end, body: Buffer.concat(chunks) } : end;
+  return end.type === 'whole' ? { ...end, body: bytes.toBuffer() } : end;
 }
 
 /**
--- a/packages/gateway/src/node/createGateway.ts
+++ b/packages/gateway/src/node/createGateway.ts
@@ -23,7 +23,7 @@
 import { Result } from 'true-myth';
 import { HttpObjectStore, defaultCircuitOptions } from '@flamingocourse/store';
 import type { FleetConditions } from '../types/fleetConditions.js';
-import { AnswerBuffers } from '../runtime/answerBuffers.js';
+import { BodyBuffers } from '../runtime/heldBytes.js';
 import { BackendLanes } from './backendLanes.js';
 import { AnswerEndCheck } from './answerEndCheck.js';
 import { ConnectionCheck } from './connectionCheck.js';
@@ -156,7 +156,7 @@
     rules,
     software: { seen: new SeenSoftware(), recorded: new RecordedSoftware() },
     adaptiveLoad: new AdaptiveLoad(() => dialects.needsAdaptiveLoad(settings.terms)),
-    buffers: new AnswerBuffers(),
+    buffers: new BodyBuffers(),
     random,
   };
   const kernel = new Kernel();
--- a/packages/gateway/src/types/context.ts
+++ b/packages/gateway/src/types/context.ts
@@ -6,7 +6,7 @@
 import type { GatewayMetrics } from '../node/gatewayMetrics.js';
 import type { CallerDialect, ServerDialect } from './dialects.js';
 import type { AdaptiveLoad } from '../runtime/adaptiveLoad.js';
-import type { AnswerBuffers } from '../runtime/answerBuffers.js';
+import type { BodyBuffers } from '../runtime/heldBytes.js';
 import type { GatewaySettings } from './gatewaySettings.js';
 
 /** Adapters for the platform that the router runs on. */
@@ -40,7 +40,7 @@
   /** Whether the deployment calls for the parts that adapt to scarce room and uneven servers. */
   adaptiveLoad: AdaptiveLoad;
   /** Counts the bytes of answers that are held until they are complete. */
-  buffers: AnswerBuffers;
+  buffers: BodyBuffers;
   /** Returns a random number from 0 (inclusive) to 1 (exclusive). */
   random: () => number;
 }
--- a/packages/kernel/src/index.ts
+++ b/packages/kernel/src/index.ts
@@ -6,6 +6,7 @@
 export * from './node/staysOpen.js';
 export * from './node/waitForPendingReads.js';
 export * from './node/timeLimit.js';
+export * from './runtime/byteCollector.js';
 export * from './runtime/channel.js';
 export * from './runtime/clock.js';
 export * from './runtime/eventCatalogue.js';
--- a/test/gateway/answerBuffers.test.ts
+++ b/test/gateway/heldBytes.test.ts
@@ -1,29 +1,37 @@
 import assert from 'node:assert/strict';
 import { describe, test } from 'node:test';
-import { AnswerBuffers } from '../../packages/gateway/src/runtime/answerBuffers.js';
+import { BodyBuffers } from '../../packages/gateway/src/runtime/heldBytes.js';
 
 const KB = 1024;
 const MB = 1024 * KB;
 const CHUNK = 64 * KB;
 
-describe('the memory of answers that are held', () => {
+describe('the memory of bodies that are held', () => {
   test('has a bound for each', () => {
-    const held = new AnswerBuffers(64 * MB).open();
+    const held = new BodyBuffers(64 * MB).open();
     let bytes = 0;
-    while (held.add(CHUNK)) bytes += CHUNK;
+    while (held.addChunk(CHUNK)) bytes += CHUNK;
     assert.equal(bytes, 8 * MB);
   });
 
+  // Guards against bodies in tiny chunks, which take far more processor time than their size tells.
+  test('counts a chunk of one byte as more', () => {
+    const held = new BodyBuffers(64 * MB).open();
+    let chunks = 0;
+    while (held.addChunk(1)) chunks += 1;
+    assert.equal(chunks, (8 * MB) / 256);
+  });
+
   // Guards against an instance that is ended for its memory because many servers send without end.
   test('has a bound for all together, which answers of usual size do not feel', () => {
-    const buffers = new AnswerBuffers(32 * MB);
+    const buffers = new BodyBuffers(32 * MB);
     const endless = Array.from({ length: 200 }, () => ({ held: buffers.open(), given: false }));
     let most = 0;
     for (let round = 0; round < 300; round += 1) {
       const usual = buffers.open();
-      assert.equal(usual.add(20 * KB), true, `round ${String(round)}`);
+      assert.equal(usual.addChunk(20 * KB), true, `round ${String(round)}`);
       for (const answer of endless) {
-        if (answer.given || answer.held.add(CHUNK)) continue;
+        if (answer.given || answer.held.addChunk(CHUNK)) continue;
         answer.given = true;
         answer.held.release();
       }
@@ -36,12 +44,12 @@
   });
 
   test('is released once, whatever comes afterwards', () => {
-    const buffers = new AnswerBuffers();
+    const buffers = new BodyBuffers();
     const held = buffers.open();
-    held.add(KB);
+    held.addChunk(KB);
     held.release();
     held.release();
-    assert.equal(held.add(KB), false);
+    assert.equal(held.addChunk(KB), false);
     assert.equal(buffers.total, 0);
   });
 });
--- a/test/gateway/httpAttempt.test.ts
+++ b/test/gateway/httpAttempt.test.ts
@@ -5,7 +5,7 @@
 import { setTimeout as delay } from 'node:timers/promises';
 import { describe, test } from 'node:test';
 import { ServerAgent, openAttempt, readAnswer } from '@flamingocourse/gateway';
-import { AnswerBuffers } from '../../packages/gateway/src/runtime/answerBuffers.js';
+import { BodyBuffers } from '../../packages/gateway/src/runtime/heldBytes.js';
 
 const whole = 'HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok';
 const unframed = 'HTTP/1.1 200 OK\r\n\r\nok';
@@ -59,7 +59,7 @@
   const end = await readAnswer({
     open: opened.value,
     signal,
-    buffers: new AnswerBuffers(),
+    buffers: new BodyBuffers(),
     isOwnEnd,
     now: () => performance.now(),
   });
--- a/test/gateway/testContext.ts
+++ b/test/gateway/testContext.ts
@@ -12,7 +12,7 @@
 } from '@flamingocourse/core';
 import { AdaptiveLoad, parseGatewaySettings } from '@flamingocourse/gateway';
 import { createPlatformDialects } from '@flamingocourse/platform-adapter';
-import { AnswerBuffers } from '../../packages/gateway/src/runtime/answerBuffers.js';
+import { BodyBuffers } from '../../packages/gateway/src/runtime/heldBytes.js';
 import { GatewayMetrics } from '../../packages/gateway/src/node/gatewayMetrics.js';
 
 /** Returns a context with default settings and without network. */
@@ -37,7 +37,7 @@
     dialects: createPlatformDialects(),
     software: { seen: new SeenSoftware(), recorded: new RecordedSoftware() },
     adaptiveLoad: new AdaptiveLoad(() => false),
-    buffers: new AnswerBuffers(),
+    buffers: new BodyBuffers(),
     rules: new SendRules(new ServerNotices(new ServerRateLimits(() => 0.5), () => 0.5)),
     random: () => 0.5,
   };
--- /dev/null
+++ b/test/platform/boundedMemory.test.ts
@@ -0,0 +1,80 @@
+import type { FloodName } from './floods.js';
+import type { MemoryFleet as Fleet } from './memoryFleet.js';
+import type { TestContext } from 'node:test';
+import assert from 'node:assert/strict';
+import { describe, test } from 'node:test';
+import { setTimeout as delay } from 'node:timers/promises';
+import { MAX_INSTANCE_BYTES, MemoryFleet, ROUTE_MS, call, peakMemory } from './memoryFleet.js';
+
+/** Faulty responses at a time. */
+const AT_ONCE = 100;
+/** How much later than its time limit a response may come, in milliseconds. */
+const SLACK_MS = 500;
+/** Milliseconds for which sound requests go on after the last faulty response. */
+const AFTER_MS = 500;
+
+/** Runs something faulty beside sound requests and checks all instances. */
+async function assertUnharmed(
+  t: TestContext,
+  fleet: Fleet,
+  run: () => Promise<unknown>,
+): Promise<void> {
+  const controller = new AbortController();
+  const sound = fleet.callSound(controller.signal);
+  await run();
+  await delay(AFTER_MS);
+  controller.abort();
+  const { statuses, worstMs } = await sound;
+  const failed = statuses.filter((status) => status !== 200);
+  const peaks = fleet.instances.map(({ pid = 0, unexpectedExits }) =>
+    unexpectedExits.length > 0 ? Infinity : peakMemory(pid),
+  );
+  const mb = peaks.map((bytes) => Math.round(bytes / 1024 / 1024)).join(', ');
+  t.diagnostic(
+    `${mb} MB, ${String(statuses.length)} sound, ${String(failed.length)} failed (${[...new Set(failed)].join()}), ${String(fleet.repeated)} repeated, worst ${String(Math.round(worstMs))} ms`,
+  );
+  for (const instance of fleet.instances) {
+    const end = instance.output.trimEnd().split('\n').slice(-3).join('\n');
+    assert.deepEqual(instance.unexpectedExits, [], end);
+  }
+  assert.deepEqual(failed, []);
+  assert.ok(worstMs < ROUTE_MS, `${String(worstMs)} ms`);
+  assert.ok(Math.max(...peaks) < MAX_INSTANCE_BYTES, `${mb} MB`);
+}
+
+// Guards against an instance that ends, or serves nobody in time, because servers send without end.
+describe('a process of an instance stays within its memory and serves others beside responses without end', () => {
+  const cases: { path: string; flood: FloodName }[] = [
+    { path: '/book/1', flood: 'large chunks' },
+    { path: '/book/1', flood: 'chunks of one byte' },
+    { path: '/book/1', flood: 'bytes without a length' },
+    { path: '/book/1', flood: 'header section' },
+    { path: '/book/1', flood: 'interim responses' },
+    { path: '/book/1', flood: 'trailers' },
+    { path: '/chat/1', flood: 'one event' },
+    { path: '/chat/1', flood: 'one event in chunks of one byte' },
+    { path: '/chat/1', flood: 'one event of many lines' },
+    { path: '/draft/1', flood: 'one event of short lines in short chunks' },
+    { path: '/chat/1', flood: 'events' },
+    { path: '/chat/1', flood: 'events in short chunks' },
+    { path: '/chat/1', flood: 'comment lines' },
+    { path: '/chat/1', flood: 'large events' },
+  ];
+  for (const { path, flood } of cases) {
+    test(`${flood} (${path})`, async (t) => {
+      const fleet = await MemoryFleet.start(t);
+      await fleet.addFaulty(t, path === '/book/1' ? 'ledger' : 'llm');
+      const { port = 0 } = fleet.instances[0] ?? {};
+      await assertUnharmed(t, fleet, async () => {
+        const calls = Array.from({ length: AT_ONCE }, (_, at) =>
+          call(port, { path, flood, id: `flood-${String(at)}` }),
+        );
+        const ended = await Promise.all(calls);
+        const statuses = [...new Set(ended.map(({ status }) => status))].join(', ');
+        const worstMs = Math.max(...ended.map(({ tookMs }) => tookMs));
+        t.diagnostic(`statuses ${statuses}, worst ${String(Math.round(worstMs))} ms`);
+        assert.ok(worstMs < ROUTE_MS + SLACK_MS, `${String(worstMs)} ms`);
+      });
+    });
+  }
+});
--- a/test/soak/soakProcess.ts
+++ b/test/soak/soakProcess.ts
@@ -19,6 +19,8 @@
   readonly port: number;
   /** Bundle that the next start runs. */
   bundle = 'target/flamingocourse.cjs';
+  /** Flags of Node.js for the next start. */
+  nodeFlags: readonly string[] = [];
   output = '';
   /** Whether a restart is in progress. */
   busy = false;
@@ -55,7 +57,7 @@
     this.#isExitExpected = false;
     this.#hasOutput = false;
     this.startedAt.push(performance.now());
-    const child = spawn(process.execPath, [this.bundle], {
+    const child = spawn(process.execPath, [...this.nodeFlags, this.bundle], {
       env: { ...process.env, FLAMINGOCOURSE_CONFIG: this.#file },
       stdio: ['ignore', 'pipe', 'pipe'],
     });
