fix(gateway): the bodies of requests share bounded memory, and one without end closes its connection

With 100 callers at a time, a process with a heap of 64 MB ended when bodies came in chunks of one byte, and had 340 MB with chunked bodies without end and 475 MB with bodies of 4 MiB whose last bytes never came, where it may have 160 MB (one run each, the new cases of platform/boundedMemory).

Cause: max_body_bytes bounds each body, nothing bounded all of them, each chunk was kept as an object, and nothing ended a body once its request had its response. Bodies are counted now as responses are, from their first byte to the end of the request: 24 MiB together, the largest are refused first with 503, not executed. A connection whose request has ended is closed 500 ms later unless its body is complete, and at most 1 MiB of the rest is read.

--- a/packages/gateway/src/node/createGateway.ts
+++ b/packages/gateway/src/node/createGateway.ts
@@ -157,6 +157,8 @@
     software: { seen: new SeenSoftware(), recorded: new RecordedSoftware() },
     adaptiveLoad: new AdaptiveLoad(() => dialects.needsAdaptiveLoad(settings.terms)),
     buffers: new BodyBuffers(),
+    // the configuration bounds each body.
+    requestBuffers: new BodyBuffers(undefined, Infinity),
     random,
   };
   const kernel = new Kernel();
--- a/packages/gateway/src/node/entryRefusals.ts
+++ b/packages/gateway/src/node/entryRefusals.ts
@@ -72,3 +72,9 @@
   const detail = `The body is over ${String(limit)} bytes; send a smaller one.`;
   return { reason: 'too-large', run: 'not-run', detail };
 }
+
+/** Refusal of a request whose body finds no room beside the bodies of others. */
+export function noRoomForBody(): Refusal {
+  const detail = 'The bodies of all requests take too much memory here; retry soon.';
+  return notRun('not-ready', detail, NOT_READY_RETRY_MS);
+}
--- a/packages/gateway/src/node/entryService.ts
+++ b/packages/gateway/src/node/entryService.ts
@@ -28,6 +28,7 @@
 import { BackendLanes } from './backendLanes.js';
 import { CallerAnswer } from './callerAnswer.js';
 import { CallerConnections } from './callerConnections.js';
+import { closeIfUnread } from './closeIfUnread.js';
 import { closeOnCallerEnd } from './closeOnCallerEnd.js';
 import { ConfigurationWatch } from './configurationWatch.js';
 import { EntryReadiness } from './entryReadiness.js';
@@ -35,6 +36,7 @@
 import {
   bodyTooLarge,
   fitsMemory,
+  noRoomForBody,
   notReady,
   promptTooLong,
   refusalFor,
@@ -251,7 +253,9 @@
       return;
     }
     const head = decoded.value;
-    const body = this.#readBody(req);
+    // at once: a connection with unread bytes would not show that it was closed.
+    const held = this.#context.requestBuffers.open();
+    const body = readRequestBody(req, this.#maxBodyBytes, held);
     const limit = this.#startLimit(head, incoming);
     try {
       if (await turn.begins) await this.#route({ head, body, limit }, incoming);
@@ -270,6 +274,8 @@
       this.#recordEnd('none', head, incoming, outcome);
     } finally {
       limit.end();
+      held.release();
+      closeIfUnread(req);
     }
   }
 
@@ -302,11 +308,6 @@
     return { endsAt, signal: controller.signal, end };
   }
 
-  /** Reads the body at once: a connection with unread bytes would not show that it was closed. */
-  #readBody(req: IncomingMessage): Promise<RequestBody> {
-    return readRequestBody(req, this.#maxBodyBytes);
-  }
-
   get #maxBodyBytes(): number {
     return this.#configuration?.table?.config.limits.maxBodyBytes ?? 0;
   }
@@ -330,7 +331,8 @@
     if (body === undefined) refuse(refusalFor(limit.signal));
     else if (body.type === 'gone') {
       this.#recordEnd(route?.name ?? 'none', head, incoming, { type: 'gone' });
-    } else if (body.type === 'too-large') refuse(bodyTooLarge(this.#maxBodyBytes));
+    } else if (body.type === 'no-room') refuse(noRoomForBody());
+    else if (body.type === 'too-large') refuse(bodyTooLarge(this.#maxBodyBytes));
     else if (!table || !route) refuse(notReady());
     else {
       const resolving = this.#flowParts().streams.resolve({ head, route, account });
--- a/test/gateway/testContext.ts
+++ b/test/gateway/testContext.ts
@@ -38,6 +38,8 @@
     software: { seen: new SeenSoftware(), recorded: new RecordedSoftware() },
     adaptiveLoad: new AdaptiveLoad(() => false),
     buffers: new BodyBuffers(),
+    // the configuration bounds each body.
+    requestBuffers: new BodyBuffers(undefined, Infinity),
     rules: new SendRules(new ServerNotices(new ServerRateLimits(() => 0.5), () => 0.5)),
     random: () => 0.5,
   };
--- a/test/platform/boundedMemory.test.ts
+++ b/test/platform/boundedMemory.test.ts
@@ -4,7 +4,14 @@
 import assert from 'node:assert/strict';
 import { describe, test } from 'node:test';
 import { setTimeout as delay } from 'node:timers/promises';
-import { MAX_INSTANCE_BYTES, MemoryFleet, ROUTE_MS, call, peakMemory } from './memoryFleet.js';
+import {
+  MAX_INSTANCE_BYTES,
+  MemoryFleet,
+  ROUTE_MS,
+  call,
+  callRaw,
+  peakMemory,
+} from './memoryFleet.js';
 
 /** Faulty responses at a time. */
 const AT_ONCE = 100;
@@ -78,3 +85,47 @@
     });
   }
 });
+
+/** Body of a request without end, or of the maximum size but for its end. */
+const MAX_BODY_BYTES = 4 * 1024 * 1024;
+const bodies: { name: string; framing: string; unit: Buffer; totalBytes: number }[] = [
+  {
+    name: 'in large chunks, without end',
+    framing: 'Transfer-Encoding: chunked',
+    unit: Buffer.concat([Buffer.from('4000\r\n'), Buffer.alloc(0x4000, 'x'), Buffer.from('\r\n')]),
+    totalBytes: Infinity,
+  },
+  {
+    name: 'in chunks of one byte, without end',
+    framing: 'Transfer-Encoding: chunked',
+    unit: Buffer.from('1\r\nx\r\n'.repeat(2_000)),
+    totalBytes: Infinity,
+  },
+  {
+    name: 'of the maximum size that never end',
+    framing: `Content-Length: ${String(MAX_BODY_BYTES)}`,
+    unit: Buffer.alloc(0x4000, 'x'),
+    totalBytes: MAX_BODY_BYTES - 0x4000,
+  },
+];
+
+// Guards against an instance that ends, or serves nobody in time, because callers send without end.
+describe('a process of an instance stays within its memory and serves others beside requests', () => {
+  for (const { name, framing, unit, totalBytes } of bodies) {
+    test(`with bodies ${name}`, async (t) => {
+      const fleet = await MemoryFleet.start(t, { max_body_bytes: MAX_BODY_BYTES });
+      const { port = 0 } = fleet.instances[0] ?? {};
+      await assertUnharmed(t, fleet, async () => {
+        const ended = await Promise.all(
+          Array.from({ length: AT_ONCE }, (_, at) => {
+            return callRaw({ port, framing, unit, totalBytes, id: `raw-${String(at)}` });
+          }),
+        );
+        const worstMs = Math.max(...ended.map(({ tookMs }) => tookMs));
+        const statuses = [...new Set(ended.map(({ status }) => status))].join(', ');
+        t.diagnostic(`statuses ${statuses}, worst ${String(Math.round(worstMs))} ms`);
+        assert.ok(worstMs < ROUTE_MS + SLACK_MS, `${String(worstMs)} ms`);
+      });
+    });
+  }
+});
