test(soak): connections break and callers leave in the runs with silences

Streams were hardly ever taken up again there (1 to 131 tries of a run went on): a router waits for a silent server, and no connection broke.

--- a/test/soak/soakServer.ts
+++ b/test/soak/soakServer.ts
@@ -50,8 +50,8 @@
     this.process.kill(signal);
   }
 
-  stopCopies(): void {
-    this.#command('stop-copies');
+  stopFaults(): void {
+    this.#command('stop-faults');
   }
 
   async collect(): Promise<void> {
--- a/test/soak/soakServerMessages.ts
+++ b/test/soak/soakServerMessages.ts
@@ -2,8 +2,8 @@
 
 import type { SeenRequest } from '../platform/fakeServer.js';
 
-/** What a run asks of a server: to send no more copies, or to tell what it saw. */
-export type ServerCommand = 'stop-copies' | 'collect';
+/** What a run asks of a server: to send no more copies and resets, or to tell what it saw. */
+export type ServerCommand = 'stop-faults' | 'collect';
 
 export type ServerNotice =
   | { kind: 'listening'; address: string }
--- a/test/soak/soakServerProcess.ts
+++ b/test/soak/soakServerProcess.ts
@@ -12,12 +12,16 @@
 const MIN_EARLY_BYTES = 20_000;
 /** Fraction of such requests. */
 const EARLY_FRACTION = 0.2;
+/** Fraction of the requests whose connection is reset, so that streams go on elsewhere. */
+const RESET_FRACTION = 0.04;
+/** Maximum milliseconds from the request to the reset. */
+const MAX_RESET_MS = 600;
 
 const [name = '', software = 'v1', seed = '0'] = process.argv.slice(2);
 const random = createRandom(Number(seed));
 const copies = new Map<Socket, ResponseCopies>();
 const server = new FakeServer(name);
-let sendsCopies = true;
+let isFaulty = true;
 
 server.software = software;
 server.bornAt = 1;
@@ -25,20 +29,29 @@
 server.namesRequests = true;
 server.bodyFor = (requestId) => responseBody(name, requestId);
 server.onConnection = (socket) => {
-  const plan = (): ReturnType<typeof planCopy> => (sendsCopies ? planCopy(random) : undefined);
+  const plan = (): ReturnType<typeof planCopy> => (isFaulty ? planCopy(random) : undefined);
   copies.set(socket, new ResponseCopies(socket, plan));
 };
-server.onRequest = (req, res) => copies.get(req.socket)?.begin(res);
+server.onRequest = (req, res) => {
+  copies.get(req.socket)?.begin(res);
+  if (!isFaulty || !random.chance(RESET_FRACTION)) return;
+  setTimeout(
+    () => {
+      if (!res.writableFinished) req.socket.resetAndDestroy();
+    },
+    random.int(0, MAX_RESET_MS),
+  );
+};
 server.earlyStatus = ({ headers }) => {
   const isLarge = Number(headers['content-length'] ?? 0) >= MIN_EARLY_BYTES;
-  if (!sendsCopies || !isLarge || !random.chance(EARLY_FRACTION)) return undefined;
+  if (!isFaulty || !isLarge || !random.chance(EARLY_FRACTION)) return undefined;
   return random.pick([500, 503] as const);
 };
 
 process.on('message', (command: ServerCommand) => {
   switch (command) {
-    case 'stop-copies':
-      sendsCopies = false;
+    case 'stop-faults':
+      isFaulty = false;
       return;
     case 'collect':
       collect();
--- a/test/soak/soakSilenceRun.ts
+++ b/test/soak/soakSilenceRun.ts
@@ -26,9 +26,8 @@
 /** Of seven seeds, the one with this remainder is such a run. */
 const SILENCES_EVERY = 7;
 const SILENCES_REMAINDER = 2;
-/** Of two such seeds, one has engines of two software versions, and of three, one has callers that leave. */
+/** Of two such seeds, one has engines of two software versions. */
 const VERSIONS_EVERY = 2;
-const LEAVING_EVERY = 3;
 const INSTANCES = 4;
 const DATA_CENTRES = 2;
 /** Servers of each service; 6 in 10 engines are a whole number of them. */
@@ -144,11 +143,10 @@
 
   constructor(parts: RunParts) {
     const { seed, store, instances, engines, plain } = parts;
-    const callersLeave = Math.floor(seed / SILENCES_EVERY) % LEAVING_EVERY === 1;
     this.#parts = parts;
     this.#callers = new SoakCallers(instances, ACCOUNTS, createRandom(seed + 1));
     this.#callers.shape = shapes(seed + 2);
-    this.#streams = new SoakStreams(instances, createRandom(seed + 3), callersLeave);
+    this.#streams = new SoakStreams(instances, createRandom(seed + 3), true);
     this.#configuration = new SoakConfiguration(store, ACCOUNTS, 'ample');
     const changes = new SoakSilenceChanges(this.#configuration, createRandom(seed + 4));
     const targets = { engines, plain, instances, changes };
@@ -165,7 +163,7 @@
     }, CALL_INTERVAL_MS);
     this.#streams.start();
     await this.#silences.play(faultsMs);
-    for (const server of [...plain, ...engines]) server.stopCopies();
+    for (const server of [...plain, ...engines]) server.stopFaults();
     await this.#streams.stop();
     await delay(RECOVERY_MS);
     clearInterval(calling);
@@ -189,6 +187,10 @@
       isCalm: () => true,
     });
     const tries = this.#streams.streams.flatMap((stream) => stream.tries);
+    const resumed = this.#streams.streams.flatMap((stream) => {
+      const first = stream.tries.findIndex(({ events }) => events.length > 0);
+      return first < 0 ? [] : stream.tries.slice(first + 1);
+    });
     return {
       seed,
       calls: answers.length + tries.length,
@@ -196,8 +198,8 @@
       metStop: 0,
       cutOff: 0,
       servedCutOff: 0,
-      takenUp: streams.takenUp,
-      wentOn: streams.wentOn,
+      takenUp: resumed.length,
+      wentOn: resumed.filter(({ events }) => events.length > 0).length,
       scarce: { sent: 0, due: 0, held: 0 },
       copies: servers.reduce((sum, { copies }) => sum + copies, 0),
       faults: this.#silences.injected,
