fix(gateway): a response that broke off in its head does not lend its status to the next one

What callers saw: status 200 with the body, the signature and the fields of a response whose status was 500. The server had sent the beginning of a head, such as `HTTP/1.1 200 OK` and a part of a field, and then its response on the same connection.

Cause: HTTP parsers read `X-Note: cutHTTP/1.1 500 Internal Server Error` as one field, and `HTTP/1.1 200 OHTTP/1.1 500 ...` as one status line. All later fields are those of the own response, so its `X-Request-Id` and `X-Response-Signature` match.

Why it works: the filter on connections to servers closes a connection whose head holds a second status line. Such a request has the outcome `unknown` and ends with 502, or is retried where that is allowed. The check applies to all requests to servers, health checks and questions for the state among them, and to HEAD.

Limit: a server that legitimately sends `HTTP/1.1 NNN` inside a field gets its responses rejected.

--- a/packages/gateway/src/node/httpAttempt.ts
+++ b/packages/gateway/src/node/httpAttempt.ts
@@ -210,7 +210,7 @@
   });
 }
 
-/** Has responses to other requests skipped that come before the one to this request. */
+/** Checks what comes before the response to this request, and has responses to other requests skipped. */
 function filterResponses(
   connection: FilteredSocket,
   { method, skipped }: AttemptRequest,
@@ -220,8 +220,8 @@
   const filter = known instanceof ResponseFilter ? known : new ResponseFilter();
   connection.readFilter = filter;
   // a response to HEAD has the length of a body that it doesn't have.
-  if (method === 'HEAD') filter.turnOff();
-  else if (skipped) filter.expect({ isForeign: skipped.isForeign, onSkip });
+  if (method === 'HEAD') filter.skipNone();
+  filter.expect({ isForeign: (head) => skipped?.isForeign(head) === true, onSkip });
 }
 
 /**
--- a/packages/gateway/src/runtime/responseFilter.ts
+++ b/packages/gateway/src/runtime/responseFilter.ts
@@ -2,7 +2,12 @@
 
 import type { ResponseHead } from '../utils/responseHead.js';
 import { ReadFilter } from '@flamingocourse/kernel';
-import { MAX_HEAD_BYTES, mayBeginResponse, parseResponseHead } from '../utils/responseHead.js';
+import {
+  MAX_HEAD_BYTES,
+  holdsSecondHead,
+  mayBeginResponse,
+  parseResponseHead,
+} from '../utils/responseHead.js';
 
 /** Maximum bytes that are skipped before one response; far above the size of usual responses. */
 const MAX_SKIPPED_BYTES = 16 * 1024 * 1024;
@@ -31,8 +36,9 @@
  * certain are skipped: one length, or chunks. All else is let through, and whoever reads it judges it.
  * Once the expected response has begun, all bytes are let through.
  *
- * Where bytes after a skipped response are no response, a skipped one was truncated, so that part of the
- * expected one may be lost: the connection has to be closed.
+ * The connection has to be closed where bytes after a skipped response are no response, because a skipped
+ * one was truncated and part of the expected one may be lost, and where a response broke off in its head,
+ * because the expected one would be read with the status of that one.
  *
  * @example
  * socket.readFilter = filter;
@@ -41,7 +47,7 @@
 export class ResponseFilter extends ReadFilter {
   #phase: Phase = 'passing';
   #expected: ExpectedResponse | undefined;
-  #isOff = false;
+  #maySkip = true;
   #held: Buffer = NOTHING;
   /** Bytes left of a skipped body or chunk. */
   #left = 0;
@@ -49,17 +55,15 @@
 
   /** Expects a response from now on. */
   expect(expected: ExpectedResponse): void {
-    if (this.#isOff) return;
     this.#phase = 'head';
     this.#expected = expected;
     this.#held = NOTHING;
     this.#skippedBytes = 0;
   }
 
-  /** Lets everything through from now on, where the end of a response doesn't follow from its head. */
-  turnOff(): void {
-    this.#isOff = true;
-    this.#phase = 'passing';
+  /** Skips no responses from now on, where the end of a response doesn't follow from its head. */
+  skipNone(): void {
+    this.#maySkip = false;
   }
 
   override filter(chunk: Buffer): Buffer | Error {
@@ -108,10 +112,12 @@
     const end = this.#held.indexOf(HEAD_END);
     if (end < 0) return this.#held.length > MAX_HEAD_BYTES ? this.#endOfResponses() : undefined;
     const bytes = end + HEAD_END.length;
-    const head = parseResponseHead(this.#held.subarray(0, end).toString('latin1'));
+    const text = this.#held.subarray(0, end).toString('latin1');
+    if (holdsSecondHead(text)) return new Error('a response broke off before the next one');
+    const head = parseResponseHead(text);
     if (head && head.status < FIRST_FINAL_STATUS && head.status !== SWITCHING_PROTOCOLS) {
       passed.push(this.#take(bytes));
-    } else if (head?.framing && this.#expected?.isForeign(head)) {
+    } else if (head?.framing && this.#maySkip && this.#expected?.isForeign(head)) {
       this.#skip(bytes);
       this.#left = head.framing.type === 'length' ? head.framing.bytes : 0;
       this.#phase = head.framing.type === 'length' ? 'body' : 'chunk-size';
--- a/packages/gateway/src/utils/responseHead.ts
+++ b/packages/gateway/src/utils/responseHead.ts
@@ -2,8 +2,10 @@
 
 /** Maximum bytes of a head; Node.js accepts no longer one. */
 export const MAX_HEAD_BYTES = 16 * 1024;
-const VERSION = Buffer.from('HTTP/1.1 ');
-const STATUS_LINE = /^HTTP\/1\.1 ([1-5]\d\d)(?: [^\r\n\0]*)?$/;
+const VERSION = Buffer.from('HTTP/1.');
+const STATUS_LINE = /^HTTP\/1\.[01] ([1-5]\d\d)(?: [^\r\n\0]*)?$/;
+/** A status line at any place but the beginning. */
+const SECOND_STATUS_LINE = /(?!^)HTTP\/1\.[01] [1-5]\d\d(?: |\r\n|$)/;
 const FIELD = /^([!#$%&'*+.^_`|~0-9A-Za-z-]+):[ \t]*([^\r\n\0]*?)[ \t]*$/;
 const LENGTH = /^\d{1,10}$/;
 /** Statuses of responses without a body, whatever their fields say. */
@@ -27,6 +29,14 @@
   return bytes.subarray(0, length).equals(VERSION.subarray(0, length));
 }
 
+/**
+ * Whether a head holds a second status line. Then a response broke off in its head, and the next one
+ * continues one of its lines: the status is that of the first response, the other fields are of the second.
+ */
+export function holdsSecondHead(text: string): boolean {
+  return SECOND_STATUS_LINE.test(text);
+}
+
 /**
  * Parses a head without its empty line; undefined if any line is malformed.
  *
--- a/test/gateway/responseFilter.test.ts
+++ b/test/gateway/responseFilter.test.ts
@@ -132,6 +132,25 @@
   }
 });
 
+// Guards against a response that is read with the status of another one, which broke off in its head.
+describe('after a response that broke off in its head, nothing is let through of the own one', () => {
+  const heads = [
+    'HTTP/1.1 200 ',
+    'HTTP/1.1 200 O',
+    'HTTP/1.1 200 OK\r\nA:',
+    'HTTP/1.0 200 OK\r\nA: b',
+  ];
+  for (const head of heads) {
+    test(JSON.stringify(head), () => {
+      for (const before of ['', FOREIGN, INTERIM]) {
+        for (const parts of waysToReceive(before + head + OWN)) {
+          assert.equal(read(create().filter, parts), 'closed');
+        }
+      }
+    });
+  }
+});
+
 describe('a filter for several requests on a connection', () => {
   test('skips in front of each response', () => {
     const { filter } = create();
@@ -140,9 +159,9 @@
     assert.equal(read(filter, [CHUNKS, OWN]), OWN);
   });
 
-  test('lets everything through once it is turned off', () => {
+  test('skips nothing where the end of responses is not certain', () => {
     const { filter } = create();
-    filter.turnOff();
+    filter.skipNone();
     expectOwn(filter);
     assert.equal(read(filter, [FOREIGN, OWN]), FOREIGN + OWN);
   });
--- a/test/platform/lateAnswers.test.ts
+++ b/test/platform/lateAnswers.test.ts
@@ -55,6 +55,29 @@
   }
 });
 
+// Guards against a failure that callers get as a success: the status line of a truncated response, and the fields and body of the own one.
+describe('a late response that breaks off in its head does not lend its status to the own one', () => {
+  const cases = [
+    { name: 'in the reason', bytes: 'HTTP/1.1 200 O' },
+    { name: 'in the value', bytes: 'HTTP/1.1 200 OK\r\nX-Note: cut' },
+    { name: 'before the value', bytes: 'HTTP/1.1 200 OK\r\nX-Note:' },
+    {
+      name: 'after an earlier whole one',
+      bytes: `${emptyAnswer(200, EARLIER)}HTTP/1.1 200 OK\r\nX-Note: `,
+    },
+  ];
+  for (const { name, bytes } of cases) {
+    test(name, async (t) => {
+      const world = await World.start(t);
+      world.behave('p', 'error');
+      for (const id of ['p1', 'p2']) world.server(id).extra = () => bytes;
+      const { status } = await world.call({ path: '/book/1' });
+      assert.equal(status, 502);
+      assert.equal(world.seen('p').length, 1);
+    });
+  }
+});
+
 // Guards against a late copy of a rejection that ends a further attempt of the same request, whose id it bears.
 describe('a late copy of a rejection does not end a further attempt of its request', () => {
   for (const path of ['/book/1', '/look/1']) {
