fix(gateway): answers that have begun go on for five sixths of the latest possible grace period

Callers of an instance that was behind when SIGTERM arrived would have had streams cut before the last sixth of its grace period, although their servers were at work.

Cause: the stop is timed from the earliest time at which SIGTERM can have arrived, which in a process with long iterations of its event loop can be about a second too early. That is right for requests without an answer, whose final answer has to be written before the kill, but it cut streams by as much too early.

At the end that is counted from the earliest time, requests without an answer are ended as before. Answers that have begun go on until five sixths of the grace period after the signal was handled: they need no final answer, so a kill in the meantime does no more harm than ending them. Where the two times are less than 0.7 s apart (grace 8 s), nothing changes.

--- a/packages/gateway/src/node/entryService.ts
+++ b/packages/gateway/src/node/entryService.ts
@@ -96,7 +96,8 @@
   readonly #server: Server;
   readonly #arrivals: ArrivalWatch;
   readonly #connections: CallerConnections;
-  readonly #running = new Set<AbortController>();
+  /** Requests in progress, each with its answer. */
+  readonly #running = new Map<AbortController, CallerAnswer>();
   #parts: FlowParts | undefined;
   #configuration: ConfigurationWatch | undefined;
   #kernel: Kernel | undefined;
@@ -176,8 +177,9 @@
    *   signal late, but is killed a fixed time after the signal was sent.
    */
   beginStop(): number {
+    const { clock, settings } = this.#context;
     const since = this.#arrivals.signalsFrom;
-    this.#stopSchedule.begin(this.#context.settings.stopGraceMs, since);
+    this.#stopSchedule.begin({ graceMs: settings.stopGraceMs, since, now: clock.now() });
     return since;
   }
 
@@ -195,6 +197,8 @@
         unanswered: busy,
       });
     }
+    this.#endRunning(({ started }) => !started);
+    await this.#waitWhile((phase) => phase === 'ending' && this.#connections.busy > 0);
     await this.#endAll();
     this.#arrivals.stop();
     this.#server.closeAllConnections();
@@ -225,12 +229,19 @@
   /** Ends all requests in progress, and waits until their final answers are written. */
   async #endAll(): Promise<void> {
     const until = this.#context.clock.now() + FINAL_ANSWERS_MS;
-    for (const controller of this.#running) controller.abort('stopping' satisfies EndCause);
+    this.#endRunning(() => true);
     while (this.#connections.busy > 0 && this.#context.clock.now() < until) {
       await delay(FINAL_ANSWER_CHECK_MS);
     }
   }
 
+  /** Ends the requests in progress whose answers match. */
+  #endRunning(matches: (answer: CallerAnswer) => boolean): void {
+    for (const [controller, answer] of this.#running) {
+      if (matches(answer)) controller.abort('stopping' satisfies EndCause);
+    }
+  }
+
   async #handle(req: IncomingMessage, res: ServerResponse): Promise<void> {
     const turn = this.#connections.read(req, res);
     const closesConnection = (): boolean =>
@@ -298,7 +309,7 @@
     const endFor = (cause: EndCause) => (): void => {
       controller.abort(cause);
     };
-    this.#running.add(controller);
+    this.#running.set(controller, answer);
     const stopTimer = onTimeout(endsAt - this.#context.clock.now(), endFor('time-over'));
     answer.onCallerGone(endFor('caller-gone'));
     const end = (): void => {
--- a/packages/gateway/src/node/serverTunnels.ts
+++ b/packages/gateway/src/node/serverTunnels.ts
@@ -80,10 +80,11 @@
    * callers may; the first call decides.
    *
    * @param graceMs Milliseconds from the request to stop until the process is killed.
-   * @param since When the stop was requested.
+   * @param since Earliest time at which the stop can have been requested.
    */
-  beginStop(graceMs = this.#context.settings.stopGraceMs, since = this.#context.clock.now()): void {
-    this.#stopSchedule.begin(graceMs, since);
+  beginStop(graceMs = this.#context.settings.stopGraceMs, since?: number): void {
+    const now = this.#context.clock.now();
+    this.#stopSchedule.begin({ graceMs, since: since ?? now, now });
   }
 
   override async stop(): Promise<void> {
--- a/packages/gateway/src/runtime/stopSchedule.ts
+++ b/packages/gateway/src/runtime/stopSchedule.ts
@@ -7,6 +7,8 @@
 export const DRAIN_MS = 2_600;
 /** Milliseconds before the end of the grace period at which the remaining requests are ended. */
 const END_MARGIN_MS = 600;
+/** Fraction of the grace period for which an answer that has begun may go on. */
+const BEGUN_ANSWERS_FRACTION = 5 / 6;
 
 /** Progress of a stop. */
 export type StopPhase =
@@ -16,26 +18,45 @@
   | 'draining'
   /** The listener is closed; what arrives on open connections is served if it ends in time. */
   | 'finishing'
-  /** Requests in progress get their final answers. */
+  /**
+   * Requests without an answer get their final ones. Answers that have begun, which the end of the process
+   * would only cut off as well, go on where the grace period may have begun later.
+   */
+  | 'ending'
+  /** All requests are ended. */
   | 'over';
 
+/** What is known of the request to stop a process. */
+export interface StopRequest {
+  /** Milliseconds from the request until the process is killed. */
+  graceMs: number;
+  /** Earliest time at which the request can have come. */
+  since: number;
+  now: number;
+}
+
 /**
  * Phases of one stop. Times are in milliseconds of a monotonic clock.
  *
  * @example
  * const stop = new StopSchedule();
- * stop.begin(8_000, clock.now());
+ * stop.begin({ graceMs: 8_000, since: clock.now(), now: clock.now() });
  * if (!stop.accepts(endsAt, clock.now())) refuse();
  */
 export class StopSchedule {
   #since = Infinity;
   #endsAt = Infinity;
+  #begunAnswersEndAt = Infinity;
 
-  /** Begins the stop of a process that is killed `graceMs` after `since`; only the first call counts. */
-  begin(graceMs: number, since: number): void {
+  /**
+   * Begins the stop of a process that was asked to stop between `since` and `now`, and is killed `graceMs`
+   * after that; only the first call counts.
+   */
+  begin({ graceMs, since, now }: StopRequest): void {
     if (this.isStopping) return;
     this.#since = since;
     this.#endsAt = since + graceMs - END_MARGIN_MS;
+    this.#begunAnswersEndAt = Math.max(this.#endsAt, now + graceMs * BEGUN_ANSWERS_FRACTION);
   }
 
   get isStopping(): boolean {
@@ -49,7 +70,8 @@
 
   phase(now: number): StopPhase {
     if (!this.isStopping) return 'serving';
-    if (now >= this.#endsAt) return 'over';
+    if (now >= this.#begunAnswersEndAt) return 'over';
+    if (now >= this.#endsAt) return 'ending';
     return now < this.#since + DRAIN_MS ? 'draining' : 'finishing';
   }
 
@@ -61,6 +83,7 @@
         return true;
       case 'finishing':
         return endsAt <= this.#endsAt;
+      case 'ending':
       case 'over':
         return false;
     }
--- a/test/gateway/stopSchedule.test.ts
+++ b/test/gateway/stopSchedule.test.ts
@@ -8,7 +8,7 @@
 
 function stoppedAt(now: number): StopSchedule {
   const stop = new StopSchedule();
-  stop.begin(GRACE_MS, now);
+  stop.begin({ graceMs: GRACE_MS, since: now, now });
   return stop;
 }
 
@@ -28,6 +28,25 @@
   }
 });
 
+// Guards against answers that are cut, or final answers that are never written, because it is not known when the grace period began.
+describe('the phase of a stop that was asked for between 1,000 and 2,500', () => {
+  const cases: { at: number; phase: StopPhase }[] = [
+    { at: 3_599, phase: 'draining' },
+    { at: 3_600, phase: 'finishing' },
+    { at: 8_399, phase: 'finishing' },
+    { at: 8_400, phase: 'ending' },
+    { at: 9_166, phase: 'ending' },
+    { at: 9_167, phase: 'over' },
+  ];
+  const stop = new StopSchedule();
+  stop.begin({ graceMs: GRACE_MS, since: 1_000, now: 2_500 });
+  for (const { at, phase } of cases) {
+    test(`at ${String(at)} is ${phase}`, () => {
+      assert.equal(stop.phase(at), phase);
+    });
+  }
+});
+
 // Guards against a request that is sent to a server and can't be answered before the process ends.
 describe('a request that is read', () => {
   const cases: { name: string; readAt: number; endsAt: number; accepted: boolean }[] = [
@@ -51,6 +70,6 @@
 // Guards against a second signal that gives a stop more time than the process has.
 test('a second signal does not begin the stop again', () => {
   const stop = stoppedAt(0);
-  stop.begin(GRACE_MS, 5_000);
+  stop.begin({ graceMs: GRACE_MS, since: 5_000, now: 5_000 });
   assert.deepEqual([stop.sinceMs(6_000), stop.phase(7_400)], [6_000, 'over']);
 });
--- a/test/platform/stop.test.ts
+++ b/test/platform/stop.test.ts
@@ -3,6 +3,7 @@
 import assert from 'node:assert/strict';
 import { describe, test } from 'node:test';
 import { setTimeout as delay } from 'node:timers/promises';
+import { blockEventLoop } from './blockEventLoop.js';
 import { LARGE_BYTES } from './fakeServer.js';
 import { RawCaller } from './rawCaller.js';
 import { World, configWith, until } from './world.js';
@@ -10,6 +11,13 @@
 /** Milliseconds that callers of these tests wait; longer than the rest of a stop. */
 const LONG_MS = 7_000;
 
+/** Grace period of these instances in milliseconds. */
+const GRACE_MS = 4_000;
+/** Milliseconds for which an instance handles nothing before it is asked to stop. */
+const LAG_MS = 1_200;
+/** Milliseconds from the stop until a stream goes on; just before the last sixth of the grace period. */
+const RELEASE_MS = (GRACE_MS * 5) / 6 - 300;
+
 const route = { hostname: 'shop.example', priority: 1, public: true, timeout_ms: LONG_MS };
 const routes = [
   { ...route, name: 'book', path_prefix: '/book/', kind: 'non_idempotent', service: 'ledger' },
@@ -144,3 +152,28 @@
   await Promise.all([stopped, caller.closed]);
   assert.ok(caller.bytes > LARGE_BYTES, `${String(caller.bytes)} bytes received`);
 });
+
+// Guards against a stream that is cut before the last sixth of the grace period, because the instance can't tell when in a lag it was asked to stop.
+test('an instance that lags when it is asked to stop lets streams go on, and answers the others', async (t) => {
+  const world = await World.start(t, configWith({ routes }));
+  world.behave('e', 'pause');
+  world.behave('p', 'silent');
+  const streaming = await RawCaller.connect(world.entryPort);
+  const waiting = await RawCaller.connect(world.entryPort);
+  streaming.send(stream);
+  waiting.send(late);
+  await until('both were sent', () => streaming.events === 1 && world.seen('p').length === 1);
+  const from = performance.now();
+  blockEventLoop(LAG_MS);
+  const stopped = world.stop();
+  await delay(RELEASE_MS);
+  const { statuses } = waiting;
+  releaseStreams(world);
+  await Promise.all([stopped, streaming.closed]);
+  const stoppedMs = performance.now() - from;
+  assert.deepEqual(
+    { statuses, hasStreamEnd: streaming.hasStreamEnd },
+    { statuses: [502], hasStreamEnd: true },
+  );
+  assert.ok(stoppedMs < GRACE_MS + LAG_MS, `the stop took ${stoppedMs.toFixed(0)} ms`);
+});
