fix(store): answers of the store and of peers share bounded memory, and a list whose pages do not advance fails

Beside a store that answered without end for 3 s, a process with a heap of 64 MB had 283 MB, where it may have 160 MB, and ended when the answers came in chunks of one byte (one run each, new cases of platform/boundedMemory, which failed before).

Cause: 64 MiB were allowed for each answer, with several watches and calls at a time, each chunk was kept as an object, and a list went on as long as a page named a further one.

BodyBuffers moves to the kernel for this. A list fails as invalid when a page ends where the page before it ended.

Not fixed: beside the chunks of one byte 33 of 67 sound requests were not answered within 1.5 s, as the instance asks the store again and again and parses up to 16 MiB each time.

--- a/packages/gateway/src/node/answerRelay.ts
+++ b/packages/gateway/src/node/answerRelay.ts
@@ -1,7 +1,7 @@
 /** Forwards a server's response to the caller. */
 
 import type { CallerAnswer } from './callerAnswer.js';
-import type { BodyBuffers } from '../runtime/heldBytes.js';
+import type { BodyBuffers } from '@flamingocourse/kernel';
 import type { OpenAnswer } from './httpAttempt.js';
 import { EventFrames } from '@flamingocourse/core';
 import { ByteCollector } from '@flamingocourse/kernel';
--- a/packages/gateway/src/node/closeIfUnread.ts
+++ b/packages/gateway/src/node/closeIfUnread.ts
@@ -1,8 +1,7 @@
 /** Closes the connection of a request that has ended while its caller still sends the body. */
 
 import type { IncomingMessage } from 'node:http';
-import { onTimeout } from '@flamingocourse/kernel';
-import { MIN_COUNTED_BYTES } from '../runtime/heldBytes.js';
+import { MIN_COUNTED_BYTES, onTimeout } from '@flamingocourse/kernel';
 
 /** Milliseconds for the rest of the body; the caller reads the response in this time. */
 const REST_MS = 500;
--- a/packages/gateway/src/node/createGateway.ts
+++ b/packages/gateway/src/node/createGateway.ts
@@ -18,12 +18,11 @@
   packSums,
   unpackSums,
 } from '@flamingocourse/core';
-import { Kernel, describeError } from '@flamingocourse/kernel';
+import { BodyBuffers, Kernel, describeError } from '@flamingocourse/kernel';
 import { MeshClient, MeshServer } from '@flamingocourse/mesh';
 import { Result } from 'true-myth';
 import { HttpObjectStore, defaultCircuitOptions } from '@flamingocourse/store';
 import type { FleetConditions } from '../types/fleetConditions.js';
-import { BodyBuffers } from '../runtime/heldBytes.js';
 import { BackendLanes } from './backendLanes.js';
 import { AnswerEndCheck } from './answerEndCheck.js';
 import { ConnectionCheck } from './connectionCheck.js';
--- a/packages/gateway/src/node/readRequestBody.ts
+++ b/packages/gateway/src/node/readRequestBody.ts
@@ -1,7 +1,7 @@
 /** Buffers the whole body of a request, so that it can be sent again to another server. */
 
 import type { IncomingMessage } from 'node:http';
-import type { HeldBytes } from '../runtime/heldBytes.js';
+import type { HeldBytes } from '@flamingocourse/kernel';
 import { ByteCollector } from '@flamingocourse/kernel';
 
 /**
--- a/packages/gateway/src/types/context.ts
+++ b/packages/gateway/src/types/context.ts
@@ -1,12 +1,11 @@
 /** Dependencies that the parts of the pipeline share. */
 
 import type { KnownSoftware, ListedServer, RoutedConfig, SendRules } from '@flamingocourse/core';
-import type { Clock, EventLog } from '@flamingocourse/kernel';
+import type { BodyBuffers, Clock, EventLog } from '@flamingocourse/kernel';
 import type { Collection, ObjectStore, StoreDialect } from '@flamingocourse/store';
 import type { GatewayMetrics } from '../node/gatewayMetrics.js';
 import type { CallerDialect, ServerDialect } from './dialects.js';
 import type { AdaptiveLoad } from '../runtime/adaptiveLoad.js';
-import type { BodyBuffers } from '../runtime/heldBytes.js';
 import type { GatewaySettings } from './gatewaySettings.js';
 
 /** Adapters for the platform that the router runs on. */
--- a/packages/kernel/src/index.ts
+++ b/packages/kernel/src/index.ts
@@ -10,6 +10,7 @@
 export * from './runtime/channel.js';
 export * from './runtime/clock.js';
 export * from './runtime/eventCatalogue.js';
+export * from './runtime/heldBytes.js';
 export * from './runtime/kernel.js';
 export * from './runtime/listeners.js';
 export * from './runtime/metricCatalogue.js';
--- a/packages/kernel/src/node/httpExchange.ts
+++ b/packages/kernel/src/node/httpExchange.ts
@@ -1,8 +1,10 @@
 /** HTTP exchanges with a bounded answer, over keep-alive connections. */
 
 import type { Agent, IncomingHttpHeaders } from 'node:http';
+import type { BodyBuffers } from '../runtime/heldBytes.js';
 import { request } from 'node:http';
 import { Result } from 'true-myth';
+import { ByteCollector } from '../runtime/byteCollector.js';
 import { onTimeout } from './timeLimit.js';
 
 /** A request to send. */
@@ -16,6 +18,8 @@
   /** Timeout of the whole exchange in milliseconds. @default none; `signal` can abort it */
   timeoutMs?: number;
   maxAnswerBytes: number;
+  /** Counts the bytes held for this and other answers. */
+  buffers: BodyBuffers;
   agent: Agent;
   signal?: AbortSignal | undefined;
 }
@@ -44,8 +48,10 @@
     const headers = { ...call.headers, ...(call.body === undefined ? {} : jsonHeaders(call.body)) };
     const { method, agent, signal } = call;
     const req = request(call.url, { method, agent, headers, ...(signal ? { signal } : {}) });
+    const held = call.buffers.open();
     const finish = (result: Result<HttpAnswer, TransportFault>): void => {
       stopTimer();
+      held.release();
       resolve(result);
     };
     const fail = (reason: TransportFault['reason'], cause?: unknown): void => {
@@ -61,18 +67,17 @@
       fail(signal?.aborted ? 'aborted' : 'broken', err);
     });
     req.on('response', (res) => {
-      const chunks: Buffer[] = [];
-      let size = 0;
+      const bytes = new ByteCollector();
       res.on('data', (chunk: Buffer) => {
-        size += chunk.length;
-        if (size > call.maxAnswerBytes) fail('too-large');
-        else chunks.push(chunk);
+        const isTooLarge = bytes.size + chunk.length > call.maxAnswerBytes;
+        if (isTooLarge || !held.addChunk(chunk.length)) fail('too-large');
+        else bytes.add(chunk);
       });
       res.on('error', (err) => {
         fail('broken', err);
       });
       res.on('end', () => {
-        const body = Buffer.concat(chunks).toString('utf8');
+        const body = bytes.toBuffer().toString('utf8');
         finish(Result.ok({ status: res.statusCode ?? 0, headers: res.headers, body }));
       });
     });
--- a/packages/mesh/src/node/directCalls.ts
+++ b/packages/mesh/src/node/directCalls.ts
@@ -3,6 +3,7 @@
  * others follow would spend most of its control time there.
  */
 
+import type { BodyBuffers } from '@flamingocourse/kernel';
 import type { Agent, IncomingMessage, ServerResponse } from 'node:http';
 import type {
   DirectProcedure,
@@ -101,6 +102,7 @@
   headers: Record<string, string>;
   timeoutMs: number;
   maxAnswerBytes: number;
+  buffers: BodyBuffers;
   signal: AbortSignal | undefined;
 }
 
--- a/packages/mesh/src/node/meshClient.ts
+++ b/packages/mesh/src/node/meshClient.ts
@@ -13,7 +13,7 @@
 import type { TunnelOptions } from '../types/tunnels.js';
 import type { Socket } from 'node:net';
 import { Agent } from 'node:http';
-import { startTimeLimit } from '@flamingocourse/kernel';
+import { BodyBuffers, startTimeLimit } from '@flamingocourse/kernel';
 import { createTRPCUntypedClient, httpLink, TRPCClientError } from '@trpc/client';
 import { Result } from 'true-myth';
 import { MeshError } from '../utils/meshError.js';
@@ -77,6 +77,7 @@
 export class MeshClient {
   readonly #options: MeshClientOptions;
   readonly #agent: Agent;
+  readonly #buffers = new BodyBuffers(undefined, maxAnswerBytes);
   readonly #clients = new Map<string, PeerClient>();
   #closed = false;
 
@@ -137,6 +138,7 @@
         headers: secret === undefined ? {} : { [secretHeader]: secret },
         timeoutMs: options.timeoutMs ?? timeoutMs,
         maxAnswerBytes,
+        buffers: this.#buffers,
         signal: options.signal,
       });
     } finally {
@@ -188,7 +190,7 @@
     const { secret } = this.#options;
     const link = httpLink<MeshRouter>({
       url: meshUrl,
-      fetch: createNodeFetch({ agent: this.#agent, maxAnswerBytes }),
+      fetch: createNodeFetch({ agent: this.#agent, maxAnswerBytes, buffers: this.#buffers }),
       headers: ({ op }) => {
         const { to } = op.context as { to?: string };
         return {
--- a/packages/mesh/src/node/nodeFetch.ts
+++ b/packages/mesh/src/node/nodeFetch.ts
@@ -4,7 +4,7 @@
  */
 
 import type { HTTPLinkOptions } from '@trpc/client';
-import type { TransportFault } from '@flamingocourse/kernel';
+import type { BodyBuffers, TransportFault } from '@flamingocourse/kernel';
 import type { Agent } from 'node:http';
 import type { MeshRouter } from '../runtime/meshRouter.js';
 import { exchange, parseJsonText } from '@flamingocourse/kernel';
@@ -24,6 +24,7 @@
 export interface NodeFetchOptions {
   agent: Agent;
   maxAnswerBytes: number;
+  buffers: BodyBuffers;
 }
 
 const statusTooMany = 429;
@@ -39,7 +40,7 @@
  * @example
  * httpLink({ url, fetch: createNodeFetch({ agent, maxAnswerBytes: 1_048_576 }) });
  */
-export function createNodeFetch({ agent, maxAnswerBytes }: NodeFetchOptions): FetchEsque {
+export function createNodeFetch({ agent, maxAnswerBytes, buffers }: NodeFetchOptions): FetchEsque {
   return async (input, init) => {
     const answer = await exchange({
       method: 'POST',
@@ -48,6 +49,7 @@
       headers: { ...(init?.headers as Record<string, string> | undefined) },
       agent,
       maxAnswerBytes,
+      buffers,
       signal: init?.signal ?? undefined,
     });
     if (answer.isErr) throw toTransportError(answer.error);
--- a/packages/router/src/node/backends/loadProbe.ts
+++ b/packages/router/src/node/backends/loadProbe.ts
@@ -1,7 +1,7 @@
 /** Asks a backend server for its load and whether it is leaving. */
 
 import { Agent } from 'node:http';
-import { exchange, parseJsonText } from '@flamingocourse/kernel';
+import { BodyBuffers, exchange, parseJsonText } from '@flamingocourse/kernel';
 import { z } from 'zod';
 
 const PROBE_TIMEOUT_MS = 1_000;
@@ -16,6 +16,7 @@
   | { type: 'unknown' };
 
 const agent = new Agent({ keepAlive: true, maxSockets: 4 });
+const buffers = new BodyBuffers(undefined, MAX_ANSWER_BYTES);
 
 /**
  * Reads `GET /health` and `GET /load`. Never rejects; the result is `unknown` if the server does
@@ -37,6 +38,7 @@
     timeoutMs: PROBE_TIMEOUT_MS,
     maxAnswerBytes: MAX_ANSWER_BYTES,
     agent,
+    buffers,
   });
   return answer.map(({ body }) => body).unwrapOr('');
 }
--- a/packages/store/src/node/httpObjectStore.ts
+++ b/packages/store/src/node/httpObjectStore.ts
@@ -25,7 +25,7 @@
 } from '../runtime/storeDialect.js';
 import { Agent } from 'node:http';
 import { isDeepStrictEqual } from 'node:util';
-import { exchange, SystemClock } from '@flamingocourse/kernel';
+import { BodyBuffers, exchange, SystemClock } from '@flamingocourse/kernel';
 import { Result } from 'true-myth';
 import {
   admitCall,
@@ -50,7 +50,9 @@
 
 const defaultTimeoutMs = 1_500;
 /** Lists contain whole values, so they may exceed the limit of 1 MiB for a single value. */
-const maxAnswerBytes = 64 * 1024 * 1024;
+const maxAnswerBytes = 16 * 1024 * 1024;
+/** Maximum size of all answers that are read at a time, in bytes. */
+const maxTotalBytes = 24 * 1024 * 1024;
 const maxSockets = 16;
 /**
  * Longer than the platform's bookmark interval. Including the list that follows, a change is known
@@ -102,6 +104,7 @@
   readonly #watchAgent = new Agent({ keepAlive: true });
   /** A probe opens a new connection: existing ones may never deliver data again. */
   readonly #probeAgent = new Agent({ keepAlive: false });
+  readonly #buffers = new BodyBuffers(maxTotalBytes, maxAnswerBytes);
   readonly #probe: RecoveryProbe;
   readonly #watches = new Set<ObjectWatch<unknown>>();
   #circuit = createCircuit();
@@ -149,7 +152,9 @@
       // a watch from the first page's version also delivers the changes made between two pages.
       if (after === undefined) objects.version = page.value.version;
       objects.items.push(...page.value.items);
-      after = page.value.next;
+      const { next } = page.value;
+      if (next !== undefined && next === after) return Result.err(noAdvance());
+      after = next;
     } while (after !== undefined);
     return Result.ok(toList(collection, objects));
   }
@@ -199,6 +204,7 @@
       dialect: this.#dialect,
       url: this.#options.url,
       agent: this.#watchAgent,
+      buffers: this.#buffers,
       idleMs: options.idleMs ?? this.#options.watchIdleMs ?? defaultWatchIdleMs,
       relay: this.#options.relay,
       random: this.#options.random ?? Math.random,
@@ -289,6 +295,7 @@
       timeoutMs: options.timeoutMs ?? this.#options.timeoutMs ?? defaultTimeoutMs,
       maxAnswerBytes,
       agent: this.#agent,
+      buffers: this.#buffers,
       signal: options.signal,
     });
     const result: Result<HttpAnswer, PlatformError> = answer
@@ -325,6 +332,7 @@
       timeoutMs: PROBE_TIMEOUT_MS,
       maxAnswerBytes,
       agent: this.#probeAgent,
+      buffers: this.#buffers,
     });
     if (answer.isOk && showsServing(answer.value)) this.#recordAnswer();
     else this.countFailed('get');
@@ -359,6 +367,10 @@
   return object.version === condition && isDeepStrictEqual(object.value, written);
 }
 
+function noAdvance(): PlatformError {
+  return new PlatformError('invalid', 'a page of the list does not go beyond the page before it');
+}
+
 /** Whether an answer shows that the store serves calls. "Not found" is such an answer. */
 function showsServing({ status }: HttpAnswer): boolean {
   return status < 300 || status === 404;
--- a/packages/store/src/node/objectWatch.ts
+++ b/packages/store/src/node/objectWatch.ts
@@ -3,7 +3,7 @@
  * old.
  */
 
-import type { Steps } from '@flamingocourse/kernel';
+import type { BodyBuffers, Steps } from '@flamingocourse/kernel';
 import type { Agent } from 'node:http';
 import type { ChangeRelay } from '../runtime/changeRelay.js';
 import type { PlatformResult } from '../runtime/objectStore.js';
@@ -23,6 +23,7 @@
   /** Base URL of the store. */
   url: string;
   agent: Agent;
+  buffers: BodyBuffers;
   idleMs: number;
   /** Follows the store through peers where it can. */
   relay?: ChangeRelay | undefined;
@@ -154,7 +155,7 @@
 
   async #follow(): Promise<void> {
     this.ports.onOpen();
-    const { dialect, url, agent, relay } = this.ports;
+    const { dialect, url, agent, buffers, relay } = this.ports;
     const { name } = this.collection;
     const idleMs = relay?.idleMs(name, this.ports.idleMs) ?? this.ports.idleMs;
     this.#call = new AbortController();
@@ -163,6 +164,7 @@
       collection: name,
       version: this.#version ?? '0',
       agent,
+      buffers,
       signal: AbortSignal.any([this.#abort.signal, this.#receiving.signal, this.#call.signal]),
       // counted from the last answer: the pause plus the full idle time would look like an outage.
       idleMs: idleMs - this.#batchPauseMs,
--- a/packages/store/src/runtime/storeDialect.ts
+++ b/packages/store/src/runtime/storeDialect.ts
@@ -1,6 +1,6 @@
 /** Protocol of one kind of object store: its calls, answers and watches. */
 
-import type { HttpAnswer, HttpCall } from '@flamingocourse/kernel';
+import type { BodyBuffers, HttpAnswer, HttpCall } from '@flamingocourse/kernel';
 import type { Agent } from 'node:http';
 import type { Result } from 'true-myth';
 import type { CallKind } from '../types/objects.js';
@@ -50,6 +50,8 @@
   /** Version after which the watch begins. */
   version: string;
   agent: Agent;
+  /** Counts the bytes held for answers of the store. */
+  buffers: BodyBuffers;
   signal: AbortSignal;
   /** Idle timeout in milliseconds; a healthy store sends something within it. */
   idleMs: number;
--- a/test/gateway/fleet/followFleet.ts
+++ b/test/gateway/fleet/followFleet.ts
@@ -6,7 +6,7 @@
 import { Agent } from 'node:http';
 import { syncBuiltinESMExports } from 'node:module';
 import { setImmediate as turn, setTimeout as delay } from 'node:timers/promises';
-import { ManualClock, MemoryEventLog } from '@flamingocourse/kernel';
+import { BodyBuffers, ManualClock, MemoryEventLog } from '@flamingocourse/kernel';
 import { ObjectApiDialect, ObjectTable, PlatformError } from '@flamingocourse/store';
 import { Result } from 'true-myth';
 import { z } from 'zod';
@@ -294,6 +294,7 @@
         dialect: new TableDialect(this, process),
         url: 'http://store',
         agent: new Agent(),
+        buffers: new BodyBuffers(),
         idleMs: CONFIGURATION_IDLE_MS - 300,
         relay: process.relay,
         random: () => 0.5,
--- a/test/gateway/httpAttempt.test.ts
+++ b/test/gateway/httpAttempt.test.ts
@@ -5,7 +5,7 @@
 import { setTimeout as delay } from 'node:timers/promises';
 import { describe, test } from 'node:test';
 import { ServerAgent, openAttempt, readAnswer } from '@flamingocourse/gateway';
-import { BodyBuffers } from '../../packages/gateway/src/runtime/heldBytes.js';
+import { BodyBuffers } from '@flamingocourse/kernel';
 
 const whole = 'HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok';
 const unframed = 'HTTP/1.1 200 OK\r\n\r\nok';
--- a/test/gateway/testContext.ts
+++ b/test/gateway/testContext.ts
@@ -12,7 +12,7 @@
 } from '@flamingocourse/core';
 import { AdaptiveLoad, parseGatewaySettings } from '@flamingocourse/gateway';
 import { createPlatformDialects } from '@flamingocourse/platform-adapter';
-import { BodyBuffers } from '../../packages/gateway/src/runtime/heldBytes.js';
+import { BodyBuffers } from '@flamingocourse/kernel';
 import { GatewayMetrics } from '../../packages/gateway/src/node/gatewayMetrics.js';
 
 /** Returns a context with default settings and without network. */
--- a/test/gateway/heldBytes.test.ts
+++ b/test/kernel/heldBytes.test.ts
@@ -1,6 +1,6 @@
 import assert from 'node:assert/strict';
 import { describe, test } from 'node:test';
-import { BodyBuffers } from '../../packages/gateway/src/runtime/heldBytes.js';
+import { BodyBuffers } from '@flamingocourse/kernel';
 
 const KB = 1024;
 const MB = 1024 * KB;
--- a/test/kernel/timeLimit.test.ts
+++ b/test/kernel/timeLimit.test.ts
@@ -5,7 +5,7 @@
 import { connect } from 'node:net';
 import { test } from 'node:test';
 import { ServerAgent, openAttempt } from '@flamingocourse/gateway';
-import { exchange, startTimeLimit } from '@flamingocourse/kernel';
+import { BodyBuffers, exchange, startTimeLimit } from '@flamingocourse/kernel';
 import { blockEventLoop } from '../platform/blockEventLoop.js';
 
 const LIMIT_MS = 100;
@@ -47,6 +47,7 @@
     timeoutMs: LIMIT_MS,
     maxAnswerBytes: 100,
     agent: new Agent(),
+    buffers: new BodyBuffers(),
   });
   assert.equal(answer.isOk, true);
 });
--- a/test/platform/boundedMemory.test.ts
+++ b/test/platform/boundedMemory.test.ts
@@ -129,3 +129,20 @@
     });
   }
 });
+
+/** Milliseconds for which the store answers without end. */
+const STORE_FAULT_MS = 3_000;
+
+// Guards against an instance that ends because its store answers without end.
+describe('a process of an instance stays within its memory beside a store', () => {
+  for (const fault of ['endless-body', 'endless-small-chunks'] as const) {
+    test(`with the fault ${fault}`, async (t) => {
+      const fleet = await MemoryFleet.start(t);
+      await assertUnharmed(t, fleet, async () => {
+        fleet.store.fault = fault;
+        await delay(STORE_FAULT_MS);
+        fleet.store.fault = 'none';
+      });
+    });
+  }
+});
--- a/test/platform/fakeStore.ts
+++ b/test/platform/fakeStore.ts
@@ -31,10 +31,28 @@
 }
 
 const PAGE_SIZE = 2;
+/** What a store sends without end, encoded as chunks. */
+const ENDLESS: ReadonlyMap<StoreFault, Buffer> = new Map([
+  [
+    'endless-body',
+    Buffer.concat([Buffer.from('4000\r\n'), Buffer.alloc(0x4000, ' '), Buffer.from('\r\n')]),
+  ],
+  ['endless-small-chunks', Buffer.from('1\r\n \r\n'.repeat(2_000))],
+]);
 const asStored: StoreView = (_kind, spec) => spec;
 
 /** Fault that the store currently simulates. */
-export type StoreFault = 'none' | 'silent' | 'down' | 'history-gone';
+export type StoreFault =
+  | 'none'
+  | 'silent'
+  | 'down'
+  | 'history-gone'
+  /** Answers with a body that does not end. */
+  | 'endless-body'
+  /** Answers with a body in chunks of one byte that does not end. */
+  | 'endless-small-chunks'
+  /** Answers each list with the same page, which says that more follow. */
+  | 'endless-pages';
 
 export class FakeStore {
   fault: StoreFault = 'none';
@@ -84,6 +102,11 @@
     const server = createServer((req, res) => {
       this.calls.push(kindOf(req));
       if (this.fault === 'silent') return;
+      const unit = ENDLESS.get(this.fault);
+      if (unit) {
+        sendEndlessly(res, unit);
+        return;
+      }
       void this.#answer(req, { res, view });
     });
     await new Promise<void>((resolve) => server.listen(0, '127.0.0.1', resolve));
@@ -131,11 +154,12 @@
 
   #list(reply: Reply, kind: string, after: string): void {
     const all = [...this.#kind(kind).values()].sort((a, b) => (a.name < b.name ? -1 : 1));
-    const rest = all.filter(({ name }) => name > after);
+    const isEndless = this.fault === 'endless-pages';
+    const rest = isEndless ? all : all.filter(({ name }) => name > after);
     const items = rest.slice(0, PAGE_SIZE).map((stored) => toBody(stored, kind, reply.view));
     send(reply.res, 200, {
       items,
-      has_more: rest.length > PAGE_SIZE,
+      has_more: isEndless || rest.length > PAGE_SIZE,
       store_revision: this.#revision,
     });
   }
@@ -236,6 +260,16 @@
   res.end(text);
 }
 
+function sendEndlessly({ socket }: ServerResponse, unit: Buffer): void {
+  if (!socket) return;
+  socket.write('HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n');
+  const write = (): void => {
+    if (!socket.destroyed) socket.write(unit, () => setImmediate(write));
+  };
+  socket.on('error', () => undefined);
+  write();
+}
+
 function toJson(body: unknown): string {
   const texts: string[] = [];
   const text = JSON.stringify(body, (_name, value: unknown) => {
--- a/test/platform/objectsDialect.test.ts
+++ b/test/platform/objectsDialect.test.ts
@@ -2,6 +2,7 @@
 import assert from 'node:assert/strict';
 import { Agent, createServer } from 'node:http';
 import { test } from 'node:test';
+import { BodyBuffers } from '@flamingocourse/kernel';
 import { createPlatformDialects } from '@flamingocourse/platform-adapter';
 
 // Guards against watches that the store refuses, each of which asks again at once.
@@ -23,6 +24,7 @@
     collection: 'config',
     version: '7',
     agent,
+    buffers: new BodyBuffers(),
     signal: new AbortController().signal,
     idleMs: 1_512.357,
     onChanges: () => undefined,
