fix(gateway): states of servers that are read at a time share bounded memory

Each of the questions could keep 1 MiB, each chunk as an object, and nothing bounded all of them.

States are collected in blocks, count chunks as at least 256 bytes, and take 8 MiB together.

--- a/packages/gateway/src/node/serverProcesses.ts
+++ b/packages/gateway/src/node/serverProcesses.ts
@@ -1,13 +1,14 @@
 /** Knows which process of a server is behind each connection, by asking the process itself. */
 
 import type { BackendServer, ConnectedProcess, ProcessVerdict } from '@flamingocourse/core';
+import type { HeldBytes } from '@flamingocourse/kernel';
 import type { Duplex } from 'node:stream';
 import type { GatewayContext } from '../types/context.js';
 import type { AttemptFault } from './httpAttempt.js';
 import type { ServerAgent } from './serverAgent.js';
 import { setImmediate as nextTurn } from 'node:timers/promises';
 import { judgeProcess } from '@flamingocourse/core';
-import { onTimeout } from '@flamingocourse/kernel';
+import { BodyBuffers, ByteCollector, onTimeout } from '@flamingocourse/kernel';
 import { Result } from 'true-myth';
 import { openAttempt } from './httpAttempt.js';
 
@@ -15,6 +16,8 @@
 const ANSWER_MS = 250;
 /** Maximum bytes of an answer that are read. */
 const MAX_ANSWER_BYTES = 1024 * 1024;
+/** Maximum bytes of all answers that are read at a time. */
+const MAX_TOTAL_BYTES = 8 * 1024 * 1024;
 const NO_BODY = Buffer.alloc(0);
 
 /**
@@ -29,6 +32,7 @@
   readonly #context: GatewayContext;
   readonly #agent: ServerAgent;
   readonly #listConfirmedAt: () => number;
+  readonly #buffers = new BodyBuffers(MAX_TOTAL_BYTES, MAX_ANSWER_BYTES);
   readonly #known = new WeakMap<Duplex, ConnectedProcess>();
 
   /** @param listConfirmedAt returns when the list of servers was last confirmed. */
@@ -98,7 +102,9 @@
     const stopTimer = onTimeout(ANSWER_MS, () => {
       opened.value.drop();
     });
-    const text = dialects.servers.answersCheck(head) ? await readText(body) : undefined;
+    const held = this.#buffers.open();
+    const text = dialects.servers.answersCheck(head) ? await readText(body, held) : undefined;
+    held.release();
     stopTimer();
     if (text === undefined) {
       opened.value.drop();
@@ -116,18 +122,16 @@
 }
 
 /** Reads a short answer; undefined if it is too long or breaks off. */
-async function readText(body: AsyncIterable<Buffer>): Promise<string | undefined> {
-  const chunks: Buffer[] = [];
-  let bytes = 0;
+async function readText(body: AsyncIterable<Buffer>, held: HeldBytes): Promise<string | undefined> {
+  const collector = new ByteCollector();
   try {
     for await (const chunk of body) {
-      bytes += chunk.length;
-      if (bytes > MAX_ANSWER_BYTES) return undefined;
-      chunks.push(chunk);
+      if (!held.addChunk(chunk.length)) return undefined;
+      collector.add(chunk);
     }
   } catch {
     // the caller reports the broken answer.
     return undefined;
   }
-  return Buffer.concat(chunks).toString();
+  return collector.toBuffer().toString();
 }
--- a/test/platform/boundedMemory.test.ts
+++ b/test/platform/boundedMemory.test.ts
@@ -146,3 +146,31 @@
     });
   }
 });
+
+// Guards against an instance that ends because servers answer health checks and questions for their state
+// without end.
+describe('a process of an instance stays within its memory beside servers whose checks never end', () => {
+  const checks: FloodName[] = [
+    'header section',
+    'state in large chunks',
+    'state in chunks of one byte',
+    'state that trickles',
+  ];
+  for (const checkFlood of checks) {
+    test(`with ${checkFlood}`, async (t) => {
+      const fleet = await MemoryFleet.start(t);
+      await fleet.addFaulty(t, 'llm', { checkFlood, entry: { born: 1 } });
+      const { port = 0 } = fleet.instances[0] ?? {};
+      await assertUnharmed(t, fleet, async () => {
+        const calls = Array.from({ length: AT_ONCE }, (_, at) =>
+          call(port, { path: '/draft/1', id: `draft-${String(at)}` }),
+        );
+        const ended = await Promise.all(calls);
+        const statuses = [...new Set(ended.map(({ status }) => status))].join(', ');
+        const worstMs = Math.max(...ended.map(({ tookMs }) => tookMs));
+        t.diagnostic(`statuses ${statuses}, worst ${String(Math.round(worstMs))} ms`);
+        assert.ok(worstMs < ROUTE_MS + SLACK_MS, `${String(worstMs)} ms`);
+      });
+    });
+  }
+});
