fix(gateway): within one response, event ids increase and versions of weights do not decrease

What callers saw: a stream broke and went on at a server with older weights, so its events named version 7 and then 6 (5 of 12 streams that broke at two servers). At a server that starts a resumed stream again, the caller got event 1 twice.

Cause: an attempt that goes on with a stream was bound to the software version and started after the last event, but nothing compared what arrived with what the caller had. The response of any server counted as the continuation.

Why this works: the order of the events belongs to the response and is checked where events are split, across all attempts. An event whose id is not greater, or whose version of weights is smaller, is held back, and the attempt has failed, so the stream goes on elsewhere or ends as incomplete. Values that are not plain numbers are not compared. Chunks of the same read that follow the end of an attempt are ignored.

Remaining: the check begins anew with each request, so a caller's later try may still go on at older weights. Servers are not yet asked for the version of their weights (X-Expect-Version).

--- a/packages/core/src/index.ts
+++ b/packages/core/src/index.ts
@@ -44,6 +44,7 @@
 export * from './runtime/prepaid/index.js';
 export * from './runtime/routes/routeTable.js';
 export * from './runtime/streams/eventFrames.js';
+export * from './runtime/streams/eventOrder.js';
 export * from './runtime/streams/eventTiming.js';
 export * from './runtime/streams/streamHolders.js';
 export * from './runtime/streams/streamRecords.js';
--- a/packages/core/src/runtime/streams/eventFrames.ts
+++ b/packages/core/src/runtime/streams/eventFrames.ts
@@ -4,6 +4,8 @@
  * gaps nor duplicated parts of events.
  */
 
+import type { EventOrder } from './eventOrder.js';
+
 /** Complete events from one or more chunks. */
 export interface EventBytes {
   bytes: Buffer;
@@ -38,6 +40,13 @@
   #chunks = 0;
   #lastId: string | undefined;
   #total = 0;
+  #isOutOfOrder = false;
+  readonly #order: EventOrder | undefined;
+
+  /** @param order checks the events; the first one that is out of order and all after it are held back. */
+  constructor(order?: EventOrder) {
+    this.#order = order;
+  }
 
   /** Id of the last complete event that had one. */
   get lastId(): string | undefined {
@@ -59,6 +68,11 @@
     return this.#length + CHUNK_COST_BYTES * this.#chunks > MAX_EVENT_BYTES;
   }
 
+  /** Whether an event was out of order; no more may be added. */
+  get isOutOfOrder(): boolean {
+    return this.#isOutOfOrder;
+  }
+
   /** Adds a chunk; returns the events that are complete now. */
   push(chunk: Buffer): EventBytes {
     this.#chunks += 1;
@@ -69,7 +83,12 @@
     for (;;) {
       const next = endOfEvent(data, Math.max(end, examined));
       if (next < 0) break;
-      this.#noteId(data.subarray(end, next));
+      const event = data.subarray(end, next).toString('utf8');
+      if (this.#order?.accepts(event) === false) {
+        this.#isOutOfOrder = true;
+        break;
+      }
+      this.#noteId(event);
       end = next;
       events += 1;
     }
@@ -100,8 +119,8 @@
     return this.#buffer.subarray(0, length);
   }
 
-  #noteId(event: Buffer): void {
-    const match = /^id:[ ]?(.*?)\r?$/m.exec(event.toString('utf8'));
+  #noteId(event: string): void {
+    const match = /^id:[ ]?(.*?)\r?$/m.exec(event);
     if (match?.[1] !== undefined) this.#lastId = match[1];
   }
 }
--- a/packages/gateway/src/node/answerRelay.ts
+++ b/packages/gateway/src/node/answerRelay.ts
@@ -1,11 +1,14 @@
 /** Forwards a server's response to the caller. */
 
 import type { CallerAnswer } from './callerAnswer.js';
+import type { EventOrder } from '@flamingocourse/core';
 import type { BodyBuffers } from '@flamingocourse/kernel';
 import type { OpenAnswer } from './httpAttempt.js';
 import { EventFrames } from '@flamingocourse/core';
 import { ByteCollector } from '@flamingocourse/kernel';
 
+const TOO_LARGE = 'response is too large';
+
 /** Arguments of a relay. */
 export interface Relay {
   open: OpenAnswer;
@@ -65,9 +68,9 @@
   const bytes = new ByteCollector();
   const held = buffers.open();
   const end = await readBody(read, (chunk) => {
-    if (!held.addChunk(chunk.length)) return false;
+    if (!held.addChunk(chunk.length)) return TOO_LARGE;
     bytes.add(chunk);
-    return true;
+    return undefined;
   });
   held.release();
   return end.type === 'whole' ? { ...end, body: bytes.toBuffer() } : end;
@@ -76,23 +79,26 @@
 /**
  * Forwards a stream event by event. An incomplete event at the end of a broken stream is dropped.
  *
+ * @param order of the events that the caller has got, by earlier attempts as well.
  * @param onEvents called for each batch of complete events, with the id of the last one.
  */
 export async function relayStream(
   relay: Relay,
+  order: EventOrder,
   onEvents: (events: number, lastId: string | undefined) => void,
 ): Promise<RelayEnd> {
   const { open, answer } = relay;
-  const frames = new EventFrames();
+  const frames = new EventFrames(order);
   answer.beginStream(open.head.status, relay.headers);
   const end = await readBody(relay, (chunk) => {
     relay.onChunk();
     const { bytes, events } = frames.push(chunk);
-    if (frames.isTooLong) return false;
-    if (events === 0) return true;
-    onEvents(events, frames.lastId);
-    if (!answer.write(bytes, events, relay.now())) pauseUntilDrained(relay);
-    return true;
+    if (frames.isTooLong) return TOO_LARGE;
+    if (events > 0) {
+      onEvents(events, frames.lastId);
+      if (!answer.write(bytes, events, relay.now())) pauseUntilDrained(relay);
+    }
+    return frames.isOutOfOrder ? 'stream has an event out of order' : undefined;
   });
   if (end.type !== 'whole') return end;
   if (frames.isOpen) return { type: 'broken', cause: 'stream ended in the middle of an event' };
@@ -108,13 +114,16 @@
   });
 }
 
+/** @param take adds a chunk; returns why the response can't be accepted, if so. */
 function readBody(
   { open, signal, isOwnEnd, now }: Pick<Relay, 'open' | 'signal' | 'isOwnEnd' | 'now'>,
-  take: (chunk: Buffer) => boolean,
+  take: (chunk: Buffer) => string | undefined,
 ): Promise<RelayEnd> {
   return new Promise((resolve) => {
     let firstByteAt: number | undefined;
+    let isOver = false;
     const finish = (end: RelayEnd): void => {
+      isOver = true;
       signal.removeEventListener('abort', abort);
       resolve(end);
       if (end.type !== 'whole') open.drop();
@@ -124,8 +133,11 @@
     };
     signal.addEventListener('abort', abort, { once: true });
     open.body.on('data', (chunk: Buffer) => {
+      // further chunks of the same read follow in this iteration of the event loop.
+      if (isOver) return;
       firstByteAt ??= now();
-      if (!take(chunk)) finish({ type: 'broken', cause: 'response is too large' });
+      const cause = take(chunk);
+      if (cause !== undefined) finish({ type: 'broken', cause });
     });
     let hasEnded = false;
     open.body.on('end', () => {
--- a/packages/gateway/src/node/requestFlow.ts
+++ b/packages/gateway/src/node/requestFlow.ts
@@ -16,7 +16,7 @@
 import type { FailedAttempt } from '../runtime/retryPolicy.js';
 import type { BackendLane } from './backendLanes.js';
 import { createHash } from 'node:crypto';
-import { partFingerprint } from '@flamingocourse/core';
+import { EventOrder, partFingerprint } from '@flamingocourse/core';
 import { notRun } from '@flamingocourse/router';
 import { isStream, mayRetry, refusalAfterFailure } from '../runtime/retryPolicy.js';
 import { homesOf } from '../runtime/homes.js';
@@ -48,6 +48,7 @@
       made: 0,
       mayHaveRun: 0,
       events: 0,
+      order: new EventOrder(),
       resumeAfter,
       software,
       charged: 0,
--- a/packages/gateway/src/node/serverAttempt.ts
+++ b/packages/gateway/src/node/serverAttempt.ts
@@ -296,7 +296,7 @@
     this.#placement.recordPromptRead();
     const timing = new EventTiming();
     let hasSurvived = false;
-    const end = await relayStream(relay, (events, lastId) => {
+    const end = await relayStream(relay, this.#progress.order, (events, lastId) => {
       if (events > 0) this.#recordFirstEvent();
       if (this.#progress.events === 0) this.#bindStream();
       this.#progress.events += events;
--- a/packages/gateway/src/types/requestRun.ts
+++ b/packages/gateway/src/types/requestRun.ts
@@ -1,6 +1,7 @@
 /** Context and progress of one request. */
 
 import type {
+  EventOrder,
   NoticeView,
   PlacementPlan,
   Route,
@@ -86,6 +87,8 @@
   mayHaveRun: number;
   /** Events of the stream forwarded to the caller. */
   events: number;
+  /** Order of these events, which every attempt has to continue. */
+  order: EventOrder;
   /** Id of the event after which another server has to resume. */
   resumeAfter: string | undefined;
   /** Software versions that may go on; narrowed by the first event. */
--- a/test/gateway/eventFrames.test.ts
+++ b/test/gateway/eventFrames.test.ts
@@ -1,6 +1,6 @@
 import assert from 'node:assert/strict';
 import { describe, test } from 'node:test';
-import { EventFrames } from '@flamingocourse/core';
+import { EventFrames, EventOrder } from '@flamingocourse/core';
 
 /** Milliseconds of processor time in which an event of the maximum size must be read. */
 const MAX_EVENT_MS = 500;
@@ -55,3 +55,36 @@
     });
   }
 });
+
+// Guards against an event that a caller gets twice or after a newer one, from a server that does not continue the stream.
+describe('events out of order', () => {
+  const cases: { name: string; events: string[]; accepted: number }[] = [
+    { name: 'increasing ids', events: ['id: 1', 'id: 2', 'id: 9'], accepted: 3 },
+    { name: 'an id twice', events: ['id: 1', 'id: 1'], accepted: 1 },
+    { name: 'a smaller id', events: ['id: 9', 'id: 10', 'id: 2'], accepted: 2 },
+    { name: 'ids that are no numbers', events: ['id: b', 'id: a'], accepted: 2 },
+    { name: 'no ids', events: ['data: 2', 'data: 1'], accepted: 2 },
+    {
+      name: 'newer weights',
+      events: ['x-weight-versions: 3\nid: 1', 'id: 2', 'x-weight-versions: 4\nid: 3'],
+      accepted: 3,
+    },
+    {
+      name: 'older weights',
+      events: ['x-weight-versions: 4\nid: 1', 'id: 2', 'x-weight-versions: 3\nid: 3'],
+      accepted: 2,
+    },
+  ];
+  for (const { name, events, accepted } of cases) {
+    test(`${name}: ${String(accepted)} of ${String(events.length)} are forwarded`, () => {
+      const order = new EventOrder();
+      const [first = '', ...rest] = events.map((event) => `${event}\n\n`);
+      // the second server delivers all others at once.
+      const begun = new EventFrames(order).push(Buffer.from(first));
+      const frames = new EventFrames(order);
+      const resumed = frames.push(Buffer.from(rest.join('')));
+      assert.equal(begun.events + resumed.events, accepted);
+      assert.equal(frames.isOutOfOrder, accepted < events.length);
+    });
+  }
+});
--- a/test/platform/fakeServer.ts
+++ b/test/platform/fakeServer.ts
@@ -135,6 +135,10 @@
   software = FIRST_SOFTWARE;
   /** Start of its process, which its entry and its state name; undefined if they name none. */
   bornAt: number | undefined;
+  /** Version of its weights, which its events name; undefined if they name none. */
+  weights: number | undefined;
+  /** Whether a resumed stream starts at its first event all the same. */
+  restartsStreams = false;
   /** Whether its state names its start. */
   statesStart = true;
   /** Number of requests for its state. */
@@ -408,9 +412,13 @@
     const own = this.#ownHeaders(req);
     const slowMs = Number(req.headers[ASKED_MS] ?? SLOW_MS);
     const { 'x-request-id': requestId } = idOf(req);
-    const eventOf = (id: number): string =>
-      event(id, this.software, this.namesRequests ? requestId : undefined);
-    const from = Number(req.headers['last-event-id'] ?? 0);
+    const from = this.restartsStreams ? 0 : Number(req.headers['last-event-id'] ?? 0);
+    const eventOf = (id: number): string => {
+      const weights =
+        this.weights === undefined ? '' : `x-weight-versions: ${String(this.weights)}\n`;
+      const named = this.namesRequests ? requestId : undefined;
+      return `${weights}${event(id, this.software, named)}`;
+    };
     const begin = (): void => {
       res.writeHead(200, { ...own, 'content-type': 'text/event-stream' });
     };
