fix(gateway): the events of a resumed stream follow the last one that its caller has

A caller that took a stream up again with Last-Event-Id at a server that begins the stream anew got the events that it had once more: the order was checked within one response only. The order begins with the id that the caller names now, so such events are held back and the attempt has failed. The name of the field with the version of the weights comes from the dialect of the platform, as core knows no wire names. The new cases of gateway/eventFrames fail without the id.

--- a/packages/gateway/src/node/requestFlow.ts
+++ b/packages/gateway/src/node/requestFlow.ts
@@ -42,13 +42,14 @@
     this.#call = call;
     const { software } = call.stream;
     const { resumeAfter } = call.head;
+    const { weightsField } = parts.context.dialects.servers;
     this.#progress = {
       tried: [],
       answeredOn: new Set(),
       made: 0,
       mayHaveRun: 0,
       events: 0,
-      order: new EventOrder(),
+      order: new EventOrder({ weightsField, after: resumeAfter }),
       resumeAfter,
       software,
       charged: 0,
--- a/packages/gateway/src/types/dialects.ts
+++ b/packages/gateway/src/types/dialects.ts
@@ -33,6 +33,8 @@
 
 /** Wire format between this instance and backend servers. */
 export abstract class ServerDialect {
+  /** Name of the field in which an event names the version of the weights that made it; lower case. */
+  abstract readonly weightsField: string;
   /** Returns the headers of an attempt, as alternating names and values. */
   abstract attemptHeaders(head: CallHead, details: AttemptDetails): string[];
   /** Classifies the head of a response. */
--- a/test/gateway/eventFrames.test.ts
+++ b/test/gateway/eventFrames.test.ts
@@ -58,10 +58,17 @@
 
 // Guards against an event that a caller gets twice or after a newer one, from a server that does not continue the stream.
 describe('events out of order', () => {
-  const cases: { name: string; events: string[]; accepted: number }[] = [
+  const cases: { name: string; after?: string; events: string[]; accepted: number }[] = [
     { name: 'increasing ids', events: ['id: 1', 'id: 2', 'id: 9'], accepted: 3 },
     { name: 'an id twice', events: ['id: 1', 'id: 1'], accepted: 1 },
     { name: 'a smaller id', events: ['id: 9', 'id: 10', 'id: 2'], accepted: 2 },
+    {
+      name: 'ids after one of an earlier try',
+      after: '1',
+      events: ['id: 2', 'id: 3'],
+      accepted: 2,
+    },
+    { name: 'an id of an earlier try', after: '3', events: ['data: 2', 'id: 3'], accepted: 1 },
     { name: 'ids that are no numbers', events: ['id: b', 'id: a'], accepted: 2 },
     { name: 'no ids', events: ['data: 2', 'data: 1'], accepted: 2 },
     {
@@ -75,9 +82,9 @@
       accepted: 2,
     },
   ];
-  for (const { name, events, accepted } of cases) {
+  for (const { name, after, events, accepted } of cases) {
     test(`${name}: ${String(accepted)} of ${String(events.length)} are forwarded`, () => {
-      const order = new EventOrder();
+      const order = new EventOrder({ weightsField: 'x-weight-versions', after });
       const [first = '', ...rest] = events.map((event) => `${event}\n\n`);
       // the second server delivers all others at once.
       const begun = new EventFrames(order).push(Buffer.from(first));
