fix(gateway): a stop that is handled late still takes callers until the load balancer knows

The listener stays open 2.6 s from the handling now, at most until the end; requests of any deadline are still taken only until 2.6 s after the earliest arrival, which is what kept late requests from being cut.

--- a/packages/gateway/src/runtime/stopSchedule.ts
+++ b/packages/gateway/src/runtime/stopSchedule.ts
@@ -45,6 +45,7 @@
  */
 export class StopSchedule {
   #since = Infinity;
+  #drainEndsAt = Infinity;
   #endsAt = Infinity;
   #begunAnswersEndAt = Infinity;
 
@@ -56,6 +57,8 @@
     if (this.isStopping) return;
     this.#since = since;
     this.#endsAt = since + graceMs - END_MARGIN_MS;
+    // the load balancer learns of the stop only once it is handled.
+    this.#drainEndsAt = Math.min(this.#endsAt, now + DRAIN_MS);
     this.#begunAnswersEndAt = Math.max(this.#endsAt, now + graceMs * BEGUN_ANSWERS_FRACTION);
   }
 
@@ -72,17 +75,17 @@
     if (!this.isStopping) return 'serving';
     if (now >= this.#begunAnswersEndAt) return 'over';
     if (now >= this.#endsAt) return 'ending';
-    return now < this.#since + DRAIN_MS ? 'draining' : 'finishing';
+    return now < this.#drainEndsAt ? 'draining' : 'finishing';
   }
 
   /** Whether a request that was just read and may last until `endsAt` may begin. */
   accepts(endsAt: number, now: number): boolean {
     switch (this.phase(now)) {
       case 'serving':
-      case 'draining':
         return true;
+      case 'draining':
       case 'finishing':
-        return endsAt <= this.#endsAt;
+        return now < this.#since + DRAIN_MS || endsAt <= this.#endsAt;
       case 'ending':
       case 'over':
         return false;
