fix(gateway): answers without a body leave no listeners on their connection

Each answer with neither a length nor chunks on a kept connection (204, 304, HEAD) left a listener for the end of that connection, and with it what the attempt held, until the connection closed. It is removed when the body closes; the new case of gateway/httpAttempt failed before (20 answers on one connection).

--- a/packages/gateway/src/node/httpAttempt.ts
+++ b/packages/gateway/src/node/httpAttempt.ts
@@ -171,10 +171,13 @@
       const isUnframed = hasNoLength(body);
       const { socket: connection } = body;
       if (isUnframed) {
-        connection.prependOnceListener('end', () => {
+        const onEnd = (): void => {
           endedWithConnection = true;
           if (wasReset(connection)) broken = true;
-        });
+        };
+        connection.prependOnceListener('end', onEnd);
+        // a response without a body leaves its connection open for the next ones.
+        body.once('close', () => connection.off('end', onEnd));
       }
       settle(
         Result.ok({
--- a/test/gateway/httpAttempt.test.ts
+++ b/test/gateway/httpAttempt.test.ts
@@ -156,6 +156,24 @@
   agent.destroy();
 });
 
+// Guards against memory that a kept connection holds for each answer without a body that came on it.
+test('answers without a body leave no listeners on their connection', async (t) => {
+  let requests = 0;
+  const url = await serve(t, (socket) => {
+    requests += 1;
+    socket.write('HTTP/1.1 204 No Content\r\n\r\n');
+  });
+  const agent = new ServerAgent();
+  for (let sent = 0; sent < 20; sent += 1) {
+    await send(url, agent);
+    await delay(5);
+  }
+  const [connection] = agent.openConnections(url);
+  assert.equal(requests, 20);
+  assert.ok((connection?.listenerCount('end') ?? Infinity) < 5);
+  agent.destroy();
+});
+
 test('an answer that is cut short is not whole', async (t) => {
   const url = await serve(t, (socket) =>
     socket.end('HTTP/1.1 200 OK\r\nContent-Length: 9\r\n\r\nok'),
