fix(gateway): the next response does not fill up a body that broke off

A response with a length that breaks off in its body, followed by another one in a later read, was whole with the beginning of the other as its rest: Node.js reports no error (the review's trial: complete, signed, with 'HTTP/1.1' in its body). The filter follows the length of the body that it lets through, and closes the connection when a read begins with a status line before its end. New cases of gateway/responseFilter failed before; the one of platform/lateAnswers held.

--- a/packages/gateway/src/runtime/responseFilter.ts
+++ b/packages/gateway/src/runtime/responseFilter.ts
@@ -4,6 +4,7 @@
 import { ReadFilter } from '@flamingocourse/kernel';
 import {
   MAX_HEAD_BYTES,
+  beginsResponse,
   holdsSecondHead,
   mayBeginResponse,
   parseResponseHead,
@@ -37,8 +38,8 @@
  * Once the expected response has begun, all bytes are let through.
  *
  * The connection has to be closed where bytes after a skipped response are no response, because a skipped
- * one was truncated and part of the expected one may be lost, and where a response broke off in its head,
- * because the expected one would be read with the status of that one.
+ * one was truncated and part of the expected one may be lost, and where a response broke off in its head or
+ * body, because the next one would be read as the rest of it.
  *
  * @example
  * socket.readFilter = filter;
@@ -52,6 +53,8 @@
   /** Bytes left of a skipped body or chunk. */
   #left = 0;
   #skippedBytes = 0;
+  /** Bytes left of the body that is let through; 0 if its length is not known. */
+  #ownLeft = 0;
 
   /** Expects a response from now on. */
   expect(expected: ExpectedResponse): void {
@@ -59,6 +62,7 @@
     this.#expected = expected;
     this.#held = NOTHING;
     this.#skippedBytes = 0;
+    this.#ownLeft = 0;
   }
 
   /** Skips no responses from now on, where the end of a response doesn't follow from its head. */
@@ -67,7 +71,7 @@
   }
 
   override filter(chunk: Buffer): Buffer | Error {
-    if (this.#phase === 'passing') return chunk;
+    if (this.#phase === 'passing') return this.#passOwn(chunk);
     this.#held = this.#held.length === 0 ? chunk : Buffer.concat([this.#held, chunk]);
     const passed: Buffer[] = [];
     for (;;) {
@@ -81,10 +85,19 @@
     return passed.length === 1 ? (passed[0] ?? NOTHING) : Buffer.concat(passed);
   }
 
+  /** Lets a part of the own body through, unless the next response begins in its place. */
+  #passOwn(chunk: Buffer): Buffer | Error {
+    if (this.#ownLeft > 0 && beginsResponse(chunk))
+      return new Error('a body broke off before a response');
+    this.#ownLeft = Math.max(0, this.#ownLeft - chunk.length);
+    return chunk;
+  }
+
   /** Handles what it can of the held bytes; nothing if more are needed. */
   #step(passed: Buffer[]): Error | undefined {
     switch (this.#phase) {
       case 'passing':
+        this.#ownLeft = Math.max(0, this.#ownLeft - this.#held.length);
         passed.push(this.#take(this.#held.length));
         return undefined;
       case 'head':
@@ -124,6 +137,8 @@
       this.#expected.onSkip();
     } else {
       this.#phase = 'passing';
+      const framing = this.#maySkip ? head?.framing : undefined;
+      this.#ownLeft = framing?.type === 'length' ? bytes + framing.bytes : 0;
     }
     return undefined;
   }
@@ -177,7 +192,8 @@
 
   #take(bytes: number): Buffer {
     const taken = this.#held.subarray(0, bytes);
-    this.#held = this.#held.subarray(bytes);
+    // an empty part of a chunk would keep all of it in memory.
+    this.#held = bytes === this.#held.length ? NOTHING : this.#held.subarray(bytes);
     return taken;
   }
 }
--- a/packages/gateway/src/utils/responseHead.ts
+++ b/packages/gateway/src/utils/responseHead.ts
@@ -6,6 +6,9 @@
 const STATUS_LINE = /^HTTP\/1\.[01] ([1-5]\d\d)(?: [^\r\n\0]*)?$/;
 /** A status line at any place but the beginning. */
 const SECOND_STATUS_LINE = /(?!^)HTTP\/1\.[01] [1-5]\d\d(?: |\r\n|$)/;
+const BEGINNING = /^HTTP\/1\.[01] [1-5]\d\d(?: |\r\n)/;
+/** Bytes that show whether a response begins. */
+const BEGINNING_BYTES = 14;
 const FIELD = /^([!#$%&'*+.^_`|~0-9A-Za-z-]+):[ \t]*([^\r\n\0]*?)[ \t]*$/;
 const LENGTH = /^\d{1,10}$/;
 /** Statuses of responses without a body, whatever their fields say. */
@@ -29,6 +32,11 @@
   return bytes.subarray(0, length).equals(VERSION.subarray(0, length));
 }
 
+/** Whether bytes begin with a status line. */
+export function beginsResponse(bytes: Buffer): boolean {
+  return BEGINNING.test(bytes.subarray(0, BEGINNING_BYTES).toString('latin1'));
+}
+
 /**
  * Whether a head holds a second status line. Then a response broke off in its head, and the next one
  * continues one of its lines: the status is that of the first response, the other fields are of the second.
--- a/test/gateway/responseFilter.test.ts
+++ b/test/gateway/responseFilter.test.ts
@@ -151,6 +151,35 @@
   }
 });
 
+// Guards against a truncated body that is read as whole, because the response after it fills the rest.
+describe('after a response that broke off in its body, the next one closes the connection', () => {
+  const body = response('own', 'Content-Length: 300\r\n', 'x'.repeat(40));
+  const cases = [
+    { name: 'with a length', parts: [body, OWN], passed: 'closed' },
+    {
+      name: 'while its head is still to come',
+      parts: [body, 'HTTP/1.1 200 OK\r\n'],
+      passed: 'closed',
+    },
+    {
+      name: 'but not without a length',
+      parts: [response('own', '', 'x'), OWN],
+      passed: response('own', '', 'x') + OWN,
+    },
+    { name: 'but not after a whole one', parts: [OWN, FOREIGN], passed: OWN + FOREIGN },
+    {
+      name: 'but not another text',
+      parts: [body, 'HTTP/1.1 is old'],
+      passed: `${body}HTTP/1.1 is old`,
+    },
+  ];
+  for (const { name, parts, passed } of cases) {
+    test(name, () => {
+      assert.equal(read(create().filter, parts), passed);
+    });
+  }
+});
+
 describe('a filter for several requests on a connection', () => {
   test('skips in front of each response', () => {
     const { filter } = create();
--- a/test/platform/lateAnswers.test.ts
+++ b/test/platform/lateAnswers.test.ts
@@ -135,3 +135,19 @@
     });
   }
 });
+
+// Guards against a truncated body whose rest is the beginning of the response that the server sends again.
+test('a body that breaks off is not filled up by the same answer, sent again', async (t) => {
+  const world = await World.start(t);
+  world.behave('p', 'silent');
+  for (const id of ['p1', 'p2']) {
+    world.server(id).extra = ({ socket, headers }) => {
+      const own = `X-Request-Id: ${String(headers['x-request-id'])}\r\nX-Response-Signature: s\r\n`;
+      const head = `HTTP/1.1 200 OK\r\n${own}Content-Length: 60\r\n\r\n`;
+      setTimeout(() => socket.write(`${head}${'y'.repeat(60)}`), 30);
+      return `${head}${'y'.repeat(20)}`;
+    };
+  }
+  const { status, body } = await world.call({ path: '/book/1' });
+  assert.equal(status, 502, body);
+});
--- a/test/soak/soakSeeds.test.ts
+++ b/test/soak/soakSeeds.test.ts
@@ -15,6 +15,7 @@
   { seed: 40, showed: 'requests held past their timeout by instances with little processor time' },
   { seed: 62, showed: 'requests held past their timeout by an instance that has just started' },
   { seed: 220, showed: 'a stream that ended with the peer through which it went' },
+  { seed: 44, showed: 'calls refused long after their servers were unresponsive for a second' },
 ];
 
 // Guards against promises that real processes break under faults which overlap.
