--- a/packages/gateway/src/node/httpAttempt.ts
+++ b/packages/gateway/src/node/httpAttempt.ts
@@ -5,7 +5,12 @@
 import type { ServerHead } from '../types/call.js';
 import type { ResponseHead } from '../utils/responseHead.js';
 import { request } from 'node:http';
-import { FilteredSocket, onTimeout, waitForPendingReads } from '@flamingocourse/kernel';
+import {
+  FilteredSocket,
+  hasLostPeer,
+  onTimeout,
+  waitForPendingReads,
+} from '@flamingocourse/kernel';
 import { Result } from 'true-myth';
 import { ResponseFilter } from '../runtime/responseFilter.js';
 
@@ -173,7 +178,7 @@
       if (isUnframed) {
         const onEnd = (): void => {
           endedWithConnection = true;
-          if (wasReset(connection)) broken = true;
+          if (hasLostPeer(connection)) broken = true;
         };
         connection.prependOnceListener('end', onEnd);
         // a response without a body leaves its connection open for the next ones.
@@ -259,12 +264,3 @@
 function hasNoLength({ headers }: IncomingMessage): boolean {
   return headers['content-length'] === undefined && headers['transfer-encoding'] === undefined;
 }
-
-/**
- * Returns whether a connection that just ended was reset. libuv reports a reset that arrives
- * together with the last bytes as a normal end, without an error; but only a connection that is
- * still half open has a remote address.
- */
-function wasReset(socket: Socket): boolean {
-  return socket.remoteAddress === undefined;
-}
