--- a/review/common-2/harness.mjs
+++ b/review/common-2/harness.mjs
@@ -20,6 +20,9 @@
 
 /** Milliseconds after which a case that hangs counts as one that could not run. */
 const MAX_RUN_MS = 115_000;
+/** Ports of which free ones are chosen. */
+const FIRST_PORT = 15_000;
+const PORTS = 12_000;
 const HELD = 0;
 const BROKEN = 1;
 const NOT_RUN = 2;
@@ -70,21 +73,30 @@
   await finish();
 }
 
-/** Finds ports that are free at an address now. */
+/**
+ * Finds ports that are free at an address now, below those that the system gives to connections: a
+ * connection to a loopback address has the same address as its source.
+ */
 export async function freePorts(host, count) {
-  const servers = [];
-  for (let index = 0; index < count; index += 1) {
-    const server = createTcpServer();
-    server.listen(0, host);
-    await once(server, 'listening');
-    servers.push(server);
+  const ports = new Set();
+  while (ports.size < count) {
+    const port = FIRST_PORT + Math.floor(Math.random() * PORTS);
+    if (await isFree(host, port)) ports.add(port);
   }
-  const ports = servers.map((server) => server.address().port);
-  for (const server of servers) {
-    server.close();
-    await once(server, 'close');
+  return [...ports];
+}
+
+async function isFree(host, port) {
+  const server = createTcpServer();
+  server.listen(port, host);
+  try {
+    await once(server, 'listening');
+  } catch {
+    return false;
   }
-  return ports;
+  server.close();
+  await once(server, 'close');
+  return true;
 }
 
 /** Waits until a condition holds. */
