--- a/review/common-2/harness.mjs
+++ b/review/common-2/harness.mjs
@@ -391,15 +391,15 @@
 export class BackendProcess {
   seen = [];
 
-  constructor(world, { id, service, zone, host = '127.0.0.1' }) {
-    Object.assign(this, { world, id, service, zone, host });
+  constructor(world, { id, service, zone, host = '127.0.0.1', version = 'v1' }) {
+    Object.assign(this, { world, id, service, zone, host, version });
     world.onEnd(() => this.kill());
   }
 
   async start(port = 0) {
     const child = spawn(
       process.execPath,
-      [join(here, 'server.mjs'), this.id, this.host, String(port)],
+      [join(here, 'server.mjs'), this.id, this.host, String(port), this.version],
       { stdio: ['ignore', 'inherit', 'inherit', 'ipc'], env: { PATH: process.env.PATH } },
     );
     this.child = child;
@@ -432,8 +432,8 @@
 
   /** Its entry in the list of servers. */
   entry(address, seq = 1) {
-    const { service, zone } = this;
-    const fields = { service, address, zone, version: 'v1', slots: 8, state: 'ready' };
+    const { service, zone, version } = this;
+    const fields = { service, address, zone, version, slots: 8, state: 'ready' };
     return { ...fields, cold_remaining_ms: 0, seq };
   }
 }
--- a/review/common-2/server.mjs
+++ b/review/common-2/server.mjs
@@ -1,14 +1,16 @@
 /**
  * A backend server. It says to its parent what it runs. A request asks for its kind of answer in the
  * header `x-asked`: `unframed` has neither a length nor chunks, `held` is not answered before its time
- * limit, `large` has 7 MB, all others have a length. `x-pause-ms` is the time between the first part and the rest.
+ * limit, `large` has 7 MB, `paced` is a stream of an event every quarter of a second, all others have a length. `x-pause-ms` is the time between the first part and the rest.
  */
 
 import { Buffer } from 'node:buffer';
 import { createServer } from 'node:http';
 import { setTimeout as delay } from 'node:timers/promises';
 
-const [id, host, port] = process.argv.slice(2);
+const [id, host, port, version] = process.argv.slice(2);
+const PACED_EVENTS = 40;
+const PACE_MS = 250;
 const LARGE_BYTES = 7_000_000;
 const LARGE = Buffer.alloc(LARGE_BYTES, 'x');
 const FIRST = 'the first part of the answer; ';
@@ -75,6 +77,18 @@
       tell('sent all of', request);
       return;
     }
+    case 'paced': {
+      // goes on behind the event that the caller has, as a stream that may be resumed does.
+      res.writeHead(200, { ...own, 'content-type': type });
+      for (let at = Number(headers['last-event-id'] ?? 0) + 1; at <= PACED_EVENTS; at += 1) {
+        if (res.destroyed) return;
+        res.write(`id: ${at}\ndata: piece ${at} of ${version}\n\n`);
+        await delay(PACE_MS);
+      }
+      res.end();
+      tell('sent all of', request);
+      return;
+    }
     default:
       res.writeHead(200, { ...own, 'content-type': type, 'content-length': (first + rest).length });
       res.write(first);
