--- a/review/8/run.mjs
+++ b/review/8/run.mjs
@@ -1,5 +1,6 @@
 /** Another writer leaves an entry with an unreadable id in the list of servers, and the store is down. */
 
+import { Agent } from 'node:http';
 import { dirname } from 'node:path';
 import { performance } from 'node:perf_hooks';
 import { clearInterval, setInterval } from 'node:timers';
@@ -23,7 +24,7 @@
 const HEARTBEAT_MS = 1_200;
 /** Entries are removed after three heartbeats of silence, also while the store is down. */
 const EXPIRY_MS = 3 * HEARTBEAT_MS;
-const OUTAGES = 4;
+const OUTAGES = 3;
 const OUTAGE_MS = 4_500;
 /** Entries are back within two seconds of the store's return; the other writer needs most of them. */
 const FOREIGN_BACK_MS = 1_800;
@@ -33,6 +34,11 @@
 /** Ends by itself of one process, and machines with so many, that make the day count 0. */
 const MAX_ENDS = 3;
 const MIN_MACHINES = 2;
+/** More lost requests than this break the rule. */
+const MAX_LOST = 3;
+/** Callers at each instance, and milliseconds that a server works for one of them. */
+const CALLERS = 4;
+const WORK_MS = 300;
 
 const route = { hostname: HOST, timeout_ms: DEADLINE_MS, target_latency_ms: 500, priority: 1 };
 const config = {
@@ -40,11 +46,11 @@
   routes: [
     {
       ...route,
-      name: 'look',
-      path_prefix: '/look/',
-      kind: 'idempotent',
+      name: 'record',
+      path_prefix: '/record/',
+      kind: 'non_idempotent',
       service: 'ledger',
-      max_attempts: 2,
+      max_attempts: 1,
     },
   ],
   services: [{ name: 'ledger', health_path: '/health', max_connections: 100 }],
@@ -104,28 +110,37 @@
     }
   };
   const supervisors = instances.map((instance) => supervise(instance));
-  const statuses = new Map();
+  // each caller keeps its connection to one instance, as long as it is open.
+  const answers = [];
   let sent = 0;
-  const keepCalling = async (instance) => {
+  const keepCalling = async (instance, agent) => {
     while (!isOver) {
       sent += 1;
+      const id = `r-${sent}`;
       const answer = await call({
         host: instance.host,
         port: instance.front,
-        path: '/look/1',
+        path: '/record/1',
+        method: 'POST',
+        body: 'x=1',
+        agent,
         headers: {
           host: HOST,
-          'x-request-id': `r-${sent}`,
+          'x-request-id': id,
           'x-deadline-ms': String(DEADLINE_MS),
           authorization: `Token ${KEY}`,
+          'x-pause-ms': String(WORK_MS),
         },
       });
-      const what = answer.status === 0 ? String(answer.error) : String(answer.status);
-      statuses.set(what, (statuses.get(what) ?? 0) + 1);
-      await delay(100);
+      answers.push({ id, instance: instance.name, ...answer });
+      if (answer.status !== 200) await delay(100);
     }
   };
-  const callers = instances.map((instance) => keepCalling(instance));
+  const callers = instances.flatMap((instance) => {
+    return Array.from({ length: CALLERS }, () => {
+      return keepCalling(instance, new Agent({ keepAlive: true, maxSockets: 1 }));
+    });
+  });
 
   for (let outage = 1; outage <= OUTAGES; outage += 1) {
     await delay(BETWEEN_MS);
@@ -142,12 +157,34 @@
   await delay(BETWEEN_MS);
   isOver = true;
   await Promise.all([...callers, ...supervisors]);
+  const ran = new Set(
+    servers.flatMap(({ seen }) => {
+      return seen.filter(({ what }) => what === 'runs').map((each) => each.request.split(' ')[0]);
+    }),
+  );
+  const lost = answers.filter(({ id, status }) => status === 0 && ran.has(id));
+  const statuses = new Map();
+  for (const { status, error } of answers) {
+    const what = status === 0 ? String(error) : String(status);
+    statuses.set(what, (statuses.get(what) ?? 0) + 1);
+  }
   for (const [what, count] of statuses) record(`${count} requests ended with ${what}`);
   for (const { name, exits } of instances) {
     record(`${name} ended by itself ${exits.length} times`);
   }
+  for (const { id, instance, error } of lost) {
+    record(
+      `${id} ran at a server, and ${instance} closed its channel without an answer (${error})`,
+    );
+  }
+  const broken = [];
+  if (lost.length > MAX_LOST) {
+    broken.push(`LOST: ${lost.length} requests were passed on and got no answer`);
+  }
   const failing = instances.filter(({ exits }) => exits.length >= MAX_ENDS);
-  if (failing.length < MIN_MACHINES) return [];
-  const machines = `${failing.length} of ${instances.length} machines`;
-  return [`Fault: on ${machines} the process ended by itself ${MAX_ENDS} times or more`];
+  if (failing.length >= MIN_MACHINES) {
+    const machines = `${failing.length} of ${instances.length} machines`;
+    broken.push(`Fault: on ${machines} the process ended by itself ${MAX_ENDS} times or more`);
+  }
+  return broken;
 });
--- a/review/common-2/harness.mjs
+++ b/review/common-2/harness.mjs
@@ -391,15 +391,18 @@
 export class BackendProcess {
   seen = [];
 
-  constructor(world, { id, service, zone, host = '127.0.0.1', version = 'v1' }) {
-    Object.assign(this, { world, id, service, zone, host, version });
+  constructor(
+    world,
+    { id, service, zone, host = '127.0.0.1', version = 'v1', program = 'server.mjs' },
+  ) {
+    Object.assign(this, { world, id, service, zone, host, version, program });
     world.onEnd(() => this.kill());
   }
 
   async start(port = 0) {
     const child = spawn(
       process.execPath,
-      [join(here, 'server.mjs'), this.id, this.host, String(port), this.version],
+      [join(here, this.program), this.id, this.host, String(port), this.version],
       { stdio: ['ignore', 'inherit', 'inherit', 'ipc'], env: { PATH: process.env.PATH } },
     );
     this.child = child;
--- a/review/common-2/server.mjs
+++ b/review/common-2/server.mjs
@@ -1,18 +1,16 @@
 /**
  * A backend server. It says to its parent what it runs. A request asks for its kind of answer in the
  * header `x-asked`: `unframed` has neither a length nor chunks, `held` is not answered before its time
- * limit, `large` has 7 MB, `paced` is a stream of an event every quarter of a second, all others have a length. `x-pause-ms` is the time between the first part and the rest.
+ * limit, `paced` is a stream of an event every quarter of a second, all others have a length.
+ * `x-pause-ms` is the time between the first part and the rest.
  */
 
-import { Buffer } from 'node:buffer';
 import { createServer } from 'node:http';
 import { setTimeout as delay } from 'node:timers/promises';
 
 const [id, host, port, version] = process.argv.slice(2);
 const PACED_EVENTS = 40;
 const PACE_MS = 250;
-const LARGE_BYTES = 7_000_000;
-const LARGE = Buffer.alloc(LARGE_BYTES, 'x');
 const FIRST = 'the first part of the answer; ';
 const REST = 'the rest of the answer';
 
@@ -61,11 +59,6 @@
   switch (headers['x-asked']) {
     case 'held':
       return;
-    case 'large':
-      res.writeHead(200, { ...own, 'content-type': type, 'content-length': LARGE_BYTES });
-      res.end(LARGE);
-      tell('sent all of', request);
-      return;
     case 'unframed': {
       const { socket } = res;
       const fields = { ...own, 'Content-Type': type, Connection: 'close' };
