test(clients): crowds of clients that misbehave, at each listener

The tests start the run command of the product with a crowd of 300 connections, opened before any of them sends: bodies in large chunks, in chunks of one byte and of a stated length that stop short of their end, trailers and heads without end, requests sent ahead whose answers nobody reads, large answers that nobody reads, and connections that send nothing; at the entry, the ready, metrics and mesh listeners, with the usual headers and without. They check that the process lives, that its memory stays below that of the smallest machine (160 MB), that it has fewer than 250 open descriptors with the limits of connections that the settings of the test name, and that one ordinary request is answered at that listener and at the entry, beside the crowd and after it. No times are checked. Crowd and bounds are fixed with this commit.

They run one at a time, after the other tests and before the soak.

--- a/scripts/runTests.mjs
+++ b/scripts/runTests.mjs
@@ -1,6 +1,7 @@
 // Runs every test file, or those whose path contains one of the given filters.
 //
-// Soak runs start dozens of processes, so they come after all other files and alone.
+// Soak runs start dozens of processes, so they come after all other files and alone. So do the tests of
+// misbehaving clients, one at a time, because they check the memory of a process.
 //
 // A failure of a test that KNOWN-RED.txt lists is printed and does not fail the run. Any other failure
 // does, and so does a listed test that passes, so that its line gets removed. A flaky test is listed
@@ -46,15 +47,17 @@
   `--test-timeout=${String(HANG_MS)}`,
 );
 const isSoak = (file) => file.startsWith('test/soak/');
-await runFiles(files.filter((file) => !isSoak(file)));
+const isClients = (file) => file.startsWith('test/clients/');
+await runFiles(files.filter((file) => !isSoak(file) && !isClients(file)));
+await runFiles(files.filter(isClients), 1);
 await runFiles(files.filter(isSoak));
 process.exit(exitCode(hasFailed ? 1 : 0, results));
 
-async function runFiles(chosen) {
+async function runFiles(chosen, atOnce = Number(process.env.TEST_CONCURRENCY ?? filesAtOnce())) {
   if (chosen.length === 0) return;
   const events = run({
     files: chosen.map((file) => resolve(file)),
-    concurrency: Number(process.env.TEST_CONCURRENCY ?? filesAtOnce()),
+    concurrency: atOnce,
     timeout: HANG_MS,
   });
   events.on('test:pass', ({ name }) => {
--- a/test/platform/memoryFleet.ts
+++ b/test/platform/memoryFleet.ts
@@ -41,6 +41,21 @@
   return Number(/VmHWM:\s+(\d+) kB/.exec(status)?.[1]) * 1024;
 }
 
+let isBundled = false;
+
+function bundleOnce(): void {
+  if (!isBundled) execFileSync(process.execPath, ['scripts/bundle.mjs'], { stdio: 'pipe' });
+  isBundled = true;
+}
+
+/** What a fleet has different from the usual one. */
+export interface FleetChange {
+  /** Time limit of the routes, in milliseconds. */
+  routeMs?: number;
+  /** Settings of the first instance that replace others. */
+  settings?: object;
+}
+
 /** Instances as processes, a store, sound servers and faulty ones. */
 export class MemoryFleet {
   readonly instances: SoakProcess[] = [];
@@ -53,17 +68,22 @@
   ) {}
 
   /** Starts a store with a service of sound servers and one instance. */
-  static async start(t: TestContext, limits: object = {}): Promise<MemoryFleet> {
-    execFileSync(process.execPath, ['scripts/bundle.mjs'], { stdio: 'pipe' });
+  static async start(
+    t: TestContext,
+    limits: object = {},
+    { routeMs = ROUTE_MS, settings = {} }: FleetChange = {},
+  ): Promise<MemoryFleet> {
+    bundleOnce();
     const directory = await mkdtemp(join(tmpdir(), 'memory-'));
     const fleet = new MemoryFleet(await new FakeStore().listen(t), directory);
     const { services } = configWith() as { services: object[] };
+    const route = { ...ROUTE, timeout_ms: routeMs };
     const routes = [
-      { ...ROUTE, name: 'sound', path_prefix: '/sound/', kind: 'idempotent', service: 'sound' },
-      { ...ROUTE, name: 'book', path_prefix: '/book/', kind: 'non_idempotent', service: 'ledger' },
-      { ...ROUTE, name: 'chat', path_prefix: '/chat/', kind: 'streaming', service: 'llm' },
+      { ...route, name: 'sound', path_prefix: '/sound/', kind: 'idempotent', service: 'sound' },
+      { ...route, name: 'book', path_prefix: '/book/', kind: 'non_idempotent', service: 'ledger' },
+      { ...route, name: 'chat', path_prefix: '/chat/', kind: 'streaming', service: 'llm' },
       {
-        ...ROUTE,
+        ...route,
         name: 'draft',
         path_prefix: '/draft/',
         kind: 'streaming',
@@ -78,7 +98,7 @@
       const server = await new FakeServer(id).listen(t);
       fleet.store.put('servers', id, server.entry('sound', { slots: FLOOD_SLOTS }));
     }
-    await fleet.add(t);
+    await fleet.add(t, settings);
     t.after(async () => {
       for (const instance of fleet.instances) await instance.end('SIGKILL');
       await rm(directory, { recursive: true });
