fix(gateway): what clients make a process hold has a bound, at each listener

What callers saw: clients that keep to no limits ended a process, which then served nobody. Found beside it: a malformed request that was sent ahead got its 400 (or 431) as the answer to the request before it, which was running; a body without the usual headers was read for ever; a body in chunks of one byte was refused with 503 even alone.

Cause: the HTTP parser of Node.js gets whatever a read brings. A read of 64 KiB of requests sent ahead became thousands of request objects, a read of chunks of one byte some eleven thousand buffers, a head or trailers of short fields as many strings; all of them lived until the answers before them were read. Nothing bounded connections, and the mesh listener bounded each body (4 MiB) but not all of them.

Fix: ClientConnections bounds all four listeners in one place. A RequestFeed stands before the parser and passes on one request at a time: a head when it is whole, a chunked body with its small chunks put together and without its trailers, the next request once the one before is answered. What waits stays as bytes, counted in one budget with bodies and heads for all listeners; when it is full, the one that holds more than an equal part is refused or closed, or the largest one that stopped to grow. At the limit of connections the one that waits longest for its client makes room, so that ordinary callers get in beside a crowd. The connection is ended in order and read on for a second after its last answer, so that a refusal is not lost to a reset; 408 is given only for a head that was never passed on. The mesh listener reads bodies itself, within the same budget, and hands them to tRPC whole. The time limit of a request that waited behind another one still counts from when it had come. Limits are settings with defaults that follow from the machine; docs/LIMITS.md lists all.

Ruled out: to close a connection that sends ahead (a client may), and to bound heads by the parser (its strings are the cost).

--- a/packages/gateway/src/node/arrivalWatch.ts
+++ b/packages/gateway/src/node/arrivalWatch.ts
@@ -129,8 +129,12 @@
     for (const socket of this.#intake.takeAll()) socket.destroy();
   }
 
-  /** Records that a request was read. Call it once per request, immediately. */
-  read({ socket }: IncomingMessage): Arrival {
+  /**
+   * Records that a request was read. Call it once per request, immediately.
+   *
+   * @param heldBackAt when it had arrived, if it was held back until the one before it was answered.
+   */
+  read({ socket }: IncomingMessage, heldBackAt?: number): Arrival {
     const readAt = this.#context.clock.now();
     const earliest = this.#earliestArrival(this.#newConnections.get(socket));
     this.#newConnections.delete(socket);
@@ -140,7 +144,7 @@
     return {
       readAt,
       unreadMs,
-      timeLimitStartsAt: unreadMs >= COUNTED_UNREAD_MS ? earliest : readAt,
+      timeLimitStartsAt: heldBackAt ?? (unreadMs >= COUNTED_UNREAD_MS ? earliest : readAt),
     };
   }
 
--- a/packages/gateway/src/node/callerConnections.ts
+++ b/packages/gateway/src/node/callerConnections.ts
@@ -39,14 +39,21 @@
 export class CallerConnections {
   readonly #states = new Map<Socket, ConnectionState>();
   readonly #closesAfterResponse: () => boolean;
+  readonly #hasAhead: (socket: Socket) => boolean;
   #closesIdle = false;
 
   /**
    * @param closesAfterResponse Whether a connection is to be closed once it has no request, also if
    *   its last response did not announce it, as that of a stream.
+   * @param hasAhead Whether more was sent on a connection than the request in progress.
    */
-  constructor(server: Server, closesAfterResponse: () => boolean) {
+  constructor(
+    server: Server,
+    closesAfterResponse: () => boolean,
+    hasAhead: (socket: Socket) => boolean,
+  ) {
     this.#closesAfterResponse = closesAfterResponse;
+    this.#hasAhead = hasAhead;
     server.closeIdleConnections = () => {
       this.closeIdle();
     };
@@ -86,11 +93,11 @@
 
   /**
    * Asks whether the response that is about to be written can be the last of its connection. It
-   * can't while another request was read after it, whose response would be lost.
+   * can't while another request was sent after it, whose response would be lost.
    */
   closeAfterResponse({ socket }: IncomingMessage): boolean {
     const state = this.#states.get(socket);
-    if (!state || state.open.size > 1) return false;
+    if (!state || state.open.size > 1 || this.#hasAhead(socket)) return false;
     state.isClosing = true;
     return true;
   }
@@ -130,7 +137,7 @@
   async #closeIfIdle(socket: Socket, state: ConnectionState): Promise<void> {
     if (state.open.size > 0) return;
     await waitForPendingReads();
-    if (state.open.size > 0 || state.isClosing) return;
+    if (state.open.size > 0 || state.isClosing || this.#hasAhead(socket)) return;
     state.isClosing = true;
     socket.end();
   }
--- a/packages/gateway/src/node/createGateway.ts
+++ b/packages/gateway/src/node/createGateway.ts
@@ -24,6 +24,8 @@
 import { HttpObjectStore, defaultCircuitOptions } from '@flamingocourse/store';
 import type { FleetConditions } from '../types/fleetConditions.js';
 import { BackendLanes } from './backendLanes.js';
+import { limitsOf } from './boundClients.js';
+import { ClientLimitLog } from './clientLimitLog.js';
 import { AnswerEndCheck } from './answerEndCheck.js';
 import { ConnectionCheck } from './connectionCheck.js';
 import { AdaptiveLoad } from '../runtime/adaptiveLoad.js';
@@ -73,6 +75,7 @@
   'store',
   // the watch of evacuations begins at the start.
   'evacuation',
+  'limits',
   'logLevel',
 ] as const;
 
@@ -145,6 +148,8 @@
     (id, now) => coldShare.isOwner(id, now),
   );
   const rules = new SendRules(notices, new Evacuations(), cold);
+  // the configuration bounds each body.
+  const clientBytes = new BodyBuffers(settings.limits.heldBytes, Infinity);
   const context: GatewayContext = {
     settings,
     clock,
@@ -155,9 +160,8 @@
     rules,
     software: { seen: new SeenSoftware(), recorded: new RecordedSoftware() },
     adaptiveLoad: new AdaptiveLoad(() => dialects.needsAdaptiveLoad(settings.terms)),
+    clientBytes,
     buffers: new BodyBuffers(),
-    // the configuration bounds each body.
-    requestBuffers: new BodyBuffers(undefined, Infinity),
     random,
   };
   const kernel = new Kernel();
@@ -205,7 +209,17 @@
   kernel.register(new SoftwareRecords(context)).register(streams);
   const tunnels = new ServerTunnels(context);
   if (settings.listen.mesh) {
-    const mesh = new MeshServer(settings.listen.mesh);
+    const meshLog = new ClientLimitLog(context, 'mesh');
+    const mesh = new MeshServer({
+      ...settings.listen.mesh,
+      clients: {
+        limits: () => limitsOf('mesh', settings.limits),
+        bytes: context.clientBytes,
+        onClose: (cause) => {
+          meshLog.closed(cause);
+        },
+      },
+    });
     mesh.handle('followStore', (request) => relay.answer(request));
     mesh.handle('borrow', async (req) => Result.ok(await prepaid.lend(req)));
     mesh.handle('writeReport', (forwarded) => prepaid.writeFor(forwarded));
--- a/packages/gateway/src/node/entryService.ts
+++ b/packages/gateway/src/node/entryService.ts
@@ -1,10 +1,15 @@
 /** HTTP listener for callers: decodes, routes and runs each request, and decides on readiness. */
 
 import type { Refusal, Route, RouteTable, RoutedAccount } from '@flamingocourse/core';
-import type { Kernel } from '@flamingocourse/kernel';
+import type {
+  ClientConnections,
+  BodyRead,
+  Kernel,
+  ListenerLimits,
+  RequestBody,
+} from '@flamingocourse/kernel';
 import type { IncomingMessage, Server, ServerResponse } from 'node:http';
 import type { CallHead } from '../types/call.js';
-import type { RequestBody } from './readRequestBody.js';
 import type { AnswerEndCheck } from './answerEndCheck.js';
 import type { ServerAgent } from './serverAgent.js';
 import type { InstancePressure } from '../runtime/instancePressure.js';
@@ -19,16 +24,17 @@
 import { pickTarget } from '@flamingocourse/core';
 import {
   Service,
+  boundedServerOptions,
   describeError,
   onTimeout,
   orAborted,
+  readRequestBody,
   waitForPendingReads,
 } from '@flamingocourse/kernel';
 import { ArrivalWatch } from './arrivalWatch.js';
 import { BackendLanes } from './backendLanes.js';
 import { CallerAnswer } from './callerAnswer.js';
 import { CallerConnections } from './callerConnections.js';
-import { closeIfUnread } from './closeIfUnread.js';
 import { closeOnCallerEnd } from './closeOnCallerEnd.js';
 import { ConfigurationWatch } from './configurationWatch.js';
 import { EntryReadiness } from './entryReadiness.js';
@@ -44,8 +50,8 @@
   unknownKey,
   unknownRoute,
 } from './entryRefusals.js';
+import { boundClients, limitsOf } from './boundClients.js';
 import { PrepaidService } from './prepaidService.js';
-import { readRequestBody } from './readRequestBody.js';
 import { LISTEN_BACKLOG } from './reopenListener.js';
 import { RequestFlow } from './requestFlow.js';
 import { RoomService } from './roomService.js';
@@ -56,8 +62,6 @@
 import { StreamOrigins } from './streamOrigins.js';
 import { StopSchedule } from '../runtime/stopSchedule.js';
 
-/** Maximum size of a request head, in bytes; above what any configuration allows callers. */
-const MAX_HEAD_BYTES = 64 * 1024;
 /** Milliseconds beyond the idle limit announced to callers for which a connection stays open. */
 const IDLE_MARGIN_MS = 1_000;
 /** Timeout of a request whose caller sends none, in milliseconds. */
@@ -96,6 +100,7 @@
   readonly #server: Server;
   readonly #arrivals: ArrivalWatch;
   readonly #connections: CallerConnections;
+  readonly #clients: ClientConnections;
   /** Requests in progress, each with its answer. */
   readonly #running = new Map<AbortController, CallerAnswer>();
   #parts: FlowParts | undefined;
@@ -117,12 +122,17 @@
     this.#processes = processes;
     this.#answerEnds = answerEnds;
     this.#readiness = new EntryReadiness(context, this.#stopSchedule);
-    const options = { maxHeaderSize: MAX_HEAD_BYTES, noDelay: true };
+    const options = { ...boundedServerOptions(context.settings.limits), noDelay: true };
     const server = createServer(options, (req, res) => void this.#handle(req, res));
     this.#server = closeOnCallerEnd(server);
-    this.#connections = new CallerConnections(server, () => this.#readiness.closesConnections);
+    this.#clients = boundClients(server, context, 'entry', () => this.#limits);
+    this.#connections = new CallerConnections(
+      server,
+      () => this.#readiness.closesConnections,
+      (socket) => this.#clients.hasAhead(socket),
+    );
     this.#arrivals = new ArrivalWatch(context, server, pressure);
-    this.#server.requestTimeout = 0;
+    this.#clients.start();
   }
 
   /** Number of requests in progress. */
@@ -160,7 +170,6 @@
     this.#configuration = configuration;
     configuration.onChange(({ config }) => {
       this.#server.keepAliveTimeout = config.limits.idleMs + IDLE_MARGIN_MS;
-      this.#server.headersTimeout = config.limits.headMs;
     });
     const { host, port } = this.#context.settings.listen.entry;
     await new Promise<void>((resolve, reject) => {
@@ -201,6 +210,7 @@
     await this.#waitWhile((phase) => phase === 'ending' && this.#connections.busy > 0);
     await this.#endAll();
     this.#arrivals.stop();
+    this.#clients.stop();
     this.#server.closeAllConnections();
     this.#agent.destroy();
   }
@@ -249,13 +259,14 @@
     const incoming: IncomingCall = {
       req,
       answer: new CallerAnswer(res, closesConnection),
-      arrival: this.#arrivals.read(req),
+      arrival: this.#arrivals.read(req, this.#clients.heldBackAt(req)),
       earlier: turn.earlier,
       stoppingMs: this.#stopSchedule.sinceMs(this.#context.clock.now()),
     };
     const { answer } = incoming;
     const decoded = this.#context.dialects.callers.decode(req);
     if (decoded.isErr) {
+      req.resume();
       if (!(await turn.begins)) this.#recordClosing(undefined, incoming);
       else {
         const refusal: Refusal = { reason: 'bad-request', run: 'not-run', detail: decoded.error };
@@ -265,8 +276,7 @@
     }
     const head = decoded.value;
     // at once: a connection with unread bytes would not show that it was closed.
-    const held = this.#context.requestBuffers.open();
-    const body = readRequestBody(req, this.#maxBodyBytes, held);
+    const { body, release } = this.#readBody(req);
     const limit = this.#startLimit(head, incoming);
     try {
       if (await turn.begins) await this.#route({ head, body, limit }, incoming);
@@ -285,8 +295,7 @@
       this.#recordEnd('none', head, incoming, outcome);
     } finally {
       limit.end();
-      held.release();
-      closeIfUnread(req);
+      release();
     }
   }
 
@@ -319,6 +328,22 @@
     return { endsAt, signal: controller.signal, end };
   }
 
+  #readBody(req: IncomingMessage): BodyRead {
+    if (!this.#clients.isSurplus(req)) {
+      return readRequestBody(req, this.#maxBodyBytes, this.#context.clientBytes);
+    }
+    req.resume();
+    return { body: Promise.resolve({ type: 'no-room' }), release: () => undefined };
+  }
+
+  /** Limits of callers' connections; the configuration says how long they may take. */
+  get #limits(): ListenerLimits {
+    const own = limitsOf('entry', this.#context.settings.limits);
+    const named = this.#configuration?.table?.config.limits;
+    const times = named && { headMs: named.headMs, idleMs: named.idleMs + IDLE_MARGIN_MS };
+    return { ...own, ...times, bodyMs: undefined };
+  }
+
   get #maxBodyBytes(): number {
     return this.#configuration?.table?.config.limits.maxBodyBytes ?? 0;
   }
--- a/packages/gateway/src/node/gatewayMetrics.ts
+++ b/packages/gateway/src/node/gatewayMetrics.ts
@@ -1,7 +1,9 @@
 /** Prometheus metrics of the process. */
 
 import type { ProcessVerdict, PromptReading } from '@flamingocourse/core';
+import type { ClientClose } from '@flamingocourse/kernel';
 import type { CallCounters, CollectionCalls } from '@flamingocourse/store';
+import type { ListenerName } from '../types/clientLimits.js';
 import { Counter, Gauge, Histogram, Registry } from 'prom-client';
 
 /**
@@ -42,6 +44,12 @@
     help: 'connections of callers that waited too long to be read and were closed without reading',
     registers: [this.#registry],
   });
+  readonly #clientCloses = new Counter({
+    name: 'flamingocourse_client_connections_closed_total',
+    help: 'connections of clients that were closed because of a limit, by listener and cause',
+    labelNames: ['listener', 'cause'],
+    registers: [this.#registry],
+  });
   readonly #sheds = new Counter({
     name: 'flamingocourse_accept_queue_resets_total',
     help: 'times at which all connections of callers that waited to be accepted were closed',
@@ -146,6 +154,11 @@
     this.#closedUnread.inc(count);
   }
 
+  /** Counts a connection of a client that was closed because of a limit. */
+  clientClosed(listener: ListenerName, cause: ClientClose): void {
+    this.#clientCloses.inc({ listener, cause });
+  }
+
   /** Counts a time at which all connections that waited to be accepted were closed. */
   shedWaiting(): void {
     this.#sheds.inc();
--- a/packages/gateway/src/node/statusService.ts
+++ b/packages/gateway/src/node/statusService.ts
@@ -1,13 +1,15 @@
 /** HTTP listeners for the readiness check and for metrics. */
 
-import type { Kernel } from '@flamingocourse/kernel';
+import type { ClientConnections, Kernel } from '@flamingocourse/kernel';
 import type { IncomingMessage, Server, ServerResponse } from 'node:http';
+import type { ListenerName } from '../types/clientLimits.js';
 import type { GatewayContext } from '../types/context.js';
 import type { Listen } from '../types/gatewaySettings.js';
 import type { StoreRelay } from './storeRelay.js';
 import { createServer } from 'node:http';
-import { Service } from '@flamingocourse/kernel';
+import { Service, answerUnservable, boundedServerOptions } from '@flamingocourse/kernel';
 import { BackendLanes } from './backendLanes.js';
+import { boundClients } from './boundClients.js';
 import { EntryService } from './entryService.js';
 import { EvacuationWatch } from './evacuationWatch.js';
 import { RoomService } from './roomService.js';
@@ -38,6 +40,7 @@
   readonly #context: GatewayContext;
   readonly #relay: StoreRelay;
   readonly #servers: Server[] = [];
+  readonly #clients: ClientConnections[] = [];
   #entry: EntryService | undefined;
   #directory: ServerDirectory | undefined;
   #evacuations: EvacuationWatch | undefined;
@@ -66,11 +69,11 @@
     this.#timer = setInterval(() => {
       this.#logStoreCalls();
     }, STORE_CALLS_INTERVAL_MS);
-    await this.#listen(ready, (req, res) => {
+    await this.#listen('ready', ready, (req, res) => {
       this.#answerReady(req, res);
     });
     if (!metrics) return;
-    await this.#listen(metrics, (_req, res) => {
+    await this.#listen('metrics', metrics, (_req, res) => {
       void this.#answerMetrics(res);
     });
   }
@@ -78,6 +81,7 @@
   override stop(): void {
     clearInterval(this.#timer);
     this.#logStoreCalls();
+    for (const clients of this.#clients) clients.stop();
     for (const server of this.#servers) {
       server.close();
       server.closeAllConnections();
@@ -149,11 +153,19 @@
   }
 
   async #listen(
+    name: ListenerName,
     { host, port }: Listen,
     handler: (req: IncomingMessage, res: ServerResponse) => void,
   ): Promise<void> {
-    const server = createServer(handler);
+    const server = createServer(boundedServerOptions(this.#context.settings.limits), (req, res) => {
+      // no request here has a body that matters.
+      req.resume();
+      if (!answerUnservable(req, res, clients)) handler(req, res);
+    });
+    const clients = boundClients(server, this.#context, name);
+    clients.start();
     this.#servers.push(server);
+    this.#clients.push(clients);
     await new Promise<void>((resolve, reject) => {
       server.once('error', reject);
       server.listen({ host, port }, resolve);
--- a/packages/gateway/src/types/context.ts
+++ b/packages/gateway/src/types/context.ts
@@ -40,8 +40,8 @@
   adaptiveLoad: AdaptiveLoad;
   /** Counts the bytes of answers that are held until they are complete. */
   buffers: BodyBuffers;
-  /** Counts the bytes of the bodies of requests, from their first byte to the end of the request. */
-  requestBuffers: BodyBuffers;
+  /** Counts what the clients of all listeners make the process hold. */
+  clientBytes: BodyBuffers;
   /** Returns a random number from 0 (inclusive) to 1 (exclusive). */
   random: () => number;
 }
--- a/packages/gateway/src/types/gatewaySettings.ts
+++ b/packages/gateway/src/types/gatewaySettings.ts
@@ -1,6 +1,7 @@
 /** Settings of a gateway process. */
 
 import type { ColdBound } from '@flamingocourse/core';
+import type { ClientLimits } from './clientLimits.js';
 import type { UnansweredPolicy } from '../runtime/charge.js';
 
 /** An address to listen on. */
@@ -64,6 +65,8 @@
     | undefined;
   /** Bound on what all instances together send to a cold server; absent where there is none. */
   coldServers?: ColdBound | undefined;
+  /** Bounds on what clients make the process hold. */
+  limits: ClientLimits;
   servers: {
     /**
      * Milliseconds after an outage of the store for which servers with an expired entry are kept.
--- a/packages/gateway/src/utils/gatewaySettingsSchema.ts
+++ b/packages/gateway/src/utils/gatewaySettingsSchema.ts
@@ -1,6 +1,8 @@
 /** Schema and defaults of the settings file. */
 
+import type { ClientLimits } from '../types/clientLimits.js';
 import { z } from 'zod';
+import { entryConnections, heldBytes } from '../runtime/defaultLimits.js';
 
 const address = z
   .string()
@@ -13,6 +15,42 @@
 
 const milliseconds = z.number().int().positive().describe('a whole number of milliseconds');
 
+const count = z.number().int().positive().describe('a whole number above 0');
+const MIB = 1024 * 1024;
+
+/** Defaults that no client meets which keeps to the limits of the configuration; see docs/LIMITS.md. */
+const limits = z
+  .object({
+    // the smallest machine.
+    memoryMb: z.number().positive().default(160),
+    descriptors: count.default(4_096),
+    connections: z
+      .object({
+        entry: count.optional(),
+        ready: count.default(32),
+        metrics: count.default(16),
+        mesh: count.default(512),
+      })
+      .prefault({}),
+    headBytes: count.min(1_024).default(64 * 1024),
+    heldBytes: count.min(MIB).optional(),
+    headMs: milliseconds.default(5_000),
+    bodyMs: milliseconds.default(10_000),
+    idleMs: milliseconds.default(60_000),
+    unreadMs: milliseconds.default(10_000),
+  })
+  .transform(({ memoryMb, descriptors, connections, ...given }): ClientLimits => {
+    const machine = { memoryMb, descriptors };
+    const { ready, metrics, mesh } = connections;
+    const entry = connections.entry ?? entryConnections(machine, ready + metrics + mesh);
+    return {
+      ...given,
+      connections: { ...connections, entry },
+      heldBytes: given.heldBytes ?? heldBytes(machine),
+    };
+  })
+  .prefault({});
+
 /** Ignores unknown fields, because the file may be written for a newer version. */
 export const gatewaySettingsSchema = z.object({
   instance: z.string().min(1).describe('the name of this instance'),
@@ -63,6 +101,7 @@
     .describe('the terms that are in force for the deployment, as its platform names them'),
   evacuation: z.object({ applyMs: milliseconds.min(1_000) }).optional(),
   coldServers: z.object({ overshoot: z.number().min(0), slack: z.number().min(0) }).optional(),
+  limits,
   servers: z
     .object({
       // live servers rewrite their entries within two seconds after the store is back.
--- a/packages/kernel/src/runtime/eventCatalogue.ts
+++ b/packages/kernel/src/runtime/eventCatalogue.ts
@@ -326,6 +326,13 @@
     action:
       'Compare the processor time of the process with that of its machine; add instances if it persists.',
   },
+  'clients-closed': {
+    number: 534,
+    level: 'warn',
+    text: 'connections of clients were closed because of a limit',
+    action:
+      'See docs/LIMITS.md for each limit; if the clients keep to them, raise it in the settings.',
+  },
   'entry-caught-up': {
     number: 521,
     level: 'info',
--- a/packages/kernel/src/runtime/heldBytes.ts
+++ b/packages/kernel/src/runtime/heldBytes.ts
@@ -20,10 +20,20 @@
    * together are and this one holds more than its equal part.
    */
   addChunk(bytes: number): boolean;
+  /** Records how many bytes are held now, in place of what was recorded; returns the same. */
+  set(bytes: number): boolean;
+  /** The body is needed from now on, and is not given up for others. */
+  keep(): void;
   /** Records that nothing of the body is held any more. */
   release(): void;
 }
 
+/** What can be given up while nothing is added to it. */
+interface Evictable {
+  readonly size: number;
+  evict(): void;
+}
+
 /**
  * Counts the bytes held for all bodies of one kind. Those that are sent without end are given up first,
  * because bodies of the usual size hold less than an equal part.
@@ -36,6 +46,7 @@
 export class BodyBuffers {
   readonly #maxTotal: number;
   readonly #maxBody: number;
+  readonly #evictable = new Set<Evictable>();
   #bodies = 0;
   #total = 0;
 
@@ -49,29 +60,63 @@
     return this.#total;
   }
 
-  /** Begins to hold a body. */
-  open(): HeldBytes {
+  /**
+   * Begins to hold a body.
+   *
+   * @param onEvict called if the body must be given up while nothing is added to it, because others need
+   *   the room and it is the largest one; nothing is counted for it from then on.
+   */
+  open(onEvict?: () => void): HeldBytes {
     let size = 0;
     let isReleased = false;
     this.#bodies += 1;
-    return {
-      addChunk: (bytes) => {
-        if (isReleased) return false;
-        const counted = Math.max(bytes, MIN_COUNTED_BYTES);
-        size += counted;
-        this.#total += counted;
-        return size <= this.#maxBody && !this.#isSurplus(size);
+    const release = (): void => {
+      if (isReleased) return;
+      isReleased = true;
+      this.#bodies -= 1;
+      this.#total -= size;
+      this.#evictable.delete(evictable);
+    };
+    const evictable: Evictable = {
+      get size() {
+        return size;
       },
-      release: () => {
-        if (isReleased) return;
-        isReleased = true;
-        this.#bodies -= 1;
-        this.#total -= size;
+      evict: () => {
+        release();
+        onEvict?.();
       },
     };
+    if (onEvict) this.#evictable.add(evictable);
+    const set = (bytes: number): boolean => {
+      if (isReleased) return false;
+      this.#total += bytes - size;
+      size = bytes;
+      if (size > this.#maxBody || this.#isSurplus(size)) return false;
+      this.#evictSurplus(evictable);
+      return true;
+    };
+    return {
+      set,
+      addChunk: (bytes) => set(size + Math.max(bytes, MIN_COUNTED_BYTES)),
+      keep: () => {
+        this.#evictable.delete(evictable);
+      },
+      release,
+    };
   }
 
   #isSurplus(size: number): boolean {
     return this.#total > this.#maxTotal && size > this.#maxTotal / this.#bodies;
   }
+
+  /** Makes room for a body of the usual size: those that stopped to grow may hold more than their part. */
+  #evictSurplus(except: Evictable): void {
+    while (this.#total > this.#maxTotal) {
+      const largest = [...this.#evictable].reduce<Evictable | undefined>((found, each) => {
+        return each !== except && each.size > (found?.size ?? 0) ? each : found;
+      }, undefined);
+      if (!largest) return;
+      largest.evict();
+    }
+  }
 }
--- a/packages/mesh/src/node/directCalls.ts
+++ b/packages/mesh/src/node/directCalls.ts
@@ -21,7 +21,8 @@
   '/direct/followStore': 'followStore',
   '/direct/shareConditions': 'shareConditions',
 };
-const MAX_INPUT_BYTES = 16_384;
+/** Maximum size of an input, in bytes. */
+export const MAX_DIRECT_INPUT_BYTES = 16_384;
 
 const statusInvalid = 400;
 const statusUntrusted = 401;
@@ -37,7 +38,8 @@
 /** A direct call that arrived. */
 export interface DirectCall<P extends DirectProcedure> {
   procedure: P;
-  req: IncomingMessage;
+  /** The input as it came. */
+  text: string;
   res: ServerResponse;
   isTrusted: boolean;
   handler: MeshHandler<P> | undefined;
@@ -60,9 +62,7 @@
 
 async function serve<P extends DirectProcedure>(call: DirectCall<P>): Promise<Answer> {
   if (!call.isTrusted) return refusal(statusUntrusted, 'the mesh secret does not match');
-  const text = await readText(call.req);
-  if (text === undefined) return refusal(statusInvalid, 'the input is too long');
-  const input = parseInput(call.procedure, text);
+  const input = parseInput(call.procedure, call.text);
   if (input === undefined) return refusal(statusInvalid, 'the input is malformed');
   if (!call.handler) return refusal(statusRefused, `${call.procedure} is not served here yet`);
   const result = await call.handler(input);
@@ -74,17 +74,6 @@
   return { status, body: JSON.stringify({ reason }) };
 }
 
-async function readText(req: IncomingMessage): Promise<string | undefined> {
-  const chunks: Buffer[] = [];
-  let size = 0;
-  for await (const chunk of req as AsyncIterable<Buffer>) {
-    size += chunk.length;
-    if (size > MAX_INPUT_BYTES) return undefined;
-    chunks.push(chunk);
-  }
-  return Buffer.concat(chunks).toString('utf8');
-}
-
 function parseInput<P extends DirectProcedure>(
   procedure: P,
   text: string,
--- a/packages/mesh/src/node/meshServer.ts
+++ b/packages/mesh/src/node/meshServer.ts
@@ -2,6 +2,7 @@
 
 import type { IncomingMessage, RequestListener, Server, ServerResponse } from 'node:http';
 import type { AddressInfo } from 'node:net';
+import type { ClientConnectionsOptions } from '@flamingocourse/kernel';
 import type { MeshCallContext } from '../runtime/meshRouter.js';
 import type { DirectProcedure, MeshHandler, ProcedureName } from '../types/procedures.js';
 import type { TunnelHandler } from '../types/tunnels.js';
@@ -9,11 +10,19 @@
 import { createHash, timingSafeEqual } from 'node:crypto';
 import { createServer } from 'node:http';
 import { Socket } from 'node:net';
-import { Service } from '@flamingocourse/kernel';
+import {
+  BodyBuffers,
+  ClientConnections,
+  Service,
+  answerUnservable,
+  boundedServerOptions,
+  readRequestBody,
+} from '@flamingocourse/kernel';
+import { TRPC_ERROR_CODES_BY_KEY } from '@trpc/server/rpc';
 import { createHTTPHandler } from '@trpc/server/adapters/standalone';
 import { createMeshRouter } from '../runtime/meshRouter.js';
 import { MeshError } from '../utils/meshError.js';
-import { answerDirect, directProcedure } from './directCalls.js';
+import { MAX_DIRECT_INPUT_BYTES, answerDirect, directProcedure } from './directCalls.js';
 import { incarnationHeader, secretHeader } from './meshHeaders.js';
 import { refuseTunnel } from './tunnelAnswers.js';
 
@@ -23,8 +32,17 @@
  * Longer than the interval between two heartbeats to the same peer, so that connections stay open.
  */
 const keepAliveTimeoutMs = 30_000;
-const headersTimeoutMs = 5_000;
-const requestTimeoutMs = 10_000;
+/** Limits of a listener for which none are given. */
+const defaultLimits = {
+  connections: 512,
+  headBytes: 64 * 1024,
+  headMs: 5_000,
+  bodyMs: 10_000,
+  idleMs: 60_000,
+  unreadMs: 10_000,
+};
+const statusTooLarge = 413;
+const statusTooMany = 429;
 
 /** Status of a router; fields other than `ready` are for operators to read. */
 export interface RouterStatusReport {
@@ -43,6 +61,10 @@
   maxBodyBytes?: number;
   /** Maximum number of concurrent calls; further calls are refused. @default 256 */
   maxConcurrent?: number;
+  /** What clients may make the process hold; by default this listener has limits of its own. */
+  clients?: Omit<ClientConnectionsOptions, 'now'>;
+  /** Monotonic clock in milliseconds. @default performance.now */
+  now?: () => number;
 }
 
 /**
@@ -56,7 +78,9 @@
   override readonly name = 'mesh';
   readonly #options: MeshServerOptions;
   readonly #handlers: { [P in ProcedureName]?: MeshHandler<P> } = {};
+  readonly #bytes: BodyBuffers;
   #server: Server | undefined;
+  #clients: ClientConnections | undefined;
   #isSelf: (incarnation: string) => boolean = () => false;
   #running = 0;
   #reportStatus: (() => RouterStatusReport) | undefined;
@@ -67,6 +91,7 @@
   constructor(options: MeshServerOptions) {
     super();
     this.#options = options;
+    this.#bytes = options.clients?.bytes ?? new BodyBuffers(undefined, Infinity);
   }
 
   /** URL of the listener. If the configured port is 0, the port is known only after the start. */
@@ -114,15 +139,19 @@
 
   override async start(): Promise<void> {
     const handler = this.#createHandler();
-    const server = createServer((req, res) => {
-      this.#admit(req, res, handler);
+    const { limits = () => defaultLimits, ...options } = this.#options.clients ?? {};
+    const server = createServer(boundedServerOptions(limits()), (req, res) => {
+      if (answerUnservable(req, res, clients)) req.resume();
+      else this.#admit(req, res, handler);
     });
+    const now = this.#options.now ?? (() => performance.now());
+    const clients = new ClientConnections(server, { ...options, limits, bytes: this.#bytes, now });
+    this.#clients = clients;
     server.on('connect', (req, socket, head) => {
       this.#connect(req, socket, head);
     });
     server.keepAliveTimeout = keepAliveTimeoutMs;
-    server.headersTimeout = headersTimeoutMs;
-    server.requestTimeout = requestTimeoutMs;
+    clients.start();
     await listen(server, this.#options);
     this.#server = server;
   }
@@ -130,6 +159,7 @@
   override stop(): Promise<void> {
     const server = this.#server;
     this.#server = undefined;
+    this.#clients?.stop();
     if (!server) return Promise.resolve();
     return new Promise((resolve) => {
       server.close(() => {
@@ -171,7 +201,6 @@
     });
     return createHTTPHandler({
       router,
-      maxBodySize: this.#options.maxBodyBytes ?? defaultMaxBodyBytes,
       createContext: ({ req }) => this.#createContext(req),
     });
   }
@@ -186,12 +215,13 @@
 
   #admit(req: IncomingMessage, res: ServerResponse, handler: RequestListener): void {
     if (req.method === 'GET') {
+      req.resume();
       this.#sendStatus(res);
       return;
     }
-    // above the limit, the caller learns immediately that the call had no effect.
     if (this.#running >= (this.#options.maxConcurrent ?? defaultMaxConcurrent)) {
-      res.writeHead(429, { connection: 'close' }).end();
+      req.resume();
+      refuseBusy(res);
       return;
     }
     // peers do not use the Date header, and it would be a large part of a heartbeat.
@@ -200,18 +230,38 @@
     res.once('close', () => {
       this.#running -= 1;
     });
+    void this.#readAndAnswer(req, res, handler);
+  }
+
+  /** Reads the body here, because tRPC would hold each chunk of it, and the bodies of all calls. */
+  async #readAndAnswer(
+    req: IncomingMessage,
+    res: ServerResponse,
+    handler: RequestListener,
+  ): Promise<void> {
     const procedure = directProcedure(req);
-    if (procedure === undefined) handler(req, res);
-    else void this.#answerDirect(procedure, req, res);
+    const maxBytes = procedure === undefined ? this.#maxBodyBytes : MAX_DIRECT_INPUT_BYTES;
+    const read = readRequestBody(req, maxBytes, this.#bytes);
+    res.once('close', read.release);
+    const body = await read.body;
+    if (body.type === 'too-large') refuseTooLarge(res);
+    else if (body.type === 'no-room') refuseBusy(res);
+    if (body.type !== 'whole') return;
+    const text = body.bytes.toString('utf8');
+    if (procedure === undefined) handler(Object.assign(req, { body: text }), res);
+    else await this.#answerDirect(procedure, { req, res, text });
+  }
+
+  get #maxBodyBytes(): number {
+    return this.#options.maxBodyBytes ?? defaultMaxBodyBytes;
   }
 
   #answerDirect(
     procedure: DirectProcedure,
-    req: IncomingMessage,
-    res: ServerResponse,
+    { req, res, text }: { req: IncomingMessage; res: ServerResponse; text: string },
   ): Promise<void> {
     const isTrustedCall = isTrusted(req.headers[secretHeader], this.#options.secret);
-    const call = { req, res, isTrusted: isTrustedCall };
+    const call = { text, res, isTrusted: isTrustedCall };
     const { followStore, shareConditions } = this.#handlers;
     switch (procedure) {
       case 'followStore':
@@ -228,6 +278,21 @@
   }
 }
 
+/** The caller learns immediately that the call had no effect. */
+function refuseBusy(res: ServerResponse): void {
+  res.writeHead(statusTooMany, { connection: 'close', 'content-length': 0 }).end();
+}
+
+/** Refuses a call as tRPC does, so that the caller reads the same error. */
+function refuseTooLarge(res: ServerResponse): void {
+  const data = { code: 'PAYLOAD_TOO_LARGE', httpStatus: statusTooLarge };
+  const body = JSON.stringify({
+    error: { message: data.code, code: TRPC_ERROR_CODES_BY_KEY.PAYLOAD_TOO_LARGE, data },
+  });
+  const headers = { 'content-type': 'application/json', connection: 'close' };
+  res.writeHead(statusTooLarge, headers).end(body);
+}
+
 function readyStatus({ ready }: RouterStatusReport): number {
   return ready ? 200 : 503;
 }
--- a/test/gateway/testContext.ts
+++ b/test/gateway/testContext.ts
@@ -28,6 +28,8 @@
     'test.jsonc',
   );
   if (settings.isErr) throw new Error(settings.error);
+  // the configuration bounds each body.
+  const clientBytes = new BodyBuffers(undefined, Infinity);
   return {
     settings: settings.value,
     clock,
@@ -37,9 +39,8 @@
     dialects: createPlatformDialects(),
     software: { seen: new SeenSoftware(), recorded: new RecordedSoftware() },
     adaptiveLoad: new AdaptiveLoad(() => false),
+    clientBytes,
     buffers: new BodyBuffers(),
-    // the configuration bounds each body.
-    requestBuffers: new BodyBuffers(undefined, Infinity),
     rules: new SendRules(new ServerNotices(new ServerRateLimits(() => 0.5), () => 0.5)),
     random: () => 0.5,
   };
--- a/test/kernel/heldBytes.test.ts
+++ b/test/kernel/heldBytes.test.ts
@@ -52,4 +52,27 @@
     assert.equal(held.addChunk(KB), false);
     assert.equal(buffers.total, 0);
   });
+
+  // Guards against bodies that stop short of their end and leave no room for others of usual size.
+  test('gives up the largest body that does not grow any more', () => {
+    const buffers = new BodyBuffers(10 * MB, Infinity);
+    const evicted: number[] = [];
+    const stalled = [6, 4].map((mb) => {
+      const held = buffers.open(() => evicted.push(mb));
+      assert.equal(held.set(mb * MB), true);
+      return held;
+    });
+    assert.equal(buffers.open().set(KB), true);
+    assert.deepEqual(evicted, [6]);
+    assert.equal(buffers.total, 4 * MB + KB);
+    assert.equal(stalled[0]?.set(KB), false);
+  });
+
+  test('gives up none that is needed', () => {
+    const buffers = new BodyBuffers(10 * MB, Infinity);
+    const needed = buffers.open(() => assert.fail('given up'));
+    needed.set(10 * MB);
+    needed.keep();
+    assert.equal(buffers.open().set(KB), true);
+  });
 });
