fix(gateway): answers count until their callers have read them

What callers saw: callers that did not read answers of 7 MB made a process take 230 MB, where the smallest machine has 160; its platform ends it, and all its requests are lost.

Cause: an answer was counted only while it was read from its server. Once written it waited for its caller uncounted, and each cost twice its size, as it was copied into one buffer whose garbage is collected late.

Fix: AnswerMemory counts an answer in the budget of clients until its response is closed, a stream with a fixed size while its caller does not read. Written answers that are unread for longest make room for others. The body is written in the blocks in which it was collected, and whole blocks are used again once the response is closed, when nothing of it can still be written.

Ruled out: to refuse the newer answers, which are those of the callers that read.

--- a/packages/gateway/src/index.ts
+++ b/packages/gateway/src/index.ts
@@ -1,5 +1,6 @@
 export * from './node/createGateway.js';
 export * from './node/resolveGatewaySettings.js';
+export * from './node/answerMemory.js';
 export { readAnswer } from './node/answerRelay.js';
 export * from './node/httpAttempt.js';
 export * from './node/serverAgent.js';
--- a/packages/gateway/src/node/answerRelay.ts
+++ b/packages/gateway/src/node/answerRelay.ts
@@ -1,12 +1,14 @@
 /** Forwards a server's response to the caller. */
 
+import type { AnswerMemory } from './answerMemory.js';
 import type { CallerAnswer } from './callerAnswer.js';
 import type { EventOrder } from '@flamingocourse/core';
-import type { BodyBuffers } from '@flamingocourse/kernel';
 import type { OpenAnswer } from './httpAttempt.js';
 import { EventFrames } from '@flamingocourse/core';
-import { ByteCollector } from '@flamingocourse/kernel';
+import { ByteCollector, MIN_COUNTED_BYTES } from '@flamingocourse/kernel';
 
+/** Maximum size of a response that is read before it is forwarded, in bytes. */
+const MAX_WHOLE_BYTES = 8 * 1024 * 1024;
 const TOO_LARGE = 'response is too large';
 
 /** Arguments of a relay. */
@@ -17,7 +19,7 @@
   headers: string[];
   signal: AbortSignal;
   /** Counts what is held of this and other responses. */
-  buffers: BodyBuffers;
+  answers: AnswerMemory;
   /** Returns whether the server itself ended the connection of a response without a length. */
   isOwnEnd: () => Promise<boolean>;
   /** Called for each chunk of a stream. */
@@ -38,7 +40,7 @@
 export interface WholeAnswer {
   type: 'whole';
   firstByteAt: number | undefined;
-  body: Buffer;
+  body: ByteCollector;
 }
 
 /**
@@ -56,24 +58,30 @@
  * Reads a response completely.
  *
  * @example
- * const end = await readAnswer({ open, signal, buffers, isOwnEnd, now });
- * if (end.type === 'whole') use(end.body);
+ * const end = await readAnswer({ open, signal, answers, isOwnEnd, now });
+ * if (end.type === 'whole') use(end.body.toBuffer());
  */
 export async function readAnswer({
-  buffers,
+  answers,
   ...read
-}: Pick<Relay, 'open' | 'signal' | 'buffers' | 'isOwnEnd' | 'now'>): Promise<
+}: Pick<Relay, 'open' | 'signal' | 'answers' | 'isOwnEnd' | 'now'>): Promise<
   Exclude<RelayEnd, { type: 'whole' }> | WholeAnswer
 > {
   const bytes = new ByteCollector();
-  const held = buffers.open();
+  const held = answers.open(() => {
+    read.open.body.destroy(new Error(TOO_LARGE));
+  });
+  let counted = 0;
   const end = await readBody(read, (chunk) => {
-    if (!held.addChunk(chunk.length)) return TOO_LARGE;
+    counted += Math.max(chunk.length, MIN_COUNTED_BYTES);
+    if (counted > MAX_WHOLE_BYTES || !answers.fits(held, counted)) return TOO_LARGE;
     bytes.add(chunk);
     return undefined;
   });
   held.release();
-  return end.type === 'whole' ? { ...end, body: bytes.toBuffer() } : end;
+  if (end.type === 'whole') return { ...end, body: bytes };
+  bytes.clear();
+  return end;
 }
 
 /**
--- a/packages/gateway/src/node/callerAnswer.ts
+++ b/packages/gateway/src/node/callerAnswer.ts
@@ -1,9 +1,14 @@
 /** The response to one caller. */
 
+import type { ByteCollector } from '@flamingocourse/kernel';
 import type { ServerResponse } from 'node:http';
 import type { EncodedRefusal } from '../types/dialects.js';
+import type { AnswerMemory } from './answerMemory.js';
 import { EventTiming } from '@flamingocourse/core';
 
+/** Bytes for which a stream counts whose caller does not read: what is written, and what waits for it. */
+const UNREAD_STREAM_BYTES = 128 * 1024;
+
 /**
  * Writes the response to one caller at most once. An incomplete response is always visible as such,
  * and nothing is written after the caller has disconnected.
@@ -11,14 +16,16 @@
 export class CallerAnswer {
   readonly #res: ServerResponse;
   readonly #closesConnection: () => boolean;
+  readonly #memory: AnswerMemory;
   #callerGone = false;
   #events = 0;
   readonly #timing = new EventTiming();
 
   /** @param closesConnection whether the connection is to be closed after the response. */
-  constructor(res: ServerResponse, closesConnection: () => boolean) {
+  constructor(res: ServerResponse, closesConnection: () => boolean, memory: AnswerMemory) {
     this.#res = res;
     this.#closesConnection = closesConnection;
+    this.#memory = memory;
     res.on('close', () => {
       if (!res.writableFinished) this.#callerGone = true;
     });
@@ -79,12 +86,17 @@
     if (this.#callerGone) return true;
     this.#events += events;
     if (events > 0) this.#timing.observe(events, now);
-    return this.#res.write(bytes);
+    const isRead = this.#res.write(bytes);
+    if (!isRead) this.#memory.hold(this.#res, UNREAD_STREAM_BYTES);
+    return isRead;
   }
 
   /** Calls `listener` once the write buffer is empty and more data can be written. */
   onDrain(listener: () => void): void {
-    this.#res.once('drain', listener);
+    this.#res.once('drain', () => {
+      this.#memory.release(this.#res);
+      listener();
+    });
   }
 
   /** Ends a stream as complete. */
@@ -92,13 +104,24 @@
     if (!this.#callerGone) this.#res.end();
   }
 
-  /** Writes a complete response. */
-  writeWhole(status: number, headers: string[], body: Buffer): void {
-    if (this.#callerGone) return;
-    const all = [...headers, 'content-length', String(body.length)];
+  /** Writes a complete response, and clears its body once that is read. */
+  writeWhole(status: number, headers: string[], body: ByteCollector): void {
+    if (this.#callerGone) {
+      body.clear();
+      return;
+    }
+    const all = [...headers, 'content-length', String(body.size)];
     if (this.#closesConnection()) all.push('connection', 'close');
-    this.#res.writeHead(status, all);
-    this.#res.end(body);
+    const res = this.#res;
+    // emitted when the response was written, or else after its socket was closed.
+    res.once('close', () => {
+      body.clear();
+    });
+    res.writeHead(status, all);
+    res.cork();
+    for (const part of body.parts) res.write(part);
+    res.end();
+    this.#memory.hold(res, body.size);
   }
 
   /** Writes a refusal and returns its status. */
--- a/packages/gateway/src/node/createGateway.ts
+++ b/packages/gateway/src/node/createGateway.ts
@@ -26,6 +26,7 @@
 import { BackendLanes } from './backendLanes.js';
 import { limitsOf } from './boundClients.js';
 import { ClientLimitLog } from './clientLimitLog.js';
+import { AnswerMemory } from './answerMemory.js';
 import { AnswerEndCheck } from './answerEndCheck.js';
 import { ConnectionCheck } from './connectionCheck.js';
 import { AdaptiveLoad } from '../runtime/adaptiveLoad.js';
@@ -161,7 +162,7 @@
     software: { seen: new SeenSoftware(), recorded: new RecordedSoftware() },
     adaptiveLoad: new AdaptiveLoad(() => dialects.needsAdaptiveLoad(settings.terms)),
     clientBytes,
-    buffers: new BodyBuffers(),
+    answers: new AnswerMemory(clientBytes),
     random,
   };
   const kernel = new Kernel();
--- a/packages/gateway/src/node/entryService.ts
+++ b/packages/gateway/src/node/entryService.ts
@@ -258,7 +258,7 @@
       this.#readiness.closesConnections && this.#connections.closeAfterResponse(req);
     const incoming: IncomingCall = {
       req,
-      answer: new CallerAnswer(res, closesConnection),
+      answer: new CallerAnswer(res, closesConnection, this.#context.answers),
       arrival: this.#arrivals.read(req, this.#clients.heldBackAt(req)),
       earlier: turn.earlier,
       stoppingMs: this.#stopSchedule.sinceMs(this.#context.clock.now()),
--- a/packages/gateway/src/node/serverAttempt.ts
+++ b/packages/gateway/src/node/serverAttempt.ts
@@ -280,12 +280,12 @@
       this.#placement.recordReceived();
     };
     const { context, answerEnds } = this.#parts;
-    const { buffers } = context;
+    const { answers } = context;
     // the body loses its socket when it ends.
     const { socket } = open.body;
     const isOwnEnd = (): Promise<boolean> => answerEnds.isOwnEnd(socket, this.#placement.server);
     const now = (): number => this.#now();
-    const relay = { open, answer, headers, signal, isOwnEnd, onChunk, buffers, now };
+    const relay = { open, answer, headers, signal, isOwnEnd, onChunk, answers, now };
     // a failure has no events, and its head must not be followed by those of another server.
     const hasEvents = isStream(route.repetition) && isSuccess(open.head.status);
     if (!hasEvents) return relayWhole(relay);
--- a/packages/gateway/src/types/context.ts
+++ b/packages/gateway/src/types/context.ts
@@ -3,6 +3,7 @@
 import type { KnownSoftware, ListedServer, RoutedConfig, SendRules } from '@flamingocourse/core';
 import type { BodyBuffers, Clock, EventLog } from '@flamingocourse/kernel';
 import type { Collection, ObjectStore, StoreDialect } from '@flamingocourse/store';
+import type { AnswerMemory } from '../node/answerMemory.js';
 import type { GatewayMetrics } from '../node/gatewayMetrics.js';
 import type { CallerDialect, ServerDialect } from './dialects.js';
 import type { AdaptiveLoad } from '../runtime/adaptiveLoad.js';
@@ -38,8 +39,8 @@
   software: Required<KnownSoftware>;
   /** Whether the deployment calls for the parts that adapt to scarce room and uneven servers. */
   adaptiveLoad: AdaptiveLoad;
-  /** Counts the bytes of answers that are held until they are complete. */
-  buffers: BodyBuffers;
+  /** Counts answers until their callers have read them. */
+  answers: AnswerMemory;
   /** Counts what the clients of all listeners make the process hold. */
   clientBytes: BodyBuffers;
   /** Returns a random number from 0 (inclusive) to 1 (exclusive). */
--- a/test/gateway/httpAttempt.test.ts
+++ b/test/gateway/httpAttempt.test.ts
@@ -4,7 +4,7 @@
 import { createServer } from 'node:net';
 import { setTimeout as delay } from 'node:timers/promises';
 import { describe, test } from 'node:test';
-import { ServerAgent, openAttempt, readAnswer } from '@flamingocourse/gateway';
+import { AnswerMemory, ServerAgent, openAttempt, readAnswer } from '@flamingocourse/gateway';
 import { BodyBuffers } from '@flamingocourse/kernel';
 
 const whole = 'HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok';
@@ -59,11 +59,11 @@
   const end = await readAnswer({
     open: opened.value,
     signal,
-    buffers: new BodyBuffers(),
+    answers: new AnswerMemory(new BodyBuffers()),
     isOwnEnd,
     now: () => performance.now(),
   });
-  return end.type === 'whole' ? end.body.toString() : end.type;
+  return end.type === 'whole' ? end.body.toBuffer().toString() : end.type;
 }
 
 describe('an answer without a length', () => {
--- a/test/gateway/testContext.ts
+++ b/test/gateway/testContext.ts
@@ -10,7 +10,7 @@
   ServerNotices,
   ServerRateLimits,
 } from '@flamingocourse/core';
-import { AdaptiveLoad, parseGatewaySettings } from '@flamingocourse/gateway';
+import { AdaptiveLoad, AnswerMemory, parseGatewaySettings } from '@flamingocourse/gateway';
 import { createPlatformDialects } from '@flamingocourse/platform-adapter';
 import { BodyBuffers } from '@flamingocourse/kernel';
 import { GatewayMetrics } from '../../packages/gateway/src/node/gatewayMetrics.js';
@@ -40,7 +40,7 @@
     software: { seen: new SeenSoftware(), recorded: new RecordedSoftware() },
     adaptiveLoad: new AdaptiveLoad(() => false),
     clientBytes,
-    buffers: new BodyBuffers(),
+    answers: new AnswerMemory(clientBytes),
     rules: new SendRules(new ServerNotices(new ServerRateLimits(() => 0.5), () => 0.5)),
     random: () => 0.5,
   };
