fix(gateway): a response without a length is not whole before its request was written

Checked here for a plain request that may run once, one that may be repeated, a stream that may run once and one that may be resumed, with four ways to break off: a reset at once, a reset 50 ms later, a close with the upload unread, and an end of the server's side with a reset 50 ms later. The first three ended as 502 or as a stream that is cut off on the code before. The last one was passed on as a complete 200 on all four routes.

Cause: the end of a connection in order counted as the end of the response, also while the request was still being written; the reset that followed came too late to be seen.

Fix: such an end counts as whole only if the whole request had been written. A server that has not got it can't have answered it whole; what it sends in order with a length or in chunks is not affected.

--- a/packages/gateway/src/node/httpAttempt.ts
+++ b/packages/gateway/src/node/httpAttempt.ts
@@ -178,7 +178,8 @@
       if (isUnframed) {
         const onEnd = (): void => {
           endedWithConnection = true;
-          if (hasLostPeer(connection)) broken = true;
+          // a server that has not got the whole request can't have answered it whole.
+          if (hasLostPeer(connection) || !req.writableFinished) broken = true;
         };
         connection.prependOnceListener('end', onEnd);
         // a response without a body leaves its connection open for the next ones.
