perf(kernel): connections are checked once a second, and only while there are any

Cause, as far as the code tells: four listeners woke the process four times a second each, and every response set and cleared a timer for being read.

Fix: one check a second at a listener with connections; the time limit of an unread answer is set by the check that finds it unread. A body of one block is written with its head in one write again.

--- a/packages/gateway/src/node/callerAnswer.ts
+++ b/packages/gateway/src/node/callerAnswer.ts
@@ -118,9 +118,11 @@
       body.clear();
     });
     res.writeHead(status, all);
-    res.cork();
-    for (const part of body.parts) res.write(part);
-    res.end();
+    const { parts } = body;
+    // one write of all parts; a body of one part is written with its head.
+    if (parts.length > 1) res.cork();
+    for (const part of parts.slice(0, -1)) res.write(part);
+    res.end(parts.at(-1));
     this.#memory.hold(res, body.size);
   }
 
--- a/packages/kernel/src/node/clientConnection.ts
+++ b/packages/kernel/src/node/clientConnection.ts
@@ -56,8 +56,10 @@
   #phase: FeedPhase = 'idle';
   /** When something was last held back; undefined while nothing is. */
   #heldBackAt: number | undefined;
-  /** Since when the client reads nothing of an answer that goes on. */
-  #blockedSince: number | undefined;
+  /** Since when the client does not read what is written of its answer. */
+  #unreadSince: number | undefined;
+  /** Whether the time limit of an unread answer runs. */
+  #hasUnreadLimit = false;
   #closesAfterAnswer = false;
   #isLingering = false;
   #isReadingStopped = false;
@@ -120,9 +122,8 @@
 
   /** Since when the connection waits for its client; undefined while the client waits. */
   get waitsSince(): number | undefined {
-    const isRead = this.#feed.phase === 'answer' && !this.#isLingering;
-    if (!isRead || this.#res?.writableEnded) return this.#since;
-    return this.#blockedSince;
+    const awaitsAnswer = this.#feed.phase === 'answer' && !this.#isLingering;
+    return awaitsAnswer ? this.#unreadSince : this.#since;
   }
 
   /**
@@ -136,14 +137,11 @@
     this.#res = res;
     const held = this.#bytes.open();
     const size = REQUEST_BYTES + FIELD_BYTES * (req.rawHeaders.length / 2) + sizeOf(req);
-    // an answer that nobody reads must not hold its connection for ever.
-    res.once('prefinish', () => {
-      this.#since = this.#now();
-      this.#socket.setTimeout(this.#limits.unreadMs);
-    });
     res.once('close', () => {
       held.release();
       this.#res = undefined;
+      this.#unreadSince = undefined;
+      this.#hasUnreadLimit = false;
       this.#end(req);
     });
     return held.set(size);
@@ -151,8 +149,7 @@
 
   /** Closes the connection if it waits for its client longer than it may. Returns why, if so. */
   check(now: number): ClientFault | undefined {
-    const isBlocked = this.#res?.writableNeedDrain ?? false;
-    this.#blockedSince = isBlocked ? (this.#blockedSince ?? now) : undefined;
+    this.#checkUnread(now);
     const waitedMs = now - this.#since;
     const { headMs, bodyMs = Infinity, idleMs } = this.#limits;
     switch (this.#feed.phase) {
@@ -173,6 +170,20 @@
     }
   }
 
+  /** An answer that nobody reads must not hold its connection for ever. */
+  #checkUnread(now: number): void {
+    const { writableEnded: isWritten = false, writableNeedDrain: isBlocked = false } =
+      this.#res ?? {};
+    if (!isWritten && !isBlocked) {
+      this.#unreadSince = undefined;
+      return;
+    }
+    // expires only if nothing is read meanwhile; the end of the response sets another one.
+    if (isWritten && !this.#hasUnreadLimit) this.#socket.setTimeout(this.#limits.unreadMs);
+    this.#hasUnreadLimit = isWritten;
+    this.#unreadSince ??= now;
+  }
+
   /** Closes the connection at once. */
   close(): void {
     this.#socket.destroy();
--- a/packages/kernel/src/node/clientConnections.ts
+++ b/packages/kernel/src/node/clientConnections.ts
@@ -8,7 +8,7 @@
 import { ClientConnection } from './clientConnection.js';
 
 /** Milliseconds between two checks of the time limits of connections. */
-const CHECK_MS = 250;
+const CHECK_MS = 1_000;
 /** Bytes by which the parser's own bound on a head is above ours, which is met first. */
 const PARSER_MARGIN_BYTES = 1024;
 /** Connections above the limit, as a share of it, while others are about to be closed. */
@@ -93,13 +93,10 @@
     this.#server.prependListener('connection', (socket: Socket) => {
       this.#accept(socket);
     });
-    this.#timer = setInterval(() => {
-      this.#check();
-    }, CHECK_MS);
   }
 
   stop(): void {
-    clearInterval(this.#timer);
+    clearTimeout(this.#timer);
   }
 
   /** Whether a request must be refused because clients make the process hold too much. */
@@ -125,11 +122,21 @@
       return;
     }
     this.#open.set(socket, undefined);
+    this.#scheduleCheck();
     socket.once('close', () => {
       this.#open.delete(socket);
     });
   }
 
+  /** Checks are made only while there are connections: each wakes the process. */
+  #scheduleCheck(): void {
+    this.#timer ??= setTimeout(() => {
+      this.#timer = undefined;
+      this.#check();
+      if (this.#open.size > 0) this.#scheduleCheck();
+    }, CHECK_MS);
+  }
+
   /**
    * Makes room for a connection that is above the limit, while all clients wait for answers: one that has
    * sent requests ahead is closed after its current answer. Returns false if it must be closed instead.
