fix(gateway): a stream leaves no listeners each time its caller reads on

What was found by reading the change: AnswerMemory.hold added a listener to the response at each pause of a stream and never removed it, so that a caller who reads slowly made the process gather them.

Fix: the listener goes with the count. Evidence: 'leave no listeners once they are read' fails without it and passes.

--- a/packages/gateway/src/node/answerMemory.ts
+++ b/packages/gateway/src/node/answerMemory.ts
@@ -6,6 +6,12 @@
 /** Size in bytes below which a written answer is not counted; most are read at once. */
 const MIN_BYTES = 4 * 1024;
 
+/** A written answer that is not read yet. */
+interface UnreadAnswer {
+  held: HeldBytes;
+  onClose: () => void;
+}
+
 /**
  * Counts answers while they are read from their servers, and after that until their callers have read
  * them. If they take too much memory, those that are unread for longest are cut off, so that others get
@@ -21,7 +27,7 @@
 export class AnswerMemory {
   readonly #bytes: BodyBuffers;
   /** Written answers that are not read yet, in the order in which they were written. */
-  readonly #unread = new Map<ServerResponse, HeldBytes>();
+  readonly #unread = new Map<ServerResponse, UnreadAnswer>();
 
   constructor(bytes: BodyBuffers) {
     this.#bytes = bytes;
@@ -53,15 +59,20 @@
       res.destroy();
     });
     this.fits(held, bytes);
-    this.#unread.set(res, held);
-    res.once('close', () => {
+    const onClose = (): void => {
       this.release(res);
-    });
+    };
+    this.#unread.set(res, { held, onClose });
+    res.once('close', onClose);
   }
 
   /** An answer was read so far as it was written. */
   release(res: ServerResponse): void {
-    this.#unread.get(res)?.release();
+    const unread = this.#unread.get(res);
+    if (!unread) return;
+    unread.held.release();
+    // a stream is held and let go of many times.
+    res.off('close', unread.onClose);
     this.#unread.delete(res);
   }
 }
--- a/test/gateway/answerMemory.test.ts
+++ b/test/gateway/answerMemory.test.ts
@@ -63,4 +63,17 @@
     memory.release(answer);
     assert.equal(bytes.total, 0);
   });
+
+  // Guards against a stream that gathers listeners because its caller reads slowly.
+  test('leave no listeners once they are read', async (t) => {
+    const [answer] = await unreadAnswers(t, 1);
+    assert.ok(answer);
+    const before = answer.listenerCount('close');
+    const memory = new AnswerMemory(new BodyBuffers(10 * MB, Infinity));
+    for (let pause = 0; pause < 20; pause += 1) {
+      memory.hold(answer, MB);
+      memory.release(answer);
+    }
+    assert.equal(answer.listenerCount('close'), before);
+  });
 });
