refactor(kernel): bounds on clients are wired once, and lose what nothing uses

The mesh listener got its own copy of the options that boundClients makes for the others; clientOptions serves both. Gone are a count that nobody asked for, a clock option of the mesh listener that nobody passed, and bytes given back at CONNECT, which are always none since all of them are passed on with the head. A read that leaves nothing no longer allocates an empty buffer.

--- a/packages/gateway/src/node/boundClients.ts
+++ b/packages/gateway/src/node/boundClients.ts
@@ -1,6 +1,6 @@
 /** Bounds the clients of a listener by the settings. */
 
-import type { ListenerLimits } from '@flamingocourse/kernel';
+import type { ClientConnectionsOptions, ListenerLimits } from '@flamingocourse/kernel';
 import type { Server } from 'node:http';
 import type { ClientLimits, ListenerName } from '../types/clientLimits.js';
 import type { GatewayContext } from '../types/context.js';
@@ -24,15 +24,24 @@
   server: Server,
   context: GatewayContext,
   listener: ListenerName,
-  limits = (): ListenerLimits => limitsOf(listener, context.settings.limits),
+  limits?: () => ListenerLimits,
 ): ClientConnections {
+  return new ClientConnections(server, clientOptions(context, listener, limits));
+}
+
+/** Returns the bounds of a listener's clients, which count together with those of the other listeners. */
+export function clientOptions(
+  context: GatewayContext,
+  listener: ListenerName,
+  limits = (): ListenerLimits => limitsOf(listener, context.settings.limits),
+): ClientConnectionsOptions {
   const log = new ClientLimitLog(context, listener);
-  return new ClientConnections(server, {
+  return {
     limits,
     bytes: context.clientBytes,
     now: () => context.clock.now(),
     onClose: (cause) => {
       log.closed(cause);
     },
-  });
+  };
 }
--- a/packages/gateway/src/node/createGateway.ts
+++ b/packages/gateway/src/node/createGateway.ts
@@ -24,8 +24,7 @@
 import { HttpObjectStore, defaultCircuitOptions } from '@flamingocourse/store';
 import type { FleetConditions } from '../types/fleetConditions.js';
 import { BackendLanes } from './backendLanes.js';
-import { limitsOf } from './boundClients.js';
-import { ClientLimitLog } from './clientLimitLog.js';
+import { clientOptions } from './boundClients.js';
 import { AnswerMemory } from './answerMemory.js';
 import { AnswerEndCheck } from './answerEndCheck.js';
 import { ConnectionCheck } from './connectionCheck.js';
@@ -210,17 +209,8 @@
   kernel.register(new SoftwareRecords(context)).register(streams);
   const tunnels = new ServerTunnels(context);
   if (settings.listen.mesh) {
-    const meshLog = new ClientLimitLog(context, 'mesh');
-    const mesh = new MeshServer({
-      ...settings.listen.mesh,
-      clients: {
-        limits: () => limitsOf('mesh', settings.limits),
-        bytes: context.clientBytes,
-        onClose: (cause) => {
-          meshLog.closed(cause);
-        },
-      },
-    });
+    const clients = clientOptions(context, 'mesh');
+    const mesh = new MeshServer({ ...settings.listen.mesh, clients });
     mesh.handle('followStore', (request) => relay.answer(request));
     mesh.handle('borrow', async (req) => Result.ok(await prepaid.lend(req)));
     mesh.handle('writeReport', (forwarded) => prepaid.writeFor(forwarded));
--- a/packages/kernel/src/node/clientConnection.ts
+++ b/packages/kernel/src/node/clientConnection.ts
@@ -189,12 +189,10 @@
     this.#socket.destroy();
   }
 
-  /** Lets go of a socket that no longer speaks HTTP; what was held back can be read from it. */
+  /** Lets go of a socket that no longer speaks HTTP; nothing of it is held back then. */
   detach(): void {
     this.#socket.off('data', this.#push);
-    const rest = this.#feed.detach();
-    this.#record();
-    if (rest.length > 0) this.#socket.unshift(rest);
+    this.#feed.end();
   }
 
   /** Drops what was sent ahead, unread: the current request is the last one of its connection. */
--- a/packages/kernel/src/node/clientConnections.ts
+++ b/packages/kernel/src/node/clientConnections.ts
@@ -83,11 +83,6 @@
     });
   }
 
-  /** Number of open connections. */
-  get count(): number {
-    return this.#open.size;
-  }
-
   /** Begins to count accepted connections; call it when the server has all its other listeners. */
   start(): void {
     this.#server.prependListener('connection', (socket: Socket) => {
--- a/packages/kernel/src/runtime/requestFeed.ts
+++ b/packages/kernel/src/runtime/requestFeed.ts
@@ -98,13 +98,6 @@
     this.#head.clear();
   }
 
-  /** Stops to pass anything on; returns what was held back. */
-  detach(): Buffer {
-    const rest = Buffer.concat([this.#head.toBuffer(), this.#rest]);
-    this.end();
-    return rest;
-  }
-
   /** Passes on what may be passed on now. */
   run(): void {
     while (this.#rest.length > 0 && this.#step !== 'answer' && this.#target.isOpen) {
@@ -117,6 +110,7 @@
 
   /** A short rest must not keep the memory of a long read. */
   #compact(): void {
+    if (this.#rest.length === 0) this.#rest = NOTHING;
     if (this.#rest.length * 2 >= this.#rest.buffer.byteLength) return;
     const rest = Buffer.allocUnsafeSlow(this.#rest.length);
     this.#rest.copy(rest);
--- a/packages/mesh/src/node/meshServer.ts
+++ b/packages/mesh/src/node/meshServer.ts
@@ -62,9 +62,7 @@
   /** Maximum number of concurrent calls; further calls are refused. @default 256 */
   maxConcurrent?: number;
   /** What clients may make the process hold; by default this listener has limits of its own. */
-  clients?: Omit<ClientConnectionsOptions, 'now'>;
-  /** Monotonic clock in milliseconds. @default performance.now */
-  now?: () => number;
+  clients?: ClientConnectionsOptions;
 }
 
 /**
@@ -78,7 +76,7 @@
   override readonly name = 'mesh';
   readonly #options: MeshServerOptions;
   readonly #handlers: { [P in ProcedureName]?: MeshHandler<P> } = {};
-  readonly #bytes: BodyBuffers;
+  readonly #limited: ClientConnectionsOptions;
   #server: Server | undefined;
   #clients: ClientConnections | undefined;
   #isSelf: (incarnation: string) => boolean = () => false;
@@ -91,7 +89,11 @@
   constructor(options: MeshServerOptions) {
     super();
     this.#options = options;
-    this.#bytes = options.clients?.bytes ?? new BodyBuffers(undefined, Infinity);
+    this.#limited = options.clients ?? {
+      limits: () => defaultLimits,
+      bytes: new BodyBuffers(undefined, Infinity),
+      now: () => performance.now(),
+    };
   }
 
   /** URL of the listener. If the configured port is 0, the port is known only after the start. */
@@ -139,13 +141,11 @@
 
   override async start(): Promise<void> {
     const handler = this.#createHandler();
-    const { limits = () => defaultLimits, ...options } = this.#options.clients ?? {};
-    const server = createServer(boundedServerOptions(limits()), (req, res) => {
+    const server = createServer(boundedServerOptions(this.#limited.limits()), (req, res) => {
       if (answerUnservable(req, res, clients)) req.resume();
       else this.#admit(req, res, handler);
     });
-    const now = this.#options.now ?? (() => performance.now());
-    const clients = new ClientConnections(server, { ...options, limits, bytes: this.#bytes, now });
+    const clients = new ClientConnections(server, this.#limited);
     this.#clients = clients;
     server.on('connect', (req, socket, head) => {
       this.#connect(req, socket, head);
@@ -241,7 +241,7 @@
   ): Promise<void> {
     const procedure = directProcedure(req);
     const maxBytes = procedure === undefined ? this.#maxBodyBytes : MAX_DIRECT_INPUT_BYTES;
-    const read = readRequestBody(req, maxBytes, this.#bytes);
+    const read = readRequestBody(req, maxBytes, this.#limited.bytes);
     res.once('close', read.release);
     const body = await read.body;
     if (body.type === 'too-large') refuseTooLarge(res);
