--- a/eslint.config.mjs
+++ b/eslint.config.mjs
@@ -15,6 +15,41 @@
   lab: ['kernel', 'core', 'store', 'mesh', 'router', 'cli'],
 };
 
+/** A rejection that nothing handles ends the process, so background work is started by one helper. */
+const backgroundRules = [
+  {
+    files: ['packages/*/src/**/*.ts', 'platform/src/**/*.ts'],
+    rules: {
+      '@typescript-eslint/no-floating-promises': ['error', { ignoreVoid: false }],
+      'no-restricted-syntax': [
+        'error',
+        {
+          selector: "ExpressionStatement > CallExpression[callee.property.name='catch']",
+          message: 'start background work by `runInBackground` or `BackgroundWork`.',
+        },
+        {
+          selector: 'ExpressionStatement > UnaryExpression[operator=void]',
+          message: 'start background work by `runInBackground` or `BackgroundWork`.',
+        },
+      ],
+    },
+  },
+  {
+    files: ['packages/kernel/src/runtime/backgroundWork.ts'],
+    rules: { 'no-restricted-syntax': 'off' },
+  },
+  {
+    // A timer of a service calls what other services and outside data make throw.
+    files: ['packages/gateway/src/**/*.ts'],
+    rules: {
+      'no-restricted-globals': [
+        'error',
+        { name: 'setInterval', message: 'use `every` of the background work of the context.' },
+      ],
+    },
+  },
+];
+
 const packageNames = Object.keys(allowedImports);
 
 const ioModules = ['node:*', 'http', 'net', 'fs', 'timers', 'js-csp', 'winston'];
@@ -111,6 +146,7 @@
       globals: { process: 'readonly', __dirname: 'readonly' },
     },
   },
+  ...backgroundRules,
   ...layerRules,
   adapterRules,
   prettier,
--- a/packages/cli/src/node/main.ts
+++ b/packages/cli/src/node/main.ts
@@ -9,7 +9,7 @@
 } from './commands/readCommands.js';
 import { budgetCommands, drainCommand } from './commands/budgetCommands.js';
 import { runSafely, subcommands } from 'cmd-ts';
-import { describeError } from '@flamingocourse/kernel';
+import { describeError, runInBackground } from '@flamingocourse/kernel';
 import { exitCodes } from '../utils/cliError.js';
 
 const application = subcommands({
@@ -37,7 +37,10 @@
   process.exitCode = exitCode === 0 ? exitCodes.ok : exitCodes.usage;
 }
 
-main(process.argv.slice(2)).catch((err: unknown) => {
-  process.stderr.write(`The command failed: ${describeError(err)}. Report it.\n`);
-  process.exitCode = exitCodes.faults;
-});
+runInBackground(
+  () => main(process.argv.slice(2)),
+  (err) => {
+    process.stderr.write(`The command failed: ${describeError(err)}. Report it.\n`);
+    process.exitCode = exitCodes.faults;
+  },
+);
--- a/packages/gateway/src/node/answerRelay.ts
+++ b/packages/gateway/src/node/answerRelay.ts
@@ -5,7 +5,12 @@
 import type { EventOrder } from '@flamingocourse/core';
 import type { OpenAnswer } from './httpAttempt.js';
 import { EventFrames } from '@flamingocourse/core';
-import { ByteCollector, MIN_COUNTED_BYTES } from '@flamingocourse/kernel';
+import {
+  ByteCollector,
+  MIN_COUNTED_BYTES,
+  describeError,
+  runInBackground,
+} from '@flamingocourse/kernel';
 
 /** Maximum size of a response that is read before it is forwarded, in bytes. */
 const MAX_WHOLE_BYTES = 8 * 1024 * 1024;
@@ -158,9 +163,14 @@
       const whole = { type: 'whole', firstByteAt } as const;
       if (!open.endedWithConnection()) finish(whole);
       else
-        void isOwnEnd().then((isOwn) => {
-          finish(isOwn ? whole : ENDED_WITH_PROCESS);
-        });
+        runInBackground(
+          async () => {
+            finish((await isOwnEnd()) ? whole : ENDED_WITH_PROCESS);
+          },
+          (err) => {
+            finish({ type: 'broken', cause: describeError(err) });
+          },
+        );
     });
     open.body.on('error', (err) => {
       finish({ type: 'broken', cause: err.message });
--- a/packages/gateway/src/node/arrivalWatch.ts
+++ b/packages/gateway/src/node/arrivalWatch.ts
@@ -100,9 +100,9 @@
   }
 
   start(): void {
-    this.#timer = setInterval(() => {
+    this.#timer = this.#context.background.every(MARK_INTERVAL_MS, 'entry', () => {
       this.#scheduleMark();
-    }, MARK_INTERVAL_MS);
+    });
   }
 
   /**
--- a/packages/gateway/src/node/backendLanes.ts
+++ b/packages/gateway/src/node/backendLanes.ts
@@ -150,12 +150,11 @@
       this.#context.rules.cold.setServices(coldServicesOf(config));
       this.#apply(this.#directory?.servers ?? []);
     });
-    this.#timer = setInterval(() => {
+    this.#timer = this.#context.background.every(CHECK_INTERVAL_MS, this.name, async () => {
       // data from a server may already have arrived but not been read before this iteration.
-      void waitForPendingReads().then(() => {
-        this.#check();
-      });
-    }, CHECK_INTERVAL_MS);
+      await waitForPendingReads();
+      this.#check();
+    });
   }
 
   override stop(): void {
@@ -242,6 +241,7 @@
       random,
       scope: sharesPrompts ? 'everywhere' : 'near-first',
       runsSuspectsAlone: false,
+      background: this.#context.background,
     });
     const divisor = (at: number): number | undefined => this.#share.divisor(at);
     const retries = new RetryAllowance({ ...settings.retries, divisor });
--- a/packages/gateway/src/node/callerConnections.ts
+++ b/packages/gateway/src/node/callerConnections.ts
@@ -2,7 +2,7 @@
 
 import type { IncomingMessage, Server, ServerResponse } from 'node:http';
 import type { Socket } from 'node:net';
-import { waitForPendingReads } from '@flamingocourse/kernel';
+import { afterPendingReads } from '@flamingocourse/kernel';
 
 interface ConnectionState {
   /** Requests read so far. */
@@ -88,7 +88,7 @@
    */
   closeIdle(): void {
     this.#closesIdle = true;
-    for (const [socket, state] of this.#states) void this.#closeIfIdle(socket, state);
+    for (const [socket, state] of this.#states) this.#closeIfIdle(socket, state);
   }
 
   /**
@@ -124,7 +124,7 @@
       end = () => {
         if (!state.open.delete(end)) return;
         resolve();
-        if (this.#closesIdle || this.#closesAfterResponse()) void this.#closeIfIdle(socket, state);
+        if (this.#closesIdle || this.#closesAfterResponse()) this.#closeIfIdle(socket, state);
       };
     });
     state.open.add(end);
@@ -134,11 +134,12 @@
   }
 
   /** A request that has arrived before the close is read first, so that it is not closed away. */
-  async #closeIfIdle(socket: Socket, state: ConnectionState): Promise<void> {
+  #closeIfIdle(socket: Socket, state: ConnectionState): void {
     if (state.open.size > 0) return;
-    await waitForPendingReads();
-    if (state.open.size > 0 || state.isClosing || this.#hasAhead(socket)) return;
-    state.isClosing = true;
-    socket.end();
+    afterPendingReads(() => {
+      if (state.open.size > 0 || state.isClosing || this.#hasAhead(socket)) return;
+      state.isClosing = true;
+      socket.end();
+    });
   }
 }
--- a/packages/gateway/src/node/createGateway.ts
+++ b/packages/gateway/src/node/createGateway.ts
@@ -18,7 +18,7 @@
   packSums,
   unpackSums,
 } from '@flamingocourse/core';
-import { BodyBuffers, Kernel, describeError } from '@flamingocourse/kernel';
+import { BackgroundWork, BodyBuffers, Kernel, describeError } from '@flamingocourse/kernel';
 import { MeshClient, MeshServer } from '@flamingocourse/mesh';
 import { Result } from 'true-myth';
 import { HttpObjectStore, defaultCircuitOptions } from '@flamingocourse/store';
@@ -162,6 +162,9 @@
     adaptiveLoad: new AdaptiveLoad(() => dialects.needsAdaptiveLoad(settings.terms)),
     clientBytes,
     answers: new AnswerMemory(clientBytes),
+    background: new BackgroundWork((err, owner) => {
+      kernel.reportFailure(err, owner);
+    }),
     random,
   };
   const kernel = new Kernel();
--- a/packages/gateway/src/node/entryService.ts
+++ b/packages/gateway/src/node/entryService.ts
@@ -30,6 +30,7 @@
   orAborted,
   readRequestBody,
   waitForPendingReads,
+  runInBackground,
 } from '@flamingocourse/kernel';
 import { ArrivalWatch } from './arrivalWatch.js';
 import { BackendLanes } from './backendLanes.js';
@@ -123,7 +124,15 @@
     this.#answerEnds = answerEnds;
     this.#readiness = new EntryReadiness(context, this.#stopSchedule);
     const options = { ...boundedServerOptions(context.settings.limits), noDelay: true };
-    const server = createServer(options, (req, res) => void this.#handle(req, res));
+    const server = createServer(options, (req, res) => {
+      runInBackground(
+        () => this.#handle(req, res),
+        (err) => {
+          this.#kernel?.reportFailure(err, this.name);
+          res.destroy();
+        },
+      );
+    });
     this.#server = closeOnCallerEnd(server);
     this.#clients = boundClients(server, context, 'entry', () => this.#limits);
     this.#connections = new CallerConnections(
--- a/packages/gateway/src/node/fleetConditionsService.ts
+++ b/packages/gateway/src/node/fleetConditionsService.ts
@@ -103,9 +103,7 @@
     this.#instances = kernel.get('instances', InstanceDirectory);
     // instances that start together report at different times.
     this.#reportedAt = this.#now() - this.#context.random() * CALM_INTERVAL_MS;
-    this.#timer = setInterval(() => {
-      this.#check(kernel);
-    }, CHECK_MS);
+    this.#timer = this.#context.background.every(CHECK_MS, this.name, () => this.#check());
   }
 
   override stop(): void {
@@ -113,7 +111,7 @@
   }
 
   /** Reports if it is time, or if this instance found itself overloaded since its last report. */
-  #check(kernel: Kernel): void {
+  async #check(): Promise<void> {
     if (!this.#context.adaptiveLoad.isOn || this.#isReporting) return;
     const now = this.#now();
     const own = this.#ownReport(now);
@@ -123,13 +121,9 @@
     if (now < Math.max(this.#reportedAt + intervalMs, this.#notBefore)) return;
     this.#reportedAt = now;
     this.#isReporting = true;
-    void this.#report(own, intervalMs)
-      .catch((err: unknown) => {
-        kernel.reportFailure(err, this.name);
-      })
-      .finally(() => {
-        this.#isReporting = false;
-      });
+    await this.#report(own, intervalMs).finally(() => {
+      this.#isReporting = false;
+    });
   }
 
   async #report(own: InstanceReport, intervalMs: number): Promise<void> {
--- a/packages/gateway/src/node/gossipService.ts
+++ b/packages/gateway/src/node/gossipService.ts
@@ -105,7 +105,7 @@
     this.#instances = kernel.get('instances', InstanceDirectory);
     this.#instances.onChange(() => {
       this.#removeGonePeers();
-      if (!this.#isCaughtUp) void this.#catchUp();
+      if (!this.#isCaughtUp) this.#context.background.run(this.name, () => this.#catchUp());
     });
     this.#scheduleSync(MIN_SYNC_MS);
   }
@@ -138,10 +138,10 @@
 
   #scheduleRound(): void {
     if (this.#stopped) return;
-    this.#gossipTimer ??= setTimeout(() => {
+    this.#gossipTimer ??= this.#context.background.after(BATCH_MS, this.name, () => {
       this.#gossipTimer = undefined;
-      void this.#gossip();
-    }, BATCH_MS);
+      return this.#gossip();
+    });
   }
 
   async #gossip(): Promise<void> {
@@ -163,9 +163,13 @@
   }
 
   #scheduleSync(ms: number): void {
-    const { random } = this.#context;
+    const { background, random } = this.#context;
     if (this.#stopped) return;
-    this.#syncTimer = setTimeout(() => void this.#sync(), ms * (0.75 + 0.5 * random()));
+    this.#syncTimer = background.after(ms * (0.75 + 0.5 * random()), this.name, () => {
+      return this.#sync().finally(() => {
+        this.#scheduleSync(this.#syncPauseMs);
+      });
+    });
   }
 
   async #sync(): Promise<void> {
@@ -174,9 +178,12 @@
     const peer = others[Math.floor(random() * others.length)];
     if (!this.#isCaughtUp) await this.#catchUp();
     else if (peer && !this.#log.isEmpty) await this.#exchange(peer);
+  }
+
+  get #syncPauseMs(): number {
     const quietMs = SYNC_BACKOFF_FACTOR * (this.#now() - this.#log.newestAt);
     const isQuiet = !this.#log.isEmpty && quietMs > MIN_SYNC_MS;
-    this.#scheduleSync(isQuiet ? Math.min(MAX_SYNC_MS, quietMs) : MIN_SYNC_MS);
+    return isQuiet ? Math.min(MAX_SYNC_MS, quietMs) : MIN_SYNC_MS;
   }
 
   async #exchange(instance: FleetInstance): Promise<'answered' | 'silent'> {
--- a/packages/gateway/src/node/httpAttempt.ts
+++ b/packages/gateway/src/node/httpAttempt.ts
@@ -5,12 +5,7 @@
 import type { ServerHead } from '../types/call.js';
 import type { ResponseHead } from '../utils/responseHead.js';
 import { request } from 'node:http';
-import {
-  FilteredSocket,
-  hasLostPeer,
-  onTimeout,
-  waitForPendingReads,
-} from '@flamingocourse/kernel';
+import { FilteredSocket, afterPendingReads, hasLostPeer, onTimeout } from '@flamingocourse/kernel';
 import { Result } from 'true-myth';
 import { ResponseFilter } from '../runtime/responseFilter.js';
 
@@ -244,7 +239,7 @@
   req.once('socket', (socket: Socket) => {
     const connected = (): void => {
       const before = socket.bytesRead;
-      void waitForPendingReads().then(() => {
+      afterPendingReads(() => {
         listener(socket, socket.bytesRead - before);
       });
     };
--- a/packages/gateway/src/node/instanceDirectory.ts
+++ b/packages/gateway/src/node/instanceDirectory.ts
@@ -147,8 +147,9 @@
       if (joined.isErr) this.#logFailure('join', joined.error);
       await delay(STORE_RETRY_MS);
     }
-    await this.#read();
-    this.#scheduleRead(SECOND_READ_MS);
+    await this.#read().finally(() => {
+      this.#scheduleRead(SECOND_READ_MS);
+    });
   }
 
   async #writeSelf(): Promise<Result<ChangeOutcome, StoreError>> {
@@ -174,11 +175,22 @@
   #scheduleRead(ms: number): void {
     clearTimeout(this.#timer);
     if (this.#stopped) return;
-    this.#timer = setTimeout(() => void this.#read(), ms);
+    this.#timer = this.#context.background.after(ms, this.name, () => this.#readAndRepeat());
+  }
+
+  async #readAndRepeat(): Promise<void> {
+    let pauseMs = STORE_RETRY_MS;
+    try {
+      const isRead = await this.#read();
+      if (isRead) pauseMs = readIntervalMs(this.count) * (0.75 + 0.5 * this.#context.random());
+    } finally {
+      this.#scheduleRead(pauseMs);
+    }
   }
 
-  async #read(): Promise<void> {
-    const { store, random } = this.#context;
+  /** Returns whether the store answered. */
+  async #read(): Promise<boolean> {
+    const { store } = this.#context;
     const at = this.#now();
     this.#lastReadAt = at;
     const list = await store.list(instanceCollection, { stale: true });
@@ -194,8 +206,7 @@
       this.#readListeners.notify(read);
       this.#update(listed);
     }
-    const intervalMs = readIntervalMs(this.count) * (0.75 + 0.5 * random());
-    this.#scheduleRead(list.isErr ? STORE_RETRY_MS : intervalMs);
+    return list.isOk;
   }
 
   #update(listed: FleetInstance[]): void {
--- a/packages/gateway/src/node/lenders.ts
+++ b/packages/gateway/src/node/lenders.ts
@@ -91,7 +91,7 @@
     if (known?.url === lender.meshUrl) return;
     // the address changed, so this is another process that does not know these loans. The lender's side
     // charges them to the budget after a while.
-    void known?.stop();
+    if (known) this.#stopLoans(known);
     const {
       context,
       calls,
@@ -124,7 +124,11 @@
       const isUsed = this.#inUse.some((lender) => lender.name === name);
       if (isUsed || !loans.isEmpty) continue;
       this.#loans.delete(name);
-      void loans.stop();
+      this.#stopLoans(loans);
     }
   }
+
+  #stopLoans(loans: LoanTokens): void {
+    this.#options.context.background.run('prepaid', () => loans.stop());
+  }
 }
--- a/packages/gateway/src/node/loanTokens.ts
+++ b/packages/gateway/src/node/loanTokens.ts
@@ -35,6 +35,8 @@
 
 const LENDER_EVENTS = { lost: 'lender-lost', regained: 'lender-regained' } as const;
 
+/** Service that the loans belong to, for the log. */
+const OWNER = 'prepaid';
 const NOTHING_KNOWN: PrepaidAccountView = { remaining: 0, othersRate: 0 };
 
 /** Options of {@link LoanTokens}. */
@@ -192,11 +194,11 @@
   #syncIn(ms: number): void {
     clearTimeout(this.#timer);
     if (this.#stopped) return;
-    this.#timer = setTimeout(() => {
-      void this.#sync().finally(() => {
+    this.#timer = this.#options.context.background.after(ms, OWNER, () => {
+      return this.#sync().finally(() => {
         this.#syncIn(this.#pauseMs);
       });
-    }, ms);
+    });
   }
 
   get #pauseMs(): number {
@@ -207,9 +209,14 @@
   }
 
   #sync(): Promise<void> {
-    this.#running ??= this.#exchange(false).finally(() => {
-      this.#running = undefined;
-    });
+    this.#running ??= this.#exchange(false)
+      // requests that wait for tokens are refused as if the lender had none.
+      .catch((err: unknown) => {
+        this.#options.context.background.report(err, OWNER);
+      })
+      .finally(() => {
+        this.#running = undefined;
+      });
     return this.#running;
   }
 
--- a/packages/gateway/src/node/peerFollower.ts
+++ b/packages/gateway/src/node/peerFollower.ts
@@ -7,6 +7,7 @@
 import type { WatcherChoice } from '../runtime/watcherChoice.js';
 import type { WatchKnowledge } from '../runtime/watchKnowledge.js';
 import { setTimeout as delay } from 'node:timers/promises';
+import { runInBackground } from '@flamingocourse/kernel';
 import { isNewer } from '@flamingocourse/store';
 
 /** Milliseconds for which a call waits for changes at the watcher. */
@@ -78,7 +79,7 @@
       this.#followed.set(collection, followed);
       // the call in flight does not ask for this collection.
       this.#call?.abort();
-      if (!this.#isRunning) void this.#run().catch(this.#ports.onFailure);
+      if (!this.#isRunning) runInBackground(() => this.#run(), this.#ports.onFailure);
     });
   }
 
--- a/packages/gateway/src/node/prepaidService.ts
+++ b/packages/gateway/src/node/prepaidService.ts
@@ -147,9 +147,9 @@
     this.#configuration.onChange((table) => {
       this.#applyLimits(table.prepaid);
     });
-    this.#timer = setInterval(() => {
+    this.#timer = this.#context.background.every(ROLE_CHECK_MS, this.name, () => {
       this.#updateRole();
-    }, ROLE_CHECK_MS);
+    });
   }
 
   /** Tells borrowers to use other lenders. Requests in progress continue. */
@@ -243,7 +243,8 @@
 
   #dropLostBorrowers(): void {
     const lost = this.#loanRequests.dropLostBorrowers();
-    if (lost.length > 0) void this.#instances?.remove(lost);
+    if (lost.length === 0) return;
+    this.#context.background.run(this.name, () => this.#instances?.remove(lost));
   }
 
   /** Reserves tokens that this instance already holds, from any source. */
--- a/packages/gateway/src/node/rotationControl.ts
+++ b/packages/gateway/src/node/rotationControl.ts
@@ -57,9 +57,10 @@
   }
 
   override start(): void {
-    this.#timer = setInterval(() => {
-      this.#decide(this.#context.clock.now());
-    }, DECIDE_MS);
+    const { background, clock } = this.#context;
+    this.#timer = background.every(DECIDE_MS, this.name, () => {
+      this.#decide(clock.now());
+    });
   }
 
   override stop(): void {
--- a/packages/gateway/src/node/serverAgent.ts
+++ b/packages/gateway/src/node/serverAgent.ts
@@ -4,6 +4,7 @@
 import { Agent } from 'node:http';
 import type { ClientRequest, IncomingMessage } from 'node:http';
 import type { NetConnectOpts } from 'node:net';
+import { runInBackground } from '@flamingocourse/kernel';
 import type { ServerConnector } from '../types/serverConnector.js';
 import { Socket } from 'node:net';
 import { serverAddress } from '../utils/serverAddress.js';
@@ -39,10 +40,13 @@
     callback?: (err: Error | null, stream: Duplex) => void,
   ): Duplex | null | undefined {
     if (!this.#connector || !callback) return super.createConnection(options, callback);
-    void this.#connector(options).then((connected) => {
+    const fail = callback as (err: unknown) => void;
+    const connecting = this.#connector(options);
+    runInBackground(async () => {
+      const connected = await connecting;
       if (connected.isOk) callback(null, connected.value);
-      else (callback as (err: Error) => void)(connected.error);
-    });
+      else fail(connected.error);
+    }, fail);
     return undefined;
   }
 
--- a/packages/gateway/src/node/serverDirectory.ts
+++ b/packages/gateway/src/node/serverDirectory.ts
@@ -217,17 +217,19 @@
   /** Checks the kept servers that are due, drops the expired ones and schedules the next run. */
   #checkKept(now: number): void {
     clearTimeout(this.#timer);
-    for (const id of this.#kept.takeDueProbes(now)) void this.#probe(id);
+    for (const id of this.#kept.takeDueProbes(now)) {
+      this.#context.background.run(this.name, () => this.#probe(id));
+    }
     // while the store is unreachable again, a missing entry is no evidence that a server is gone.
     const expired = this.#reachability.isUnreachable ? [] : this.#kept.expired(now);
     for (const id of expired) this.#drop(id, 'time is over');
     if (expired.length > 0) this.#publish('lapsed');
     if (this.#kept.size === 0) return;
     const dueMs = this.#kept.nextAt - now;
-    const next = (): void => {
+    const pauseMs = dueMs > 0 ? dueMs : OVERDUE_CHECK_MS;
+    this.#timer = this.#context.background.after(pauseMs, this.name, () => {
       this.#checkKept(this.#context.clock.now());
-    };
-    this.#timer = setTimeout(next, dueMs > 0 ? dueMs : OVERDUE_CHECK_MS);
+    });
   }
 
   /**
--- a/packages/gateway/src/node/serverPaths.ts
+++ b/packages/gateway/src/node/serverPaths.ts
@@ -95,9 +95,9 @@
       this.#applyList(servers);
     });
     this.#agent.connectBy((options) => this.connect(options));
-    this.#timer = setInterval(() => {
+    this.#timer = this.#context.background.every(CHECK_INTERVAL_MS, this.name, () => {
       this.#startDueProbes();
-    }, CHECK_INTERVAL_MS);
+    });
   }
 
   override stop(): void {
@@ -222,7 +222,8 @@
         // to the end, so that no server waits for others to be probed twice.
         this.#watched.delete(id);
         this.#watched.add(id);
-        void this.#probe(server, path, path.recordProbeStart());
+        const plan = path.recordProbeStart();
+        this.#context.background.run(this.name, () => this.#probe(server, path, plan));
       }
     }
   }
--- a/packages/gateway/src/node/serverTunnels.ts
+++ b/packages/gateway/src/node/serverTunnels.ts
@@ -7,7 +7,7 @@
 import type { DirectoryServer } from './serverDirectory.js';
 import type { TunnelRefusalReason } from './tunnelLog.js';
 import { setTimeout as delay } from 'node:timers/promises';
-import { Service } from '@flamingocourse/kernel';
+import { Service, runInBackground } from '@flamingocourse/kernel';
 import { MeshServer, acceptTunnel, refuseTunnel } from '@flamingocourse/mesh';
 import { StopSchedule } from '../runtime/stopSchedule.js';
 import { serverAddress } from '../utils/serverAddress.js';
@@ -68,10 +68,13 @@
   override start(kernel: Kernel): void {
     this.#directory = kernel.get('directory', ServerDirectory);
     kernel.get('mesh', MeshServer).handleConnect((request) => {
-      this.#handle(request).catch((err: unknown) => {
-        request.socket.resetAndDestroy();
-        kernel.reportFailure(err, this.name);
-      });
+      runInBackground(
+        () => this.#handle(request),
+        (err) => {
+          request.socket.resetAndDestroy();
+          kernel.reportFailure(err, this.name);
+        },
+      );
     });
   }
 
--- a/packages/gateway/src/node/softwareRecords.ts
+++ b/packages/gateway/src/node/softwareRecords.ts
@@ -43,7 +43,6 @@
   #timer: NodeJS.Timeout | undefined;
   #isRetiring = false;
   #stopped = false;
-  #report: (err: unknown) => void = () => undefined;
 
   constructor(context: GatewayContext) {
     super();
@@ -51,9 +50,6 @@
   }
 
   override start(kernel: Kernel): void {
-    this.#report = (err) => {
-      kernel.reportFailure(err, this.name);
-    };
     this.#configuration = kernel.get('configuration', ConfigurationWatch);
     this.#instances = kernel.get('instances', InstanceDirectory);
     this.#directory = kernel.get('directory', ServerDirectory);
@@ -63,9 +59,7 @@
     this.#directory.onChange((servers) => {
       this.#applyList(servers);
     });
-    this.#timer = setInterval(() => {
-      void this.#retire().catch(this.#report);
-    }, RETIRE_CHECK_MS);
+    this.#timer = this.#context.background.every(RETIRE_CHECK_MS, this.name, () => this.#retire());
   }
 
   override stop(): void {
@@ -112,7 +106,7 @@
       const { recorded } = this.#context.software;
       if (this.#running.has(service) || recorded.unrecorded(service).length === 0) continue;
       this.#running.add(service);
-      void this.#record(service).catch(this.#report);
+      this.#context.background.run(this.name, () => this.#record(service));
     }
   }
 
--- a/packages/gateway/src/node/statusService.ts
+++ b/packages/gateway/src/node/statusService.ts
@@ -66,15 +66,16 @@
     this.#streams = kernel.get('streams', StreamOrigins);
     this.#room = kernel.get('room', RoomService);
     const { ready, metrics } = this.#context.settings.listen;
-    this.#timer = setInterval(() => {
+    const { background } = this.#context;
+    this.#timer = background.every(STORE_CALLS_INTERVAL_MS, this.name, () => {
       this.#logStoreCalls();
-    }, STORE_CALLS_INTERVAL_MS);
+    });
     await this.#listen('ready', ready, (req, res) => {
       this.#answerReady(req, res);
     });
     if (!metrics) return;
     await this.#listen('metrics', metrics, (_req, res) => {
-      void this.#answerMetrics(res);
+      background.run(this.name, () => this.#answerMetrics(res));
     });
   }
 
--- a/packages/gateway/src/node/storeTokens.ts
+++ b/packages/gateway/src/node/storeTokens.ts
@@ -42,6 +42,8 @@
 const UNREACHABLE_RETRY_MS = 200;
 /** Maximum exchanges in which a stopping instance tries to leave, because its time to stop is bounded. */
 const MAX_STOP_ATTEMPTS = 3;
+/** Service that the exchanges belong to, for the log. */
+const OWNER = 'prepaid';
 /** Outcome of one exchange with the store. */
 type SyncOutcome = 'done' | 'failed';
 
@@ -270,14 +272,14 @@
 
   #reportIn(ms: number): void {
     clearTimeout(this.#timer);
-    this.#timer = setTimeout(() => {
-      void this.#sync().finally(() => {
+    this.#timer = this.#options.context.background.after(ms, OWNER, () => {
+      return this.#sync().finally(() => {
         if (this.#stopping || this.#phase === 'idle') return;
         this.#reportIn(
           this.#reachability.isUnreachable ? UNREACHABLE_RETRY_MS : this.#jitteredPeriodMs,
         );
       });
-    }, ms);
+    });
   }
 
   #limit(account: AccountId): Tokens {
@@ -285,9 +287,15 @@
   }
 
   #sync(last = false): Promise<SyncOutcome> {
-    this.#running ??= this.#report(last || this.#isDone).finally(() => {
-      this.#running = undefined;
-    });
+    this.#running ??= this.#report(last || this.#isDone)
+      // requests that wait for tokens are refused as if the store had none.
+      .catch((err: unknown): SyncOutcome => {
+        this.#options.context.background.report(err, OWNER);
+        return 'failed';
+      })
+      .finally(() => {
+        this.#running = undefined;
+      });
     return this.#running;
   }
 
--- a/packages/gateway/src/node/storedCrashCauses.ts
+++ b/packages/gateway/src/node/storedCrashCauses.ts
@@ -59,7 +59,7 @@
 
   override start(kernel: Kernel): void {
     this.#listeners.reportTo(kernel);
-    void this.#readWithRetries();
+    this.#context.background.run(this.name, () => this.#readWithRetries());
   }
 
   override stop(): void {
@@ -71,7 +71,9 @@
     const { fingerprint } = cause;
     if (this.#versions.has(fingerprint) || this.#creating.has(fingerprint)) return;
     this.#creating.add(fingerprint);
-    void this.#create(cause).finally(() => this.#creating.delete(fingerprint));
+    this.#context.background.run(this.name, () => {
+      return this.#create(cause).finally(() => this.#creating.delete(fingerprint));
+    });
   }
 
   /** Removes the stored cause of a request that was shown not to be one. */
@@ -79,12 +81,15 @@
     const version = this.#versions.get(fingerprint);
     if (version === undefined) return;
     this.#versions.delete(fingerprint);
-    void this.#removeObject(nameOf(fingerprint), version);
+    this.#context.background.run(this.name, () => {
+      return this.#removeObject(nameOf(fingerprint), version);
+    });
   }
 
   /** Reads the causes that others have stored, unless the last read is recent. */
   refresh(): void {
-    if (this.#now() - this.#readAt >= MIN_REFRESH_MS) void this.#read();
+    if (this.#now() - this.#readAt < MIN_REFRESH_MS) return;
+    this.#context.background.run(this.name, () => this.#read());
   }
 
   async #readWithRetries(): Promise<void> {
--- a/packages/gateway/src/node/streamRecordSender.ts
+++ b/packages/gateway/src/node/streamRecordSender.ts
@@ -11,6 +11,8 @@
 const MAX_TRIES = 6;
 /** Milliseconds for which an instance that did not answer is tried after the others. */
 const AVOIDED_MS = 2_000;
+/** Service that sends the records, for the log. */
+const OWNER = 'streams';
 
 /** A record on its way to one instance. */
 interface QueuedRecord {
@@ -59,9 +61,9 @@
     const batch = this.#batches.get(peer.name) ?? { peer, queued: [] };
     batch.queued.push(next);
     this.#batches.set(peer.name, batch);
-    this.#timer ??= setTimeout(() => {
+    this.#timer ??= this.#context.background.after(BATCH_MS, OWNER, () => {
       this.#sendBatches();
-    }, BATCH_MS);
+    });
   }
 
   #sendBatches(): void {
@@ -74,6 +76,7 @@
         const part = queued.slice(from, from + MAX_STREAMS_PER_MESSAGE);
         const sent = this.#sendTo(peer, part).finally(() => this.#sending.delete(sent));
         this.#sending.add(sent);
+        this.#context.background.run(OWNER, () => sent);
       }
     }
   }
--- a/packages/gateway/src/runtime/staggeredRace.ts
+++ b/packages/gateway/src/runtime/staggeredRace.ts
@@ -1,6 +1,6 @@
 /** Tries several ways to the same end, each a little later than the one before it. */
 
-import { onTimeout } from '@flamingocourse/kernel';
+import { describeError, onTimeout, runInBackground } from '@flamingocourse/kernel';
 import { Result } from 'true-myth';
 
 /** One way; an error is a reason for the log. */
@@ -50,9 +50,13 @@
       if (won || second || !way) return;
       started += 1;
       stopTimer = onTimeout(staggerMs, startNext);
-      void way().then((result) => {
+      const run = async (): Promise<void> => {
+        const result = await way();
         if (result.isOk) succeed(result.value, index);
         else fail(result.error, index);
+      };
+      runInBackground(run, (err) => {
+        fail(describeError(err), index);
       });
     };
     const win = (result: RaceWin<T>): void => {
--- a/packages/gateway/src/types/context.ts
+++ b/packages/gateway/src/types/context.ts
@@ -1,7 +1,7 @@
 /** Dependencies that the parts of the pipeline share. */
 
 import type { KnownSoftware, ListedServer, RoutedConfig, SendRules } from '@flamingocourse/core';
-import type { BodyBuffers, Clock, EventLog } from '@flamingocourse/kernel';
+import type { BackgroundWork, BodyBuffers, Clock, EventLog } from '@flamingocourse/kernel';
 import type { Collection, ObjectStore, StoreDialect } from '@flamingocourse/store';
 import type { AnswerMemory } from '../node/answerMemory.js';
 import type { GatewayMetrics } from '../node/gatewayMetrics.js';
@@ -43,6 +43,8 @@
   answers: AnswerMemory;
   /** Counts what the clients of all listeners make the process hold. */
   clientBytes: BodyBuffers;
+  /** Starts what nobody waits for; a failure of it is logged. */
+  background: BackgroundWork;
   /** Returns a random number from 0 (inclusive) to 1 (exclusive). */
   random: () => number;
 }
--- a/packages/kernel/src/index.ts
+++ b/packages/kernel/src/index.ts
@@ -9,6 +9,7 @@
 export * from './node/staysOpen.js';
 export * from './node/waitForPendingReads.js';
 export * from './node/timeLimit.js';
+export * from './runtime/backgroundWork.js';
 export * from './runtime/blankLine.js';
 export * from './runtime/byteCollector.js';
 export * from './runtime/channel.js';
--- a/packages/kernel/src/node/timeLimit.ts
+++ b/packages/kernel/src/node/timeLimit.ts
@@ -1,6 +1,6 @@
 /** Timeouts that do not expire for data that has arrived but is not read yet. */
 
-import { waitForPendingReads } from './waitForPendingReads.js';
+import { afterPendingReads } from './waitForPendingReads.js';
 
 /** An abort signal with a timeout. */
 export interface TimeLimit {
@@ -27,7 +27,7 @@
   if (ms === undefined) return () => undefined;
   let stopped = false;
   const timer = setTimeout(() => {
-    void waitForPendingReads().then(() => {
+    afterPendingReads(() => {
       if (!stopped) listener();
     });
   }, ms);
--- a/packages/kernel/src/node/waitForPendingReads.ts
+++ b/packages/kernel/src/node/waitForPendingReads.ts
@@ -11,6 +11,11 @@
  */
 export function waitForPendingReads(): Promise<void> {
   return new Promise((resolve) => {
-    setImmediate(() => setImmediate(resolve));
+    afterPendingReads(resolve);
   });
 }
+
+/** Calls a listener at the time at which {@link waitForPendingReads} resolves. */
+export function afterPendingReads(listener: () => void): void {
+  setImmediate(() => setImmediate(listener));
+}
--- a/packages/kernel/src/runtime/channel.ts
+++ b/packages/kernel/src/runtime/channel.ts
@@ -8,6 +8,7 @@
 
 import type { AltResult, RawChannel } from 'js-csp';
 import csp from 'js-csp';
+import { runInBackground } from './backgroundWork.js';
 
 /** What happens when a value is offered to a full channel. */
 export type OverflowRule = 'refuse' | 'drop-newest' | 'drop-oldest';
@@ -134,6 +135,11 @@
   });
 }
 
+/** Starts a process whose end nobody waits for; the error of one that throws goes to `onFailure`. */
+export function startLoop(body: () => Steps<void>, onFailure: (err: unknown) => void): void {
+  runInBackground(() => startProcess(body, onFailure), onFailure);
+}
+
 function createBuffer(capacity: number, overflow: OverflowRule): unknown {
   switch (overflow) {
     case 'refuse':
--- a/packages/lab/src/node/budgetMeasure/budgetSimulation.ts
+++ b/packages/lab/src/node/budgetMeasure/budgetSimulation.ts
@@ -15,7 +15,13 @@
   RouterSettings,
   StoreError,
 } from '@flamingocourse/router';
-import { Kernel, MemoryEventLog, NoMetrics, SystemClock } from '@flamingocourse/kernel';
+import {
+  BackgroundWork,
+  Kernel,
+  MemoryEventLog,
+  NoMetrics,
+  SystemClock,
+} from '@flamingocourse/kernel';
 import { MoneyService, settingsDefaults } from '@flamingocourse/router';
 import { setTimeout as delay } from 'node:timers/promises';
 import { Result } from 'true-myth';
@@ -60,6 +66,7 @@
       clock: new SystemClock(),
       log: new MemoryEventLog(),
       metrics: new NoMetrics(),
+      background: new BackgroundWork(),
     };
     const store = new RouterStore(simulation, this);
     const peers = new RouterPeers(simulation, this);
--- a/packages/lab/src/node/capacity/fleetCosts.ts
+++ b/packages/lab/src/node/capacity/fleetCosts.ts
@@ -10,6 +10,7 @@
 import type { CostLine, CostPoint, Progress } from './types.js';
 import { setTimeout as delay } from 'node:timers/promises';
 import {
+  BackgroundWork,
   Kernel as MicroKernel,
   MemoryEventLog,
   NoMetrics,
@@ -247,5 +248,6 @@
     clock: new SystemClock(),
     log: new MemoryEventLog(),
     metrics: new NoMetrics(),
+    background: new BackgroundWork(),
   };
 }
--- a/packages/lab/src/node/configMeasure/measuredFleet.ts
+++ b/packages/lab/src/node/configMeasure/measuredFleet.ts
@@ -3,7 +3,13 @@
 import type { InstanceRecord } from '@flamingocourse/core';
 import type { RouterContext, RouterSettings } from '@flamingocourse/router';
 import { setTimeout as delay } from 'node:timers/promises';
-import { Kernel, MemoryEventLog, NoMetrics, SystemClock } from '@flamingocourse/kernel';
+import {
+  BackgroundWork,
+  Kernel,
+  MemoryEventLog,
+  NoMetrics,
+  SystemClock,
+} from '@flamingocourse/kernel';
 import { MeshClient, MeshServer } from '@flamingocourse/mesh';
 import { MemoryObjectStore } from '@flamingocourse/store';
 import {
@@ -136,5 +142,6 @@
     clock: new SystemClock(),
     log: new MemoryEventLog(),
     metrics: new NoMetrics(),
+    background: new BackgroundWork(),
   };
 }
--- a/packages/lab/src/node/engineStandIn/batchScheduler.ts
+++ b/packages/lab/src/node/engineStandIn/batchScheduler.ts
@@ -1,6 +1,6 @@
 /** Continuous batching of the engine stand-in: each step writes one token per running request. */
 
-import { Channel, sleep, startProcess, take } from '@flamingocourse/kernel';
+import { Channel, sleep, startLoop, take } from '@flamingocourse/kernel';
 
 /** A request in the scheduler. */
 export interface Sequence {
@@ -42,7 +42,7 @@
   constructor(slots: number, times: StepTimes, onFailure: (err: unknown) => void) {
     this.#slots = slots;
     this.#times = times;
-    void startProcess(() => this.#run(), onFailure);
+    startLoop(() => this.#run(), onFailure);
   }
 
   get running(): number {
--- a/packages/lab/src/node/engineStandIn/engineStandIn.ts
+++ b/packages/lab/src/node/engineStandIn/engineStandIn.ts
@@ -9,6 +9,8 @@
   EngineStandInOptions,
 } from '../../types/engineStandIn.js';
 import type { ChatRequest } from './chatRequest.js';
+import { runInBackground } from '@flamingocourse/kernel';
+import { endOnFailure } from '../../utils/endOnFailure.js';
 import { countPromptTokens, planAnswer, splitWords } from '../../runtime/answerText.js';
 import { DelayedValues } from '../../runtime/delayedValues.js';
 import { PrefixCache } from '../../runtime/prefixCache.js';
@@ -117,7 +119,7 @@
     super.crash();
     if (this.#options.restartAfterMs === undefined) return;
     this.#restart = setTimeout(() => {
-      void this.start();
+      runInBackground(() => this.start(), endOnFailure);
     }, this.#options.restartAfterMs);
   }
 
--- a/packages/lab/src/node/httpStandIn.ts
+++ b/packages/lab/src/node/httpStandIn.ts
@@ -4,6 +4,7 @@
 import type { AddressInfo, Socket } from 'node:net';
 import type { HttpStandInOptions } from '../types/httpStandIn.js';
 import { createServer } from 'node:http';
+import { runInBackground } from '@flamingocourse/kernel';
 
 const MAX_BODY_BYTES = 4 * 1024 * 1024;
 
@@ -37,9 +38,12 @@
   /** Starts to listen; after a crash, on the same port as before. */
   async start(): Promise<void> {
     const server = createServer((req, res) => {
-      this.handle(req, res).catch((err: unknown) => {
-        failResponse(res, err);
-      });
+      runInBackground(
+        () => this.handle(req, res),
+        (err) => {
+          failResponse(res, err);
+        },
+      );
     });
     server.on('connection', (socket) => {
       this.#sockets.add(socket);
--- a/packages/lab/src/node/link/link.ts
+++ b/packages/lab/src/node/link/link.ts
@@ -2,6 +2,7 @@
 
 import type { AddressInfo, Server, Socket } from 'node:net';
 import { connect, createServer } from 'node:net';
+import { runInBackground } from '@flamingocourse/kernel';
 import { breakConnection } from './breakConnection.js';
 
 /** Effect of a cut on both ends of a connection; `none` means no cut. */
@@ -213,13 +214,14 @@
       const reopened = createServer(onConnection);
       server = reopened;
       // Another socket may hold the port for a moment.
-      listen(reopened, host, listener.port).catch(() => {
+      const retryLater = (): void => {
         if (server !== reopened) return;
         server = undefined;
         retry = setTimeout(() => {
           listener.open();
         }, relistenMs);
-      });
+      };
+      runInBackground(() => listen(reopened, host, listener.port), retryLater);
     },
     close: () => {
       clearTimeout(retry);
--- a/packages/lab/src/node/loadGenerator/runLoad.ts
+++ b/packages/lab/src/node/loadGenerator/runLoad.ts
@@ -2,6 +2,8 @@
 
 import type { AttemptOutcome, LoadOptions, LoadResult, PlannedRequest } from '../../types/load.js';
 import { setTimeout as delay } from 'node:timers/promises';
+import { runInBackground } from '@flamingocourse/kernel';
+import { endOnFailure } from '../../utils/endOnFailure.js';
 import { z } from 'zod';
 import { planLoad } from '../../runtime/loadPlan.js';
 import { LoadRecorder } from '../../runtime/loadRecorder.js';
@@ -53,7 +55,7 @@
     }
     const caller = runCaller(settings, request, recorder);
     inFlight.add(caller);
-    void caller.finally(() => inFlight.delete(caller));
+    runInBackground(() => caller.finally(() => inFlight.delete(caller)), endOnFailure);
   }
   await Promise.all(inFlight);
   clearInterval(progress);
--- a/packages/lab/src/node/platformStandIn/controlHandler.ts
+++ b/packages/lab/src/node/platformStandIn/controlHandler.ts
@@ -4,6 +4,8 @@
 import type { EntranceFaults } from './entranceFaults.js';
 import type { ControlHandler } from './entrance.js';
 import type { PlatformStandIn } from './platformStandIn.js';
+import { runInBackground } from '@flamingocourse/kernel';
+import { endOnFailure } from '../../utils/endOnFailure.js';
 import { z } from 'zod';
 import { faultCommandSchema } from './entranceFaults.js';
 import { readBody, sendFault, sendJson } from './httpReplies.js';
@@ -33,10 +35,16 @@
         sendJson(res, 200, JSON.stringify(standIn.state()));
         return true;
       case 'POST /control/faults':
-        void handleCommand(req, res, (body) => applyFaults(standIn, body));
+        runInBackground(
+          () => handleCommand(req, res, (body) => applyFaults(standIn, body)),
+          endOnFailure,
+        );
         return true;
       case 'POST /control/instances':
-        void handleCommand(req, res, (body) => applyInstances(standIn, body));
+        runInBackground(
+          () => handleCommand(req, res, (body) => applyInstances(standIn, body)),
+          endOnFailure,
+        );
         return true;
       default:
         return false;
--- a/packages/lab/src/node/platformStandIn/entrance.ts
+++ b/packages/lab/src/node/platformStandIn/entrance.ts
@@ -9,6 +9,7 @@
 import type { RateLimit } from './rateLimit.js';
 import { createServer } from 'node:http';
 import { setTimeout as delay } from 'node:timers/promises';
+import { runInBackground } from '@flamingocourse/kernel';
 import { createEntranceFaults, consumeLostReply } from './entranceFaults.js';
 import { objectJson, readBody, sendFault, sendJson, sendTableFault } from './httpReplies.js';
 import { parseObjectRequest } from './objectRequest.js';
@@ -56,7 +57,10 @@
     this.#watches = new WatchHub(shared.table, shared.bookmarkMs, () => this.#isSilent());
     this.server = createServer((req, res) => {
       if (control?.(req, res)) return;
-      this.#handle(req, res).catch(() => res.destroy());
+      runInBackground(
+        () => this.#handle(req, res),
+        () => res.destroy(),
+      );
     });
   }
 
--- a/packages/lab/src/node/platformStandIn/main.ts
+++ b/packages/lab/src/node/platformStandIn/main.ts
@@ -1,5 +1,7 @@
 /** Runs the platform stand-in in its own process. */
 
+import { runInBackground } from '@flamingocourse/kernel';
+import { endOnFailure } from '../../utils/endOnFailure.js';
 import { array, command, multioption, number, option, run, string } from 'cmd-ts';
 import { createPlatformStandIn } from './platformStandIn.js';
 
@@ -23,7 +25,7 @@
     const { urls, operatorsUrl } = standIn;
     process.stdout.write(`${JSON.stringify({ urls, operatorsUrl })}\n`);
     const stop = (): void => {
-      void standIn.close().then(() => process.exit(0));
+      runInBackground(() => standIn.close().then(() => process.exit(0)), endOnFailure);
     };
     process.once('SIGTERM', stop);
     process.once('SIGINT', stop);
--- a/packages/lab/src/node/prove/watchers.ts
+++ b/packages/lab/src/node/prove/watchers.ts
@@ -2,6 +2,8 @@
 
 import type { FleetRunner } from '../fleetRunner/index.js';
 import type { ProveDeployment } from './proveDeployment.js';
+import { runInBackground } from '@flamingocourse/kernel';
+import { endOnFailure } from '../../utils/endOnFailure.js';
 import { z } from 'zod';
 import { findMoneyFaults } from '../../runtime/prove/moneyAudit.js';
 import { readMoney } from './proveDeployment.js';
@@ -57,7 +59,8 @@
   };
   const timer = setInterval(() => {
     fleet.routers.forEach((router, index) => {
-      if (router.state === 'running') void sample(router.entryUrl, index);
+      if (router.state !== 'running') return;
+      runInBackground(() => sample(router.entryUrl, index), endOnFailure);
     });
   }, REVISION_SAMPLE_MS);
   watch.stop = () => {
--- a/packages/mesh/src/node/meshServer.ts
+++ b/packages/mesh/src/node/meshServer.ts
@@ -2,7 +2,7 @@
 
 import type { IncomingMessage, RequestListener, Server, ServerResponse } from 'node:http';
 import type { AddressInfo } from 'node:net';
-import type { ClientConnectionsOptions } from '@flamingocourse/kernel';
+import type { ClientConnectionsOptions, Kernel } from '@flamingocourse/kernel';
 import type { MeshCallContext } from '../runtime/meshRouter.js';
 import type { DirectProcedure, MeshHandler, ProcedureName } from '../types/procedures.js';
 import type { TunnelHandler } from '../types/tunnels.js';
@@ -17,6 +17,7 @@
   answerUnservable,
   boundedServerOptions,
   readRequestBody,
+  runInBackground,
 } from '@flamingocourse/kernel';
 import { TRPC_ERROR_CODES_BY_KEY } from '@trpc/server/rpc';
 import { createHTTPHandler } from '@trpc/server/adapters/standalone';
@@ -139,11 +140,14 @@
     this.#isSelf = isSelf;
   }
 
-  override async start(): Promise<void> {
+  override async start(kernel: Kernel): Promise<void> {
+    const onFailure = (err: unknown): void => {
+      kernel.reportFailure(err, this.name);
+    };
     const handler = this.#createHandler();
     const server = createServer(boundedServerOptions(this.#limited.limits()), (req, res) => {
       if (answerUnservable(req, res, clients)) req.resume();
-      else this.#admit(req, res, handler);
+      else this.#admit(req, res, handler, onFailure);
     });
     const clients = new ClientConnections(server, this.#limited);
     this.#clients = clients;
@@ -213,7 +217,12 @@
     };
   }
 
-  #admit(req: IncomingMessage, res: ServerResponse, handler: RequestListener): void {
+  #admit(
+    req: IncomingMessage,
+    res: ServerResponse,
+    handler: RequestListener,
+    onFailure: (err: unknown) => void,
+  ): void {
     if (req.method === 'GET') {
       req.resume();
       this.#sendStatus(res);
@@ -230,7 +239,13 @@
     res.once('close', () => {
       this.#running -= 1;
     });
-    void this.#readAndAnswer(req, res, handler);
+    runInBackground(
+      () => this.#readAndAnswer(req, res, handler),
+      (err) => {
+        onFailure(err);
+        res.destroy();
+      },
+    );
   }
 
   /** Reads the body here, because tRPC would hold each chunk of it, and the bodies of all calls. */
--- a/packages/router/src/node/backends/backendService.ts
+++ b/packages/router/src/node/backends/backendService.ts
@@ -6,7 +6,7 @@
 import type { DrainSource, InstanceSource, QuarantineExchange } from '../../types/backendPorts.js';
 import type { RouterContext } from '../../types/routerContext.js';
 import { AdmissionQueue, createServerChooser, ServerPool } from '@flamingocourse/core';
-import { awaitPromise, sleep, startProcess } from '@flamingocourse/kernel';
+import { awaitPromise, sleep, startLoop } from '@flamingocourse/kernel';
 import { Result } from 'true-myth';
 import { Backends } from '../../types/backends.js';
 import { Configuration } from '../../types/configuration.js';
@@ -71,9 +71,9 @@
       kernel.reportFailure(err, this.name);
     };
     const { loadPollMs } = this.#options.context.settings.routing;
-    void startProcess(() => this.#repeat(loadPollMs, () => this.#refreshLists()), onFailure);
-    void startProcess(() => this.#repeat(loadPollMs, () => this.#refreshLoads()), onFailure);
-    void startProcess(() => this.#repeat(PUMP_INTERVAL_MS, () => this.#pumpAll()), onFailure);
+    startLoop(() => this.#repeat(loadPollMs, () => this.#refreshLists()), onFailure);
+    startLoop(() => this.#repeat(loadPollMs, () => this.#refreshLoads()), onFailure);
+    startLoop(() => this.#repeat(PUMP_INTERVAL_MS, () => this.#pumpAll()), onFailure);
   }
 
   override stop(): void {
@@ -140,6 +140,7 @@
       quarantine: this.#register,
       clock,
       random: this.#options.random,
+      background: this.#options.context.background,
     });
     before?.lane.clear();
     this.#lanes.set(declaration.name, { declaration, lane });
--- a/packages/router/src/node/backends/drainRelay.ts
+++ b/packages/router/src/node/backends/drainRelay.ts
@@ -10,7 +10,7 @@
 import type { Kernel, Steps } from '@flamingocourse/kernel';
 import type { Collection, ObjectStore } from '@flamingocourse/store';
 import type { MeshHints } from '../meshHints.js';
-import { awaitPromise, Channel, Service, startProcess, takeWithin } from '@flamingocourse/kernel';
+import { awaitPromise, Channel, Service, startLoop, takeWithin } from '@flamingocourse/kernel';
 import { z } from 'zod';
 import { Fleet } from '../../types/fleet.js';
 
@@ -49,7 +49,7 @@
       if (drains.success) this.#apply(drains.data);
     });
     await this.#read();
-    void startProcess(
+    startLoop(
       () => this.#run(),
       (err) => {
         kernel.reportFailure(err, this.name);
--- a/packages/router/src/node/backends/laneCrashes.ts
+++ b/packages/router/src/node/backends/laneCrashes.ts
@@ -1,5 +1,6 @@
 /** Recognises requests in flight that may have crashed a server of a lane. */
 
+import type { BackgroundWork } from '@flamingocourse/kernel';
 import type { BackendServer, Fingerprint, ServerId } from '@flamingocourse/core';
 import type { PlacementOutcome } from '../../types/backends.js';
 import type { CrashCheck } from '../../types/crashCheck.js';
@@ -12,6 +13,7 @@
   readonly #quarantine: QuarantineRegister;
   readonly #crashCheck: CrashCheck | undefined;
   readonly #onCrash: (server: ServerId) => void;
+  readonly #background: BackgroundWork;
 
   /**
    * @param crashCheck checks servers that break connections; without it, these are only failures.
@@ -21,10 +23,12 @@
     quarantine: QuarantineRegister,
     crashCheck: CrashCheck | undefined,
     onCrash: (server: ServerId) => void,
+    background: BackgroundWork,
   ) {
     this.#quarantine = quarantine;
     this.#crashCheck = crashCheck;
     this.#onCrash = onCrash;
+    this.#background = background;
   }
 
   /** Records that an attempt was sent; only from then on can it be the cause of a crash. */
@@ -44,7 +48,7 @@
     if (!isFirstReport) return;
     if (how === 'crashed') this.#recordCrash(server, causes);
     if (how === 'broken' && this.#inFlight.recordBrokenRequest(server.id, causes)) {
-      void this.#checkForCrash(server);
+      this.#background.run('backends', () => this.#checkForCrash(server));
     }
   }
 
--- a/packages/router/src/node/backends/laneOptions.ts
+++ b/packages/router/src/node/backends/laneOptions.ts
@@ -6,7 +6,7 @@
   ServerChooser,
   ServerPool,
 } from '@flamingocourse/core';
-import type { Clock } from '@flamingocourse/kernel';
+import type { BackgroundWork, Clock } from '@flamingocourse/kernel';
 import type { CrashCheck } from '../../types/crashCheck.js';
 import type { WeighedPrompts } from './lanePrompts.js';
 import type { AdmissionPorts } from './laneAdmission.js';
@@ -20,6 +20,8 @@
   quarantine: QuarantineRegister;
   clock: Clock;
   random: () => number;
+  /** Starts the checks of servers that break connections. */
+  background: BackgroundWork;
   /** Checks servers that break connections; without it, a broken connection is only a failure. */
   crashCheck?: CrashCheck;
   /** @default 'near-first' */
--- a/packages/router/src/node/backends/plainAttempt.ts
+++ b/packages/router/src/node/backends/plainAttempt.ts
@@ -3,7 +3,7 @@
 import type { IncomingMessage } from 'node:http';
 import { Agent, request as httpRequest } from 'node:http';
 import { connect } from 'node:net';
-import { hasLostPeer, staysOpen } from '@flamingocourse/kernel';
+import { describeError, hasLostPeer, runInBackground, staysOpen } from '@flamingocourse/kernel';
 
 /** Largest answer of a plain service that is forwarded, in bytes. */
 const MAX_ANSWER_BYTES = 4 * 1_048_576;
@@ -32,6 +32,8 @@
   signal: AbortSignal;
 }
 
+/** Why an answer whose end is not proven does not count. */
+const INCOMPLETE = 'the connection broke before the answer was complete';
 const agent = new Agent({ keepAlive: true, maxSockets: 512, scheduling: 'lifo' });
 
 /**
@@ -99,11 +101,15 @@
     else parts.push(part);
   });
   res.on('close', () => {
-    void isProvenWhole().then((isWhole) => {
-      if (isWhole) settle(outcomeOf(res, Buffer.concat(parts)));
-      else
-        settle({ type: 'crashed', detail: 'the connection broke before the answer was complete' });
-    });
+    runInBackground(
+      async () => {
+        if (await isProvenWhole()) settle(outcomeOf(res, Buffer.concat(parts)));
+        else settle({ type: 'crashed', detail: INCOMPLETE });
+      },
+      (err) => {
+        settle({ type: 'crashed', detail: describeError(err) });
+      },
+    );
   });
 }
 
--- a/packages/router/src/node/backends/serviceLane.ts
+++ b/packages/router/src/node/backends/serviceLane.ts
@@ -9,6 +9,7 @@
   QueueEntry,
   Refusal,
   RetryBudget,
+  ServerId,
   ServerPool,
   ShedEntry,
 } from '@flamingocourse/core';
@@ -68,9 +69,11 @@
   constructor(options: ServiceLaneOptions) {
     this.#options = options;
     this.#prompts = new LanePrompts(options.pool, options.prompts);
-    this.#crashes = new LaneCrashes(options.quarantine, options.crashCheck, (server) => {
+    const onCrash = (server: ServerId): void => {
       this.#prompts.dropServer(server);
-    });
+    };
+    const { background, crashCheck, quarantine } = options;
+    this.#crashes = new LaneCrashes(quarantine, crashCheck, onCrash, background);
     this.#admission = new LaneAdmission(options.pool, options.admission ?? neverOn);
   }
 
--- a/packages/router/src/node/createRouter.ts
+++ b/packages/router/src/node/createRouter.ts
@@ -3,7 +3,13 @@
 import type { Clock, EventLog, Metrics } from '@flamingocourse/kernel';
 import type { RouterContext } from '../types/routerContext.js';
 import type { RouterSettings } from '../types/routerSettings.js';
-import { describeError, Kernel, NoMetrics, StatsdMetrics } from '@flamingocourse/kernel';
+import {
+  BackgroundWork,
+  describeError,
+  Kernel,
+  NoMetrics,
+  StatsdMetrics,
+} from '@flamingocourse/kernel';
 import { MeshClient, MeshServer } from '@flamingocourse/mesh';
 import { HttpObjectStore } from '@flamingocourse/store';
 import { HmacTicketCodec } from '../utils/hmacTicketCodec.js';
@@ -45,8 +51,11 @@
 export function createRouter(options: RouterOptions): Router {
   const { settings, clock, log } = options;
   const metrics = createMetrics(settings);
-  const context: RouterContext = { settings, clock, log, metrics };
   const kernel = new Kernel();
+  const background = new BackgroundWork((err, owner) => {
+    kernel.reportFailure(err, owner);
+  });
+  const context: RouterContext = { settings, clock, log, metrics, background };
   const store = new HttpObjectStore({
     url: settings.platform.url,
     timeoutMs: settings.platform.timeoutMs,
@@ -59,7 +68,7 @@
   const fleet = (): Fleet => kernel.get('fleet', Fleet);
 
   const mesh = new MeshServer({ ...settings.mesh, secret: settings.fleetSecret });
-  const hints = new MeshHints(client, fleet);
+  const hints = new MeshHints(client, fleet, background);
   const drains = new DrainRelay(store, hints);
   const entry = new EntryServer(context);
   const requests = new RequestRunner(context, new HmacTicketCodec(settings.fleetSecret));
--- a/packages/router/src/node/entry/entryServer.ts
+++ b/packages/router/src/node/entry/entryServer.ts
@@ -6,7 +6,7 @@
 import type { RouterContext } from '../../types/routerContext.js';
 import type { CallerRequest } from './callerRequest.js';
 import type { Handling } from './requestRunner.js';
-import { Service } from '@flamingocourse/kernel';
+import { Service, runInBackground } from '@flamingocourse/kernel';
 import { createServer } from 'node:http';
 import { Configuration } from '../../types/configuration.js';
 import { Fleet } from '../../types/fleet.js';
@@ -60,10 +60,13 @@
       },
       (req, res) => {
         this.#track(res);
-        this.#serve(req, res).catch((err: unknown) => {
-          this.#kernel.reportFailure(err, this.name);
-          res.destroy();
-        });
+        runInBackground(
+          () => this.#serve(req, res),
+          (err) => {
+            this.#kernel.reportFailure(err, this.name);
+            res.destroy();
+          },
+        );
       },
     );
     server.maxConnections = entry.maxConnections;
--- a/packages/router/src/node/entry/executor.ts
+++ b/packages/router/src/node/entry/executor.ts
@@ -18,6 +18,7 @@
 import type { AnswerEnd } from './liveAnswer.js';
 import type { UnusedTickets } from './unusedTickets.js';
 import type { Work, WorkContext, WorkEnd } from './work.js';
+import { runInBackground } from '@flamingocourse/kernel';
 import { notRun } from '../../utils/problem.js';
 import { ChatWork } from './chatWork.js';
 import { confirmAtIssuer } from './forward.js';
@@ -86,7 +87,8 @@
       ...(keyDigest === undefined ? {} : { keyDigest }),
     };
     this.#options.table.add(execution);
-    void this.#execute(request, execution, billedAs);
+    const { onFailure } = this.#options;
+    runInBackground(() => this.#execute(request, execution, billedAs), onFailure);
     return execution;
   }
 
@@ -156,7 +158,8 @@
       return this.#settle(request, execution, reservation, end, await claim);
     }
     this.#options.money.release(reservation);
-    void this.#releaseClaim(request, execution, claim);
+    const { onFailure } = this.#options;
+    runInBackground(() => this.#releaseClaim(request, execution, claim), onFailure);
     return this.#unbilledEnd(request, execution, end);
   }
 
--- a/packages/router/src/node/fleet/configurationService.ts
+++ b/packages/router/src/node/fleet/configurationService.ts
@@ -174,9 +174,9 @@
   *#run(): Steps<void> {
     while (!this.#stopped.closed) {
       this.#updateRelay();
-      void this.#pullFromPeers();
+      this.#context.background.run(this.name, () => this.#pullFromPeers());
       if (this.revision === 0 && this.#now() - this.#listedAt > emptyRetryMs) {
-        void this.#readPlatform();
+        this.#context.background.run(this.name, () => this.#readPlatform());
       }
       yield* takeWithin(this.#stopped, checkIntervalMs);
     }
--- a/packages/router/src/node/fleet/fleetService.ts
+++ b/packages/router/src/node/fleet/fleetService.ts
@@ -158,8 +158,11 @@
 
   #beat(isWanted: (meshUrl: string) => boolean): void {
     this.#table.tick(this.#now());
-    void this.#sendHeartbeats((url) => isWanted(url) && !this.#inFlight.has(url));
-    if (this.#mayReadInstances()) void this.#readInstances();
+    const { background } = this.#context;
+    background.run(this.name, () => {
+      return this.#sendHeartbeats((url) => isWanted(url) && !this.#inFlight.has(url));
+    });
+    if (this.#mayReadInstances()) background.run(this.name, () => this.#readInstances());
     this.#reportChanges();
   }
 
--- a/packages/router/src/node/main.ts
+++ b/packages/router/src/node/main.ts
@@ -1,13 +1,18 @@
 /** Entry point of the `flamingocourse-router` command. */
 
 import type { RouterSettings } from '../types/routerSettings.js';
-import { describeError, SystemClock, WinstonEventLog } from '@flamingocourse/kernel';
+import {
+  describeError,
+  runInBackground,
+  SystemClock,
+  WinstonEventLog,
+} from '@flamingocourse/kernel';
 import { command, flag, positional, run, string } from 'cmd-ts';
 import { createRouter } from './createRouter.js';
 import { printSettings, resolveConfig } from './resolveConfig.js';
 
 /** Exit codes of the daemon. */
-const exitCodes = { ok: 0, settings: 1, start: 3 } as const;
+const exitCodes = { ok: 0, settings: 1, start: 3, stop: 4 } as const;
 
 const app = command({
   name: 'flamingocourse-router',
@@ -47,8 +52,14 @@
   const stop = (): void => {
     if (stopping) return;
     stopping = true;
-    void router.stop().then(() => {
+    const end = async (): Promise<void> => {
+      await router.stop();
       process.exit(exitCodes.ok);
+    };
+    // a stop that fails must not leave a process that serves nobody.
+    runInBackground(end, (err) => {
+      log.write('service-failed', { error: describeError(err) });
+      process.exit(exitCodes.stop);
     });
   };
   process.on('SIGTERM', stop);
--- a/packages/router/src/node/meshHints.ts
+++ b/packages/router/src/node/meshHints.ts
@@ -5,6 +5,7 @@
 
 import type { MeshClient, MeshServer } from '@flamingocourse/mesh';
 import type { Fleet } from '../types/fleet.js';
+import type { BackgroundWork } from '@flamingocourse/kernel';
 import { parseJsonText } from '@flamingocourse/kernel';
 import { Result } from 'true-myth';
 
@@ -12,12 +13,14 @@
 export class MeshHints {
   readonly #client: MeshClient;
   readonly #fleet: () => Fleet;
+  readonly #background: BackgroundWork;
   readonly #listeners = new Map<string, ((value: unknown) => void)[]>();
 
   /** @param fleet called on each use, because the fleet service starts after this constructor. */
-  constructor(client: MeshClient, fleet: () => Fleet) {
+  constructor(client: MeshClient, fleet: () => Fleet, background: BackgroundWork) {
     this.#client = client;
     this.#fleet = fleet;
+    this.#background = background;
   }
 
   /** Sends a value to all live peers of the own data centre without waiting for answers. */
@@ -26,7 +29,9 @@
     for (const { info } of this.#fleet().localPeers()) {
       const { meshUrl, incarnation } = info;
       // No retry: the next hint carries the complete state again.
-      void this.#client.call({ meshUrl, incarnation }, 'shareHints', { hints });
+      this.#background.run('hints', () => {
+        return this.#client.call({ meshUrl, incarnation }, 'shareHints', { hints });
+      });
     }
   }
 
--- a/packages/router/src/node/money/claimStore.ts
+++ b/packages/router/src/node/money/claimStore.ts
@@ -4,6 +4,7 @@
 import type { Clock, EventLog } from '@flamingocourse/kernel';
 import type { ClaimAnswer } from '../../types/money.js';
 import type { ObjectStore } from '../../types/moneyPorts.js';
+import { runInBackground } from '@flamingocourse/kernel';
 import {
   claim,
   createClaimPage,
@@ -77,7 +78,7 @@
     this.#unreleased.set(name, { keyDigest, bodyDigest, ticket });
     const [oldest] = this.#unreleased.keys();
     if (this.#unreleased.size > MAX_UNRELEASED && oldest !== undefined) this.#dropRelease(oldest);
-    void this.#writeRelease(name);
+    runInBackground(() => this.#writeRelease(name), this.#options.onFailure);
   }
 
   /** Retries the releases that are not written yet. */
--- a/packages/router/src/node/money/holderSession.ts
+++ b/packages/router/src/node/money/holderSession.ts
@@ -12,6 +12,7 @@
 } from '@flamingocourse/core';
 import type { WitnessStore } from './witnessStore.js';
 import type { AppendFault, JournalWriter, LineTransport } from './lineTransport.js';
+import { runInBackground } from '@flamingocourse/kernel';
 import { Spender, pool, registerHolder } from '@flamingocourse/core';
 import { Result } from 'true-myth';
 import { delay, withTimeout } from './timing.js';
@@ -127,7 +128,7 @@
     const isSame =
       wanted.length === this.spender.witnesses.length &&
       wanted.every((one) => this.spender.witnesses.includes(one));
-    if (!isSame) void this.log.record([{ type: 'witnesses', witnesses: wanted }]);
+    if (!isSame) this.#recordLater({ type: 'witnesses', witnesses: wanted });
   }
 
   /** Refills the slice of an account when it is low and returns the excess when it is too large. */
@@ -136,8 +137,10 @@
     const target = this.#sliceTarget(account, journal, policy, now, 0);
     const free = this.spender.free(account);
     if (free < target * REFILL_BELOW_FRACTION) this.#takeFromPool(account, target - free, journal);
-    if (free > target * RETURN_ABOVE_FACTOR && target > 0)
-      void this.returnToPool(account, free - target);
+    if (free > target * RETURN_ABOVE_FACTOR && target > 0) {
+      const { onFailure } = this.#options;
+      runInBackground(() => this.returnToPool(account, free - target), onFailure);
+    }
   }
 
   /**
@@ -192,7 +195,12 @@
 
   #takeFromPool(account: string, amount: Tokens, journal: JournalState): void {
     if (amount <= 0 || pool(journal, account) <= 0) return;
-    void this.log.record([{ type: 'take', account, amount }]);
+    this.#recordLater({ type: 'take', account, amount });
+  }
+
+  /** Records a change without waiting until it is kept. */
+  #recordLater(change: JournalChange): void {
+    runInBackground(() => this.log.record([change]), this.#options.onFailure);
   }
 
   #isTaking(account: string): boolean {
--- a/packages/router/src/node/money/lineLog.ts
+++ b/packages/router/src/node/money/lineLog.ts
@@ -8,7 +8,7 @@
 import type { AppendAnswer } from '../../types/moneyPorts.js';
 import type { JournalChange, Spender } from '@flamingocourse/core';
 import type { Steps } from '@flamingocourse/kernel';
-import { Channel, awaitPromise, sleep, startProcess, take } from '@flamingocourse/kernel';
+import { Channel, awaitPromise, sleep, startLoop, take } from '@flamingocourse/kernel';
 import { Result } from 'true-myth';
 
 /** Maximum number of lines in one append. Further lines wait for the next append. */
@@ -50,8 +50,8 @@
 
   constructor(options: LineLogOptions) {
     this.#options = options;
-    void startProcess(() => this.#appendLoop(), options.onFailure);
-    void startProcess(() => this.#witnessLoop(), options.onFailure);
+    startLoop(() => this.#appendLoop(), options.onFailure);
+    startLoop(() => this.#witnessLoop(), options.onFailure);
   }
 
   /** Whether the holder is sealed, so that no more lines are accepted. */
--- a/packages/router/src/node/money/moneyParts.ts
+++ b/packages/router/src/node/money/moneyParts.ts
@@ -14,6 +14,7 @@
 import type { RouterContext } from '../../types/routerContext.js';
 import type { JournalWriter } from './lineTransport.js';
 import type { VersionedState } from './groupWriter.js';
+import { runInBackground } from '@flamingocourse/kernel';
 import { checkInvariant, createJournal, createSlicePolicy, pool } from '@flamingocourse/core';
 import { ClaimStore } from './claimStore.js';
 import { GroupWriter } from './groupWriter.js';
@@ -130,9 +131,9 @@
   return (account, amount) => {
     if (running.has(account)) return;
     running.add(account);
-    void fetch(account, amount)
-      .catch(options.onFailure)
-      .finally(() => running.delete(account));
+    runInBackground(() => {
+      return fetch(account, amount).finally(() => running.delete(account));
+    }, options.onFailure);
   };
 }
 
--- a/packages/router/src/node/money/moneyService.ts
+++ b/packages/router/src/node/money/moneyService.ts
@@ -215,7 +215,9 @@
   override recordNotRun(ticket: TicketId): void {
     const session = this.#session;
     if (!session?.open || ticket.issuer !== session.spender.holder) return;
-    void session.log.record([{ type: 'not-run', ticket: ticket.number }]);
+    this.#options.context.background.run(this.name, () => {
+      return session.log.record([{ type: 'not-run', ticket: ticket.number }]);
+    });
   }
 
   override async claim(
--- a/packages/store/src/node/httpObjectStore.ts
+++ b/packages/store/src/node/httpObjectStore.ts
@@ -25,7 +25,7 @@
 } from '../runtime/storeDialect.js';
 import { Agent } from 'node:http';
 import { isDeepStrictEqual } from 'node:util';
-import { BodyBuffers, exchange, SystemClock } from '@flamingocourse/kernel';
+import { BodyBuffers, exchange, runInBackground, SystemClock } from '@flamingocourse/kernel';
 import { Result } from 'true-myth';
 import {
   admitCall,
@@ -107,15 +107,19 @@
   readonly #buffers = new BodyBuffers(maxTotalBytes, maxAnswerBytes);
   readonly #probe: RecoveryProbe;
   readonly #watches = new Set<ObjectWatch<unknown>>();
+  readonly #onFailure: (err: unknown) => void;
   #circuit = createCircuit();
 
   constructor(options: HttpObjectStoreOptions) {
     super();
     this.#options = options;
+    this.#onFailure = options.onFailure ?? (() => undefined);
     this.#clock = options.clock ?? new SystemClock();
     this.#dialect = options.dialect ?? new ObjectApiDialect();
     this.#probe = new RecoveryProbe({
-      send: () => void this.#sendProbe(),
+      send: () => {
+        runInBackground(() => this.#sendProbe(), this.#onFailure);
+      },
       random: options.random ?? Math.random,
     });
   }
@@ -219,7 +223,7 @@
         this.countFailed('watch');
         if (OUTAGE_REASONS.has(end)) this.#startProbing();
       },
-      onFailure: this.#options.onFailure ?? (() => undefined),
+      onFailure: this.#onFailure,
     });
     const known = watch as ObjectWatch<unknown>;
     this.#watches.add(known);
--- a/packages/store/src/node/objectWatch.ts
+++ b/packages/store/src/node/objectWatch.ts
@@ -9,7 +9,7 @@
 import type { PlatformResult } from '../runtime/objectStore.js';
 import type { Collection, ObjectList, WatchOptions } from '../types/objects.js';
 import type { StoreDialect, WatchEndReason, WireChange } from '../runtime/storeDialect.js';
-import { awaitPromise, Channel, startProcess, takeWithin } from '@flamingocourse/kernel';
+import { awaitPromise, Channel, startLoop, takeWithin } from '@flamingocourse/kernel';
 import { backOffMs } from '../runtime/backOff.js';
 import { latestChanges } from '../runtime/latestChanges.js';
 import { checkObject } from './wireFormat.js';
@@ -65,7 +65,7 @@
   ) {
     this.#version = options.from;
     this.#needsList = options.from === undefined;
-    void startProcess(() => this.#run(), ports.onFailure);
+    startLoop(() => this.#run(), ports.onFailure);
   }
 
   stop(): void {
--- a/test/gateway/directoryWorld.ts
+++ b/test/gateway/directoryWorld.ts
@@ -27,6 +27,8 @@
 /** Health check of servers that are live until the time at which they leave. */
 class ScriptedHealthCheck extends HealthCheck {
   readonly leavesAt = new Map<ServerId, number>();
+  /** What each health check throws. */
+  fault: Error | undefined;
   readonly #clock: Clock;
 
   constructor(clock: Clock) {
@@ -35,6 +37,7 @@
   }
 
   override probe(id: ServerId): Promise<ProbeResult> {
+    if (this.fault) return Promise.reject(this.fault);
     const leaves = this.#clock.now() >= (this.leavesAt.get(id) ?? Infinity);
     return Promise.resolve(leaves ? 'leaving' : 'staying');
   }
@@ -95,6 +98,11 @@
     this.#healthCheck.leavesAt.set(id, at);
   }
 
+  /** Makes each health check throw. */
+  breakChecks(fault: Error): void {
+    this.#healthCheck.fault = fault;
+  }
+
   /** Makes the store report the full list. */
   list(ids: readonly string[]): void {
     const items = ids.map((name) => ({ name, version: '1', value: entry }));
--- a/test/gateway/serverDirectory.test.ts
+++ b/test/gateway/serverDirectory.test.ts
@@ -89,3 +89,17 @@
   assert.deepEqual(heard, ['p1,p2,p3', 'p1,p2,p3,p4']);
   assert.deepEqual(world.failures.map(String), Array(2).fill('TypeError: Invalid URL'));
 });
+
+// Guards against a health check that ends the process: nothing handled its rejection.
+test('a health check that throws is logged, and the server is kept as before', async (t) => {
+  const world = DirectoryWorld.start(t, ['p1', 'p2']);
+  world.breakChecks(new TypeError('invalid character in header'));
+  world.lose();
+  await world.runTo(2_400);
+  world.list(['p2']);
+  await world.runTo(3_000);
+  assert.deepEqual(world.used, ['p1', 'p2']);
+  const failed = world.log.events.filter(({ event }) => event === 'service-failed');
+  assert.ok(failed.length > 0);
+  assert.ok(failed.every(({ fields }) => fields.service === 'directory'));
+});
--- a/test/gateway/storeTokens.test.ts
+++ b/test/gateway/storeTokens.test.ts
@@ -58,6 +58,34 @@
   }
 }
 
+/** A store whose calls throw, as a bug in the code that reads a page does. */
+class ThrowingStore extends MemoryObjectStore {
+  isBroken = false;
+
+  override get<T>(collection: Collection<T>, name: string): PlatformResult<VersionedObject<T>> {
+    if (this.isBroken) throw new TypeError('not a page');
+    return super.get(collection, name);
+  }
+}
+
+// Guards against a report that ends the process, and against an error for each request that waits for tokens.
+test('a report that throws is logged, and a later one gets tokens', async () => {
+  const store = new ThrowingStore();
+  const log = new MemoryEventLog();
+  const { tokens } = createLender(store, { log });
+  writeBudgets(store);
+  store.isBroken = true;
+  tokens.hold();
+  await tokens.fetch('shop', 1_000, new AbortController().signal);
+  assert.equal(tokens.free('shop'), 0);
+  const failed = log.events.filter(({ event }) => event === 'service-failed');
+  assert.equal(failed[0]?.fields.service, 'prepaid');
+  store.isBroken = false;
+  await tokens.fetch('shop', 1_000, new AbortController().signal);
+  assert.ok(tokens.free('shop') >= 1_000);
+  await tokens.stop();
+});
+
 // Guards against two instances that each wait for the other one to write their reports.
 test('an instance that asks another one to write writes for nobody meanwhile', async () => {
   const store = new ContestedStore();
@@ -113,13 +141,14 @@
   clock?: ManualClock;
   reportMs?: number;
   forward?: ForwardReport | undefined;
+  log?: MemoryEventLog;
 }
 
 function createLender(
   store: MemoryObjectStore,
-  { clock = new ManualClock(), reportMs, forward }: LenderOptions,
+  { clock = new ManualClock(), reportMs, forward, log = new MemoryEventLog() }: LenderOptions,
 ): { tokens: StoreTokens; book: LoanBook } {
-  const base = testContext(clock, new MemoryEventLog(), store);
+  const base = testContext(clock, log, store);
   const { prepaid } = base.settings;
   const settings = {
     ...base.settings,
--- a/test/gateway/testContext.ts
+++ b/test/gateway/testContext.ts
@@ -12,7 +12,7 @@
 } from '@flamingocourse/core';
 import { AdaptiveLoad, AnswerMemory, parseGatewaySettings } from '@flamingocourse/gateway';
 import { createPlatformDialects } from '@flamingocourse/platform-adapter';
-import { BodyBuffers } from '@flamingocourse/kernel';
+import { BackgroundWork, BodyBuffers, describeError } from '@flamingocourse/kernel';
 import { GatewayMetrics } from '../../packages/gateway/src/node/gatewayMetrics.js';
 
 /** Returns a context with default settings and without network. */
@@ -41,6 +41,9 @@
     adaptiveLoad: new AdaptiveLoad(() => false),
     clientBytes,
     answers: new AnswerMemory(clientBytes),
+    background: new BackgroundWork((err, service) => {
+      log.write('service-failed', { service, error: describeError(err) });
+    }),
     rules: new SendRules(new ServerNotices(new ServerRateLimits(() => 0.5), () => 0.5)),
     random: () => 0.5,
   };
--- a/test/mesh/fixtures.ts
+++ b/test/mesh/fixtures.ts
@@ -9,7 +9,13 @@
 import type { RouterContext, RouterSettings } from '@flamingocourse/router';
 import type { Link } from '../../packages/lab/src/node/link/index.js';
 import { setTimeout as delay } from 'node:timers/promises';
-import { Kernel, MemoryEventLog, NoMetrics, SystemClock } from '@flamingocourse/kernel';
+import {
+  BackgroundWork,
+  Kernel,
+  MemoryEventLog,
+  NoMetrics,
+  SystemClock,
+} from '@flamingocourse/kernel';
 import { MeshClient, MeshError, MeshServer } from '@flamingocourse/mesh';
 import { Result } from 'true-myth';
 import { z } from 'zod';
@@ -146,5 +152,11 @@
     // the port is not used: the listener was created with port 0.
     mesh: { ...times, host: '127.0.0.1', port: 1, publicUrl, seeds },
   } as unknown as RouterSettings;
-  return { settings, clock: new SystemClock(), log, metrics: new NoMetrics() };
+  return {
+    settings,
+    clock: new SystemClock(),
+    log,
+    metrics: new NoMetrics(),
+    background: new BackgroundWork(),
+  };
 }
--- a/test/routing/brokenConnections.test.ts
+++ b/test/routing/brokenConnections.test.ts
@@ -10,7 +10,7 @@
   ServerPool,
   ServerRateLimits,
 } from '@flamingocourse/core';
-import { ManualClock, MemoryEventLog } from '@flamingocourse/kernel';
+import { BackgroundWork, ManualClock, MemoryEventLog } from '@flamingocourse/kernel';
 import { CrashCheck, QuarantineRegister, ServiceLane } from '@flamingocourse/router';
 
 const server: BackendServer = {
@@ -63,6 +63,7 @@
       quarantine: this.register,
       crashCheck: this.check,
       clock: this.clock,
+      background: new BackgroundWork(),
       random: () => 0.5,
       runsSuspectsAlone: false,
     });
--- a/test/routing/promptLane.test.ts
+++ b/test/routing/promptLane.test.ts
@@ -12,7 +12,7 @@
   ServerPool,
   SwitchedChooser,
 } from '@flamingocourse/core';
-import { ManualClock, MemoryEventLog } from '@flamingocourse/kernel';
+import { BackgroundWork, ManualClock, MemoryEventLog } from '@flamingocourse/kernel';
 import { QuarantineRegister, ServiceLane } from '@flamingocourse/router';
 import { placementFields } from '@flamingocourse/gateway';
 import { createRandom } from './fixtures/seededRandom.js';
@@ -51,6 +51,7 @@
         onUpdate: () => undefined,
       }),
       clock: this.clock,
+      background: new BackgroundWork(),
       random: createRandom(1),
       scope: 'everywhere',
     });
--- a/test/routing/rateLimitedLane.test.ts
+++ b/test/routing/rateLimitedLane.test.ts
@@ -10,7 +10,7 @@
   ServerPool,
   ServerRateLimits,
 } from '@flamingocourse/core';
-import { ManualClock, MemoryEventLog } from '@flamingocourse/kernel';
+import { BackgroundWork, ManualClock, MemoryEventLog } from '@flamingocourse/kernel';
 import { QuarantineRegister, ServiceLane } from '@flamingocourse/router';
 
 const SLOTS = 10;
@@ -47,6 +47,7 @@
         onUpdate: () => undefined,
       }),
       clock: this.clock,
+      background: new BackgroundWork(),
       random: () => 0.5,
     });
   }
--- a/test/routing/stalledLane.test.ts
+++ b/test/routing/stalledLane.test.ts
@@ -3,7 +3,7 @@
 import assert from 'node:assert/strict';
 import { describe, test } from 'node:test';
 import { AdmissionQueue, createServerChooser, ServerPool } from '@flamingocourse/core';
-import { ManualClock, MemoryEventLog } from '@flamingocourse/kernel';
+import { BackgroundWork, ManualClock, MemoryEventLog } from '@flamingocourse/kernel';
 import { QuarantineRegister, ServiceLane } from '@flamingocourse/router';
 
 const SLOTS = 100;
@@ -46,6 +46,7 @@
         onUpdate: () => undefined,
       }),
       clock: this.#clock,
+      background: new BackgroundWork(),
       random: () => 0.5,
     });
   }
