--- a/eslint.config.mjs
+++ b/eslint.config.mjs
@@ -2,6 +2,7 @@
 import js from '@eslint/js';
 import prettier from 'eslint-config-prettier';
 import tseslint from 'typescript-eslint';
+import { noNameIndex } from './scripts/lintRules/noNameIndex.mjs';
 
 /** Packages that each package may import; any other import is a layering error. */
 const allowedImports = {
@@ -31,6 +32,10 @@
           selector: 'ExpressionStatement > UnaryExpression[operator=void]',
           message: 'start background work by `runInBackground` or `BackgroundWork`.',
         },
+        {
+          selector: "CallExpression[callee.object.name='z'][callee.property.name='record']",
+          message: 'use `tableSchema`: `z.record` drops an entry that is named `__proto__`.',
+        },
       ],
     },
   },
@@ -50,6 +55,19 @@
   },
 ];
 
+/** Names of accounts, services, servers and instances come from outside, and may be any text. */
+const tableRules = [
+  {
+    files: ['packages/*/src/**/*.ts', 'platform/src/**/*.ts'],
+    plugins: { local: { rules: { 'no-name-index': noNameIndex } } },
+    rules: { 'local/no-name-index': 'error' },
+  },
+  {
+    files: ['packages/core/src/utils/table.ts'],
+    rules: { 'local/no-name-index': 'off' },
+  },
+];
+
 const packageNames = Object.keys(allowedImports);
 
 const ioModules = ['node:*', 'http', 'net', 'fs', 'timers', 'js-csp', 'winston'];
@@ -147,6 +165,7 @@
     },
   },
   ...backgroundRules,
+  ...tableRules,
   ...layerRules,
   adapterRules,
   prettier,
--- a/packages/cli/src/node/commands/describePlan.ts
+++ b/packages/cli/src/node/commands/describePlan.ts
@@ -4,7 +4,7 @@
 import type { ExitReason } from '../../utils/cliError.js';
 import type { Declaration, GuardName } from '@flamingocourse/core';
 import type { SavedPlan } from '../../runtime/planFiles.js';
-import { objectName, unacknowledgedGuards } from '@flamingocourse/core';
+import { objectName, unacknowledgedGuards, entryOf } from '@flamingocourse/core';
 import { renderTable } from '../../utils/renderTable.js';
 import { worstReason } from '../../utils/cliError.js';
 
@@ -62,8 +62,8 @@
   const right = after as unknown as Record<string, unknown>;
   const keys = [...new Set([...Object.keys(left), ...Object.keys(right)])];
   return keys
-    .filter((key) => JSON.stringify(left[key]) !== JSON.stringify(right[key]))
-    .map((key) => `${key}: ${shorten(left[key])} -> ${shorten(right[key])}`)
+    .filter((key) => JSON.stringify(entryOf(left, key)) !== JSON.stringify(entryOf(right, key)))
+    .map((key) => `${key}: ${shorten(entryOf(left, key))} -> ${shorten(entryOf(right, key))}`)
     .join('\n');
 }
 
--- a/packages/cli/src/runtime/bills.ts
+++ b/packages/cli/src/runtime/bills.ts
@@ -2,6 +2,7 @@
 
 import type { AccountId, Bill, BillSegment, JournalState, Tokens } from '@flamingocourse/core';
 import type { CliError } from '../utils/cliError.js';
+import { entryOf } from '@flamingocourse/core';
 import { fromStoreError } from '../utils/cliError.js';
 import type { Operator } from '../types/operator.js';
 import { Result } from 'true-myth';
@@ -40,7 +41,7 @@
     lines.push(...[...closed.value, ...journal.bills].filter((bill) => bill.account === account));
   }
   const billed = journals.value.reduce(
-    (sum, journal) => sum + (journal.accounts[account]?.spent ?? 0),
+    (sum, journal) => sum + (entryOf(journal.accounts, account)?.spent ?? 0),
     0,
   );
   return Result.ok(createInvoice(account, lines, billed));
--- a/packages/cli/src/runtime/budget.ts
+++ b/packages/cli/src/runtime/budget.ts
@@ -16,6 +16,7 @@
   openAccount,
   pageOf,
   writeOff,
+  entryOf,
 } from '@flamingocourse/core';
 import { changeLedgerPage, loadLedger } from './ledgerPages.js';
 import { CliError, fromStoreError } from '../utils/cliError.js';
@@ -113,7 +114,7 @@
   for (const { name, openingTokens } of accounts.filter((one) => !known.has(one.name))) {
     const seen = { missing: false };
     const changed = await changeLedgerPage(operator, name, (page) => {
-      seen.missing ||= page.accounts[name] === undefined;
+      seen.missing ||= entryOf(page.accounts, name) === undefined;
       return Result.ok(openAccount(page, name, openingTokens, operator.now()));
     });
     if (changed.isErr) return Result.err(changed.error);
--- a/packages/core/src/index.ts
+++ b/packages/core/src/index.ts
@@ -36,6 +36,7 @@
 export * from './utils/jsonc.js';
 export * from './utils/jsoncCheck.js';
 export * from './utils/sum.js';
+export * from './utils/table.js';
 export * from './runtime/conditions/index.js';
 export * from './runtime/configStore/index.js';
 export * from './runtime/membership/index.js';
--- a/packages/core/src/runtime/claims.ts
+++ b/packages/core/src/runtime/claims.ts
@@ -2,6 +2,7 @@
 
 import type { Claim, ClaimPage } from '../types/claim.js';
 import type { EpochMs, TicketId } from '../types/ids.js';
+import { entryOf } from '../utils/table.js';
 
 /** Answer to a claim, with the resulting page. */
 export interface ClaimResult {
@@ -22,7 +23,7 @@
  * claim(page, keyDigest, { ticket, bodyDigest, at: now }).answer;
  */
 export function claim(page: ClaimPage, keyDigest: string, wanted: Claim): ClaimResult {
-  const held = page.claims[keyDigest];
+  const held = entryOf(page.claims, keyDigest);
   if (!held) return { page: withClaim(page, keyDigest, wanted), answer: { type: 'own' } };
   if (held.bodyDigest !== wanted.bodyDigest) return { page, answer: { type: 'other-body' } };
   if (held.isGivenUp) return { page: withClaim(page, keyDigest, wanted), answer: { type: 'own' } };
@@ -41,7 +42,7 @@
   to: TicketId,
   now: EpochMs,
 ): ClaimResult {
-  const held = page.claims[keyDigest];
+  const held = entryOf(page.claims, keyDigest);
   // A pruned claim cannot be taken over because its body digest is gone. It must be claimed again.
   if (!held) return { page, answer: { type: 'other', ticket: from } };
   if (sameTicket(held.ticket, to)) return { page, answer: { type: 'own' } };
@@ -62,7 +63,7 @@
  * releaseClaim(page, keyDigest, { ticket, bodyDigest, at: now });
  */
 export function releaseClaim(page: ClaimPage, keyDigest: string, ended: Claim): ClaimPage {
-  const held = page.claims[keyDigest];
+  const held = entryOf(page.claims, keyDigest);
   const isOwn = held !== undefined && sameTicket(held.ticket, ended.ticket);
   const isOwned = held !== undefined && !held.isGivenUp;
   // A key that another ticket released is overwritten: this ticket's claim may still be in flight.
--- a/packages/core/src/runtime/declaration/declarationSchema.ts
+++ b/packages/core/src/runtime/declaration/declarationSchema.ts
@@ -2,6 +2,7 @@
 
 import type { Declaration, DeclarationKind } from '../../types/declaration.js';
 import { z } from 'zod';
+import { entryOf } from '../../utils/table.js';
 
 /** All kinds, in an order in which each kind refers only to earlier ones. */
 export const declarationKinds = [
@@ -167,5 +168,5 @@
  */
 export function explainDerivedKey(key: string): string | undefined {
   const form = derivedKeyPatterns.find(([pattern]) => pattern.test(key));
-  return form && `Remove it. ${derivedKeys[form[1]] ?? ''}`;
+  return form && `Remove it. ${entryOf(derivedKeys, form[1]) ?? ''}`;
 }
--- a/packages/core/src/runtime/fairShare/roomLevels.ts
+++ b/packages/core/src/runtime/fairShare/roomLevels.ts
@@ -6,6 +6,7 @@
 import type { MinimumShares } from '../admission/queueDiscipline.js';
 import { defaultMinimumShares } from '../admission/queueDiscipline.js';
 import { importances, noRoom, totalRoom } from '../conditions/demandSums.js';
+import { entryOf } from '../../utils/table.js';
 
 /** Nobody is served less often than all requests together, times this. */
 export const LEAST_SERVED = 0.25;
@@ -56,7 +57,7 @@
     fraction(account, importance) {
       const known = fractions.get(account);
       if (known) return known[importance];
-      const room = accounts[account] ?? restRoom;
+      const room = entryOf(accounts, account) ?? restRoom;
       const found = fractionsOf(room, level, LEAST_SERVED * served, shares);
       fractions.set(account, found);
       return found[importance];
--- a/packages/core/src/runtime/gossip/gossipLog.ts
+++ b/packages/core/src/runtime/gossip/gossipLog.ts
@@ -2,6 +2,7 @@
 
 import type { EpochMs, IncarnationId } from '../../types/ids.js';
 import type { DatedFact, GossipFact, GossipItem, VersionVector } from '../../types/gossip.js';
+import { entryOf } from '../../utils/table.js';
 
 /** Maximum number of facts kept; above it the oldest are removed. */
 const MAX_KEPT = 512;
@@ -71,7 +72,7 @@
   /** Facts that an instance with the given version vector misses, oldest first for each origin. */
   missingFrom(known: VersionVector, now: EpochMs): GossipItem[] {
     const missing = [...this.#origins].flatMap(([origin, { kept }]) => {
-      const after = known[origin] ?? 0;
+      const after = entryOf(known, origin) ?? 0;
       return kept
         .filter(({ seq }) => seq > after)
         .map(({ seq, at, news }) => ({ origin, seq, ageMs: Math.max(0, now - at), news }));
--- a/packages/core/src/runtime/journal.ts
+++ b/packages/core/src/runtime/journal.ts
@@ -24,6 +24,7 @@
 import { applyChange, charge, findChangeFault } from './journalChange.js';
 import { createDraft, releaseSlices, editAccount, editHolder } from './journalDraft.js';
 import { pool } from './journalTotals.js';
+import { entryOf } from '../utils/table.js';
 
 /** Number of ended holders that are kept, so that retries of their tickets find them. */
 const DEFAULT_MAX_ENDED_HOLDERS = 200;
@@ -69,8 +70,8 @@
   state: JournalState,
   lines: readonly JournalLine[],
 ): Result<JournalState, JournalFault> {
-  const fresh = lines.filter((line) => line.seq > (state.holders[line.holder]?.seq ?? 0));
-  if (fresh.length === 0 && lines.every((line) => state.holders[line.holder])) {
+  const fresh = lines.filter((line) => line.seq > (entryOf(state.holders, line.holder)?.seq ?? 0));
+  if (fresh.length === 0 && lines.every((line) => entryOf(state.holders, line.holder))) {
     return Result.ok(state);
   }
   const draft = createDraft(state);
@@ -89,7 +90,7 @@
   now: EpochMs,
   formerly: IncarnationId[] = [],
 ): JournalState {
-  if (state.holders[holder]) return state;
+  if (entryOf(state.holders, holder)) return state;
   const entry: JournalHolder = {
     state: 'open',
     seq: 0,
@@ -120,7 +121,7 @@
   state: JournalState,
   holder: IncarnationId,
 ): Result<JournalState, JournalFault> {
-  const entry = state.holders[holder];
+  const entry = entryOf(state.holders, holder);
   if (!entry) return Result.err(unknownHolder(holder));
   if (entry.state !== 'open') return Result.ok(state);
   return Result.ok(withHolder(state, holder, { ...entry, state: 'sealing' }));
@@ -136,7 +137,7 @@
   holder: IncarnationId,
   lines: readonly JournalLine[],
 ): Result<JournalState, JournalFault> {
-  const entry = state.holders[holder];
+  const entry = entryOf(state.holders, holder);
   if (!entry) return Result.err(unknownHolder(holder));
   if (entry.state === 'sealed' || entry.state === 'closed') return Result.ok(state);
   if (entry.state !== 'sealing') return Result.err(notSealing(holder));
@@ -159,7 +160,7 @@
   holder: IncarnationId,
   now: EpochMs,
 ): Result<JournalState, JournalFault> {
-  const entry = state.holders[holder];
+  const entry = entryOf(state.holders, holder);
   if (!entry) return Result.err(unknownHolder(holder));
   if (entry.state === 'sealed' || entry.state === 'closed') return Result.ok(state);
   if (entry.state !== 'sealing') return Result.err(notSealing(holder));
@@ -210,7 +211,7 @@
   account: AccountId,
   grantedIn: Tokens,
 ): JournalState {
-  if (grantedIn <= (state.accounts[account]?.grantedIn ?? 0)) return state;
+  if (grantedIn <= (entryOf(state.accounts, account)?.grantedIn ?? 0)) return state;
   const draft = createDraft(state);
   editAccount(draft, account).grantedIn = grantedIn;
   return draft.state;
@@ -272,7 +273,7 @@
   line: JournalLine,
   required: JournalHolder['state'],
 ): JournalFault | undefined {
-  const entry = draft.state.holders[line.holder];
+  const entry = entryOf(draft.state.holders, line.holder);
   if (!entry) return unknownHolder(line.holder);
   if (line.seq <= entry.seq) return undefined;
   if (entry.state !== required) return notOpen(line.holder, entry.state);
--- a/packages/core/src/runtime/journalChange.ts
+++ b/packages/core/src/runtime/journalChange.ts
@@ -6,6 +6,7 @@
 import { addToIntervals, hasInterval } from '../utils/intervals.js';
 import { addToSlice, releaseSlices, editAccount, editHolder } from './journalDraft.js';
 import { pool } from './journalTotals.js';
+import { entryOf } from '../utils/table.js';
 
 /** Finds a fault that makes a line invalid regardless of the journal's state. */
 export function findChangeFault(line: JournalLine): JournalFault | undefined {
@@ -97,7 +98,7 @@
   totals.spent += entry.cost;
   totals.spentByClass = {
     ...totals.spentByClass,
-    [entry.workClass]: (totals.spentByClass?.[entry.workClass] ?? 0) + entry.cost,
+    [entry.workClass]: (entryOf(totals.spentByClass, entry.workClass) ?? 0) + entry.cost,
   };
   draft.state.bills.push(entry);
 }
--- a/packages/core/src/runtime/journalDraft.ts
+++ b/packages/core/src/runtime/journalDraft.ts
@@ -4,6 +4,7 @@
 
 import type { AccountId, IncarnationId, Tokens } from '../types/ids.js';
 import type { JournalAccount, JournalHolder, JournalState } from '../types/journal.js';
+import { entryOf, setEntry } from '../utils/table.js';
 
 /** A journal being edited. Holders and accounts are copied on their first edit. */
 export interface JournalDraft {
@@ -30,7 +31,7 @@
 
 /** Returns a holder that may be changed in place, or `undefined` if it is not registered. */
 export function editHolder(draft: JournalDraft, id: IncarnationId): JournalHolder | undefined {
-  const holder = draft.state.holders[id];
+  const holder = entryOf(draft.state.holders, id);
   if (!holder || draft.copiedHolders.has(id)) return holder;
   const copy = {
     ...holder,
@@ -38,26 +39,26 @@
     openIntents: [...holder.openIntents],
     segments: { ...holder.segments },
   };
-  draft.state.holders[id] = copy;
+  setEntry(draft.state.holders, id, copy);
   draft.copiedHolders.add(id);
   return copy;
 }
 
 /** Returns an account that may be changed in place. A new account starts at zero. */
 export function editAccount(draft: JournalDraft, id: AccountId): JournalAccount {
-  const account = draft.state.accounts[id];
+  const account = entryOf(draft.state.accounts, id);
   if (account && draft.copiedAccounts.has(id)) return account;
-  const copy = account
+  const copy: JournalAccount = account
     ? { ...account, spentByClass: { ...account.spentByClass } }
     : { grantedIn: 0, returnedOut: 0, spent: 0, spentByClass: {} };
-  draft.state.accounts[id] = copy;
+  setEntry(draft.state.accounts, id, copy);
   draft.copiedAccounts.add(id);
   return copy;
 }
 
 /** Adds tokens to a holder's slice. A slice of zero is removed. */
 export function addToSlice(holder: JournalHolder, account: AccountId, amount: Tokens): void {
-  const next = (holder.slices[account] ?? 0) + amount;
+  const next = (entryOf(holder.slices, account) ?? 0) + amount;
   holder.slices = withSlice(holder.slices, account, next);
 }
 
--- a/packages/core/src/runtime/journalTotals.ts
+++ b/packages/core/src/runtime/journalTotals.ts
@@ -2,10 +2,11 @@
 
 import type { AccountId, Tokens } from '../types/ids.js';
 import type { JournalHolder, JournalState } from '../types/journal.js';
+import { entryOf } from '../utils/table.js';
 
 /** Tokens of the data centre that no holder has. `take` and `startReturn` draw from this pool. */
 export function pool(state: JournalState, account: AccountId): Tokens {
-  const totals = state.accounts[account];
+  const totals = entryOf(state.accounts, account);
   if (!totals) return 0;
   const held = sumSlices(state, account, () => true);
   const charged = totals.spent + held + provisionalSum(state, account);
@@ -24,7 +25,7 @@
  */
 export function checkInvariant(state: JournalState): AccountId | undefined {
   return Object.keys(state.accounts).find((account) => {
-    const totals = state.accounts[account];
+    const totals = entryOf(state.accounts, account);
     if (!totals) return false;
     const held = sumSlices(state, account, () => true);
     const charged = totals.spent + held + provisionalSum(state, account);
@@ -45,7 +46,7 @@
 ): Tokens {
   let sum = 0;
   for (const holder of Object.values(state.holders)) {
-    if (counts(holder)) sum += holder.slices[account] ?? 0;
+    if (counts(holder)) sum += entryOf(holder.slices, account) ?? 0;
   }
   return sum;
 }
--- a/packages/core/src/runtime/ledger.ts
+++ b/packages/core/src/runtime/ledger.ts
@@ -3,6 +3,7 @@
 import type { AccountId, DataCentreId, EpochMs, Tokens } from '../types/ids.js';
 import type { BudgetChange, LedgerAccount, LedgerPage, LedgerShare } from '../types/ledger.js';
 import { Result } from 'true-myth';
+import { entryOf } from '../utils/table.js';
 
 /** Id of the change that sets the declared opening budget. */
 export const OPENING_CHANGE = 'opening';
@@ -45,7 +46,7 @@
   openingTokens: Tokens,
   now: EpochMs,
 ): LedgerPage {
-  if (page.accounts[account]) return page;
+  if (entryOf(page.accounts, account)) return page;
   const change = { id: OPENING_CHANGE, amount: openingTokens, by: 'declaration', at: now };
   return withAccount(page, account, {
     limit: openingTokens,
@@ -67,7 +68,7 @@
   account: AccountId,
   change: BudgetChange,
 ): Result<LedgerPage, LedgerFault> {
-  const entry = page.accounts[account];
+  const entry = entryOf(page.accounts, account);
   if (!entry) return Result.err(unknownAccount(account));
   if (!Number.isSafeInteger(change.amount)) return Result.err(invalidAmount(change.amount));
   const earlier = entry.changes.find((one) => one.id === change.id);
@@ -89,7 +90,7 @@
   dataCentre: DataCentreId,
   amount: Tokens,
 ): LedgerPage {
-  const entry = page.accounts[account];
+  const entry = entryOf(page.accounts, account);
   if (!entry) return page;
   const granted = Math.floor(Math.min(amount, ungranted(entry)));
   if (granted <= 0) return page;
@@ -107,12 +108,12 @@
   dataCentre: DataCentreId,
   returnedOut: Tokens,
 ): LedgerPage {
-  const entry = page.accounts[account];
+  const entry = entryOf(page.accounts, account);
   if (!entry) return page;
   const share = shareOf(entry, dataCentre);
   if (returnedOut <= share.returnedOut) return page;
   const next = withShare(page, account, dataCentre, { ...share, returnedOut });
-  const merged = next.accounts[account];
+  const merged = entryOf(next.accounts, account);
   return merged ? withAccount(next, account, settleReduction(merged)) : next;
 }
 
@@ -124,7 +125,7 @@
   spent: Tokens,
   spentByClass: Record<string, Tokens> = {},
 ): LedgerPage {
-  const entry = page.accounts[account];
+  const entry = entryOf(page.accounts, account);
   if (!entry) return page;
   const share = shareOf(entry, dataCentre);
   if (spent <= share.spent) return page;
@@ -145,7 +146,7 @@
 
 /** Returns the totals of a data centre, all zero if it has taken nothing. */
 export function shareOf(entry: LedgerAccount, dataCentre: DataCentreId): LedgerShare {
-  return entry.shares[dataCentre] ?? { grantedIn: 0, returnedOut: 0, spent: 0 };
+  return entryOf(entry.shares, dataCentre) ?? { grantedIn: 0, returnedOut: 0, spent: 0 };
 }
 
 /** Returns the first account whose grants exceed its limit, or `undefined` if none does. */
@@ -174,7 +175,7 @@
   dataCentre: DataCentreId,
   share: LedgerShare,
 ): LedgerPage {
-  const entry = page.accounts[account];
+  const entry = entryOf(page.accounts, account);
   if (!entry) return page;
   return withAccount(page, account, {
     ...entry,
--- a/packages/core/src/runtime/membership/membership.ts
+++ b/packages/core/src/runtime/membership/membership.ts
@@ -14,6 +14,7 @@
 } from '../../types/membership.js';
 import { rendezvousOwner } from '../../utils/hash.js';
 import { FULL_MESH_LIMIT, judgeMembers, RING_FANOUT, ringOrder } from './memberHealth.js';
+import { entryOf, setEntry } from '../../utils/table.js';
 
 /** Evidence, relayed by another member, that a member is alive. */
 export interface DigestEntry {
@@ -97,7 +98,7 @@
   ageMs = 0,
 ): MembershipState {
   if (info.incarnation === state.self.incarnation) return state;
-  const known = state.members[info.incarnation];
+  const known = entryOf(state.members, info.incarnation);
   if (known && info.beat <= known.info.beat) return state;
   const members = known ? state.members : evictForNewMember(state, info, now);
   if (!members) return state;
@@ -126,7 +127,7 @@
     if (ageMs !== undefined) next = observeMember(next, info, now, ageMs);
   }
   for (const { incarnation, beat, ageMs } of heartbeat.digest) {
-    const known = next.members[incarnation];
+    const known = entryOf(next.members, incarnation);
     if (known) next = observeMember(next, { ...known.info, beat }, now, ageMs);
   }
   return next;
@@ -162,7 +163,7 @@
   for (const [incarnation, member] of Object.entries(state.members)) {
     const heardAt = paused ? Math.min(now, member.lastHeardAt + gap) : member.lastHeardAt;
     if (now - heardAt < GONE_MEMBER_TTL_MS)
-      members[incarnation] = { ...member, lastHeardAt: heardAt };
+      setEntry(members, incarnation, { ...member, lastHeardAt: heardAt });
   }
   const self = { ...state.self, beat: state.self.beat + 1 };
   return { ...state, self, members, lastTickAt: now };
@@ -268,7 +269,7 @@
 function membersWith(state: MembershipState, healths: PeerHealth[], now: EpochMs): KnownMember[] {
   return judgeMembers(state, now)
     .filter(({ health }) => healths.includes(health))
-    .flatMap(({ info }) => state.members[info.incarnation] ?? []);
+    .flatMap(({ info }) => entryOf(state.members, info.incarnation) ?? []);
 }
 
 /**
--- a/packages/core/src/runtime/prepaid/loanBook.ts
+++ b/packages/core/src/runtime/prepaid/loanBook.ts
@@ -6,6 +6,7 @@
 import type { PrepaidHolder } from './prepaidHolder.js';
 import { sum } from '../../utils/sum.js';
 import { knownDemand } from './demandSpread.js';
+import { entryOf } from '../../utils/table.js';
 
 /**
  * Fraction of the free tokens that is lent ahead of demand if a borrower wants more than is free.
@@ -138,7 +139,7 @@
     borrower.reportedAt = now;
     this.#borrowers.set(instance, borrower);
     for (const [account, entry] of Object.entries(report.entries)) {
-      this.#apply(borrower, account, entry, urgent[account] ?? 0);
+      this.#apply(borrower, account, entry, entryOf(urgent, account) ?? 0);
     }
     // a report leaves out the accounts of which the borrower wants no more tokens.
     this.#clearUnmet(borrower, report.entries);
@@ -154,7 +155,7 @@
   ): Map<AccountId, Tokens> {
     const shortfalls = new Map<AccountId, Tokens>();
     for (const [account, needed] of Object.entries(urgent)) {
-      const lent = this.held(instance, account) - (entries[account]?.keeps ?? 0);
+      const lent = this.held(instance, account) - (entryOf(entries, account)?.keeps ?? 0);
       if (needed > lent) shortfalls.set(account, needed - lent);
     }
     return shortfalls;
@@ -229,7 +230,7 @@
 
   #clearUnmet({ loans }: Borrower, except: PrepaidReport['entries']): void {
     for (const [account, loan] of loans) {
-      if (except[account] !== undefined || loan.unmet === 0) continue;
+      if (entryOf(except, account) !== undefined || loan.unmet === 0) continue;
       loan.unmet = 0;
       this.#updateLending(account);
     }
--- a/packages/core/src/runtime/prepaid/memberFailureDetector.ts
+++ b/packages/core/src/runtime/prepaid/memberFailureDetector.ts
@@ -2,6 +2,7 @@
 
 import type { EpochMs } from '../../types/ids.js';
 import type { PrepaidPage } from '../../types/prepaid.js';
+import { entryOf } from '../../utils/table.js';
 
 /** The last report of an instance that was seen on the page. */
 interface LastReport {
@@ -44,7 +45,7 @@
   }
 
   #lastReport(name: string, { writers }: PrepaidPage, now: EpochMs): LastReport {
-    const writer = writers[name];
+    const writer = entryOf(writers, name);
     const id = writer ? `${writer.incarnation}#${String(writer.seq)}` : '';
     const before = this.#lastReports.get(name);
     return before?.id === id ? before : { id, since: now };
--- a/packages/core/src/runtime/prepaid/prepaidBudgets.ts
+++ b/packages/core/src/runtime/prepaid/prepaidBudgets.ts
@@ -9,6 +9,7 @@
 } from '../../types/prepaid.js';
 import { sum } from '../../utils/sum.js';
 import { emptyPrepaidAccount, netGrant, prepaidRate, unallocatedPrepaid } from './prepaidPage.js';
+import { entryOf, setEntry } from '../../utils/table.js';
 
 /** Limit of each account, from the current configuration. An account without one is not limited. */
 export type PrepaidLimits = ReadonlyMap<AccountId, Tokens>;
@@ -51,7 +52,7 @@
   instance: string,
   groupSize: number,
 ): PrepaidBudgets {
-  if (budgets.members[instance] !== undefined) return budgets;
+  if (entryOf(budgets.members, instance) !== undefined) return budgets;
   const groups = Object.values(budgets.members);
   let group = 0;
   while (groups.filter((name) => name === String(group)).length >= groupSize) group += 1;
@@ -60,7 +61,7 @@
 
 /** Removes instances that stopped or failed, and frees their places in the group. */
 export function leaveGroup(budgets: PrepaidBudgets, instances: readonly string[]): PrepaidBudgets {
-  const leaving = instances.filter((instance) => budgets.members[instance] !== undefined);
+  const leaving = instances.filter((instance) => entryOf(budgets.members, instance) !== undefined);
   if (leaving.length === 0) return budgets;
   const members = Object.entries(budgets.members).filter(([name]) => !leaving.includes(name));
   return { ...budgets, members: Object.fromEntries(members) };
@@ -68,7 +69,7 @@
 
 /** Returns the instances of a group. */
 export function membersOf(budgets: PrepaidBudgets, group: string): string[] {
-  return Object.keys(budgets.members).filter((name) => budgets.members[name] === group);
+  return Object.keys(budgets.members).filter((name) => entryOf(budgets.members, name) === group);
 }
 
 /**
@@ -87,7 +88,7 @@
   account: AccountId,
   limit: Tokens,
 ): Tokens {
-  const grants = Object.values(budgets.grants[account] ?? {});
+  const grants = Object.values(entryOf(budgets.grants, account) ?? {});
   return Math.max(0, limit - sum(grants.map(netGrant)));
 }
 
@@ -97,7 +98,7 @@
   account: AccountId,
   limit: Tokens,
 ): Tokens {
-  const grants = Object.values(budgets.grants[account] ?? {});
+  const grants = Object.values(entryOf(budgets.grants, account) ?? {});
   return Math.max(0, limit - sum(grants.map(({ gone }) => gone)));
 }
 
@@ -130,7 +131,9 @@
   for (const [account, limit] of limits) {
     if (wanted.has(account)) continue;
     const fair = fairGrant(ungrantedPrepaid(budgets, account, limit), groups);
-    const unallocated = unallocatedPrepaid(page.accounts[account] ?? emptyPrepaidAccount());
+    const unallocated = unallocatedPrepaid(
+      entryOf(page.accounts, account) ?? emptyPrepaidAccount(),
+    );
     const available = unallocated + pendingGrant(budgets, group, page, account);
     if (available < LOW_GRANT_FRACTION * fair) wanted.set(account, 0);
   }
@@ -144,8 +147,8 @@
   page: PrepaidPage,
   account: AccountId,
 ): Tokens {
-  const granted = budgets.grants[account]?.[group]?.granted ?? 0;
-  return Math.max(0, granted - (page.accounts[account]?.granted ?? 0));
+  const granted = entryOf(entryOf(budgets.grants, account), group)?.granted ?? 0;
+  return Math.max(0, granted - (entryOf(page.accounts, account)?.granted ?? 0));
 }
 
 /** Grant to a group from the ungranted tokens, unless its shortfall is larger. */
@@ -179,10 +182,10 @@
     const grant = Math.floor(
       Math.min(ungranted, Math.max(shortfall, fairGrant(ungranted, groups))),
     );
-    const before = grants[account]?.[group] ?? NO_GRANT;
-    const rate = prepaidRate(reported.accounts[account]);
+    const before = entryOf(entryOf(grants, account), group) ?? NO_GRANT;
+    const rate = prepaidRate(entryOf(reported.accounts, account));
     const after = { ...before, granted: before.granted + grant, rate };
-    if (grant > 0) grants[account] = { ...grants[account], [group]: after };
+    if (grant > 0) setEntry(grants, account, { ...entryOf(grants, account), [group]: after });
   }
   return { ...known, grants };
 }
@@ -191,9 +194,9 @@
 export function takeGrants(page: PrepaidPage, budgets: PrepaidBudgets, group: string): PrepaidPage {
   const accounts = { ...page.accounts };
   for (const [name, grants] of Object.entries(budgets.grants)) {
-    const granted = grants[group]?.granted ?? 0;
-    const account = accounts[name] ?? emptyPrepaidAccount();
-    if (granted > account.granted) accounts[name] = { ...account, granted };
+    const granted = entryOf(grants, group)?.granted ?? 0;
+    const account = entryOf(accounts, name) ?? emptyPrepaidAccount();
+    if (granted > account.granted) setEntry(accounts, name, { ...account, granted });
   }
   return { ...page, accounts };
 }
@@ -212,13 +215,13 @@
   if (Object.keys(page.writers).length === 0) return returnAll(page);
   const accounts = { ...page.accounts };
   for (const [name, { limitPart, beyond, groups }] of outlook) {
-    const account = accounts[name];
+    const account = entryOf(accounts, name);
     if (!account) continue;
     const unallocated = unallocatedPrepaid(account);
     const fair = (beyond + unallocated / groups) / GRANT_DIVISOR;
     const surplus = Math.floor(unallocated - fair);
     if (unallocated <= GRANT_DIVISOR * fair || surplus < MIN_RETURN_FRACTION * limitPart) continue;
-    accounts[name] = { ...account, returned: account.returned + surplus };
+    setEntry(accounts, name, { ...account, returned: account.returned + surplus });
   }
   return { ...page, accounts };
 }
@@ -233,7 +236,7 @@
 /** Whether the page has returned tokens that the budgets do not include yet. */
 export function hasReturns(page: PrepaidPage, budgets: PrepaidBudgets, group: string): boolean {
   return Object.entries(page.accounts).some(([name, { returned }]) => {
-    return returned > (budgets.grants[name]?.[group]?.returned ?? 0);
+    return returned > (entryOf(entryOf(budgets.grants, name), group)?.returned ?? 0);
   });
 }
 
@@ -249,9 +252,11 @@
   return new Map(
     [...limits].map(([account, limit]) => {
       const ungranted = ungrantedPrepaid(budgets, account, limit);
-      const grants = Object.entries(budgets.grants[account] ?? {}).flatMap(([name, grant]) => {
-        return others.has(name) ? [grant] : [];
-      });
+      const grants = Object.entries(entryOf(budgets.grants, account) ?? {}).flatMap(
+        ([name, grant]) => {
+          return others.has(name) ? [grant] : [];
+        },
+      );
       const unspent = sum(grants.map((grant) => Math.max(0, netGrant(grant) - grant.gone)));
       const othersRate = sum(grants.map(({ rate = 0 }) => rate));
       const outlook = {
@@ -271,7 +276,7 @@
   const grants = { ...budgets.grants };
   for (const [name, account] of Object.entries(page.accounts)) {
     const { returned, spent, inDoubt } = account;
-    const before = grants[name]?.[group];
+    const before = entryOf(entryOf(grants, name), group);
     // Without a grant to the group, its page has no tokens of the account.
     if (!before) continue;
     const after = {
@@ -280,7 +285,7 @@
       gone: Math.max(before.gone, spent + inDoubt),
       rate: prepaidRate(account),
     };
-    grants[name] = { ...grants[name], [group]: after };
+    setEntry(grants, name, { ...entryOf(grants, name), [group]: after });
   }
   return { ...budgets, grants };
 }
--- a/packages/core/src/runtime/prepaid/prepaidHolder.ts
+++ b/packages/core/src/runtime/prepaid/prepaidHolder.ts
@@ -17,6 +17,7 @@
 import { NO_DEMAND, observeDemand, biasCorrectedDemand } from '../demand.js';
 import { sum } from '../../utils/sum.js';
 import { viewOfPage } from './prepaidView.js';
+import { entryOf, setEntry } from '../../utils/table.js';
 
 /** Tokens reserved for the maximum cost of one request. */
 export interface PrepaidReservation {
@@ -294,7 +295,9 @@
 
   /** Whether the page no longer lists this process although it has applied a report of it. */
   isForgotten(page: PrepaidPage): boolean {
-    return this.#isKnownToPage && page.writers[this.instance]?.incarnation !== this.incarnation;
+    return (
+      this.#isKnownToPage && entryOf(page.writers, this.instance)?.incarnation !== this.incarnation
+    );
   }
 
   /**
@@ -355,7 +358,7 @@
         rate,
       );
       if (!entry) continue;
-      entries[account] = entry;
+      setEntry(entries, account, entry);
       returned.set(account, holding.held - entry.keeps);
     }
     const isDue = last || now - this.#reportedAt >= this.#maxReportIntervalMs;
@@ -366,7 +369,9 @@
 
   /** Applies a page that includes the pending report. */
   confirm(page: PrepaidPage): void {
-    this.confirmHeld((account) => page.accounts[account]?.shares[this.instance]?.held);
+    this.confirmHeld(
+      (account) => entryOf(entryOf(page.accounts, account)?.shares, this.instance)?.held,
+    );
   }
 
   /**
--- a/packages/core/src/runtime/prepaid/prepaidPage.ts
+++ b/packages/core/src/runtime/prepaid/prepaidPage.ts
@@ -10,6 +10,7 @@
   PrepaidShare,
 } from '../../types/prepaid.js';
 import { sum } from '../../utils/sum.js';
+import { entryOf, hasEntry, setEntry, withoutEntry } from '../../utils/table.js';
 
 /** Creates an empty page. */
 export function createPrepaidPage(): PrepaidPage {
@@ -18,7 +19,7 @@
 
 /** Whether a page has already applied a report. */
 export function hasReport(page: PrepaidPage, report: PrepaidReport): boolean {
-  const writer = page.writers[report.instance];
+  const writer = entryOf(page.writers, report.instance);
   return writer?.incarnation === report.incarnation && writer.seq >= report.seq;
 }
 
@@ -28,7 +29,9 @@
  * twice.
  */
 export function isFenced(page: PrepaidPage, report: PrepaidReport): boolean {
-  return report.seq > 1 && page.writers[report.instance]?.incarnation !== report.incarnation;
+  return (
+    report.seq > 1 && entryOf(page.writers, report.instance)?.incarnation !== report.incarnation
+  );
 }
 
 /**
@@ -42,14 +45,14 @@
   page: PrepaidPage,
   { report, replaces }: ForwardedReport,
 ): boolean {
-  const listed = page.writers[report.instance]?.incarnation;
+  const listed = entryOf(page.writers, report.instance)?.incarnation;
   return listed === (report.seq === 1 ? replaces : report.incarnation);
 }
 
 /** Names of the instances of which `after` contains a report that `before` does not. */
 export function reportersBetween(before: PrepaidPage, after: PrepaidPage): string[] {
   return Object.keys(after.writers).filter((name) => {
-    const [old, now] = [before.writers[name], after.writers[name]];
+    const [old, now] = [entryOf(before.writers, name), entryOf(after.writers, name)];
     return old?.incarnation !== now?.incarnation || old?.seq !== now?.seq;
   });
 }
@@ -68,11 +71,15 @@
 export function applyReport(page: PrepaidPage, report: PrepaidReport): PrepaidPage {
   if (hasReport(page, report) || isFenced(page, report)) return page;
   const { instance, incarnation, seq } = report;
-  const before = page.writers[instance];
+  const before = entryOf(page.writers, instance);
   const replaced = before !== undefined && before.incarnation !== incarnation;
   const accounts = replaced ? moveSharesToInDoubt(page.accounts, instance) : { ...page.accounts };
   for (const [name, entry] of Object.entries(report.entries)) {
-    accounts[name] = applyEntry(accounts[name] ?? emptyPrepaidAccount(), instance, entry);
+    setEntry(
+      accounts,
+      name,
+      applyEntry(entryOf(accounts, name) ?? emptyPrepaidAccount(), instance, entry),
+    );
   }
   const next = { accounts, writers: { ...page.writers, [instance]: { incarnation, seq } } };
   return report.last ? dropWriter(next, instance) : next;
@@ -83,10 +90,10 @@
  * report is fenced.
  */
 export function dropWriter(page: PrepaidPage, instance: string): PrepaidPage {
-  if (!page.writers[instance]) return page;
+  if (!hasEntry(page.writers, instance)) return page;
   return {
     accounts: moveSharesToInDoubt(page.accounts, instance),
-    writers: withoutKey(page.writers, instance),
+    writers: withoutEntry(page.writers, instance),
   };
 }
 
@@ -123,7 +130,7 @@
   const shortfalls = new Map<AccountId, Tokens>();
   const after = applyReport(page, report);
   for (const [account, { keeps, wants }] of Object.entries(report.entries)) {
-    const held = after.accounts[account]?.shares[report.instance]?.held ?? 0;
+    const held = entryOf(entryOf(after.accounts, account)?.shares, report.instance)?.held ?? 0;
     const shortfall = keeps + wants - held;
     if (shortfall > 0) shortfalls.set(account, shortfall);
   }
@@ -145,7 +152,7 @@
   instance: string,
   entry: PrepaidReportEntry,
 ): PrepaidAccount {
-  const others = withoutKey(account.shares, instance);
+  const others = withoutEntry(account.shares, instance);
   const spent = account.spent + entry.spent;
   const withoutWants = { ...account, spent, shares: { ...others, [instance]: shareOf(entry, 0) } };
   const share = shareOf(entry, Math.floor(Math.min(entry.wants, unallocatedPrepaid(withoutWants))));
@@ -155,10 +162,6 @@
     : { ...withoutWants, shares: { ...others, [instance]: share } };
 }
 
-function withoutKey<T>(record: Record<string, T>, key: string): Record<string, T> {
-  return Object.fromEntries(Object.entries(record).filter(([name]) => name !== key));
-}
-
 function shareOf({ keeps, rate }: PrepaidReportEntry, allocated: Tokens): PrepaidShare {
   return { held: keeps + allocated, rate };
 }
@@ -169,8 +172,9 @@
 ): Record<AccountId, PrepaidAccount> {
   return Object.fromEntries(
     Object.entries(accounts).map(([name, account]) => {
-      const { [instance]: lost, ...shares } = account.shares;
+      const lost = entryOf(account.shares, instance);
       if (!lost) return [name, account];
+      const shares = withoutEntry(account.shares, instance);
       return [name, { ...account, inDoubt: account.inDoubt + lost.held, shares }];
     }),
   );
--- a/packages/core/src/runtime/prepaid/prepaidView.ts
+++ b/packages/core/src/runtime/prepaid/prepaidView.ts
@@ -8,6 +8,7 @@
   PrepaidView,
 } from '../../types/prepaid.js';
 import { prepaidRate, remainingPrepaid } from './prepaidPage.js';
+import { entryOf } from '../../utils/table.js';
 
 /**
  * Returns the view of one process of an instance. It covers the tokens and the demand of all groups: an instance
@@ -27,12 +28,12 @@
 ): PrepaidView {
   const accounts = new Map<AccountId, PrepaidAccountView>();
   for (const [name, { elsewhere, othersRate }] of outlook) {
-    const account = page.accounts[name];
-    const groupRate = prepaidRate(account) - (account?.shares[instance]?.rate ?? 0);
+    const account = entryOf(page.accounts, name);
+    const groupRate = prepaidRate(account) - (entryOf(account?.shares, instance)?.rate ?? 0);
     const remaining = remainingPrepaid(account) + elsewhere;
     accounts.set(name, { remaining, othersRate: Math.max(0, groupRate) + othersRate });
   }
-  const isRegistered = page.writers[instance]?.incarnation === incarnation;
+  const isRegistered = entryOf(page.writers, instance)?.incarnation === incarnation;
   const fetchers = Math.max(1, Object.keys(page.writers).length) + otherFetchers;
   return { isRegistered, instances: Math.max(1, instances), fetchers, accounts };
 }
--- a/packages/core/src/runtime/quarantine/crashEvidence.ts
+++ b/packages/core/src/runtime/quarantine/crashEvidence.ts
@@ -13,6 +13,7 @@
   QuarantineState,
 } from '../../types/quarantine.js';
 import { isPartFingerprint } from './partFingerprint.js';
+import { entryOf } from '../../utils/table.js';
 
 /**
  * Minimum number of servers that crashed with a request in flight before it counts as the cause.
@@ -106,7 +107,7 @@
   fingerprint: Fingerprint,
   now: EpochMs,
 ): number {
-  const entry = state.entries[fingerprint];
+  const entry = entryOf(state.entries, fingerprint);
   const proof = entry ? proofOf(state, fingerprint, entry, now) : 'none';
   if (!entry || proof === 'none') return 0;
   const crashes = countedCrashes(entry, now);
@@ -122,7 +123,7 @@
   now: EpochMs,
 ): ProvenCrashCause[] {
   return fingerprints.flatMap((fingerprint) => {
-    const entry = state.entries[fingerprint];
+    const entry = entryOf(state.entries, fingerprint);
     if (!entry || !isWorthStoring(state, fingerprint, entry, now)) return [];
     const servers = [...serversOf(countedCrashes(entry, now))].slice(-MAX_STORED_SERVERS);
     return [{ fingerprint, servers }];
--- a/packages/core/src/runtime/quarantine/quarantine.ts
+++ b/packages/core/src/runtime/quarantine/quarantine.ts
@@ -18,6 +18,7 @@
 } from '../../types/quarantine.js';
 import { SUSPECT_MS, countedCrashes, hasManyCrashes, refusedForMs } from './crashEvidence.js';
 import { isPartFingerprint } from './partFingerprint.js';
+import { entryOf, setEntry } from '../../utils/table.js';
 
 /**
  * Maximum number of fingerprints; above it those with the fewest crashes are removed first. A crash
@@ -54,7 +55,7 @@
   fingerprint: Fingerprint,
   now: EpochMs,
 ): QuarantineVerdict {
-  const entry = state.entries[fingerprint];
+  const entry = entryOf(state.entries, fingerprint);
   if (!entry) return 'clear';
   if (isQuarantined(entry, now) || refusedForMs(state, fingerprint, now) > 0) return 'quarantined';
   return countedCrashes(entry, now).length > 0 ? 'suspect' : 'clear';
@@ -80,13 +81,13 @@
     case 'crashed':
       return event.isShared ? recordShared(state, event, now) : recordCrash(state, event, now);
     case 'finished': {
-      const entry = state.entries[event.fingerprint];
+      const entry = entryOf(state.entries, event.fingerprint);
       // common case: the quarantine has no crashes of this request.
       if (!entry || countedCrashes(entry, now).length === 0) return state;
       return withEntry(state, event.fingerprint, { ...entry, clearedAt: now }, now);
     }
     case 'released': {
-      const entry = state.entries[event.fingerprint] ?? { crashes: [] };
+      const entry = entryOf(state.entries, event.fingerprint) ?? { crashes: [] };
       const released = { ...entry, clearedAt: now, releasedAt: now };
       return withEntry(state, event.fingerprint, released, now);
     }
@@ -107,8 +108,8 @@
 ): QuarantineState {
   const entries = { ...a.entries };
   for (const [fingerprint, other] of Object.entries(b.entries)) {
-    const own = entries[fingerprint];
-    entries[fingerprint] = own ? joinEntries(own, other) : other;
+    const own = entryOf(entries, fingerprint);
+    setEntry(entries, fingerprint, own ? joinEntries(own, other) : other);
   }
   return limitEntries({ entries }, now);
 }
@@ -139,11 +140,11 @@
 ): QuarantineState {
   const entries = { ...state.entries };
   for (const fingerprint of inFlight) {
-    const entry = entries[fingerprint] ?? { crashes: [] };
+    const entry = entryOf(entries, fingerprint) ?? { crashes: [] };
     if (entry.crashes.some((crash) => crash.server === server)) continue;
     const crashes = [...countedCrashes(entry, now), { server, at: now }].toSorted(byTime);
     const max = isPartFingerprint(fingerprint) ? MAX_CRASHES_OF_PART : MAX_CRASHES;
-    entries[fingerprint] = { ...entry, crashes: crashes.slice(-max) };
+    setEntry(entries, fingerprint, { ...entry, crashes: crashes.slice(-max) });
   }
   return limitEntries({ entries }, now);
 }
@@ -158,11 +159,15 @@
   );
   const entries = { ...state.entries };
   for (const fingerprint of inFlight) {
-    const entry = entries[fingerprint] ?? { crashes: [] };
+    const entry = entryOf(entries, fingerprint) ?? { crashes: [] };
     const crashes = [...countedCrashes(entry, now), { server, at: now }].slice(-MAX_CRASHES);
     const onlySuspect = suspectsBefore.length === 1 && suspectsBefore[0] === fingerprint;
     const isCause = onlySuspect && provesCause(crashes);
-    entries[fingerprint] = { ...entry, crashes, ...(isCause ? { quarantinedAt: now } : {}) };
+    setEntry(entries, fingerprint, {
+      ...entry,
+      crashes,
+      ...(isCause ? { quarantinedAt: now } : {}),
+    });
   }
   return limitEntries({ entries }, now);
 }
--- a/packages/core/src/runtime/spender.ts
+++ b/packages/core/src/runtime/spender.ts
@@ -6,6 +6,7 @@
 import type { AccountId, IncarnationId, Tokens, WorkClassName } from '../types/ids.js';
 import type { JournalChange, JournalLine, JournalState } from '../types/journal.js';
 import { Result } from 'true-myth';
+import { entryOf } from '../utils/table.js';
 
 /** Number of unapplied lines at which a spender counts as full, so callers append no more. */
 const MAX_UNAPPLIED_LINES = 1_500;
@@ -89,12 +90,12 @@
 
   /** Sequence number of the last line that the last read journal includes. */
   get appliedSeq(): number {
-    return this.#journal.holders[this.holder]?.seq ?? 0;
+    return entryOf(this.#journal.holders, this.holder)?.seq ?? 0;
   }
 
   /** Whether the last read journal accepts lines of this holder. */
   get isOpen(): boolean {
-    return this.#journal.holders[this.holder]?.state === 'open';
+    return entryOf(this.#journal.holders, this.holder)?.state === 'open';
   }
 
   /**
@@ -103,7 +104,7 @@
    * is sealed, and the line would be lost.
    */
   get witnesses(): IncarnationId[] {
-    let trusted = this.#journal.holders[this.holder]?.witnesses ?? [];
+    let trusted = entryOf(this.#journal.holders, this.holder)?.witnesses ?? [];
     for (const { change } of this.#unapplied) {
       if (change.type !== 'witnesses') continue;
       trusted = trusted.filter((witness) => change.witnesses.includes(witness));
@@ -126,7 +127,7 @@
    * include lines that were already removed here, so spent tokens would appear as available.
    */
   sync(journal: SpenderJournal): boolean {
-    const seq = journal.holders[this.holder]?.seq ?? 0;
+    const seq = entryOf(journal.holders, this.holder)?.seq ?? 0;
     if (seq < this.appliedSeq) return false;
     this.#journal = journal;
     this.#unapplied = this.#unapplied.filter((line) => line.seq > seq);
@@ -167,7 +168,7 @@
 
   /** Tokens that this holder has, including reserved tokens. */
   held(account: AccountId): Tokens {
-    const slice = this.#journal.holders[this.holder]?.slices[account] ?? 0;
+    const slice = entryOf(entryOf(this.#journal.holders, this.holder)?.slices, account) ?? 0;
     const credits = sum(this.#credits.filter((credit) => credit.account === account));
     return slice + credits - this.#unappliedDebit(account);
   }
@@ -225,14 +226,14 @@
 
   /** Tokens spent in this data centre, or billed or reserved by this holder. */
   #drawnLocally(account: AccountId): Tokens {
-    const spent = this.#journal.accounts[account]?.spent ?? 0;
+    const spent = entryOf(this.#journal.accounts, account)?.spent ?? 0;
     return spent + this.#unappliedBills(account) + this.#reserved(account);
   }
 
   #classDrawn(request: SpenderRequest, budget: BudgetView): Tokens {
     const { account, workClass } = request;
-    const here = this.#journal.accounts[account]?.spentByClass?.[workClass] ?? 0;
-    const elsewhere = budget.spentElsewhereByClass[workClass] ?? 0;
+    const here = entryOf(entryOf(this.#journal.accounts, account)?.spentByClass, workClass) ?? 0;
+    const elsewhere = entryOf(budget.spentElsewhereByClass, workClass) ?? 0;
     const unapplied = this.#unappliedBills(account, workClass);
     return here + elsewhere + unapplied + this.#reserved(account, workClass);
   }
@@ -272,7 +273,7 @@
    * were applied.
    */
   #includes(credit: TransferCredit): boolean {
-    const sender = this.#journal.holders[credit.from];
+    const sender = entryOf(this.#journal.holders, credit.from);
     return sender === undefined || sender.seq >= credit.seq;
   }
 }
--- a/packages/core/src/runtime/witness.ts
+++ b/packages/core/src/runtime/witness.ts
@@ -6,6 +6,7 @@
 import type { IncarnationId } from '../types/ids.js';
 import type { JournalLine, JournalState } from '../types/journal.js';
 import { Result } from 'true-myth';
+import { entryOf, hasEntry } from '../utils/table.js';
 
 /** Lines that a witness stores for one holder. */
 export interface WitnessedHolder {
@@ -53,9 +54,9 @@
 ): Result<WitnessState, WitnessFault> {
   const holder = lines[0]?.holder;
   if (holder === undefined) return Result.ok(state);
-  const kept = state.holders[holder] ?? { fenced: false, lines: [] };
+  const kept = entryOf(state.holders, holder) ?? { fenced: false, lines: [] };
   if (kept.fenced) return Result.err('fenced');
-  const entry = journal.holders[holder];
+  const entry = entryOf(journal.holders, holder);
   if (!entry) return Result.err('unknown-holder');
   if (entry.state !== 'open') return Result.err('fenced');
   // A gap to older stored lines is fine: a holder sends all lines that the journal does not
@@ -63,7 +64,7 @@
   if (!isDense(lines)) return Result.err('gap');
   const merged = mergeLines(kept.lines, lines);
   if (merged.length > limits.linesPerHolder) return Result.err('full');
-  const isNew = !state.holders[holder];
+  const isNew = !hasEntry(state.holders, holder);
   if (isNew && Object.keys(state.holders).length >= limits.holders) return Result.err('full');
   return Result.ok(withHolder(state, holder, { fenced: false, lines: merged }));
 }
@@ -73,14 +74,14 @@
   state: WitnessState,
   holder: IncarnationId,
 ): { state: WitnessState; lines: JournalLine[] } {
-  const lines = state.holders[holder]?.lines ?? [];
+  const lines = entryOf(state.holders, holder)?.lines ?? [];
   return { state: withHolder(state, holder, { fenced: true, lines }), lines };
 }
 
 /** Removes lines that the journal includes, and holders that have ended there. */
 export function dropApplied(state: WitnessState, journal: JournalState): WitnessState {
   const kept = Object.entries(state.holders).flatMap(([id, held]) => {
-    const entry = journal.holders[id];
+    const entry = entryOf(journal.holders, id);
     // The fence may have arrived before a journal that lists the holder was read, so it must be
     // kept.
     if (!entry) return held.fenced ? [[id, held] as const] : [];
--- a/packages/core/src/utils/jsoncCheck.ts
+++ b/packages/core/src/utils/jsoncCheck.ts
@@ -4,6 +4,8 @@
 import { formatPath } from './jsonc.js';
 import { Result } from 'true-myth';
 import { z } from 'zod';
+import type { Table } from './table.js';
+import { entryOf } from './table.js';
 
 type Issue = z.core.$ZodIssue;
 
@@ -153,7 +155,7 @@
   let current: z.ZodType | undefined = narrowUnion(unwrapSchema(schema), valueAt(root, at));
   for (const [index, step] of path.entries()) {
     if (current instanceof z.ZodObject) {
-      current = (current.shape as Record<string, z.ZodType>)[String(step)];
+      current = entryOf(current.shape as Table<z.ZodType>, String(step));
     } else if (current instanceof z.ZodArray) {
       current = current.element as z.ZodType;
     } else {
@@ -183,7 +185,7 @@
   const options = schema.options as z.ZodType[];
   return options.find((option) => {
     if (!(option instanceof z.ZodObject)) return false;
-    const tag = (option.shape as Record<string, z.ZodType>)[key];
+    const tag = entryOf(option.shape as Table<z.ZodType>, key);
     return tag?.safeParse(given).success ?? false;
   });
 }
@@ -192,7 +194,7 @@
   let current = value;
   for (const step of path) {
     if (typeof current !== 'object' || current === null) return undefined;
-    current = (current as Record<string | number, unknown>)[step];
+    current = entryOf(current as Table<unknown>, String(step));
   }
   return current;
 }
--- a/packages/gateway/src/node/evacuationWatch.ts
+++ b/packages/gateway/src/node/evacuationWatch.ts
@@ -3,6 +3,7 @@
 import type { Kernel } from '@flamingocourse/kernel';
 import type { Subscription, WatchEvent } from '@flamingocourse/store';
 import type { GatewayContext } from '../types/context.js';
+import { entryOf } from '@flamingocourse/core';
 import { Listeners, Service } from '@flamingocourse/kernel';
 import { reportThrown } from './reportThrown.js';
 import { StoreReachability } from './storeReachability.js';
@@ -117,6 +118,6 @@
   /** A misspelled name evacuates nothing, which its operator has to see. */
   #isKnownDataCentre(name: string): boolean {
     const { dataCentre, regions } = this.#context.settings;
-    return name === dataCentre || regions[name] !== undefined;
+    return name === dataCentre || entryOf(regions, name) !== undefined;
   }
 }
--- a/packages/gateway/src/node/fleetConditionsService.ts
+++ b/packages/gateway/src/node/fleetConditionsService.ts
@@ -12,7 +12,13 @@
   PressureSource,
 } from '../types/fleetConditions.js';
 import type { GatewayContext } from '../types/context.js';
-import { CollectorOrder, ConditionTable, estimatedBytes, summedUnless } from '@flamingocourse/core';
+import {
+  CollectorOrder,
+  ConditionTable,
+  estimatedBytes,
+  summedUnless,
+  entryOf,
+} from '@flamingocourse/core';
 import { Service } from '@flamingocourse/kernel';
 import { Result } from 'true-myth';
 import { AlwaysCalm } from '../types/fleetConditions.js';
@@ -202,7 +208,9 @@
       pressure: this.#pressure.pressure(now),
       ready: this.#pressure.isReady(),
       demand: summedUnless(demand, (service) => {
-        return demand[service]?.crowded === true || known[service]?.crowded === true;
+        return (
+          entryOf(demand, service)?.crowded === true || entryOf(known, service)?.crowded === true
+        );
       }),
     };
   }
--- a/packages/gateway/src/node/instanceDirectory.ts
+++ b/packages/gateway/src/node/instanceDirectory.ts
@@ -10,7 +10,7 @@
 import { setTimeout as delay } from 'node:timers/promises';
 import { isDeepStrictEqual } from 'node:util';
 import { Listeners, Service } from '@flamingocourse/kernel';
-import { readIntervalMs } from '@flamingocourse/core';
+import { readIntervalMs, entryOf } from '@flamingocourse/core';
 import { storedInstancesSchema } from '../utils/instanceSchemas.js';
 import { StoredObject } from './storedObject.js';
 
@@ -155,7 +155,7 @@
   async #writeSelf(): Promise<Result<ChangeOutcome, StoreError>> {
     const { random, settings } = this.#context;
     const read = await this.#ownObject.read(this.#now());
-    const isListed = read.isOk && read.value.instances[settings.instance] !== undefined;
+    const isListed = read.isOk && entryOf(read.value.instances, settings.instance) !== undefined;
     this.#wasListed ||= isListed;
     if (read.isOk && !isListed) {
       await delay(random() * JOIN_SPREAD_MS);
@@ -168,7 +168,7 @@
     const { instance, listen } = this.#context.settings;
     const meshUrl = listen.mesh && `http://${listen.mesh.host}:${String(listen.mesh.port)}`;
     const self = meshUrl === undefined ? {} : { meshUrl };
-    if (isDeepStrictEqual(seen.instances[instance], self)) return seen;
+    if (isDeepStrictEqual(entryOf(seen.instances, instance), self)) return seen;
     return { instances: { ...seen.instances, [instance]: self } };
   }
 
@@ -226,7 +226,7 @@
 
   #self(): FleetInstance {
     const { instance, dataCentre } = this.#context.settings;
-    const { [instance]: self = {} } = this.#withSelf({ instances: {} }).instances;
+    const self = entryOf(this.#withSelf({ instances: {} }).instances, instance);
     return { name: instance, dataCentre, ...self };
   }
 
--- a/packages/gateway/src/node/loanRequestHandler.ts
+++ b/packages/gateway/src/node/loanRequestHandler.ts
@@ -11,7 +11,7 @@
 } from '@flamingocourse/core';
 import type { GatewayContext } from '../types/context.js';
 import type { StoreTokens } from './storeTokens.js';
-import { LoanBook, demandSpread } from '@flamingocourse/core';
+import { LoanBook, demandSpread, setEntry } from '@flamingocourse/core';
 import { startTimeLimit } from '@flamingocourse/kernel';
 
 /** Milliseconds that a borrower waits while tokens are fetched for it; its call has its own timeout. */
@@ -84,7 +84,7 @@
     const names = new Set([...known, ...this.#widelyUsed(outlook)]);
     const accounts: Record<AccountId, LoanAccount> = {};
     for (const name of names) {
-      accounts[name] = this.#accountFor(report.instance, name, outlook, tokens);
+      setEntry(accounts, name, this.#accountFor(report.instance, name, outlook, tokens));
     }
     const { instances, fetchers } = outlook;
     return { type: 'lent', lender, instances, fetchers, isStopping, accounts };
--- a/packages/gateway/src/node/loanTokens.ts
+++ b/packages/gateway/src/node/loanTokens.ts
@@ -17,6 +17,7 @@
 import type { GatewayContext } from '../types/context.js';
 import type { LoanCalls } from '../types/loans.js';
 import type { FetchOutlook, SourceView } from '../types/tokenSource.js';
+import { entryOf, setEntry } from '@flamingocourse/core';
 import { aborted } from '@flamingocourse/kernel';
 import { withReportJitter } from '../runtime/reportPeriod.js';
 import { TokenSource } from '../types/tokenSource.js';
@@ -263,7 +264,7 @@
       return;
     }
     const now = this.#now();
-    this.#holder.confirmHeld((account) => answer.accounts[account]?.held);
+    this.#holder.confirmHeld((account) => entryOf(answer.accounts, account)?.held);
     for (const [account, known] of Object.entries(answer.accounts)) {
       this.#accounts.set(account, { ...known, receivedAt: now });
     }
@@ -318,7 +319,7 @@
   const urgent: Record<AccountId, Tokens> = {};
   for (const [account, { wants }] of Object.entries(entries)) {
     const awaited = Math.min(wants, holder.awaited(account));
-    if (awaited > 0) urgent[account] = awaited;
+    if (awaited > 0) setEntry(urgent, account, awaited);
   }
   return urgent;
 }
--- a/packages/gateway/src/node/prepaidGrants.ts
+++ b/packages/gateway/src/node/prepaidGrants.ts
@@ -28,6 +28,7 @@
   sum,
   ungrantedPrepaid,
   wantedGrants,
+  entryOf,
 } from '@flamingocourse/core';
 import { Result } from 'true-myth';
 import { prepaidBudgetsSchema } from '../utils/prepaidSchemas.js';
@@ -111,9 +112,9 @@
 
   /** Upper bound of the tokens left of an account, from this copy and the group's page. */
   left(account: AccountId, limit: Tokens, page: PrepaidPage | undefined): Tokens {
-    const entry = page?.accounts[account];
+    const entry = entryOf(page?.accounts, account);
     const here = entry ? entry.spent + entry.inDoubt : 0;
-    const before = this.known.grants[account]?.[this.#group]?.gone ?? 0;
+    const before = entryOf(entryOf(this.known.grants, account), this.#group)?.gone ?? 0;
     return Math.max(
       0,
       maxRemainingPrepaid(this.known, account, limit) - Math.max(0, here - before),
@@ -132,7 +133,7 @@
       const read = await this.#budgets.read(this.#now(), { ...options, stale });
       if (read.isErr) return Result.err(read.error);
     }
-    while (this.known.members[settings.instance] === undefined) {
+    while (entryOf(this.known.members, settings.instance) === undefined) {
       const next = joinGroup(this.known, settings.instance, MAX_GROUP_SIZE);
       const written = await this.#budgets.update(next, this.#now());
       if (written.isErr) return Result.err(written.error);
@@ -143,7 +144,7 @@
       const read = await this.#budgets.read(this.#now(), options);
       if (read.isErr) return Result.err(read.error);
     }
-    const group = this.known.members[settings.instance] ?? '';
+    const group = entryOf(this.known.members, settings.instance) ?? '';
     if (group !== this.#group) log.write('prepaid-group-joined', { group });
     this.#group = group;
     return Result.ok();
--- a/packages/gateway/src/node/prepaidPages.ts
+++ b/packages/gateway/src/node/prepaidPages.ts
@@ -28,6 +28,7 @@
   returnSurplus,
   takeGrants,
   unallocatedPrepaid,
+  entryOf,
 } from '@flamingocourse/core';
 import { Result } from 'true-myth';
 import { prepaidPageSchema } from '../utils/prepaidSchemas.js';
@@ -128,7 +129,7 @@
 
   /** Tokens that this instance could get, according to the last read. */
   available(account: AccountId, limit: Tokens): Tokens {
-    const entry = this.page?.accounts[account];
+    const entry = entryOf(this.page?.accounts, account);
     return this.#grants.ungranted(account, limit) + (entry ? unallocatedPrepaid(entry) : 0);
   }
 
@@ -218,7 +219,7 @@
     if (alone.isErr || alone.value !== 'busy') return alone;
     const after = page.value ?? before;
     const writer = reportersBetween(before, after).find((name) => name !== report.instance);
-    const replaces = after.writers[report.instance]?.incarnation;
+    const replaces = entryOf(after.writers, report.instance)?.incarnation;
     // the page shows nothing of a last report, so its outcome would be unknown.
     if (writer !== undefined && !report.last) {
       const outcome = await this.#forward(writer, { group, report, replaces });
--- a/packages/gateway/src/node/serverAgent.ts
+++ b/packages/gateway/src/node/serverAgent.ts
@@ -4,6 +4,7 @@
 import { Agent } from 'node:http';
 import type { ClientRequest, IncomingMessage } from 'node:http';
 import type { NetConnectOpts } from 'node:net';
+import { entryOf } from '@flamingocourse/core';
 import { runInBackground } from '@flamingocourse/kernel';
 import type { ServerConnector } from '../types/serverConnector.js';
 import { Socket } from 'node:net';
@@ -61,7 +62,7 @@
   }
 
   #idle(url: string): readonly Duplex[] {
-    return this.freeSockets[this.getName(serverAddress(url))] ?? [];
+    return entryOf(this.freeSockets, this.getName(serverAddress(url))) ?? [];
   }
 
   /** Returns whether the connection is kept for reuse. */
@@ -79,7 +80,10 @@
   /** The open connections to a server, idle or in use. */
   openConnections(url: string): Socket[] {
     const name = this.getName(serverAddress(url));
-    const sockets = [...(this.sockets[name] ?? []), ...(this.freeSockets[name] ?? [])];
+    const sockets = [
+      ...(entryOf(this.sockets, name) ?? []),
+      ...(entryOf(this.freeSockets, name) ?? []),
+    ];
     return sockets.filter((socket) => !socket.destroyed && !socket.connecting);
   }
 
--- a/packages/gateway/src/node/sharedQuarantine.ts
+++ b/packages/gateway/src/node/sharedQuarantine.ts
@@ -14,7 +14,7 @@
 import type { GatewayContext } from '../types/context.js';
 import type { StoredCrashCauses } from './storedCrashCauses.js';
 import type { GossipService } from './gossipService.js';
-import { isPartFingerprint, provenCrashCauses } from '@flamingocourse/core';
+import { isPartFingerprint, provenCrashCauses, entryOf } from '@flamingocourse/core';
 
 /** Maximum number of requests in one gossip fact. */
 const MAX_REQUESTS_PER_ITEM = 256;
@@ -45,7 +45,7 @@
   publish(event: QuarantineEvent, state: QuarantineState): void {
     if (event.type === 'crashed') this.#publishCrash(event, state);
     if (event.type !== 'finished') return;
-    const { crashes = [] } = state.entries[event.fingerprint] ?? {};
+    const { crashes = [] } = entryOf(state.entries, event.fingerprint) ?? {};
     // after one more crash, other instances would take the request for the cause.
     const isUrgent = crashes.length >= URGENT_CRASH_COUNT;
     // a part that others share finishes at their instances as well.
--- a/packages/gateway/src/node/storeTokens.ts
+++ b/packages/gateway/src/node/storeTokens.ts
@@ -18,7 +18,7 @@
 import type { GatewayContext } from '../types/context.js';
 import type { ForwardReport } from './prepaidPages.js';
 import type { FetchOutlook, SourceView } from '../types/tokenSource.js';
-import { heldPrepaid, sum, viewOfPage } from '@flamingocourse/core';
+import { heldPrepaid, sum, viewOfPage, entryOf } from '@flamingocourse/core';
 import { aborted } from '@flamingocourse/kernel';
 import { Result } from 'true-myth';
 import {
@@ -191,7 +191,7 @@
       available: this.#pages.isCurrent ? this.#pages.available(account, limit) : undefined,
       left: isKnown ? left : undefined,
       ageMs: this.#pages.ageMs(now),
-      inDoubt: this.#pages.page?.accounts[account]?.inDoubt,
+      inDoubt: entryOf(this.#pages.page?.accounts, account)?.inDoubt,
     };
   }
 
@@ -348,7 +348,7 @@
       renewed: this.#holder.incarnation,
       group: this.#pages.group,
       version: this.#pages.version,
-      writer: page.writers[settings.instance]?.incarnation,
+      writer: entryOf(page.writers, settings.instance)?.incarnation,
     });
   }
 
--- a/packages/gateway/src/runtime/accountRoomSharing.ts
+++ b/packages/gateway/src/runtime/accountRoomSharing.ts
@@ -17,6 +17,8 @@
   divideRoom,
   noDemand,
   totalRoom,
+  entryOf,
+  setEntry,
 } from '@flamingocourse/core';
 import { RoomSharing } from '../types/roomSharing.js';
 import { AccountDemand } from './accountDemand.js';
@@ -151,7 +153,7 @@
     this.#refresh(now);
     const { demand } = this.#parts.conditions.view(now);
     return [...this.#services].map(([name, service]) => {
-      return stateOf(name, service, demand[name] ?? noDemand(), now);
+      return stateOf(name, service, entryOf(demand, name) ?? noDemand(), now);
     });
   }
 
@@ -165,7 +167,7 @@
 
   #level(name: ServiceName, service: SharedService, known: FleetView['demand'], now: number): void {
     const wasLimited = service.isLimited;
-    const fleet = known[name] ?? noDemand();
+    const fleet = entryOf(known, name) ?? noDemand();
     service.capacity.observe(fleet, now);
     const { slots } = service.capacity;
     service.levels = slots === undefined ? undefined : divideRoom(fleet, slots);
@@ -195,7 +197,7 @@
   const accounts: Record<string, RoomByImportance> = {};
   for (const [name, account] of service.accounts) {
     const room = account.asked(now);
-    if (room) accounts[name] = room;
+    if (room) setEntry(accounts, name, room);
   }
   const lateness = service.lateness(now);
   return {
--- a/packages/gateway/src/runtime/homes.ts
+++ b/packages/gateway/src/runtime/homes.ts
@@ -1,6 +1,7 @@
 /** In which data centres a request may run, by the homes of its route and its client account. */
 
 import type { DataCentreId, Homes, Route, RoutedAccount } from '@flamingocourse/core';
+import { entryOf } from '@flamingocourse/core';
 
 /** Regions of data centres, by their names. */
 export type Regions = Readonly<Record<DataCentreId, string>>;
@@ -36,7 +37,9 @@
  */
 export function mayCarry(peer: DataCentreId, server: DataCentreId, regions: Regions): boolean {
   // a server of an unknown region gets no request with homes.
-  return regions[server] === undefined || regions[peer] === regions[server];
+  return (
+    entryOf(regions, server) === undefined || entryOf(regions, peer) === entryOf(regions, server)
+  );
 }
 
 /** Homes that cannot be read allow no region. */
--- a/packages/gateway/src/utils/followAnswerSchema.ts
+++ b/packages/gateway/src/utils/followAnswerSchema.ts
@@ -1,6 +1,7 @@
 /** Schema of what another instance passes on from the store. */
 
 import type { FollowAnswer, PassedOnChange } from '@flamingocourse/core';
+import { tableSchema } from '@flamingocourse/core';
 import { z } from 'zod';
 
 const MAX_NAME_LENGTH = 300;
@@ -22,7 +23,7 @@
 ]);
 
 export const followAnswerSchema: z.ZodType<FollowAnswer> = z.object({
-  collections: z.record(
+  collections: tableSchema(
     name,
     z.union([
       z.literal('ask-store'),
--- a/packages/gateway/src/utils/gatewaySettingsSchema.ts
+++ b/packages/gateway/src/utils/gatewaySettingsSchema.ts
@@ -1,6 +1,7 @@
 /** Schema and defaults of the settings file. */
 
 import type { ClientLimits } from '../types/clientLimits.js';
+import { tableSchema } from '@flamingocourse/core';
 import { z } from 'zod';
 import { entryConnections, heldBytes } from '../runtime/defaultLimits.js';
 
@@ -91,8 +92,7 @@
     slack: z.number().min(0),
     windowMs: milliseconds,
   }),
-  regions: z
-    .record(z.string(), z.string())
+  regions: tableSchema(z.string(), z.string())
     .default({})
     .describe('the region of each data centre, by the name of the data centre'),
   terms: z
--- a/packages/gateway/src/utils/instanceSchemas.ts
+++ b/packages/gateway/src/utils/instanceSchemas.ts
@@ -1,5 +1,6 @@
 /** Schema of the stored objects that list the instances of the fleet. */
 
+import { tableSchema } from '@flamingocourse/core';
 import { z } from 'zod';
 
 /** Instances of one data centre, keyed by name. */
@@ -8,5 +9,5 @@
 }
 
 export const storedInstancesSchema: z.ZodType<StoredInstances> = z.object({
-  instances: z.record(z.string(), z.object({ meshUrl: z.string().optional() })),
+  instances: tableSchema(z.string(), z.object({ meshUrl: z.string().optional() })),
 });
--- a/packages/lab/src/node/budgetMeasure/scenarioTypes.ts
+++ b/packages/lab/src/node/budgetMeasure/scenarioTypes.ts
@@ -3,6 +3,7 @@
 import type { FalseRefusals, OracleType } from '../../runtime/budgetMeasure/oracle.js';
 import type { RequestRecord } from '../../runtime/budgetMeasure/requestPlan.js';
 import type { MoneyAudit } from './auditSimulation.js';
+import { entryOf, setEntry } from '@flamingocourse/core';
 
 /** Options of all scenarios. */
 export interface ScenarioOptions {
@@ -55,6 +56,6 @@
 /** Counts records by outcome. */
 export function countOutcomes(records: readonly RequestRecord[]): Record<string, number> {
   const counts: Record<string, number> = {};
-  for (const { outcome } of records) counts[outcome] = (counts[outcome] ?? 0) + 1;
+  for (const { outcome } of records) setEntry(counts, outcome, (entryOf(counts, outcome) ?? 0) + 1);
   return counts;
 }
--- a/packages/lab/src/node/budgetMeasure/scenarios.ts
+++ b/packages/lab/src/node/budgetMeasure/scenarios.ts
@@ -5,7 +5,7 @@
 import type { BudgetRequest, RequestRecord } from '../../runtime/budgetMeasure/requestPlan.js';
 import type { ScenarioOptions, ScenarioResult, Stranded } from './scenarioTypes.js';
 import type { SimulationOptions } from './budgetSimulation.js';
-import { changeBudget } from '@flamingocourse/core';
+import { changeBudget, entryOf } from '@flamingocourse/core';
 import { setTimeout as delay } from 'node:timers/promises';
 import { createRandom } from '../../runtime/random.js';
 import { countFalseRefusals } from '../../runtime/budgetMeasure/oracle.js';
@@ -208,7 +208,7 @@
   const killedAt = Date.now();
   victim.killedAt = killedAt;
   const holder = (): { state: string; slices: Record<string, number> } | undefined =>
-    journalsOf(simulation)[0]?.holders[incarnation];
+    entryOf(journalsOf(simulation)[0]?.holders, incarnation);
   const tokens = Object.values(holder()?.slices ?? {}).reduce((sum, slice) => sum + slice, 0);
   while (holder()?.state !== 'sealed' && Date.now() - killedAt < SEAL_TIMEOUT_MS) {
     await delay(POLL_MS);
--- a/packages/lab/src/node/capacity/capacityModel.ts
+++ b/packages/lab/src/node/capacity/capacityModel.ts
@@ -6,6 +6,7 @@
 
 import type { CostLines } from './types.js';
 import type { FleetSize, SizeShares } from './targetSize.js';
+import { entryOf } from '@flamingocourse/core';
 import { settingsDefaults } from '@flamingocourse/router';
 import { costAt, extrapolation } from './costLine.js';
 import { heartbeatTargetsOf } from './fleetCosts.js';
@@ -105,7 +106,7 @@
       this.#extrapolation,
       extrapolation(this.#lines, name, { [driver]: value }),
     );
-    return (this.#lines.get(name)?.slopes[driver] ?? 0) * value;
+    return (entryOf(this.#lines.get(name)?.slopes, driver) ?? 0) * value;
   }
 
   add(role: string, mechanism: string, cost: number, unit: string, limit?: number): void {
--- a/packages/lab/src/node/capacity/capacityReport.ts
+++ b/packages/lab/src/node/capacity/capacityReport.ts
@@ -4,6 +4,7 @@
 import type { CapacityRow } from './capacityModel.js';
 import type { CostLine, CostLines } from './types.js';
 import { cpus, loadavg } from 'node:os';
+import { entryOf } from '@flamingocourse/core';
 import { findExceededLimits, timesLimit, estimateCapacity } from './capacityModel.js';
 import { targetSize, todaySize } from './targetSize.js';
 
@@ -81,7 +82,7 @@
 }
 
 function describe(drivers: string[], values: Record<string, number>): string {
-  return drivers.map((driver) => `${driver} ${round(values[driver] ?? 0)}`).join(', ');
+  return drivers.map((driver) => `${driver} ${round(entryOf(values, driver) ?? 0)}`).join(', ');
 }
 
 function round(value: number): number {
--- a/packages/lab/src/node/capacity/costLine.ts
+++ b/packages/lab/src/node/capacity/costLine.ts
@@ -1,6 +1,7 @@
 /** Fits cost lines to measured points by least squares. */
 
 import type { CostLine, CostLines, CostPoint } from './types.js';
+import { entryOf } from '@flamingocourse/core';
 import { LabError } from '../../utils/labError.js';
 
 /** A pivot below this value means that the column depends linearly on the others. */
@@ -26,7 +27,7 @@
   const scales = drivers.map((driver) => largest(points, driver) || 1);
   const rows = points.map(({ at }) => [
     1,
-    ...drivers.map((driver, i) => (at[driver] ?? 0) / (scales[i] ?? 1)),
+    ...drivers.map((driver, i) => (entryOf(at, driver) ?? 0) / (scales[i] ?? 1)),
   ]);
   const costs = points.map(({ cost }) => cost);
   const solution = solve(normalEquations(rows, costs));
@@ -53,7 +54,9 @@
 export function costAt(lines: CostLines, name: string, at: Record<string, number>): number {
   const line = lines.get(name);
   if (!line) throw new LabError('too-few-points', `"${name}" was not measured`);
-  const parts = line.drivers.map((driver) => (line.slopes[driver] ?? 0) * (at[driver] ?? 0));
+  const parts = line.drivers.map(
+    (driver) => (entryOf(line.slopes, driver) ?? 0) * (entryOf(at, driver) ?? 0),
+  );
   return Math.max(0, line.fixed + sumOf(parts));
 }
 
@@ -61,7 +64,9 @@
 export function extrapolation(lines: CostLines, name: string, at: Record<string, number>): number {
   const line = lines.get(name);
   if (!line) return Infinity;
-  const factors = line.drivers.map((driver) => (at[driver] ?? 0) / (line.measuredTo[driver] ?? 1));
+  const factors = line.drivers.map(
+    (driver) => (entryOf(at, driver) ?? 0) / (entryOf(line.measuredTo, driver) ?? 1),
+  );
   return Math.max(1, ...factors);
 }
 
@@ -79,7 +84,7 @@
 }
 
 function largest(points: readonly CostPoint[], driver: string): number {
-  return Math.max(...points.map(({ at }) => at[driver] ?? 0));
+  return Math.max(...points.map(({ at }) => entryOf(at, driver) ?? 0));
 }
 
 /** Returns the augmented matrix of the normal equations; the last column is the right side. */
--- a/packages/lab/src/node/capacity/routerCosts.ts
+++ b/packages/lab/src/node/capacity/routerCosts.ts
@@ -3,6 +3,7 @@
 import type { CostLine, CostPoint, Progress } from './types.js';
 import type { RouterDeployment } from './routerDeployment.js';
 import { setTimeout as delay } from 'node:timers/promises';
+import { entryOf } from '@flamingocourse/core';
 import { fitCostLine, median } from './costLine.js';
 import { startDeployment } from './routerDeployment.js';
 import { LabError } from '../../utils/labError.js';
@@ -173,7 +174,7 @@
 ): CostLine {
   const points = counted
     .filter((one) => one.load === load)
-    .map(({ at, calls }): CostPoint => ({ at, cost: calls[kind] ?? 0 }));
+    .map(({ at, calls }): CostPoint => ({ at, cost: entryOf(calls, kind) ?? 0 }));
   return fitCostLine({ name: `calls.${load}.${kind}`, unit: 'calls/s', drivers, points });
 }
 
@@ -228,7 +229,7 @@
   const seconds = (performance.now() - startedAt) / MS_PER_SECOND;
   const counts = Object.entries(deployment.calls()).map(([kind, count]) => [
     kind,
-    (count - (before[kind] ?? 0)) / seconds,
+    (count - (entryOf(before, kind) ?? 0)) / seconds,
   ]);
   return Object.fromEntries(counts) as Record<string, number>;
 }
--- a/packages/lab/src/node/capacity/routerDeployment.ts
+++ b/packages/lab/src/node/capacity/routerDeployment.ts
@@ -8,6 +8,7 @@
 import { mkdtemp, rm } from 'node:fs/promises';
 import { tmpdir } from 'node:os';
 import { join } from 'node:path';
+import { entryOf, setEntry } from '@flamingocourse/core';
 import { createEngineStandIn } from '../engineStandIn/index.js';
 import { FleetRunner } from '../fleetRunner/index.js';
 import { runLoad } from '../loadGenerator/index.js';
@@ -210,7 +211,8 @@
 function sumCalls(platform: PlatformStandIn): Record<string, number> {
   const sums: Record<string, number> = {};
   for (const { counters } of Object.values(platform.state().entrances)) {
-    for (const [kind, count] of Object.entries(counters)) sums[kind] = (sums[kind] ?? 0) + count;
+    for (const [kind, count] of Object.entries(counters))
+      setEntry(sums, kind, (entryOf(sums, kind) ?? 0) + count);
   }
   return sums;
 }
--- a/packages/lab/src/node/demo/runDemo.ts
+++ b/packages/lab/src/node/demo/runDemo.ts
@@ -7,6 +7,7 @@
 import type { RunningBackends } from './startBackends.js';
 import { once } from 'node:events';
 import { setTimeout as delay } from 'node:timers/promises';
+import { entryOf } from '@flamingocourse/core';
 import { declaredLoad } from '../../runtime/declaredLoad.js';
 import { createDemoReport, findViolations } from '../../runtime/demoReport.js';
 import { deployments, routerSlots } from '../../runtime/deployments.js';
@@ -139,6 +140,6 @@
 }
 
 function readValues<T>(platform: PlatformStandIn, collection: string): T[] {
-  const objects = platform.state().collections[collection] ?? {};
+  const objects = entryOf(platform.state().collections, collection) ?? {};
   return Object.values(objects).map((object) => object.value as T);
 }
--- a/packages/lab/src/node/fleetRunner/fleetRunner.ts
+++ b/packages/lab/src/node/fleetRunner/fleetRunner.ts
@@ -7,6 +7,7 @@
 import { writeFile } from 'node:fs/promises';
 import { join } from 'node:path';
 import { fileURLToPath } from 'node:url';
+import { entryOf, setEntry } from '@flamingocourse/core';
 import { findFreePorts } from '../freePorts.js';
 import { RouterProcess } from './routerProcess.js';
 
@@ -68,7 +69,7 @@
           publicUrl: meshUrl,
           seeds: meshUrls.filter((url) => url !== meshUrl),
         },
-        platform: { url: options.platformUrls[slot.dataCentre] },
+        platform: { url: entryOf(options.platformUrls, slot.dataCentre) },
       };
       const settings = mergeSections(base, options.settings?.(slot, index) ?? {});
       routers.push(await createRouter(options, slot, address, settings));
@@ -205,8 +206,8 @@
 ): Record<string, unknown> {
   const merged = { ...base };
   for (const [name, value] of Object.entries(changes)) {
-    const old = merged[name];
-    merged[name] = isSection(old) && isSection(value) ? { ...old, ...value } : value;
+    const old = entryOf(merged, name);
+    setEntry(merged, name, isSection(old) && isSection(value) ? { ...old, ...value } : value);
   }
   return merged;
 }
--- a/packages/lab/src/node/httpStandIn.ts
+++ b/packages/lab/src/node/httpStandIn.ts
@@ -4,6 +4,7 @@
 import type { AddressInfo, Socket } from 'node:net';
 import type { HttpStandInOptions } from '../types/httpStandIn.js';
 import { createServer } from 'node:http';
+import { entryOf } from '@flamingocourse/core';
 import { runInBackground } from '@flamingocourse/kernel';
 
 const MAX_BODY_BYTES = 4 * 1024 * 1024;
@@ -118,7 +119,7 @@
 
 /** First value of a request header. */
 export function requestHeader(req: IncomingMessage, name: string): string | undefined {
-  const value = req.headers[name];
+  const value = entryOf(req.headers, name);
   return Array.isArray(value) ? value[0] : value;
 }
 
--- a/packages/lab/src/node/labCommand/main.ts
+++ b/packages/lab/src/node/labCommand/main.ts
@@ -1,6 +1,7 @@
 /** The lab's command line: demo, measure, prove, mutants, report. */
 
 import type { Measure } from './measures.js';
+import { entryOf } from '@flamingocourse/core';
 import { describeError } from '@flamingocourse/kernel';
 import {
   binary,
@@ -46,7 +47,7 @@
   name: 'measure',
   description: 'runs a measurement by name',
   args: { name: positional({ type: string, displayName: 'name' }), ...commonArgs, ...loadArgs },
-  handler: ({ name, ...args }) => runMeasure(`measure ${name}`, measures[name], args),
+  handler: ({ name, ...args }) => runMeasure(`measure ${name}`, entryOf(measures, name), args),
 });
 
 const mutantsCommand = command({
--- a/packages/lab/src/node/platformStandIn/platformStandIn.ts
+++ b/packages/lab/src/node/platformStandIn/platformStandIn.ts
@@ -5,6 +5,7 @@
 import type { AddressInfo } from 'node:net';
 import type { EntranceFaults } from './entranceFaults.js';
 import type { StandInShared } from './entrance.js';
+import { entryOf, setEntry } from '@flamingocourse/core';
 import { ObjectTable } from '@flamingocourse/store';
 import { xoroshiro128plus } from 'pure-rand/generator/xoroshiro128plus';
 import { createControlHandler } from './controlHandler.js';
@@ -125,10 +126,10 @@
   const host = options.host ?? '127.0.0.1';
   for (const [name, entrance] of entrances) {
     const isOperators = name === operatorsEntrance;
-    const port = isOperators ? options.operatorsPort : options.listenPorts[name];
+    const port = isOperators ? options.operatorsPort : entryOf(options.listenPorts, name);
     const url = await listen(entrance.server, host, port ?? 0);
     if (isOperators) standIn.operatorsUrl = url;
-    else standIn.urls[name] = url;
+    else setEntry(standIn.urls, name, url);
   }
 }
 
--- a/packages/lab/src/node/prove/callerLog.ts
+++ b/packages/lab/src/node/prove/callerLog.ts
@@ -3,6 +3,7 @@
 import type { Bill } from '@flamingocourse/core';
 import type { SeenAnswer, SeenNotRun } from '../../runtime/prove/billAudit.js';
 import type { AttemptOutcome, EntryOutcome, PlannedRequest } from '../../types/load.js';
+import { entryOf, setEntry } from '@flamingocourse/core';
 import { digest, HmacTicketCodec } from '@flamingocourse/router';
 import { auditBills } from '../../runtime/prove/billAudit.js';
 import { TOKENS_PER_CALL } from './proveDeclarations.js';
@@ -41,10 +42,11 @@
   }
 
   #addEntry(key: string, end: AttemptOutcome): void {
-    if (this.entries[key] === 'entered') return;
-    if (end.type === 'answer') this.entries[key] = 'entered';
-    else if (end.type === 'refused' && end.run === 'not-run') this.entries[key] = 'not-run';
-    else this.entries[key] = 'unknown';
+    if (entryOf(this.entries, key) === 'entered') return;
+    if (end.type === 'answer') setEntry(this.entries, key, 'entered');
+    else if (end.type === 'refused' && end.run === 'not-run')
+      setEntry(this.entries, key, 'not-run');
+    else setEntry(this.entries, key, 'unknown');
   }
 
   #addAnswer(request: PlannedRequest, end: AttemptOutcome & { type: 'answer' }): void {
--- a/packages/lab/src/node/prove/configurationPhase.ts
+++ b/packages/lab/src/node/prove/configurationPhase.ts
@@ -4,6 +4,7 @@
 import type { PhaseContext } from './loadPhase.js';
 import type { ProveDeployment } from './proveDeployment.js';
 import { setTimeout as delay } from 'node:timers/promises';
+import { setEntry } from '@flamingocourse/core';
 import { z } from 'zod';
 import {
   MODEL_SERVICE,
@@ -48,7 +49,7 @@
   for (const [index, change] of changes.entries()) {
     const problems = await change.make(deployment, `${PROVE_MODEL}-${index}`);
     const { afterMs, late } = await waitUntilInForce(deployment);
-    inForceAfterMs[change.name] = afterMs;
+    setEntry(inForceAfterMs, change.name, afterMs);
     const violations = [...problems, ...late].map((text) => `${change.name}: ${text}`);
     findings.add(8, { faults: [change.name], checks: 1, violations });
     await change.undo?.(deployment);
--- a/packages/lab/src/node/prove/proveDeployment.ts
+++ b/packages/lab/src/node/prove/proveDeployment.ts
@@ -6,6 +6,7 @@
 import type { RunningBackends } from '../demo/index.js';
 import type { PlatformStandIn } from '../platformStandIn/index.js';
 import type { OperatorEnd } from './operatorCommand.js';
+import { setEntry } from '@flamingocourse/core';
 import { routerSlots } from '../../runtime/deployments.js';
 import { LabError } from '../../utils/labError.js';
 import { startBackends } from '../demo/index.js';
@@ -124,7 +125,7 @@
 ): Promise<FleetRunner> {
   const platformUrls: Record<string, string> = {};
   for (const [dataCentre, url] of Object.entries(platform.urls)) {
-    platformUrls[dataCentre] = await network.relay(url);
+    setEntry(platformUrls, dataCentre, await network.relay(url));
   }
   return FleetRunner.create({
     slots: routerSlots(plan),
--- a/packages/lab/src/runtime/demoReport.ts
+++ b/packages/lab/src/runtime/demoReport.ts
@@ -4,6 +4,7 @@
 import type { ClassFigures, LoadResult, Percentiles } from '../types/load.js';
 import type { ReportChart, ReportDocument, ReportTable } from '../types/report.js';
 import type { SpendRow } from './spend.js';
+import { entryOf } from '@flamingocourse/core';
 
 type DemoFigures = Omit<DemoResult, 'violations' | 'report'>;
 
@@ -45,7 +46,7 @@
 
 /** Accounts whose bills are less than the tokens that were reported to their callers. */
 function underbilled(load: LoadResult, spend: readonly SpendRow[]): SpendRow[] {
-  return spend.filter((row) => row.spent < (load.accounts[row.account]?.tokens ?? 0));
+  return spend.filter((row) => row.spent < (entryOf(load.accounts, row.account)?.tokens ?? 0));
 }
 
 function classTable(classes: [string, ClassFigures][]): ReportTable {
@@ -80,7 +81,7 @@
     title: 'Spend against budget (tokens)',
     columns: ['account', 'requests', 'whole', 'refused', 'answered', 'spent', 'held', 'budget'],
     rows: spend.map((row) => {
-      const calls = load.accounts[row.account];
+      const calls = entryOf(load.accounts, row.account);
       return [
         row.account,
         calls?.requests ?? 0,
--- a/packages/lab/src/runtime/entryAudit.ts
+++ b/packages/lab/src/runtime/entryAudit.ts
@@ -2,6 +2,7 @@
 
 import type { EntryOutcome } from '../types/load.js';
 import type { ServiceRun } from '../types/plainServiceStandIn.js';
+import { entryOf } from '@flamingocourse/core';
 
 /** Keys of requests with a wrong outcome. */
 export interface EntryAudit {
@@ -28,7 +29,9 @@
     runCounts.set(callerKey, (runCounts.get(callerKey) ?? 0) + 1);
   }
   const keysWith = (outcome: EntryOutcome, ran: boolean): string[] =>
-    Object.keys(outcomes).filter((key) => outcomes[key] === outcome && runCounts.has(key) === ran);
+    Object.keys(outcomes).filter(
+      (key) => entryOf(outcomes, key) === outcome && runCounts.has(key) === ran,
+    );
   return {
     doubled: [...runCounts].filter(([, count]) => count > 1).map(([key]) => key),
     lost: keysWith('entered', false),
--- a/packages/lab/src/runtime/loadRecorder.ts
+++ b/packages/lab/src/runtime/loadRecorder.ts
@@ -11,6 +11,7 @@
   PlannedRequest,
 } from '../types/load.js';
 import type { AnswerVerdict } from './answerCheck.js';
+import { entryOf, setEntry } from '@flamingocourse/core';
 import { build } from 'hdr-histogram-js';
 
 const MAX_FAULTS = 50;
@@ -77,7 +78,8 @@
 
   /** Counts the final outcome of a request; `startedAt` and `endedAt` in milliseconds. */
   finished(request: PlannedRequest, end: AttemptOutcome, startedAt: number, endedAt: number): void {
-    if (request.item.type === 'entry') this.#counts.entries[request.key] = entryOutcome(end);
+    if (request.item.type === 'entry')
+      setEntry(this.#counts.entries, request.key, entryOutcome(end));
     switch (end.type) {
       case 'answer':
         if (end.verdict === 'whole') this.#recordAnswer(request, end, startedAt, endedAt);
@@ -135,7 +137,7 @@
   }
 
   #recordRefusal(request: PlannedRequest, reason: string): void {
-    this.#counts.refusals[reason] = (this.#counts.refusals[reason] ?? 0) + 1;
+    setEntry(this.#counts.refusals, reason, (entryOf(this.#counts.refusals, reason) ?? 0) + 1);
     this.#class(request).refused += 1;
     this.#account(request).refused += 1;
   }
@@ -156,8 +158,12 @@
   }
 
   #account(request: PlannedRequest): AccountFigures {
-    const empty = { requests: 0, whole: 0, refused: 0, tokens: 0 };
-    return (this.#counts.accounts[request.account.name] ??= empty);
+    const { accounts } = this.#counts;
+    const known = entryOf(accounts, request.account.name);
+    if (known) return known;
+    const figures = { requests: 0, whole: 0, refused: 0, tokens: 0 };
+    setEntry(accounts, request.account.name, figures);
+    return figures;
   }
 }
 
--- a/packages/lab/src/runtime/naive/reducerFleet.ts
+++ b/packages/lab/src/runtime/naive/reducerFleet.ts
@@ -6,7 +6,15 @@
 import type { IncarnationId, JournalChange, TicketId, Tokens } from '@flamingocourse/core';
 import type { ReducerRouter } from './reducerRouter.js';
 import type { CrashPoint, FleetEvent, Outcome, RequestEvent } from './types.js';
-import { Spender, claim, hasInterval, storeLines, pool, takeOver } from '@flamingocourse/core';
+import {
+  Spender,
+  claim,
+  hasInterval,
+  storeLines,
+  pool,
+  takeOver,
+  entryOf,
+} from '@flamingocourse/core';
 import { LabError } from '../../utils/labError.js';
 import { createRouter } from './reducerRouter.js';
 import { ACCOUNT, DATA_CENTRES, ReducerStore } from './reducerStore.js';
@@ -74,7 +82,7 @@
 
   /** Ticket that may be billed for a key: the one in the claim, or else the one that was issued. */
   ownerOf(key: number): TicketId | undefined {
-    return this.store.claims.claims[`key-${key}`]?.ticket ?? this.#tickets.get(key);
+    return entryOf(this.store.claims.claims, `key-${key}`)?.ticket ?? this.#tickets.get(key);
   }
 
   #request({ router: index, key, crashPoint }: RequestEvent): Outcome {
@@ -101,8 +109,8 @@
     if (issuer && !issuer.spender.isOpen) return 'unknown';
     if (issuer) return issuer.outcomes.get(ticket.number) ?? this.#run(issuer, ticket, crashPoint);
     if (!this.#isUp) return 'unknown';
-    const journal = this.store.journals.find((one) => one.holders[ticket.issuer]);
-    const entry = journal?.holders[ticket.issuer];
+    const journal = this.store.journals.find((one) => entryOf(one.holders, ticket.issuer));
+    const entry = entryOf(journal?.holders, ticket.issuer);
     if (!entry) return 'unknown';
     if (hasInterval(entry.done, ticket.number)) return 'answered';
     const isSealed = entry.state === 'sealed' || entry.state === 'closed';
@@ -123,8 +131,8 @@
     const owner = this.#routers.find((one) => one.spender.holder === issuer);
     const outcome = owner?.outcomes.get(number);
     if (outcome) return outcome;
-    const journal = this.store.journals.find((one) => one.holders[issuer]);
-    const entry = journal?.holders[issuer];
+    const journal = this.store.journals.find((one) => entryOf(one.holders, issuer));
+    const entry = entryOf(journal?.holders, issuer);
     if (!entry) return 'unknown';
     if (hasInterval(entry.done, number)) return 'answered';
     // A running owner that reported not-run is asked again; the claim of a sealed one is taken over.
@@ -170,7 +178,10 @@
     this.store.claims = page;
     if (answer.type !== 'other') return answer.type === 'own';
     const { issuer, number } = answer.ticket;
-    const entry = this.store.journals.find((one) => one.holders[issuer])?.holders[issuer];
+    const entry = entryOf(
+      this.store.journals.find((one) => entryOf(one.holders, issuer))?.holders,
+      issuer,
+    );
     const isSealed = entry?.state === 'sealed' || entry?.state === 'closed';
     if (!entry || !isSealed || hasInterval(entry.done, number)) return false;
     const taken = takeOver(this.store.claims, key, answer.ticket, ticket, 0);
@@ -242,7 +253,7 @@
     if (!this.#isUp) return;
     this.store.read(router);
     const { holder } = router.spender;
-    const entry = this.store.journal(router.dataCentre).holders[holder];
+    const entry = entryOf(this.store.journal(router.dataCentre).holders, holder);
     if (entry && entry.state !== 'open') {
       this.store.finishOwn(router);
       router.formerly.push(holder);
@@ -274,7 +285,7 @@
     );
     for (const router of this.#routers) {
       const { holder } = router.spender;
-      if (this.store.journal(router.dataCentre).holders[holder]) continue;
+      if (entryOf(this.store.journal(router.dataCentre).holders, holder)) continue;
       const peers = this.#routers.filter(
         (one) => one !== router && one.dataCentre === router.dataCentre,
       );
--- a/packages/lab/src/runtime/naive/reducerStore.ts
+++ b/packages/lab/src/runtime/naive/reducerStore.ts
@@ -22,6 +22,7 @@
   startReturn,
   startSeal,
   ungranted,
+  entryOf,
 } from '@flamingocourse/core';
 import { LabError } from '../../utils/labError.js';
 
@@ -102,7 +103,7 @@
     if (started.isErr) return false;
     this.#set(started.value);
     const lines: JournalLine[] = [];
-    for (const witnessId of started.value.holders[holder]?.witnesses ?? []) {
+    for (const witnessId of entryOf(started.value.holders, holder)?.witnesses ?? []) {
       const id = currentIncarnationOf(started.value, witnessId);
       const witness = routers.find((router) => router.spender.holder === id);
       if (!witness) return false;
--- a/packages/lab/src/runtime/prove/moneyAudit.ts
+++ b/packages/lab/src/runtime/prove/moneyAudit.ts
@@ -1,7 +1,13 @@
 /** Checks budgets and bills in the objects that the platform stores. */
 
 import type { AccountId, Bill, JournalState, LedgerPage, Tokens } from '@flamingocourse/core';
-import { checkInvariant, checkLedgerInvariant, pool, ungranted } from '@flamingocourse/core';
+import {
+  checkInvariant,
+  checkLedgerInvariant,
+  pool,
+  ungranted,
+  entryOf,
+} from '@flamingocourse/core';
 
 /** Ledgers and journals, all read at the same moment. */
 export interface MoneyView {
@@ -48,12 +54,12 @@
   bills: readonly Bill[],
   account: AccountId,
 ): string[] {
-  const entry = ledgers.find((page) => page.accounts[account])?.accounts[account];
+  const entry = entryOf(ledgers.find((page) => entryOf(page.accounts, account))?.accounts, account);
   if (!entry) return [];
   const faults: string[] = [];
   for (const journal of journals) {
-    const own = journal.accounts[account];
-    const share = entry.shares[journal.dataCentre];
+    const own = entryOf(journal.accounts, account);
+    const share = entryOf(entry.shares, journal.dataCentre);
     for (const counter of ['grantedIn', 'returnedOut', 'spent'] as const) {
       const [inLedger, inJournal] = [share?.[counter] ?? 0, own?.[counter] ?? 0];
       if (inLedger === inJournal) continue;
@@ -78,11 +84,11 @@
 }
 
 function spentIn(journal: JournalState, account: AccountId): Tokens {
-  return journal.accounts[account]?.spent ?? 0;
+  return entryOf(journal.accounts, account)?.spent ?? 0;
 }
 
 function heldInSlices(journal: JournalState, account: AccountId): Tokens {
-  return sumOver(Object.values(journal.holders), (holder) => holder.slices[account] ?? 0);
+  return sumOver(Object.values(journal.holders), (holder) => entryOf(holder.slices, account) ?? 0);
 }
 
 function sumOver<T>(items: readonly T[], amount: (item: T) => Tokens): Tokens {
--- a/packages/lab/src/runtime/spend.ts
+++ b/packages/lab/src/runtime/spend.ts
@@ -1,6 +1,7 @@
 /** Computes the spend of accounts from the platform's ledgers and journals. */
 
 import type { JournalState, LedgerPage } from '@flamingocourse/core';
+import { entryOf } from '@flamingocourse/core';
 
 /** Spend of one account against its budget, in tokens. */
 export interface SpendRow {
@@ -28,7 +29,7 @@
   return accounts
     .map(([account, { limit, shares }]) => {
       const spent = journals.reduce(
-        (sum, journal) => sum + (journal.accounts[account]?.spent ?? 0),
+        (sum, journal) => sum + (entryOf(journal.accounts, account)?.spent ?? 0),
         0,
       );
       const committed = Object.values(shares).reduce(
--- a/packages/lab/src/runtime/walk/findViolation.ts
+++ b/packages/lab/src/runtime/walk/findViolation.ts
@@ -2,7 +2,13 @@
 
 import type { IncarnationId, JournalLine, JournalState } from '@flamingocourse/core';
 import type { SystemState } from './types.js';
-import { checkInvariant, checkLedgerInvariant, finishSeal, startSeal } from '@flamingocourse/core';
+import {
+  checkInvariant,
+  checkLedgerInvariant,
+  finishSeal,
+  startSeal,
+  entryOf,
+} from '@flamingocourse/core';
 import { ACCOUNT, dataCentreOf, spenderOf } from './initialState.js';
 import { NON_IDEMPOTENT } from './rules.js';
 
@@ -83,16 +89,17 @@
 
 /** Lines at the witnesses that a sealer would ask, and lines of answers that it already has. */
 function linesStoredFor(system: SystemState, holder: IncarnationId): JournalLine[] {
-  const witnesses = system.journals[dataCentreOf(holder)]?.holders[holder]?.witnesses ?? [];
+  const witnesses =
+    entryOf(entryOf(system.journals, dataCentreOf(holder))?.holders, holder)?.witnesses ?? [];
   return witnesses.flatMap((witness) => [
-    ...(system.holders[witness]?.witness.holders[holder]?.lines ?? []),
-    ...(system.fenced[`${holder}<${witness}`] ?? []),
+    ...(entryOf(entryOf(system.holders, witness)?.witness.holders, holder)?.lines ?? []),
+    ...(entryOf(system.fenced, `${holder}<${witness}`) ?? []),
   ]);
 }
 
 /** Whether a router that may still write holds the tokens that it has reserved and billed. */
 function holdsEnough(system: SystemState, id: IncarnationId): boolean {
-  if (system.holders[id]?.ended) return true;
+  if (entryOf(system.holders, id)?.ended) return true;
   const spender = spenderOf(system, id);
   return spender !== undefined && spender.free(ACCOUNT) >= 0;
 }
@@ -121,6 +128,6 @@
   system: SystemState,
   journal: JournalState,
 ): { grantedIn: number; returnedOut: number } {
-  const share = system.ledger.accounts[ACCOUNT]?.shares[journal.dataCentre];
+  const share = entryOf(system.ledger.accounts[ACCOUNT]?.shares, journal.dataCentre);
   return share ?? { grantedIn: 0, returnedOut: 0 };
 }
--- a/packages/lab/src/runtime/walk/initialState.ts
+++ b/packages/lab/src/runtime/walk/initialState.ts
@@ -15,6 +15,8 @@
   openAccount,
   recordGrant,
   registerHolder,
+  entryOf,
+  setEntry,
 } from '@flamingocourse/core';
 import { LabError } from '../../utils/labError.js';
 
@@ -44,7 +46,7 @@
   const journals: Record<string, JournalState> = {};
   for (const name of names) {
     ledger = grant(ledger, ACCOUNT, name, setup.grantedAtStart);
-    journals[name] = createFirstJournal(name, setup);
+    setEntry(journals, name, createFirstJournal(name, setup));
   }
   const holders = setup.holders.map(({ id }) => [id, createHolder(id, journals, setup)] as const);
   return {
@@ -68,14 +70,14 @@
 
 /** State of a holder. Throws `bad-world` for an unknown id. */
 export function holderIn(system: SystemState, id: IncarnationId): HolderState {
-  const holder = system.holders[id];
+  const holder = entryOf(system.holders, id);
   if (!holder) throw new LabError('bad-world', `unknown holder "${id}".`);
   return holder;
 }
 
 /** Journal of a data centre. Throws `bad-world` for an unknown name. */
 export function journalIn(system: SystemState, dataCentre: string): JournalState {
-  const journal = system.journals[dataCentre];
+  const journal = entryOf(system.journals, dataCentre);
   if (!journal) throw new LabError('bad-world', `unknown data centre "${dataCentre}".`);
   return journal;
 }
@@ -97,7 +99,7 @@
 
 /** Replaces a journal. Returns the same state when the journal is unchanged. */
 export function withJournal(system: SystemState, journal: JournalState): SystemState {
-  if (system.journals[journal.dataCentre] === journal) return system;
+  if (entryOf(system.journals, journal.dataCentre) === journal) return system;
   return { ...system, journals: { ...system.journals, [journal.dataCentre]: journal } };
 }
 
@@ -138,7 +140,7 @@
   journals: Record<string, JournalState>,
   setup: SystemSetup,
 ): HolderState {
-  const view = journals[dataCentreOf(id)];
+  const view = entryOf(journals, dataCentreOf(id));
   if (!view)
     throw new LabError(
       'bad-world',
--- a/packages/lab/src/runtime/walk/mutants.ts
+++ b/packages/lab/src/runtime/walk/mutants.ts
@@ -17,6 +17,7 @@
   mergeReturned,
   pool,
   startSeal,
+  entryOf,
 } from '@flamingocourse/core';
 import { ACCOUNT } from './initialState.js';
 
@@ -56,13 +57,13 @@
   }),
   mutant('claim taken over without sealed evidence', 'non-idempotent key', {
     isProvablyNotRun: (journal, { issuer, number }) => {
-      const holder = journal.holders[issuer];
+      const holder = entryOf(journal.holders, issuer);
       return holder !== undefined && !hasInterval(holder.done, number);
     },
   }),
   mutant('started ticket held for not run', 'non-idempotent key', {
     isProvablyNotRun: (journal, { issuer, number }) => {
-      const holder = journal.holders[issuer];
+      const holder = entryOf(journal.holders, issuer);
       return holder?.state === 'sealed' && !hasInterval(holder.done, number);
     },
   }),
@@ -85,12 +86,12 @@
         .concat(witnesses),
   }),
   mutant('seal without fencing', 'witnesses', {
-    fence: (state, holder) => ({ state, lines: state.holders[holder]?.lines ?? [] }),
+    fence: (state, holder) => ({ state, lines: entryOf(state.holders, holder)?.lines ?? [] }),
   }),
   mutant('witness accepts after the fence', 'witnesses', {
     storeLines: (state, lines, journal) => {
       const holder = lines[0]?.holder ?? '';
-      const stored = state.holders[holder]?.lines ?? [];
+      const stored = entryOf(state.holders, holder)?.lines ?? [];
       const unfenced = {
         holders: { ...state.holders, [holder]: { fenced: false, lines: stored } },
       };
@@ -102,7 +103,7 @@
   }),
   mutant('grant without limit check', 'budget', {
     grant: (page, account, dataCentre, amount) => {
-      const entry = page.accounts[account];
+      const entry = entryOf(page.accounts, account);
       if (!entry) return page;
       const unlimited = { ...entry, limit: entry.limit + UNLIMITED };
       const granted = grant(
@@ -111,7 +112,7 @@
         dataCentre,
         amount,
       );
-      const next = granted.accounts[account] ?? entry;
+      const next = entryOf(granted.accounts, account) ?? entry;
       return {
         ...page,
         accounts: { ...page.accounts, [account]: { ...next, limit: entry.limit } },
@@ -120,13 +121,13 @@
   }),
   mutant('top-up counted twice', 'budget', {
     changeBudget: (page, account, change) => {
-      const count = page.accounts[account]?.changes.length ?? 0;
+      const count = entryOf(page.accounts, account)?.changes.length ?? 0;
       return changeBudget(page, account, { ...change, id: `${change.id}-${count}` });
     },
   }),
   mutant('grant copied by overwrite', 'budget', {
     recordGrant: (state, account, grantedIn) => {
-      const before = state.accounts[account] ?? { grantedIn: 0, returnedOut: 0, spent: 0 };
+      const before = entryOf(state.accounts, account) ?? { grantedIn: 0, returnedOut: 0, spent: 0 };
       return { ...state, accounts: { ...state.accounts, [account]: { ...before, grantedIn } } };
     },
   }),
@@ -136,7 +137,7 @@
   }),
   mutant('return of tokens that holders have', 'budget', {
     startReturn: (state, account, amount) => {
-      const before = state.accounts[account];
+      const before = entryOf(state.accounts, account);
       if (!before) return state;
       const returnedOut = before.returnedOut + amount + pool(state, account);
       return { ...state, accounts: { ...state.accounts, [account]: { ...before, returnedOut } } };
@@ -166,7 +167,7 @@
 
 /** Gives applied lines the next sequence numbers, as if each delivery were new. */
 function renumbered(state: JournalState, lines: readonly JournalLine[]): JournalLine[] {
-  const seq = state.holders[lines[0]?.holder ?? '']?.seq ?? 0;
+  const seq = entryOf(state.holders, lines[0]?.holder ?? '')?.seq ?? 0;
   return lines.map((line, index) => ({ ...line, seq: seq + index + 1 }));
 }
 
@@ -178,7 +179,7 @@
   return applyLines(state, lines).map((next) => {
     const repeated = lines.flatMap(({ holder, change }) => {
       if (change.type !== 'bill') return [];
-      const done = state.holders[holder]?.done ?? [];
+      const done = entryOf(state.holders, holder)?.done ?? [];
       return hasInterval(done, change.bill.ticket) ? [change.bill] : [];
     });
     return repeated.length === 0 ? next : { ...next, bills: [...next.bills, ...repeated] };
@@ -187,7 +188,7 @@
 
 function skipGap(state: JournalState, lines: readonly JournalLine[]): JournalState {
   const first = lines[0];
-  const entry = state.holders[first?.holder ?? ''];
+  const entry = entryOf(state.holders, first?.holder ?? '');
   if (!first || !entry || first.seq <= entry.seq) return state;
   return withHolderEntry(state, first.holder, { seq: first.seq - 1 });
 }
@@ -197,7 +198,7 @@
   lines: readonly JournalLine[],
 ): ReturnType<ProtocolRules['applyLines']> {
   const id = lines[0]?.holder ?? '';
-  const before: JournalHolder['state'] = state.holders[id]?.state ?? 'open';
+  const before: JournalHolder['state'] = entryOf(state.holders, id)?.state ?? 'open';
   return applyLines(withHolderEntry(state, id, { state: 'open' }), lines).map((next) =>
     withHolderEntry(next, id, { state: before }),
   );
@@ -210,7 +211,7 @@
   return applyLines(state, lines).map((next) => {
     let changed = next;
     for (const { holder, seq, change } of lines) {
-      if (change.type !== 'take' || seq <= (state.holders[holder]?.seq ?? 0)) continue;
+      if (change.type !== 'take' || seq <= (entryOf(state.holders, holder)?.seq ?? 0)) continue;
       const shortfall = change.amount - Math.min(change.amount, pool(state, ACCOUNT));
       changed = addToSlice(changed, holder, shortfall);
     }
--- a/packages/lab/src/runtime/walk/projection.ts
+++ b/packages/lab/src/runtime/walk/projection.ts
@@ -5,7 +5,7 @@
 
 import type { JournalState } from '@flamingocourse/core';
 import type { SystemState } from './types.js';
-import { hasInterval, shareOf } from '@flamingocourse/core';
+import { hasInterval, shareOf, entryOf, setEntry, tableSchema } from '@flamingocourse/core';
 import { z } from 'zod';
 import { ACCOUNT, holderIn, journalOf } from './initialState.js';
 import { revisionOf } from './storeSteps.js';
@@ -14,8 +14,8 @@
 const DATA_CENTRES = ['a', 'b'];
 const REQUESTS = [1, 2];
 
-const counts = z.record(z.string(), z.number());
-const requestSets = z.record(z.string(), z.array(z.number()));
+const counts = tableSchema(z.string(), z.number());
+const requestSets = tableSchema(z.string(), z.array(z.number()));
 const tickets = z.array(z.tuple([z.string(), z.number()]));
 const lineSchema = z.object({ kind: z.string(), req: z.number(), amount: z.number() });
 const runSchema = z.object({
@@ -34,18 +34,18 @@
     granted: counts,
     returned: counts,
     spent: counts,
-    states: z.record(z.string(), z.string()),
+    states: tableSchema(z.string(), z.string()),
     seqs: counts,
     slices: counts,
     intents: requestSets,
     done: requestSets,
     bills: z.array(z.object({ holder: z.string(), req: z.number(), cost: z.number() })),
   }),
-  lines: z.record(z.string(), z.array(lineSchema)),
+  lines: tableSchema(z.string(), z.array(lineSchema)),
   seenSeq: counts,
   stored: counts,
-  runs: z.record(z.string(), runSchema),
-  claims: z.record(z.string(), z.string()),
+  runs: tableSchema(z.string(), runSchema),
+  claims: tableSchema(z.string(), z.string()),
   answered: z.array(z.number()),
   notRun: tickets,
   dispatched: tickets,
@@ -61,22 +61,39 @@
     answered: model.answered,
     notRun: model.notRun.map((ticket) => ticket.join('/')).sort(),
     dispatched: model.dispatched.map((ticket) => ticket.join('/')).sort(),
-    claims: REQUESTS.map((request) => model.claims[request]),
+    claims: REQUESTS.map((request) => entryOf(model.claims, String(request))),
     bills: journal.bills.map((bill) => `${bill.holder}/${bill.req}:${bill.cost}`).sort(),
   };
   for (const name of DATA_CENTRES) {
-    parts[`ledger of ${name}`] = [model.ledgerGranted[name], model.ledgerReturned[name]];
-    parts[`journal of ${name}`] = [journal.granted, journal.returned, journal.spent].map(
-      (one) => one[name],
+    setEntry(parts, `ledger of ${name}`, [
+      entryOf(model.ledgerGranted, name),
+      entryOf(model.ledgerReturned, name),
+    ]);
+    setEntry(
+      parts,
+      `journal of ${name}`,
+      [journal.granted, journal.returned, journal.spent].map((one) => entryOf(one, name)),
     );
   }
   for (const id of HOLDERS) {
-    const run = model.runs[id];
-    parts[`entry of ${id}`] = [journal.states[id], journal.seqs[id], journal.slices[id]];
-    parts[`tickets of ${id}`] = [journal.intents[id], journal.done[id]];
-    parts[`knowledge of ${id}`] = [model.seenSeq[id], model.stored[id], model.revisions[id]];
-    parts[`lines of ${id}`] = model.lines[id]?.map(({ kind }) => kind);
-    parts[`request of ${id}`] = [run?.phase, run?.req, run?.amount, run?.lineAt];
+    const run = entryOf(model.runs, id);
+    setEntry(parts, `entry of ${id}`, [
+      entryOf(journal.states, id),
+      entryOf(journal.seqs, id),
+      entryOf(journal.slices, id),
+    ]);
+    setEntry(parts, `tickets of ${id}`, [entryOf(journal.intents, id), entryOf(journal.done, id)]);
+    setEntry(parts, `knowledge of ${id}`, [
+      entryOf(model.seenSeq, id),
+      entryOf(model.stored, id),
+      entryOf(model.revisions, id),
+    ]);
+    setEntry(
+      parts,
+      `lines of ${id}`,
+      entryOf(model.lines, id)?.map(({ kind }) => kind),
+    );
+    setEntry(parts, `request of ${id}`, [run?.phase, run?.req, run?.amount, run?.lineAt]);
   }
   return toJsonTexts(parts);
 }
@@ -89,16 +106,20 @@
     answered: observed.answered,
     notRun: observed.notRun,
     dispatched: observed.dispatched,
-    claims: REQUESTS.map((request) => claims.claims[`key-${request}`]?.ticket.issuer ?? ''),
+    claims: REQUESTS.map(
+      (request) => entryOf(claims.claims, `key-${request}`)?.ticket.issuer ?? '',
+    ),
     bills: Object.values(system.journals).flatMap(billNames).sort(),
   };
   for (const name of DATA_CENTRES) {
     const entry = system.ledger.accounts[ACCOUNT];
     const share = entry && shareOf(entry, name);
-    const totals = system.journals[name]?.accounts[ACCOUNT];
-    parts[`ledger of ${name}`] = [share?.grantedIn, share?.returnedOut];
-    parts[`journal of ${name}`] = [totals?.grantedIn, totals?.returnedOut, totals?.spent].map(
-      (one) => one ?? 0,
+    const totals = entryOf(system.journals, name)?.accounts[ACCOUNT];
+    setEntry(parts, `ledger of ${name}`, [share?.grantedIn, share?.returnedOut]);
+    setEntry(
+      parts,
+      `journal of ${name}`,
+      [totals?.grantedIn, totals?.returnedOut, totals?.spent].map((one) => one ?? 0),
     );
   }
   for (const id of HOLDERS) Object.assign(parts, projectHolder(system, id));
@@ -106,13 +127,13 @@
 }
 
 function projectHolder(system: SystemState, id: string): Record<string, unknown> {
-  const entry = journalOf(system, id).holders[id];
+  const entry = entryOf(journalOf(system, id).holders, id);
   const { history, view, storedSeq, run, config } = holderIn(system, id);
   const done = REQUESTS.filter((request) => hasInterval(entry?.done ?? [], request));
   return {
     [`entry of ${id}`]: [entry?.state, entry?.seq, entry?.slices[ACCOUNT] ?? 0],
     [`tickets of ${id}`]: [entry?.openIntents, done],
-    [`knowledge of ${id}`]: [view.holders[id]?.seq, storedSeq, revisionOf(config)],
+    [`knowledge of ${id}`]: [entryOf(view.holders, id)?.seq, storedSeq, revisionOf(config)],
     [`lines of ${id}`]: history.map(({ change }) =>
       change.type === 'not-run' ? 'notRun' : change.type,
     ),
--- a/packages/lab/src/runtime/walk/replayTrace.ts
+++ b/packages/lab/src/runtime/walk/replayTrace.ts
@@ -5,6 +5,7 @@
 
 import type { Step, StepType, SystemState, SystemSetup } from './types.js';
 import type { ProtocolRules } from './rules.js';
+import { entryOf, tableSchema } from '@flamingocourse/core';
 import { Result } from 'true-myth';
 import { z } from 'zod';
 import { LabError } from '../../utils/labError.js';
@@ -27,7 +28,7 @@
   maxLines: 6,
 };
 
-const traceSchema = z.object({ states: z.array(z.record(z.string(), z.unknown())).min(1) });
+const traceSchema = z.object({ states: z.array(tableSchema(z.string(), z.unknown())).min(1) });
 
 const pick = <T extends z.ZodType>(value: T) => z.object({ tag: z.literal('Some'), value });
 
@@ -93,9 +94,9 @@
 function findDifference(system: SystemState, state: Record<string, unknown>): string | undefined {
   const actual = projectSystem(system);
   const expected = projectModel(state);
-  const name = Object.keys(actual).find((key) => actual[key] !== expected[key]);
+  const name = Object.keys(actual).find((key) => entryOf(actual, key) !== entryOf(expected, key));
   if (name === undefined) return undefined;
-  return `leaves ${name} as ${actual[name] ?? ''}, the specification as ${expected[name] ?? ''}`;
+  return `leaves ${name} as ${entryOf(actual, name) ?? ''}, the specification as ${entryOf(expected, name) ?? ''}`;
 }
 
 function differenceAt(
--- a/packages/lab/src/runtime/walk/requestSteps.ts
+++ b/packages/lab/src/runtime/walk/requestSteps.ts
@@ -3,6 +3,7 @@
 import type { Bill, IncarnationId } from '@flamingocourse/core';
 import type { Observed, Run, StepType, SystemState } from './types.js';
 import type { StepFunction } from './storeSteps.js';
+import { entryOf } from '@flamingocourse/core';
 import {
   ACCOUNT,
   IDLE,
@@ -44,7 +45,7 @@
     const { run } = holderIn(system, holder);
     const isBeforeDispatch = run.phase === 'claiming';
     const isBeforeBill = run.phase === 'running' && !rules.claimsFirst(run.request);
-    const from = system.claims.claims[keyOf(run)]?.ticket;
+    const from = entryOf(system.claims.claims, keyOf(run))?.ticket;
     if ((!isBeforeDispatch && !isBeforeBill) || !from || from.issuer === holder) return undefined;
     if (!rules.isProvablyNotRun(journalOf(system, from.issuer), from)) return undefined;
     const taken = rules.takeOver(system.claims, keyOf(run), from, ticketOf(holder, run), 0);
@@ -108,7 +109,7 @@
 
 function durableSeq(system: SystemState, holder: IncarnationId): number {
   const { view, storedSeq } = holderIn(system, holder);
-  return Math.max(storedSeq, view.holders[holder]?.seq ?? 0);
+  return Math.max(storedSeq, entryOf(view.holders, holder)?.seq ?? 0);
 }
 
 /** Makes the next step of a run wait for the last line of its holder. */
--- a/packages/lab/src/runtime/walk/rules.ts
+++ b/packages/lab/src/runtime/walk/rules.ts
@@ -20,6 +20,7 @@
   startReturn,
   startSeal,
   takeOver,
+  entryOf,
 } from '@flamingocourse/core';
 
 /** Number of the only non-idempotent request. */
@@ -44,7 +45,7 @@
   trustedWitnesses: (spender: Spender): readonly IncarnationId[] => spender.witnesses,
   /** Witnesses that must answer before a sealer may finish. */
   witnessesToAsk: (journal: JournalState, holder: IncarnationId): readonly IncarnationId[] =>
-    journal.holders[holder]?.witnesses ?? [],
+    entryOf(journal.holders, holder)?.witnesses ?? [],
   /** Whether a key is claimed before the request is dispatched. */
   claimsFirst: (request: number): boolean => request === NON_IDEMPOTENT,
   /** Whether a bill requires the claim if the key was not claimed before dispatch. */
@@ -61,7 +62,7 @@
   billCost: (used: Tokens, reserved: Tokens): Tokens => Math.min(used, reserved),
   /** Whether the entry of a sealed holder proves that a ticket has neither a bill nor an intent. */
   isProvablyNotRun: (journal: JournalState, ticket: TicketId): boolean => {
-    const holder = journal.holders[ticket.issuer];
+    const holder = entryOf(journal.holders, ticket.issuer);
     if (!holder || (holder.state !== 'sealed' && holder.state !== 'closed')) return false;
     if (holder.writtenOff || hasInterval(holder.done, ticket.number)) return false;
     return !holder.openIntents.includes(ticket.number);
--- a/packages/lab/src/runtime/walk/storeSteps.ts
+++ b/packages/lab/src/runtime/walk/storeSteps.ts
@@ -4,7 +4,7 @@
 import type { Result } from 'true-myth';
 import type { ProtocolRules } from './rules.js';
 import type { Step, StepType, SystemState } from './types.js';
-import { dropApplied, pool, shareOf, ungranted } from '@flamingocourse/core';
+import { dropApplied, pool, shareOf, ungranted, entryOf } from '@flamingocourse/core';
 import {
   ACCOUNT,
   DECLARED,
@@ -90,7 +90,7 @@
     const { view, witness } = holderIn(system, holder);
     const journal = journalOf(system, holder);
     if (view === journal) return undefined;
-    const isOpen = journal.holders[holder]?.state === 'open';
+    const isOpen = entryOf(journal.holders, holder)?.state === 'open';
     const unapplied = dropApplied(witness, journal);
     const read = { view: journal, witness: unapplied };
     return withHolder(system, holder, isOpen ? read : { ...read, ended: true, run: IDLE });
@@ -108,29 +108,29 @@
     return withHolder(next, holder, { storedSeq: last });
   },
   replay: (system, { holder, peer }, rules) => {
-    const lines = holderIn(system, peer).witness.holders[holder]?.lines ?? [];
+    const lines = entryOf(holderIn(system, peer).witness.holders, holder)?.lines ?? [];
     if (lines.length === 0) return undefined;
     return withResult(system, rules.applyLines(journalOf(system, holder), lines));
   },
   startSeal: (system, { holder }, rules) => {
     const journal = journalOf(system, holder);
-    if (journal.holders[holder]?.state !== 'open') return undefined;
+    if (entryOf(journal.holders, holder)?.state !== 'open') return undefined;
     return withResult(system, rules.startSeal(journal, holder));
   },
   fence: (system, { holder, peer }, rules) => {
-    const entry = journalOf(system, holder).holders[holder];
+    const entry = entryOf(journalOf(system, holder).holders, holder);
     const key = fenceKey(holder, peer);
     if (entry?.state !== 'sealing' || !entry.witnesses.includes(peer)) return undefined;
-    if (system.fenced[key]) return undefined;
+    if (entryOf(system.fenced, key)) return undefined;
     const { state, lines } = rules.fence(holderIn(system, peer).witness, holder);
     const next = withHolder(system, peer, { witness: state });
     return { ...next, fenced: { ...system.fenced, [key]: lines } };
   },
   finishSeal: (system, { holder }, rules) => {
     const journal = journalOf(system, holder);
-    if (journal.holders[holder]?.state !== 'sealing') return undefined;
+    if (entryOf(journal.holders, holder)?.state !== 'sealing') return undefined;
     const witnesses = rules.witnessesToAsk(journal, holder);
-    const answers = witnesses.map((peer) => system.fenced[fenceKey(holder, peer)]);
+    const answers = witnesses.map((peer) => entryOf(system.fenced, fenceKey(holder, peer)));
     if (answers.includes(undefined)) return undefined;
     const lines = answers.flatMap((answer) => answer ?? []);
     return withResult(system, rules.finishSeal(journal, holder, lines));
--- a/packages/mesh/src/node/directCalls.ts
+++ b/packages/mesh/src/node/directCalls.ts
@@ -11,6 +11,7 @@
   ProcedureInput,
   ProcedureOutput,
 } from '../types/procedures.js';
+import { entryOf } from '@flamingocourse/core';
 import { exchange, parseJsonText } from '@flamingocourse/kernel';
 import { Result } from 'true-myth';
 import { inputSchemas } from '../runtime/schemas.js';
@@ -32,7 +33,7 @@
 
 /** The procedure that a request calls directly; undefined for other requests. */
 export function directProcedure(req: IncomingMessage): DirectProcedure | undefined {
-  return PATHS[req.url ?? ''];
+  return entryOf(PATHS, req.url ?? '');
 }
 
 /** A direct call that arrived. */
--- a/packages/mesh/src/runtime/schemas.ts
+++ b/packages/mesh/src/runtime/schemas.ts
@@ -18,6 +18,7 @@
   MAX_FACTS_PER_MESSAGE,
   MAX_STREAMS_PER_MESSAGE,
   packedSumsSchema,
+  tableSchema,
 } from '@flamingocourse/core';
 import { z } from 'zod';
 
@@ -111,7 +112,7 @@
   incarnation: id,
   seq: count,
   last: z.boolean(),
-  entries: z.record(
+  entries: tableSchema(
     id,
     z.object({
       spent: nonNegative,
@@ -125,7 +126,7 @@
 const loanRequestSchema: ZodType<LoanRequest> = z.object({
   lender: id.optional(),
   report: prepaidReportSchema,
-  urgent: z.record(id, nonNegative),
+  urgent: tableSchema(id, nonNegative),
   typicalRequest: nonNegative,
   interest: z.array(id).max(maxAccounts),
 });
@@ -143,7 +144,7 @@
 
 const gossipMessageSchema: ZodType<GossipMessage> = z.object({
   from: id,
-  known: z.record(id, count),
+  known: tableSchema(id, count),
   items: z
     .array(z.object({ origin: id, seq: count, ageMs: z.number().min(0), news: gossipFactSchema }))
     .max(MAX_FACTS_PER_MESSAGE),
@@ -163,9 +164,9 @@
   appendLines: linesSchema,
   keepLines: linesSchema,
   followStore: z.object({
-    positions: z
-      .record(id, z.string().max(maxVersionDigits).regex(/^\d+$/))
-      .refine((positions) => Object.keys(positions).length <= maxCollections),
+    positions: tableSchema(id, z.string().max(maxVersionDigits).regex(/^\d+$/)).refine(
+      (positions) => Object.keys(positions).length <= maxCollections,
+    ),
     waitMs: z.number().min(0),
   }),
   fenceHolder: z.object({ holder: id }),
--- a/packages/router/src/node/backends/quarantineRegister.ts
+++ b/packages/router/src/node/backends/quarantineRegister.ts
@@ -16,6 +16,7 @@
   mergeQuarantines,
   reduceQuarantine,
   refusedForMs,
+  entryOf,
 } from '@flamingocourse/core';
 
 /** Maximum number of fingerprints in the log line of a crash. */
@@ -83,7 +84,8 @@
   /** Records that requests or parts ran without crashing the server. */
   recordFinished(fingerprints: readonly Fingerprint[]): void {
     for (const fingerprint of fingerprints) {
-      if (this.#state.entries[fingerprint]) this.#applyOwn({ type: 'finished', fingerprint });
+      if (entryOf(this.#state.entries, fingerprint))
+        this.#applyOwn({ type: 'finished', fingerprint });
     }
   }
 
--- a/packages/router/src/node/entry/callerRequest.ts
+++ b/packages/router/src/node/entry/callerRequest.ts
@@ -9,6 +9,7 @@
 } from '@flamingocourse/core';
 import type { IncomingMessage } from 'node:http';
 import type { Configuration } from '../../types/configuration.js';
+import { entryOf } from '@flamingocourse/core';
 import { MAX_JSON_DEPTH, isDeeperThan } from '@flamingocourse/kernel';
 import { Result } from 'true-myth';
 import { z } from 'zod';
@@ -296,6 +297,6 @@
 }
 
 function headerOf(req: IncomingMessage, name: string): string | undefined {
-  const value = req.headers[name];
+  const value = entryOf(req.headers, name);
   return Array.isArray(value) ? value[0] : value;
 }
--- a/packages/router/src/node/entry/forward.ts
+++ b/packages/router/src/node/entry/forward.ts
@@ -2,6 +2,7 @@
 
 import type { IncomingMessage, ServerResponse } from 'node:http';
 import { request as httpRequest } from 'node:http';
+import { setEntry } from '@flamingocourse/core';
 import { FORWARDED_HEADER } from './callerRequest.js';
 
 const CONFIRM_TIMEOUT_MS = 30_000;
@@ -72,7 +73,7 @@
 function forwardedHeaders(req: IncomingMessage): Record<string, string | string[]> {
   const headers: Record<string, string | string[]> = {};
   for (const [name, value] of Object.entries(req.headers)) {
-    if (value !== undefined && !DROPPED_HEADERS.has(name)) headers[name] = value;
+    if (value !== undefined && !DROPPED_HEADERS.has(name)) setEntry(headers, name, value);
   }
   return headers;
 }
--- a/packages/router/src/node/meshAdapters.ts
+++ b/packages/router/src/node/meshAdapters.ts
@@ -22,6 +22,7 @@
 import type { Fleet } from '../types/fleet.js';
 import type { MeshHints } from './meshHints.js';
 import { Result } from 'true-myth';
+import { tableSchema } from '@flamingocourse/core';
 import { z } from 'zod';
 
 const QUARANTINE_TOPIC = 'quarantine';
@@ -117,7 +118,7 @@
 }
 
 const quarantineSchema = z.object({
-  entries: z.record(
+  entries: tableSchema(
     z.string(),
     z.object({
       crashes: z.array(z.object({ server: z.string(), at: z.number() })),
--- a/packages/router/src/node/money/claimStore.ts
+++ b/packages/router/src/node/money/claimStore.ts
@@ -8,6 +8,7 @@
 import {
   claim,
   createClaimPage,
+  hasEntry,
   releaseClaim,
   pageOf,
   pruneClaims,
@@ -93,7 +94,7 @@
     const claimed = { ticket, bodyDigest, at: this.#options.clock.now() };
     const written = await this.#writer(keyDigest).change((page) => {
       const pruned = this.#pruned(page);
-      const hasRoom = !isFull(pruned) || keyDigest in pruned.claims;
+      const hasRoom = !isFull(pruned) || hasEntry(pruned.claims, keyDigest);
       return Result.ok(hasRoom ? releaseClaim(pruned, keyDigest, claimed) : page);
     });
     if (written.isOk) this.#unreleased.delete(name);
@@ -115,7 +116,7 @@
       const pruned = this.#pruned(page);
       // A full page accepts no new key, and the caller is advised to use a ticket. Dropping a
       // recent claim to make room would let a retry run its request a second time.
-      if (isFull(pruned) && !(keyDigest in pruned.claims)) return Result.ok(page);
+      if (isFull(pruned) && !hasEntry(pruned.claims, keyDigest)) return Result.ok(page);
       const decided = decide(pruned);
       answer = decided.answer;
       // Pruning alone does not justify a write.
--- a/packages/router/src/node/money/holderSession.ts
+++ b/packages/router/src/node/money/holderSession.ts
@@ -13,7 +13,7 @@
 import type { WitnessStore } from './witnessStore.js';
 import type { AppendFault, JournalWriter, LineTransport } from './lineTransport.js';
 import { runInBackground } from '@flamingocourse/kernel';
-import { Spender, pool, registerHolder } from '@flamingocourse/core';
+import { Spender, pool, registerHolder, entryOf } from '@flamingocourse/core';
 import { Result } from 'true-myth';
 import { delay, withTimeout } from './timing.js';
 import { DemandTracker } from './demandTracker.js';
@@ -104,7 +104,7 @@
     this.spender.sync(journal);
     this.log.settleKept();
     // A journal read before the registration does not contain the holder and says nothing about it.
-    if (journal.holders[this.spender.holder] && !this.spender.isOpen) this.log.seal();
+    if (entryOf(journal.holders, this.spender.holder) && !this.spender.isOpen) this.log.seal();
   }
 
   /** Issues the next ticket. */
--- a/packages/router/src/node/money/ledgerPlan.ts
+++ b/packages/router/src/node/money/ledgerPlan.ts
@@ -20,6 +20,7 @@
   pool,
   shareOf,
   ungranted,
+  entryOf,
 } from '@flamingocourse/core';
 
 /** Input of {@link planPage}. `targets` is an output. */
@@ -64,7 +65,7 @@
 }
 
 function copyCounters(page: LedgerPage, account: AccountId, state: JournalState): LedgerPage {
-  const totals = state.accounts[account];
+  const totals = entryOf(state.accounts, account);
   if (!totals) return page;
   const { returnedOut, spent, spentByClass } = totals;
   const returned = mergeReturned(page, account, state.dataCentre, returnedOut);
@@ -72,7 +73,7 @@
 }
 
 function refill(page: LedgerPage, account: AccountId, input: LedgerPlanInput): LedgerPage {
-  const entry = page.accounts[account];
+  const entry = entryOf(page.accounts, account);
   if (!entry) return page;
   const { state, policy } = input;
   const share = shareOf(entry, state.dataCentre);
--- a/packages/router/src/node/money/ledgerSync.ts
+++ b/packages/router/src/node/money/ledgerSync.ts
@@ -28,6 +28,8 @@
   recordGrant,
   startReturn,
   ungranted,
+  entryOf,
+  setEntry,
 } from '@flamingocourse/core';
 import { Result } from 'true-myth';
 import { GroupWriter } from './groupWriter.js';
@@ -128,12 +130,12 @@
   async returnToLedger(account: AccountId, amount: Tokens): Promise<Tokens> {
     const { journal, ledgerPages, clock } = this.#options;
     this.#refillPausedAt.set(account, clock.now());
-    const before = journal.latest?.state.accounts[account]?.returnedOut ?? 0;
+    const before = entryOf(journal.latest?.state.accounts, account)?.returnedOut ?? 0;
     const total = before + amount;
     const written = await journal.change((state) => Result.ok(returnUpTo(state, account, total)));
     if (written.isErr) return 0;
     await this.#syncPage(pageOf(account, ledgerPages), new Map(), false);
-    return Math.max(0, (written.value.state.accounts[account]?.returnedOut ?? 0) - before);
+    return Math.max(0, (entryOf(written.value.state.accounts, account)?.returnedOut ?? 0) - before);
   }
 
   /** Syncs one ledger page with the journal. A call during a running sync waits for that sync. */
@@ -217,7 +219,7 @@
     await journal.change((state) => {
       let next = state;
       for (const [account, entry] of Object.entries(ledger.accounts)) {
-        const granted = entry.shares[fleet.self.dataCentre]?.grantedIn ?? 0;
+        const granted = entryOf(entry.shares, fleet.self.dataCentre)?.grantedIn ?? 0;
         next = recordGrant(next, account, granted);
       }
       return Result.ok(next);
@@ -257,7 +259,7 @@
       const state = journal.latest?.state;
       const shortfall = amount - (state ? pool(state, account) : 0);
       const isRecent = clock.now() - (this.#recalledAt.get(account) ?? 0) < RECALL_INTERVAL_MS;
-      const entry = ledger.accounts[account];
+      const entry = entryOf(ledger.accounts, account);
       if (shortfall <= 0 || isRecent || !entry) continue;
       // The pool may be short only because tokens were taken since the grant, while the ledger
       // still has enough. Data centres that recall from each other in that case pass tokens back
@@ -278,7 +280,7 @@
     const chosen: string[] = [];
     const chosenPerDataCentre = new Map<string, number>();
     for (const { info, health } of fleet.peers()) {
-      const share = entry.shares[info.dataCentre];
+      const share = entryOf(entry.shares, info.dataCentre);
       const held = share ? share.grantedIn - share.returnedOut - share.spent : 0;
       const isOther = info.dataCentre !== fleet.self.dataCentre;
       const count = chosenPerDataCentre.get(info.dataCentre) ?? 0;
@@ -339,7 +341,7 @@
 
 /** Raises `returnedOut` up to a total, so that a repeated write returns nothing more. */
 function returnUpTo(state: JournalState, account: AccountId, total: Tokens): JournalState {
-  const returned = state.accounts[account]?.returnedOut ?? 0;
+  const returned = entryOf(state.accounts, account)?.returnedOut ?? 0;
   return startReturn(state, account, Math.max(0, total - returned));
 }
 
@@ -349,8 +351,8 @@
     if (id === dataCentre) continue;
     view.spentElsewhere += share.spent;
     for (const [workClass, spent] of Object.entries(share.spentByClass ?? {})) {
-      const sum = view.spentElsewhereByClass[workClass] ?? 0;
-      view.spentElsewhereByClass[workClass] = sum + spent;
+      const sum = entryOf(view.spentElsewhereByClass, workClass) ?? 0;
+      setEntry(view.spentElsewhereByClass, workClass, sum + spent);
     }
   }
   return view;
--- a/packages/router/src/node/money/sealer.ts
+++ b/packages/router/src/node/money/sealer.ts
@@ -12,7 +12,7 @@
 import type { JournalWriter } from './lineTransport.js';
 import type { MoneyPeers } from '../../types/moneyPorts.js';
 import type { WitnessStore } from './witnessStore.js';
-import { currentIncarnationOf, finishSeal, startSeal } from '@flamingocourse/core';
+import { currentIncarnationOf, finishSeal, startSeal, entryOf } from '@flamingocourse/core';
 
 /** Options of {@link Sealer}. */
 export interface SealerOptions {
@@ -73,11 +73,11 @@
   /** Fences all witnesses and returns their lines, or `undefined` when one does not answer. */
   async #fenceAll(holder: IncarnationId, state: JournalState): Promise<JournalLine[] | undefined> {
     const lines: JournalLine[] = [];
-    for (const named of state.holders[holder]?.witnesses ?? []) {
+    for (const named of entryOf(state.holders, holder)?.witnesses ?? []) {
       const witness = currentIncarnationOf(state, named);
       // A router closes only after the lines that it stores are in the journal, and then accepts
       // none.
-      if (state.holders[witness]?.state === 'closed') continue;
+      if (entryOf(state.holders, witness)?.state === 'closed') continue;
       const answer = await this.#fence(witness, holder);
       if (!answer) {
         this.#reportInDoubt(holder, witness);
--- a/packages/router/src/node/money/ticketResolver.ts
+++ b/packages/router/src/node/money/ticketResolver.ts
@@ -11,7 +11,7 @@
 import type { Fleet } from '../../types/fleet.js';
 import type { ObjectStore } from '../../types/moneyPorts.js';
 import type { TicketResolution } from '../../types/money.js';
-import { hasInterval } from '@flamingocourse/core';
+import { hasInterval, entryOf } from '@flamingocourse/core';
 
 /** Segments read for one ticket, newest first. An older answer is reported as `billed`. */
 const MAX_SEGMENTS_READ = 20;
@@ -44,7 +44,7 @@
     const read = await this.#store.get('journals', dataCentreOf(ticket.issuer));
     if (read.isErr) return { type: 'unknown' };
     const journal = read.value.value as JournalState;
-    const holder = journal.holders[ticket.issuer];
+    const holder = entryOf(journal.holders, ticket.issuer);
     if (!holder) return { type: 'unknown' };
     if (hasInterval(holder.done, ticket.number)) return this.#answered(ticket, holder, journal);
     if (holder.openIntents.includes(ticket.number)) return { type: 'started' };
@@ -55,7 +55,7 @@
   async progress(ticket: TicketId): Promise<TicketProgress> {
     const read = await this.#store.get('journals', dataCentreOf(ticket.issuer));
     if (read.isErr) return 'unread';
-    const holder = (read.value.value as JournalState).holders[ticket.issuer];
+    const holder = entryOf((read.value.value as JournalState).holders, ticket.issuer);
     if (!holder) return 'open';
     if (hasInterval(holder.done, ticket.number)) return 'done';
     return isProvablyOver(holder) ? 'never' : 'open';
--- /dev/null
+++ b/test/platform/outsideNames.test.ts
@@ -0,0 +1,128 @@
+import type { PrepaidPage } from '@flamingocourse/core';
+import assert from 'node:assert/strict';
+import { describe, test } from 'node:test';
+import { FakeServer } from './fakeServer.js';
+import { World, configWith, until } from './world.js';
+
+/** Names under which every object inherits something. */
+const INHERITED = ['constructor', '__proto__', 'toString', 'hasOwnProperty', 'valueOf'];
+/** Requests that are sent under each name. */
+const REQUESTS = 5;
+
+// Guards against a name that is looked up among what every object inherits, and ends the process.
+describe('names under which every object inherits something', { concurrency: 4 }, () => {
+  for (const name of INHERITED) {
+    test(`an account ${name} is served, and the others`, async (t) => {
+      const world = await World.start(t);
+      world.store.put('config', 'main', withAccounts(8, [name]));
+      await until('the configuration is in force', () => {
+        const last = world.log.events.findLast(({ event }) => event === 'configuration-applied');
+        return last?.fields.version === 8;
+      });
+      await serves(world, { key: keyOf(name) });
+      await serves(world);
+      world.behave('e', 'stream');
+      await world.generate('/chat/1', 1_000, { authorization: `Token ${keyOf(name)}` });
+      await until('its spending is in the budget', () => {
+        const page = world.store.value('prepaid-pages', '0') as PrepaidPage;
+        return Object.entries(page.accounts).some(([id, { spent }]) => id === name && spent > 0);
+      });
+      assertUnharmed(world);
+    });
+  }
+
+  test('accounts are served at two instances, of which one may borrow from the other', async (t) => {
+    const config = withAccounts(7, INHERITED);
+    const world = await World.start(t, config, { mesh: true });
+    const other = await world.join(t, 'edge-2', { mesh: true });
+    await world.allKnow([world, other]);
+    for (const instance of [world, other]) {
+      for (const name of INHERITED) await serves(instance, { key: keyOf(name) });
+      await serves(instance);
+      assertUnharmed(instance);
+    }
+  });
+
+  test('services and routes are served, and the others', async (t) => {
+    const world = await World.start(t, withServices(INHERITED));
+    for (const [index, name] of INHERITED.entries()) {
+      const server = await new FakeServer(`o${String(index)}`).listen(t);
+      world.store.put('servers', server.id, server.entry(name));
+      const path = `/odd-${String(index)}/1`;
+      await until('its server is known', async () => (await world.call({ path })).status === 200);
+      await serves(world, { path });
+      assert.ok(server.seen.length >= REQUESTS);
+    }
+    await serves(world);
+    assertUnharmed(world);
+  });
+
+  test('instances serve, and another beside them', async (t) => {
+    const world = await World.start(t, configWith(), { mesh: true });
+    const odd = await Promise.all(INHERITED.map((name) => world.join(t, name, { mesh: true })));
+    const fleet = [world, ...odd];
+    await world.allKnow(fleet);
+    for (const instance of fleet) {
+      await serves(instance);
+      assertUnharmed(instance);
+    }
+  });
+
+  test('data centres serve, and another beside them', async (t) => {
+    const settings = { mesh: true, regions: { 'hall-a': 'north', constructor: 'south' } };
+    const world = await World.start(t, configWith(), settings);
+    const odd = await Promise.all(
+      INHERITED.map((name) => world.join(t, `at-${name}`, { ...settings, dataCentre: name })),
+    );
+    for (const instance of [world, ...odd]) {
+      await serves(instance);
+      assertUnharmed(instance);
+    }
+  });
+});
+
+/** Configuration with more accounts. */
+function withAccounts(version: number, names: readonly string[]): Record<string, unknown> {
+  const { tenants, ...rest } = configWith({ version });
+  const odd = names.map((name) => ({ name, api_keys: [keyOf(name)], prepaid: 100_000 }));
+  return { ...rest, tenants: [...(tenants as object[]), ...odd] };
+}
+
+/** Configuration with more services, each with a route of its name. */
+function withServices(names: readonly string[]): Record<string, unknown> {
+  const { routes, services, ...rest } = configWith();
+  const known = routes as object[];
+  const oddRoutes = names.map((name, index) => {
+    return { ...known[0], name, path_prefix: `/odd-${String(index)}/`, service: name };
+  });
+  const oddServices = names.map((name) => {
+    return { name, health_path: '/health', max_connections: 100 };
+  });
+  return {
+    ...rest,
+    routes: [...known, ...oddRoutes],
+    services: [...(services as object[]), ...oddServices],
+  };
+}
+
+function keyOf(name: string): string {
+  return `key-of-${name}`;
+}
+
+/** Checks that requests are served, under a key or that of the plain account. */
+async function serves(world: World, { key, path = '/book/1' }: Asked = {}): Promise<void> {
+  const headers = key === undefined ? {} : { authorization: `Token ${key}` };
+  for (let sent = 0; sent < REQUESTS; sent += 1) {
+    const { status, body } = await world.call({ path, headers });
+    assert.equal(status, 200, body);
+  }
+}
+
+interface Asked {
+  key?: string;
+  path?: string;
+}
+
+function assertUnharmed({ events }: World): void {
+  assert.ok(!events.includes('service-failed'));
+}
