fix(platform): an account that no header can name is refused at once

What callers saw: each request of an account whose name has a control character or a character beyond ISO 8859-1 got 502 "internal fault", with the verdict that it may have run, and `service-failed` in the log. A name with white space at an end was served, but its server saw the account without it, which may be another.

Cause: the name reaches X-Tenant unchecked. Node throws for the first, and receivers remove the white space of the last.

Evidence: the cases of names that no header carries in test/platform/configurationEntries.test.ts failed before: nothing named the account, and its requests were not refused at once.

What HTTP can carry is served, as the cases of such names show: empty, `__proto__`, 4,096 characters long.

--- a/test/platform/configurationEntries.test.ts
+++ b/test/platform/configurationEntries.test.ts
@@ -11,6 +11,18 @@
 
 /** Names of accounts that HTTP carries in a header as they are. */
 const carried = ['', 'constructor', '__proto__', 'i 7', 'café', '%2e%2e', '..', 'x'.repeat(4_096)];
+/** Names that no header carries as they are. */
+const notCarried = [
+  'склад',
+  'a\r\nx: 1',
+  'a\0',
+  'a\ufffd',
+  'a\ud800',
+  ' a',
+  'a\t',
+  'x'.repeat(4_097),
+];
+
 interface Lists {
   routes: Record<string, unknown>[];
   services: Record<string, unknown>[];
@@ -100,6 +112,9 @@
     { list: 'tenants', change: { prepaid: 'x' }, faults: ['account odd'] },
     { list: 'tenants', change: { prepaid: null, priority: null }, faults: [] },
     ...carried.map((name) => ({ list: 'tenants' as const, change: { name }, faults: [] })),
+    ...notCarried.map((name) => {
+      return { list: 'tenants' as const, change: { name }, faults: [`account ${name}`] };
+    }),
   ];
   for (const { list, change, faults } of named) {
     test(`${list} ${JSON.stringify(change).slice(0, 60)}: ${String(faults.length)} named`, () => {
@@ -118,6 +133,9 @@
 describe('requests of an entry that cannot be used are refused at once', { concurrency: 4 }, () => {
   const cases = [
     { list: 'routes', change: { kind: 'x' }, path: '/look/odd/1', key: KEY },
+    ...notCarried.map((name) => {
+      return { list: 'tenants', change: { name }, path: '/look/1', key: ODD_KEY } as const;
+    }),
     { list: 'tenants', change: { prepaid: 'x' }, path: '/look/1', key: ODD_KEY },
   ] as const;
   for (const { list, change, path, key } of cases) {
