fix(mesh): what one account or version is called spoils no message to a peer

What callers saw: an account with an empty name, or one of more than 300 characters, could not borrow tokens at another instance, and the accounts in the same message could not either. A long name of a server's version or of an object in the store made a peer refuse all streams and changes sent with it; a few long names of accounts made the reports on demand larger than a peer accepts.

Cause: the schemas of messages hold every name to 1 to 300 characters, though nothing holds operators and servers to that, and one entry refuses its message.

Why this holds: names of accounts, services and versions may have any text up to what a header carries; names of objects are checked with the object. Reports name what takes at most 80 bytes, and sum the others, so that a message of the most entries stays below the limit of its receiver.

--- a/packages/core/src/runtime/conditions/demandSums.ts
+++ b/packages/core/src/runtime/conditions/demandSums.ts
@@ -9,9 +9,21 @@
 /** Services in one message. */
 export const MAX_REPORTED_SERVICES = 16;
 
+/** Longest name in one message, in bytes of JSON; the other bounds keep messages of such names below 16 KiB. */
+const MAX_REPORTED_NAME_BYTES = 80;
+
 /** From most to least important. */
 export const importances: readonly Importance[] = ['first', 'standard', 'background'];
 
+/**
+ * Whether reports name an instance, data centre, service or account of this name. Others get no report, or are
+ * summed with the accounts that have no name in it.
+ */
+export function isReportedName(name: string): boolean {
+  const text = name.length > MAX_REPORTED_NAME_BYTES ? undefined : JSON.stringify(name);
+  return text !== undefined && new TextEncoder().encode(text).length <= MAX_REPORTED_NAME_BYTES;
+}
+
 /** No room. */
 export function noRoom(): RoomByImportance {
   return { first: 0, standard: 0, background: 0 };
@@ -64,6 +76,7 @@
   demand: Record<ServiceName, ServiceDemand>,
 ): Record<ServiceName, ServiceDemand> {
   const services = Object.entries(demand)
+    .filter(([service]) => service !== '' && isReportedName(service))
     .toSorted(([, a], [, b]) => Number(b.crowded) - Number(a.crowded) || b.served - a.served)
     .slice(0, MAX_REPORTED_SERVICES);
   const naming = services.filter(([, { accounts }]) => Object.keys(accounts).length > 0).length;
@@ -90,13 +103,15 @@
   const byWeight = Object.entries(demand.accounts).toSorted(
     ([, a], [, b]) => totalRoom(b) - totalRoom(a),
   );
-  if (byWeight.length <= most) return demand;
-  const others = byWeight.slice(most);
+  const named = byWeight.filter(([account]) => isReportedName(account)).slice(0, most);
+  if (named.length === byWeight.length) return demand;
+  const heaviest = new Set(named);
+  const others = byWeight.filter((entry) => !heaviest.has(entry));
   const room = { ...demand.rest.room };
   for (const [, each] of others) addRoom(room, each);
   return {
     ...demand,
-    accounts: Object.fromEntries(byWeight.slice(0, most)),
+    accounts: Object.fromEntries(named),
     rest: { accounts: demand.rest.accounts + others.length, room },
   };
 }
--- a/packages/core/src/runtime/conditions/packedSums.ts
+++ b/packages/core/src/runtime/conditions/packedSums.ts
@@ -8,7 +8,13 @@
   ServiceDemand,
 } from '../../types/fleetConditions.js';
 import { z } from 'zod';
-import { MAX_NAMED_ACCOUNTS, MAX_REPORTED_SERVICES, importances, noRoom } from './demandSums.js';
+import {
+  MAX_NAMED_ACCOUNTS,
+  MAX_REPORTED_SERVICES,
+  importances,
+  isReportedName,
+  noRoom,
+} from './demandSums.js';
 import { pressureLevels } from './pressureLevels.js';
 
 /** Instances that one message names; most of them have little pressure and need no name. */
@@ -73,8 +79,14 @@
     in: sums.dataCentre,
     of: sums.scope,
     age: Math.round(sums.ageMs),
-    dcs: sums.dataCentres.slice(0, MAX_DATA_CENTRES).map(packDataCentre),
-    peers: sums.peers.slice(0, MAX_NAMED_PEERS).map(packPeer),
+    dcs: sums.dataCentres
+      .filter(({ dataCentre }) => dataCentre !== '' && isReportedName(dataCentre))
+      .slice(0, MAX_DATA_CENTRES)
+      .map(packDataCentre),
+    peers: sums.peers
+      .filter(({ instance }) => instance !== '' && isReportedName(instance))
+      .slice(0, MAX_NAMED_PEERS)
+      .map(packPeer),
     demand: Object.entries(sums.demand).map(([service, each]) => packDemand(service, each)),
   };
 }
--- a/packages/gateway/src/utils/followAnswerSchema.ts
+++ b/packages/gateway/src/utils/followAnswerSchema.ts
@@ -4,11 +4,11 @@
 import { tableSchema } from '@flamingocourse/core';
 import { z } from 'zod';
 
-const MAX_NAME_LENGTH = 300;
 /** Maximum digits of a version. */
 const MAX_DIGITS = 32;
 
-const name = z.string().min(1).max(MAX_NAME_LENGTH);
+/** Any text: what names an object is checked with the object, which costs itself alone. */
+const name = z.string();
 const version = z.string().max(MAX_DIGITS).regex(/^\d+$/);
 
 /** The value is checked by the schema of its collection. */
--- a/packages/mesh/src/runtime/schemas.ts
+++ b/packages/mesh/src/runtime/schemas.ts
@@ -16,6 +16,7 @@
 import type { PackedHeartbeat, PackedMember } from './heartbeatCodec.js';
 import {
   MAX_FACTS_PER_MESSAGE,
+  MAX_HEADER_TEXT_LENGTH,
   MAX_STREAMS_PER_MESSAGE,
   packedSumsSchema,
   tableSchema,
@@ -45,6 +46,8 @@
 const maxStoredAnswerLength = 2 * 1024 * 1024;
 
 const id = z.string().min(1).max(maxIdLength);
+/** What operators and servers call accounts, services and versions; it may be empty. */
+const name = z.string().max(MAX_HEADER_TEXT_LENGTH);
 const count = z.number().int().min(0);
 const tokens = z.number().int();
 const url = z.url().max(maxIdLength);
@@ -52,9 +55,9 @@
 const billSchema: ZodType<Bill> = z.object({
   holder: id,
   ticket: count,
-  account: id,
+  account: name,
   workClass: id,
-  service: id,
+  service: name,
   cost: tokens,
   promptTokens: tokens,
   completionTokens: tokens,
@@ -73,9 +76,9 @@
 });
 
 const changeSchema: ZodType<JournalChange> = z.discriminatedUnion('type', [
-  z.object({ type: z.literal('take'), account: id, amount: tokens }),
-  z.object({ type: z.literal('give'), account: id, amount: tokens }),
-  z.object({ type: z.literal('transfer'), to: id, account: id, amount: tokens }),
+  z.object({ type: z.literal('take'), account: name, amount: tokens }),
+  z.object({ type: z.literal('give'), account: name, amount: tokens }),
+  z.object({ type: z.literal('transfer'), to: id, account: name, amount: tokens }),
   z.object({ type: z.literal('intent'), ticket: count }),
   z.object({ type: z.literal('bill'), bill: billSchema }),
   z.object({ type: z.literal('outcome'), outcome: outcomeSchema }),
@@ -113,7 +116,7 @@
   seq: count,
   last: z.boolean(),
   entries: tableSchema(
-    id,
+    name,
     z.object({
       spent: nonNegative,
       keeps: nonNegative,
@@ -126,9 +129,9 @@
 const loanRequestSchema: ZodType<LoanRequest> = z.object({
   lender: id.optional(),
   report: prepaidReportSchema,
-  urgent: tableSchema(id, nonNegative),
+  urgent: tableSchema(name, nonNegative),
   typicalRequest: nonNegative,
-  interest: z.array(id).max(maxAccounts),
+  interest: z.array(name).max(maxAccounts),
 });
 
 const fingerprint = z.string().min(1).max(maxFingerprintLength);
@@ -154,7 +157,7 @@
 
 const streamRecordSchema: ZodType<StreamRecord> = z.object({
   key: streamKey,
-  origin: z.object({ service: id, version: z.string().max(maxIdLength) }),
+  origin: z.object({ service: name, version: name }),
   forMs: z.number().min(0),
 });
 
@@ -170,13 +173,13 @@
     waitMs: z.number().min(0),
   }),
   fenceHolder: z.object({ holder: id }),
-  recall: z.object({ account: id, amount: tokens.min(0), forDataCentre: id }),
+  recall: z.object({ account: name, amount: tokens.min(0), forDataCentre: id }),
   pullConfiguration: z.object({ since: count }),
   borrow: loanRequestSchema,
   writeReport: z.object({ group: id, report: prepaidReportSchema, replaces: id.optional() }),
   exchangeNews: gossipMessageSchema,
   keepStreams: z.object({ streams: z.array(streamRecordSchema).max(MAX_STREAMS_PER_MESSAGE) }),
-  findStream: z.object({ key: streamKey, services: z.array(id).max(maxServices) }),
+  findStream: z.object({ key: streamKey, services: z.array(name).max(maxServices) }),
   shareConditions: packedSumsSchema,
   shareHints: z.object({
     hints: z.array(z.object({ topic: id, body: z.string().max(maxHintLength) })).max(maxHints),
