fix(gateway): resumable streams of a service of any name

What callers saw: streams of a service called "..", "." or of half a surrogate pair were refused for ever, on routes with resumable streams.

Cause: the record of a service's software in the store has the name of the service, which becomes a part of a path: `encodeURIComponent` throws for half a pair, and a URL drops the steps `.` and `..`, so that another object, or the list, is asked.

Evidence: "resumable streams of services that no path names go on" in test/platform/outsideNames.test.ts failed before: the service `.` served no stream within 20 s.

Why this holds: a name that no path carries, or that is longer than a request line should be, is replaced by its digest; all others stay, so records that exist are found.

--- a/packages/gateway/src/node/storedSoftwareRecord.ts
+++ b/packages/gateway/src/node/storedSoftwareRecord.ts
@@ -13,9 +13,10 @@
 import { SharedReads } from '@flamingocourse/kernel';
 import { Result } from 'true-myth';
 import { softwareRecordSchema } from '../utils/softwareRecordSchema.js';
+import { storedName } from '../utils/storedName.js';
 import { StoredObject } from './storedObject.js';
 
-/** One object per service, named by it. */
+/** One object per service, with the name of {@link storedName}. */
 const recordCollection: Collection<SoftwareRecord> = {
   name: 'fleet-software',
   schema: softwareRecordSchema,
@@ -61,7 +62,7 @@
     this.#context = context;
     this.#service = service;
     const none = (): SoftwareRecord => ({ service, versions: [] });
-    this.#object = new StoredObject(context.store, recordCollection, service, none);
+    this.#object = new StoredObject(context.store, recordCollection, storedName(service), none);
   }
 
   /** Records versions that are listed. Afterwards streams may begin at those that are listed still. */
--- a/test/platform/outsideNames.test.ts
+++ b/test/platform/outsideNames.test.ts
@@ -8,6 +8,9 @@
 const INHERITED = ['constructor', '__proto__', 'toString', 'hasOwnProperty', 'valueOf'];
 /** Requests that are sent under each name. */
 const REQUESTS = 5;
+/** Places of a plain route and of one with resumable streams in the configuration of the tests. */
+const PLAIN = 0;
+const DRAFT = 3;
 
 // Guards against a name that is looked up among what every object inherits, and ends the process.
 describe('names under which every object inherits something', { concurrency: 4 }, () => {
@@ -81,6 +84,25 @@
   });
 });
 
+// Guards against streams that no server may run, because the name of their service is no part of a path.
+test('resumable streams of services that no path names go on', async (t) => {
+  const names = ['', '.', '..', 'a/b', '%', '\ud800', 'склад', 'x'.repeat(3_000)];
+  const world = await World.start(t, withServices(names, DRAFT));
+  for (const [index, name] of names.entries()) {
+    const server = await new FakeServer(`o${String(index)}`).listen(t);
+    server.behaviour = 'stream';
+    world.store.put('servers', server.id, server.entry(name));
+  }
+  for (const index of names.keys()) {
+    const path = `/odd-${String(index)}/1`;
+    await until(`its server is known: ${path}`, async () => {
+      return (await world.generate(path)).status === 200;
+    });
+  }
+  assert.equal(new Set(world.store.names('fleet-software')).size, names.length + 1);
+  assertUnharmed(world);
+});
+
 /** Configuration with more accounts. */
 function withAccounts(version: number, names: readonly string[]): Record<string, unknown> {
   const { tenants, ...rest } = configWith({ version });
@@ -88,12 +110,12 @@
   return { ...rest, tenants: [...(tenants as object[]), ...odd] };
 }
 
-/** Configuration with more services, each with a route of its name. */
-function withServices(names: readonly string[]): Record<string, unknown> {
+/** Configuration with more services, each with a route of its name that is like a known one. */
+function withServices(names: readonly string[], like = PLAIN): Record<string, unknown> {
   const { routes, services, ...rest } = configWith();
   const known = routes as object[];
   const oddRoutes = names.map((name, index) => {
-    return { ...known[0], name, path_prefix: `/odd-${String(index)}/`, service: name };
+    return { ...known[like], name, path_prefix: `/odd-${String(index)}/`, service: name };
   });
   const oddServices = names.map((name) => {
     return { name, health_path: '/health', max_connections: 100 };
