fix(gateway): a stream goes on only after an id that a header carries

What callers saw: a resumable stream whose server gave an event an id with a character beyond ISO 8859-1 or a control character ended with an internal fault when its server broke off: Last-Event-Id could not be written. An id beyond ASCII reached the next server in another encoding than the caller got.

Cause: the id of the last event is taken from the events as text and reaches the header unchecked.

Evidence: the cases of test/gateway/eventFrames.test.ts with an id beyond ASCII and with ids that no header carries, and the new case of test/gateway/decisions.test.ts, fail without the change (the id comes back as text; nothing says that the stream cannot go on).

Why this holds: the id is kept as the bytes that the caller got, which a header carries as they are; after an id that none carries the stream is not tried at another server, which could only repeat events.

--- a/packages/core/src/runtime/streams/eventFrames.ts
+++ b/packages/core/src/runtime/streams/eventFrames.ts
@@ -5,6 +5,7 @@
  */
 
 import type { EventOrder } from './eventOrder.js';
+import { isHeaderText } from '../../utils/headerText.js';
 
 /** Complete events from one or more chunks. */
 export interface EventBytes {
@@ -48,11 +49,16 @@
     this.#order = order;
   }
 
-  /** Id of the last complete event that had one. */
+  /** Id of the last complete event that had one, as a header carries its bytes. */
   get lastId(): string | undefined {
     return this.#lastId;
   }
 
+  /** Whether another server can be told where to go on; false if no header carries the last id. */
+  get isResumable(): boolean {
+    return this.#lastId === undefined || isHeaderText(this.#lastId);
+  }
+
   /** Number of complete events so far. */
   get total(): number {
     return this.#total;
@@ -121,7 +127,7 @@
 
   #noteId(event: string): void {
     const match = /^id:[ ]?(.*?)\r?$/m.exec(event);
-    if (match?.[1] !== undefined) this.#lastId = match[1];
+    if (match?.[1] !== undefined) this.#lastId = Buffer.from(match[1]).toString('latin1');
   }
 }
 
--- a/packages/gateway/src/node/answerRelay.ts
+++ b/packages/gateway/src/node/answerRelay.ts
@@ -93,12 +93,12 @@
  * Forwards a stream event by event. An incomplete event at the end of a broken stream is dropped.
  *
  * @param order of the events that the caller has got, by earlier attempts as well.
- * @param onEvents called for each batch of complete events, with the id of the last one.
+ * @param onEvents called for each batch of complete events, with all up to them.
  */
 export async function relayStream(
   relay: Relay,
   order: EventOrder,
-  onEvents: (events: number, lastId: string | undefined) => void,
+  onEvents: (events: number, frames: EventFrames) => void,
 ): Promise<RelayEnd> {
   const { open, answer } = relay;
   const frames = new EventFrames(order);
@@ -108,7 +108,7 @@
     const { bytes, events } = frames.push(chunk);
     if (frames.isTooLong) return TOO_LARGE;
     if (events > 0) {
-      onEvents(events, frames.lastId);
+      onEvents(events, frames);
       if (!answer.write(bytes, events, relay.now())) pauseUntilDrained(relay);
     }
     return frames.isOutOfOrder ? 'stream has an event out of order' : undefined;
--- a/packages/gateway/src/node/requestFlow.ts
+++ b/packages/gateway/src/node/requestFlow.ts
@@ -51,6 +51,7 @@
       events: 0,
       order: new EventOrder({ weightsField, after: resumeAfter }),
       resumeAfter,
+      isResumable: true,
       software,
       charged: 0,
       fingerprint: fingerprintOf(call),
--- a/packages/gateway/src/runtime/retryPolicy.ts
+++ b/packages/gateway/src/runtime/retryPolicy.ts
@@ -26,6 +26,8 @@
   made: number;
   /** Milliseconds left until the deadline. */
   leftMs: number;
+  /** Whether another server can be told where a stream that has begun goes on. */
+  isResumable: boolean;
 }
 
 /** Maximum attempts of one request that no server ran; after these it is refused. */
@@ -38,11 +40,12 @@
  * allowance separately, and only after attempts that reached a server.
  *
  * @example
- * mayRetry('not-sent', { repetition: 'once', maxAttempts: 1, mayHaveRun: 0, made: 1, leftMs: 400 });
+ * mayRetry('not-sent', { repetition: 'once', maxAttempts: 1, mayHaveRun: 0, made: 1, leftMs: 400, isResumable: true });
  */
 export function mayRetry(failed: FailedAttempt, history: AttemptHistory): boolean {
-  const { repetition, maxAttempts, mayHaveRun, made, leftMs } = history;
-  if (leftMs < MIN_LEFT_MS || made >= MAX_ATTEMPTS_NOT_RUN + maxAttempts) return false;
+  const { repetition, maxAttempts, mayHaveRun, made, leftMs, isResumable } = history;
+  if (!isResumable || leftMs < MIN_LEFT_MS || made >= MAX_ATTEMPTS_NOT_RUN + maxAttempts)
+    return false;
   switch (failed) {
     case 'not-sent':
     case 'refused':
--- a/packages/gateway/src/types/requestRun.ts
+++ b/packages/gateway/src/types/requestRun.ts
@@ -91,6 +91,8 @@
   order: EventOrder;
   /** Id of the event after which another server has to resume. */
   resumeAfter: string | undefined;
+  /** Whether another server can be told where to go on. */
+  isResumable: boolean;
   /** Software versions that may go on; narrowed by the first event. */
   software: StreamSoftware;
   /** Tokens charged to the account. */
--- a/test/gateway/decisions.test.ts
+++ b/test/gateway/decisions.test.ts
@@ -19,6 +19,7 @@
     mayHaveRun: 0,
     made: 1,
     leftMs: 400,
+    isResumable: true,
   };
   const cases: { failed: FailedAttempt; change?: Partial<AttemptHistory>; expected: boolean }[] = [
     { failed: 'not-sent', expected: true },
@@ -27,6 +28,16 @@
     { failed: 'unknown', change: { mayHaveRun: 1 }, expected: false },
     { failed: 'server-error', change: { mayHaveRun: 1 }, expected: false },
     { failed: 'not-sent', change: { leftMs: 5 }, expected: false },
+    {
+      failed: 'unknown',
+      change: { repetition: 'resumable-stream', maxAttempts: 2 },
+      expected: true,
+    },
+    {
+      failed: 'unknown',
+      change: { repetition: 'resumable-stream', maxAttempts: 2, isResumable: false },
+      expected: false,
+    },
     { failed: 'not-sent', change: { made: 4 }, expected: false },
     { failed: 'not-sent', change: { mayHaveRun: 1, made: 2 }, expected: false },
     {
--- a/test/gateway/eventFrames.test.ts
+++ b/test/gateway/eventFrames.test.ts
@@ -37,6 +37,23 @@
     assert.equal(frames.isOpen, true);
   });
 
+  // Guards against a stream that goes on after another event than the last one, or an id that no request carries.
+  const ids = [
+    { id: '7', lastId: '7', isResumable: true },
+    { id: 'é', lastId: '\u00c3\u00a9', isResumable: true },
+    { id: 'a\u0000b', lastId: 'a\u0000b', isResumable: false },
+    { id: 'a ', lastId: 'a ', isResumable: false },
+    { id: 'x'.repeat(8_001), lastId: 'x'.repeat(8_001), isResumable: false },
+  ];
+  for (const { id, lastId, isResumable } of ids) {
+    test(`with the id ${JSON.stringify(id.slice(0, 20))} ${isResumable ? 'can' : 'cannot'} go on`, () => {
+      const frames = new EventFrames();
+      frames.push(Buffer.from(`id: 1\ndata: a\n\nid: ${id}\ndata: b\n\n`));
+      assert.equal(frames.lastId, lastId);
+      assert.equal(frames.isResumable, isResumable);
+    });
+  }
+
   // Guards against an instance that serves nobody while it reads an event in small chunks: if each
   // chunk cost a copy of the event so far, an event of the maximum size would take 15 s and more.
   for (const unit of ['x', 'x\n', 'x\r\n']) {
