fix: a request that cannot be written is a fault, not an exception

What callers saw: nothing by itself since names are checked where they are read; before, each odd target, header or address made an attempt reject, which the caller got as 502 "internal fault", and a call to the store or to a peer make its service fail.

Cause: `request` of Node and `new URL` throw, within functions whose callers expect a result.

Evidence: the three cases of "an attempt that no request can carry" in test/gateway/httpAttempt.test.ts fail without the change (the promise rejects).

Why this holds: both places that create a request return the fault `unsendable`, with nothing sent. It says nothing about the server or the store, so it counts against neither.

--- a/packages/gateway/src/node/httpAttempt.ts
+++ b/packages/gateway/src/node/httpAttempt.ts
@@ -5,8 +5,15 @@
 import type { ServerHead } from '../types/call.js';
 import type { ResponseHead } from '../utils/responseHead.js';
 import { request } from 'node:http';
-import { FilteredSocket, afterPendingReads, hasLostPeer, onTimeout } from '@flamingocourse/kernel';
+import {
+  FilteredSocket,
+  afterPendingReads,
+  describeError,
+  hasLostPeer,
+  onTimeout,
+} from '@flamingocourse/kernel';
 import { Result } from 'true-myth';
+import { tryOrElse } from 'true-myth/result';
 import { ResponseFilter } from '../runtime/responseFilter.js';
 
 /** Maximum number of interim responses (1xx) before the response. */
@@ -64,6 +71,8 @@
    * That says nothing about whether a new connection would open.
    */
   | 'unusable'
+  /** No request can carry the target or a header, at any server. */
+  | 'unsendable'
   | 'broken'
   | 'timeout'
   | 'aborted';
@@ -104,10 +113,14 @@
  * if (answer.isErr && !answer.error.sent) tryAnotherServer();
  */
 export function openAttempt(attempt: AttemptRequest): Promise<Result<OpenAnswer, AttemptFault>> {
+  const created = tryOrElse(
+    (err): AttemptFault => ({ reason: 'unsendable', sent: false, cause: describeError(err) }),
+    () => createRequest(attempt),
+  );
+  if (created.isErr) return Promise.resolve(Result.err(created.error));
+  const req = created.value;
   return new Promise((resolve) => {
-    const { method, target: path, headers, agent, signal } = attempt;
-    const { hostname, port } = new URL(attempt.url);
-    const req = request({ host: hostname, port, method, path, agent, headers, setHost: false });
+    const { signal } = attempt;
     let settled = false;
     let sent = false;
     let stopOwnTimer: (() => void) | undefined;
@@ -214,6 +227,17 @@
   });
 }
 
+function createRequest({
+  url,
+  method,
+  target: path,
+  agent,
+  headers,
+}: AttemptRequest): ClientRequest {
+  const { hostname, port } = new URL(url);
+  return request({ host: hostname, port, method, path, agent, headers, setHost: false });
+}
+
 /** Checks what comes before the response to this request, and has responses to other requests skipped. */
 function filterResponses(
   connection: FilteredSocket,
--- a/packages/gateway/src/node/serverAttempt.ts
+++ b/packages/gateway/src/node/serverAttempt.ts
@@ -400,7 +400,7 @@
 
 /** Whether a request that was not sent shows that its server cannot be reached. */
 function showsSilence({ reason }: AttemptFault): boolean {
-  return reason !== 'not-accepted' && reason !== 'unusable';
+  return reason !== 'not-accepted' && reason !== 'unusable' && reason !== 'unsendable';
 }
 
 function notAccepted(process: ProcessVerdict): AttemptFault {
--- a/packages/kernel/src/node/httpExchange.ts
+++ b/packages/kernel/src/node/httpExchange.ts
@@ -1,9 +1,10 @@
 /** HTTP exchanges with a bounded answer, over keep-alive connections. */
 
-import type { Agent, IncomingHttpHeaders } from 'node:http';
+import type { Agent, ClientRequest, IncomingHttpHeaders } from 'node:http';
 import type { BodyBuffers } from '../runtime/heldBytes.js';
 import { request } from 'node:http';
 import { Result } from 'true-myth';
+import { tryOrElse } from 'true-myth/result';
 import { ByteCollector } from '../runtime/byteCollector.js';
 import { onTimeout } from './timeLimit.js';
 
@@ -33,7 +34,8 @@
 
 /** Why there is no complete answer. */
 export interface TransportFault {
-  reason: 'timeout' | 'aborted' | 'broken' | 'too-large';
+  /** `unsendable`: no request can carry the URL or a header; nothing was sent. */
+  reason: 'timeout' | 'aborted' | 'broken' | 'too-large' | 'unsendable';
   cause?: unknown;
 }
 
@@ -44,10 +46,14 @@
  * const answer = await exchange({ method: 'GET', url, timeoutMs: 1_500, maxAnswerBytes, agent });
  */
 export function exchange(call: HttpCall): Promise<Result<HttpAnswer, TransportFault>> {
+  const created = tryOrElse(
+    (cause): TransportFault => ({ reason: 'unsendable', cause }),
+    () => createRequest(call),
+  );
+  if (created.isErr) return Promise.resolve(Result.err(created.error));
+  const req = created.value;
   return new Promise((resolve) => {
-    const headers = { ...call.headers, ...(call.body === undefined ? {} : jsonHeaders(call.body)) };
-    const { method, agent, signal } = call;
-    const req = request(call.url, { method, agent, headers, ...(signal ? { signal } : {}) });
+    const { signal } = call;
     const held = call.buffers.open();
     const finish = (result: Result<HttpAnswer, TransportFault>): void => {
       stopTimer();
@@ -85,6 +91,12 @@
   });
 }
 
+function createRequest(call: HttpCall): ClientRequest {
+  const headers = { ...call.headers, ...(call.body === undefined ? {} : jsonHeaders(call.body)) };
+  const { method, agent, signal } = call;
+  return request(call.url, { method, agent, headers, ...(signal ? { signal } : {}) });
+}
+
 function jsonHeaders(body: string): Record<string, string | number> {
   return { 'content-type': 'application/json', 'content-length': Buffer.byteLength(body) };
 }
--- a/packages/store/src/node/wireFormat.ts
+++ b/packages/store/src/node/wireFormat.ts
@@ -87,6 +87,12 @@
   if (reason === 'too-large') {
     return new PlatformError('too-large', `the answer to ${kind} is too large`, { effect });
   }
+  if (reason === 'unsendable') {
+    return new PlatformError('invalid', `no request carries this ${kind}`, {
+      cause,
+      effect: 'none',
+    });
+  }
   return new PlatformError('unreachable', `no answer to ${kind}: ${reason}`, { cause, effect });
 }
 
--- a/test/gateway/httpAttempt.test.ts
+++ b/test/gateway/httpAttempt.test.ts
@@ -36,7 +36,11 @@
 const signal = new AbortController().signal;
 
 function open(url: string, agent: ServerAgent): ReturnType<typeof openAttempt> {
-  return openAttempt({
+  return openAttempt(attemptTo(url, agent));
+}
+
+function attemptTo(url: string, agent: ServerAgent): Parameters<typeof openAttempt>[0] {
+  return {
     url,
     method: 'POST',
     target: '/',
@@ -46,9 +50,27 @@
     connectMs: 500,
     headMs: 1_000,
     signal,
-  });
+  };
 }
 
+// Guards against an attempt that rejects, or blames its server, because no request can carry what was asked.
+describe('an attempt that no request can carry', () => {
+  const cases = [
+    { name: 'a target with a line end', change: { target: '/a\r\nb' } },
+    { name: 'a header beyond ISO 8859-1', change: { headers: ['x-a', 'склад'] } },
+    { name: 'an address that is no URL', change: { url: 'http://a%zz:80' } },
+  ];
+  for (const { name, change } of cases) {
+    test(`is not sent: ${name}`, async (t) => {
+      const agent = new ServerAgent();
+      const url = await serve(t, () => assert.fail('a request arrived'));
+      const opened = await openAttempt({ ...attemptTo(url, agent), ...change });
+      assert.ok(opened.isErr);
+      assert.deepEqual([opened.error.reason, opened.error.sent], ['unsendable', false]);
+    });
+  }
+});
+
 async function send(
   url: string,
   agent: ServerAgent,
