fix: a malformed name in a path or header gets an answer

What callers saw: a request of /services/%zz/x or /v1/requests/%zz had its connection closed without an answer, and the service `entry` of the router was reported as failed. A call of a peer whose header names a malformed incarnation got 500 in place of the refusal of a call to another incarnation.

Cause: `decodeURIComponent` throws for a malformed text.

Why this holds: `decodePathPart` returns undefined for such a text, and a lint rule refuses `decodeURIComponent` elsewhere in packages and adapter. Nothing has a malformed name, so these get the answers for names that nothing has.

--- a/eslint.config.mjs
+++ b/eslint.config.mjs
@@ -36,11 +36,18 @@
           selector: "CallExpression[callee.object.name='z'][callee.property.name='record']",
           message: 'use `tableSchema`: `z.record` drops an entry that is named `__proto__`.',
         },
+        {
+          selector: "CallExpression[callee.name='decodeURIComponent']",
+          message: 'use `decodePathPart`: `decodeURIComponent` throws for malformed texts.',
+        },
       ],
     },
   },
   {
-    files: ['packages/kernel/src/runtime/backgroundWork.ts'],
+    files: [
+      'packages/kernel/src/runtime/backgroundWork.ts',
+      'packages/kernel/src/utils/decodePathPart.ts',
+    ],
     rules: { 'no-restricted-syntax': 'off' },
   },
   {
--- a/packages/kernel/src/index.ts
+++ b/packages/kernel/src/index.ts
@@ -24,4 +24,5 @@
 export * from './runtime/sharedReads.js';
 export * from './types/listenerLimits.js';
 export * from './utils/layerError.js';
+export * from './utils/decodePathPart.js';
 export * from './utils/parseJsonText.js';
--- a/packages/mesh/src/node/meshServer.ts
+++ b/packages/mesh/src/node/meshServer.ts
@@ -16,6 +16,7 @@
   Service,
   answerUnservable,
   boundedServerOptions,
+  decodePathPart,
   readRequestBody,
   runInBackground,
 } from '@flamingocourse/kernel';
@@ -178,7 +179,7 @@
   #connect(req: IncomingMessage, socket: Duplex, head: Buffer): void {
     if (!(socket instanceof Socket)) throw new TypeError('the mesh listener serves only TCP');
     this.#trackTunnelSocket(socket);
-    const target = decodeTarget(req.url ?? '');
+    const target = decodePathPart(req.url ?? '');
     const trusted = isTrusted(req.headers[secretHeader], this.#options.secret);
     if (!trusted) refuseTunnel(socket, 'not-trusted');
     else if (target === undefined) refuseTunnel(socket, 'other');
@@ -213,7 +214,8 @@
     const to = req.headers[incarnationHeader];
     return {
       trusted: isTrusted(req.headers[secretHeader], this.#options.secret),
-      to: typeof to === 'string' ? decodeURIComponent(to) : undefined,
+      // no incarnation has a malformed name, so such a call is for another one.
+      to: typeof to === 'string' ? (decodePathPart(to) ?? to) : undefined,
     };
   }
 
@@ -326,15 +328,6 @@
   return typeof given === 'string' && timingSafeEqual(digest(given), digest(secret));
 }
 
-/** Decodes the target of a CONNECT request; undefined if it is malformed. */
-function decodeTarget(path: string): string | undefined {
-  try {
-    return decodeURIComponent(path);
-  } catch {
-    return undefined;
-  }
-}
-
 function digest(text: string): Buffer {
   return createHash('sha256').update(text).digest();
 }
--- a/packages/router/src/node/entry/callerRequest.ts
+++ b/packages/router/src/node/entry/callerRequest.ts
@@ -10,7 +10,7 @@
 import type { IncomingMessage } from 'node:http';
 import type { Configuration } from '../../types/configuration.js';
 import { entryOf } from '@flamingocourse/core';
-import { MAX_JSON_DEPTH, isDeeperThan } from '@flamingocourse/kernel';
+import { MAX_JSON_DEPTH, decodePathPart, isDeeperThan } from '@flamingocourse/kernel';
 import { Result } from 'true-myth';
 import { z } from 'zod';
 import { apiKeyDigest, digest } from '../../utils/digest.js';
@@ -154,7 +154,8 @@
   now: EpochMs,
 ): Result<PlainRequest, Refusal> {
   const match = SERVICE_PATH.exec(req.url ?? '');
-  const service = match?.[1] && configuration.service(decodeURIComponent(match[1]));
+  const name = match?.[1] && decodePathPart(match[1]);
+  const service = name && configuration.service(name);
   if (!service || service.type !== 'plain') {
     return Result.err(
       notRun('unknown-service', `Nothing is served under "${req.url ?? ''}"; see /services/NAME/.`),
--- a/packages/router/src/node/entry/entryServer.ts
+++ b/packages/router/src/node/entry/entryServer.ts
@@ -6,7 +6,7 @@
 import type { RouterContext } from '../../types/routerContext.js';
 import type { CallerRequest } from './callerRequest.js';
 import type { Handling } from './requestRunner.js';
-import { Service, runInBackground } from '@flamingocourse/kernel';
+import { Service, decodePathPart, runInBackground } from '@flamingocourse/kernel';
 import { createServer } from 'node:http';
 import { Configuration } from '../../types/configuration.js';
 import { Fleet } from '../../types/fleet.js';
@@ -128,7 +128,8 @@
     }
     const requestedTicket = REQUEST_PATH.exec(path)?.[1];
     if (requestedTicket !== undefined) {
-      await this.#sendRequestState(decodeURIComponent(requestedTicket), res);
+      // no ticket has a malformed name, so there is none under it.
+      await this.#sendRequestState(decodePathPart(requestedTicket) ?? requestedTicket, res);
       return;
     }
     const body = await readBody(req, this.#context.settings.entry.maxBodyBytes);
--- a/test/entry/refusals.test.ts
+++ b/test/entry/refusals.test.ts
@@ -43,6 +43,12 @@
     reason: 'bad-request',
   },
   { name: 'an unknown path', path: '/v2/nothing', status: 404, reason: 'unknown-service' },
+  {
+    name: 'a malformed name of a service',
+    path: '/services/%zz/x',
+    status: 404,
+    reason: 'unknown-service',
+  },
   {
     name: 'a model service by path',
     path: '/services/llm/x',
@@ -156,3 +162,12 @@
 function deepArray(levels: number): unknown {
   return levels === 0 ? [] : [deepArray(levels - 1)];
 }
+
+// Guards against a connection that is closed without an answer, because the name of a ticket is malformed.
+test('a malformed ticket gets the answer of an unknown one', async () => {
+  const [malformed, unknown] = await Promise.all([
+    call(router, '/v1/requests/%zz'),
+    call(router, '/v1/requests/none'),
+  ]);
+  assert.equal(malformed.status, unknown.status);
+});
--- a/test/mesh/mesh.test.ts
+++ b/test/mesh/mesh.test.ts
@@ -12,6 +12,7 @@
 import { MeshClient, MeshServer } from '@flamingocourse/mesh';
 import { Result } from 'true-myth';
 import { createLink } from '../../packages/lab/src/node/link/index.js';
+import { incarnationHeader } from '../../packages/mesh/src/node/meshHeaders.js';
 
 const self = 'dc-a/ruter-1é/0123456789ab';
 /** Depth at which a recursive parser overflows its stack. */
@@ -179,6 +180,23 @@
   });
 }
 
+// Guards against a call that fails at its receiver, because the incarnation that it names is malformed.
+test('a call to a malformed incarnation is refused as one to another', async (t) => {
+  const { server, target } = await startServer(t, {});
+  serveRecall(server);
+  const statuses = await Promise.all(
+    ['other', '%zz'].map(async (incarnation) => {
+      const answer = await fetch(new URL('/recall', target.meshUrl), {
+        method: 'POST',
+        headers: { 'content-type': 'application/json', [incarnationHeader]: incarnation },
+        body: JSON.stringify({ account: 'a', amount: 7, forDataCentre: 'dc-a' }),
+      });
+      return answer.status;
+    }),
+  );
+  assert.equal(statuses[1], statuses[0]);
+});
+
 test('a matching secret is accepted', async (t) => {
   const { server, target } = await startServer(t, { secret: 's' });
   serveRecall(server);
