fix(gateway): an entry of the instances that cannot be used costs itself alone

What callers saw: an entry of another writer with a URL that is no text made all instances of its data centre unknown to the others; a new instance there could not join, and served nobody. A name of half a surrogate pair, or a URL that cannot be parsed, made each call to that entry throw.

Cause: the object of a data centre was parsed as a whole, and its names and URLs reached `encodeURIComponent` and `new URL` unchecked.

Why this holds: each entry is read on its own. One whose name no message carries is not listed; one whose URL cannot be used is listed as serving no peers. `instance-entry-invalid` names each once. The settings ask the same of the own name, at the start.

--- a/packages/gateway/src/node/instanceDirectory.ts
+++ b/packages/gateway/src/node/instanceDirectory.ts
@@ -11,7 +11,7 @@
 import { isDeepStrictEqual } from 'node:util';
 import { Listeners, Service } from '@flamingocourse/kernel';
 import { readIntervalMs, entryOf } from '@flamingocourse/core';
-import { storedInstancesSchema } from '../utils/instanceSchemas.js';
+import { isInstanceName, isMeshUrl, storedInstancesSchema } from '../utils/instanceSchemas.js';
 import { StoredObject } from './storedObject.js';
 
 /** One object per data centre, named by it. */
@@ -38,6 +38,8 @@
  * respond.
  */
 const MIN_EARLY_READ_INTERVAL_MS = 1_000;
+/** Maximum number of logged characters of names from outside. */
+const MAX_LOGGED_LENGTH = 200;
 
 /**
  * Service that joins the fleet and tracks its instances. Registered as `instances`. A lost instance
@@ -55,6 +57,8 @@
   #timer: NodeJS.Timeout | undefined;
   #lastReadAt = -Infinity;
   #wasListed = false;
+  /** Names of the entries that cannot be used, each logged once. */
+  readonly #invalid = new Set<string>();
   #reads = 0;
   #joining: Promise<void> | undefined;
   #stopped = false;
@@ -165,13 +169,17 @@
   }
 
   #withSelf(seen: StoredInstances): StoredInstances {
-    const { instance, listen } = this.#context.settings;
-    const meshUrl = listen.mesh && `http://${listen.mesh.host}:${String(listen.mesh.port)}`;
-    const self = meshUrl === undefined ? {} : { meshUrl };
+    const { instance } = this.#context.settings;
+    const self = this.#ownEntry();
     if (isDeepStrictEqual(entryOf(seen.instances, instance), self)) return seen;
     return { instances: { ...seen.instances, [instance]: self } };
   }
 
+  #ownEntry(): { meshUrl?: string } {
+    const { mesh } = this.#context.settings.listen;
+    return mesh ? { meshUrl: `http://${mesh.host}:${String(mesh.port)}` } : {};
+  }
+
   #scheduleRead(ms: number): void {
     clearTimeout(this.#timer);
     if (this.#stopped) return;
@@ -197,7 +205,7 @@
     if (list.isErr) this.#logFailure('look', list.error);
     else {
       this.#reads += 1;
-      const listed = list.value.items.flatMap(({ name, value }) => toInstances(name, value));
+      const listed = list.value.items.flatMap(({ name, value }) => this.#toInstances(name, value));
       const read = {
         at,
         names: listed.map(({ name }) => name),
@@ -226,8 +234,24 @@
 
   #self(): FleetInstance {
     const { instance, dataCentre } = this.#context.settings;
-    const self = entryOf(this.#withSelf({ instances: {} }).instances, instance);
-    return { name: instance, dataCentre, ...self };
+    return { name: instance, dataCentre, ...this.#ownEntry() };
+  }
+
+  /** Entries that cannot be used as they are written cost themselves alone. */
+  #toInstances(dataCentre: string, { instances }: StoredInstances): FleetInstance[] {
+    return Object.entries(instances).flatMap(([name, { meshUrl }]) => {
+      const isNamed = isInstanceName(name);
+      if (!isNamed || (meshUrl !== undefined && !isMeshUrl(meshUrl))) this.#logInvalid(name);
+      if (!isNamed) return [];
+      return [{ name, dataCentre, ...(isMeshUrl(meshUrl) ? { meshUrl } : {}) }];
+    });
+  }
+
+  #logInvalid(name: string): void {
+    if (this.#invalid.has(name)) return;
+    this.#invalid.add(name);
+    const listed = name.slice(0, MAX_LOGGED_LENGTH);
+    this.#context.log.write('instance-entry-invalid', { listed, length: name.length });
   }
 
   #logFailure(what: 'join' | 'look' | 'leave', { message }: StoreError): void {
@@ -238,7 +262,3 @@
     return this.#context.clock.now();
   }
 }
-
-function toInstances(dataCentre: string, { instances }: StoredInstances): FleetInstance[] {
-  return Object.entries(instances).map(([name, instance]) => ({ name, dataCentre, ...instance }));
-}
--- a/packages/gateway/src/utils/gatewaySettingsSchema.ts
+++ b/packages/gateway/src/utils/gatewaySettingsSchema.ts
@@ -3,6 +3,7 @@
 import type { ClientLimits } from '../types/clientLimits.js';
 import { tableSchema } from '@flamingocourse/core';
 import { z } from 'zod';
+import { isInstanceName } from './instanceSchemas.js';
 import { entryConnections, heldBytes } from '../runtime/defaultLimits.js';
 
 const address = z
@@ -54,7 +55,7 @@
 
 /** Ignores unknown fields, because the file may be written for a newer version. */
 export const gatewaySettingsSchema = z.object({
-  instance: z.string().min(1).describe('the name of this instance'),
+  instance: z.string().refine(isInstanceName).describe('the name of this instance'),
   dataCentre: z.string().min(1).describe('the name of the data centre'),
   listen: z.object({
     entry: address,
--- a/packages/kernel/src/runtime/eventCatalogue.ts
+++ b/packages/kernel/src/runtime/eventCatalogue.ts
@@ -256,6 +256,12 @@
     text: 'the instances of the fleet cannot be read or written; the last known ones stay in use',
     action: 'Check the store and the network to it.',
   },
+  'instance-entry-invalid': {
+    number: 431,
+    level: 'warn',
+    text: 'an entry of the list of instances has a name or a URL that cannot be used; the others are',
+    action: 'Remove the entry, or check the program that wrote it.',
+  },
   'request-ended': { number: 510, level: 'info', text: 'a request received its final answer' },
   'attempt-failed': { number: 511, level: 'info', text: 'an attempt at a server got no answer' },
   'servers-changed': { number: 512, level: 'info', text: 'the list of servers changed' },
--- a/test/platform/outsideNames.test.ts
+++ b/test/platform/outsideNames.test.ts
@@ -103,6 +103,34 @@
   assertUnharmed(world);
 });
 
+// Guards against an entry that hides the other instances of its data centre, or that a call to a peer fails at.
+test('entries of the list of instances that cannot be used cost themselves alone', async (t) => {
+  const entries = {
+    '': { meshUrl: 'http://127.0.0.1:9' },
+    '\ud800': { meshUrl: 'http://127.0.0.1:9' },
+    ['x'.repeat(301)]: {},
+    'no-url': { meshUrl: 'a%zz' },
+    'no-text': { meshUrl: 7 },
+    'no-entry': null,
+  };
+  const world = await World.start(t, configWith(), { mesh: true });
+  const listed = world.store.value('fleet-instances', 'hall-a') as { instances: object };
+  world.store.put('fleet-instances', 'hall-a', { instances: { ...listed.instances, ...entries } });
+  const other = await world.join(t, 'edge-2', { mesh: true });
+  await until('both know each other', () =>
+    [world, other].every(({ log }) => {
+      const last = log.events.findLast(({ event }) => event === 'instances-changed');
+      return Number(last?.fields.instances) >= 2;
+    }),
+  );
+  for (const instance of [world, other]) {
+    await serves(instance);
+    assertUnharmed(instance);
+  }
+  const lines = other.log.events.filter(({ event }) => event === 'instance-entry-invalid');
+  assert.deepEqual(lines.map(({ fields }) => fields.length).sort(), [0, 1, 301, 6, 7]);
+});
+
 /** Configuration with more accounts. */
 function withAccounts(version: number, names: readonly string[]): Record<string, unknown> {
   const { tenants, ...rest } = configWith({ version });
