fix: a server's long id or version spoils no message between instances

What callers saw: with one server whose id has more than 300 characters, or whose version has more than messages carry, instances refused each other's whole messages on crashes and streams; beside a version of 8,001 characters requests failed at a new instance.

--- a/packages/mesh/src/runtime/schemas.ts
+++ b/packages/mesh/src/runtime/schemas.ts
@@ -139,7 +139,7 @@
 const gossipFactSchema: ZodType<GossipFact> = z.discriminatedUnion('type', [
   z.object({
     type: z.literal('crashed'),
-    server: id,
+    server: name,
     inFlight: z.array(fingerprint).max(maxInFlight),
   }),
   z.object({ type: z.literal('finished'), fingerprint }),
--- a/test/mesh/names.test.ts
+++ b/test/mesh/names.test.ts
@@ -18,7 +18,7 @@
 // Guards against messages that a peer refuses as a whole because of what one account, service or version is called.
 describe('a message to a peer', () => {
   for (const name of names) {
-    test(`names accounts, services and versions ${JSON.stringify(name.slice(0, 12))}`, () => {
+    test(`names accounts, services, servers and versions ${JSON.stringify(name.slice(0, 12))}`, () => {
       const entries = { [name]: { spent: 1, keeps: 1, wants: 1, rate: 1 } };
       const report = { instance: 'edge-1', incarnation: 'a', seq: 1, last: false, entries };
       const messages = {
@@ -28,6 +28,18 @@
           streams: [{ key: 'k', origin: { service: name, version: name }, forMs: 1 }],
         },
         findStream: { key: 'k', services: [name] },
+        exchangeNews: {
+          from: 'edge-1',
+          known: { 'edge-1': 1 },
+          items: [
+            {
+              origin: 'edge-1',
+              seq: 1,
+              ageMs: 0,
+              news: { type: 'crashed', server: name, inFlight: [] },
+            },
+          ],
+        },
         recall: { account: name, amount: 1, forDataCentre: 'hall-a' },
       };
       for (const [procedure, message] of Object.entries(messages)) {
--- a/test/platform/foreignEntries.test.ts
+++ b/test/platform/foreignEntries.test.ts
@@ -100,6 +100,15 @@
   }
 });
 
+// Guards against a text of a server that makes its instance's messages longer than other instances accept.
+describe('beside an entry with a text that no message carries', { concurrency: 4 }, () => {
+  for (const field of ['service', 'zone', 'version']) {
+    test(`${field}: a server that drains gets no requests, and a new instance serves`, async (t) => {
+      await serveBeside(t, { [field]: 'x'.repeat(8_001) });
+    });
+  }
+});
+
 // Guards against an id that is found to be unsendable only where a request or a health check needs it.
 describe('the id of an entry of another writer', { concurrency: 4 }, () => {
   for (const id of notCarried) {
