--- a/test/platform/configurationEntries.test.ts
+++ b/test/platform/configurationEntries.test.ts
@@ -127,6 +127,13 @@
     });
   }
 
+  // Guards against a configuration that is refused for want of a part that it may leave out.
+  for (const part of ['limits', 'tenants']) {
+    test(`a configuration without ${part} is accepted`, () => {
+      assert.deepEqual(kinds(parse({ ...configWith(), [part]: undefined }).faults), []);
+    });
+  }
+
   test('a limit that is no number counts as not written', () => {
     const { limits, faults } = parse({ ...configWith(), limits: { max_body_bytes: 'x' } });
     assert.deepEqual(limits, { maxBodyBytes: 4_194_304, headMs: 3_000, idleMs: 15_000 });
