perf(core): the schema of a table builds nothing for each entry

What callers saw: nothing wrong.

Cause: `tableSchema` built a tuple schema for each entry, and parsed each entry on its own.

The tests of names pass unchanged. The path of an issue names the field now, not the entry alone.

--- a/eslint.config.mjs
+++ b/eslint.config.mjs
@@ -47,6 +47,7 @@
     files: [
       'packages/kernel/src/runtime/backgroundWork.ts',
       'packages/kernel/src/utils/decodePathPart.ts',
+      'packages/core/src/utils/table.ts',
     ],
     rules: { 'no-restricted-syntax': 'off' },
   },
--- a/packages/core/src/utils/table.ts
+++ b/packages/core/src/utils/table.ts
@@ -40,24 +40,31 @@
 }
 
 /**
- * Schema of a table. Unlike `z.record` it keeps an entry named `__proto__`.
+ * Schema of a table. Unlike `z.record`, which reads all other entries, it keeps an entry named `__proto__`.
  *
  * @example
  * tableSchema(z.string(), z.number()).parse(JSON.parse('{"__proto__":1}'));
  */
 export function tableSchema<T>(name: z.ZodType<string>, value: z.ZodType<T>): z.ZodType<Table<T>> {
+  const record = z.record(name, value);
+  const named = z.object({ name, value });
   return z.unknown().transform((input, context) => {
-    if (typeof input !== 'object' || input === null || Array.isArray(input)) {
-      context.addIssue({ code: 'custom', message: 'not a table' });
-      return z.NEVER;
+    const table = record.safeParse(input);
+    for (const issue of table.error?.issues ?? []) context.addIssue({ ...issue });
+    if (!table.success) return z.NEVER;
+    const entry = ownPrototypeEntry(input);
+    if (!entry) return table.data;
+    const kept = named.safeParse(entry);
+    for (const issue of kept.error?.issues ?? []) {
+      context.addIssue({ ...issue, path: [entry.name, ...issue.path.slice(1)] });
     }
-    const entries = Object.entries(input).map(([key, entry]: [string, unknown]): [string, T] => {
-      const parsed = z.tuple([name, value]).safeParse([key, entry]);
-      if (parsed.success) return parsed.data;
-      const message = parsed.error.issues.map((issue) => issue.message).join(', ');
-      context.addIssue({ code: 'custom', path: [key], message });
-      return z.NEVER;
-    });
-    return Object.fromEntries(entries);
+    if (kept.success) setEntry(table.data, kept.data.name, kept.data.value);
+    return table.data;
   });
 }
+
+/** The entry named `__proto__` of a JSON value, if it has one. */
+function ownPrototypeEntry(input: unknown): { name: string; value: unknown } | undefined {
+  const own = Object.getOwnPropertyDescriptor(input, '__proto__');
+  return own && { name: '__proto__', value: own.value as unknown };
+}
