--- a/packages/core/src/runtime/conditions/demandSums.ts
+++ b/packages/core/src/runtime/conditions/demandSums.ts
@@ -11,17 +11,21 @@
 
 /** Longest name in one message, in bytes of JSON; the other bounds keep messages of such names below 16 KiB. */
 const MAX_REPORTED_NAME_BYTES = 80;
+const encoder = new TextEncoder();
 
 /** From most to least important. */
 export const importances: readonly Importance[] = ['first', 'standard', 'background'];
 
 /**
- * Whether reports name an instance, data centre, service or account of this name. Others get no report, or are
- * summed with the accounts that have no name in it.
+ * Whether reports name an instance, data centre or service of this name. There is no report on others.
  */
 export function isReportedName(name: string): boolean {
-  const text = name.length > MAX_REPORTED_NAME_BYTES ? undefined : JSON.stringify(name);
-  return text !== undefined && new TextEncoder().encode(text).length <= MAX_REPORTED_NAME_BYTES;
+  return name !== '' && isShort(name);
+}
+
+function isShort(name: string): boolean {
+  if (name.length > MAX_REPORTED_NAME_BYTES) return false;
+  return encoder.encode(JSON.stringify(name)).length <= MAX_REPORTED_NAME_BYTES;
 }
 
 /** No room. */
@@ -76,7 +80,7 @@
   demand: Record<ServiceName, ServiceDemand>,
 ): Record<ServiceName, ServiceDemand> {
   const services = Object.entries(demand)
-    .filter(([service]) => service !== '' && isReportedName(service))
+    .filter(([service]) => isReportedName(service))
     .toSorted(([, a], [, b]) => Number(b.crowded) - Number(a.crowded) || b.served - a.served)
     .slice(0, MAX_REPORTED_SERVICES);
   const naming = services.filter(([, { accounts }]) => Object.keys(accounts).length > 0).length;
@@ -103,10 +107,13 @@
   const byWeight = Object.entries(demand.accounts).toSorted(
     ([, a], [, b]) => totalRoom(b) - totalRoom(a),
   );
-  const named = byWeight.filter(([account]) => isReportedName(account)).slice(0, most);
-  if (named.length === byWeight.length) return demand;
-  const heaviest = new Set(named);
-  const others = byWeight.filter((entry) => !heaviest.has(entry));
+  const named: typeof byWeight = [];
+  const others: typeof byWeight = [];
+  // requests without an account are under the empty name.
+  for (const entry of byWeight) {
+    (named.length < most && isShort(entry[0]) ? named : others).push(entry);
+  }
+  if (others.length === 0) return demand;
   const room = { ...demand.rest.room };
   for (const [, each] of others) addRoom(room, each);
   return {
--- a/packages/core/src/runtime/conditions/packedSums.ts
+++ b/packages/core/src/runtime/conditions/packedSums.ts
@@ -80,11 +80,11 @@
     of: sums.scope,
     age: Math.round(sums.ageMs),
     dcs: sums.dataCentres
-      .filter(({ dataCentre }) => dataCentre !== '' && isReportedName(dataCentre))
+      .filter(({ dataCentre }) => isReportedName(dataCentre))
       .slice(0, MAX_DATA_CENTRES)
       .map(packDataCentre),
     peers: sums.peers
-      .filter(({ instance }) => instance !== '' && isReportedName(instance))
+      .filter(({ instance }) => isReportedName(instance))
       .slice(0, MAX_NAMED_PEERS)
       .map(packPeer),
     demand: Object.entries(sums.demand).map(([service, each]) => packDemand(service, each)),
--- a/packages/gateway/src/node/configurationWatch.ts
+++ b/packages/gateway/src/node/configurationWatch.ts
@@ -6,6 +6,7 @@
 import type { GatewayContext } from '../types/context.js';
 import { RouteTable } from '@flamingocourse/core';
 import { Listeners, Service } from '@flamingocourse/kernel';
+import { loggedText } from '../utils/loggedText.js';
 import { reportThrown } from './reportThrown.js';
 import { StoreReachability } from './storeReachability.js';
 
@@ -28,8 +29,6 @@
  */
 export const CONFIGURATION_BATCH_MS = 400;
 
-/** Maximum number of logged characters of names from outside. */
-const MAX_LOGGED_LENGTH = 200;
 /** Maximum number of logged faults of one version; each line states how many there are. */
 const MAX_LOGGED_FAULTS = 20;
 
@@ -132,8 +131,8 @@
       this.#context.log.write('configuration-entry-invalid', {
         version,
         kind,
-        entry: entry.slice(0, MAX_LOGGED_LENGTH),
-        reason: reason.slice(0, MAX_LOGGED_LENGTH),
+        entry: loggedText(entry),
+        reason: loggedText(reason),
         count: faults.length,
       });
     }
@@ -145,7 +144,7 @@
       ...accounts.filter(({ homes }) => homes === 'invalid').map(({ name }) => `account ${name}`),
     ];
     if (names.length === 0) return;
-    const objects = names.join(', ').slice(0, MAX_LOGGED_LENGTH);
+    const objects = loggedText(names.join(', '));
     this.#context.log.write('homes-invalid', { version, count: names.length, objects });
   }
 
--- a/packages/gateway/src/node/instanceDirectory.ts
+++ b/packages/gateway/src/node/instanceDirectory.ts
@@ -12,6 +12,7 @@
 import { Listeners, Service } from '@flamingocourse/kernel';
 import { readIntervalMs, entryOf } from '@flamingocourse/core';
 import { isInstanceName, isMeshUrl, storedInstancesSchema } from '../utils/instanceSchemas.js';
+import { loggedText } from '../utils/loggedText.js';
 import { StoredObject } from './storedObject.js';
 
 /** One object per data centre, named by it. */
@@ -38,8 +39,6 @@
  * respond.
  */
 const MIN_EARLY_READ_INTERVAL_MS = 1_000;
-/** Maximum number of logged characters of names from outside. */
-const MAX_LOGGED_LENGTH = 200;
 
 /**
  * Service that joins the fleet and tracks its instances. Registered as `instances`. A lost instance
@@ -240,18 +239,23 @@
   /** Entries that cannot be used as they are written cost themselves alone. */
   #toInstances(dataCentre: string, { instances }: StoredInstances): FleetInstance[] {
     return Object.entries(instances).flatMap(([name, { meshUrl }]) => {
-      const isNamed = isInstanceName(name);
-      if (!isNamed || (meshUrl !== undefined && !isMeshUrl(meshUrl))) this.#logInvalid(name);
-      if (!isNamed) return [];
-      return [{ name, dataCentre, ...(isMeshUrl(meshUrl) ? { meshUrl } : {}) }];
+      if (!isInstanceName(name)) {
+        this.#logInvalid(name);
+        return [];
+      }
+      const instance = { name, dataCentre };
+      if (meshUrl === undefined) return [instance];
+      if (isMeshUrl(meshUrl)) return [{ ...instance, meshUrl }];
+      this.#logInvalid(name);
+      return [instance];
     });
   }
 
   #logInvalid(name: string): void {
     if (this.#invalid.has(name)) return;
     this.#invalid.add(name);
-    const listed = name.slice(0, MAX_LOGGED_LENGTH);
-    this.#context.log.write('instance-entry-invalid', { listed, length: name.length });
+    const fields = { listed: loggedText(name), length: name.length };
+    this.#context.log.write('instance-entry-invalid', fields);
   }
 
   #logFailure(what: 'join' | 'look' | 'leave', { message }: StoreError): void {
--- a/packages/gateway/src/node/serverAttempt.ts
+++ b/packages/gateway/src/node/serverAttempt.ts
@@ -296,24 +296,20 @@
     this.#placement.recordPromptRead();
     const timing = new EventTiming();
     let hasSurvived = false;
-    const end = await relayStream(
-      relay,
-      this.#progress.order,
-      (events, { lastId, isResumable }) => {
-        if (events > 0) this.#recordFirstEvent();
-        if (this.#progress.events === 0) this.#bindStream();
-        this.#progress.events += events;
-        const now = this.#now();
-        timing.observe(events, now);
-        const beganMs = now - (timing.firstAt ?? now);
-        if (beganMs >= SURVIVED_MS && !hasSurvived) {
-          hasSurvived = true;
-          this.#placement.recordSurvived();
-        }
-        if (lastId !== undefined) this.#progress.resumeAfter = lastId;
-        this.#progress.isResumable = isResumable;
-      },
-    );
+    const end = await relayStream(relay, this.#progress.order, (events, frames) => {
+      if (events > 0) this.#recordFirstEvent();
+      if (this.#progress.events === 0) this.#bindStream();
+      this.#progress.events += events;
+      const now = this.#now();
+      timing.observe(events, now);
+      const beganMs = now - (timing.firstAt ?? now);
+      if (beganMs >= SURVIVED_MS && !hasSurvived) {
+        hasSurvived = true;
+        this.#placement.recordSurvived();
+      }
+      this.#progress.resumeAfter = frames.lastId ?? this.#progress.resumeAfter;
+      this.#progress.isResumable = frames.isResumable;
+    });
     const { pool } = this.#lane.lane;
     // a stream that was cut off also shows the pace of its server.
     if (timing.quickestMs !== undefined) {
--- a/packages/gateway/src/node/serverDirectory.ts
+++ b/packages/gateway/src/node/serverDirectory.ts
@@ -9,6 +9,7 @@
 import { isDeepStrictEqual } from 'node:util';
 import { Listeners, Service } from '@flamingocourse/kernel';
 import { recordCold } from './recordNotice.js';
+import { loggedText } from '../utils/loggedText.js';
 import { reportThrown } from './reportThrown.js';
 import { StoreReachability } from './storeReachability.js';
 
@@ -51,9 +52,6 @@
  */
 export const SERVER_LIST_BATCH_MS = 250;
 
-/** Maximum number of logged characters of an id that is not valid. */
-const MAX_LOGGED_LENGTH = 200;
-
 /**
  * Service that keeps the list of servers that may get requests. Registered as `directory`.
  *
@@ -262,8 +260,7 @@
     // the server rewrites its entry with each heartbeat.
     if (this.#invalid.has(id)) return;
     this.#invalid.add(id);
-    const server = id.slice(0, MAX_LOGGED_LENGTH);
-    this.#context.log.write('server-entry-invalid', { server, length: id.length });
+    this.#context.log.write('server-entry-invalid', { server: loggedText(id), length: id.length });
   }
 
   #publish(cause: string, silentMs?: number): void {
