fix(gateway): an account that cannot be read in the stored budgets costs itself alone

What callers saw: one entry of an account in the stored budgets, or in the page of a group, that another program had written in another form stopped the exchange of tokens of all accounts. Each was refused as soon as its instance had spent what it held. An entry of a writer or of a member did the same.

Cause: both objects were parsed as a whole.

Ruled out: leaving the entry out. What was granted or spent of the account is not known then, so its budget would be granted a second time.

Why this holds: entries are read one by one once the whole cannot be read. What cannot is kept as it is and written back where it was.

--- a/packages/core/src/runtime/prepaid/prepaidBudgets.ts
+++ b/packages/core/src/runtime/prepaid/prepaidBudgets.ts
@@ -8,7 +8,13 @@
   PrepaidPage,
 } from '../../types/prepaid.js';
 import { sum } from '../../utils/sum.js';
-import { emptyPrepaidAccount, netGrant, prepaidRate, unallocatedPrepaid } from './prepaidPage.js';
+import {
+  emptyPrepaidAccount,
+  isUnreadable,
+  netGrant,
+  prepaidRate,
+  unallocatedPrepaid,
+} from './prepaidPage.js';
 import { entryOf, setEntry } from '../../utils/table.js';
 
 /** Limit of each account, from the current configuration. An account without one is not limited. */
@@ -88,6 +94,7 @@
   account: AccountId,
   limit: Tokens,
 ): Tokens {
+  if (isUnreadable(budgets, account)) return 0;
   const grants = Object.values(entryOf(budgets.grants, account) ?? {});
   return Math.max(0, limit - sum(grants.map(netGrant)));
 }
@@ -129,7 +136,7 @@
   if (wanted.size === 0) return wanted;
   const groups = countGroups(budgets);
   for (const [account, limit] of limits) {
-    if (wanted.has(account)) continue;
+    if (wanted.has(account) || isUnreadable(page, account)) continue;
     const fair = fairGrant(ungrantedPrepaid(budgets, account, limit), groups);
     const unallocated = unallocatedPrepaid(
       entryOf(page.accounts, account) ?? emptyPrepaidAccount(),
@@ -194,6 +201,7 @@
 export function takeGrants(page: PrepaidPage, budgets: PrepaidBudgets, group: string): PrepaidPage {
   const accounts = { ...page.accounts };
   for (const [name, grants] of Object.entries(budgets.grants)) {
+    if (isUnreadable(page, name)) continue;
     const granted = entryOf(grants, group)?.granted ?? 0;
     const account = entryOf(accounts, name) ?? emptyPrepaidAccount();
     if (granted > account.granted) setEntry(accounts, name, { ...account, granted });
@@ -236,6 +244,7 @@
 /** Whether the page has returned tokens that the budgets do not include yet. */
 export function hasReturns(page: PrepaidPage, budgets: PrepaidBudgets, group: string): boolean {
   return Object.entries(page.accounts).some(([name, { returned }]) => {
+    if (isUnreadable(budgets, name)) return false;
     return returned > (entryOf(entryOf(budgets.grants, name), group)?.returned ?? 0);
   });
 }
--- a/packages/core/src/runtime/prepaid/prepaidPage.ts
+++ b/packages/core/src/runtime/prepaid/prepaidPage.ts
@@ -75,13 +75,15 @@
   const replaced = before !== undefined && before.incarnation !== incarnation;
   const accounts = replaced ? moveSharesToInDoubt(page.accounts, instance) : { ...page.accounts };
   for (const [name, entry] of Object.entries(report.entries)) {
+    if (isUnreadable(page, name)) continue;
     setEntry(
       accounts,
       name,
       applyEntry(entryOf(accounts, name) ?? emptyPrepaidAccount(), instance, entry),
     );
   }
-  const next = { accounts, writers: { ...page.writers, [instance]: { incarnation, seq } } };
+  const writers = { ...page.writers, [instance]: { incarnation, seq } };
+  const next = { ...page, accounts, writers };
   return report.last ? dropWriter(next, instance) : next;
 }
 
@@ -92,11 +94,23 @@
 export function dropWriter(page: PrepaidPage, instance: string): PrepaidPage {
   if (!hasEntry(page.writers, instance)) return page;
   return {
+    ...page,
     accounts: moveSharesToInDoubt(page.accounts, instance),
     writers: withoutEntry(page.writers, instance),
   };
 }
 
+/**
+ * Whether a stored object has an entry of an account that cannot be read. How much of its budget is spent or
+ * held is not known then, so none of it may be allocated.
+ */
+export function isUnreadable(
+  { unreadable }: Pick<PrepaidPage, 'unreadable'>,
+  account: AccountId,
+): boolean {
+  return unreadable !== undefined && hasEntry(unreadable, account);
+}
+
 /** Tokens of an account that can still be allocated to instances. */
 export function unallocatedPrepaid(account: PrepaidAccount): Tokens {
   return Math.max(0, netGrant(account) - account.spent - account.inDoubt - heldPrepaid(account));
@@ -130,6 +144,7 @@
   const shortfalls = new Map<AccountId, Tokens>();
   const after = applyReport(page, report);
   for (const [account, { keeps, wants }] of Object.entries(report.entries)) {
+    if (isUnreadable(page, account)) continue;
     const held = entryOf(entryOf(after.accounts, account)?.shares, report.instance)?.held ?? 0;
     const shortfall = keeps + wants - held;
     if (shortfall > 0) shortfalls.set(account, shortfall);
--- a/packages/core/src/runtime/prepaid/prepaidView.ts
+++ b/packages/core/src/runtime/prepaid/prepaidView.ts
@@ -7,7 +7,7 @@
   PrepaidPage,
   PrepaidView,
 } from '../../types/prepaid.js';
-import { prepaidRate, remainingPrepaid } from './prepaidPage.js';
+import { isUnreadable, prepaidRate, remainingPrepaid } from './prepaidPage.js';
 import { entryOf } from '../../utils/table.js';
 
 /**
@@ -28,6 +28,10 @@
 ): PrepaidView {
   const accounts = new Map<AccountId, PrepaidAccountView>();
   for (const [name, { elsewhere, othersRate }] of outlook) {
+    if (isUnreadable(page, name)) {
+      accounts.set(name, { remaining: 0, othersRate: 0 });
+      continue;
+    }
     const account = entryOf(page.accounts, name);
     const groupRate = prepaidRate(account) - (entryOf(account?.shares, instance)?.rate ?? 0);
     const remaining = remainingPrepaid(account) + elsewhere;
--- a/packages/core/src/types/prepaid.ts
+++ b/packages/core/src/types/prepaid.ts
@@ -40,6 +40,8 @@
   accounts: Record<AccountId, PrepaidAccount>;
   /** By instance name. */
   writers: Record<string, PrepaidWriter>;
+  /** Accounts whose stored entries cannot be read, as they are stored; nothing is granted from them. */
+  unreadable?: Record<AccountId, unknown>;
 }
 
 /** Grant of one account to one group. All three totals only increase. */
@@ -63,6 +65,8 @@
   members: Record<string, string>;
   /** By account, then by group. */
   grants: Record<AccountId, Record<string, PrepaidGrant>>;
+  /** Accounts whose stored grants cannot be read, as they are stored; nothing more is granted of them. */
+  unreadable?: Record<AccountId, unknown>;
 }
 
 /** Data on an account that a group needs and its own page does not contain. */
--- a/packages/core/src/utils/table.ts
+++ b/packages/core/src/utils/table.ts
@@ -63,6 +63,50 @@
   });
 }
 
+/** A table whose entries were read one by one. */
+export interface PartlyReadTable<T> {
+  readable: Table<T>;
+  /** The other entries, as they are; absent if there are none. */
+  unreadable?: Table<unknown>;
+}
+
+/**
+ * Schema of a table in which an entry that cannot be read costs itself alone.
+ *
+ * @example
+ * partlyReadTableSchema(z.string(), z.number()).parse({ a: 1, b: 'x' });
+ * // { readable: { a: 1 }, unreadable: { b: 'x' } }
+ */
+export function partlyReadTableSchema<T>(
+  name: z.ZodType<string>,
+  value: z.ZodType<T>,
+): z.ZodType<PartlyReadTable<T>> {
+  const whole = tableSchema(name, value);
+  const entries = tableSchema(z.string(), z.unknown());
+  return z.unknown().transform((input, context) => {
+    const read = whole.safeParse(input);
+    if (read.success) return { readable: read.data };
+    const any = entries.safeParse(input);
+    for (const issue of any.error?.issues ?? []) context.addIssue({ ...issue });
+    return any.success ? readEntries(any.data, name, value) : z.NEVER;
+  });
+}
+
+function readEntries<T>(
+  entries: Table<unknown>,
+  name: z.ZodType<string>,
+  value: z.ZodType<T>,
+): PartlyReadTable<T> {
+  const readable: Table<T> = {};
+  const unreadable: Table<unknown> = {};
+  for (const [key, entry] of Object.entries(entries)) {
+    const read = value.safeParse(entry);
+    if (read.success && name.safeParse(key).success) setEntry(readable, key, read.data);
+    else setEntry(unreadable, key, entry);
+  }
+  return { readable, unreadable };
+}
+
 /** The entry named `__proto__` of a JSON value, if it has one. */
 function ownPrototypeEntry(input: unknown): { name: string; value: unknown } | undefined {
   const own = Object.getOwnPropertyDescriptor(input, '__proto__');
--- a/packages/gateway/src/node/prepaidGrants.ts
+++ b/packages/gateway/src/node/prepaidGrants.ts
@@ -31,12 +31,14 @@
   entryOf,
 } from '@flamingocourse/core';
 import { Result } from 'true-myth';
-import { prepaidBudgetsSchema } from '../utils/prepaidSchemas.js';
+import { encodePrepaidBudgets, prepaidBudgetsSchema } from '../utils/prepaidSchemas.js';
 import { StoredObject } from './storedObject.js';
+import { UnreadableAccounts } from './unreadableAccounts.js';
 
 const budgetCollection: Collection<PrepaidBudgets> = {
   name: 'prepaid-budgets',
   schema: prepaidBudgetsSchema,
+  encode: encodePrepaidBudgets,
 };
 const BUDGETS_NAME = 'all';
 
@@ -66,12 +68,14 @@
 export class PrepaidGrants {
   readonly #context: GatewayContext;
   readonly #budgets: StoredObject<PrepaidBudgets>;
+  readonly #unreadable: UnreadableAccounts;
   #group = '';
 
   constructor(context: GatewayContext) {
     this.#context = context;
-    const { store } = context;
+    const { store, log } = context;
     this.#budgets = new StoredObject(store, budgetCollection, BUDGETS_NAME, createPrepaidBudgets);
+    this.#unreadable = new UnreadableAccounts(log, budgetCollection.name);
   }
 
   /** Name of the group; empty before this instance has joined one. */
@@ -133,6 +137,7 @@
       const read = await this.#budgets.read(this.#now(), { ...options, stale });
       if (read.isErr) return Result.err(read.error);
     }
+    this.#unreadable.note(this.known.unreadable);
     while (entryOf(this.known.members, settings.instance) === undefined) {
       const next = joinGroup(this.known, settings.instance, MAX_GROUP_SIZE);
       const written = await this.#budgets.update(next, this.#now());
--- a/packages/gateway/src/node/prepaidPages.ts
+++ b/packages/gateway/src/node/prepaidPages.ts
@@ -22,6 +22,7 @@
   dropWriter,
   hasReport,
   isFenced,
+  isUnreadable,
   reportersBetween,
   membersOf,
   nextGroup,
@@ -31,13 +32,15 @@
   entryOf,
 } from '@flamingocourse/core';
 import { Result } from 'true-myth';
-import { prepaidPageSchema } from '../utils/prepaidSchemas.js';
+import { encodePrepaidPage, prepaidPageSchema } from '../utils/prepaidSchemas.js';
 import { PrepaidGrants } from './prepaidGrants.js';
 import { StoredObject } from './storedObject.js';
+import { UnreadableAccounts } from './unreadableAccounts.js';
 
 const pageCollection: Collection<PrepaidPage> = {
   name: 'prepaid-pages',
   schema: prepaidPageSchema,
+  encode: encodePrepaidPage,
 };
 
 /**
@@ -60,6 +63,7 @@
   group: string;
   page: StoredObject<PrepaidPage>;
   watch: MemberFailureDetector;
+  unreadable: UnreadableAccounts;
 }
 
 /**
@@ -129,6 +133,7 @@
 
   /** Tokens that this instance could get, according to the last read. */
   available(account: AccountId, limit: Tokens): Tokens {
+    if (this.page && isUnreadable(this.page, account)) return 0;
     const entry = entryOf(this.page?.accounts, account);
     return this.#grants.ungranted(account, limit) + (entry ? unallocatedPrepaid(entry) : 0);
   }
@@ -154,8 +159,10 @@
     const joined = await this.#grants.join(options);
     if (joined.isErr) return Result.err(joined.error);
     if (this.#own?.group !== this.group) this.#own = this.#createWatchedPage(this.group);
-    const { page } = this.#own;
-    return page.value ? Result.ok(page.value) : page.read(this.#now(), options);
+    const { page, unreadable } = this.#own;
+    const opened = page.value ? Result.ok(page.value) : await page.read(this.#now(), options);
+    if (opened.isOk) unreadable.note(opened.value.unreadable);
+    return opened;
   }
 
   /** Writes a report to the page. This is idempotent, so it may be repeated after an error. */
@@ -317,9 +324,13 @@
   }
 
   #createWatchedPage(group: string): WatchedPage {
-    const { store, settings } = this.#context;
-    const page = new StoredObject(store, pageCollection, group, createPrepaidPage);
-    return { group, page, watch: new MemberFailureDetector(settings.prepaid.silentMs) };
+    const { store, settings, log } = this.#context;
+    return {
+      group,
+      page: new StoredObject(store, pageCollection, group, createPrepaidPage),
+      watch: new MemberFailureDetector(settings.prepaid.silentMs),
+      unreadable: new UnreadableAccounts(log, `${pageCollection.name}/${group}`),
+    };
   }
 
   #now(): number {
--- a/packages/kernel/src/runtime/eventCatalogue.ts
+++ b/packages/kernel/src/runtime/eventCatalogue.ts
@@ -256,6 +256,12 @@
     text: 'the instances of the fleet cannot be read or written; the last known ones stay in use',
     action: 'Check the store and the network to it.',
   },
+  'prepaid-entry-invalid': {
+    number: 432,
+    level: 'error',
+    text: 'a stored entry of an account cannot be read; none of its tokens are granted, those of the others are',
+    action: 'Correct the entry, counting all that may have been spent, or remove it.',
+  },
   'instance-entry-invalid': {
     number: 431,
     level: 'warn',
--- a/packages/store/src/node/httpObjectStore.ts
+++ b/packages/store/src/node/httpObjectStore.ts
@@ -35,6 +35,7 @@
 } from '../runtime/circuit.js';
 import { ObjectStore } from '../runtime/objectStore.js';
 import { isNewer } from '../utils/isNewer.js';
+import { toStored } from '../utils/toStored.js';
 import { PlatformError } from '../utils/platformError.js';
 import { ObjectApiDialect } from './objectApiDialect.js';
 import { ObjectWatch } from './objectWatch.js';
@@ -169,7 +170,8 @@
     value: T,
     options: CallOptions = {},
   ): PlatformResult<VersionedObject<T>> {
-    const request = this.#dialect.create(collection.name, name, value);
+    const written = toStored(collection, value);
+    const request = this.#dialect.create(collection.name, name, written);
     return this.#callObject(collection, { kind: 'create', ...request }, options, (object) => {
       return object.name === name;
     });
@@ -182,9 +184,10 @@
     value: T,
     options: CallOptions = {},
   ): PlatformResult<VersionedObject<T>> {
-    const request = this.#dialect.update(collection.name, name, version, value);
+    const written = toStored(collection, value);
+    const request = this.#dialect.update(collection.name, name, version, written);
     return this.#callObject(collection, { kind: 'update', ...request }, options, (object) => {
-      return object.name === name && isWritten(object, version, value);
+      return object.name === name && isWritten(object, version, written);
     });
   }
 
--- a/packages/store/src/runtime/memoryObjectStore.ts
+++ b/packages/store/src/runtime/memoryObjectStore.ts
@@ -14,6 +14,7 @@
 import { setTimeout as delay } from 'node:timers/promises';
 import { Result } from 'true-myth';
 import { PlatformError } from '../utils/platformError.js';
+import { toStored } from '../utils/toStored.js';
 import { ObjectStore } from './objectStore.js';
 import { ObjectTable } from './objectTable.js';
 
@@ -83,7 +84,7 @@
     value: T,
   ): PlatformResult<VersionedObject<T>> {
     const stored = await this.#write('create', name, () =>
-      this.table.create(collection.name, name, JSON.stringify(value)),
+      this.table.create(collection.name, name, JSON.stringify(toStored(collection, value))),
     );
     return stored.andThen((object) => parseStored(collection, object));
   }
@@ -95,7 +96,12 @@
     value: T,
   ): PlatformResult<VersionedObject<T>> {
     const stored = await this.#write('update', name, () =>
-      this.table.update(collection.name, name, version, JSON.stringify(value)),
+      this.table.update(
+        collection.name,
+        name,
+        version,
+        JSON.stringify(toStored(collection, value)),
+      ),
     );
     return stored.andThen((object) => parseStored(collection, object));
   }
--- a/packages/store/src/types/objects.ts
+++ b/packages/store/src/types/objects.ts
@@ -24,6 +24,8 @@
   name: string;
   /** Validates each value that is read, so that no malformed value is used. */
   schema: ZodType<T>;
+  /** Returns the JSON value to store, where it differs from the value in use. @default the value itself */
+  encode?(value: T): unknown;
   /** Whether an object may have a name; needed where others choose the names. @default every name */
   isName?: (name: string) => boolean;
 }
