fix(mesh): what a peer sends is read entry by entry, and what it answers is checked

What callers saw: nothing between instances of one version. An instance of another version, or a faulty one, whose message held one fact, stream, member or hint in another form lost all of that message: crashes were not known and streams refused or begun anew elsewhere. What it answered was used as it came: an odd answer to a question for a stream made that peer count as one that does not know it, which lets a stream go on at another software version; an odd heartbeat ended the heartbeats of a router for good, an odd loan or news threw in background work.

Cause: inputs had schemas for the whole message only, outputs had none.

Why this holds: an entry of a list or a table that stands alone costs itself alone, on both sides, and `peer-entry-invalid` names the first. Lines of journals and reports of tokens are still refused as a whole, because a part of one would charge or grant twice. An answer that cannot be read counts as none. A message that can be read is parsed once, as before.

--- a/packages/gateway/src/node/createGateway.ts
+++ b/packages/gateway/src/node/createGateway.ts
@@ -19,7 +19,7 @@
   unpackSums,
 } from '@flamingocourse/core';
 import { BackgroundWork, BodyBuffers, Kernel, describeError } from '@flamingocourse/kernel';
-import { MeshClient, MeshServer } from '@flamingocourse/mesh';
+import { MeshClient, MeshServer, logUnreadable } from '@flamingocourse/mesh';
 import { Result } from 'true-myth';
 import { HttpObjectStore, defaultCircuitOptions } from '@flamingocourse/store';
 import type { FleetConditions } from '../types/fleetConditions.js';
@@ -115,7 +115,8 @@
 export function createGateway(options: GatewayOptions): Gateway {
   const { dialects, clock, log, random } = options;
   const settings = { ...options.settings };
-  const peers = new MeshClient();
+  const onUnreadable = logUnreadable(log);
+  const peers = new MeshClient({ onUnreadable });
   const relay = new StoreRelay({
     instance: settings.instance,
     configurationIdleMs: settings.store.configurationIdleMs,
@@ -213,7 +214,7 @@
   const tunnels = new ServerTunnels(context);
   if (settings.listen.mesh) {
     const clients = clientOptions(context, 'mesh');
-    const mesh = new MeshServer({ ...settings.listen.mesh, clients });
+    const mesh = new MeshServer({ ...settings.listen.mesh, clients, onUnreadable });
     mesh.handle('followStore', (request) => relay.answer(request));
     mesh.handle('borrow', async (req) => Result.ok(await prepaid.lend(req)));
     mesh.handle('writeReport', (forwarded) => prepaid.writeFor(forwarded));
--- a/packages/kernel/src/runtime/eventCatalogue.ts
+++ b/packages/kernel/src/runtime/eventCatalogue.ts
@@ -84,6 +84,12 @@
     action:
       'No action is needed. Possible causes are a pause of the process or a network partition just before.',
   },
+  'peer-entry-invalid': {
+    number: 309,
+    level: 'warn',
+    text: 'entries of a message of another instance cannot be read; the others are',
+    action: 'Compare the versions of the instances.',
+  },
   'news-peer-lost': {
     number: 302,
     level: 'info',
--- a/packages/mesh/src/node/meshClient.ts
+++ b/packages/mesh/src/node/meshClient.ts
@@ -11,11 +11,14 @@
   RoutedProcedure,
 } from '../types/procedures.js';
 import type { TunnelOptions } from '../types/tunnels.js';
+import type { UnreadableListener } from '../types/unreadable.js';
 import type { Socket } from 'node:net';
 import { Agent } from 'node:http';
 import { BodyBuffers, startTimeLimit } from '@flamingocourse/kernel';
 import { createTRPCUntypedClient, httpLink, TRPCClientError } from '@trpc/client';
 import { Result } from 'true-myth';
+import { readMessage } from '../runtime/readMessage.js';
+import { outputEntries, outputSchemas } from '../runtime/schemas.js';
 import { MeshError } from '../utils/meshError.js';
 import { TunnelError } from '../utils/tunnelError.js';
 import { callDirect } from './directCalls.js';
@@ -42,6 +45,8 @@
   maxPerPeer?: number;
   /** Local IP address of connections. @default chosen by the operating system */
   localAddress?: string;
+  /** Called with what cannot be read of an answer. */
+  onUnreadable?: UnreadableListener;
 }
 
 /** Peer to call. */
@@ -108,7 +113,7 @@
         context: { to: target.incarnation },
         signal: limit.signal,
       });
-      return Result.ok(output as ProcedureOutput<P>);
+      return this.#readOutput(target, procedure, output);
     } catch (err) {
       if (!limit.isExpired) return Result.err(toMeshError(err, procedure));
       const message = `${procedure}: no answer within ${String(timeoutMs)} ms`;
@@ -119,6 +124,24 @@
     }
   }
 
+  /** An answer that cannot be read is none: what the peer did is not known. */
+  #readOutput<P extends RoutedProcedure>(
+    { meshUrl }: MeshTarget,
+    procedure: P,
+    output: unknown,
+  ): Result<ProcedureOutput<P>, MeshError> {
+    try {
+      const read = readMessage(outputSchemas[procedure], outputEntries[procedure], output);
+      for (const entries of read.unreadable) {
+        this.#options.onUnreadable?.({ procedure, peer: meshUrl, ...entries });
+      }
+      return Result.ok(read.message);
+    } catch (cause) {
+      const message = `${procedure}: the answer is malformed`;
+      return Result.err(new MeshError('unreachable', message, { cause }));
+    }
+  }
+
   /** Calls a procedure that is called often, without tRPC; limits and errors as for {@link call}. */
   async callDirect<P extends DirectProcedure>(
     { meshUrl }: MeshTarget,
--- a/packages/mesh/src/node/meshServer.ts
+++ b/packages/mesh/src/node/meshServer.ts
@@ -6,6 +6,7 @@
 import type { MeshCallContext } from '../runtime/meshRouter.js';
 import type { DirectProcedure, MeshHandler, ProcedureName } from '../types/procedures.js';
 import type { TunnelHandler } from '../types/tunnels.js';
+import type { UnreadableListener } from '../types/unreadable.js';
 import type { Duplex } from 'node:stream';
 import { createHash, timingSafeEqual } from 'node:crypto';
 import { createServer } from 'node:http';
@@ -65,6 +66,8 @@
   maxConcurrent?: number;
   /** What clients may make the process hold; by default this listener has limits of its own. */
   clients?: ClientConnectionsOptions;
+  /** Called with what cannot be read of an input. */
+  onUnreadable?: UnreadableListener;
 }
 
 /**
@@ -203,6 +206,7 @@
     const router = createMeshRouter({
       handler: <P extends ProcedureName>(procedure: P) => this.#handlers[procedure],
       isSelf: (incarnation) => this.#isSelf(incarnation),
+      onUnreadable: (part) => this.#options.onUnreadable?.(part),
     });
     return createHTTPHandler({
       router,
--- a/packages/mesh/src/runtime/meshRouter.ts
+++ b/packages/mesh/src/runtime/meshRouter.ts
@@ -3,9 +3,16 @@
  * into URLs.
  */
 
-import type { MeshHandler, ProcedureName, RoutedProcedure } from '../types/procedures.js';
+import type {
+  MeshHandler,
+  ProcedureInput,
+  ProcedureName,
+  RoutedProcedure,
+} from '../types/procedures.js';
+import type { UnreadableListener } from '../types/unreadable.js';
 import { initTRPC, TRPCError } from '@trpc/server';
-import { inputSchemas } from './schemas.js';
+import { readMessage } from './readMessage.js';
+import { inputEntries, inputSchemas } from './schemas.js';
 
 /** Context of a call, read from its headers. */
 export interface MeshCallContext {
@@ -19,6 +26,8 @@
 export interface MeshRouterPorts {
   /** Returns the handler of a procedure, if it is registered. */
   handler<P extends ProcedureName>(procedure: P): MeshHandler<P> | undefined;
+  /** Called with what cannot be read of an input. */
+  onUnreadable: UnreadableListener;
   /** Whether an incarnation belongs to this process. */
   isSelf(incarnation: string): boolean;
 }
@@ -47,7 +56,16 @@
 export type MeshRouter = ReturnType<typeof createMeshRouter>;
 
 function createProcedure<P extends RoutedProcedure>(ports: MeshRouterPorts, procedure: P) {
-  return trpc.procedure.input(inputSchemas[procedure]).mutation(async ({ ctx, input }) => {
+  const read = (value: unknown): ProcedureInput<P> => {
+    const { message, unreadable } = readMessage(
+      inputSchemas[procedure],
+      inputEntries[procedure],
+      value,
+    );
+    for (const entries of unreadable) ports.onUnreadable({ procedure, ...entries });
+    return message;
+  };
+  return trpc.procedure.input(read).mutation(async ({ ctx, input }) => {
     if (!ctx.trusted) throw refusal('UNAUTHORIZED', 'the mesh secret does not match');
     checkRecipient(ports, procedure, ctx.to);
     const handler = ports.handler(procedure);
--- a/packages/router/src/node/createRouter.ts
+++ b/packages/router/src/node/createRouter.ts
@@ -10,7 +10,7 @@
   NoMetrics,
   StatsdMetrics,
 } from '@flamingocourse/kernel';
-import { MeshClient, MeshServer } from '@flamingocourse/mesh';
+import { MeshClient, MeshServer, logUnreadable } from '@flamingocourse/mesh';
 import { HttpObjectStore } from '@flamingocourse/store';
 import { HmacTicketCodec } from '../utils/hmacTicketCodec.js';
 import { Fleet } from '../types/fleet.js';
@@ -64,10 +64,15 @@
       kernel.reportFailure(err, 'store');
     },
   });
-  const client = new MeshClient({ secret: settings.fleetSecret });
+  const onUnreadable = logUnreadable(log);
+  const client = new MeshClient({ secret: settings.fleetSecret, onUnreadable });
   const fleet = (): Fleet => kernel.get('fleet', Fleet);
 
-  const mesh = new MeshServer({ ...settings.mesh, secret: settings.fleetSecret });
+  const mesh = new MeshServer({
+    ...settings.mesh,
+    secret: settings.fleetSecret,
+    onUnreadable,
+  });
   const hints = new MeshHints(client, fleet, background);
   const drains = new DrainRelay(store, hints);
   const entry = new EntryServer(context);
