fix: a request of any stated size costs no other request its tokens

What callers saw: after one request whose X-Token-Usage has a number of some 300 digits, no account was served from prepaid tokens at that instance any more: 503 for each request beyond what was held.

Cause: such a number is infinite. It became demand and was asked for; JSON has no infinite numbers, so the report held null, and its writer and readers refused it again and again, with the entries of all other accounts.

A request of more than the account's limit is refused at once, with 402 if the configuration is recent, and is neither observed as demand nor asked for.

--- a/packages/gateway/src/node/prepaidService.ts
+++ b/packages/gateway/src/node/prepaidService.ts
@@ -180,6 +180,10 @@
     signal: AbortSignal,
     endsAt?: number,
   ): Promise<Result<PrepaidReservation, Refusal>> {
+    // as demand it would take the account's tokens from requests that can be served.
+    if (amount > this.#limit(account)) {
+      return Result.err(this.#refuse(account, amount, 'short', endsAt));
+    }
     const sources = this.#sources(account);
     sources[0]?.observe(account, amount, this.#now());
     const reserved = await this.#holdOrFetch(sources, account, amount, signal);
--- a/packages/gateway/src/node/tokenRefusals.ts
+++ b/packages/gateway/src/node/tokenRefusals.ts
@@ -88,7 +88,7 @@
     // whether the budget certainly cannot cover the amount, wherever the remaining tokens are held.
     // Spending only grows, so older information proves this too. The configuration must be recent,
     // however, because an instance that is cut off from the store may not know of a raised limit.
-    const usedUp = isLimitFresh && left !== undefined && left < amount;
+    const usedUp = isLimitFresh && (amount > limit || (left !== undefined && left < amount));
     if (why === 'away' && !usedUp) this.#unreachableAt = now;
     metrics.prepaidRefused(account, usedUp ? 'used-up' : why);
     log.write('prepaid-refused', {
