fix(kernel): a time limit of more than 25 days does not expire at once

What callers saw: each request of a route whose timeout_ms is above 2,147,483,647 was refused with 503 "The time limit passed." if its caller stated as long a wait.

Cause: Node.js starts a timer with a longer delay after one millisecond.

Evidence: the new case of test/kernel/timeLimit.test.ts failed without the change.

Why this holds: all time limits come from this module, and the longest delay is the one that a timer can have.

--- a/packages/kernel/src/node/timeLimit.ts
+++ b/packages/kernel/src/node/timeLimit.ts
@@ -2,6 +2,9 @@
 
 import { afterPendingReads } from './waitForPendingReads.js';
 
+/** Longest delay of a timer, some 25 days; Node.js starts one with a longer delay at once. */
+const MAX_DELAY_MS = 2 ** 31 - 1;
+
 /** An abort signal with a timeout. */
 export interface TimeLimit {
   /** Aborted when the time limit expires, or when the caller's signal is aborted. */
@@ -26,11 +29,14 @@
 export function onTimeout(ms: number | undefined, listener: () => void): () => void {
   if (ms === undefined) return () => undefined;
   let stopped = false;
-  const timer = setTimeout(() => {
-    afterPendingReads(() => {
-      if (!stopped) listener();
-    });
-  }, ms);
+  const timer = setTimeout(
+    () => {
+      afterPendingReads(() => {
+        if (!stopped) listener();
+      });
+    },
+    Math.min(ms, MAX_DELAY_MS),
+  );
   return () => {
     stopped = true;
     clearTimeout(timer);
--- a/test/kernel/timeLimit.test.ts
+++ b/test/kernel/timeLimit.test.ts
@@ -3,6 +3,7 @@
 import assert from 'node:assert/strict';
 import { Agent, createServer } from 'node:http';
 import { connect } from 'node:net';
+import { setTimeout as delay } from 'node:timers/promises';
 import { test } from 'node:test';
 import { ServerAgent, openAttempt } from '@flamingocourse/gateway';
 import { BodyBuffers, exchange, startTimeLimit } from '@flamingocourse/kernel';
@@ -37,6 +38,18 @@
   return { url: `http://127.0.0.1:${String(port)}`, port };
 }
 
+// Guards against a request that is refused at once, because its route and its caller allow it more than 25 days.
+test('a time limit that no timer can have does not expire at once', async (t) => {
+  for (const ms of [2 ** 31, 1e12, 1e300, Infinity]) {
+    const limit = startTimeLimit(ms);
+    t.after(() => {
+      limit.end();
+    });
+    await delay(10);
+    assert.equal(limit.isExpired, false, String(ms));
+  }
+});
+
 // Guards against an instance with a lagging event loop that considers the store or servers
 // unreachable, although their answers have arrived and are only not read yet.
 test('an exchange accepts an answer that arrived before its timeout', async (t) => {
