fix(gateway): a server's Keep-Alive of any length ends no process

What callers saw: one answer of one server with "Keep-Alive: timeout=" and some 310 digits or more ended the process of the instance, with all requests in flight; each instance that used the server ended so.

Cause: such a number is infinite, and a socket throws for it as a timeout, in the listener in which the agent takes back the connection.

The 16 other headers of the table, with eight odd values each, held before.

Why this holds: an idle connection is kept for an hour at most, whatever the server allows, and the number of digits no longer matters.

--- a/packages/gateway/src/node/serverAgent.ts
+++ b/packages/gateway/src/node/serverAgent.ts
@@ -14,6 +14,8 @@
 const IDLE_MARGIN_MS = 1_000;
 /** Idle timeout in milliseconds for a server that announces no keep-alive timeout. */
 const DEFAULT_IDLE_MS = 2_000;
+/** Longest time in milliseconds that an idle connection is kept, whatever its server allows. */
+const MAX_IDLE_MS = 3_600_000;
 const MS_PER_SECOND = 1_000;
 
 /**
@@ -103,5 +105,5 @@
   const hint = message?.res?.headers['keep-alive'];
   const seconds = /(?:^|[\s,])timeout=(\d+)/i.exec(typeof hint === 'string' ? hint : '')?.[1];
   if (seconds === undefined) return DEFAULT_IDLE_MS;
-  return Number(seconds) * MS_PER_SECOND - IDLE_MARGIN_MS;
+  return Math.min(Number(seconds) * MS_PER_SECOND - IDLE_MARGIN_MS, MAX_IDLE_MS);
 }
