fix(router): an answer of another router with an odd status ends no process

What callers saw: a retry that was passed on to the router that had issued its ticket, and that was answered with a status below 100 or above 999, ended the process of the router that passed it on.

Cause: the status was written in a listener without a check, where Node.js throws for it.

Why this holds: an answer whose status is none of HTTP's counts as no answer, as if the other router could not be reached.

--- a/packages/router/src/node/entry/forward.ts
+++ b/packages/router/src/node/entry/forward.ts
@@ -6,11 +6,14 @@
 import { FORWARDED_HEADER } from './callerRequest.js';
 
 const CONFIRM_TIMEOUT_MS = 30_000;
+/** Statuses that an answer can have; a listener that throws for another one would end the process. */
+const FIRST_FINAL_STATUS = 200;
+const LAST_STATUS = 599;
 const DROPPED_HEADERS = new Set(['host', 'connection', 'content-length', 'idempotency-key']);
 
 /**
  * Sends a request to the issuer and pipes the answer back to the caller. Resolves to false, with
- * nothing written to the caller, if the issuer cannot be reached.
+ * nothing written to the caller, if the issuer cannot be reached or its answer cannot be passed on.
  *
  * @example
  * if (!(await forwardRequest(entryUrl, ticket, req, body, res))) refuse('outcome-unknown');
@@ -32,7 +35,12 @@
       },
     });
     upstream.on('response', (answer) => {
-      res.writeHead(answer.statusCode ?? 502, answer.headers);
+      const { statusCode = 0 } = answer;
+      if (statusCode < FIRST_FINAL_STATUS || statusCode > LAST_STATUS) {
+        upstream.destroy(new Error(`status ${String(statusCode)}`));
+        return;
+      }
+      res.writeHead(statusCode, answer.headers);
       answer.pipe(res);
       // a truncated answer must not look complete, so the caller's connection is destroyed too.
       answer.on('close', () => {
