fix(store): an instance whose URL cannot be used costs itself alone

What callers saw: each call to an entry of the platform's list of instances with a URL that cannot be parsed, or of another protocol, failed inside the router, and probes of it as background work; heartbeats could bring such a URL as well.

Cause: the URL was any text, and was found to be unusable where a call needs it.

Evidence: the new case of test/store/httpObjectStore.test.ts failed on: all eight entries were listed.

Nothing here calls another protocol than http.

--- a/packages/mesh/src/runtime/schemas.ts
+++ b/packages/mesh/src/runtime/schemas.ts
@@ -64,7 +64,7 @@
 const name = z.string().max(MAX_HEADER_TEXT_LENGTH);
 const count = z.number().int().min(0);
 const tokens = z.number().int();
-const url = z.url().max(maxIdLength);
+const url = z.url({ protocol: /^http$/ }).max(maxIdLength);
 
 const billSchema: ZodType<Bill> = z.object({
   holder: id,
--- a/packages/router/src/node/createRouter.ts
+++ b/packages/router/src/node/createRouter.ts
@@ -13,6 +13,7 @@
 import { MeshClient, MeshServer, logUnreadable } from '@flamingocourse/mesh';
 import { HttpObjectStore } from '@flamingocourse/store';
 import { HmacTicketCodec } from '../utils/hmacTicketCodec.js';
+import { logInvalidInstances } from '../utils/logInvalidInstances.js';
 import { Fleet } from '../types/fleet.js';
 import { BackendService } from './backends/backendService.js';
 import { DrainRelay } from './backends/drainRelay.js';
@@ -63,6 +64,7 @@
     onFailure: (err) => {
       kernel.reportFailure(err, 'store');
     },
+    onInvalidInstance: logInvalidInstances(log),
   });
   const onUnreadable = logUnreadable(log);
   const client = new MeshClient({ secret: settings.fleetSecret, onUnreadable });
--- a/packages/store/src/node/httpObjectStore.ts
+++ b/packages/store/src/node/httpObjectStore.ts
@@ -79,6 +79,8 @@
   random?: () => number;
   /** Receives errors of background work. */
   onFailure?: (err: unknown) => void;
+  /** Receives each entry of a list of instances that cannot be used; the others are. */
+  onInvalidInstance?: (entry: unknown) => void;
 }
 
 /** Timeout of a probe in milliseconds; a store that is merely slow answers within it. */
@@ -249,7 +251,15 @@
       wireInstanceListSchema,
       options,
     );
-    return answer.map(({ items }) => items.flatMap(parseInstance));
+    return answer.map(({ items }) => items.flatMap((item) => this.#parseInstance(item)));
+  }
+
+  /** Returns an array that is empty for an entry that cannot be used, so that the others stay usable. */
+  #parseInstance(item: unknown): InstanceRecord[] {
+    const parsed = wireInstanceSchema.safeParse(item);
+    if (parsed.success) return [parsed.data];
+    this.#options.onInvalidInstance?.(item);
+    return [];
   }
 
   override close(): void {
@@ -392,11 +402,3 @@
   }
   return list;
 }
-
-/**
- * Returns an array that is empty for a malformed entry, so that the other instances stay usable.
- */
-function parseInstance(item: unknown): InstanceRecord[] {
-  const parsed = wireInstanceSchema.safeParse(item);
-  return parsed.success ? [parsed.data] : [];
-}
--- a/packages/store/src/node/wireFormat.ts
+++ b/packages/store/src/node/wireFormat.ts
@@ -37,7 +37,7 @@
   service: z.string(),
   id: z.string(),
   dataCentre: z.string(),
-  url: z.string(),
+  url: z.url({ protocol: /^http$/ }),
   state: z.enum(['live', 'leaving']),
 });
 
--- a/test/store/httpObjectStore.test.ts
+++ b/test/store/httpObjectStore.test.ts
@@ -137,6 +137,22 @@
   assert.ok(result.isErr && result.error.code === 'unreachable');
 });
 
+// Guards against a router that fails each call to an instance, because its URL is none.
+test('an entry of the instance list that cannot be used costs itself alone', async (t) => {
+  const platform = await startStandIn(t, { instanceLagMs: 0 });
+  const invalid: unknown[] = [];
+  const onInvalidInstance = (entry: unknown): void => void invalid.push(entry);
+  const store = connect(t, platform.urls['dc-a'], { onInvalidInstance });
+  const base = { service: 's', dataCentre: 'dc-a', state: 'live' } as const;
+  const usable = { ...base, id: '0', url: 'http://127.0.0.1:1' };
+  const odd = ['', 'x y', 'a%zz', 'http://[', 'http://a:99999', 'ftp://a', 'https://a'].map(
+    (url, index) => ({ ...base, id: String(index + 1), url }),
+  );
+  platform.setInstances('s', [...odd, usable]);
+  assert.deepEqual((await store.listInstances('s')).unwrapOrElse(failTest), [usable]);
+  assert.deepEqual(invalid, odd);
+});
+
 test('the instance list is updated with a delay, and a malformed entry is skipped', async (t) => {
   const platform = await startStandIn(t, { instanceLagMs: 80 });
   const store = connect(t, platform.urls['dc-b']);
