fix: work that is started ahead and fails meanwhile ends no process

What callers saw: nothing yet by data from outside. A read of a service's versions is started while peers are asked for a stream, and the claim of a key while its request runs; where one of them throws before it is awaited, or is never awaited, the rejection had no handler, and Node.js ends the process.

Cause: both promises were stored and awaited later. The linter sees only promises that are dropped at once.

All other places that store a promise were read: they are awaited at once, raced, or handled where they are stored.

--- a/packages/gateway/src/node/streamOrigins.ts
+++ b/packages/gateway/src/node/streamOrigins.ts
@@ -154,6 +154,8 @@
     const inquiry = key === undefined ? undefined : this.#inquiry({ key, services });
     const only = head.resumeAfter === undefined ? undefined : this.#onlyService(route);
     const read = only === undefined ? undefined : this.#software?.refresh(only);
+    // it may fail before it is awaited, or is not awaited.
+    this.#context.background.run(this.name, () => read);
     const knowledge = (await inquiry?.ask()) ?? NOBODY_KNOWS;
     if (knowledge.type !== 'unknown' || only === undefined) return knowledge;
     if (await read) return knowledge;
--- a/packages/router/src/node/entry/executor.ts
+++ b/packages/router/src/node/entry/executor.ts
@@ -152,13 +152,15 @@
       this.#options.money.release(reservation);
       return { type: 'refused', refusal: intentRefusal };
     }
+    const { onFailure } = this.#options;
     const claim = this.#claimWhileRunning(request, execution);
+    // it may fail before it is awaited, or is not awaited.
+    runInBackground(() => claim, onFailure);
     const end = await work.run(execution);
     if (end.type !== 'refused' && billedAs === undefined) {
       return this.#settle(request, execution, reservation, end, await claim);
     }
     this.#options.money.release(reservation);
-    const { onFailure } = this.#options;
     runInBackground(() => this.#releaseClaim(request, execution, claim), onFailure);
     return this.#unbilledEnd(request, execution, end);
   }
--- a/test/entry/chatAnswers.test.ts
+++ b/test/entry/chatAnswers.test.ts
@@ -7,6 +7,7 @@
 import { call, chatBody, readEvents, startBench } from './fixtures/entryBench.js';
 
 const FAST = { decodeMs: 1, decodeMsPerRequest: 0, prefillMsPerToken: 0 };
+const CLAIM_FAULT = new Error('a claim that cannot be read');
 const cleanUps: (() => Promise<void>)[] = [];
 
 afterEach(async () => {
@@ -21,7 +22,7 @@
 
 async function bench(
   urls: string[],
-  overrides?: { slowReaderMs?: number; maxQueue?: number },
+  overrides?: Parameters<typeof startBench>[1],
 ): Promise<EntryBench> {
   const started = await startBench({ llm: urls }, overrides);
   cleanUps.push(() => started.stop());
@@ -52,6 +53,26 @@
   assert.equal(router.money.held, 0);
 });
 
+// Guards against a claim that ends the process, because it fails while its request still runs.
+test('a request whose claim fails meanwhile gets an answer, and the next ones are served', async () => {
+  const { url } = await engine({ decodeMs: 5 });
+  const reported: unknown[] = [];
+  const router = await bench([url], { onFailure: (err) => reported.push(err) });
+  const failed = Promise.reject(CLAIM_FAULT);
+  failed.catch(() => undefined);
+  router.money.claimed = failed;
+  const body = chatBody(12, false);
+  const headers = { 'idempotency-key': 'claim-fails' };
+  const res = await call(router, '/v1/chat/completions', { body, headers });
+  await res.text();
+  assert.ok(res.status >= 500, String(res.status));
+  assert.ok(reported.includes(CLAIM_FAULT));
+  router.money.claimed = Promise.resolve();
+  const next = await call(router, '/v1/chat/completions', { body });
+  await next.text();
+  assert.equal(next.status, 200);
+});
+
 // Guards against an unbilled answer: a router could crash between the final event and the bill. The
 // final event is therefore sent after the bill is stored.
 test('the final event waits for the bill', async () => {
