refactor: texts for the log, lines written once and final statuses stand once

What callers saw: nothing; behaviour stays as it is.

`loggedText` moves from the gateway to the kernel, with `firstTimes` and `isFinalStatus`; reasons that the table of textSites repeats have names.

Ruled out: one reader for the entries of stored tables and of messages. The first keeps what it cannot read and writes it back, the second reports it.

--- a/packages/gateway/src/node/configurationWatch.ts
+++ b/packages/gateway/src/node/configurationWatch.ts
@@ -5,8 +5,7 @@
 import type { Subscription, VersionedObject, WatchEvent } from '@flamingocourse/store';
 import type { GatewayContext } from '../types/context.js';
 import { RouteTable } from '@flamingocourse/core';
-import { Listeners, Service } from '@flamingocourse/kernel';
-import { loggedText } from '../utils/loggedText.js';
+import { Listeners, Service, loggedText } from '@flamingocourse/kernel';
 import { reportThrown } from './reportThrown.js';
 import { StoreReachability } from './storeReachability.js';
 
--- a/packages/gateway/src/node/instanceDirectory.ts
+++ b/packages/gateway/src/node/instanceDirectory.ts
@@ -9,10 +9,9 @@
 import type { ChangeOutcome } from './storedObject.js';
 import { setTimeout as delay } from 'node:timers/promises';
 import { isDeepStrictEqual } from 'node:util';
-import { Listeners, Service } from '@flamingocourse/kernel';
+import { Listeners, Service, loggedText } from '@flamingocourse/kernel';
 import { readIntervalMs, entryOf } from '@flamingocourse/core';
 import { isInstanceName, isMeshUrl, storedInstancesSchema } from '../utils/instanceSchemas.js';
-import { loggedText } from '../utils/loggedText.js';
 import { StoredObject } from './storedObject.js';
 
 /** One object per data centre, named by it. */
--- a/packages/gateway/src/node/serverDirectory.ts
+++ b/packages/gateway/src/node/serverDirectory.ts
@@ -7,9 +7,8 @@
 import type { HealthCheck } from '../types/healthCheck.js';
 import { KeptServers } from '@flamingocourse/core';
 import { isDeepStrictEqual } from 'node:util';
-import { Listeners, Service } from '@flamingocourse/kernel';
+import { Listeners, Service, loggedText } from '@flamingocourse/kernel';
 import { recordCold } from './recordNotice.js';
-import { loggedText } from '../utils/loggedText.js';
 import { reportThrown } from './reportThrown.js';
 import { StoreReachability } from './storeReachability.js';
 
--- a/packages/gateway/src/node/unreadableAccounts.ts
+++ b/packages/gateway/src/node/unreadableAccounts.ts
@@ -2,7 +2,7 @@
 
 import type { AccountId } from '@flamingocourse/core';
 import type { EventLog } from '@flamingocourse/kernel';
-import { loggedText } from '../utils/loggedText.js';
+import { loggedText } from '@flamingocourse/kernel';
 
 /** Maximum number of accounts named for one object. */
 const MAX_NAMED = 100;
--- a/packages/kernel/src/index.ts
+++ b/packages/kernel/src/index.ts
@@ -25,4 +25,7 @@
 export * from './types/listenerLimits.js';
 export * from './utils/layerError.js';
 export * from './utils/decodePathPart.js';
+export * from './utils/firstTimes.js';
+export * from './utils/isFinalStatus.js';
+export * from './utils/loggedText.js';
 export * from './utils/parseJsonText.js';
--- a/packages/mesh/src/runtime/readMessage.ts
+++ b/packages/mesh/src/runtime/readMessage.ts
@@ -2,9 +2,7 @@
 
 import type { ZodType } from 'zod';
 import { entryOf, hasEntry, setEntry } from '@flamingocourse/core';
-
-/** Maximum number of characters of an entry that is reported. */
-const MAX_SHOWN_LENGTH = 200;
+import { loggedText } from '@flamingocourse/kernel';
 
 /** Schemas of the entries that stand alone, by the field that holds their list or table. */
 export type EntrySchemas = Readonly<Record<string, ZodType>>;
@@ -68,8 +66,7 @@
 }
 
 function describe(unreadable: unknown[]): Omit<UnreadableEntries, 'field'> {
-  const first = JSON.stringify(unreadable[0]).slice(0, MAX_SHOWN_LENGTH);
-  return { count: unreadable.length, first };
+  return { count: unreadable.length, first: loggedText(JSON.stringify(unreadable[0])) };
 }
 
 function isObject(value: unknown): value is Record<string, unknown> {
--- a/packages/mesh/src/utils/logUnreadable.ts
+++ b/packages/mesh/src/utils/logUnreadable.ts
@@ -1,8 +1,6 @@
 import type { EventLog } from '@flamingocourse/kernel';
 import type { UnreadableListener } from '../types/unreadable.js';
-
-/** Maximum number of different lines. */
-const MAX_LINES = 100;
+import { firstTimes } from '@flamingocourse/kernel';
 
 /**
  * Returns a listener that logs what cannot be read of the messages of peers. Messages are repeated, so each
@@ -12,11 +10,9 @@
  * const mesh = new MeshClient({ onUnreadable: logUnreadable(log) });
  */
 export function logUnreadable(log: EventLog): UnreadableListener {
-  const logged = new Set<string>();
+  const isFirst = firstTimes();
   return ({ procedure, peer, field, count, first }) => {
-    const line = `${procedure} ${field} ${first}`;
-    if (logged.has(line) || logged.size >= MAX_LINES) return;
-    logged.add(line);
+    if (!isFirst(`${procedure} ${field} ${first}`)) return;
     log.write('peer-entry-invalid', { procedure, peer, list: field, count, entry: first });
   };
 }
--- a/packages/router/src/node/entry/forward.ts
+++ b/packages/router/src/node/entry/forward.ts
@@ -3,12 +3,10 @@
 import type { IncomingMessage, ServerResponse } from 'node:http';
 import { request as httpRequest } from 'node:http';
 import { setEntry } from '@flamingocourse/core';
+import { isFinalStatus } from '@flamingocourse/kernel';
 import { FORWARDED_HEADER } from './callerRequest.js';
 
 const CONFIRM_TIMEOUT_MS = 30_000;
-/** Statuses that an answer can have; a listener that throws for another one would end the process. */
-const FIRST_FINAL_STATUS = 200;
-const LAST_STATUS = 599;
 const DROPPED_HEADERS = new Set(['host', 'connection', 'content-length', 'idempotency-key']);
 
 /**
@@ -36,7 +34,8 @@
     });
     upstream.on('response', (answer) => {
       const { statusCode = 0 } = answer;
-      if (statusCode < FIRST_FINAL_STATUS || statusCode > LAST_STATUS) {
+      // writing it would throw in this listener, and end the process.
+      if (!isFinalStatus(statusCode)) {
         upstream.destroy(new Error(`status ${String(statusCode)}`));
         return;
       }
--- a/test/docs/textSites.test.ts
+++ b/test/docs/textSites.test.ts
@@ -22,6 +22,10 @@
   'setTimeout',
 ]);
 
+const LISTED_ADDRESS = 'the address of a listed server (isServerAddress)';
+const OWN_TIMES = 'own times';
+const UNSENDABLE = 'what it throws is the fault unsendable';
+
 /** Why no text or number from outside makes the calls in a file throw. */
 const CHECKED: Record<string, { calls: Record<string, number>; why: string }> = {
   'packages/cli/src/runtime/status.ts': {
@@ -32,28 +36,28 @@
     calls: { writeHead: 3, setHeader: 1 },
     why: "headers of a parsed answer, whose status judge() has checked, and the instance's own",
   },
-  'packages/gateway/src/node/clientLimitLog.ts': { calls: { setTimeout: 1 }, why: 'own times' },
+  'packages/gateway/src/node/clientLimitLog.ts': { calls: { setTimeout: 1 }, why: OWN_TIMES },
   'packages/gateway/src/node/connectSocket.ts': {
     calls: { connect: 1 },
-    why: 'the address of a listed server (isServerAddress)',
+    why: LISTED_ADDRESS,
   },
   'packages/gateway/src/node/directConnection.ts': {
     calls: { connect: 1 },
-    why: 'the address of a listed server (isServerAddress)',
+    why: LISTED_ADDRESS,
   },
   'packages/gateway/src/node/httpAttempt.ts': {
     calls: { 'new URL': 1, request: 1 },
-    why: 'what it throws is the fault unsendable',
+    why: UNSENDABLE,
   },
   'packages/gateway/src/node/httpHealthCheck.ts': {
     calls: { 'new URL': 1 },
-    why: 'the address of a listed server (isServerAddress)',
+    why: LISTED_ADDRESS,
   },
   'packages/gateway/src/node/pathProbe.ts': {
     calls: { 'new URL': 1 },
-    why: 'the address of a listed server (isServerAddress)',
+    why: LISTED_ADDRESS,
   },
-  'packages/gateway/src/node/reopenListener.ts': { calls: { setTimeout: 1 }, why: 'own times' },
+  'packages/gateway/src/node/reopenListener.ts': { calls: { setTimeout: 1 }, why: OWN_TIMES },
   'packages/gateway/src/node/requestFlow.ts': {
     calls: { request: 1 },
     why: 'not the request of node:http',
@@ -64,15 +68,15 @@
   },
   'packages/gateway/src/node/serverAttempt.ts': {
     calls: { 'new URL': 1 },
-    why: 'the address of a listed server (isServerAddress)',
+    why: LISTED_ADDRESS,
   },
   'packages/gateway/src/node/serverPaths.ts': {
     calls: { connect: 1 },
-    why: 'the address of a listed server (isServerAddress)',
+    why: LISTED_ADDRESS,
   },
   'packages/gateway/src/node/serverProcesses.ts': {
     calls: { 'new URL': 1 },
-    why: 'the address of a listed server (isServerAddress)',
+    why: LISTED_ADDRESS,
   },
   'packages/gateway/src/node/statusService.ts': { calls: { writeHead: 2 }, why: 'own texts' },
   'packages/gateway/src/node/watchDuty.ts': {
@@ -81,7 +85,7 @@
   },
   'packages/gateway/src/utils/serverAddress.ts': {
     calls: { 'new URL': 1 },
-    why: 'the address of a listed server (isServerAddress)',
+    why: LISTED_ADDRESS,
   },
   'packages/gateway/src/utils/storedName.ts': {
     calls: { encodeURIComponent: 1 },
@@ -95,17 +99,17 @@
     calls: { writeHead: 3, setTimeout: 1 },
     why: 'own texts and times',
   },
-  'packages/kernel/src/node/eventLog.ts': { calls: { setTimeout: 1 }, why: 'own times' },
+  'packages/kernel/src/node/eventLog.ts': { calls: { setTimeout: 1 }, why: OWN_TIMES },
   'packages/kernel/src/node/httpExchange.ts': {
     calls: { request: 1 },
-    why: 'what it throws is the fault unsendable',
+    why: UNSENDABLE,
   },
-  'packages/kernel/src/node/lineBatch.ts': { calls: { setTimeout: 1 }, why: 'own times' },
+  'packages/kernel/src/node/lineBatch.ts': { calls: { setTimeout: 1 }, why: OWN_TIMES },
   'packages/kernel/src/node/timeLimit.ts': {
     calls: { setTimeout: 1 },
     why: 'bounded by MAX_DELAY_MS',
   },
-  'packages/kernel/src/runtime/backgroundWork.ts': { calls: { setTimeout: 1 }, why: 'own times' },
+  'packages/kernel/src/runtime/backgroundWork.ts': { calls: { setTimeout: 1 }, why: OWN_TIMES },
   'packages/mesh/src/node/directCalls.ts': {
     calls: { writeHead: 1, 'new URL': 1 },
     why: 'own texts, and the URL of a listed instance (isMeshUrl)',
@@ -150,7 +154,7 @@
     calls: { httpRequest: 2, writeHead: 1, encodeURIComponent: 1 },
     why: 'the URL of a heartbeat, a ticket that was read, and a status that was checked',
   },
-  'packages/router/src/node/money/timing.ts': { calls: { setTimeout: 2 }, why: 'own times' },
+  'packages/router/src/node/money/timing.ts': { calls: { setTimeout: 2 }, why: OWN_TIMES },
   'packages/store/src/node/httpObjectStore.ts': {
     calls: { 'new URL': 2, encodeURIComponent: 1 },
     why: 'own names, and paths that a dialect has encoded',
@@ -159,7 +163,7 @@
     calls: { 'new URL': 1, encodeURIComponent: 2 },
     why: 'own names (storedName), and versions of digits',
   },
-  'packages/store/src/node/recoveryProbe.ts': { calls: { setTimeout: 1 }, why: 'own times' },
+  'packages/store/src/node/recoveryProbe.ts': { calls: { setTimeout: 1 }, why: OWN_TIMES },
   'packages/store/src/node/watchConnection.ts': {
     calls: { request: 1, setTimeout: 1 },
     why: 'own names and times',
